--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,216 @@
+// Package choice decides, for one router of a fleet of cache servers, what becomes of each req.
+// This file holds the plain types of its inputs and decisions; every decision is in choice.go.
+package choice
+
+// Micros is a clock time or a span in whole microseconds.
+type Micros int64
+
+// The ids are types of their own, so that one cannot stand for another.
+type (
+	ServerID uint32
+	ReqID    string
+	Key      string
+	Tenant   string
+	Zone     string
+	Kind     string
+	Cell     int64
+	TimerRef int64
+	Method   int // index into Settings.Methods
+	Attempt  int // a req's write-outs count from 0
+)
+
+// Effect tells whether a method may run again.
+type Effect int
+
+const (
+	Retryable    Effect = iota // may run again
+	Deduplicated               // a group of servers drops repeats within a window
+	NonRetryable               // must never run twice
+)
+
+// Group names the servers that drop repeats of a deduplicated req.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// MethodSettings describes one method.
+type MethodSettings struct {
+	Name          string
+	Effect        Effect
+	Group         Group
+	Window        Micros // deduplicated only: how long repeats are known
+	LatencyBudget Micros
+	Deadline      Micros
+	Criticality   float64
+	LateShare     float64 // part of the criticality that a late answer still earns
+	Stream        bool
+}
+
+// TenantSettings is one tenant's share of the service.
+type TenantSettings struct {
+	Name  Tenant
+	Share float64
+	Quota float64 // reqs a second over all routers
+}
+
+// Settings is what a router is told at its start.
+type Settings struct {
+	Routers, Me     int
+	Methods         []MethodSettings
+	Tenants         []TenantSettings
+	Aside           bool
+	OriginKind      Kind // empty: the origin is no server of the list
+	OriginFall      float64
+	OriginFallSpan  Micros
+	ReportFields    []Figure
+	ListOnRequest   bool
+	Resolution      Micros
+	AnswerSlack     Micros
+	AskEvery        Micros
+	ColdShare       float64
+	ColdSpan        Micros
+	FallSpan        Micros
+	FallMultiple    float64
+	DrainGrace      Micros
+	MayCancel       bool
+	MayProbe        bool
+	MayHint         bool
+	MayTwoAtOnce    bool
+	MaxWriteOuts    int
+	MaxHint         Micros
+	OverShareWorth  float64
+	ConnectTimeout  Micros
+	ReportsOnProbes bool
+}
+
+// Figure names one value of a load report.
+type Figure int
+
+const (
+	FigureUnknown     Figure = iota
+	FigureServiceTime        // recent service time without waiting, in milliseconds
+	FigureQueue              // reqs waiting
+	FigureInFlight           // reqs in hand
+	FigureBusy               // busy share of the cores
+	FigureErrors             // errors a second
+	FigureHits               // recent share of hits
+)
+
+// State is what the list says of a server.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Entry is one line of the list of servers.
+type Entry struct {
+	Server  ServerID
+	Zone    Zone
+	Kind    Kind
+	Cell    Cell
+	State   State
+	Weight  float64
+	Started Micros // 0: long ago
+}
+
+// ListKind tells what a list holds.
+type ListKind int
+
+const (
+	ListFull ListKind = iota
+	ListChanges
+	ListSaved
+	ListFailed
+)
+
+// Status is how a write-out ended.
+type Status int
+
+const (
+	OK Status = iota
+	Failed
+	QueueFull
+	TimedOut
+	ConnectError
+	Reset
+	Canceled
+	Ignored
+	Miss
+)
+
+// Report holds the load figures of a server by their order in Settings.ReportFields.
+type Report []float64
+
+// Event is one input: ListCame, ReqCame, Returned, Left, Elapsed, Probed or Started.
+type Event any
+
+type (
+	ListCame struct {
+		Kind    ListKind
+		Entries []Entry
+	}
+	ReqCame struct {
+		Req        ReqID
+		Method     Method
+		Tenant     Tenant
+		Key        Key
+		ValidUntil Micros
+		Resent     bool
+		Write      bool
+	}
+	Returned struct {
+		Req     ReqID
+		Server  ServerID
+		Attempt Attempt
+		Status  Status
+		Took    Micros
+		Over    bool // the req is answered
+		Report  Report
+	}
+	Streaming struct { // the answer has begun and belongs to the client
+		Req     ReqID
+		Attempt Attempt
+	}
+	Left struct { // the client is gone
+		Req ReqID
+	}
+	Elapsed struct {
+		Ref TimerRef
+	}
+	Probed struct {
+		Server ServerID
+		Status Status
+		Took   Micros
+		Report Report
+	}
+)
+
+// Action says which fields of a Decision count.
+type Action int
+
+const (
+	WriteOut Action = iota // Req, Server, After (time-out)
+	Nack                   // Req, After (when to come back; 0: no hint)
+	Fail                   // Req
+	Recall                 // Req, Attempt
+	Wake                   // After, Ref
+	Subscribe
+	Probe // Server
+)
+
+// Decision is one thing to do now.
+type Decision struct {
+	Action  Action
+	Req     ReqID
+	Server  ServerID
+	Attempt Attempt
+	After   Micros
+	Ref     TimerRef
+}
--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,51 @@
+// Command wirehost hosts router instances that share nothing and speaks the bench's wire.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"spurtrestle/choice"
+	"spurtrestle/slate"
+)
+
+func main() {
+	if err := host(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
+
+func host(in io.Reader, out io.Writer) error {
+	r, w := slate.NewReader(in), slate.NewWriter(out)
+	routers := map[slate.Instance]*choice.Router{}
+	for {
+		b, err := r.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, input := range b.Inputs {
+			var decided []choice.Decision
+			switch ev := input.Event.(type) {
+			case slate.Launch:
+				routers[input.Instance], decided = choice.New(b.Now, ev.Settings, ev.Seed)
+			case slate.Shutdown:
+				delete(routers, input.Instance)
+			default:
+				if router := routers[input.Instance]; router != nil {
+					decided = router.Step(b.Now, ev)
+				}
+			}
+			for _, d := range decided {
+				w.Add(input.Instance, d)
+			}
+		}
+		if err := w.Send(b.Seq); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/slate/slate.go
@@ -0,0 +1,509 @@
+// Package slate reads and writes the bench's wire, slate-8695. The wire's names end here: what comes
+// out are the inputs of package choice, and what goes in are its decisions.
+package slate
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"spurtrestle/choice"
+)
+
+// Instance numbers a router hosted by this process.
+type Instance int
+
+// Launch is the input with which an instance starts; Shutdown ends it.
+type (
+	Launch struct {
+		Seed     uint64
+		Settings choice.Settings
+	}
+	Shutdown struct{}
+)
+
+// Input is one event for one instance: a choice.Event, a Launch or a Shutdown.
+type Input struct {
+	Instance Instance
+	Event    any
+}
+
+// Batch is what happened at one clock time.
+type Batch struct {
+	Now    choice.Micros
+	Seq    string
+	Inputs []Input
+}
+
+const listSlots = 16
+
+// Reader reads batches.
+type Reader struct {
+	in       *bufio.Reader
+	line     int
+	lists    [listSlots][]choice.Entry
+	known    [listSlots]bool
+	settings map[Instance]choice.Settings
+}
+
+// NewReader returns a Reader on in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), settings: map[Instance]choice.Settings{}}
+}
+
+// fields walks the parts of one line and remembers the first that is malformed.
+type fields struct {
+	name string
+	rest string
+	more bool
+	err  error
+}
+
+func (f *fields) fail(field, why string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: field %s: %s", f.name, field, why)
+	}
+}
+
+func (f *fields) text(field string) string {
+	if !f.more {
+		f.fail(field, "is missing")
+		return ""
+	}
+	part, rest, more := strings.Cut(f.rest, " ")
+	f.rest, f.more = rest, more
+	if part == "" {
+		f.fail(field, "is empty")
+	}
+	return part
+}
+
+func (f *fields) optional(field string) string {
+	if s := f.text(field); s != "-" {
+		return s
+	}
+	return ""
+}
+
+func (f *fields) whole(field string, most uint64) uint64 {
+	s := f.text(field)
+	n, err := strconv.ParseUint(s, 10, 64)
+	if f.err == nil && (err != nil || n > most) {
+		f.fail(field, fmt.Sprintf("%q is not a whole number up to %d", s, most))
+	}
+	return n
+}
+
+func (f *fields) number(field string) float64 {
+	s := f.optional(field)
+	if s == "" {
+		return 0
+	}
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(x) || math.Abs(x) > 1e12 {
+		f.fail(field, fmt.Sprintf("%q is not a number", s))
+		return 0
+	}
+	return x
+}
+
+func (f *fields) seconds(field string) choice.Micros {
+	return micros(f.number(field))
+}
+
+func (f *fields) flag(field string) bool {
+	s := f.optional(field)
+	if s != "" && s != "0" && s != "1" {
+		f.fail(field, fmt.Sprintf("%q is neither 0 nor 1", s))
+	}
+	return s == "1"
+}
+
+func (f *fields) row(field string) choice.Report {
+	s := f.optional(field)
+	if s == "" {
+		return nil
+	}
+	var out choice.Report
+	for part := range strings.SplitSeq(s, ",") {
+		x, err := strconv.ParseFloat(part, 64)
+		if part == "-" {
+			x, err = math.NaN(), nil
+		}
+		if err != nil {
+			f.fail(field, fmt.Sprintf("%q is not a number", part))
+			return nil
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func word[T any](f *fields, field string, words map[string]T) T {
+	s := f.text(field)
+	v, ok := words[s]
+	if !ok {
+		f.fail(field, fmt.Sprintf("%q is not known", s))
+	}
+	return v
+}
+
+func micros(s float64) choice.Micros { return choice.Micros(math.Round(s * 1e6)) }
+
+var (
+	listKinds = map[string]choice.ListKind{"INCREMENTAL": choice.ListChanges, "FULL": choice.ListFull,
+		"SAVED": choice.ListSaved, "FAILED": choice.ListFailed}
+	states   = map[string]choice.State{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
+	statuses = map[string]choice.Status{"Ok": choice.OK, "Failed": choice.Failed,
+		"QueueFull": choice.QueueFull, "TimedOut": choice.TimedOut, "ConnectError": choice.ConnectError,
+		"ResetByPeer": choice.Reset, "Canceled": choice.Canceled, "Ignored": choice.Ignored,
+		"Miss": choice.Miss}
+	figures = map[string]choice.Figure{"avg_ms": choice.FigureServiceTime, "waiting": choice.FigureQueue,
+		"active": choice.FigureInFlight, "cpu": choice.FigureBusy, "err_rps": choice.FigureErrors,
+		"x0": choice.FigureHits}
+	effects = map[string]choice.Effect{"free": choice.Retryable, "guarded": choice.Deduplicated,
+		"single_shot": choice.NonRetryable}
+	groups = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
+		"cell": choice.GroupCell}
+)
+
+// open reads the next line and its name; io.EOF only where a line is wholly absent.
+func (r *Reader) open() (*fields, error) {
+	text, err := r.in.ReadString('\n')
+	if err == io.EOF && text != "" {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.line++
+	text = strings.TrimSuffix(strings.TrimSuffix(text, "\n"), "\r")
+	name, rest, more := strings.Cut(text, " ")
+	return &fields{name: name, rest: rest, more: more}, nil
+}
+
+func (r *Reader) wrong(err error) error { return fmt.Errorf("line %d: %w", r.line, err) }
+
+// Next returns the next batch; io.EOF at the end of the input.
+func (r *Reader) Next() (Batch, error) {
+	var b Batch
+	f, err := r.open()
+	if errors.Is(err, io.EOF) {
+		return b, io.EOF
+	}
+	if err != nil {
+		return b, r.wrong(err)
+	}
+	if f.name != "mark" {
+		return b, r.wrong(fmt.Errorf("%q stands where mark is due", f.name))
+	}
+	b.Now = f.seconds("time")
+	b.Seq = strconv.FormatUint(f.whole("batch", 1<<63), 10)
+	for f.err == nil {
+		if f, err = r.open(); err != nil {
+			return b, r.wrong(fmt.Errorf("the batch ends before your_turn: %w", err))
+		}
+		if f.name == "your_turn" {
+			break
+		}
+		r.event(f, &b)
+	}
+	if f.err != nil {
+		return b, r.wrong(f.err)
+	}
+	return b, nil
+}
+
+func (r *Reader) event(f *fields, b *Batch) {
+	if f.name == "list" {
+		r.list(f)
+		return
+	}
+	read, ok := events[f.name]
+	if !ok {
+		f.err = fmt.Errorf("%q is not an event", f.name)
+		return
+	}
+	inst := Instance(f.whole("router", 1<<31))
+	ev := read(r, f, inst)
+	if f.err == nil {
+		b.Inputs = append(b.Inputs, Input{inst, ev})
+	}
+}
+
+var events = map[string]func(*Reader, *fields, Instance) any{
+	"launch": func(r *Reader, f *fields, inst Instance) any {
+		l := Launch{Seed: f.whole("salt", math.MaxUint64)}
+		var err error
+		if l.Settings, err = ParseSettings([]byte(f.rest)); err != nil {
+			f.fail("profile-data", err.Error())
+		}
+		r.settings[inst] = l.Settings
+		return l
+	},
+	"members": func(r *Reader, f *fields, _ Instance) any {
+		l := choice.ListCame{Kind: word(f, "how", listKinds)}
+		f.text("seq-no")
+		if l.Kind == choice.ListFailed {
+			return l
+		}
+		slot := f.whole("slot", listSlots-1)
+		if f.err == nil && !r.known[slot] {
+			f.fail("slot", fmt.Sprintf("list %d was never sent", slot))
+		}
+		if f.err == nil {
+			l.Entries = r.lists[slot]
+		}
+		return l
+	},
+	"demand": func(r *Reader, f *fields, inst Instance) any {
+		q := choice.ReqCame{Req: choice.ReqID(f.text("ticket"))}
+		name := f.text("kind")
+		methods := r.settings[inst].Methods
+		i := slices.IndexFunc(methods, func(m choice.MethodSettings) bool { return m.Name == name })
+		if i < 0 {
+			f.fail("kind", fmt.Sprintf("%q is no class of the settings", name))
+		}
+		q.Method = choice.Method(i)
+		if q.Tenant = choice.Tenant(f.optional("team")); q.Tenant == "0" {
+			q.Tenant = ""
+		}
+		q.Key = choice.Key(f.optional("partition-key"))
+		q.ValidUntil = f.seconds("valid-until-s")
+		f.number("hint-s")
+		f.number("size")
+		q.Resent, q.Write = f.flag("resent"), f.flag("write")
+		return q
+	},
+	"shutdown": func(_ *Reader, _ *fields, _ Instance) any { return Shutdown{} },
+	"accepted": func(_ *Reader, f *fields, _ Instance) any {
+		return choice.Streaming{Req: choice.ReqID(f.text("ticket")), Attempt: choice.Attempt(f.whole("n", 1<<31))}
+	},
+	"elapsed": func(_ *Reader, f *fields, _ Instance) any {
+		return choice.Elapsed{Ref: choice.TimerRef(f.whole("ref", 1<<63-1))}
+	},
+	"message": func(_ *Reader, f *fields, _ Instance) any {
+		f.text("sender")
+		f.text("contents")
+		return nil
+	},
+	"expired": func(_ *Reader, f *fields, _ Instance) any {
+		return choice.Left{Req: choice.ReqID(f.text("ticket"))}
+	},
+	"returned": func(_ *Reader, f *fields, _ Instance) any {
+		o := choice.Returned{Req: choice.ReqID(f.text("ticket"))}
+		f.number("detail")
+		o.Server = choice.ServerID(f.whole("server", math.MaxUint32))
+		o.Attempt = choice.Attempt(f.whole("n", 1<<31))
+		o.Status = word(f, "code", statuses)
+		o.Took = f.seconds("elapsed-s")
+		o.Over = f.flag("complete")
+		o.Report = f.row("feedback")
+		return o
+	},
+	"probe_result": func(_ *Reader, f *fields, _ Instance) any {
+		p := choice.Probed{Server: choice.ServerID(f.whole("server", math.MaxUint32))}
+		p.Status = word(f, "code", statuses)
+		p.Took = f.seconds("elapsed-s")
+		p.Report = f.row("feedback")
+		return p
+	},
+}
+
+func (r *Reader) list(f *fields) {
+	slot := f.whole("slot", listSlots-1)
+	n := f.whole("nodes-list", 1<<20)
+	if f.err != nil {
+		return
+	}
+	entries := make([]choice.Entry, 0, min(n, 1024))
+	for range n {
+		e, err := r.open()
+		if err != nil || e.name != "server" {
+			f.err = fmt.Errorf("a server line of list %d is missing", slot)
+			return
+		}
+		entries = append(entries, choice.Entry{
+			Server:  choice.ServerID(e.whole("server", math.MaxUint32)),
+			Zone:    choice.Zone(e.optional("az")),
+			Kind:    choice.Kind(e.optional("model")),
+			Cell:    choice.Cell(e.number("pod")),
+			State:   word(e, "phase", states),
+			Weight:  e.number("weight"),
+			Started: e.seconds("started-at-s"),
+		})
+		if f.err = e.err; f.err != nil {
+			return
+		}
+	}
+	r.lists[slot], r.known[slot] = entries, true
+}
+
+// Writer collects the reply to one batch.
+type Writer struct {
+	out io.Writer
+	buf []byte
+}
+
+// NewWriter returns a Writer on out.
+func NewWriter(out io.Writer) *Writer { return &Writer{out: out} }
+
+// Add puts one decision of an instance into the reply.
+func (w *Writer) Add(inst Instance, d choice.Decision) {
+	put := func(name string, parts ...string) {
+		w.buf = append(w.buf, name...)
+		w.buf = strconv.AppendInt(append(w.buf, ' '), int64(inst), 10)
+		for _, p := range parts {
+			w.buf = append(append(w.buf, ' '), p...)
+		}
+		w.buf = append(w.buf, '\n')
+	}
+	server := strconv.FormatUint(uint64(d.Server), 10)
+	switch d.Action {
+	case choice.WriteOut:
+		put("pass_on", string(d.Req), server, span(d.After))
+	case choice.Nack:
+		put("bounce", string(d.Req), span(d.After))
+	case choice.Fail:
+		put("report_failure", string(d.Req))
+	case choice.Recall:
+		put("recall", string(d.Req), strconv.Itoa(int(d.Attempt)))
+	case choice.Wake:
+		put("schedule", span(d.After), strconv.FormatInt(int64(d.Ref), 10))
+	case choice.Subscribe:
+		put("stream_changes", "1")
+	case choice.Probe:
+		put("probe", server)
+	}
+}
+
+// Send ends the reply to batch seq and writes it out.
+func (w *Writer) Send(seq string) error {
+	w.buf = append(append(append(w.buf, "ready "...), seq...), '\n')
+	_, err := w.out.Write(w.buf)
+	w.buf = w.buf[:0]
+	return err
+}
+
+func span(t choice.Micros) string {
+	return fmt.Sprintf("%d.%06d", t/1e6, t%1e6)
+}
+
+// ParseSettings reads the settings object. Unknown keys are ignored; a needed one that is missing or
+// contradicts another is named.
+func ParseSettings(data []byte) (choice.Settings, error) {
+	var p struct {
+		Balancers  *int     `json:"balancers"`
+		Me         int      `json:"me"`
+		Discovery  string   `json:"discovery"`
+		Resolution float64  `json:"resolution-s"`
+		Flavors    []string `json:"flavors"`
+		Over       float64  `json:"over-share-worth"`
+		Domain     struct {
+			Mode     string  `json:"mode"`
+			Kind     *int    `json:"origin-kind"`
+			Fall     float64 `json:"origin-fall-multiple"`
+			FallSpan float64 `json:"origin-fall-s"`
+		} `json:"domain"`
+		Report struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"load-report"`
+		Limits struct {
+			Cancel   bool    `json:"cancel"`
+			Probes   bool    `json:"probes"`
+			Hint     bool    `json:"retry-after"`
+			Parallel bool    `json:"parallel-tries"`
+			SendCap  *int    `json:"send-cap"`
+			MaxHint  float64 `json:"max-retry-after-s"`
+			Connect  float64 `json:"connect-timeout-s"`
+		} `json:"policy-limits"`
+		Rules *struct {
+			Slack     float64 `json:"answer-slack-s"`
+			AskEvery  float64 `json:"ask-every-s"`
+			ColdSpan  float64 `json:"cold-s"`
+			ColdShare float64 `json:"cold-share"`
+			FallSpan  float64 `json:"fall-s"`
+			Multiple  float64 `json:"tip-multiple"`
+			Grace     float64 `json:"stop-sending-within-s"`
+		} `json:"rules"`
+		Classes []struct {
+			Name     string  `json:"name"`
+			Effect   string  `json:"effect"`
+			Group    string  `json:"group"`
+			Window   float64 `json:"window-s"`
+			Aim      float64 `json:"slo-s"`
+			Deadline float64 `json:"deadline-s"`
+			Worth    float64 `json:"worth"`
+			Late     float64 `json:"late-value"`
+			Stream   bool    `json:"stream"`
+		} `json:"request-classes"`
+		Tenants []struct {
+			Name  string  `json:"name"`
+			Share float64 `json:"share"`
+			Quota float64 `json:"quota-per-s"`
+		} `json:"tenants"`
+	}
+	var s choice.Settings
+	if err := json.Unmarshal(data, &p); err != nil {
+		return s, err
+	}
+	switch {
+	case p.Balancers == nil || *p.Balancers < 1:
+		return s, errors.New("balancers is missing or below 1")
+	case len(p.Classes) == 0:
+		return s, errors.New("request-classes is missing or empty")
+	case p.Rules == nil:
+		return s, errors.New("rules is missing")
+	case p.Limits.SendCap == nil || *p.Limits.SendCap < 1:
+		return s, errors.New("policy-limits.send-cap is missing or below 1")
+	case p.Discovery != "pushed" && p.Discovery != "on_request":
+		return s, fmt.Errorf("discovery is %q, neither pushed nor on_request", p.Discovery)
+	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
+		return s, fmt.Errorf("domain.mode is %q, neither aside nor through", p.Domain.Mode)
+	case p.Domain.Mode == "aside" && p.Domain.Kind == nil:
+		return s, errors.New("domain.origin-kind is missing though domain.mode is aside")
+	}
+	if k := p.Domain.Kind; k != nil && *k >= len(p.Flavors) {
+		return s, fmt.Errorf("domain.origin-kind is %d, but flavors has %d names", *k, len(p.Flavors))
+	} else if k != nil && *k >= 0 {
+		s.OriginKind = choice.Kind(p.Flavors[*k])
+	}
+	s.Routers, s.Me = *p.Balancers, p.Me
+	s.Aside = p.Domain.Mode == "aside"
+	s.OriginFall, s.OriginFallSpan = p.Domain.Fall, micros(p.Domain.FallSpan)
+	for _, name := range p.Report.Fields {
+		s.ReportFields = append(s.ReportFields, figures[name])
+	}
+	s.ReportsOnProbes = p.Report.How == "pull"
+	s.ListOnRequest = p.Discovery == "on_request"
+	s.Resolution = micros(p.Resolution)
+	s.OverShareWorth = p.Over
+	l, u := p.Limits, p.Rules
+	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
+	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, micros(l.MaxHint), micros(l.Connect)
+	s.AnswerSlack, s.AskEvery, s.DrainGrace = micros(u.Slack), micros(u.AskEvery), micros(u.Grace)
+	s.ColdShare, s.ColdSpan = u.ColdShare, micros(u.ColdSpan)
+	s.FallMultiple, s.FallSpan = u.Multiple, micros(u.FallSpan)
+	for _, c := range p.Classes {
+		e, ok := effects[c.Effect]
+		g, ok2 := groups[c.Group]
+		if !ok || !ok2 || c.Name == "" || c.Deadline <= 0 {
+			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline", c.Name)
+		}
+		s.Methods = append(s.Methods, choice.MethodSettings{Name: c.Name, Effect: e, Group: g,
+			Window: micros(c.Window), LatencyBudget: micros(c.Aim), Deadline: micros(c.Deadline),
+			Criticality: c.Worth, LateShare: c.Late, Stream: c.Stream})
+	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants,
+			choice.TenantSettings{Name: choice.Tenant(t.Name), Share: t.Share, Quota: t.Quota})
+	}
+	return s, nil
+}
