Count timed-out work as in flight; bound by rate x time

Cause: where a cancel stops nothing, write-outs that timed out at half the budget kept the caches busy while new ones came: most work late, a jam that never cleared.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	Entry
 	origin   bool
 	inFlight int
+	ghosts   []ghost
 	lost     int    // points for failures in a row
 	aside    Micros // set aside until then; 0: in use
 	unheard  bool   // connections failed: it may come back as a new, cold process
@@ -74,6 +75,11 @@
 	reads    float64
 }
 
+// A ghost is a write-out that timed out but may still hold its place at the server.
+type ghost struct {
+	sent, until Micros
+}
+
 type sample struct {
 	at, time Micros
 }
@@ -99,14 +105,14 @@
 // ---- State of the instance ----
 
 type method struct {
-	effect       Effect
-	group        Group
-	window       Micros
-	aim          Micros
-	worth        float64 // against the highest criticality of all methods
-	lateEarns    bool
-	streams      bool
-	worthPatient float64
+	effect    Effect
+	group     Group
+	window    Micros
+	aim       Micros
+	worth     float64 // against the highest criticality of all methods
+	lateEarns bool
+	streams   bool
+	time      Micros // smoothed time of a cache's answer
 }
 
 type tenant struct {
@@ -314,9 +320,9 @@
 	left := q.final - r.now
 	timeout := left
 	if !s.origin && r.aside && q.sent+1 < r.maxSends {
-		// Room for a miss and the origin is left before the latency budget; half at the least is the cache's,
+		// Room for a miss and the origin is left before the latency budget; two thirds at least are the cache's,
 		// so that a lagging origin does not turn every wait into a retry.
-		spare := min(left/2, r.usual(r.caches)+r.originTime()*3/2)
+		spare := min(left/3, q.method.time+r.originTime()*3/2)
 		timeout = max(q.aim-r.now-spare, left/4)
 	}
 	timeout = min(max(timeout, r.tick), max(left, r.tick))
@@ -392,13 +398,18 @@
 // room bounds what is in flight at a cache by measured rate x time: what it answers within the part of
 // the latency budget that may go into waiting.
 func (r *Router) room(q *req, s *server) bool {
-	const fewest = 4 // below that, chance alone fills the bound at low rates
-	within := float64(q.method.aim) / 2e6 * patience(q)
-	bound := max(fewest, s.rate.now(r.now, rateSpan)*within)
-	if slow := float64(s.time) / (within * 1e6); slow > 1 {
-		bound /= slow
-	}
-	return float64(s.inFlight) < max(1, bound)
+	const fewest = 4 // while it is quick: below that, chance alone fills the bound at low rates
+	within := float64(q.method.aim) * 0.6 * patience(q)
+	quick := min(1, within/2/float64(max(1, s.time)))
+	bound := max(fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
+	return float64(s.inFlight+s.haunted(r.now)) < max(1, bound)
+}
+
+// haunted counts the write-outs that timed out and are not yet known to be off the server. Without them, a
+// crowded server that goes on with overdue work is sent ever more: all of it late, none of it answered.
+func (s *server) haunted(now Micros) int {
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= now })
+	return len(s.ghosts)
 }
 
 // rateSpan: long enough for a dozen answers of one cache at one router, short against a trouble.
@@ -423,7 +434,7 @@
 	if r.origin == nil {
 		return 0
 	}
-	return r.origin.time
+	return r.origin.best
 }
 
 // originWait: time until an answer, were the req to queue behind those held before it.
@@ -463,6 +474,8 @@
 			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan, 1)
+		// What was sent before an answered write-out has had its turn.
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
 		s.lost = 0
 		if s.aside != 0 {
 			s.aside = 0
@@ -476,15 +489,19 @@
 		s.lost = 0
 		return
 	case TimedOut:
+		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + took})
 		if took < r.usual(r.caches)*2 && !s.origin {
 			return // it was given too little time to blame it
 		}
 		r.measure(s, max(took, s.time))
+		if r.manyAside() {
+			return // where all are late the fleet is short, and setting servers aside makes it shorter
+		}
 		points = 1
 	case Failed:
 		points = 1
 	case ConnectError, Reset:
-		s.unheard = true
+		s.unheard, s.ghosts = true, nil
 		points = 2
 	default:
 		return
@@ -500,11 +517,21 @@
 	}
 }
 
+func (r *Router) manyAside() bool {
+	n := 0
+	for _, c := range r.caches {
+		if c.aside > r.now {
+			n++
+		}
+	}
+	return 4*n >= len(r.caches) // more than a quarter at once is hardly ever the servers' own fault
+}
+
 func (r *Router) measure(s *server, took Micros) {
 	if s.time == 0 {
 		s.time, s.best = took, took
 	}
-	s.time += (took - s.time) / 5 // about the last ten answers
+	s.time += (took - s.time) / 8 // about the last fifteen answers
 	if s.time < s.best {
 		s.best = s.time
 	} else {
@@ -908,7 +935,7 @@
 			q.worth *= r.overWorth
 		}
 	}
-	r.retries = min(r.retries+0.2, 20) // a fifth of the reqs may be tried again, and a short burst
+	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
 		r.hot.count(e.Key)
 	}
@@ -932,6 +959,9 @@
 	q.out = nil
 	w.server.inFlight--
 	r.judge(w.server, w, e.Status, e.Took)
+	if e.Status == OK && !w.server.origin {
+		q.method.time += (e.Took - q.method.time) / 20
+	}
 	if q.done || e.Over {
 		r.finish(q)
 		return
