Ghosts of a second; short time-outs only while the retry budget lasts

Cause: overdue work outlived its count, and cutting a wait short without a retry left only wastes it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -319,7 +319,7 @@
 func (r *Router) send(q *req, s *server) {
 	left := q.final - r.now
 	timeout := left
-	if !s.origin && r.aside && q.sent+1 < r.maxSends {
+	if !s.origin && r.aside && q.sent+1 < r.maxSends && r.retries >= 1 {
 		// Room for a miss and the origin is left before the latency budget; two thirds at least are the cache's,
 		// so that a lagging origin does not turn every wait into a retry.
 		spare := min(left/3, q.method.time+r.originTime()*3/2)
@@ -489,7 +489,7 @@
 		s.lost = 0
 		return
 	case TimedOut:
-		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + took})
+		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, 1e6)})
 		if took < r.usual(r.caches)*2 && !s.origin {
 			return // it was given too little time to blame it
 		}
