--- a/choice/choice.go
+++ b/choice/choice.go
@@ -632,8 +632,8 @@
 	if k == "" || r.hot.total < few {
 		return false
 	}
-	// Half of the bound of one over the cache count: a key over it is half a cache's load by itself.
-	return r.hot.counts[k] > 0.5*r.hot.total/float64(max(1, len(r.caches)))
+	// A third of the bound of one over the cache count: a key over it is a third of a cache's load by itself.
+	return r.hot.counts[k] > 0.35*r.hot.total/float64(max(1, len(r.caches)))
 }
 
 func (s *server) report(at, time Micros) {
