--- a/choice/choice.go
+++ b/choice/choice.go
@@ -373,11 +373,12 @@
 			q.target = s
 			return true
 		}
-		if q.target == nil {
+		if q.target == nil || r.cacheWait(s) < r.cacheWait(q.target) {
 			q.target = s
 		}
-		// An ordinary key spills to a partner only while the origin could carry the misses that this causes.
-		if !hot && r.origin != nil && !r.originRoom(q) {
+		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
+		// where waiting here is of no use.
+		if !hot && r.origin != nil && !r.originRoom(q) && r.now+r.cacheWait(s) <= q.final {
 			return false
 		}
 	}
