In-flight floor of a cache is eight over the router count

Cause: a floor of four a router let 16 to 20 pile up on machines of one or two cores; a quarter of the write-outs timed out even before any trouble began.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -131,6 +131,7 @@
 	cacheFigs  []Figure
 	ask        bool
 	tick       Micros
+	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
 	coldShare  float64
 	coldSpan   Micros
 	coldTimes  float64 // part of a cold server's present capacity that all routers may ask
@@ -399,7 +400,7 @@
 // room bounds what is in flight at a cache by measured rate x time: what it answers within the part of
 // the latency budget that may go into waiting.
 func (r *Router) room(q *req, s *server) bool {
-	const fewest = 4 // while it is quick: below that, chance alone fills the bound at low rates
+	fewest := r.fewest
 	within := float64(q.method.aim) * 0.6 * patience(q)
 	quick := min(1, within/2/float64(max(1, s.time)))
 	bound := max(fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
@@ -839,6 +840,8 @@
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		hot: hotKeys{counts: map[Key]float64{}}, retries: 10,
 	}
+	// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part of them.
+	r.fewest = max(1, 8/float64(max(1, s.Routers)))
 	most := 0.0
 	for _, m := range s.Methods {
 		most = max(most, m.Criticality)
