--- a/choice/choice.go
+++ b/choice/choice.go
@@ -424,7 +424,7 @@
 
 func (r *Router) originBound() float64 {
 	o := r.origin
-	const fewest = 3 // enough to find its rate, few enough for a stopped origin
+	const fewest = 2 // enough to find its rate, few enough for a stopped origin
 	bound := max(fewest, o.rate.now(r.now, rateSpan)*float64(o.best)*3/1e6)
 	if o.time > 4*o.best {
 		bound = max(1, bound*4*float64(o.best)/float64(o.time)) // it lags: ask less
