Longer time-outs at caches; cold budget counted exactly and by hits

Cause 1: time-outs of a third to a half of the budget cut off heavy-tailed answers of healthy caches. A cache now gets four usual answers; its floor in flight shrinks only above the wait allowed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,7 +64,8 @@
 	unheard  bool   // connections failed: it may come back as a new, cold process
 	coldFrom Micros
 	rate     decayed // answers, a second
-	sentCold decayed // what went to it while cold
+	hits     decayed // the part of them that did the work
+	coldSent []Micros
 	time     Micros  // smoothed time of an answer
 	best     Micros  // the quickest usual time: falls at once, rises slowly
 	reported []sample
@@ -324,7 +325,7 @@
 		// Room for a miss and the origin is left before the latency budget; two thirds at least are the cache's,
 		// so that a lagging origin does not turn every wait into a retry.
 		spare := min(left/3, q.method.time+r.originTime()*3/2)
-		timeout = max(q.aim-r.now-spare, left/4)
+		timeout = max(q.aim-r.now-spare, 4*r.usual(r.caches))
 	}
 	timeout = min(max(timeout, r.tick), max(left, r.tick))
 	if q.retrying {
@@ -336,7 +337,7 @@
 	q.sent++
 	q.settled = true
 	if r.cold(s) {
-		s.sentCold.add(r.now, r.fallSpan, 1)
+		s.coldSent = append(s.coldSent, r.now)
 	}
 	if q.write {
 		s.writes++
@@ -402,7 +403,7 @@
 func (r *Router) room(q *req, s *server) bool {
 	fewest := r.fewest
 	within := float64(q.method.aim) * 0.6 * patience(q)
-	quick := min(1, within/2/float64(max(1, s.time)))
+	quick := min(1, within/float64(max(1, s.time)))
 	bound := max(fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
 	return float64(s.inFlight+s.haunted(r.now)) < max(1, bound)
 }
@@ -476,6 +477,9 @@
 			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan, 1)
+		if status == OK {
+			s.hits.add(r.now, rateSpan, 1)
+		}
 		// What was sent before an answered write-out has had its turn.
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
 		s.lost = 0
@@ -579,15 +583,17 @@
 	if fraction >= part {
 		return false
 	}
-	// A warm cache's share of this router's own traffic is no more than the router's part of its capacity.
+	// A warm cache's hits for this router are no more than the router's part of its capacity. Misses do not
+	// count: they cost little, and where many caches are empty they would make the budget too large by half.
 	usual, n := 0.0, 0.0
 	for _, c := range r.caches {
 		if !r.cold(c) && c.aside == 0 {
-			usual, n = usual+c.rate.now(r.now, rateSpan), n+1
+			usual, n = usual+c.hits.now(r.now, rateSpan), n+1
 		}
 	}
 	const least = 1.0 // a second: with nothing measured yet, enough to learn
-	return s.sentCold.now(r.now, r.fallSpan) < part*max(least, usual/max(1, n))
+	s.coldSent = slices.DeleteFunc(s.coldSent, func(at Micros) bool { return r.now-at >= r.fallSpan })
+	return float64(len(s.coldSent)) < part*max(least, usual/max(1, n))*float64(r.fallSpan)/1e6
 }
 
 // ---- Hot keys and their shares ----
