--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,7 +58,6 @@
 	Entry
 	origin   bool
 	inFlight int
-	ended    Micros // when a write-out to it last ended
 	ghosts   []ghost
 	lost     int    // points for failures in a row
 	aside    Micros // set aside until then; 0: in use
@@ -405,14 +404,8 @@
 	fewest := r.fewest
 	within := float64(q.method.aim) * 0.6 * patience(q)
 	quick := min(1, within/float64(max(1, s.time)))
-	bound := max(fewest*quick*quick, s.rate.now(r.now, rateSpan)*within/1e6)
-	out := s.inFlight + s.haunted(r.now)
-	if bound < 1 {
-		// Less than one at a time is one with a pause after it. One from every router all the time was
-		// enough to keep crowded machines slow for good.
-		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.time)
-	}
-	return float64(out) < bound
+	bound := max(fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
+	return float64(s.inFlight+s.haunted(r.now)) < max(1, bound)
 }
 
 // haunted counts the write-outs that timed out and are not yet known to be off the server. Without them, a
@@ -975,7 +968,6 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
-	w.server.ended = r.now
 	r.judge(w.server, w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
