--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,13 +195,13 @@
 		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom(q) },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
 		{"the origin cannot answer in time", func(r *Router, q *req) bool {
-			return q.toOrigin && r.now+r.originWait(q) > q.final
+			return q.toOrigin && r.now+r.originWait(q) > q.soon()
 		}, (*Router).giveUp},
 		{"wait for the origin", func(r *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
 		{"a cache has room", (*Router).pick, func(r *Router, q *req) { r.send(q, q.target) }},
 		{"no cache can be used", func(r *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
 		{"the cache cannot answer in time", func(r *Router, q *req) bool {
-			return r.now+r.cacheWait(q.target) > q.final
+			return r.now+r.cacheWait(q, q.target) > q.soon()
 		}, (*Router).giveUp},
 		{"wait for the cache", func(r *Router, q *req) bool { return true }, (*Router).hold},
 	}
@@ -280,7 +280,7 @@
 	if q.toOrigin && r.origin != nil {
 		wait = r.originWait(q)
 	} else if q.target != nil {
-		wait = r.cacheWait(q.target)
+		wait = r.cacheWait(q, q.target)
 	}
 	return min(wait, r.maxHint)
 }
@@ -375,12 +375,12 @@
 			q.target = s
 			return true
 		}
-		if q.target == nil || r.cacheWait(s) < r.cacheWait(q.target) {
+		if q.target == nil || r.cacheWait(q, s) < r.cacheWait(q, q.target) {
 			q.target = s
 		}
 		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
 		// where waiting here is of no use.
-		if !hot && r.origin != nil && !r.originRoom(q) && r.now+r.cacheWait(s) <= q.final {
+		if !hot && r.origin != nil && !r.originRoom(q) && r.now+r.cacheWait(q, s) <= q.soon() {
 			return false
 		}
 	}
@@ -446,24 +446,38 @@
 	if o.aside > r.now {
 		return o.aside - r.now + o.best
 	}
-	ahead := 0
+	per := float64(o.time) / max(1, r.originBound())
+	return o.time + Micros(per*float64(r.ahead(q, o)))
+}
+
+// ahead counts the reqs held for the same server that go before this one.
+func (r *Router) ahead(q *req, s *server) (n int) {
 	for _, h := range r.held {
 		if h == q {
 			break
 		}
-		if h.toOrigin && !h.done {
-			ahead++
+		if !h.done && h.out == nil && (h.toOrigin && s.origin || !h.toOrigin && h.target == s) {
+			n++
 		}
 	}
-	per := float64(o.time) / max(1, r.originBound())
-	return o.time + Micros(per*float64(ahead))
+	return n
 }
 
-func (r *Router) cacheWait(s *server) Micros {
+func (r *Router) cacheWait(q *req, s *server) Micros {
 	if s.aside > r.now {
 		return s.aside - r.now
 	}
-	return s.time
+	per := float64(s.time) / max(1, r.fewest)
+	return s.time + Micros(per*float64(r.ahead(q, s)))
+}
+
+// soon: where a late answer earns something it still takes the place of one in time, so a req that can be
+// had again waits no longer than its latency budget allows.
+func (q *req) soon() Micros {
+	if q.method.effect == Retryable {
+		return min(q.aim, q.final)
+	}
+	return q.final
 }
 
 // ---- Health ----
