--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,7 +67,8 @@
 	hits     decayed // the part of them that did the work
 	coldSent []Micros
 	time     Micros  // smoothed time of an answer
-	best     Micros  // the quickest usual time: falls at once, rises slowly
+	long     Micros  // the same over more answers
+	best     Micros  // the quickest of that: falls at once, rises slowly
 	reported []sample
 	writes   float64 // own writes since the last recompute
 	shares   Micros  // mean service time as of the last recompute, for Algorithm 2
@@ -132,6 +133,7 @@
 	cacheFigs  []Figure
 	ask        bool
 	tick       Micros
+	originGoal Micros  // the time that an answer of the origin should take at most
 	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
 	coldShare  float64
 	coldSpan   Micros
@@ -418,19 +420,20 @@
 // rateSpan: long enough for a dozen answers of one cache at one router, short against a trouble.
 const rateSpan = 1e6
 
-// originRoom bounds the origin harder: what it answers within three times its quickest usual time.
 func (r *Router) originRoom(q *req) bool {
 	return r.origin != nil && r.usable(r.origin) && float64(r.origin.inFlight) < r.originBound()
 }
 
+// originBound bounds the origin harder. While its answers are near their quickest it has room to spare, and
+// chance alone needs some; once they are longer, it gets what it answers within a part of the budget.
 func (r *Router) originBound() float64 {
 	o := r.origin
 	const fewest = 2 // enough to find its rate, few enough for a stopped origin
-	bound := max(fewest, o.rate.now(r.now, rateSpan)*float64(o.best)*3/1e6)
-	if o.time > 4*o.best {
-		bound = max(1, bound*4*float64(o.best)/float64(o.time)) // it lags: ask less
+	goal := 4 * o.best
+	if o.long > o.best*8/5 { // more than the spread of a long mean of heavy-tailed answers
+		goal = max(r.originGoal, o.best*3/2)
 	}
-	return bound
+	return max(fewest, o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
 }
 
 func (r *Router) originTime() Micros {
@@ -549,13 +552,14 @@
 
 func (r *Router) measure(s *server, took Micros) {
 	if s.time == 0 {
-		s.time, s.best = took, took
+		s.time, s.long, s.best = took, took, took
 	}
 	s.time += (took - s.time) / 8 // about the last fifteen answers
-	if s.time < s.best {
-		s.best = s.time
+	s.long += (took - s.long) / 32
+	if s.long < s.best {
+		s.best = s.long
 	} else {
-		s.best += (s.time - s.best) / 200
+		s.best += (s.long - s.best) / 2000
 	}
 }
 
@@ -862,10 +866,11 @@
 	}
 	// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part of them.
 	r.fewest = max(1, 8/float64(max(1, s.Routers)))
-	most := 0.0
+	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
-		most = max(most, m.Criticality)
+		most, tightest = max(most, m.Criticality), min(tightest, m.LatencyBudget)
 	}
+	r.originGoal = tightest * 2 / 5 // the cache's miss and a second wait must still fit into the budget
 	for _, m := range s.Methods {
 		r.methods = append(r.methods, method{effect: m.Effect, group: m.Group, window: m.Window,
 			aim: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0,
