--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,9 @@
 // Package choice: every decision of a router stands in this file.
 //
 // How to call it: New starts a router on its settings and seed; Step takes one input at a clock time and
-// returns what to do now, in order. A router keeps to itself: no I/O, clock, goroutine or global, and the
-// same inputs always give the same decisions. The interface (inputs, settings, decisions) is in types.go.
+// returns what to do now, in order, in a slice that the next Step reuses. A router keeps to itself: no I/O,
+// clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
+// settings, decisions) is in types.go; measure.go holds counters and hashes, and no decision.
 //
 // How it is laid out: the state by how long it lives; the rules for one req, in order; what the rules ask
 // (targets, room, health, cold servers); the hot keys and their shares; the slot table; the inputs.
@@ -18,35 +19,39 @@
 // ---- State of one write-out ----
 
 type writeOut struct {
-	server  *server
-	sent    Micros
-	timeout Micros
+	server *server
+	sent   Micros
+}
+
+// A ghost is a write-out that timed out but may still hold its place at the server.
+type ghost struct {
+	sent, until Micros
 }
 
 // ---- State of one req ----
 
 type req struct {
-	id       ReqID
-	method   *method
-	key      Key
-	hash     uint64 // of the key, or of the id where there is none
-	write    bool
-	worth    float64 // criticality, lowered where its tenant is over its share
-	seq      int     // order of arrival
-	aim      Micros  // an answer by then earns all
-	final    Micros  // an answer after this earns nothing
-	deadline Micros
+	id     ReqID
+	method *method
+	key    Key
+	hash   uint64 // of the key, or of the id where there is none
+	write  bool
+	worth  float64 // criticality, lowered where its tenant is over its share
+	seq    int     // order of arrival
+	aim    Micros  // an answer by then earns all
+	final  Micros  // an answer after this earns nothing
 
 	out      *writeOut
 	sent     Attempt // write-outs so far
 	failed   []*server
-	missed   bool   // a cache said miss: the origin is next
-	toOrigin bool   // no cache can take it
-	retrying bool   // the next write-out is a retry and pays for it
-	maybeRan Micros // when the first write-out that may have run was sent; 0: none
-	ranAt    *server
-	drawn    int // place in its group drawn for a hot key
-	target   *server
+	missed   bool    // a cache said miss: the origin is next
+	toOrigin bool    // only the origin can take it now
+	retrying bool    // the next write-out is a retry and pays for it
+	pause    Micros  // no write-out before then
+	maybeRan Micros  // when the first write-out that may have run was sent; 0: none
+	ranAt    *server // and where
+	drawn    int     // place in its group drawn for a hot key; -1: none yet
+	target   *server // the cache it goes to or waits for
 	held     bool
 	settled  bool // nothing more to do in this pass
 	done     bool
@@ -59,49 +64,25 @@
 	origin   bool
 	inFlight int
 	ghosts   []ghost
-	lost     int    // points for failures in a row
-	aside    Micros // set aside until then; 0: in use
-	unheard  bool   // connections failed: it may come back as a new, cold process
-	coldFrom Micros
-	rate     decayed // answers, a second
-	hits     decayed // the part of them that did the work
-	coldSent []Micros
-	time     Micros  // smoothed time of an answer
-	long     Micros  // the same over more answers
-	best     Micros  // the quickest of that: falls at once, rises slowly
-	reported []sample
-	writes   float64 // own writes since the last recompute
-	shares   Micros  // mean service time as of the last recompute, for Algorithm 2
-	wrote    float64 // own writes in the span before the last recompute, for Algorithm 1
-	read     float64 // own reads likewise
+	lost     int      // points for failures in a row
+	aside    Micros   // set aside until then; 0: in use
+	unheard  bool     // connections failed: it may come back as a new, cold process
+	coldFrom Micros   // when it was seen to come back
+	coldSent []Micros // write-outs to it while cold, within the window of the rule
+	rate     decayed  // answers a second
+	hits     decayed  // those of them that did the work
+	time     Micros   // smoothed time of an answer
+	long     Micros   // the same over more answers
+	best     Micros   // the quickest of that: falls at once, rises slowly
+	reported []sample // service times, for Algorithm 2
+	writes   float64  // own, since the last recompute
 	reads    float64
+	fixed    load // what the shares are made from until the next recompute
 }
 
-// A ghost is a write-out that timed out but may still hold its place at the server.
-type ghost struct {
-	sent, until Micros
-}
-
-type sample struct {
-	at, time Micros
-}
-
-// decayed counts with forgetting: its value is a rate a second over about span.
-type decayed struct {
-	value float64
-	at    Micros
-}
-
-func (d *decayed) now(t, span Micros) float64 {
-	if t > d.at {
-		d.value *= math.Exp(-float64(t-d.at) / float64(span))
-		d.at = t
-	}
-	return d.value
-}
-
-func (d *decayed) add(t, span Micros, n float64) {
-	d.value = d.now(t, span) + n*1e6/float64(span)
+type load struct {
+	time          Micros
+	writes, reads float64
 }
 
 // ---- State of the instance ----
@@ -113,7 +94,6 @@
 	aim       Micros
 	worth     float64 // against the highest criticality of all methods
 	lateEarns bool
-	streams   bool
 	time      Micros // smoothed time of a cache's answer
 }
 
@@ -126,23 +106,21 @@
 type Router struct {
 	methods    []method
 	tenants    map[Tenant]*tenant
-	traffic    decayed
 	overWorth  float64
 	aside      bool
 	originKind Kind
-	cacheFigs  []Figure
+	figures    []Figure
 	ask        bool
 	tick       Micros
-	originGoal Micros  // the time that an answer of the origin should take at most
+	originGoal Micros  // what an answer of a busy origin should take at most
 	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
 	coldShare  float64
 	coldSpan   Micros
-	coldTimes  float64 // part of a cold server's present capacity that all routers may ask
+	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
 	fallSpan   Micros
 	mayCancel  bool
-	mayHint    bool
 	maxSends   Attempt
-	maxHint    Micros
+	maxHint    Micros // 0: no hints here
 
 	seed, draws uint32
 	now         Micros
@@ -153,23 +131,22 @@
 	origin      *server
 	table       [][]*server
 	reqs        map[ReqID]*req
-	held        []*req // by worth, then age
+	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
 	hot         hotKeys
+	traffic     decayed
 	arrived     int
-	retries     float64
+	retries     float64 // the retry budget
 	recomputeAt Micros
 	wakeAt      Micros
 	askAt       Micros
 	askWait     Micros
-	subscribed  bool
-	listed      bool // a list newer than the saved one has come
 }
 
 // ---- The rules for one req ----
 
-// A rule is a condition and an effect. After every input the rules are gone through, for each req that the
-// input touched, until none fires.
+// A rule is a condition and an effect. After every input the rules are gone through in order, for each req
+// that the input touched, until none fires.
 type rule struct {
 	name string
 	when func(*Router, *req) bool
@@ -178,55 +155,50 @@
 
 func reqRules() []rule {
 	return []rule{
-		{"one write-out at a time", func(r *Router, q *req) bool { return q.out != nil }, (*Router).settle},
-		{"an answer now would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
-			(*Router).giveUp},
-		{"it may have run and must not run again", func(r *Router, q *req) bool { return !r.mayResend(q) },
+		{"one write-out at a time", func(_ *Router, q *req) bool { return q.out != nil }, (*Router).settle},
+		{"an answer would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
 			(*Router).giveUp},
+		{"it may have run and must not run again", (*Router).mustStop, (*Router).giveUp},
 		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= r.maxSends },
 			(*Router).giveUp},
 		{"the retry budget is spent", func(r *Router, q *req) bool { return q.retrying && r.retries < 1 },
 			(*Router).giveUp},
+		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
 		{"a fetch of its key is out: wait for it", (*Router).fetchIsOut, (*Router).hold},
-		{"a write goes to the origin", func(r *Router, q *req) bool { return r.aside && q.write && !q.toOrigin },
-			(*Router).turnToOrigin},
-		{"a miss goes to the origin", func(r *Router, q *req) bool { return q.missed && !q.toOrigin },
+		{"a miss, or a write in aside mode, goes to the origin",
+			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write) },
 			(*Router).turnToOrigin},
 		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
 			(*Router).giveUp},
-		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom(q) },
+		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom() },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
-		{"the origin cannot answer in time", func(r *Router, q *req) bool {
-			return q.toOrigin && r.now+r.originWait(q) > q.soon()
-		}, (*Router).giveUp},
-		{"wait for the origin", func(r *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
+		{"the origin cannot answer in time",
+			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(q, r.origin) > q.soon() },
+			(*Router).giveUp},
+		{"wait for the origin", func(_ *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
 		{"a cache has room", (*Router).pick, func(r *Router, q *req) { r.send(q, q.target) }},
-		{"no cache can be used", func(r *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
-		{"the cache cannot answer in time", func(r *Router, q *req) bool {
-			return r.now+r.cacheWait(q, q.target) > q.soon()
-		}, (*Router).giveUp},
-		{"wait for the cache", func(r *Router, q *req) bool { return true }, (*Router).hold},
+		{"no cache can be used", func(_ *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
+		{"the cache cannot answer in time",
+			func(r *Router, q *req) bool { return r.now+r.wait(q, q.target) > q.soon() }, (*Router).giveUp},
+		{"wait for the cache", func(*Router, *req) bool { return true }, (*Router).hold},
 	}
 }
 
 func (r *Router) run(q *req) {
 	for q.settled = q.done; !q.settled; {
-		for _, rule := range r.rules {
-			if rule.when(r, q) {
-				rule.do(r, q)
-				break
-			}
-		}
+		i := slices.IndexFunc(r.rules, func(x rule) bool { return x.when(r, q) })
+		r.rules[i].do(r, q)
 	}
 }
 
 func (r *Router) settle(q *req) { q.settled = true }
 
-func (r *Router) turnToOrigin(q *req) {
-	q.toOrigin = true
-	if r.isFetch(q) && r.fetches[q.key] == nil {
-		r.fetches[q.key] = q
+// mustStop guards rule 2, no effect twice. A tick is left over so that a repeat arrives within the window.
+func (r *Router) mustStop(q *req) bool {
+	if q.maybeRan == 0 || q.method.effect == Retryable {
+		return false
 	}
+	return q.method.effect == NonRetryable || r.now+r.tick >= q.maybeRan+q.method.window
 }
 
 // isFetch: only reads of a known key share one fetch.
@@ -237,56 +209,45 @@
 	return r.isFetch(q) && f != nil && f != q
 }
 
-// hold keeps a req for later; the held ones are in order of worth, writes first, then of age.
+func (r *Router) turnToOrigin(q *req) {
+	q.toOrigin = true
+	if r.isFetch(q) && r.fetches[q.key] == nil {
+		r.fetches[q.key] = q
+	}
+}
+
+// hold keeps a req for later.
 func (r *Router) hold(q *req) {
-	q.settled = true
-	if q.held {
+	if q.settled = true; q.held {
 		return
 	}
 	q.held = true
 	at, _ := slices.BinarySearchFunc(r.held, q, func(a, b *req) int {
-		switch {
-		case a.write != b.write:
-			if a.write {
-				return -1
-			}
-			return 1
-		case a.worth != b.worth:
-			if a.worth > b.worth {
-				return -1
-			}
-			return 1
+		if a.write == b.write && a.worth == b.worth {
+			return a.seq - b.seq
+		}
+		if a.write && !b.write || a.write == b.write && a.worth > b.worth {
+			return -1
 		}
-		return a.seq - b.seq
+		return 1
 	})
 	r.held = slices.Insert(r.held, at, q)
 }
 
-// giveUp answers at once: a nack where that is harmless, else a failure.
+// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint tells when the time
+// that this req could not be given will have passed.
 func (r *Router) giveUp(q *req) {
-	harmless := q.maybeRan == 0 || q.method.effect == Retryable
-	if !harmless || q.method.streams && q.maybeRan != 0 {
-		r.decided = append(r.decided, Decision{Action: Fail, Req: q.id})
-	} else {
-		r.decided = append(r.decided, Decision{Action: Nack, Req: q.id, After: r.hint(q)})
+	d := Decision{Action: Fail, Req: q.id}
+	if q.maybeRan == 0 || q.method.effect == Retryable {
+		d.Action = Nack
+		if s := r.waitsFor(q); s != nil {
+			d.After = min(r.wait(q, s), r.maxHint)
+		}
 	}
+	r.decided = append(r.decided, d)
 	r.finish(q)
 }
 
-// hint tells when to come back: when the time that this req could not be given has passed.
-func (r *Router) hint(q *req) Micros {
-	if !r.mayHint {
-		return 0
-	}
-	wait := Micros(0)
-	if q.toOrigin && r.origin != nil {
-		wait = r.originWait(q)
-	} else if q.target != nil {
-		wait = r.cacheWait(q, q.target)
-	}
-	return min(wait, r.maxHint)
-}
-
 func (r *Router) finish(q *req) {
 	q.done, q.settled = true, true
 	if r.fetches[q.key] == q {
@@ -297,48 +258,25 @@
 	}
 }
 
-// mayResend guards rule 2, no effect twice.
-func (r *Router) mayResend(q *req) bool {
-	if q.maybeRan == 0 || q.method.effect == Retryable {
-		return true
-	}
-	// A tick is left over so that the write-out is not counted as after the window.
-	return q.method.effect == Deduplicated && r.now+r.tick < q.maybeRan+q.method.window
-}
-
-// inGroup: a deduplicated req that may have run goes only where its repeat is known.
-func (r *Router) inGroup(q *req, s *server) bool {
-	if q.maybeRan == 0 || q.method.effect != Deduplicated {
-		return true
-	}
-	switch q.method.group {
-	case GroupZone:
-		return s.Zone == q.ranAt.Zone
-	case GroupCell:
-		return s.Cell == q.ranAt.Cell
-	}
-	return true
-}
-
 func (r *Router) send(q *req, s *server) {
 	left := q.final - r.now
 	timeout := left
 	if !s.origin && r.aside && q.sent+1 < r.maxSends && r.retries >= 1 {
-		// Room for a miss and the origin is left before the latency budget; two thirds at least are the cache's,
-		// so that a lagging origin does not turn every wait into a retry.
+		// Time for a miss and the origin stays within the latency budget. A heavy-tailed answer of a healthy
+		// cache gets four usual ones all the same: cutting it off wasted more than the second try won. Where no
+		// retry can be paid for, cutting a wait short wins nothing at all.
 		spare := min(left/3, q.method.time+r.originTime()*3/2)
-		timeout = max(q.aim-r.now-spare, 4*r.usual(r.caches))
+		timeout = min(left, max(q.aim-r.now-spare, 4*usual(r.caches)))
 	}
-	timeout = min(max(timeout, r.tick), max(left, r.tick))
 	if q.retrying {
 		r.retries--
 		q.retrying = false
 	}
 	s.inFlight++
-	q.out = &writeOut{server: s, sent: r.now, timeout: timeout}
+	q.out = &writeOut{server: s, sent: r.now}
 	q.sent++
 	q.settled = true
-	if r.cold(s) {
+	if r.coldAge(s) < r.coldSpan {
 		s.coldSent = append(s.coldSent, r.now)
 	}
 	if q.write {
@@ -346,7 +284,8 @@
 	} else {
 		s.reads++
 	}
-	r.decided = append(r.decided, Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: timeout})
+	r.decided = append(r.decided,
+		Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: max(timeout, r.tick)})
 }
 
 // ---- Targets ----
@@ -358,10 +297,8 @@
 	if len(r.table) == 0 {
 		return false
 	}
-	slot := int(q.hash % uint64(len(r.table)))
-	group := r.table[slot]
-	first := 0
-	hot := !q.write && r.isHot(q.key)
+	group := r.table[q.hash%slots]
+	first, hot := 0, !q.write && r.isHot(q.key)
 	if hot {
 		if q.drawn < 0 {
 			q.drawn = r.draw(r.sharesOf(group))
@@ -370,62 +307,61 @@
 	}
 	for i := range group {
 		s := group[(first+i)%len(group)]
-		if slices.Contains(q.failed, s) || !r.usable(s) || !r.inGroup(q, s) || !r.warmFor(q, s) {
+		if slices.Contains(q.failed, s) || !r.usable(s) || !inGroup(q, s) || !r.warmFor(q, s) {
 			continue
 		}
 		if r.room(q, s) {
 			q.target = s
 			return true
 		}
-		if q.target == nil || r.cacheWait(q, s) < r.cacheWait(q, q.target) {
+		if q.target == nil || r.wait(q, s) < r.wait(q, q.target) {
 			q.target = s
 		}
 		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
 		// where waiting here is of no use.
-		if !hot && r.origin != nil && !r.originRoom(q) && r.now+r.cacheWait(q, s) <= q.soon() {
+		if !hot && r.origin != nil && !r.originRoom() && r.now+r.wait(q, s) <= q.soon() {
 			return false
 		}
 	}
 	return false
 }
 
+// inGroup: a deduplicated req that may have run goes only where its repeat is known.
+func inGroup(q *req, s *server) bool {
+	if q.maybeRan == 0 || q.method.effect != Deduplicated || q.method.group == GroupAll {
+		return true
+	}
+	return s.Zone == q.ranAt.Zone && (q.method.group == GroupZone || s.Cell == q.ranAt.Cell)
+}
+
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	return s.State == Ready && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
-// patience scales what may be waited for: the less a req is worth, the sooner it yields.
-func patience(q *req) float64 {
-	// Half for the least, all for the most: at a half, a queue that the best still fit into turns away the rest.
-	return 0.5 + 0.5*min(1, q.worth)
-}
+// rateSpan is long enough for a dozen answers of one cache at one router, and short against a trouble.
+const rateSpan = 1e6
 
-// room bounds what is in flight at a cache by measured rate x time: what it answers within the part of
-// the latency budget that may go into waiting.
+// room bounds what is in flight at a cache by measured rate x time: what it answers within the part of the
+// latency budget that may go into waiting, less for the reqs that are worth less.
 func (r *Router) room(q *req, s *server) bool {
-	fewest := r.fewest
-	within := float64(q.method.aim) * 0.6 * patience(q)
+	// Six tenths leave time for a miss and the origin. From half of that for the least worth to all for the
+	// most: a queue that the best still fit into turns the rest away.
+	within := float64(q.method.aim) * 0.6 * (0.5 + 0.5*min(1, q.worth))
 	quick := min(1, within/float64(max(1, s.time)))
-	bound := max(fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
-	return float64(s.inFlight+s.haunted(r.now)) < max(1, bound)
+	bound := max(1, r.fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
+	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
+	// with overdue work is sent ever more: all of it late, none of it answered.
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
+	return float64(s.inFlight+len(s.ghosts)) < bound
 }
 
-// haunted counts the write-outs that timed out and are not yet known to be off the server. Without them, a
-// crowded server that goes on with overdue work is sent ever more: all of it late, none of it answered.
-func (s *server) haunted(now Micros) int {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= now })
-	return len(s.ghosts)
-}
-
-// rateSpan: long enough for a dozen answers of one cache at one router, short against a trouble.
-const rateSpan = 1e6
-
-func (r *Router) originRoom(q *req) bool {
+// originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
+// chance alone needs some; once they are longer, it gets what it answers within a part of the budget.
+func (r *Router) originRoom() bool {
 	return r.origin != nil && r.usable(r.origin) && float64(r.origin.inFlight) < r.originBound()
 }
 
-// originBound bounds the origin harder. While its answers are near their quickest it has room to spare, and
-// chance alone needs some; once they are longer, it gets what it answers within a part of the budget.
 func (r *Router) originBound() float64 {
 	o := r.origin
 	const fewest = 2 // enough to find its rate, few enough for a stopped origin
@@ -443,38 +379,35 @@
 	return r.origin.best
 }
 
-// originWait: time until an answer, were the req to queue behind those held before it.
-func (r *Router) originWait(q *req) Micros {
-	o := r.origin
-	if o.aside > r.now {
-		return o.aside - r.now + o.best
+// waitsFor is the server that a held req is held for.
+func (r *Router) waitsFor(q *req) *server {
+	if q.toOrigin {
+		return r.origin
 	}
-	per := float64(o.time) / max(1, r.originBound())
-	return o.time + Micros(per*float64(r.ahead(q, o)))
+	return q.target
 }
 
-// ahead counts the reqs held for the same server that go before this one.
-func (r *Router) ahead(q *req, s *server) (n int) {
+// wait is the time until an answer, behind those held for the same server that go before this req.
+func (r *Router) wait(q *req, s *server) Micros {
+	if s.aside > r.now {
+		return s.aside - r.now + s.best
+	}
+	ahead, atOnce := 0, r.fewest
 	for _, h := range r.held {
 		if h == q {
 			break
 		}
-		if !h.done && h.out == nil && (h.toOrigin && s.origin || !h.toOrigin && h.target == s) {
-			n++
+		if !h.done && h.out == nil && r.waitsFor(h) == s {
+			ahead++
 		}
 	}
-	return n
-}
-
-func (r *Router) cacheWait(q *req, s *server) Micros {
-	if s.aside > r.now {
-		return s.aside - r.now
+	if s.origin {
+		atOnce = r.originBound()
 	}
-	per := float64(s.time) / max(1, r.fewest)
-	return s.time + Micros(per*float64(r.ahead(q, s)))
+	return s.time + Micros(float64(s.time)*float64(ahead)/atOnce)
 }
 
-// soon: where a late answer earns something it still takes the place of one in time, so a req that can be
+// soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
 // had again waits no longer than its latency budget allows.
 func (q *req) soon() Micros {
 	if q.method.effect == Retryable {
@@ -486,126 +419,110 @@
 // ---- Health ----
 
 // judge keeps a server's record by what this router itself has seen of it.
-func (r *Router) judge(s *server, w *writeOut, status Status, took Micros) {
+func (r *Router) judge(w *writeOut, status Status, took Micros) {
+	s := w.server
 	points := 0
 	switch status {
 	case OK, Miss:
-		if status == OK || s.time == 0 {
-			r.measure(s, took)
-		}
-		s.rate.add(r.now, rateSpan, 1)
 		if status == OK {
-			s.hits.add(r.now, rateSpan, 1)
+			s.hits.add(r.now, rateSpan)
+		}
+		if status == OK || s.time == 0 {
+			s.measure(took)
 		}
+		s.rate.add(r.now, rateSpan)
 		// What was sent before an answered write-out has had its turn.
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
-		s.lost = 0
-		if s.aside != 0 {
-			s.aside = 0
-			if s.unheard { // a crash: the list is late to tell of the new process, which is cold
-				s.coldFrom = r.now
-			}
-			s.unheard = false
+		if s.aside != 0 && s.unheard { // after a crash the list is late to tell of the new process, which is cold
+			s.coldFrom = r.now
 		}
-		return
+		s.lost, s.aside, s.unheard = 0, 0, false
 	case QueueFull:
 		s.lost = 0
-		return
 	case TimedOut:
-		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, 1e6)})
-		if took < r.usual(r.caches)*2 && !s.origin {
-			return // it was given too little time to blame it
+		const stays = 1e6 // longer than an overdue answer of a crowded server takes
+		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
+		if s.origin || took >= 2*usual(r.caches) { // else it was given too little time to be blamed
+			s.measure(max(took, s.time))
+			points = 1
+		}
+		// Where many are late the fleet is short, and setting servers aside makes it shorter.
+		aside := 0
+		for _, c := range r.caches {
+			if c.aside > r.now {
+				aside++
+			}
 		}
-		r.measure(s, max(took, s.time))
-		if r.manyAside() {
-			return // where all are late the fleet is short, and setting servers aside makes it shorter
+		if 4*aside >= len(r.caches) {
+			points = 0
 		}
-		points = 1
 	case Failed:
 		points = 1
 	case ConnectError, Reset:
 		s.unheard, s.ghosts = true, nil
 		points = 2
-	default:
+	}
+	if points == 0 {
 		return
 	}
-	if !s.origin && s.shares > 0 {
-		s.report(r.now, min(took, 2*s.shares))
+	if s.fixed.time > 0 && !s.origin { // a failed write-out is a sample of twice the cache's mean at most
+		s.report(r.now, min(took, 2*s.fixed.time))
 	}
-	s.lost += points
 	const enough = 3 // one bad answer is chance, three in a row are not
-	if s.lost >= enough && s.aside <= r.now {
+	if s.lost += points; s.lost >= enough && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
 		s.aside = r.now + 1e6 + Micros(r.chance()*1e6)
 	}
 }
 
-func (r *Router) manyAside() bool {
-	n := 0
-	for _, c := range r.caches {
-		if c.aside > r.now {
-			n++
-		}
-	}
-	return 4*n >= len(r.caches) // more than a quarter at once is hardly ever the servers' own fault
-}
-
-func (r *Router) measure(s *server, took Micros) {
+func (s *server) measure(took Micros) {
 	if s.time == 0 {
 		s.time, s.long, s.best = took, took, took
 	}
 	s.time += (took - s.time) / 8 // about the last fifteen answers
 	s.long += (took - s.long) / 32
-	if s.long < s.best {
-		s.best = s.long
-	} else {
-		s.best += (s.long - s.best) / 2000
-	}
+	s.best = min(s.best+max(0, s.long-s.best)/2000, s.long) // rises over minutes, not within one trouble
 }
 
 // usual is the mean time of an answer over some servers.
-func (r *Router) usual(of []*server) Micros {
+func usual(of []*server) Micros {
 	sum, n := Micros(0), Micros(0)
 	for _, s := range of {
 		if s.time > 0 {
 			sum, n = sum+s.time, n+1
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / n
+	return sum / max(1, n)
 }
 
 // ---- Cold servers ----
 
+// coldAge is the time since a server's start, as far as it is known.
 func (r *Router) coldAge(s *server) Micros {
 	start := max(s.Started, s.coldFrom)
-	if start == 0 {
+	if start == 0 || s.origin {
 		return r.coldSpan
 	}
-	return r.now - start
+	return max(0, r.now-start)
 }
 
-func (r *Router) cold(s *server) bool { return !s.origin && r.coldAge(s) < r.coldSpan }
-
 // warmFor lets a cold cache have a fraction of its keys, the same ones at every router, which grows with its
 // capacity; and no more than this router's part of its budget.
 func (r *Router) warmFor(q *req, s *server) bool {
-	if !r.cold(s) {
+	age := r.coldAge(s)
+	if age >= r.coldSpan {
 		return true
 	}
-	age := max(0, float64(r.coldAge(s))/float64(r.coldSpan))
-	part := r.coldTimes * (r.coldShare + (1-r.coldShare)*age)
-	fraction := float64(q.hash>>32&0xffff) / 0x10000
-	if fraction >= part {
+	part := r.coldTimes * (r.coldShare + (1-r.coldShare)*float64(age)/float64(r.coldSpan))
+	if float64(q.hash>>32&0xffff)/0x10000 >= part {
 		return false
 	}
 	// A warm cache's hits for this router are no more than the router's part of its capacity. Misses do not
-	// count: they cost little, and where many caches are empty they would make the budget too large by half.
+	// count: they cost little, and where many caches are empty they made the budget too large by half, so that
+	// a cold cache fell over.
 	usual, n := 0.0, 0.0
 	for _, c := range r.caches {
-		if !r.cold(c) && c.aside == 0 {
+		if c.aside == 0 && r.coldAge(c) >= r.coldSpan {
 			usual, n = usual+c.hits.now(r.now, rateSpan), n+1
 		}
 	}
@@ -626,19 +543,16 @@
 func (h *hotKeys) count(k Key) {
 	const most = 64 // a few times the number of keys that can be over the bound
 	h.total++
-	if _, ok := h.counts[k]; ok {
+	if _, ok := h.counts[k]; ok || len(h.keys) < most {
+		if !ok {
+			h.keys = append(h.keys, k)
+		}
 		h.counts[k]++
 		return
 	}
-	if len(h.keys) < most {
-		h.keys = append(h.keys, k)
-		h.counts[k] = 1
-		return
-	}
-	// Full: all lose a little, and those at nothing leave (after Misra and Gries).
+	// Full: all lose one, and those at nothing leave (after Misra and Gries).
 	h.keys = slices.DeleteFunc(h.keys, func(k Key) bool {
-		h.counts[k]--
-		if h.counts[k] > 0 {
+		if h.counts[k]--; h.counts[k] > 0 {
 			return false
 		}
 		delete(h.counts, k)
@@ -655,76 +569,69 @@
 
 func (r *Router) isHot(k Key) bool {
 	const few = 40 // reads: below that a share says nothing
-	if k == "" || r.hot.total < few {
-		return false
-	}
-	// A third of the bound of one over the cache count: a key over it is a third of a cache's load by itself.
-	return r.hot.counts[k] > 0.35*r.hot.total/float64(max(1, len(r.caches)))
+	// A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
+	return k != "" && r.hot.total >= few && r.hot.counts[k]*float64(len(r.caches)) > 0.35*r.hot.total
 }
 
 func (s *server) report(at, time Micros) {
 	const last = 16 // N: answers enough to smooth a heavy-tailed service time
 	s.reported = append(s.reported, sample{at, time})
-	if len(s.reported) > last {
-		s.reported = s.reported[len(s.reported)-last:]
-	}
+	s.reported = s.reported[max(0, len(s.reported)-last):]
 }
 
 // recompute fixes what the shares are made from until the next time.
 func (r *Router) recompute() {
-	const every = 2e6 // the design's first setting
+	const every, stale = 2e6, 10e6 // the design's first setting; samples older than five of it drop
 	if r.now < r.recomputeAt {
 		return
 	}
 	r.recomputeAt = r.now + every
 	r.hot.age()
-	const stale = 10e6 // five recomputes: older samples speak of another state
 	sum, n := Micros(0), Micros(0)
 	for _, s := range r.caches {
 		s.reported = slices.DeleteFunc(s.reported, func(x sample) bool { return r.now-x.at > stale })
-		s.shares = 0
-		for _, x := range s.reported {
-			s.shares += x.time / Micros(len(s.reported))
-		}
-		if s.shares > 0 {
-			sum, n = sum+s.shares, n+1
+		s.fixed = load{mean(s.reported), s.writes, s.reads}
+		s.writes, s.reads = 0, 0
+		if s.fixed.time > 0 {
+			sum, n = sum+s.fixed.time, n+1
 		}
-		s.wrote, s.read, s.writes, s.reads = s.writes, s.reads, 0, 0
 	}
 	for _, s := range r.caches {
-		if s.shares == 0 && n > 0 {
-			s.shares = sum / n // not yet heard from: the others' mean
+		if s.fixed.time == 0 && n > 0 {
+			s.fixed.time = sum / n // not yet heard from: the others' mean
 		}
 	}
 }
 
 // sharesOf is the design's read distribution over one group.
 func (r *Router) sharesOf(group []*server) []float64 {
-	writes, times := make([]float64, len(group)), make([]float64, len(group))
-	reads := 0.0
+	writes, times, reads := make([]float64, len(group)), make([]float64, len(group)), 0.0
 	for i, s := range group {
-		if !r.aside {
-			writes[i] = s.wrote // in aside mode the writes go to the origin: Pw = 0
+		if !r.aside { // in aside mode the writes go to the origin: Pw = 0
+			writes[i] = s.fixed.writes
 		}
-		reads += s.read
-		times[i] = float64(s.shares)
+		reads += s.fixed.reads
+		times[i] = float64(s.fixed.time)
 	}
 	return algorithm2(algorithm1(writes, reads), times)
 }
 
-// algorithm1 levels reads and writes over the group.
-func algorithm1(writes []float64, reads float64) []float64 {
-	n := float64(len(writes))
-	total := 0.0
-	for _, w := range writes {
-		total += w
+func total(of []float64) (sum float64) {
+	for _, x := range of {
+		sum += x
 	}
+	return sum
+}
+
+// algorithm1 levels reads and writes over the group; with nothing counted each gets 1/GF.
+func algorithm1(writes []float64, reads float64) []float64 {
+	n, all := float64(len(writes)), total(writes)
 	shares := make([]float64, len(writes))
 	for i, w := range writes {
 		shares[i] = 1 / n
-		if total > 0 && reads > 0 {
-			fw := total / (total + reads)
-			shares[i] = (1/n - w/total*fw) / (1 - fw)
+		if all > 0 && reads > 0 {
+			fw := all / (all + reads)
+			shares[i] = (1/n - w/all*fw) / (1 - fw)
 		}
 	}
 	return clamp(shares)
@@ -732,14 +639,10 @@
 
 // algorithm2 takes from the slow and gives to the quick.
 func algorithm2(shares, times []float64) []float64 {
-	n := float64(len(times))
-	sum := 0.0
-	for _, t := range times {
-		sum += t
-	}
+	n, all := float64(len(times)), total(times)
 	for i, t := range times {
-		if sum > 0 {
-			shares[i] -= t/sum - 1/n
+		if all > 0 {
+			shares[i] -= t/all - 1/n
 		}
 	}
 	return clamp(shares)
@@ -754,13 +657,12 @@
 			shares[i] = 0
 		}
 	}
-	sum := 0.0
 	for i, x := range shares {
 		if x > 0 {
 			shares[i] = max(0, x-short)
 		}
-		sum += shares[i]
 	}
+	sum := total(shares)
 	for i := range shares {
 		if sum > 0 {
 			shares[i] /= sum
@@ -794,27 +696,10 @@
 // ---- The slot table ----
 
 const (
-	slots      = 1021 // a prime, so that every step walks all slots; some 40 slots a cache at 24 caches
+	slots      = 1021 // a prime, so that every step walks all slots; some forty a cache at 24 caches
 	groupCount = 3    // GF
 )
 
-// mix spreads the bits of x; the ids themselves tell nothing.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-func hashText(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
 // buildTable gives each slot its caches, after Maglev: in turns, each cache claims the next slot of its own
 // order that is free. The second and third place are claimed by the same walks, so that mostly the second
 // cache of a slot is the one that would be first without the first.
@@ -825,24 +710,18 @@
 	table := make([][]*server, slots)
 	for place := range min(groupCount, len(caches)) {
 		walked := make([]int, len(caches))
-		for filled, stuck := 0, 0; filled < slots && stuck < len(caches); {
-			stuck = 0
+		for claimed := true; claimed; {
+			claimed = false
 			for i, c := range caches {
 				h := mix(uint64(c.Server) + 0x9e3779b97f4a7c15)
 				offset, step := int(h%slots), int(h>>32%(slots-1))+1
-				claimed := false
-				for ; walked[i] < slots && !claimed; walked[i]++ {
+				for took := false; walked[i] < slots && !took; walked[i]++ {
 					at := (offset + walked[i]*step) % slots
 					if len(table[at]) == place && !slices.Contains(table[at], c) {
 						table[at] = append(table[at], c)
-						claimed = true
+						took, claimed = true, true
 					}
 				}
-				if claimed {
-					filled++
-				} else {
-					stuck++
-				}
 			}
 		}
 	}
@@ -853,28 +732,29 @@
 
 // New starts a router.
 func New(now Micros, s Settings, seed uint64) (*Router, []Decision) {
-	const safe = 0.6 // of the multiple: the routers' shares are uneven and the work of a req varies
+	const safe = 0.6 // of the multiple: the routers' parts are uneven and the work of a req varies
 	r := &Router{
 		tenants: map[Tenant]*tenant{}, overWorth: s.OverShareWorth,
-		aside: s.Aside, originKind: s.OriginKind, cacheFigs: s.ReportFields, ask: s.ListOnRequest,
-		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: s.ColdSpan,
+		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
+		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
-		mayHint: s.MayHint, maxSends: Attempt(s.MaxWriteOuts), maxHint: s.MaxHint,
-		seed: uint32(mix(seed)), now: now, rules: reqRules(),
+		maxSends: Attempt(s.MaxWriteOuts), seed: uint32(mix(seed)), now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
-		hot: hotKeys{counts: map[Key]float64{}}, retries: 10,
+		hot: hotKeys{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
+		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
+		fewest: max(1, 8/float64(max(1, s.Routers))),
+	}
+	if s.MayHint {
+		r.maxHint = s.MaxHint
 	}
-	// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part of them.
-	r.fewest = max(1, 8/float64(max(1, s.Routers)))
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
 		most, tightest = max(most, m.Criticality), min(tightest, m.LatencyBudget)
 	}
-	r.originGoal = tightest * 2 / 5 // the cache's miss and a second wait must still fit into the budget
+	r.originGoal = tightest / 5 * 2 // the cache's miss and a wait must still fit into the budget
 	for _, m := range s.Methods {
 		r.methods = append(r.methods, method{effect: m.Effect, group: m.Group, window: m.Window,
-			aim: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0,
-			streams: m.Stream})
+			aim: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0})
 	}
 	for _, t := range s.Tenants {
 		r.tenants[t.Name] = &tenant{share: t.Share}
@@ -910,24 +790,24 @@
 		r.listCame(e)
 		r.runHeld()
 	case Elapsed:
-		if r.wakeAt <= r.now {
-			r.wakeAt = 0
-		}
 		if r.askAt != 0 && r.askAt <= r.now {
 			r.subscribe()
 		}
 		r.runHeld()
 	}
 	if len(r.held) > 0 {
-		r.wake(r.now + max(r.tick, 5e3)) // held reqs are looked at again that often
+		r.wake(r.now + max(r.tick, 5e3)) // held reqs are looked at again that often at least
+	}
+	if r.askAt != 0 {
+		r.wake(r.askAt)
 	}
 	return r.decided
 }
 
 func (r *Router) wake(at Micros) {
-	if r.wakeAt == 0 || at < r.wakeAt {
-		r.wakeAt = at
-		r.decided = append(r.decided, Decision{Action: Wake, After: max(at-r.now, 1), Ref: 1})
+	if r.wakeAt <= r.now || at < r.wakeAt {
+		r.wakeAt = max(at, r.now+1)
+		r.decided = append(r.decided, Decision{Action: Wake, After: r.wakeAt - r.now, Ref: 1})
 	}
 }
 
@@ -936,31 +816,29 @@
 		r.run(q)
 	}
 	r.held = slices.DeleteFunc(r.held, func(q *req) bool {
-		if q.done || q.out != nil {
-			q.held = false
-			return true
-		}
-		return false
+		q.held = !q.done && q.out == nil
+		return !q.held
 	})
 }
 
 func (r *Router) reqCame(e ReqCame) {
 	m := &r.methods[e.Method]
 	r.arrived++
-	q := &req{id: e.Req, method: m, key: e.Key, write: e.Write, worth: m.worth, seq: r.arrived,
-		aim: r.now + m.aim, deadline: e.ValidUntil, drawn: -1}
 	// A tick before the deadline nothing can be had any more, and an answer is due.
-	q.final = e.ValidUntil - r.tick
+	q := &req{id: e.Req, method: m, key: e.Key, write: e.Write, worth: m.worth, seq: r.arrived,
+		aim: r.now + m.aim, final: e.ValidUntil - r.tick, hash: hashText(string(e.Key)), drawn: -1}
 	if !m.lateEarns {
 		q.final = min(q.final, q.aim)
 	}
-	if q.hash = hashText(string(e.Key)); e.Key == "" {
+	if e.Key == "" {
 		q.hash = hashText(string(e.Req))
 	}
-	r.traffic.add(r.now, tenantSpan, 1)
+	const span = 5e6 // of a tenant's rate: longer than a burst
+	r.traffic.add(r.now, span)
 	if t := r.tenants[e.Tenant]; t != nil {
-		t.rate.add(r.now, tenantSpan, 1)
-		if t.rate.value > 1.2*t.share*r.traffic.value { // a fifth over its part is more than chance
+		t.rate.add(r.now, span)
+		// Each router takes its part of a tenant's share to be that of its own traffic; a fifth over is chance.
+		if t.rate.value > 1.2*t.share*r.traffic.value {
 			q.worth *= r.overWorth
 		}
 	}
@@ -972,12 +850,8 @@
 	r.run(q)
 }
 
-// tenantSpan: a few seconds, so that a burst is not an overrun.
-const tenantSpan = 5e6
-
 func (r *Router) returned(e Returned) {
-	s := r.servers[e.Server]
-	if s != nil {
+	if s := r.servers[e.Server]; s != nil {
 		r.takeReport(s, e.Report, e.Took)
 	}
 	q := r.reqs[e.Req]
@@ -987,7 +861,7 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
-	r.judge(w.server, w, e.Status, e.Took)
+	r.judge(w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
 	}
@@ -997,33 +871,26 @@
 	}
 	switch e.Status {
 	case Miss:
-		if q.toOrigin || w.server.origin {
-			q.failed = append(q.failed, w.server)
-		} else if !q.write {
-			q.missed = true
-			if r.fetchIsOut(q) {
-				q.missed = false // the other fetch brings it to this cache
-			}
-		}
+		// Where another fetch of the key is out, that one brings it to this cache.
+		q.missed = !q.write && !w.server.origin && !r.fetchIsOut(q)
 	case QueueFull, ConnectError, Ignored:
 		q.retrying = true
-		q.failed = append(q.failed, w.server)
 	default:
-		if q.maybeRan == 0 {
+		if q.retrying = true; q.maybeRan == 0 {
 			q.maybeRan, q.ranAt = w.sent, w.server
 		}
-		q.retrying = true
+	}
+	if q.retrying || w.server.origin {
 		q.failed = append(q.failed, w.server)
 	}
-	if w.server.origin && !q.write && e.Status != Ignored {
-		// The fetch failed: its waiters are free to go, and this one tries no other.
-		r.giveUp(q)
-		return
+	if w.server.origin {
+		const pause = 20e3 // a few of a quick origin's answers
+		if q.pause = r.now + pause; !q.write {
+			r.giveUp(q) // the fetch failed: its waiters are free to go, and this req tries no other
+			return
+		}
 	}
 	r.run(q)
-	if !q.done && q.held && q.out == nil {
-		return
-	}
 }
 
 // left: the client is gone; its write-out is called off so that a server may stop work on it.
@@ -1038,14 +905,13 @@
 	r.finish(q)
 }
 
+// takeReport keeps the reported service time, or where none is told the own measured one.
 func (r *Router) takeReport(s *server, rep Report, took Micros) {
-	for i, f := range r.cacheFigs {
-		if i < len(rep) && f == FigureServiceTime && rep[i] > 0 {
-			s.report(r.now, Micros(rep[i]*1e3))
-			return
-		}
+	i := slices.Index(r.figures, FigureServiceTime)
+	if i >= 0 && i < len(rep) && rep[i] > 0 {
+		took = Micros(rep[i] * 1e3)
 	}
-	if took > 0 {
+	if took > 0 && !s.origin {
 		s.report(r.now, took)
 	}
 }
@@ -1057,43 +923,42 @@
 
 func (r *Router) listCame(e ListCame) {
 	if e.Kind == ListFailed {
-		r.subscribed = false
 		// Twice as long each time, half of it random, and well within the span after which we count as told.
 		r.askWait = min(max(2*r.askWait, 250e3), 4e6)
 		r.askAt = r.now + r.askWait/2 + Micros(r.chance()*float64(r.askWait)/2)
-		r.wake(r.askAt)
 		return
 	}
 	if e.Kind != ListSaved {
-		r.subscribed, r.askWait, r.listed = true, 0, true
+		r.askWait = 0
 	}
-	seen := map[ServerID]bool{}
+	named := map[ServerID]bool{}
 	for _, entry := range e.Entries {
+		named[entry.Server] = true
 		s := r.servers[entry.Server]
 		if s == nil {
 			s = &server{}
 			r.servers[entry.Server] = s
-		}
-		if entry.Started > s.Started && s.Server != 0 {
+		} else if entry.Started > s.Started {
 			s.aside, s.lost, s.unheard = 0, 0, false // a new process: what was held against the old is void
 		}
 		s.Entry = entry
 		s.origin = r.originKind != "" && entry.Kind == r.originKind
-		seen[entry.Server] = true
 	}
-	r.caches, r.origin = nil, nil
 	ids := make([]ServerID, 0, len(r.servers))
 	for id := range r.servers {
 		ids = append(ids, id)
 	}
-	slices.Sort(ids)
+	slices.Sort(ids) // the map's order must not reach the table
+	r.caches, r.origin = nil, nil
 	for _, id := range ids {
 		s := r.servers[id]
-		if e.Kind != ListChanges && !seen[id] {
+		if e.Kind != ListChanges && !named[id] {
 			s.State = Gone
 		}
 		switch {
-		case s.State != Ready:
+		case s.State == Gone:
+			delete(r.servers, id)
+		case s.State == Draining:
 		case s.origin:
 			r.origin = s
 		default:
