--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,147 @@
+package choice
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func Example_algorithm1() {
+	fmt.Printf("%.3f nothing counted\n", algorithm1([]float64{0, 0, 0}, 0))
+	fmt.Printf("%.3f no writes\n", algorithm1([]float64{0, 0, 0}, 30))
+	// Fw = 0.2: the writer's share is (1/3 - 0.2) / 0.8, the others' (1/3) / 0.8.
+	fmt.Printf("%.3f a hot writer\n", algorithm1([]float64{10, 0, 0}, 40))
+	// Fw = 0.5: the writer's (1/3 - 1/2) / 0.5 is negative, so it reads nothing.
+	fmt.Printf("%.3f a writer over its share\n", algorithm1([]float64{10, 0, 0}, 10))
+	// Output:
+	// [0.333 0.333 0.333] nothing counted
+	// [0.333 0.333 0.333] no writes
+	// [0.167 0.417 0.417] a hot writer
+	// [0.000 0.500 0.500] a writer over its share
+}
+
+func Example_algorithm2() {
+	even := func() []float64 { return []float64{1. / 3, 1. / 3, 1. / 3} }
+	fmt.Printf("%.3f nothing heard\n", algorithm2(even(), []float64{0, 0, 0}))
+	fmt.Printf("%.3f a slow partner\n", algorithm2(even(), []float64{10, 10, 20}))
+	fmt.Printf("%.3f a very slow partner\n", algorithm2(even(), []float64{1, 1, 18}))
+	fmt.Printf("%.3f two caches\n", algorithm2([]float64{0.5, 0.5}, []float64{10, 30}))
+	fmt.Printf("%.3f one cache\n", algorithm2([]float64{1}, []float64{10}))
+	// Output:
+	// [0.333 0.333 0.333] nothing heard
+	// [0.417 0.417 0.167] a slow partner
+	// [0.500 0.500 0.000] a very slow partner
+	// [0.750 0.250] two caches
+	// [1.000] one cache
+}
+
+func caches(ids ...ServerID) (of []*server) {
+	for _, id := range ids {
+		of = append(of, &server{Entry: Entry{Server: id}})
+	}
+	return of
+}
+
+func TestTableHoldsThreeDistinctCachesAndMovesFewKeys(t *testing.T) {
+	ids := []ServerID{3, 17, 4000000000, 5, 99, 12345, 7, 8, 1 << 20, 42}
+	slices.Sort(ids)
+	all, fewer := buildTable(caches(ids...)), buildTable(caches(ids[1:]...))
+	first, moved, toPartner := map[ServerID]int{}, 0, 0
+	for i, group := range all {
+		if len(group) != 3 || group[0] == group[1] || group[0] == group[2] || group[1] == group[2] {
+			t.Fatalf("slot %d holds %v", i, group)
+		}
+		now, then := group[0].Server, fewer[i][0].Server
+		first[now]++
+		switch {
+		case now == ids[0] && then == group[1].Server:
+			toPartner++
+		case now != ids[0] && now != then:
+			moved++
+		}
+	}
+	for _, id := range ids {
+		if n := first[id]; n < slots/10-2 || n > slots/10+2 {
+			t.Errorf("cache %d is first in %d of %d slots", id, n, slots)
+		}
+	}
+	if moved > slots/8 {
+		t.Errorf("%d slots of caches that stayed moved when one left", moved)
+	}
+	if toPartner < first[ids[0]]/2 {
+		t.Errorf("only %d of %d slots of the cache that left went to its partner", toPartner, first[ids[0]])
+	}
+}
+
+// The list's order and its duplicates do not reach the table.
+func TestTableIsTheSameForAnyOrder(t *testing.T) {
+	firsts := func(ids ...ServerID) (of []ServerID) {
+		r, _ := New(0, base(), 1)
+		var l ListCame
+		for _, id := range ids {
+			l.Entries = append(l.Entries, Entry{Server: id})
+		}
+		r.Step(0, l)
+		for _, group := range r.table {
+			of = append(of, group[0].Server)
+		}
+		return of
+	}
+	if !slices.Equal(firsts(1, 2, 3, 4, 5), firsts(5, 3, 1, 4, 2, 2)) {
+		t.Error("another order of the list gives another table")
+	}
+}
+
+// reads plays n reads, each answered at once, every tenth of the hot key, and counts where that one went.
+func reads(r *Router, n, every int) map[ServerID]int {
+	to := map[ServerID]int{}
+	for i := range n {
+		now, key := Micros(i)*10e3, Key(fmt.Sprint("k", i))
+		if i%every == 0 {
+			key = "hot"
+		}
+		id := ReqID(fmt.Sprint(i))
+		for _, d := range r.Step(now, ReqCame{Req: id, Key: key, ValidUntil: now + 1e6}) {
+			if d.Action != WriteOut {
+				continue
+			}
+			if key == "hot" {
+				to[d.Server]++
+			}
+			r.Step(now, Returned{Req: id, Server: d.Server, Status: OK, Took: 1e3, Over: true})
+		}
+	}
+	return to
+}
+
+func TestOnlyKeysOverTheBoundAreDrawn(t *testing.T) {
+	for _, c := range []struct{ every, caches int }{{10, 3}, {40, 1}} { // a tenth of the reads, a fortieth
+		r, _ := New(0, base(), 1)
+		r.Step(0, ListCame{Entries: []Entry{{Server: 1}, {Server: 2}, {Server: 3}, {Server: 4}, {Server: 5}}})
+		if to := reads(r, 2000, c.every); len(to) != c.caches {
+			t.Errorf("one read in %d over five caches went to %v", c.every, to)
+		}
+		if len(r.hot.keys) > 64 || len(r.reqs) != 0 {
+			t.Errorf("%d hot keys and %d reqs are kept", len(r.hot.keys), len(r.reqs))
+		}
+	}
+}
+
+// A fleet that fails all reqs is not asked many times over: the budget for the first seconds, then one in ten.
+func Example_retryBudget() {
+	r, _ := New(0, base(), 1)
+	r.Step(0, ListCame{Entries: []Entry{{Server: 1}, {Server: 2}, {Server: 3}}})
+	retries := 0
+	for i := range 100 {
+		id, now := ReqID(fmt.Sprint(i)), Micros(i)*100e3
+		decided := r.Step(now, ReqCame{Req: id, Key: "k", ValidUntil: now + 1e6})
+		for n := 0; len(decided) > 0 && decided[0].Action == WriteOut; n++ {
+			decided = r.Step(now, Returned{Req: id, Server: decided[0].Server, Attempt: Attempt(n), Status: QueueFull})
+			if len(decided) > 0 && decided[0].Action == WriteOut {
+				retries++
+			}
+		}
+	}
+	fmt.Println(retries, "retries for 100 reqs")
+	// Output: 19 retries for 100 reqs
+}
--- /dev/null
+++ b/choice/trace_test.go
@@ -0,0 +1,180 @@
+package choice
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// TestTraces plays each script of testdata. A script's line is a time and an input; below it, indented, stand
+// the decisions that it led to. Lines without a time are settings or comments.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces found", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := play(string(want))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else if got != string(want) {
+				t.Errorf("the trace differs; got:\n%s", got)
+			}
+			if again := play(string(want)); again != got {
+				t.Errorf("a second play differs:\n%s", again)
+			}
+		})
+	}
+}
+
+// base is a site in aside mode; scripts change it with lines such as "set routers=3 through".
+func base() Settings {
+	return Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, ColdShare: 0.2,
+		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MayHint: true, MaxHint: 1e6,
+		MaxWriteOuts: 3, OverShareWorth: 0.1, DrainGrace: 1e6, AskEvery: 10e6, AnswerSlack: 20e3,
+		Methods: []MethodSettings{
+			{Name: "read", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 2},
+			{Name: "hold", Effect: Deduplicated, Window: 600e3, LatencyBudget: 400e3, Deadline: 800e3,
+				Criticality: 5, LateShare: 0.5},
+			{Name: "pay", Effect: NonRetryable, LatencyBudget: 1500e3, Deadline: 3000e3, Criticality: 5,
+				LateShare: 0.5},
+			{Name: "low", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 0.2},
+		}}
+}
+
+func play(script string) string {
+	var out strings.Builder
+	s := base()
+	var r *Router
+	for line := range strings.Lines(script) {
+		if strings.HasPrefix(line, "  ") {
+			continue
+		}
+		out.WriteString(line)
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if words[0] == "set" {
+			set(&s, words[1:])
+			continue
+		}
+		now := span(words[0])
+		var decided []Decision
+		if words[1] == "start" {
+			r, decided = New(now, s, 7)
+		} else {
+			decided = r.Step(now, input(s, words[1], words[2:]))
+		}
+		for _, d := range decided {
+			fmt.Fprintf(&out, "  %s\n", show(d))
+		}
+	}
+	return out.String()
+}
+
+func set(s *Settings, words []string) {
+	for _, w := range words {
+		name, value, _ := strings.Cut(w, "=")
+		switch name {
+		case "routers":
+			s.Routers, _ = strconv.Atoi(value)
+		case "sends":
+			s.MaxWriteOuts, _ = strconv.Atoi(value)
+		case "through":
+			s.Aside, s.OriginKind = false, ""
+		case "zone-group":
+			s.Methods[1].Group = GroupZone
+		case "ask":
+			s.ListOnRequest = true
+		case "tenants":
+			s.Tenants = []TenantSettings{{Name: "big", Share: 0.9}, {Name: "small", Share: 0.1}}
+		default:
+			panic("unknown setting " + w)
+		}
+	}
+}
+
+// input reads "list full 1 2:draining 9", "req a read key 1.2", "back a 1 0 timeout 0.3 [over]", and the rest.
+func input(s Settings, name string, words []string) Event {
+	switch name {
+	case "list":
+		kinds := []string{"full", "changes", "saved", "failed"}
+		l := ListCame{Kind: ListKind(slices.Index(kinds, words[0]))}
+		for _, w := range words[1:] {
+			w, zone, _ := strings.Cut(w, "/")
+			w, start, _ := strings.Cut(w, "@")
+			id, state, _ := strings.Cut(w, ":")
+			n, _ := strconv.Atoi(id)
+			e := Entry{Server: ServerID(n), Kind: "cache", Zone: Zone(zone), Started: span("0" + start)}
+			if n == 9 {
+				e.Kind = "origin"
+			}
+			e.State = State(max(0, slices.Index([]string{"", "draining", "gone"}, state)))
+			l.Entries = append(l.Entries, e)
+		}
+		return l
+	case "req":
+		m := slices.IndexFunc(s.Methods, func(m MethodSettings) bool { return m.Name == words[1] })
+		q := ReqCame{Req: ReqID(words[0]), Method: Method(m), ValidUntil: span(words[3]),
+			Write: words[1] == "hold" || words[1] == "pay"}
+		if words[2] != "-" {
+			q.Key = Key(words[2])
+		}
+		if len(words) > 4 {
+			q.Tenant = Tenant(words[4])
+		}
+		return q
+	case "back":
+		names := []string{"ok", "failed", "full", "timeout", "connect", "reset", "canceled", "ignored", "miss"}
+		server, _ := strconv.Atoi(words[1])
+		n, _ := strconv.Atoi(words[2])
+		status := Status(slices.Index(names, words[3]))
+		return Returned{Req: ReqID(words[0]), Server: ServerID(server), Attempt: Attempt(n), Status: status,
+			Took: span(words[4]), Over: status == OK || len(words) > 5}
+	case "left":
+		return Left{Req: ReqID(words[0])}
+	case "timer":
+		return Elapsed{Ref: 1}
+	}
+	panic("unknown input " + name)
+}
+
+func span(text string) Micros {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic(err)
+	}
+	return Micros(x * 1e6)
+}
+
+func show(d Decision) string {
+	after := fmt.Sprintf("%.3f", float64(d.After)/1e6)
+	switch d.Action {
+	case WriteOut:
+		return fmt.Sprint("write-out ", d.Req, " to ", d.Server, " for ", after)
+	case Nack:
+		return fmt.Sprint("nack ", d.Req, ", come back after ", after)
+	case Fail:
+		return fmt.Sprint("fail ", d.Req)
+	case Recall:
+		return fmt.Sprint("recall ", d.Req, " ", d.Attempt)
+	case Subscribe:
+		return "subscribe"
+	}
+	return "wake after " + after
+}
--- /dev/null
+++ b/cmd/wirehost/main_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+const settings = `{"balancers":2,"discovery":"pushed","domain":{"mode":"aside","origin-kind":1},` +
+	`"flavors":["std","origin"],"not-known":{"x":1},"load-report":{"fields":["avg_ms","x0"],"how":"piggyback"},` +
+	`"policy-limits":{"cancel":true,"retry-after":true,"max-retry-after-s":1,"send-cap":3},` +
+	`"rules":{"cold-s":8,"cold-share":0.3,"fall-s":3,"tip-multiple":3,"stop-sending-within-s":1},` +
+	`"resolution-s":0.005,"request-classes":[{"name":"get","effect":"free","group":"all","slo-s":0.5,` +
+	`"deadline-s":1,"worth":1},{"name":"put","effect":"single_shot","slo-s":0.5,"deadline-s":1,"worth":2}]}`
+
+const batches = "mark 1 1\nlaunch 0 5 " + settings + "\nlist 0 3\nserver 7 a std 0 U 1 -\nserver 8 a std 0 U 1 -\n" +
+	"server 9 a origin 0 U 1 -\nmembers 0 SAVED 1 0\nlaunch 1 6 " + settings + "\nmembers 1 SAVED 1 0\nyour_turn\n" +
+	"mark 1.1 2\ndemand 0 r-a get - k/1 2 - - 0 0\ndemand 1 r-b put - k/1 2 0.1 12 0 1\nyour_turn\n" +
+	"mark 1.2 3\nreturned 0 r-a 2 8 0 Miss 0.1 0 14.5,0.4\nreturned 1 r-b - 9 0 Ok 0.1 1 -\nyour_turn\n" +
+	"mark 1.3 4\nshutdown 1\nelapsed 1 1\nreturned 0 r-a - 9 1 Failed 0.1 0 -\nyour_turn\n"
+
+const replies = "ready 1\npass_on 0 r-a 8 0.500000\npass_on 1 r-b 9 0.500000\nready 2\n" +
+	"pass_on 0 r-a 9 0.400000\nready 3\nbounce 0 r-a 0.000000\nready 4\n"
+
+func TestBatchesAndReplies(t *testing.T) {
+	var out strings.Builder
+	if err := host(strings.NewReader(batches), &out); err != nil {
+		t.Fatal(err)
+	}
+	if out.String() != replies {
+		t.Errorf("replies:\n%s", out.String())
+	}
+}
+
+// An instance acts alike whether it has a process to itself or not.
+func TestInstancesShareNothing(t *testing.T) {
+	var alone strings.Builder
+	for line := range strings.Lines(batches) {
+		name, rest, _ := strings.Cut(line, " ")
+		if name == "mark" || name == "list" || name == "server" || !strings.HasPrefix(rest, "1 ") {
+			alone.WriteString(line)
+		}
+	}
+	var out strings.Builder
+	if err := host(strings.NewReader(alone.String()), &out); err != nil {
+		t.Fatal(err)
+	}
+	if want := strings.ReplaceAll(replies, "pass_on 1 r-b 9 0.500000\n", ""); out.String() != want {
+		t.Errorf("alone:\n%s", out.String())
+	}
+}
+
+func TestMalformedInputIsNamedByLineAndField(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"demand 0 r-a get - k/1 2", "demand 0 r-a get - k/1 soon", `line 12: demand: field valid-until-s: "soon" is not a number`},
+		{"demand 0 r-a get", "demand 0 r-a fetch", `line 12: demand: field kind: "fetch" is no class of the settings`},
+		{"0 Miss 0.1", "0 Lost 0.1", `line 16: returned: field code: "Lost" is not known`},
+		{"14.5,0.4", "14.5,x", `line 16: returned: field feedback: "x" is not a number`},
+		{"members 0 SAVED 1 0", "members 0 SAVED 1 4", "line 7: members: field slot: list 4 was never sent"},
+		{"shutdown 1", "shutdown", "line 20: shutdown: field router: is missing"},
+		{"elapsed 1 1", "passed 1 1", `line 21: "passed" is not an event`},
+		{"server 8 a std 0 U", "server 8 a std 0 X", `line 5: server: field phase: "X" is not known`},
+		{"mark 1.1 2", "demand 0", `line 11: "demand" stands where mark is due`},
+		{`"balancers":2`, `"balancers":0`, "line 2: launch: field profile-data: balancers is missing or below 1"},
+		{`"origin-kind":1`, `"origin-kind":5`,
+			"line 2: launch: field profile-data: domain.origin-kind is 5, but flavors has 2 names"},
+		{`"rules":`, `"rulez":`, "line 2: launch: field profile-data: rules is missing"},
+	} {
+		var out strings.Builder
+		err := host(strings.NewReader(strings.Replace(batches, c.from, c.to, 1)), &out)
+		if err == nil || err.Error() != c.want {
+			t.Errorf("with %q: %v", c.to, err)
+		}
+		if s := out.String(); s != "" && !strings.HasSuffix(s, "\n") || strings.Count(s, "pass_on") > 0 &&
+			!strings.Contains(s, "ready 2") {
+			t.Errorf("with %q a part of a reply was sent: %q", c.to, s)
+		}
+	}
+	cut := strings.TrimSuffix(batches, "your_turn\n")
+	if err := host(strings.NewReader(cut), new(strings.Builder)); err == nil {
+		t.Error("a batch without its end was taken")
+	}
+}
