--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,6 +63,7 @@
 	Entry
 	origin   bool
 	inFlight int
+	ended    Micros // when a write-out to it last ended
 	ghosts   []ghost
 	lost     int      // points for failures in a row
 	aside    Micros   // set aside until then; 0: in use
@@ -348,12 +349,20 @@
 	// Six tenths leave time for a miss and the origin. From half of that for the least worth to all for the
 	// most: a queue that the best still fit into turns the rest away.
 	within := float64(q.method.aim) * 0.6 * (0.5 + 0.5*min(1, q.worth))
-	quick := min(1, within/float64(max(1, s.time)))
-	bound := max(1, r.fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
+	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
+	// burst had left machines so crowded that each answer took four times as long, and one in flight from
+	// every router kept them so for the rest of the day.
+	goal := min(within, 2*float64(max(1, s.best)))
+	quick := min(1, goal/float64(max(1, s.long)))
+	bound := max(r.fewest*quick*quick, s.rate.now(r.now, rateSpan)*goal/1e6)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
-	return float64(s.inFlight+len(s.ghosts)) < bound
+	out := s.inFlight + len(s.ghosts)
+	if bound < 1 { // less than one at a time is one, and then a pause
+		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
+	}
+	return float64(out) < bound
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
@@ -861,6 +870,7 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
+	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
