--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,28 +72,15 @@
 	coldSent []Micros // write-outs to it while cold, within the window of the rule
 	rate     decayed  // answers a second
 	hits     decayed  // those of them that did the work
-	answer   gauge    // times of its answers as seen here
-	service  gauge    // without waiting, as reported; the same as answer where nothing is
+	time     Micros   // smoothed time of an answer
+	long     Micros   // the same over more answers
+	best     Micros   // the quickest of that: falls at once, rises slowly
 	reported []sample // service times, for Algorithm 2
 	writes   float64  // own, since the last recompute
 	reads    float64
 	fixed    load // what the shares are made from until the next recompute
 }
 
-// gauge follows a time: smoothed, over more answers, and the quickest of that, which rises slowly.
-type gauge struct {
-	time, long, best Micros
-}
-
-func (g *gauge) add(took Micros) {
-	if g.time == 0 {
-		g.time, g.long, g.best = took, took, took
-	}
-	g.time += (took - g.time) / 8 // about the last fifteen answers
-	g.long += (took - g.long) / 32
-	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long) // rises over minutes, not within one trouble
-}
-
 type load struct {
 	time          Micros
 	writes, reads float64
@@ -362,20 +349,18 @@
 	// Six tenths leave time for a miss and the origin. From half of that for the least worth to all for the
 	// most: a queue that the best still fit into turns the rest away.
 	within := float64(q.method.aim) * 0.6 * (0.5 + 0.5*min(1, q.worth))
-	quick := min(1, within/float64(max(1, s.answer.time)))
-	bound := max(1, r.fewest*quick, s.rate.now(r.now, rateSpan)*within/1e6)
-	// A machine whose service takes twice its quickest is crowded, and its bound falls until that clears: a
-	// burst had left machines so crowded that each answer took four times as long, and one in flight from every
-	// router kept them so for the rest of the day.
-	if x := float64(s.service.long) / float64(max(1, 3*s.service.best)); x > 1 && r.coldAge(s) >= r.coldSpan {
-		bound /= x * x * x
-	}
+	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
+	// burst had left machines so crowded that each answer took four times as long, and one in flight from
+	// every router kept them so for the rest of the day.
+	goal := min(within, 2*float64(max(1, s.best)))
+	quick := min(1, goal/float64(max(1, s.long)))
+	bound := max(r.fewest*quick*quick, s.rate.now(r.now, rateSpan)*goal/1e6)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
 	out := s.inFlight + len(s.ghosts)
 	if bound < 1 { // less than one at a time is one, and then a pause
-		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.answer.best)
+		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
 	}
 	return float64(out) < bound
 }
@@ -389,9 +374,9 @@
 func (r *Router) originBound() float64 {
 	o := r.origin
 	const fewest = 2 // enough to find its rate, few enough for a stopped origin
-	goal := 4 * o.answer.best
-	if o.answer.long > o.answer.best*8/5 { // more than the spread of a long mean of heavy-tailed answers
-		goal = max(r.originGoal, o.answer.best*3/2)
+	goal := 4 * o.best
+	if o.long > o.best*8/5 { // more than the spread of a long mean of heavy-tailed answers
+		goal = max(r.originGoal, o.best*3/2)
 	}
 	return max(fewest, o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
 }
@@ -400,7 +385,7 @@
 	if r.origin == nil {
 		return 0
 	}
-	return r.origin.answer.best
+	return r.origin.best
 }
 
 // waitsFor is the server that a held req is held for.
@@ -414,7 +399,7 @@
 // wait is the time until an answer, behind those held for the same server that go before this req.
 func (r *Router) wait(q *req, s *server) Micros {
 	if s.aside > r.now {
-		return s.aside - r.now + s.answer.best
+		return s.aside - r.now + s.best
 	}
 	ahead, atOnce := 0, r.fewest
 	for _, h := range r.held {
@@ -428,7 +413,7 @@
 	if s.origin {
 		atOnce = r.originBound()
 	}
-	return s.answer.time + Micros(float64(s.answer.time)*float64(ahead)/atOnce)
+	return s.time + Micros(float64(s.time)*float64(ahead)/atOnce)
 }
 
 // soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
@@ -451,8 +436,8 @@
 		if status == OK {
 			s.hits.add(r.now, rateSpan)
 		}
-		if status == OK || s.answer.time == 0 {
-			s.answer.add(took)
+		if status == OK || s.time == 0 {
+			s.measure(took)
 		}
 		s.rate.add(r.now, rateSpan)
 		// What was sent before an answered write-out has had its turn.
@@ -467,7 +452,7 @@
 		const stays = 1e6 // longer than an overdue answer of a crowded server takes
 		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
 		if s.origin || took >= 2*usual(r.caches) { // else it was given too little time to be blamed
-			s.answer.add(max(took, s.answer.time))
+			s.measure(max(took, s.time))
 			points = 1
 		}
 		// Where many are late the fleet is short, and setting servers aside makes it shorter.
@@ -499,12 +484,21 @@
 	}
 }
 
+func (s *server) measure(took Micros) {
+	if s.time == 0 {
+		s.time, s.long, s.best = took, took, took
+	}
+	s.time += (took - s.time) / 8 // about the last fifteen answers
+	s.long += (took - s.long) / 32
+	s.best = min(s.best+max(0, s.long-s.best)/2000, s.long) // rises over minutes, not within one trouble
+}
+
 // usual is the mean time of an answer over some servers.
 func usual(of []*server) Micros {
 	sum, n := Micros(0), Micros(0)
 	for _, s := range of {
-		if s.answer.time > 0 {
-			sum, n = sum+s.answer.time, n+1
+		if s.time > 0 {
+			sum, n = sum+s.time, n+1
 		}
 	}
 	return sum / max(1, n)
@@ -867,11 +861,7 @@
 
 func (r *Router) returned(e Returned) {
 	if s := r.servers[e.Server]; s != nil {
-		took := e.Took
-		if e.Status != OK {
-			took = 0
-		}
-		r.takeReport(s, e.Report, took)
+		r.takeReport(s, e.Report, e.Took)
 	}
 	q := r.reqs[e.Req]
 	if q == nil || q.out == nil || q.sent != e.Attempt+1 {
@@ -931,8 +921,7 @@
 	if i >= 0 && i < len(rep) && rep[i] > 0 {
 		took = Micros(rep[i] * 1e3)
 	}
-	if took > 0 {
-		s.service.add(took)
+	if took > 0 && !s.origin {
 		s.report(r.now, took)
 	}
 }
