The whole bound shrinks over twice the quickest; four times the slots

Cause 1: the bound by twice the quickest held back healthy but busy caches; now only the excess counts, squared. Cause 2: with 200 caches a slot table of 1021 left the busiest at five times the mean.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -352,9 +352,8 @@
 	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
 	// burst had left machines so crowded that each answer took four times as long, and one in flight from
 	// every router kept them so for the rest of the day.
-	goal := min(within, 2*float64(max(1, s.best)))
-	quick := min(1, goal/float64(max(1, s.long)))
-	bound := max(r.fewest*quick*quick, s.rate.now(r.now, rateSpan)*goal/1e6)
+	quick := min(1, 2*float64(max(1, s.best))/float64(max(1, s.long)))
+	bound := max(r.fewest, s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
@@ -705,7 +704,7 @@
 // ---- The slot table ----
 
 const (
-	slots      = 1021 // a prime, so that every step walks all slots; some forty a cache at 24 caches
+	slots      = 4093 // a prime, so that every step walks all slots; some twenty a cache at 200 caches
 	groupCount = 3    // GF
 )
 
