--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"math"
 	"slices"
 )
@@ -93,6 +94,7 @@
 	group     Group
 	window    Micros
 	aim       Micros
+	yields    Micros  // the tightest latency budget of the methods worth as much or more
 	worth     float64 // against the highest criticality of all methods
 	lateEarns bool
 	time      Micros // smoothed time of a cache's answer
@@ -266,7 +268,10 @@
 		// Time for a miss and the origin stays within the latency budget. A heavy-tailed answer of a healthy
 		// cache gets four usual ones all the same: cutting it off wasted more than the second try won. Where no
 		// retry can be paid for, cutting a wait short wins nothing at all.
-		spare := min(left/3, q.method.time+r.originTime()*3/2)
+		spare := q.method.time
+		if r.origin != nil {
+			spare = min(left/3, spare+r.origin.best*3/2)
+		}
 		timeout = min(left, max(q.aim-r.now-spare, 4*usual(r.caches)))
 	}
 	if q.retrying {
@@ -348,12 +353,12 @@
 func (r *Router) room(q *req, s *server) bool {
 	// Six tenths leave time for a miss and the origin. From half of that for the least worth to all for the
 	// most: a queue that the best still fit into turns the rest away.
-	within := float64(q.method.aim) * 0.6 * (0.5 + 0.5*min(1, q.worth))
+	within := float64(q.method.yields) * 0.6 * (0.5 + 0.5*min(1, q.worth))
 	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
 	// burst had left machines so crowded that each answer took four times as long, and one in flight from
 	// every router kept them so for the rest of the day.
 	quick := min(1, 2*float64(max(1, s.best))/float64(max(1, s.long)))
-	bound := max(r.fewest, s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
+	bound := max(r.fewest*min(1, within/float64(max(1, s.time))), s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
@@ -380,13 +385,6 @@
 	return max(fewest, o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
 }
 
-func (r *Router) originTime() Micros {
-	if r.origin == nil {
-		return 0
-	}
-	return r.origin.best
-}
-
 // waitsFor is the server that a held req is held for.
 func (r *Router) waitsFor(q *req) *server {
 	if q.toOrigin {
@@ -493,8 +491,8 @@
 }
 
 // usual is the mean time of an answer over some servers.
-func usual(of []*server) Micros {
-	sum, n := Micros(0), Micros(0)
+func usual(of []*server) (sum Micros) {
+	n := Micros(0)
 	for _, s := range of {
 		if s.time > 0 {
 			sum, n = sum+s.time, n+1
@@ -624,13 +622,6 @@
 	return algorithm2(algorithm1(writes, reads), times)
 }
 
-func total(of []float64) (sum float64) {
-	for _, x := range of {
-		sum += x
-	}
-	return sum
-}
-
 // algorithm1 levels reads and writes over the group; with nothing counted each gets 1/GF.
 func algorithm1(writes []float64, reads float64) []float64 {
 	n, all := float64(len(writes)), total(writes)
@@ -761,8 +752,14 @@
 	}
 	r.originGoal = tightest / 5 * 2 // the cache's miss and a wait must still fit into the budget
 	for _, m := range s.Methods {
-		r.methods = append(r.methods, method{effect: m.Effect, group: m.Group, window: m.Window,
-			aim: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0})
+		own := method{effect: m.Effect, group: m.Group, window: m.Window, aim: m.LatencyBudget,
+			yields: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0}
+		for _, n := range s.Methods {
+			if n.Criticality >= m.Criticality {
+				own.yields = min(own.yields, n.LatencyBudget)
+			}
+		}
+		r.methods = append(r.methods, own)
 	}
 	for _, t := range s.Tenants {
 		r.tenants[t.Name] = &tenant{share: t.Share}
@@ -953,13 +950,8 @@
 		s.Entry = entry
 		s.origin = r.originKind != "" && entry.Kind == r.originKind
 	}
-	ids := make([]ServerID, 0, len(r.servers))
-	for id := range r.servers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids) // the map's order must not reach the table
 	r.caches, r.origin = nil, nil
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) { // the map's order must not reach the table
 		s := r.servers[id]
 		if e.Kind != ListChanges && !named[id] {
 			s.State = Gone
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -34,6 +34,13 @@
 	return sum / Micros(max(1, len(of)))
 }
 
+func total(of []float64) (sum float64) {
+	for _, x := range of {
+		sum += x
+	}
+	return sum
+}
+
 // mix spreads the bits of x (the finalizer of MurmurHash3).
 func mix(x uint64) uint64 {
 	x ^= x >> 33
