--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,6 +122,7 @@
 	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
 	fallSpan   Micros
 	mayCancel  bool
+	patience   float64 // part of the wait allowed that a req of no worth may use
 	maxSends   Attempt
 	maxHint    Micros // 0: no hints here
 
@@ -351,9 +352,9 @@
 // room bounds what is in flight at a cache by measured rate x time: what it answers within the part of the
 // latency budget that may go into waiting, less for the reqs that are worth less.
 func (r *Router) room(q *req, s *server) bool {
-	// Six tenths leave time for a miss and the origin. From half of that for the least worth to all for the
-	// most: a queue that the best still fit into turns the rest away.
-	within := float64(q.method.yields) * 0.6 * (0.5 + 0.5*min(1, q.worth))
+	// Six tenths leave time for a miss and the origin. The most worth may use all of that, the least only a
+	// part: a queue that the best still fit into turns the rest away.
+	within := float64(q.method.yields) * 0.6 * (r.patience + (1-r.patience)*min(1, q.worth))
 	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
 	// burst had left machines so crowded that each answer took four times as long, and one in flight from
 	// every router kept them so for the rest of the day.
@@ -743,6 +744,8 @@
 		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
 		fewest: max(1, 8/float64(max(1, s.Routers))),
 	}
+	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
+	r.patience = min(1, 0.2+s.WorstMethod)
 	if s.MayHint {
 		r.maxHint = s.MaxHint
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -83,6 +83,7 @@
 	MaxWriteOuts    int
 	MaxHint         Micros
 	OverShareWorth  float64
+	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
 	ReportsOnProbes bool
 }
--- a/slate/slate.go
+++ b/slate/slate.go
@@ -405,7 +405,10 @@
 		Resolution float64  `json:"resolution-s"`
 		Flavors    []string `json:"flavors"`
 		Over       float64  `json:"over-share-worth"`
-		Domain     struct {
+		Goal       struct {
+			WorstClass float64 `json:"worst-class"`
+		} `json:"goal"`
+		Domain struct {
 			Mode     string  `json:"mode"`
 			Kind     *int    `json:"origin-kind"`
 			Fall     float64 `json:"origin-fall-multiple"`
@@ -484,7 +487,7 @@
 	s.ReportsOnProbes = p.Report.How == "pull"
 	s.ListOnRequest = p.Discovery == "on_request"
 	s.Resolution = micros(p.Resolution)
-	s.OverShareWorth = p.Over
+	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
 	l, u := p.Limits, p.Rules
 	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
 	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, micros(l.MaxHint), micros(l.Connect)
