--- a/choice/choice.go
+++ b/choice/choice.go
@@ -380,8 +380,9 @@
 	o := r.origin
 	const fewest = 2 // enough to find its rate, few enough for a stopped origin
 	goal := 4 * o.best
-	if o.long > o.best*8/5 { // more than the spread of a long mean of heavy-tailed answers
-		goal = max(r.originGoal, o.best*3/2)
+	// More than the spread of a long mean of heavy-tailed answers; or a quickest that was learnt under load.
+	if o.long > min(o.best*8/5, r.originGoal) {
+		goal = r.originGoal
 	}
 	return max(fewest, o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
 }
@@ -751,9 +752,11 @@
 	}
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
-		most, tightest = max(most, m.Criticality), min(tightest, m.LatencyBudget)
+		if most = max(most, m.Criticality); m.Effect == Retryable {
+			tightest = min(tightest, m.LatencyBudget)
+		}
 	}
-	r.originGoal = tightest / 5 * 2 // the cache's miss and a wait must still fit into the budget
+	r.originGoal = tightest / 5 * 2 // a read's miss at the cache and a wait must still fit into its budget
 	for _, m := range s.Methods {
 		own := method{effect: m.Effect, group: m.Group, window: m.Window, aim: m.LatencyBudget,
 			yields: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0}
