A cache whose last write-out was lost gets three usual answers

Cause: trials of a hung cache and the two time-outs before it is set aside each cost a req its whole budget.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,6 +274,9 @@
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
 		timeout = min(left, max(q.aim-r.now-spare, 4*usual(r.caches)))
+		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
+			timeout = min(timeout, 3*usual(r.caches))
+		}
 	}
 	if q.retrying {
 		r.retries--
