--- a/choice/choice.go
+++ b/choice/choice.go
@@ -482,7 +482,7 @@
 	const enough = 3 // one bad answer is chance, three in a row are not
 	if s.lost += points; s.lost >= enough && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
-		s.aside = r.now + 1e6 + Micros(r.chance()*1e6)
+		s.aside = r.now + 2e6 + Micros(r.chance()*1e6)
 	}
 }
 
