Nothing more to a cache silent with work in hand; a key waits at its own cache first

Cause 1: every crowded moment spilled keys to partners that missed. Cause 2: until three time-outs a hung cache kept drawing reqs.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,6 +65,7 @@
 	origin   bool
 	inFlight int
 	ended    Micros // when a write-out to it last ended
+	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
 	aside    Micros   // set aside until then; 0: in use
@@ -282,7 +283,9 @@
 		r.retries--
 		q.retrying = false
 	}
-	s.inFlight++
+	if s.inFlight++; s.inFlight == 1 {
+		s.heard = r.now
+	}
 	q.out = &writeOut{server: s, sent: r.now}
 	q.sent++
 	q.settled = true
@@ -329,7 +332,7 @@
 		}
 		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
 		// where waiting here is of no use.
-		if !hot && r.origin != nil && !r.originRoom() && r.now+r.wait(q, s) <= q.soon() {
+		if w := r.wait(q, s); !hot && r.now+w <= q.soon() && (w <= s.time || r.origin != nil && !r.originRoom()) {
 			return false
 		}
 	}
@@ -346,7 +349,9 @@
 
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
-	return s.State == Ready && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
+	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
+	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 3*max(usual(r.caches), 1e3)
+	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
 // rateSpan is long enough for a dozen answers of one cache at one router, and short against a trouble.
@@ -435,6 +440,7 @@
 	points := 0
 	switch status {
 	case OK, Miss:
+		s.heard = r.now
 		if status == OK {
 			s.hits.add(r.now, rateSpan)
 		}
