--- a/choice/choice.go
+++ b/choice/choice.go
@@ -350,7 +350,7 @@
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
-	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 3*max(usual(r.caches), 1e3)
+	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 2*max(usual(r.caches), 1e3)
 	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
