--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,7 +64,6 @@
 	Entry
 	origin   bool
 	inFlight int
-	ended    Micros // when a write-out to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
@@ -332,7 +331,7 @@
 		}
 		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
 		// where waiting here is of no use.
-		if w := r.wait(q, s); !hot && r.now+w <= q.soon() && (w <= s.time || r.origin != nil && !r.originRoom()) {
+		if w := r.wait(q, s); !hot && r.now+w <= q.soon() && !r.originTakes(w > s.time) {
 			return false
 		}
 	}
@@ -350,7 +349,7 @@
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
-	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 2*max(usual(r.caches), 1e3)
+	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 3*max(usual(r.caches), 1e3)
 	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
@@ -371,11 +370,7 @@
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
-	out := s.inFlight + len(s.ghosts)
-	if bound < 1 { // less than one at a time is one, and then a pause
-		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
-	}
-	return float64(out) < bound
+	return float64(s.inFlight+len(s.ghosts)) < max(1, bound)
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
@@ -384,6 +379,12 @@
 	return r.origin != nil && r.usable(r.origin) && float64(r.origin.inFlight) < r.originBound()
 }
 
+// originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
+// there already if it has room, else only if half of its bound is free.
+func (r *Router) originTakes(crowded bool) bool {
+	return r.origin == nil || r.originRoom() && (crowded || 2*float64(r.origin.inFlight) < r.originBound())
+}
+
 func (r *Router) originBound() float64 {
 	o := r.origin
 	const fewest = 2 // enough to find its rate, few enough for a stopped origin
@@ -881,7 +882,6 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
-	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
