--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,6 +64,7 @@
 	Entry
 	origin   bool
 	inFlight int
+	ended    Micros // when a write-out to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
@@ -73,9 +74,7 @@
 	coldSent []Micros // write-outs to it while cold, within the window of the rule
 	rate     decayed  // answers a second
 	hits     decayed  // those of them that did the work
-	time     Micros   // smoothed time of an answer
-	long     Micros   // the same over more answers
-	best     Micros   // the quickest of that: falls at once, rises slowly
+	gauge             // of the time of its answers
 	reported []sample // service times, for Algorithm 2
 	writes   float64  // own, since the last recompute
 	reads    float64
@@ -137,7 +136,7 @@
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
-	hot         hotKeys
+	hot         keyCounts // of own reads, bounded and aged
 	traffic     decayed
 	arrived     int
 	retries     float64 // the retry budget
@@ -349,7 +348,8 @@
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
-	silent := s.inFlight > 0 && !s.origin && r.now-s.heard > 3*max(usual(r.caches), 1e3)
+	u := usual(r.caches)
+	silent := u > 0 && s.inFlight > 0 && !s.origin && r.now-s.heard > 3*u
 	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
@@ -370,7 +370,11 @@
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
-	return float64(s.inFlight+len(s.ghosts)) < max(1, bound)
+	out := s.inFlight + len(s.ghosts)
+	if bound < 1 { // less than one at a time is one, and then a pause
+		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
+	}
+	return float64(out) < bound
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
@@ -493,15 +497,6 @@
 	}
 }
 
-func (s *server) measure(took Micros) {
-	if s.time == 0 {
-		s.time, s.long, s.best = took, took, took
-	}
-	s.time += (took - s.time) / 8 // about the last fifteen answers
-	s.long += (took - s.long) / 32
-	s.best = min(s.best+max(0, s.long-s.best)/2000, s.long) // rises over minutes, not within one trouble
-}
-
 // usual is the mean time of an answer over some servers.
 func usual(of []*server) (sum Micros) {
 	n := Micros(0)
@@ -551,40 +546,6 @@
 
 // ---- Hot keys and their shares ----
 
-// hotKeys is a bounded, aged table of this router's own reads.
-type hotKeys struct {
-	counts map[Key]float64
-	keys   []Key // in order of coming, so that nothing hangs on the map's order
-	total  float64
-}
-
-func (h *hotKeys) count(k Key) {
-	const most = 64 // a few times the number of keys that can be over the bound
-	h.total++
-	if _, ok := h.counts[k]; ok || len(h.keys) < most {
-		if !ok {
-			h.keys = append(h.keys, k)
-		}
-		h.counts[k]++
-		return
-	}
-	// Full: all lose one, and those at nothing leave (after Misra and Gries).
-	h.keys = slices.DeleteFunc(h.keys, func(k Key) bool {
-		if h.counts[k]--; h.counts[k] > 0 {
-			return false
-		}
-		delete(h.counts, k)
-		return true
-	})
-}
-
-func (h *hotKeys) age() {
-	h.total /= 2
-	for _, k := range h.keys {
-		h.counts[k] /= 2
-	}
-}
-
 func (r *Router) isHot(k Key) bool {
 	const few = 40 // reads: below that a share says nothing
 	// A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
@@ -751,7 +712,7 @@
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
 		maxSends: Attempt(s.MaxWriteOuts), seed: uint32(mix(seed)), now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
-		hot: hotKeys{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
+		hot: keyCounts{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
 		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
 		fewest: max(1, 8/float64(max(1, s.Routers))),
 	}
@@ -865,7 +826,8 @@
 	}
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
-		r.hot.count(e.Key)
+		const most = 64 // a few times the number of keys that can be over the bound
+		r.hot.count(e.Key, most)
 	}
 	r.reqs[q.id] = q
 	r.run(q)
@@ -882,6 +844,7 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
+	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -1,6 +1,9 @@
 package choice
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // decayed is a rate a second over about the last span, forgetting evenly.
 type decayed struct {
@@ -34,6 +37,55 @@
 	return sum / Micros(max(1, len(of)))
 }
 
+// gauge follows a time: smoothed over about the last fifteen, over more, and the quickest of that, which falls at
+// once and rises over minutes, not within one trouble.
+type gauge struct {
+	time, long, best Micros
+}
+
+func (g *gauge) measure(took Micros) {
+	if g.time == 0 {
+		g.time, g.long, g.best = took, took, took
+	}
+	g.time += (took - g.time) / 8
+	g.long += (took - g.long) / 32
+	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long)
+}
+
+// keyCounts is a bounded table of counts.
+type keyCounts struct {
+	counts map[Key]float64
+	keys   []Key // in order of coming, so that nothing hangs on the map's order
+	total  float64
+}
+
+func (h *keyCounts) count(k Key, most int) {
+	h.total++
+	if _, ok := h.counts[k]; ok || len(h.keys) < most {
+		if !ok {
+			h.keys = append(h.keys, k)
+		}
+		h.counts[k]++
+		return
+	}
+	// Full: all lose one, and those at nothing leave (after Misra and Gries).
+	h.keys = slices.DeleteFunc(h.keys, func(k Key) bool {
+		if h.counts[k]--; h.counts[k] > 0 {
+			return false
+		}
+		delete(h.counts, k)
+		return true
+	})
+}
+
+// age halves all counts.
+func (h *keyCounts) age() {
+	h.total /= 2
+	for _, k := range h.keys {
+		h.counts[k] /= 2
+	}
+}
+
 func total(of []float64) (sum float64) {
 	for _, x := range of {
 		sum += x
