--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,6 +64,7 @@
 	Entry
 	origin   bool
 	inFlight int
+	ahead    int    // reqs held for it, so far as the pass over the held ones has come
 	ended    Micros // when a write-out to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
@@ -176,13 +177,13 @@
 		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom() },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
 		{"the origin cannot answer in time",
-			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(q, r.origin) > q.soon() },
+			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(r.origin) > q.soon() },
 			(*Router).giveUp},
 		{"wait for the origin", func(_ *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
 		{"a cache has room", (*Router).pick, func(r *Router, q *req) { r.send(q, q.target) }},
 		{"no cache can be used", func(_ *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
 		{"the cache cannot answer in time",
-			func(r *Router, q *req) bool { return r.now+r.wait(q, q.target) > q.soon() }, (*Router).giveUp},
+			func(r *Router, q *req) bool { return r.now+r.wait(q.target) > q.soon() }, (*Router).giveUp},
 		{"wait for the cache", func(*Router, *req) bool { return true }, (*Router).hold},
 	}
 }
@@ -235,6 +236,14 @@
 		return 1
 	})
 	r.held = slices.Insert(r.held, at, q)
+	r.queue(q)
+}
+
+// queue counts a held req at the server that it waits for; counting them anew for each req took too long.
+func (r *Router) queue(q *req) {
+	if s := r.waitsFor(q); s != nil {
+		s.ahead++
+	}
 }
 
 // giveUp answers at once: a nack where trying again is harmless, else a failure. The hint tells when the time
@@ -244,7 +253,7 @@
 	if q.maybeRan == 0 || q.method.effect == Retryable {
 		d.Action = Nack
 		if s := r.waitsFor(q); s != nil {
-			d.After = min(r.wait(q, s), r.maxHint)
+			d.After = min(r.wait(s), r.maxHint)
 		}
 	}
 	r.decided = append(r.decided, d)
@@ -325,12 +334,12 @@
 			q.target = s
 			return true
 		}
-		if q.target == nil || r.wait(q, s) < r.wait(q, q.target) {
+		if q.target == nil || r.wait(s) < r.wait(q.target) {
 			q.target = s
 		}
 		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
 		// where waiting here is of no use.
-		if w := r.wait(q, s); !hot && r.now+w <= q.soon() && !r.originTakes(w > s.time) {
+		if w := r.wait(s); !hot && r.now+w <= q.soon() && !r.originTakes(w > s.time) {
 			return false
 		}
 	}
@@ -408,24 +417,16 @@
 	return q.target
 }
 
-// wait is the time until an answer, behind those held for the same server that go before this req.
-func (r *Router) wait(q *req, s *server) Micros {
+// wait is the time until an answer, behind those held for the same server that go before the req at hand.
+func (r *Router) wait(s *server) Micros {
 	if s.aside > r.now {
 		return s.aside - r.now + s.best
 	}
-	ahead, atOnce := 0, r.fewest
-	for _, h := range r.held {
-		if h == q {
-			break
-		}
-		if !h.done && h.out == nil && r.waitsFor(h) == s {
-			ahead++
-		}
-	}
+	atOnce := r.fewest
 	if s.origin {
 		atOnce = r.originBound()
 	}
-	return s.time + Micros(float64(s.time)*float64(ahead)/atOnce)
+	return s.time + Micros(float64(s.time)*float64(s.ahead)/atOnce)
 }
 
 // soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
@@ -794,8 +795,15 @@
 }
 
 func (r *Router) runHeld() {
+	for _, s := range append(r.caches[:len(r.caches):len(r.caches)], r.origin) {
+		if s != nil {
+			s.ahead = 0
+		}
+	}
 	for _, q := range slices.Clone(r.held) {
-		r.run(q)
+		if r.run(q); !q.done && q.out == nil {
+			r.queue(q)
+		}
 	}
 	r.held = slices.DeleteFunc(r.held, func(q *req) bool {
 		q.held = !q.done && q.out == nil
