--- a/choice/choice.go
+++ b/choice/choice.go
@@ -381,7 +381,7 @@
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
 	out := s.inFlight + len(s.ghosts)
 	if bound < 1 { // less than one at a time is one, and then a pause
-		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.time)
+		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
 	}
 	return float64(out) < bound
 }
