--- a/choice/choice.go
+++ b/choice/choice.go
@@ -705,7 +705,7 @@
 
 // New starts a router.
 func New(now Micros, s Settings, seed uint64) (*Router, []Decision) {
-	const safe = 0.6 // of the multiple: the routers' parts are uneven and the work of a req varies
+	const safe = 0.7 // of the multiple: the routers' parts are uneven and the work of a req varies
 	r := &Router{
 		tenants: map[Tenant]*tenant{}, overWorth: s.OverShareWorth,
 		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
