--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,6 @@
 	rate     decayed  // answers a second
 	hits     decayed  // those of them that did the work
 	gauge             // of the time of its answers
-	service  gauge    // of the time that it reports, without waiting
 	reported []sample // service times, for Algorithm 2
 	writes   float64  // own, since the last recompute
 	reads    float64
@@ -376,10 +375,7 @@
 	// burst had left machines so crowded that each answer took four times as long, and one in flight from
 	// every router kept them so for the rest of the day.
 	quick := min(1, 2*float64(max(1, s.best))/float64(max(1, s.long)))
-	if r.coldAge(s) >= r.coldSpan {
-		quick = min(quick, 1.5*float64(max(1, s.service.best))/float64(max(1, s.service.time)))
-	}
-	bound := max(r.fewest*min(1, within/float64(max(1, s.time))), s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick * quick
+	bound := max(r.fewest*min(1, within/float64(max(1, s.time))), s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
@@ -906,7 +902,6 @@
 	i := slices.Index(r.figures, FigureServiceTime)
 	if i >= 0 && i < len(rep) && rep[i] > 0 {
 		took = Micros(rep[i] * 1e3)
-		s.service.measure(took)
 	}
 	if took > 0 && !s.origin {
 		s.report(r.now, took)
