A nack's hint adds the latency budget to the wait

Cause: on the jam incidents each client tried 2.4 times: told to come back after one answer's time, it met the same queue, and its tries kept it full. Nacks are as quick as before; only the hint is longer.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -246,14 +246,15 @@
 	}
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint tells when the time
-// that this req could not be given will have passed.
+// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint tells when those that
+// wait now will be through, in time or not. Told to come back sooner, clients met the same queue again, and their
+// second and third tries kept it full.
 func (r *Router) giveUp(q *req) {
 	d := Decision{Action: Fail, Req: q.id}
 	if q.maybeRan == 0 || q.method.effect == Retryable {
 		d.Action = Nack
 		if s := r.waitsFor(q); s != nil {
-			d.After = min(r.wait(s), r.maxHint)
+			d.After = min(r.wait(s)+q.method.aim, r.maxHint)
 		}
 	}
 	r.decided = append(r.decided, d)
