--- a/choice/choice.go
+++ b/choice/choice.go
@@ -254,7 +254,7 @@
 	if q.maybeRan == 0 || q.method.effect == Retryable {
 		d.Action = Nack
 		if s := r.waitsFor(q); s != nil {
-			d.After = min(r.wait(s)+q.method.aim, r.maxHint)
+			d.After = min(r.wait(s)+2*q.method.aim, r.maxHint)
 		}
 	}
 	r.decided = append(r.decided, d)
