--- a/choice/choice.go
+++ b/choice/choice.go
@@ -246,15 +246,15 @@
 	}
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint tells when those that
-// wait now will be through, in time or not. Told to come back sooner, clients met the same queue again, and their
-// second and third tries kept it full.
+// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and
+// four latency budgets: a crest lasts as long, and a try that falls into it is late anyhow. Told to come back
+// sooner, clients met the same queue again, and their second and third tries kept it full.
 func (r *Router) giveUp(q *req) {
 	d := Decision{Action: Fail, Req: q.id}
 	if q.maybeRan == 0 || q.method.effect == Retryable {
 		d.Action = Nack
 		if s := r.waitsFor(q); s != nil {
-			d.After = min(r.wait(s)+2*q.method.aim, r.maxHint)
+			d.After = min(r.wait(s)+4*q.method.aim, r.maxHint)
 		}
 	}
 	r.decided = append(r.decided, d)
@@ -376,7 +376,8 @@
 	// burst had left machines so crowded that each answer took four times as long, and one in flight from
 	// every router kept them so for the rest of the day.
 	quick := min(1, 2*float64(max(1, s.best))/float64(max(1, s.long)))
-	bound := max(r.fewest*min(1, within/float64(max(1, s.time))), s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
+	floor := r.fewest * min(1, within/float64(max(1, s.time)))
+	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
