--- a/choice/choice.go
+++ b/choice/choice.go
@@ -717,7 +717,7 @@
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		hot: keyCounts{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
 		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
-		fewest: max(1, 8/float64(max(1, s.Routers))),
+		fewest: 8 / float64(max(1, s.Routers)),
 	}
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
