--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,8 +10,6 @@
 package choice
 
 import (
-	"encoding/binary"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -126,14 +124,17 @@
 	maxSends   Attempt
 	maxHint    Micros // 0: no hints here
 
-	seed, draws uint32
+	dice
 	now         Micros
 	decided     []Decision
 	rules       []rule
 	servers     map[ServerID]*server
 	caches      []*server // ready, sorted by id: the table is built from these
 	origin      *server
-	table       [][]*server
+	table       []uint16  // places in caches, a group for each slot; nil: not built since the list changed
+	group       []*server // what groupOf last returned
+	seen        gauge     // of the answers of all caches together
+	warmHits    float64   // mean hits a second that this router has from a warm cache
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
@@ -282,9 +283,9 @@
 		if r.origin != nil {
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
-		timeout = min(left, max(q.aim-r.now-spare, 4*usual(r.caches)))
+		timeout = min(left, max(q.aim-r.now-spare, 4*r.seen.long))
 		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
-			timeout = min(timeout, 3*usual(r.caches))
+			timeout = min(timeout, 3*r.seen.long)
 		}
 	}
 	if q.retrying {
@@ -315,10 +316,7 @@
 // cannot be used, the group's next. It leaves the best choice in target and tells whether there is room now.
 func (r *Router) pick(q *req) bool {
 	q.target = nil
-	if len(r.table) == 0 {
-		return false
-	}
-	group := r.table[q.hash%slots]
+	group := r.groupOf(q.hash)
 	first, hot := 0, !q.write && r.isHot(q.key)
 	if hot {
 		if q.drawn < 0 {
@@ -358,8 +356,7 @@
 // usable: neither draining nor gone, and not set aside; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
-	u := usual(r.caches)
-	silent := u > 0 && s.inFlight > 0 && !s.origin && r.now-s.heard > 3*u
+	silent := r.seen.long > 0 && s.inFlight > 0 && !s.origin && r.now-s.heard > 3*r.seen.long
 	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
@@ -453,7 +450,7 @@
 			s.hits.add(r.now, rateSpan)
 		}
 		if status == OK || s.time == 0 {
-			s.measure(took)
+			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan)
 		// What was sent before an answered write-out has had its turn.
@@ -467,8 +464,8 @@
 	case TimedOut:
 		const stays = 1e6 // longer than an overdue answer of a crowded server takes
 		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
-		if s.origin || took >= 2*usual(r.caches) { // else it was given too little time to be blamed
-			s.measure(max(took, s.time))
+		if s.origin || took >= 2*r.seen.long { // else it was given too little time to be blamed
+			r.measure(s, max(took, s.time))
 			points = 1
 		}
 		// Where many are late the fleet is short, and setting servers aside makes it shorter.
@@ -500,15 +497,11 @@
 	}
 }
 
-// usual is the mean time of an answer over some servers.
-func usual(of []*server) (sum Micros) {
-	n := Micros(0)
-	for _, s := range of {
-		if s.time > 0 {
-			sum, n = sum+s.time, n+1
-		}
+// measure keeps a time of the server, and of all caches together: of one cache a router may see little.
+func (r *Router) measure(s *server, took Micros) {
+	if s.measure(took); !s.origin {
+		r.seen.measure(took)
 	}
-	return sum / max(1, n)
 }
 
 // ---- Cold servers ----
@@ -536,15 +529,9 @@
 	// A warm cache's hits for this router are no more than the router's part of its capacity. Misses do not
 	// count: they cost little, and where many caches are empty they made the budget too large by half, so that
 	// a cold cache fell over.
-	usual, n := 0.0, 0.0
-	for _, c := range r.caches {
-		if c.aside == 0 && r.coldAge(c) >= r.coldSpan {
-			usual, n = usual+c.hits.now(r.now, rateSpan), n+1
-		}
-	}
 	const least = 1.0 // a second: with nothing measured yet, enough to learn
 	s.coldSent = slices.DeleteFunc(s.coldSent, func(at Micros) bool { return r.now-at >= r.fallSpan })
-	return float64(len(s.coldSent)) < part*max(least, usual/max(1, n))*float64(r.fallSpan)/1e6
+	return float64(len(s.coldSent)) < part*max(least, r.warmHits)*float64(r.fallSpan)/1e6
 }
 
 // ---- Hot keys and their shares ----
@@ -578,11 +565,17 @@
 			sum, n = sum+s.fixed.time, n+1
 		}
 	}
+	r.warmHits = 0
+	warm := 0.0
 	for _, s := range r.caches {
 		if s.fixed.time == 0 && n > 0 {
 			s.fixed.time = sum / n // not yet heard from: the others' mean
 		}
+		if s.aside == 0 && r.coldAge(s) >= r.coldSpan {
+			r.warmHits, warm = r.warmHits+s.hits.now(r.now, rateSpan), warm+1
+		}
 	}
+	r.warmHits /= max(1, warm)
 }
 
 // sharesOf is the design's read distribution over one group.
@@ -648,15 +641,6 @@
 	return shares
 }
 
-// chance draws from [0, 1) by the seed and a counter.
-func (r *Router) chance() float64 {
-	var b [8]byte
-	binary.LittleEndian.PutUint32(b[:], r.seed)
-	binary.LittleEndian.PutUint32(b[4:], r.draws)
-	r.draws++
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
 func (r *Router) draw(shares []float64) int {
 	x := r.chance()
 	for i, p := range shares {
@@ -678,31 +662,50 @@
 // buildTable gives each slot its caches, after Maglev: in turns, each cache claims the next slot of its own
 // order that is free. The second and third place are claimed by the same walks, so that mostly the second
 // cache of a slot is the one that would be first without the first.
-func buildTable(caches []*server) [][]*server {
-	if len(caches) == 0 {
-		return nil
-	}
-	table := make([][]*server, slots)
-	for place := range min(groupCount, len(caches)) {
-		walked := make([]int, len(caches))
-		for claimed := true; claimed; {
-			claimed = false
-			for i, c := range caches {
-				h := mix(uint64(c.Server) + 0x9e3779b97f4a7c15)
-				offset, step := int(h%slots), int(h>>32%(slots-1))+1
-				for took := false; walked[i] < slots && !took; walked[i]++ {
-					at := (offset + walked[i]*step) % slots
-					if len(table[at]) == place && !slices.Contains(table[at], c) {
-						table[at] = append(table[at], c)
-						took, claimed = true, true
-					}
+//
+// Hundreds of routers build it at each change of the list: it is flat, and done once all slots are claimed.
+func buildTable(caches []*server) []uint16 {
+	places := min(groupCount, len(caches))
+	table, taken := make([]uint16, slots*places), make([]uint8, slots)
+	at, step := make([]int, len(caches)), make([]int, len(caches))
+	for i, c := range caches {
+		h := mix(uint64(c.Server) + 0x9e3779b97f4a7c15)
+		at[i], step[i] = int(h%slots), int(h>>32%(slots-1))+1
+	}
+	for place := range places { // a walk ends where it began, so that the next place starts there again
+		walked, claimed := make([]int, len(caches)), 0
+		for i := 0; claimed < slots; i = (i + 1) % len(caches) {
+			for took := false; walked[i] < slots && !took; walked[i]++ {
+				slot := table[at[i]*places:][:place]
+				if int(taken[at[i]]) == place && !slices.Contains(slot, uint16(i)) {
+					table[at[i]*places+place] = uint16(i)
+					taken[at[i]]++
+					claimed++
+					took = true
 				}
+				at[i] = (at[i] + step[i]) % slots
 			}
 		}
+		for i := range caches {
+			at[i] = (at[i] + (slots-walked[i])*step[i]) % slots
+		}
 	}
 	return table
 }
 
+// groupOf is the group of a key by its hash. The table is built when it is first asked for.
+func (r *Router) groupOf(hash uint64) []*server {
+	if r.table == nil {
+		r.table = buildTable(r.caches)
+	}
+	places := len(r.table) / slots
+	r.group = r.group[:0]
+	for _, place := range r.table[int(hash%slots)*places:][:places] {
+		r.group = append(r.group, r.caches[place])
+	}
+	return r.group
+}
+
 // ---- The inputs ----
 
 // New starts a router.
@@ -713,7 +716,7 @@
 		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
 		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
-		maxSends: Attempt(s.MaxWriteOuts), seed: uint32(mix(seed)), now: now, rules: reqRules(),
+		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))}, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		hot: keyCounts{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
 		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
@@ -797,8 +800,8 @@
 }
 
 func (r *Router) runHeld() {
-	for _, s := range append(r.caches[:len(r.caches):len(r.caches)], r.origin) {
-		if s != nil {
+	for _, q := range r.held {
+		if s := r.waitsFor(q); s != nil {
 			s.ahead = 0
 		}
 	}
@@ -938,6 +941,7 @@
 		s.Entry = entry
 		s.origin = r.originKind != "" && entry.Kind == r.originKind
 	}
+	before := r.caches
 	r.caches, r.origin = nil, nil
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) { // the map's order must not reach the table
 		s := r.servers[id]
@@ -954,5 +958,7 @@
 			r.caches = append(r.caches, s)
 		}
 	}
-	r.table = buildTable(r.caches)
+	if !slices.Equal(before, r.caches) {
+		r.table = nil
+	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -45,13 +45,14 @@
 func TestTableHoldsThreeDistinctCachesAndMovesFewKeys(t *testing.T) {
 	ids := []ServerID{3, 17, 4000000000, 5, 99, 12345, 7, 8, 1 << 20, 42}
 	slices.Sort(ids)
-	all, fewer := buildTable(caches(ids...)), buildTable(caches(ids[1:]...))
+	all, fewer := Router{caches: caches(ids...)}, Router{caches: caches(ids[1:]...)}
 	first, moved, toPartner := map[ServerID]int{}, 0, 0
-	for i, group := range all {
+	for i := range uint64(slots) {
+		group := all.groupOf(i)
 		if len(group) != 3 || group[0] == group[1] || group[0] == group[2] || group[1] == group[2] {
 			t.Fatalf("slot %d holds %v", i, group)
 		}
-		now, then := group[0].Server, fewer[i][0].Server
+		now, then := group[0].Server, fewer.groupOf(i)[0].Server
 		first[now]++
 		switch {
 		case now == ids[0] && then == group[1].Server:
@@ -82,8 +83,8 @@
 			l.Entries = append(l.Entries, Entry{Server: id})
 		}
 		r.Step(0, l)
-		for _, group := range r.table {
-			of = append(of, group[0].Server)
+		for i := range uint64(slots) {
+			of = append(of, r.groupOf(i)[0].Server)
 		}
 		return of
 	}
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"encoding/binary"
+	"hash/crc32"
 	"math"
 	"slices"
 )
@@ -110,3 +112,17 @@
 	}
 	return mix(h)
 }
+
+// dice gives chance by a seed and a counter.
+type dice struct {
+	seed, draws uint32
+}
+
+// chance draws from [0, 1).
+func (d *dice) chance() float64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint32(b[:], d.seed)
+	binary.LittleEndian.PutUint32(b[4:], d.draws)
+	d.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
