Hot keys from few reads, very hot keys over several groups, sparse routers bound by all caches

Cause: a router of hundreds sees 5 reqs a second: it never counted 40 reads within the window, so no key was hot; and with one in flight a cache under eight over the routers it paused seconds at each cache. Now a key's second read counts (forty reads of others granted), a key that loads more than three caches gets more groups, and below one in flight a cache all caches together bound a router, with two deviations for chance. Conclusion: hot caches remain: keys between a third and three mean loads are seen once by each router.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	id     ReqID
 	method *method
 	key    Key
-	hash   uint64 // of the key, or of the id where there is none
+	hash   uint64 // of the key, or of the id where there is none; for a very hot key that of the group drawn
 	write  bool
 	worth  float64 // criticality, lowered where its tenant is over its share
 	seq    int     // order of arrival
@@ -63,7 +63,6 @@
 	origin   bool
 	inFlight int
 	ahead    int    // reqs held for it, so far as the pass over the held ones has come
-	ended    Micros // when a write-out to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
@@ -134,6 +133,9 @@
 	table       []uint16  // places in caches, a group for each slot; nil: not built since the list changed
 	group       []*server // what groupOf last returned
 	seen        gauge     // of the answers of all caches together
+	answers     decayed   // and how many a second
+	inFlight    int       // and what they have in hand
+	ended       Micros    // when the last of that ended
 	warmHits    float64   // mean hits a second that this router has from a warm cache
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
@@ -295,6 +297,9 @@
 	if s.inFlight++; s.inFlight == 1 {
 		s.heard = r.now
 	}
+	if !s.origin {
+		r.inFlight++
+	}
 	q.out = &writeOut{server: s, sent: r.now}
 	q.sent++
 	q.settled = true
@@ -316,14 +321,19 @@
 // cannot be used, the group's next. It leaves the best choice in target and tells whether there is room now.
 func (r *Router) pick(q *req) bool {
 	q.target = nil
-	group := r.groupOf(q.hash)
-	first, hot := 0, !q.write && r.isHot(q.key)
-	if hot {
-		if q.drawn < 0 {
-			q.drawn = r.draw(r.sharesOf(group))
+	first, hot := 0, false
+	if load := r.load(q.key); !q.write && load > hotBound {
+		if hot = true; q.drawn < 0 {
+			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache half
+			// of a mean cache's reads of it; the first group is the key's own.
+			if n := int(r.chance() * math.Ceil(load/(groupCount*0.5))); n > 0 {
+				q.hash = mix(q.hash + uint64(n))
+			}
+			q.drawn = r.draw(r.sharesOf(r.groupOf(q.hash)))
 		}
 		first = q.drawn
 	}
+	group := r.groupOf(q.hash)
 	for i := range group {
 		s := group[(first+i)%len(group)]
 		if slices.Contains(q.failed, s) || !r.usable(s) || !inGroup(q, s) || !r.warmFor(q, s) {
@@ -369,20 +379,33 @@
 	// Six tenths leave time for a miss and the origin. The most worth may use all of that, the least only a
 	// part: a queue that the best still fit into turns the rest away.
 	within := float64(q.method.yields) * 0.6 * (r.patience + (1-r.patience)*min(1, q.worth))
-	// Twice its quickest is where a machine begins to be crowded. Beyond, the bound falls until it clears: a
-	// burst had left machines so crowded that each answer took four times as long, and one in flight from
-	// every router kept them so for the rest of the day.
-	quick := min(1, 2*float64(max(1, s.best))/float64(max(1, s.long)))
-	floor := r.fewest * min(1, within/float64(max(1, s.time)))
-	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * quick * quick
+	g := s.gauge.leaning(r.seen)
+	bound := r.bound(g, r.fewest, s.rate.now(r.now, rateSpan), within)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
 	out := s.inFlight + len(s.ghosts)
-	if bound < 1 { // less than one at a time is one, and then a pause
-		return out == 0 && float64(r.now-s.ended) >= (1/bound-1)*float64(s.best)
+	if bound >= 1 {
+		return float64(out) < bound
+	}
+	// Less than one at a time is one, as far as all caches together are within their sum: of hundreds of routers
+	// each has something for one cache only now and then, and a pause at each cache lost most of it. Less than
+	// one at all of them is one, and then a pause.
+	bound = r.bound(r.seen, r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan), within)
+	bound += 2 * math.Sqrt(bound) // few reqs come unevenly: two deviations, which even out over the routers
+	if bound >= 1 {
+		return out == 0 && float64(r.inFlight) < bound
 	}
-	return float64(out) < bound
+	return out == 0 && r.inFlight == 0 && float64(r.now-r.ended) >= (1/bound-1)*float64(r.seen.best)
+}
+
+// bound is what may be in flight: what is answered within the time that may go into waiting, and at least a
+// floor. Twice the quickest answer is where a machine begins to be crowded. Beyond, the bound falls until it
+// clears: a burst had left machines so crowded that each answer took four times as long, and one in flight
+// from every router kept them so for the rest of the day.
+func (r *Router) bound(g gauge, floor, rate, within float64) float64 {
+	quick := min(1, 2*float64(max(1, g.best))/float64(max(1, g.long)))
+	return max(floor*min(1, within/float64(max(1, g.time))), rate*within/1e6) * quick * quick
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
@@ -421,11 +444,11 @@
 	if s.aside > r.now {
 		return s.aside - r.now + s.best
 	}
-	atOnce := r.fewest
 	if s.origin {
-		atOnce = r.originBound()
+		return s.time + Micros(float64(s.time)*float64(s.ahead)/r.originBound())
 	}
-	return s.time + Micros(float64(s.time)*float64(s.ahead)/atOnce)
+	t := s.gauge.leaning(r.seen).time
+	return t + Micros(float64(t)*float64(s.ahead)/max(1, r.fewest))
 }
 
 // soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
@@ -453,6 +476,9 @@
 			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan)
+		if !s.origin {
+			r.answers.add(r.now, rateSpan)
+		}
 		// What was sent before an answered write-out has had its turn.
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
 		if s.aside != 0 && s.unheard { // after a crash the list is late to tell of the new process, which is cold
@@ -536,10 +562,18 @@
 
 // ---- Hot keys and their shares ----
 
-func (r *Router) isHot(k Key) bool {
-	const few = 40 // reads: below that a share says nothing
-	// A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
-	return k != "" && r.hot.total >= few && r.hot.counts[k]*float64(len(r.caches)) > 0.35*r.hot.total
+// A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
+const hotBound = 0.35
+
+// load is what the reads of a key are, as a multiple of a mean cache's reads. One read is chance, however few a
+// router of hundreds has seen; and forty reads of other keys are taken for granted at the start.
+func (r *Router) load(k Key) float64 {
+	const few, granted = 2, 40
+	n := r.hot.counts[k]
+	if n < few {
+		return 0
+	}
+	return n / (r.hot.total + granted) * float64(len(r.caches))
 }
 
 func (s *server) report(at, time Micros) {
@@ -555,7 +589,11 @@
 		return
 	}
 	r.recomputeAt = r.now + every
-	r.hot.age()
+	// The window is one of reads too: in seconds alone a router of hundreds never saw a key often enough.
+	const enough = 100 // reads: two of one key are then over the bound of any fleet up to 17 caches
+	if r.hot.total >= enough {
+		r.hot.age()
+	}
 	sum, n := Micros(0), Micros(0)
 	for _, s := range r.caches {
 		s.reported = slices.DeleteFunc(s.reported, func(x sample) bool { return r.now-x.at > stale })
@@ -839,7 +877,7 @@
 	}
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
-		const most = 64 // a few times the number of keys that can be over the bound
+		const most = 256 // more than the keys that are over the bound
 		r.hot.count(e.Key, most)
 	}
 	r.reqs[q.id] = q
@@ -857,7 +895,10 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
-	w.server.ended = r.now
+	if !w.server.origin {
+		r.inFlight--
+		r.ended = r.now
+	}
 	r.judge(w, e.Status, e.Took)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -43,17 +43,27 @@
 // once and rises over minutes, not within one trouble.
 type gauge struct {
 	time, long, best Micros
+	n                Micros // samples, up to gaugeFull
 }
 
+const gaugeFull = 32
+
 func (g *gauge) measure(took Micros) {
-	if g.time == 0 {
-		g.time, g.long, g.best = took, took, took
+	g.n = min(g.n+1, gaugeFull)
+	g.time += (took - g.time) / min(g.n, 8)
+	g.long += (took - g.long) / g.n
+	if g.n < gaugeFull { // a mean of few is quick or slow by chance
+		g.best = g.long
 	}
-	g.time += (took - g.time) / 8
-	g.long += (took - g.long) / 32
 	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long)
 }
 
+// leaning is g where it has samples enough, and the other one as far as it lacks them.
+func (g gauge) leaning(on gauge) gauge {
+	mix := func(own, other Micros) Micros { return (g.n*own + (gaugeFull-g.n)*other) / gaugeFull }
+	return gauge{mix(g.time, on.time), mix(g.long, on.long), mix(g.best, on.best), g.n}
+}
+
 // keyCounts is a bounded table of counts.
 type keyCounts struct {
 	counts map[Key]float64
