--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	coldFrom Micros   // when it was seen to come back
 	coldSent []Micros // write-outs to it while cold, within the window of the rule
 	rate     decayed  // answers a second
+	used     decayed  // write-outs a second, over longer
 	hits     decayed  // those of them that did the work
 	gauge             // of the time of its answers
 	reported []sample // service times, for Algorithm 2
@@ -119,6 +120,7 @@
 	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
 	fallSpan   Micros
 	mayCancel  bool
+	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
 	patience   float64 // part of the wait allowed that a req of no worth may use
 	maxSends   Attempt
 	maxHint    Micros // 0: no hints here
@@ -142,6 +144,7 @@
 	fetches     map[Key]*req
 	hot         keyCounts // of own reads, bounded and aged
 	traffic     decayed
+	used        decayed // write-outs a second to all servers
 	arrived     int
 	retries     float64 // the retry budget
 	recomputeAt Micros
@@ -300,6 +303,8 @@
 	if !s.origin {
 		r.inFlight++
 	}
+	s.used.add(r.now, useSpan)
+	r.used.add(r.now, useSpan)
 	q.out = &writeOut{server: s, sent: r.now}
 	q.sent++
 	q.settled = true
@@ -315,6 +320,18 @@
 		Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: max(timeout, r.tick)})
 }
 
+const useSpan = 20e6 // a few reqs of one of hundreds of routers to a mean cache
+
+// leave closes an idle connection that costs more than a new one would. Where routers are many and each keeps one
+// to every cache, a cache is at its maximum, and refuses most routers though it has little to do.
+func (r *Router) leave(s *server) {
+	const granted = 1e6 / useSpan // one use: so much is chance
+	mean := r.used.now(r.now, useSpan) / float64(len(r.caches)+1)
+	if s.inFlight == 0 && s.used.now(r.now, useSpan)+granted < r.keep*(mean+granted) {
+		r.decided = append(r.decided, Decision{Action: Disconnect, Server: s.Server})
+	}
+}
+
 // ---- Targets ----
 
 // pick finds the cache for a req: the first of its group, or the one drawn for a hot key; where that one
@@ -760,6 +777,11 @@
 		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
 		fewest: 8 / float64(max(1, s.Routers)),
 	}
+	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
+	// all routers use a server alike, keeping pays up to this ratio of one.
+	if s.ConnectionFee > 0 {
+		r.keep = s.ConnectionFee * float64(s.Routers) / 100 / s.HandshakeFee
+	}
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
 	if s.MayHint {
@@ -900,6 +922,7 @@
 		r.ended = r.now
 	}
 	r.judge(w, e.Status, e.Took)
+	r.leave(w.server)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -85,6 +85,8 @@
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
+	ConnectionFee   float64 // for a hundred connections kept open to each server
+	HandshakeFee    float64 // for a new connection with each req
 	ReportsOnProbes bool
 }
 
@@ -203,7 +205,8 @@
 	Recall                 // Req, Attempt
 	Wake                   // After, Ref
 	Subscribe
-	Probe // Server
+	Probe      // Server
+	Disconnect // Server: close what is idle
 )
 
 // Decision is one thing to do now.
--- a/slate/slate.go
+++ b/slate/slate.go
@@ -380,6 +380,8 @@
 		put("stream_changes", "1")
 	case choice.Probe:
 		put("probe", server)
+	case choice.Disconnect:
+		put("drop_conns", server)
 	}
 }
 
@@ -405,7 +407,11 @@
 		Resolution float64  `json:"resolution-s"`
 		Flavors    []string `json:"flavors"`
 		Over       float64  `json:"over-share-worth"`
-		Goal       struct {
+		Fees       struct {
+			Connection float64 `json:"connection"`
+			Handshake  float64 `json:"handshake"`
+		} `json:"fees"`
+		Goal struct {
 			WorstClass float64 `json:"worst-class"`
 		} `json:"goal"`
 		Domain struct {
@@ -488,6 +494,7 @@
 	s.ListOnRequest = p.Discovery == "on_request"
 	s.Resolution = micros(p.Resolution)
 	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
+	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
 	l, u := p.Limits, p.Rules
 	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
 	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, micros(l.MaxHint), micros(l.Connect)
