The origin's floor goes with the router count and falls as it gets busy

Cause: two in flight from each of 28 routers is 56 at an origin that answers 36 a second: once busy it stayed so, and a third of the misses were nacked. Now six over the routers, one where chance needs it while answers are quick, and a pause after.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,6 +63,7 @@
 	origin   bool
 	inFlight int
 	ahead    int    // reqs held for it, so far as the pass over the held ones has come
+	ended    Micros // when a write-out to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
@@ -114,6 +115,7 @@
 	ask        bool
 	tick       Micros
 	originGoal Micros  // what an answer of a busy origin should take at most
+	part       float64 // one over the router count
 	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
 	coldShare  float64
 	coldSpan   Micros
@@ -408,27 +410,41 @@
 	// Less than one at a time is one, as far as all caches together are within their sum: of hundreds of routers
 	// each has something for one cache only now and then, and a pause at each cache lost most of it. Less than
 	// one at all of them is one, and then a pause.
-	bound = r.bound(r.seen, r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan), within)
-	bound += 2 * math.Sqrt(bound) // few reqs come unevenly: two deviations, which even out over the routers
-	if bound >= 1 {
-		return out == 0 && float64(r.inFlight) < bound
+	return out == 0 && r.pause(r.poolBound(within), r.inFlight, r.seen, r.ended) == 0
+}
+
+// poolBound is that of all caches together. Few reqs come unevenly, which evens out over the routers: two
+// deviations are left for it while answers are quick.
+func (r *Router) poolBound(within float64) float64 {
+	b := r.bound(r.seen, r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan), within)
+	return b + 2*math.Sqrt(b)*r.seen.quick()
+}
+
+// pause is the time until a bound has room, as far as it is known. Less than one in flight is one, and then a pause.
+func (r *Router) pause(bound float64, inFlight int, g gauge, ended Micros) Micros {
+	if float64(inFlight) >= max(1, bound) {
+		return max(1, g.time)
 	}
-	return out == 0 && r.inFlight == 0 && float64(r.now-r.ended) >= (1/bound-1)*float64(r.seen.best)
+	const most = 10e6 // long enough for hundreds of routers, and a trial for one of them
+	return max(0, ended-r.now+Micros(min(most, (1/min(1, bound)-1)*float64(g.best))))
 }
 
 // bound is what may be in flight: what is answered within the time that may go into waiting, and at least a
-// floor. Twice the quickest answer is where a machine begins to be crowded. Beyond, the bound falls until it
-// clears: a burst had left machines so crowded that each answer took four times as long, and one in flight
-// from every router kept them so for the rest of the day.
+// floor. Beyond twice the quickest answer it falls until the machine clears: a burst had left machines so crowded
+// that each answer took four times as long, and one in flight from every router kept them so for the rest of the day.
 func (r *Router) bound(g gauge, floor, rate, within float64) float64 {
-	quick := min(1, 2*float64(max(1, g.best))/float64(max(1, g.long)))
-	return max(floor*min(1, within/float64(max(1, g.time))), rate*within/1e6) * quick * quick
+	return max(floor*min(1, within/float64(max(1, g.time))), rate*within/1e6) * g.quick()
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
 // chance alone needs some; once they are longer, it gets what it answers within a part of the budget.
 func (r *Router) originRoom() bool {
-	return r.origin != nil && r.usable(r.origin) && float64(r.origin.inFlight) < r.originBound()
+	return r.origin != nil && r.usable(r.origin) && r.originWait() == 0
+}
+
+func (r *Router) originWait() Micros {
+	o := r.origin
+	return r.pause(r.originBound(), o.inFlight, o.gauge, o.ended)
 }
 
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
@@ -439,13 +455,18 @@
 
 func (r *Router) originBound() float64 {
 	o := r.origin
-	const fewest = 2 // enough to find its rate, few enough for a stopped origin
+	const fewest = 6 // of all routers, two of one at most: enough to find its rate, few enough for a stopped origin
 	goal := 4 * o.best
 	// More than the spread of a long mean of heavy-tailed answers; or a quickest that was learnt under load.
 	if o.long > min(o.best*8/5, r.originGoal) {
 		goal = r.originGoal
 	}
-	return max(fewest, o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
+	b := max(min(2, fewest*r.part), o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
+	if b >= 1 {
+		return b
+	}
+	// Two from each of hundreds of routers filled it for seconds. Below one in flight a busy origin gets less.
+	return min(1, b+2*math.Sqrt(b)) * o.quick()
 }
 
 // waitsFor is the server that a held req is held for.
@@ -462,7 +483,7 @@
 		return s.aside - r.now + s.best
 	}
 	if s.origin {
-		return s.time + Micros(float64(s.time)*float64(s.ahead)/r.originBound())
+		return s.time + max(r.originWait(), Micros(float64(s.time)*float64(s.ahead)/r.originBound()))
 	}
 	t := s.gauge.leaning(r.seen).time
 	return t + Micros(float64(t)*float64(s.ahead)/max(1, r.fewest))
@@ -774,9 +795,9 @@
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))}, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		hot: keyCounts{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
-		// Some eight in hand keep a machine of a few cores busy without a long queue; a router has its part.
-		fewest: 8 / float64(max(1, s.Routers)),
+		part: 1 / float64(max(1, s.Routers)),
 	}
+	r.fewest = 8 * r.part // some eight in hand keep a machine of a few cores busy without a long queue
 	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
 	// all routers use a server alike, keeping pays up to this ratio of one.
 	if s.ConnectionFee > 0 {
@@ -921,6 +942,7 @@
 		r.inFlight--
 		r.ended = r.now
 	}
+	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
 	r.leave(w.server)
 	if e.Status == OK && !w.server.origin {
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -58,6 +58,12 @@
 	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long)
 }
 
+// quick is one up to twice the quickest answer, where a machine begins to be crowded, and falls by the square beyond.
+func (g gauge) quick() float64 {
+	q := min(1, 2*float64(max(1, g.best))/float64(max(1, g.long)))
+	return q * q
+}
+
 // leaning is g where it has samples enough, and the other one as far as it lacks them.
 func (g gauge) leaning(on gauge) gauge {
 	mix := func(own, other Micros) Micros { return (g.n*own + (gaugeFull-g.n)*other) / gaugeFull }
