--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,13 +122,15 @@
 	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
 	fallSpan   Micros
 	mayCancel  bool
+	mayTell    bool
+	me         int
 	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
 	patience   float64 // part of the wait allowed that a req of no worth may use
 	maxSends   Attempt
 	maxHint    Micros // 0: no hints here
 
 	dice
-	now         Micros
+	began, now  Micros
 	decided     []Decision
 	rules       []rule
 	servers     map[ServerID]*server
@@ -144,7 +146,9 @@
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
-	hot         keyCounts // of own reads, bounded and aged
+	hot         keyCounts // of reads, bounded and aged
+	news        []KeyHash // keys read since peers were told
+	tellAt      Micros
 	traffic     decayed
 	used        decayed // write-outs a second to all servers
 	arrived     int
@@ -341,7 +345,7 @@
 func (r *Router) pick(q *req) bool {
 	q.target = nil
 	first, hot := 0, false
-	if load := r.load(q.key); !q.write && load > hotBound {
+	if load := r.load(q); load > hotBound {
 		if hot = true; q.drawn < 0 {
 			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache half
 			// of a mean cache's reads of it; the first group is the key's own.
@@ -416,7 +420,7 @@
 // poolBound is that of all caches together. Few reqs come unevenly, which evens out over the routers: two
 // deviations are left for it while answers are quick.
 func (r *Router) poolBound(within float64) float64 {
-	b := r.bound(r.seen, r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan), within)
+	b := max(r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan)*within/1e6) * r.seen.quick()
 	return b + 2*math.Sqrt(b)*r.seen.quick()
 }
 
@@ -554,10 +558,12 @@
 	if s.fixed.time > 0 && !s.origin { // a failed write-out is a sample of twice the cache's mean at most
 		s.report(r.now, min(took, 2*s.fixed.time))
 	}
-	const enough = 3 // one bad answer is chance, three in a row are not
-	if s.lost += points; s.lost >= enough && s.aside <= r.now {
+	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no row: there the
+	// first one counts, and it is left for three uses, which its partners hardly feel.
+	used := s.used.now(r.now, useSpan) / (1 - math.Exp(-float64(r.now+1-r.began)/useSpan))
+	if s.lost += points; s.lost >= 1+int(min(2, used)) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
-		s.aside = r.now + 2e6 + Micros(r.chance()*1e6)
+		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
 	}
 }
 
@@ -605,15 +611,38 @@
 
 // load is what the reads of a key are, as a multiple of a mean cache's reads. One read is chance, however few a
 // router of hundreds has seen; and forty reads of other keys are taken for granted at the start.
-func (r *Router) load(k Key) float64 {
+func (r *Router) load(q *req) float64 {
 	const few, granted = 2, 40
-	n := r.hot.counts[k]
-	if n < few {
+	n := r.hot.counts[keyHash(q.key)]
+	if n < few || q.write || q.key == "" {
 		return 0
 	}
 	return n / (r.hot.total + granted) * float64(len(r.caches))
 }
 
+func (r *Router) count(k KeyHash) {
+	const most = 1024 // several times the number of keys that are over the bound in a fleet of hundreds
+	r.hot.count(k, most)
+}
+
+// tell sends the keys read since the last time to as many peers as it takes to see in ten seconds ten reads a cache.
+// One of hundreds of routers reads a key twice too late: the first read of each filled its cache for many seconds.
+func (r *Router) tell() {
+	const every, most = 1e6, 64 // often against a flare of seconds; 256 bytes
+	if !r.mayTell || r.now < r.tellAt {
+		return
+	}
+	r.tellAt = r.now + every
+	rate := r.traffic.now(r.now, trafficSpan)
+	news := r.news[:min(most, len(r.news))]
+	for range min(int(float64(len(r.caches))/max(1, rate)), 32) {
+		if to := int(r.chance() / r.part); to != r.me && len(news) > 0 {
+			r.decided = append(r.decided, Decision{Action: Tell, Peer: to, Keys: slices.Clone(news)})
+		}
+	}
+	r.news = r.news[:0]
+}
+
 func (s *server) report(at, time Micros) {
 	const last = 16 // N: answers enough to smooth a heavy-tailed service time
 	s.reported = append(s.reported, sample{at, time})
@@ -627,9 +656,9 @@
 		return
 	}
 	r.recomputeAt = r.now + every
-	// The window is one of reads too: in seconds alone a router of hundreds never saw a key often enough.
-	const enough = 100 // reads: two of one key are then over the bound of any fleet up to 17 caches
-	if r.hot.total >= enough {
+	// The window is one of reads too: in seconds alone a router of hundreds never saw a key often enough. With ten
+	// reads a cache a key at the bound has some.
+	if r.hot.total >= 10*float64(len(r.caches)) {
 		r.hot.age()
 	}
 	sum, n := Micros(0), Micros(0)
@@ -792,9 +821,9 @@
 		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
 		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
-		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))}, now: now, rules: reqRules(),
+		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))}, began: now, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
-		hot: keyCounts{counts: map[Key]float64{}}, retries: 10, // enough for the first seconds
+		hot: keyCounts{counts: map[KeyHash]float64{}}, retries: 10, // enough for the first seconds
 		part: 1 / float64(max(1, s.Routers)),
 	}
 	r.fewest = 8 * r.part // some eight in hand keep a machine of a few cores busy without a long queue
@@ -805,6 +834,7 @@
 	}
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
+	r.mayTell, r.me = s.MayTell, s.Me
 	if s.MayHint {
 		r.maxHint = s.MaxHint
 	}
@@ -858,12 +888,17 @@
 	case ListCame:
 		r.listCame(e)
 		r.runHeld()
+	case Told:
+		for _, k := range e.Keys {
+			r.count(k)
+		}
 	case Elapsed:
 		if r.askAt != 0 && r.askAt <= r.now {
 			r.subscribe()
 		}
 		r.runHeld()
 	}
+	r.tell()
 	if len(r.held) > 0 {
 		r.wake(r.now + max(r.tick, 5e3)) // held reqs are looked at again that often at least
 	}
@@ -897,6 +932,8 @@
 	})
 }
 
+const trafficSpan = 5e6 // of the rate of a tenant, and of all: longer than a burst
+
 func (r *Router) reqCame(e ReqCame) {
 	m := &r.methods[e.Method]
 	r.arrived++
@@ -909,10 +946,9 @@
 	if e.Key == "" {
 		q.hash = hashText(string(e.Req))
 	}
-	const span = 5e6 // of a tenant's rate: longer than a burst
-	r.traffic.add(r.now, span)
+	r.traffic.add(r.now, trafficSpan)
 	if t := r.tenants[e.Tenant]; t != nil {
-		t.rate.add(r.now, span)
+		t.rate.add(r.now, trafficSpan)
 		// Each router takes its part of a tenant's share to be that of its own traffic; a fifth over is chance.
 		if t.rate.value > 1.2*t.share*r.traffic.value {
 			q.worth *= r.overWorth
@@ -920,8 +956,8 @@
 	}
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
-		const most = 256 // more than the keys that are over the bound
-		r.hot.count(e.Key, most)
+		r.count(keyHash(e.Key))
+		r.news = append(r.news, keyHash(e.Key))
 	}
 	r.reqs[q.id] = q
 	r.run(q)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -122,7 +122,7 @@
 		if to := reads(r, 2000, c.every); len(to) != c.caches {
 			t.Errorf("one read in %d over five caches went to %v", c.every, to)
 		}
-		if len(r.hot.keys) > 256 || len(r.reqs) != 0 {
+		if len(r.hot.keys) > 1024 || len(r.reqs) != 0 {
 			t.Errorf("%d hot keys and %d reqs are kept", len(r.hot.keys), len(r.reqs))
 		}
 	}
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -72,12 +72,12 @@
 
 // keyCounts is a bounded table of counts.
 type keyCounts struct {
-	counts map[Key]float64
-	keys   []Key // in order of coming, so that nothing hangs on the map's order
+	counts map[KeyHash]float64
+	keys   []KeyHash // in order of coming, so that nothing hangs on the map's order
 	total  float64
 }
 
-func (h *keyCounts) count(k Key, most int) {
+func (h *keyCounts) count(k KeyHash, most int) {
 	h.total++
 	if _, ok := h.counts[k]; ok || len(h.keys) < most {
 		if !ok {
@@ -87,7 +87,7 @@
 		return
 	}
 	// Full: all lose one, and those at nothing leave (after Misra and Gries).
-	h.keys = slices.DeleteFunc(h.keys, func(k Key) bool {
+	h.keys = slices.DeleteFunc(h.keys, func(k KeyHash) bool {
 		if h.counts[k]--; h.counts[k] > 0 {
 			return false
 		}
@@ -111,6 +111,8 @@
 	return sum
 }
 
+func keyHash(k Key) KeyHash { return KeyHash(hashText(string(k))) }
+
 // mix spreads the bits of x (the finalizer of MurmurHash3).
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/choice/types.go
+++ b/choice/types.go
@@ -10,6 +10,7 @@
 	ServerID uint32
 	ReqID    string
 	Key      string
+	KeyHash  uint32 // of a key, as routers tell it to each other
 	Tenant   string
 	Zone     string
 	Kind     string
@@ -79,6 +80,7 @@
 	MayCancel       bool
 	MayProbe        bool
 	MayHint         bool
+	MayTell         bool // short messages to other routers
 	MayTwoAtOnce    bool
 	MaxWriteOuts    int
 	MaxHint         Micros
@@ -187,6 +189,9 @@
 	Elapsed struct {
 		Ref TimerRef
 	}
+	Told struct { // a peer's message
+		Keys []KeyHash
+	}
 	Probed struct {
 		Server ServerID
 		Status Status
@@ -207,6 +212,7 @@
 	Subscribe
 	Probe      // Server
 	Disconnect // Server: close what is idle
+	Tell       // Peer, Keys
 )
 
 // Decision is one thing to do now.
@@ -217,4 +223,6 @@
 	Attempt Attempt
 	After   Micros
 	Ref     TimerRef
+	Peer    int
+	Keys    []KeyHash
 }
--- a/slate/slate.go
+++ b/slate/slate.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"encoding/base64"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -41,7 +43,10 @@
 	Inputs []Input
 }
 
-const listSlots = 16
+const (
+	listSlots = 16
+	keyBytes  = 4 // of a key's hash in a message between routers
+)
 
 // Reader reads batches.
 type Reader struct {
@@ -290,8 +295,15 @@
 	},
 	"message": func(_ *Reader, f *fields, _ Instance) any {
 		f.text("sender")
-		f.text("contents")
-		return nil
+		body, err := base64.StdEncoding.DecodeString(f.optional("contents"))
+		if err != nil {
+			f.fail("contents", err.Error())
+		}
+		var m choice.Told
+		for ; len(body) >= keyBytes; body = body[keyBytes:] { // a rest is of no message that we send
+			m.Keys = append(m.Keys, choice.KeyHash(binary.LittleEndian.Uint32(body)))
+		}
+		return m
 	},
 	"expired": func(_ *Reader, f *fields, _ Instance) any {
 		return choice.Left{Req: choice.ReqID(f.text("ticket"))}
@@ -380,6 +392,12 @@
 		put("stream_changes", "1")
 	case choice.Probe:
 		put("probe", server)
+	case choice.Tell:
+		var body []byte
+		for _, k := range d.Keys {
+			body = binary.LittleEndian.AppendUint32(body, uint32(k))
+		}
+		put("write_peer", strconv.Itoa(d.Peer), base64.StdEncoding.EncodeToString(body))
 	case choice.Disconnect:
 		put("drop_conns", server)
 	}
@@ -427,6 +445,7 @@
 		Limits struct {
 			Cancel   bool    `json:"cancel"`
 			Probes   bool    `json:"probes"`
+			Peers    bool    `json:"peers"`
 			Hint     bool    `json:"retry-after"`
 			Parallel bool    `json:"parallel-tries"`
 			SendCap  *int    `json:"send-cap"`
@@ -494,6 +513,7 @@
 	s.ListOnRequest = p.Discovery == "on_request"
 	s.Resolution = micros(p.Resolution)
 	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
+	s.MayTell = p.Limits.Peers
 	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
 	l, u := p.Limits, p.Rules
 	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
