--- a/choice/choice.go
+++ b/choice/choice.go
@@ -295,7 +295,7 @@
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
 		timeout = min(left, max(q.aim-r.now-spare, 4*r.seen.long))
-		if s.lost > 0 && r.seen.n > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
+		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
 			timeout = min(timeout, 3*r.seen.long)
 		}
 	}
@@ -515,10 +515,7 @@
 			s.hits.add(r.now, rateSpan)
 		}
 		if status == OK || s.time == 0 {
-			s.measure(took)
-			if !s.origin { // no time-outs here: they made the usual answer, and so the next time-out, ever longer
-				r.seen.measure(took)
-			}
+			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan)
 		if !s.origin {
@@ -536,7 +533,7 @@
 		const stays = 1e6 // longer than an overdue answer of a crowded server takes
 		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
 		if s.origin || took >= 2*r.seen.long { // else it was given too little time to be blamed
-			s.measure(max(took, s.time))
+			r.measure(s, max(took, s.time))
 			points = 1
 		}
 		// Where many are late the fleet is short, and setting servers aside makes it shorter.
@@ -570,6 +567,13 @@
 	}
 }
 
+// measure keeps a time of the server, and of all caches together: of one cache a router may see little.
+func (r *Router) measure(s *server, took Micros) {
+	if s.measure(took); !s.origin {
+		r.seen.measure(took)
+	}
+}
+
 // ---- Cold servers ----
 
 // coldAge is the time since a server's start, as far as it is known.
