Very hot keys leave each cache a fifth of a mean load

Cause: some 60 hot keys at up to half a mean load on each of their caches fell together by chance: the busiest cache had 2.5 times the mean.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -347,9 +347,9 @@
 	first, hot := 0, false
 	if load := r.load(q); load > hotBound {
 		if hot = true; q.drawn < 0 {
-			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache half
+			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache a fifth
 			// of a mean cache's reads of it; the first group is the key's own.
-			if n := int(r.chance() * math.Ceil(load/(groupCount*0.5))); n > 0 {
+			if n := int(r.chance() * math.Ceil(load/(groupCount*0.2))); n > 0 {
 				q.hash = mix(q.hash + uint64(n))
 			}
 			q.drawn = r.draw(r.sharesOf(r.groupOf(q.hash)))
