A cold cache's budget grows evenly; own keys before hot and spilled ones

Cause: the budget was one write-out a window at each of 261 routers, no bound at all; hot keys' groups and reqs that other caches turned away as full went to cold caches at 3.7 to 3.8 times their capacity. Told from a budget that is too wide: key fractions alone would give half of a warm cache's load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,10 +70,11 @@
 	aside    Micros   // set aside until then; 0: in use
 	unheard  bool     // connections failed: it may come back as a new, cold process
 	coldFrom Micros   // when it was seen to come back
-	coldSent []Micros // write-outs to it while cold, within the window of the rule
+	coldRun  Micros   // the start that the budget is for
+	coldLeft float64  // write-outs that it may have now while cold
+	coldAt   Micros   // when that was reckoned
 	rate     decayed  // answers a second
 	used     decayed  // write-outs a second, over longer
-	hits     decayed  // those of them that did the work
 	gauge             // of the time of its answers
 	reported []sample // service times, for Algorithm 2
 	writes   float64  // own, since the last recompute
@@ -142,7 +143,7 @@
 	answers     decayed   // and how many a second
 	inFlight    int       // and what they have in hand
 	ended       Micros    // when the last of that ended
-	warmHits    float64   // mean hits a second that this router has from a warm cache
+	hits        decayed   // of those the ones that did the work
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
@@ -315,7 +316,7 @@
 	q.sent++
 	q.settled = true
 	if r.coldAge(s) < r.coldSpan {
-		s.coldSent = append(s.coldSent, r.now)
+		s.coldLeft--
 	}
 	if q.write {
 		s.writes++
@@ -365,7 +366,7 @@
 	group := r.groupOf(q.hash)
 	for i := range group {
 		s := group[(first+i)%len(group)]
-		if slices.Contains(q.failed, s) || !r.usable(s) || !inGroup(q, s) || !r.warmFor(q, s) {
+		if slices.Contains(q.failed, s) || !r.usable(s) || !inGroup(q, s) || !r.warmFor(q, s, i == 0 && !hot) {
 			continue
 		}
 		if r.room(q, s) {
@@ -518,7 +519,9 @@
 	case OK, Miss:
 		s.heard = r.now
 		if status == OK {
-			s.hits.add(r.now, rateSpan)
+			if !s.origin {
+				r.hits.add(r.now, trafficSpan)
+			}
 		}
 		if status == OK || s.time == 0 {
 			r.measure(s, took)
@@ -591,9 +594,11 @@
 	return max(0, r.now-start)
 }
 
+const safe = 0.7 // of the multiple: the work of a req varies, and so do the keys
+
 // warmFor lets a cold cache have a fraction of its keys, the same ones at every router, which grows with its
 // capacity; and no more than this router's part of its budget.
-func (r *Router) warmFor(q *req, s *server) bool {
+func (r *Router) warmFor(q *req, s *server, own bool) bool {
 	age := r.coldAge(s)
 	if age >= r.coldSpan {
 		return true
@@ -602,12 +607,18 @@
 	if float64(q.hash>>32&0xffff)/0x10000 >= part {
 		return false
 	}
-	// A warm cache's hits for this router are no more than the router's part of its capacity. Misses do not
-	// count: they cost little, and where many caches are empty they made the budget too large by half, so that
-	// a cold cache fell over.
-	const least = 1.0 // a second: with nothing measured yet, enough to learn
-	s.coldSent = slices.DeleteFunc(s.coldSent, func(at Micros) bool { return r.now-at >= r.fallSpan })
-	return float64(len(s.coldSent)) < part*max(least, r.warmHits)*float64(r.fallSpan)/1e6
+	// Of a mean cache's hits, the router's part of its work: misses cost little. Half of what came stands for them
+	// at the start. The budget grows evenly and begins somewhere under one: of hundreds of routers each has less than
+	// one write-out in the window, and one from each at once is many times what a cold cache can do.
+	since := 1 - math.Exp(-float64(r.now+1-r.began)/trafficSpan)
+	mean := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since / float64(len(r.caches))
+	if start := max(s.Started, s.coldFrom); s.coldRun != start {
+		s.coldRun, s.coldLeft, s.coldAt = start, r.chance(), r.now
+	}
+	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two that chance brings
+	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
+	s.coldAt = r.now
+	return s.coldLeft >= 1 || own && s.coldLeft > 0 // its own keys come first, hot ones and those of partners after
 }
 
 // ---- Hot keys and their shares ----
@@ -676,17 +687,11 @@
 			sum, n = sum+s.fixed.time, n+1
 		}
 	}
-	r.warmHits = 0
-	warm := 0.0
 	for _, s := range r.caches {
 		if s.fixed.time == 0 && n > 0 {
 			s.fixed.time = sum / n // not yet heard from: the others' mean
 		}
-		if s.aside == 0 && r.coldAge(s) >= r.coldSpan {
-			r.warmHits, warm = r.warmHits+s.hits.now(r.now, rateSpan), warm+1
-		}
 	}
-	r.warmHits /= max(1, warm)
 }
 
 // sharesOf is the design's read distribution over one group.
@@ -821,7 +826,6 @@
 
 // New starts a router.
 func New(now Micros, s Settings, seed uint64) (*Router, []Decision) {
-	const safe = 0.7 // of the multiple: the routers' parts are uneven and the work of a req varies
 	r := &Router{
 		tenants: map[Tenant]*tenant{}, overWorth: s.OverShareWorth,
 		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
