Reqs are nacked beyond what the caches answer: a jam of overdue work clears

Cause: caches that go on with overdue work, full of what 1051 routers send one at a time, answered 3% and stayed so, since each router still sent nearly all of its reqs. Hot groups go with the root of the fleet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,10 +3,11 @@
 // How to call it: New starts a router on its settings and seed; Step takes one input at a clock time and
 // returns what to do now, in order, in a slice that the next Step reuses. A router keeps to itself: no I/O,
 // clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
-// settings, decisions) is in types.go; measure.go holds counters and hashes, and no decision.
+// settings, decisions) is in types.go, the state by how long it lives in state.go; measure.go holds counters and
+// hashes. None of these decides anything.
 //
-// How it is laid out: the state by how long it lives; the rules for one req, in order; what the rules ask
-// (targets, room, health, cold servers); the hot keys and their shares; the slot table; the inputs.
+// How it is laid out: the rules for one req, in order; what the rules ask (targets, room, health, cold servers);
+// the hot keys and their shares; the slot table; the inputs.
 package choice
 
 import (
@@ -15,151 +16,6 @@
 	"slices"
 )
 
-// ---- State of one write-out ----
-
-type writeOut struct {
-	server *server
-	sent   Micros
-}
-
-// A ghost is a write-out that timed out but may still hold its place at the server.
-type ghost struct {
-	sent, until Micros
-}
-
-// ---- State of one req ----
-
-type req struct {
-	id     ReqID
-	method *method
-	key    Key
-	hash   uint64 // of the key, or of the id where there is none; for a very hot key that of the group drawn
-	write  bool
-	worth  float64 // criticality, lowered where its tenant is over its share
-	seq    int     // order of arrival
-	aim    Micros  // an answer by then earns all
-	final  Micros  // an answer after this earns nothing
-
-	out      *writeOut
-	sent     Attempt // write-outs so far
-	failed   []*server
-	missed   bool    // a cache said miss: the origin is next
-	toOrigin bool    // only the origin can take it now
-	retrying bool    // the next write-out is a retry and pays for it
-	pause    Micros  // no write-out before then
-	maybeRan Micros  // when the first write-out that may have run was sent; 0: none
-	ranAt    *server // and where
-	drawn    int     // place in its group drawn for a hot key; -1: none yet
-	target   *server // the cache it goes to or waits for
-	held     bool
-	settled  bool // nothing more to do in this pass
-	done     bool
-}
-
-// ---- State of one cache server, or of the origin ----
-
-type server struct {
-	Entry
-	origin   bool
-	inFlight int
-	ahead    int    // reqs held for it, so far as the pass over the held ones has come
-	ended    Micros // when a write-out to it last ended
-	heard    Micros // when it last answered, or was first asked again after a rest
-	ghosts   []ghost
-	lost     int      // points for failures in a row
-	aside    Micros   // set aside until then; 0: in use
-	unheard  bool     // connections failed: it may come back as a new, cold process
-	coldFrom Micros   // when it was seen to come back
-	coldRun  Micros   // the start that the budget is for
-	coldLeft float64  // write-outs that it may have now while cold
-	coldAt   Micros   // when that was reckoned
-	rate     decayed  // answers a second
-	used     decayed  // write-outs a second, over longer
-	gauge             // of the time of its answers
-	reported []sample // service times, for Algorithm 2
-	writes   float64  // own, since the last recompute
-	reads    float64
-	fixed    load // what the shares are made from until the next recompute
-}
-
-type load struct {
-	time          Micros
-	writes, reads float64
-}
-
-// ---- State of the instance ----
-
-type method struct {
-	effect    Effect
-	group     Group
-	window    Micros
-	aim       Micros
-	yields    Micros  // the tightest latency budget of the methods worth as much or more
-	worth     float64 // against the highest criticality of all methods
-	lateEarns bool
-	time      Micros // smoothed time of a cache's answer
-}
-
-type tenant struct {
-	share float64
-	rate  decayed
-}
-
-// Router decides for one instance.
-type Router struct {
-	methods    []method
-	tenants    map[Tenant]*tenant
-	overWorth  float64
-	aside      bool
-	originKind Kind
-	figures    []Figure
-	ask        bool
-	tick       Micros
-	originGoal Micros  // what an answer of a busy origin should take at most
-	part       float64 // one over the router count
-	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
-	coldShare  float64
-	coldSpan   Micros
-	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
-	fallSpan   Micros
-	mayCancel  bool
-	mayTell    bool
-	me         int
-	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
-	patience   float64 // part of the wait allowed that a req of no worth may use
-	maxSends   Attempt
-	maxHint    Micros // 0: no hints here
-
-	dice
-	began, now  Micros
-	decided     []Decision
-	rules       []rule
-	servers     map[ServerID]*server
-	caches      []*server // ready, sorted by id: the table is built from these
-	origin      *server
-	table       []uint16  // places in caches, a group for each slot; nil: not built since the list changed
-	group       []*server // what groupOf last returned
-	seen        gauge     // of the answers of all caches together
-	answers     decayed   // and how many a second
-	inFlight    int       // and what they have in hand
-	ended       Micros    // when the last of that ended
-	hits        decayed   // of those the ones that did the work
-	reqs        map[ReqID]*req
-	held        []*req // writes first, then by worth, then by age
-	fetches     map[Key]*req
-	hot         keyCounts // of reads, bounded and aged
-	news        []KeyHash // keys read since peers were told
-	tellAt      Micros
-	traffic     decayed
-	used        decayed // write-outs a second to all servers
-	arrived     int
-	retries     float64 // the retry budget
-	recomputeAt Micros
-	wakeAt      Micros
-	askAt       Micros
-	askWait     Micros
-}
-
 // ---- The rules for one req ----
 
 // A rule is a condition and an effect. After every input the rules are gone through in order, for each req
@@ -193,6 +49,7 @@
 			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(r.origin) > q.soon() },
 			(*Router).giveUp},
 		{"wait for the origin", func(_ *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
+		{"the caches answer too little", (*Router).mostAreLost, (*Router).giveUp},
 		{"a cache has room", (*Router).pick, func(r *Router, q *req) { r.send(q, q.target) }},
 		{"no cache can be used", func(_ *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
 		{"the cache cannot answer in time",
@@ -233,6 +90,23 @@
 	}
 }
 
+// mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what hundreds
+// of routers send one by one, answer nobody in time. Of the reqs a router asks of caches, it sends on so many as
+// there were answers, and some more, least for what is worth least.
+func (r *Router) mostAreLost(q *req) bool {
+	if q.admitted {
+		return false
+	}
+	q.admitted = true
+	const granted = 0.3 // a second: trials go on, and a few lost by chance are no jam
+	answers := (1.2 + 0.4*q.worth) * r.answered.now(r.now, trafficSpan)
+	lost := r.chance()*r.asked.now(r.now, trafficSpan) > answers+granted
+	if lost {
+		r.asked.add(r.now, trafficSpan)
+	}
+	return lost
+}
+
 // hold keeps a req for later.
 func (r *Router) hold(q *req) {
 	if q.settled = true; q.held {
@@ -266,9 +140,11 @@
 	d := Decision{Action: Fail, Req: q.id}
 	if q.maybeRan == 0 || q.method.effect == Retryable {
 		d.Action = Nack
+		d.After = 4 * q.method.aim
 		if s := r.waitsFor(q); s != nil {
-			d.After = min(r.wait(s)+4*q.method.aim, r.maxHint)
+			d.After += r.wait(s)
 		}
+		d.After = min(d.After, r.maxHint)
 	}
 	r.decided = append(r.decided, d)
 	r.finish(q)
@@ -276,6 +152,9 @@
 
 func (r *Router) finish(q *req) {
 	q.done, q.settled = true, true
+	if q.admitted && (q.sent > 0 || q.target != nil) {
+		r.asked.add(r.now, trafficSpan)
+	}
 	if r.fetches[q.key] == q {
 		delete(r.fetches, q.key)
 	}
@@ -351,7 +230,8 @@
 			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache little
 			// of it, the first of them its own; by a load one deviation below what was counted, and fewer as the origin
 			// gets busy, since each copy costs a miss.
-			fine := 0.05 // of a mean cache's reads: a half, and a fifth, let hot keys pile up by chance
+			// In a large fleet more of the reads are of hot keys, and by chance they pile up in larger shares.
+			fine := 0.6 / math.Sqrt(float64(len(r.caches)))
 			if r.origin != nil {
 				busy := max(1, 2*float64(r.origin.time)/float64(r.originGoal))
 				fine *= busy * busy
@@ -994,6 +874,9 @@
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
 	}
+	if !w.server.origin && (e.Status == OK || e.Status == Miss) {
+		r.answered.add(r.now, trafficSpan)
+	}
 	if q.done || e.Over {
 		r.finish(q)
 		return
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,151 @@
+package choice
+
+// The state of a router, grouped by how long it lives. It is plain data; what becomes of it stands in choice.go.
+
+// ---- State of one write-out ----
+
+type writeOut struct {
+	server *server
+	sent   Micros
+}
+
+// A ghost is a write-out that timed out but may still hold its place at the server.
+type ghost struct {
+	sent, until Micros
+}
+
+// ---- State of one req ----
+
+type req struct {
+	id     ReqID
+	method *method
+	key    Key
+	hash   uint64 // of the key, or of the id where there is none; for a very hot key that of the group drawn
+	write  bool
+	worth  float64 // criticality, lowered where its tenant is over its share
+	seq    int     // order of arrival
+	aim    Micros  // an answer by then earns all
+	final  Micros  // an answer after this earns nothing
+
+	out      *writeOut
+	sent     Attempt // write-outs so far
+	failed   []*server
+	missed   bool    // a cache said miss: the origin is next
+	toOrigin bool    // only the origin can take it now
+	retrying bool    // the next write-out is a retry and pays for it
+	pause    Micros  // no write-out before then
+	maybeRan Micros  // when the first write-out that may have run was sent; 0: none
+	ranAt    *server // and where
+	drawn    int     // place in its group drawn for a hot key; -1: none yet
+	target   *server // the cache it goes to or waits for
+	admitted bool    // not among those nacked since the caches answer too little
+	held     bool
+	settled  bool // nothing more to do in this pass
+	done     bool
+}
+
+// ---- State of one cache server, or of the origin ----
+
+type server struct {
+	Entry
+	origin   bool
+	inFlight int
+	ahead    int    // reqs held for it, so far as the pass over the held ones has come
+	ended    Micros // when a write-out to it last ended
+	heard    Micros // when it last answered, or was first asked again after a rest
+	ghosts   []ghost
+	lost     int      // points for failures in a row
+	aside    Micros   // set aside until then; 0: in use
+	unheard  bool     // connections failed: it may come back as a new, cold process
+	coldFrom Micros   // when it was seen to come back
+	coldRun  Micros   // the start that the budget is for
+	coldLeft float64  // write-outs that it may have now while cold
+	coldAt   Micros   // when that was reckoned
+	rate     decayed  // answers a second
+	used     decayed  // write-outs a second, over longer
+	gauge             // of the time of its answers
+	reported []sample // service times, for Algorithm 2
+	writes   float64  // own, since the last recompute
+	reads    float64
+	fixed    load // what the shares are made from until the next recompute
+}
+
+type load struct {
+	time          Micros
+	writes, reads float64
+}
+
+// ---- State of the instance ----
+
+type method struct {
+	effect    Effect
+	group     Group
+	window    Micros
+	aim       Micros
+	yields    Micros  // the tightest latency budget of the methods worth as much or more
+	worth     float64 // against the highest criticality of all methods
+	lateEarns bool
+	time      Micros // smoothed time of a cache's answer
+}
+
+type tenant struct {
+	share float64
+	rate  decayed
+}
+
+// Router decides for one instance.
+type Router struct {
+	methods    []method
+	tenants    map[Tenant]*tenant
+	overWorth  float64
+	aside      bool
+	originKind Kind
+	figures    []Figure
+	ask        bool
+	tick       Micros
+	originGoal Micros  // what an answer of a busy origin should take at most
+	part       float64 // one over the router count
+	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
+	coldShare  float64
+	coldSpan   Micros
+	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
+	fallSpan   Micros
+	mayCancel  bool
+	mayTell    bool
+	me         int
+	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
+	patience   float64 // part of the wait allowed that a req of no worth may use
+	maxSends   Attempt
+	maxHint    Micros // 0: no hints here
+
+	dice
+	began, now  Micros
+	decided     []Decision
+	rules       []rule
+	servers     map[ServerID]*server
+	caches      []*server // ready, sorted by id: the table is built from these
+	origin      *server
+	table       []uint16  // places in caches, a group for each slot; nil: not built since the list changed
+	group       []*server // what groupOf last returned
+	seen        gauge     // of the answers of all caches together
+	answers     decayed   // and how many a second
+	inFlight    int       // and what they have in hand
+	ended       Micros    // when the last of that ended
+	hits        decayed   // of those the ones that did the work
+	reqs        map[ReqID]*req
+	held        []*req // writes first, then by worth, then by age
+	fetches     map[Key]*req
+	hot         keyCounts // of reads, bounded and aged
+	news        []KeyHash // keys read since peers were told
+	tellAt      Micros
+	traffic     decayed
+	asked       decayed // reqs for caches that ended, a second
+	answered    decayed // and answers of caches
+	used        decayed // write-outs a second to all servers
+	arrived     int
+	retries     float64 // the retry budget
+	recomputeAt Micros
+	wakeAt      Micros
+	askAt       Micros
+	askWait     Micros
+}
