--- a/choice/choice.go
+++ b/choice/choice.go
@@ -504,7 +504,7 @@
 // ---- Hot keys and their shares ----
 
 // A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
-const hotBound = 0.2
+const hotBound = 0.35
 
 // load is what the reads of a key are, as a multiple of a mean cache's reads. One read is chance, however few a
 // router of hundreds has seen; and forty reads of other keys are taken for granted at the start.
