--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 		{"a miss, or a write in aside mode, goes to the origin",
 			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write) },
 			(*Router).turnToOrigin},
+		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
 		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
 			(*Router).giveUp},
 		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom() },
@@ -90,6 +91,16 @@
 	}
 }
 
+// isTooLate: half of what answers take at their quickest is seldom enough, and caches and origin go on with what
+// is cut off.
+func (r *Router) isTooLate(q *req) bool {
+	quickest := r.seen.best
+	if q.toOrigin && r.origin != nil {
+		quickest = r.origin.best
+	}
+	return !q.write && q.final-r.now < quickest/2
+}
+
 // mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what hundreds
 // of routers send one by one, answer nobody in time. Of the reqs a router asks of caches, it sends on so many as
 // there were answers, and some more, least for what is worth least.
