Where a server is used once in seconds, a full or far too slow answer counts as a failure

Cause: of a crowded cache one of hundreds of routers has one answer in seconds; told from a slow one not at all, and both are left for three uses.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -404,8 +404,8 @@
 
 // judge keeps a server's record by what this router itself has seen of it.
 func (r *Router) judge(w *writeOut, status Status, took Micros) {
-	s := w.server
-	points := 0
+	s, points := w.server, 0
+	used := s.used.now(r.now, useSpan) / (1 - math.Exp(-float64(r.now+1-r.began)/useSpan))
 	switch status {
 	case OK, Miss:
 		s.heard = r.now
@@ -427,8 +427,15 @@
 			s.coldFrom = r.now
 		}
 		s.lost, s.aside, s.unheard = 0, 0, false
+		// Of a cache used once in seconds one answer is all there is: far too slow, it may be crowded.
+		if took > 3*r.seen.long && used < 1 {
+			points = 1
+		}
 	case QueueFull:
 		s.lost = 0
+		if used < 1 {
+			points = 1
+		}
 	case TimedOut:
 		const stays = 1e6 // longer than an overdue answer of a crowded server takes
 		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
@@ -460,7 +467,6 @@
 	}
 	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no row: there the
 	// first one counts, and it is left for three uses, which its partners hardly feel.
-	used := s.used.now(r.now, useSpan) / (1 - math.Exp(-float64(r.now+1-r.began)/useSpan))
 	if s.lost += points; s.lost >= 1+int(min(2, used)) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
 		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
