--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,11 +3,11 @@
 // How to call it: New starts a router on its settings and seed; Step takes one input at a clock time and
 // returns what to do now, in order, in a slice that the next Step reuses. A router keeps to itself: no I/O,
 // clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
-// settings, decisions) is in types.go, the state by how long it lives in state.go; measure.go holds counters and
-// hashes. None of these decides anything.
+// settings, decisions) is in types.go, the state by how long it lives in state.go, counters and hashes are in
+// measure.go. None of these decides anything.
 //
-// How it is laid out: the rules for one req, in order; what the rules ask (targets, room, health, cold servers);
-// the hot keys and their shares; the slot table; the inputs.
+// How it is laid out: the rules for one req, in order; what the rules ask (targets, room, health, cold
+// servers); the hot keys and their shares; the slot table; the inputs.
 package choice
 
 import (
@@ -91,8 +91,8 @@
 	}
 }
 
-// isTooLate: half of what answers take at their quickest is seldom enough, and caches and origin go on with what
-// is cut off.
+// isTooLate: half of a quick answer's time is seldom enough, and caches and origin go on with what is cut
+// off.
 func (r *Router) isTooLate(q *req) bool {
 	quickest := r.seen.best
 	if q.toOrigin && r.origin != nil {
@@ -101,9 +101,9 @@
 	return !q.write && q.final-r.now < quickest/2
 }
 
-// mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what hundreds
-// of routers send one by one, answer nobody in time. Of the reqs a router asks of caches, it sends on so many as
-// there were answers, and some more, least for what is worth least.
+// mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what
+// hundreds of routers send one by one, answer nobody in time. A router sends on as many reqs as were answered
+// of those that ended lately, and some more, least of what is worth least.
 func (r *Router) mostAreLost(q *req) bool {
 	if q.admitted {
 		return false
@@ -134,13 +134,8 @@
 		return 1
 	})
 	r.held = slices.Insert(r.held, at, q)
-	r.queue(q)
-}
-
-// queue counts a held req at the server that it waits for; counting them anew for each req took too long.
-func (r *Router) queue(q *req) {
 	if s := r.waitsFor(q); s != nil {
-		s.ahead++
+		s.ahead++ // counting them anew for each req took too long
 	}
 }
 
@@ -197,9 +192,6 @@
 	if s.inFlight++; s.inFlight == 1 {
 		s.heard = r.now
 	}
-	if !s.origin {
-		r.inFlight++
-	}
 	s.used.add(r.now, useSpan)
 	r.used.add(r.now, useSpan)
 	q.out = &writeOut{server: s, sent: r.now}
@@ -219,8 +211,8 @@
 
 const useSpan = 20e6 // a few reqs of one of hundreds of routers to a mean cache
 
-// leave closes an idle connection that costs more than a new one would. Where routers are many and each keeps one
-// to every cache, a cache is at its maximum, and refuses most routers though it has little to do.
+// leave closes an idle connection that costs more than a new one would. Where each of hundreds of routers
+// keeps one to every cache, a cache is at its maximum, and refuses most routers though it has little to do.
 func (r *Router) leave(s *server) {
 	const granted = 1e6 / useSpan // one use: so much is chance
 	mean := r.used.now(r.now, useSpan) / float64(len(r.caches)+1)
@@ -238,9 +230,9 @@
 	first, hot := 0, false
 	if load, sure := r.load(q); load > hotBound {
 		if hot = true; q.drawn < 0 {
-			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache little
-			// of it, the first of them its own; by a load one deviation below what was counted, and fewer as the origin
-			// gets busy, since each copy costs a miss.
+			// A key hotter than three caches overloads its group. It gets as many groups as leave each cache
+			// little of it, its own first; by a load one deviation below what was counted, and fewer as the
+			// origin gets busy, since each copy costs a miss.
 			// In a large fleet more of the reads are of hot keys, and by chance they pile up in larger shares.
 			fine := 0.6 / math.Sqrt(float64(len(r.caches)))
 			if r.origin != nil {
@@ -301,7 +293,11 @@
 	// part: a queue that the best still fit into turns the rest away.
 	within := float64(q.method.yields) * 0.6 * (r.patience + (1-r.patience)*min(1, q.worth))
 	g := s.gauge.leaning(r.seen)
-	bound := r.bound(g, r.fewest, s.rate.now(r.now, rateSpan), within)
+	// What is answered within that time, and at least a floor. Beyond twice the quickest answer the bound falls
+	// until the machine clears: a burst had left machines so crowded that each answer took four times as long,
+	// and one in flight from every router kept them so for the rest of the day.
+	floor := r.fewest * min(1, within/float64(max(1, g.time)))
+	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick()
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
@@ -309,33 +305,19 @@
 	if bound >= 1 {
 		return float64(out) < bound
 	}
-	// Less than one at a time is one, as far as all caches together are within their sum: of hundreds of routers
-	// each has something for one cache only now and then, and a pause at each cache lost most of it. Less than
-	// one at all of them is one, and then a pause.
-	return out == 0 && r.pause(r.poolBound(within), r.inFlight, r.seen, r.ended) == 0
-}
-
-// poolBound is that of all caches together. Few reqs come unevenly, which evens out over the routers: two
-// deviations are left for it while answers are quick.
-func (r *Router) poolBound(within float64) float64 {
-	b := max(r.fewest*float64(len(r.caches)), r.answers.now(r.now, rateSpan)*within/1e6) * r.seen.quick()
-	return b + 2*math.Sqrt(b)*r.seen.quick()
+	// Less than one at a time is one: of hundreds of routers each has something for a cache only now and then,
+	// and a pause lost most of it. Fewer still are for the rule on answers too few.
+	return out == 0
 }
 
-// pause is the time until a bound has room, as far as it is known. Less than one in flight is one, and then a pause.
-func (r *Router) pause(bound float64, inFlight int, g gauge, ended Micros) Micros {
-	if float64(inFlight) >= max(1, bound) {
-		return max(1, g.time)
+// originWait is the time until the origin's bound has room. Less than one in flight is one, and then a pause.
+func (r *Router) originWait() Micros {
+	o, bound := r.origin, r.originBound()
+	if float64(o.inFlight) >= max(1, bound) {
+		return max(1, o.time)
 	}
 	const most = 10e6 // long enough for hundreds of routers, and a trial for one of them
-	return max(0, ended-r.now+Micros(min(most, (1/min(1, bound)-1)*float64(g.best))))
-}
-
-// bound is what may be in flight: what is answered within the time that may go into waiting, and at least a
-// floor. Beyond twice the quickest answer it falls until the machine clears: a burst had left machines so crowded
-// that each answer took four times as long, and one in flight from every router kept them so for the rest of the day.
-func (r *Router) bound(g gauge, floor, rate, within float64) float64 {
-	return max(floor*min(1, within/float64(max(1, g.time))), rate*within/1e6) * g.quick()
+	return max(0, o.ended-r.now+Micros(min(most, (1/min(1, bound)-1)*float64(o.best))))
 }
 
 // originRoom bounds the origin harder. While its answers are near their quickest it has room to spare, and
@@ -344,11 +326,6 @@
 	return r.origin != nil && r.usable(r.origin) && r.originWait() == 0
 }
 
-func (r *Router) originWait() Micros {
-	o := r.origin
-	return r.pause(r.originBound(), o.inFlight, o.gauge, o.ended)
-}
-
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
 // there already if it has room, else only if half of its bound is free.
 func (r *Router) originTakes(crowded bool) bool {
@@ -357,7 +334,7 @@
 
 func (r *Router) originBound() float64 {
 	o := r.origin
-	const fewest = 6 // of all routers, two of one at most: enough to find its rate, few enough for a stopped origin
+	const fewest = 6 // of all routers, two of one: enough to find its rate, few enough for a stopped origin
 	goal := 4 * o.best
 	// More than the spread of a long mean of heavy-tailed answers; or a quickest that was learnt under load.
 	if o.long > min(o.best*8/5, r.originGoal) {
@@ -409,18 +386,13 @@
 	switch status {
 	case OK, Miss:
 		s.heard = r.now
-		if status == OK {
-			if !s.origin {
-				r.hits.add(r.now, trafficSpan)
-			}
+		if status == OK && !s.origin {
+			r.hits.add(r.now, trafficSpan)
 		}
 		if status == OK || s.time == 0 {
 			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan)
-		if !s.origin {
-			r.answers.add(r.now, rateSpan)
-		}
 		// What was sent before an answered write-out has had its turn.
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
 		if s.aside != 0 && s.unheard { // after a crash the list is late to tell of the new process, which is cold
@@ -504,18 +476,20 @@
 	if float64(q.hash>>32&0xffff)/0x10000 >= part {
 		return false
 	}
-	// Of a mean cache's hits, the router's part of its work: misses cost little. Half of what came stands for them
-	// at the start. The budget grows evenly and begins somewhere under one: of hundreds of routers each has less than
-	// one write-out in the window, and one from each at once is many times what a cold cache can do.
+	// The router's part of its work is that of a mean cache's hits (misses cost little); at the start half of
+	// what came stands for them. The budget grows evenly from somewhere under one: of hundreds of routers each
+	// has less than one write-out in the window, and one from each at once is many times what a cold cache can
+	// do.
 	since := 1 - math.Exp(-float64(r.now+1-r.began)/trafficSpan)
-	mean := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since / float64(len(r.caches))
+	hits := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since
+	mean := hits / float64(len(r.caches))
 	if start := max(s.Started, s.coldFrom); s.coldRun != start {
 		s.coldRun, s.coldLeft, s.coldAt = start, r.chance(), r.now
 	}
-	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two that chance brings
+	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two by chance
 	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
 	s.coldAt = r.now
-	return s.coldLeft >= 1 || own && s.coldLeft > 0 // its own keys come first, hot ones and those of partners after
+	return s.coldLeft >= 1 || own && s.coldLeft > 0 // its own keys before hot ones and those of partners
 }
 
 // ---- Hot keys and their shares ----
@@ -523,8 +497,9 @@
 // A third of the bound of one over the cache count: a key just under that bound is most of a cache's load.
 const hotBound = 0.35
 
-// load is what the reads of a key are, as a multiple of a mean cache's reads. One read is chance, however few a
-// router of hundreds has seen; and forty reads of other keys are taken for granted at the start.
+// load is what the reads of a key are, as a multiple of a mean cache's reads, and how sure that is. One read
+// is chance, however few a router of hundreds has seen; and forty reads of other keys are granted at the
+// start.
 func (r *Router) load(q *req) (load, sure float64) {
 	const few, granted = 2, 40
 	n := r.hot.counts[keyHash(q.key)]
@@ -534,13 +509,9 @@
 	return n / (r.hot.total + granted) * float64(len(r.caches)), 1 - 1/math.Sqrt(n)
 }
 
-func (r *Router) count(k KeyHash) {
-	const most = 1024 // several times the number of keys that are over the bound in a fleet of hundreds
-	r.hot.count(k, most)
-}
-
-// tell sends the keys read since the last time to as many peers as it takes to see in ten seconds ten reads a cache.
-// One of hundreds of routers reads a key twice too late: the first read of each filled its cache for many seconds.
+// tell sends the keys read since the last time to as many peers as bring each ten reads a cache in ten
+// seconds. One of hundreds of routers reads a key twice too late: their first reads filled its cache for many
+// seconds.
 func (r *Router) tell() {
 	const every, most = 1e6, 64 // often against a flare of seconds; 256 bytes
 	if !r.mayTell || r.now < r.tellAt {
@@ -570,7 +541,7 @@
 		return
 	}
 	r.recomputeAt = r.now + every
-	// The window is one of reads too: in seconds alone a router of hundreds never saw a key often enough. With ten
+	// The window is one of reads too: in seconds alone a router of hundreds never saw a key often enough. Of ten
 	// reads a cache a key at the bound has some.
 	if r.hot.total >= 10*float64(len(r.caches)) {
 		r.hot.age()
@@ -677,9 +648,9 @@
 // cache of a slot is the one that would be first without the first.
 //
 // Hundreds of routers build it at each change of the list: it is flat, and done once all slots are claimed.
-func buildTable(caches []*server) []uint16 {
+func buildTable(caches []*server) []uint32 {
 	places := min(groupCount, len(caches))
-	table, taken := make([]uint16, slots*places), make([]uint8, slots)
+	table, taken := make([]uint32, slots*places), make([]uint8, slots)
 	at, step := make([]int, len(caches)), make([]int, len(caches))
 	for i, c := range caches {
 		h := mix(uint64(c.Server) + 0x9e3779b97f4a7c15)
@@ -690,8 +661,8 @@
 		for i := 0; claimed < slots; i = (i + 1) % len(caches) {
 			for took := false; walked[i] < slots && !took; walked[i]++ {
 				slot := table[at[i]*places:][:place]
-				if int(taken[at[i]]) == place && !slices.Contains(slot, uint16(i)) {
-					table[at[i]*places+place] = uint16(i)
+				if int(taken[at[i]]) == place && !slices.Contains(slot, uint32(i)) {
+					table[at[i]*places+place] = uint32(i)
 					taken[at[i]]++
 					claimed++
 					took = true
@@ -728,10 +699,12 @@
 		aside: s.Aside, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
 		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
-		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))}, began: now, now: now, rules: reqRules(),
+		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
+		began: now, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
-		hot: keyCounts{counts: map[KeyHash]float64{}}, retries: 10, // enough for the first seconds
-		part: 1 / float64(max(1, s.Routers)),
+		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
+		retries: 10,                                                   // enough for the first seconds
+		part:    1 / float64(max(1, s.Routers)),
 	}
 	r.fewest = 8 * r.part // some eight in hand keep a machine of a few cores busy without a long queue
 	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
@@ -797,7 +770,7 @@
 		r.runHeld()
 	case Told:
 		for _, k := range e.Keys {
-			r.count(k)
+			r.hot.count(k)
 		}
 	case Elapsed:
 		if r.askAt != 0 && r.askAt <= r.now {
@@ -829,8 +802,9 @@
 		}
 	}
 	for _, q := range slices.Clone(r.held) {
-		if r.run(q); !q.done && q.out == nil {
-			r.queue(q)
+		r.run(q)
+		if s := r.waitsFor(q); s != nil && !q.done && q.out == nil {
+			s.ahead++
 		}
 	}
 	r.held = slices.DeleteFunc(r.held, func(q *req) bool {
@@ -863,7 +837,7 @@
 	}
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
-		r.count(keyHash(e.Key))
+		r.hot.count(keyHash(e.Key))
 		r.news = append(r.news, keyHash(e.Key))
 	}
 	r.reqs[q.id] = q
@@ -881,10 +855,6 @@
 	w := q.out
 	q.out = nil
 	w.server.inFlight--
-	if !w.server.origin {
-		r.inFlight--
-		r.ended = r.now
-	}
 	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
 	r.leave(w.server)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -144,5 +144,5 @@
 		}
 	}
 	fmt.Println(retries, "retries for 100 reqs")
-	// Output: 17 retries for 100 reqs
+	// Output: 15 retries for 100 reqs
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,6 @@
 package choice
 
-// The state of a router, grouped by how long it lives. It is plain data; what becomes of it stands in choice.go.
+// The state of a router, grouped by how long it lives. It is plain data; choice.go decides.
 
 // ---- State of one write-out ----
 
@@ -125,13 +125,10 @@
 	servers     map[ServerID]*server
 	caches      []*server // ready, sorted by id: the table is built from these
 	origin      *server
-	table       []uint16  // places in caches, a group for each slot; nil: not built since the list changed
+	table       []uint32  // places in caches, a group for each slot; nil: not built since the list changed
 	group       []*server // what groupOf last returned
 	seen        gauge     // of the answers of all caches together
-	answers     decayed   // and how many a second
-	inFlight    int       // and what they have in hand
-	ended       Micros    // when the last of that ended
-	hits        decayed   // of those the ones that did the work
+	hits        decayed   // answers of caches a second, misses aside
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
 	fetches     map[Key]*req
