--- a/choice/choice.go
+++ b/choice/choice.go
@@ -400,7 +400,7 @@
 		}
 		s.lost, s.aside, s.unheard = 0, 0, false
 		// Of a cache used once in seconds one answer is all there is: far too slow, it may be crowded.
-		if took > 3*r.seen.long && used < 1 {
+		if took > 6*r.seen.long && used < 1 {
 			points = 1
 		}
 	case QueueFull:
