--- a/choice/choice.go
+++ b/choice/choice.go
@@ -411,11 +411,7 @@
 	case TimedOut:
 		const stays = 1e6 // longer than an overdue answer of a crowded server takes
 		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
-		fair := 2 * r.seen.long
-		if s.origin {
-			fair = 2 * s.long
-		}
-		if took >= fair { // else it was given too little time to be blamed
+		if s.origin || took >= 2*r.seen.long { // else it was given too little time to be blamed
 			r.measure(s, max(took, s.time))
 			points = 1
 		}
