--- a/choice/choice.go
+++ b/choice/choice.go
@@ -761,10 +761,6 @@
 		if q := r.reqs[e.Req]; q != nil {
 			r.finish(q)
 		}
-	case Probed:
-		if s := r.servers[e.Server]; s != nil {
-			r.takeReport(s, e.Report, 0)
-		}
 	case ListCame:
 		r.listCame(e)
 		r.runHeld()
