--- a/choice/choice.go
+++ b/choice/choice.go
@@ -380,7 +380,7 @@
 // ---- Health ----
 
 // judge keeps a server's record by what this router itself has seen of it.
-func (r *Router) judge(w *writeOut, status Status, took Micros, crowded bool) {
+func (r *Router) judge(w *writeOut, status Status, took Micros) {
 	s, points := w.server, 0
 	used := s.used.now(r.now, useSpan) / (1 - math.Exp(-float64(r.now+1-r.began)/useSpan))
 	switch status {
@@ -400,7 +400,7 @@
 		}
 		s.lost, s.aside, s.unheard = 0, 0, false
 		// Of a cache used once in seconds one answer is all there is: far too slow, it may be crowded.
-		if (crowded || took > 6*r.seen.long) && used < 1 {
+		if took > 6*r.seen.long && used < 1 {
 			points = 1
 		}
 	case QueueFull:
@@ -852,7 +852,7 @@
 	q.out = nil
 	w.server.inFlight--
 	w.server.ended = r.now
-	r.judge(w, e.Status, e.Took, !w.server.origin && r.crowded(e.Report))
+	r.judge(w, e.Status, e.Took)
 	r.leave(w.server)
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
@@ -900,16 +900,6 @@
 	r.finish(q)
 }
 
-// crowded tells by a report that a cache holds several times as much as caches mostly do.
-func (r *Router) crowded(rep Report) bool {
-	i := slices.IndexFunc(r.figures, func(f Figure) bool { return f == FigureInFlight || f == FigureQueue })
-	if i < 0 || i >= len(rep) || !(rep[i] >= 0) {
-		return false
-	}
-	r.holds += (rep[i] - r.holds) / 32
-	return rep[i] > 4*(r.holds+1)
-}
-
 // takeReport keeps the reported service time, or where none is told the own measured one.
 func (r *Router) takeReport(s *server, rep Report, took Micros) {
 	i := slices.Index(r.figures, FigureServiceTime)
--- a/choice/state.go
+++ b/choice/state.go
@@ -135,7 +135,6 @@
 	hot         keyCounts // of reads, bounded and aged
 	news        []KeyHash // keys read since peers were told
 	tellAt      Micros
-	holds       float64 // what caches report to hold, smoothed
 	traffic     decayed
 	asked       decayed // reqs for caches that ended, a second
 	answered    decayed // and answers of caches
