--- a/choice/choice.go
+++ b/choice/choice.go
@@ -513,7 +513,7 @@
 // seconds. One of hundreds of routers reads a key twice too late: their first reads filled its cache for many
 // seconds.
 func (r *Router) tell() {
-	const every, most = 1e6, 64 // often against a flare of seconds; 256 bytes
+	const every, most = 500e3, 64 // often against a flare of seconds; 256 bytes
 	if !r.mayTell || r.now < r.tellAt {
 		return
 	}
