--- a/choice/choice.go
+++ b/choice/choice.go
@@ -180,7 +180,7 @@
 		if r.origin != nil {
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
-		timeout = min(left, max(q.aim-r.now-spare, min(4*r.seen.long, (q.aim-r.now)*3/4)))
+		timeout = min(left, max(q.aim-r.now-spare, 4*r.seen.long))
 		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
 			timeout = min(timeout, 3*r.seen.long)
 		}
