--- a/choice/choice.go
+++ b/choice/choice.go
@@ -174,13 +174,13 @@
 	timeout := left
 	if !s.origin && r.aside && q.sent+1 < r.maxSends && r.retries >= 1 {
 		// Time for a miss and the origin stays within the latency budget. A heavy-tailed answer of a healthy
-		// cache gets four usual ones all the same: cutting it off wasted more than the second try won. Where no
+		// cache gets eight usual ones all the same: cutting it off wasted more than the second try won. Where no
 		// retry can be paid for, cutting a wait short wins nothing at all.
 		spare := q.method.time
 		if r.origin != nil {
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
-		timeout = min(left, max(q.aim-r.now-spare, 4*r.seen.long))
+		timeout = min(left, max(q.aim-r.now-spare, 8*r.seen.long))
 		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
 			timeout = min(timeout, 3*r.seen.long)
 		}
