--- a/choice/choice.go
+++ b/choice/choice.go
@@ -182,7 +182,7 @@
 		}
 		timeout = min(left, max(q.aim-r.now-spare, 8*r.seen.long))
 		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
-			timeout = min(timeout, 6*r.seen.long)
+			timeout = min(timeout, 3*r.seen.long)
 		}
 	}
 	if q.retrying {
