--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -99,6 +99,10 @@
 			s.Aside, s.OriginKind = false, ""
 		case "zone-group":
 			s.Methods[1].Group = GroupZone
+		case "fees":
+			s.ConnectionFee, s.HandshakeFee = 0.12, 0.08
+		case "tell":
+			s.MayTell = true
 		case "ask":
 			s.ListOnRequest = true
 		case "tenants":
@@ -148,6 +152,12 @@
 			Took: span(words[4]), Over: status == OK || len(words) > 5}
 	case "left":
 		return Left{Req: ReqID(words[0])}
+	case "told":
+		m := Told{}
+		for _, w := range words {
+			m.Keys = append(m.Keys, keyHash(Key(w)))
+		}
+		return m
 	case "timer":
 		return Elapsed{Ref: 1}
 	}
@@ -175,6 +185,10 @@
 		return fmt.Sprint("recall ", d.Req, " ", d.Attempt)
 	case Subscribe:
 		return "subscribe"
+	case Disconnect:
+		return fmt.Sprint("close idle connections to ", d.Server)
+	case Tell:
+		return fmt.Sprint("tell ", d.Peer, " of ", len(d.Keys), " keys")
 	}
 	return "wake after " + after
 }
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -80,3 +80,24 @@
 		t.Error("a batch without its end was taken")
 	}
 }
+
+// Messages between routers and the closing of connections, as they stand on the wire.
+func TestMessagesAndConnections(t *testing.T) {
+	many := strings.NewReplacer(`"balancers":2`, `"balancers":400,"fees":{"connection":0.1,"handshake":0.1}`,
+		`"send-cap"`, `"peers":true,"send-cap"`).Replace(settings)
+	script := "mark 1 1\nlaunch 0 5 " + many + "\nlist 0 2\nserver 7 a std 0 U 1 -\nserver 9 a origin 0 U 1 -\n" +
+		"members 0 SAVED 1 0\nyour_turn\nmark 1.6 2\ndemand 0 r-a get - k/1 2.6 - - 0 0\n" +
+		"message 0 3 AQAAAAIAAAA=\nyour_turn\nmark 1.7 3\nreturned 0 r-a 1 7 0 Ok 0.1 1 -\nyour_turn\n"
+	var out strings.Builder
+	if err := host(strings.NewReader(script), &out); err != nil {
+		t.Fatal(err)
+	}
+	const want = "ready 1\npass_on 0 r-a 7 0.500000\nwrite_peer 0 156 /2B+/w==\nready 2\ndrop_conns 0 7\nready 3\n"
+	if out.String() != want {
+		t.Errorf("replies:\n%s", out.String())
+	}
+	err := host(strings.NewReader(strings.Replace(script, "AQAAAAIAAAA=", "A!", 1)), &out)
+	if err == nil || !strings.HasPrefix(err.Error(), "line 10: message: field contents: ") {
+		t.Errorf("a message that is no base64: %v", err)
+	}
+}
