No write-out of one tick after a loss before the first answer

Seen in the health trace: a second write-out after a failed connect got 0.001 s while no usual answer was known.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -181,7 +181,9 @@
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
 		timeout = min(left, max(q.aim-r.now-spare, 8*r.seen.long))
-		if s.lost > 0 { // after a time-out, and in a trial, it may hang: a short wait leaves time for a partner
+		// After a time-out, and in a trial, it may hang: a short wait leaves time for a partner. But before the
+		// first answer of all the usual one is not known, and a wait of one tick had lost what was sent.
+		if s.lost > 0 && r.seen.n > 0 {
 			timeout = min(timeout, 3*r.seen.long)
 		}
 	}
