--- a/choice/choice.go
+++ b/choice/choice.go
@@ -833,7 +833,7 @@
 			q.worth *= r.overWorth
 		}
 	}
-	r.retries = min(r.retries+0.05, 20) // a twentieth of the reqs may be tried again, and a short burst
+	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
 		r.hot.count(keyHash(e.Key))
 		r.news = append(r.news, keyHash(e.Key))
