--- a/choice/choice.go
+++ b/choice/choice.go
@@ -110,7 +110,7 @@
 	}
 	q.admitted = true
 	const granted = 0.3 // a second: trials go on, and a few lost by chance are no jam
-	answers := (1.05 + 0.4*q.worth) * r.answered.now(r.now, trafficSpan)
+	answers := (0.95 + 0.4*q.worth) * r.answered.now(r.now, trafficSpan)
 	lost := r.chance()*r.asked.now(r.now, trafficSpan) > answers+granted
 	if lost {
 		r.asked.add(r.now, trafficSpan)
