--- a/choice/choice.go
+++ b/choice/choice.go
@@ -285,6 +285,8 @@
 	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
+const crowded = 2 // times the quickest answer: where a machine begins to be so
+
 // rateSpan is long enough for a dozen answers of one cache at one router, and short against a trouble.
 const rateSpan = 1e6
 
@@ -299,7 +301,7 @@
 	// until the machine clears: a burst had left machines so crowded that each answer took four times as long,
 	// and one in flight from every router kept them so for the rest of the day.
 	floor := r.fewest * min(1, within/float64(max(1, g.time)))
-	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick()
+	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick(crowded)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
@@ -347,7 +349,7 @@
 		return b
 	}
 	// Two from each of hundreds of routers filled it for seconds. Below one in flight a busy origin gets less.
-	return min(1, b+2*math.Sqrt(b)) * o.quick()
+	return min(1, b+2*math.Sqrt(b)) * o.quick(crowded)
 }
 
 // waitsFor is the server that a held req is held for.
