--- a/choice/measure.go
+++ b/choice/measure.go
@@ -58,10 +58,9 @@
 	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long)
 }
 
-// quick is one up to twice the quickest answer, where a machine begins to be crowded; beyond it falls by the
-// square.
-func (g gauge) quick() float64 {
-	q := min(1, 2*float64(max(1, g.best))/float64(max(1, g.long)))
+// quick is one up to so many times the quickest answer; beyond it falls by the square.
+func (g gauge) quick(times float64) float64 {
+	q := min(1, times*float64(max(1, g.best))/float64(max(1, g.long)))
 	return q * q
 }
 
