--- a/choice/types.go
+++ b/choice/types.go
@@ -87,6 +87,7 @@
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
+	IdleClose       Micros  // when a server closes an idle connection at the latest
 	ConnectionFee   float64 // for a hundred connections kept open to each server
 	HandshakeFee    float64 // for a new connection with each req
 	ReportsOnProbes bool
--- /dev/null
+++ b/cmd/spurtrestle/main.go
@@ -0,0 +1,51 @@
+// Command spurtrestle is the router on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/internal/config"
+	"spurtrestle/internal/router"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "spurtrestle:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(cfg.Limits.Memory)
+	log := logrus.New()
+	r := router.New(cfg, log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				r.Print()
+			} else {
+				r.Drain()
+			}
+		}
+	}()
+	if err := r.Run(); err != nil {
+		return err
+	}
+	log.Info(r.Counters())
+	if !r.Drained() {
+		return fmt.Errorf("the loop ended by itself")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,82 @@
+// Package config reads what a router is told at its start: the EDGE_ variables and the file that EDGE_CONFIG names.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/settings"
+)
+
+// Config is what a router is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Settings  choice.Settings
+	Known     json.RawMessage // the list as this router last had it, in discovery's form
+	Limits    Limits
+}
+
+// Load reads the variables through get, os.Getenv in service.
+func Load(get func(string) string) (Config, error) {
+	var c Config
+	path := get("EDGE_CONFIG")
+	if path == "" {
+		return c, fmt.Errorf("EDGE_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	var f struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores   float64 `json:"cores"`
+			Memory  int     `json:"memory_mb"`
+			Sockets int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &f); err != nil {
+		return c, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	either := func(variable, told string) string {
+		if v := get(variable); v != "" {
+			return v
+		}
+		return told
+	}
+	c.Name = either("EDGE_NAME", f.Name)
+	if c.Listen, err = address("listen", either("EDGE_LISTEN", f.Listen)); err != nil {
+		return c, err
+	}
+	if c.Discovery, err = address("discovery", either("EDGE_DISCOVERY", f.Discovery)); err != nil {
+		return c, err
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %q is not a hexadecimal number", f.Seed)
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	c.Known = f.Known
+	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Settings)
+	return c, err
+}
+
+func address(field, text string) (string, error) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return "", fmt.Errorf("%s: %q is no address and port", field, text)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"fmt"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/httpwire"
+	"spurtrestle/internal/resp"
+)
+
+// Limits are the sizes, counts and times that the network code keeps to. They are filled once, at start.
+type Limits struct {
+	Memory      int64 // soft limit of the whole program, bytes
+	Descriptors int   // connections and dials, those in reserve not counted
+
+	Resp       resp.Bounds
+	HTTP       httpwire.Bounds
+	ClientIn   int // bytes of one client that wait to be read on
+	ClientOut  int // bytes of answers that one client has not taken
+	Pipeline   int // commands of one client that wait for their answers
+	HeldBytes  int // bytes of all reqs in hand
+	Connect    choice.Micros
+	Idle       choice.Micros // a connection idle for so long is closed before its server would
+	Sweep      choice.Micros // between two looks for idle connections
+	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
+	Watch      choice.Micros // of one call to discovery
+	WatchSlack choice.Micros // an answer to it is late after so much more
+	AskAgain   choice.Micros // after a failed call to discovery
+	LingerOpen choice.Micros // after SIGTERM new connections are taken for so long
+}
+
+const (
+	mebibyte = 1 << 20
+	kibibyte = 1 << 10
+)
+
+func newLimits(memory, sockets int, s choice.Settings) (Limits, error) {
+	const (
+		// Standard streams, epoll of gnet and of the Go runtime, their event files, the listener, the file of the
+		// configuration, and a few that are being closed.
+		reserve      = 24
+		leastSockets = 64
+		leastMemory  = 32
+	)
+	if sockets < leastSockets {
+		return Limits{}, fmt.Errorf("limits.sockets: %d are fewer than %d", sockets, leastSockets)
+	}
+	if memory < leastMemory {
+		return Limits{}, fmt.Errorf("limits.memory_mb: %d is less than %d", memory, leastMemory)
+	}
+	l := Limits{
+		Memory:      int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
+		Descriptors: sockets - reserve,
+		Resp:        resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
+		HTTP:        httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte},       // a whole list of thousands
+		ClientIn:    256 * kibibyte,
+		ClientOut:   mebibyte,
+		Pipeline:    256,
+		HeldBytes:   memory * mebibyte / 8,
+		Connect:     s.ConnectTimeout,
+		Idle:        s.IdleClose * 9 / 10, // a req may be on its way when the server closes
+		Sweep:       250e3,
+		Crossing:    3e3,  // some three times the way from a client to its router
+		Watch:       20e6, // the example of the protocol
+		WatchSlack:  2e6,
+		AskAgain:    100e3, // well within the 200 ms after which a watch begins anew
+		LingerOpen:  500e3,
+	}
+	if l.Connect <= 0 {
+		l.Connect = 250e3
+	}
+	if l.Idle <= 0 {
+		l.Idle = 15e6
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,38 @@
+// Package counters holds what a router counts, printed on request and at exit.
+package counters
+
+import "fmt"
+
+// Counters are the loop's own: nothing else may touch them.
+type Counters struct {
+	Taken     int // reqs
+	Satisfied int
+	Nacked    int
+	Failed    int
+	Left      int // their clients had gone before the answer
+
+	WriteOuts int
+	OK        int
+	Miss      int
+	NeverRan  int // turned away, or could not connect
+	MayHave   int // errors, resets, time-outs
+	GivenUp   int // recalled
+
+	ClientConns int // accepted
+	Dials       int
+	DialsFailed int
+	Shed        int // connections closed to make room for others
+	Broken      int // connections closed for what came on them
+	Lists       int
+	ListsFailed int
+	Batches     int
+}
+
+// String is one line of names and values.
+func (c Counters) String() string {
+	return fmt.Sprintf("taken=%d satisfied=%d nacked=%d failed=%d left=%d write-outs=%d ok=%d miss=%d never-ran=%d "+
+		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
+		"lists-failed=%d batches=%d", c.Taken, c.Satisfied, c.Nacked, c.Failed, c.Left, c.WriteOuts, c.OK, c.Miss,
+		c.NeverRan, c.MayHave, c.GivenUp, c.ClientConns, c.Dials, c.DialsFailed, c.Shed, c.Broken, c.Lists,
+		c.ListsFailed, c.Batches)
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,134 @@
+// Package discovery keeps the list of servers as discovery tells it: which call comes next, what an answer says, and
+// which number stands for which server. It does no I/O.
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"spurtrestle/choice"
+)
+
+// UID is a server's name in discovery, the same at every router.
+type UID string
+
+// Book holds what discovery has told.
+type Book struct {
+	rev   int64
+	whole bool // a whole list has come, so that the next call is a watch
+	ids   map[UID]choice.ServerID
+	uids  map[choice.ServerID]UID
+	addrs map[choice.ServerID]string
+}
+
+// New returns an empty Book.
+func New() *Book {
+	return &Book{ids: map[UID]choice.ServerID{}, uids: map[choice.ServerID]UID{},
+		addrs: map[choice.ServerID]string{}}
+}
+
+// Path is the next call: the whole list, then watches of the given length.
+func (b *Book) Path(wait choice.Micros) string {
+	const path = "/registry/instances"
+	if !b.whole {
+		return path
+	}
+	return path + "?index=" + strconv.FormatInt(b.rev, 10) + "&wait=" + strconv.FormatInt(int64(wait/1e3), 10)
+}
+
+// Endpoint is where a server is reached.
+func (b *Book) Endpoint(id choice.ServerID) string { return b.addrs[id] }
+
+// Forget makes the next call ask for the whole list: where an answer was odd, what it held may be lost.
+func (b *Book) Forget() { b.whole = false }
+
+type target struct {
+	UID      UID     `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Cell     int64   `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	Boot     float64 `json:"boot_ms"`
+}
+
+type answer struct {
+	Rev     *int64    `json:"rev"`
+	All     bool      `json:"all"`
+	Targets *[]target `json:"targets"`
+}
+
+var states = map[string]choice.State{"active": choice.Ready, "leaving": choice.Draining, "left": choice.Gone}
+
+// Saved reads the list that a router starts with; it may be old.
+func (b *Book) Saved(body []byte) (choice.ListCame, error) {
+	l, err := b.Take(body)
+	l.Kind = choice.ListSaved
+	b.whole = false
+	return l, err
+}
+
+// Take reads an answer. One that is not whole or odd changes nothing.
+func (b *Book) Take(body []byte) (choice.ListCame, error) {
+	var a answer
+	l := choice.ListCame{Kind: choice.ListChanges}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return l, err
+	}
+	switch {
+	case a.Rev == nil:
+		return l, errors.New("rev is missing")
+	case a.Targets == nil:
+		return l, errors.New("targets is missing")
+	case !a.All && !b.whole:
+		return l, errors.New("changes came where the whole list was asked for")
+	}
+	targets := *a.Targets
+	for _, t := range targets {
+		if _, ok := states[t.State]; !ok || t.UID == "" {
+			return l, fmt.Errorf("target %q: state %q is not known", t.UID, t.State)
+		}
+		if t.Boot < 0 || t.Boot > math.MaxInt64/2e3 {
+			return l, fmt.Errorf("target %q: boot_ms %g is no time", t.UID, t.Boot)
+		}
+	}
+	b.rev, b.whole = *a.Rev, b.whole || a.All
+	if a.All {
+		l.Kind = choice.ListFull
+	}
+	// In order of name, so that two names that share a number are told apart alike at every router.
+	slices.SortStableFunc(targets, func(x, y target) int { return strings.Compare(string(x.UID), string(y.UID)) })
+	for _, t := range targets {
+		id := b.id(t.UID)
+		if t.Endpoint != "" {
+			b.addrs[id] = t.Endpoint
+		}
+		l.Entries = append(l.Entries, choice.Entry{Server: id, Zone: choice.Zone(t.Zone), Kind: choice.Kind(t.Kind),
+			Cell: choice.Cell(t.Cell), State: states[t.State], Weight: t.Weight, Started: choice.Micros(t.Boot * 1e3)})
+	}
+	return l, nil
+}
+
+// id is the number of a server: a hash of its name, so that it is the same at every router. Of two names with one hash
+// the later gets the next hash of its own.
+func (b *Book) id(uid UID) choice.ServerID {
+	if id, ok := b.ids[uid]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	h.Write([]byte(uid))
+	id := choice.ServerID(h.Sum32())
+	for b.uids[id] != "" {
+		h.Write([]byte{0})
+		id = choice.ServerID(h.Sum32())
+	}
+	b.ids[uid], b.uids[id] = id, uid
+	return id
+}
--- /dev/null
+++ b/internal/router/batch.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"fmt"
+
+	"spurtrestle/choice"
+)
+
+// input gathers one input; the first of a round queues the batch.
+func (r *Router) input(ev choice.Event) {
+	r.inputs = append(r.inputs, ev)
+	r.queue()
+}
+
+func (r *Router) queue() {
+	if !r.queued {
+		r.queued = true
+		r.execute(r.batch)
+	}
+}
+
+// batch takes the clock once, hands over what was gathered and what is due, and carries out what came back. What that
+// brings in goes into the next batch.
+func (r *Router) batch() {
+	r.queued = true // what is due goes into this batch
+	r.now = r.clock()
+	r.counts.Batches++
+	r.fire(r.now)
+	inputs := r.inputs
+	r.inputs, r.queued = nil, false
+	r.decided = r.decided[:0]
+	for _, ev := range inputs {
+		if q, ok := ev.(*arrival); ok {
+			ev = q.event(r.now)
+		}
+		r.decided = append(r.decided, r.core.Step(r.now, ev)...)
+	}
+	r.carryOut(r.decided)
+	for _, ev := range inputs {
+		if l, ok := ev.(choice.Left); ok && r.reqs[l.Req] != nil {
+			r.settle(r.reqs[l.Req])
+		}
+	}
+	r.resume()
+	r.setAlarm()
+	if r.closing {
+		r.closeIdleClients()
+	}
+}
+
+func (r *Router) carryOut(decided []choice.Decision) {
+	for _, d := range decided {
+		switch d.Action {
+		case choice.WriteOut:
+			r.writeOut(d)
+		case choice.Nack:
+			r.nack(d.Req, d.After)
+		case choice.Fail:
+			r.fail(d.Req)
+		case choice.Recall:
+			r.recall(d.Req, d.Attempt)
+		case choice.Wake:
+			ref := d.Ref
+			r.after(d.After, func() { r.input(choice.Elapsed{Ref: ref}) })
+		case choice.Subscribe:
+			if r.watch != nil {
+				r.watch.call()
+			}
+		case choice.Disconnect:
+			if s := r.servers[d.Server]; s != nil {
+				r.closeIdle(s)
+			}
+		default:
+			r.log.Error(fmt.Sprintf("a decision that the router cannot carry out: %+v", d))
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,192 @@
+// Package router is the router on sockets: one gnet loop that owns all state. It gathers what came in, hands it to
+// package choice in one go, and carries out what came back. It decides nothing about reqs itself.
+//
+// The files: this one the loop's callbacks; batch.go the hand-over to the decisions; reqs.go the reqs and their
+// write-outs; clients.go, servers.go (pools and dials), caches.go, origins.go and watch.go the kinds of connections;
+// timers.go the timers; drain.go the end.
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/config"
+	"spurtrestle/internal/counters"
+	"spurtrestle/internal/discovery"
+)
+
+// Router is one router. All its state belongs to the loop; only Drain and Print may be called from elsewhere.
+type Router struct {
+	gnet.BuiltinEventEngine
+	cfg    config.Config
+	lim    config.Limits
+	log    *logrus.Logger
+	counts counters.Counters
+
+	start time.Time // its wall clock and what has passed since by the monotonic one are the time
+	loop  gnet.EventLoop
+	ready chan struct{} // closed once loop is set
+
+	core    *choice.Router
+	methods map[string]choice.Method
+	now     choice.Micros // of the batch at hand
+	inputs  []choice.Event
+	decided []choice.Decision
+	queued  bool // a batch is on its way
+
+	timers timers
+
+	reqs    map[choice.ReqID]*req
+	held    int                  // bytes of all reqs
+	clients map[*client]struct{} // all that are open
+	stalled []*client            // clients whose commands wait for room
+	servers map[choice.ServerID]*server
+	dials   int
+	conns   int // open connections of all kinds
+	book    *discovery.Book
+	watch   *watch
+	serving bool // a list with a server to use has come
+
+	engine                     gnet.Engine
+	draining, closing, stopped bool
+	scratch                    []byte
+}
+
+// peer is one connection's side of the loop: gnet's context of it.
+type peer interface {
+	opened(gnet.Conn)
+	traffic() gnet.Action
+	closed()
+}
+
+// New returns a router that is not running yet.
+func New(cfg config.Config, log *logrus.Logger) *Router {
+	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}),
+		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
+		servers: map[choice.ServerID]*server{}, book: discovery.New()}
+	for i, m := range cfg.Settings.Methods {
+		r.methods[m.Name] = choice.Method(i)
+	}
+	// The protocol gives routers no way to each other yet.
+	r.cfg.Settings.MayTell = false
+	return r
+}
+
+// Run serves until it is drained or cannot go on.
+func (r *Router) Run() error {
+	return gnet.Run(r, "tcp://"+r.cfg.Listen, gnet.WithLogger(r.log), gnet.WithReusePort(true),
+		gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+}
+
+// clock is the time in microseconds since 1970. It never goes back.
+func (r *Router) clock() choice.Micros {
+	return choice.Micros(r.start.Add(time.Since(r.start)).UnixMicro())
+}
+
+// OnBoot: gnet gives its loop with the first connection only, so the router makes the first to itself.
+func (r *Router) OnBoot(engine gnet.Engine) gnet.Action {
+	r.engine = engine
+	go func() {
+		c, err := net.DialTimeout("tcp", r.cfg.Listen, time.Second)
+		if err != nil {
+			r.log.WithError(err).Fatal("cannot reach the own listener")
+		}
+		<-r.ready
+		c.Close()
+	}()
+	return gnet.None
+}
+
+func (r *Router) begin(loop gnet.EventLoop) {
+	r.loop = loop
+	r.now = r.clock()
+	r.timers.init(r)
+	core, decided := choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
+	r.core = core
+	r.carryOut(decided)
+	if len(r.cfg.Known) > 0 {
+		if l, err := r.book.Saved(r.cfg.Known); err != nil {
+			r.log.WithError(err).Warn("the known list is odd; starting without it")
+		} else {
+			r.listCame(l)
+		}
+	}
+	r.watch = &watch{r: r}
+	r.watch.call()
+	r.after(r.lim.Sweep, r.sweep)
+	close(r.ready)
+	r.log.WithFields(logrus.Fields{"name": r.cfg.Name, "listen": r.cfg.Listen}).Info("serving")
+}
+
+// OnOpen takes a connection that was accepted or enrolled.
+func (r *Router) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if r.loop == nil {
+		r.begin(c.EventLoop())
+	}
+	r.conns++
+	p, ok := c.Context().(peer)
+	if !ok {
+		p = &client{r: r}
+		c.SetContext(p)
+	}
+	p.opened(c)
+	return nil, gnet.None
+}
+
+// OnTraffic passes on that bytes came.
+func (r *Router) OnTraffic(c gnet.Conn) gnet.Action {
+	if p, ok := c.Context().(peer); ok {
+		return p.traffic()
+	}
+	return gnet.Close
+}
+
+// OnClose passes on that a connection is no more. gnet still writes out what is buffered after this call; what was
+// given up must not reach the server then, so the sending side is shut first.
+func (r *Router) OnClose(c gnet.Conn, _ error) gnet.Action {
+	r.conns--
+	if p, ok := c.Context().(peer); ok {
+		p.closed()
+		c.SetContext(nil)
+	}
+	if c.OutboundBuffered() > 0 {
+		_ = unix.Shutdown(c.Fd(), unix.SHUT_RDWR) // fails where the peer has ended it already
+	}
+	return gnet.None
+}
+
+func (r *Router) close(c gnet.Conn) {
+	if err := r.loop.Close(c); err != nil {
+		r.log.WithError(err).Warn("closing a connection")
+	}
+}
+
+// execute runs f on the loop, from any goroutine.
+func (r *Router) execute(f func()) {
+	err := r.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		return nil
+	}))
+	if err != nil {
+		r.log.WithError(err).Warn("the loop takes no more work")
+	}
+}
+
+// Print logs the counters.
+func (r *Router) Print() {
+	<-r.ready
+	r.execute(func() { r.log.Info(r.Counters()) })
+}
+
+// Counters is a line of all counts. It belongs to the loop until Run is over.
+func (r *Router) Counters() string {
+	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d", r.counts, len(r.clients),
+		r.conns, r.dials, len(r.reqs), r.held)
+}
--- /dev/null
+++ b/internal/router/servers.go
@@ -0,0 +1,268 @@
+package router
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"spurtrestle/choice"
+)
+
+// server is a cache server or the origin: what is connected to it.
+//
+// A connection carries one write-out at a time. The settings allow more, but answers come in order, and a write-out is
+// given up by closing its connection: a slow one would hold up those behind it, and one given up would reset them.
+type server struct {
+	id      choice.ServerID
+	addr    string
+	origin  bool
+	idle    []*upstream // the last used at the end
+	waiting []*writeOut // for a connection
+	dialing int
+}
+
+// upstream is a connection to a server.
+type upstream struct {
+	r       *Router
+	server  *server
+	conn    gnet.Conn
+	carries *writeOut     // nil: idle
+	since   choice.Micros // idle since
+	writing bool          // gnet may close it within a write
+}
+
+func (s *server) forget(w *writeOut) {
+	if s != nil {
+		s.waiting = slices.DeleteFunc(s.waiting, func(x *writeOut) bool { return x == w })
+	}
+}
+
+// connect gives a write-out a connection: an idle one, else the first that gets free.
+func (r *Router) connect(w *writeOut) {
+	s := w.server
+	if n := len(s.idle); n > 0 {
+		up := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		up.send(w)
+		return
+	}
+	if !r.makeRoom(descriptorsOfDial) {
+		r.returned(w, choice.ConnectError, nil)
+		return
+	}
+	if s.waiting = append(s.waiting, w); s.dialing < len(s.waiting) {
+		r.dial(s)
+	}
+}
+
+const descriptorsOfDial = 2 // gnet takes a copy, and then the first is closed
+
+// dial opens a connection off the loop, since gnet's own Register knows no time limit.
+func (r *Router) dial(s *server) {
+	s.dialing++
+	r.dials++
+	r.counts.Dials++
+	r.dialOff(s.addr, &upstream{r: r, server: s}, func(error) {
+		r.counts.DialsFailed++
+		s.dialing--
+		if len(s.waiting) > s.dialing {
+			r.returned(s.waiting[0], choice.ConnectError, nil)
+		}
+	})
+}
+
+// dialOff connects to an address and enrolls the connection for p; failed runs on the loop.
+func (r *Router) dialOff(addr string, p peer, failed func(error)) {
+	limit := time.Duration(r.lim.Connect) * time.Microsecond
+	go func() {
+		c, err := net.DialTimeout("tcp", addr, limit)
+		if err == nil {
+			var enrolled <-chan gnet.RegisteredResult
+			if enrolled, err = r.loop.Enroll(gnet.NewContext(context.Background(), p), c); err != nil {
+				c.Close()
+			} else {
+				err = (<-enrolled).Err
+			}
+		}
+		if err != nil {
+			r.execute(func() {
+				r.dials--
+				failed(err)
+			})
+		}
+	}()
+}
+
+func (up *upstream) opened(conn gnet.Conn) {
+	up.conn = conn
+	up.server.dialing--
+	up.r.dials--
+	up.free()
+}
+
+// free gives the connection to the first that waits, or keeps it.
+func (up *upstream) free() {
+	s := up.server
+	if len(s.waiting) > 0 {
+		w := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		up.send(w)
+		return
+	}
+	if up.r.servers[s.id] != s { // the server is gone from the list
+		up.r.close(up.conn)
+		return
+	}
+	up.since = up.r.clock()
+	s.idle = append(s.idle, up)
+}
+
+func (up *upstream) send(w *writeOut) {
+	up.carries, w.up = w, up
+	left := max(1, w.sent+w.within-up.r.clock())
+	if up.server.origin {
+		up.r.scratch = appendFetch(up.r.scratch[:0], w.q, up.server.addr)
+	} else {
+		up.r.scratch = appendCommand(up.r.scratch[:0], w.q, left)
+	}
+	up.writing = true
+	_, err := up.conn.Write(up.r.scratch)
+	up.writing = false
+	if err != nil { // gnet has closed it and called closed
+		return
+	}
+}
+
+// traffic reads an answer. What comes while nothing is asked, or behind an answer, belongs to nobody.
+func (up *upstream) traffic() gnet.Action {
+	w := up.carries
+	if w == nil {
+		up.r.counts.Broken++
+		return gnet.Close
+	}
+	buf, err := up.conn.Peek(-1)
+	if err != nil || len(buf) == 0 {
+		return gnet.None
+	}
+	read := up.readReply
+	if up.server.origin {
+		read = up.readResponse
+	}
+	used, keep, err := read(w, buf, false)
+	if err != nil {
+		up.r.counts.Broken++
+		return gnet.Close // closed tells the outcome
+	}
+	if used == 0 {
+		return gnet.None
+	}
+	if used < len(buf) || !keep {
+		return gnet.Close
+	}
+	_, _ = up.conn.Discard(used) // bytes that Peek has just shown
+	up.free()
+	return gnet.None
+}
+
+// closed: before its last byte has left us a write-out has never run; after that it may have.
+func (up *upstream) closed() {
+	s := up.server
+	s.idle = slices.DeleteFunc(s.idle, func(x *upstream) bool { return x == up })
+	w := up.carries
+	if w == nil {
+		return
+	}
+	status := choice.Reset
+	if up.writing || up.conn.OutboundBuffered() > 0 {
+		status = choice.ConnectError
+	} else if buf, _ := up.conn.Peek(-1); up.server.origin && len(buf) > 0 {
+		if used, _, err := up.readResponse(w, buf, true); err == nil && used > 0 {
+			return
+		}
+	}
+	up.r.returned(w, status, nil)
+}
+
+func (r *Router) closeIdle(s *server) {
+	for _, up := range slices.Clone(s.idle) {
+		r.close(up.conn)
+	}
+}
+
+// sweep closes what has been idle for nearly as long as its server would let it.
+func (r *Router) sweep() {
+	r.after(r.lim.Sweep, r.sweep)
+	now := r.clock()
+	for _, s := range r.servers {
+		for len(s.idle) > 0 && now-s.idle[0].since >= r.lim.Idle {
+			r.close(s.idle[0].conn)
+		}
+	}
+}
+
+// makeRoom closes idle connections until so many descriptors are free; false where that is not enough.
+func (r *Router) makeRoom(n int) bool {
+	for r.conns+descriptorsOfDial*r.dials+n > r.lim.Descriptors {
+		if !r.shed() {
+			return false
+		}
+	}
+	return true
+}
+
+// shed closes the connection to a server that has been idle longest, else the client's.
+func (r *Router) shed() bool {
+	var oldest *upstream
+	for _, s := range r.servers {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since < oldest.since) {
+			oldest = s.idle[0]
+		}
+	}
+	if oldest != nil {
+		r.counts.Shed++
+		r.close(oldest.conn)
+		return true
+	}
+	var longest *client
+	for c := range r.clients {
+		if c.quiet() && (longest == nil || c.idle < longest.idle) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	r.counts.Shed++
+	r.close(longest.conn)
+	return true
+}
+
+// listCame takes a list: who is named, and where.
+func (r *Router) listCame(l choice.ListCame) {
+	r.counts.Lists++
+	named := map[choice.ServerID]bool{}
+	for _, e := range l.Entries {
+		named[e.Server] = e.State != choice.Gone
+		s := r.servers[e.Server]
+		if s == nil {
+			s = &server{id: e.Server}
+			r.servers[e.Server] = s
+		}
+		s.origin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
+		if addr := r.book.Endpoint(e.Server); s.addr != addr {
+			r.closeIdle(s)
+			s.addr = addr
+		}
+		r.serving = r.serving || e.State == choice.Ready
+	}
+	for id, s := range r.servers {
+		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
+			delete(r.servers, id)
+			r.closeIdle(s)
+		}
+	}
+	r.input(l)
+}
--- /dev/null
+++ b/internal/router/watch.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"github.com/panjf2000/gnet/v2"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/httpwire"
+)
+
+// watch is the connection to discovery: one call after the other, each but the first waiting for news.
+type watch struct {
+	r       *Router
+	conn    gnet.Conn
+	dialing bool
+	calling bool
+	again   *timer // the next call after a failed one
+	late    *timer
+}
+
+// call asks at once, unless a call is out.
+func (w *watch) call() {
+	if w.dialing || w.calling {
+		return
+	}
+	w.r.cancel(w.again)
+	if w.conn == nil {
+		w.dialing = true
+		w.r.dials++
+		w.r.dialOff(w.r.cfg.Discovery, w, func(err error) {
+			w.dialing = false
+			w.failed(err)
+		})
+		return
+	}
+	r := w.r
+	w.calling = true
+	w.late = r.after(r.lim.Watch+r.lim.WatchSlack, func() { r.close(w.conn) })
+	path := r.book.Path(r.lim.Watch)
+	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, r.cfg.Discovery, nil, nil)) // an error: closed
+}
+
+func (w *watch) opened(conn gnet.Conn) {
+	w.dialing, w.conn = false, conn
+	w.r.dials--
+	w.call()
+}
+
+func (w *watch) closed() {
+	buf, _ := w.conn.Peek(-1)
+	w.conn = nil
+	if w.calling && len(buf) > 0 {
+		if answer, used, err := httpwire.Read(buf, true, w.r.lim.HTTP); err == nil && used > 0 {
+			w.took(answer)
+			return
+		}
+	}
+	if w.calling {
+		w.failed(nil)
+	}
+}
+
+func (w *watch) traffic() gnet.Action {
+	buf, err := w.conn.Peek(-1)
+	if err != nil || len(buf) == 0 {
+		return gnet.None
+	}
+	answer, used, err := httpwire.Read(buf, false, w.r.lim.HTTP)
+	if err != nil || !w.calling {
+		return gnet.Close
+	}
+	if used == 0 {
+		return gnet.None
+	}
+	end := answer.Close || used < len(buf)
+	if end {
+		w.calling = false // closed must not read it again
+		w.r.close(w.conn)
+	}
+	w.took(answer)
+	if !end {
+		_, _ = w.conn.Discard(used) // bytes that Peek has just shown
+	}
+	return gnet.None
+}
+
+// took: an odd answer leaves the last list as it is.
+func (w *watch) took(answer httpwire.Response) {
+	w.calling = false
+	w.r.cancel(w.late)
+	l, err := w.r.book.Take(answer.Body)
+	if answer.Status != 200 || err != nil {
+		w.r.book.Forget()
+		w.failed(err)
+		return
+	}
+	w.r.listCame(l)
+	w.call()
+}
+
+// failed: the old list holds. Where the decisions ask for lists they also say when to ask again.
+func (w *watch) failed(err error) {
+	w.calling = false
+	w.r.cancel(w.late)
+	w.r.counts.ListsFailed++
+	w.r.log.WithError(err).Warn("a call to discovery failed")
+	if w.r.cfg.Settings.ListOnRequest {
+		w.r.input(choice.ListCame{Kind: choice.ListFailed})
+		return
+	}
+	w.r.cancel(w.again)
+	w.again = w.r.after(w.r.lim.AskAgain, w.call)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings reads the settings object that a router is told at its start, on the bench's wire and in its
+// own configuration alike.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"spurtrestle/choice"
+)
+
+var (
+	// Figures names what load reports hold.
+	Figures = map[string]choice.Figure{"avg_ms": choice.FigureServiceTime, "waiting": choice.FigureQueue,
+		"active": choice.FigureInFlight, "cpu": choice.FigureBusy, "err_rps": choice.FigureErrors,
+		"x0": choice.FigureHits}
+	effects = map[string]choice.Effect{"free": choice.Retryable, "guarded": choice.Deduplicated,
+		"single_shot": choice.NonRetryable}
+	groups = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
+		"cell": choice.GroupCell}
+)
+
+// Micros is a span told in seconds.
+func Micros(s float64) choice.Micros { return choice.Micros(math.Round(s * 1e6)) }
+
+// Parse reads the settings object. Unknown keys are ignored; a needed one that is missing or
+// contradicts another is named.
+func Parse(data []byte) (choice.Settings, error) {
+	var p struct {
+		Balancers  *int     `json:"balancers"`
+		Me         int      `json:"me"`
+		Discovery  string   `json:"discovery"`
+		Resolution float64  `json:"resolution-s"`
+		Flavors    []string `json:"flavors"`
+		Over       float64  `json:"over-share-worth"`
+		Fees       struct {
+			Connection float64 `json:"connection"`
+			Handshake  float64 `json:"handshake"`
+		} `json:"fees"`
+		Goal struct {
+			WorstClass float64 `json:"worst-class"`
+		} `json:"goal"`
+		Domain struct {
+			Mode     string  `json:"mode"`
+			Kind     *int    `json:"origin-kind"`
+			Fall     float64 `json:"origin-fall-multiple"`
+			FallSpan float64 `json:"origin-fall-s"`
+		} `json:"domain"`
+		Report struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"load-report"`
+		Limits struct {
+			Cancel   bool    `json:"cancel"`
+			Probes   bool    `json:"probes"`
+			Peers    bool    `json:"peers"`
+			Hint     bool    `json:"retry-after"`
+			Parallel bool    `json:"parallel-tries"`
+			SendCap  *int    `json:"send-cap"`
+			MaxHint  float64 `json:"max-retry-after-s"`
+			Connect  float64 `json:"connect-timeout-s"`
+			Idle     float64 `json:"idle-close-s"`
+		} `json:"policy-limits"`
+		Rules *struct {
+			Slack     float64 `json:"answer-slack-s"`
+			AskEvery  float64 `json:"ask-every-s"`
+			ColdSpan  float64 `json:"cold-s"`
+			ColdShare float64 `json:"cold-share"`
+			FallSpan  float64 `json:"fall-s"`
+			Multiple  float64 `json:"tip-multiple"`
+			Grace     float64 `json:"stop-sending-within-s"`
+		} `json:"rules"`
+		Classes []struct {
+			Name     string  `json:"name"`
+			Effect   string  `json:"effect"`
+			Group    string  `json:"group"`
+			Window   float64 `json:"window-s"`
+			Aim      float64 `json:"slo-s"`
+			Deadline float64 `json:"deadline-s"`
+			Worth    float64 `json:"worth"`
+			Late     float64 `json:"late-value"`
+			Stream   bool    `json:"stream"`
+		} `json:"request-classes"`
+		Tenants []struct {
+			Name  string  `json:"name"`
+			Share float64 `json:"share"`
+			Quota float64 `json:"quota-per-s"`
+		} `json:"tenants"`
+	}
+	var s choice.Settings
+	if err := json.Unmarshal(data, &p); err != nil {
+		return s, err
+	}
+	switch {
+	case p.Balancers == nil || *p.Balancers < 1:
+		return s, errors.New("balancers is missing or below 1")
+	case len(p.Classes) == 0:
+		return s, errors.New("request-classes is missing or empty")
+	case p.Rules == nil:
+		return s, errors.New("rules is missing")
+	case p.Limits.SendCap == nil || *p.Limits.SendCap < 1:
+		return s, errors.New("policy-limits.send-cap is missing or below 1")
+	case p.Discovery != "pushed" && p.Discovery != "on_request":
+		return s, fmt.Errorf("discovery is %q, neither pushed nor on_request", p.Discovery)
+	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
+		return s, fmt.Errorf("domain.mode is %q, neither aside nor through", p.Domain.Mode)
+	case p.Domain.Mode == "aside" && p.Domain.Kind == nil:
+		return s, errors.New("domain.origin-kind is missing though domain.mode is aside")
+	}
+	if k := p.Domain.Kind; k != nil && *k >= len(p.Flavors) {
+		return s, fmt.Errorf("domain.origin-kind is %d, but flavors has %d names", *k, len(p.Flavors))
+	} else if k != nil && *k >= 0 {
+		s.OriginKind = choice.Kind(p.Flavors[*k])
+	}
+	s.Routers, s.Me = *p.Balancers, p.Me
+	s.Aside = p.Domain.Mode == "aside"
+	s.OriginFall, s.OriginFallSpan = p.Domain.Fall, Micros(p.Domain.FallSpan)
+	for _, name := range p.Report.Fields {
+		s.ReportFields = append(s.ReportFields, Figures[name])
+	}
+	s.ReportsOnProbes = p.Report.How == "pull"
+	s.ListOnRequest = p.Discovery == "on_request"
+	s.Resolution = Micros(p.Resolution)
+	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
+	s.MayTell = p.Limits.Peers
+	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
+	l, u := p.Limits, p.Rules
+	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
+	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, Micros(l.MaxHint), Micros(l.Connect)
+	s.IdleClose = Micros(l.Idle)
+	s.AnswerSlack, s.AskEvery, s.DrainGrace = Micros(u.Slack), Micros(u.AskEvery), Micros(u.Grace)
+	s.ColdShare, s.ColdSpan = u.ColdShare, Micros(u.ColdSpan)
+	s.FallMultiple, s.FallSpan = u.Multiple, Micros(u.FallSpan)
+	for _, c := range p.Classes {
+		e, ok := effects[c.Effect]
+		g, ok2 := groups[c.Group]
+		if !ok || !ok2 || c.Name == "" || c.Deadline <= 0 {
+			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline", c.Name)
+		}
+		s.Methods = append(s.Methods, choice.MethodSettings{Name: c.Name, Effect: e, Group: g,
+			Window: Micros(c.Window), LatencyBudget: Micros(c.Aim), Deadline: Micros(c.Deadline),
+			Criticality: c.Worth, LateShare: c.Late, Stream: c.Stream})
+	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants,
+			choice.TenantSettings{Name: choice.Tenant(t.Name), Share: t.Share, Quota: t.Quota})
+	}
+	return s, nil
+}
--- a/slate/slate.go
+++ b/slate/slate.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"encoding/base64"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 	"strings"
 
 	"spurtrestle/choice"
+	"spurtrestle/internal/settings"
 )
 
 // Instance numbers a router hosted by this process.
@@ -50,16 +50,16 @@
 
 // Reader reads batches.
 type Reader struct {
-	in       *bufio.Reader
-	line     int
-	lists    [listSlots][]choice.Entry
-	known    [listSlots]bool
-	settings map[Instance]choice.Settings
+	in    *bufio.Reader
+	line  int
+	lists [listSlots][]choice.Entry
+	known [listSlots]bool
+	told  map[Instance]choice.Settings
 }
 
 // NewReader returns a Reader on in.
 func NewReader(in io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(in, 1<<20), settings: map[Instance]choice.Settings{}}
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), told: map[Instance]choice.Settings{}}
 }
 
 // fields walks the parts of one line and remembers the first that is malformed.
@@ -119,7 +119,7 @@
 }
 
 func (f *fields) seconds(field string) choice.Micros {
-	return micros(f.number(field))
+	return settings.Micros(f.number(field))
 }
 
 func (f *fields) flag(field string) bool {
@@ -159,8 +159,6 @@
 	return v
 }
 
-func micros(s float64) choice.Micros { return choice.Micros(math.Round(s * 1e6)) }
-
 var (
 	listKinds = map[string]choice.ListKind{"INCREMENTAL": choice.ListChanges, "FULL": choice.ListFull,
 		"SAVED": choice.ListSaved, "FAILED": choice.ListFailed}
@@ -169,13 +167,6 @@
 		"QueueFull": choice.QueueFull, "TimedOut": choice.TimedOut, "ConnectError": choice.ConnectError,
 		"ResetByPeer": choice.Reset, "Canceled": choice.Canceled, "Ignored": choice.Ignored,
 		"Miss": choice.Miss}
-	figures = map[string]choice.Figure{"avg_ms": choice.FigureServiceTime, "waiting": choice.FigureQueue,
-		"active": choice.FigureInFlight, "cpu": choice.FigureBusy, "err_rps": choice.FigureErrors,
-		"x0": choice.FigureHits}
-	effects = map[string]choice.Effect{"free": choice.Retryable, "guarded": choice.Deduplicated,
-		"single_shot": choice.NonRetryable}
-	groups = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
-		"cell": choice.GroupCell}
 )
 
 // open reads the next line and its name; io.EOF only where a line is wholly absent.
@@ -246,10 +237,10 @@
 	"launch": func(r *Reader, f *fields, inst Instance) any {
 		l := Launch{Seed: f.whole("salt", math.MaxUint64)}
 		var err error
-		if l.Settings, err = ParseSettings([]byte(f.rest)); err != nil {
+		if l.Settings, err = settings.Parse([]byte(f.rest)); err != nil {
 			f.fail("profile-data", err.Error())
 		}
-		r.settings[inst] = l.Settings
+		r.told[inst] = l.Settings
 		return l
 	},
 	"members": func(r *Reader, f *fields, _ Instance) any {
@@ -270,7 +261,7 @@
 	"demand": func(r *Reader, f *fields, inst Instance) any {
 		q := choice.ReqCame{Req: choice.ReqID(f.text("ticket"))}
 		name := f.text("kind")
-		methods := r.settings[inst].Methods
+		methods := r.told[inst].Methods
 		i := slices.IndexFunc(methods, func(m choice.MethodSettings) bool { return m.Name == name })
 		if i < 0 {
 			f.fail("kind", fmt.Sprintf("%q is no class of the settings", name))
@@ -414,126 +405,3 @@
 func span(t choice.Micros) string {
 	return fmt.Sprintf("%d.%06d", t/1e6, t%1e6)
 }
-
-// ParseSettings reads the settings object. Unknown keys are ignored; a needed one that is missing or
-// contradicts another is named.
-func ParseSettings(data []byte) (choice.Settings, error) {
-	var p struct {
-		Balancers  *int     `json:"balancers"`
-		Me         int      `json:"me"`
-		Discovery  string   `json:"discovery"`
-		Resolution float64  `json:"resolution-s"`
-		Flavors    []string `json:"flavors"`
-		Over       float64  `json:"over-share-worth"`
-		Fees       struct {
-			Connection float64 `json:"connection"`
-			Handshake  float64 `json:"handshake"`
-		} `json:"fees"`
-		Goal struct {
-			WorstClass float64 `json:"worst-class"`
-		} `json:"goal"`
-		Domain struct {
-			Mode     string  `json:"mode"`
-			Kind     *int    `json:"origin-kind"`
-			Fall     float64 `json:"origin-fall-multiple"`
-			FallSpan float64 `json:"origin-fall-s"`
-		} `json:"domain"`
-		Report struct {
-			Fields []string `json:"fields"`
-			How    string   `json:"how"`
-		} `json:"load-report"`
-		Limits struct {
-			Cancel   bool    `json:"cancel"`
-			Probes   bool    `json:"probes"`
-			Peers    bool    `json:"peers"`
-			Hint     bool    `json:"retry-after"`
-			Parallel bool    `json:"parallel-tries"`
-			SendCap  *int    `json:"send-cap"`
-			MaxHint  float64 `json:"max-retry-after-s"`
-			Connect  float64 `json:"connect-timeout-s"`
-		} `json:"policy-limits"`
-		Rules *struct {
-			Slack     float64 `json:"answer-slack-s"`
-			AskEvery  float64 `json:"ask-every-s"`
-			ColdSpan  float64 `json:"cold-s"`
-			ColdShare float64 `json:"cold-share"`
-			FallSpan  float64 `json:"fall-s"`
-			Multiple  float64 `json:"tip-multiple"`
-			Grace     float64 `json:"stop-sending-within-s"`
-		} `json:"rules"`
-		Classes []struct {
-			Name     string  `json:"name"`
-			Effect   string  `json:"effect"`
-			Group    string  `json:"group"`
-			Window   float64 `json:"window-s"`
-			Aim      float64 `json:"slo-s"`
-			Deadline float64 `json:"deadline-s"`
-			Worth    float64 `json:"worth"`
-			Late     float64 `json:"late-value"`
-			Stream   bool    `json:"stream"`
-		} `json:"request-classes"`
-		Tenants []struct {
-			Name  string  `json:"name"`
-			Share float64 `json:"share"`
-			Quota float64 `json:"quota-per-s"`
-		} `json:"tenants"`
-	}
-	var s choice.Settings
-	if err := json.Unmarshal(data, &p); err != nil {
-		return s, err
-	}
-	switch {
-	case p.Balancers == nil || *p.Balancers < 1:
-		return s, errors.New("balancers is missing or below 1")
-	case len(p.Classes) == 0:
-		return s, errors.New("request-classes is missing or empty")
-	case p.Rules == nil:
-		return s, errors.New("rules is missing")
-	case p.Limits.SendCap == nil || *p.Limits.SendCap < 1:
-		return s, errors.New("policy-limits.send-cap is missing or below 1")
-	case p.Discovery != "pushed" && p.Discovery != "on_request":
-		return s, fmt.Errorf("discovery is %q, neither pushed nor on_request", p.Discovery)
-	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
-		return s, fmt.Errorf("domain.mode is %q, neither aside nor through", p.Domain.Mode)
-	case p.Domain.Mode == "aside" && p.Domain.Kind == nil:
-		return s, errors.New("domain.origin-kind is missing though domain.mode is aside")
-	}
-	if k := p.Domain.Kind; k != nil && *k >= len(p.Flavors) {
-		return s, fmt.Errorf("domain.origin-kind is %d, but flavors has %d names", *k, len(p.Flavors))
-	} else if k != nil && *k >= 0 {
-		s.OriginKind = choice.Kind(p.Flavors[*k])
-	}
-	s.Routers, s.Me = *p.Balancers, p.Me
-	s.Aside = p.Domain.Mode == "aside"
-	s.OriginFall, s.OriginFallSpan = p.Domain.Fall, micros(p.Domain.FallSpan)
-	for _, name := range p.Report.Fields {
-		s.ReportFields = append(s.ReportFields, figures[name])
-	}
-	s.ReportsOnProbes = p.Report.How == "pull"
-	s.ListOnRequest = p.Discovery == "on_request"
-	s.Resolution = micros(p.Resolution)
-	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
-	s.MayTell = p.Limits.Peers
-	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
-	l, u := p.Limits, p.Rules
-	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
-	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, micros(l.MaxHint), micros(l.Connect)
-	s.AnswerSlack, s.AskEvery, s.DrainGrace = micros(u.Slack), micros(u.AskEvery), micros(u.Grace)
-	s.ColdShare, s.ColdSpan = u.ColdShare, micros(u.ColdSpan)
-	s.FallMultiple, s.FallSpan = u.Multiple, micros(u.FallSpan)
-	for _, c := range p.Classes {
-		e, ok := effects[c.Effect]
-		g, ok2 := groups[c.Group]
-		if !ok || !ok2 || c.Name == "" || c.Deadline <= 0 {
-			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline", c.Name)
-		}
-		s.Methods = append(s.Methods, choice.MethodSettings{Name: c.Name, Effect: e, Group: g,
-			Window: micros(c.Window), LatencyBudget: micros(c.Aim), Deadline: micros(c.Deadline),
-			Criticality: c.Worth, LateShare: c.Late, Stream: c.Stream})
-	}
-	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants,
-			choice.TenantSettings{Name: choice.Tenant(t.Name), Share: t.Share, Quota: t.Quota})
-	}
-	return s, nil
-}
