Try: idle connections close once their fee has reached that of a new one

Ruled out: pipelining, since answers come in order and a write-out is given up by closing its connection.

--- a/choice/types.go
+++ b/choice/types.go
@@ -79,11 +79,10 @@
 	DrainGrace      Micros
 	MayCancel       bool
 	MayProbe        bool
-	MayHint         bool
 	MayTell         bool // short messages to other routers
 	MayTwoAtOnce    bool
 	MaxWriteOuts    int
-	MaxHint         Micros
+	MaxHint         Micros // 0: no hints
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
@@ -212,7 +211,7 @@
 	Wake                   // After, Ref
 	Subscribe
 	Probe      // Server
-	Disconnect // Server: close what is idle
+	Disconnect // Server, After: close what has been idle for so long
 	Tell       // Peer, Keys
 )
 
