--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,6 +118,7 @@
 	return lost
 }
 
+// hold keeps a req for later.
 func (r *Router) hold(q *req) {
 	if q.settled = true; q.held {
 		return
@@ -212,18 +213,13 @@
 
 const useSpan = 20e6 // a few reqs of one of hundreds of routers to a mean cache
 
-// leave closes idle connections that cost more than new ones would: all those to a server seldom used, since
-// where each of hundreds of routers keeps one to every cache, a cache refuses most of them; of the others those
-// idle until the fee for keeping them has reached that for a new one.
+// leave closes an idle connection that costs more than a new one would. Where each of hundreds of routers
+// keeps one to every cache, a cache is at its maximum, and refuses most routers though it has little to do.
 func (r *Router) leave(s *server) {
 	const granted = 1e6 / useSpan // one use: so much is chance
-	usual := r.keep * (r.used.now(r.now, useSpan)/float64(len(r.caches)+1) + granted)
-	rest := Micros(1e6 / max(1e-3, usual))
-	if s.inFlight == 0 && s.used.now(r.now, useSpan)+granted < usual {
-		rest = 0
-	}
-	if r.keep > 0 {
-		r.decided = append(r.decided, Decision{Action: Disconnect, Server: s.Server, After: rest})
+	mean := r.used.now(r.now, useSpan) / float64(len(r.caches)+1)
+	if s.inFlight == 0 && s.used.now(r.now, useSpan)+granted < r.keep*(mean+granted) {
+		r.decided = append(r.decided, Decision{Action: Disconnect, Server: s.Server})
 	}
 }
 
@@ -712,7 +708,7 @@
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
 		retries: 10,                                                   // enough for the first seconds
-		part:    1 / float64(max(1, s.Routers)), mayTell: s.MayTell, me: s.Me, maxHint: s.MaxHint,
+		part:    1 / float64(max(1, s.Routers)),
 	}
 	r.fewest = 8 * r.part // some eight in hand keep a machine of a few cores busy without a long queue
 	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
@@ -722,6 +718,10 @@
 	}
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
+	r.mayTell, r.me = s.MayTell, s.Me
+	if s.MayHint {
+		r.maxHint = s.MaxHint
+	}
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
 		if most = max(most, m.Criticality); m.Effect == Retryable {
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -44,7 +44,7 @@
 // base is a site in aside mode; scripts change it with lines such as "set routers=3 through".
 func base() Settings {
 	return Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, ColdShare: 0.2,
-		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MaxHint: 1e6,
+		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MayHint: true, MaxHint: 1e6,
 		MaxWriteOuts: 3, OverShareWorth: 0.1, DrainGrace: 1e6, AskEvery: 10e6, AnswerSlack: 20e3,
 		Methods: []MethodSettings{
 			{Name: "read", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 2},
@@ -186,7 +186,7 @@
 	case Subscribe:
 		return "subscribe"
 	case Disconnect:
-		return fmt.Sprint("close connections to ", d.Server, " idle for ", after)
+		return fmt.Sprint("close idle connections to ", d.Server)
 	case Tell:
 		return fmt.Sprint("tell ", d.Peer, " of ", len(d.Keys), " keys")
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -79,10 +79,11 @@
 	DrainGrace      Micros
 	MayCancel       bool
 	MayProbe        bool
+	MayHint         bool
 	MayTell         bool // short messages to other routers
 	MayTwoAtOnce    bool
 	MaxWriteOuts    int
-	MaxHint         Micros // 0: no hints
+	MaxHint         Micros
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
@@ -211,7 +212,7 @@
 	Wake                   // After, Ref
 	Subscribe
 	Probe      // Server
-	Disconnect // Server, After: close what has been idle for so long
+	Disconnect // Server: close what is idle
 	Tell       // Peer, Keys
 )
 
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -68,7 +68,7 @@
 			}
 		case choice.Disconnect:
 			if s := r.servers[d.Server]; s != nil {
-				r.closeIdle(s, d.After)
+				r.closeIdle(s)
 			}
 		default:
 			r.log.Error(fmt.Sprintf("a decision that the router cannot carry out: %+v", d))
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -186,18 +186,20 @@
 	up.r.returned(w, status, nil)
 }
 
-// closeIdle closes what has been idle for so long. The idle ones stand in order: the first has been so longest.
-func (r *Router) closeIdle(s *server, since choice.Micros) {
-	for now := r.clock(); len(s.idle) > 0 && now-s.idle[0].since >= since; {
-		r.close(s.idle[0].conn)
+func (r *Router) closeIdle(s *server) {
+	for _, up := range slices.Clone(s.idle) {
+		r.close(up.conn)
 	}
 }
 
 // sweep closes what has been idle for nearly as long as its server would let it.
 func (r *Router) sweep() {
 	r.after(r.lim.Sweep, r.sweep)
+	now := r.clock()
 	for _, s := range r.servers {
-		r.closeIdle(s, r.lim.Idle)
+		for len(s.idle) > 0 && now-s.idle[0].since >= r.lim.Idle {
+			r.close(s.idle[0].conn)
+		}
 	}
 }
 
@@ -251,7 +253,7 @@
 		}
 		s.origin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
 		if addr := r.book.Endpoint(e.Server); s.addr != addr {
-			r.closeIdle(s, 0)
+			r.closeIdle(s)
 			s.addr = addr
 		}
 		r.serving = r.serving || e.State == choice.Ready
@@ -259,7 +261,7 @@
 	for id, s := range r.servers {
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
 			delete(r.servers, id)
-			r.closeIdle(s, 0)
+			r.closeIdle(s)
 		}
 	}
 	r.input(l)
--- a/slate/slate.go
+++ b/slate/slate.go
@@ -390,9 +390,7 @@
 		}
 		put("write_peer", strconv.Itoa(d.Peer), base64.StdEncoding.EncodeToString(body))
 	case choice.Disconnect:
-		if d.After == 0 { // there one connection carries all, and no message closes only some
-			put("drop_conns", server)
-		}
+		put("drop_conns", server)
 	}
 }
 
