A req whose client left counts once; the program is tested over sockets

Seen: a test over sockets, the first req of a fresh router left by its client: the next one was nacked at once with nothing out, by the rule 'the caches answer too little'.

Checked: the inputs and decisions of each batch, printed; then the same four inputs given to the module alone, with the name of the rule that fired. Ruled out: the connection (it was closed and its outcome told), the cache's room and health (in flight 0, no points).

At fault: finish() in choice.go runs twice for such a req, on Left and on the outcome of its write-out, and counted it twice as asked and never as answered.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -157,10 +157,10 @@
 }
 
 func (r *Router) finish(q *req) {
-	q.done, q.settled = true, true
-	if q.admitted && (q.sent > 0 || q.target != nil) {
+	if !q.done && q.admitted && (q.sent > 0 || q.target != nil) { // once: a write-out may end after its req
 		r.asked.add(r.now, trafficSpan)
 	}
+	q.done, q.settled = true, true
 	if r.fetches[q.key] == q {
 		delete(r.fetches, q.key)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -146,3 +146,16 @@
 	fmt.Println(retries, "retries for 100 reqs")
 	// Output: 15 retries for 100 reqs
 }
+
+// A client that leaves while a write-out is out ends its req twice, by leaving and by the outcome. Counted twice it
+// looked like a jam: the next req of a quiet router was nacked.
+func TestAReqWhoseClientLeftIsAskedOnce(t *testing.T) {
+	r, _ := New(0, base(), 1)
+	r.Step(0, ListCame{Entries: []Entry{{Server: 1}}})
+	r.Step(0, ReqCame{Req: "a", Key: "k", ValidUntil: 1e6})
+	r.Step(0, Left{Req: "a"})
+	r.Step(0, Returned{Req: "a", Server: 1, Status: Canceled, Over: true})
+	if n := r.asked.now(0, trafficSpan) * trafficSpan / 1e6; n != 1 {
+		t.Errorf("one req counts as %v", n)
+	}
+}
--- /dev/null
+++ b/cmd/spurtrestle/play_test.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/resp"
+)
+
+// The player starts the program and speaks to it over sockets, as a script says. A line is somebody and what he does;
+// below it, indented, stands what he saw. Clients are a, b, c; servers are s1, s2 and origin; discovery is one too.
+type player struct {
+	t       *testing.T
+	out     strings.Builder
+	sockets int
+	idle    float64
+	known   string // nil: all servers that the script names
+	listen  string
+	program *exec.Cmd
+	log     lockedBuffer
+	ended   chan error
+	peers   map[string]*side
+	lastD   string
+}
+
+const patience = 3 * time.Second
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
+// side is a client's connection, or a server with all of its own. What comes is queued as lines.
+type side struct {
+	ln   net.Listener
+	came chan string
+	mu   sync.Mutex
+	all  []net.Conn
+	last net.Conn // the one that something last came on
+}
+
+func (s *side) accept(read func(*side, net.Conn)) {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.all = append(s.all, c)
+		s.mu.Unlock()
+		go read(s, c)
+	}
+}
+
+func (s *side) got(c net.Conn, line string) {
+	s.mu.Lock()
+	if s.last = c; s.ln != nil {
+		line = fmt.Sprint("on ", slices.Index(s.all, c)+1, ": ", line)
+	}
+	s.mu.Unlock()
+	s.came <- line
+}
+
+// readCommands is a cache server's side, readReplies a client's, readRequests that of the origin and discovery.
+func readCommands(s *side, c net.Conn) {
+	readMessages(s, c, func(buf []byte) (string, int, error) {
+		words, used, err := resp.Command(buf, nil, resp.Bounds{Bulk: 1 << 20, Line: 1 << 10, Args: 16})
+		return short(string(bytes.Join(words, []byte(" ")))), used, err
+	})
+}
+
+func readReplies(s *side, c net.Conn) {
+	readMessages(s, c, func(buf []byte) (string, int, error) {
+		r, used, err := resp.ReadReply(buf, resp.Bounds{Bulk: 1 << 20, Line: 1 << 10, Args: 16})
+		return string(r.Kind) + short(string(r.Text)), used, err
+	})
+}
+
+func readMessages(s *side, c net.Conn, next func([]byte) (string, int, error)) {
+	var have []byte
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := c.Read(buf)
+		have = append(have, buf[:n]...)
+		for len(have) > 0 {
+			text, used, broken := next(have)
+			if broken != nil || used == 0 {
+				break
+			}
+			s.got(c, text)
+			have = have[used:]
+		}
+		if err != nil {
+			s.got(c, "the end")
+			return
+		}
+	}
+}
+
+func readRequests(s *side, c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			s.got(c, "the end")
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		line := q.Method + " " + q.RequestURI
+		if id := q.Header.Get("X-Trace-Id"); id != "" {
+			line += " " + id + " " + q.Header.Get("X-Props")
+		}
+		if len(body) > 0 {
+			line += " " + short(string(body))
+		}
+		s.got(c, line)
+	}
+}
+
+// short keeps long values readable.
+func short(text string) string {
+	if len(text) > 200 {
+		return fmt.Sprintf("%s... (%d bytes)", text[:60], len(text))
+	}
+	return strings.Trim(strconv.Quote(text), `"`)
+}
+
+func (s *side) closeAll(reset bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.all {
+		if tcp, ok := c.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func newPlayer(t *testing.T) *player {
+	p := &player{t: t, sockets: 256, idle: 60, peers: map[string]*side{}, ended: make(chan error, 1)}
+	t.Cleanup(func() {
+		if p.program != nil {
+			_ = p.program.Process.Kill()
+		}
+		for _, s := range p.peers {
+			if s.ln != nil {
+				s.ln.Close()
+			}
+			s.closeAll(false)
+		}
+	})
+	return p
+}
+
+const settings = `{"balancers":1,"discovery":"pushed","domain":{"mode":"aside","origin-kind":1},` +
+	`"flavors":["std","origin"],"load-report":{"fields":["avg_ms","x0"],"how":"piggyback"},"policy-limits":` +
+	`{"cancel":true,"retry-after":true,"max-retry-after-s":1,"send-cap":3,"connect-timeout-s":0.2,"idle-close-s":%g},` +
+	`"rules":{"cold-s":8,"cold-share":0.3,"fall-s":3,"tip-multiple":3,"stop-sending-within-s":1},` +
+	`"resolution-s":0.005,"request-classes":[{"name":"get","effect":"free","slo-s":1.5,"deadline-s":3,"worth":1},` +
+	`{"name":"pay","effect":"single_shot","slo-s":1.5,"deadline-s":3,"worth":1}]}`
+
+// list is discovery's form of "s1 s2:leaving".
+func (p *player) list(all bool, rev int, words []string) string {
+	var targets []map[string]any
+	for _, w := range words {
+		name, state, _ := strings.Cut(w, ":")
+		kind := "std"
+		if name == "origin" {
+			kind = "origin"
+		}
+		if state == "" {
+			state = "active"
+		}
+		targets = append(targets, map[string]any{"uid": name, "endpoint": p.server(name).ln.Addr().String(), "az": "a",
+			"model": kind, "state": state, "capacity_hint": 1, "boot_ms": 0})
+	}
+	text, _ := json.Marshal(map[string]any{"rev": rev, "all": all, "targets": targets})
+	return string(text)
+}
+
+func (p *player) server(name string) *side {
+	if p.peers[name] == nil {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		s := &side{ln: ln, came: make(chan string, 1024)}
+		p.peers[name] = s
+		read := readCommands
+		if name == "origin" || name == "discovery" {
+			read = readRequests
+		}
+		go s.accept(read)
+	}
+	return p.peers[name]
+}
+
+// start runs the program; its known list holds the servers that are named.
+func (p *player) start(known []string) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.listen = free.Addr().String()
+	free.Close()
+	file := filepath.Join(p.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
+		`"memory_mb":192,"sockets":%d},"known":%s,"settings":`+settings+`}`, p.listen,
+		p.server("discovery").ln.Addr(), p.sockets, p.list(true, 1, known), p.idle)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	p.program = exec.Command(os.Args[0])
+	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+file)
+	p.program.Stderr = &p.log
+	if err := p.program.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	go func() { p.ended <- p.program.Wait() }()
+	for range 300 {
+		if strings.Contains(p.log.text(), "msg=serving") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Fatal("the program does not start:\n", p.log.text())
+}
+
+var dOf = regexp.MustCompile(`\bd=([0-9]+)`)
+
+// see waits for the next thing that comes to s.
+func (p *player) see(s *side) string {
+	select {
+	case line := <-s.came:
+		return dOf.ReplaceAllStringFunc(line, func(d string) string { // how much is left is not the same each time
+			if had, _ := strconv.Atoi(p.lastD); d != "d="+p.lastD {
+				if left, _ := strconv.Atoi(d[2:]); left > 0 && left < had {
+					return "d<" + p.lastD
+				}
+			}
+			return d
+		})
+	case <-time.After(patience):
+		return "nothing"
+	}
+}
+
+func (p *player) do(who, what string, rest string) (saw []string) {
+	words := strings.Fields(rest)
+	quoted := func() []byte {
+		text, err := strconv.Unquote(rest)
+		if err != nil {
+			p.t.Fatalf("%s is not quoted", rest)
+		}
+		return []byte(strings.ReplaceAll(text, "LONG", strings.Repeat("0123456789abcdef", 4096)))
+	}
+	number := func(otherwise int) int {
+		if len(words) == 0 {
+			return otherwise
+		}
+		n, err := strconv.Atoi(words[0])
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		return n
+	}
+	switch who + " " + what {
+	case "sockets are":
+		p.sockets = number(0)
+		return nil
+	case "idle after":
+		p.idle, _ = strconv.ParseFloat(rest, 64)
+		return nil
+	case "router starts":
+		p.start(words)
+		return nil
+	case "router ends":
+		select {
+		case err := <-p.ended:
+			return []string{fmt.Sprint("exit: ", err), p.counted()}
+		case <-time.After(patience):
+			return []string{"still running"}
+		}
+	case "router counts":
+		before := strings.Count(p.log.text(), "taken=")
+		_ = p.program.Process.Signal(syscall.SIGUSR1)
+		for range 300 {
+			if strings.Count(p.log.text(), "taken=") > before {
+				return []string{p.counted()}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return []string{"no counts"}
+	case "router term":
+		_ = p.program.Process.Signal(syscall.SIGTERM)
+		return nil
+	case "clients come":
+		for range number(0) {
+			if c, err := net.Dial("tcp", p.listen); err == nil {
+				p.t.Cleanup(func() { c.Close() })
+			}
+		}
+		return nil
+	case "clients flood": // commands without end, until the router cuts the connection
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			return []string{"refused"}
+		}
+		defer c.Close()
+		_ = c.SetWriteDeadline(time.Now().Add(patience))
+		for i := 0; ; i++ {
+			_, err := c.Write(resp.AppendCommand(nil, []byte("CACHE.GET"), []byte("k"), []byte(fmt.Sprint("f", i)),
+				[]byte("c=get,d=60000")))
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return []string{"goes on"}
+			}
+			if err != nil {
+				return []string{"cut off"}
+			}
+		}
+	case "time passes":
+		d, err := time.ParseDuration(rest)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		time.Sleep(d)
+		return nil
+	}
+	s := p.peers[who]
+	if s == nil && what != "opens" || s != nil && s.last == nil && (what == "writes" || what == "lists" || what == "changes") {
+		return []string{"nothing has come to answer"}
+	}
+	switch what {
+	case "opens":
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			return []string{"refused"}
+		}
+		s = &side{came: make(chan string, 1024), all: []net.Conn{c}, last: c}
+		p.peers[who] = s
+		go readReplies(s, c)
+	case "sends":
+		if m := dOf.FindStringSubmatch(rest); m != nil {
+			p.lastD = m[1]
+		}
+		var args [][]byte
+		for _, w := range words {
+			args = append(args, []byte(strings.ReplaceAll(w, "LONG", strings.Repeat("0123456789abcdef", 4096))))
+		}
+		_, _ = s.last.Write(resp.AppendCommand(nil, args...))
+	case "writes", "writes-on-1":
+		if what == "writes-on-1" {
+			s.last = s.all[0]
+		}
+		if m := dOf.FindStringSubmatch(rest); m != nil {
+			p.lastD = m[1]
+		}
+		_, _ = s.last.Write(quoted())
+	case "gets":
+		for range number(1) {
+			saw = append(saw, p.see(s))
+		}
+	case "gets-nothing":
+		select {
+		case line := <-s.came:
+			saw = append(saw, line)
+		case <-time.After(300 * time.Millisecond):
+		}
+	case "lists", "changes":
+		body := p.list(what == "lists", number(0), words[1:])
+		fmt.Fprintf(s.last, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case "closes", "resets", "stops":
+		if what == "stops" {
+			s.ln.Close()
+		}
+		s.closeAll(what == "resets")
+	default:
+		p.t.Fatalf("%q does not know how it %s", who, what)
+	}
+	return saw
+}
+
+var countsOf = regexp.MustCompile(`taken=.* left=\d+`)
+
+func (p *player) counted() string {
+	found := countsOf.FindAllString(p.log.text(), -1)
+	if len(found) == 0 {
+		return "no counts"
+	}
+	return found[len(found)-1]
+}
+
+func (p *player) play(script string) string {
+	for line := range strings.Lines(script) {
+		if strings.HasPrefix(line, "  ") {
+			continue
+		}
+		p.out.WriteString(line)
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		who, rest, _ := strings.Cut(line, " ")
+		what, rest, _ := strings.Cut(rest, " ")
+		for _, saw := range p.do(who, what, rest) {
+			fmt.Fprintf(&p.out, "  %s\n", saw)
+		}
+	}
+	return p.out.String()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,9 +40,8 @@
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
-			Cores   float64 `json:"cores"`
-			Memory  int     `json:"memory_mb"`
-			Sockets int     `json:"sockets"`
+			Memory  int `json:"memory_mb"`
+			Sockets int `json:"sockets"`
 		} `json:"limits"`
 		Known    json.RawMessage `json:"known"`
 		Settings json.RawMessage `json:"settings"`
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -14,11 +14,13 @@
 	Descriptors int   // connections and dials, those in reserve not counted
 
 	Resp       resp.Bounds
-	HTTP       httpwire.Bounds
+	Origin     httpwire.Bounds
+	Discovery  httpwire.Bounds
 	ClientIn   int // bytes of one client that wait to be read on
 	ClientOut  int // bytes of answers that one client has not taken
 	Pipeline   int // commands of one client that wait for their answers
 	HeldBytes  int // bytes of all reqs in hand
+	Buffered   int // bytes that the connections of all clients hold
 	Connect    choice.Micros
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
@@ -52,11 +54,13 @@
 		Memory:      int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
 		Descriptors: sockets - reserve,
 		Resp:        resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
-		HTTP:        httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte},       // a whole list of thousands
+		Origin:      httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
+		Discovery:   httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
 		ClientIn:    256 * kibibyte,
 		ClientOut:   mebibyte,
 		Pipeline:    256,
 		HeldBytes:   memory * mebibyte / 8,
+		Buffered:    memory * mebibyte / 4,
 		Connect:     s.ConnectTimeout,
 		Idle:        s.IdleClose * 9 / 10, // a req may be on its way when the server closes
 		Sweep:       250e3,
@@ -72,5 +76,6 @@
 	if l.Idle <= 0 {
 		l.Idle = 15e6
 	}
+	l.Sweep = min(l.Sweep, l.Idle/20) // found in time, however short the server's patience
 	return l, nil
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -33,13 +33,14 @@
 		addrs: map[choice.ServerID]string{}}
 }
 
-// Path is the next call: the whole list, then watches of the given length.
-func (b *Book) Path(wait choice.Micros) string {
-	const path = "/registry/instances"
+// Call is the next call, and how long discovery may take over it: the whole list at once, then watches of the given
+// length.
+func (b *Book) Call(wait choice.Micros) (path string, most choice.Micros) {
+	path = "/registry/instances"
 	if !b.whole {
-		return path
+		return path, 0
 	}
-	return path + "?index=" + strconv.FormatInt(b.rev, 10) + "&wait=" + strconv.FormatInt(int64(wait/1e3), 10)
+	return path + "?index=" + strconv.FormatInt(b.rev, 10) + "&wait=" + strconv.FormatInt(int64(wait/1e3), 10), wait
 }
 
 // Endpoint is where a server is reached.
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -16,7 +16,7 @@
 	conn    gnet.Conn
 	slots   []*slot // commands in order, until their answers are written
 	idle    choice.Micros
-	stalled bool // its next commands wait until there is room
+	stalled bool // its next commands wait until there is room; it is on the router's list of those
 	over    bool // to be closed once the answers are out
 	words   [][]byte
 }
@@ -57,7 +57,8 @@
 		return gnet.None
 	}
 	for !c.over {
-		if c.stalled = len(c.slots) >= c.r.lim.Pipeline || c.r.held >= c.r.lim.HeldBytes; c.stalled {
+		if len(c.slots) >= c.r.lim.Pipeline || c.r.held >= c.r.lim.HeldBytes {
+			c.stall()
 			break
 		}
 		buf, err := c.conn.Peek(-1)
@@ -81,12 +82,13 @@
 		}
 		_, _ = c.conn.Discard(used) // bytes that Peek has just shown
 	}
-	if c.stalled && !c.over {
-		// gnet reads on whatever is left, so this is where a client that sends on is cut off.
-		c.r.stalled = append(c.r.stalled, c)
-	}
-	if !c.over && c.conn.InboundBuffered() > c.r.lim.ClientIn {
-		c.broken("too much is waiting")
+	if !c.over {
+		if n := c.conn.InboundBuffered(); n > c.r.lim.ClientIn {
+			// gnet reads on whatever the loop leaves, so a client that sends on is cut off here.
+			c.broken("too much is waiting")
+		} else {
+			c.r.buffer(n)
+		}
 	}
 	if c.over && len(c.slots) == 0 {
 		return gnet.Close
@@ -94,6 +96,13 @@
 	return gnet.None
 }
 
+func (c *client) stall() {
+	if !c.stalled {
+		c.stalled = true
+		c.r.stalled = append(c.r.stalled, c)
+	}
+}
+
 // broken answers a command that cannot be read, behind the answers that are due, and closes.
 func (c *client) broken(why string) {
 	c.r.counts.Broken++
@@ -136,9 +145,35 @@
 	if _, err := c.conn.Write(text); err != nil { // gnet has closed it
 		return
 	}
-	if c.conn.OutboundBuffered() > c.r.lim.ClientOut { // it does not take its answers
+	if n := c.conn.OutboundBuffered(); n > c.r.lim.ClientOut { // it does not take its answers
 		c.r.counts.Broken++
 		c.r.close(c.conn)
+	} else {
+		c.r.buffer(n)
+	}
+}
+
+// buffer notes bytes that a client's connection holds. Where all together may hold too much they are counted, and
+// those that hold most are closed.
+func (r *Router) buffer(n int) {
+	if r.buffered += n; r.buffered <= r.lim.Buffered {
+		return
+	}
+	for {
+		r.buffered = 0
+		var most *client
+		holds := func(c *client) int { return c.conn.InboundBuffered() + c.conn.OutboundBuffered() }
+		for c := range r.clients {
+			r.buffered += holds(c)
+			if most == nil || holds(c) > holds(most) {
+				most = c
+			}
+		}
+		if r.buffered <= r.lim.Buffered/2 {
+			return
+		}
+		r.counts.Shed++
+		r.close(most.conn)
 	}
 }
 
@@ -227,6 +262,7 @@
 	stalled := r.stalled
 	r.stalled = nil
 	for _, c := range stalled {
+		c.stalled = false
 		if !c.over && c.traffic() == gnet.Close {
 			r.close(c.conn)
 		}
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -19,7 +19,7 @@
 
 // readResponse reads the origin's answer; ended: the connection brings nothing more.
 func (up *upstream) readResponse(w *writeOut, buf []byte, ended bool) (used int, keep bool, err error) {
-	answer, used, err := httpwire.Read(buf, ended, up.r.lim.HTTP)
+	answer, used, err := httpwire.Read(buf, ended, up.r.lim.Origin)
 	if err != nil || used == 0 {
 		return 0, false, err
 	}
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -144,7 +144,7 @@
 		r.counts.OK++
 	case choice.Miss:
 		r.counts.Miss++
-	case choice.QueueFull, choice.ConnectError:
+	case choice.QueueFull, choice.ConnectError, choice.Ignored:
 		r.counts.NeverRan++
 	case choice.Canceled:
 		r.counts.GivenUp++
@@ -156,21 +156,22 @@
 	r.settle(q)
 }
 
-// giveUp ends a write-out that is still out by closing its connection, so that no late byte reaches another req. One
-// that has not left us whole has never run.
+// giveUp ends a write-out that is still out by closing its connection, so that no late byte reaches another req.
 func (r *Router) giveUp(w *writeOut, status choice.Status) {
 	up := w.up
-	if up == nil || up.conn.OutboundBuffered() > 0 {
-		status = choice.ConnectError
-	}
 	r.returned(w, status, nil)
 	if up != nil {
 		r.close(up.conn)
 	}
 }
 
+// timedOut: what has not left us whole by its time has never run, and that is not held against the server.
 func (r *Router) timedOut(w *writeOut) {
-	if w.q.out == w {
+	switch {
+	case w.q.out != w:
+	case w.up == nil || w.up.conn.OutboundBuffered() > 0:
+		r.giveUp(w, choice.Ignored)
+	default:
 		r.giveUp(w, choice.TimedOut)
 	}
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -19,6 +19,7 @@
 	id      choice.ServerID
 	addr    string
 	origin  bool
+	ready   bool        // in the list, and not draining: idle connections are of use
 	idle    []*upstream // the last used at the end
 	waiting []*writeOut // for a connection
 	dialing int
@@ -112,7 +113,7 @@
 		up.send(w)
 		return
 	}
-	if up.r.servers[s.id] != s { // the server is gone from the list
+	if !s.ready {
 		up.r.close(up.conn)
 		return
 	}
@@ -256,11 +257,15 @@
 			r.closeIdle(s)
 			s.addr = addr
 		}
-		r.serving = r.serving || e.State == choice.Ready
+		if s.ready = e.State == choice.Ready; !s.ready {
+			r.closeIdle(s)
+		}
+		r.serving = r.serving || s.ready
 	}
 	for id, s := range r.servers {
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
 			delete(r.servers, id)
+			s.ready = false
 			r.closeIdle(s)
 		}
 	}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -1,18 +1,24 @@
 package router
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/panjf2000/gnet/v2"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/httpwire"
 )
 
+var errNoAnswer = errors.New("the connection ended, or the answer was late")
+
 // watch is the connection to discovery: one call after the other, each but the first waiting for news.
 type watch struct {
 	r       *Router
 	conn    gnet.Conn
 	dialing bool
 	calling bool
+	failing bool
 	again   *timer // the next call after a failed one
 	late    *timer
 }
@@ -34,8 +40,8 @@
 	}
 	r := w.r
 	w.calling = true
-	w.late = r.after(r.lim.Watch+r.lim.WatchSlack, func() { r.close(w.conn) })
-	path := r.book.Path(r.lim.Watch)
+	path, wait := r.book.Call(r.lim.Watch)
+	w.late = r.after(wait+r.lim.WatchSlack, func() { r.close(w.conn) })
 	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, r.cfg.Discovery, nil, nil)) // an error: closed
 }
 
@@ -49,13 +55,13 @@
 	buf, _ := w.conn.Peek(-1)
 	w.conn = nil
 	if w.calling && len(buf) > 0 {
-		if answer, used, err := httpwire.Read(buf, true, w.r.lim.HTTP); err == nil && used > 0 {
+		if answer, used, err := httpwire.Read(buf, true, w.r.lim.Discovery); err == nil && used > 0 {
 			w.took(answer)
 			return
 		}
 	}
 	if w.calling {
-		w.failed(nil)
+		w.failed(errNoAnswer)
 	}
 }
 
@@ -64,7 +70,7 @@
 	if err != nil || len(buf) == 0 {
 		return gnet.None
 	}
-	answer, used, err := httpwire.Read(buf, false, w.r.lim.HTTP)
+	answer, used, err := httpwire.Read(buf, false, w.r.lim.Discovery)
 	if err != nil || !w.calling {
 		return gnet.Close
 	}
@@ -88,11 +94,18 @@
 	w.calling = false
 	w.r.cancel(w.late)
 	l, err := w.r.book.Take(answer.Body)
-	if answer.Status != 200 || err != nil {
+	if answer.Status != 200 {
+		err = fmt.Errorf("status %d", answer.Status)
+	}
+	if err != nil {
 		w.r.book.Forget()
 		w.failed(err)
 		return
 	}
+	if w.failing {
+		w.failing = false
+		w.r.log.Info("discovery answers again")
+	}
 	w.r.listCame(l)
 	w.call()
 }
@@ -102,7 +115,10 @@
 	w.calling = false
 	w.r.cancel(w.late)
 	w.r.counts.ListsFailed++
-	w.r.log.WithError(err).Warn("a call to discovery failed")
+	if !w.failing { // once for a row of them
+		w.failing = true
+		w.r.log.WithError(err).Warn("a call to discovery failed; going on with the last list")
+	}
 	if w.r.cfg.Settings.ListOnRequest {
 		w.r.input(choice.ListCame{Kind: choice.ListFailed})
 		return
