Tests of the parsers, discovery, configuration and the edges of the router

An odd known list ends the program with the field's name; an odd entry of discovery no longer keeps the others from counting: a state that is not known counts as draining.

--- a/cmd/spurtrestle/main.go
+++ b/cmd/spurtrestle/main.go
@@ -28,7 +28,10 @@
 	}
 	debug.SetMemoryLimit(cfg.Limits.Memory)
 	log := logrus.New()
-	r := router.New(cfg, log)
+	r, err := router.New(cfg, log)
+	if err != nil {
+		return err
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,23 +41,25 @@
 	lastD   string
 }
 
+var started atomic.Int32
+
 const patience = 3 * time.Second
 
 type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu  sync.Mutex
+	has bytes.Buffer
 }
 
 func (b *lockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.has.Write(p)
 }
 
 func (b *lockedBuffer) text() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.String()
+	return b.has.String()
 }
 
 // side is a client's connection, or a server with all of its own. What comes is queued as lines.
@@ -190,7 +193,7 @@
 
 // list is discovery's form of "s1 s2:leaving".
 func (p *player) list(all bool, rev int, words []string) string {
-	var targets []map[string]any
+	targets := []map[string]any{}
 	for _, w := range words {
 		name, state, _ := strings.Cut(w, ":")
 		kind := "std"
@@ -226,12 +229,8 @@
 
 // start runs the program; its known list holds the servers that are named.
 func (p *player) start(known []string) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.listen = free.Addr().String()
-	free.Close()
+	// An address of its own: a free port of 127.0.0.1 may be taken by a connection before the program has it.
+	p.listen = fmt.Sprintf("127.77.%d.%d:6379", os.Getpid()%250, started.Add(1))
 	file := filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":%d},"known":%s,"settings":`+settings+`}`, p.listen,
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const whole = `{"name":"n3","listen":"127.0.0.4:6379","discovery":"127.0.1.1:8500","seed":"8c1f30d27a5be964",` +
+	`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[]},"settings":` +
+	`{"balancers":2,"discovery":"pushed","domain":{"mode":"aside","origin-kind":1},"flavors":["std","origin"],` +
+	`"policy-limits":{"send-cap":3,"connect-timeout-s":0.1,"idle-close-s":60},"rules":{},"request-classes":` +
+	`[{"name":"get","effect":"free","deadline-s":1}]}}`
+
+func load(t *testing.T, text string, variables map[string]string) (Config, error) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(name string) string {
+		if name == "EDGE_CONFIG" {
+			return file
+		}
+		return variables[name]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, whole, map[string]string{"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.9:1"})
+	got := fmt.Sprintf("%v %s %s %s %x, %d routers, %d %d %d %s", err, c.Name, c.Listen, c.Discovery, c.Seed,
+		c.Settings.Routers, c.Limits.Connect, c.Limits.Idle, c.Limits.Descriptors, c.Known)
+	const want = "<nil> n9 127.0.0.9:1 127.0.1.1:8500 8c1f30d27a5be964, 2 routers, 100000 54000000 1000 " +
+		`{"rev":1,"all":true,"targets":[]}`
+	if got != want {
+		t.Error(got)
+	}
+}
+
+// What is wrong is named by its field.
+func TestBadConfigurationIsNamed(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"127.0.0.4:6379"`, `"here"`, `listen: "here" is no address and port`},
+		{`"127.0.1.1:8500"`, `""`, `discovery: "" is no address and port`},
+		{`8c1f30d27a5be964`, `x`, `seed: "x" is not a hexadecimal number`},
+		{`"sockets":1024`, `"sockets":10`, "limits.sockets: 10 are fewer than 64"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1 is less than 32"},
+		{`"balancers":2`, `"balancers":0`, "settings: balancers is missing or below 1"},
+		{`"effect":"free"`, `"effect":"odd"`, `settings: request-classes: "get" lacks a name, an effect, a group or a deadline`},
+		{`"settings":`, `"set":`, "settings: unexpected end of JSON input"},
+		{whole, `{"name"`, "EDGE_CONFIG: unexpected end of JSON input"},
+	} {
+		if _, err := load(t, strings.Replace(whole, c.from, c.to, 1), nil); err == nil || err.Error() != c.want {
+			t.Errorf("with %s: %v", c.to, err)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || err.Error() != "EDGE_CONFIG is not set" {
+		t.Error(err)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -68,7 +67,7 @@
 
 var states = map[string]choice.State{"active": choice.Ready, "leaving": choice.Draining, "left": choice.Gone}
 
-// Saved reads the list that a router starts with; it may be old.
+// Saved reads the list that a router starts with; it may be old, so that the next call asks for the whole one.
 func (b *Book) Saved(body []byte) (choice.ListCame, error) {
 	l, err := b.Take(body)
 	l.Kind = choice.ListSaved
@@ -76,7 +75,7 @@
 	return l, err
 }
 
-// Take reads an answer. One that is not whole or odd changes nothing.
+// Take reads an answer. One that cannot be read changes nothing; an odd entry does not keep the others from counting.
 func (b *Book) Take(body []byte) (choice.ListCame, error) {
 	var a answer
 	l := choice.ListCame{Kind: choice.ListChanges}
@@ -92,14 +91,6 @@
 		return l, errors.New("changes came where the whole list was asked for")
 	}
 	targets := *a.Targets
-	for _, t := range targets {
-		if _, ok := states[t.State]; !ok || t.UID == "" {
-			return l, fmt.Errorf("target %q: state %q is not known", t.UID, t.State)
-		}
-		if t.Boot < 0 || t.Boot > math.MaxInt64/2e3 {
-			return l, fmt.Errorf("target %q: boot_ms %g is no time", t.UID, t.Boot)
-		}
-	}
 	b.rev, b.whole = *a.Rev, b.whole || a.All
 	if a.All {
 		l.Kind = choice.ListFull
@@ -107,12 +98,22 @@
 	// In order of name, so that two names that share a number are told apart alike at every router.
 	slices.SortStableFunc(targets, func(x, y target) int { return strings.Compare(string(x.UID), string(y.UID)) })
 	for _, t := range targets {
+		if t.UID == "" {
+			continue
+		}
+		state, known := states[t.State]
+		if !known {
+			state = choice.Draining // whatever it means, it does not ask for anything new
+		}
+		if t.Boot < 0 || t.Boot > math.MaxInt64/2e3 {
+			t.Boot = 0
+		}
 		id := b.id(t.UID)
 		if t.Endpoint != "" {
 			b.addrs[id] = t.Endpoint
 		}
 		l.Entries = append(l.Entries, choice.Entry{Server: id, Zone: choice.Zone(t.Zone), Kind: choice.Kind(t.Kind),
-			Cell: choice.Cell(t.Cell), State: states[t.State], Weight: t.Weight, Started: choice.Micros(t.Boot * 1e3)})
+			Cell: choice.Cell(t.Cell), State: state, Weight: t.Weight, Started: choice.Micros(t.Boot * 1e3)})
 	}
 	return l, nil
 }
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,95 @@
+package httpwire
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var bounds = Bounds{Head: 128, Body: 32}
+
+func ExampleRead() {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvaluebehind",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n3;x=1\r\nval\r\n2\r\nue\r\n0\r\nT: 1\r\n\r\nbehind",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\nConnection: Close\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nuntil the end",
+		"HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nval\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n21\r\n",
+		"HTTP/1.1 2000 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "SSH-2.0-x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 128),
+	} {
+		r, used, err := Read([]byte(text), true, bounds)
+		if err != nil {
+			fmt.Printf("%.40q: %v\n", text, err)
+			continue
+		}
+		fmt.Printf("%d %q, %d of %d used, close %v, never ran %q\n", r.Status, r.Body, used, len(text), r.Close,
+			r.Get("x-never-ran"))
+	}
+	// Output:
+	// 200 "value", 43 of 49 used, close false, never ran ""
+	// 200 "value", 77 of 83 used, close false, never ran ""
+	// 503 "", 90 of 90 used, close true, never ran "1"
+	// 204 "", 52 of 52 used, close false, never ran ""
+	// 200 "x", 39 of 39 used, close true, never ran ""
+	// 200 "", 35 of 35 used, close false, never ran ""
+	// 200 "until the end", 32 of 32 used, close true, never ran ""
+	// "HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\n": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun": broken or oversize answer
+	// "HTTP/1.1 2000 OK\r\n\r\n": broken or oversize answer
+	// "HTTP/2 200 OK\r\n\r\n": broken or oversize answer
+	// "SSH-2.0-x\r\n\r\n": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nX: xxxxxxxxxxxxxxxxxxxx": broken or oversize answer
+}
+
+// An answer that comes in parts is nothing until it is whole, wherever it is cut.
+func TestEveryCutOfAnAnswerWaits(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nval\r\n2\r\nue\r\n0\r\n\r\n",
+	} {
+		for i := range text {
+			if r, used, err := Read([]byte(text[:i]), false, bounds); used != 0 || err != nil {
+				t.Errorf("%q: %v, %d, %v", text[:i], r, used, err)
+			}
+		}
+		if r, used, err := Read([]byte(text), false, bounds); string(r.Body) != "value" || used != len(text) || err != nil {
+			t.Errorf("%q: %q, %d, %v", text, r.Body, used, err)
+		}
+	}
+}
+
+func ExampleAppendRequest() {
+	headers := []Header{{"X-Trace-Id", []byte("r1\r\nX-Evil: 1")}}
+	fmt.Printf("%q\n", AppendRequest(nil, "GET", "/k", "h:1", headers, nil))
+	fmt.Printf("%q\n", AppendRequest(nil, "PUT", "/k", "h:1", nil, []byte{}))
+	// Output:
+	// "GET /k HTTP/1.1\r\nHost: h:1\r\nX-Trace-Id: r1X-Evil: 1\r\n\r\n"
+	// "PUT /k HTTP/1.1\r\nHost: h:1\r\nContent-Length: 0\r\n\r\n"
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue"), 20)
+	f.Add([]byte("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n"), 70)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		r, used, err := Read(data, false, bounds)
+		if used < 0 || used > len(data) || err != nil && used != 0 || len(r.Body) > bounds.Body {
+			t.Fatalf("used %d of %d, %v", used, len(data), err)
+		}
+		part := data[:max(0, min(cut, len(data)))]
+		if _, less, early := Read(part, false, bounds); less > 0 && less != used || early != nil && err == nil {
+			t.Fatalf("a part gives %d, %v, the whole %d, %v", less, early, used, err)
+		}
+		_, _, _ = Read(data, true, bounds)
+	})
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,109 @@
+package resp
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var bounds = Bounds{Bulk: 64, Line: 32, Args: 5}
+
+func show(r Reply) string {
+	switch {
+	case r.Null:
+		return string(r.Kind) + "null"
+	case r.Kind == '*':
+		var items []string
+		for _, x := range r.Items {
+			items = append(items, show(x))
+		}
+		return "[" + strings.Join(items, " ") + "]"
+	}
+	return fmt.Sprintf("%c%q", r.Kind, r.Text)
+}
+
+func ExampleReadReply() {
+	for _, text := range []string{
+		"$5\r\nvalue\r\n", "$0\r\n\r\n", "$-1\r\n", "*3\r\n$3\r\na\r\n\r\n$-1\r\n$5\r\nx0=.5\r\n", "*0\r\n", "*-1\r\n",
+		"-BUSY 20\r\n", "-ERR failed inflight=7,queue=2\r\n", "+PONG\r\n", ":12\r\n$1\r\nbehind\r\n",
+		"$65\r\n", "$x\r\n", "$-2\r\n", "$3\r\nabcd\r\n", "*6\r\n", "hello\r\n", "+no line end\n",
+		"*1\r\n*1\r\n*1\r\n*1\r\n+deep\r\n", "+" + strings.Repeat("x", 40),
+	} {
+		r, used, err := ReadReply([]byte(text), bounds)
+		if err != nil {
+			fmt.Printf("%.20q: %v\n", text, err)
+			continue
+		}
+		fmt.Println(show(r), used)
+	}
+	// Output:
+	// $"value" 11
+	// $"" 6
+	// $null 5
+	// [$"a\r\n" $null $"x0=.5"] 29
+	// [] 4
+	// *null 5
+	// -"BUSY 20" 10
+	// -"ERR failed inflight=7,queue=2" 32
+	// +"PONG" 7
+	// :"12" 5
+	// "$65\r\n": broken or oversize message
+	// "$x\r\n": broken or oversize message
+	// "$-2\r\n": broken or oversize message
+	// "$3\r\nabcd\r\n": broken or oversize message
+	// "*6\r\n": broken or oversize message
+	// "hello\r\n": broken or oversize message
+	// "+no line end\n": broken or oversize message
+	// "*1\r\n*1\r\n*1\r\n*1\r\n+dee": broken or oversize message
+	// "+xxxxxxxxxxxxxxxxxxx": broken or oversize message
+}
+
+// A message that comes in parts is nothing until it is whole, wherever it is cut.
+func TestEveryCutOfAMessageWaits(t *testing.T) {
+	command := AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte(""), []byte("a\r\n*1\r\n"))
+	reply := []byte("*3\r\n$4\r\na\r\nb\r\n*1\r\n:1\r\n$-1\r\n")
+	for i := range command {
+		if words, used, err := Command(command[:i], nil, bounds); used != 0 || err != nil {
+			t.Errorf("%q: %q, %d, %v", command[:i], words, used, err)
+		}
+	}
+	words, used, err := Command(append(command, "*1\r\n$4\r\nPING\r\n"...), nil, bounds)
+	if fmt.Sprintf("%q", words) != `["CACHE.SET" "k" "" "a\r\n*1\r\n"]` || used != len(command) || err != nil {
+		t.Errorf("%q, %d, %v", words, used, err)
+	}
+	for i := range reply {
+		if r, used, err := ReadReply(reply[:i], bounds); used != 0 || err != nil {
+			t.Errorf("%q: %v, %d, %v", reply[:i], r, used, err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	for _, seed := range []string{"*1\r\n$4\r\nPING\r\n", "*3\r\n$1\r\na\r\n$-1\r\n:5\r\n", "-ERR x\r\n", "*-1\r\n", "$70\r\n"} {
+		f.Add([]byte(seed), 3)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		part := data[:max(0, min(cut, len(data)))]
+		words, used, err := Command(data, nil, bounds)
+		if used < 0 || used > len(data) || err != nil && used != 0 {
+			t.Fatalf("used %d of %d, %v", used, len(data), err)
+		}
+		if _, less, early := Command(part, nil, bounds); less > 0 && less != used || early != nil && err == nil {
+			t.Fatalf("a part gives %d, %v, the whole %d, %v", less, early, used, err)
+		}
+		if used > 0 && len(words) > 0 {
+			again, n, err := Command(AppendCommand(nil, words...), nil, bounds)
+			if err != nil || n == 0 || !bytes.Equal(bytes.Join(again, []byte{0}), bytes.Join(words, []byte{0})) {
+				t.Fatalf("%q came back as %q, %v", words, again, err)
+			}
+		}
+		_, used, err = ReadReply(data, bounds)
+		if used < 0 || used > len(data) || err != nil && used != 0 {
+			t.Fatalf("used %d of %d, %v", used, len(data), err)
+		}
+		if _, less, early := ReadReply(part, bounds); less > 0 && less != used || early != nil && err == nil {
+			t.Fatalf("a part gives %d, %v, the whole %d, %v", less, early, used, err)
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,8 @@
 	conns    int // open connections of all kinds
 	book     *discovery.Book
 	watch    *watch
-	serving  bool // a list with a server to use has come
+	known    choice.ListCame // the list to start with
+	serving  bool            // a list with a server to use has come
 
 	engine                     gnet.Engine
 	draining, closing, stopped bool
@@ -68,7 +69,7 @@
 }
 
 // New returns a router that is not running yet.
-func New(cfg config.Config, log *logrus.Logger) *Router {
+func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}),
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New()}
@@ -77,7 +78,13 @@
 	}
 	// The protocol gives routers no way to each other yet.
 	r.cfg.Settings.MayTell = false
-	return r
+	if len(cfg.Known) > 0 {
+		var err error
+		if r.known, err = r.book.Saved(cfg.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return r, nil
 }
 
 // Run serves until it is drained or cannot go on.
@@ -109,15 +116,11 @@
 	r.loop = loop
 	r.now = r.clock()
 	r.timers.init(r)
-	core, decided := choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
-	r.core = core
+	var decided []choice.Decision
+	r.core, decided = choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
 	r.carryOut(decided)
 	if len(r.cfg.Known) > 0 {
-		if l, err := r.book.Saved(r.cfg.Known); err != nil {
-			r.log.WithError(err).Warn("the known list is odd; starting without it")
-		} else {
-			r.listCame(l)
-		}
+		r.listCame(r.known)
 	}
 	r.watch = &watch{r: r}
 	r.watch.call()
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/config"
+	"spurtrestle/internal/resp"
+)
+
+// What a kernel does not do on demand is tested with a connection and a loop that only note what they are asked for.
+
+type notedConn struct {
+	gnet.Conn
+	ctx     any
+	in      []byte
+	wrote   string
+	left    int   // bytes that the kernel would not take
+	fails   error // of a write
+	fd      int
+	closing func(gnet.Conn)
+	closed  bool
+}
+
+func (c *notedConn) Context() any               { return c.ctx }
+func (c *notedConn) SetContext(x any)           { c.ctx = x }
+func (c *notedConn) Peek(int) ([]byte, error)   { return c.in, nil }
+func (c *notedConn) Discard(n int) (int, error) { c.in = c.in[n:]; return n, nil }
+func (c *notedConn) InboundBuffered() int       { return len(c.in) }
+func (c *notedConn) OutboundBuffered() int      { return c.left }
+func (c *notedConn) Fd() int                    { return c.fd }
+func (c *notedConn) EventLoop() gnet.EventLoop  { return nil }
+func (c *notedConn) Write(p []byte) (int, error) {
+	if c.fails != nil { // gnet closes the connection within the write
+		c.closing(c)
+		return 0, c.fails
+	}
+	c.wrote += string(p)
+	return len(p), nil
+}
+
+type notedLoop struct {
+	gnet.EventLoop
+	r    *Router
+	mu   sync.Mutex // the alarm of the timers comes from elsewhere
+	work []gnet.Runnable
+}
+
+func (l *notedLoop) Execute(_ context.Context, f gnet.Runnable) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.work = append(l.work, f)
+	return nil
+}
+
+func (l *notedLoop) Close(c gnet.Conn) error {
+	if n := c.(*notedConn); !n.closed {
+		n.closed = true
+		l.r.OnClose(c, nil)
+	}
+	return nil
+}
+
+func (l *notedLoop) rounds() {
+	for {
+		l.mu.Lock()
+		work := l.work
+		l.work = nil
+		l.mu.Unlock()
+		if len(work) == 0 {
+			return
+		}
+		for _, f := range work {
+			_ = f.Run(context.Background())
+		}
+	}
+}
+
+// newNoted returns a router with one client and one idle connection to the origin, to which all writes go.
+func newNoted(t *testing.T) (l *notedLoop, client, origin *notedConn) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
+		Descriptors: 100, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+	cfg.Settings = choice.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
+		Methods: []choice.MethodSettings{{Name: "pay", Effect: choice.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
+	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"}]}`)
+	r, err := New(cfg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = &notedLoop{r: r}
+	r.watch = &watch{r: r, calling: true}
+	r.loop = l
+	r.timers.init(r)
+	r.core, _ = choice.New(r.clock(), cfg.Settings, 1)
+	r.listCame(r.known)
+	l.rounds()
+	open := func(ctx any) *notedConn {
+		c := &notedConn{ctx: ctx, closing: func(c gnet.Conn) { _ = l.Close(c) }}
+		r.OnOpen(c)
+		return c
+	}
+	for _, s := range r.servers {
+		s.dialing++
+		r.dials++
+		origin = open(&upstream{r: r, server: s})
+	}
+	return l, open(nil), origin
+}
+
+// A break before the last byte has left us means that the req never ran, so that it may be nacked; after that it may
+// have run, and only a failure may be told.
+func Example_breaks() {
+	for _, c := range []struct {
+		name  string
+		left  int
+		fails error
+	}{
+		{"all had left", 0, nil},
+		{"some was still in our buffer", 10, nil},
+		{"the write itself failed", 0, errors.New("broken pipe")},
+	} {
+		l, client, origin := newNoted(new(testing.T))
+		origin.left, origin.fails = c.left, c.fails
+		client.in = resp.AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte("r"), []byte("c=pay,d=900"), []byte("v"))
+		l.r.OnTraffic(client)
+		l.rounds()
+		if !origin.closed {
+			_ = l.Close(origin)
+		}
+		l.rounds()
+		fmt.Printf("%s: %q, then %d reqs and %d bytes held\n", c.name, client.wrote, len(l.r.reqs), l.r.held)
+	}
+	// Output:
+	// all had left: "-ERR failed\r\n", then 0 reqs and 0 bytes held
+	// some was still in our buffer: "-BUSY\r\n", then 0 reqs and 0 bytes held
+	// the write itself failed: "-BUSY\r\n", then 0 reqs and 0 bytes held
+}
+
+// gnet writes out what is buffered after OnClose. What was told as never run must not run all the same.
+func TestNothingLeavesAfterAClose(t *testing.T) {
+	l, _, origin := newNoted(t)
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(pair[0])
+	defer unix.Close(pair[1])
+	origin.fd, origin.left = pair[0], 10
+	_ = l.Close(origin)
+	if _, err := unix.Write(pair[0], []byte("the rest")); err != unix.EPIPE {
+		t.Errorf("the rest could be written: %v", err)
+	}
+}
+
+// A write-out whose time is over while it waits for a connection was never sent: no blame, and it may be nacked.
+func TestTimeOutBeforeTheConnection(t *testing.T) {
+	l, client, origin := newNoted(t)
+	r := l.r
+	s := origin.ctx.(*upstream).server
+	_ = l.Close(origin)
+	s.dialing = 1 // one dial is out, and does not end
+	client.in = resp.AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte("r"), []byte("c=pay,d=900"), []byte("v"))
+	r.OnTraffic(client)
+	l.rounds()
+	if len(s.waiting) != 1 {
+		t.Fatal(len(s.waiting), "write-outs wait")
+	}
+	r.timedOut(s.waiting[0])
+	l.rounds()
+	if client.wrote != "-BUSY\r\n" || len(s.waiting) != 0 || r.counts.NeverRan != 1 {
+		t.Errorf("%q, %d wait, %+v", client.wrote, len(s.waiting), r.counts)
+	}
+}
+
+// Timers fire in the order of their times, those of one time in the order they were set, and not once cancelled.
+func Example_timers() {
+	l, _, _ := newNoted(new(testing.T))
+	r := l.r
+	say := func(text string) func() { return func() { fmt.Println(text) } }
+	r.after(3e6, say("third"))
+	r.after(1e6, say("first"))
+	gone := r.after(2e6, say("cancelled"))
+	r.after(2e6, say("second"))
+	r.after(9e6, say("too early"))
+	r.cancel(gone)
+	r.cancel(gone)
+	r.fire(r.clock() + 4e6)
+	// Output:
+	// first
+	// second
+	// third
+}
+
+// What all clients hold together is bounded: the one that holds most is closed.
+func TestClientsThatHoldTooMuchAreClosed(t *testing.T) {
+	l, client, _ := newNoted(t)
+	other := &notedConn{closing: func(c gnet.Conn) { _ = l.Close(c) }}
+	l.r.OnOpen(other)
+	l.r.lim.Buffered = 1000
+	client.left, other.left = 300, 800
+	l.r.buffer(1001)
+	if client.closed || !other.closed {
+		t.Errorf("closed: %v and %v", client.closed, other.closed)
+	}
+}
