A client that has just come in is not closed for want of descriptors; dials wait

Ruled out: memory (6 MB of 64) and CPU (0.06 s in the worst second).

At fault: shed() in servers.go took any client with nothing in hand, the newest too, whose first req was still on its way, and servers could take all descriptors.

Changed: servers get half of the descriptors, and a write-out without one waits for a connection that gets free; clients quiet for 50 ms are closed, longest first; the last ten descriptors go to clients that come in.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -10,8 +10,10 @@
 
 // Limits are the sizes, counts and times that the network code keeps to. They are filled once, at start.
 type Limits struct {
-	Memory      int64 // soft limit of the whole program, bytes
-	Descriptors int   // connections and dials, those in reserve not counted
+	Memory          int64 // soft limit of the whole program, bytes
+	Descriptors     int   // connections and dials, those in reserve not counted
+	MostDescriptors int   // the same, for clients that come in while no other can be closed
+	Upstreams       int   // of these, for connections to servers and their dials
 
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
@@ -24,6 +26,7 @@
 	Connect    choice.Micros
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
+	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
 	WatchSlack choice.Micros // an answer to it is late after so much more
@@ -41,6 +44,7 @@
 		// Standard streams, epoll of gnet and of the Go runtime, their event files, the listener, the file of the
 		// configuration, and a few that are being closed.
 		reserve      = 24
+		held         = 14 // those of them that are always open: 12 were seen
 		leastSockets = 64
 		leastMemory  = 32
 	)
@@ -51,24 +55,27 @@
 		return Limits{}, fmt.Errorf("limits.memory_mb: %d is less than %d", memory, leastMemory)
 	}
 	l := Limits{
-		Memory:      int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
-		Descriptors: sockets - reserve,
-		Resp:        resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
-		Origin:      httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
-		Discovery:   httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
-		ClientIn:    256 * kibibyte,
-		ClientOut:   mebibyte,
-		Pipeline:    256,
-		HeldBytes:   memory * mebibyte / 8,
-		Buffered:    memory * mebibyte / 4,
-		Connect:     s.ConnectTimeout,
-		Idle:        s.IdleClose * 9 / 10, // a req may be on its way when the server closes
-		Sweep:       250e3,
-		Crossing:    3e3,  // some three times the way from a client to its router
-		Watch:       20e6, // the example of the protocol
-		WatchSlack:  2e6,
-		AskAgain:    100e3, // well within the 200 ms after which a watch begins anew
-		LingerOpen:  500e3,
+		Memory:          int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
+		Descriptors:     sockets - reserve,
+		MostDescriptors: sockets - held,
+		Upstreams:       (sockets - reserve) / 2,
+		Resp:            resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
+		Origin:          httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
+		Discovery:       httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
+		ClientIn:        256 * kibibyte,
+		ClientOut:       mebibyte,
+		Pipeline:        256,
+		HeldBytes:       memory * mebibyte / 8,
+		Buffered:        memory * mebibyte / 4,
+		Connect:         s.ConnectTimeout,
+		Idle:            s.IdleClose * 9 / 10, // a req may be on its way when the server closes
+		Sweep:           250e3,
+		Quiet:           50e3, // many times the way from a client: what it sent with its connection has come
+		Crossing:        3e3,  // some three times the way from a client to its router
+		Watch:           20e6, // the example of the protocol
+		WatchSlack:      2e6,
+		AskAgain:        100e3, // well within the 200 ms after which a watch begins anew
+		LingerOpen:      500e3,
 	}
 	if l.Connect <= 0 {
 		l.Connect = 250e3
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -42,6 +42,7 @@
 		}
 	}
 	r.resume()
+	r.feed()
 	r.setAlarm()
 	if r.closing {
 		r.closeIdleClients()
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -31,7 +31,7 @@
 	c.conn, c.idle = conn, c.r.clock()
 	c.r.clients[c] = struct{}{}
 	c.r.counts.ClientConns++
-	if !c.r.makeRoom(0) {
+	if !c.r.roomForClient() {
 		c.r.close(conn)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,18 +43,20 @@
 
 	timers timers
 
-	reqs     map[choice.ReqID]*req
-	held     int                  // bytes of all reqs
-	buffered int                  // bytes that the clients' connections hold, or more
-	clients  map[*client]struct{} // all that are open
-	stalled  []*client            // clients whose commands wait for room
-	servers  map[choice.ServerID]*server
-	dials    int
-	conns    int // open connections of all kinds
-	book     *discovery.Book
-	watch    *watch
-	known    choice.ListCame // the list to start with
-	serving  bool            // a list with a server to use has come
+	reqs      map[choice.ReqID]*req
+	held      int                  // bytes of all reqs
+	buffered  int                  // bytes that the clients' connections hold, or more
+	clients   map[*client]struct{} // all that are open
+	stalled   []*client            // clients whose commands wait for room
+	servers   map[choice.ServerID]*server
+	dials     int
+	upstreams int       // open connections to servers
+	starved   []*server // with write-outs that wait for a dial
+	conns     int       // open connections of all kinds
+	book      *discovery.Book
+	watch     *watch
+	known     choice.ListCame // the list to start with
+	serving   bool            // a list with a server to use has come
 
 	engine                     gnet.Engine
 	draining, closing, stopped bool
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
@@ -14,6 +16,7 @@
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/httpwire"
 	"spurtrestle/internal/resp"
 )
 
@@ -90,7 +93,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
-		Descriptors: 100, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+		Descriptors: 100, Upstreams: 50, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+	cfg.Limits.Origin = httpwire.Bounds{Head: 1 << 10, Body: 1 << 16}
 	cfg.Settings = choice.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
 		Methods: []choice.MethodSettings{{Name: "pay", Effect: choice.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
 	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"}]}`)
@@ -132,8 +136,7 @@
 	} {
 		l, client, origin := newNoted(new(testing.T))
 		origin.left, origin.fails = c.left, c.fails
-		client.in = resp.AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte("r"), []byte("c=pay,d=900"), []byte("v"))
-		l.r.OnTraffic(client)
+		client.asks(l.r, "r")
 		l.rounds()
 		if !origin.closed {
 			_ = l.Close(origin)
@@ -170,8 +173,7 @@
 	s := origin.ctx.(*upstream).server
 	_ = l.Close(origin)
 	s.dialing = 1 // one dial is out, and does not end
-	client.in = resp.AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte("r"), []byte("c=pay,d=900"), []byte("v"))
-	r.OnTraffic(client)
+	client.asks(r, "r")
 	l.rounds()
 	if len(s.waiting) != 1 {
 		t.Fatal(len(s.waiting), "write-outs wait")
@@ -214,3 +216,53 @@
 		t.Errorf("closed: %v and %v", client.closed, other.closed)
 	}
 }
+
+func (c *notedConn) asks(r *Router, ids ...string) {
+	for _, id := range ids {
+		c.in = resp.AppendCommand(c.in, []byte("CACHE.SET"), []byte("k"), []byte(id), []byte("c=pay,d=900"), []byte("v"))
+	}
+	r.OnTraffic(c)
+}
+
+// Without a descriptor to spare a write-out waits for a connection that gets free, and none is dialled.
+func TestWriteOutsWaitForDescriptors(t *testing.T) {
+	l, client, origin := newNoted(t)
+	l.r.lim.Upstreams = 1
+	client.asks(l.r, "r1", "r2")
+	l.rounds()
+	if strings.Count(origin.wrote, "PUT /k") != 1 || l.r.dials != 0 || l.r.counts.WriteOuts != 2 {
+		t.Errorf("%q, %d dials, %+v", origin.wrote, l.r.dials, l.r.counts)
+	}
+	origin.in = []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	l.r.OnTraffic(origin)
+	l.rounds()
+	if !strings.Contains(origin.wrote, "r2") || client.wrote != "$2\r\nok\r\n" || l.r.dials != 0 {
+		t.Errorf("%q, %q, %d dials", origin.wrote, client.wrote, l.r.dials)
+	}
+}
+
+// A client that has just come in was closed to make room while its first req was on its way, and lost it. Those quiet
+// for long go first, and none goes while it waits for an answer.
+func TestWhoIsClosedToMakeRoom(t *testing.T) {
+	l, client, origin := newNoted(t)
+	r := l.r
+	client.asks(r, "r1")
+	l.rounds()
+	open := func() *notedConn {
+		c := &notedConn{closing: func(c gnet.Conn) { _ = l.Close(c) }}
+		r.OnOpen(c)
+		return c
+	}
+	r.lim.Descriptors, r.lim.MostDescriptors, r.lim.Quiet = r.used(), r.used()+1, 1e6
+	if fresh := open(); fresh.closed || client.closed || origin.closed {
+		t.Error("a client that came in had another closed, or itself, though there was a descriptor")
+	}
+	if last := open(); !last.closed {
+		t.Error("the last descriptor was given away")
+	}
+	time.Sleep(20 * time.Millisecond)
+	r.lim.Quiet = 10e3
+	if newest := open(); client.closed || origin.closed || newest.closed || r.counts.Shed != 1 {
+		t.Error("one that waits for an answer was closed, or the newest")
+	}
+}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -50,17 +50,28 @@
 		up.send(w)
 		return
 	}
-	if !r.makeRoom(descriptorsOfDial) {
-		r.returned(w, choice.ConnectError, nil)
-		return
-	}
-	if s.waiting = append(s.waiting, w); s.dialing < len(s.waiting) {
-		r.dial(s)
-	}
+	s.waiting = append(s.waiting, w)
+	r.starved = append(r.starved, s)
+	r.feed()
 }
 
 const descriptorsOfDial = 2 // gnet takes a copy, and then the first is closed
 
+// feed dials for write-outs that wait, as far as there are descriptors; else they wait on, for one that gets free.
+func (r *Router) feed() {
+	for len(r.starved) > 0 {
+		s := r.starved[0]
+		if s.dialing >= len(s.waiting) {
+			r.starved = r.starved[1:]
+			continue
+		}
+		if !r.roomToDial() {
+			return
+		}
+		r.dial(s)
+	}
+}
+
 // dial opens a connection off the loop, since gnet's own Register knows no time limit.
 func (r *Router) dial(s *server) {
 	s.dialing++
@@ -72,6 +83,7 @@
 		if len(s.waiting) > s.dialing {
 			r.returned(s.waiting[0], choice.ConnectError, nil)
 		}
+		r.feed()
 	})
 }
 
@@ -99,6 +111,7 @@
 
 func (up *upstream) opened(conn gnet.Conn) {
 	up.conn = conn
+	up.r.upstreams++
 	up.server.dialing--
 	up.r.dials--
 	up.free()
@@ -171,6 +184,7 @@
 // closed: before its last byte has left us a write-out has never run; after that it may have.
 func (up *upstream) closed() {
 	s := up.server
+	up.r.upstreams--
 	s.idle = slices.DeleteFunc(s.idle, func(x *upstream) bool { return x == up })
 	w := up.carries
 	if w == nil {
@@ -204,32 +218,56 @@
 	}
 }
 
-// makeRoom closes idle connections until so many descriptors are free; false where that is not enough.
-func (r *Router) makeRoom(n int) bool {
-	for r.conns+descriptorsOfDial*r.dials+n > r.lim.Descriptors {
-		if !r.shed() {
+// used is what connections and dials hold, and what one more dial would.
+func (r *Router) used() int { return r.conns + descriptorsOfDial*r.dials }
+
+// roomToDial closes idle connections until there are descriptors for a dial. Servers get a part of them only, so that
+// clients can always come in.
+func (r *Router) roomToDial() bool {
+	for {
+		mine := r.upstreams+descriptorsOfDial*(r.dials+1) <= r.lim.Upstreams
+		if mine && r.used()+descriptorsOfDial <= r.lim.Descriptors {
+			return true
+		}
+		if !r.shedServer() && !(mine && r.shedClient()) {
 			return false
 		}
 	}
-	return true
 }
 
-// shed closes the connection to a server that has been idle longest, else the client's.
-func (r *Router) shed() bool {
+// roomForClient does the same for a client that has come in; false where it can't be kept.
+func (r *Router) roomForClient() bool {
+	for r.used() > r.lim.Descriptors {
+		if !r.shedServer() && !r.shedClient() {
+			break
+		}
+	}
+	return r.used() <= r.lim.MostDescriptors
+}
+
+// shedServer closes the connection to a server that has been idle longest.
+func (r *Router) shedServer() bool {
 	var oldest *upstream
 	for _, s := range r.servers {
 		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since < oldest.since) {
 			oldest = s.idle[0]
 		}
 	}
-	if oldest != nil {
-		r.counts.Shed++
-		r.close(oldest.conn)
-		return true
+	if oldest == nil {
+		return false
 	}
+	r.counts.Shed++
+	r.close(oldest.conn)
+	return true
+}
+
+// shedClient closes the client that has been quiet longest. One that has just come in is spared: its first req is on
+// its way, and closing the connection would lose it.
+func (r *Router) shedClient() bool {
+	now := r.clock()
 	var longest *client
 	for c := range r.clients {
-		if c.quiet() && (longest == nil || c.idle < longest.idle) {
+		if c.quiet() && now-c.idle >= r.lim.Quiet && (longest == nil || c.idle < longest.idle) {
 			longest = c
 		}
 	}
