--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -32,7 +32,6 @@
 	out     strings.Builder
 	sockets int
 	idle    float64
-	known   string // nil: all servers that the script names
 	listen  string
 	program *exec.Cmd
 	log     lockedBuffer
@@ -65,10 +64,15 @@
 // side is a client's connection, or a server with all of its own. What comes is queued as lines.
 type side struct {
 	ln   net.Listener
-	came chan string
+	came chan message
 	mu   sync.Mutex
 	all  []net.Conn
-	last net.Conn // the one that something last came on
+	last net.Conn // the one of the message that the script saw last
+}
+
+type message struct {
+	on   net.Conn
+	text string
 }
 
 func (s *side) accept(read func(*side, net.Conn)) {
@@ -85,12 +89,12 @@
 }
 
 func (s *side) got(c net.Conn, line string) {
-	s.mu.Lock()
-	if s.last = c; s.ln != nil {
+	if s.ln != nil {
+		s.mu.Lock()
 		line = fmt.Sprint("on ", slices.Index(s.all, c)+1, ": ", line)
+		s.mu.Unlock()
 	}
-	s.mu.Unlock()
-	s.came <- line
+	s.came <- message{c, line}
 }
 
 // readCommands is a cache server's side, readReplies a client's, readRequests that of the origin and discovery.
@@ -216,7 +220,7 @@
 		if err != nil {
 			p.t.Fatal(err)
 		}
-		s := &side{ln: ln, came: make(chan string, 1024)}
+		s := &side{ln: ln, came: make(chan message, 1024)}
 		p.peers[name] = s
 		read := readCommands
 		if name == "origin" || name == "discovery" {
@@ -259,8 +263,9 @@
 // see waits for the next thing that comes to s.
 func (p *player) see(s *side) string {
 	select {
-	case line := <-s.came:
-		return dOf.ReplaceAllStringFunc(line, func(d string) string { // how much is left is not the same each time
+	case m := <-s.came:
+		s.last = m.on
+		return dOf.ReplaceAllStringFunc(m.text, func(d string) string { // how much is left is not the same each time
 			if had, _ := strconv.Atoi(p.lastD); d != "d="+p.lastD {
 				if left, _ := strconv.Atoi(d[2:]); left > 0 && left < had {
 					return "d<" + p.lastD
@@ -364,7 +369,7 @@
 		if err != nil {
 			return []string{"refused"}
 		}
-		s = &side{came: make(chan string, 1024), all: []net.Conn{c}, last: c}
+		s = &side{came: make(chan message, 1024), all: []net.Conn{c}, last: c}
 		p.peers[who] = s
 		go readReplies(s, c)
 	case "sends":
@@ -378,7 +383,9 @@
 		_, _ = s.last.Write(resp.AppendCommand(nil, args...))
 	case "writes", "writes-on-1":
 		if what == "writes-on-1" {
+			s.mu.Lock()
 			s.last = s.all[0]
+			s.mu.Unlock()
 		}
 		if m := dOf.FindStringSubmatch(rest); m != nil {
 			p.lastD = m[1]
@@ -390,8 +397,8 @@
 		}
 	case "gets-nothing":
 		select {
-		case line := <-s.came:
-			saw = append(saw, line)
+		case m := <-s.came:
+			saw = append(saw, m.text)
 		case <-time.After(300 * time.Millisecond):
 		}
 	case "lists", "changes":
