What waits for a server that drains is decided anew; buffers stay one ring

gnet keeps an outbound buffer as one ring only up to its write buffer cap, which is now the limit of a client's answers.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -18,6 +18,7 @@
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
 	Discovery  httpwire.Bounds
+	Read       int // bytes that the loop reads at once
 	ClientIn   int // bytes of one client that wait to be read on
 	ClientOut  int // bytes of answers that one client has not taken
 	Pipeline   int // commands of one client that wait for their answers
@@ -62,6 +63,7 @@
 		Resp:            resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
 		Origin:          httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
 		Discovery:       httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
+		Read:            64 * kibibyte,
 		ClientIn:        256 * kibibyte,
 		ClientOut:       mebibyte,
 		Pipeline:        256,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,7 +92,8 @@
 // Run serves until it is drained or cannot go on.
 func (r *Router) Run() error {
 	return gnet.Run(r, "tcp://"+r.cfg.Listen, gnet.WithLogger(r.log), gnet.WithReusePort(true),
-		gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+		gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(r.lim.Read),
+		gnet.WithWriteBufferCap(r.lim.ClientOut)) // up to there gnet keeps to one ring buffer
 }
 
 // clock is the time in microseconds since 1970. It never goes back.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -185,6 +185,27 @@
 	}
 }
 
+// A write-out that waits for a connection is not sent once its server drains.
+func TestNothingWaitsForADrainingServer(t *testing.T) {
+	l, client, origin := newNoted(t)
+	s := origin.ctx.(*upstream).server
+	_ = l.Close(origin)
+	s.dialing = 1 // one dial is out, and does not end
+	client.asks(l.r, "r")
+	l.rounds()
+	list, err := l.r.book.Take([]byte(`{"rev":2,"all":true,"targets":[{"uid":"o","model":"origin","state":"leaving"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.r.listCame(list)
+	l.rounds()
+	late := &notedConn{ctx: &upstream{r: l.r, server: s}, closing: func(c gnet.Conn) { _ = l.Close(c) }}
+	l.r.OnOpen(late)
+	if client.wrote != "-BUSY\r\n" || late.wrote != "" || !late.closed {
+		t.Errorf("the client got %q, the server %q", client.wrote, late.wrote)
+	}
+}
+
 // Timers fire in the order of their times, those of one time in the order they were set, and not once cancelled.
 func Example_timers() {
 	l, _, _ := newNoted(new(testing.T))
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -282,6 +282,7 @@
 // listCame takes a list: who is named, and where.
 func (r *Router) listCame(l choice.ListCame) {
 	r.counts.Lists++
+	r.input(l)
 	named := map[choice.ServerID]bool{}
 	for _, e := range l.Entries {
 		named[e.Server] = e.State != choice.Gone
@@ -296,7 +297,7 @@
 			s.addr = addr
 		}
 		if s.ready = e.State == choice.Ready; !s.ready {
-			r.closeIdle(s)
+			r.dismiss(s)
 		}
 		r.serving = r.serving || s.ready
 	}
@@ -304,8 +305,15 @@
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
 			delete(r.servers, id)
 			s.ready = false
-			r.closeIdle(s)
+			r.dismiss(s)
 		}
 	}
-	r.input(l)
+}
+
+// dismiss: a server wants nothing new. What waits for a connection to it has not been sent, and is decided anew.
+func (r *Router) dismiss(s *server) {
+	r.closeIdle(s)
+	for len(s.waiting) > 0 {
+		r.returned(s.waiting[0], choice.Ignored, nil)
+	}
 }
