A client's connection closes only once its answers have left

Seen in a reading: a client that takes its answers slowly could be closed between reqs, at the end or to make room, with the rest of an answer still in our buffer; and OnClose shut the sending side of clients as it must for servers. A client counts as quiet once its answers have left; one that takes nothing for 3 s is closed all the same. A command that came in part no longer keeps a connection from being closed to make room.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -32,6 +32,7 @@
 	Watch      choice.Micros // of one call to discovery
 	WatchSlack choice.Micros // an answer to it is late after so much more
 	AskAgain   choice.Micros // after a failed call to discovery
+	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
 	LingerOpen choice.Micros // after SIGTERM new connections are taken for so long
 }
 
@@ -77,6 +78,7 @@
 		Watch:           20e6, // the example of the protocol
 		WatchSlack:      2e6,
 		AskAgain:        100e3, // well within the 200 ms after which a watch begins anew
+		Linger:          3e6,   // no deadline is longer
 		LingerOpen:      500e3,
 	}
 	if l.Connect <= 0 {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -90,7 +90,7 @@
 			c.r.buffer(n)
 		}
 	}
-	if c.over && len(c.slots) == 0 {
+	if c.over && c.ended() {
 		return gnet.Close
 	}
 	return gnet.None
@@ -133,7 +133,7 @@
 		c.slots = c.slots[1:]
 		c.write(text)
 	}
-	if c.over && len(c.slots) == 0 && c.conn != nil {
+	if c.conn != nil && c.over && c.ended() {
 		c.r.close(c.conn)
 	}
 }
@@ -142,6 +142,7 @@
 	if c.conn == nil {
 		return
 	}
+	c.idle = c.r.clock()
 	if _, err := c.conn.Write(text); err != nil { // gnet has closed it
 		return
 	}
@@ -177,8 +178,13 @@
 	}
 }
 
-// quiet: nothing of it is in hand.
-func (c *client) quiet() bool { return len(c.slots) == 0 && c.conn.InboundBuffered() == 0 }
+// quiet: no req of it is in hand and all answers have left. A command that has come in part is not taken yet.
+func (c *client) quiet() bool { return len(c.slots) == 0 && c.conn.OutboundBuffered() == 0 }
+
+// ended: it is quiet, or it does not take its answers. gnet writes what it can at a close, and no more.
+func (c *client) ended() bool {
+	return c.conn == nil || c.quiet() || len(c.slots) == 0 && c.r.clock()-c.idle > c.r.lim.Linger
+}
 
 func (c *client) command(words [][]byte) {
 	switch string(bytes.ToUpper(words[0])) {
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -27,7 +27,7 @@
 func (r *Router) closeIdleClients() {
 	now := r.clock()
 	for c := range r.clients {
-		if c.quiet() || len(c.slots) == 0 && now-c.idle > r.lim.Sweep {
+		if c.ended() && (c.conn.InboundBuffered() == 0 || now-c.idle > r.lim.Sweep) {
 			r.close(c.conn)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,7 +14,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/config"
@@ -155,17 +154,13 @@
 	return gnet.Close
 }
 
-// OnClose passes on that a connection is no more. gnet still writes out what is buffered after this call; what was
-// given up must not reach the server then, so the sending side is shut first.
+// OnClose passes on that a connection is no more.
 func (r *Router) OnClose(c gnet.Conn, _ error) gnet.Action {
 	r.conns--
 	if p, ok := c.Context().(peer); ok {
 		p.closed()
 		c.SetContext(nil)
 	}
-	if c.OutboundBuffered() > 0 {
-		_ = unix.Shutdown(c.Fd(), unix.SHUT_RDWR) // fails where the peer has ended it already
-	}
 	return gnet.None
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -185,6 +185,27 @@
 	}
 }
 
+// A client whose answers have not all left is neither closed at the end nor to make room, until it has long taken none.
+func TestAnswersLeaveBeforeAClose(t *testing.T) {
+	l, client, _ := newNoted(t)
+	r := l.r
+	r.lim.Linger = 100e3
+	client.in = resp.AppendCommand(nil, []byte("QUIT"))
+	client.left = 5
+	if action := r.OnTraffic(client); action != gnet.None || r.shedClient() {
+		t.Error("closed with an answer that has not left", action)
+	}
+	r.closeIdleClients()
+	r.sweep()
+	if client.closed {
+		t.Error("closed with an answer that has not left")
+	}
+	time.Sleep(150 * time.Millisecond)
+	if r.sweep(); !client.closed {
+		t.Error("a client that takes no answers stays")
+	}
+}
+
 // A write-out that waits for a connection is not sent once its server drains.
 func TestNothingWaitsForADrainingServer(t *testing.T) {
 	l, client, origin := newNoted(t)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 )
@@ -181,10 +182,14 @@
 	return gnet.None
 }
 
-// closed: before its last byte has left us a write-out has never run; after that it may have.
+// closed: before its last byte has left us a write-out has never run; after that it may have. gnet still writes out
+// what is buffered after this; what was given up must not reach the server then, so the sending side is shut first.
 func (up *upstream) closed() {
 	s := up.server
 	up.r.upstreams--
+	if up.conn.OutboundBuffered() > 0 {
+		_ = unix.Shutdown(up.conn.Fd(), unix.SHUT_RDWR) // fails where the peer has ended it already
+	}
 	s.idle = slices.DeleteFunc(s.idle, func(x *upstream) bool { return x == up })
 	w := up.carries
 	if w == nil {
@@ -207,8 +212,14 @@
 	}
 }
 
-// sweep closes what has been idle for nearly as long as its server would let it.
+// sweep closes what has been idle for nearly as long as its server would let it, and clients that were to be closed
+// once they had taken their answers.
 func (r *Router) sweep() {
+	for c := range r.clients {
+		if c.over && c.ended() {
+			r.close(c.conn)
+		}
+	}
 	r.after(r.lim.Sweep, r.sweep)
 	now := r.clock()
 	for _, s := range r.servers {
