A write-out decided before the news that its server is gone no longer crashes

Seen in a reading: writeOut() in reqs.go asked a server for its number that listCame() had taken from the table. Both happen where a req and the list come in one round, the req first: the decision is made with the old list, and carried out with the new one.

Checked: a test of the router that gives both in one round panicked with the lines as they were, and passes now.

Changed: a write-out whose server is gone or drains, or whose client is gone, by the time it is carried out is handed back as never sent.

Also from the reading: an answer of discovery that ends its connection is kept before the buffer goes; an alarm that went off is known as such, so that it is always set again.

--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -101,31 +101,25 @@
 // writeOut begins a write-out.
 func (r *Router) writeOut(d choice.Decision) {
 	q, s := r.reqs[d.Req], r.servers[d.Server]
-	w := &writeOut{q: q, server: s, sent: r.now, within: d.After}
-	if q == nil || q.over { // it ended within this batch: nothing may be sent for it any more
-		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: r.attempt(q), Status: choice.Ignored, Over: true})
+	if q == nil {
+		r.log.Error("a write-out for a req that is over")
+		return
+	}
+	attempt := q.attempts
+	q.attempts++
+	// The req may have lost its client, and the server its place in the list, since this was decided: the news is in the
+	// batch behind the decision, or in the next. Nothing is sent then.
+	if q.over || s == nil || !s.ready {
+		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: attempt, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w.attempt = r.attempt(q)
+	w := &writeOut{q: q, attempt: attempt, server: s, sent: r.now, within: d.After}
 	q.out = w
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
-	if s == nil {
-		r.returned(w, choice.ConnectError, nil)
-		return
-	}
 	r.connect(w)
 }
 
-// attempt numbers the write-outs of a req as the decisions do.
-func (r *Router) attempt(q *req) choice.Attempt {
-	if q == nil {
-		return 0
-	}
-	q.attempts++
-	return q.attempts - 1
-}
-
 // returned ends a write-out and hands its outcome over.
 func (r *Router) returned(w *writeOut, status choice.Status, report choice.Report) {
 	if w.q.out != w {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -227,6 +227,29 @@
 	}
 }
 
+// A decision and the news that its server is gone, or that its client is, may meet in one batch. The program crashed.
+func TestDecisionsThatTheNewsOvertakes(t *testing.T) {
+	l, client, origin := newNoted(t)
+	list, err := l.r.book.Take([]byte(`{"rev":2,"all":true,"targets":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client.asks(l.r, "r1")
+	l.r.listCame(list)
+	l.rounds()
+	if client.wrote != "-BUSY\r\n" || strings.Contains(origin.wrote, "r1") || len(l.r.reqs) != 0 {
+		t.Errorf("the client got %q, the server %q, and %d reqs are left", client.wrote, origin.wrote, len(l.r.reqs))
+	}
+
+	l, client, origin = newNoted(t)
+	client.asks(l.r, "r1")
+	_ = l.Close(client)
+	l.rounds()
+	if origin.wrote != "" || len(l.r.reqs) != 0 || l.r.counts.Left != 1 {
+		t.Errorf("the server got %q, and %d reqs are left", origin.wrote, len(l.r.reqs))
+	}
+}
+
 // Timers fire in the order of their times, those of one time in the order they were set, and not once cancelled.
 func Example_timers() {
 	l, _, _ := newNoted(new(testing.T))
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -37,9 +37,7 @@
 }
 
 func (s *server) forget(w *writeOut) {
-	if s != nil {
-		s.waiting = slices.DeleteFunc(s.waiting, func(x *writeOut) bool { return x == w })
-	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(x *writeOut) bool { return x == w })
 }
 
 // connect gives a write-out a connection: an idle one, else the first that gets free.
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -46,11 +46,16 @@
 }
 
 func (t *timers) init(r *Router) {
-	t.alarm = time.AfterFunc(time.Hour, func() { r.execute(r.batch) })
+	t.alarm = time.AfterFunc(time.Hour, func() {
+		r.execute(func() {
+			t.set = 0
+			r.batch()
+		})
+	})
 	t.alarm.Stop()
 }
 
-// after sets a timer from now on; the next batch sets the alarm.
+// after sets a timer from now on.
 func (r *Router) after(d choice.Micros, do func()) *timer {
 	r.timers.seq++
 	t := &timer{at: r.clock() + d, seq: r.timers.seq, do: do}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -79,7 +80,8 @@
 	}
 	end := answer.Close || used < len(buf)
 	if end {
-		w.calling = false // closed must not read it again
+		answer.Body = bytes.Clone(answer.Body) // the buffer ends with the connection
+		w.calling = false                      // closed must not read it again
 		w.r.close(w.conn)
 	}
 	w.took(answer)
