Fuzz: what clients, servers, lists, dials and the clock do in any order

Each req taken gets one answer or loses its client, nothing is left of it, each write-out has one outcome, and what is counted as open is open.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 fuzz:
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/resp
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/httpwire
+	go test -run - -fuzz FuzzRouter -fuzztime 60s -fuzzminimizetime 1x ./internal/router
 
 # EDGE_CONFIG names the configuration, see README.md.
 run: build
--- /dev/null
+++ b/internal/router/fuzz_test.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/resp"
+)
+
+// FuzzRouter lets clients, servers, discovery, dials and the clock do what the input says, in its order. Whatever
+// that is, each req that was taken gets one answer or loses its client, nothing is left of it, and what is counted as
+// open is what is open.
+func FuzzRouter(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 4, 1, 2, 3, 5, 0, 7, 2, 5, 0})
+	f.Add([]byte("commands, answers, breaks, lists and time-outs in some order, over and over; 0123456789"))
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		l, first, origin := newNoted(t)
+		r := l.r
+		type dial struct {
+			p      peer
+			failed func(error)
+		}
+		var dials []dial
+		r.dialer = func(_ string, p peer, failed func(error)) { dials = append(dials, dial{p, failed}) }
+		clients, servers := []*notedConn{first}, []*notedConn{origin}
+		asked := map[*notedConn]int{}
+		open := func(ctx any) *notedConn {
+			c := &notedConn{ctx: ctx, closing: func(c gnet.Conn) { _ = l.Close(c) }}
+			r.OnOpen(c)
+			return c
+		}
+		traffic := func(c *notedConn) {
+			if r.OnTraffic(c) == gnet.Close {
+				_ = l.Close(c)
+			}
+		}
+		dialled := func(up bool) {
+			if len(dials) == 0 {
+				return
+			}
+			d := dials[0]
+			dials = dials[1:]
+			if up {
+				servers = append(servers, open(d.p))
+				return
+			}
+			r.dials--
+			d.failed(errors.New("refused"))
+		}
+		pick := func(from []*notedConn, n byte) *notedConn { // nil: that one is closed
+			if c := from[int(n)%len(from)]; !c.closed {
+				return c
+			}
+			return nil
+		}
+		for i := 0; i+1 < len(steps); i += 2 {
+			n := steps[i+1]
+			switch steps[i] % 12 {
+			case 0, 1, 2:
+				if c := pick(clients, n); c != nil {
+					asked[c]++
+					if steps[i]%12 == 2 {
+						c.in = append(c.in, "*2\r\n$4\r\nPING\r\n$1\r\nx\r\n"...)
+						traffic(c)
+						break
+					}
+					c.asks(r, fmt.Sprint("r", i))
+				}
+			case 3:
+				clients = append(clients, open(nil))
+			case 4:
+				if c := pick(clients, n); c != nil {
+					_ = l.Close(c)
+				}
+			case 5:
+				if c := pick(servers, n); c != nil {
+					c.in = append(c.in, []string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv", "HTTP/1.1 5",
+						"HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+						"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv"}[int(n)%5]...)
+					traffic(c)
+				}
+			case 6:
+				if c := pick(servers, n); c != nil {
+					_ = l.Close(c)
+				}
+			case 7:
+				dialled(n%4 > 0)
+			case 8:
+				state := []string{"active", "leaving", "left", "active"}[n%4]
+				if list, err := r.book.Take(fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[{"uid":"o","endpoint":`+
+					`"127.0.0.1:%d","model":"origin","state":%q}]}`, i+2, n%3 == 0, 1+n%2, state)); err == nil {
+					r.listCame(list)
+				}
+			case 9:
+				r.began += choice.Micros(n) * 10e3
+				r.batch()
+			case 10:
+				if c := pick(servers, n); c != nil {
+					c.left = int(n) % 2
+				}
+			case 11:
+				l.rounds()
+			}
+		}
+		for range 40 { // all deadlines pass, and what is out comes to its end
+			l.rounds()
+			dialled(false)
+			r.began += 1e6
+			r.batch()
+		}
+		l.rounds()
+		for _, c := range clients {
+			answers := 0
+			for rest := []byte(c.wrote); len(rest) > 0; answers++ {
+				_, used, err := resp.ReadReply(rest, r.lim.Resp)
+				if err != nil || used == 0 {
+					t.Fatalf("a client got %q", c.wrote)
+				}
+				rest = rest[used:]
+			}
+			if !c.closed && answers != asked[c] || answers > asked[c] {
+				t.Errorf("%d commands got %d answers: %q", asked[c], answers, c.wrote)
+			}
+		}
+		n := r.counts
+		if n.Taken != n.Satisfied+n.Nacked+n.Failed+n.Left || len(r.reqs) != 0 || r.held != 0 {
+			t.Errorf("%v, %d reqs, %d bytes", n, len(r.reqs), r.held)
+		}
+		if n.WriteOuts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
+			t.Errorf("write-outs without an outcome: %v", n)
+		}
+		isOpen := func(c *notedConn) bool { return !c.closed }
+		up := len(slices.DeleteFunc(slices.Clone(servers), func(c *notedConn) bool { return c.closed }))
+		if in := slices.ContainsFunc(clients, isOpen); up != r.upstreams || in != (len(r.clients) > 0) ||
+			r.conns != r.upstreams+len(r.clients) || r.dials != len(dials) {
+			t.Errorf("%d of %d to servers are open, %d in all, %d dials of %d", r.upstreams, up, r.conns, r.dials, len(dials))
+		}
+		for _, c := range servers {
+			if !bytes.HasPrefix([]byte(c.wrote), []byte("PUT /k")) && c.wrote != "" {
+				t.Errorf("a server got %q", c.wrote)
+			}
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,7 +29,8 @@
 	log    *logrus.Logger
 	counts counters.Counters
 
-	start time.Time // its wall clock and what has passed since by the monotonic one are the time
+	start time.Time
+	began choice.Micros // the wall clock at the start; the time is that and what has passed by the monotonic clock
 	loop  gnet.EventLoop
 	ready chan struct{} // closed once loop is set
 
@@ -48,6 +49,7 @@
 	clients   map[*client]struct{} // all that are open
 	stalled   []*client            // clients whose commands wait for room
 	servers   map[choice.ServerID]*server
+	dialer    func(addr string, p peer, failed func(error)) // dialOff, but in tests
 	dials     int
 	upstreams int       // open connections to servers
 	starved   []*server // with write-outs that wait for a dial
@@ -74,6 +76,7 @@
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}),
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New()}
+	r.dialer, r.began = r.dialOff, choice.Micros(r.start.UnixMicro())
 	for i, m := range cfg.Settings.Methods {
 		r.methods[m.Name] = choice.Method(i)
 	}
@@ -97,7 +100,7 @@
 
 // clock is the time in microseconds since 1970. It never goes back.
 func (r *Router) clock() choice.Micros {
-	return choice.Micros(r.start.Add(time.Since(r.start)).UnixMicro())
+	return r.began + choice.Micros(time.Since(r.start)/time.Microsecond)
 }
 
 // OnBoot: gnet gives its loop with the first connection only, so the router makes the first to itself.
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -76,7 +76,7 @@
 	s.dialing++
 	r.dials++
 	r.counts.Dials++
-	r.dialOff(s.addr, &upstream{r: r, server: s}, func(error) {
+	r.dialer(s.addr, &upstream{r: r, server: s}, func(error) {
 		r.counts.DialsFailed++
 		s.dialing--
 		if len(s.waiting) > s.dialing {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -33,7 +33,7 @@
 	if w.conn == nil {
 		w.dialing = true
 		w.r.dials++
-		w.r.dialOff(w.r.cfg.Discovery, w, func(err error) {
+		w.r.dialer(w.r.cfg.Discovery, w, func(err error) {
 			w.dialing = false
 			w.failed(err)
 		})
