--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,11 +103,13 @@
 	return r.began + choice.Micros(time.Since(r.start)/time.Microsecond)
 }
 
+func span(t choice.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+
 // OnBoot: gnet gives its loop with the first connection only, so the router makes the first to itself.
 func (r *Router) OnBoot(engine gnet.Engine) gnet.Action {
 	r.engine = engine
 	go func() {
-		c, err := net.DialTimeout("tcp", r.cfg.Listen, time.Second)
+		c, err := net.DialTimeout("tcp", r.cfg.Listen, span(r.lim.Own))
 		if err != nil {
 			r.log.WithError(err).Fatal("cannot reach the own listener")
 		}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -88,9 +87,8 @@
 
 // dialOff connects to an address and enrolls the connection for p; failed runs on the loop.
 func (r *Router) dialOff(addr string, p peer, failed func(error)) {
-	limit := time.Duration(r.lim.Connect) * time.Microsecond
 	go func() {
-		c, err := net.DialTimeout("tcp", addr, limit)
+		c, err := net.DialTimeout("tcp", addr, span(r.lim.Connect))
 		if err == nil {
 			var enrolled <-chan gnet.RegisteredResult
 			if enrolled, err = r.loop.Enroll(gnet.NewContext(context.Background(), p), c); err != nil {
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -86,6 +86,6 @@
 	now := r.clock()
 	if first := t.due[0].at; t.set <= now || first < t.set {
 		t.set = max(first, now+1)
-		t.alarm.Reset(time.Duration(t.set-now) * time.Microsecond)
+		t.alarm.Reset(span(t.set - now))
 	}
 }
