At the end a client that has just come in is spared until its first req can have come

Seen in a reading: half a second after SIGTERM a connection taken in the same moment was closed with its first req on the way, as it was when descriptors ran short. Tested in the router's tests.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -16,6 +16,7 @@
 	conn    gnet.Conn
 	slots   []*slot // commands in order, until their answers are written
 	idle    choice.Micros
+	used    bool // something has come on it
 	stalled bool // its next commands wait until there is room; it is on the router's list of those
 	over    bool // to be closed once the answers are out
 	words   [][]byte
@@ -51,7 +52,7 @@
 
 // traffic reads whole commands, as many as there is room for.
 func (c *client) traffic() gnet.Action {
-	c.idle = c.r.clock()
+	c.idle, c.used = c.r.clock(), true
 	if c.over { // what comes behind a broken command is not read
 		_, _ = c.conn.Discard(-1)
 		return gnet.None
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -22,12 +22,13 @@
 // Drained tells, after Run, whether the router ended because it was told to.
 func (r *Router) Drained() bool { return r.draining }
 
-// closeIdleClients closes the clients that wait for nothing. A command that has come in part gets a sweep's time for
-// the rest.
+// closeIdleClients closes the clients that wait for nothing. One that has just come in is spared for a while: its first
+// req is on its way. A command that has come in part gets a sweep's time for the rest.
 func (r *Router) closeIdleClients() {
 	now := r.clock()
 	for c := range r.clients {
-		if c.ended() && (c.conn.InboundBuffered() == 0 || now-c.idle > r.lim.Sweep) {
+		quiet := now - c.idle
+		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.conn.InboundBuffered() == 0 || quiet > r.lim.Sweep) {
 			r.close(c.conn)
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -331,7 +331,15 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	r.lim.Quiet = 10e3
-	if newest := l.open(nil); client.closed || origin.closed || newest.closed || r.counts.Shed != 1 {
+	newest := l.open(nil)
+	if client.closed || origin.closed || newest.closed || r.counts.Shed != 1 {
 		t.Error("one that waits for an answer was closed, or the newest")
 	}
+	if r.closeIdleClients(); newest.closed {
+		t.Error("one that has just come in was closed at the end")
+	}
+	r.began += 20e3
+	if r.closeIdleClients(); !newest.closed || client.closed {
+		t.Error("at the end the quiet one stays, or one that waits for an answer was closed")
+	}
 }
