--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,7 +28,6 @@
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
 	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
-	DialAfter  choice.Micros // a write-out waits for a busy connection for so long before a new one is dialled
 	Own        choice.Micros // for the connection to itself at the start
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
@@ -76,7 +75,6 @@
 		Idle:            s.IdleClose * 9 / 10, // a req may be on its way when the server closes
 		Sweep:           250e3,
 		Quiet:           50e3, // many times the way from a client: what it sent with its connection has come
-		DialAfter:       30e3, // about the rest of an answer
 		Own:             1e6,
 		Crossing:        3e3,  // some three times the way from a client to its router
 		Watch:           20e6, // the example of the protocol
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -23,7 +23,6 @@
 	idle    []*upstream // the last used at the end
 	waiting []*writeOut // for a connection
 	dialing int
-	open    int
 }
 
 // upstream is a connection to a server.
@@ -50,13 +49,6 @@
 		return
 	}
 	s.waiting = append(s.waiting, w)
-	if s.open > 0 { // one of them may get free sooner than a new one would be up
-		r.after(r.lim.DialAfter, func() {
-			r.starved = append(r.starved, s)
-			r.feed()
-		})
-		return
-	}
 	r.starved = append(r.starved, s)
 	r.feed()
 }
@@ -117,7 +109,6 @@
 func (up *upstream) opened(conn gnet.Conn) {
 	up.conn = conn
 	up.r.upstreams++
-	up.server.open++
 	up.server.dialing--
 	up.r.dials--
 	up.free()
@@ -192,7 +183,6 @@
 func (up *upstream) closed() {
 	s := up.server
 	up.r.upstreams--
-	s.open--
 	if up.conn.OutboundBuffered() > 0 {
 		_ = unix.Shutdown(up.conn.Fd(), unix.SHUT_RDWR) // fails where the peer has ended it already
 	}
