--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -1,44 +1,25 @@
 package choice
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write the traces anew")
+	"spurtrestle/internal/tracetest"
+)
 
-// TestTraces plays each script of testdata. A script's line is a time and an input; below it, indented, stand
-// the decisions that it led to. Lines without a time are settings or comments.
+// TestTraces plays scripts of inputs with their times; what they led to are decisions. Lines without a time are settings
+// or comments.
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.trace")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no traces found", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
-			want, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := play(string(want))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			} else if got != string(want) {
-				t.Errorf("the trace differs; got:\n%s", got)
-			}
-			if again := play(string(want)); again != got {
-				t.Errorf("a second play differs:\n%s", again)
-			}
-		})
-	}
+	tracetest.Run(t, func(t *testing.T, script string) string {
+		got := play(script)
+		if again := play(script); again != got {
+			t.Errorf("a second play differs:\n%s", again)
+		}
+		return got
+	})
 }
 
 // base is a site in aside mode; scripts change it with lines such as "set routers=3 through".
--- a/cmd/spurtrestle/main_test.go
+++ b/cmd/spurtrestle/main_test.go
@@ -1,15 +1,14 @@
 package main
 
 import (
-	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write the traces anew")
+	"spurtrestle/internal/tracetest"
+)
 
 // The program under test is the test binary itself.
 func TestMain(m *testing.M) {
@@ -36,29 +35,13 @@
 
 // TestOverSockets plays each script of testdata against the program.
 func TestOverSockets(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.trace")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no traces found", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
-			t.Parallel()
-			want, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			p := newPlayer(t)
-			got := p.play(string(want))
-			if strings.Contains(p.log.text(), "DATA RACE") || strings.Contains(p.log.text(), "panic") {
-				t.Error(p.log.text())
-			}
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			} else if got != string(want) {
-				t.Errorf("the trace differs; got:\n%s\nlog:\n%s", got, p.log.text())
-			}
-		})
-	}
+	tracetest.Run(t, func(t *testing.T, script string) string {
+		t.Parallel()
+		p := newPlayer(t)
+		got := p.play(script)
+		if log := p.log.text(); strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic") {
+			t.Error(log)
+		}
+		return got
+	})
 }
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -175,6 +175,9 @@
 func newPlayer(t *testing.T) *player {
 	p := &player{t: t, sockets: 256, idle: 60, peers: map[string]*side{}, ended: make(chan error, 1)}
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(p.log.text())
+		}
 		if p.program != nil {
 			_ = p.program.Process.Kill()
 		}
