--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -61,7 +61,7 @@
 			return
 		}
 	}
-	if w.calling {
+	if w.calling && !w.r.stopped { // at the end all connections are closed
 		w.failed(errNoAnswer)
 	}
 }
