--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -10,18 +10,18 @@
 
 // req is one req from its last byte on, until its answer is given and no write-out of it is out.
 type req struct {
-	id       choice.ReqID
-	verb     []byte // these point into one copy of the command
-	key      []byte
-	props    []byte
-	value    []byte // of a write
-	write    bool
-	size     int // bytes that it holds
-	client   *client
-	slot     *slot
-	out      *writeOut
-	attempts choice.Attempt
-	over     bool // answered, or the client is gone
+	id        choice.ReqID
+	verb      []byte // these point into one copy of the command
+	key       []byte
+	props     []byte
+	value     []byte // of a write
+	write     bool
+	size      int // bytes that it holds
+	client    *client
+	slot      *slot
+	out       *writeOut
+	writeOuts choice.Attempt // so far
+	over      bool           // answered, or the client is gone
 }
 
 // arrival is a req on its way into a batch; its deadline counts from there.
@@ -37,13 +37,13 @@
 
 // writeOut is one write-out from its decision to its outcome.
 type writeOut struct {
-	q       *req
-	attempt choice.Attempt
-	server  *server
-	sent    choice.Micros
-	within  choice.Micros // its time-out
-	timer   *timer
-	up      *upstream // nil: it waits for a connection
+	q      *req
+	nth    choice.Attempt
+	server *server
+	sent   choice.Micros
+	within choice.Micros // its time-out
+	timer  *timer
+	up     *upstream // nil: it waits for a connection
 }
 
 // answer gives a req its only answer.
@@ -105,15 +105,15 @@
 		r.log.Error("a write-out for a req that is over")
 		return
 	}
-	attempt := q.attempts
-	q.attempts++
+	nth := q.writeOuts
+	q.writeOuts++
 	// The req may have lost its client, and the server its place in the list, since this was decided: the news is in the
 	// batch behind the decision, or in the next. Nothing is sent then.
 	if q.over || s == nil || !s.ready {
-		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: attempt, Status: choice.Ignored, Over: q.over})
+		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w := &writeOut{q: q, attempt: attempt, server: s, sent: r.now, within: d.After}
+	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After}
 	q.out = w
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
@@ -145,7 +145,7 @@
 	default:
 		r.counts.MayHave++
 	}
-	r.input(choice.Returned{Req: q.id, Server: w.server.id, Attempt: w.attempt, Status: status,
+	r.input(choice.Returned{Req: q.id, Server: w.server.id, Attempt: w.nth, Status: status,
 		Took: r.clock() - w.sent, Over: q.over, Report: report})
 	r.settle(q)
 }
@@ -171,7 +171,7 @@
 }
 
 func (r *Router) recall(id choice.ReqID, n choice.Attempt) {
-	if q := r.reqs[id]; q != nil && q.out != nil && q.out.attempt == n {
+	if q := r.reqs[id]; q != nil && q.out != nil && q.out.nth == n {
 		r.giveUp(q.out, choice.Canceled)
 	}
 }
