SIGHUP rereads the file and watches the discovery that it names

No code took the signal (cmd/spurtrestle/main.go), and the watch knew one address for good (internal/router/watch.go).

Now the file is read off the loop; the old watch is left and a new one begins with the whole list, since versions there need not go on from ours. The list holds until then, and reqs that are out are not touched. A bad file is logged by field.

--- a/cmd/spurtrestle/main.go
+++ b/cmd/spurtrestle/main.go
@@ -22,6 +22,9 @@
 }
 
 func run() error {
+	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -43,6 +46,15 @@
 			}
 		}
 	}()
+	go func() {
+		for range reload {
+			if cfg, err := config.Reload(os.Getenv); err != nil {
+				log.WithError(err).Error("the new configuration is not taken; the old one holds")
+			} else {
+				r.Reload(cfg.Discovery)
+			}
+		}
+	}()
 	if err := r.Run(); err != nil {
 		return err
 	}
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -33,6 +33,8 @@
 	sockets int
 	idle    float64
 	listen  string
+	file    string // the configuration
+	config  string
 	program *exec.Cmd
 	log     lockedBuffer
 	ended   chan error
@@ -226,7 +228,7 @@
 		s := &side{ln: ln, came: make(chan message, 1024)}
 		p.peers[name] = s
 		read := readCommands
-		if name == "origin" || name == "discovery" {
+		if name == "origin" || strings.HasPrefix(name, "discovery") {
 			read = readRequests
 		}
 		go s.accept(read)
@@ -238,15 +240,14 @@
 func (p *player) start(known []string) {
 	// An address of its own: a free port of 127.0.0.1 may be taken by a connection before the program has it.
 	p.listen = fmt.Sprintf("127.77.%d.%d:6379", os.Getpid()%250, started.Add(1))
-	file := filepath.Join(p.t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
+	p.file = filepath.Join(p.t.TempDir(), "config.json")
+	p.config = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":%d},"known":%s,"settings":`+settings+`}`, p.listen,
 		p.server("discovery").ln.Addr(), p.sockets, p.list(true, 1, known), p.idle)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		p.t.Fatal(err)
-	}
+	p.configure(p.config)
 	p.program = exec.Command(os.Args[0])
-	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+file)
+	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file,
+		"EDGE_DISCOVERY="+p.server("discovery").ln.Addr().String())
 	p.program.Stderr = &p.log
 	if err := p.program.Start(); err != nil {
 		p.t.Fatal(err)
@@ -261,6 +262,12 @@
 	p.t.Fatal("the program does not start:\n", p.log.text())
 }
 
+func (p *player) configure(text string) {
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 var dOf = regexp.MustCompile(`\bd=([0-9]+)`)
 
 // see waits for the next thing that comes to s.
@@ -330,6 +337,21 @@
 	case "router term":
 		_ = p.program.Process.Signal(syscall.SIGTERM)
 		return nil
+	case "router rereads": // its file, which names another discovery now, or is bad
+		text := strings.ReplaceAll(p.config, p.server("discovery").ln.Addr().String(), rest)
+		if rest != "badly" {
+			text = strings.ReplaceAll(p.config, p.server("discovery").ln.Addr().String(), p.server(rest).ln.Addr().String())
+		}
+		p.configure(text)
+		before := strings.Count(p.log.text(), "configuration")
+		_ = p.program.Process.Signal(syscall.SIGHUP)
+		for range 300 {
+			if log := p.log.text(); strings.Count(log, "configuration") > before {
+				return []string{saidOf.FindString(log[strings.LastIndex(log, "level="):])}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return []string{"nothing is logged"}
 	case "clients come":
 		for range number(0) {
 			if c, err := net.Dial("tcp", p.listen); err == nil {
@@ -418,6 +440,8 @@
 	return saw
 }
 
+var saidOf = regexp.MustCompile(`msg="[^"]*" *(error="[^\\]*)?`)
+
 var countsOf = regexp.MustCompile(`taken=.* left=\d+`)
 
 func (p *player) counted() string {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,6 +73,16 @@
 	return c, err
 }
 
+// Reload reads the file again. It is newer than the variables: the address of discovery is the one that it names.
+func Reload(get func(string) string) (Config, error) {
+	return Load(func(variable string) string {
+		if variable == "EDGE_DISCOVERY" {
+			return ""
+		}
+		return get(variable)
+	})
+}
+
 func address(field, text string) (string, error) {
 	if _, err := netip.ParseAddrPort(text); err != nil {
 		return "", fmt.Errorf("%s: %q is no address and port", field, text)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,7 +21,7 @@
 	"spurtrestle/internal/discovery"
 )
 
-// Router is one router. All its state belongs to the loop; only Drain and Print may be called from elsewhere.
+// Router is one router. All its state belongs to the loop; only Drain, Reload and Print may be called from elsewhere.
 type Router struct {
 	gnet.BuiltinEventEngine
 	cfg    config.Config
@@ -129,8 +129,7 @@
 	if len(r.cfg.Known) > 0 {
 		r.listCame(r.known)
 	}
-	r.watch = &watch{r: r}
-	r.watch.call()
+	r.rewatch(r.cfg.Discovery)
 	r.after(r.lim.Sweep, r.sweep)
 	close(r.ready)
 	r.log.WithFields(logrus.Fields{"name": r.cfg.Name, "listen": r.cfg.Listen}).Info("serving")
@@ -186,6 +185,15 @@
 	}
 }
 
+// Reload takes over what may change in service: where discovery is.
+func (r *Router) Reload(discovery string) {
+	<-r.ready
+	r.execute(func() {
+		r.log.WithField("discovery", discovery).Info("configuration read again")
+		r.rewatch(discovery)
+	})
+}
+
 // Print logs the counters.
 func (r *Router) Print() {
 	<-r.ready
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -16,7 +16,9 @@
 // watch is the connection to discovery: one call after the other, each but the first waiting for news.
 type watch struct {
 	r       *Router
+	addr    string
 	conn    gnet.Conn
+	over    bool // another watch has taken its place
 	dialing bool
 	calling bool
 	failing bool
@@ -24,16 +26,32 @@
 	late    *timer
 }
 
+// rewatch begins anew at an address, from the whole list on: versions there need not go on from the ones here. What
+// the old watch still brings is not read any more, and until the new one answers the last list holds.
+func (r *Router) rewatch(addr string) {
+	if old := r.watch; old != nil {
+		old.over = true
+		r.cancel(old.again)
+		r.cancel(old.late)
+		if old.conn != nil {
+			r.close(old.conn)
+		}
+		r.book.Forget()
+	}
+	r.watch = &watch{r: r, addr: addr}
+	r.watch.call()
+}
+
 // call asks at once, unless a call is out.
 func (w *watch) call() {
-	if w.dialing || w.calling {
+	if w.over || w.dialing || w.calling {
 		return
 	}
 	w.r.cancel(w.again)
 	if w.conn == nil {
 		w.dialing = true
 		w.r.dials++
-		w.r.dialer(w.r.cfg.Discovery, w, func(err error) {
+		w.r.dialer(w.addr, w, func(err error) {
 			w.dialing = false
 			w.failed(err)
 		})
@@ -43,18 +61,25 @@
 	w.calling = true
 	path, wait := r.book.Call(r.lim.Watch)
 	w.late = r.after(wait+r.lim.WatchSlack, func() { r.close(w.conn) })
-	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, r.cfg.Discovery, nil, nil)) // an error: closed
+	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, w.addr, nil, nil)) // an error: closed
 }
 
 func (w *watch) opened(conn gnet.Conn) {
 	w.dialing, w.conn = false, conn
 	w.r.dials--
+	if w.over {
+		w.r.close(conn)
+		return
+	}
 	w.call()
 }
 
 func (w *watch) closed() {
 	buf, _ := w.conn.Peek(-1)
 	w.conn = nil
+	if w.over {
+		return
+	}
 	if w.calling && len(buf) > 0 {
 		if answer, used, err := httpwire.Read(buf, true, w.r.lim.Discovery); err == nil && used > 0 {
 			w.took(answer)
@@ -67,6 +92,9 @@
 }
 
 func (w *watch) traffic() gnet.Action {
+	if w.over {
+		return gnet.Close
+	}
 	buf, err := w.conn.Peek(-1)
 	if err != nil || len(buf) == 0 {
 		return gnet.None
@@ -114,6 +142,9 @@
 
 // failed: the old list holds. Where the decisions ask for lists they also say when to ask again.
 func (w *watch) failed(err error) {
+	if w.over {
+		return
+	}
 	w.calling = false
 	w.r.cancel(w.late)
 	w.r.counts.ListsFailed++
