Spoilt answers are refused whole: header lines with no colon, two lengths, nested arrays

Ruled out: second copies behind good answers (all came with the first, and the connection was closed), values of 3 GB (refused at their length), short or negative lengths (refused already).

At fault: internal/httpwire read() looked at the first header of a name only; resp took arrays four deep; caches.go took arrays of any length. A spoilt answer was also told as a reset, which counts twice against a server and marks it as one that may come back cold, though it answered: now it is a failure that may have run.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -87,13 +87,16 @@
 	if err != nil || r.Status < 100 {
 		return r, 0, ErrProtocol
 	}
+	if !wellFormed(head) {
+		return r, 0, ErrProtocol
+	}
 	r.Head = head
 	r.Close = r.has("Connection", "close") || first[7] == '0' && !r.has("Connection", "keep-alive")
 	if r.Status < 200 || r.Status == 204 || r.Status == 304 {
 		return r, end, nil
 	}
 	if coding := r.Get("Transfer-Encoding"); coding != nil {
-		if !bytes.EqualFold(coding, []byte("chunked")) {
+		if !bytes.EqualFold(coding, []byte("chunked")) || r.Get("Content-Length") != nil {
 			return r, 0, ErrProtocol
 		}
 		var n int
@@ -124,6 +127,29 @@
 	return r, len(buf), nil
 }
 
+// wellFormed tells whether each header line has a name, and whether all that tell a length tell the same one. An answer
+// of which a part can't be read, or whose end is in doubt, is not passed on.
+func wellFormed(head []byte) bool {
+	var length []byte
+	for l := range bytes.Lines(head) {
+		l = bytes.TrimRight(l, "\r\n")
+		name, value, ok := bytes.Cut(l, []byte(":"))
+		if value = bytes.TrimSpace(value); len(l) == 0 {
+			continue
+		}
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return false
+		}
+		if bytes.EqualFold(name, []byte("Content-Length")) {
+			if length != nil && !bytes.Equal(length, value) {
+				return false
+			}
+			length = value
+		}
+	}
+	return true
+}
+
 // headEnd is where the body begins, 0 while the head is not whole.
 func headEnd(buf []byte) int {
 	for at := 0; ; {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -22,6 +22,9 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nval\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n21\r\n",
+		"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 5\r\n\r\nvalue",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nvalue",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"HTTP/1.1 2000 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "SSH-2.0-x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 128),
 	} {
@@ -46,6 +49,9 @@
 	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip": broken or oversize answer
 	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun": broken or oversize answer
 	// "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nno colon here\r\nContent-": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nCont": broken or oversize answer
+	// "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTran": broken or oversize answer
 	// "HTTP/1.1 2000 OK\r\n\r\n": broken or oversize answer
 	// "HTTP/2 200 OK\r\n\r\n": broken or oversize answer
 	// "SSH-2.0-x\r\n\r\n": broken or oversize answer
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -18,7 +18,7 @@
 // ErrProtocol is a message that is broken or over the bounds.
 var ErrProtocol = errors.New("broken or oversize message")
 
-const maxDepth = 4 // of arrays in arrays; a cache server's answer has one
+const maxDepth = 2 // a cache server's answer is an array of strings: arrays in it are refused at their first byte
 
 // Reply is one answer of a server.
 type Reply struct {
@@ -129,7 +129,7 @@
 		return r, 0, nil
 	}
 	r.Kind = buf[from]
-	if depth == 0 || bytes.IndexByte([]byte("+-:$*"), r.Kind) < 0 {
+	if depth == 1 && r.Kind == '*' || bytes.IndexByte([]byte("+-:$*"), r.Kind) < 0 {
 		return r, 0, ErrProtocol
 	}
 	head, next, err := line(buf, from, b)
--- a/internal/router/caches.go
+++ b/internal/router/caches.go
@@ -30,11 +30,8 @@
 		return 0, false, err
 	}
 	switch {
-	case reply.Kind == '*' && len(reply.Items) > 0 && reply.Items[0].Kind == '$':
-		var report choice.Report
-		if len(reply.Items) > 2 {
-			report = up.r.report(reply.Items[2].Text)
-		}
+	case reply.Kind == '*' && len(reply.Items) == 3 && reply.Items[0].Kind == '$':
+		report := up.r.report(reply.Items[2].Text)
 		if reply.Items[0].Null {
 			up.r.returned(w, choice.Miss, report)
 		} else {
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -164,8 +164,10 @@
 	}
 	used, keep, err := read(w, buf, false)
 	if err != nil {
+		// It answered, so that it is no lost connection, but what it said is spoilt: its req may have run.
 		up.r.counts.Broken++
-		return gnet.Close // closed tells the outcome
+		up.r.returned(w, choice.Failed, nil)
+		return gnet.Close
 	}
 	if used == 0 {
 		return gnet.None
