Clients above a third of the descriptors go before servers' idle connections

At fault: servers.go roomToDial and roomForClient closed a server's idle connection before any client. Now a client goes first while clients hold more than they need for reqs (a third), first one that never asked, then the one quiet longest. Silent ones, and those with a command long in coming, get an error line after 2 s.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -14,6 +14,7 @@
 	Descriptors     int   // connections and dials, those in reserve not counted
 	MostDescriptors int   // the same, for clients that come in while no other can be closed
 	Upstreams       int   // of these, for connections to servers and their dials
+	Clients         int   // of these, for clients: over that one of them goes before a server's idle connection
 
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
@@ -28,6 +29,7 @@
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
 	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
+	Silent     choice.Micros // a client that has sent nothing whole, or only part of a command, for so long is closed
 	Own        choice.Micros // for the connection to itself at the start
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
@@ -62,6 +64,7 @@
 		Descriptors:     sockets - reserve,
 		MostDescriptors: sockets - held,
 		Upstreams:       (sockets - reserve) / 2,
+		Clients:         sockets / 3,                                                    // as many as clients hold for reqs at most
 		Resp:            resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
 		Origin:          httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
 		Discovery:       httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
@@ -75,6 +78,7 @@
 		Idle:            s.IdleClose * 9 / 10, // a req may be on its way when the server closes
 		Sweep:           250e3,
 		Quiet:           50e3, // many times the way from a client: what it sent with its connection has come
+		Silent:          2e6,  // no req is owed to it by then
 		Own:             1e6,
 		Crossing:        3e3,  // some three times the way from a client to its router
 		Watch:           20e6, // the example of the protocol
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -14,11 +14,14 @@
 type client struct {
 	r       *Router
 	conn    gnet.Conn
-	slots   []*slot // commands in order, until their answers are written
-	idle    choice.Micros
-	used    bool // something has come on it
-	stalled bool // its next commands wait until there is room; it is on the router's list of those
-	over    bool // to be closed once the answers are out
+	slots   []*slot       // commands in order, until their answers are written
+	idle    choice.Micros // since when it has been quiet
+	whole   choice.Micros // when the last whole command came, or the connection
+	part    choice.Micros // when the first byte came of a command that is not whole yet; 0: there is none
+	used    bool          // something has come on it
+	asked   bool          // a whole command has come on it
+	stalled bool          // its next commands wait until there is room; it is on the router's list of those
+	over    bool          // to be closed once the answers are out
 	words   [][]byte
 }
 
@@ -30,6 +33,7 @@
 
 func (c *client) opened(conn gnet.Conn) {
 	c.conn, c.idle = conn, c.r.clock()
+	c.whole = c.idle
 	c.r.clients[c] = struct{}{}
 	c.r.counts.ClientConns++
 	if !c.r.roomForClient() {
@@ -75,6 +79,7 @@
 		if used == 0 {
 			break
 		}
+		c.asked, c.whole, c.part = true, c.idle, 0
 		if len(words) > 0 {
 			c.command(words)
 		}
@@ -88,6 +93,9 @@
 			// gnet reads on whatever the loop leaves, so a client that sends on is cut off here.
 			c.broken("too much is waiting")
 		} else {
+			if n > 0 && !c.stalled && c.part == 0 {
+				c.part = c.idle
+			}
 			c.r.buffer(n)
 		}
 	}
@@ -97,6 +105,11 @@
 	return gnet.None
 }
 
+// silent: nothing whole has come since it connected, or a command is long in coming.
+func (c *client) silent(now choice.Micros) bool {
+	return !c.asked && now-c.whole >= c.r.lim.Silent || c.part != 0 && now-c.part >= c.r.lim.Silent
+}
+
 func (c *client) stall() {
 	if !c.stalled {
 		c.stalled = true
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -91,7 +91,7 @@
 // notedConfig is one of a method that must not run twice, with the origin alone.
 func notedConfig() config.Config {
 	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
-		Descriptors: 100, Upstreams: 50, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+		Descriptors: 100, Upstreams: 50, Clients: 50, Silent: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
 	cfg.Limits.Origin = httpwire.Bounds{Head: 1 << 10, Body: 1 << 16}
 	cfg.Settings = choice.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
 		Methods: []choice.MethodSettings{{Name: "pay", Effect: choice.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
@@ -343,3 +343,40 @@
 		t.Error("at the end the quiet one stays, or one that waits for an answer was closed")
 	}
 }
+
+// Hundreds that asked once and stayed, or never asked, took the descriptors: each write-out then paid for a connection.
+func TestClientsAboveTheirPartGoBeforeServers(t *testing.T) {
+	l, client, origin := newNoted(t)
+	r := l.r
+	client.in = resp.AppendCommand(nil, []byte("PING"))
+	r.OnTraffic(client)
+	never := l.open(nil)
+	r.lim.Clients, r.lim.Descriptors, r.lim.MostDescriptors = 1, r.used(), r.used()+1
+	if newest := l.open(nil); !never.closed || client.closed || origin.closed || newest.closed {
+		t.Error("the one that never asked should have gone:", never.closed, client.closed, origin.closed, newest.closed)
+	}
+	r.lim.Clients = 10
+	if l.open(nil); client.closed || !origin.closed {
+		t.Error("within their part no client goes while a server's connection is idle:", client.closed, origin.closed)
+	}
+}
+
+// A client that says nothing whole for long is told so and closed, at its first command and in the middle of one.
+func TestSilentClientsAreClosed(t *testing.T) {
+	l, silent, _ := newNoted(t)
+	r := l.r
+	asked, part := l.open(nil), l.open(nil)
+	asked.asks(r, "r1")
+	part.in = []byte("*1\r\n$4\r\nPING\r\n*1\r\n$4\r\n")
+	r.OnTraffic(part)
+	l.rounds()
+	r.began += 1900e3
+	if r.sweep(); silent.closed || part.closed {
+		t.Error("closed too early")
+	}
+	r.began += 200e3
+	r.sweep()
+	if !silent.closed || !part.closed || asked.closed || !strings.HasSuffix(part.wrote, "-ERR nothing whole has come\r\n") {
+		t.Errorf("closed: %v, %v and %v; told %q", silent.closed, part.closed, asked.closed, part.wrote)
+	}
+}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -210,16 +210,22 @@
 	}
 }
 
-// sweep closes what has been idle for nearly as long as its server would let it, and clients that were to be closed
-// once they had taken their answers.
+// sweep closes what has been idle for nearly as long as its server would let it, clients that were to be closed once
+// they had taken their answers, and those that hold a descriptor and say nothing.
 func (r *Router) sweep() {
+	now := r.clock()
 	for c := range r.clients {
-		if c.over && c.ended() {
+		switch {
+		case c.over && c.ended():
 			r.close(c.conn)
+		case !c.over && c.silent(now):
+			c.broken("nothing whole has come")
+			if c.ended() && c.conn != nil {
+				r.close(c.conn)
+			}
 		}
 	}
 	r.after(r.lim.Sweep, r.sweep)
-	now := r.clock()
 	for _, s := range r.servers {
 		for len(s.idle) > 0 && now-s.idle[0].since >= r.lim.Idle {
 			r.close(s.idle[0].conn)
@@ -238,7 +244,7 @@
 		if mine && r.used()+descriptorsOfDial <= r.lim.Descriptors {
 			return true
 		}
-		if !r.shedServer() && !(mine && r.shedClient()) {
+		if !(mine && r.shed()) && !r.shedServer() {
 			return false
 		}
 	}
@@ -247,13 +253,20 @@
 // roomForClient does the same for a client that has come in; false where it can't be kept.
 func (r *Router) roomForClient() bool {
 	for r.used() > r.lim.Descriptors {
-		if !r.shedServer() && !r.shedClient() {
+		if !r.shed() {
 			break
 		}
 	}
 	return r.used() <= r.lim.MostDescriptors
 }
 
+// shed closes a client while they hold more than they need for reqs, else an idle connection to a server. Hundreds that
+// asked once and stayed, or never asked, took the descriptors of the servers' connections, and each write-out paid for
+// a new one.
+func (r *Router) shed() bool {
+	return len(r.clients) > r.lim.Clients && r.shedClient() || r.shedServer() || r.shedClient()
+}
+
 // shedServer closes the connection to a server that has been idle longest.
 func (r *Router) shedServer() bool {
 	var oldest *upstream
@@ -270,13 +283,14 @@
 	return true
 }
 
-// shedClient closes the client that has been quiet longest. One that has just come in is spared: its first req is on
-// its way, and closing the connection would lose it.
+// shedClient closes the client that has been quiet longest, first of those that never asked. One that has just come in
+// is spared: its first req is on its way, and closing the connection would lose it.
 func (r *Router) shedClient() bool {
 	now := r.clock()
 	var longest *client
 	for c := range r.clients {
-		if c.quiet() && now-c.idle >= r.lim.Quiet && (longest == nil || c.idle < longest.idle) {
+		if c.quiet() && now-c.idle >= r.lim.Quiet && (longest == nil || c.asked == longest.asked && c.idle < longest.idle ||
+			!c.asked && longest.asked) {
 			longest = c
 		}
 	}
