What strikes all alike, and reqs with little time left, tell nothing against servers

All outcomes, what is believed of each server, the deadlines of the reqs and the rule that gave each up were logged. (1) 5% of the write-outs ended as resets, at all servers alike. Two in a row set a cache or the origin aside for 2 to 3 s, marked it cold, and sent its keys to partners that lack them. (2) From 6 to 16 s a sixth of the reqs came with a tenth of their time left (26 ms, a usual answer takes 45): 10 to 20 time-outs a second at each cache, each a ghost for 1 s (caches stood with 4 of 4 places taken and none in flight), each counted as a req that the caches did not answer (asked 433, answered 309 a second), so that a third of all was nacked. Ruled out: stale pooled connections (new ones timed out as often as old ones), load (2 to 4 in flight), the list.

At fault in choice.go: judge (resets, time-outs), isTooLate (half of a quick answer's time), finish (every req counts). Now a row of failures must be too long for chance at the share of failures elsewhere; the first in a row is tried where it was; a fetch that broke is tried again; less than a quick answer's time is nacked at once, with a hint; what came with less than half of its latency budget counts neither as asked nor as answered. This replaces the rule that left servers in use while a quarter was aside. The socket resets lost: a reset alone no longer marks a server cold.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,14 +91,14 @@
 	}
 }
 
-// isTooLate: half of a quick answer's time is seldom enough, and caches and origin go on with what is cut
-// off.
+// isTooLate: less than a quick answer's time is seldom enough. Reqs that came with a tenth of their time left
+// filled the caches with what nobody waited for. Half of its aim is always worth a try.
 func (r *Router) isTooLate(q *req) bool {
 	quickest := r.seen.best
 	if q.toOrigin && r.origin != nil {
 		quickest = r.origin.best
 	}
-	return !q.write && q.final-r.now < quickest/2
+	return !q.write && q.final-r.now < min(quickest, q.method.aim/2)
 }
 
 // mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what
@@ -139,9 +139,8 @@
 	}
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and
-// four latency budgets: a crest lasts as long, and a try that falls into it is late anyhow. Told to come back
-// sooner, clients met the same queue again, and their second and third tries kept it full.
+// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and four
+// latency budgets, as long as a crest: clients told to come back sooner kept the queue full.
 func (r *Router) giveUp(q *req) {
 	d := Decision{Action: Fail, Req: q.id}
 	if q.maybeRan == 0 || q.method.effect == Retryable {
@@ -157,7 +156,8 @@
 }
 
 func (r *Router) finish(q *req) {
-	if !q.done && q.admitted && (q.sent > 0 || q.target != nil) { // once: a write-out may end after its req
+	// Once: a write-out may end after its req. Where time was short from the start no cache is to blame.
+	if !q.done && q.admitted && !q.short && (q.sent > 0 || q.target != nil) {
 		r.asked.add(r.now, trafficSpan)
 	}
 	q.done, q.settled = true, true
@@ -181,8 +181,8 @@
 			spare = min(left/3, spare+r.origin.best*3/2)
 		}
 		timeout = min(left, max(q.aim-r.now-spare, 8*r.seen.long))
-		// After a time-out, and in a trial, it may hang: a short wait leaves time for a partner. But before the
-		// first answer of all the usual one is not known, and a wait of one tick had lost what was sent.
+		// After a time-out, and in a trial, it may hang: a short wait leaves time for a partner. Before the
+		// first answer of all the usual one is not known.
 		if s.lost > 0 && r.seen.n > 0 {
 			timeout = min(timeout, 3*r.seen.long)
 		}
@@ -309,8 +309,7 @@
 	if bound >= 1 {
 		return float64(out) < bound
 	}
-	// Less than one at a time is one: of hundreds of routers each has something for a cache only now and then,
-	// and a pause lost most of it. Fewer still are for the rule on answers too few.
+	// Less than one at a time is one: with a pause, routers that seldom send to a cache lost most of it.
 	return out == 0
 }
 
@@ -413,37 +412,36 @@
 			points = 1
 		}
 	case TimedOut:
-		const stays = 1e6 // longer than an overdue answer of a crowded server takes
-		s.ghosts = append(s.ghosts, ghost{w.sent, r.now + max(took, stays)})
-		if s.origin || took >= 2*r.seen.long { // else it was given too little time to be blamed
+		until := w.sent + 2*r.seen.long // cut short: no blame, and done when it would have been answered
+		if s.origin || took >= 2*r.seen.long {
+			const stays = 1e6 // longer than an overdue answer of a crowded server takes
+			until = r.now + max(took, stays)
 			r.measure(s, max(took, s.time))
 			points = 1
 		}
-		// Where many are late the fleet is short, and setting servers aside makes it shorter.
-		aside := 0
-		for _, c := range r.caches {
-			if c.aside > r.now {
-				aside++
-			}
-		}
-		if 4*aside >= len(r.caches) {
-			points = 0
-		}
-	case Failed:
+		s.ghosts = append(s.ghosts, ghost{w.sent, until})
+	case Failed, Reset:
 		points = 1
-	case ConnectError, Reset:
+	case ConnectError:
 		s.unheard, s.ghosts = true, nil
 		points = 2
 	}
 	if points == 0 {
 		return
 	}
+	// What strikes all alike (broken connections, spoilt answers, a short fleet) is no one's ill health: it set
+	// aside a healthy fleet, and the origin. A row too long for chance at the others' share is.
+	const granted, unlikely, most = 1, 1e-5, 8 // write-outs a second; such a row is seen once in many minutes
+	others := max(0, r.noise.now(r.now, useSpan)-float64(s.lost)*1e6/useSpan)
+	share := others / (r.used.now(r.now, useSpan) + granted)
+	row := min(most, int(math.Ceil(math.Log(unlikely)/math.Log(min(share, 0.5)))))
+	r.noise.add(r.now, useSpan)
 	if s.fixed.time > 0 && !s.origin { // a failed write-out is a sample of twice the cache's mean at most
 		s.report(r.now, min(took, 2*s.fixed.time))
 	}
 	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no row: there the
 	// first one counts, and it is left for three uses, which its partners hardly feel.
-	if s.lost += points; s.lost >= 1+int(min(2, used)) && s.aside <= r.now {
+	if s.lost += points; s.lost >= max(1+int(min(2, used)), row) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
 		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
 	}
@@ -824,6 +822,7 @@
 	if !m.lateEarns {
 		q.final = min(q.final, q.aim)
 	}
+	q.short = 2*(q.final-r.now) < m.aim
 	if e.Key == "" {
 		q.hash = hashText(string(e.Req))
 	}
@@ -861,7 +860,7 @@
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
 	}
-	if !w.server.origin && (e.Status == OK || e.Status == Miss) {
+	if !w.server.origin && !q.short && (e.Status == OK || e.Status == Miss) {
 		r.answered.add(r.now, trafficSpan)
 	}
 	if q.done || e.Over {
@@ -879,12 +878,13 @@
 			q.maybeRan, q.ranAt = w.sent, w.server
 		}
 	}
-	if q.retrying || w.server.origin {
+	// The first failure in a row is more often noise than the server's end, and its keys are nowhere else.
+	if noise := e.Status == Failed || e.Status == Reset; q.retrying && !(noise && w.server.lost <= 1) {
 		q.failed = append(q.failed, w.server)
 	}
 	if w.server.origin {
 		const pause = 20e3 // a few of a quick origin's answers
-		if q.pause = r.now + pause; !q.write {
+		if q.pause = r.now + pause; !q.write && (e.Status == TimedOut || e.Status == QueueFull) {
 			r.giveUp(q) // the fetch failed: its waiters are free to go, and this req tries no other
 			return
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -39,6 +39,7 @@
 	drawn    int     // place in its group drawn for a hot key; -1: none yet
 	target   *server // the cache it goes to or waits for
 	admitted bool    // not among those nacked since the caches answer too little
+	short    bool    // it came with less than half of its latency budget left
 	held     bool
 	settled  bool // nothing more to do in this pass
 	done     bool
@@ -139,6 +140,7 @@
 	asked       decayed // reqs for caches that ended, a second
 	answered    decayed // and answers of caches
 	used        decayed // write-outs a second to all servers
+	noise       decayed // and those that told against a server
 	arrived     int
 	retries     float64 // the retry budget
 	recomputeAt Micros
