A client that leaves before a usual answer is due is no sign of a jam

Ruled out: time-outs (651, judged one by one), the retry budget (20 left throughout).

At fault: left() counted each as a req that the caches did not answer. Test: leaves.trace.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -298,8 +298,7 @@
 	within := float64(q.method.yields) * 0.6 * (r.patience + (1-r.patience)*min(1, q.worth))
 	g := s.gauge.leaning(r.seen)
 	// What is answered within that time, and at least a floor. Beyond twice the quickest answer the bound falls
-	// until the machine clears: a burst had left machines so crowded that each answer took four times as long,
-	// and one in flight from every router kept them so for the rest of the day.
+	// until the machine clears: one in flight from every router kept crowded machines so for the rest of a day.
 	floor := r.fewest * min(1, within/float64(max(1, g.time)))
 	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick(crowded)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
@@ -467,8 +466,7 @@
 
 const safe = 0.7 // of the multiple: the work of a req varies, and so do the keys
 
-// warmFor lets a cold cache have a fraction of its keys, the same ones at every router, which grows with its
-// capacity; and no more than this router's part of its budget.
+// warmFor lets a cold cache have a fraction of its keys, the same at every router, and a part of its budget.
 func (r *Router) warmFor(q *req, s *server, own bool) bool {
 	age := r.coldAge(s)
 	if age >= r.coldSpan {
@@ -892,7 +890,7 @@
 	r.run(q)
 }
 
-// left: the client is gone; its write-out is called off so that a server may stop work on it.
+// left: the client is gone; its write-out is called off.
 func (r *Router) left(e Left) {
 	q := r.reqs[e.Req]
 	if q == nil || q.done {
@@ -901,6 +899,8 @@
 	if q.out != nil && r.mayCancel {
 		r.decided = append(r.decided, Decision{Action: Recall, Req: q.id, Attempt: q.sent - 1})
 	}
+	// Impatience is no jam: many left before a usual answer was due, and those who stayed were nacked for it.
+	q.short = q.short || q.out == nil || r.now-q.out.sent < 2*r.seen.long
 	r.finish(q)
 }
 
