An origin that is slow by nature gets more than two in flight

Its answers took 30 ms at their quickest, 31 to 39 on the mean; the goal that the settings lead to is 32 ms, so that it always counted as busy and its bound stood at 2.0 to 2.5: what was let in set the rate, and the rate the bound. Ruled out: a loaded origin (30 ms with one in flight at the start as well), time-outs there (43), the router's own waiting in line (0 to 4 held).

At fault: originBound() took the lesser of 1.6 times the quickest and the goal as the mark of a busy origin. Now the goal counts twice there, which still bounds a quickest that was learnt under load.

Also: the player waits until a stopped server refuses; a pending Accept once took the connection, and refused.trace failed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,8 +139,8 @@
 	}
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and four
-// latency budgets, as long as a crest: clients told to come back sooner kept the queue full.
+// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and
+// four latency budgets, as long as a crest: clients told to come back sooner kept the queue full.
 func (r *Router) giveUp(q *req) {
 	d := Decision{Action: Fail, Req: q.id}
 	if q.maybeRan == 0 || q.method.effect == Retryable {
@@ -339,8 +339,9 @@
 	const fewest = 6 // of all routers, two of one: enough to find its rate, few enough for a stopped origin
 	goal := 4 * o.best
 	// More than the spread of a long mean of heavy-tailed answers; or a quickest that was learnt under load.
-	if o.long > min(o.best*8/5, r.originGoal) {
-		goal = r.originGoal
+	// An origin that takes as long as the goal when idle was held at two in flight all day.
+	if most := min(o.best*8/5, 2*r.originGoal); o.long > most {
+		goal = max(r.originGoal, most)
 	}
 	b := max(min(2, fewest*r.part), o.rate.now(r.now, rateSpan)*float64(goal)/1e6)
 	if b >= 1 {
@@ -350,7 +351,6 @@
 	return min(1, b+2*math.Sqrt(b)) * o.quick(crowded)
 }
 
-// waitsFor is the server that a held req is held for.
 func (r *Router) waitsFor(q *req) *server {
 	if q.toOrigin {
 		return r.origin
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -432,6 +432,13 @@
 	case "closes", "resets", "stops":
 		if what == "stops" {
 			s.ln.Close()
+			for { // a pending Accept holds the socket open for a moment more
+				c, err := net.Dial("tcp", s.ln.Addr().String())
+				if err != nil {
+					break
+				}
+				c.Close()
+			}
 		}
 		s.closeAll(what == "resets")
 	default:
