The rule on answers too few counts what was sent; who is gone is forgotten

Of those asked and not answered 186 were spoilt answers, and at the start 68 nacked by the bound of their own cache, with nothing sent. Ruled out: time-outs (47), the origin (32 given up there).

At fault in choice.go: finish() counted reqs for which nothing had been sent, returned() no answer that broke off or was spoilt.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,4 @@
 // Package choice: every decision of a router stands in this file.
-//
 // How to call it: New starts a router on its settings and seed; Step takes one input at a clock time and
 // returns what to do now, in order, in a slice that the next Step reuses. A router keeps to itself: no I/O,
 // clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
@@ -118,7 +117,6 @@
 	return lost
 }
 
-// hold keeps a req for later.
 func (r *Router) hold(q *req) {
 	if q.settled = true; q.held {
 		return
@@ -156,8 +154,8 @@
 }
 
 func (r *Router) finish(q *req) {
-	// Once: a write-out may end after its req. Where time was short from the start no cache is to blame.
-	if !q.done && q.admitted && !q.short && (q.sent > 0 || q.target != nil) {
+	// Once: a write-out may end after its req. Where time was short or nothing was sent no cache is to blame.
+	if !q.done && q.admitted && !q.short && q.sent > 0 {
 		r.asked.add(r.now, trafficSpan)
 	}
 	q.done, q.settled = true, true
@@ -646,7 +644,6 @@
 // buildTable gives each slot its caches, after Maglev: in turns, each cache claims the next slot of its own
 // order that is free. The second and third place are claimed by the same walks, so that mostly the second
 // cache of a slot is the one that would be first without the first.
-//
 // Hundreds of routers build it at each change of the list: it is flat, and done once all slots are claimed.
 func buildTable(caches []*server) []uint32 {
 	places := min(groupCount, len(caches))
@@ -835,7 +832,9 @@
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
 		r.hot.count(keyHash(e.Key))
-		r.news = append(r.news, keyHash(e.Key))
+		if r.mayTell {
+			r.news = append(r.news, keyHash(e.Key))
+		}
 	}
 	r.reqs[q.id] = q
 	r.run(q)
@@ -858,7 +857,8 @@
 	if e.Status == OK && !w.server.origin {
 		q.method.time += (e.Took - q.method.time) / 20
 	}
-	if !w.server.origin && !q.short && (e.Status == OK || e.Status == Miss) {
+	noise := e.Status == Failed || e.Status == Reset // it spoke, all the same: a jammed cache is silent
+	if !w.server.origin && !q.short && (e.Status == OK || e.Status == Miss || noise) {
 		r.answered.add(r.now, trafficSpan)
 	}
 	if q.done || e.Over {
@@ -877,7 +877,7 @@
 		}
 	}
 	// The first failure in a row is more often noise than the server's end, and its keys are nowhere else.
-	if noise := e.Status == Failed || e.Status == Reset; q.retrying && !(noise && w.server.lost <= 1) {
+	if q.retrying && !(noise && w.server.lost <= 1) {
 		q.failed = append(q.failed, w.server)
 	}
 	if w.server.origin {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -159,3 +159,12 @@
 		t.Errorf("one req counts as %v", n)
 	}
 }
+
+// What routers may not tell each other was gathered all the same, all day.
+func TestNothingIsGatheredForPeersThatAreNotTold(t *testing.T) {
+	r, _ := New(0, base(), 1)
+	r.Step(0, ReqCame{Req: "a", Key: "k", ValidUntil: 1e6})
+	if len(r.news) != 0 {
+		t.Error(len(r.news), "keys are kept")
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -115,9 +115,25 @@
 		l.Entries = append(l.Entries, choice.Entry{Server: id, Zone: choice.Zone(t.Zone), Kind: choice.Kind(t.Kind),
 			Cell: choice.Cell(t.Cell), State: state, Weight: t.Weight, Started: choice.Micros(t.Boot * 1e3)})
 	}
+	b.prune(l)
 	return l, nil
 }
 
+// prune forgets who is gone: servers come under ever new names.
+func (b *Book) prune(l choice.ListCame) {
+	named := map[choice.ServerID]bool{}
+	for _, e := range l.Entries {
+		named[e.Server] = e.State != choice.Gone
+	}
+	for uid, id := range b.ids {
+		if keep, told := named[id]; told && !keep || !told && l.Kind == choice.ListFull {
+			delete(b.ids, uid)
+			delete(b.uids, id)
+			delete(b.addrs, id)
+		}
+	}
+}
+
 // id is the number of a server: a hash of its name, so that it is the same at every router. Of two names with one hash
 // the later gets the next hash of its own.
 func (b *Book) id(uid UID) choice.ServerID {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -259,7 +259,8 @@
 			came.Tenant = choice.Tenant(value)
 		case "d":
 			ms, err := strconv.ParseFloat(string(value), 64)
-			ok = ok && err == nil && ms > 0 && ms < 1e9
+			plain := len(bytes.Trim(value, "0123456789.")) == 0 // no signs, exponents, other bases or names
+			ok = ok && plain && err == nil && ms > 0 && ms < 1e9
 			waits = choice.Micros(ms * 1e3)
 		case "r":
 			came.Resent = string(value) == "1"
