Of clients that keep connections they have done with, the one quiet longest goes

Clients hold a third of the descriptors for reqs (128) and had none left. Ruled out: the decisions, servers aside, commands turned away, CPU (0.1 s in a second).

Tests: TestClientsThatKeepTheirConnections, TestSilentClientsAreClosed, TestClientsAboveTheirPartGoBeforeServers.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -15,6 +15,7 @@
 	MostDescriptors int   // the same, for clients that come in while no other can be closed
 	Upstreams       int   // of these, for connections to servers and their dials
 	Clients         int   // of these, for clients: over that one of them goes before a server's idle connection
+	Askers          int   // of these, for clients that have asked: over that the one quiet longest goes
 
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
@@ -29,7 +30,7 @@
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
 	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
-	Silent     choice.Micros // a client that has sent nothing whole, or only part of a command, for so long is closed
+	Silent     choice.Micros // a client with no open req that has sent nothing whole for so long is closed
 	Own        choice.Micros // for the connection to itself at the start
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
@@ -65,6 +66,7 @@
 		MostDescriptors: sockets - held,
 		Upstreams:       (sockets - reserve) / 2,
 		Clients:         sockets / 3,                                                    // as many as clients hold for reqs at most
+		Askers:          sockets / 4,                                                    // a quarter of those is left free for clients that come in
 		Resp:            resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
 		Origin:          httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
 		Discovery:       httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -19,7 +19,8 @@
 	whole   choice.Micros // when the last whole command came, or the connection
 	part    choice.Micros // when the first byte came of a command that is not whole yet; 0: there is none
 	used    bool          // something has come on it
-	asked   bool          // a whole command has come on it
+	spoke   bool          // a whole command has come on it
+	asked   bool          // a req has come on it
 	stalled bool          // its next commands wait until there is room; it is on the router's list of those
 	over    bool          // to be closed once the answers are out
 	words   [][]byte
@@ -43,6 +44,9 @@
 
 func (c *client) closed() {
 	delete(c.r.clients, c)
+	if c.asked {
+		c.r.askers--
+	}
 	for _, s := range c.slots {
 		if s.q != nil {
 			c.r.left(s.q)
@@ -79,7 +83,7 @@
 		if used == 0 {
 			break
 		}
-		c.asked, c.whole, c.part = true, c.idle, 0
+		c.spoke, c.whole, c.part = true, c.idle, 0
 		if len(words) > 0 {
 			c.command(words)
 		}
@@ -107,7 +111,7 @@
 
 // silent: nothing whole has come since it connected, or a command is long in coming.
 func (c *client) silent(now choice.Micros) bool {
-	return !c.asked && now-c.whole >= c.r.lim.Silent || c.part != 0 && now-c.part >= c.r.lim.Silent
+	return !c.spoke && now-c.whole >= c.r.lim.Silent || c.part != 0 && now-c.part >= c.r.lim.Silent
 }
 
 func (c *client) stall() {
@@ -275,6 +279,15 @@
 	r.reqs[q.id] = q
 	r.held += size
 	r.counts.Taken++
+	if !c.asked {
+		c.asked = true
+		r.askers++
+		// Clients hold only so many connections. Where they keep those that they have done with, they have none left to
+		// ask on, long before the descriptors are short here.
+		if r.askers > r.lim.Askers {
+			r.shedClient(true)
+		}
+	}
 	r.input(&arrival{came: came, waits: max(waits-r.lim.Crossing, 1)})
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -91,7 +91,7 @@
 // notedConfig is one of a method that must not run twice, with the origin alone.
 func notedConfig() config.Config {
 	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
-		Descriptors: 100, Upstreams: 50, Clients: 50, Silent: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+		Descriptors: 100, Upstreams: 50, Clients: 50, Askers: 50, Silent: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
 	cfg.Limits.Origin = httpwire.Bounds{Head: 1 << 10, Body: 1 << 16}
 	cfg.Settings = choice.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
 		Methods: []choice.MethodSettings{{Name: "pay", Effect: choice.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
@@ -203,7 +203,7 @@
 	r.lim.Linger = 100e3
 	client.in = resp.AppendCommand(nil, []byte("QUIT"))
 	client.left = 5
-	if action := r.OnTraffic(client); action != gnet.None || r.shedClient() {
+	if action := r.OnTraffic(client); action != gnet.None || r.shedClient(false) {
 		t.Error("closed with an answer that has not left", action)
 	}
 	r.closeIdleClients()
@@ -348,9 +348,14 @@
 func TestClientsAboveTheirPartGoBeforeServers(t *testing.T) {
 	l, client, origin := newNoted(t)
 	r := l.r
-	client.in = resp.AppendCommand(nil, []byte("PING"))
-	r.OnTraffic(client)
-	never := l.open(nil)
+	client.asks(r, "r1")
+	l.rounds()
+	origin.in = []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	r.OnTraffic(origin)
+	l.rounds()
+	never := l.open(nil) // what only pings is no better than one that is silent
+	never.in = resp.AppendCommand(nil, []byte("PING"))
+	r.OnTraffic(never)
 	r.lim.Clients, r.lim.Descriptors, r.lim.MostDescriptors = 1, r.used(), r.used()+1
 	if newest := l.open(nil); !never.closed || client.closed || origin.closed || newest.closed {
 		t.Error("the one that never asked should have gone:", never.closed, client.closed, origin.closed, newest.closed)
@@ -367,16 +372,40 @@
 	r := l.r
 	asked, part := l.open(nil), l.open(nil)
 	asked.asks(r, "r1")
+	once := l.open(nil) // it has had its answer, and stays
+	once.in = resp.AppendCommand(nil, []byte("PING"))
+	r.OnTraffic(once)
 	part.in = []byte("*1\r\n$4\r\nPING\r\n*1\r\n$4\r\n")
 	r.OnTraffic(part)
 	l.rounds()
 	r.began += 1900e3
-	if r.sweep(); silent.closed || part.closed {
+	if r.sweep(); silent.closed || part.closed || once.closed {
 		t.Error("closed too early")
 	}
 	r.began += 200e3
 	r.sweep()
-	if !silent.closed || !part.closed || asked.closed || !strings.HasSuffix(part.wrote, "-ERR nothing whole has come\r\n") {
+	if !silent.closed || !part.closed || !once.closed || asked.closed || !strings.HasSuffix(part.wrote, "-ERR nothing whole has come\r\n") {
 		t.Errorf("closed: %v, %v and %v; told %q", silent.closed, part.closed, asked.closed, part.wrote)
 	}
 }
+
+// Clients that ask once and keep the connection had none left to ask on: the one quiet longest goes, none that waits.
+func TestClientsThatKeepTheirConnections(t *testing.T) {
+	l, first, origin := newNoted(t)
+	r := l.r
+	r.lim.Askers = 2
+	first.asks(r, "r0")
+	l.rounds()
+	origin.in = []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	r.OnTraffic(origin)
+	l.rounds()
+	pings, second, third := l.open(nil), l.open(nil), l.open(nil)
+	second.asks(r, "r1")
+	if first.closed {
+		t.Error("closed within the bound")
+	}
+	third.asks(r, "r2")
+	if !first.closed || pings.closed || second.closed || third.closed || r.askers != 2 {
+		t.Error(first.closed, pings.closed, second.closed, third.closed, r.askers)
+	}
+}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -211,7 +211,7 @@
 }
 
 // sweep closes what has been idle for nearly as long as its server would let it, clients that were to be closed once
-// they had taken their answers, and those that hold a descriptor and say nothing.
+// they had taken their answers, and those that hold a descriptor and say nothing, or nothing more.
 func (r *Router) sweep() {
 	now := r.clock()
 	for c := range r.clients {
@@ -223,6 +223,9 @@
 			if c.ended() && c.conn != nil {
 				r.close(c.conn)
 			}
+		// Some ask once and keep the connection for good. Clients may hold only so many, and had none left for reqs.
+		case !c.over && c.quiet() && c.conn.InboundBuffered() == 0 && now-c.idle >= r.lim.Silent:
+			r.close(c.conn)
 		}
 	}
 	r.after(r.lim.Sweep, r.sweep)
@@ -264,7 +267,7 @@
 // asked once and stayed, or never asked, took the descriptors of the servers' connections, and each write-out paid for
 // a new one.
 func (r *Router) shed() bool {
-	return len(r.clients) > r.lim.Clients && r.shedClient() || r.shedServer() || r.shedClient()
+	return len(r.clients) > r.lim.Clients && r.shedClient(false) || r.shedServer() || r.shedClient(false)
 }
 
 // shedServer closes the connection to a server that has been idle longest.
@@ -284,12 +287,12 @@
 }
 
 // shedClient closes the client that has been quiet longest, first of those that never asked. One that has just come in
-// is spared: its first req is on its way, and closing the connection would lose it.
-func (r *Router) shedClient() bool {
+// is spared: its first req is on its way, and closing the connection would lose it. askers: of those that have asked.
+func (r *Router) shedClient(askers bool) bool {
 	now := r.clock()
 	var longest *client
 	for c := range r.clients {
-		if c.quiet() && now-c.idle >= r.lim.Quiet && (longest == nil || c.asked == longest.asked && c.idle < longest.idle ||
+		if c.quiet() && (c.asked || !askers) && now-c.idle >= r.lim.Quiet && (longest == nil || c.asked == longest.asked && c.idle < longest.idle ||
 			!c.asked && longest.asked) {
 			longest = c
 		}
