Only what broke or was spoilt lengthens the row that sets a server aside

Time-outs and full queues counted as noise as well, so that a crowded fleet kept sending to servers that hang. They are load, and no longer count there.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,7 +4,6 @@
 // clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
 // settings, decisions) is in types.go, the state by how long it lives in state.go, counters and hashes are in
 // measure.go. None of these decides anything.
-//
 // How it is laid out: the rules for one req, in order; what the rules ask (targets, room, health, cold
 // servers); the hot keys and their shares; the slot table; the inputs.
 package choice
@@ -426,13 +425,15 @@
 	if points == 0 {
 		return
 	}
-	// What strikes all alike (broken connections, spoilt answers, a short fleet) is no one's ill health: it set
+	// What strikes all alike (broken connections, spoilt answers) is no one's ill health: it set
 	// aside a healthy fleet, and the origin. A row too long for chance at the others' share is.
 	const granted, unlikely, most = 1, 1e-5, 8 // write-outs a second; such a row is seen once in many minutes
 	others := max(0, r.noise.now(r.now, useSpan)-float64(s.lost)*1e6/useSpan)
-	share := others / (r.used.now(r.now, useSpan) + granted)
-	row := min(most, int(math.Ceil(math.Log(unlikely)/math.Log(min(share, 0.5)))))
-	r.noise.add(r.now, useSpan)
+	share := min(0.5, others/(r.used.now(r.now, useSpan)+granted))
+	row := min(most, int(math.Ceil(math.Log(unlikely)/math.Log(share))))
+	if status != TimedOut && status != QueueFull { // these are load
+		r.noise.add(r.now, useSpan)
+	}
 	if s.fixed.time > 0 && !s.origin { // a failed write-out is a sample of twice the cache's mean at most
 		s.report(r.now, min(took, 2*s.fixed.time))
 	}
@@ -444,7 +445,6 @@
 	}
 }
 
-// measure keeps a time of the server, and of all caches together: of one cache a router may see little.
 func (r *Router) measure(s *server, took Micros) {
 	if s.measure(took); !s.origin {
 		r.seen.measure(took)
