--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -144,7 +144,7 @@
 		}
 	}
 	fmt.Println(retries, "retries for 100 reqs")
-	// Output: 16 retries for 100 reqs
+	// Output: 15 retries for 100 reqs
 }
 
 // A client that leaves while a write-out is out ends its req twice, by leaving and by the outcome. Counted twice it
