--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -65,29 +65,30 @@
 		Descriptors:     sockets - reserve,
 		MostDescriptors: sockets - held,
 		Upstreams:       (sockets - reserve) / 2,
-		Clients:         sockets / 3,                                                    // as many as clients hold for reqs at most
-		Askers:          sockets / 4,                                                    // a quarter of those is left free for clients that come in
-		Resp:            resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
-		Origin:          httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
-		Discovery:       httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
-		Read:            64 * kibibyte,
-		ClientIn:        256 * kibibyte,
-		ClientOut:       mebibyte,
-		Pipeline:        256,
-		HeldBytes:       memory * mebibyte / 8,
-		Buffered:        memory * mebibyte / 4,
-		Connect:         s.ConnectTimeout,
-		Idle:            s.IdleClose * 9 / 10, // a req may be on its way when the server closes
-		Sweep:           250e3,
-		Quiet:           50e3, // many times the way from a client: what it sent with its connection has come
-		Silent:          2e6,  // no req is owed to it by then
-		Own:             1e6,
-		Crossing:        3e3,  // some three times the way from a client to its router
-		Watch:           20e6, // the example of the protocol
-		WatchSlack:      2e6,
-		AskAgain:        100e3, // well within the 200 ms after which a watch begins anew
-		Linger:          3e6,   // no deadline is longer
-		LingerOpen:      500e3,
+		// Clients hold a third at most for reqs; a quarter of that is left free for clients that come in.
+		Clients:    sockets / 3,
+		Askers:     sockets / 4,
+		Resp:       resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
+		Origin:     httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
+		Discovery:  httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
+		Read:       64 * kibibyte,
+		ClientIn:   256 * kibibyte,
+		ClientOut:  mebibyte,
+		Pipeline:   256,
+		HeldBytes:  memory * mebibyte / 8,
+		Buffered:   memory * mebibyte / 4,
+		Connect:    s.ConnectTimeout,
+		Idle:       s.IdleClose * 9 / 10, // a req may be on its way when the server closes
+		Sweep:      250e3,
+		Quiet:      50e3, // many times the way from a client: what it sent with its connection has come
+		Silent:     2e6,  // no req is owed to it by then
+		Own:        1e6,
+		Crossing:   3e3,  // some three times the way from a client to its router
+		Watch:      20e6, // the example of the protocol
+		WatchSlack: 2e6,
+		AskAgain:   100e3, // well within the 200 ms after which a watch begins anew
+		Linger:     3e6,   // no deadline is longer
+		LingerOpen: 500e3,
 	}
 	if l.Connect <= 0 {
 		l.Connect = 250e3
