--- /dev/null
+++ b/internal/lab/cacheserver/cacheserver.go
@@ -0,0 +1,232 @@
+// Package cacheserver is a stand-in for a cache server: it speaks RESP2 as the published protocol has it, works on a
+// machine of package machine, stores keys, and fails on demand. One Server is one life of one process. All that it sees
+// of routers goes into the run's record.
+//
+// The files: this one a life and its listeners; conn.go a connection; answer.go what is answered; trouble.go what can be
+// done to it.
+package cacheserver
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/machine"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// Fleet is what all servers of a run share.
+type Fleet struct {
+	Log     *event.Log
+	Set     scenario.Servers
+	Service scenario.Service
+	Methods map[string]scenario.Method
+	Through bool
+	Missed  func(req event.Req, s *Server, cold bool) // aside: the origin's answer is to fill it
+	Repeats *Repeats
+}
+
+// Repeats remembers deduplicated reqs, as all servers of a group do together.
+type Repeats struct {
+	mu   sync.Mutex
+	seen map[string]event.Micros
+}
+
+// Known tells whether a req ran in a group within a window, and remembers it otherwise.
+func (r *Repeats) Known(group string, req event.Req, now, window event.Micros) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen == nil {
+		r.seen = map[string]event.Micros{}
+	}
+	k := group + " " + string(req)
+	if at, ok := r.seen[k]; ok && now-at <= window {
+		return true
+	}
+	r.seen[k] = now
+	return false
+}
+
+// Server is one life.
+type Server struct {
+	fleet *Fleet
+	UID   event.Server
+	Zone  string
+	Cell  int
+	Boot  time.Time // zero: up for long
+	addrs []string  // one for each router, in their order
+
+	mu       sync.Mutex
+	machine  *machine.Machine
+	store    *machine.LRU
+	rand     *rand.Rand
+	ln       []net.Listener
+	fillers  []io.Closer
+	conns    map[*conn]struct{}
+	alarm    *time.Timer
+	ids      uint64
+	jobs     map[*machine.Job]*command
+	down     bool
+	draining bool
+	vanished bool
+	trouble  trouble
+	report   []byte
+	reported event.Micros
+	took     event.Micros // smoothed time of work
+	hits     float64      // share of late
+	errors   float64
+	wg       sync.WaitGroup
+}
+
+// Start begins a life on its addresses. A warm one has been up for long and holds its keys already.
+func Start(f *Fleet, uid event.Server, zone string, cell int, addrs []string, warm bool, seed uint64) (*Server, error) {
+	s := &Server{fleet: f, UID: uid, Zone: zone, Cell: cell, addrs: addrs, store: machine.NewLRU(f.Set.Keys),
+		rand: rand.New(rand.NewPCG(seed, 7)), conns: map[*conn]struct{}{}, jobs: map[*machine.Job]*command{}}
+	now := f.Log.Now()
+	cold := event.Micros(0)
+	if !warm {
+		s.Boot = time.Now()
+		cold = f.Set.ColdSpan.Micros()
+	}
+	s.machine = machine.New(machine.Settings{Cores: f.Set.Cores, Queue: f.Set.Queue, ColdShare: f.Set.ColdShare,
+		ColdSpan: f.Set.ColdSpan.Micros(), FallMultiple: f.Set.FallMultiple, FallSpan: f.Set.FallSpan.Micros()}, now, warm)
+	s.alarm = time.AfterFunc(time.Hour, s.ring)
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	f.Log.Add(event.Event{Kind: event.Came, Server: uid, Router: event.Nobody, Limit: cold})
+	return s, nil
+}
+
+// Addr is where a router reaches it.
+func (s *Server) Addr(r event.Router) string { return s.addrs[r] }
+
+func (s *Server) listen() error {
+	for i, addr := range s.addrs {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, ln := range s.ln {
+				ln.Close()
+			}
+			s.ln = nil
+			return fmt.Errorf("cache server %s: %w", s.UID, err)
+		}
+		s.ln = append(s.ln, ln)
+		s.wg.Add(1)
+		go s.accept(ln, event.Router(i))
+	}
+	return nil
+}
+
+func (s *Server) accept(ln net.Listener, r event.Router) {
+	defer s.wg.Done()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.down || s.vanished {
+			s.mu.Unlock()
+			c.Close()
+			continue
+		}
+		k := newConn(s, c, r, len(s.conns) >= s.fleet.Set.Connections)
+		s.conns[k] = struct{}{}
+		s.mu.Unlock()
+		s.fleet.Log.Add(event.Event{Kind: event.Conn, Server: s.UID, Router: r})
+		s.wg.Add(2)
+		go k.read()
+		go k.write()
+	}
+}
+
+// Fill stores a key, as the origin's answer does for a server that missed it.
+func (s *Server) Fill(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		s.store.Put(key)
+	}
+}
+
+// Drop takes a key out, as a write does.
+func (s *Server) Drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Drop(key)
+}
+
+// Cold tells whether it is still warming up.
+func (s *Server) Cold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Cold(s.fleet.Log.Now())
+}
+
+// Drain: it finishes what it has, and turns away what comes after the grace.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Kill ends the process at once: its connections are reset, its address refuses new ones.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return
+	}
+	s.down = true
+	s.closeListeners()
+	for c := range s.conns {
+		c.reset()
+	}
+	s.alarm.Stop()
+	s.mu.Unlock()
+	s.fleet.Log.Add(event.Event{Kind: event.Went, Server: s.UID, Router: event.Nobody})
+}
+
+// Wait returns once nothing of it runs any more; call it after Kill.
+func (s *Server) Wait() { s.wg.Wait() }
+
+func (s *Server) closeListeners() {
+	for _, ln := range s.ln {
+		ln.Close()
+	}
+	s.ln = nil
+	for _, c := range s.fillers {
+		c.Close()
+	}
+	s.fillers = nil
+}
+
+// ring ends the jobs that are due.
+func (s *Server) ring() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn()
+}
+
+// turn answers what is done and sets the alarm for what comes next.
+func (s *Server) turn() {
+	if s.down {
+		return
+	}
+	now := s.fleet.Log.Now()
+	for _, j := range s.machine.Ended(now) {
+		k := s.jobs[j]
+		delete(s.jobs, j)
+		if k != nil {
+			s.done(k, now)
+		}
+	}
+	if next, ok := s.machine.Next(); ok {
+		s.alarm.Reset(max(0, next-s.fleet.Log.Now()).Duration())
+	}
+}
--- /dev/null
+++ b/internal/lab/cacheserver/trouble.go
@@ -0,0 +1,156 @@
+package cacheserver
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// trouble is what is wrong with a server's answers.
+type trouble struct {
+	resets       float64 // share of the answers that break off
+	spoilt       float64 // share that cannot be read
+	surplus      float64 // share with something behind
+	forms        []string
+	staleReports bool
+	badReports   bool
+	late         bool // the grace of a drain is over
+}
+
+func (f *Fleet) figure(name string) string { return scenario.Figures[name] }
+
+// Forms are the forms of spoilt answers.
+var Forms = map[string]func([]byte) []byte{
+	"noise":   func([]byte) []byte { return []byte("\x00\xffnot an answer\x17\r\n") },
+	"length":  func(b []byte) []byte { return append([]byte("*3\r\n$7\r\n"), b[4:]...) },
+	"huge":    func([]byte) []byte { return []byte("*3\r\n$3000000000\r\nabc") },
+	"nested":  func([]byte) []byte { return []byte("*3\r\n*1\r\n$1\r\nx\r\n$-1\r\n$-1\r\n") },
+	"endless": func([]byte) []byte { return append([]byte("+"), make([]byte, 9000)...) },
+}
+
+// spoil changes an answer as the fault has it.
+func (t *trouble) spoil(r *rand.Rand, text []byte, reply event.Reply) ([]byte, event.Reply, int) {
+	switch x := r.Float64(); {
+	case x < t.resets:
+		return text, event.Lost, r.IntN(len(text))
+	case x < t.resets+t.spoilt:
+		forms := t.forms
+		if len(forms) == 0 {
+			forms = []string{"endless", "huge", "length", "nested", "noise"}
+		}
+		return Forms[forms[r.IntN(len(forms))]](text), event.Spoilt, -1
+	case x < t.resets+t.spoilt+t.surplus:
+		return append(text, []string{"+surplus\r\n", "$-1\r\n", "\x00\x01"}[r.IntN(3)]...), reply, -1
+	}
+	return text, reply, -1
+}
+
+// Strike begins a fault of the scenario on this server, or takes it back.
+func (s *Server) Strike(f scenario.Fault, end bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil
+	}
+	now := s.fleet.Log.Now()
+	on := !end
+	part := func(x float64) float64 {
+		if end {
+			return 0
+		}
+		return x
+	}
+	switch f.Kind {
+	case "hang":
+		s.machine.Freeze(now, on)
+		s.turn()
+	case "slow":
+		if s.machine.Slow(f.Factor); end {
+			s.machine.Slow(1)
+		}
+	case "refuse":
+		if on {
+			s.closeListeners()
+			return nil
+		}
+		return s.listen()
+	case "vanish":
+		return s.vanish(now, on)
+	case "reset":
+		s.trouble.resets = part(f.Share)
+	case "spoil":
+		s.trouble.spoilt, s.trouble.forms = part(f.Share), f.Answers
+	case "surplus":
+		s.trouble.surplus = part(f.Share)
+	case "stale_reports":
+		s.trouble.staleReports = on
+	case "bad_reports":
+		s.trouble.badReports = on
+	default:
+		return fmt.Errorf("a cache server knows no fault %q", f.Kind)
+	}
+	return nil
+}
+
+// PastGrace: from now on a draining server turns away what comes.
+func (s *Server) PastGrace() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble.late = true
+}
+
+// vanish makes the machine silent: open connections stay open and bring nothing, new ones never come up. When it is
+// back its old connections are reset. A full backlog of a listener that nobody reads makes the kernel drop what comes.
+func (s *Server) vanish(now event.Micros, on bool) error {
+	if !on {
+		s.vanished = false
+		s.machine.Freeze(now, false)
+		for k := range s.conns {
+			k.reset()
+		}
+		s.closeListeners()
+		return s.listen()
+	}
+	s.vanished = true
+	s.machine.Freeze(now, true)
+	for _, ln := range s.ln {
+		if err := s.silence(ln); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) silence(ln net.Listener) error {
+	// A copy of the descriptor stays open that nobody accepts on.
+	file, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		return err
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	s.fillers = append(s.fillers, file)
+	if err := unix.Listen(int(file.Fd()), 0); err != nil {
+		return err
+	}
+	for range 2 { // a backlog of nothing still takes one
+		c, err := net.DialTimeout("tcp", addr, 20*time.Millisecond)
+		if err != nil {
+			break
+		}
+		s.fillers = append(s.fillers, c)
+	}
+	return nil
+}
+
+// KnownForm tells whether an answer can be spoilt so.
+func KnownForm(name string) bool {
+	return slices.Contains([]string{"endless", "huge", "length", "nested", "noise"}, name)
+}
--- /dev/null
+++ b/internal/lab/client/bad.go
@@ -0,0 +1,102 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// patience is how long a bad client waits for the error or the close that it is owed.
+const patience = 3*time.Second + 50*time.Millisecond
+
+// Rubbish is what bad clients send; a router owes each an error or a close.
+var Rubbish = []string{
+	"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	"*3\r\n$9\r\nCACHE.GET\r\n$-5\r\nabc\r\n",
+	"*99999999999\r\n",
+	"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$15\r\nc=unknown,d=100\r\n",
+	"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$0\r\n\r\n$5\r\nd=100\r\n",
+	"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\nj\r\n$9\r\nc=x,d=NaN\r\n",
+	"*2\r\n$9\r\nCACHE.GET\r\n$900000000\r\n",
+	"\x00\xff\xfe\r\n",
+	"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n",
+}
+
+// Bad plays the bad clients of a fault against all routers until the context ends.
+func (f *Front) Bad(ctx context.Context, fault scenario.Fault) {
+	r := rand.New(rand.NewPCG(f.seed, 9))
+	step := max(time.Millisecond, fault.For.Micros().Duration()/time.Duration(max(1, fault.Count)))
+	if fault.Kind == "mute" {
+		step = time.Millisecond // all at once
+	}
+	for i := range fault.Count {
+		router := event.Router(i % len(f.addrs))
+		text := Rubbish[r.IntN(len(Rubbish))]
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			f.bad(ctx, fault.Kind, router, text, i)
+		}()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(step):
+		}
+	}
+}
+
+func (f *Front) bad(ctx context.Context, kind string, router event.Router, text string, n int) {
+	c, err := net.DialTimeout("tcp", f.addrs[router], time.Second)
+	if err != nil {
+		return // turned away at the door is an answer as well
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if kind == "flood" {
+		text = flood(f, n)
+	}
+	if kind != "mute" {
+		_ = c.SetWriteDeadline(time.Now().Add(patience)) // an error shows in Write
+		if _, err := c.Write([]byte(text)); err != nil {
+			return
+		}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(patience)) // an error shows in Read
+	buf := make([]byte, 4096)
+	got, err := c.Read(buf)
+	what := ""
+	switch {
+	case got > 0 && buf[0] == '$' && kind == "rubbish":
+		what = fmt.Sprintf("%.40q was served with a value", text)
+	case got == 0 && err != nil && isTimeout(err) && kind != "mute" && ctx.Err() == nil:
+		what = fmt.Sprintf("%.40q got neither an error nor a close", text)
+	}
+	if what != "" {
+		f.log.Add(event.Event{Kind: event.Owed, Router: router, Note: what})
+	}
+	for got > 0 && err == nil { // it takes what it is sent
+		_, err = c.Read(buf)
+	}
+}
+
+func isTimeout(err error) bool {
+	n, ok := err.(net.Error)
+	return ok && n.Timeout()
+}
+
+// flood is hundreds of commands at once that name no method of the service.
+func flood(_ *Front, n int) string {
+	var b bytes.Buffer
+	for i := range 400 {
+		id := fmt.Sprintf("flood%d.%d", n, i)
+		fmt.Fprintf(&b, "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$14\r\nc=nothing,d=90\r\n", len(id), id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/lab/event/event.go
@@ -0,0 +1,156 @@
+// Package event holds what the stand-ins of a lab run saw: who did what, and when. The referee and the report are made
+// from this record alone, never from what a router says of itself.
+package event
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Micros is a time since the run's start, or a span, in whole microseconds.
+type Micros int64
+
+// Duration is the span in the standard library's form.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// The ids are types of their own, so that one cannot stand for another.
+type (
+	Req    string // one try, as it goes over the wire
+	Op     int32  // what a client wants, over all of its tries; the place in the schedule
+	Server string // the uid of one life of a cache server, or of the origin
+	Router int    // place among the run's routers
+	Method int    // index into the scenario's methods
+	Tenant int    // index into the scenario's tenants
+	Site   int    // index into the scenario's sites
+)
+
+// Nobody stands where an event concerns no router.
+const Nobody Router = -1
+
+// Kind says what happened, and which fields of an Event count.
+type Kind uint8
+
+// What a client saw.
+const (
+	Wanted    Kind = iota + 1 // an op came up: Op, Method, Tenant, Site; At is its intended time
+	Asked                     // the last byte of a req went out: Req, Op, Router, Method, Limit
+	Answered                  // the last byte of its answer came: Req, Router, Outcome, Limit (the hint)
+	Cut                       // the router ended the connection with no answer: Req, Router
+	Left                      // the client gave up or went: Req, Router
+	Unreached                 // no connection to the router: Req, Router
+	Surplus                   // bytes that no req asked for: Router, Req (the last one answered there)
+	Owed                      // a bad client got neither an error nor a close in time: Router, Note
+)
+
+// What a cache server or the origin saw.
+const (
+	Begun   Kind = iota + 20 // a write-out came whole: Req, Server, Router, Write; Since is its first byte
+	Ended                    // it ended there: Req, Server, Router, Reply
+	Ran                      // its effect ran: Req, Server
+	Fell                     // the server was pushed over while cold: Server, Note
+	Stopped                  // the origin was pushed over: Server, Limit (share of cold misses in parts of 1000)
+	Conn                     // a connection was accepted: Server, Router
+	Came                     // a server is up: Server; Limit is the span that it counts as cold, 0 for none
+	Went                     // it is down: Server
+	Odd                      // a router sent what is not of the protocol: Server, Router, Note
+)
+
+// What happened to routers, and what they were told.
+const (
+	Told   Kind = iota + 40 // discovery wrote to a router that a server is draining or gone: Server, Router
+	Due                     // the same has reached the agent that tells this router: Server, Router
+	Up                      // a router answers PING: Router
+	Term                    // SIGTERM was sent: Router
+	Down                    // a router's process ended: Router, Outcome (Satisfied: as it should)
+	Killed                  // SIGKILL was sent: Router
+	Fault                   // a fault begins, or ends where Limit is 1: Note
+	Sample                  // a router's CPU in microseconds (Limit) and memory in bytes (Size) so far: Router
+	Late                    // the lab itself was late by Limit
+)
+
+// Outcome is a final answer as a client reads it.
+type Outcome uint8
+
+const (
+	Satisfied Outcome = iota + 1 // with the value made for this req
+	Nacked
+	Failed
+	Foreign // a value that was not made for this req
+)
+
+// Reply is how a write-out ended at the server.
+type Reply uint8
+
+const (
+	Value      Reply = iota + 1 // the value or receipt was written whole
+	Miss                        // it lacks the key
+	TurnedAway                  // it never ran, and the router was told so
+	Error                       // an error was written: it may have run
+	Lost                        // the connection was over before an answer: it may have run
+	Spoilt                      // what was written could not be read: it may have run
+)
+
+// NeverRan tells whether the router knows by this reply that nothing ran.
+func (r Reply) NeverRan() bool { return r == Miss || r == TurnedAway }
+
+// Event is one thing seen.
+type Event struct {
+	At      Micros
+	Kind    Kind
+	Req     Req
+	Op      Op
+	Server  Server
+	Router  Router
+	Method  Method
+	Tenant  Tenant
+	Site    Site
+	Since   Micros
+	Limit   Micros
+	Size    int64
+	Outcome Outcome
+	Reply   Reply
+	Write   bool
+	Note    string
+}
+
+// Log gathers events from many goroutines.
+type Log struct {
+	start  time.Time
+	mu     sync.Mutex
+	events []Event
+}
+
+// NewLog begins a record; times count from now.
+func NewLog() *Log { return &Log{start: time.Now(), events: make([]Event, 0, 1<<16)} }
+
+// Now is the time since the start, by the monotonic clock.
+func (l *Log) Now() Micros { return Micros(time.Since(l.start) / time.Microsecond) }
+
+// Start is the wall clock's time of the start.
+func (l *Log) Start() time.Time { return l.start }
+
+// Add notes an event that happens now.
+func (l *Log) Add(e Event) {
+	l.mu.Lock()
+	e.At = l.Now()
+	l.events = append(l.events, e)
+	l.mu.Unlock()
+}
+
+// AddAt notes one whose time is known.
+func (l *Log) AddAt(e Event) {
+	l.mu.Lock()
+	l.events = append(l.events, e)
+	l.mu.Unlock()
+}
+
+// Events returns what was noted so far, in order of time.
+func (l *Log) Events() []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := slices.Clone(l.events)
+	slices.SortStableFunc(out, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
--- /dev/null
+++ b/internal/lab/fleet/acts.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/faults"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// playFaults does each act of the timeline at its time.
+func (r *run) playFaults(ctx context.Context, from event.Micros) {
+	struck := map[[2]int]*life{} // by fault and place: who was struck, so that the end finds the same life
+	for _, a := range faults.Timeline(r.s, r.o.Seed) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(max(0, from+a.At-r.log.Now()).Duration()):
+		}
+		f := r.s.Faults[a.Fault]
+		end := event.Micros(0)
+		if a.End {
+			end = 1
+		}
+		if a.Stage != 1 {
+			r.log.Add(event.Event{Kind: event.Fault, Router: event.Nobody, Note: f.Kind, Limit: end})
+		}
+		r.o.Log.WithField("at", a.At.Duration()).Debugf("%s (%v)", f.Kind, a)
+		if err := r.act(ctx, f, a, struck); err != nil {
+			r.mu.Lock()
+			r.failed = err
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (r *run) act(ctx context.Context, f scenario.Fault, a faults.Act, struck map[[2]int]*life) error {
+	switch scenario.Kinds[f.Kind].Strikes() {
+	case "servers":
+		return r.actServer(f, a, struck)
+	case "routers":
+		r.actRouter(ctx, f, a)
+	case "origin":
+		if r.origin != nil {
+			r.origin.Strike(f, a.End)
+		}
+	case "discovery":
+		if f.Kind == "discovery_move" {
+			return r.moveDiscovery()
+		}
+		r.registry.Strike(f, a.End)
+	case "clients":
+		switch f.Kind {
+		case "rubbish", "flood", "mute":
+			if !a.End {
+				within, cancel := context.WithTimeout(ctx, f.For.Micros().Duration()+4*time.Second)
+				r.bad.Go(func() {
+					defer cancel()
+					r.front.Bad(within, f)
+				})
+			}
+		}
+	}
+	return nil
+}
+
+func (r *run) actServer(f scenario.Fault, a faults.Act, struck map[[2]int]*life) error {
+	at := [2]int{a.Fault, a.Who}
+	r.mu.Lock()
+	l := r.lives[a.Who]
+	r.mu.Unlock()
+	if !a.End && a.Stage == 0 {
+		struck[at] = l
+	}
+	victim := struck[at]
+	switch f.Kind {
+	case "kill":
+		if a.End {
+			r.tell(victim, "left")
+			return r.live(a.Who, false, f.Moved)
+		}
+		l.server.Kill()
+		time.AfterFunc(r.s.Discovery.NoticeFor.Micros().Duration(), func() { r.tell(l, "left") })
+		return nil
+	case "drain", "deploy":
+		switch a.Stage {
+		case 0:
+			l.server.Drain()
+			r.tell(l, "leaving")
+			time.AfterFunc((r.s.Discovery.Delay+r.s.Service.DrainGrace).Micros().Duration()+time.Second, l.server.PastGrace)
+		case 1:
+			r.tell(victim, "left")
+			victim.server.Kill()
+		default:
+			return r.live(a.Who, false, f.Moved)
+		}
+		return nil
+	}
+	if a.End && victim != l {
+		return nil // another fault has replaced it meanwhile
+	}
+	return l.server.Strike(f, a.End)
+}
+
+// actRouter does what takes its time beside the timeline.
+func (r *run) actRouter(ctx context.Context, f scenario.Fault, a faults.Act) {
+	p := r.routers[a.Who]
+	again := func() {
+		if ctx.Err() != nil {
+			return
+		}
+		err := p.start()
+		if err == nil {
+			err = p.untilReady(ctx, 15*time.Second)
+		}
+		if err != nil && ctx.Err() == nil {
+			r.mu.Lock()
+			r.failed = err
+			r.mu.Unlock()
+		}
+	}
+	switch f.Kind {
+	case "router_kill":
+		if a.End {
+			r.acts.Go(again)
+			return
+		}
+		r.acts.Go(func() {
+			p.sigkill()
+			starts := p.starts
+			time.AfterFunc(r.s.Clients.FrontNotice.Micros().Duration(), func() {
+				p.mu.Lock()
+				same := p.starts == starts
+				p.mu.Unlock()
+				if same {
+					r.front.Believe(p.n, false)
+				}
+			})
+			if f.For == 0 && f.Batch == 0 { // it is started again as soon as its end is seen
+				again()
+			}
+		})
+	case "router_restart":
+		if !a.End {
+			r.acts.Go(func() {
+				p.stop(true)
+				again()
+			})
+		}
+	case "router_reload":
+		if !a.End {
+			if err := p.reload(); err != nil {
+				r.o.Log.WithError(err).Error("a reload")
+			}
+		}
+	}
+}
+
+// moveDiscovery gives every router's agent a new address, which the router's file names from then on.
+func (r *run) moveDiscovery() error {
+	for _, p := range r.routers {
+		p.mu.Lock()
+		p.moves++
+		addr := r.net.discovery(p.moves)[p.n]
+		p.mu.Unlock()
+		if err := r.registry.Move(p.n, addr, 1500*time.Millisecond); err != nil {
+			return err
+		}
+		if err := p.reload(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fleet/addresses.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+)
+
+// addresses says who listens where. A run has 127.K.0.0/16 for itself, so that a server that comes back finds its
+// address free: connections within the machine leave from 127.0.0.1. K is claimed by a listener that is held.
+type addresses struct {
+	k, n int
+	lock net.Listener
+}
+
+const firstNet, nets = 64, 60
+
+func newAddresses(routers int) (*addresses, error) {
+	for i := range nets {
+		k := firstNet + (os.Getpid()+i)%nets
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:6400", k))
+		if err == nil {
+			return &addresses{k, routers, lock}, nil
+		}
+	}
+	return nil, errors.New("no loopback network is free: too many labs run on this machine, or 127.0.0.0/8 is not whole here")
+}
+
+func (a *addresses) close() { a.lock.Close() }
+
+func (a *addresses) each(format string, more ...any) (out []string) {
+	for i := range a.n {
+		out = append(out, fmt.Sprintf(format, append([]any{a.k, i + 1}, more...)...))
+	}
+	return out
+}
+
+func (a *addresses) routers() []string            { return a.each("127.%d.250.%d:6379") }
+func (a *addresses) discovery(moves int) []string { return a.each("127.%d.251.%d:%d", 8500+moves) }
+func (a *addresses) origin() []string             { return a.each("127.%d.252.%d:8080") }
+
+// server is where each router reaches the server at a place, after so many moves.
+func (a *addresses) server(place, moves int) []string {
+	return a.each("127.%d.%d.%d:%d", place+1, 6379+moves)
+}
--- /dev/null
+++ b/internal/lab/fleet/routers.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/process"
+)
+
+// Spec is what a router is started with.
+type Spec struct {
+	Name, Listen, Discovery, Config, Log string
+	Cores                                int
+}
+
+// Env are the variables of a router.
+func (s Spec) Env() []string {
+	return []string{"EDGE_CONFIG=" + s.Config, "EDGE_NAME=" + s.Name, "EDGE_LISTEN=" + s.Listen, "EDGE_DISCOVERY=" + s.Discovery,
+		fmt.Sprint("GOMAXPROCS=", s.Cores)}
+}
+
+// Instance is a running router, a process or a stand-in for one.
+type Instance interface {
+	Signal(os.Signal) error
+	Done() <-chan struct{}
+	Err() error
+	End()
+	Usage() (cpu time.Duration, rss int64, ok bool)
+}
+
+// Starter starts a router.
+type Starter func(Spec) (Instance, error)
+
+// Program starts routers as processes of a program.
+func Program(path string) Starter {
+	return func(s Spec) (Instance, error) { return process.Start(path, s.Env(), s.Log) }
+}
+
+// router is one of the run's routers over all of its processes.
+type router struct {
+	run     *run
+	n       event.Router
+	mu      sync.Mutex
+	at      Instance
+	starts  int
+	moves   int
+	ending  bool // it was told to end
+	used    time.Duration
+	stopped bool // the run is over
+}
+
+func (p *router) name() string { return fmt.Sprintf("r%d", p.n) }
+
+func (p *router) spec() Spec {
+	dir := p.run.o.Dir
+	return Spec{Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
+		Config: filepath.Join(dir, p.name()+".json"), Log: filepath.Join(dir, p.name()+".log"), Cores: p.run.s.Routers.Cores}
+}
+
+// configure writes its file, whole or not at all.
+func (p *router) configure(known json.RawMessage) error {
+	spec := p.spec()
+	seed := fmt.Sprintf("%08x%08x", crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d %d", p.run.o.Seed, p.n, p.starts)), p.n)
+	text, err := config(p.run.s, spec.Name, spec.Listen, spec.Discovery, seed, known)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(spec.Config+".new", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(spec.Config+".new", spec.Config)
+}
+
+// start begins a process, with the list as the router last had it.
+func (p *router) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil
+	}
+	if err := p.configure(p.run.registry.Known(p.n)); err != nil {
+		return err
+	}
+	p.run.registry.Restarted(p.n)
+	at, err := p.run.o.Start(p.spec())
+	if err != nil {
+		return err
+	}
+	p.at, p.ending = at, false
+	p.starts++
+	go p.watch(at)
+	return nil
+}
+
+// watch notes a process that ends by itself.
+func (p *router) watch(at Instance) {
+	<-at.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at == at && !p.ending {
+		p.run.log.Add(event.Event{Kind: event.Down, Router: p.n, Outcome: event.Failed, Note: fmt.Sprint(at.Err(), "; see ", p.spec().Log)})
+		p.run.front.Believe(p.n, false)
+	}
+}
+
+// untilReady waits for the answer to PING.
+func (p *router) untilReady(ctx context.Context, most time.Duration) error {
+	until := time.Now().Add(most)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		p.mu.Lock()
+		at, stopped := p.at, p.stopped
+		p.mu.Unlock()
+		if stopped {
+			return nil
+		}
+		select {
+		case <-at.Done():
+			return fmt.Errorf("router %s ended at its start (%v); see %s", p.name(), at.Err(), p.spec().Log)
+		default:
+		}
+		if p.ping() {
+			p.run.log.Add(event.Event{Kind: event.Up, Router: p.n})
+			p.run.front.Believe(p.n, true)
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("router %s was not ready within %v; see %s", p.name(), most, p.spec().Log)
+}
+
+func (p *router) ping() bool {
+	c, err := net.DialTimeout("tcp", p.spec().Listen, 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond)) // an error shows in Read
+	if _, err := c.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
+		return false
+	}
+	buf := make([]byte, 16)
+	n, _ := c.Read(buf)
+	return string(buf[:n]) == "+PONG\r\n"
+}
+
+// sigkill ends it as a machine's loss of power would.
+func (p *router) sigkill() {
+	p.mu.Lock()
+	at := p.at
+	p.ending = true
+	p.mu.Unlock()
+	if at == nil {
+		return
+	}
+	p.run.log.Add(event.Event{Kind: event.Killed, Router: p.n})
+	at.End()
+	p.run.log.Add(event.Event{Kind: event.Down, Router: p.n, Outcome: event.Satisfied})
+}
+
+// stop ends it in order: SIGTERM, and SIGKILL once it has had its time.
+func (p *router) stop(again bool) {
+	p.mu.Lock()
+	at := p.at
+	p.ending, p.stopped = true, p.stopped || !again
+	p.mu.Unlock()
+	if at == nil {
+		return
+	}
+	select {
+	case <-at.Done():
+		return // it was killed before, or ended by itself, which was noted
+	default:
+	}
+	longest := time.Duration(0)
+	for _, m := range p.run.s.Methods {
+		longest = max(longest, m.Deadline.Micros().Duration())
+	}
+	p.run.log.Add(event.Event{Kind: event.Term, Router: p.n})
+	_ = at.Signal(syscall.SIGTERM) // an error: it has just ended, which Done tells
+	// Its front learns of it a little later; until then new connections go on coming.
+	time.AfterFunc(300*time.Millisecond, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.at == at {
+			p.run.front.Believe(p.n, false)
+		}
+	})
+	how := event.Event{Kind: event.Down, Router: p.n, Outcome: event.Satisfied}
+	select {
+	case <-at.Done():
+		if err := at.Err(); err != nil {
+			how.Outcome, how.Note = event.Failed, err.Error()
+		}
+	case <-time.After(longest + 2*time.Second):
+		at.End()
+		how.Outcome, how.Note = event.Failed, "it had not ended by its time after SIGTERM"
+	}
+	p.run.log.Add(how)
+}
+
+// kill ends it at the end of a run, with nothing noted.
+func (p *router) kill() {
+	p.mu.Lock()
+	p.ending, p.stopped = true, true
+	at := p.at
+	p.mu.Unlock()
+	if at != nil {
+		at.End()
+	}
+}
+
+// reload has it read its file again.
+func (p *router) reload() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.configure(p.run.registry.Known(p.n)); err != nil {
+		return err
+	}
+	if p.at != nil {
+		_ = p.at.Signal(syscall.SIGHUP) // an error: it is down
+	}
+	return nil
+}
+
+func (p *router) sample() {
+	p.mu.Lock()
+	at := p.at
+	p.mu.Unlock()
+	if at == nil {
+		return
+	}
+	if cpu, rss, ok := at.Usage(); ok {
+		p.run.log.Add(event.Event{Kind: event.Sample, Router: p.n, Limit: event.Micros(cpu / time.Microsecond), Size: rss})
+	}
+}
--- /dev/null
+++ b/internal/lab/origin/origin.go
@@ -0,0 +1,261 @@
+// Package origin is a stand-in for the slow, shared store behind the cache servers. It speaks HTTP/1.1 as the published
+// protocol has it, works on a machine of package machine, and counts how often each req's effect ran.
+package origin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"spurtrestle/internal/lab/cacheserver"
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/machine"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// UID is the origin's name in discovery.
+const UID event.Server = "origin"
+
+// Fleet is what the origin knows of the run.
+type Fleet struct {
+	Log     *event.Log
+	Set     scenario.Origin
+	Methods map[string]scenario.Method
+	Filled  func(req event.Req, key string) // its answer fills the servers that missed
+	Dropped func(key string)                // a write drops all copies
+	Cold    func(req event.Req) bool        // the miss was at a cold server
+	Repeats *cacheserver.Repeats
+}
+
+// Origin is the one store.
+type Origin struct {
+	fleet *Fleet
+	addrs []string
+
+	mu      sync.Mutex
+	machine *machine.Machine
+	rand    *rand.Rand
+	alarm   *time.Timer
+	jobs    map[*machine.Job]chan struct{}
+	stopped bool
+	asked   float64 // work asked for of late, and that of misses at cold servers
+	cold    float64
+	at      event.Micros
+	servers []*http.Server
+	wg      sync.WaitGroup
+}
+
+type routerKey struct{}
+
+// Start begins to serve, on one address for each router.
+func Start(f *Fleet, addrs []string, seed uint64) (*Origin, error) {
+	o := &Origin{fleet: f, addrs: addrs, rand: rand.New(rand.NewPCG(seed, 8)), jobs: map[*machine.Job]chan struct{}{}}
+	o.renew()
+	o.alarm = time.AfterFunc(time.Hour, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.turn()
+	})
+	for i, addr := range addrs {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			o.Close()
+			return nil, fmt.Errorf("origin: %w", err)
+		}
+		r := event.Router(i)
+		srv := &http.Server{Handler: o, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second,
+			ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+				f.Log.Add(event.Event{Kind: event.Conn, Server: UID, Router: r})
+				return context.WithValue(ctx, routerKey{}, r)
+			}}
+		o.servers = append(o.servers, srv)
+		o.wg.Add(1)
+		go func() {
+			defer o.wg.Done()
+			_ = srv.Serve(ln) // ends with Close
+		}()
+	}
+	f.Log.Add(event.Event{Kind: event.Came, Server: UID, Router: event.Nobody})
+	return o, nil
+}
+
+// Addr is where a router reaches it.
+func (o *Origin) Addr(r event.Router) string { return o.addrs[r] }
+
+// Close ends it at once.
+func (o *Origin) Close() {
+	for _, s := range o.servers {
+		s.Close()
+	}
+	if o.alarm != nil {
+		o.alarm.Stop()
+	}
+	o.wg.Wait()
+}
+
+func (o *Origin) renew() {
+	s := o.fleet.Set
+	o.machine = machine.New(machine.Settings{Cores: s.Cores, Queue: s.Queue, ColdShare: 1,
+		FallMultiple: s.FallMultiple, FallSpan: s.FallSpan.Micros(), FallsWarm: true}, o.fleet.Log.Now(), true)
+}
+
+func (o *Origin) turn() {
+	for _, j := range o.machine.Ended(o.fleet.Log.Now()) {
+		if done := o.jobs[j]; done != nil {
+			delete(o.jobs, j)
+			close(done)
+		}
+	}
+	if next, ok := o.machine.Next(); ok {
+		o.alarm.Reset(max(0, next-o.fleet.Log.Now()).Duration())
+	}
+}
+
+// Strike begins a fault of the scenario, or takes it back.
+func (o *Origin) Strike(f scenario.Fault, end bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case f.Kind == "origin_slow" && end:
+		o.machine.Slow(1)
+	case f.Kind == "origin_slow":
+		o.machine.Slow(f.Factor)
+	case f.Kind == "origin_stop":
+		o.machine.Freeze(o.fleet.Log.Now(), !end)
+	}
+	o.turn()
+}
+
+// count keeps what was asked for of late, to tell what pushed the origin over.
+func (o *Origin) count(now event.Micros, work float64, cold bool) {
+	fade := math.Exp(-float64(now-o.at) / float64(max(1, o.fleet.Set.FallSpan)))
+	o.asked, o.cold, o.at = o.asked*fade+work, o.cold*fade, now
+	if cold {
+		o.cold += work
+	}
+}
+
+// stop: pushed over, it answers nobody for a while and then begins anew.
+func (o *Origin) stop(now event.Micros) {
+	if o.stopped {
+		return
+	}
+	o.stopped = true
+	o.fleet.Log.AddAt(event.Event{At: now, Kind: event.Stopped, Server: UID, Router: event.Nobody,
+		Limit: event.Micros(1000 * o.cold / max(1, o.asked))})
+	time.AfterFunc(o.fleet.Set.StopFor.Micros().Duration(), func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.stopped = false
+		o.renew()
+	})
+}
+
+// ServeHTTP takes one write-out.
+func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	router, _ := r.Context().Value(routerKey{}).(event.Router)
+	odd := func(what string) {
+		o.fleet.Log.Add(event.Event{Kind: event.Odd, Server: UID, Router: router, Note: what})
+		w.WriteHeader(http.StatusBadRequest)
+	}
+	if err != nil {
+		return // the router ended it before its last byte
+	}
+	if r.URL.Path == "/health/live" || r.URL.Path == "/stats" {
+		return
+	}
+	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/"))
+	req := event.Req(r.Header.Get("X-Trace-Id"))
+	method, size := "", 0
+	for part := range strings.SplitSeq(r.Header.Get("X-Props"), ",") {
+		switch name, value, _ := strings.Cut(part, "="); name {
+		case "c":
+			method = value
+		case "size":
+			_, _ = fmt.Sscanf(value, "%d", &size) // 0 where it is none
+		}
+	}
+	m, known := o.fleet.Methods[method]
+	write := r.Method == http.MethodPut
+	if err != nil || req == "" || key == "" || !known || !write && r.Method != http.MethodGet {
+		odd("a request no client sent")
+		return
+	}
+	now := o.fleet.Log.Now()
+	tell := func(reply event.Reply) {
+		o.fleet.Log.Add(event.Event{Kind: event.Ended, Req: req, Server: UID, Router: router, Reply: reply})
+	}
+	o.fleet.Log.AddAt(event.Event{At: now, Kind: event.Begun, Req: req, Server: UID, Router: router, Since: now, Write: write})
+	o.mu.Lock()
+	work := float64(o.fleet.Set.Work) * o.rand.ExpFloat64()
+	o.count(now, work, !write && o.fleet.Cold(req))
+	job, done := &machine.Job{Work: max(1, event.Micros(work))}, make(chan struct{})
+	took := !o.stopped && o.machine.Take(now, job)
+	if o.machine.Fallen() {
+		o.stop(now)
+	}
+	if took {
+		o.jobs[job] = done
+		o.turn()
+	}
+	dark := o.stopped
+	o.mu.Unlock()
+	if !took && dark {
+		<-r.Context().Done() // it says nothing while it is down
+		tell(event.Lost)
+		return
+	}
+	if !took {
+		tell(event.TurnedAway)
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	lost := false
+	select {
+	case <-done:
+	case <-r.Context().Done():
+		lost = true
+		if !write { // a read is called off, a write that has begun goes on
+			o.mu.Lock()
+			if o.machine.Cancel(o.fleet.Log.Now(), job) {
+				delete(o.jobs, job)
+			}
+			o.turn()
+			o.mu.Unlock()
+			tell(event.Lost)
+			return
+		}
+		tell(event.Lost)
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			return
+		}
+	}
+	if write {
+		if m.Effect != "deduplicated" || !o.fleet.Repeats.Known("", req, o.fleet.Log.Now(), m.Window.Micros()) {
+			o.fleet.Log.Add(event.Event{Kind: event.Ran, Req: req, Server: UID, Router: router})
+		}
+		o.fleet.Dropped(key)
+	} else {
+		o.fleet.Filled(req, key)
+	}
+	if lost {
+		return
+	}
+	value := cacheserver.Made(req, UID, max(size, len(body)/8))
+	w.Header().Set("Content-Length", fmt.Sprint(len(value)))
+	tell(event.Value)
+	_, _ = w.Write(value) // where the router has gone, it has no use for it
+}
--- /dev/null
+++ b/internal/lab/referee/referee.go
@@ -0,0 +1,373 @@
+// Package referee judges a run on the four rules, from what the stand-ins saw. It does no I/O, and never asks a router.
+//
+//	1  each req taken gets exactly one answer before its deadline, and nothing is sent for it after
+//	2  no effect twice, never two write-outs at once, no more write-outs than allowed
+//	3  nothing new to a server past the grace after this router was told that it drains or is gone
+//	4  no cold server pushed over, and misses at cold servers don't push the origin over
+//	0  no crash, nothing sent that is not of the protocol, bad clients get an error or a close
+//
+// What a router was holding when it was killed is its client's to ask again, and no lost req.
+package referee
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"spurtrestle/internal/lab/event"
+)
+
+// Method is what the rules ask of one method.
+type Method struct {
+	Name   string
+	Effect string // retryable, deduplicated, non-retryable
+	Group  string // all, zone, cell
+	Window event.Micros
+}
+
+// Place is where a server stands, for groups that drop repeats.
+type Place struct{ Zone, Cell string }
+
+// Rules are the figures that the rules are judged by.
+type Rules struct {
+	Methods      []Method
+	Places       map[event.Server]Place
+	MaxWriteOuts int
+	Grace        event.Micros // of a drain
+	Slack        event.Micros // each limit is longer by this on sockets
+	ToldAfter    event.Micros // what has reached a router's agent counts as told after this, whether it asked or not
+	MostCold     float64      // part of the load of an origin pushed over that misses at cold servers may be
+}
+
+// DefaultSlack, DefaultToldAfter and DefaultMostCold are the published figures; half of a load is "much of it".
+const (
+	DefaultSlack     event.Micros = 50e3
+	DefaultToldAfter event.Micros = 6e6
+	DefaultMostCold               = 0.5
+)
+
+// Broken is one broken rule with its evidence.
+type Broken struct {
+	Rule     int          `json:"rule"`
+	What     string       `json:"what"`
+	At       event.Micros `json:"at_us"`
+	Req      event.Req    `json:"req,omitempty"`
+	Router   event.Router `json:"router"`
+	Evidence []string     `json:"evidence"`
+}
+
+func (b Broken) String() string {
+	s := fmt.Sprintf("rule %d: %s", b.Rule, b.What)
+	if b.Req != "" {
+		s += fmt.Sprintf(" (req %s, router %d)", b.Req, b.Router)
+	}
+	return s
+}
+
+// writeOut is one as a server saw it.
+type writeOut struct {
+	begun event.Event
+	ended *event.Event
+}
+
+// req is one try.
+type req struct {
+	id       event.Req
+	asked    []event.Event // twice where a kept connection ended under the first
+	answers  []event.Event
+	cuts     []event.Event
+	left     *event.Event
+	sent     []*writeOut
+	ran      []event.Event
+	all      []event.Event
+	op       event.Op
+	hasAsked bool
+}
+
+type judge struct {
+	rules  Rules
+	events []event.Event
+	reqs   map[event.Req]*req
+	order  []event.Req
+	late   []event.Event
+	killed map[event.Router][]event.Event
+	broken []Broken
+}
+
+// Judge reads a run's record, in order of time, and returns what was broken, in order of time.
+func Judge(rules Rules, events []event.Event) []Broken {
+	j := &judge{rules: rules, events: events, reqs: map[event.Req]*req{}, killed: map[event.Router][]event.Event{}}
+	j.gather()
+	for _, id := range j.order {
+		if q := j.reqs[id]; q.hasAsked {
+			j.oneAnswer(q)
+			j.noEffectTwice(q)
+		} else if len(q.sent) > 0 {
+			j.add(0, q, q.sent[0].begun.At, "a write-out for a req that no client asked for")
+		}
+	}
+	j.effects()
+	j.drains()
+	j.others()
+	slices.SortStableFunc(j.broken, func(a, b Broken) int { return cmp.Compare(a.At, b.At) })
+	return j.broken
+}
+
+func (j *judge) req(id event.Req) *req {
+	q := j.reqs[id]
+	if q == nil {
+		q = &req{id: id, op: -1}
+		j.reqs[id] = q
+		j.order = append(j.order, id)
+	}
+	return q
+}
+
+func (j *judge) gather() {
+	for _, e := range j.events {
+		switch e.Kind {
+		case event.Late:
+			j.late = append(j.late, e)
+		case event.Killed:
+			j.killed[e.Router] = append(j.killed[e.Router], e)
+		}
+		if e.Req == "" || e.Kind == event.Surplus {
+			continue
+		}
+		q := j.req(e.Req)
+		q.all = append(q.all, e)
+		switch e.Kind {
+		case event.Asked:
+			q.asked, q.op, q.hasAsked = append(q.asked, e), e.Op, true
+		case event.Answered:
+			q.answers = append(q.answers, e)
+		case event.Cut:
+			q.cuts = append(q.cuts, e)
+		case event.Left:
+			q.left = &e
+		case event.Begun:
+			q.sent = append(q.sent, &writeOut{begun: e})
+		case event.Ended:
+			for _, w := range q.sent {
+				if w.ended == nil && w.begun.Server == e.Server && w.begun.Router == e.Router {
+					w.ended = &e
+					break
+				}
+			}
+		case event.Ran:
+			q.ran = append(q.ran, e)
+		}
+	}
+}
+
+// slack is how much longer a limit is around a time: by the sockets' share, and by what the lab itself was late.
+func (j *judge) slack(at event.Micros) event.Micros {
+	const around = 1e6
+	i, _ := slices.BinarySearchFunc(j.late, at-around, func(e event.Event, t event.Micros) int { return cmp.Compare(e.At, t) })
+	most := event.Micros(0)
+	for ; i < len(j.late) && j.late[i].At <= at+around; i++ {
+		most = max(most, j.late[i].Limit)
+	}
+	return j.rules.Slack + most
+}
+
+// died tells whether a router was killed between two times.
+func (j *judge) died(r event.Router, from, until event.Micros) bool {
+	return slices.ContainsFunc(j.killed[r], func(e event.Event) bool { return e.At >= from && e.At <= until })
+}
+
+func (j *judge) add(rule int, q *req, at event.Micros, what string) {
+	b := Broken{Rule: rule, What: what, At: at, Router: event.Nobody}
+	if q != nil {
+		b.Req = q.id
+		for _, e := range q.all {
+			b.Evidence = append(b.Evidence, Line(e))
+			if e.Router != event.Nobody {
+				b.Router = e.Router
+			}
+		}
+	}
+	j.broken = append(j.broken, b)
+}
+
+// oneAnswer judges rule 1 for one req.
+func (j *judge) oneAnswer(q *req) {
+	last := q.asked[len(q.asked)-1]
+	router, due := last.Router, last.At+last.Limit
+	if len(q.answers) > 1 {
+		j.add(1, q, q.answers[1].At, "answered twice")
+	}
+	over := event.Micros(-1) // nothing may be sent from then on
+	switch {
+	case len(q.answers) > 0:
+		a := q.answers[0]
+		over = a.At
+		if a.Outcome == event.Foreign {
+			j.add(1, q, a.At, "satisfied with a value that was not made for it")
+		}
+		// Behind others on its connection an answer has to wait for theirs, which does not count.
+		if a.At > max(due, a.Since)+j.slack(a.At) {
+			j.add(1, q, a.At, fmt.Sprintf("answered %v after its deadline", (a.At-due).Duration()))
+		}
+	case q.left != nil && q.left.At <= due+j.slack(due):
+		over = q.left.At
+	case len(q.cuts) > 0 && j.died(router, last.At, q.cuts[len(q.cuts)-1].At+j.rules.Slack):
+		over = q.cuts[len(q.cuts)-1].At
+	case len(q.cuts) > 0 && q.cuts[len(q.cuts)-1].At <= due+j.slack(due):
+		over = q.cuts[len(q.cuts)-1].At
+		// A router may close a connection that it takes for idle; the req that crossed the close was not taken. It
+		// is sent once more on a new one, and that time it counts.
+		if len(q.sent) > 0 || len(q.cuts) > 1 {
+			j.add(1, q, over, "lost: the router ended the connection with no answer")
+		}
+	case j.died(router, last.At, due+j.rules.Slack):
+	default:
+		j.add(1, q, due, "never answered")
+	}
+	for _, w := range q.sent {
+		// By its first byte: what was on its way when the answer came was sent before.
+		at := w.begun.Since
+		switch {
+		case over >= 0 && at > over+j.slack(at):
+			j.add(1, q, at, fmt.Sprintf("a write-out %v after the req was over", (at-over).Duration()))
+		case at > due+j.slack(at):
+			j.add(1, q, at, fmt.Sprintf("a write-out %v after the deadline", (at-due).Duration()))
+		}
+	}
+}
+
+// noEffectTwice judges rule 2 for one req.
+func (j *judge) noEffectTwice(q *req) {
+	m := j.method(q)
+	if n := j.rules.MaxWriteOuts; n > 0 && len(q.sent) > n {
+		j.add(2, q, q.sent[n].begun.At, fmt.Sprintf("%d write-outs, %d are allowed", len(q.sent), n))
+	}
+	var may *writeOut // the first that may have run
+	for i, w := range q.sent {
+		at := w.begun.At
+		for _, before := range q.sent[:i] {
+			if before.ended == nil || before.ended.At > at+j.slack(at) {
+				j.add(2, q, at, fmt.Sprintf("a write-out to %s while one to %s was out", w.begun.Server, before.begun.Server))
+				break
+			}
+		}
+		switch {
+		case may == nil || m.Effect == "retryable":
+		case m.Effect == "non-retryable":
+			j.add(2, q, at, fmt.Sprintf("sent again to %s though it may have run at %s", w.begun.Server, may.begun.Server))
+		case at-may.begun.At > m.Window+j.slack(at):
+			j.add(2, q, at, "sent again after the window in which repeats are dropped")
+		case !j.sameGroup(m, may.begun.Server, w.begun.Server):
+			j.add(2, q, at, fmt.Sprintf("sent again to %s, outside the group of %s", w.begun.Server, may.begun.Server))
+		}
+		if may == nil && (w.ended == nil || !w.ended.Reply.NeverRan()) {
+			may = w
+		}
+	}
+	if may != nil && m.Effect != "retryable" && len(q.answers) > 0 && q.answers[0].Outcome == event.Nacked {
+		j.add(2, q, q.answers[0].At, fmt.Sprintf("nacked though it may have run at %s", may.begun.Server))
+	}
+}
+
+func (j *judge) method(q *req) Method {
+	m := q.asked[0].Method
+	if int(m) < len(j.rules.Methods) {
+		return j.rules.Methods[m]
+	}
+	return Method{Effect: "retryable"}
+}
+
+func (j *judge) sameGroup(m Method, a, b event.Server) bool {
+	x, y := j.rules.Places[a], j.rules.Places[b]
+	switch m.Group {
+	case "zone":
+		return x.Zone == y.Zone
+	case "cell":
+		return x.Cell == y.Cell && x.Zone == y.Zone
+	}
+	return true
+}
+
+// effects counts how often each op's effect ran, over all of its tries.
+func (j *judge) effects() {
+	ran := map[event.Op][]event.Event{}
+	for _, id := range j.order {
+		if q := j.reqs[id]; q.hasAsked && j.method(q).Effect != "retryable" {
+			ran[q.op] = append(ran[q.op], q.ran...)
+			if n := len(ran[q.op]); n > 1 && len(q.ran) > 0 {
+				j.add(2, q, ran[q.op][1].At, fmt.Sprintf("the effect ran %d times over all tries of its op", n))
+			}
+		}
+	}
+}
+
+// drains judges rule 3.
+func (j *judge) drains() {
+	type pair struct {
+		r event.Router
+		s event.Server
+	}
+	told := map[pair]event.Micros{} // when it counts as told
+	for _, e := range j.events {
+		p := pair{e.Router, e.Server}
+		switch e.Kind {
+		case event.Told, event.Due:
+			at := e.At
+			if e.Kind == event.Due {
+				at += j.rules.ToldAfter
+			}
+			if have, known := told[p]; !known || at < have {
+				told[p] = at
+			}
+		case event.Down, event.Killed: // its successor knows nothing of this
+			for k := range told {
+				if k.r == e.Router {
+					delete(told, k)
+				}
+			}
+		case event.Begun:
+			if at, known := told[p]; known && e.Since > at+j.rules.Grace+j.slack(e.Since) {
+				j.add(3, j.reqs[e.Req], e.Since, fmt.Sprintf("a write-out to %s %v after the router was told that it drains or is gone",
+					e.Server, (e.Since-at).Duration()))
+			}
+		}
+	}
+}
+
+// others judges rule 4, and what is no rule of its own.
+func (j *judge) others() {
+	ends := map[event.Router]event.Micros{} // when it was told to end
+	for _, e := range j.events {
+		plain := func(rule int, what string) {
+			j.broken = append(j.broken, Broken{Rule: rule, What: what, At: e.At, Router: e.Router, Evidence: []string{Line(e)}})
+		}
+		switch e.Kind {
+		case event.Fell:
+			plain(4, fmt.Sprintf("%s was pushed over while cold: %s", e.Server, e.Note))
+		case event.Stopped:
+			if share := float64(e.Limit) / 1000; share >= j.rules.MostCold {
+				plain(4, fmt.Sprintf("the origin was pushed over, %.0f%% of its load by misses at cold servers", 100*share))
+			}
+		case event.Odd:
+			plain(0, fmt.Sprintf("router %d sent %s %s", e.Router, e.Server, e.Note))
+		case event.Surplus:
+			plain(1, fmt.Sprintf("router %d answered what nobody asked (%s), after req %s", e.Router, e.Note, e.Req))
+		case event.Owed:
+			rule := 0
+			if len(e.Note) > 6 && e.Note[len(e.Note)-5:] == "value" {
+				rule = 1
+			}
+			plain(rule, fmt.Sprintf("router %d: %s", e.Router, e.Note))
+		case event.Term, event.Killed:
+			ends[e.Router] = e.At
+		case event.Up:
+			delete(ends, e.Router)
+		case event.Down:
+			if _, told := ends[e.Router]; !told {
+				plain(0, fmt.Sprintf("router %d ended by itself: %s", e.Router, e.Note))
+			} else if e.Outcome != event.Satisfied {
+				plain(0, fmt.Sprintf("router %d did not end in order: %s", e.Router, e.Note))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scenario/check.go
@@ -0,0 +1,221 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Effects, as a file and the settings on the wire name them.
+var Effects = map[string]string{"retryable": "free", "deduplicated": "guarded", "non-retryable": "single_shot"}
+
+// Figures, as a file and a load report name them.
+var Figures = map[string]string{"latency": "avg_ms", "queue": "waiting", "in_flight": "active", "busy": "cpu",
+	"errors": "err_rps", "hits": "x0"}
+
+// What a kind of fault strikes, and which fields it needs.
+type faultKind struct {
+	strikes string // servers, routers, origin, discovery, clients
+	needs   string // fields that must be set
+	lasts   bool   // for must be set
+}
+
+// Kinds are the faults by name.
+var Kinds = map[string]faultKind{
+	"kill":             {"servers", "", false},
+	"hang":             {"servers", "", true},
+	"slow":             {"servers", "factor", true},
+	"drain":            {"servers", "", true},
+	"deploy":           {"servers", "batch", true},
+	"refuse":           {"servers", "", true},
+	"vanish":           {"servers", "", true},
+	"reset":            {"servers", "share", true},
+	"spoil":            {"servers", "share", true},
+	"surplus":          {"servers", "share", true},
+	"stale_reports":    {"servers", "", true},
+	"bad_reports":      {"servers", "", true},
+	"origin_slow":      {"origin", "factor", true},
+	"origin_stop":      {"origin", "", true},
+	"discovery_silent": {"discovery", "", true},
+	"discovery_late":   {"discovery", "step", true},
+	"discovery_bad":    {"discovery", "", true},
+	"discovery_move":   {"discovery", "", false},
+	"clock_step":       {"discovery", "step", true},
+	"router_kill":      {"routers", "", false},
+	"router_restart":   {"routers", "", false},
+	"router_reload":    {"routers", "", false},
+	"hot_key":          {"clients", "share", true},
+	"burst":            {"clients", "factor", true},
+	"leave":            {"clients", "share", true},
+	"rubbish":          {"clients", "count", true},
+	"flood":            {"clients", "count", true},
+	"mute":             {"clients", "count", true},
+}
+
+// An Error names what is wrong in a file.
+type Error struct {
+	Line   int
+	Field  string
+	What   string
+	Remedy string
+}
+
+func (e Error) Error() string {
+	return fmt.Sprintf("line %d: %s: %s; %s", e.Line, e.Field, e.What, e.Remedy)
+}
+
+type checker struct {
+	at    places
+	wrong []error
+}
+
+func (c *checker) want(ok bool, field, what, remedy string) {
+	if !ok {
+		c.wrong = append(c.wrong, Error{c.at.line(field), field, what, remedy})
+	}
+}
+
+func (c *checker) positive(field string, x float64) {
+	c.want(x > 0, field, fmt.Sprintf("%v is not above zero", x), "write a number above zero")
+}
+
+func (c *checker) part(field string, x float64) {
+	c.want(x >= 0 && x <= 1, field, fmt.Sprintf("%v is no part of one", x), "write a number from 0 to 1")
+}
+
+func (c *checker) oneOf(field, x string, of ...string) {
+	c.want(slices.Contains(of, x), field, fmt.Sprintf("%q is not known", x), "write one of "+strings.Join(of, ", "))
+}
+
+// check tells all that is wrong with a scenario.
+func check(s *Scenario, at places) []error {
+	c := &checker{at: at}
+	c.want(s.Title != "", "title", "is missing", "name the scenario in a few words")
+	c.positive("length", float64(s.Length))
+	c.want(s.Length <= span(10*60e9), "length", "is over ten minutes", "split the scenario")
+	c.want(len(s.Sites) > 0, "sites", "is empty", "name one site at least")
+	c.oneOf("service.mode", s.Service.Mode, "aside", "through")
+	c.positive("service.max_write_outs", float64(s.Service.MaxWriteOuts))
+	c.positive("service.connect_timeout", float64(s.Service.ConnectTimeout))
+	c.part("service.over_share_worth", s.Service.OverShareWorth)
+	c.want(len(s.Methods) > 0, "method", "none is there", "add a [[method]] with name, share and deadline")
+	names := map[string]bool{}
+	for i := range s.Methods {
+		c.method(fmt.Sprintf("method[%d].", i), &s.Methods[i], names, s.Service.Mode)
+	}
+	for i, t := range s.Tenants {
+		f := fmt.Sprintf("tenant[%d].", i)
+		c.want(t.Name != "" && !strings.ContainsAny(t.Name, ",= \t"), f+"name", "is empty or holds a comma, = or space",
+			"give it a plain name")
+		c.part(f+"share", t.Share)
+		if t.Usage == 0 {
+			s.Tenants[i].Usage = 1
+		}
+	}
+	c.want(s.Routers.Count >= 1 && s.Routers.Count <= 64, "routers.count", "is not from 1 to 64", "write such a number")
+	c.want(s.Routers.MemoryMB >= 16, "routers.memory_mb", "is below 16", "give each router 16 MB at least")
+	c.want(s.Routers.Descriptors >= 40, "routers.descriptors", "is below 40", "give each router 40 at least")
+	c.positive("routers.cores", float64(s.Routers.Cores))
+	c.want(s.Servers.Count >= 1 && s.Servers.Count <= 200, "servers.count", "is not from 1 to 200", "write such a number")
+	c.positive("servers.cores", float64(s.Servers.Cores))
+	c.positive("servers.keys", float64(s.Servers.Keys))
+	c.positive("servers.connections", float64(s.Servers.Connections))
+	c.part("servers.filled", s.Servers.Filled)
+	c.want(s.Servers.ColdShare > 0 && s.Servers.ColdShare <= 1, "servers.cold_share", "is no part of one above zero",
+		"write a number above 0, up to 1")
+	for i, name := range s.Servers.Reports {
+		c.want(Figures[name] != "", fmt.Sprintf("servers.reports[%d]", i), fmt.Sprintf("%q is not known", name),
+			"write latency, queue, in_flight, busy, errors or hits")
+	}
+	c.positive("origin.cores", float64(s.Origin.Cores))
+	c.positive("origin.work", float64(s.Origin.Work))
+	c.part("clients.honour_hints", s.Clients.HonourHints)
+	c.part("clients.leave", s.Clients.Leave)
+	c.want(s.Clients.Patience > 0 && s.Clients.Patience <= 1, "clients.patience", "is no part of one above zero",
+		"write a number above 0, up to 1")
+	c.want(s.Clients.Pipeline >= 1 && s.Clients.Pipeline <= 256, "clients.pipeline", "is not from 1 to 256", "write such a number")
+	c.load(s)
+	for i := range s.Faults {
+		c.fault(s, i)
+	}
+	c.part("expect.service", s.Expect.Service)
+	return c.wrong
+}
+
+func (c *checker) method(f string, m *Method, names map[string]bool, mode string) {
+	c.want(m.Name != "" && !strings.ContainsAny(m.Name, ",= \t"), f+"name", "is empty or holds a comma, = or space",
+		"give it a plain name")
+	c.want(!names[m.Name], f+"name", "is there twice", "rename one of them")
+	names[m.Name] = true
+	c.positive(f+"share", m.Share)
+	c.oneOf(f+"effect", m.Effect, "retryable", "deduplicated", "non-retryable")
+	if m.Effect == "deduplicated" {
+		c.oneOf(f+"group", m.Group, "all", "zone", "cell")
+		c.positive(f+"window", float64(m.Window))
+	}
+	c.want(m.Effect == "retryable" || m.Write, f+"write", "is false though the effect is "+m.Effect,
+		"set write = true: only writes have an effect")
+	if m.Spread == "" {
+		m.Spread = "exp"
+	}
+	c.oneOf(f+"spread", m.Spread, "none", "exp")
+	c.positive(f+"work", float64(m.Work))
+	c.positive(f+"latency_budget", float64(m.LatencyBudget))
+	c.want(m.Deadline >= m.LatencyBudget, f+"deadline", "is shorter than the latency budget", "make it as long at least")
+	c.positive(f+"criticality", m.Criticality)
+	c.part(f+"late_share", m.LateShare)
+}
+
+func (c *checker) load(s *Scenario) {
+	c.positive("load.rate", s.Load.Rate)
+	c.oneOf("load.arrivals", s.Load.Arrivals, "poisson", "even")
+	c.positive("load.keys", float64(s.Load.Keys))
+	c.want(s.Load.Zipf >= 0 && s.Load.Zipf <= 3, "load.zipf", "is not from 0 to 3", "write such a number")
+	c.want(s.Load.ValueBytes >= 32 && s.Load.ValueMost <= 64<<10 && s.Load.ValueBytes <= s.Load.ValueMost,
+		"load.value_bytes", "is below 32 or over value_most, or that is over 65536", "write sizes from 32 to 65536")
+	for i, x := range s.Load.Steps {
+		c.want(i == 0 || x.At > s.Load.Steps[i-1].At, fmt.Sprintf("load.steps[%d].at", i), "is not after the one before",
+			"order the steps by time")
+		c.want(x.Rate >= 0, fmt.Sprintf("load.steps[%d].rate", i), "is below zero", "write a rate")
+	}
+	most := s.Load.Rate
+	for _, x := range s.Load.Steps {
+		most = max(most, x.Rate)
+	}
+	c.want(most*float64(s.Length)/1e6 <= 5e6, "load.rate", "asks for over five million reqs", "lower it, or the length")
+	for i, x := range s.Load.SiteShares {
+		c.want(slices.Contains(s.Sites, x.Site), fmt.Sprintf("load.site_shares[%d].site", i),
+			fmt.Sprintf("%q is no site", x.Site), "write one of "+strings.Join(s.Sites, ", "))
+	}
+}
+
+func (c *checker) fault(s *Scenario, i int) {
+	f, x := fmt.Sprintf("fault[%d].", i), &s.Faults[i]
+	x.Line = c.at.line(f + "kind")
+	kind, known := Kinds[x.Kind]
+	if !known {
+		all := make([]string, 0, len(Kinds))
+		for name := range Kinds {
+			all = append(all, name)
+		}
+		slices.Sort(all)
+		c.oneOf(f+"kind", x.Kind, all...)
+		return
+	}
+	c.want(x.At < s.Length, f+"at", "is past the end", "let it begin before length is over")
+	c.want(!kind.lasts || x.For > 0, f+"for", "is missing", "say how long it lasts")
+	c.part(f+"part", x.Part)
+	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
+		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "": true}
+	c.want(has[kind.needs], f+kind.needs, "is missing or out of range", "a fault of kind "+x.Kind+" needs it")
+	most := map[string]int{"servers": s.Servers.Count, "routers": s.Routers.Count}[kind.strikes]
+	for j, n := range x.Pick {
+		c.want(n >= 0 && n < most, fmt.Sprintf("%spick[%d]", f, j), fmt.Sprintf("%d is none of the %s", n, kind.strikes),
+			fmt.Sprintf("count from 0 to %d", most-1))
+	}
+	c.want(x.Site == "" || slices.Contains(s.Sites, x.Site), f+"site", fmt.Sprintf("%q is no site", x.Site),
+		"write one of "+strings.Join(s.Sites, ", "))
+}
+
+// Strikes names what a kind of fault strikes: servers, routers, origin, discovery or clients.
+func (k faultKind) Strikes() string { return k.strikes }
--- /dev/null
+++ b/internal/lab/trace/trace.go
@@ -0,0 +1,258 @@
+// Package trace reads and writes recorded traffic: a schedule of arrivals that another run can replay bit for bit.
+//
+// A file is a magic line with the version, a header, and blocks. Each block holds up to 4096 arrivals, packed by
+// compress/flate, behind its lengths and the CRC32C of its packed bytes; a last block of no arrivals tells how many there were.
+// What is cut off or damaged is reported with the offset of the block, together with all that stands before it.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+
+	"spurtrestle/internal/lab/arrivals"
+	"spurtrestle/internal/lab/event"
+)
+
+// Version is that of the files written here. Older ones are read, newer ones refused.
+const Version = 1
+
+const (
+	magic     = "spurtrestle-trace "
+	perBlock  = 4096
+	mostBytes = 16 << 20 // of one block, packed or not: a damaged length must not ask for all memory
+	mostNames = 1 << 16
+	mostText  = 1 << 10
+)
+
+// Names are the names that arrivals refer to by number.
+type Names struct {
+	Title                   string
+	Sites, Methods, Tenants []string
+}
+
+// Damage is a file of which only the first part could be read.
+type Damage struct {
+	Offset int64 // of the first byte that is not trusted
+	Read   int   // arrivals before it
+	What   string
+}
+
+func (d Damage) Error() string {
+	return fmt.Sprintf("damaged at byte %d (%s); %d arrivals before it could be read", d.Offset, d.What, d.Read)
+}
+
+// ErrNewer is a file of a later version.
+var ErrNewer = errors.New("the file was written by a newer version; read it with that one")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func putText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+func putBlock(w io.Writer, n int, plain []byte) error {
+	var packed bytes.Buffer
+	z, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if _, err := z.Write(plain); err != nil {
+		return err
+	}
+	if err := z.Close(); err != nil {
+		return err
+	}
+	var head [16]byte
+	binary.LittleEndian.PutUint32(head[0:], uint32(n))
+	binary.LittleEndian.PutUint32(head[4:], uint32(len(plain)))
+	binary.LittleEndian.PutUint32(head[8:], uint32(packed.Len()))
+	binary.LittleEndian.PutUint32(head[12:], crc32.Update(crc32.Checksum(head[:12], castagnoli), castagnoli, packed.Bytes()))
+	if _, err := w.Write(head[:]); err != nil {
+		return err
+	}
+	_, err = w.Write(packed.Bytes())
+	return err
+}
+
+// Write writes a whole trace.
+func Write(to io.Writer, names Names, all []arrivals.Arrival) error {
+	w := bufio.NewWriter(to)
+	fmt.Fprintf(w, "%s%d\n", magic, Version)
+	head := putText(nil, names.Title)
+	for _, list := range [][]string{names.Sites, names.Methods, names.Tenants} {
+		head = binary.AppendUvarint(head, uint64(len(list)))
+		for _, name := range list {
+			head = putText(head, name)
+		}
+	}
+	if err := putBlock(w, 0, head); err != nil {
+		return err
+	}
+	last := event.Micros(0)
+	for from := 0; from < len(all); from += perBlock {
+		block := all[from:min(from+perBlock, len(all))]
+		var b []byte
+		for _, a := range block {
+			b = binary.AppendVarint(b, int64(a.At-last))
+			last = a.At
+			b = binary.AppendVarint(b, int64(a.Site))
+			b = binary.AppendVarint(b, int64(a.Method))
+			b = binary.AppendVarint(b, int64(a.Tenant))
+			b = putText(b, a.Key)
+			b = binary.AppendUvarint(b, uint64(a.Size))
+			b = binary.AppendUvarint(b, uint64(a.Leaves))
+		}
+		if err := putBlock(w, len(block), b); err != nil {
+			return err
+		}
+	}
+	if err := putBlock(w, 0, binary.AppendUvarint(nil, uint64(len(all)))); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// reader keeps the offset and refuses lengths over the bounds.
+type reader struct {
+	in   *bufio.Reader
+	at   int64
+	from int64 // where the block at hand begins
+}
+
+func (r *reader) full(n int) ([]byte, error) {
+	b := make([]byte, n)
+	got, err := io.ReadFull(r.in, b)
+	r.at += int64(got)
+	return b, err
+}
+
+func (r *reader) block() (n int, plain []byte, err error) {
+	r.from = r.at
+	head, err := r.full(16)
+	if err != nil {
+		return 0, nil, errors.New("the file ends within a block")
+	}
+	n = int(binary.LittleEndian.Uint32(head))
+	size, packed := binary.LittleEndian.Uint32(head[4:]), binary.LittleEndian.Uint32(head[8:])
+	if n > perBlock || size > mostBytes || packed > mostBytes {
+		return 0, nil, errors.New("a block's lengths are impossible")
+	}
+	body, err := r.full(int(packed))
+	if err != nil {
+		return 0, nil, errors.New("the file ends within a block")
+	}
+	if crc32.Update(crc32.Checksum(head[:12], castagnoli), castagnoli, body) != binary.LittleEndian.Uint32(head[12:]) {
+		return 0, nil, errors.New("a checksum does not match")
+	}
+	plain, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), mostBytes))
+	if err != nil || len(plain) != int(size) {
+		return 0, nil, errors.New("a block cannot be unpacked")
+	}
+	return n, plain, nil
+}
+
+// cursor walks a block and remembers that something was wrong.
+type cursor struct {
+	b   []byte
+	bad bool
+}
+
+func (c *cursor) signed() int64 {
+	x, n := binary.Varint(c.b)
+	if c.bad = c.bad || n <= 0; c.bad {
+		return 0
+	}
+	c.b = c.b[n:]
+	return x
+}
+
+func (c *cursor) unsigned(most uint64) uint64 {
+	x, n := binary.Uvarint(c.b)
+	if c.bad = c.bad || n <= 0 || x > most; c.bad {
+		return 0
+	}
+	c.b = c.b[n:]
+	return x
+}
+
+func (c *cursor) text() string {
+	n := c.unsigned(mostText)
+	if c.bad = c.bad || int(n) > len(c.b); c.bad {
+		return ""
+	}
+	s := string(c.b[:n])
+	c.b = c.b[n:]
+	return s
+}
+
+func (c *cursor) list() (out []string) {
+	for range c.unsigned(mostNames) {
+		if out = append(out, c.text()); c.bad {
+			return nil
+		}
+	}
+	return out
+}
+
+// Read reads a trace. On Damage the arrivals before it are returned as well.
+func Read(from io.Reader) (Names, []arrivals.Arrival, error) {
+	r := &reader{in: bufio.NewReader(from)}
+	var names Names
+	line, err := r.in.ReadString('\n')
+	r.at = int64(len(line))
+	version := 0
+	if _, scan := fmt.Sscanf(line, magic+"%d\n", &version); err != nil || scan != nil || version < 1 {
+		return names, nil, Damage{0, 0, "it does not begin as a trace does"}
+	}
+	if version > Version {
+		return names, nil, ErrNewer
+	}
+	var all []arrivals.Arrival
+	damage := func(what string) error { return Damage{r.from, len(all), what} }
+	_, head, err := r.block()
+	if err != nil {
+		return names, nil, damage(err.Error())
+	}
+	c := &cursor{b: head}
+	names = Names{c.text(), c.list(), c.list(), c.list()}
+	if c.bad {
+		return names, nil, damage("the names cannot be read")
+	}
+	last := event.Micros(0)
+	for {
+		n, plain, err := r.block()
+		if err != nil {
+			return names, all, damage(err.Error())
+		}
+		c := &cursor{b: plain}
+		if n == 0 {
+			if count := c.unsigned(1 << 40); c.bad || int(count) != len(all) {
+				return names, all, damage("the count does not match")
+			}
+			if _, err := r.in.ReadByte(); err == nil {
+				r.from = r.at
+				return names, all, damage("more stands behind the end")
+			}
+			return names, all, nil
+		}
+		whole := all
+		for range n {
+			last += event.Micros(c.signed())
+			a := arrivals.Arrival{At: last, Site: event.Site(c.signed()), Method: event.Method(c.signed()),
+				Tenant: event.Tenant(c.signed()), Key: c.text(), Size: int(c.unsigned(1 << 30)),
+				Leaves: event.Micros(c.unsigned(1 << 50))}
+			if c.bad || int(a.Site) >= len(names.Sites) || a.Site < 0 || int(a.Method) >= len(names.Methods) || a.Method < 0 ||
+				int(a.Tenant) >= len(names.Tenants) || a.Tenant < -1 {
+				all = whole
+				return names, all, damage("an arrival names what is not there")
+			}
+			all = append(all, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/trace/trace_test.go
@@ -0,0 +1,77 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spurtrestle/internal/lab/arrivals"
+	"spurtrestle/internal/lab/event"
+)
+
+var names = Names{"a day", []string{"north", "south"}, []string{"get", "put"}, []string{"t1"}}
+
+func sample(n int) []arrivals.Arrival {
+	var all []arrivals.Arrival
+	for i := range n {
+		all = append(all, arrivals.Arrival{At: event.Micros(i * i), Site: event.Site(i % 2), Method: event.Method(i % 2),
+			Tenant: event.Tenant(i%2 - 1), Key: "k" + string(rune('a'+i%26)), Size: 32 + i, Leaves: event.Micros(i % 3)})
+	}
+	return all
+}
+
+func written(t testing.TB, all []arrivals.Arrival) []byte {
+	var b bytes.Buffer
+	if err := Write(&b, names, all); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, n := range []int{0, 1, perBlock, 2*perBlock + 7} {
+		all := sample(n)
+		file := written(t, all)
+		gotNames, got, err := Read(bytes.NewReader(file))
+		if err != nil || !reflect.DeepEqual(gotNames, names) || !reflect.DeepEqual(got, all) {
+			t.Errorf("%d arrivals: %v, %d read", n, err, len(got))
+		}
+		if !bytes.Equal(file, written(t, got)) {
+			t.Errorf("%d arrivals: written again it differs", n)
+		}
+	}
+}
+
+// Whatever is cut off or changed, what is returned is a prefix of what was written, and the damage is told.
+func TestDamageLeavesAPrefix(t *testing.T) {
+	all := sample(2*perBlock + 7)
+	file := written(t, all)
+	rapid.Check(t, func(t *rapid.T) {
+		broken := bytes.Clone(file)
+		at := rapid.IntRange(0, len(file)-1).Draw(t, "at")
+		if rapid.Bool().Draw(t, "cut") {
+			broken = broken[:at]
+		} else {
+			broken[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		}
+		_, got, err := Read(bytes.NewReader(broken))
+		if err == nil {
+			t.Fatalf("damage at %d was not seen", at)
+		}
+		if len(got) > 0 && !reflect.DeepEqual(got, all[:len(got)]) {
+			t.Fatalf("damage at %d: what was read is no prefix", at)
+		}
+		var d Damage
+		if errors.As(err, &d) && (d.Offset > int64(at) || d.Read != len(got)) {
+			t.Fatalf("damage at %d was told as %v, with %d read", at, d, len(got))
+		}
+	})
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(written(f, sample(3)))
+	f.Fuzz(func(_ *testing.T, file []byte) { _, _, _ = Read(bytes.NewReader(file)) })
+}
