--- a/cmd/spurtrestle/main.go
+++ b/cmd/spurtrestle/main.go
@@ -2,7 +2,10 @@
 package main
 
 import (
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,14 +17,111 @@
 	"spurtrestle/internal/router"
 )
 
+const usage = `spurtrestle is a router for fleets of cache servers.
+
+  spurtrestle [--log-format text|json] [--log-level LEVEL]   serve; EDGE_CONFIG names the configuration
+  spurtrestle check [--config FILE]                          tell what is wrong in a configuration
+  spurtrestle version                                        tell what it was built from
+
+Example: EDGE_CONFIG=config.json spurtrestle --log-format json
+Exit codes: 0 ended in order, 1 bad configuration or the loop ended by itself, 2 wrong usage.
+`
+
+var errUsage = errors.New("wrong usage; see spurtrestle --help")
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "spurtrestle:", err)
-		os.Exit(1)
+	err := command(os.Args[1:], os.Stdout)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "spurtrestle:", err)
+	if errors.Is(err, errUsage) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
+
+func command(args []string, out io.Writer) error {
+	name := ""
+	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
+		name, args = args[0], args[1:]
+	}
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	format, level, file := new(string), new(string), new(string)
+	switch name {
+	case "":
+		format = flags.String("log-format", "text", "")
+		level = flags.String("log-level", "info", "")
+	case "check":
+		file = flags.String("config", os.Getenv("EDGE_CONFIG"), "")
+	case "version":
+	default:
+		return fmt.Errorf("%q is no command: %w", name, errUsage)
+	}
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		_, err = io.WriteString(out, usage)
+		return err
+	case err != nil:
+		return fmt.Errorf("%v: %w", err, errUsage)
+	case flags.NArg() > 0:
+		return fmt.Errorf("%q is one word too many: %w", flags.Arg(0), errUsage)
+	}
+	switch name {
+	case "check":
+		return check(*file, out)
+	case "version":
+		return version(out)
+	}
+	log := logrus.New()
+	var err error
+	if log.Level, err = logrus.ParseLevel(*level); err != nil {
+		return fmt.Errorf("--log-level: %q is none of debug, info, warning, error: %w", *level, errUsage)
 	}
+	switch *format {
+	case "text":
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return fmt.Errorf("--log-format: %q is neither text nor json: %w", *format, errUsage)
+	}
+	return serve(log)
+}
+
+// check reads a configuration as the router would, and listens nowhere.
+func check(file string, out io.Writer) error {
+	cfg, err := config.Load(func(name string) string {
+		if name == "EDGE_CONFIG" {
+			return file
+		}
+		return os.Getenv(name)
+	})
+	if err == nil {
+		_, err = router.New(cfg, logrus.New())
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: good; %s listens on %s, %d methods, discovery at %s\n", file, cfg.Name, cfg.Listen,
+		len(cfg.Settings.Methods), cfg.Discovery)
+	return err
 }
 
-func run() error {
+func version(out io.Writer) error {
+	rev := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				rev = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintln(out, "spurtrestle", rev)
+	return err
+}
+
+func serve(log *logrus.Logger) error {
 	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -30,7 +130,6 @@
 		return err
 	}
 	debug.SetMemoryLimit(cfg.Limits.Memory)
-	log := logrus.New()
 	r, err := router.New(cfg, log)
 	if err != nil {
 		return err
--- a/cmd/spurtrestle/main_test.go
+++ b/cmd/spurtrestle/main_test.go
@@ -33,6 +33,38 @@
 	}
 }
 
+func TestCommandLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	const good = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{"memory_mb":64,"sockets":256},` +
+		`"settings":{"balancers":1,"discovery":"pushed","domain":{"mode":"through"},"policy-limits":{"send-cap":1},"rules":{},` +
+		`"request-classes":[{"name":"get","effect":"free","deadline-s":1}]}}`
+	if err := os.WriteFile(file, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"--help", 0, "spurtrestle check"},
+		{"check --config " + file, 0, "good; n1 listens on 127.0.0.1:1, 1 methods"},
+		{"check --config /nowhere", 1, "no such file"},
+		{"check", 1, "EDGE_CONFIG is not set"},
+		{"version", 0, "spurtrestle "},
+		{"serve", 2, `"serve" is no command`},
+		{"check more", 2, `"more" is one word too many`},
+		{"--log-format xml", 2, `--log-format: "xml" is neither text nor json`},
+		{"--log-level loud", 2, `--log-level: "loud" is none of`},
+	} {
+		program := exec.Command(os.Args[0], strings.Fields(c.args)...)
+		program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG=")
+		out, _ := program.CombinedOutput() // the code tells
+		if program.ProcessState.ExitCode() != c.code || !strings.Contains(string(out), c.says) {
+			t.Errorf("%s: %d, %s", c.args, program.ProcessState.ExitCode(), out)
+		}
+	}
+}
+
 // TestOverSockets plays each script of testdata against the program.
 func TestOverSockets(t *testing.T) {
 	tracetest.Run(t, func(t *testing.T, script string) string {
--- /dev/null
+++ b/internal/lab/arrivals/arrivals_test.go
@@ -0,0 +1,91 @@
+package arrivals
+
+import (
+	"math"
+	"testing"
+
+	"spurtrestle/internal/lab/scenario"
+)
+
+func commented(t testing.TB) scenario.Scenario {
+	s, err := scenario.Parse([]byte(scenario.Commented))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestSameSeedSameSchedule(t *testing.T) {
+	s := commented(t)
+	const want = "e4ff4d0aa3338d48" // of seed 1; it must not change by chance, since reports are compared by seed
+	if a, b := Digest(Make(s, 1)), Digest(Make(s, 1)); a != b || a != want {
+		t.Error(a, b)
+	}
+	if Digest(Make(s, 1)) == Digest(Make(s, 2)) {
+		t.Error("two seeds give one schedule")
+	}
+}
+
+func TestRatesSharesAndHotKeys(t *testing.T) {
+	s := commented(t)
+	s.Length, s.Load.Rate, s.Load.Steps = 100e6, 1000, nil
+	s.Faults = []scenario.Fault{{Kind: "hot_key", At: 50e6, For: 20e6, Share: 0.3, Site: "south"}, {Kind: "burst", At: 80e6, For: 10e6, Factor: 3}}
+	var before, burst, hot, south, north, hotNorth float64
+	for _, a := range Make(s, 5) {
+		switch {
+		case a.At < 50e6:
+			before++
+			if a.Site == 0 {
+				north++
+			}
+		case a.At >= 80e6 && a.At < 90e6:
+			burst++
+		}
+		if a.At >= 50e6 && a.At < 70e6 {
+			is := a.Key == "k"+"334" // key 4000 in base 36: the first one that the scenario does not use
+			if a.Site == 1 {
+				south++
+				if is {
+					hot++
+				}
+			} else if is {
+				hotNorth++
+			}
+		}
+		if a.Size < 32 || a.Size > s.Load.ValueMost || a.Key == "" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	near := func(what string, got, want, within float64) {
+		if math.Abs(got-want) > within*want {
+			t.Errorf("%s: %v, not %v", what, got, want)
+		}
+	}
+	near("rate", before, 50000, 0.02)
+	near("burst", burst, 30000, 0.03)
+	near("north's share", north/before, 0.6, 0.03)
+	near("the hot key's share", hot/south, 0.3, 0.05)
+	if hotNorth > 0 {
+		t.Errorf("%v reads of the hot key at the other site", hotNorth)
+	}
+}
+
+func TestZipf(t *testing.T) {
+	s := commented(t)
+	s.Length, s.Load.Rate, s.Load.Steps, s.Faults, s.Load.Keys, s.Load.Zipf = 100e6, 1000, nil, nil, 1000, 1
+	counts := map[string]float64{}
+	for _, a := range Make(s, 3) {
+		counts[a.Key]++
+	}
+	top := Hottest(s, 3, 2)
+	if ratio := counts[top[0]] / counts[top[1]]; ratio < 1.85 || ratio > 2.15 {
+		t.Errorf("the first key is asked for %.2f times as often as the second, not twice", ratio)
+	}
+}
+
+func BenchmarkMake(b *testing.B) {
+	s := commented(b)
+	for b.Loop() {
+		Make(s, 1)
+	}
+}
--- /dev/null
+++ b/internal/lab/bench/router.go
@@ -0,0 +1,176 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"syscall"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/process"
+	"spurtrestle/internal/lab/registry"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// Case is one load on a router between clients and servers that answer at once.
+type Case struct {
+	Value   int     `json:"value_bytes"`
+	Depth   int     `json:"depth"`
+	Conns   int     `json:"connections"`
+	Rate    float64 `json:"rate,omitempty"` // 0: closed loop
+	Servers int     `json:"servers"`
+}
+
+// Figures are what a case cost.
+type Figures struct {
+	Case
+	PerSecond float64 `json:"answers_per_second"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	CPU       float64 `json:"cpu_us_per_req"`
+	Allocs    float64 `json:"allocs_per_req"`
+	Bytes     float64 `json:"alloc_bytes_per_req"`
+	Opened    int64   `json:"server_connections_opened"`
+	Nacked    int64   `json:"nacked"`
+	Failed    int64   `json:"failed"`
+	LateP99   float64 `json:"generator_late_p99_ms"`
+}
+
+// setup is the service of a bench: one method that may run again, and time enough that nothing is cut short.
+func setup(servers int) (scenario.Scenario, error) {
+	s := scenario.Default()
+	s.Title, s.Routers.Count, s.Servers.Count = "bench", 1, servers
+	s.Service.Mode = "through"
+	s.Methods = []scenario.Method{{Name: "get", Share: 1, Effect: "retryable", Work: 1000, LatencyBudget: 500e3, Deadline: 2e6, Criticality: 1}}
+	return s, nil
+}
+
+const props = "c=get,d=2000"
+
+// Router measures a case on a router program. The folder is for its configuration and log.
+func Router(ctx context.Context, program, dir string, c Case, length time.Duration) (Figures, error) {
+	f := Figures{Case: c}
+	s, err := setup(c.Servers)
+	if err != nil {
+		return f, err
+	}
+	network, err := fleet.NewNetwork(1)
+	if err != nil {
+		return f, err
+	}
+	defer network.Close()
+	log := event.NewLog()
+	reg, err := registry.Start(log, s.Discovery, network.Discovery())
+	if err != nil {
+		return f, err
+	}
+	defer reg.Close()
+	var nulls []*Null
+	for i := range c.Servers {
+		n, err := NewNull(network.Server(i)[0], Array(c.Value))
+		if err != nil {
+			return f, err
+		}
+		defer n.Close()
+		nulls = append(nulls, n)
+		reg.Set(registry.Entry{UID: event.Server(fmt.Sprint("s", i)), Zone: "a", Kind: "cache", State: "active",
+			Addr: func(event.Router) string { return n.Addr() }}, true)
+	}
+	spec := fleet.Spec{Name: "bench", Listen: network.Routers()[0], Discovery: reg.Addr(0), Config: filepath.Join(dir, "config.json"),
+		Log: filepath.Join(dir, "router.log"), Cores: 1}
+	text, err := fleet.Config(s, spec.Name, spec.Listen, spec.Discovery, "1", reg.Known(0))
+	if err != nil {
+		return f, err
+	}
+	if err := os.WriteFile(spec.Config, text, 0o644); err != nil {
+		return f, err
+	}
+	p, err := process.Start(program, spec.Env(), spec.Log)
+	if err != nil {
+		return f, err
+	}
+	defer p.End()
+	warm := time.Second
+	load := Load{Addr: spec.Listen, Conns: c.Conns, Depth: c.Depth, Rate: c.Rate, Keys: 10000, Props: props, Warm: warm, Length: length}
+	if err := ready(ctx, load); err != nil {
+		return f, fmt.Errorf("%w; see %s", err, spec.Log)
+	}
+	var before, after mark
+	marks := make(chan error, 1)
+	go func() {
+		time.Sleep(warm)
+		err1 := before.take(p, spec.Log)
+		time.Sleep(length)
+		marks <- errors.Join(err1, after.take(p, spec.Log))
+	}()
+	out, err := Run(ctx, load)
+	if err := errors.Join(err, <-marks); err != nil {
+		return f, err
+	}
+	n := float64(max(1, after.taken-before.taken))
+	f.PerSecond, f.P50, f.P99 = out.Rate(), out.Quantile(50), out.Quantile(99)
+	f.CPU = float64((after.cpu-before.cpu)/time.Microsecond) / n
+	f.Allocs, f.Bytes = float64(after.allocs-before.allocs)/n, float64(after.bytes-before.bytes)/n
+	f.Nacked, f.Failed, f.LateP99 = out.Nacked, out.Failed, out.LateP99.Seconds()*1e3
+	for _, null := range nulls {
+		f.Opened += null.Opens.Load()
+	}
+	return f, nil
+}
+
+// ready waits until one req is satisfied.
+func ready(ctx context.Context, l Load) error {
+	l.Conns, l.Depth, l.Rate, l.Warm, l.Length, l.First = 1, 1, 0, 0, 20*time.Millisecond, 1<<40
+	for range 200 {
+		if out, err := Run(ctx, l); err == nil && out.Satisfied > 0 {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		l.First += 1 << 32
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("the router satisfied nothing")
+}
+
+// mark is what a router has used and counted up to a moment.
+type mark struct {
+	cpu                  time.Duration
+	taken, allocs, bytes int64
+}
+
+var counted = regexp.MustCompile(`taken=(\d+).* allocs=(\d+) alloc-bytes=(\d+)`)
+
+// take asks for the counters by SIGUSR1 and reads them from the log.
+func (m *mark) take(p *process.Process, log string) error {
+	seen := func() [][][]byte {
+		text, err := os.ReadFile(log)
+		if err != nil {
+			return nil
+		}
+		return counted.FindAllSubmatch(text, -1)
+	}
+	before := len(seen())
+	cpu, _, ok := p.Usage()
+	if !ok || p.Signal(syscall.SIGUSR1) != nil {
+		return errors.New("the router has ended")
+	}
+	m.cpu = cpu
+	for range 200 {
+		if now := seen(); len(now) > before {
+			for i, x := range []*int64{&m.taken, &m.allocs, &m.bytes} {
+				*x, _ = strconv.ParseInt(string(now[len(now)-1][i+1]), 10, 64) // digits by the pattern
+			}
+			return nil
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return errors.New("the router does not tell its counters with allocs=; it is of an older version")
+}
--- /dev/null
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -0,0 +1,281 @@
+package cacheserver
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+	"spurtrestle/internal/resp"
+)
+
+var nets atomic.Int32
+
+func start(t *testing.T, change func(*Fleet)) (*Server, *Fleet) {
+	s, err := scenario.Parse([]byte(scenario.Commented))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &Fleet{Log: event.NewLog(), Set: s.Servers, Service: s.Service, Methods: map[string]scenario.Method{}, Repeats: &Repeats{},
+		Missed: func(event.Req, *Server, bool) {}}
+	for _, m := range s.Methods {
+		m.Work, m.Spread = 1000, "none"
+		f.Methods[m.Name] = m
+	}
+	f.Set.ConnectionWork = 0
+	if change != nil {
+		change(f)
+	}
+	return another(t, f, "s1"), f
+}
+
+func another(t *testing.T, f *Fleet, uid event.Server) *Server {
+	addr := fmt.Sprintf("127.13.0.%d:%d", nets.Add(1), 16379)
+	s, err := Start(f, uid, "north", 1, []string{addr}, true, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Kill(); s.Wait() })
+	return s
+}
+
+// peer is a router's side of a connection, with what it has not read yet.
+type peer struct {
+	net.Conn
+	have []byte
+}
+
+func dial(t *testing.T, s *Server) *peer {
+	c, err := net.Dial("tcp", s.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &peer{Conn: c}
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	var words [][]byte
+	for _, w := range strings.Fields(text) {
+		words = append(words, []byte(w))
+	}
+	if _, err := c.Write(resp.AppendCommand(nil, words...)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads one answer: the value's first word, miss, or the line.
+func answer(c *peer) string {
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // an error shows in Read
+	buf := make([]byte, 4096)
+	for first := true; ; first = false {
+		var err error
+		if !first || len(c.have) == 0 {
+			var n int
+			n, err = c.Read(buf)
+			c.have = append(c.have, buf[:n]...)
+		}
+		r, used, bad := resp.ReadReply(c.have, bounds)
+		c.have = c.have[used:]
+		switch {
+		case bad != nil:
+			return "unreadable"
+		case used > 0 && r.Kind == '*' && r.Items[0].Null:
+			return "miss"
+		case used > 0 && r.Kind == '*':
+			first, _, _ := strings.Cut(string(r.Items[0].Text), " ")
+			return first
+		case used > 0:
+			return string(r.Text)
+		case errors.Is(err, syscall.ECONNRESET):
+			return "reset"
+		case err != nil:
+			return "end"
+		}
+	}
+}
+
+func ask(t *testing.T, c *peer, text string) string {
+	send(t, c, text)
+	return answer(c)
+}
+
+func TestAnswers(t *testing.T) {
+	s, f := start(t, nil)
+	c := dial(t, s)
+	s.Fill("k")
+	for _, x := range []struct{ send, want string }{
+		{"CACHE.GET k id1 c=status,d=500,size=100", "id1"},
+		{"CACHE.GET other id2 c=status,d=500", "miss"},
+		{"CACHE.GET k id3 c=unknown,d=500", "SYNTAX"},
+		{"CACHE.GET k id4 c=status", "SYNTAX"},
+		{"CACHE.GET k id5", "SYNTAX"},
+		{"PING", "PONG"},
+		{"INFO load", "NOPERM"},
+		{"HELLO 3", "ERR unknown command"},
+		{"CACHE.SET k id6 c=book,d=500 v", "id6"},
+		{"CACHE.GET k id7 c=status,d=500", "miss"}, // the write dropped the copy
+	} {
+		if got := ask(t, c, x.send); got != x.want {
+			t.Errorf("%s: %s", x.send, got)
+		}
+	}
+	odd, ran := 0, 0
+	for _, e := range f.Log.Events() {
+		switch e.Kind {
+		case event.Odd:
+			odd++
+		case event.Ran:
+			ran++
+		}
+	}
+	if odd != 3 || ran != 1 {
+		t.Errorf("%d odd commands were noted, %d effects", odd, ran)
+	}
+}
+
+// The servers of a group drop a repeat together: it is answered, and its effect does not run again.
+func TestRepeatsAreDropped(t *testing.T) {
+	s, f := start(t, nil)
+	other := another(t, f, "s2")
+	for _, c := range []*peer{dial(t, s), dial(t, other)} {
+		if got := ask(t, c, "CACHE.SET k id1 c=order,d=500 v"); got != "id1" {
+			t.Error(got)
+		}
+	}
+	for _, c := range []*peer{dial(t, s), dial(t, other)} {
+		if got := ask(t, c, "CACHE.SET k id2 c=book,d=500 v"); got != "id2" {
+			t.Error(got)
+		}
+	}
+	ran := map[event.Req]int{}
+	for _, e := range f.Log.Events() {
+		if e.Kind == event.Ran {
+			ran[e.Req]++
+		}
+	}
+	if ran["id1"] != 1 || ran["id2"] != 2 {
+		t.Errorf("effects ran %v", ran)
+	}
+}
+
+func TestRoomIsBounded(t *testing.T) {
+	s, _ := start(t, func(f *Fleet) { f.Set.Cores, f.Set.Queue, f.Set.Connections = 1, 1, 2 })
+	s.Fill("k")
+	a, b := dial(t, s), dial(t, s)
+	if err := s.Strike(scenario.Fault{Kind: "hang"}, false); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		send(t, a, fmt.Sprintf("CACHE.GET k id%d c=status,d=500", i))
+	}
+	time.Sleep(50 * time.Millisecond)
+	if got := ask(t, b, "CACHE.GET k id9 c=status,d=500"); got != "BUSY" {
+		t.Error("with a full queue: ", got)
+	}
+	if err := s.Strike(scenario.Fault{Kind: "hang"}, true); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"id0", "id1", "BUSY"} { // in the order of the commands
+		if got := answer(a); got != want {
+			t.Error(got, want)
+		}
+	}
+	if got := ask(t, dial(t, s), "CACHE.GET k id10 c=status,d=500"); got != "BUSY" {
+		t.Error("over the connections that it takes: ", got)
+	}
+}
+
+// What a router gives up by closing makes room at once, where the settings say so.
+func TestClosingCallsOff(t *testing.T) {
+	s, _ := start(t, func(f *Fleet) {
+		f.Set.Cores, f.Set.Queue = 1, 0
+		m := f.Methods["status"]
+		m.Work = 60e6
+		f.Methods["status"] = m
+	})
+	s.Fill("k")
+	a := dial(t, s)
+	send(t, a, "CACHE.GET k id1 c=status,d=500")
+	time.Sleep(50 * time.Millisecond)
+	a.Close()
+	time.Sleep(50 * time.Millisecond)
+	if got := ask(t, dial(t, s), "CACHE.SET k id2 c=book,d=500 v"); got != "id2" {
+		t.Error(got)
+	}
+}
+
+func TestTroubles(t *testing.T) {
+	s, f := start(t, nil)
+	s.Fill("k")
+	get := func(c *peer) string { return ask(t, c, "CACHE.GET k id c=status,d=500") }
+	strike := func(f scenario.Fault, end bool) {
+		if err := s.Strike(f, end); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name := range Forms {
+		x := scenario.Fault{Kind: "spoil", Share: 1, Answers: []string{name}}
+		strike(x, false)
+		c := dial(t, s)
+		send(t, c, "CACHE.GET k id c=status,d=500")
+		buf := make([]byte, 1<<16)
+		n, err := c.Read(buf)
+		r, used, bad := resp.ReadReply(buf[:n], resp.Bounds{Bulk: 64 << 10, Line: 4 << 10, Args: 16})
+		if err != nil || bad == nil && used > 0 && r.Kind == '*' {
+			t.Errorf("%s: %q can be read", name, buf[:n])
+		}
+		strike(x, true)
+	}
+	strike(scenario.Fault{Kind: "reset", Share: 1}, false)
+	if got := get(dial(t, s)); got != "reset" && got != "end" {
+		t.Error("an answer that breaks off: ", got)
+	}
+	strike(scenario.Fault{Kind: "reset"}, true)
+
+	kept := dial(t, s)
+	if got := get(kept); got != "id" {
+		t.Error(got)
+	}
+	strike(scenario.Fault{Kind: "refuse"}, false)
+	if _, err := net.Dial("tcp", s.Addr(0)); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Error("a connect that is refused: ", err)
+	}
+	if got := get(kept); got != "id" {
+		t.Error("an open connection while others are refused: ", got)
+	}
+	strike(scenario.Fault{Kind: "refuse"}, true)
+
+	strike(scenario.Fault{Kind: "vanish"}, false)
+	if c, err := net.DialTimeout("tcp", s.Addr(0), 100*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a connect to a machine that has vanished came up")
+	}
+	send(t, kept, "CACHE.GET k lost c=status,d=500")
+	_ = kept.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // an error shows in Read
+	if n, err := kept.Read(make([]byte, 1)); n > 0 || !errors.Is(err, syscall.ETIMEDOUT) && !strings.Contains(fmt.Sprint(err), "timeout") {
+		t.Error("a vanished machine said ", n, err)
+	}
+	strike(scenario.Fault{Kind: "vanish"}, true)
+	if got := answer(kept); got != "reset" && got != "end" {
+		t.Error("an old connection of a machine that is back: ", got)
+	}
+	if got := get(dial(t, s)); got != "id" {
+		t.Error("a machine that is back: ", got)
+	}
+	for _, e := range f.Log.Events() {
+		if e.Req == "lost" {
+			t.Error("a vanished machine took a req")
+		}
+	}
+	s.Kill()
+	if _, err := net.Dial("tcp", s.Addr(0)); err == nil {
+		t.Error("a killed server takes connections")
+	}
+}
--- a/internal/lab/client/bad.go
+++ b/internal/lab/client/bad.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"spurtrestle/internal/lab/event"
@@ -28,21 +29,19 @@
 	"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n",
 }
 
-// Bad plays the bad clients of a fault against all routers until the context ends.
+// Bad plays the bad clients of a fault against all routers, and returns once the last of them is done.
 func (f *Front) Bad(ctx context.Context, fault scenario.Fault) {
 	r := rand.New(rand.NewPCG(f.seed, 9))
 	step := max(time.Millisecond, fault.For.Micros().Duration()/time.Duration(max(1, fault.Count)))
 	if fault.Kind == "mute" {
 		step = time.Millisecond // all at once
 	}
+	var all sync.WaitGroup
+	defer all.Wait()
 	for i := range fault.Count {
 		router := event.Router(i % len(f.addrs))
 		text := Rubbish[r.IntN(len(Rubbish))]
-		f.wg.Add(1)
-		go func() {
-			defer f.wg.Done()
-			f.bad(ctx, fault.Kind, router, text, i)
-		}()
+		all.Go(func() { f.bad(ctx, fault.Kind, router, text, i) })
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -79,7 +79,7 @@
 	case "kill":
 		if a.End {
 			r.tell(victim, "left")
-			return r.live(a.Who, false, f.Moved)
+			return r.succeed(l, victim, f.Moved)
 		}
 		l.server.Kill()
 		time.AfterFunc(r.s.Discovery.NoticeFor.Micros().Duration(), func() { r.tell(l, "left") })
@@ -94,7 +94,7 @@
 			r.tell(victim, "left")
 			victim.server.Kill()
 		default:
-			return r.live(a.Who, false, f.Moved)
+			return r.succeed(l, victim, f.Moved)
 		}
 		return nil
 	}
@@ -104,6 +104,15 @@
 	return l.server.Strike(f, a.End)
 }
 
+// succeed starts the successor of a life, unless another fault has done so meanwhile.
+func (r *run) succeed(now, victim *life, moved bool) error {
+	if now != victim {
+		return nil
+	}
+	victim.server.Wait()
+	return r.live(victim.place, false, moved)
+}
+
 // actRouter does what takes its time beside the timeline.
 func (r *run) actRouter(ctx context.Context, f scenario.Fault, a faults.Act) {
 	p := r.routers[a.Who]
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -7,6 +7,23 @@
 	"os"
 )
 
+// Network is a loopback network that a run has for itself.
+type Network struct{ a *addresses }
+
+// NewNetwork claims one for so many routers; Close gives it back.
+func NewNetwork(routers int) (Network, error) {
+	a, err := newAddresses(routers)
+	return Network{a}, err
+}
+
+// Close gives the network back.
+func (n Network) Close() { n.a.close() }
+
+// Routers, Discovery and Server are the addresses, one for each router.
+func (n Network) Routers() []string         { return n.a.routers() }
+func (n Network) Discovery() []string       { return n.a.discovery(0) }
+func (n Network) Server(place int) []string { return n.a.server(place, 0) }
+
 // addresses says who listens where. A run has 127.K.0.0/16 for itself, so that a server that comes back finds its
 // address free: connections within the machine leave from 127.0.0.1. K is claimed by a listener that is held.
 type addresses struct {
--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// The program under test is built once, as the deploy file does.
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "spurtrestle")
+	if out, err := exec.Command("go", "build", "-o", program, "spurtrestle/cmd/spurtrestle").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// The verdict is on the rules, never on times: it must be the same on a slow machine.
+func TestRulesHoldOnRealRouters(t *testing.T) {
+	program := build(t)
+	files, err := filepath.Glob("testdata/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios found", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".toml"), func(t *testing.T) {
+			t.Parallel()
+			s, err := scenario.Read(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			dir := t.TempDir()
+			r, err := Play(t.Context(), s, Options{Seed: 1, Start: Program(program), Dir: dir})
+			if err != nil {
+				logs(t, dir)
+				t.Fatal(err)
+			}
+			for i, b := range r.Broken {
+				if i < 3 {
+					t.Errorf("%v\n%s", b, strings.Join(b.Evidence, "\n"))
+				}
+			}
+			struck, answered := map[string]bool{}, 0
+			for _, e := range r.Events {
+				switch e.Kind {
+				case event.Fault:
+					struck[e.Note] = true
+				case event.Answered:
+					answered++
+				}
+			}
+			for _, f := range s.Faults {
+				if !struck[f.Kind] {
+					t.Errorf("%s never struck", f.Kind)
+				}
+			}
+			// Rules are easily kept by a router that nobody asks.
+			if answered < len(r.Arrivals)/2 {
+				t.Errorf("%d answers to %d ops", answered, len(r.Arrivals))
+			}
+			if t.Failed() {
+				logs(t, dir)
+			}
+		})
+	}
+}
+
+func logs(t *testing.T, dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is good
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		t.Logf("%s:\n%s", filepath.Base(file), text[max(0, len(text)-2000):])
+	}
+}
+
+// Stopped at any moment, a run leaves no process, goroutine or address behind.
+func TestStoppedRunLeavesNothing(t *testing.T) {
+	program := build(t)
+	s, err := scenario.Read("testdata/deploy.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := goleak.IgnoreCurrent()
+	var pids []string
+	start := func(spec Spec) (Instance, error) {
+		p, err := Program(program)(spec)
+		pids = append(pids, spec.Log)
+		return p, err
+	}
+	for _, after := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(t.Context(), after)
+		_, err := Play(ctx, s, Options{Seed: 1, Start: start, Dir: t.TempDir()})
+		cancel()
+		if err == nil {
+			t.Errorf("a run stopped after %v says that it was played", after)
+		}
+	}
+	if len(pids) == 0 {
+		t.Error("no router was started")
+	}
+	goleak.VerifyNone(t, before)
+}
--- /dev/null
+++ b/internal/lab/machine/machine_test.go
@@ -0,0 +1,144 @@
+package machine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/tracetest"
+)
+
+// A script drives one machine: `new` with its settings, then a time in ms and what is done. Below stands what came of it.
+func TestTraces(t *testing.T) {
+	tracetest.Run(t, func(t *testing.T, script string) string {
+		var out strings.Builder
+		var m *Machine
+		jobs := map[string]*Job{}
+		for line := range strings.Lines(script) {
+			if strings.HasPrefix(line, "  ") {
+				continue
+			}
+			out.WriteString(line)
+			words := strings.Fields(line)
+			if len(words) == 0 || line[0] == '#' {
+				continue
+			}
+			if words[0] == "new" {
+				var s Settings
+				warm := 0
+				if _, err := fmt.Sscanf(line, "new cores=%d queue=%d cold=%g over=%d falls=%g within=%d warm=%d", &s.Cores, &s.Queue, &s.ColdShare,
+					&s.ColdSpan, &s.FallMultiple, &s.FallSpan, &warm); err != nil {
+					t.Fatal(line, err)
+				}
+				s.ColdSpan, s.FallSpan = s.ColdSpan*1000, s.FallSpan*1000
+				m, jobs = New(s, 0, warm == 1), map[string]*Job{}
+				continue
+			}
+			var ms int
+			var what, name string
+			work := 0
+			if n, _ := fmt.Sscanf(line, "%d %s %s %d", &ms, &what, &name, &work); n < 2 { // the later words may be absent
+				t.Fatal(line)
+			}
+			now := event.Micros(ms) * 1000
+			for _, j := range m.Ended(now) {
+				for name, x := range jobs {
+					if x == j {
+						fmt.Fprintf(&out, "  %s ended at %d\n", name, j.ends/1000)
+					}
+				}
+			}
+			switch what {
+			case "take":
+				jobs[name] = &Job{Work: event.Micros(work) * 1000}
+				if !m.Take(now, jobs[name]) {
+					fmt.Fprintf(&out, "  no room; fallen=%v\n", m.Fallen())
+				}
+			case "flood": // so many jobs of 1 ms
+				n := 0
+				for range work {
+					if m.Take(now, &Job{Work: 1000}) {
+						n++
+					}
+				}
+				fmt.Fprintf(&out, "  took %d; fallen=%v\n", n, m.Fallen())
+			case "cancel":
+				fmt.Fprintf(&out, "  there: %v\n", m.Cancel(now, jobs[name]))
+			case "freeze", "thaw":
+				m.Freeze(now, what == "freeze")
+			case "slow":
+				m.Slow(float64(work))
+			case "look":
+				running, waiting := m.Load()
+				fmt.Fprintf(&out, "  %d run, %d wait, share %.2f\n", running, waiting, m.Share(now))
+			default:
+				t.Fatalf("%s is nothing to do", what)
+			}
+		}
+		return out.String()
+	})
+}
+
+// No job is lost or ended twice, whatever happens to the machine.
+func TestJobsAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(Settings{Cores: rapid.IntRange(1, 3).Draw(t, "cores"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), ColdShare: 0.2,
+			ColdSpan: 1e6}, 0, rapid.Bool().Draw(t, "warm"))
+		in := map[*Job]bool{}
+		now := event.Micros(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += event.Micros(rapid.IntRange(0, 20000).Draw(t, "wait"))
+			for _, j := range m.Ended(now) {
+				if !in[j] {
+					t.Fatal("a job ended that was not there")
+				}
+				delete(in, j)
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				j := &Job{Work: event.Micros(rapid.IntRange(1, 30000).Draw(t, "work"))}
+				if m.Take(now, j) {
+					in[j] = true
+				}
+			case 2:
+				for j := range in {
+					if !m.Cancel(now, j) {
+						t.Fatal("a job was not there")
+					}
+					delete(in, j)
+					break
+				}
+			case 3:
+				m.Freeze(now, rapid.Bool().Draw(t, "on"))
+			case 4:
+				m.Slow(float64(rapid.IntRange(1, 5).Draw(t, "times")))
+			}
+			if running, waiting := m.Load(); running+waiting != len(in) {
+				t.Fatalf("%d run and %d wait of %d", running, waiting, len(in))
+			}
+		}
+		m.Freeze(now, false)
+		if n := len(m.Ended(now + 1e9)); n != len(in) {
+			t.Fatalf("%d of %d ended", n, len(in))
+		}
+	})
+}
+
+func TestLRU(t *testing.T) {
+	l := NewLRU(2)
+	l.Put("a")
+	l.Put("b")
+	l.Has("a")
+	l.Put("c")
+	if l.Has("b") || !l.Has("a") || !l.Has("c") || l.Len() != 2 {
+		t.Error("the key used longest ago must go")
+	}
+	l.Drop("a")
+	l.Drop("a")
+	if l.Has("a") || l.Len() != 1 {
+		t.Error("a dropped key is there")
+	}
+}
--- /dev/null
+++ b/internal/lab/origin/origin_test.go
@@ -0,0 +1,82 @@
+package origin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/lab/cacheserver"
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+func call(t *testing.T, addr, method, path, id, props string, patience time.Duration) (status int, neverRan, body string) {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader("v"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Trace-Id", id)
+	r.Header.Set("X-Props", props)
+	a, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, "", ""
+	}
+	defer a.Body.Close()
+	text, _ := io.ReadAll(a.Body) // what is cut off fails the comparison
+	return a.StatusCode, a.Header.Get("X-Never-Ran"), string(text)
+}
+
+func TestOrigin(t *testing.T) {
+	log := event.NewLog()
+	filled, dropped := "", ""
+	methods := map[string]scenario.Method{"read": {Name: "read", Effect: "retryable"}, "book": {Name: "book", Effect: "non-retryable"},
+		"hold": {Name: "hold", Effect: "deduplicated", Window: 60e6}}
+	set := scenario.Origin{Cores: 1, Queue: 0, Work: 1000}
+	o, err := Start(&Fleet{Log: log, Set: set, Methods: methods, Repeats: &cacheserver.Repeats{}, Cold: func(event.Req) bool { return false },
+		Filled: func(r event.Req, k string) { filled += string(r) + " " + k + ";" }, Dropped: func(k string) { dropped += k + ";" }},
+		[]string{"127.15.0.1:18080"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	addr := o.Addr(0)
+	const long = 2 * time.Second
+	if status, _, body := call(t, addr, "GET", "/a%20b", "id1", "c=read,d=9,size=40", long); status != 200 || !cacheserver.MadeFor("id1", []byte(body)) || len(body) != 40 {
+		t.Error(status, body)
+	}
+	if status, _, _ := call(t, addr, "PUT", "/k", "id2", "c=book,d=9", long); status != 200 {
+		t.Error(status)
+	}
+	for range 2 {
+		if status, _, _ := call(t, addr, "PUT", "/k", "id3", "c=hold,d=9", long); status != 200 {
+			t.Error(status)
+		}
+	}
+	if status, _, _ := call(t, addr, "GET", "/k", "id4", "c=nothing", long); status != 400 {
+		t.Error(status)
+	}
+	o.Strike(scenario.Fault{Kind: "origin_stop"}, false)
+	if status, _, _ := call(t, addr, "PUT", "/k", "id5", "c=book,d=9", 50*time.Millisecond); status != 0 {
+		t.Error("a stopped origin answers ", status)
+	}
+	if status, never, _ := call(t, addr, "GET", "/k", "id6", "c=read,d=9", long); status != 503 || never != "1" {
+		t.Error("a full origin answers ", status, never)
+	}
+	o.Strike(scenario.Fault{Kind: "origin_stop"}, true)
+	time.Sleep(100 * time.Millisecond)
+	ran := ""
+	for _, e := range log.Events() {
+		if e.Kind == event.Ran {
+			ran += string(e.Req) + ";"
+		}
+	}
+	// What nobody waits for any more runs all the same, once.
+	if ran != "id2;id3;id5;" || filled != "id1 a b;" || !strings.HasPrefix(dropped, "k;k;k;k;") {
+		t.Errorf("ran %s, filled %s, dropped %s", ran, filled, dropped)
+	}
+}
--- /dev/null
+++ b/internal/lab/referee/referee_test.go
@@ -0,0 +1,129 @@
+package referee
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/tracetest"
+)
+
+// A script is a record, an event a line: its time in ms, what it is, and name=value pairs. `judge` shows what the
+// referee makes of all since the last one.
+func TestTraces(t *testing.T) {
+	tracetest.Run(t, func(t *testing.T, script string) string {
+		var out strings.Builder
+		var events []event.Event
+		for line := range strings.Lines(script) {
+			if strings.HasPrefix(line, "  ") {
+				continue
+			}
+			out.WriteString(line)
+			words := strings.Fields(line)
+			switch {
+			case len(words) == 0 || line[0] == '#':
+			case words[0] == "judge":
+				slices.SortStableFunc(events, func(a, b event.Event) int { return cmp.Compare(a.At, b.At) })
+				broken := Judge(testRules, events)
+				for _, b := range broken {
+					fmt.Fprintf(&out, "  %v\n", b)
+				}
+				if len(broken) == 0 {
+					out.WriteString("  all kept\n")
+				}
+				events = nil
+			default:
+				events = append(events, read(t, words))
+			}
+		}
+		return out.String()
+	})
+}
+
+var testRules = Rules{MaxWriteOuts: 3, Grace: 2e6, Slack: DefaultSlack, ToldAfter: DefaultToldAfter, MostCold: DefaultMostCold,
+	Places: map[event.Server]Place{"a1": {"a", "1"}, "a2": {"a", "1"}, "b1": {"b", "1"}},
+	Methods: []Method{{Name: "read", Effect: "retryable"}, {Name: "hold", Effect: "deduplicated", Group: "zone", Window: 1e6},
+		{Name: "book", Effect: "non-retryable"}}}
+
+func read(t *testing.T, words []string) event.Event {
+	e := event.Event{Router: event.Nobody, Since: -1, Op: -1}
+	ms, err := strconv.ParseFloat(words[0], 64)
+	if err != nil {
+		t.Fatal(words, err)
+	}
+	e.At = event.Micros(ms * 1e3)
+	for kind, name := range kinds {
+		if strings.ReplaceAll(name, " ", "-") == words[1] {
+			e.Kind = kind
+		}
+	}
+	if e.Kind == 0 {
+		t.Fatalf("%s is no kind of event", words[1])
+	}
+	for _, w := range words[2:] {
+		name, value, _ := strings.Cut(w, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "req":
+			e.Req = event.Req(value)
+		case "op":
+			e.Op = event.Op(n)
+		case "router":
+			e.Router = event.Router(n)
+		case "server":
+			e.Server = event.Server(value)
+		case "method":
+			e.Method = event.Method(slices.IndexFunc(testRules.Methods, func(m Method) bool { return m.Name == value }))
+		case "limit", "share":
+			e.Limit = event.Micros(n) * 1e3
+			if name == "share" {
+				e.Limit = event.Micros(n)
+			}
+		case "since":
+			e.Since = event.Micros(n) * 1e3
+		case "how":
+			for o, text := range outcomes {
+				if strings.ReplaceAll(text, " ", "-") == value {
+					e.Outcome = o
+				}
+			}
+		case "reply":
+			for r, text := range replies {
+				if strings.ReplaceAll(text, " ", "-") == value {
+					e.Reply = r
+				}
+			}
+		default:
+			t.Fatalf("%q is no field", name)
+		}
+	}
+	if e.Since < 0 && e.Kind == event.Begun {
+		e.Since = e.At
+	}
+	return e
+}
+
+// What is judged is a run of minutes: it must not take as long as one.
+func BenchmarkJudge(b *testing.B) {
+	var events []event.Event
+	const ops = 100000
+	for i := range ops {
+		at, id := event.Micros(i*1000), event.Req(strconv.Itoa(i))
+		events = append(events, event.Event{At: at, Kind: event.Asked, Req: id, Op: event.Op(i), Limit: 1e6},
+			event.Event{At: at + 300, Kind: event.Begun, Req: id, Server: "a1", Since: at + 250},
+			event.Event{At: at + 700, Kind: event.Ended, Req: id, Server: "a1", Reply: event.Value},
+			event.Event{At: at + 900, Kind: event.Answered, Req: id, Op: event.Op(i), Outcome: event.Satisfied})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if broken := Judge(testRules, events); len(broken) > 0 {
+			b.Fatal(broken[0])
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed()/time.Nanosecond)/float64(b.N)/ops, "ns/op-judged")
+}
--- /dev/null
+++ b/internal/lab/registry/registry_test.go
@@ -0,0 +1,102 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+type list struct {
+	Rev     int  `json:"rev"`
+	All     bool `json:"all"`
+	Targets []struct {
+		UID   string `json:"uid"`
+		State string `json:"state"`
+	} `json:"targets"`
+}
+
+func call(t *testing.T, r *Registry, query string) (l list, err error) {
+	c := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Get("http://" + r.Addr(0) + "/registry/instances" + query)
+	if err != nil {
+		return l, err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, json.Unmarshal(body, &l)
+}
+
+func TestListsAndWatches(t *testing.T) {
+	log := event.NewLog()
+	r, err := Start(log, scenario.Discovery{Delay: 100e3}, []string{"127.14.0.1:18500", "127.14.0.2:18500"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	entry := func(uid event.Server, state string) Entry {
+		return Entry{UID: uid, State: state, Kind: "cache", Addr: func(n event.Router) string { return fmt.Sprint("for-", n) }}
+	}
+	r.Set(entry("a", "active"), true)
+	r.Set(entry("b", "active"), true)
+	show := func(what, query, want string) {
+		l, err := call(t, r, query)
+		if got := fmt.Sprint(l, err != nil); got != want {
+			t.Errorf("%s: %s, not %s", what, got, want)
+		}
+	}
+	show("the whole list", "", "{2 true [{a active} {b active}]} false")
+	r.Set(entry("b", "leaving"), false)
+	show("before the delay is over", "?index=2&wait=20", "{2 false []} false")
+	show("a watch over the delay", "?index=2&wait=1000", "{3 false [{b leaving}]} false")
+	r.Set(entry("b", "left"), false)
+	show("gone, among changes", "?index=3&wait=1000", "{4 false [{b left}]} false")
+	show("gone, in a whole list", "", "{4 true [{a active}]} false")
+	show("an index that it never told", "?index=99&wait=10", "{4 true [{a active}]} false")
+
+	r.Strike(scenario.Fault{Kind: "discovery_bad"}, false)
+	show("a bad list", "", "{0 false []} true")
+	r.Strike(scenario.Fault{Kind: "discovery_bad"}, true)
+	r.Strike(scenario.Fault{Kind: "discovery_silent"}, false)
+	r.Set(entry("a", "leaving"), false)
+	time.Sleep(120 * time.Millisecond)
+	r.Tick()
+	if _, err := call(t, r, ""); err == nil {
+		t.Error("it answers while silent")
+	}
+	r.Strike(scenario.Fault{Kind: "discovery_silent"}, true)
+	show("what came up meanwhile", "?index=4&wait=1000", "{5 false [{a leaving}]} false")
+	if err := r.Move(0, "127.14.0.1:18501", 10*time.Millisecond); err != nil || r.Addr(0) != "127.14.0.1:18501" {
+		t.Error(r.Addr(0), err)
+	}
+	show("at its new address", "", "{5 true [{a leaving}]} false")
+
+	// Only what wants nothing new is noted as told, and only to the router that asked.
+	told := ""
+	for _, e := range log.Events() {
+		if e.Kind == event.Told {
+			told += fmt.Sprint(e.Server, " to ", e.Router, "; ")
+		}
+	}
+	if want := "b to 0; b to 0; a to 0; "; told != want {
+		t.Errorf("%q was noted as told", told)
+	}
+	r.Tick()
+	due := 0
+	for _, e := range log.Events() {
+		if e.Kind == event.Due {
+			due++
+		}
+	}
+	if due != 6 { // three changes at two agents
+		t.Errorf("%d news were noted at the agents", due)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime/metrics"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -203,6 +204,8 @@
 
 // Counters is a line of all counts. It belongs to the loop until Run is over.
 func (r *Router) Counters() string {
-	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d", r.counts, len(r.clients),
-		r.conns, r.dials, len(r.reqs), r.held)
+	allocated := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}, {Name: "/gc/heap/allocs:bytes"}}
+	metrics.Read(allocated)
+	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d allocs=%d alloc-bytes=%d", r.counts,
+		len(r.clients), r.conns, r.dials, len(r.reqs), r.held, allocated[0].Value.Uint64(), allocated[1].Value.Uint64())
 }
