--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -33,7 +33,7 @@
 type Rules struct {
 	Methods      []Method
 	Places       map[event.Server]Place
-	MaxWriteOuts int // of one req
+	MaxWriteOuts int          // of one req
 	Grace        event.Micros // of a drain
 	Slack        event.Micros // each limit is longer by this on sockets
 	ToldAfter    event.Micros // what has reached a router's agent counts as told after this, whether it asked or not
