Learned state survives a restart: aged, checksummed, kept in a folder of the operator's

A router that restarts forgets speeds, rates, hot keys and health, and decides blindly when the fleet can least afford it.

The lab's routers may have such folders (routers.state).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -699,6 +699,7 @@
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
 		began: now, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
+		before:  map[ServerID]ServerKnowledge{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
 		retries: 10,                                                   // enough for the first seconds
 		part:    1 / float64(max(1, s.Routers)),
@@ -765,6 +766,12 @@
 		for _, k := range e.Keys {
 			r.hot.count(k)
 		}
+	case Learned:
+		r.learn(e.Knowledge)
+	case LearnedServers:
+		for _, b := range e.Servers {
+			r.before[b.Server] = b
+		}
 	case Elapsed:
 		if r.askAt != 0 && r.askAt <= r.now {
 			r.subscribe()
@@ -781,6 +788,23 @@
 	return r.decided
 }
 
+// recall: another start is another process. What was set aside gets a trial, at once: it may have recovered.
+func (r *Router) recall(s *server) {
+	b, known := r.before[s.Server]
+	delete(r.before, s.Server)
+	if !known || b.Started != s.Started || s.n > 0 {
+		return
+	}
+	s.gauge.recall(b.Times)
+	s.recalled, s.ended, s.unheard, s.rate = true, b.At, b.Unheard, decayed{b.Rate, r.now}
+	if b.Told > 0 {
+		s.report(r.now, b.Told)
+	}
+	if b.Aside {
+		s.lost, s.aside = b.Lost, max(1, r.now)
+	}
+}
+
 func (r *Router) wake(at Micros) {
 	if r.wakeAt <= r.now || at < r.wakeAt {
 		r.wakeAt = max(at, r.now+1)
@@ -939,9 +963,13 @@
 			r.servers[entry.Server] = s
 		} else if entry.Started > s.Started {
 			s.aside, s.lost, s.unheard = 0, 0, false // a new process: what was held against the old is void
+			if s.recalled {
+				s.gauge, s.rate = gauge{}, decayed{}
+			}
 		}
 		s.Entry = entry
 		s.origin = r.originKind != "" && entry.Kind == r.originKind
+		r.recall(s)
 	}
 	before := r.caches
 	r.caches, r.origin = nil, nil
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -44,6 +44,7 @@
 type gauge struct {
 	time, long, best Micros
 	n                Micros // samples, up to gaugeFull
+	kept             Micros // the quickest, as known before a restart; 0: none
 }
 
 const gaugeFull = 32
@@ -54,6 +55,9 @@
 	g.long += (took - g.long) / g.n
 	if g.n < gaugeFull { // a mean of few is quick or slow by chance
 		g.best = g.long
+		if g.kept > 0 {
+			g.best = min(g.long, g.kept)
+		}
 	}
 	g.best = min(g.best+max(0, g.long-g.best)/2000, g.long)
 }
@@ -67,7 +71,7 @@
 // leaning is g where it has samples enough, and the other one as far as it lacks them.
 func (g gauge) leaning(on gauge) gauge {
 	mix := func(own, other Micros) Micros { return (g.n*own + (gaugeFull-g.n)*other) / gaugeFull }
-	return gauge{mix(g.time, on.time), mix(g.long, on.long), mix(g.best, on.best), g.n}
+	return gauge{mix(g.time, on.time), mix(g.long, on.long), mix(g.best, on.best), g.n, g.kept}
 }
 
 // keyCounts is a bounded table of counts.
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,6 +58,7 @@
 	lost     int      // points for failures in a row
 	aside    Micros   // set aside until then; 0: in use
 	unheard  bool     // connections failed: it may come back as a new, cold process
+	recalled bool     // its times are from before a restart
 	coldFrom Micros   // when it was seen to come back
 	coldRun  Micros   // the start that the budget is for
 	coldLeft float64  // write-outs that it may have now while cold
@@ -124,7 +125,8 @@
 	decided     []Decision
 	rules       []rule
 	servers     map[ServerID]*server
-	caches      []*server // ready, sorted by id: the table is built from these
+	before      map[ServerID]ServerKnowledge // from before a restart, until the list names them
+	caches      []*server                    // ready, sorted by id: the table is built from these
 	origin      *server
 	table       []uint32  // places in caches, a group for each slot; nil: not built since the list changed
 	group       []*server // what groupOf last returned
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -131,6 +131,20 @@
 		status := Status(slices.Index(names, words[3]))
 		return Returned{Req: ReqID(words[0]), Server: ServerID(server), Attempt: Attempt(n), Status: status,
 			Took: span(words[4]), Over: status == OK || len(words) > 5}
+	case "learned": // of all caches: their usual time, and the retry budget
+		return Learned{Knowledge{Span: 60e6, Seen: Times{span(words[0]), span(words[0]), span(words[0]), 32}, Traffic: 20,
+			Hits: 20, Asked: 20, Answered: 20, Used: 20, Retries: 5}}
+	case "learned-server": // its number, usual time, [aside] [@start]
+		n, _ := strconv.Atoi(words[0])
+		b := ServerKnowledge{Server: ServerID(n), At: 1, Times: Times{span(words[1]), span(words[1]), span(words[1]), 32}, Rate: 5}
+		for _, w := range words[2:] {
+			if b.Aside = w == "aside"; b.Aside {
+				b.Lost = 3
+			} else {
+				b.Started = span(w[1:])
+			}
+		}
+		return LearnedServers{[]ServerKnowledge{b}}
 	case "left":
 		return Left{Req: ReqID(words[0])}
 	case "told":
--- a/choice/types.go
+++ b/choice/types.go
@@ -154,7 +154,7 @@
 // Report holds the load figures of a server by their order in Settings.ReportFields.
 type Report []float64
 
-// Event is one input: ListCame, ReqCame, Returned, Left, Elapsed, Probed or Started.
+// Event is one input: one of the types below.
 type Event any
 
 type (
@@ -187,6 +187,12 @@
 	Left struct { // the client is gone
 		Req ReqID
 	}
+	Learned struct { // what an earlier process knew, faded by its age; before anything else
+		Knowledge
+	}
+	LearnedServers struct { // the same of servers, before the list that names them
+		Servers []ServerKnowledge
+	}
 	Elapsed struct {
 		Ref TimerRef
 	}
--- a/cmd/spurctl/main.go
+++ b/cmd/spurctl/main.go
@@ -84,7 +84,7 @@
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warning or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return usage("%v; see %s --help", err, c.CommandPath()) })
-	root.AddCommand(a.lab(), version())
+	root.AddCommand(a.lab(), a.state(), version())
 	wrongUsage(root)
 	return root
 }
--- /dev/null
+++ b/cmd/spurctl/state.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/ageing"
+	"spurtrestle/choice"
+	"spurtrestle/internal/snapshot"
+)
+
+func (a *app) state() *cobra.Command {
+	c := &cobra.Command{Use: "state", Short: "Look at what a router has kept of what it learned",
+		Long: "Every command takes a state file, or the folder of a router, of which it reads the newest generation that is good.\n" +
+			"None of them changes anything but `upgrade`. See docs/state.md.",
+		Example: "  spurctl state show /var/lib/spurtrestle/n1", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	c.AddCommand(a.showState(), a.verifyState(), a.diffState(), a.upgradeState())
+	return c
+}
+
+// readState reads a file, or the newest good generation of a folder.
+func readState(path string) (s snapshot.State, from string, passed []error, err error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return s, path, nil, err
+	}
+	if info.IsDir() {
+		s, name, passed, err := snapshot.Open(snapshot.Dir(path)).Load()
+		if err != nil {
+			return s, path, passed, fmt.Errorf("%s: %w", path, err)
+		}
+		return s, filepath.Join(path, name), passed, nil
+	}
+	if info.Size() > snapshot.MostBytes {
+		return s, path, nil, fmt.Errorf("%s: %d bytes are too many for a state", path, info.Size())
+	}
+	file, err := os.ReadFile(path)
+	if err != nil {
+		return s, path, nil, err
+	}
+	if s, err = snapshot.Decode(file); err != nil {
+		return s, path, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, path, nil, nil
+}
+
+// shownServer is a server as it was written and as it would be restored now.
+type shownServer struct {
+	UID      string  `json:"uid"`
+	Age      string  `json:"evidence_age"`
+	TimeMs   float64 `json:"time_ms"`
+	QuickMs  float64 `json:"quickest_ms"`
+	Answers  int     `json:"answers"`
+	Restored int     `json:"restored_answers"`
+	Rate     float64 `json:"answers_per_second"`
+	Aside    bool    `json:"aside"`
+	AsideNow bool    `json:"restored_aside"`
+	Started  string  `json:"started,omitempty"`
+}
+
+type shown struct {
+	File     string             `json:"file"`
+	Version  int                `json:"version"`
+	Router   string             `json:"router"`
+	Written  string             `json:"written"`
+	Age      string             `json:"age"`
+	Weights  map[string]float64 `json:"weights"`
+	SeenMs   float64            `json:"usual_ms"`
+	QuickMs  float64            `json:"quickest_ms"`
+	Traffic  float64            `json:"reqs_per_second"`
+	Watched  string             `json:"restored_watched_for"`
+	Budget   float64            `json:"retry_budget"`
+	BudgetIs float64            `json:"restored_retry_budget"`
+	Methods  map[string]float64 `json:"methods_ms"`
+	HotKeys  int                `json:"keys"`
+	KeysNow  int                `json:"restored_keys"`
+	Servers  []shownServer      `json:"servers"`
+}
+
+func ms(t choice.Micros) float64 { return float64(t) / 1e3 }
+
+func since(now, at choice.Micros) string {
+	if at > now {
+		return "in the future"
+	}
+	return (time.Duration(now-at) * time.Microsecond).Round(time.Second).String()
+}
+
+func stamp(at choice.Micros) string { return time.UnixMicro(int64(at)).UTC().Format(time.RFC3339) }
+
+// explain tells what a state holds, and what of it would be restored at a time.
+func explain(s snapshot.State, file string, now choice.Micros) shown {
+	k := s.Knowledge
+	age := ageing.Age(now, k.At)
+	out := shown{File: file, Version: s.Version, Router: s.Router, Written: stamp(k.At), Age: since(now, k.At), SeenMs: ms(k.Seen.Time),
+		QuickMs: ms(k.Seen.Best), Traffic: k.Traffic, Budget: k.Retries, HotKeys: len(k.Keys), Methods: map[string]float64{},
+		Servers: []shownServer{}, Weights: map[string]float64{}}
+	for name, half := range map[string]choice.Micros{"times": ageing.Times, "quickest": ageing.Quick, "rates": ageing.Rates,
+		"health": ageing.Health, "hot keys": ageing.HotKeys, "retry budget": ageing.Budget} {
+		out.Weights[name] = math.Round(1000*ageing.Weight(age, half)) / 1000
+	}
+	for _, m := range s.Methods {
+		out.Methods[m.Name] = ms(m.Time)
+	}
+	for i, x := range s.Servers {
+		x.Server = choice.ServerID(i)
+		k.Servers = append(k.Servers, x.ServerKnowledge)
+	}
+	left := ageing.Fade(k, now)
+	out.Watched = (time.Duration(left.Span) * time.Microsecond).Round(time.Millisecond).String()
+	out.BudgetIs, out.KeysNow = left.Retries, len(left.Keys)
+	restored := map[choice.ServerID]choice.ServerKnowledge{}
+	for _, x := range left.Servers {
+		restored[x.Server] = x
+	}
+	for i, x := range s.Servers {
+		r := restored[choice.ServerID(i)]
+		row := shownServer{UID: x.UID, Age: since(now, x.At), TimeMs: ms(x.Times.Time), QuickMs: ms(x.Times.Best), Answers: x.Times.N,
+			Restored: min(r.Times.N, choice.MostRecalled), Rate: x.Rate, Aside: x.Aside, AsideNow: r.Aside}
+		if x.Started > 0 {
+			row.Started = stamp(x.Started)
+		}
+		out.Servers = append(out.Servers, row)
+	}
+	return out
+}
+
+func (a *app) showState() *cobra.Command {
+	var output, at string
+	c := &cobra.Command{Use: "show FILE|FOLDER", Short: "Show a state, and what of it a router would begin with now",
+		Example: "  spurctl state show /var/lib/spurtrestle/n1\n  spurctl state show state.7 --at 2026-12-01T08:00:00Z --output json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			now := time.Now()
+			if at != "" {
+				var err error
+				if now, err = time.Parse(time.RFC3339, at); err != nil {
+					return usage("--at: %q is no time; write it as 2026-12-01T08:00:00Z", at)
+				}
+			}
+			s, from, passed, err := readState(args[0])
+			if err != nil {
+				return err
+			}
+			for _, p := range passed {
+				a.log.WithError(p).Warn("passed over")
+			}
+			x := explain(s, from, choice.Micros(now.UnixMicro()))
+			if output == "json" {
+				return writeJSON(c.OutOrStdout(), x)
+			}
+			w := c.OutOrStdout()
+			fmt.Fprintf(w, "%s: version %d, of router %s, written %s (%s ago)\n", x.File, x.Version, x.Router, x.Written, x.Age)
+			fmt.Fprintf(w, "usual answer %.2f ms, quickest %.2f ms; %.1f reqs a second; retry budget %.1f, %.1f now; %d keys, %d now\n",
+				x.SeenMs, x.QuickMs, x.Traffic, x.Budget, x.BudgetIs, x.HotKeys, x.KeysNow)
+			fmt.Fprint(w, "weights now:")
+			for _, name := range []string{"times", "quickest", "rates", "health", "hot keys", "retry budget"} {
+				fmt.Fprintf(w, "  %s %.3f", name, x.Weights[name])
+			}
+			fmt.Fprintln(w)
+			t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "server\tevidence is old\ttime ms\tquickest ms\tanswers a second\tanswers\trestored as\taside\trestored")
+			for _, r := range x.Servers {
+				fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.1f\t%d\t%d\t%v\t%v\n", r.UID, r.Age, r.TimeMs, r.QuickMs, r.Rate, r.Answers, r.Restored, r.Aside, r.AsideNow)
+			}
+			return t.Flush()
+		}}
+	c.Flags().StringVar(&at, "at", "", "as of another time than now")
+	outputFlag(c, &output)
+	return c
+}
+
+func (a *app) verifyState() *cobra.Command {
+	var output string
+	c := &cobra.Command{Use: "verify FILE|FOLDER...", Short: "Tell whether states are whole; exit 1 where one is not",
+		Example: "  spurctl state verify /var/lib/spurtrestle/*", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, paths []string) error {
+			type row struct {
+				Path    string `json:"path"`
+				Good    bool   `json:"good"`
+				Version int    `json:"version,omitempty"`
+				Servers int    `json:"servers,omitempty"`
+				Wrong   string `json:"wrong,omitempty"`
+			}
+			rows, bad := []row{}, 0
+			for _, path := range paths {
+				s, from, passed, err := readState(path)
+				for _, p := range passed {
+					if err == nil {
+						rows, bad = append(rows, row{Path: path, Wrong: p.Error()}), bad+1
+					}
+				}
+				if err != nil {
+					rows, bad = append(rows, row{Path: path, Wrong: err.Error()}), bad+1
+					continue
+				}
+				rows = append(rows, row{from, true, s.Version, len(s.Servers), ""})
+			}
+			if output == "json" {
+				if err := writeJSON(c.OutOrStdout(), rows); err != nil {
+					return err
+				}
+			} else {
+				for _, r := range rows {
+					if r.Good {
+						fmt.Fprintf(c.OutOrStdout(), "%s: good, version %d, %d servers\n", r.Path, r.Version, r.Servers)
+					} else {
+						fmt.Fprintf(c.OutOrStdout(), "%s\n", r.Wrong)
+					}
+				}
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d cannot be used; a router begins with the generation before, or anew", bad)
+			}
+			return nil
+		}}
+	outputFlag(c, &output)
+	return c
+}
+
+func (a *app) diffState() *cobra.Command {
+	var output string
+	c := &cobra.Command{Use: "diff A B", Short: "Show in what two states differ, of one router at two times or of two routers",
+		Example: "  spurctl state diff n1/state.7 n1/state.8\n  spurctl state diff n1 n2", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, fromA, _, errA := readState(args[0])
+			b, fromB, _, errB := readState(args[1])
+			if err := errors.Join(errA, errB); err != nil {
+				return err
+			}
+			rows := differences(explain(a, fromA, a.Knowledge.At), explain(b, fromB, b.Knowledge.At))
+			if output == "json" {
+				return writeJSON(c.OutOrStdout(), rows)
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintf(t, "\t%s\t%s\n", fromA, fromB)
+			for _, r := range rows {
+				fmt.Fprintf(t, "%s\t%s\t%s\n", r.What, r.A, r.B)
+			}
+			return t.Flush()
+		}}
+	outputFlag(c, &output)
+	return c
+}
+
+type difference struct {
+	What string `json:"what"`
+	A    string `json:"a"`
+	B    string `json:"b"`
+}
+
+// differences leaves out times within a tenth of each other: they are never the same.
+func differences(a, b shown) (rows []difference) {
+	rows = []difference{}
+	plain := func(what, x, y string) {
+		if x != y {
+			rows = append(rows, difference{what, x, y})
+		}
+	}
+	number := func(what string, x, y float64) {
+		if math.Abs(x-y) > 0.1*max(math.Abs(x), math.Abs(y)) {
+			rows = append(rows, difference{what, fmt.Sprintf("%.2f", x), fmt.Sprintf("%.2f", y)})
+		}
+	}
+	plain("router", a.Router, b.Router)
+	plain("written", a.Written, b.Written)
+	number("usual ms", a.SeenMs, b.SeenMs)
+	number("quickest ms", a.QuickMs, b.QuickMs)
+	number("reqs a second", a.Traffic, b.Traffic)
+	number("retry budget", a.Budget, b.Budget)
+	number("keys", float64(a.HotKeys), float64(b.HotKeys))
+	of := map[string]shownServer{}
+	for _, s := range b.Servers {
+		of[s.UID] = s
+	}
+	for _, s := range a.Servers {
+		other, there := of[s.UID]
+		delete(of, s.UID)
+		if !there {
+			plain(s.UID, "known", "not known")
+			continue
+		}
+		number(s.UID+" time ms", s.TimeMs, other.TimeMs)
+		number(s.UID+" quickest ms", s.QuickMs, other.QuickMs)
+		number(s.UID+" answers", float64(s.Answers), float64(other.Answers))
+		plain(s.UID+" aside", fmt.Sprint(s.Aside), fmt.Sprint(other.Aside))
+		plain(s.UID+" started", s.Started, other.Started)
+	}
+	for _, s := range b.Servers {
+		if _, only := of[s.UID]; only {
+			plain(s.UID, "not known", "known")
+		}
+	}
+	return rows
+}
+
+func (a *app) upgradeState() *cobra.Command {
+	return &cobra.Command{Use: "upgrade FOLDER", Short: "Write a folder's state as a new generation in the newest version",
+		Long: "A router reads older versions by itself and writes the newest. This is for looking at it before, with no router running\n" +
+			"on the folder: the lock is taken, and the older generation stays until the next one is written.",
+		Example: "  spurctl state upgrade /var/lib/spurtrestle/n1", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			dir := snapshot.Dir(args[0])
+			if info, err := os.Stat(args[0]); err != nil || !info.IsDir() {
+				return fmt.Errorf("%s is no folder; name the one that state.dir names", args[0])
+			}
+			lock, err := dir.Lock()
+			if err != nil {
+				return fmt.Errorf("%s: %w; %s", args[0], err, snapshot.Remedy(args[0], err))
+			}
+			defer lock.Close()
+			store := snapshot.Open(dir)
+			s, from, _, err := store.Load()
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			if s.Version == snapshot.Version {
+				_, err := fmt.Fprintf(c.OutOrStdout(), "%s is of version %d, the newest: nothing to do\n", from, s.Version)
+				return err
+			}
+			if err := store.Save(snapshot.Encode(s)); err != nil {
+				return fmt.Errorf("%s: %w; %s", args[0], err, snapshot.Remedy(args[0], err))
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s was of version %d; its state now stands in version %d beside it\n", from, s.Version, snapshot.Version)
+			return err
+		}}
+}
--- a/cmd/spurtrestle/main.go
+++ b/cmd/spurtrestle/main.go
@@ -10,20 +10,26 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"spurtrestle/choice"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/operator"
 	"spurtrestle/internal/router"
+	"spurtrestle/internal/snapshot"
 )
 
 const usage = `spurtrestle is a router for fleets of cache servers.
 
-  spurtrestle [--log-format text|json] [--log-level LEVEL]   serve; EDGE_CONFIG names the configuration
-  spurtrestle check [--config FILE]                          tell what is wrong in a configuration
-  spurtrestle version                                        tell what it was built from
+  spurtrestle [--file FILE] [--log-format text|json] [--log-level LEVEL]
+                       serve; EDGE_CONFIG names the configuration, FILE is the operator's own (deploy/spurtrestle.toml)
+  spurtrestle check [--config FILE] [--file FILE]
+                       tell what is wrong in a configuration
+  spurtrestle version  tell what it was built from
 
-Example: EDGE_CONFIG=config.json spurtrestle --log-format json
+Example: EDGE_CONFIG=config.json spurtrestle --file deploy/spurtrestle.toml --log-format json
 Exit codes: 0 ended in order, 1 bad configuration or the loop ended by itself, 2 wrong usage.
 `
 
@@ -48,13 +54,15 @@
 	}
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
-	format, level, file := new(string), new(string), new(string)
+	format, level, file, own := new(string), new(string), new(string), new(string)
 	switch name {
 	case "":
+		own = flags.String("file", "", "")
 		format = flags.String("log-format", "text", "")
 		level = flags.String("log-level", "info", "")
 	case "check":
 		file = flags.String("config", os.Getenv("EDGE_CONFIG"), "")
+		own = flags.String("file", "", "")
 	case "version":
 	default:
 		return fmt.Errorf("%q is no command: %w", name, errUsage)
@@ -70,7 +78,7 @@
 	}
 	switch name {
 	case "check":
-		return check(*file, out)
+		return check(*file, *own, out)
 	case "version":
 		return version(out)
 	}
@@ -86,11 +94,25 @@
 	default:
 		return fmt.Errorf("--log-format: %q is neither text nor json: %w", *format, errUsage)
 	}
-	return serve(log)
+	return serve(log, *own)
 }
 
 // check reads a configuration as the router would, and listens nowhere.
-func check(file string, out io.Writer) error {
+func check(file, own string, out io.Writer) error {
+	mine, err := operator.Load(own)
+	if err != nil {
+		return err
+	}
+	if own != "" {
+		kept := "no state is kept"
+		if mine.State.Dir != "" {
+			kept = fmt.Sprintf("state is kept in %s, every %v", mine.State.Dir, mine.State.Interval())
+		}
+		if _, err := fmt.Fprintf(out, "%s: good; %s\n", own, kept); err != nil || file == "" {
+			return err
+		}
+	}
+
 	cfg, err := config.Load(func(name string) string {
 		if name == "EDGE_CONFIG" {
 			return file
@@ -121,7 +143,7 @@
 	return err
 }
 
-func serve(log *logrus.Logger) error {
+func serve(log *logrus.Logger, own string) error {
 	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -129,11 +151,21 @@
 	if err != nil {
 		return err
 	}
+	mine, err := operator.Load(own)
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(cfg.Limits.Memory)
 	r, err := router.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	var keeper *snapshot.Keeper
+	if dir := mine.State.Dir; dir != "" {
+		var learned *snapshot.State
+		keeper, learned = snapshot.Keep(dir, log)
+		r.Remember(learned, choice.Micros(mine.State.Interval()/time.Microsecond), keeper.Put)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
@@ -158,6 +190,10 @@
 		return err
 	}
 	log.Info(r.Counters())
+	if keeper != nil {
+		const most = time.Second // of the time that a planned restart leaves
+		keeper.Close(r.State(), most)
+	}
 	if !r.Drained() {
 		return fmt.Errorf("the loop ended by itself")
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -45,6 +45,9 @@
 // Endpoint is where a server is reached.
 func (b *Book) Endpoint(id choice.ServerID) string { return b.addrs[id] }
 
+// UID is a server's name; empty where its number is not known.
+func (b *Book) UID(id choice.ServerID) UID { return b.uids[id] }
+
 // Forget makes the next call ask for the whole list: where an answer was odd, what it held may be lost.
 func (b *Book) Forget() { b.whole = false }
 
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -89,7 +89,7 @@
 	if err := os.WriteFile(spec.Config, text, 0o644); err != nil {
 		return f, err
 	}
-	p, err := process.Start(program, spec.Env(), spec.Log)
+	p, err := process.Start(program, nil, spec.Env(), spec.Log)
 	if err != nil {
 		return f, err
 	}
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -45,6 +45,8 @@
 	out    chan *command
 	ended  chan struct{}
 	once   sync.Once
+	handed sync.Mutex
+	silent bool // nobody writes any more
 }
 
 func newConn(s *Server, c net.Conn, r event.Router, full bool) *conn {
@@ -145,6 +147,9 @@
 	for {
 		select {
 		case <-k.ended:
+			k.handed.Lock()
+			k.silent = true
+			k.handed.Unlock()
 			for {
 				select {
 				case c := <-k.out:
@@ -190,14 +195,27 @@
 	for len(k.slots) > 0 && k.slots[0].text != nil {
 		first := k.slots[0]
 		k.slots = k.slots[1:]
-		select {
-		case k.out <- first:
-		case <-k.ended:
+		if !k.hand(first) {
 			k.tell(first, k.s.fleet.Log.Now(), event.Lost)
 		}
 	}
 }
 
+// hand gives an answer to the writer, unless it has gone: each end of a write-out is told once.
+func (k *conn) hand(c *command) bool {
+	k.handed.Lock()
+	defer k.handed.Unlock()
+	if k.silent {
+		return false
+	}
+	select {
+	case k.out <- c:
+		return true
+	default: // the router takes no answers
+		return false
+	}
+}
+
 // parse reads the words of a CACHE command.
 func parse(words [][]byte) (c *command, ok bool) {
 	verb := string(bytes.ToUpper(words[0]))
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -37,13 +37,31 @@
 	for i := range nets {
 		k := firstNet + (os.Getpid()+i)%nets
 		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:6400", k))
-		if err == nil {
-			return &addresses{k, routers, lock}, nil
+		if err != nil {
+			continue
 		}
+		a := &addresses{k, routers, lock}
+		if a.free() {
+			return a, nil
+		}
+		lock.Close()
 	}
 	return nil, errors.New("no loopback network is free: too many labs run on this machine, or 127.0.0.0/8 is not whole here")
 }
 
+// free tells whether routers of any make can listen: connections that a router with SO_REUSEPORT alone has left in
+// TIME_WAIT keep others off its address for a minute.
+func (a *addresses) free() bool {
+	for _, addr := range a.routers() {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return false
+		}
+		ln.Close()
+	}
+	return true
+}
+
 func (a *addresses) close() { a.lock.Close() }
 
 func (a *addresses) each(format string, more ...any) (out []string) {
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -19,9 +19,18 @@
 // Spec is what a router is started with.
 type Spec struct {
 	Name, Listen, Discovery, Config, Log string
+	File                                 string // the operator's own; empty: none
 	Cores                                int
 }
 
+// Args are the arguments of a router.
+func (s Spec) Args() []string {
+	if s.File == "" {
+		return nil
+	}
+	return []string{"--file", s.File}
+}
+
 // Env are the variables of a router.
 func (s Spec) Env() []string {
 	return []string{"EDGE_CONFIG=" + s.Config, "EDGE_NAME=" + s.Name, "EDGE_LISTEN=" + s.Listen, "EDGE_DISCOVERY=" + s.Discovery,
@@ -42,7 +51,7 @@
 
 // Program starts routers as processes of a program.
 func Program(path string) Starter {
-	return func(s Spec) (Instance, error) { return process.Start(path, s.Env(), s.Log) }
+	return func(s Spec) (Instance, error) { return process.Start(path, s.Args(), s.Env(), s.Log) }
 }
 
 // router is one of the run's routers over all of its processes.
@@ -63,7 +72,11 @@
 
 func (p *router) spec() Spec {
 	dir := p.run.o.Dir
-	return Spec{Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
+	file := ""
+	if p.run.s.Routers.State {
+		file = filepath.Join(dir, p.name()+".toml")
+	}
+	return Spec{File: file, Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
 		Config: filepath.Join(dir, p.name()+".json"), Log: filepath.Join(dir, p.name()+".log"), Cores: p.run.s.Routers.Cores}
 }
 
@@ -75,12 +88,29 @@
 	if err != nil {
 		return err
 	}
+	if spec.File != "" {
+		if err := p.own(spec.File); err != nil {
+			return err
+		}
+	}
 	if err := os.WriteFile(spec.Config+".new", text, 0o644); err != nil {
 		return err
 	}
 	return os.Rename(spec.Config+".new", spec.Config)
 }
 
+// own writes the operator's file, and makes the folder that it names.
+func (p *router) own(file string) error {
+	folder, err := filepath.Abs(filepath.Join(p.run.o.Dir, p.name()+"-state"))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	return os.WriteFile(file, fmt.Appendf(nil, "[state]\ndir = %q\nevery = \"1s\"\n", folder), 0o644)
+}
+
 // start begins a process, with the list as the router last had it.
 func (p *router) start() error {
 	p.mu.Lock()
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -20,12 +20,12 @@
 }
 
 // Start runs a program with these variables added to the environment; what it writes goes to the end of a file.
-func Start(program string, env []string, logfile string) (*Process, error) {
+func Start(program string, args, env []string, logfile string) (*Process, error) {
 	log, err := os.OpenFile(logfile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{cmd: exec.Command(program), log: log, done: make(chan struct{})}
+	p := &Process{cmd: exec.Command(program, args...), log: log, done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// Its own group, so that Ctrl-C reaches the lab alone; and it ends with the lab, however that ends.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -89,10 +89,11 @@
 
 // Routers are the programs under test.
 type Routers struct {
-	Count       int `toml:"count"`
-	MemoryMB    int `toml:"memory_mb"`
-	Descriptors int `toml:"descriptors"`
-	Cores       int `toml:"cores"` // GOMAXPROCS of each
+	Count       int  `toml:"count"`
+	MemoryMB    int  `toml:"memory_mb"`
+	Descriptors int  `toml:"descriptors"`
+	Cores       int  `toml:"cores"` // GOMAXPROCS of each
+	State       bool `toml:"state"` // each has a folder that outlives it
 }
 
 // Servers are the cache servers.
--- /dev/null
+++ b/internal/router/memory.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"math/rand/v2"
+
+	"spurtrestle/ageing"
+	"spurtrestle/choice"
+	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/snapshot"
+)
+
+// memory is what the router has from an earlier process, and where it leaves what it knows.
+type memory struct {
+	learned *snapshot.State
+	waiting map[discovery.UID]choice.ServerKnowledge // of servers that no list has named yet
+	every   choice.Micros
+	keep    func(snapshot.State)
+	rand    *rand.Rand
+}
+
+// Remember has the router begin with what an earlier process had learned (nil: nothing), and hand over what it knows
+// itself about every so often. keep is called on the loop and must not wait. Call it before Run.
+func (r *Router) Remember(learned *snapshot.State, every choice.Micros, keep func(snapshot.State)) {
+	r.memory = &memory{learned: learned, every: every, keep: keep, waiting: map[discovery.UID]choice.ServerKnowledge{},
+		rand: rand.New(rand.NewPCG(r.cfg.Seed, 1))}
+}
+
+// remind gives the decisions what was learned before, as far as it still counts.
+func (r *Router) remind() {
+	m := r.memory
+	if m == nil {
+		return
+	}
+	r.later()
+	if m.learned == nil {
+		return
+	}
+	s := *m.learned
+	k := s.Knowledge
+	for _, method := range r.cfg.Settings.Methods { // by name: their order may have changed
+		time := choice.Micros(0)
+		for _, x := range s.Methods {
+			if x.Name == method.Name {
+				time = x.Time
+			}
+		}
+		k.Methods = append(k.Methods, time)
+	}
+	for i, x := range s.Servers {
+		x.Server = choice.ServerID(i) // only to find it again: numbers are given by the list
+		k.Servers = append(k.Servers, x.ServerKnowledge)
+	}
+	k = ageing.Fade(k, r.now)
+	for _, x := range k.Servers {
+		m.waiting[discovery.UID(s.Servers[x.Server].UID)] = x
+	}
+	k.Servers = nil
+	r.carryOut(r.core.Step(r.now, choice.Learned{Knowledge: k}))
+	m.learned = nil
+}
+
+// name gives the decisions what is known of servers that a list names, ahead of the list.
+func (r *Router) name(l choice.ListCame) {
+	if r.memory == nil || len(r.memory.waiting) == 0 {
+		return
+	}
+	var known []choice.ServerKnowledge
+	for _, e := range l.Entries {
+		uid := r.book.UID(e.Server)
+		if x, ok := r.memory.waiting[uid]; ok {
+			x.Server = e.Server
+			known = append(known, x)
+			delete(r.memory.waiting, uid)
+		}
+	}
+	if len(known) > 0 {
+		r.input(choice.LearnedServers{Servers: known})
+	}
+}
+
+// later keeps what is known after a while; not all routers of a fleet at once.
+func (r *Router) later() {
+	m := r.memory
+	r.after(choice.Micros(float64(m.every)*(0.75+m.rand.Float64()/2)), func() {
+		m.keep(r.State())
+		r.later()
+	})
+}
+
+// State is what the router knows, by names that outlive it. It belongs to the loop until Run is over.
+func (r *Router) State() snapshot.State {
+	k := r.core.Knows(r.clock())
+	s := snapshot.State{Version: snapshot.Version, Router: r.cfg.Name, Knowledge: k}
+	for i, t := range k.Methods {
+		s.Methods = append(s.Methods, snapshot.Method{Name: r.cfg.Settings.Methods[i].Name, Time: t})
+	}
+	s.Servers = make([]snapshot.Server, 0, len(k.Servers))
+	for _, x := range k.Servers {
+		if uid := r.book.UID(x.Server); uid != "" {
+			s.Servers = append(s.Servers, snapshot.Server{UID: string(uid), ServerKnowledge: x})
+		}
+	}
+	s.Knowledge.Methods, s.Knowledge.Servers = nil, nil
+	return s
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,7 +3,7 @@
 //
 // The files: this one the loop's callbacks; batch.go the hand-over to the decisions; reqs.go the reqs and their
 // write-outs; clients.go, servers.go (pools and dials), caches.go, origins.go and watch.go the kinds of connections;
-// timers.go the timers; drain.go the end.
+// timers.go the timers; memory.go what outlives the process; drain.go the end.
 package router
 
 import (
@@ -60,6 +60,7 @@
 	watch     *watch
 	known     choice.ListCame // the list to start with
 	serving   bool            // a list with a server to use has come
+	memory    *memory         // nil: nothing is kept over a restart
 
 	engine                     gnet.Engine
 	draining, closing, stopped bool
@@ -128,6 +129,7 @@
 	var decided []choice.Decision
 	r.core, decided = choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
 	r.carryOut(decided)
+	r.remind()
 	if len(r.cfg.Known) > 0 {
 		r.listCame(r.known)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -357,6 +357,7 @@
 	never.in = resp.AppendCommand(nil, []byte("PING"))
 	r.OnTraffic(never)
 	r.lim.Clients, r.lim.Descriptors, r.lim.MostDescriptors = 1, r.used(), r.used()+1
+	time.Sleep(time.Millisecond) // the newest must be newer by the clock
 	if newest := l.open(nil); !never.closed || client.closed || origin.closed || newest.closed {
 		t.Error("the one that never asked should have gone:", never.closed, client.closed, origin.closed, newest.closed)
 	}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -308,6 +308,7 @@
 // listCame takes a list: who is named, and where.
 func (r *Router) listCame(l choice.ListCame) {
 	r.counts.Lists++
+	r.name(l)
 	r.input(l)
 	named := map[choice.ServerID]bool{}
 	for _, e := range l.Entries {
