The router knows reqs and outcomes, and no protocol: RESP2 and HTTP/1.1 become backs

gRPC is to come beside RESP2 under one set of rules, and the router knew RESP2 by heart: verbs, props, slots.

internal/wire says what a req, its answer and a write-out's outcome are; wire/resp2 and wire/http1 read and write one protocol each, without I/O. A server gets its back when a list names it, a front gives reqs to take and gets answers through asker.

--- a/internal/lab/cacheserver/answer.go
+++ b/internal/lab/cacheserver/answer.go
@@ -39,16 +39,37 @@
 			Write: c.write})
 		s.take(c, now)
 	case "PING":
+		if s.fleet.Set.Probes {
+			s.probe(k, []byte("+PONG\r\n"), now)
+			return
+		}
 		plain("+PONG\r\n")
 	case "CLIENT", "SELECT":
 		plain("+OK\r\n")
 	case "INFO":
+		if s.fleet.Set.Probes {
+			s.probe(k, nil, now)
+			return
+		}
 		plain("-NOPERM\r\n")
 	default:
 		plain("-ERR unknown command\r\n")
 	}
 }
 
+// probe answers behind the work that it costs: with a text, or the load report of that moment.
+func (s *Server) probe(k *conn, text []byte, now event.Micros) {
+	c := &command{on: k, cut: -1, probe: true, pong: text}
+	k.slots = append(k.slots, c)
+	c.job = &machine.Job{Work: max(1, s.fleet.Set.ProbeWork.Micros())}
+	if !s.machine.Take(now, c.job) {
+		k.put(c, []byte("-ERR busy\r\n"), 0)
+		return
+	}
+	s.jobs[c.job] = c
+	s.turn()
+}
+
 func methodOf(c *command) string {
 	if c == nil {
 		return ""
@@ -108,6 +129,13 @@
 func (s *Server) done(c *command, now event.Micros) {
 	s.took += (now - c.began - s.took) / 8
 	report := s.load(now)
+	if c.probe {
+		if c.pong == nil {
+			c.pong = resp.AppendBulk(nil, report)
+		}
+		c.on.put(c, c.pong, 0)
+		return
+	}
 	if c.missed {
 		s.hits -= s.hits / 50
 		s.fleet.Missed(c.req, s, s.machine.Cold(now))
--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -140,6 +140,28 @@
 	}
 }
 
+func TestProbes(t *testing.T) {
+	s, f := start(t, func(f *Fleet) { f.Set.Probes = true })
+	c := dial(t, s)
+	if got := ask(t, c, "PING"); got != "PONG" {
+		t.Error(got)
+	}
+	if got := ask(t, c, "INFO load"); !strings.HasPrefix(got, "avg_ms=") || !strings.Contains(got, ",waiting=0") {
+		t.Error(got)
+	}
+	if err := s.Strike(scenario.Fault{Kind: "hang"}, false); err != nil {
+		t.Fatal(err)
+	}
+	send(t, c, "PING")
+	c.Close() // a probe that is given up is no write-out
+	time.Sleep(50 * time.Millisecond)
+	for _, e := range f.Log.Events() {
+		if e.Kind == event.Ended || e.Kind == event.Begun {
+			t.Error("a probe was noted as a write-out")
+		}
+	}
+}
+
 // The servers of a group drop a repeat together: it is answered, and its effect does not run again.
 func TestRepeatsAreDropped(t *testing.T) {
 	s, f := start(t, nil)
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -26,6 +26,8 @@
 	write  bool
 	repeat bool
 	missed bool
+	probe  bool
+	pong   []byte // its answer, where that is no load report
 	job    *machine.Job
 	began  event.Micros
 	over   bool
@@ -133,7 +135,9 @@
 			continue // the writer tells of it
 		}
 		c.over = true
-		s.fleet.Log.Add(event.Event{Kind: event.Ended, Req: c.req, Server: s.UID, Router: k.router, Reply: event.Lost})
+		if c.req != "" {
+			s.fleet.Log.Add(event.Event{Kind: event.Ended, Req: c.req, Server: s.UID, Router: k.router, Reply: event.Lost})
+		}
 		if c.job != nil && s.fleet.Set.CancelStops && s.machine.Cancel(now, c.job) {
 			delete(s.jobs, c.job)
 		}
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -139,8 +139,9 @@
 		}
 	}
 	p.Legend.Top = true
-	p.Y.Max *= 1.05
-	p.Y.Max = max(p.Y.Max, 0.001)
+	p.Legend.TextStyle.Font.Size = vg.Points(8)
+	p.Y.Max = max(p.Y.Max*1.4, 0.001) // room for the names above the lines
+	marks := plotter.XYLabels{}
 	for _, f := range r.Faults {
 		mark, err := plotter.NewLine(plotter.XYs{{X: f.At, Y: 0}, {X: f.At, Y: p.Y.Max}})
 		if err != nil {
@@ -152,6 +153,21 @@
 			mark.Dashes = []vg.Length{vg.Points(1), vg.Points(4)}
 		}
 		p.Add(mark)
+		if !f.End {
+			// One above the other, so that those that begin together can be read.
+			marks.XYs = append(marks.XYs, plotter.XY{X: f.At, Y: p.Y.Max * (0.95 - 0.08*float64(len(marks.Labels)%4))})
+			marks.Labels = append(marks.Labels, " "+f.Kind)
+		}
+	}
+	if len(marks.Labels) > 0 {
+		names, err := plotter.NewLabels(marks)
+		if err != nil {
+			return "", err
+		}
+		for i := range names.TextStyle {
+			names.TextStyle[i].Font.Size = vg.Points(7)
+		}
+		p.Add(names)
 	}
 	canvas := vgsvg.New(9*vg.Inch, 2.4*vg.Inch)
 	p.Draw(draw.New(canvas))
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,165 @@
+package report
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+
+	"spurtrestle/internal/lab/arrivals"
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/referee"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// played is a run of 20 s with an op every 10 ms, answered after 10 ms; a router is down from 10 to 11 s, and then ops take
+// 100 ms for so many seconds. Every tenth op is a late one, every hundredth is nacked with a hint and never satisfied.
+func played(seed uint64, bad event.Micros) fleet.Result {
+	s := scenario.Default()
+	s.Title, s.Length = "played", 20e6
+	s.Methods = []scenario.Method{{Name: "get", LatencyBudget: 50e3, Deadline: 500e3, Criticality: 2, LateShare: 0.5}}
+	s.Tenants = []scenario.Tenant{{Name: "t"}}
+	s.Routers.Count = 1
+	r := fleet.Result{Scenario: s, Seed: seed, From: 1e6}
+	add := func(e event.Event) { r.Events = append(r.Events, e) }
+	for i := range 2000 {
+		at := r.From + event.Micros(i)*10e3
+		if i == 1000 {
+			add(event.Event{At: at, Kind: event.Term})
+			add(event.Event{At: at + 1e6, Kind: event.Up})
+		}
+		q := event.Req(rune('a' + i))
+		add(event.Event{At: at, Kind: event.Wanted, Op: event.Op(i)})
+		add(event.Event{At: at, Kind: event.Asked, Op: event.Op(i), Req: q, Limit: 500e3})
+		took := event.Micros(10e3)
+		switch {
+		case i%100 == 0:
+			add(event.Event{At: at + 1e3, Kind: event.Answered, Op: event.Op(i), Req: q, Outcome: event.Nacked, Limit: 250e3})
+			continue
+		case i%10 == 0, at >= r.From+10e6 && at < r.From+11e6+bad:
+			took = 100e3
+		}
+		add(event.Event{At: at + 1e3, Kind: event.Begun, Req: q, Server: "s"})
+		add(event.Event{At: at + took, Kind: event.Ended, Req: q, Server: "s", Reply: event.Value})
+		add(event.Event{At: at + took, Kind: event.Answered, Op: event.Op(i), Req: q, Outcome: event.Satisfied})
+		r.Arrivals = append(r.Arrivals, arrivals.Arrival{})
+	}
+	return r
+}
+
+func near(t *testing.T, what string, got, want, by float64) {
+	t.Helper()
+	if math.Abs(got-want) > by {
+		t.Errorf("%s: %v, not %v", what, got, want)
+	}
+}
+
+func TestFigures(t *testing.T) {
+	r := Make(played(1, 0))
+	// Of 100 ops 90 earn all, 9 a half, 1 nothing; of the 100 in the second that the router is down 99 earn a half.
+	near(t, "service", r.Service.Whole, (19*94.5+49.5)/2000, 1e-9)
+	near(t, "worst 10 s", r.Service.Worst10s, (9*94.5+49.5)/1000, 1e-9)
+	near(t, "the method's", r.Service.Methods[0].Share, r.Service.Whole, 1e-9)
+	near(t, "p50", r.Latency.P50, 10, 0.1)
+	near(t, "p99", r.Latency.P99, 100, 0.5)
+	near(t, "write-outs a try", r.WriteOut.PerTry, 0.99, 1e-9)
+	if r.Ops.Nacked != 20 || r.Ops.Unserved != 20 || r.Nacks[2].N != 20 || r.Nacks[2].Hint != "to 300ms" || r.Void != "" {
+		t.Errorf("%+v %+v %s", r.Ops, r.Nacks, r.Void)
+	}
+	if s := r.Seconds[3]; s.Wanted != 100 || s.Satisfied < 98 || s.Nacked != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestLateLabVoids(t *testing.T) {
+	run := played(1, 0)
+	run.Events = append(run.Events, event.Event{At: 5e6, Kind: event.Late, Limit: 300e3, Note: "heartbeat"})
+	if r := Make(run); !strings.Contains(r.Void, "stood still for 300ms") {
+		t.Error(r.Void)
+	}
+	run = played(1, 0)
+	for range 50 {
+		run.Events = append(run.Events, event.Event{At: 5e6, Kind: event.Late, Limit: 30e3})
+	}
+	if r := Make(run); !strings.Contains(r.Void, "50 of 1980 ops began over 20 ms late") {
+		t.Error(r.Void)
+	}
+}
+
+func TestInterval(t *testing.T) {
+	// By the table of Student's t with 4 degrees of freedom: 2.776 times 1.5811 over the root of 5.
+	i := Mean([]float64{1, 2, 3, 4, 5})
+	near(t, "mean", i.Mean, 3, 1e-9)
+	near(t, "half", i.Half, 1.963, 0.001)
+	if one := Mean([]float64{7}); one.N != 1 || !strings.Contains(one.String(), "no interval") {
+		t.Error(one)
+	}
+}
+
+func set(label string, bad func(seed uint64) event.Micros) (s Set) {
+	for seed := range uint64(4) {
+		s.Runs = append(s.Runs, Make(played(seed, bad(seed))))
+	}
+	s.Label, s.Version = label, Version
+	return s
+}
+
+func TestCompare(t *testing.T) {
+	worse := set("worse", func(seed uint64) event.Micros { return 2e6 + event.Micros(seed)*100e3 })
+	good := set("good", func(seed uint64) event.Micros { return event.Micros(seed) * 100e3 })
+	rows, pairs, err := Compare(worse, good)
+	if err != nil || pairs != 4 || rows[0].Says != "better" || rows[2].Says != "no difference beyond chance" {
+		t.Errorf("%+v %v", rows, err)
+	}
+	if rows, _, _ = Compare(good, worse); rows[0].Says != "worse" {
+		t.Errorf("%+v", rows[0])
+	}
+	good.Runs[0].Void, good.Runs[1].Seed = "late", 99
+	if _, pairs, _ = Compare(worse, good); pairs != 2 {
+		t.Errorf("%d pairs", pairs)
+	}
+	if _, _, err = Compare(worse, Set{}); err == nil {
+		t.Error("nothing was compared without a complaint")
+	}
+}
+
+func TestRecoveries(t *testing.T) {
+	slow := set("slow", func(uint64) event.Micros { return 2e6 })
+	quick := set("quick", func(uint64) event.Micros { return 500e3 })
+	rows, pairs, err := Recoveries(slow, quick)
+	if err != nil || pairs != 4 {
+		t.Fatal(err)
+	}
+	near(t, "service before", rows[5].A.Value, 0.945, 0.003)
+	near(t, "slow", rows[2].A.Value, 1.75, 0.26)
+	near(t, "quick", rows[2].B.Value, 0.25, 0.26)
+	if rows[2].A.Low > rows[2].A.Value || rows[2].A.High < rows[2].A.Value {
+		t.Errorf("%+v", rows[2])
+	}
+	if _, _, err := Recoveries(slow, Set{}); err == nil {
+		t.Error("nothing was compared without a complaint")
+	}
+}
+
+func TestTableAndPageTellWhatBroke(t *testing.T) {
+	r := Make(played(1, 0))
+	r.Broken = []referee.Broken{{Rule: 2, What: "sent <again>", Req: "q7", Evidence: []string{"seen & noted"}}}
+	r.Faults = []FaultMark{{At: 3, Kind: "kill"}, {At: 5, Kind: "kill", End: true}}
+	var table, page bytes.Buffer
+	if err := Table(&table, r); err != nil || !strings.Contains(table.String(), "rule 2: sent <again> (req q7, router 0)\n    seen & noted") {
+		t.Error(table.String(), err)
+	}
+	if err := Page(&page, r); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	for _, want := range []string{"sent &lt;again&gt;", "seen &amp; noted", "3.0 s: kill.", "5.0 s: kill ends."} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not on the page", want)
+		}
+	}
+	if strings.Count(text, "<svg") != 7 || strings.Contains(text, "<script") || strings.Contains(text, "src=") {
+		t.Error("the page has other than seven plots, or needs something else")
+	}
+}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/resp"
+	"spurtrestle/internal/wire"
+	"spurtrestle/internal/wire/resp2"
 )
 
 // client is a connection that was accepted.
@@ -132,11 +133,17 @@
 func (c *client) now(text []byte) {
 	s := &slot{}
 	c.slots = append(c.slots, s)
-	c.answer(s, text)
+	c.fill(s, text)
 }
 
-// answer fills a slot and writes out what is in order.
-func (c *client) answer(s *slot, text []byte) {
+// answer gives a req of this client its final answer, in its turn.
+func (c *client) answer(q *req, a wire.Answer) {
+	c.r.scratch = resp2.AppendAnswer(c.r.scratch[:0], a)
+	c.fill(&q.slot, c.r.scratch)
+}
+
+// fill fills a slot and writes out what is in order.
+func (c *client) fill(s *slot, text []byte) {
 	if c.conn == nil {
 		return
 	}
@@ -246,39 +253,20 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q := &req{verb: own(words[0]), key: own(words[1]), id: choice.ReqID(words[2]), props: own(words[3]),
-		write: write, size: size, client: c, slot: &slot{}}
+	q := &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: own(words[3]), Write: write}, size: size, from: c}
 	if write {
-		q.value = own(words[4])
-	}
-	came := choice.ReqCame{Req: q.id, Key: choice.Key(q.key), Write: write}
-	waits, ok := choice.Micros(0), len(q.id) > 0 && r.reqs[q.id] == nil
-	known := false
-	for part := range bytes.SplitSeq(q.props, []byte(",")) {
-		name, value, _ := bytes.Cut(part, []byte("="))
-		switch string(name) {
-		case "c":
-			came.Method, known = r.methods[string(value)]
-		case "t":
-			came.Tenant = choice.Tenant(value)
-		case "d":
-			ms, err := strconv.ParseFloat(string(value), 64)
-			plain := len(bytes.Trim(value, "0123456789.")) == 0 // no signs, exponents, other bases or names
-			ok = ok && plain && err == nil && ms > 0 && ms < 1e9
-			waits = choice.Micros(ms * 1e3)
-		case "r":
-			came.Resent = string(value) == "1"
-		}
+		q.Value = own(words[4])
 	}
-	if !ok || !known || waits == 0 {
+	p := resp2.ReadProps(q.Props)
+	method, known := r.methods[string(p.Method)]
+	if p.Bad || p.Waits == 0 || !known || len(q.ID) == 0 || r.reqs[q.ID] != nil {
 		c.now([]byte("-ERR a req needs a new id, c, and d\r\n"))
 		return
 	}
 	q.slot.q = q
-	c.slots = append(c.slots, q.slot)
-	r.reqs[q.id] = q
-	r.held += size
-	r.counts.Taken++
+	c.slots = append(c.slots, &q.slot)
+	r.take(q, choice.ReqCame{Req: q.ID, Key: choice.Key(q.Key), Write: write, Method: method, Tenant: choice.Tenant(p.Tenant),
+		Resent: p.Resent}, p.Waits)
 	if !c.asked {
 		c.asked = true
 		r.askers++
@@ -288,7 +276,6 @@
 			r.shedClient(true)
 		}
 	}
-	r.input(&arrival{came: came, waits: max(waits-r.lim.Crossing, 1)})
 }
 
 // resume reads on where clients were stalled.
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -2,23 +2,27 @@
 
 import (
 	"bytes"
+	"math"
+	"slices"
 	"strconv"
 
 	"spurtrestle/choice"
-	"spurtrestle/internal/resp"
+	"spurtrestle/internal/settings"
+	"spurtrestle/internal/wire"
 )
 
+// asker is whoever a req came from, by whatever protocol.
+type asker interface {
+	// answer passes on the one final answer of a req. It must not wait.
+	answer(*req, wire.Answer)
+}
+
 // req is one req from its last byte on, until its answer is given and no write-out of it is out.
 type req struct {
-	id        choice.ReqID
-	verb      []byte // these point into one copy of the command
-	key       []byte
-	props     []byte
-	value     []byte // of a write
-	write     bool
+	wire.Req
 	size      int // bytes that it holds
-	client    *client
-	slot      *slot
+	from      asker
+	slot      slot // of a RESP2 client
 	out       *writeOut
 	writeOuts choice.Attempt // so far
 	over      bool           // answered, or the client is gone
@@ -46,46 +50,42 @@
 	up     *upstream // nil: it waits for a connection
 }
 
+// take makes a req of this router's what a front has read whole; its client waits so long from now.
+func (r *Router) take(q *req, came choice.ReqCame, waits choice.Micros) {
+	r.reqs[q.ID] = q
+	r.held += q.size
+	r.counts.Taken++
+	r.input(&arrival{came: came, waits: max(waits-r.lim.Crossing, 1)})
+}
+
 // answer gives a req its only answer.
-func (r *Router) answer(q *req, text []byte) bool {
+func (r *Router) answer(q *req, a wire.Answer) bool {
 	if q.over {
 		return false
 	}
 	q.over = true
-	q.client.answer(q.slot, text)
+	q.from.answer(q, a)
 	r.settle(q)
 	return true
 }
 
 // settle forgets a req once nothing of it is left.
 func (r *Router) settle(q *req) {
-	if q.over && q.out == nil && r.reqs[q.id] == q {
-		delete(r.reqs, q.id)
+	if q.over && q.out == nil && r.reqs[q.ID] == q {
+		delete(r.reqs, q.ID)
 		r.held -= q.size
 	}
 }
 
 func (r *Router) nack(id choice.ReqID, hint choice.Micros) {
-	q := r.reqs[id]
-	if q == nil {
-		return
-	}
-	text := "BUSY"
-	if hint > 0 {
-		text += " " + strconv.FormatInt(int64((hint+999)/1000), 10)
-	}
-	r.scratch = resp.AppendLine(r.scratch[:0], '-', text)
-	if r.answer(q, r.scratch) {
+	if q := r.reqs[id]; q != nil && r.answer(q, wire.Answer{Kind: wire.Nacked, Hint: hint}) {
 		r.counts.Nacked++
 	}
 }
 
 func (r *Router) fail(id choice.ReqID) {
-	if q := r.reqs[id]; q != nil {
-		r.scratch = resp.AppendLine(r.scratch[:0], '-', "ERR failed")
-		if r.answer(q, r.scratch) {
-			r.counts.Failed++
-		}
+	if q := r.reqs[id]; q != nil && r.answer(q, wire.Answer{Kind: wire.Failed}) {
+		r.counts.Failed++
 	}
 }
 
@@ -94,7 +94,7 @@
 	if !q.over {
 		q.over = true
 		r.counts.Left++
-		r.input(choice.Left{Req: q.id}) // a decision made before that may still name it: it is settled behind
+		r.input(choice.Left{Req: q.ID}) // a decision made before that may still name it: it is settled behind
 	}
 }
 
@@ -145,7 +145,7 @@
 	default:
 		r.counts.MayHave++
 	}
-	r.input(choice.Returned{Req: q.id, Server: w.server.id, Attempt: w.nth, Status: status,
+	r.input(choice.Returned{Req: q.ID, Server: w.server.id, Attempt: w.nth, Status: status,
 		Took: r.clock() - w.sent, Over: q.over, Report: report})
 	r.settle(q)
 }
@@ -176,26 +176,30 @@
 	}
 }
 
-// satisfied passes the value of a server on and ends the write-out.
-func (r *Router) satisfied(w *writeOut, value []byte, report choice.Report) {
-	r.scratch = resp.AppendBulk(r.scratch[:0], value)
-	if r.answer(w.q, r.scratch) {
+// spoke: a server has answered. A value goes to who asked as soon as it has come whole.
+func (r *Router) spoke(w *writeOut, o wire.Outcome) {
+	if o.Status == choice.OK && r.answer(w.q, wire.Answer{Kind: wire.Satisfied, Value: o.Value}) {
 		r.counts.Satisfied++
 	}
-	r.returned(w, choice.OK, report)
+	r.returned(w, o.Status, r.report(o.Report))
 }
 
-// propsFor rewrites d, the time that the receiver may count on; the rest goes on as it came.
-func propsFor(to, props []byte, within choice.Micros) []byte {
-	for i, part := range bytes.Split(props, []byte(",")) {
-		if i > 0 {
-			to = append(to, ',')
-		}
-		if bytes.HasPrefix(part, []byte("d=")) {
-			to = strconv.AppendInt(append(to, "d="...), int64(max(1, (within+999)/1000)), 10)
-			continue
+// report reads "name=value,..." into the order of the settings; nil where nothing is told.
+func (r *Router) report(text []byte) choice.Report {
+	if bytes.IndexByte(text, '=') < 0 {
+		return nil
+	}
+	out := make(choice.Report, len(r.cfg.Settings.ReportFields))
+	for i := range out {
+		out[i] = math.NaN()
+	}
+	for part := range bytes.SplitSeq(text, []byte(",")) {
+		name, value, _ := bytes.Cut(part, []byte("="))
+		figure, known := settings.Figures[string(name)]
+		i := slices.Index(r.cfg.Settings.ReportFields, figure)
+		if x, err := strconv.ParseFloat(string(value), 64); known && i >= 0 && err == nil {
+			out[i] = x
 		}
-		to = append(to, part...)
 	}
-	return to
+	return out
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,8 +2,8 @@
 // package choice in one go, and carries out what came back. It decides nothing about reqs itself.
 //
 // The files: this one the loop's callbacks; batch.go the hand-over to the decisions; reqs.go the reqs and their
-// write-outs; clients.go, servers.go (pools and dials), caches.go, origins.go and watch.go the kinds of connections;
-// timers.go the timers; memory.go what outlives the process; drain.go the end.
+// write-outs, whatever protocol they came by; clients.go, servers.go (pools and dials) and watch.go the kinds of
+// connections; timers.go the timers; memory.go what outlives the process; drain.go the end.
 package router
 
 import (
@@ -20,6 +20,9 @@
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/counters"
 	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/wire"
+	"spurtrestle/internal/wire/http1"
+	"spurtrestle/internal/wire/resp2"
 )
 
 // Router is one router. All its state belongs to the loop; only Drain, Reload and Print may be called from elsewhere.
@@ -51,6 +54,8 @@
 	askers    int                  // those of them that have sent a req
 	stalled   []*client            // clients whose commands wait for room
 	servers   map[choice.ServerID]*server
+	cache     wire.Back // how cache servers are spoken to, and the origin
+	origin    wire.Back
 	dialer    func(addr string, p peer, failed func(error)) // dialOff, but in tests
 	dials     int
 	upstreams int       // open connections to servers
@@ -78,7 +83,8 @@
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}),
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
-		servers: map[choice.ServerID]*server{}, book: discovery.New()}
+		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
+		origin: http1.Back{Bounds: cfg.Limits.Origin}}
 	r.dialer, r.began = r.dialOff, choice.Micros(r.start.UnixMicro())
 	for i, m := range cfg.Settings.Methods {
 		r.methods[m.Name] = choice.Method(i)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
+	"spurtrestle/internal/wire"
 )
 
 // server is a cache server or the origin: what is connected to it.
@@ -18,7 +19,7 @@
 type server struct {
 	id      choice.ServerID
 	addr    string
-	origin  bool
+	speaks  wire.Back
 	ready   bool        // in the list, and not draining: idle connections are of use
 	idle    []*upstream // the last used at the end
 	waiting []*writeOut // for a connection
@@ -134,11 +135,7 @@
 func (up *upstream) send(w *writeOut) {
 	up.carries, w.up = w, up
 	left := max(1, w.sent+w.within-up.r.clock())
-	if up.server.origin {
-		up.r.scratch = appendFetch(up.r.scratch[:0], w.q, up.server.addr)
-	} else {
-		up.r.scratch = appendCommand(up.r.scratch[:0], w.q, left)
-	}
+	up.r.scratch = up.server.speaks.Append(up.r.scratch[:0], &w.q.Req, left, up.server.addr)
 	up.writing = true
 	_, err := up.conn.Write(up.r.scratch)
 	up.writing = false
@@ -158,11 +155,7 @@
 	if err != nil || len(buf) == 0 {
 		return gnet.None
 	}
-	read := up.readReply
-	if up.server.origin {
-		read = up.readResponse
-	}
-	used, keep, err := read(w, buf, false)
+	o, used, keep, err := up.server.speaks.Read(buf, false)
 	if err != nil {
 		// It answered, so that it is no lost connection, but what it said is spoilt: its req may have run.
 		up.r.counts.Broken++
@@ -172,6 +165,7 @@
 	if used == 0 {
 		return gnet.None
 	}
+	up.r.spoke(w, o)
 	if used < len(buf) || !keep {
 		return gnet.Close
 	}
@@ -196,8 +190,9 @@
 	status := choice.Reset
 	if up.writing || up.conn.OutboundBuffered() > 0 {
 		status = choice.ConnectError
-	} else if buf, _ := up.conn.Peek(-1); up.server.origin && len(buf) > 0 {
-		if used, _, err := up.readResponse(w, buf, true); err == nil && used > 0 {
+	} else if buf, _ := up.conn.Peek(-1); len(buf) > 0 { // an end may be what makes an answer whole
+		if o, used, _, err := up.server.speaks.Read(buf, true); err == nil && used > 0 {
+			up.r.spoke(w, o)
 			return
 		}
 	}
@@ -318,7 +313,9 @@
 			s = &server{id: e.Server}
 			r.servers[e.Server] = s
 		}
-		s.origin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
+		if s.speaks = r.cache; r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind {
+			s.speaks = r.origin
+		}
 		if addr := r.book.Endpoint(e.Server); s.addr != addr {
 			r.closeIdle(s)
 			s.addr = addr
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -14,11 +14,12 @@
 // generation is there, and a torn one under a final name can come only from a disk that lies about syncing.
 type Store struct {
 	fs   FS
-	last uint64 // the newest generation seen or written
+	last uint64          // the newest generation seen or written
+	good map[uint64]bool // those that this process has read or written
 }
 
 // Open returns a store on a folder. It reads nothing yet.
-func Open(fs FS) *Store { return &Store{fs: fs} }
+func Open(fs FS) *Store { return &Store{fs: fs, good: map[uint64]bool{}} }
 
 const (
 	prefix  = "state."
@@ -64,6 +65,7 @@
 			state, err = Decode(file)
 		}
 		if err == nil {
+			s.good[g] = true
 			return state, name(g), passed, nil
 		}
 		passed = append(passed, fmt.Errorf("%s: %w", name(g), err))
@@ -94,13 +96,16 @@
 	if err := s.fs.SyncDir(); err != nil {
 		return err
 	}
-	s.last = next
+	s.last, s.good[next] = next, true
 	// A generation that cannot be read does not count as one of those kept, and one of a newer version is left alone.
 	readable := 1
 	for _, g := range all {
-		old, err := s.fs.Read(name(g), MostBytes)
-		if err == nil {
-			_, err = Decode(old)
+		var err error
+		if !s.good[g] { // they need no reading anew at each save
+			var old []byte
+			if old, err = s.fs.Read(name(g), MostBytes); err == nil {
+				_, err = Decode(old)
+			}
 		}
 		switch {
 		case errors.Is(err, ErrNewer):
@@ -110,6 +115,7 @@
 			if err := s.fs.Remove(name(g)); err != nil {
 				return err
 			}
+			delete(s.good, g)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/wire/resp2/resp2.go
@@ -0,0 +1,130 @@
+// Package resp2 speaks the platform's form of RESP2: reqs of clients and their answers, write-outs to cache servers and
+// theirs. It does no I/O.
+package resp2
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/resp"
+	"spurtrestle/internal/wire"
+)
+
+var (
+	get = []byte("CACHE.GET")
+	set = []byte("CACHE.SET")
+)
+
+// Back speaks to cache servers.
+type Back struct{ Bounds resp.Bounds }
+
+// Append adds a command: as its client sent it, but for d.
+func (Back) Append(to []byte, q *wire.Req, left choice.Micros, _ string) []byte {
+	var id, props [128]byte // what is longer is allocated
+	verb, n := get, 4
+	if q.Write {
+		verb, n = set, 5
+	}
+	if q.Verb != nil {
+		verb = q.Verb
+	}
+	words := [5][]byte{verb, q.Key, append(id[:0], q.ID...), AppendProps(props[:0], q.Props, left), q.Value}
+	return resp.AppendCommand(to, words[:n]...)
+}
+
+var errUnexpected = errors.New("an answer of no known form")
+
+// Read reads a cache server's answer.
+func (b Back) Read(buf []byte, _ bool) (o wire.Outcome, used int, keep bool, err error) {
+	reply, used, err := resp.ReadReply(buf, b.Bounds)
+	if err != nil || used == 0 {
+		return o, 0, false, err
+	}
+	switch {
+	case reply.Kind == '*' && len(reply.Items) == 3 && reply.Items[0].Kind == '$':
+		o.Report = reply.Items[2].Text
+		if o.Status = choice.Miss; !reply.Items[0].Null {
+			o.Status, o.Value = choice.OK, reply.Items[0].Text
+		}
+	case reply.Kind == '-' && isWord(reply.Text, "BUSY"):
+		o.Status = choice.QueueFull
+	case reply.Kind == '-':
+		o.Status, o.Report = choice.Failed, reply.Text[bytes.LastIndexByte(reply.Text, ' ')+1:]
+	default:
+		return o, 0, false, errUnexpected
+	}
+	return o, used, true, nil
+}
+
+// isWord tells whether the first word of a line is this one.
+func isWord(line []byte, word string) bool {
+	first, _, _ := bytes.Cut(line, []byte(" "))
+	return string(first) == word
+}
+
+// AppendProps rewrites d, the time that the receiver may count on; the rest goes on as it came.
+func AppendProps(to, props []byte, within choice.Micros) []byte {
+	first := true
+	for part := range bytes.SplitSeq(props, []byte(",")) {
+		if !first {
+			to = append(to, ',')
+		}
+		first = false
+		if bytes.HasPrefix(part, []byte("d=")) {
+			to = strconv.AppendInt(append(to, "d="...), int64(max(1, (within+999)/1000)), 10)
+			continue
+		}
+		to = append(to, part...)
+	}
+	return to
+}
+
+// AppendAnswer adds a req's final answer.
+func AppendAnswer(to []byte, a wire.Answer) []byte {
+	switch a.Kind {
+	case wire.Satisfied:
+		return resp.AppendBulk(to, a.Value)
+	case wire.Nacked:
+		to = append(to, "-BUSY"...)
+		if a.Hint > 0 {
+			to = strconv.AppendInt(append(to, ' '), int64((a.Hint+999)/1000), 10)
+		}
+		return append(to, "\r\n"...)
+	}
+	return append(to, "-ERR failed\r\n"...)
+}
+
+// Props are what the props of a req tell the router.
+type Props struct {
+	Method []byte
+	Tenant []byte
+	Waits  choice.Micros // how long its client waits; 0: not told
+	Resent bool
+	Bad    bool // d is no time
+}
+
+// ReadProps reads names and values. What is not known goes on unread.
+func ReadProps(text []byte) (p Props) {
+	for part := range bytes.SplitSeq(text, []byte(",")) {
+		name, value, _ := bytes.Cut(part, []byte("="))
+		switch string(name) {
+		case "c":
+			p.Method = value
+		case "t":
+			p.Tenant = value
+		case "d":
+			ms, err := strconv.ParseFloat(string(value), 64)
+			plain := len(bytes.Trim(value, "0123456789.")) == 0 // no signs, exponents, other bases or names
+			if !plain || err != nil || !(ms > 0) || ms >= 1e9 {
+				p.Bad = true
+				continue
+			}
+			p.Waits = choice.Micros(ms * 1e3)
+		case "r":
+			p.Resent = string(value) == "1"
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/wire/resp2/resp2_test.go
@@ -0,0 +1,94 @@
+package resp2
+
+import (
+	"fmt"
+	"testing"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/resp"
+	"spurtrestle/internal/wire"
+)
+
+var back = Back{resp.Bounds{Bulk: 64, Line: 64, Args: 16}}
+
+func Example_append() {
+	q := &wire.Req{ID: "id", Key: []byte("k"), Props: []byte("c=get,d=2000,x=1")}
+	fmt.Printf("%q\n", back.Append(nil, q, 1500, ""))
+	q.Write, q.Value, q.Verb = true, []byte("v"), []byte("cache.set")
+	fmt.Printf("%q\n", back.Append(nil, q, 0, ""))
+	// Output:
+	// "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=get,d=2,x=1\r\n"
+	// "*5\r\n$9\r\ncache.set\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=get,d=1,x=1\r\n$1\r\nv\r\n"
+}
+
+func Example_read() {
+	for _, text := range []string{"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\na=1\r\n", "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", "-BUSY\r\n", "-BUSY 5\r\n", "-BUSYBODY\r\n",
+		"-ERR failed a=1\r\n", "+OK\r\n", "*2\r\n$1\r\nv\r\n$-1\r\n", "*3\r\n$1\r\nv\r\n", "nonsense\r\n"} {
+		o, used, keep, err := back.Read([]byte(text), false)
+		fmt.Printf("%-32q status %d value %q report %q, %d used, kept %v, %v\n", text, o.Status, o.Value, o.Report, used, keep, err)
+	}
+	// Output:
+	// "*3\r\n$1\r\nv\r\n$-1\r\n$3\r\na=1\r\n" status 0 value "v" report "a=1", 25 used, kept true, <nil>
+	// "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n" status 8 value "" report "", 24 used, kept true, <nil>
+	// "-BUSY\r\n"                      status 2 value "" report "", 7 used, kept true, <nil>
+	// "-BUSY 5\r\n"                    status 2 value "" report "", 9 used, kept true, <nil>
+	// "-BUSYBODY\r\n"                  status 1 value "" report "BUSYBODY", 11 used, kept true, <nil>
+	// "-ERR failed a=1\r\n"            status 1 value "" report "a=1", 17 used, kept true, <nil>
+	// "+OK\r\n"                        status 0 value "" report "", 0 used, kept false, an answer of no known form
+	// "*2\r\n$1\r\nv\r\n$-1\r\n"       status 0 value "" report "", 0 used, kept false, an answer of no known form
+	// "*3\r\n$1\r\nv\r\n"              status 0 value "" report "", 0 used, kept false, <nil>
+	// "nonsense\r\n"                   status 0 value "" report "", 0 used, kept false, broken or oversize message
+}
+
+func Example_answers() {
+	for _, a := range []wire.Answer{{Value: []byte("v")}, {Kind: wire.Nacked}, {Kind: wire.Nacked, Hint: 1500}, {Kind: wire.Failed}} {
+		fmt.Printf("%q\n", AppendAnswer(nil, a))
+	}
+	// Output:
+	// "$1\r\nv\r\n"
+	// "-BUSY\r\n"
+	// "-BUSY 2\r\n"
+	// "-ERR failed\r\n"
+}
+
+func Example_props() {
+	for _, text := range []string{"c=get,t=acme,d=480,r=1,size=9", "d=0.5", "d=-1", "d=1e3", "d=NaN", "d=0x10", "d=9999999999", "c", ""} {
+		p := ReadProps([]byte(text))
+		fmt.Printf("%q: method %q tenant %q waits %d resent %v bad %v\n", text, p.Method, p.Tenant, p.Waits, p.Resent, p.Bad)
+	}
+	// Output:
+	// "c=get,t=acme,d=480,r=1,size=9": method "get" tenant "acme" waits 480000 resent true bad false
+	// "d=0.5": method "" tenant "" waits 500 resent false bad false
+	// "d=-1": method "" tenant "" waits 0 resent false bad true
+	// "d=1e3": method "" tenant "" waits 0 resent false bad true
+	// "d=NaN": method "" tenant "" waits 0 resent false bad true
+	// "d=0x10": method "" tenant "" waits 0 resent false bad true
+	// "d=9999999999": method "" tenant "" waits 0 resent false bad true
+	// "c": method "" tenant "" waits 0 resent false bad false
+	// "": method "" tenant "" waits 0 resent false bad false
+}
+
+// A write-out as it is sent is a command that can be read, and its props hold one d for each that came.
+func FuzzAppend(f *testing.F) {
+	f.Add([]byte("c=get,d=5"), []byte("k"), false)
+	f.Fuzz(func(t *testing.T, props, key []byte, write bool) {
+		q := &wire.Req{ID: "id", Key: key, Props: props, Write: write}
+		b := resp.Bounds{Bulk: 1 << 20, Line: 64, Args: 16}
+		words, used, err := resp.Command(back.Append(nil, q, 7000, ""), nil, b)
+		if err != nil || used == 0 || len(words) < 4 {
+			t.Fatalf("%q %d %v", words, used, err)
+		}
+		if before, after := ReadProps(props), ReadProps(words[3]); after.Bad || before.Waits != 0 && after.Waits != 7000 {
+			t.Errorf("%q became %q", props, words[3])
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	q := &wire.Req{ID: "9b1f03aa5c7e2d41", Key: []byte("7f3a9c21e0b4d655"), Props: []byte("c=read,t=acme,d=480")}
+	to := make([]byte, 0, 256)
+	b.ReportAllocs()
+	for b.Loop() {
+		to = back.Append(to[:0], q, choice.Micros(480e3), "")
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,48 @@
+// Package wire holds what a req, its answer and the outcome of a write-out are, whatever protocol they came by. The
+// router knows these alone; each protocol has a package of its own that reads and writes them, without I/O and without
+// knowing the router.
+package wire
+
+import "spurtrestle/choice"
+
+// Req is one req as it is passed on. Its bytes belong to it until it is over.
+type Req struct {
+	ID    choice.ReqID
+	Key   []byte
+	Props []byte // names and values, as its client gave them
+	Value []byte // of a write
+	Write bool
+	Verb  []byte // as its client wrote it; nil: the protocol's own
+}
+
+// Kind is what a final answer says.
+type Kind uint8
+
+const (
+	Satisfied Kind = iota
+	Nacked         // trying again is harmless
+	Failed         // nothing is promised
+)
+
+// Answer is the one final answer of a req.
+type Answer struct {
+	Kind  Kind
+	Value []byte        // of a satisfied one; it may change once the answer is written
+	Hint  choice.Micros // of a nacked one: when to come back; 0: no hint
+}
+
+// Outcome is how a write-out ended, by what its server said.
+type Outcome struct {
+	Status choice.Status
+	Value  []byte // of OK; it points into what was read
+	Report []byte // the load report as it came, names and values; nil: none
+}
+
+// Back speaks one protocol to servers, on a connection that carries one write-out at a time.
+type Back interface {
+	// Append adds a write-out; left is how long the router waits, host where it goes.
+	Append(to []byte, q *Req, left choice.Micros, host string) []byte
+	// Read reads an answer from what has come so far; ended: no more comes. used is 0 while it is not whole; keep
+	// tells whether the connection can carry another write-out. An error is an answer that cannot be read.
+	Read(buf []byte, ended bool) (o Outcome, used int, keep bool, err error)
+}
