gRPC clients, in a program of their own: unary calls under the same rules

Dealer tools move to gRPC; the router took RESP2 alone.

Open for gRPC: streams of reqs, TLS, cache servers, the lab's clients.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run demo bench lab
+.PHONY: build test lint fuzz run demo bench lab proto
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -7,7 +7,7 @@
 	go test -p 1 ./...
 
 lint:
-	test -z "$$(gofmt -l choice cmd internal slate)"
+	test -z "$$(gofmt -l ageing choice cmd internal proto slate)"
 	go vet ./...
 
 fuzz:
@@ -30,6 +30,11 @@
 	bin/spurctl lab bench
 	go test -run - -bench . ./internal/lab/...
 
+# Wants protoc, and protoc-gen-go and protoc-gen-go-grpc of the versions that stand in the generated files.
+proto:
+	protoc -I proto --go_out=proto --go_opt=paths=source_relative --go-grpc_out=proto --go-grpc_opt=paths=source_relative \
+		spurtrestle/cache/v1/cache.proto
+
 # EDGE_CONFIG names the configuration, see README.md.
 run: build
 	exec bin/spurtrestle
--- /dev/null
+++ b/cmd/spurctl/labrun.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/internal/lab/arrivals"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/report"
+	"spurtrestle/internal/lab/scenario"
+)
+
+func (a *app) run() *cobra.Command {
+	var o runOptions
+	c := &cobra.Command{Use: "run FILE...", Short: "Play scenarios on real router processes and judge them",
+		Long: "Plays each scenario, prints its figures, and leaves report.json and a page a run in --out.\n" +
+			"Exit codes: 0 all rules kept, 1 it could not be played, 2 wrong usage, 3 a rule was broken, 4 the run does\n" +
+			"not count, 5 the scenario's expectation was missed.",
+		Example: "  spurctl lab run lab/scenarios/calm.toml --seeds 3\n  spurctl lab run day.toml --output json > day.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			if o.seeds < 1 || o.seeds > 100 {
+				return usage("--seeds: %d is not from 1 to 100", o.seeds)
+			}
+			program, err := routerProgram(o.router)
+			if err != nil {
+				return err
+			}
+			var all []scenario.Scenario
+			for _, file := range files {
+				s, err := scenario.Read(file)
+				if err != nil {
+					return err
+				}
+				s.Routers.State = s.Routers.State || o.state
+				all = append(all, s)
+			}
+			var worst error
+			var sets []report.Set
+			for i, s := range all {
+				set, err := a.playSeeds(c, s, files[i], program, o)
+				if err != nil {
+					return err
+				}
+				sets = append(sets, set)
+				if bad := verdict(s, set); bad != nil && (worst == nil || bad.(coded).code < worst.(coded).code) {
+					worst = bad
+				}
+			}
+			if o.output == "json" {
+				if err := writeJSON(c.OutOrStdout(), sets); err != nil {
+					return err
+				}
+			}
+			return worst
+		}}
+	f := c.Flags()
+	f.Uint64Var(&o.seed, "seed", 0, "of the first run, instead of the scenario's own")
+	f.IntVar(&o.seeds, "seeds", 1, "runs, with seeds that follow each other")
+	f.StringVar(&o.router, "router", "", "program of the router (default: spurtrestle beside this program)")
+	f.StringVar(&o.out, "out", "lab-reports", "folder for reports")
+	f.StringVar(&o.label, "label", "", "name of what is run, for comparisons (default: the router's path)")
+	f.StringVar(&o.replay, "trace", "", "recorded traffic to play instead of the scenario's own")
+	f.BoolVar(&o.state, "state", false, "give each router a folder that outlives it, whatever the scenario says")
+	f.BoolVar(&o.noPage, "no-page", false, "leave out the HTML pages")
+	outputFlag(c, &o.output)
+	return c
+}
+
+func routerProgram(path string) (string, error) {
+	if path == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		path = filepath.Join(filepath.Dir(self), "spurtrestle")
+	}
+	if info, err := os.Stat(path); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("%s is no program; run `make build`, or name the router with --router", path)
+	}
+	return filepath.Abs(path)
+}
+
+// verdict is the error that a set of runs ends with, nil where all is well.
+func verdict(s scenario.Scenario, set report.Set) error {
+	void := 0
+	sum, counted := 0.0, 0
+	for _, r := range set.Runs {
+		if len(r.Broken) > 0 {
+			return coded{exitBroken, fmt.Errorf("%s, seed %d: %s", s.Title, r.Seed, r.Broken[0])}
+		}
+		if r.Void != "" {
+			void++
+			continue
+		}
+		sum, counted = sum+r.Service.Whole, counted+1
+	}
+	if void > 0 {
+		return coded{exitVoid, fmt.Errorf("%s: %d of %d runs do not count", s.Title, void, len(set.Runs))}
+	}
+	if mean := sum / float64(max(1, counted)); mean < s.Expect.Service {
+		return coded{exitMissed, fmt.Errorf("%s: service is %.4f, expected is %.4f", s.Title, mean, s.Expect.Service)}
+	}
+	return nil
+}
+
+// runOptions are the flags of run.
+type runOptions struct {
+	seed                               uint64
+	seeds                              int
+	router, out, output, label, replay string
+	noPage, state                      bool
+}
+
+// playSeeds plays one scenario with each seed, and leaves its report and pages in a folder of its own.
+func (a *app) playSeeds(c *cobra.Command, s scenario.Scenario, file, program string, o runOptions) (report.Set, error) {
+	label, quiet, seed := o.label, o.output == "json", orSeed(c, o.seed, s)
+	if label == "" {
+		label = program
+	}
+	set := report.Set{Version: report.Version, Label: label}
+	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	folder := filepath.Join(o.out, name+"-"+time.Now().UTC().Format("20060102T150405"))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return set, err
+	}
+	for i := range o.seeds {
+		var recorded []arrivals.Arrival
+		if o.replay != "" {
+			var err error
+			if recorded, err = readTrace(o.replay, s); err != nil {
+				return set, err
+			}
+		}
+		r, err := a.playOne(c, s, seed+uint64(i), program, folder, recorded)
+		if err != nil {
+			return set, err
+		}
+		set.Runs = append(set.Runs, r)
+		if !quiet {
+			if err := report.Table(c.OutOrStdout(), r); err != nil {
+				return set, err
+			}
+		}
+		if !o.noPage {
+			if err := writePage(filepath.Join(folder, fmt.Sprintf("seed-%d.html", r.Seed)), r); err != nil {
+				return set, err
+			}
+		}
+	}
+	if o.seeds > 1 && !quiet {
+		if err := report.SetTable(c.OutOrStdout(), set); err != nil {
+			return set, err
+		}
+	}
+	f, err := os.Create(filepath.Join(folder, "report.json"))
+	if err != nil {
+		return set, err
+	}
+	if err := errors.Join(writeJSON(f, set), f.Close()); err != nil {
+		return set, err
+	}
+	if !quiet {
+		fmt.Fprintf(c.OutOrStdout(), "reports are in %s\n", folder)
+	}
+	return set, nil
+}
+
+func writePage(file string, r report.Report) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.Page(f, r), f.Close())
+}
+
+// playOne plays one seed; logs of routers stay in the folder where something was wrong.
+func (a *app) playOne(c *cobra.Command, s scenario.Scenario, seed uint64, program, folder string, recorded []arrivals.Arrival) (report.Report, error) {
+	dir := filepath.Join(folder, fmt.Sprintf("seed-%d-routers", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return report.Report{}, err
+	}
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return report.Report{}, err
+	}
+	show, done := progress(c.ErrOrStderr(), s.Title)
+	res, err := fleet.Play(c.Context(), s, fleet.Options{Seed: seed, Start: fleet.Program(program), Dir: dir, Arrivals: recorded,
+		Progress: show, Log: a.log})
+	done()
+	if err != nil {
+		if c.Context().Err() != nil { // stopped by hand: nothing is left behind, but what other runs have left
+			_ = os.RemoveAll(dir)
+			_ = os.Remove(folder)
+			_ = os.Remove(filepath.Dir(folder))
+		}
+		return report.Report{}, err
+	}
+	r := report.Make(res)
+	if len(r.Broken) == 0 {
+		if err := os.RemoveAll(dir); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// progress shows how far a run is: on a terminal in one line, else a line every five seconds.
+func progress(w io.Writer, title string) (show func(fleet.Progress), done func()) {
+	terminal := false
+	if f, ok := w.(*os.File); ok {
+		info, err := f.Stat()
+		terminal = err == nil && info.Mode()&os.ModeCharDevice != 0
+	}
+	n := 0
+	show = func(p fleet.Progress) {
+		text := fmt.Sprintf("%s: %d of %d s, %d of %d ops", title, int(max(0, p.At).Seconds()), int(p.Length.Seconds()), p.Done, p.All)
+		if n++; terminal {
+			fmt.Fprintf(w, "\r\x1b[K%s", text)
+		} else if n%5 == 1 {
+			fmt.Fprintln(w, text)
+		}
+	}
+	return show, func() {
+		if terminal {
+			fmt.Fprint(w, "\r\x1b[K")
+		}
+	}
+}
--- /dev/null
+++ b/cmd/spurtrestle-grpc/main.go
@@ -0,0 +1,40 @@
+// Command spurtrestle-grpc is the router on sockets, for RESP2 clients and, where the operator's file says so, for those of
+// gRPC. Elsewhere it is the same as spurtrestle.
+package main
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/config"
+	"spurtrestle/internal/grpcfront"
+	"spurtrestle/internal/operator"
+	"spurtrestle/internal/program"
+	"spurtrestle/internal/router"
+)
+
+func main() { program.Main(listen) }
+
+// listen begins to take gRPC clients, and returns what ends that in order.
+func listen(r *router.Router, cfg config.Config, g operator.GRPC, log *logrus.Logger) (stop func(), err error) {
+	ln, err := net.Listen("tcp", g.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("grpc.listen: %w", err)
+	}
+	front := grpcfront.New(r, grpcfront.Limits{Connections: g.Connections, Streams: g.Streams, Value: cfg.Limits.Resp.Bulk})
+	go func() {
+		if err := front.Serve(ln); !grpcfront.Stopped(err) {
+			log.WithError(err).Error("no more gRPC clients are taken")
+		}
+	}()
+	log.WithField("listen", g.Listen).Info("taking gRPC clients, in clear text")
+	longest := choice.Micros(0)
+	for _, m := range cfg.Settings.Methods {
+		longest = max(longest, m.Deadline)
+	}
+	return func() { front.Stop(time.Duration(longest) * time.Microsecond) }, nil
+}
--- a/cmd/spurtrestle/main_test.go
+++ b/cmd/spurtrestle/main_test.go
@@ -41,6 +41,10 @@
 	if err := os.WriteFile(file, []byte(good), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	grpc := filepath.Join(t.TempDir(), "own.toml")
+	if err := os.WriteFile(grpc, []byte("[grpc]\nlisten = \"127.0.0.1:7443\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args string
 		code int
@@ -52,6 +56,7 @@
 		{"check", 1, "EDGE_CONFIG is not set"},
 		{"check --file ../../deploy/spurtrestle.toml", 0, "good; no state is kept"},
 		{"check --file " + file, 1, "line 1"},
+		{"check --file " + grpc, 1, "grpc.listen: this program has no gRPC; start spurtrestle-grpc in its place"},
 		{"--file /nowhere", 1, "EDGE_CONFIG is not set"},
 		{"version", 0, "spurtrestle "},
 		{"serve", 2, `"serve" is no command`},
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -23,6 +23,7 @@
 	Read       int // bytes that the loop reads at once
 	ClientIn   int // bytes of one client that wait to be read on
 	ClientOut  int // bytes of answers that one client has not taken
+	Offers     int // reqs of fronts off the loop that wait to be taken
 	Pipeline   int // commands of one client that wait for their answers
 	HeldBytes  int // bytes of all reqs in hand
 	Buffered   int // bytes that the connections of all clients hold
@@ -74,6 +75,7 @@
 		Read:       64 * kibibyte,
 		ClientIn:   256 * kibibyte,
 		ClientOut:  mebibyte,
+		Offers:     4096, // some rounds of more than a loop takes in
 		Pipeline:   256,
 		HeldBytes:  memory * mebibyte / 8,
 		Buffered:   memory * mebibyte / 4,
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -109,7 +109,7 @@
 	unwatch()
 	beside.Wait()
 	if err := ctx.Err(); err != nil {
-		return Result{}, fmt.Errorf("stopped: %w", err)
+		return Result{}, fmt.Errorf("stopped before its end: %w", err)
 	}
 	if err := r.failed; err != nil {
 		return Result{}, err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -14,6 +15,7 @@
 // File is all that the file may hold. The zero value is what holds without one.
 type File struct {
 	State State `toml:"state"`
+	GRPC  GRPC  `toml:"grpc"`
 }
 
 // State is about learned state that survives a restart.
@@ -26,6 +28,13 @@
 // Interval is Every as a span.
 func (s State) Interval() time.Duration { return s.span }
 
+// GRPC is about gRPC clients.
+type GRPC struct {
+	Listen      string `toml:"listen"`      // address and port; empty: there are none
+	Connections int    `toml:"connections"` // at once; 0: 256
+	Streams     int    `toml:"streams"`     // at once on a connection; 0: 256
+}
+
 const (
 	usualEvery = 10 * time.Second // what is lost by a kill is half of that on average, against half-lives of a minute
 	leastEvery = time.Second
@@ -73,6 +82,20 @@
 		}
 		s.span = d
 	}
+	g := &f.GRPC
+	if _, err := netip.ParseAddrPort(g.Listen); g.Listen != "" && err != nil {
+		return tomlfile.Error{Line: at.Line("grpc.listen"), Field: "grpc.listen", What: fmt.Sprintf("%q is no address and port", g.Listen),
+			Remedy: `write it as "127.0.0.1:7443"`}
+	}
+	for field, n := range map[string]*int{"connections": &g.Connections, "streams": &g.Streams} {
+		if *n == 0 {
+			*n = 256
+		}
+		if *n < 1 || *n > 10000 {
+			return tomlfile.Error{Line: at.Line("grpc." + field), Field: "grpc." + field, What: fmt.Sprintf("%d is not from 1 to 10000", *n),
+				Remedy: "write such a number"}
+		}
+	}
 	if s.span < leastEvery || s.span > mostEvery {
 		return wrong("every", fmt.Sprintf("%v is not from %v to %v", s.span, leastEvery, mostEvery), "write such a span")
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -12,6 +12,7 @@
 		}
 		r.draining = true
 		r.log.Info("draining")
+		r.tellServing(false)
 		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
 			r.queue()
@@ -32,7 +33,7 @@
 			r.close(c.conn)
 		}
 	}
-	if len(r.clients) == 0 && !r.stopped {
+	if len(r.clients) == 0 && r.offers.open == 0 && !r.stopped {
 		r.stopped = true
 		go func() { _ = r.engine.Stop(context.Background()) }() // it waits for the loop
 	}
--- /dev/null
+++ b/internal/router/offers.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"sync"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/wire"
+)
+
+// Refusal is why a req that a front offers is not taken.
+type Refusal uint8
+
+const (
+	Full     Refusal = iota + 1 // the router holds all that it may
+	NoMethod                    // the settings do not name its method
+	SameID                      // another open req has its id
+	Late                        // its time was over when it came
+	Ending                      // the router takes nothing new
+)
+
+// Offer is a req of a front off the loop: a protocol whose library has goroutines of its own. Its fields are not changed
+// once it is offered.
+type Offer struct {
+	wire.Req
+	Method string
+	Tenant choice.Tenant
+	Waits  choice.Micros // how long its client waits; 0: as long as the method allows
+	Resent bool
+	// Exactly one of the two is called, on the loop, once: it must not wait. An answer's value is good only within it.
+	Answer func(wire.Answer)
+	Refuse func(Refusal)
+
+	q    *req // belongs to the loop
+	gone bool
+}
+
+// offers is the way from fronts to the loop. Its lock is held for an append, never across the loop's work.
+type offers struct {
+	mu   sync.Mutex
+	news []news
+	open int // taken and not over; belongs to the loop
+}
+
+type news struct {
+	o    *Offer
+	gone bool
+}
+
+// Offer hands over a req from any goroutine; false: too many wait already, and nothing will be called.
+func (r *Router) Offer(o *Offer) bool { return r.news(news{o: o}, r.lim.Offers) }
+
+// Withdraw tells that the client of an offer is gone: its write-outs are called off, and neither function is called any
+// more once the loop has come to it.
+func (r *Router) Withdraw(o *Offer) { r.news(news{o, true}, 1<<62) }
+
+func (r *Router) news(n news, most int) bool {
+	f := &r.offers
+	f.mu.Lock()
+	if len(f.news) >= most {
+		f.mu.Unlock()
+		return false
+	}
+	f.news = append(f.news, n)
+	first := len(f.news) == 1
+	f.mu.Unlock()
+	if first {
+		r.execute(r.takeOffers)
+	}
+	return true
+}
+
+// takeOffers takes all that has come since the last time, into one batch.
+func (r *Router) takeOffers() {
+	f := &r.offers
+	f.mu.Lock()
+	all := f.news
+	f.news = nil
+	f.mu.Unlock()
+	for _, n := range all {
+		if n.gone {
+			n.o.gone = true
+			if q := n.o.q; q != nil && !q.over {
+				f.open--
+				r.left(q)
+			}
+			continue
+		}
+		if why := r.takeOffer(n.o); why != 0 {
+			n.o.Refuse(why)
+		}
+	}
+}
+
+func (r *Router) takeOffer(o *Offer) Refusal {
+	method, known := r.methods[o.Method]
+	size := len(o.Key) + len(o.Props) + len(o.Value)
+	switch {
+	case o.gone:
+		return Late
+	case r.closing:
+		return Ending
+	case !known:
+		return NoMethod
+	case r.reqs[o.ID] != nil:
+		return SameID
+	case o.Waits < 0:
+		return Late
+	case r.held+size > r.lim.HeldBytes:
+		return Full
+	}
+	waits := r.cfg.Settings.Methods[method].Deadline // a longer wait does not lengthen it
+	if o.Waits > 0 {
+		waits = min(waits, o.Waits)
+	}
+	o.q = &req{Req: o.Req, size: size, from: o}
+	r.offers.open++
+	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits)
+	return 0
+}
+
+// answer makes an Offer an asker.
+func (o *Offer) answer(_ *req, a wire.Answer) {
+	o.Answer(a)
+}
+
+// OnServing has a function called on the loop when the router begins to serve (true) and when it ends (false). Call it
+// before Run.
+func (r *Router) OnServing(f func(bool)) { r.onServing = f }
+
+func (r *Router) tellServing(on bool) {
+	if r.onServing != nil {
+		r.onServing(on)
+	}
+}
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -64,6 +64,9 @@
 		return false
 	}
 	q.over = true
+	if _, off := q.from.(*Offer); off {
+		r.offers.open--
+	}
 	q.from.answer(q, a)
 	r.settle(q)
 	return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,8 @@
 	known     choice.ListCame // the list to start with
 	serving   bool            // a list with a server to use has come
 	memory    *memory         // nil: nothing is kept over a restart
+	offers    offers          // from fronts off the loop
+	onServing func(bool)
 
 	engine                     gnet.Engine
 	draining, closing, stopped bool
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -323,7 +323,10 @@
 		if s.ready = e.State == choice.Ready; !s.ready {
 			r.dismiss(s)
 		}
-		r.serving = r.serving || s.ready
+		if s.ready && !r.serving {
+			r.serving = true
+			r.tellServing(true)
+		}
 	}
 	for id, s := range r.servers {
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
