--- a/cmd/spurctl/labrun.go
+++ b/cmd/spurctl/labrun.go
@@ -29,6 +29,9 @@
 			if o.seeds < 1 || o.seeds > 100 {
 				return usage("--seeds: %d is not from 1 to 100", o.seeds)
 			}
+			if o.protocol != "" && o.protocol != "resp2" && o.protocol != "grpc" {
+				return usage("--protocol: %q is neither resp2 nor grpc", o.protocol)
+			}
 			program, err := routerProgram(o.router)
 			if err != nil {
 				return err
@@ -40,6 +43,9 @@
 					return err
 				}
 				s.Routers.State = s.Routers.State || o.state
+				if o.protocol != "" {
+					s.Clients.Protocol = o.protocol
+				}
 				all = append(all, s)
 			}
 			var worst error
@@ -68,6 +74,7 @@
 	f.StringVar(&o.out, "out", "lab-reports", "folder for reports")
 	f.StringVar(&o.label, "label", "", "name of what is run, for comparisons (default: the router's path)")
 	f.StringVar(&o.replay, "trace", "", "recorded traffic to play instead of the scenario's own")
+	f.StringVar(&o.protocol, "protocol", "", "that clients speak, whatever the scenario says: resp2 or grpc (name spurtrestle-grpc with --router)")
 	f.BoolVar(&o.state, "state", false, "give each router a folder that outlives it, whatever the scenario says")
 	f.BoolVar(&o.noPage, "no-page", false, "leave out the HTML pages")
 	outputFlag(c, &o.output)
@@ -114,6 +121,7 @@
 // runOptions are the flags of run.
 type runOptions struct {
 	seed                               uint64
+	protocol                           string
 	seeds                              int
 	router, out, output, label, replay string
 	noPage, state                      bool
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -151,7 +151,11 @@
 		}
 	}
 	r.fillServers()
-	r.front = client.NewFront(r.log, r.s, r.o.Seed, r.net.routers())
+	var calls []string
+	if r.s.Clients.Protocol == "grpc" {
+		calls = r.net.calls()
+	}
+	r.front = client.NewFront(r.log, r.s, r.o.Seed, r.net.routers(), calls)
 	for i := range r.s.Routers.Count {
 		p := &router{run: r, n: event.Router(i)}
 		r.routers = append(r.routers, p)
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -147,6 +147,10 @@
 		switch e.Kind {
 		case event.Asked:
 			q.asked, q.op, q.hasAsked = append(q.asked, e), e.Op, true
+		case event.Unreached: // a library had taken it, and never had a connection to send it on
+			if n := len(q.asked); n > 0 {
+				q.asked, q.hasAsked = q.asked[:n-1], n > 1
+			}
 		case event.Answered:
 			q.answers = append(q.answers, e)
 		case event.Cut:
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -119,6 +119,7 @@
 	}
 	c.positive("origin.cores", float64(s.Origin.Cores))
 	c.positive("origin.work", float64(s.Origin.Work))
+	c.oneOf("clients.protocol", s.Clients.Protocol, "resp2", "grpc")
 	c.part("clients.honour_hints", s.Clients.HonourHints)
 	c.part("clients.leave", s.Clients.Leave)
 	c.want(s.Clients.Patience > 0 && s.Clients.Patience <= 1, "clients.patience", "is no part of one above zero",
