Forms of spoilt answers are checked; what nobody calls is cut

Rereading the change found two functions without a caller, and a scenario whose answers names no known form would have ended the lab in the middle of a run. It is refused now with its line and the forms that there are.

--- a/internal/lab/cacheserver/trouble.go
+++ b/internal/lab/cacheserver/trouble.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -149,8 +148,3 @@
 	}
 	return nil
 }
-
-// KnownForm tells whether an answer can be spoilt so.
-func KnownForm(name string) bool {
-	return slices.Contains([]string{"endless", "huge", "length", "nested", "noise"}, name)
-}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -354,6 +353,3 @@
 
 // Timeline is what would strike when; for showing.
 func Timeline(s scenario.Scenario, seed uint64) []faults.Act { return faults.Timeline(s, seed) }
-
-// TempDir makes a folder for a run; remove it when done.
-func TempDir() (string, error) { return os.MkdirTemp("", "spurlab-") }
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -201,6 +201,9 @@
 	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
 		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "": true}
 	c.want(has[kind.needs], f+kind.needs, "is missing or out of range", "a fault of kind "+x.Kind+" needs it")
+	for j, form := range x.Answers {
+		c.oneOf(fmt.Sprintf("%sanswers[%d]", f, j), form, "endless", "huge", "length", "nested", "noise")
+	}
 	most := map[string]int{"servers": s.Servers.Count, "routers": s.Routers.Count}[kind.strikes]
 	for j, n := range x.Pick {
 		c.want(n >= 0 && n < most, fmt.Sprintf("%spick[%d]", f, j), fmt.Sprintf("%d is none of the %s", n, kind.strikes),
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -31,6 +31,7 @@
 		{`count = 6`, `count = 900`, "servers.count: is not from 1 to 200; write such a number"},
 		{`cold_share = 0.3 `, `cold_share = 0.0 `, "servers.cold_share: is no part of one above zero; write a number above 0, up to 1"},
 		{`reports = ["latency", "queue"]`, `reports = ["latency", "mood"]`, `servers.reports[1]: "mood" is not known; write latency, queue, in_flight, busy, errors or hits`},
+		{`part = 0.17`, `answers = ["silence"]`, `fault[0].answers[0]: "silence" is not known; write one of endless, huge, length, nested, noise`},
 		{`factor = 1.5`, ``, "fault[1].factor: is missing or out of range; a fault of kind burst needs it"},
 		{`part = 0.17`, `pick = [6]`, "fault[0].pick[0]: 6 is none of the servers; count from 0 to 5"},
 		{`kind = "burst"`, `kind = "earthquake"`, `fault[1].kind: "earthquake" is not known; write one of bad_reports, burst`},
