--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,10 +102,15 @@
 		t.Fatal(err)
 	}
 	before := goleak.IgnoreCurrent()
-	var pids []string
+	var mu sync.Mutex
+	var started []Instance
 	start := func(spec Spec) (Instance, error) {
 		p, err := Program(program)(spec)
-		pids = append(pids, spec.Log)
+		if err == nil {
+			mu.Lock()
+			started = append(started, p)
+			mu.Unlock()
+		}
 		return p, err
 	}
 	for _, after := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond} {
@@ -115,8 +121,15 @@
 			t.Errorf("a run stopped after %v says that it was played", after)
 		}
 	}
-	if len(pids) == 0 {
-		t.Error("no router was started")
+	if len(started) < 4 {
+		t.Errorf("only %d routers were started", len(started))
+	}
+	for i, p := range started {
+		select {
+		case <-p.Done():
+		default:
+			t.Errorf("router %d still runs", i)
+		}
 	}
 	goleak.VerifyNone(t, before)
 }
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -30,8 +30,7 @@
 	Answer func(wire.Answer)
 	Refuse func(Refusal)
 
-	q    *req // belongs to the loop
-	gone bool
+	q *req // belongs to the loop; nil: not taken
 }
 
 // offers is the way from fronts to the loop. Its lock is held for an append, never across the loop's work.
@@ -78,7 +77,6 @@
 	f.mu.Unlock()
 	for _, n := range all {
 		if n.gone {
-			n.o.gone = true
 			if q := n.o.q; q != nil && !q.over {
 				f.open--
 				r.left(q)
@@ -95,8 +93,6 @@
 	method, known := r.methods[o.Method]
 	size := len(o.Key) + len(o.Props) + len(o.Value)
 	switch {
-	case o.gone:
-		return Late
 	case r.closing:
 		return Ending
 	case !known:
