Copies and full caches' reads go to the origin; its bound, health and the cold budget fit few reqs

A read that is out for longer than 0.7 to 2.5 usual answers (by the fees of waste and crossings) gets a copy at the origin (`copyIsDue`), while that has half of its room free.

The router carries two write-outs a req (`outs`); the first answer is the client's, the other is called off.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,10 @@
 
 func reqRules() []rule {
 	return []rule{
-		{"one write-out at a time", func(_ *Router, q *req) bool { return q.out != nil }, (*Router).settle},
+		{"a copy is due", (*Router).copyIsDue, (*Router).sendCopy},
+		{"one of its caches missed, and the origin has room", (*Router).missedBeside,
+			func(r *Router, q *req) { r.turnToOrigin(q); r.send(q, r.origin) }},
+		{"its answer is due", func(_ *Router, q *req) bool { return len(q.outs) > 0 }, (*Router).settle},
 		{"an answer would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
 			(*Router).giveUp},
 		{"it may have run and must not run again", (*Router).mustStop, (*Router).giveUp},
@@ -42,7 +45,7 @@
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
 		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
 			(*Router).giveUp},
-		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoom() },
+		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoomFor(q) },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
 		{"the origin cannot answer in time",
 			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(r.origin) > q.soon() },
@@ -99,6 +102,8 @@
 	return !q.write && q.final-r.now < min(quickest, q.method.aim/2)
 }
 
+const granted = 0.3 // answers a second: trials go on, and a few lost by chance are no jam
+
 // mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what
 // hundreds of routers send one by one, answer nobody in time. A router sends on as many reqs as were answered
 // of those that ended lately, and some more, least of what is worth least.
@@ -107,8 +112,7 @@
 		return false
 	}
 	q.admitted = true
-	const granted = 0.3 // a second: trials go on, and a few lost by chance are no jam
-	answers := (1.15 + 0.3*q.worth) * r.answered.now(r.now, trafficSpan)
+	answers := (1.2 + 0.25*q.worth) * r.answered.now(r.now, trafficSpan)
 	lost := r.chance()*r.asked.now(r.now, trafficSpan) > answers+granted
 	if lost {
 		r.asked.add(r.now, trafficSpan)
@@ -161,11 +165,37 @@
 	if r.fetches[q.key] == q {
 		delete(r.fetches, q.key)
 	}
-	if q.out == nil {
+	if len(q.outs) == 0 {
 		delete(r.reqs, q.id)
 	}
 }
 
+// copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has room to
+// spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks a cache once a minute.
+// A copy at a partner would crowd that one, and push out what it holds.
+func (r *Router) copyIsDue(q *req) bool {
+	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= r.maxSends {
+		return false
+	}
+	q.copyAt = 0
+	return r.originIsFree(q, false)
+}
+
+// originIsFree: a read may go there though no cache has missed.
+func (r *Router) originIsFree(q *req, pressed bool) bool {
+	return r.origin != nil && !r.fetchIsOut(q) && r.originTakes(pressed)
+}
+
+// missedBeside: a copy has missed while the other write-out is still out.
+func (r *Router) missedBeside(q *req) bool {
+	return len(q.outs) == 1 && !q.outs[0].server.origin && q.missed && !q.toOrigin && q.sent < r.maxSends &&
+		!r.fetchIsOut(q) && r.originRoom()
+}
+
+func (r *Router) sendCopy(q *req) {
+	r.send(q, r.origin)
+}
+
 func (r *Router) send(q *req, s *server) {
 	left := q.final - r.now
 	timeout := left
@@ -193,8 +223,13 @@
 	}
 	s.used.add(r.now, useSpan)
 	r.used.add(r.now, useSpan)
-	q.out = &writeOut{server: s, sent: r.now}
+	q.outs = append(q.outs, &writeOut{server: s, nth: q.sent, sent: r.now})
 	q.sent++
+	if r.mayCopy && q.sent == 1 && !q.write && q.method.effect == Retryable && !s.origin && r.seen.n > 0 {
+		q.copyAt = r.now + Micros(r.copyAfter*float64(r.seen.long))
+		r.watched = append(r.watched, q)
+		r.wake(q.copyAt)
+	}
 	q.settled = true
 	if r.coldAge(s) < r.coldSpan {
 		s.coldLeft--
@@ -325,10 +360,23 @@
 	return r.origin != nil && r.usable(r.origin) && r.originWait() == 0
 }
 
+// originRoomFor lets writes go past the bound: they are few, worth the most, and have nowhere else to go.
+func (r *Router) originRoomFor(q *req) bool {
+	return r.originRoom() || q.write && r.origin != nil && r.usable(r.origin)
+}
+
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
 // there already if it has room, else only if half of its bound is free.
 func (r *Router) originTakes(crowded bool) bool {
-	return r.origin == nil || r.originRoom() && (crowded || 2*float64(r.origin.inFlight) < r.originBound())
+	o := r.origin
+	return o == nil || r.originRoom() &&
+		(crowded || 2*float64(o.inFlight) < r.originBound() && 4*o.time < 3*r.originGoal)
+}
+
+// upTo is one up to the goal; beyond it falls by the square.
+func upTo(time, goal Micros) float64 {
+	q := min(1, float64(goal)/float64(max(1, time)))
+	return q * q
 }
 
 func (r *Router) originBound() float64 {
@@ -345,7 +393,7 @@
 		return b
 	}
 	// Two from each of hundreds of routers filled it for seconds. Below one in flight a busy origin gets less.
-	return min(1, b+2*math.Sqrt(b)) * o.quick(crowded)
+	return (1 + b + 2*math.Sqrt(b)) * upTo(o.time, r.originGoal)
 }
 
 func (r *Router) waitsFor(q *req) *server {
@@ -404,9 +452,6 @@
 		}
 	case QueueFull:
 		s.lost = 0
-		if used < 1 {
-			points = 1
-		}
 	case TimedOut:
 		until := w.sent + 2*r.seen.long // cut short: no blame, and done when it would have been answered
 		if s.origin || took >= 2*r.seen.long {
@@ -438,7 +483,11 @@
 		s.report(r.now, min(took, 2*s.fixed.time))
 	}
 	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no row: there the
-	// first one counts, and it is left for three uses, which its partners hardly feel.
+	// first one counts, and it is left for three uses, which its partners hardly feel. The origin has no partner:
+	// one late answer of its long tail kept a router from it for half a minute.
+	if s.origin {
+		used = 2
+	}
 	if s.lost += points; s.lost >= max(1+int(min(2, used)), row) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
 		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
@@ -482,7 +531,11 @@
 	hits := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since
 	mean := hits / float64(len(r.caches))
 	if start := max(s.Started, s.coldFrom); s.coldRun != start {
-		s.coldRun, s.coldLeft, s.coldAt = start, r.chance(), r.now
+		// Of hundreds of routers each saves up less than one in all of the span: what it begins with is all that it
+		// sends. Where much is lost, more is asked than caches carry, and fewer of the routers may begin.
+		heard, asked := r.answered.now(r.now, trafficSpan), r.asked.now(r.now, trafficSpan)
+		lost := 1 - (heard+granted)/(asked+granted)
+		s.coldRun, s.coldLeft, s.coldAt = start, r.chance()-2*max(0, lost), r.now
 	}
 	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two by chance
 	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
@@ -507,25 +560,6 @@
 	return n / (r.hot.total + granted) * float64(len(r.caches)), 1 - 1/math.Sqrt(n)
 }
 
-// tell sends the keys read since the last time to as many peers as bring each ten reads a cache in ten
-// seconds. One of hundreds of routers reads a key twice too late: their first reads filled its cache for many
-// seconds.
-func (r *Router) tell() {
-	const every, most = 500e3, 64 // often against a flare of seconds; 256 bytes
-	if !r.mayTell || r.now < r.tellAt {
-		return
-	}
-	r.tellAt = r.now + every
-	rate := r.traffic.now(r.now, trafficSpan)
-	news := r.news[:min(most, len(r.news))]
-	for range min(int(float64(len(r.caches))/max(1, rate)), 32) {
-		if to := int(r.chance() / r.part); to != r.me && len(news) > 0 {
-			r.decided = append(r.decided, Decision{Action: Tell, Peer: to, Keys: slices.Clone(news)})
-		}
-	}
-	r.news = r.news[:0]
-}
-
 func (s *server) report(at, time Micros) {
 	const last = 16 // N: answers enough to smooth a heavy-tailed service time
 	s.reported = append(s.reported, sample{at, time})
@@ -642,10 +676,10 @@
 	groupCount = 3                  // GF
 )
 
-// groupOf is the group of a key by its hash: the caches that its slot ranks first. Each cache has a place in each
-// slot's ranking by chance, the better the larger its listed size, so that it is first in slots as it has size. A
-// slot is ranked when it is first asked for: one of hundreds of routers reads a few keys between two lists, and
-// whole tables took more time than all else.
+// groupOf is the group of a key by its hash: the caches that its slot ranks first. Each cache has a place in
+// each slot's ranking by chance, the better the larger its listed size, so that it is first in slots as it has
+// size. A slot is ranked when it is first asked for: one of hundreds of routers reads a few keys between two
+// lists, and whole tables took more time than all else.
 func (r *Router) groupOf(hash uint64) []*server {
 	slot := uint32(hash % slots)
 	places, known := r.table[slot]
@@ -683,7 +717,8 @@
 func New(now Micros, s Settings, seed uint64) (*Router, []Decision) {
 	r := &Router{
 		tenants: map[Tenant]*tenant{}, overWorth: s.OverShareWorth,
-		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind, figures: s.ReportFields, ask: s.ListOnRequest,
+		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind, figures: s.ReportFields,
+		ask: s.ListOnRequest, mayCopy: s.MayTwoAtOnce && s.MayCancel,
 		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
@@ -700,9 +735,10 @@
 	if s.ConnectionFee > 0 {
 		r.keep = s.ConnectionFee * float64(s.Routers) / 100 / s.HandshakeFee
 	}
+	// A copy is paid for by work and a crossing: the dearer, the later. Of the usual answer.
+	r.copyAfter = 0.7 + 18*(s.WasteFee+s.CrossFee)
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
-	r.mayTell, r.me = s.MayTell, s.Me
 	if s.MayHint {
 		r.maxHint = s.MaxHint
 	}
@@ -752,10 +788,6 @@
 	case ListCame:
 		r.listCame(e)
 		r.runHeld()
-	case Told:
-		for _, k := range e.Keys {
-			r.hot.count(k)
-		}
 	case Learned:
 		r.learn(e.Knowledge)
 	case LearnedServers:
@@ -766,9 +798,9 @@
 		if r.askAt != 0 && r.askAt <= r.now {
 			r.subscribe()
 		}
+		r.runWatched()
 		r.runHeld()
 	}
-	r.tell()
 	if len(r.held) > 0 {
 		r.wake(r.now + max(r.tick, 5e3)) // held reqs are looked at again that often at least
 	}
@@ -804,6 +836,21 @@
 	}
 }
 
+// runWatched looks at the reqs whose copy is due. The time for one drifts slowly, so that they stand in order.
+func (r *Router) runWatched() {
+	for len(r.watched) > 0 {
+		q := r.watched[0]
+		if !q.done && q.copyAt > r.now {
+			r.wake(q.copyAt)
+			return
+		}
+		r.watched = r.watched[1:]
+		if !q.done {
+			r.run(q)
+		}
+	}
+}
+
 func (r *Router) runHeld() {
 	for _, q := range r.held {
 		if s := r.waitsFor(q); s != nil {
@@ -812,12 +859,12 @@
 	}
 	for _, q := range slices.Clone(r.held) {
 		r.run(q)
-		if s := r.waitsFor(q); s != nil && !q.done && q.out == nil {
+		if s := r.waitsFor(q); s != nil && !q.done && len(q.outs) == 0 {
 			s.ahead++
 		}
 	}
 	r.held = slices.DeleteFunc(r.held, func(q *req) bool {
-		q.held = !q.done && q.out == nil
+		q.held = !q.done && len(q.outs) == 0
 		return !q.held
 	})
 }
@@ -850,9 +897,6 @@
 	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
 		r.hot.count(keyHash(e.Key))
-		if r.mayTell {
-			r.news = append(r.news, keyHash(e.Key))
-		}
 	}
 	r.reqs[q.id] = q
 	r.run(q)
@@ -863,11 +907,15 @@
 		r.takeReport(s, e.Report, e.Took)
 	}
 	q := r.reqs[e.Req]
-	if q == nil || q.out == nil || q.sent != e.Attempt+1 {
+	if q == nil {
 		return
 	}
-	w := q.out
-	q.out = nil
+	nth := slices.IndexFunc(q.outs, func(w *writeOut) bool { return w.nth == e.Attempt })
+	if nth < 0 {
+		return
+	}
+	w := q.outs[nth]
+	q.outs = slices.Delete(q.outs, nth, nth+1)
 	w.server.inFlight--
 	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
@@ -876,10 +924,14 @@
 		q.method.time += (e.Took - q.method.time) / 20
 	}
 	noise := e.Status == Failed || e.Status == Reset // it spoke, all the same: a jammed cache is silent
-	if !w.server.origin && !q.short && (e.Status == OK || e.Status == Miss || noise) {
+	// What the origin answered in the place of full caches is no loss; where a cache was silent it is one.
+	heard := e.Status == OK && len(q.outs) == 0 || !w.server.origin && (e.Status == Miss || noise)
+	if heard && !q.spoke && !q.short {
+		q.spoke = true
 		r.answered.add(r.now, trafficSpan)
 	}
 	if q.done || e.Over {
+		r.callOff(q)
 		r.finish(q)
 		return
 	}
@@ -887,7 +939,11 @@
 	case Miss:
 		// Where another fetch of the key is out, that one brings it to this cache.
 		q.missed = !q.write && !w.server.origin && !r.fetchIsOut(q)
-	case QueueFull, ConnectError, Ignored:
+	case QueueFull: // costs next to nothing
+		if !w.server.origin && !q.write && r.originIsFree(q, q.sent+1 >= r.maxSends) {
+			r.turnToOrigin(q)
+		}
+	case ConnectError, Ignored:
 		q.retrying = true
 	default:
 		if q.retrying = true; q.maybeRan == 0 {
@@ -895,10 +951,10 @@
 		}
 	}
 	// The first failure in a row is more often noise than the server's end, and its keys are nowhere else.
-	if q.retrying && !(noise && w.server.lost <= 1) {
+	if e.Status == QueueFull || q.retrying && !(noise && w.server.lost <= 1) {
 		q.failed = append(q.failed, w.server)
 	}
-	if w.server.origin {
+	if w.server.origin && len(q.outs) == 0 {
 		const pause = 20e3 // a few of a quick origin's answers
 		if q.pause = r.now + pause; !q.write && (e.Status == TimedOut || e.Status == QueueFull) {
 			r.giveUp(q) // the fetch failed: its waiters are free to go, and this req tries no other
@@ -914,14 +970,21 @@
 	if q == nil || q.done {
 		return
 	}
-	if q.out != nil && r.mayCancel {
-		r.decided = append(r.decided, Decision{Action: Recall, Req: q.id, Attempt: q.sent - 1})
-	}
+	r.callOff(q)
 	// Impatience is no jam: many left before a usual answer was due, and those who stayed were nacked for it.
-	q.short = q.short || q.out == nil || r.now-q.out.sent < 2*r.seen.long
+	q.short = q.short || len(q.outs) == 0 || r.now-q.outs[0].sent < 2*r.seen.long
 	r.finish(q)
 }
 
+// callOff ends what is still out for a req that is over.
+func (r *Router) callOff(q *req) {
+	for _, w := range q.outs {
+		if r.mayCancel && !q.done {
+			r.decided = append(r.decided, Decision{Action: Recall, Req: q.id, Attempt: w.nth})
+		}
+	}
+}
+
 // takeReport keeps the reported service time, or where none is told the own measured one.
 func (r *Router) takeReport(s *server, rep Report, took Micros) {
 	i := slices.Index(r.figures, FigureServiceTime)
--- a/choice/state.go
+++ b/choice/state.go
@@ -6,6 +6,7 @@
 
 type writeOut struct {
 	server *server
+	nth    Attempt
 	sent   Micros
 }
 
@@ -27,11 +28,12 @@
 	aim    Micros  // an answer by then earns all
 	final  Micros  // an answer after this earns nothing
 
-	out      *writeOut
-	sent     Attempt // write-outs so far
+	outs     []*writeOut // at most two, the second a copy
+	sent     Attempt     // write-outs so far
 	failed   []*server
 	missed   bool    // a cache said miss: the origin is next
 	toOrigin bool    // only the origin can take it now
+	copyAt   Micros  // when a copy may join its write-out; 0: never
 	retrying bool    // the next write-out is a retry and pays for it
 	pause    Micros  // no write-out before then
 	maybeRan Micros  // when the first write-out that may have run was sent; 0: none
@@ -39,6 +41,7 @@
 	drawn    int     // place in its group drawn for a hot key; -1: none yet
 	target   *server // the cache it goes to or waits for
 	admitted bool    // not among those nacked since the caches answer too little
+	spoke    bool    // answered, or a cache said something to it
 	short    bool    // it came with less than half of its latency budget left
 	held     bool
 	settled  bool // nothing more to do in this pass
@@ -115,8 +118,8 @@
 	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
 	fallSpan   Micros
 	mayCancel  bool
-	mayTell    bool
-	me         int
+	mayCopy    bool
+	copyAfter  float64 // a read has a copy once it is out for so many usual answers
 	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
 	patience   float64 // part of the wait allowed that a req of no worth may use
 	maxSends   Attempt
@@ -136,10 +139,9 @@
 	hits        decayed                       // answers of caches a second, misses aside
 	reqs        map[ReqID]*req
 	held        []*req // writes first, then by worth, then by age
+	watched     []*req // one write-out each, in the order of their times for a copy
 	fetches     map[Key]*req
 	hot         keyCounts // of reads, bounded and aged
-	news        []KeyHash // keys read since peers were told
-	tellAt      Micros
 	traffic     decayed
 	asked       decayed // reqs for caches that ended, a second
 	answered    decayed // and answers of caches
--- a/choice/types.go
+++ b/choice/types.go
@@ -60,7 +60,7 @@
 
 // Settings is what a router is told at its start.
 type Settings struct {
-	Routers, Me     int
+	Routers         int
 	Methods         []MethodSettings
 	Tenants         []TenantSettings
 	Aside           bool
@@ -81,7 +81,6 @@
 	MayCancel       bool
 	MayProbe        bool
 	MayHint         bool
-	MayTell         bool // short messages to other routers
 	MayTwoAtOnce    bool
 	MaxWriteOuts    int
 	MaxHint         Micros
@@ -91,6 +90,8 @@
 	IdleClose       Micros  // when a server closes an idle connection at the latest
 	ConnectionFee   float64 // for a hundred connections kept open to each server
 	HandshakeFee    float64 // for a new connection with each req
+	WasteFee        float64 // for work that answers nothing, as a part of all
+	CrossFee        float64 // for each req crossing locations once
 	ReportsOnProbes bool
 }
 
@@ -197,9 +198,6 @@
 	Elapsed struct {
 		Ref TimerRef
 	}
-	Told struct { // a peer's message
-		Keys []KeyHash
-	}
 	Probed struct {
 		Server ServerID
 		Status Status
@@ -220,7 +218,6 @@
 	Subscribe
 	Probe      // Server
 	Disconnect // Server: close what is idle
-	Tell       // Peer, Keys
 )
 
 // Decision is one thing to do now.
@@ -231,6 +228,4 @@
 	Attempt Attempt
 	After   Micros
 	Ref     TimerRef
-	Peer    int
-	Keys    []KeyHash
 }
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -22,8 +22,8 @@
 	wire.Req
 	size      int // bytes that it holds
 	from      asker
-	slot      slot // of a RESP2 client
-	out       *writeOut
+	slot      slot           // of a RESP2 client
+	outs      []*writeOut    // two at most
 	writeOuts choice.Attempt // so far
 	over      bool           // answered, or the client is gone
 }
@@ -74,7 +74,7 @@
 
 // settle forgets a req once nothing of it is left.
 func (r *Router) settle(q *req) {
-	if q.over && q.out == nil && r.reqs[q.ID] == q {
+	if q.over && len(q.outs) == 0 && r.reqs[q.ID] == q {
 		delete(r.reqs, q.ID)
 		r.held -= q.size
 	}
@@ -117,7 +117,7 @@
 		return
 	}
 	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After}
-	q.out = w
+	q.outs = append(q.outs, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
 	r.connect(w)
@@ -125,11 +125,12 @@
 
 // returned ends a write-out and hands its outcome over.
 func (r *Router) returned(w *writeOut, status choice.Status, report choice.Report) {
-	if w.q.out != w {
+	q := w.q
+	n := slices.Index(q.outs, w)
+	if n < 0 {
 		return
 	}
-	q := w.q
-	q.out = nil
+	q.outs = slices.Delete(q.outs, n, n+1)
 	r.cancel(w.timer)
 	if w.up != nil {
 		w.up.carries, w.up = nil, nil
@@ -165,7 +166,7 @@
 // timedOut: what has not left us whole by its time has never run, and that is not held against the server.
 func (r *Router) timedOut(w *writeOut) {
 	switch {
-	case w.q.out != w:
+	case !slices.Contains(w.q.outs, w):
 	case w.up == nil || w.up.conn.OutboundBuffered() > 0:
 		r.giveUp(w, choice.Ignored)
 	default:
@@ -174,8 +175,10 @@
 }
 
 func (r *Router) recall(id choice.ReqID, n choice.Attempt) {
-	if q := r.reqs[id]; q != nil && q.out != nil && q.out.nth == n {
-		r.giveUp(q.out, choice.Canceled)
+	if q := r.reqs[id]; q != nil {
+		if i := slices.IndexFunc(q.outs, func(w *writeOut) bool { return w.nth == n }); i >= 0 {
+			r.giveUp(q.outs[i], choice.Canceled)
+		}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,8 +91,6 @@
 	for i, m := range cfg.Settings.Methods {
 		r.methods[m.Name] = choice.Method(i)
 	}
-	// The protocol gives routers no way to each other yet.
-	r.cfg.Settings.MayTell = false
 	if len(cfg.Known) > 0 {
 		var err error
 		if r.known, err = r.book.Saved(cfg.Known); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,6 @@
 func Parse(data []byte) (choice.Settings, error) {
 	var p struct {
 		Balancers  *int     `json:"balancers"`
-		Me         int      `json:"me"`
 		Discovery  string   `json:"discovery"`
 		Weights    string   `json:"weights"`
 		Resolution float64  `json:"resolution-s"`
@@ -39,6 +38,8 @@
 		Fees       struct {
 			Connection float64 `json:"connection"`
 			Handshake  float64 `json:"handshake"`
+			Waste      float64 `json:"waste"`
+			Cross      float64 `json:"cross-zone"`
 		} `json:"fees"`
 		Goal struct {
 			WorstClass float64 `json:"worst-class"`
@@ -56,7 +57,6 @@
 		Limits struct {
 			Cancel   bool    `json:"cancel"`
 			Probes   bool    `json:"probes"`
-			Peers    bool    `json:"peers"`
 			Hint     bool    `json:"retry-after"`
 			Parallel bool    `json:"parallel-tries"`
 			SendCap  *int    `json:"send-cap"`
@@ -115,7 +115,7 @@
 	} else if k != nil && *k >= 0 {
 		s.OriginKind = choice.Kind(p.Flavors[*k])
 	}
-	s.Routers, s.Me = *p.Balancers, p.Me
+	s.Routers = *p.Balancers
 	s.Aside = p.Domain.Mode == "aside"
 	s.OriginFall, s.OriginFallSpan = p.Domain.Fall, Micros(p.Domain.FallSpan)
 	for _, name := range p.Report.Fields {
@@ -126,7 +126,7 @@
 	s.ListsSizes = p.Weights == "nominal" || p.Weights == "rough"
 	s.Resolution = Micros(p.Resolution)
 	s.OverShareWorth, s.WorstMethod = p.Over, p.Goal.WorstClass
-	s.MayTell = p.Limits.Peers
+	s.WasteFee, s.CrossFee = p.Fees.Waste, p.Fees.Cross
 	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
 	l, u := p.Limits, p.Rules
 	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
