The program reads the new shape's settings, refuses a mix by its key, and carries copies

`checkShape` refuses a file half moved: sizes in lists without second copies or the reverse, copies that cannot be called off, no origin to send them to, too few write-outs for one.

--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -32,6 +32,7 @@
 	out     strings.Builder
 	sockets int
 	idle    float64
+	own     bool // each client process has a router of its own
 	listen  string
 	file    string // the configuration
 	config  string
@@ -244,6 +245,10 @@
 	p.config = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":%d},"known":%s,"settings":`+settings+`}`, p.listen,
 		p.server("discovery").ln.Addr(), p.sockets, p.list(true, 1, known), p.idle)
+	if p.own {
+		p.config = strings.NewReplacer(`"balancers":1`, `"balancers":400,"weights":"nominal"`,
+			`"cancel":true`, `"cancel":true,"parallel-tries":true`).Replace(p.config)
+	}
 	p.configure(p.config)
 	p.program = exec.Command(os.Args[0])
 	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file,
@@ -311,6 +316,9 @@
 	case "sockets are":
 		p.sockets = number(0)
 		return nil
+	case "clients have":
+		p.own = true // "routers of their own"
+		return nil
 	case "idle after":
 		p.idle, _ = strconv.ParseFloat(rest, 64)
 		return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,6 +68,9 @@
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
+	if err = checkShape(c.Settings); err != nil {
+		return c, err
+	}
 	c.Known = f.Known
 	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Settings)
 	return c, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,6 +49,7 @@
 		{`"balancers":2`, `"balancers":0`, "settings: balancers is missing or below 1"},
 		{`"effect":"free"`, `"effect":"odd"`, `settings: request-classes: "get" lacks a name, an effect, a group or a deadline`},
 		{`"settings":`, `"set":`, "settings: unexpected end of JSON input"},
+		{`"balancers":2`, `"balancers":2,"weights":"heavy"`, `settings: weights is "heavy", neither silent, nominal, rough nor live`},
 		{whole, `{"name"`, "EDGE_CONFIG: unexpected end of JSON input"},
 	} {
 		if _, err := load(t, strings.Replace(whole, c.from, c.to, 1), nil); err == nil || err.Error() != c.want {
@@ -59,3 +60,34 @@
 		t.Error(err)
 	}
 }
+
+// The shape follows from the settings alone: none of the newer keys is the old one, and a mix is refused by its key.
+func TestShape(t *testing.T) {
+	own := strings.NewReplacer(`"balancers":2`, `"balancers":800,"weights":"nominal","fees":{"waste":0.02,"cross-zone":0.06}`,
+		`"send-cap":3`, `"send-cap":4,"cancel":true,"parallel-tries":true`).Replace(whole)
+	for _, text := range []string{whole, own} {
+		c, err := load(t, text, nil)
+		s := c.Settings
+		t.Log(err, s.MayTwoAtOnce, s.ListsSizes, s.WasteFee, s.CrossFee)
+		if new := text == own; err != nil || s.MayTwoAtOnce != new || s.ListsSizes != new || (s.WasteFee == 0.02) != new ||
+			(s.CrossFee == 0.06) != new {
+			t.Errorf("%v: %+v", err, s)
+		}
+	}
+	for _, c := range []struct{ text, from, to, key string }{
+		{own, `"nominal"`, `"silent"`, "weights"},
+		{own, `"weights":"nominal",`, "", "weights"},
+		{own, `"parallel-tries":true`, `"parallel-tries":false`, "weights"},
+		{own, `"cancel":true`, `"cancel":false`, "policy-limits.cancel"},
+		{own, `"mode":"aside"`, `"mode":"through"`, "domain.mode"},
+		{own, `"send-cap":4`, `"send-cap":2`, "policy-limits.send-cap"},
+		{own, `"waste":0.02`, `"waste":-1`, "fees.waste"},
+		{whole, `"balancers":2`, `"balancers":2,"weights":"rough"`, "weights"},
+		{whole, `"send-cap":3`, `"send-cap":3,"cancel":true,"parallel-tries":true`, "weights"},
+	} {
+		_, err := load(t, strings.Replace(c.text, c.from, c.to, 1), nil)
+		if err == nil || !strings.HasPrefix(err.Error(), "settings: "+c.key+": ") {
+			t.Errorf("with %s: %v", c.to, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/shape.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"fmt"
+
+	"spurtrestle/choice"
+)
+
+// A deployment has one of two shapes: clients reach a pool of routers, or each client process has a router of its own.
+// policy-limits.parallel-tries says which, and nothing else in the program asks.
+
+// checkShape refuses settings that are of both. A mixed file is mostly one that was half moved: it would serve, and only
+// its figures would tell.
+func checkShape(s choice.Settings) error {
+	const own = "policy-limits.parallel-tries is true, as where each client process has a router of its own"
+	for _, c := range []struct {
+		wrong             bool
+		key, what, remedy string
+	}{
+		{s.MayTwoAtOnce && !s.ListsSizes, "weights", "lists that tell no sizes, though " + own, "say nominal or rough"},
+		{!s.MayTwoAtOnce && s.ListsSizes, "weights", "lists that tell sizes, as of routers in client processes, though " +
+			"policy-limits.parallel-tries is not true", "say silent, or set both"},
+		{s.MayTwoAtOnce && !s.MayCancel, "policy-limits.cancel", "write-outs cannot be called off, though " + own, "say true"},
+		{s.MayTwoAtOnce && !s.Aside, "domain.mode", "the servers ask the origin themselves, though " + own,
+			"say aside, or set parallel-tries to false"},
+		{s.MayTwoAtOnce && s.MaxWriteOuts < 3, "policy-limits.send-cap", "a cache, a copy and one more write-out do not " +
+			"fit, though " + own, "say 3 at least"},
+		{s.WasteFee < 0, "fees.waste", "less than nothing", "say 0 or more"},
+		{s.CrossFee < 0, "fees.cross-zone", "less than nothing", "say 0 or more"},
+	} {
+		if c.wrong {
+			return fmt.Errorf("settings: %s: %s; %s", c.key, c.what, c.remedy)
+		}
+	}
+	return nil
+}
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -25,7 +25,7 @@
 		cfg.Limits.Descriptors, cfg.Limits.MostDescriptors, cfg.Limits.Upstreams = 12, 14, 6
 		cfg.Limits.Pipeline, cfg.Limits.HeldBytes, cfg.Limits.Quiet, cfg.Limits.Linger = 3, 100, 10e3, 1e6
 		cfg.Limits.Idle = 2e6
-		cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel = 3, true
+		cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
 		cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1})
 		cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
 			`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"},` +
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"spurtrestle/choice"
 )
@@ -107,6 +108,8 @@
 		return s, fmt.Errorf("discovery is %q, neither pushed nor on_request", p.Discovery)
 	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
 		return s, fmt.Errorf("domain.mode is %q, neither aside nor through", p.Domain.Mode)
+	case !slices.Contains([]string{"", "silent", "nominal", "rough", "live"}, p.Weights):
+		return s, fmt.Errorf("weights is %q, neither silent, nominal, rough nor live", p.Weights)
 	case p.Domain.Mode == "aside" && p.Domain.Kind == nil:
 		return s, errors.New("domain.origin-kind is missing though domain.mode is aside")
 	}
