A copy that wins is no loss, two bad answers in a row count, lists are kept in order

`judge`: at a cache used once in seconds one bad answer, or a good one of six usual times, set it aside for half a minute; its reads then missed at partners.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,7 +9,7 @@
 package choice
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 )
@@ -112,7 +112,7 @@
 		return false
 	}
 	q.admitted = true
-	answers := (1.2 + 0.25*q.worth) * r.answered.now(r.now, trafficSpan)
+	answers := (1.02 + 0.43*q.worth) * r.answered.now(r.now, trafficSpan)
 	lost := r.chance()*r.asked.now(r.now, trafficSpan) > answers+granted
 	if lost {
 		r.asked.add(r.now, trafficSpan)
@@ -447,9 +447,6 @@
 		}
 		s.lost, s.aside, s.unheard = 0, 0, false
 		// Of a cache used once in seconds one answer is all there is: far too slow, it may be crowded.
-		if took > 6*r.seen.long && used < 1 {
-			points = 1
-		}
 	case QueueFull:
 		s.lost = 0
 	case TimedOut:
@@ -488,7 +485,7 @@
 	if s.origin {
 		used = 2
 	}
-	if s.lost += points; s.lost >= max(1+int(min(2, used)), row) && s.aside <= r.now {
+	if s.lost += points; s.lost >= max(2, 1+int(min(2, used)), row) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
 		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
 	}
@@ -925,7 +922,7 @@
 	}
 	noise := e.Status == Failed || e.Status == Reset // it spoke, all the same: a jammed cache is silent
 	// What the origin answered in the place of full caches is no loss; where a cache was silent it is one.
-	heard := e.Status == OK && len(q.outs) == 0 || !w.server.origin && (e.Status == Miss || noise)
+	heard := e.Status == OK || !w.server.origin && (e.Status == Miss || noise)
 	if heard && !q.spoke && !q.short {
 		q.spoke = true
 		r.answered.add(r.now, trafficSpan)
@@ -1011,13 +1008,21 @@
 	if e.Kind != ListSaved {
 		r.askWait = 0
 	}
-	named, resized := map[ServerID]bool{}, false
+	if e.Kind != ListChanges {
+		for _, s := range r.all { // who is not named is gone
+			s.State = Gone
+		}
+	}
+	resized := false
 	for _, entry := range e.Entries {
-		named[entry.Server] = true
 		s := r.servers[entry.Server]
 		if s == nil {
 			s = &server{}
 			r.servers[entry.Server] = s
+			at, _ := slices.BinarySearchFunc(r.all, entry.Server, func(s *server, id ServerID) int {
+				return cmp.Compare(s.Server, id)
+			})
+			r.all = slices.Insert(r.all, at, s)
 		} else if entry.Started > s.Started {
 			s.aside, s.lost, s.unheard = 0, 0, false // a new process: what was held against the old is void
 			if s.recalled {
@@ -1034,22 +1039,19 @@
 		r.recall(s)
 	}
 	before := r.caches
-	r.caches, r.origin = nil, nil
-	for _, id := range slices.Sorted(maps.Keys(r.servers)) { // the map's order must not reach the table
-		s := r.servers[id]
-		if e.Kind != ListChanges && !named[id] {
-			s.State = Gone
-		}
+	r.caches, r.origin = make([]*server, 0, len(r.all)), nil
+	r.all = slices.DeleteFunc(r.all, func(s *server) bool {
 		switch {
 		case s.State == Gone:
-			delete(r.servers, id)
+			delete(r.servers, s.Server)
 		case s.State == Draining:
 		case s.origin:
 			r.origin = s
 		default:
 			r.caches = append(r.caches, s)
 		}
-	}
+		return s.State == Gone
+	})
 	if resized || !slices.Equal(before, r.caches) {
 		clear(r.table)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -131,6 +131,7 @@
 	rules       []rule
 	servers     map[ServerID]*server
 	before      map[ServerID]ServerKnowledge // from before a restart, until the list names them
+	all         []*server                    // in the list, sorted by id
 	caches      []*server                    // ready, sorted by id: the table is built from these
 	origin      *server
 	table       map[uint32][groupCount]uint32 // of the slots asked for since the list changed: places in caches
