--- a/choice/choice.go
+++ b/choice/choice.go
@@ -695,7 +695,11 @@
 func rank(caches []*server, slot uint32) (places [groupCount]uint32) {
 	at := [groupCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
 	for i, c := range caches {
-		when := -math.Log(float64(mix(uint64(c.Server)<<32|uint64(slot)+rankSalt)>>11+1)/(1<<53)) / c.size
+		u := float64(mix(uint64(c.Server)<<32|uint64(slot)+rankSalt)>>11+1) / (1 << 53)
+		if (1-u)/c.size >= at[groupCount-1] { // a logarithm is never less than that, and dear
+			continue
+		}
+		when := -math.Log(u) / c.size
 		for k := range at {
 			if when < at[k] {
 				copy(at[k+1:], at[k:])
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"spurtrestle/choice"
 	"spurtrestle/slate"
 )
 
 func main() {
+	debug.SetGCPercent(400) // hundreds of small instances: memory is at hand, time is what is counted
 	if err := host(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "wirehost:", err)
 		os.Exit(1)
