--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,9 +26,7 @@
 
 func reqRules() []rule {
 	return []rule{
-		{"a copy is due", (*Router).copyIsDue, (*Router).sendCopy},
-		{"one of its caches missed, and the origin has room", (*Router).missedBeside,
-			func(r *Router, q *req) { r.turnToOrigin(q); r.send(q, r.origin) }},
+		{"a copy is due", (*Router).copyIsDue, func(r *Router, q *req) { r.send(q, r.origin) }},
 		{"its answer is due", func(_ *Router, q *req) bool { return len(q.outs) > 0 }, (*Router).settle},
 		{"an answer would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
 			(*Router).giveUp},
@@ -170,9 +168,9 @@
 	}
 }
 
-// copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has room to
-// spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks a cache once a minute.
-// A copy at a partner would crowd that one, and push out what it holds.
+// copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has
+// room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks a cache once
+// a minute. A copy at a partner would crowd that one, and push out what it holds.
 func (r *Router) copyIsDue(q *req) bool {
 	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= r.maxSends {
 		return false
@@ -186,16 +184,6 @@
 	return r.origin != nil && !r.fetchIsOut(q) && r.originTakes(pressed)
 }
 
-// missedBeside: a copy has missed while the other write-out is still out.
-func (r *Router) missedBeside(q *req) bool {
-	return len(q.outs) == 1 && !q.outs[0].server.origin && q.missed && !q.toOrigin && q.sent < r.maxSends &&
-		!r.fetchIsOut(q) && r.originRoom()
-}
-
-func (r *Router) sendCopy(q *req) {
-	r.send(q, r.origin)
-}
-
 func (r *Router) send(q *req, s *server) {
 	left := q.final - r.now
 	timeout := left
@@ -479,9 +467,9 @@
 	if s.fixed.time > 0 && !s.origin { // a failed write-out is a sample of twice the cache's mean at most
 		s.report(r.now, min(took, 2*s.fixed.time))
 	}
-	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no row: there the
-	// first one counts, and it is left for three uses, which its partners hardly feel. The origin has no partner:
-	// one late answer of its long tail kept a router from it for half a minute.
+	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no long row: there
+	// the second one counts, and it is left for three uses, which its partners hardly feel. The origin has no
+	// partner: one late answer of its long tail kept a router from it for half a minute.
 	if s.origin {
 		used = 2
 	}
@@ -528,11 +516,12 @@
 	hits := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since
 	mean := hits / float64(len(r.caches))
 	if start := max(s.Started, s.coldFrom); s.coldRun != start {
-		// Of hundreds of routers each saves up less than one in all of the span: what it begins with is all that it
-		// sends. Where much is lost, more is asked than caches carry, and fewer of the routers may begin.
+		// Of hundreds of routers each saves up less than one in all of the span: what it begins with is all that
+		// it sends. Where some is lost, more is asked than caches carry, and fewer routers may begin; where a
+		// quarter is, none may: at half of that a cache was still pushed over.
 		heard, asked := r.answered.now(r.now, trafficSpan), r.asked.now(r.now, trafficSpan)
 		lost := 1 - (heard+granted)/(asked+granted)
-		s.coldRun, s.coldLeft, s.coldAt = start, r.chance()-2*max(0, lost), r.now
+		s.coldRun, s.coldLeft, s.coldAt = start, r.chance()-4*max(0, lost), r.now
 	}
 	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two by chance
 	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
@@ -674,9 +663,9 @@
 )
 
 // groupOf is the group of a key by its hash: the caches that its slot ranks first. Each cache has a place in
-// each slot's ranking by chance, the better the larger its listed size, so that it is first in slots as it has
-// size. A slot is ranked when it is first asked for: one of hundreds of routers reads a few keys between two
-// lists, and whole tables took more time than all else.
+// each slot's ranking by chance, the better the larger its listed size, so that it is first in as many slots as
+// fit its size. A slot is ranked when it is first asked for: one of hundreds of routers reads a few keys between
+// two lists, and whole tables took more time than all else.
 func (r *Router) groupOf(hash uint64) []*server {
 	slot := uint32(hash % slots)
 	places, known := r.table[slot]
@@ -837,7 +826,7 @@
 	}
 }
 
-// runWatched looks at the reqs whose copy is due. The time for one drifts slowly, so that they stand in order.
+// runWatched looks at the reqs whose copy is due; its time drifts slowly, so that they stand in order.
 func (r *Router) runWatched() {
 	for len(r.watched) > 0 {
 		q := r.watched[0]
