--- a/choice/choice.go
+++ b/choice/choice.go
@@ -169,8 +169,8 @@
 }
 
 // copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has
-// room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks a cache once
-// a minute. A copy at a partner would crowd that one, and push out what it holds.
+// room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each once a
+// minute. A copy at a partner would crowd that one, and push out what it holds.
 func (r *Router) copyIsDue(q *req) bool {
 	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= r.maxSends {
 		return false
@@ -663,9 +663,9 @@
 )
 
 // groupOf is the group of a key by its hash: the caches that its slot ranks first. Each cache has a place in
-// each slot's ranking by chance, the better the larger its listed size, so that it is first in as many slots as
-// fit its size. A slot is ranked when it is first asked for: one of hundreds of routers reads a few keys between
-// two lists, and whole tables took more time than all else.
+// each slot's ranking by chance, the better the larger its listed size, so that it is first in as many slots
+// as fit its size. A slot is ranked when it is first asked for: one of hundreds of routers reads a few keys
+// between two lists, and whole tables took more time than all else.
 func (r *Router) groupOf(hash uint64) []*server {
 	slot := uint32(hash % slots)
 	places, known := r.table[slot]
