--- a/choice/choice.go
+++ b/choice/choice.go
@@ -110,9 +110,15 @@
 		return false
 	}
 	q.admitted = true
-	answers := (1.02 + 0.43*q.worth) * r.answered.now(r.now, trafficSpan)
-	lost := r.chance()*r.asked.now(r.now, trafficSpan) > answers+granted
-	if lost {
+	// In a jam what is over its tenant's share yields, and does not count as asked: a surge of one tenant took
+	// the place of the others.
+	over := q.worth < q.method.worth
+	part := ((1.02+0.43*q.worth)*r.answered.now(r.now, trafficSpan) + granted) / r.asked.now(r.now, trafficSpan)
+	if over && part < 1 {
+		part *= part * part
+	}
+	lost := r.chance() > part
+	if lost && !over {
 		r.asked.add(r.now, trafficSpan)
 	}
 	return lost
@@ -169,8 +175,8 @@
 }
 
 // copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has
-// room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each once a
-// minute. A copy at a partner would crowd that one, and push out what it holds.
+// room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each one
+// once a minute. A copy at a partner would crowd that one, and push out what it holds.
 func (r *Router) copyIsDue(q *req) bool {
 	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= r.maxSends {
 		return false
