--- a/choice/choice.go
+++ b/choice/choice.go
@@ -360,11 +360,9 @@
 }
 
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
-// there already if it has room, else only if half of its bound is free.
+// there already if it has room, else only while its last answers are under the goal.
 func (r *Router) originTakes(crowded bool) bool {
-	o := r.origin
-	return o == nil || r.originRoom() &&
-		(crowded || 2*float64(o.inFlight) < r.originBound() && 4*o.time < 3*r.originGoal)
+	return r.origin == nil || r.originRoom() && (crowded || r.origin.time < r.originGoal)
 }
 
 // upTo is one up to the goal; beyond it falls by the square.
