--- a/choice/choice.go
+++ b/choice/choice.go
@@ -918,7 +918,7 @@
 		q.method.time += (e.Took - q.method.time) / 20
 	}
 	noise := e.Status == Failed || e.Status == Reset // it spoke, all the same: a jammed cache is silent
-	// What the origin answered in the place of full caches is no loss; where a cache was silent it is one.
+	// What the origin answered in the place of a full or silent cache is no loss.
 	heard := e.Status == OK || !w.server.origin && (e.Status == Miss || noise)
 	if heard && !q.spoke && !q.short {
 		q.spoke = true
