The start refuses a router's number or location that is none of its fleet's; what is missing is said

checkPlace reads `me`, `zone` and `zones`, which nothing decides by, so that a file meant for another router shows.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,6 +71,9 @@
 	if err = checkShape(c.Settings); err != nil {
 		return c, err
 	}
+	if err = checkPlace(f.Settings); err != nil {
+		return c, err
+	}
 	c.Known = f.Known
 	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Settings)
 	return c, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,6 +82,9 @@
 		{own, `"mode":"aside"`, `"mode":"through"`, "domain.mode"},
 		{own, `"send-cap":4`, `"send-cap":2`, "policy-limits.send-cap"},
 		{own, `"waste":0.02`, `"waste":-1`, "fees.waste"},
+		{own, `"cross-zone":0.06`, `"cross-zone":-1`, "fees.cross-zone"},
+		{own, `"balancers":800`, `"balancers":800,"me":800`, "me"},
+		{whole, `"balancers":2`, `"balancers":2,"zone":"c","zones":["a","b"]`, "zone"},
 		{whole, `"balancers":2`, `"balancers":2,"weights":"rough"`, "weights"},
 		{whole, `"send-cap":3`, `"send-cap":3,"cancel":true,"parallel-tries":true`, "weights"},
 	} {
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
 
 	"spurtrestle/choice"
 )
@@ -34,3 +36,25 @@
 	}
 	return nil
 }
+
+// checkPlace refuses a router that is none of its fleet: the decisions do not read its number and its location, so that
+// only a file meant for another router has them wrong.
+func checkPlace(settings json.RawMessage) error {
+	var p struct {
+		Routers int      `json:"balancers"`
+		Me      int      `json:"me"`
+		Zone    string   `json:"zone"`
+		Zones   []string `json:"zones"`
+	}
+	if err := json.Unmarshal(settings, &p); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if p.Me < 0 || p.Me >= p.Routers {
+		return fmt.Errorf("settings: me: %d is no number of one of %d routers; they count from 0, and balancers says how many",
+			p.Me, p.Routers)
+	}
+	if p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone) {
+		return fmt.Errorf("settings: zone: %q is not among zones %q; correct one of them", p.Zone, p.Zones)
+	}
+	return nil
+}
