--- a/choice/choice.go
+++ b/choice/choice.go
@@ -933,9 +933,11 @@
 	case Miss:
 		// Where another fetch of the key is out, that one brings it to this cache.
 		q.missed = !q.write && !w.server.origin && !r.fetchIsOut(q)
-	case QueueFull: // costs next to nothing
+	case QueueFull: // costs next to nothing, but in a jam
 		if !w.server.origin && !q.write && r.originIsFree(q, q.sent+1 >= r.maxSends) {
 			r.turnToOrigin(q)
+		} else {
+			q.retrying = r.answered.now(r.now, trafficSpan) < 0.8*r.asked.now(r.now, trafficSpan)
 		}
 	case ConnectError, Ignored:
 		q.retrying = true
