--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,11 +68,11 @@
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
-	if err = checkShape(c.Settings); err != nil {
-		return c, err
+	if err = checkShape(c.Settings); err == nil {
+		err = checkPlace(f.Settings)
 	}
-	if err = checkPlace(f.Settings); err != nil {
-		return c, err
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	c.Known = f.Known
 	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Settings)
