--- a/choice/choice.go
+++ b/choice/choice.go
@@ -500,7 +500,7 @@
 	return max(0, r.now-start)
 }
 
-const safe = 0.7 // of the multiple: the work of a req varies, and so do the keys
+const safe = 0.6 // of the multiple: the work of a req varies, and so do the keys
 
 // warmFor lets a cold cache have a fraction of its keys, the same at every router, and a part of its budget.
 func (r *Router) warmFor(q *req, s *server, own bool) bool {
