--- a/choice/choice.go
+++ b/choice/choice.go
@@ -718,7 +718,7 @@
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
 		began: now, now: now, rules: reqRules(),
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
-		before: map[ServerID]ServerKnowledge{}, table: map[uint32][groupCount]uint32{},
+		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
 		retries: 10,                                                   // enough for the first seconds
 		part:    1 / float64(max(1, s.Routers)),
@@ -782,6 +782,9 @@
 	case ListCame:
 		r.listCame(e)
 		r.runHeld()
+	case Barred:
+		r.bar(e)
+		r.runHeld()
 	case Learned:
 		r.learn(e.Knowledge)
 	case LearnedServers:
@@ -997,6 +1000,17 @@
 	r.decided = append(r.decided, Decision{Action: Subscribe})
 }
 
+// bar: what an operator takes out is left alone as what drains; given back, it is a process that has just started.
+func (r *Router) bar(e Barred) {
+	if r.barred[e.Server] = e.On; !e.On {
+		delete(r.barred, e.Server)
+	}
+	if s := r.servers[e.Server]; s != nil && e.Since > 0 {
+		s.aside, s.lost, s.unheard, s.coldFrom = 0, 0, false, e.Since
+	}
+	r.listCame(ListCame{Kind: ListChanges})
+}
+
 func (r *Router) listCame(e ListCame) {
 	if e.Kind == ListFailed {
 		// Twice as long each time, half of it random, and well within the span after which we count as told.
@@ -1043,7 +1057,7 @@
 		switch {
 		case s.State == Gone:
 			delete(r.servers, s.Server)
-		case s.State == Draining:
+		case s.State == Draining || r.barred[s.Server]:
 		case s.origin:
 			r.origin = s
 		default:
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// Avoided counts the caches in the list, and those of them that are not used now: taken out, or set aside.
+func (r *Router) Avoided() (listed, avoided int) {
+	for _, s := range r.all {
+		if !s.origin {
+			listed++
+			if r.barred[s.Server] || s.aside > r.now {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 func total(of []float64) (sum float64) {
 	for _, x := range of {
 		sum += x
--- a/choice/state.go
+++ b/choice/state.go
@@ -130,6 +130,7 @@
 	decided     []Decision
 	rules       []rule
 	servers     map[ServerID]*server
+	barred      map[ServerID]bool            // taken out by an operator, listed or not
 	before      map[ServerID]ServerKnowledge // from before a restart, until the list names them
 	all         []*server                    // in the list, sorted by id
 	caches      []*server                    // ready, sorted by id: the table is built from these
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -113,6 +113,12 @@
 			l.Entries = append(l.Entries, e)
 		}
 		return l
+	case "bar":
+		n, _ := strconv.Atoi(words[0])
+		return Barred{Server: ServerID(n), On: true}
+	case "unbar":
+		n, _ := strconv.Atoi(words[0])
+		return Barred{Server: ServerID(n), Since: span(words[1])}
 	case "req":
 		m := slices.IndexFunc(s.Methods, func(m MethodSettings) bool { return m.Name == words[1] })
 		q := ReqCame{Req: ReqID(words[0]), Method: Method(m), ValidUntil: span(words[3]),
--- a/choice/types.go
+++ b/choice/types.go
@@ -195,6 +195,11 @@
 	LearnedServers struct { // the same of servers, before the list that names them
 		Servers []ServerKnowledge
 	}
+	Barred struct { // an operator has taken a server out, or given it back
+		Server ServerID
+		On     bool
+		Since  Micros // given back: it counts as started then
+	}
 	Elapsed struct {
 		Ref TimerRef
 	}
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -34,6 +34,8 @@
 	idle    float64
 	own     bool // each client process has a router of its own
 	listen  string
+	admin   string
+	tmp     string // TMPDIR of the programs
 	file    string // the configuration
 	config  string
 	program *exec.Cmd
@@ -241,6 +243,8 @@
 func (p *player) start(known []string) {
 	// An address of its own: a free port of 127.0.0.1 may be taken by a connection before the program has it.
 	p.listen = fmt.Sprintf("127.77.%d.%d:6379", os.Getpid()%250, started.Add(1))
+	p.admin = strings.Replace(p.listen, ":6379", ":6380", 1)
+	p.tmp = p.t.TempDir()
 	p.file = filepath.Join(p.t.TempDir(), "config.json")
 	p.config = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":%d},"known":%s,"settings":`+settings+`}`, p.listen,
@@ -251,7 +255,7 @@
 	}
 	p.configure(p.config)
 	p.program = exec.Command(os.Args[0])
-	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file,
+	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file, "EDGE_ADMIN="+p.admin, "TMPDIR="+p.tmp,
 		"EDGE_DISCOVERY="+p.server("discovery").ln.Addr().String())
 	p.program.Stderr = &p.log
 	if err := p.program.Start(); err != nil {
@@ -360,6 +364,28 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		return []string{"nothing is logged"}
+	case "operator puts", "operator gets":
+		body := ""
+		if len(words) > 1 {
+			body = strings.ReplaceAll(words[1], "LONG", strings.Repeat("x", 4096))
+		}
+		return []string{p.call(strings.ToUpper(strings.TrimSuffix(what, "s")), words[0], body)}
+	case "operator reads": // the figures whose names begin so
+		time.Sleep(200 * time.Millisecond) // they may be a little old
+		for line := range strings.Lines(p.call("GET", "/ops/stats", "")) {
+			if line = strings.TrimSpace(strings.TrimPrefix(line, "200 ")); strings.HasPrefix(line, "router."+rest) {
+				saw = append(saw, line)
+			}
+		}
+		return saw
+	case "idlers come": // to the operators' door: half say nothing, half say half a call
+		for i := range number(0) {
+			if c, err := net.Dial("tcp", p.admin); err == nil {
+				p.t.Cleanup(func() { c.Close() })
+				_, _ = io.WriteString(c, "PUT /ops/drain/start HTT"[:i%2*24])
+			}
+		}
+		return nil
 	case "clients come":
 		for range number(0) {
 			if c, err := net.Dial("tcp", p.listen); err == nil {
@@ -463,6 +489,22 @@
 	return saw
 }
 
+// call is one call at the operators' door, which has a second for it.
+func (p *player) call(method, path, body string) string {
+	q, err := http.NewRequest(method, "http://"+p.admin+path, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := client.Do(q)
+	if err != nil {
+		return "no answer"
+	}
+	defer a.Body.Close()
+	text, _ := io.ReadAll(a.Body)
+	return fmt.Sprint(a.StatusCode, " ", strings.TrimSpace(string(text)))
+}
+
 var saidOf = regexp.MustCompile(`msg="[^"]*" *(error="[^\\]*)?`)
 
 var countsOf = regexp.MustCompile(`taken=.* left=\d+`)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Admin     string // the operators' door; empty: there is none
 	Discovery string
 	Seed      uint64
 	Settings  choice.Settings
@@ -37,6 +38,7 @@
 	var f struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
+		Admin     string `json:"admin"`
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
@@ -59,6 +61,14 @@
 	if c.Listen, err = address("listen", either("EDGE_LISTEN", f.Listen)); err != nil {
 		return c, err
 	}
+	if c.Admin = either("EDGE_ADMIN", f.Admin); c.Admin != "" {
+		if c.Admin, err = address("admin", c.Admin); err == nil && c.Admin == c.Listen {
+			err = fmt.Errorf("admin: %s is listen too; give the operators' door an address of its own", c.Admin)
+		}
+		if err != nil {
+			return c, err
+		}
+	}
 	if c.Discovery, err = address("discovery", either("EDGE_DISCOVERY", f.Discovery)); err != nil {
 		return c, err
 	}
@@ -75,7 +85,7 @@
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	c.Known = f.Known
-	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Settings)
+	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Admin != "", c.Settings)
 	return c, err
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -17,6 +17,8 @@
 	Clients         int   // of these, for clients: over that one of them goes before a server's idle connection
 	Askers          int   // of these, for clients that have asked: over that the one quiet longest goes
 
+	Callers int // at the operators' door, kept apart from all of these
+
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
 	Discovery  httpwire.Bounds
@@ -38,7 +40,9 @@
 	WatchSlack choice.Micros // an answer to it is late after so much more
 	AskAgain   choice.Micros // after a failed call to discovery
 	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
-	LingerOpen choice.Micros // after SIGTERM new connections are taken for so long
+	LingerOpen choice.Micros // after SIGTERM, or an operator's word, new connections are taken for so long
+	Tell       choice.Micros // figures for operators are this old at most while something happens
+	Door       choice.Micros // the loop has so long for an operator's call
 }
 
 const (
@@ -46,7 +50,7 @@
 	kibibyte = 1 << 10
 )
 
-func newLimits(memory, sockets int, s choice.Settings) (Limits, error) {
+func newLimits(memory, sockets int, door bool, s choice.Settings) (Limits, error) {
 	const (
 		// Standard streams, epoll of gnet and of the Go runtime, their event files, the listener, the file of the
 		// configuration, and a few that are being closed.
@@ -61,6 +65,11 @@
 	if memory < leastMemory {
 		return Limits{}, fmt.Errorf("limits.memory_mb: %d is less than %d", memory, leastMemory)
 	}
+	callers := 0
+	if door {
+		callers = min(32, sockets/12) // those who stay and say nothing come some at a time
+		sockets -= callers + 3        // its listener, and two files of what was asked
+	}
 	l := Limits{
 		Memory:          int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
 		Descriptors:     sockets - reserve,
@@ -75,6 +84,7 @@
 		Read:       64 * kibibyte,
 		ClientIn:   256 * kibibyte,
 		ClientOut:  mebibyte,
+		Callers:    callers,
 		Offers:     4096, // some rounds of more than a loop takes in
 		Pipeline:   256,
 		HeldBytes:  memory * mebibyte / 8,
@@ -91,6 +101,8 @@
 		AskAgain:   100e3, // well within the 200 ms after which a watch begins anew
 		Linger:     3e6,   // no deadline is longer
 		LingerOpen: 500e3,
+		Tell:       20e3,
+		Door:       800e3, // an answer is due within a second
 	}
 	if l.Connect <= 0 {
 		l.Connect = 250e3
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -11,7 +11,10 @@
 	Failed    int
 	Left      int // their clients had gone before the answer
 
+	Ended [][3]int // by method: satisfied, nacked, failed
+
 	WriteOuts int
+	Forwards  int // of them written whole to cache servers
 	OK        int
 	Miss      int
 	NeverRan  int // turned away, or could not connect
@@ -26,6 +29,8 @@
 	Lists       int
 	ListsFailed int
 	Batches     int
+	Reloaded    int // by signal
+	NotLoaded   int
 }
 
 // String is one line of names and values.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -48,6 +48,12 @@
 // UID is a server's name; empty where its number is not known.
 func (b *Book) UID(id choice.ServerID) UID { return b.uids[id] }
 
+// ID is a server's number; false where nobody in the list has that name.
+func (b *Book) ID(uid UID) (choice.ServerID, bool) {
+	id, ok := b.ids[uid]
+	return id, ok
+}
+
 // Forget makes the next call ask for the whole list: where an answer was odd, what it held may be lost.
 func (b *Book) Forget() { b.whole = false }
 
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,153 @@
+// Package intent keeps what operators have asked of a router: which cache servers are out, and whether it is to be
+// empty. It stands in a file that the processes of one router share, so that it outlives each of them.
+package intent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Intent is what has been asked, as the file has it.
+type Intent struct {
+	Down  []string         `json:"down"`  // cache servers to leave alone, by their names in discovery
+	Back  map[string]int64 `json:"back"`  // when others were given back, Unix time in microseconds
+	Empty bool             `json:"empty"` // the router is to be drained
+}
+
+const most = 4096 // names; no fleet has so many out
+
+// Out tells whether a cache server is to be left alone.
+func (i Intent) Out(uid string) bool { return slices.Contains(i.Down, uid) }
+
+// TakeOut and GiveBack say what they change; asked twice they change nothing more.
+func (i *Intent) TakeOut(uid string) error {
+	if i.Out(uid) {
+		return nil
+	}
+	if len(i.Down) >= most {
+		return fmt.Errorf("%d cache servers are out already", most)
+	}
+	i.Down = append(slices.Clone(i.Down), uid)
+	slices.Sort(i.Down)
+	delete(i.Back, uid)
+	return nil
+}
+
+// GiveBack notes when, since the cache server is cold from then on. What is long past is forgotten.
+func (i *Intent) GiveBack(uid string, now time.Time) error {
+	const cold = 5 * time.Minute // longer than any warm-up
+	for other, at := range i.Back {
+		if now.Sub(time.UnixMicro(at)) > cold {
+			delete(i.Back, other)
+		}
+	}
+	if i.Out(uid) {
+		i.Down = slices.DeleteFunc(slices.Clone(i.Down), func(x string) bool { return x == uid })
+		if i.Back == nil {
+			i.Back = map[string]int64{}
+		}
+		i.Back[uid] = now.UnixMicro()
+	}
+	return nil
+}
+
+// Store is the file.
+type Store struct {
+	path  string
+	stamp os.FileInfo // of what was last read or written
+}
+
+// Open returns the file of a router of this name; nothing is read yet.
+func Open(dir, name string) *Store {
+	return &Store{path: filepath.Join(dir, "spurtrestle-"+filepath.Base("/"+name)+".intent")}
+}
+
+// Read returns what the file has; nothing where there is none. A file that cannot be read is told of by its name, and
+// how to get rid of it.
+func (s *Store) Read() (i Intent, err error) {
+	s.stamp, _ = os.Stat(s.path)
+	data, err := os.ReadFile(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return i, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(data, &i)
+	}
+	if err != nil {
+		return Intent{}, fmt.Errorf("%s: %w; what operators asked before is not known: ask again, which writes it anew", s.path, err)
+	}
+	return i, nil
+}
+
+// Changed tells whether another process has written since.
+func (s *Store) Changed() bool {
+	now, err := os.Stat(s.path)
+	return err == nil && (s.stamp == nil || !os.SameFile(now, s.stamp) || !now.ModTime().Equal(s.stamp.ModTime()))
+}
+
+// Change reads, changes and writes the file under a lock that ends with the process. What f refuses is not written. A
+// file that is spoilt is written anew from otherwise, what this process knows.
+func (s *Store) Change(otherwise Intent, f func(*Intent) error) (Intent, error) {
+	i, refused := otherwise, error(nil)
+	err := s.locked(func() (err error) {
+		if was, err := s.Read(); err == nil {
+			i = was
+		}
+		if refused = f(&i); refused != nil {
+			return nil
+		}
+		data, err := json.Marshal(i)
+		if err != nil {
+			return err
+		}
+		next := s.path + ".next"
+		if err = os.WriteFile(next, data, 0o600); err == nil {
+			err = os.Rename(next, s.path)
+		}
+		if err != nil {
+			_ = os.Remove(next) // may not be there
+			return err
+		}
+		s.stamp, err = os.Stat(s.path)
+		return err
+	})
+	if refused != nil {
+		return i, refused
+	}
+	if err != nil {
+		// It could not be kept, and is asked for all the same.
+		i = otherwise
+		if refused = f(&i); refused != nil {
+			return i, refused
+		}
+		return i, &NotKept{err}
+	}
+	return i, nil
+}
+
+// NotKept: what was asked holds in this process alone.
+type NotKept struct{ Err error }
+
+func (e *NotKept) Error() string {
+	return fmt.Sprintf("not kept for the next process: %v; see that TMPDIR is a folder with room", e.Err)
+}
+
+func (s *Store) locked(f func() error) error {
+	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	if err = unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return err
+	}
+	return f()
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,7 +16,9 @@
 	"github.com/sirupsen/logrus"
 
 	"spurtrestle/choice"
+	"spurtrestle/internal/admin"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/intent"
 	"spurtrestle/internal/operator"
 	"spurtrestle/internal/router"
 	"spurtrestle/internal/snapshot"
@@ -186,6 +189,15 @@
 			return err
 		}
 	}
+	if cfg.Admin != "" {
+		door, err := net.Listen("tcp", cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("admin: %w; give the operators' door a free address", err)
+		}
+		defer door.Close()
+		r.Operate(intent.Open(os.TempDir(), cfg.Name))
+		go admin.Serve(door, cfg.Limits.Callers, r)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
@@ -202,6 +214,7 @@
 		for range reload {
 			if cfg, err := config.Reload(os.Getenv); err != nil {
 				log.WithError(err).Error("the new configuration is not taken; the old one holds")
+				r.NotLoaded()
 			} else {
 				r.Reload(cfg.Discovery)
 			}
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -43,8 +43,11 @@
 	}
 	r.resume()
 	r.feed()
+	if r.now-r.ops.toldAt >= r.lim.Tell {
+		r.publish()
+	}
 	r.setAlarm()
-	if r.closing {
+	if r.closing || r.ops.emptied {
 		r.closeIdleClients()
 	}
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -54,7 +54,7 @@
 		}
 	}
 	c.slots, c.over, c.conn = nil, true, nil
-	if c.r.closing {
+	if c.r.closing || c.r.ops.emptied {
 		c.r.queue() // it may have been the last
 	}
 }
@@ -219,6 +219,8 @@
 		c.take(words, 5, true)
 	case "PING":
 		switch {
+		case c.r.ops.wanted.Empty:
+			c.now([]byte("-DRAINING as operators asked\r\n"))
 		case !c.r.serving:
 			c.now([]byte("-LOADING no list of servers yet\r\n"))
 		case len(words) > 1:
@@ -260,6 +262,9 @@
 	p := resp2.ReadProps(q.Props)
 	method, known := r.methods[string(p.Method)]
 	if p.Bad || p.Waits == 0 || !known || len(q.ID) == 0 || r.reqs[q.ID] != nil {
+		if known {
+			r.refused(method, wire.Failed)
+		}
 		c.now([]byte("-ERR a req needs a new id, c, and d\r\n"))
 		return
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -12,6 +12,7 @@
 		}
 		r.draining = true
 		r.log.Info("draining")
+		r.publish()
 		r.tellServing(false)
 		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
@@ -33,7 +34,7 @@
 			r.close(c.conn)
 		}
 	}
-	if len(r.clients) == 0 && r.offers.open == 0 && !r.stopped {
+	if r.closing && len(r.clients) == 0 && r.offers.open == 0 && !r.stopped {
 		r.stopped = true
 		go func() { _ = r.engine.Stop(context.Background()) }() // it waits for the loop
 	}
--- /dev/null
+++ b/internal/router/ops.go
@@ -0,0 +1,232 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/admin"
+	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/intent"
+)
+
+// ops is what operators see and ask for. The door's goroutines come by the exported methods below.
+type ops struct {
+	mu      sync.Mutex // one change at a time; never held by the loop
+	store   *intent.Store
+	wanted  intent.Intent           // the loop's own
+	told    atomic.Pointer[figures] // what the loop last left for the door
+	toldAt  choice.Micros
+	emptied bool // clients' connections are being ended since an operator asked for it
+}
+
+// figures are a copy that the loop leaves, so that nobody waits for it.
+type figures struct {
+	ended               [][3]int // by method: succeeded, declined, aborted
+	forwards, open      int
+	listed, avoided     int
+	reloaded, notLoaded int
+	why                 error // that it takes no clients; nil: it does
+}
+
+var (
+	errNoList   = errors.New("not ready: no list of servers yet")
+	errEmptying = errors.New("not ready: draining, as operators asked")
+	errEnding   = errors.New("not ready: the process is ending")
+	errBusy     = errors.New("the router did not come to it in time; ask again")
+)
+
+// Operate has the router keep to what is asked of it by operators, now and by the file. Call it before Run.
+func (r *Router) Operate(store *intent.Store) {
+	r.ops.store = store
+	i, err := store.Read()
+	if err != nil {
+		r.log.WithError(err).Warn("going on without it")
+	}
+	i.Empty = false // of a process that is gone
+	r.ops.wanted = i
+}
+
+// follow takes over what another process of this router has been asked.
+func (r *Router) follow() {
+	const every = 50 * time.Millisecond
+	for range time.Tick(every) {
+		r.ops.mu.Lock()
+		if r.ops.store.Changed() {
+			if i, err := r.ops.store.Read(); err != nil {
+				r.log.WithError(err).Warn("what operators asked is kept as it was")
+			} else {
+				r.execute(func() { r.obey(i) })
+			}
+		}
+		r.ops.mu.Unlock()
+	}
+}
+
+// now has the loop do something, and waits for it as long as the door's caller may be kept.
+func (r *Router) soon(f func()) error {
+	done := make(chan struct{})
+	r.execute(func() {
+		f()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-time.After(span(r.lim.Door)):
+		return errBusy
+	}
+}
+
+// change is what an operator asks: kept first, then in force, then the yes.
+func (r *Router) change(f func(*intent.Intent) error) error {
+	<-r.ready
+	r.ops.mu.Lock()
+	defer r.ops.mu.Unlock()
+	var has intent.Intent
+	if err := r.soon(func() { has = r.ops.wanted }); err != nil {
+		return err
+	}
+	i, err := r.ops.store.Change(has, f)
+	var unkept *intent.NotKept
+	if errors.As(err, &unkept) {
+		r.log.WithError(err).Warn("what an operator asked holds in this process alone")
+	} else if err != nil {
+		return err
+	}
+	return r.soon(func() { r.obey(i) })
+}
+
+// TakeOut sends nothing new to a cache server until it is given back.
+func (r *Router) TakeOut(uid string) error {
+	return r.change(func(i *intent.Intent) error {
+		if !i.Out(uid) && !r.has(uid) {
+			return admin.ErrUnknown
+		}
+		return i.TakeOut(uid)
+	})
+}
+
+// GiveBack uses a cache server again.
+func (r *Router) GiveBack(uid string) error {
+	return r.change(func(i *intent.Intent) error {
+		if !i.Out(uid) && !r.has(uid) {
+			return admin.ErrUnknown
+		}
+		return i.GiveBack(uid, time.UnixMicro(int64(r.clock())))
+	})
+}
+
+// Empty ends the clients' connections, each once nothing of it is in hand, or takes clients again.
+func (r *Router) Empty(on bool) error {
+	return r.change(func(i *intent.Intent) error {
+		i.Empty = on
+		return nil
+	})
+}
+
+// has tells whether a cache server of this name is known.
+func (r *Router) has(uid string) (known bool) {
+	err := r.soon(func() {
+		id, named := r.book.ID(discovery.UID(uid))
+		s := r.servers[id]
+		known = named && s != nil && !s.isOrigin
+	})
+	return known && err == nil
+}
+
+// obey takes over what is wanted.
+func (r *Router) obey(i intent.Intent) {
+	was := r.ops.wanted
+	r.ops.wanted = i
+	for _, s := range r.servers {
+		uid := string(r.book.UID(s.id))
+		if out := i.Out(uid); out != was.Out(uid) {
+			r.log.WithFields(map[string]any{"server": uid, "out": out}).Info("as operators asked")
+			r.bar(s, out, choice.Micros(i.Back[uid]))
+		}
+	}
+	if i.Empty != was.Empty {
+		r.log.WithField("draining", i.Empty).Info("as operators asked")
+		r.ops.emptied = false
+		r.tellServing(!i.Empty && r.serving && !r.draining)
+		if i.Empty {
+			r.after(r.lim.LingerOpen, func() { r.ops.emptied = r.ops.wanted.Empty })
+		}
+	}
+	r.publish()
+	r.queue()
+}
+
+// bar tells the decisions that a server is out, or back since then.
+func (r *Router) bar(s *server, out bool, since choice.Micros) {
+	if out {
+		since = 0
+	}
+	s.out = out
+	r.input(choice.Barred{Server: s.id, On: out, Since: since})
+	if s.ready = s.listed && !out; !s.ready {
+		r.dismiss(s)
+	}
+}
+
+// publish leaves the figures for the door.
+func (r *Router) publish() {
+	c := &r.counts
+	f := &figures{ended: append([][3]int(nil), c.Ended...), forwards: c.Forwards, reloaded: c.Reloaded, notLoaded: c.NotLoaded,
+		open: c.Taken - c.Satisfied - c.Nacked - c.Failed - c.Left, why: r.notReady()}
+	if r.core != nil {
+		f.listed, f.avoided = r.core.Avoided()
+	}
+	r.ops.told.Store(f)
+	r.ops.toldAt = r.clock()
+}
+
+func (r *Router) notReady() error {
+	switch {
+	case r.draining:
+		return errEnding
+	case r.ops.wanted.Empty:
+		return errEmptying
+	case !r.serving:
+		return errNoList
+	}
+	return nil
+}
+
+// Ready tells why the router takes no clients; nil: it does.
+func (r *Router) Ready() error {
+	if f := r.ops.told.Load(); f != nil {
+		return f.why
+	}
+	return errNoList
+}
+
+// Figures are the figures as statsd lines.
+func (r *Router) Figures() string {
+	f := r.ops.told.Load()
+	if f == nil {
+		f = &figures{ended: make([][3]int, len(r.cfg.Settings.Methods))}
+	}
+	var out strings.Builder
+	line := func(name string, value int, kind string) {
+		out.WriteString("router." + name + ":" + strconv.Itoa(value) + "|" + kind + "\n")
+	}
+	for i, m := range r.cfg.Settings.Methods {
+		for outcome, name := range [3]string{"succeeded", "declined", "aborted"} {
+			line(fmt.Sprintf("%s.%s", name, m.Name), f.ended[i][outcome], "c")
+		}
+	}
+	line("forwards", f.forwards, "c")
+	line("outstanding", f.open, "g")
+	line("discovered", f.listed, "g")
+	line("ejected", f.avoided, "g")
+	line("sighup_applied", f.reloaded, "c")
+	line("sighup_rejected", f.notLoaded, "c")
+	return out.String()
+}
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -21,6 +21,7 @@
 type req struct {
 	wire.Req
 	size      int // bytes that it holds
+	method    choice.Method
 	from      asker
 	slot      slot           // of a RESP2 client
 	outs      []*writeOut    // two at most
@@ -48,6 +49,7 @@
 	within choice.Micros // its time-out
 	timer  *timer
 	up     *upstream // nil: it waits for a connection
+	whole  bool      // its last byte has left us
 }
 
 // take makes a req of this router's what a front has read whole; its client waits so long from now.
@@ -55,6 +57,7 @@
 	r.reqs[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
+	q.method = came.Method
 	r.input(&arrival{came: came, waits: max(waits-r.lim.Crossing, 1)})
 }
 
@@ -64,6 +67,7 @@
 		return false
 	}
 	q.over = true
+	r.count(q.method, a.Kind)
 	if _, off := q.from.(*Offer); off {
 		r.offers.open--
 	}
@@ -72,6 +76,25 @@
 	return true
 }
 
+// count is the one place where a req's end is counted, but for those whose clients left.
+func (r *Router) count(m choice.Method, k wire.Kind) {
+	switch k {
+	case wire.Satisfied:
+		r.counts.Satisfied++
+	case wire.Nacked:
+		r.counts.Nacked++
+	case wire.Failed:
+		r.counts.Failed++
+	}
+	r.counts.Ended[m][k]++
+}
+
+// refused counts a req that ended before the decisions saw it.
+func (r *Router) refused(m choice.Method, k wire.Kind) {
+	r.counts.Taken++
+	r.count(m, k)
+}
+
 // settle forgets a req once nothing of it is left.
 func (r *Router) settle(q *req) {
 	if q.over && len(q.outs) == 0 && r.reqs[q.ID] == q {
@@ -81,14 +104,14 @@
 }
 
 func (r *Router) nack(id choice.ReqID, hint choice.Micros) {
-	if q := r.reqs[id]; q != nil && r.answer(q, wire.Answer{Kind: wire.Nacked, Hint: hint}) {
-		r.counts.Nacked++
+	if q := r.reqs[id]; q != nil {
+		r.answer(q, wire.Answer{Kind: wire.Nacked, Hint: hint})
 	}
 }
 
 func (r *Router) fail(id choice.ReqID) {
-	if q := r.reqs[id]; q != nil && r.answer(q, wire.Answer{Kind: wire.Failed}) {
-		r.counts.Failed++
+	if q := r.reqs[id]; q != nil {
+		r.answer(q, wire.Answer{Kind: wire.Failed})
 	}
 }
 
@@ -133,6 +156,7 @@
 	q.outs = slices.Delete(q.outs, n, n+1)
 	r.cancel(w.timer)
 	if w.up != nil {
+		w.up.left()
 		w.up.carries, w.up = nil, nil
 	} else {
 		w.server.forget(w)
@@ -184,8 +208,8 @@
 
 // spoke: a server has answered. A value goes to who asked as soon as it has come whole.
 func (r *Router) spoke(w *writeOut, o wire.Outcome) {
-	if o.Status == choice.OK && r.answer(w.q, wire.Answer{Kind: wire.Satisfied, Value: o.Value}) {
-		r.counts.Satisfied++
+	if o.Status == choice.OK {
+		r.answer(w.q, wire.Answer{Kind: wire.Satisfied, Value: o.Value})
 	}
 	r.returned(w, o.Status, r.report(o.Report))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,7 @@
 	serving   bool            // a list with a server to use has come
 	memory    *memory         // nil: nothing is kept over a restart
 	offers    offers          // from fronts off the loop
+	ops       ops             // of operators
 	onServing func(bool)
 
 	engine                     gnet.Engine
@@ -87,6 +88,7 @@
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
+	r.counts.Ended = make([][3]int, len(cfg.Settings.Methods))
 	r.dialer, r.began = r.dialOff, choice.Micros(r.start.UnixMicro())
 	for i, m := range cfg.Settings.Methods {
 		r.methods[m.Name] = choice.Method(i)
@@ -141,6 +143,10 @@
 	}
 	r.rewatch(r.cfg.Discovery)
 	r.after(r.lim.Sweep, r.sweep)
+	r.tell()
+	if r.ops.store != nil {
+		go r.follow()
+	}
 	close(r.ready)
 	r.log.WithFields(logrus.Fields{"name": r.cfg.Name, "listen": r.cfg.Listen}).Info("serving")
 }
@@ -199,11 +205,18 @@
 func (r *Router) Reload(discovery string) {
 	<-r.ready
 	r.execute(func() {
+		r.counts.Reloaded++
 		r.log.WithField("discovery", discovery).Info("configuration read again")
 		r.rewatch(discovery)
 	})
 }
 
+// NotLoaded counts a new configuration that was refused.
+func (r *Router) NotLoaded() {
+	<-r.ready
+	r.execute(func() { r.counts.NotLoaded++ })
+}
+
 // Print logs the counters.
 func (r *Router) Print() {
 	<-r.ready
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -17,13 +17,16 @@
 // A connection carries one write-out at a time. The settings allow more, but answers come in order, and a write-out is
 // given up by closing its connection: a slow one would hold up those behind it, and one given up would reset them.
 type server struct {
-	id      choice.ServerID
-	addr    string
-	speaks  wire.Back
-	ready   bool        // in the list, and not draining: idle connections are of use
-	idle    []*upstream // the last used at the end
-	waiting []*writeOut // for a connection
-	dialing int
+	id       choice.ServerID
+	addr     string
+	speaks   wire.Back
+	ready    bool // listed and not out: idle connections are of use
+	listed   bool // in the list, and not draining
+	out      bool // an operator has taken it out
+	isOrigin bool
+	idle     []*upstream // the last used at the end
+	waiting  []*writeOut // for a connection
+	dialing  int
 }
 
 // upstream is a connection to a server.
@@ -142,6 +145,17 @@
 	if err != nil { // gnet has closed it and called closed
 		return
 	}
+	up.left()
+}
+
+// left counts a write-out once its last byte is with the kernel.
+func (up *upstream) left() {
+	if w := up.carries; w != nil && !w.whole && !up.writing && up.conn.OutboundBuffered() == 0 {
+		w.whole = true
+		if !up.server.isOrigin {
+			up.r.counts.Forwards++
+		}
+	}
 }
 
 // traffic reads an answer. What comes while nothing is asked, or behind an answer, belongs to nobody.
@@ -312,15 +326,19 @@
 		if s == nil {
 			s = &server{id: e.Server}
 			r.servers[e.Server] = s
+			uid := string(r.book.UID(e.Server))
+			r.bar(s, r.ops.wanted.Out(uid), choice.Micros(r.ops.wanted.Back[uid])) // before anything is sent there
 		}
-		if s.speaks = r.cache; r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind {
+		s.isOrigin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
+		if s.speaks = r.cache; s.isOrigin {
 			s.speaks = r.origin
 		}
 		if addr := r.book.Endpoint(e.Server); s.addr != addr {
 			r.closeIdle(s)
 			s.addr = addr
 		}
-		if s.ready = e.State == choice.Ready; !s.ready {
+		s.listed = e.State == choice.Ready
+		if s.ready = s.listed && !s.out; !s.ready {
 			r.dismiss(s)
 		}
 		if s.ready && !r.serving {
@@ -331,7 +349,7 @@
 	for id, s := range r.servers {
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
 			delete(r.servers, id)
-			s.ready = false
+			s.ready, s.listed = false, false
 			r.dismiss(s)
 		}
 	}
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// tell leaves figures also while nothing happens.
+func (r *Router) tell() {
+	r.publish()
+	r.after(5*r.lim.Tell, r.tell)
+}
+
 // fire does what is due.
 func (r *Router) fire(now choice.Micros) {
 	for len(r.timers.due) > 0 && r.timers.due[0].at <= now {
