--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -23,6 +23,7 @@
 	Origin     httpwire.Bounds
 	Discovery  httpwire.Bounds
 	Read       int // bytes that the loop reads at once
+	Piece      int // bytes of a big value that are on their way through
 	ClientIn   int // bytes of one client that wait to be read on
 	ClientOut  int // bytes of answers that one client has not taken
 	Offers     int // reqs of fronts off the loop that wait to be taken
@@ -33,7 +34,11 @@
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
 	Sweep      choice.Micros // between two looks for idle connections
 	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
-	Silent     choice.Micros // a client with no open req that has sent nothing whole for so long is closed
+	Silent     choice.Micros // a client with no open req that has sent nothing for so long is closed
+	Slow       choice.Micros // one that has sent a part of a command and not the rest for so long
+	Stuck      choice.Micros // a server that gives nothing more of a big value for so long is given up
+	Turn       choice.Micros // until a big value's turn is looked at again
+	Unread     choice.Micros // a client that takes nothing more of one
 	Own        choice.Micros // for the connection to itself at the start
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
@@ -78,10 +83,11 @@
 		// Clients hold a third at most for reqs; a quarter of that is left free for clients that come in.
 		Clients:    sockets / 3,
 		Askers:     sockets / 4,
-		Resp:       resp.Bounds{Bulk: 64 * kibibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 64 KiB
-		Origin:     httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte},
+		Resp:       resp.Bounds{Bulk: 64 * kibibyte, Long: 4 * mebibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 4 MiB
+		Origin:     httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte, Long: 4 * mebibyte},
 		Discovery:  httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
 		Read:       64 * kibibyte,
+		Piece:      32 * kibibyte,
 		ClientIn:   256 * kibibyte,
 		ClientOut:  mebibyte,
 		Callers:    callers,
@@ -94,6 +100,10 @@
 		Sweep:      250e3,
 		Quiet:      50e3, // many times the way from a client: what it sent with its connection has come
 		Silent:     2e6,  // no req is owed to it by then
+		Slow:       4e6,  // a head may take 2 s
+		Stuck:      3e6,  // no deadline is longer
+		Turn:       5e3,
+		Unread:     10e6, // slow readers make long pauses
 		Own:        1e6,
 		Crossing:   3e3,  // some three times the way from a client to its router
 		Watch:      20e6, // the example of the protocol
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -11,7 +11,8 @@
 // Bounds is how much one answer may hold.
 type Bounds struct {
 	Head int // bytes of its head, and of what stands around chunks
-	Body int
+	Body int // bytes that are held whole
+	Long int // bytes of a body that is passed on in pieces
 }
 
 // ErrProtocol is an answer that is broken or over the bounds.
@@ -66,7 +67,32 @@
 	}
 }
 
+// Long reads the head of an answer whose length is told and over the bound for such as are held whole: where its body
+// begins, and its size. The place is 0 where it is no such answer.
+func Long(buf []byte, b Bounds) (r Response, at, size int) {
+	r, end, err := readHead(buf, b)
+	if err != nil || end == 0 || r.Status < 200 || r.Get("Transfer-Encoding") != nil {
+		return r, 0, 0
+	}
+	n, err := strconv.ParseUint(string(r.Get("Content-Length")), 10, 31)
+	if err != nil || int(n) <= b.Body || int(n) > b.Long {
+		return r, 0, 0
+	}
+	return r, end, int(n)
+}
+
 func read(buf []byte, ended bool, b Bounds) (r Response, used int, err error) {
+	r, end, err := readHead(buf, b)
+	if err != nil || end == 0 {
+		return r, 0, err
+	}
+	if r.Status < 200 || r.Status == 204 || r.Status == 304 {
+		return r, end, nil
+	}
+	return readBody(r, buf, end, ended, b)
+}
+
+func readHead(buf []byte, b Bounds) (r Response, used int, err error) {
 	end := headEnd(buf)
 	if end == 0 {
 		if len(buf) > b.Head {
@@ -92,9 +118,10 @@
 	}
 	r.Head = head
 	r.Close = r.has("Connection", "close") || first[7] == '0' && !r.has("Connection", "keep-alive")
-	if r.Status < 200 || r.Status == 204 || r.Status == 304 {
-		return r, end, nil
-	}
+	return r, end, nil
+}
+
+func readBody(r Response, buf []byte, end int, ended bool, b Bounds) (_ Response, used int, err error) {
 	if coding := r.Get("Transfer-Encoding"); coding != nil {
 		if !bytes.EqualFold(coding, []byte("chunked")) || r.Get("Content-Length") != nil {
 			return r, 0, ErrProtocol
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -10,7 +10,8 @@
 
 // Bounds is how much one message may hold.
 type Bounds struct {
-	Bulk int // bytes of one string
+	Bulk int // bytes of one string that is held whole
+	Long int // bytes of one that is passed on in pieces
 	Line int // bytes of one line
 	Args int // entries of one array
 }
@@ -124,6 +125,20 @@
 // ReadReply reads one answer. It returns the bytes used, 0 while the answer is not whole.
 func ReadReply(buf []byte, b Bounds) (Reply, int, error) { return reply(buf, 0, b, maxDepth) }
 
+// LongReply tells of an array of three whose first entry is a string over the bound for such as are held whole: where in
+// buf that string begins, and its size.
+func LongReply(buf []byte, b Bounds) (at, size int, ok bool) {
+	head, at, err := line(buf, 0, b)
+	if err != nil || at == 0 || string(head) != "*3" || at == len(buf) || buf[at] != '$' {
+		return 0, 0, false
+	}
+	if head, at, err = line(buf, at, b); err != nil || at == 0 {
+		return 0, 0, false
+	}
+	size, err = count(head[1:], b.Long)
+	return at, size, err == nil && size > b.Bulk
+}
+
 func reply(buf []byte, from int, b Bounds, depth int) (r Reply, next int, err error) {
 	if from == len(buf) {
 		return r, 0, nil
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -24,6 +24,9 @@
 	asked   bool          // a req has come on it
 	stalled bool          // its next commands wait until there is room; it is on the router's list of those
 	over    bool          // to be closed once the answers are out
+	leaving bool          // soon off the loop
+	away    bool          // off the loop: a big value passes on it
+	rest    []byte        // what came before it left the loop, and is not read yet
 	words   [][]byte
 }
 
@@ -31,9 +34,14 @@
 type slot struct {
 	q    *req
 	text []byte // nil: not answered yet
+	long *long  // a big value is its answer
 }
 
 func (c *client) opened(conn gnet.Conn) {
+	if c.away {
+		c.back(conn)
+		return
+	}
 	c.conn, c.idle = conn, c.r.clock()
 	c.whole = c.idle
 	c.r.clients[c] = struct{}{}
@@ -52,6 +60,10 @@
 		if s.q != nil {
 			c.r.left(s.q)
 		}
+		if s.long != nil {
+			c.r.counts.Left++
+			s.long.drop()
+		}
 	}
 	c.slots, c.over, c.conn = nil, true, nil
 	if c.r.closing || c.r.ops.emptied {
@@ -71,8 +83,8 @@
 			c.stall()
 			break
 		}
-		buf, err := c.conn.Peek(-1)
-		if err != nil || len(buf) == 0 {
+		buf := c.unread()
+		if len(buf) == 0 {
 			return gnet.None
 		}
 		words, used, err := resp.Command(buf, c.words, c.r.lim.Resp)
@@ -91,10 +103,10 @@
 		if c.over {
 			break
 		}
-		_, _ = c.conn.Discard(used) // bytes that Peek has just shown
+		c.read(used)
 	}
 	if !c.over {
-		if n := c.conn.InboundBuffered(); n > c.r.lim.ClientIn {
+		if n := c.waiting(); n > c.r.lim.ClientIn {
 			// gnet reads on whatever the loop leaves, so a client that sends on is cut off here.
 			c.broken("too much is waiting")
 		} else {
@@ -112,9 +124,30 @@
 
 // silent: nothing whole has come since it connected, or a command is long in coming.
 func (c *client) silent(now choice.Micros) bool {
-	return !c.spoke && now-c.whole >= c.r.lim.Silent || c.part != 0 && now-c.part >= c.r.lim.Silent
+	return !c.spoke && now-c.whole >= c.r.lim.Silent && c.part == 0 || c.part != 0 && now-c.part >= c.r.lim.Slow
+}
+
+// unread is what has come and is not read yet: the rest from before it left the loop goes first.
+func (c *client) unread() []byte {
+	buf, err := c.conn.Peek(-1)
+	if err != nil || len(c.rest) == 0 {
+		return buf
+	}
+	c.rest = append(c.rest, buf...)
+	_, _ = c.conn.Discard(-1) // bytes that Peek has just shown, here and below
+	return c.rest
+}
+
+func (c *client) read(n int) {
+	if len(c.rest) == 0 {
+		_, _ = c.conn.Discard(n)
+	} else if c.rest = c.rest[n:]; len(c.rest) == 0 {
+		c.rest = nil
+	}
 }
 
+func (c *client) waiting() int { return len(c.rest) + c.conn.InboundBuffered() }
+
 func (c *client) stall() {
 	if !c.stalled {
 		c.stalled = true
@@ -144,6 +177,10 @@
 
 // fill fills a slot and writes out what is in order.
 func (c *client) fill(s *slot, text []byte) {
+	if c.away {
+		s.text = bytes.Clone(text)
+		return
+	}
 	if c.conn == nil {
 		return
 	}
@@ -153,11 +190,20 @@
 	} else {
 		s.text = bytes.Clone(text)
 	}
+	c.flush()
+}
+
+// flush writes out what is in order, as far as the next big value, which passes off the loop.
+func (c *client) flush() {
 	for len(c.slots) > 0 && c.slots[0].text != nil {
 		text := c.slots[0].text
 		c.slots = c.slots[1:]
 		c.write(text)
 	}
+	if c.conn != nil && len(c.slots) > 0 && c.slots[0].long != nil && !c.leaving {
+		c.leaving = true
+		c.r.execute(c.leave) // not within a call of this connection
+	}
 	if c.conn != nil && c.over && c.ended() {
 		c.r.close(c.conn)
 	}
@@ -188,7 +234,7 @@
 	for {
 		r.buffered = 0
 		var most *client
-		holds := func(c *client) int { return c.conn.InboundBuffered() + c.conn.OutboundBuffered() }
+		holds := func(c *client) int { return c.waiting() + c.conn.OutboundBuffered() }
 		for c := range r.clients {
 			r.buffered += holds(c)
 			if most == nil || holds(c) > holds(most) {
@@ -289,7 +335,7 @@
 	r.stalled = nil
 	for _, c := range stalled {
 		c.stalled = false
-		if !c.over && c.traffic() == gnet.Close {
+		if c.conn != nil && !c.over && c.traffic() == gnet.Close {
 			r.close(c.conn)
 		}
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -30,11 +30,11 @@
 	now := r.clock()
 	for c := range r.clients {
 		quiet := now - c.idle
-		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.conn.InboundBuffered() == 0 || quiet > r.lim.Sweep) {
+		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.waiting() == 0 || quiet > r.lim.Sweep) {
 			r.close(c.conn)
 		}
 	}
-	if r.closing && len(r.clients) == 0 && r.offers.open == 0 && !r.stopped {
+	if r.closing && len(r.clients) == 0 && r.away == 0 && r.offers.open == 0 && !r.stopped {
 		r.stopped = true
 		go func() { _ = r.engine.Stop(context.Background()) }() // it waits for the loop
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,7 @@
 	held      int                  // bytes of all reqs
 	buffered  int                  // bytes that the clients' connections hold, or more
 	clients   map[*client]struct{} // all that are open
+	away      int                  // more that are off the loop
 	askers    int                  // those of them that have sent a req
 	stalled   []*client            // clients whose commands wait for room
 	servers   map[choice.ServerID]*server
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -91,7 +91,7 @@
 // notedConfig is one of a method that must not run twice, with the origin alone.
 func notedConfig() config.Config {
 	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
-		Descriptors: 100, Upstreams: 50, Clients: 50, Askers: 50, Silent: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
+		Descriptors: 100, Upstreams: 50, Clients: 50, Askers: 50, Silent: 2e6, Slow: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
 	cfg.Limits.Origin = httpwire.Bounds{Head: 1 << 10, Body: 1 << 16}
 	cfg.Settings = choice.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
 		Methods: []choice.MethodSettings{{Name: "pay", Effect: choice.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -37,6 +37,7 @@
 	carries *writeOut     // nil: idle
 	since   choice.Micros // idle since
 	writing bool          // gnet may close it within a write
+	away    bool          // off the loop: a big value comes on it
 }
 
 func (s *server) forget(w *writeOut) {
@@ -112,6 +113,12 @@
 
 func (up *upstream) opened(conn gnet.Conn) {
 	up.conn = conn
+	if up.away {
+		up.away = false
+		up.r.conns-- // it was counted all the time
+		up.free()
+		return
+	}
 	up.r.upstreams++
 	up.server.dialing--
 	up.r.dials--
@@ -170,6 +177,9 @@
 		return gnet.None
 	}
 	o, used, keep, err := up.server.speaks.Read(buf, false)
+	if err != nil && up.long(buf) {
+		return gnet.Close
+	}
 	if err != nil {
 		// It answered, so that it is no lost connection, but what it said is spoilt: its req may have run.
 		up.r.counts.Broken++
@@ -233,7 +243,7 @@
 				r.close(c.conn)
 			}
 		// Some ask once and keep the connection for good. Clients may hold only so many, and had none left for reqs.
-		case !c.over && c.quiet() && c.conn.InboundBuffered() == 0 && now-c.idle >= r.lim.Silent:
+		case !c.over && c.quiet() && c.waiting() == 0 && now-c.idle >= r.lim.Silent:
 			r.close(c.conn)
 		}
 	}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -22,6 +22,15 @@
 	return httpwire.AppendRequest(to, method, "/"+url.PathEscape(string(q.Key)), host, headers, body)
 }
 
+// Long reads the head of an answer with a big value.
+func (b Back) Long(buf []byte) (o wire.Outcome, at, size int, ok bool) {
+	answer, at, size := httpwire.Long(buf, b.Bounds)
+	return wire.Outcome{Status: choice.OK, Report: answer.Get("Endpoint-Load-Metrics")}, at, size, at > 0 && answer.Status == 200 && !answer.Close
+}
+
+// Behind reads what stands behind the value: nothing may.
+func (Back) Behind(buf []byte) (whole, keep bool, err error) { return true, len(buf) == 0, nil }
+
 // Read reads the origin's answer.
 func (b Back) Read(buf []byte, ended bool) (o wire.Outcome, used int, keep bool, err error) {
 	answer, used, err := httpwire.Read(buf, ended, b.Bounds)
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -58,6 +58,19 @@
 	return o, used, true, nil
 }
 
+// Long reads the head of an answer with a big value.
+func (b Back) Long(buf []byte) (o wire.Outcome, at, size int, ok bool) {
+	at, size, ok = resp.LongReply(buf, b.Bounds)
+	return wire.Outcome{Status: choice.OK}, at, size, ok
+}
+
+// Behind reads the two entries that follow the value, and the line end before them.
+func (b Back) Behind(buf []byte) (whole, keep bool, err error) {
+	const head = "*3\r\n$0\r\n"
+	_, used, err := resp.ReadReply(append([]byte(head), buf...), b.Bounds)
+	return used > 0, used == len(head)+len(buf), err
+}
+
 // isWord tells whether the first word of a line is this one.
 func isWord(line []byte, word string) bool {
 	first, _, _ := bytes.Cut(line, []byte(" "))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,4 +45,9 @@
 	// Read reads an answer from what has come so far; ended: no more comes. used is 0 while it is not whole; keep
 	// tells whether the connection can carry another write-out. An error is an answer that cannot be read.
 	Read(buf []byte, ended bool) (o Outcome, used int, keep bool, err error)
+	// Long tells of an answer that Read refuses for its size: its value begins at a place in buf and has that size. ok is
+	// false where it is no such answer.
+	Long(buf []byte) (o Outcome, at, size int, ok bool)
+	// Behind reads what stands behind such a value; whole is false while more must come, keep as in Read.
+	Behind(buf []byte) (whole, keep bool, err error)
 }
