--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -254,6 +254,11 @@
 			`"cancel":true`, `"cancel":true,"parallel-tries":true`).Replace(p.config)
 	}
 	p.configure(p.config)
+	p.run()
+}
+
+// run starts the program with what is set; one that runs already is not ended.
+func (p *player) run() {
 	p.program = exec.Command(os.Args[0])
 	p.program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file, "EDGE_ADMIN="+p.admin, "TMPDIR="+p.tmp,
 		"EDGE_DISCOVERY="+p.server("discovery").ln.Addr().String())
@@ -261,9 +266,11 @@
 	if err := p.program.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	go func() { p.ended <- p.program.Wait() }()
+	program, before := p.program, strings.Count(p.log.text(), "msg=serving")
+	p.t.Cleanup(func() { _ = program.Process.Kill() })
+	go func() { p.ended <- program.Wait() }()
 	for range 300 {
-		if strings.Contains(p.log.text(), "msg=serving") {
+		if strings.Count(p.log.text(), "msg=serving") > before {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/cmd/spurtrestle/replace_test.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/resp"
+)
+
+// replace starts a second process beside the one that serves, waits for its yes, and ends the first in order.
+func (p *player) replace(n int) error {
+	old := p.program
+	p.admin = strings.Replace(p.listen, ":6379", fmt.Sprint(":", 6400+n), 1)
+	p.run()
+	for i := 0; !strings.HasPrefix(p.call("GET", "/ops/readiness", ""), "200"); i++ {
+		if i > 60 {
+			return errors.New("not ready in 6 s")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	_ = old.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(patience):
+		return errors.New("the old process stays")
+	}
+}
+
+// load keeps clients asking until it is stopped: on connections that they keep, on new ones, in pieces, pipelined. What
+// ends without an answer of its own is lost.
+func (p *player) load(clients int) (stop func() (answered int, lost []string)) {
+	var over atomic.Bool
+	var done sync.WaitGroup
+	var mu sync.Mutex
+	var answered int
+	var lost []string
+	for i := range clients {
+		done.Go(func() {
+			var c net.Conn
+			var in *bufio.Reader
+			for n := 0; !over.Load(); n++ {
+				if c == nil || i%4 == 1 {
+					if c != nil {
+						c.Close()
+					}
+					var err error
+					if c, err = net.Dial("tcp", p.listen); err != nil {
+						mu.Lock()
+						lost = append(lost, "not let in: "+err.Error())
+						mu.Unlock()
+						return
+					}
+					in = bufio.NewReader(c)
+				}
+				many := 1 + i%4/3*4
+				var text []byte
+				for k := range many {
+					text = resp.AppendCommand(text, []byte("CACHE.GET"), []byte(fmt.Sprint("k", i)), []byte(fmt.Sprintf("r%d-%d-%d", i, n, k)),
+						[]byte("c=get,d=2500"))
+				}
+				_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+				_, err := c.Write(text[:len(text)/2])
+				if i%4 == 2 {
+					time.Sleep(3 * time.Millisecond)
+				}
+				if err == nil {
+					_, err = c.Write(text[len(text)/2:])
+				}
+				for range many {
+					line, e := in.ReadString('\n')
+					if err = errors.Join(err, e); err == nil && line[0] == '$' {
+						_, err = in.ReadString('\n')
+					}
+				}
+				mu.Lock()
+				if answered += many; err != nil {
+					lost = append(lost, fmt.Sprint("client ", i, ": ", err))
+				}
+				mu.Unlock()
+				if err != nil {
+					c.Close()
+					c = nil
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if c != nil {
+				c.Close()
+			}
+		})
+	}
+	return func() (int, []string) {
+		over.Store(true)
+		done.Wait()
+		return answered, lost
+	}
+}
+
+func quick(s *side) {
+	for m := range s.came {
+		if strings.Contains(m.text, "CACHE.GET") {
+			time.AfterFunc(5*time.Millisecond, func() { _, _ = io.WriteString(m.on, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n") })
+		}
+	}
+}
+
+// listing has discovery tell the same list at each call that does not wait.
+func (p *player) listing(words ...string) {
+	for m := range p.server("discovery").came {
+		if strings.HasSuffix(m.text, "instances") {
+			body := p.list(true, 2, words)
+			_, _ = fmt.Fprintf(m.on, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}
+}
+
+// Ten replacements in a row under load: no client loses a connection or a req, and a ban lasts.
+func TestReplacingLosesNothing(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "s2", "origin"})
+	go quick(p.server("s1"))
+	go quick(p.server("s2"))
+	go p.listing("s1", "s2", "origin")
+	stop := p.load(24)
+	time.Sleep(200 * time.Millisecond)
+	if got := p.call("PUT", "/ops/cache-servers/down", "s2"); got != "200 out" {
+		t.Error(got)
+	}
+	for n := range 10 {
+		if err := p.replace(n); err != nil {
+			t.Errorf("replacement %d: %v", n, err)
+			break
+		}
+	}
+	if got := p.call("GET", "/ops/stats", ""); !strings.Contains(got, "router.ejected:1|g") {
+		t.Error("the ban is forgotten:", got)
+	}
+	answered, lost := stop()
+	if answered < 1000 || len(lost) > 0 {
+		t.Errorf("%d answered, lost %d: %q", answered, len(lost), lost[:min(5, len(lost))])
+	}
+}
+
+// A new process that is killed before or after it has taken over: the old one goes on.
+func TestReplacementThatDies(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "origin"})
+	go quick(p.server("s1"))
+	go p.listing("s1", "origin")
+	first, door := p.program, p.admin
+	for n := range 2 {
+		p.admin = strings.Replace(p.listen, ":6379", fmt.Sprint(":", 6400+n), 1)
+		p.run()
+		time.Sleep(time.Duration(n) * time.Second)
+		_ = p.program.Process.Kill()
+		<-p.ended
+	}
+	p.program, p.admin = first, door
+	time.Sleep(200 * time.Millisecond)
+	if got := p.call("GET", "/ops/readiness", ""); got != "200 ready" {
+		t.Error(got)
+	}
+	stop := p.load(8)
+	time.Sleep(300 * time.Millisecond)
+	if answered, lost := stop(); answered < 100 || len(lost) > 0 {
+		t.Errorf("%d answered, lost %q", answered, lost)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,7 +31,7 @@
 	c, err := load(t, whole, map[string]string{"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.9:1"})
 	got := fmt.Sprintf("%v %s %s %s %x, %d routers, %d %d %d %s", err, c.Name, c.Listen, c.Discovery, c.Seed,
 		c.Settings.Routers, c.Limits.Connect, c.Limits.Idle, c.Limits.Descriptors, c.Known)
-	const want = "<nil> n9 127.0.0.9:1 127.0.1.1:8500 8c1f30d27a5be964, 2 routers, 100000 54000000 1000 " +
+	const want = "<nil> n9 127.0.0.9:1 127.0.1.1:8500 8c1f30d27a5be964, 2 routers, 100000 54000000 990 " +
 		`{"rev":1,"all":true,"targets":[]}`
 	if got != want {
 		t.Error(got)
@@ -44,7 +44,7 @@
 		{`"127.0.0.4:6379"`, `"here"`, `listen: "here" is no address and port`},
 		{`"127.0.1.1:8500"`, `""`, `discovery: "" is no address and port`},
 		{`8c1f30d27a5be964`, `x`, `seed: "x" is not a hexadecimal number`},
-		{`"sockets":1024`, `"sockets":10`, "limits.sockets: 10 are fewer than 40"},
+		{`"sockets":1024`, `"sockets":10`, "limits.sockets: 10 are fewer than 50"},
 		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1 is less than 16"},
 		{`"balancers":2`, `"balancers":0`, "settings: balancers is missing or below 1"},
 		{`"effect":"free"`, `"effect":"odd"`, `settings: request-classes: "get" lacks a name, an effect, a group or a deadline`},
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -13,6 +13,7 @@
 	Memory          int64 // soft limit of the whole program, bytes
 	Descriptors     int   // connections and dials, those in reserve not counted
 	MostDescriptors int   // the same, for clients that come in while no other can be closed
+	Reserve         int   // not counted in these: files that are always open
 	Upstreams       int   // of these, for connections to servers and their dials
 	Clients         int   // of these, for clients: over that one of them goes before a server's idle connection
 	Askers          int   // of these, for clients that have asked: over that the one quiet longest goes
@@ -39,7 +40,7 @@
 	Stuck      choice.Micros // a server that gives nothing more of a big value for so long is given up
 	Turn       choice.Micros // until a big value's turn is looked at again
 	Unread     choice.Micros // a client that takes nothing more of one
-	Own        choice.Micros // for the connection to itself at the start
+	Join       choice.Micros // a process that replaces another waits so long for discovery's list
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
 	WatchSlack choice.Micros // an answer to it is late after so much more
@@ -57,11 +58,12 @@
 
 func newLimits(memory, sockets int, door bool, s choice.Settings) (Limits, error) {
 	const (
-		// Standard streams, epoll of gnet and of the Go runtime, their event files, the listener, the file of the
-		// configuration, and a few that are being closed.
-		reserve      = 24
-		held         = 14 // those of them that are always open: 12 were seen
-		leastSockets = 40
+		// Standard streams, epoll of gnet and of the Go runtime, their event files, the listener, the loop's first
+		// connection, the socket for the next process, the file of the configuration, four connections on their way from the
+		// listener to the loop, and a few that are being closed.
+		reserve      = 34
+		held         = 24 // those of them that may all be open: 12 were seen before the last four kinds came
+		leastSockets = 50
 		leastMemory  = 16
 	)
 	if sockets < leastSockets {
@@ -79,6 +81,7 @@
 		Memory:          int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
 		Descriptors:     sockets - reserve,
 		MostDescriptors: sockets - held,
+		Reserve:         held + callers,
 		Upstreams:       (sockets - reserve) / 2,
 		// Clients hold a third at most for reqs; a quarter of that is left free for clients that come in.
 		Clients:    sockets / 3,
@@ -98,13 +101,13 @@
 		Connect:    s.ConnectTimeout,
 		Idle:       s.IdleClose * 9 / 10, // a req may be on its way when the server closes
 		Sweep:      250e3,
-		Quiet:      50e3, // many times the way from a client: what it sent with its connection has come
-		Silent:     2e6,  // no req is owed to it by then
-		Slow:       4e6,  // a head may take 2 s
-		Stuck:      3e6,  // no deadline is longer
+		Quiet:      50e3,  // many times the way from a client: what it sent with its connection has come
+		Silent:     2e6,   // no req is owed to it by then
+		Slow:       2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
+		Stuck:      3e6,   // no deadline is longer
 		Turn:       5e3,
 		Unread:     10e6, // slow readers make long pauses
-		Own:        1e6,
+		Join:       2e6,  // a third of the time that it has
 		Crossing:   3e3,  // some three times the way from a client to its router
 		Watch:      20e6, // the example of the protocol
 		WatchSlack: 2e6,
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -14,7 +14,7 @@
 	Ended [][3]int // by method: satisfied, nacked, failed
 
 	WriteOuts int
-	Forwards  int // of them written whole to cache servers
+	Forwards  int // of them written whole
 	OK        int
 	Miss      int
 	NeverRan  int // turned away, or could not connect
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,161 @@
+// Package handover is how two processes of one router speak while one replaces the other: frames over a Unix socket, each
+// with at most one descriptor. What is said is the router's.
+package handover
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Kind says what a frame is.
+type Kind byte
+
+const (
+	Hello     Kind = 'H' // new to old: I am to replace you
+	Listener  Kind = 'L' // old to new, with the listener
+	Learned   Kind = 'K' // old to new: what it knows; the last of what follows Hello
+	Ready     Kind = 'R' // new to old: clients are mine from now on
+	Client    Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
+	Holds     Kind = 'S' // both: how many descriptors I hold
+	headBytes      = 5
+	most           = 4 << 20 // bytes of one frame
+)
+
+// Frame is one message. The descriptor is -1 where there is none; it belongs to who receives it.
+type Frame struct {
+	Kind Kind
+	Body []byte
+	FD   int
+}
+
+// Peer is the other process.
+type Peer struct {
+	conn *net.UnixConn
+	mu   sync.Mutex // of sending
+}
+
+// Dial finds the process that serves; an error: there is none that answers.
+func Dial(dir, name string, within time.Duration) (*Peer, error) {
+	path, done := short(dir, name)
+	defer done()
+	c, err := net.DialTimeout("unix", path, within)
+	if err != nil {
+		return nil, err
+	}
+	return &Peer{conn: c.(*net.UnixConn)}, nil
+}
+
+// Listen waits for the process that is to replace this one, in the place of whoever waited under that name.
+func Listen(dir, name string) (*net.UnixListener, error) {
+	mine := fmt.Sprint(name, ".", os.Getpid())
+	path, done := short(dir, mine)
+	defer done()
+	_ = os.Remove(path) // of a process with our number that is gone
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false) // by then the name is another's
+	if err = os.Rename(filepath.Join(dir, mine), filepath.Join(dir, name)); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	return ln, nil
+}
+
+// short is a path of a file in dir that a socket's address has room for.
+func short(dir, name string) (path string, done func()) {
+	const room = 100 // of 108
+	if path = filepath.Join(dir, name); len(path) <= room {
+		return path, func() {}
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return path, func() {}
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", d.Fd(), name), func() { d.Close() }
+}
+
+// Accept waits for the next process.
+func Accept(ln *net.UnixListener) (*Peer, error) {
+	c, err := ln.AcceptUnix()
+	if err != nil {
+		return nil, err
+	}
+	return &Peer{conn: c}, nil
+}
+
+// Send sends a frame; its descriptor stays the sender's.
+func (p *Peer) Send(f Frame) error {
+	const patience = 2 * time.Second
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.conn.SetWriteDeadline(time.Now().Add(patience))
+	head := binary.BigEndian.AppendUint32([]byte{byte(f.Kind)}, uint32(len(f.Body)))
+	var rights []byte
+	if f.FD >= 0 {
+		rights = unix.UnixRights(f.FD)
+	}
+	n, _, err := p.conn.WriteMsgUnix(head, rights, nil)
+	if err == nil && n < len(head) {
+		_, err = p.conn.Write(head[n:])
+	}
+	if err == nil && len(f.Body) > 0 {
+		_, err = p.conn.Write(f.Body)
+	}
+	return err
+}
+
+var errFrame = errors.New("a frame of no known form")
+
+// Receive waits for the next frame, for so long; 0: for ever.
+func (p *Peer) Receive(within time.Duration) (Frame, error) {
+	by := time.Time{}
+	if within > 0 {
+		by = time.Now().Add(within)
+	}
+	_ = p.conn.SetReadDeadline(by)
+	f := Frame{FD: -1}
+	head, rights := make([]byte, headBytes), make([]byte, unix.CmsgSpace(4))
+	n, oobn, _, _, err := p.conn.ReadMsgUnix(head, rights)
+	if err == nil && n == 0 {
+		err = io.EOF
+	}
+	if err != nil {
+		return f, err
+	}
+	if oobn > 0 {
+		if all, err := unix.ParseSocketControlMessage(rights[:oobn]); err == nil && len(all) == 1 {
+			if fds, err := unix.ParseUnixRights(&all[0]); err == nil && len(fds) == 1 {
+				f.FD = fds[0]
+				unix.CloseOnExec(f.FD)
+			}
+		}
+	}
+	if _, err = io.ReadFull(p.conn, head[n:]); err == nil {
+		size := binary.BigEndian.Uint32(head[1:])
+		if size > most {
+			err = errFrame
+		} else {
+			f.Kind, f.Body = Kind(head[0]), make([]byte, size)
+			_, err = io.ReadFull(p.conn, f.Body)
+		}
+	}
+	if err != nil && f.FD >= 0 {
+		unix.Close(f.FD)
+		f.FD = -1
+	}
+	return f, err
+}
+
+// Close ends it; Receive returns.
+func (p *Peer) Close() { p.conn.Close() }
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -65,9 +65,9 @@
 	stamp os.FileInfo // of what was last read or written
 }
 
-// Open returns the file of a router of this name; nothing is read yet.
-func Open(dir, name string) *Store {
-	return &Store{path: filepath.Join(dir, "spurtrestle-"+filepath.Base("/"+name)+".intent")}
+// Open returns the file of the router that clients reach at an address; nothing is read yet.
+func Open(dir, listen string) *Store {
+	return &Store{path: filepath.Join(dir, "spurtrestle-"+listen+".intent")}
 }
 
 // Read returns what the file has; nothing where there is none. A file that cannot be read is told of by its name, and
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -195,7 +195,8 @@
 			return fmt.Errorf("admin: %w; give the operators' door a free address", err)
 		}
 		defer door.Close()
-		r.Operate(intent.Open(os.TempDir(), cfg.Name))
+		r.Join(os.TempDir())
+		r.Operate(intent.Open(os.TempDir(), cfg.Listen))
 		go admin.Serve(door, cfg.Limits.Callers, r)
 	}
 	signals := make(chan os.Signal, 4)
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -47,6 +47,9 @@
 		r.publish()
 	}
 	r.setAlarm()
+	if r.takeover.handing {
+		r.passClients()
+	}
 	if r.closing || r.ops.emptied {
 		r.closeIdleClients()
 	}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -46,8 +46,15 @@
 	c.whole = c.idle
 	c.r.clients[c] = struct{}{}
 	c.r.counts.ClientConns++
+	if c.r.takeover.handing {
+		c.r.queue()
+	}
 	if !c.r.roomForClient() {
 		c.r.close(conn)
+		return
+	}
+	if len(c.rest) > 0 { // another process read that
+		c.r.execute(c.readOn)
 	}
 }
 
@@ -78,6 +85,10 @@
 		_, _ = c.conn.Discard(-1)
 		return gnet.None
 	}
+	if c.r.takeover.handing { // what comes now is the next process's
+		c.r.queue()
+		return gnet.None
+	}
 	for !c.over {
 		if len(c.slots) >= c.r.lim.Pipeline || c.r.held >= c.r.lim.HeldBytes {
 			c.stall()
@@ -127,6 +138,13 @@
 	return !c.spoke && now-c.whole >= c.r.lim.Silent && c.part == 0 || c.part != 0 && now-c.part >= c.r.lim.Slow
 }
 
+// readOn reads what came before the connection was on this loop.
+func (c *client) readOn() {
+	if c.conn != nil && !c.over && c.traffic() == gnet.Close {
+		c.r.close(c.conn)
+	}
+}
+
 // unread is what has come and is not read yet: the rest from before it left the loop goes first.
 func (c *client) unread() []byte {
 	buf, err := c.conn.Peek(-1)
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -1,7 +1,5 @@
 package router
 
-import "context"
-
 // Drain ends the router in order: it takes new connections for a while, then closes each client's once nothing of it
 // is in hand, and stops when all are closed.
 func (r *Router) Drain() {
@@ -14,7 +12,11 @@
 		r.log.Info("draining")
 		r.publish()
 		r.tellServing(false)
-		r.after(r.lim.LingerOpen, func() {
+		linger := r.lim.LingerOpen
+		if r.takeover.handing { // none come here
+			linger = 0
+		}
+		r.after(linger, func() {
 			r.closing = true
 			r.queue()
 		})
@@ -29,13 +31,19 @@
 func (r *Router) closeIdleClients() {
 	now := r.clock()
 	for c := range r.clients {
+		if r.takeover.handing && !c.over {
+			continue // it is passed on
+		}
 		quiet := now - c.idle
 		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.waiting() == 0 || quiet > r.lim.Sweep) {
 			r.close(c.conn)
 		}
 	}
-	if r.closing && len(r.clients) == 0 && r.away == 0 && r.offers.open == 0 && !r.stopped {
+	if r.closing && r.takeover.unsent == 0 && len(r.clients) == 0 && r.away == 0 && r.offers.open == 0 && !r.stopped {
 		r.stopped = true
-		go func() { _ = r.engine.Stop(context.Background()) }() // it waits for the loop
+		if r.takeover.unix != nil {
+			r.takeover.unix.Close()
+		}
+		close(r.ended)
 	}
 }
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -116,13 +116,9 @@
 	r.clients[c] = struct{}{}
 	c.flush()
 	if c.conn != nil && !c.over && len(c.rest) > 0 {
-		r.execute(func() {
-			if c.conn != nil && c.traffic() == gnet.Close {
-				r.close(c.conn)
-			}
-		})
+		r.execute(c.readOn)
 	}
-	if r.closing || r.ops.emptied {
+	if r.closing || r.ops.emptied || r.takeover.handing {
 		r.queue()
 	}
 }
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -31,7 +31,9 @@
 	if m == nil {
 		return
 	}
-	r.later()
+	if m.keep != nil {
+		r.later()
+	}
 	if m.learned == nil {
 		return
 	}
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -37,6 +37,7 @@
 var (
 	errNoList   = errors.New("not ready: no list of servers yet")
 	errEmptying = errors.New("not ready: draining, as operators asked")
+	errPassed   = errors.New("not ready: another process has taken over")
 	errEnding   = errors.New("not ready: the process is ending")
 	errBusy     = errors.New("the router did not come to it in time; ask again")
 )
@@ -48,7 +49,7 @@
 	if err != nil {
 		r.log.WithError(err).Warn("going on without it")
 	}
-	i.Empty = false // of a process that is gone
+	i.Empty = i.Empty && r.takeover.old != nil // else of a process that is gone
 	r.ops.wanted = i
 }
 
@@ -193,7 +194,9 @@
 		return errEnding
 	case r.ops.wanted.Empty:
 		return errEmptying
-	case !r.serving:
+	case r.takeover.handing:
+		return errPassed
+	case !r.serving || !r.takeover.accepting:
 		return errNoList
 	}
 	return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,12 +9,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"runtime/metrics"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/config"
@@ -69,9 +69,10 @@
 	memory    *memory         // nil: nothing is kept over a restart
 	offers    offers          // from fronts off the loop
 	ops       ops             // of operators
+	takeover  takeover        // from the process before, and by the next
 	onServing func(bool)
 
-	engine                     gnet.Engine
+	ended                      chan struct{} // the loop is to end, or has
 	draining, closing, stopped bool
 	scratch                    []byte
 }
@@ -85,7 +86,7 @@
 
 // New returns a router that is not running yet.
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
-	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}),
+	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}), ended: make(chan struct{}),
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
@@ -105,9 +106,46 @@
 
 // Run serves until it is drained or cannot go on.
 func (r *Router) Run() error {
-	return gnet.Run(r, "tcp://"+r.cfg.Listen, gnet.WithLogger(r.log), gnet.WithReusePort(true),
-		gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(r.lim.Read),
-		gnet.WithWriteBufferCap(r.lim.ClientOut)) // up to there gnet keeps to one ring buffer
+	if err := r.listen(); err != nil {
+		return err
+	}
+	defer r.takeover.ln.Close()
+	// A client engine has a loop and no listener: gnet's own listeners cannot be stopped before their loop is.
+	loop, err := gnet.NewClient(r, gnet.WithLogger(r.log), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithReadBufferCap(r.lim.Read), gnet.WithWriteBufferCap(r.lim.ClientOut)) // up to there gnet keeps to one ring buffer
+	if err != nil {
+		return err
+	}
+	if err = loop.Start(); err != nil {
+		return err
+	}
+	// gnet gives its loop with a connection only: the first is one to nobody, and ends with the loop.
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(pair[1])
+	nobody, err := asConn(pair[0])
+	if err != nil {
+		return err
+	}
+	if _, err = loop.EnrollContext(nobody, &heart{r}); err != nil {
+		return err
+	}
+	<-r.ended
+	return loop.Stop()
+}
+
+// heart is the connection to nobody.
+type heart struct{ r *Router }
+
+func (h *heart) opened(c gnet.Conn)   { h.r.begin(c.EventLoop()) }
+func (h *heart) traffic() gnet.Action { return gnet.None }
+func (h *heart) closed() {
+	if !h.r.stopped {
+		h.r.stopped = true
+		close(h.r.ended)
+	}
 }
 
 // clock is the time in microseconds since 1970. It never goes back.
@@ -117,20 +155,6 @@
 
 func span(t choice.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
-// OnBoot: gnet gives its loop with the first connection only, so the router makes the first to itself.
-func (r *Router) OnBoot(engine gnet.Engine) gnet.Action {
-	r.engine = engine
-	go func() {
-		c, err := net.DialTimeout("tcp", r.cfg.Listen, span(r.lim.Own))
-		if err != nil {
-			r.log.WithError(err).Fatal("cannot reach the own listener")
-		}
-		<-r.ready
-		c.Close()
-	}()
-	return gnet.None
-}
-
 func (r *Router) begin(loop gnet.EventLoop) {
 	r.loop = loop
 	r.now = r.clock()
@@ -148,22 +172,23 @@
 	if r.ops.store != nil {
 		go r.follow()
 	}
+	if t := &r.takeover; t.old != nil {
+		r.shareMemory()
+		go r.followOld(t.old)
+		r.after(r.lim.Join, r.takeClients) // discovery may be down
+	} else {
+		r.takeClients()
+	}
 	close(r.ready)
 	r.log.WithFields(logrus.Fields{"name": r.cfg.Name, "listen": r.cfg.Listen}).Info("serving")
 }
 
 // OnOpen takes a connection that was accepted or enrolled.
 func (r *Router) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if r.loop == nil {
-		r.begin(c.EventLoop())
-	}
 	r.conns++
-	p, ok := c.Context().(peer)
-	if !ok {
-		p = &client{r: r}
-		c.SetContext(p)
+	if p, ok := c.Context().(peer); ok {
+		p.opened(c)
 	}
-	p.opened(c)
 	return nil, gnet.None
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -109,6 +109,7 @@
 	l := &notedLoop{r: r}
 	r.watch = &watch{r: r, calling: true}
 	r.loop = l
+	r.takeover.accepting = true
 	r.timers.init(r)
 	r.core, _ = choice.New(r.clock(), cfg.Settings, 1)
 	r.listCame(r.known)
@@ -117,6 +118,9 @@
 }
 
 func (l *notedLoop) open(ctx any) *notedConn {
+	if ctx == nil {
+		ctx = &client{r: l.r}
+	}
 	c := &notedConn{ctx: ctx, closing: func(c gnet.Conn) { _ = l.Close(c) }}
 	l.r.OnOpen(c)
 	return c
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -159,9 +159,7 @@
 func (up *upstream) left() {
 	if w := up.carries; w != nil && !w.whole && !up.writing && up.conn.OutboundBuffered() == 0 {
 		w.whole = true
-		if !up.server.isOrigin {
-			up.r.counts.Forwards++
-		}
+		up.r.counts.Forwards++
 	}
 }
 
@@ -256,7 +254,9 @@
 }
 
 // used is what connections and dials hold, and what one more dial would.
-func (r *Router) used() int { return r.conns + descriptorsOfDial*r.dials }
+func (r *Router) used() int {
+	return r.conns + descriptorsOfDial*r.dials + r.takeover.others[0] + r.takeover.others[1]
+}
 
 // roomToDial closes idle connections until there are descriptors for a dial. Servers get a part of them only, so that
 // clients can always come in.
@@ -356,6 +356,7 @@
 			r.tellServing(true)
 		}
 	}
+	r.listKnown(l)
 	for id, s := range r.servers {
 		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
 			delete(r.servers, id)
--- /dev/null
+++ b/internal/router/takeover.go
@@ -0,0 +1,382 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/handover"
+	"spurtrestle/internal/snapshot"
+)
+
+// takeover is how this process follows another as the router, and is followed by the next. The fields belong to the
+// loop, but for those noted.
+type takeover struct {
+	dir, name string // of the socket by which the processes find each other; before Run
+	ln        *net.TCPListener
+	unix      *net.UnixListener
+	old, heir *handover.Peer // the processes before and behind this one, while they live
+	accepting bool           // clients come to this process
+	handing   bool           // its clients are passed on to the heir
+	out       chan passed    // to the heir; room for all clients
+	unsent    int            // passed, and not with the heir yet
+	others    [2]int         // descriptors that the old one and the heir hold
+}
+
+// passed is a client's connection on its way to the heir.
+type passed struct {
+	c    *client
+	fd   int
+	rest []byte
+}
+
+// Join finds the process that this one replaces, if there is one, and takes its listener and what it knows. Call it
+// before Run.
+func (r *Router) Join(dir string) {
+	const patience = time.Second
+	t := &r.takeover
+	t.dir, t.name = dir, "spurtrestle-"+r.cfg.Listen+".sock"
+	old, err := handover.Dial(t.dir, t.name, patience)
+	if err != nil {
+		return // nobody: the usual start
+	}
+	var state *snapshot.State
+	if err = old.Send(handover.Frame{Kind: handover.Hello, FD: -1}); err == nil {
+		for err == nil && state == nil {
+			var f handover.Frame
+			if f, err = old.Receive(patience); err != nil {
+				break
+			}
+			switch f.Kind {
+			case handover.Listener:
+				var ln net.Listener
+				if ln, err = listenerOf(f.FD); err == nil {
+					t.ln, _ = ln.(*net.TCPListener)
+				}
+			case handover.Learned:
+				var s snapshot.State
+				if s, err = snapshot.Decode(f.Body); err == nil {
+					state = &s
+				}
+			}
+		}
+	}
+	if err == nil && (t.ln == nil || t.ln.Addr().String() != r.cfg.Listen) {
+		err = errors.New("its listener is another one")
+	}
+	if err != nil {
+		r.log.WithError(err).Warn("a process that this one replaces does not hand over; both listen")
+		if t.ln != nil {
+			t.ln.Close()
+			t.ln = nil
+		}
+		old.Close()
+		return
+	}
+	t.old = old
+	if r.memory == nil {
+		r.memory = &memory{learned: state, waiting: map[discovery.UID]choice.ServerKnowledge{}}
+	}
+	r.log.Info("replacing a process that serves")
+}
+
+func listenerOf(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "")
+	if f == nil {
+		return nil, errors.New("no listener came")
+	}
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+// listen takes the clients' address, unless the old process has given it.
+func (r *Router) listen() error {
+	t := &r.takeover
+	if t.ln != nil {
+		return nil
+	}
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return errors.Join(e, err)
+	}}
+	ln, err := shared.Listen(context.Background(), "tcp", r.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	t.ln = ln.(*net.TCPListener)
+	return nil
+}
+
+// takeClients begins to take clients; an old process passes on those that it has from now on.
+func (r *Router) takeClients() {
+	t := &r.takeover
+	if t.accepting || t.handing || r.closing {
+		return
+	}
+	t.accepting = true
+	_ = t.ln.SetDeadline(time.Time{})
+	go r.accept()
+	if t.name != "" {
+		go r.awaitHeir()
+	}
+	if t.old != nil {
+		r.log.Info("taking over")
+		old := t.old
+		go func() { _ = old.Send(handover.Frame{Kind: handover.Ready, FD: -1}) }() // where it has ended nothing is to take
+	}
+	r.publish()
+}
+
+// listKnown: with an old process at work there is time to wait for discovery's own list.
+func (r *Router) listKnown(l choice.ListCame) {
+	if r.serving && (r.takeover.old == nil || l.Kind != choice.ListSaved) {
+		r.takeClients()
+	}
+}
+
+// accept runs off the loop, until the listener is closed or clients are the heir's.
+func (r *Router) accept() {
+	const pause = 5 * time.Millisecond // where there are no descriptors
+	var under []<-chan gnet.RegisteredResult
+	for {
+		c, err := r.takeover.ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case err != nil:
+			time.Sleep(pause)
+			continue
+		}
+		enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), &client{r: r}), c)
+		if err != nil {
+			c.Close()
+			return
+		}
+		if under = append(under, enrolled); len(under) >= acceptsAtOnce {
+			<-under[0]
+			under = under[1:]
+		}
+	}
+}
+
+const acceptsAtOnce = 4 // each holds two descriptors until the loop has it
+
+// awaitHeir waits off the loop for processes that are to replace this one, one after the other.
+func (r *Router) awaitHeir() {
+	t := &r.takeover
+	ln, err := handover.Listen(t.dir, t.name)
+	if err != nil {
+		r.log.WithError(err).Warn("the next process will not find this one; see that TMPDIR is a folder with room")
+		return
+	}
+	r.execute(func() {
+		if t.unix = ln; r.stopped {
+			ln.Close()
+		}
+	})
+	for {
+		p, err := handover.Accept(ln)
+		if err != nil {
+			return
+		}
+		r.serveHeir(p)
+		p.Close()
+	}
+}
+
+// serveHeir speaks to one heir until it ends.
+func (r *Router) serveHeir(p *handover.Peer) {
+	t := &r.takeover
+	if f, err := p.Receive(time.Second); err != nil || f.Kind != handover.Hello {
+		return
+	}
+	var knows []byte
+	if r.soon(func() {
+		t.heir = p
+		r.shareMemory()
+		knows = snapshot.Encode(r.State())
+	}) != nil {
+		return
+	}
+	r.log.Info("another process is to replace this one")
+	defer r.execute(func() { // it is gone: clients are this process's again
+		r.log.Warn("the process that was to replace this one has ended")
+		if t.heir, t.others[1], t.handing = nil, 0, false; t.out != nil {
+			close(t.out)
+			t.out = nil
+		}
+		r.shareMemory()
+		if !t.accepting {
+			r.takeClients()
+		}
+	})
+	file, err := t.ln.File()
+	if err != nil {
+		return
+	}
+	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FD: int(file.Fd())}),
+		p.Send(handover.Frame{Kind: handover.Learned, Body: knows, FD: -1}))
+	file.Close()
+	for err == nil {
+		var f handover.Frame
+		if f, err = p.Receive(0); err != nil {
+			return
+		}
+		switch f.Kind {
+		case handover.Holds:
+			r.heard(1, f)
+		case handover.Ready:
+			out := make(chan passed, r.lim.MostDescriptors)
+			go r.passOn(p, out)
+			r.execute(func() { r.handOn(out) })
+		}
+	}
+}
+
+// handOn begins to pass on the clients.
+func (r *Router) handOn(out chan passed) {
+	t := &r.takeover
+	r.log.Info("clients are another process's from now on")
+	t.handing, t.accepting, t.out = true, false, out
+	_ = t.ln.SetDeadline(time.Unix(1, 0)) // what waits to be accepted waits for the heir
+	if t.unix != nil {
+		t.unix.Close() // the next process is the heir's; the name is too
+	}
+	r.publish()
+	r.handingOn()
+}
+
+func (r *Router) handingOn() {
+	if !r.takeover.handing {
+		return
+	}
+	r.passClients()
+	for _, s := range r.servers {
+		r.closeIdle(s)
+	}
+	r.after(r.lim.Tell/2, r.handingOn)
+}
+
+// passClients passes on each client of which nothing is in hand, with what of it is not read yet.
+func (r *Router) passClients() {
+	t := &r.takeover
+	for c := range r.clients {
+		if c.over || c.leaving || !c.quiet() {
+			continue
+		}
+		fd, err := c.conn.Dup()
+		if err != nil {
+			r.log.WithError(err).Warn("a client cannot be passed on")
+			return
+		}
+		c.rest = append([]byte(nil), c.unread()...)
+		delete(r.clients, c)
+		if c.asked {
+			r.askers--
+		}
+		c.conn.SetContext(nil)
+		r.close(c.conn)
+		c.conn = nil
+		r.conns++
+		t.unsent++
+		t.out <- passed{c, fd, c.rest}
+	}
+}
+
+// passOn sends off the loop. What cannot be sent comes back.
+func (r *Router) passOn(p *handover.Peer, out chan passed) {
+	for x := range out {
+		err := p.Send(handover.Frame{Kind: handover.Client, Body: x.rest, FD: x.fd})
+		if err == nil {
+			unix.Close(x.fd)
+			r.execute(func() {
+				r.takeover.unsent--
+				r.conns--
+				r.queue()
+			})
+			continue
+		}
+		r.enrollFD(x.fd, x.rest, func() { r.takeover.unsent-- })
+	}
+}
+
+// enrollFD puts a client's connection onto the loop that another process had, or was to have; first runs there ahead.
+func (r *Router) enrollFD(fd int, rest []byte, first func()) {
+	c, err := asConn(fd)
+	if err != nil {
+		r.log.WithError(err).Warn("a client's connection cannot be taken")
+		r.execute(first)
+		return
+	}
+	r.execute(first)
+	r.enroll(c, &client{r: r, rest: rest, spoke: true}, func() {})
+}
+
+// followOld speaks to the old process until it ends.
+func (r *Router) followOld(p *handover.Peer) {
+	for {
+		f, err := p.Receive(0)
+		if err != nil {
+			break
+		}
+		switch f.Kind {
+		case handover.Client:
+			r.enrollFD(f.FD, f.Body, func() {})
+		case handover.Holds:
+			r.heard(0, f)
+		}
+	}
+	p.Close()
+	r.execute(func() {
+		r.log.Info("the process before this one has ended")
+		r.takeover.old, r.takeover.others[0] = nil, 0
+		r.shareMemory()
+		r.takeClients()
+	})
+}
+
+// heard: another process tells how many descriptors it holds.
+func (r *Router) heard(which int, f handover.Frame) {
+	if n, err := strconv.Atoi(string(f.Body)); err == nil {
+		r.execute(func() {
+			if r.takeover.others[which] = n; which == 1 && r.takeover.heir == nil {
+				r.takeover.others[which] = 0
+			}
+		})
+	}
+}
+
+// tellHolds tells the others how many descriptors this process holds.
+func (r *Router) tellHolds() {
+	t := &r.takeover
+	if t.old == nil && t.heir == nil {
+		return
+	}
+	f := handover.Frame{Kind: handover.Holds, FD: -1, Body: strconv.AppendInt(nil, int64(r.conns+descriptorsOfDial*r.dials+r.lim.Reserve), 10)}
+	for _, p := range []*handover.Peer{t.old, t.heir} {
+		if p != nil {
+			go func() { _ = p.Send(f) }() // its end is noticed by who reads from it
+		}
+	}
+}
+
+// shareMemory halves what this process may hold while another lives.
+func (r *Router) shareMemory() {
+	part := 1
+	if r.takeover.old != nil || r.takeover.heir != nil {
+		part = 2
+	}
+	r.lim.HeldBytes, r.lim.Buffered = r.cfg.Limits.HeldBytes/part, r.cfg.Limits.Buffered/part
+	debug.SetMemoryLimit(r.cfg.Limits.Memory / int64(part))
+}
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -73,7 +73,8 @@
 // tell leaves figures also while nothing happens.
 func (r *Router) tell() {
 	r.publish()
-	r.after(5*r.lim.Tell, r.tell)
+	r.tellHolds()
+	r.after(2*r.lim.Tell, r.tell)
 }
 
 // fire does what is due.
