--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,7 @@
 		{"an answer would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
 			(*Router).giveUp},
 		{"it may have run and must not run again", (*Router).mustStop, (*Router).giveUp},
-		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= r.maxSends },
+		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= q.most },
 			(*Router).giveUp},
 		{"the retry budget is spent", func(r *Router, q *req) bool { return q.retrying && r.retries < 1 },
 			(*Router).giveUp},
@@ -178,7 +178,7 @@
 // room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each one
 // once a minute. A copy at a partner would crowd that one, and push out what it holds.
 func (r *Router) copyIsDue(q *req) bool {
-	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= r.maxSends {
+	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= q.most {
 		return false
 	}
 	q.copyAt = 0
@@ -193,7 +193,7 @@
 func (r *Router) send(q *req, s *server) {
 	left := q.final - r.now
 	timeout := left
-	if !s.origin && r.aside && q.sent+1 < r.maxSends && r.retries >= 1 {
+	if !s.origin && r.aside && q.sent+1 < q.most && r.retries >= 1 {
 		// Time for a miss and the origin stays within the latency budget. A heavy-tailed answer of a healthy
 		// cache gets eight usual ones all the same: cutting it off wasted more than the second try won. Where no
 		// retry can be paid for, cutting a wait short wins nothing at all.
@@ -872,12 +872,15 @@
 	m := &r.methods[e.Method]
 	r.arrived++
 	// A tick before the deadline nothing can be had any more, and an answer is due.
-	q := &req{id: e.Req, method: m, key: e.Key, write: e.Write, worth: m.worth, seq: r.arrived,
-		aim: r.now + m.aim, final: e.ValidUntil - r.tick, hash: hashText(string(e.Key)), drawn: -1}
+	q := &req{id: e.Req, method: m, key: e.Key, most: r.maxSends, write: e.Write, worth: m.worth,
+		seq: r.arrived, aim: r.now + m.aim, final: e.ValidUntil - r.tick, hash: hashText(string(e.Key)), drawn: -1}
 	if !m.lateEarns {
 		q.final = min(q.final, q.aim)
 	}
 	q.short = 2*(q.final-r.now) < m.aim
+	if e.Once { // passed on as it comes: nothing is left for a second
+		q.most = 1
+	}
 	if e.Key == "" {
 		q.hash = hashText(string(e.Req))
 	}
@@ -937,7 +940,7 @@
 		// Where another fetch of the key is out, that one brings it to this cache.
 		q.missed = !q.write && !w.server.origin && !r.fetchIsOut(q)
 	case QueueFull: // costs next to nothing, but in a jam
-		if !w.server.origin && !q.write && r.originIsFree(q, q.sent+1 >= r.maxSends) {
+		if !w.server.origin && !q.write && r.originIsFree(q, q.sent+1 >= q.most) {
 			r.turnToOrigin(q)
 		} else {
 			q.retrying = r.answered.now(r.now, trafficSpan) < 0.8*r.asked.now(r.now, trafficSpan)
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,6 +30,7 @@
 
 	outs     []*writeOut // at most two, the second a copy
 	sent     Attempt     // write-outs so far
+	most     Attempt     // and at most
 	failed   []*server
 	missed   bool    // a cache said miss: the origin is next
 	toOrigin bool    // only the origin can take it now
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -122,7 +122,7 @@
 	case "req":
 		m := slices.IndexFunc(s.Methods, func(m MethodSettings) bool { return m.Name == words[1] })
 		q := ReqCame{Req: ReqID(words[0]), Method: Method(m), ValidUntil: span(words[3]),
-			Write: words[1] == "hold" || words[1] == "pay"}
+			Write: words[1] == "hold" || words[1] == "pay", Once: words[len(words)-1] == "once"}
 		if words[2] != "-" {
 			q.Key = Key(words[2])
 		}
--- a/choice/types.go
+++ b/choice/types.go
@@ -172,6 +172,7 @@
 		ValidUntil Micros
 		Resent     bool
 		Write      bool
+		Once       bool // its body is not kept: one write-out at most
 	}
 	Returned struct {
 		Req     ReqID
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -125,6 +125,37 @@
 // ReadReply reads one answer. It returns the bytes used, 0 while the answer is not whole.
 func ReadReply(buf []byte, b Bounds) (Reply, int, error) { return reply(buf, 0, b, maxDepth) }
 
+// LongCommand tells of a command whose last word is a string over the bound for such as are held whole: the words before
+// it, where in buf that string begins, and its size.
+func LongCommand(buf []byte, args [][]byte, b Bounds) (words [][]byte, at, size int, ok bool) {
+	words = args[:0]
+	head, at, err := line(buf, 0, b)
+	if err != nil || at == 0 || head[0] != '*' {
+		return words, 0, 0, false
+	}
+	n, err := count(head[1:], b.Args)
+	for i := 0; err == nil && i < n && at < len(buf) && buf[at] == '$'; i++ {
+		if head, at, err = line(buf, at, b); err != nil || at == 0 {
+			break
+		}
+		if size, err = count(head[1:], b.Long); err != nil || size < 0 {
+			break
+		}
+		if i == n-1 {
+			return words, at, size, size > b.Bulk
+		}
+		var text []byte
+		if size > b.Bulk {
+			break
+		}
+		if text, at, err = bulk(buf, at, size); err != nil || at == 0 {
+			break
+		}
+		words = append(words, text)
+	}
+	return words, 0, 0, false
+}
+
 // LongReply tells of an array of three whose first entry is a string over the bound for such as are held whole: where in
 // buf that string begins, and its size.
 func LongReply(buf []byte, b Bounds) (at, size int, ok bool) {
@@ -199,6 +230,16 @@
 	return to
 }
 
+// AppendLongCommand adds a command of these words and one more, of that size, that follows it, with a line end behind.
+func AppendLongCommand(to []byte, size int, words ...[]byte) []byte {
+	to = strconv.AppendInt(append(to, '*'), int64(len(words)+1), 10)
+	to = append(to, "\r\n"...)
+	for _, w := range words {
+		to = AppendBulk(to, w)
+	}
+	return append(strconv.AppendInt(append(to, '$'), int64(size), 10), "\r\n"...)
+}
+
 // AppendLine adds a line of the given kind, + or -.
 func AppendLine(to []byte, kind byte, text string) []byte {
 	return append(append(append(to, kind), text...), "\r\n"...)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -24,6 +24,7 @@
 	asked   bool          // a req has come on it
 	stalled bool          // its next commands wait until there is room; it is on the router's list of those
 	over    bool          // to be closed once the answers are out
+	first   bool          // a big write is next, and waits until all before it is answered
 	leaving bool          // soon off the loop
 	away    bool          // off the loop: a big value passes on it
 	rest    []byte        // what came before it left the loop, and is not read yet
@@ -100,6 +101,14 @@
 		}
 		words, used, err := resp.Command(buf, c.words, c.r.lim.Resp)
 		c.words = words
+		if err != nil {
+			if ok, away := c.longWrite(buf); away {
+				return gnet.Close // a duplicate goes on
+			} else if ok {
+				c.r.buffer(c.waiting())
+				return gnet.None
+			}
+		}
 		if err != nil {
 			c.broken("protocol")
 			break
@@ -117,7 +126,7 @@
 		c.read(used)
 	}
 	if !c.over {
-		if n := c.waiting(); n > c.r.lim.ClientIn {
+		if n := c.waiting(); n > c.r.lim.ClientIn && !c.first {
 			// gnet reads on whatever the loop leaves, so a client that sends on is cut off here.
 			c.broken("too much is waiting")
 		} else {
@@ -140,11 +149,24 @@
 
 // readOn reads what came before the connection was on this loop.
 func (c *client) readOn() {
-	if c.conn != nil && !c.over && c.traffic() == gnet.Close {
-		c.r.close(c.conn)
+	if conn := c.conn; conn != nil && !c.over && c.traffic() == gnet.Close {
+		c.r.close(conn)
 	}
 }
 
+// firstNow reads on at a big write once all before it is answered and has left.
+func (c *client) firstNow() {
+	if c.conn == nil || !c.first {
+		return
+	}
+	if c.conn.OutboundBuffered() > 0 {
+		c.r.after(c.r.lim.Turn, c.firstNow)
+		return
+	}
+	c.first = false
+	c.readOn()
+}
+
 // unread is what has come and is not read yet: the rest from before it left the loop goes first.
 func (c *client) unread() []byte {
 	buf, err := c.conn.Peek(-1)
@@ -218,6 +240,9 @@
 		c.slots = c.slots[1:]
 		c.write(text)
 	}
+	if c.conn != nil && c.first && len(c.slots) == 0 {
+		c.r.execute(c.firstNow)
+	}
 	if c.conn != nil && len(c.slots) > 0 && c.slots[0].long != nil && !c.leaving {
 		c.leaving = true
 		c.r.execute(c.leave) // not within a call of this connection
@@ -309,6 +334,22 @@
 		c.now([]byte("-ERR wrong number of words\r\n"))
 		return
 	}
+	q, came, waits := c.req(words, write)
+	if came == nil {
+		c.now(refusedReq)
+		return
+	}
+	q.slot.q = q
+	c.slots = append(c.slots, &q.slot)
+	r.take(q, *came, waits)
+	c.hasAsked()
+}
+
+var refusedReq = []byte("-ERR a req needs a new id, c, and d\r\n")
+
+// req makes the words of a command a req; what came is nil where they are refused, which is counted.
+func (c *client) req(words [][]byte, write bool) (q *req, came *choice.ReqCame, waits choice.Micros) {
+	r := c.r
 	size := 0
 	for _, w := range words {
 		size += len(w)
@@ -319,8 +360,8 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q := &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: own(words[3]), Write: write}, size: size, from: c}
-	if write {
+	q = &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: own(words[3]), Write: write}, size: size, from: c}
+	if write && len(words) > 4 {
 		q.Value = own(words[4])
 	}
 	p := resp2.ReadProps(q.Props)
@@ -329,14 +370,15 @@
 		if known {
 			r.refused(method, wire.Failed)
 		}
-		c.now([]byte("-ERR a req needs a new id, c, and d\r\n"))
-		return
+		return q, nil, 0
 	}
-	q.slot.q = q
-	c.slots = append(c.slots, &q.slot)
-	r.take(q, choice.ReqCame{Req: q.ID, Key: choice.Key(q.Key), Write: write, Method: method, Tenant: choice.Tenant(p.Tenant),
-		Resent: p.Resent}, p.Waits)
-	if !c.asked {
+	return q, &choice.ReqCame{Req: q.ID, Key: choice.Key(q.Key), Write: write, Method: method, Tenant: choice.Tenant(p.Tenant),
+		Resent: p.Resent}, p.Waits
+}
+
+// hasAsked counts who has asked, once.
+func (c *client) hasAsked() {
+	if r := c.r; !c.asked {
 		c.asked = true
 		r.askers++
 		// Clients hold only so many connections. Where they keep those that they have done with, they have none left to
@@ -353,8 +395,6 @@
 	r.stalled = nil
 	for _, c := range stalled {
 		c.stalled = false
-		if c.conn != nil && !c.over && c.traffic() == gnet.Close {
-			r.close(c.conn)
-		}
+		c.readOn()
 	}
 }
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -66,15 +66,15 @@
 // drop gives up a value that nobody waits for.
 func (l *long) drop() {
 	_ = os.NewFile(uintptr(l.from), "").Close()
-	l.gone()
+	l.up.ended()
 }
 
-// gone: the connection to the server is no more.
-func (l *long) gone() {
-	l.r.conns--
-	l.r.upstreams--
-	l.up.away = false
-	l.r.feed()
+// ended: a connection that had left the loop is no more.
+func (up *upstream) ended() {
+	up.r.conns--
+	up.r.upstreams--
+	up.away = false
+	up.r.feed()
 }
 
 // leave takes the client off the loop for the big value that is first in its order.
@@ -97,14 +97,20 @@
 	}
 	c.slots = c.slots[1:]
 	c.rest = append([]byte(nil), c.unread()...)
-	c.away = true
+	conn := c.conn
+	c.offLoop()
+	c.r.close(conn)
+	go l.pass(fd)
+}
+
+// offLoop takes the client's connection off the loop, where a duplicate of its descriptor goes on; it counts on. It is
+// to be closed here before gnet reads of it again.
+func (c *client) offLoop() {
+	c.conn.SetContext(nil)
+	c.away, c.conn = true, nil
 	c.r.away++
 	c.r.conns++
 	delete(c.r.clients, c)
-	c.conn.SetContext(nil)
-	c.r.close(c.conn)
-	c.conn = nil
-	go l.pass(fd)
 }
 
 // back takes the client onto the loop again, with what was answered meanwhile.
@@ -158,7 +164,7 @@
 		}
 		r.execute(func() {
 			r.count(l.method, wire.Failed)
-			l.gone()
+			l.up.ended()
 			l.c.lost()
 		})
 		return
@@ -166,11 +172,11 @@
 	r.execute(func() { r.count(l.method, wire.Satisfied) })
 	r.enroll(client, l.c, l.c.lost)
 	if l.rest(server) {
-		r.enroll(server, l.up, l.gone)
+		r.enroll(server, l.up, l.up.ended)
 		return
 	}
 	server.Close()
-	r.execute(l.gone)
+	r.execute(l.up.ended)
 }
 
 // copy passes the value on.
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -27,6 +27,7 @@
 	outs      []*writeOut    // two at most
 	writeOuts choice.Attempt // so far
 	over      bool           // answered, or the client is gone
+	body      *body          // of a big write, which is passed on as it comes
 }
 
 // arrival is a req on its way into a batch; its deadline counts from there.
@@ -71,7 +72,11 @@
 	if _, off := q.from.(*Offer); off {
 		r.offers.open--
 	}
-	q.from.answer(q, a)
+	if q.body != nil {
+		q.body.answered(a)
+	} else {
+		q.from.answer(q, a)
+	}
 	r.settle(q)
 	return true
 }
@@ -158,7 +163,7 @@
 	}
 	q.outs = slices.Delete(q.outs, n, n+1)
 	r.cancel(w.timer)
-	if w.up != nil {
+	if w.up != nil && !w.up.away {
 		w.up.left()
 		w.up.carries, w.up = nil, nil
 	} else {
@@ -185,7 +190,9 @@
 func (r *Router) giveUp(w *writeOut, status choice.Status) {
 	up := w.up
 	r.returned(w, status, nil)
-	if up != nil {
+	if up != nil && up.away {
+		w.q.body.cut()
+	} else if up != nil {
 		r.close(up.conn)
 	}
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -144,6 +144,10 @@
 
 func (up *upstream) send(w *writeOut) {
 	up.carries, w.up = w, up
+	if w.q.body != nil {
+		w.q.body.soon(w)
+		return
+	}
 	left := max(1, w.sent+w.within-up.r.clock())
 	up.r.scratch = up.server.speaks.Append(up.r.scratch[:0], &w.q.Req, left, up.server.addr)
 	up.writing = true
@@ -210,7 +214,7 @@
 		return
 	}
 	status := choice.Reset
-	if up.writing || up.conn.OutboundBuffered() > 0 {
+	if up.writing || up.conn.OutboundBuffered() > 0 || w.q.body != nil { // a body has not begun to go
 		status = choice.ConnectError
 	} else if buf, _ := up.conn.Peek(-1); len(buf) > 0 { // an end may be what makes an answer whole
 		if o, used, _, err := up.server.speaks.Read(buf, true); err == nil && used > 0 {
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/url"
+	"strconv"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/httpwire"
@@ -14,12 +15,23 @@
 
 // Append adds a request. It tells no time: the origin does not ask for one.
 func (Back) Append(to []byte, q *wire.Req, _ choice.Micros, host string) []byte {
-	headers := []httpwire.Header{{Name: "X-Trace-Id", Value: []byte(q.ID)}, {Name: "X-Props", Value: q.Props}}
-	method, body := "GET", []byte(nil)
+	return httpwire.AppendRequest(appendReq(to, q, host))
+}
+
+// AppendLong adds the head of such a request.
+func (Back) AppendLong(to []byte, q *wire.Req, size int, _ choice.Micros, host string) (head []byte, tail string) {
+	to, method, path, host, headers, _ := appendReq(to, q, host)
+	headers = append(headers, httpwire.Header{Name: "Content-Length", Value: strconv.AppendInt(nil, int64(size), 10)})
+	return httpwire.AppendRequest(to, method, path, host, headers, nil), ""
+}
+
+func appendReq(to []byte, q *wire.Req, host string) (_ []byte, method, path, _ string, headers []httpwire.Header, body []byte) {
+	headers = []httpwire.Header{{Name: "X-Trace-Id", Value: []byte(q.ID)}, {Name: "X-Props", Value: q.Props}}
+	method = "GET"
 	if q.Write {
 		method, body = "PUT", q.Value
 	}
-	return httpwire.AppendRequest(to, method, "/"+url.PathEscape(string(q.Key)), host, headers, body)
+	return to, method, "/" + url.PathEscape(string(q.Key)), host, headers, body
 }
 
 // Long reads the head of an answer with a big value.
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -23,6 +23,17 @@
 // Append adds a command: as its client sent it, but for d.
 func (Back) Append(to []byte, q *wire.Req, left choice.Micros, _ string) []byte {
 	var id, props [128]byte // what is longer is allocated
+	words, n := wordsOf(q, left, id[:0], props[:0])
+	return resp.AppendCommand(to, words[:n]...)
+}
+
+// AppendLong adds the head of such a command.
+func (Back) AppendLong(to []byte, q *wire.Req, size int, left choice.Micros, _ string) (head []byte, tail string) {
+	words, n := wordsOf(q, left, nil, nil)
+	return resp.AppendLongCommand(to, size, words[:n-1]...), "\r\n"
+}
+
+func wordsOf(q *wire.Req, left choice.Micros, id, props []byte) (words [5][]byte, n int) {
 	verb, n := get, 4
 	if q.Write {
 		verb, n = set, 5
@@ -30,8 +41,7 @@
 	if q.Verb != nil {
 		verb = q.Verb
 	}
-	words := [5][]byte{verb, q.Key, append(id[:0], q.ID...), AppendProps(props[:0], q.Props, left), q.Value}
-	return resp.AppendCommand(to, words[:n]...)
+	return [5][]byte{verb, q.Key, append(id, q.ID...), AppendProps(props, q.Props, left), q.Value}, n
 }
 
 var errUnexpected = errors.New("an answer of no known form")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -42,6 +42,8 @@
 type Back interface {
 	// Append adds a write-out; left is how long the router waits, host where it goes.
 	Append(to []byte, q *Req, left choice.Micros, host string) []byte
+	// AppendLong adds the head of a write whose value, of that size, is passed on behind it; tail ends it.
+	AppendLong(to []byte, q *Req, size int, left choice.Micros, host string) (head []byte, tail string)
 	// Read reads an answer from what has come so far; ended: no more comes. used is 0 while it is not whole; keep
 	// tells whether the connection can carry another write-out. An error is an answer that cannot be read.
 	Read(buf []byte, ended bool) (o Outcome, used int, keep bool, err error)
