--- a/cmd/spurtrestle-grpc/main.go
+++ b/cmd/spurtrestle-grpc/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,7 +20,7 @@
 
 // listen begins to take gRPC clients, and returns what ends that in order.
 func listen(r *router.Router, cfg config.Config, g operator.GRPC, log *logrus.Logger) (stop func(), err error) {
-	ln, err := net.Listen("tcp", g.Listen)
+	ln, err := router.Listen(g.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("grpc.listen: %w", err)
 	}
--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,3 +177,60 @@
 		t.Errorf("%d answered, lost %q", answered, lost)
 	}
 }
+
+// A replacement amid a drain, with a ban, a big value under way and no file: the new process knows what was asked, the
+// value ends whole, and after the call back clients are taken.
+func TestReplacingAmidAll(t *testing.T) {
+	const size = 4 << 20
+	p := newPlayer(t)
+	p.start([]string{"s1", "s2", "origin"})
+	go answers(p.server("s1"), size)
+	go p.listing("s1", "s2", "origin")
+	if got := p.call("PUT", "/ops/cache-servers/down", "s2"); got != "200 out" {
+		t.Fatal(got)
+	}
+	slow, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	_, _ = slow.Write(resp.AppendCommand(nil, []byte("CACHE.GET"), []byte("k"), []byte("r"), []byte("c=get,d=2500")))
+	time.Sleep(200 * time.Millisecond)
+	if got := p.call("PUT", "/ops/drain/start", ""); got != "200 draining" {
+		t.Fatal(got)
+	}
+	for _, file := range []string{"intent", "intent.lock"} {
+		if err := os.WriteFile(filepath.Join(p.tmp, "spurtrestle-"+p.listen+"."+file), []byte("spoilt"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.replace(0) }()
+	time.Sleep(time.Second)
+	_ = slow.SetDeadline(time.Now().Add(10 * time.Second))
+	if n, err := io.ReadFull(slow, make([]byte, size+12)); err != nil {
+		t.Errorf("the value: %d bytes, %v", n, err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+	if line, _ := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, "-DRAINING") {
+		t.Error("the drain is forgotten: ", line)
+	}
+	if got := p.call("GET", "/ops/stats", ""); !strings.Contains(got, "router.ejected:1|g") {
+		t.Error("the ban is forgotten:", got)
+	}
+	if got := p.call("PUT", "/ops/drain/stop", ""); got != "200 taking clients" {
+		t.Error(got)
+	}
+	if got := p.call("GET", "/ops/readiness", ""); got != "200 ready" {
+		t.Error(got)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,6 +44,8 @@
 		{`"127.0.0.4:6379"`, `"here"`, `listen: "here" is no address and port`},
 		{`"127.0.1.1:8500"`, `""`, `discovery: "" is no address and port`},
 		{`8c1f30d27a5be964`, `x`, `seed: "x" is not a hexadecimal number`},
+		{`"discovery":`, `"admin":"door","discovery":`, `admin: "door" is no address and port`},
+		{`"discovery":`, `"admin":"127.0.0.4:6379","discovery":`, `admin: 127.0.0.4:6379 is listen too; give the operators' door an address of its own`},
 		{`"sockets":1024`, `"sockets":10`, "limits.sockets: 10 are fewer than 50"},
 		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1 is less than 16"},
 		{`"balancers":2`, `"balancers":0`, "settings: balancers is missing or below 1"},
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -210,6 +210,8 @@
 		return nil, refusals[e.refused]
 	case e.Kind == wire.Satisfied:
 		return e.Value, nil
+	case e.Long:
+		return nil, status.Error(codes.ResourceExhausted, "the value is too big for gRPC; RESP2 passes it")
 	case e.Kind == wire.Failed:
 		return nil, status.Error(codes.Aborted, "failed: it may have run")
 	case e.Hint <= 0:
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -22,6 +22,7 @@
 const (
 	Hello     Kind = 'H' // new to old: I am to replace you
 	Listener  Kind = 'L' // old to new, with the listener
+	Asked     Kind = 'I' // old to new: what operators have asked of it
 	Learned   Kind = 'K' // old to new: what it knows; the last of what follows Hello
 	Ready     Kind = 'R' // new to old: clients are mine from now on
 	Client    Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
--- /dev/null
+++ b/internal/intent/intent_test.go
@@ -0,0 +1,105 @@
+package intent
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func take(uid string) func(*Intent) error { return func(i *Intent) error { return i.TakeOut(uid) } }
+
+func give(uid string) func(*Intent) error {
+	return func(i *Intent) error { return i.GiveBack(uid, time.UnixMicro(7e6)) }
+}
+
+// What one process is asked the other reads; asked twice nothing changes, and one call back undoes it.
+func TestTwoProcesses(t *testing.T) {
+	dir := t.TempDir()
+	one, two := Open(dir, "127.0.0.1:1"), Open(dir, "127.0.0.1:1")
+	for _, uid := range []string{"b", "a", "b"} {
+		if _, err := one.Change(Intent{}, take(uid)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !two.Changed() || one.Changed() {
+		t.Error("who has written, and who has read?")
+	}
+	i, err := two.Change(Intent{Down: []string{"of no account"}}, give("b"))
+	if got := fmt.Sprint(i, err, two.Changed(), one.Changed()); got != "{[a] map[b:7000000] false} <nil> false true" {
+		t.Error(got)
+	}
+	if i, err = one.Read(); fmt.Sprint(i, err) != "{[a] map[b:7000000] false} <nil>" {
+		t.Error(i, err)
+	}
+	if i, err = Open(dir, "127.0.0.1:2").Read(); len(i.Down) > 0 || err != nil {
+		t.Error("another router's: ", i, err)
+	}
+}
+
+// Many at once from two processes: none is lost.
+func TestNoneIsLost(t *testing.T) {
+	dir := t.TempDir()
+	var all sync.WaitGroup
+	for n := range 2 {
+		all.Go(func() {
+			s := Open(dir, "r")
+			for k := range 50 {
+				if _, err := s.Change(Intent{}, take(fmt.Sprint(n, "-", k))); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if i, err := Open(dir, "r").Read(); len(i.Down) != 100 || err != nil {
+		t.Error(len(i.Down), err)
+	}
+}
+
+// A spoilt file is named, and written anew from what the process knows; a folder that is not there keeps nothing, and
+// says so; what is refused is not written.
+func TestTroubleWithTheFile(t *testing.T) {
+	dir := t.TempDir()
+	s := Open(dir, "r")
+	file := filepath.Join(dir, "spurtrestle-r.intent")
+	if err := os.WriteFile(file, []byte(`{"down":["x"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if i, err := s.Read(); err == nil || !strings.HasPrefix(err.Error(), file+": ") || len(i.Down) > 0 {
+		t.Error(i, err)
+	}
+	if i, err := s.Change(Intent{Down: []string{"y"}}, take("z")); fmt.Sprint(i.Down, err) != "[y z] <nil>" {
+		t.Error(i, err)
+	}
+	refused := errors.New("no")
+	if _, err := s.Change(Intent{}, func(*Intent) error { return refused }); err != refused {
+		t.Error(err)
+	}
+	if i, _ := s.Read(); fmt.Sprint(i.Down) != "[y z]" {
+		t.Error(i)
+	}
+	var unkept *NotKept
+	i, err := Open(filepath.Join(dir, "gone"), "r").Change(Intent{}, take("a"))
+	if fmt.Sprint(i.Down) != "[a]" || !errors.As(err, &unkept) || !strings.Contains(err.Error(), "TMPDIR") {
+		t.Error(i, err)
+	}
+}
+
+// What is long past is forgotten, and a list without end is refused.
+func TestBounds(t *testing.T) {
+	i := Intent{Back: map[string]int64{"old": 0}, Down: []string{"x"}}
+	if err := i.GiveBack("x", time.UnixMicro(1e9)); err != nil || fmt.Sprint(i.Back) != "map[x:1000000000]" {
+		t.Error(i, err)
+	}
+	for n := range most {
+		_ = i.TakeOut(fmt.Sprint(n))
+	}
+	if err := i.TakeOut("one more"); err == nil {
+		t.Error("no bound")
+	}
+}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -12,11 +12,7 @@
 		r.log.Info("draining")
 		r.publish()
 		r.tellServing(false)
-		linger := r.lim.LingerOpen
-		if r.takeover.handing { // none come here
-			linger = 0
-		}
-		r.after(linger, func() {
+		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
 			r.queue()
 		})
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -18,6 +19,7 @@
 // open is what is open.
 func FuzzRouter(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 4, 1, 2, 3, 5, 0, 7, 2, 5, 0})
+	f.Add([]byte{0, 1, 1, 4, 12, 0, 2, 3, 9, 9, 0, 2, 12, 2, 0, 7, 12, 4, 9, 99, 12, 6})
 	f.Add([]byte("commands, answers, breaks, lists and time-outs in some order, over and over; 0123456789"))
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		cfg := notedConfig()
@@ -39,7 +41,7 @@
 		var dials []dial
 		r.dialer = func(_ string, p peer, failed func(error)) { dials = append(dials, dial{p, failed}) }
 		clients, servers := []*notedConn{l.open(nil)}, []*notedConn(nil)
-		asked := map[*notedConn]int{}
+		asked, out := map[*notedConn]int{}, map[string]choice.Micros{}
 		traffic := func(c *notedConn) {
 			if r.OnTraffic(c) == gnet.Close {
 				_ = l.Close(c)
@@ -66,11 +68,11 @@
 		}
 		for i := 0; i+1 < len(steps); i += 2 {
 			n := steps[i+1]
-			switch steps[i] % 12 {
+			switch steps[i] % 13 {
 			case 0, 1, 2:
 				if c := pick(clients, n); c != nil {
 					asked[c]++
-					if steps[i]%12 == 2 {
+					if steps[i]%13 == 2 {
 						c.in = append(c.in, "*2\r\n$4\r\nPING\r\n$1\r\nx\r\n"...)
 						traffic(c)
 						break
@@ -124,10 +126,28 @@
 				}
 			case 11:
 				l.rounds()
+			case 12: // operators take out and give back, drain and undo it
+				asked, uid := r.ops.wanted, []string{"s", "u"}[n%2]
+				asked.Back = map[string]int64{}
+				switch n / 2 % 4 {
+				case 0:
+					if !asked.Out(uid) {
+						out[uid] = r.clock()
+					}
+					_ = asked.TakeOut(uid)
+				case 1:
+					_ = asked.GiveBack(uid, time.UnixMicro(int64(r.clock())))
+				default:
+					asked.Empty = n/2%4 == 2
+				}
+				r.obey(asked)
 			}
 			carried := map[*req]int{}
 			for _, c := range servers {
 				if up, ok := c.ctx.(*upstream); ok && up.carries != nil {
+					if uid := string(r.book.UID(up.server.id)); uid != "" && up.server.out && up.carries.sent > out[uid] {
+						t.Fatalf("a write-out to %s, which is out", uid)
+					}
 					most := 1
 					if cfg.Settings.MayTwoAtOnce {
 						most = 2
@@ -159,6 +179,15 @@
 			}
 		}
 		n := r.counts
+		var ended [3]int
+		for _, m := range n.Ended {
+			for i := range m {
+				ended[i] += m[i]
+			}
+		}
+		if ended != [3]int{n.Satisfied, n.Nacked, n.Failed} {
+			t.Errorf("%v by method, %v in all", ended, n)
+		}
 		if n.Taken != n.Satisfied+n.Nacked+n.Failed+n.Left || len(r.reqs) != 0 || r.held != 0 {
 			t.Errorf("%v, %d reqs, %d bytes", n, len(r.reqs), r.held)
 		}
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -36,7 +36,12 @@
 		return false
 	}
 	c, plain := w.q.from.(*client)
-	if !plain || w.q.over { // other protocols hand values over whole
+	if !plain { // other protocols hand values over whole
+		up.r.answer(w.q, wire.Answer{Kind: wire.Failed, Long: true})
+		up.r.returned(w, choice.OK, up.r.report(o.Report))
+		return true
+	}
+	if w.q.over {
 		return false
 	}
 	fd, err := up.conn.Dup()
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -48,6 +48,9 @@
 	i, err := store.Read()
 	if err != nil {
 		r.log.WithError(err).Warn("going on without it")
+		if asked := r.takeover.asked; asked != nil { // the process before this one knows
+			i = *asked
+		}
 	}
 	i.Empty = i.Empty && r.takeover.old != nil // else of a process that is gone
 	r.ops.wanted = i
@@ -192,7 +195,7 @@
 	switch {
 	case r.draining:
 		return errEnding
-	case r.ops.wanted.Empty:
+	case r.ops.wanted.Empty && r.takeover.old == nil: // while the old process lives yes means that it may be ended
 		return errEmptying
 	case r.takeover.handing:
 		return errPassed
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,6 +168,7 @@
 	}
 	r.rewatch(r.cfg.Discovery)
 	r.after(r.lim.Sweep, r.sweep)
+	r.ops.emptied = r.ops.wanted.Empty // as asked of the process before
 	r.tell()
 	if r.ops.store != nil {
 		go r.follow()
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -17,6 +18,7 @@
 	"spurtrestle/choice"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
+	"spurtrestle/internal/intent"
 	"spurtrestle/internal/snapshot"
 )
 
@@ -26,6 +28,7 @@
 	dir, name string // of the socket by which the processes find each other; before Run
 	ln        *net.TCPListener
 	unix      *net.UnixListener
+	asked     *intent.Intent // of the old process, as it last knew; nil: not told
 	old, heir *handover.Peer // the processes before and behind this one, while they live
 	accepting bool           // clients come to this process
 	handing   bool           // its clients are passed on to the heir
@@ -64,6 +67,9 @@
 				if ln, err = listenerOf(f.FD); err == nil {
 					t.ln, _ = ln.(*net.TCPListener)
 				}
+			case handover.Asked:
+				t.asked = new(intent.Intent)
+				err = json.Unmarshal(f.Body, t.asked)
 			case handover.Learned:
 				var s snapshot.State
 				if s, err = snapshot.Decode(f.Body); err == nil {
@@ -106,11 +112,7 @@
 	if t.ln != nil {
 		return nil
 	}
-	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
-		return errors.Join(e, err)
-	}}
-	ln, err := shared.Listen(context.Background(), "tcp", r.cfg.Listen)
+	ln, err := Listen(r.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -118,6 +120,15 @@
 	return nil
 }
 
+// Listen takes an address that two processes of a router may share.
+func Listen(addr string) (net.Listener, error) {
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return errors.Join(e, err)
+	}}
+	return shared.Listen(context.Background(), "tcp", addr)
+}
+
 // takeClients begins to take clients; an old process passes on those that it has from now on.
 func (r *Router) takeClients() {
 	t := &r.takeover
@@ -201,11 +212,12 @@
 	if f, err := p.Receive(time.Second); err != nil || f.Kind != handover.Hello {
 		return
 	}
-	var knows []byte
+	var knows, asked []byte
 	if r.soon(func() {
 		t.heir = p
 		r.shareMemory()
 		knows = snapshot.Encode(r.State())
+		asked, _ = json.Marshal(r.ops.wanted) // plain fields: it cannot fail
 	}) != nil {
 		return
 	}
@@ -226,6 +238,7 @@
 		return
 	}
 	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FD: int(file.Fd())}),
+		p.Send(handover.Frame{Kind: handover.Asked, Body: asked, FD: -1}),
 		p.Send(handover.Frame{Kind: handover.Learned, Body: knows, FD: -1}))
 	file.Close()
 	for err == nil {
@@ -253,6 +266,7 @@
 	if t.unix != nil {
 		t.unix.Close() // the next process is the heir's; the name is too
 	}
+	r.tellServing(false)
 	r.publish()
 	r.handingOn()
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -28,6 +28,7 @@
 type Answer struct {
 	Kind  Kind
 	Value []byte        // of a satisfied one; it may change once the answer is written
+	Long  bool          // of a failed one: there is a value, too big for who asked
 	Hint  choice.Micros // of a nacked one: when to come back; 0: no hint
 }
 
