--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -204,16 +205,16 @@
 			t.Fatal(err)
 		}
 	}
-	done := make(chan error, 1)
-	go func() { done <- p.replace(0) }()
-	time.Sleep(time.Second)
+	if err := p.replace(0); err != nil { // nobody reads the value, and the old process ends all the same
+		t.Fatal(err)
+	}
+	whole := append(resp.AppendBulk(nil, bytes.Repeat([]byte("v"), size)), "-DRAINING as operators asked\r\n"...)
+	_, _ = io.WriteString(slow, "*1\r\n$4\r\nPING\r\n")
 	_ = slow.SetDeadline(time.Now().Add(10 * time.Second))
-	if n, err := io.ReadFull(slow, make([]byte, size+12)); err != nil {
+	got := make([]byte, len(whole))
+	if n, err := io.ReadFull(slow, got); err != nil || !bytes.Equal(got, whole) {
 		t.Errorf("the value: %d bytes, %v", n, err)
 	}
-	if err := <-done; err != nil {
-		t.Fatal(err)
-	}
 	c, err := net.Dial("tcp", p.listen)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,5 @@
 // Package handover is how two processes of one router speak while one replaces the other: frames over a Unix socket, each
-// with at most one descriptor. What is said is the router's.
+// with at most two descriptors. What is said is the router's.
 package handover
 
 import (
@@ -26,16 +26,17 @@
 	Learned   Kind = 'K' // old to new: what it knows; the last of what follows Hello
 	Ready     Kind = 'R' // new to old: clients are mine from now on
 	Client    Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
+	Value     Kind = 'V' // old to new, with a client's connection and a server's: a big value on its way
 	Holds     Kind = 'S' // both: how many descriptors I hold
 	headBytes      = 5
 	most           = 4 << 20 // bytes of one frame
 )
 
-// Frame is one message. The descriptor is -1 where there is none; it belongs to who receives it.
+// Frame is one message. Its descriptors belong to who receives it.
 type Frame struct {
 	Kind Kind
 	Body []byte
-	FD   int
+	FDs  []int
 }
 
 // Peer is the other process.
@@ -95,7 +96,7 @@
 	return &Peer{conn: c}, nil
 }
 
-// Send sends a frame; its descriptor stays the sender's.
+// Send sends a frame; its descriptors stay the sender's.
 func (p *Peer) Send(f Frame) error {
 	const patience = 2 * time.Second
 	p.mu.Lock()
@@ -103,8 +104,8 @@
 	_ = p.conn.SetWriteDeadline(time.Now().Add(patience))
 	head := binary.BigEndian.AppendUint32([]byte{byte(f.Kind)}, uint32(len(f.Body)))
 	var rights []byte
-	if f.FD >= 0 {
-		rights = unix.UnixRights(f.FD)
+	if len(f.FDs) > 0 {
+		rights = unix.UnixRights(f.FDs...)
 	}
 	n, _, err := p.conn.WriteMsgUnix(head, rights, nil)
 	if err == nil && n < len(head) {
@@ -125,8 +126,8 @@
 		by = time.Now().Add(within)
 	}
 	_ = p.conn.SetReadDeadline(by)
-	f := Frame{FD: -1}
-	head, rights := make([]byte, headBytes), make([]byte, unix.CmsgSpace(4))
+	f := Frame{}
+	head, rights := make([]byte, headBytes), make([]byte, unix.CmsgSpace(2*4))
 	n, oobn, _, _, err := p.conn.ReadMsgUnix(head, rights)
 	if err == nil && n == 0 {
 		err = io.EOF
@@ -136,9 +137,11 @@
 	}
 	if oobn > 0 {
 		if all, err := unix.ParseSocketControlMessage(rights[:oobn]); err == nil && len(all) == 1 {
-			if fds, err := unix.ParseUnixRights(&all[0]); err == nil && len(fds) == 1 {
-				f.FD = fds[0]
-				unix.CloseOnExec(f.FD)
+			if f.FDs, err = unix.ParseUnixRights(&all[0]); err != nil {
+				f.FDs = nil
+			}
+			for _, fd := range f.FDs {
+				unix.CloseOnExec(fd)
 			}
 		}
 	}
@@ -151,12 +154,19 @@
 			_, err = io.ReadFull(p.conn, f.Body)
 		}
 	}
-	if err != nil && f.FD >= 0 {
-		unix.Close(f.FD)
-		f.FD = -1
+	if err != nil {
+		f.Drop()
 	}
 	return f, err
 }
 
+// Drop closes what came with a frame.
+func (f *Frame) Drop() {
+	for _, fd := range f.FDs {
+		unix.Close(fd)
+	}
+	f.FDs = nil
+}
+
 // Close ends it; Receive returns.
 func (p *Peer) Close() { p.conn.Close() }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Frames of all sizes come as they were sent, each with its own descriptor, also in a folder of a long name; the next
@@ -38,22 +40,21 @@
 	}
 	big := bytes.Repeat([]byte("x"), 1<<20)
 	go func() {
-		for _, f := range []Frame{{Hello, nil, -1}, {Client, big, int(write.Fd())}, {Holds, []byte("7"), -1}} {
+		for _, f := range []Frame{{Hello, nil, nil}, {Value, big, []int{int(read.Fd()), int(write.Fd())}}, {Holds, []byte("7"), nil}} {
 			_ = one.Send(f) // what is missing is seen below
 		}
 		write.Close()
 		one.Close()
 	}()
-	for _, want := range []string{"H 0 false", "C 1048576 true", "S 1 false"} {
+	for _, want := range []string{"H 0 0", "V 1048576 2", "S 1 0"} {
 		f, err := two.Receive(time.Second)
-		if got := fmt.Sprintf("%c %d %v", f.Kind, len(f.Body), f.FD >= 0); got != want || err != nil {
+		if got := fmt.Sprintf("%c %d %d", f.Kind, len(f.Body), len(f.FDs)); got != want || err != nil {
 			t.Error(got, err)
 		}
-		if f.FD >= 0 {
-			w := os.NewFile(uintptr(f.FD), "")
-			_, _ = w.WriteString("hello")
-			w.Close()
+		if len(f.FDs) == 2 {
+			_, _ = unix.Write(f.FDs[1], []byte("hello"))
 		}
+		f.Drop()
 	}
 	got := make([]byte, 5)
 	if _, err := read.Read(got); string(got) != "hello" {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/resp"
@@ -26,6 +27,7 @@
 	over    bool          // to be closed once the answers are out
 	first   bool          // a big write is next, and waits until all before it is answered
 	leaving bool          // soon off the loop
+	carried bool          // a big value has passed on it, of which the kernel may hold a part
 	away    bool          // off the loop: a big value passes on it
 	rest    []byte        // what came before it left the loop, and is not read yet
 	words   [][]byte
@@ -292,8 +294,18 @@
 	}
 }
 
-// quiet: no req of it is in hand and all answers have left. A command that has come in part is not taken yet.
-func (c *client) quiet() bool { return len(c.slots) == 0 && c.conn.OutboundBuffered() == 0 }
+// settled: no req of it is in hand and all answers are with the kernel. A command that has come in part is not taken yet.
+func (c *client) settled() bool { return len(c.slots) == 0 && c.conn.OutboundBuffered() == 0 }
+
+// quiet: it is settled, and could be closed. A close that crosses what the client sends drops all that the kernel still
+// has for it, and of a big value that may be megabytes.
+func (c *client) quiet() bool {
+	if c.settled() && c.carried {
+		n, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCOUTQ)
+		c.carried = err == nil && n > 0
+	}
+	return c.settled() && !c.carried
+}
 
 // ended: it is quiet, or it does not take its answers. gnet writes what it can at a close, and no more.
 func (c *client) ended() bool {
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
+	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/handover"
 	"spurtrestle/internal/wire"
 )
 
@@ -25,6 +32,12 @@
 	has    []byte
 	size   int
 	method choice.Method
+
+	client, server net.Conn    // of the goroutine
+	pending        []byte      // for the client
+	left           int         // bytes of the value to come
+	ended          bool        // the line end behind it is pending, or out
+	stopped        atomic.Bool // the goroutine is to end, and the value to go on elsewhere
 }
 
 // long takes an answer that is too big to be held: its write-out ends here, at the first bytes of its value. false: it is
@@ -121,7 +134,7 @@
 // back takes the client onto the loop again, with what was answered meanwhile.
 func (c *client) back(conn gnet.Conn) {
 	r := c.r
-	c.conn, c.away, c.idle = conn, false, r.clock()
+	c.conn, c.away, c.carried, c.idle = conn, false, true, r.clock()
 	r.away--
 	r.conns-- // it was counted all the time
 	r.clients[c] = struct{}{}
@@ -152,71 +165,212 @@
 	return net.FileConn(f)
 }
 
+// dupOf duplicates a descriptor. (File of the standard library would make the connection a blocking one.)
+func dupOf(c syscall.Conn) (fd int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return -1, err
+	}
+	e := raw.Control(func(of uintptr) { fd, err = unix.FcntlInt(of, unix.F_DUPFD_CLOEXEC, 0) })
+	return fd, errors.Join(e, err)
+}
+
 // pass runs off the loop. The client's side ends unless the value has passed whole.
 func (l *long) pass(to int) {
-	r := l.r
 	client, err := asConn(to)
 	server, err2 := asConn(l.from)
-	if err = errors.Join(err, err2); err == nil {
-		err = l.copy(client, server)
+	if err = errors.Join(err, err2); err != nil {
+		l.r.log.WithError(err).Warn("a big value cannot be passed on")
 	}
+	n := min(len(l.has), l.size)
+	head := strconv.AppendInt([]byte{'$'}, int64(l.size), 10)
+	l.pending, l.left, l.has = append(append(head, "\r\n"...), l.has[:n]...), l.size-n, l.has[n:]
+	l.client, l.server = client, server
 	if err != nil {
-		if client != nil {
-			client.Close() // its length was told: nobody takes it for whole
-		}
-		if server != nil {
-			server.Close()
-		}
-		r.execute(func() {
-			r.count(l.method, wire.Failed)
-			l.up.ended()
-			l.c.lost()
-		})
+		l.end(err)
+		return
+	}
+	l.r.execute(func() { l.r.passing[l] = struct{}{} })
+	l.run()
+}
+
+var errStopped = errors.New("stopped for another process")
+
+// run passes on what is left.
+func (l *long) run() {
+	r := l.r
+	err := l.copy()
+	if err == errStopped {
+		r.execute(l.move)
 		return
 	}
-	r.execute(func() { r.count(l.method, wire.Satisfied) })
-	r.enroll(client, l.c, l.c.lost)
-	if l.rest(server) {
-		r.enroll(server, l.up, l.up.ended)
+	if err != nil {
+		l.end(err)
 		return
 	}
-	server.Close()
+	r.execute(func() {
+		delete(r.passing, l)
+		r.count(l.method, wire.Satisfied)
+	})
+	r.enroll(l.client, l.c, l.c.lost)
+	if l.rest(l.server) {
+		r.enroll(l.server, l.up, l.up.ended)
+		return
+	}
+	l.server.Close()
 	r.execute(l.up.ended)
 }
 
+// end: the value cannot be finished. Its length was told, so that nobody takes it for whole.
+func (l *long) end(why error) {
+	l.r.log.WithError(why).Debug("a big value ends early")
+	for _, c := range []net.Conn{l.client, l.server} {
+		if c != nil {
+			c.Close()
+		}
+	}
+	l.r.execute(func() {
+		delete(l.r.passing, l)
+		l.r.count(l.method, wire.Failed)
+		l.up.ended()
+		l.c.lost()
+	})
+}
+
 // copy passes the value on.
-func (l *long) copy(client, server net.Conn) error {
+func (l *long) copy() error {
 	r := l.r
-	put := func(p []byte) error {
-		_ = client.SetWriteDeadline(time.Now().Add(span(r.lim.Unread)))
-		_, err := client.Write(p)
-		return err
-	}
-	n := min(len(l.has), l.size)
-	head := strconv.AppendInt([]byte{'$'}, int64(l.size), 10)
-	if err := put(append(append(head, "\r\n"...), l.has[:n]...)); err != nil {
-		return err
-	}
-	l.has = l.has[n:]
 	piece := pieces.Get().(*[]byte)
 	defer pieces.Put(piece)
 	if len(*piece) != r.lim.Piece {
 		*piece = make([]byte, r.lim.Piece)
 	}
-	for left := l.size - n; left > 0; {
-		_ = server.SetReadDeadline(time.Now().Add(span(r.lim.Stuck)))
-		n, err := server.Read((*piece)[:min(left, r.lim.Piece)])
-		if n > 0 {
-			left -= n
-			if err := put((*piece)[:n]); err != nil {
+	for {
+		for len(l.pending) > 0 {
+			_ = l.client.SetWriteDeadline(time.Now().Add(span(r.lim.Unread)))
+			if l.stopped.Load() { // behind the deadline, which stop sets as well
+				l.pending = append([]byte(nil), l.pending...)
+				return errStopped
+			}
+			n, err := l.client.Write(l.pending)
+			if l.pending = l.pending[n:]; err != nil && !l.stopped.Load() {
 				return err
 			}
 		}
-		if err != nil && left > 0 {
+		switch {
+		case l.ended:
+			return nil
+		case l.left == 0:
+			l.ended, l.pending = true, []byte("\r\n")
+			continue
+		}
+		_ = l.server.SetReadDeadline(time.Now().Add(span(r.lim.Stuck)))
+		if l.stopped.Load() {
+			return errStopped
+		}
+		n, err := l.server.Read((*piece)[:min(l.left, r.lim.Piece)])
+		if l.pending, l.left = (*piece)[:n], l.left-n; err != nil && n == 0 && !l.stopped.Load() {
 			return err
 		}
 	}
-	return put([]byte("\r\n"))
+}
+
+// stop has the goroutine end between two pieces, once all that waits behind the value is answered: what is in hand for
+// its client is this process's to answer.
+func (l *long) stop() {
+	if !l.stopped.Load() && l.c.answeredAll() {
+		l.stopped.Store(true)
+		_ = l.client.SetDeadline(time.Unix(1, 0))
+		_ = l.server.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (c *client) answeredAll() bool {
+	return !slices.ContainsFunc(c.slots, func(s *slot) bool { return s.text == nil })
+}
+
+// moved is a big value as one process tells it to the next.
+type moved struct {
+	Server  string // its name in discovery
+	Method  string
+	Pending []byte // for the client
+	Left    int    // bytes to come from the server
+	Ended   bool   // the line end is pending, or out
+	Has     []byte // read of what stands behind the value
+	Answers []byte // for the client, behind the value
+	Rest    []byte // of the client, not read yet
+}
+
+// move passes the value on to the next process, or goes on where there is none.
+func (l *long) move() {
+	r, t := l.r, &l.r.takeover
+	if !t.handing {
+		l.stopped.Store(false)
+		go l.run()
+		return
+	}
+	m := moved{Server: string(r.book.UID(l.up.server.id)), Method: r.cfg.Settings.Methods[l.method].Name, Pending: l.pending, Left: l.left,
+		Ended: l.ended, Has: l.has, Rest: l.c.rest}
+	for _, s := range l.c.slots {
+		m.Answers = append(m.Answers, s.text...)
+	}
+	text, err := json.Marshal(m)
+	var fds []int
+	for _, c := range []net.Conn{l.client, l.server} {
+		fd, e := dupOf(c.(*net.TCPConn))
+		if err = errors.Join(err, e); e == nil {
+			fds = append(fds, fd)
+		}
+	}
+	if err != nil {
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+		go l.end(err)
+		return
+	}
+	l.client.Close()
+	l.server.Close()
+	delete(r.passing, l)
+	r.counts.Taken-- // the next process counts it
+	r.away--
+	r.upstreams--
+	if l.c.asked {
+		r.askers--
+	}
+	t.unsent++
+	t.out <- passed{handover.Frame{Kind: handover.Value, Body: text, FDs: fds}}
+}
+
+// takeValue goes on with a big value that another process began.
+func (r *Router) takeValue(f handover.Frame) {
+	var m moved
+	err := json.Unmarshal(f.Body, &m)
+	to, err1 := asConn(f.FDs[0])
+	from, err2 := asConn(f.FDs[1])
+	if err = errors.Join(err, err1, err2); err != nil {
+		r.log.WithError(err).Warn("a big value cannot be taken over")
+		return // what is left of it ends with the process
+	}
+	r.execute(func() {
+		method := r.methods[m.Method]
+		s := &server{speaks: r.cache}
+		if id, known := r.book.ID(discovery.UID(m.Server)); known && r.servers[id] != nil {
+			s = r.servers[id]
+		}
+		c := &client{r: r, away: true, spoke: true, used: true, rest: m.Rest}
+		if len(m.Answers) > 0 {
+			c.slots = []*slot{{text: m.Answers}}
+		}
+		l := &long{r: r, c: c, up: &upstream{r: r, server: s, away: true}, method: method, client: to, server: from,
+			pending: m.Pending, left: m.Left, ended: m.Ended, has: m.Has}
+		r.counts.Taken++
+		r.away++
+		r.upstreams++
+		r.conns += 2
+		r.passing[l] = struct{}{}
+		go l.run()
+	})
 }
 
 // rest reads what stands behind the value and tells whether the connection can carry another write-out.
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -37,7 +37,7 @@
 		return false, false
 	}
 	c.part = 0
-	if c.first = !c.quiet(); c.first {
+	if c.first = !c.settled(); c.first {
 		return true, false // what is asked before it must not wait for it
 	}
 	fd, err := c.conn.Dup()
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -59,7 +59,12 @@
 // follow takes over what another process of this router has been asked.
 func (r *Router) follow() {
 	const every = 50 * time.Millisecond
-	for range time.Tick(every) {
+	for {
+		select {
+		case <-r.ended:
+			return
+		case <-time.After(every):
+		}
 		r.ops.mu.Lock()
 		if r.ops.store.Changed() {
 			if i, err := r.ops.store.Read(); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,7 @@
 	held      int                  // bytes of all reqs
 	buffered  int                  // bytes that the clients' connections hold, or more
 	clients   map[*client]struct{} // all that are open
+	passing   map[*long]struct{}   // big values under way to clients
 	away      int                  // more that are off the loop
 	askers    int                  // those of them that have sent a req
 	stalled   []*client            // clients whose commands wait for room
@@ -87,7 +88,7 @@
 // New returns a router that is not running yet.
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}), ended: make(chan struct{}),
-		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{},
+		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
 	r.counts.Ended = make([][3]int, len(cfg.Settings.Methods))
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -39,9 +39,7 @@
 
 // passed is a client's connection on its way to the heir.
 type passed struct {
-	c    *client
-	fd   int
-	rest []byte
+	handover.Frame
 }
 
 // Join finds the process that this one replaces, if there is one, and takes its listener and what it knows. Call it
@@ -55,7 +53,7 @@
 		return // nobody: the usual start
 	}
 	var state *snapshot.State
-	if err = old.Send(handover.Frame{Kind: handover.Hello, FD: -1}); err == nil {
+	if err = old.Send(handover.Frame{Kind: handover.Hello}); err == nil {
 		for err == nil && state == nil {
 			var f handover.Frame
 			if f, err = old.Receive(patience); err != nil {
@@ -64,7 +62,7 @@
 			switch f.Kind {
 			case handover.Listener:
 				var ln net.Listener
-				if ln, err = listenerOf(f.FD); err == nil {
+				if ln, err = listenerOf(f); err == nil {
 					t.ln, _ = ln.(*net.TCPListener)
 				}
 			case handover.Asked:
@@ -97,13 +95,14 @@
 	r.log.Info("replacing a process that serves")
 }
 
-func listenerOf(fd int) (net.Listener, error) {
-	f := os.NewFile(uintptr(fd), "")
-	if f == nil {
+func listenerOf(f handover.Frame) (net.Listener, error) {
+	if len(f.FDs) != 1 {
+		f.Drop()
 		return nil, errors.New("no listener came")
 	}
-	defer f.Close()
-	return net.FileListener(f)
+	file := os.NewFile(uintptr(f.FDs[0]), "")
+	defer file.Close()
+	return net.FileListener(file)
 }
 
 // listen takes the clients' address, unless the old process has given it.
@@ -144,7 +143,7 @@
 	if t.old != nil {
 		r.log.Info("taking over")
 		old := t.old
-		go func() { _ = old.Send(handover.Frame{Kind: handover.Ready, FD: -1}) }() // where it has ended nothing is to take
+		go func() { _ = old.Send(handover.Frame{Kind: handover.Ready}) }() // where it has ended nothing is to take
 	}
 	r.publish()
 }
@@ -233,14 +232,14 @@
 			r.takeClients()
 		}
 	})
-	file, err := t.ln.File()
+	fd, err := dupOf(t.ln)
 	if err != nil {
 		return
 	}
-	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FD: int(file.Fd())}),
-		p.Send(handover.Frame{Kind: handover.Asked, Body: asked, FD: -1}),
-		p.Send(handover.Frame{Kind: handover.Learned, Body: knows, FD: -1}))
-	file.Close()
+	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FDs: []int{fd}}),
+		p.Send(handover.Frame{Kind: handover.Asked, Body: asked}),
+		p.Send(handover.Frame{Kind: handover.Learned, Body: knows}))
+	unix.Close(fd)
 	for err == nil {
 		var f handover.Frame
 		if f, err = p.Receive(0); err != nil {
@@ -276,6 +275,9 @@
 		return
 	}
 	r.passClients()
+	for l := range r.passing {
+		l.stop()
+	}
 	for _, s := range r.servers {
 		r.closeIdle(s)
 	}
@@ -286,7 +288,7 @@
 func (r *Router) passClients() {
 	t := &r.takeover
 	for c := range r.clients {
-		if c.over || c.leaving || !c.quiet() {
+		if c.over || c.leaving || !c.settled() {
 			continue
 		}
 		fd, err := c.conn.Dup()
@@ -304,37 +306,47 @@
 		c.conn = nil
 		r.conns++
 		t.unsent++
-		t.out <- passed{c, fd, c.rest}
+		t.out <- passed{Frame: handover.Frame{Kind: handover.Client, Body: c.rest, FDs: []int{fd}}}
 	}
 }
 
 // passOn sends off the loop. What cannot be sent comes back.
 func (r *Router) passOn(p *handover.Peer, out chan passed) {
 	for x := range out {
-		err := p.Send(handover.Frame{Kind: handover.Client, Body: x.rest, FD: x.fd})
+		err := p.Send(x.Frame)
 		if err == nil {
-			unix.Close(x.fd)
 			r.execute(func() {
 				r.takeover.unsent--
-				r.conns--
+				r.conns -= len(x.FDs)
+				x.Drop()
 				r.queue()
 			})
 			continue
 		}
-		r.enrollFD(x.fd, x.rest, func() { r.takeover.unsent-- })
+		r.execute(func() {
+			r.takeover.unsent--
+			r.conns -= len(x.FDs)
+		})
+		r.takeOver(x.Frame)
 	}
 }
 
-// enrollFD puts a client's connection onto the loop that another process had, or was to have; first runs there ahead.
-func (r *Router) enrollFD(fd int, rest []byte, first func()) {
-	c, err := asConn(fd)
+// takeOver takes a client that another process had, or was to have, with the big value that is on its way to it.
+func (r *Router) takeOver(f handover.Frame) {
+	if f.Kind == handover.Value && len(f.FDs) == 2 {
+		r.takeValue(f)
+		return
+	}
+	if f.Kind != handover.Client || len(f.FDs) != 1 {
+		f.Drop()
+		return
+	}
+	c, err := asConn(f.FDs[0])
 	if err != nil {
 		r.log.WithError(err).Warn("a client's connection cannot be taken")
-		r.execute(first)
 		return
 	}
-	r.execute(first)
-	r.enroll(c, &client{r: r, rest: rest, spoke: true}, func() {})
+	r.enroll(c, &client{r: r, rest: f.Body, spoke: true}, func() {})
 }
 
 // followOld speaks to the old process until it ends.
@@ -345,10 +357,10 @@
 			break
 		}
 		switch f.Kind {
-		case handover.Client:
-			r.enrollFD(f.FD, f.Body, func() {})
 		case handover.Holds:
 			r.heard(0, f)
+		default:
+			r.takeOver(f)
 		}
 	}
 	p.Close()
@@ -377,7 +389,7 @@
 	if t.old == nil && t.heir == nil {
 		return
 	}
-	f := handover.Frame{Kind: handover.Holds, FD: -1, Body: strconv.AppendInt(nil, int64(r.conns+descriptorsOfDial*r.dials+r.lim.Reserve), 10)}
+	f := handover.Frame{Kind: handover.Holds, Body: strconv.AppendInt(nil, int64(r.conns+descriptorsOfDial*r.dials+r.lim.Reserve), 10)}
 	for _, p := range []*handover.Peer{t.old, t.heir} {
 		if p != nil {
 			go func() { _ = p.Send(f) }() // its end is noticed by who reads from it
