The lab plays operators: bans, drains and replacements, with referee, cheater and scenarios

A scripted router that says yes to a ban and goes on sending is caught (bars); the honest one is not.

--- a/internal/lab/cheat/cheat.go
+++ b/internal/lab/cheat/cheat.go
@@ -52,6 +52,7 @@
 	Ignores  Kind = "ignores"  // neither answers nor closes on what cannot be read
 	Crashes  Kind = "crashes"  // ends by itself
 	Lingers  Kind = "lingers"  // does not end after SIGTERM
+	Bars     Kind = "bars"     // says yes to operators and goes on sending to a server that they take out
 	Invents  Kind = "invents"  // sends on reqs that no client asked for
 )
 
@@ -73,10 +74,16 @@
 			return nil, err
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		r := &router{kind: kind, spec: s, ln: ln, done: make(chan struct{}), cancel: cancel, conns: map[net.Conn]bool{}}
+		r := &router{kind: kind, spec: s, ln: ln, done: make(chan struct{}), cancel: cancel, conns: map[net.Conn]bool{}, barred: map[string]bool{}}
 		if _, err := r.take(c.Known); err != nil {
 			return nil, err
 		}
+		door, err := net.Listen("tcp", s.Admin)
+		if err != nil {
+			return nil, err
+		}
+		context.AfterFunc(ctx, func() { door.Close() })
+		r.work.Go(func() { _ = http.Serve(door, http.HandlerFunc(r.operators)) }) // ends with the door
 		r.work.Go(r.accept)
 		r.work.Go(func() { r.watch(ctx) })
 		if kind == Crashes {
@@ -108,6 +115,7 @@
 
 	mu     sync.Mutex
 	list   []target
+	barred map[string]bool
 	conns  map[net.Conn]bool
 	inHand atomic.Int64
 }
@@ -203,6 +211,14 @@
 	}
 }
 
+// operators answers their calls: yes to all.
+func (r *router) operators(_ http.ResponseWriter, q *http.Request) {
+	uid, _ := io.ReadAll(q.Body) // what is cut off is no name
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.barred[string(uid)] = strings.HasSuffix(q.URL.Path, "/down")
+}
+
 func (r *router) accept() {
 	for {
 		c, err := r.ln.Accept()
@@ -410,7 +426,7 @@
 	var caches []target
 	var newest target
 	for _, t := range r.list {
-		if t.Kind != "origin" {
+		if t.Kind != "origin" && (r.kind == Bars || !r.barred[t.UID]) {
 			if caches = append(caches, t); t.Boot > newest.Boot {
 				newest = t
 			}
--- a/internal/lab/cheat/cheat_test.go
+++ b/internal/lab/cheat/cheat_test.go
@@ -86,6 +86,14 @@
 pick = [0, 1]
 `
 
+const banned = aside + `
+[[fault]]
+kind = "ban"
+at = "300ms"
+for = "2s"
+pick = [0, 1]
+`
+
 const replaced = aside + `
 [[fault]]
 kind = "kill"
@@ -135,6 +143,7 @@
 		{Window, through, 2, "after the window in which repeats are dropped"},
 		{Strays, through, 2, "outside the group"},
 		{Drains, drained, 3, "after the router was told"},
+		{Bars, banned, 3, "after operators had taken it out"},
 		{Floods, weak(replaced), 4, "was pushed over while cold"},
 		{Floods, weakOrigin(replaced), 4, "the origin was pushed over"},
 		{Garbles, aside, 0, "a command no client sent"},
@@ -144,6 +153,7 @@
 		{Invents, aside, 0, "no client asked for"},
 		{Honest, aside, -1, ""},
 		{Honest, drained, -1, ""},
+		{Honest, banned, -1, ""},
 		{Honest, rubbish, -1, ""},
 		{Honest, through, -1, ""},
 	} {
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -59,15 +59,17 @@
 
 // What happened to routers, and what they were told.
 const (
-	Told   Kind = iota + 40 // discovery wrote to a router that a server is draining or gone: Server, Router
-	Due                     // the same has reached the agent that tells this router: Server, Router
-	Up                      // a router answers PING: Router
-	Term                    // SIGTERM was sent: Router
-	Down                    // a router's process ended: Router, Outcome (Satisfied: as it should)
-	Killed                  // SIGKILL was sent: Router
-	Fault                   // a fault begins, or ends where Limit is 1: Note
-	Sample                  // a router's CPU in microseconds (Limit) and memory in bytes (Size) so far: Router
-	Late                    // the lab itself was late by Limit
+	Told     Kind = iota + 40 // discovery wrote to a router that a server is draining or gone: Server, Router
+	Due                       // the same has reached the agent that tells this router: Server, Router
+	Up                        // a router answers PING: Router
+	Term                      // SIGTERM was sent: Router
+	Down                      // a router's process ended: Router, Outcome (Satisfied: as it should)
+	Killed                    // SIGKILL was sent: Router
+	Fault                     // a fault begins, or ends where Limit is 1: Note
+	Sample                    // a router's CPU in microseconds (Limit) and memory in bytes (Size) so far: Router
+	Late                      // the lab itself was late by Limit
+	Barred                    // a router said yes to leaving a server alone: Server, Router
+	Unbarred                  // it was told to use it again: Server, Router
 )
 
 // Outcome is a final answer as a client reads it.
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -39,7 +39,7 @@
 func (r *run) act(ctx context.Context, f scenario.Fault, a faults.Act, struck map[[2]int]*life) error {
 	switch scenario.Kinds[f.Kind].Strikes() {
 	case "servers":
-		return r.actServer(f, a, struck)
+		return r.actServer(ctx, f, a, struck)
 	case "routers":
 		r.actRouter(ctx, f, a)
 	case "origin":
@@ -66,7 +66,7 @@
 	return nil
 }
 
-func (r *run) actServer(f scenario.Fault, a faults.Act, struck map[[2]int]*life) error {
+func (r *run) actServer(ctx context.Context, f scenario.Fault, a faults.Act, struck map[[2]int]*life) error {
 	at := [2]int{a.Fault, a.Who}
 	r.mu.Lock()
 	l := r.lives[a.Who]
@@ -76,6 +76,9 @@
 	}
 	victim := struck[at]
 	switch f.Kind {
+	case "ban":
+		r.ban(ctx, victim.entry.UID, !a.End)
+		return nil
 	case "kill":
 		if a.End {
 			r.tell(victim, "left")
@@ -158,6 +161,12 @@
 				again()
 			})
 		}
+	case "router_empty":
+		r.empty(ctx, p, !a.End)
+	case "router_replace":
+		if !a.End {
+			r.replace(ctx, p)
+		}
 	case "router_reload":
 		if !a.End {
 			if err := p.reload(); err != nil {
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -73,6 +73,7 @@
 
 func (a *addresses) routers() []string            { return a.each("127.%d.250.%d:6379") }
 func (a *addresses) calls() []string              { return a.each("127.%d.249.%d:7443") }
+func (a *addresses) doors(n int) []string         { return a.each("127.%d.248.%d:%d", 10250+n) }
 func (a *addresses) discovery(moves int) []string { return a.each("127.%d.251.%d:%d", 8500+moves) }
 func (a *addresses) origin() []string             { return a.each("127.%d.252.%d:8080") }
 
--- /dev/null
+++ b/internal/lab/fleet/operators.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+)
+
+// call is one call at a router's door; what the router says is an answer, and how the run goes on is judged without it.
+func call(ctx context.Context, method, addr, path, body string) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	a, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	if err != nil {
+		return err
+	}
+	a.Body.Close()
+	if a.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %s", method, path, a.Status)
+	}
+	return nil
+}
+
+func (p *router) door() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.admin()
+}
+
+// ban has operators take a server out at every router, or give it back. A second passes at most until it holds.
+func (r *run) ban(ctx context.Context, uid event.Server, out bool) {
+	kind, path := event.Barred, "/ops/cache-servers/down"
+	if !out {
+		kind, path = event.Unbarred, "/ops/cache-servers/up"
+	}
+	for _, p := range r.routers {
+		r.acts.Go(func() {
+			if !out { // what is sent from now on is right
+				r.log.Add(event.Event{Kind: kind, Router: p.n, Server: uid})
+			}
+			err := call(ctx, http.MethodPut, p.door(), path, string(uid))
+			if err != nil {
+				r.o.Log.WithError(err).Warn("an operator's call")
+			} else if out {
+				r.log.Add(event.Event{Kind: kind, Router: p.n, Server: uid})
+			}
+		})
+	}
+}
+
+// empty has operators drain a router, or take clients again; the front hears of it a little later.
+func (r *run) empty(ctx context.Context, p *router, on bool) {
+	r.acts.Go(func() {
+		path := "/ops/drain/stop"
+		if on {
+			path = "/ops/drain/start"
+		}
+		err := call(ctx, http.MethodPut, p.door(), path, "")
+		if err == nil && !on {
+			err = p.untilReady(ctx, 2*time.Second)
+		}
+		if err != nil {
+			r.fail(ctx, fmt.Errorf("router %s, %s: %w", p.name(), path, err))
+			return
+		}
+		if on {
+			time.AfterFunc(200*time.Millisecond, func() { r.front.Believe(p.n, false) })
+		}
+	})
+}
+
+// replace starts a second process beside the one that serves, waits for its yes, and ends the first in order.
+func (r *run) replace(ctx context.Context, p *router) {
+	r.acts.Go(func() {
+		if err := p.replace(ctx); err != nil {
+			r.fail(ctx, fmt.Errorf("replacing router %s: %w; see %s", p.name(), err, p.spec().Log))
+		}
+	})
+}
+
+func (r *run) fail(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		r.mu.Lock()
+		r.failed = err
+		r.mu.Unlock()
+	}
+}
+
+func (p *router) replace(ctx context.Context) error {
+	const patience = 6 * time.Second
+	p.mu.Lock()
+	if p.stopped || p.ending || p.at == nil {
+		p.mu.Unlock()
+		return nil
+	}
+	old := p.at
+	p.doors++
+	door := p.admin()
+	next, err := p.run.o.Start(p.spec())
+	if err == nil {
+		p.at = next // whoever ends the run ends this one; the other is ended here
+		go p.watch(next)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	defer old.End()
+	for until := time.Now().Add(patience); call(ctx, http.MethodGet, door, "/ops/readiness", "") != nil; {
+		if time.Now().After(until) || ctx.Err() != nil {
+			return fmt.Errorf("not ready within %v", patience)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	longest := time.Duration(0)
+	for _, m := range p.run.s.Methods {
+		longest = max(longest, m.Deadline.Micros().Duration())
+	}
+	select {
+	case <-old.Done():
+		return old.Err()
+	case <-time.After(longest + 2*time.Second):
+		return fmt.Errorf("the old process had not ended by its time")
+	}
+}
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -21,6 +21,8 @@
 	Name, Listen, Discovery, Config, Log string
 	File                                 string // the operator's own; empty: none
 	Cores                                int
+	Admin                                string // the operators' door
+	Tmp                                  string // a folder that its processes share
 }
 
 // Args are the arguments of a router.
@@ -33,7 +35,7 @@
 
 // Env are the variables of a router.
 func (s Spec) Env() []string {
-	return []string{"EDGE_CONFIG=" + s.Config, "EDGE_NAME=" + s.Name, "EDGE_LISTEN=" + s.Listen, "EDGE_DISCOVERY=" + s.Discovery,
+	return []string{"EDGE_ADMIN=" + s.Admin, "TMPDIR=" + s.Tmp, "EDGE_CONFIG=" + s.Config, "EDGE_NAME=" + s.Name, "EDGE_LISTEN=" + s.Listen, "EDGE_DISCOVERY=" + s.Discovery,
 		fmt.Sprint("GOMAXPROCS=", s.Cores)}
 }
 
@@ -61,6 +63,7 @@
 	mu      sync.Mutex
 	at      Instance
 	starts  int
+	doors   int // of the processes beside others: each has a door of its own
 	moves   int
 	ending  bool // it was told to end
 	up      bool
@@ -70,13 +73,15 @@
 
 func (p *router) name() string { return fmt.Sprintf("r%d", p.n) }
 
+func (p *router) admin() string { return p.run.net.doors(p.doors)[p.n] }
+
 func (p *router) spec() Spec {
 	dir := p.run.o.Dir
 	file := ""
 	if p.run.s.Routers.State || p.run.s.Clients.Protocol == "grpc" {
 		file = filepath.Join(dir, p.name()+".toml")
 	}
-	return Spec{File: file, Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
+	return Spec{Admin: p.admin(), Tmp: filepath.Join(dir, p.name()+"-tmp"), File: file, Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
 		Config: filepath.Join(dir, p.name()+".json"), Log: filepath.Join(dir, p.name()+".log"), Cores: p.run.s.Routers.Cores}
 }
 
@@ -128,6 +133,9 @@
 	if err := p.configure(p.run.registry.Known(p.n)); err != nil {
 		return err
 	}
+	if err := os.MkdirAll(p.spec().Tmp, 0o700); err != nil {
+		return err
+	}
 	p.run.registry.Restarted(p.n)
 	at, err := p.run.o.Start(p.spec())
 	if err != nil {
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -2,7 +2,7 @@
 //
 //	1  each req taken gets exactly one answer before its deadline, and nothing is sent for it after
 //	2  no effect twice, never two write-outs at once, no more write-outs than allowed
-//	3  nothing new to a server past the grace after this router was told that it drains or is gone
+//	3  nothing new to a server past the grace after this router was told that it drains or is gone, or to leave it alone
 //	4  no cold server pushed over, and misses at cold servers don't push the origin over
 //	0  no crash, nothing sent that is not of the protocol, bad clients get an error or a close
 //
@@ -347,7 +347,8 @@
 		r event.Router
 		s event.Server
 	}
-	told := map[pair]event.Micros{} // when it counts as told
+	told := map[pair]event.Micros{}   // when it counts as told
+	barred := map[pair]event.Micros{} // by operators: that outlives a process
 	for _, e := range j.events {
 		p := pair{e.Router, e.Server}
 		switch e.Kind {
@@ -359,6 +360,10 @@
 			if have, known := told[p]; !known || at < have {
 				told[p] = at
 			}
+		case event.Barred:
+			barred[p] = e.At
+		case event.Unbarred:
+			delete(barred, p)
 		case event.Down, event.Killed: // its successor knows nothing of this
 			for k := range told {
 				if k.r == e.Router {
@@ -366,6 +371,9 @@
 				}
 			}
 		case event.Begun:
+			if at, known := barred[p]; known && e.Since > at+j.rules.Grace+j.slack(e.Since) {
+				j.add(3, j.reqs[e.Req], e.Since, fmt.Sprintf("a write-out to %s %v after operators had taken it out", e.Server, (e.Since-at).Duration()))
+			}
 			if at, known := told[p]; known && e.Since > at+j.rules.Grace+j.slack(e.Since) {
 				j.add(3, j.reqs[e.Req], e.Since, fmt.Sprintf("a write-out to %s %v after the router was told that it drains or is gone",
 					e.Server, (e.Since-at).Duration()))
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -29,6 +29,7 @@
 	"slow":             {"servers", "factor", true},
 	"drain":            {"servers", "", true},
 	"deploy":           {"servers", "batch", true},
+	"ban":              {"servers", "", true},
 	"refuse":           {"servers", "", true},
 	"vanish":           {"servers", "", true},
 	"reset":            {"servers", "share", true},
@@ -45,6 +46,8 @@
 	"clock_step":       {"discovery", "step", true},
 	"router_kill":      {"routers", "", false},
 	"router_restart":   {"routers", "", false},
+	"router_empty":     {"routers", "", true},
+	"router_replace":   {"routers", "", false},
 	"router_reload":    {"routers", "", false},
 	"hot_key":          {"clients", "share", true},
 	"burst":            {"clients", "factor", true},
@@ -104,7 +107,7 @@
 	}
 	c.want(s.Routers.Count >= 1 && s.Routers.Count <= 64, "routers.count", "is not from 1 to 64", "write such a number")
 	c.want(s.Routers.MemoryMB >= 16, "routers.memory_mb", "is below 16", "give each router 16 MB at least")
-	c.want(s.Routers.Descriptors >= 40, "routers.descriptors", "is below 40", "give each router 40 at least")
+	c.want(s.Routers.Descriptors >= 80, "routers.descriptors", "is below 80", "give each router 80 at least")
 	c.positive("routers.cores", float64(s.Routers.Cores))
 	c.want(s.Servers.Count >= 1 && s.Servers.Count <= 200, "servers.count", "is not from 1 to 200", "write such a number")
 	c.positive("servers.cores", float64(s.Servers.Cores))
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -34,7 +34,7 @@
 		{`part = 0.17`, `answers = ["silence"]`, `fault[0].answers[0]: "silence" is not known; write one of endless, huge, length, nested, noise`},
 		{`factor = 1.5`, ``, "fault[1].factor: is missing or out of range; a fault of kind burst needs it"},
 		{`part = 0.17`, `pick = [6]`, "fault[0].pick[0]: 6 is none of the servers; count from 0 to 5"},
-		{`kind = "burst"`, `kind = "earthquake"`, `fault[1].kind: "earthquake" is not known; write one of bad_reports, burst`},
+		{`kind = "burst"`, `kind = "earthquake"`, `fault[1].kind: "earthquake" is not known; write one of bad_reports, ban, burst`},
 		{`at = "8s"`, `at = "80s"`, "fault[1].at: is past the end; let it begin before length is over"},
 		{`site = "north", share = 0.6`, `site = "moon", share = 0.6`, `load.site_shares[0].site: "moon" is no site; write one of north, south`},
 		{`rate = 400.0`, `rate = 400000.0`, "load.steps: asks for over five million reqs; lower it, or the length"},
