A line end in the place of a command no longer ends the program; long parsers are fuzzed

The fuzz of the new parsers found it: LongCommand took an empty line for a head (resp.go), reached by a client that sends CR LF alone. A big value of an origin that says Connection: close, or 100 Continue first, passes as well.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -71,6 +71,13 @@
 // begins, and its size. The place is 0 where it is no such answer.
 func Long(buf []byte, b Bounds) (r Response, at, size int) {
 	r, end, err := readHead(buf, b)
+	for err == nil && end > 0 && r.Status < 200 && end <= b.Head { // interim answers are passed over
+		var more int
+		if r, more, err = readHead(buf[end:], b); more == 0 {
+			return r, 0, 0
+		}
+		end += more
+	}
 	if err != nil || end == 0 || r.Status < 200 || r.Get("Transfer-Encoding") != nil {
 		return r, 0, 0
 	}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// A long answer is told by its head alone, and as soon as that is whole.
+func TestLong(t *testing.T) {
+	b := Bounds{Head: 200, Body: 4, Long: 9}
+	head := "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+	for i := range len(head) + 3 {
+		if _, at, size := Long([]byte((head + "value")[:i]), b); (at > 0) != (i >= len(head)) || at > 0 && (at != len(head) || size != 5) {
+			t.Errorf("%d bytes: %d %d", i, at, size)
+		}
+	}
+	for _, text := range []string{"200 OK\r\nContent-Length: 4", "200 OK\r\nContent-Length: 10", "200 OK\r\nTransfer-Encoding: chunked",
+		"200 OK\r\nContent-Length: 5\r\nContent-Length: 6", "200 OK\r\nA: b"} {
+		if _, at, size := Long([]byte("HTTP/1.1 "+text+"\r\n\r\n"), b); at != 0 {
+			t.Errorf("%q: %d %d", text, at, size)
+		}
+	}
+}
+
 func ExampleAppendRequest() {
 	headers := []Header{{"X-Trace-Id", []byte("r1\r\nX-Evil: 1")}}
 	fmt.Printf("%q\n", AppendRequest(nil, "GET", "/k", "h:1", headers, nil))
@@ -97,5 +114,8 @@
 			t.Fatalf("a part gives %d, %v, the whole %d, %v", less, early, used, err)
 		}
 		_, _, _ = Read(data, true, bounds)
+		if _, at, size := Long(data, Bounds{Head: bounds.Head, Body: 2, Long: 100}); at < 0 || at > len(data) || at > 0 && (size <= 2 || size > 100) {
+			t.Fatalf("a long body of %d at %d of %d", size, at, len(data))
+		}
 	})
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -130,7 +130,7 @@
 func LongCommand(buf []byte, args [][]byte, b Bounds) (words [][]byte, at, size int, ok bool) {
 	words = args[:0]
 	head, at, err := line(buf, 0, b)
-	if err != nil || at == 0 || head[0] != '*' {
+	if err != nil || at == 0 || buf[0] != '*' { // an empty line was taken for a head, and ended the program
 		return words, 0, 0, false
 	}
 	n, err := count(head[1:], b.Args)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// What is long is told by its head alone, and as soon as that is whole.
+func TestLong(t *testing.T) {
+	b := Bounds{Bulk: 9, Long: 20, Line: 32, Args: 5}
+	command := AppendCommand(nil, []byte("CACHE.SET"), []byte("k"), []byte("0123456789"))
+	reply := []byte("*3\r\n$10\r\n0123456789\r\n$-1\r\n$-1\r\n")
+	for i := range command {
+		words, at, size, ok := LongCommand(command[:i], nil, b)
+		if whole := i >= len(command)-12; ok != whole || ok && (len(words) != 2 || at != len(command)-12 || size != 10) {
+			t.Errorf("%q: %q %d %d %v", command[:i], words, at, size, ok)
+		}
+	}
+	for i := range reply {
+		if at, size, ok := LongReply(reply[:i], b); ok != (i >= 9) || ok && (at != 9 || size != 10) {
+			t.Errorf("%q: %d %d %v", reply[:i], at, size, ok)
+		}
+	}
+	for _, text := range []string{"*3\r\n$9\r\n", "*3\r\n$21\r\n", "*2\r\n$10\r\n", "*3\r\n$-1\r\n", "$10\r\n", "*2\r\n$10\r\n0123456789\r\n$10\r\n"} {
+		if _, _, ok := LongReply([]byte(text), b); ok {
+			t.Errorf("%q is long", text)
+		}
+	}
+	if got := AppendLongCommand(nil, 10, []byte("CACHE.SET"), []byte("k")); !bytes.Equal(got, command[:len(command)-12]) {
+		t.Errorf("%q", got)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	for _, seed := range []string{"*1\r\n$4\r\nPING\r\n", "*3\r\n$1\r\na\r\n$-1\r\n:5\r\n", "-ERR x\r\n", "*-1\r\n", "$70\r\n"} {
 		f.Add([]byte(seed), 3)
@@ -105,5 +131,12 @@
 		if _, less, early := ReadReply(part, bounds); less > 0 && less != used || early != nil && err == nil {
 			t.Fatalf("a part gives %d, %v, the whole %d, %v", less, early, used, err)
 		}
+		small := Bounds{Bulk: 3, Long: 100, Line: bounds.Line, Args: bounds.Args}
+		if _, at, size, ok := LongCommand(data, nil, small); ok && (at < 0 || at > len(data) || size <= 3 || size > 100) {
+			t.Fatalf("a long word of %d at %d of %d", size, at, len(data))
+		}
+		if at, size, ok := LongReply(data, small); ok && (at < 0 || at > len(data) || size <= 3 || size > 100) {
+			t.Fatalf("a long value of %d at %d of %d", size, at, len(data))
+		}
 	})
 }
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -32,6 +32,7 @@
 	has    []byte
 	size   int
 	method choice.Method
+	last   bool // the server's connection carries nothing behind it
 
 	client, server net.Conn    // of the goroutine
 	pending        []byte      // for the client
@@ -62,7 +63,7 @@
 		up.r.log.WithError(err).Warn("a big value cannot be passed on")
 		return false
 	}
-	l := &long{r: up.r, up: up, c: c, from: fd, has: append([]byte(nil), buf[at:]...), size: size, method: w.q.method}
+	l := &long{r: up.r, up: up, c: c, from: fd, has: append([]byte(nil), buf[at:]...), size: size, method: w.q.method, last: o.Close}
 	up.off()
 	up.r.begun(w.q)
 	up.r.returned(w, choice.OK, up.r.report(o.Report))
@@ -213,7 +214,7 @@
 		r.count(l.method, wire.Satisfied)
 	})
 	r.enroll(l.client, l.c, l.c.lost)
-	if l.rest(l.server) {
+	if !l.last && l.rest(l.server) {
 		r.enroll(l.server, l.up, l.up.ended)
 		return
 	}
@@ -295,6 +296,7 @@
 	Method  string
 	Pending []byte // for the client
 	Left    int    // bytes to come from the server
+	Last    bool
 	Ended   bool   // the line end is pending, or out
 	Has     []byte // read of what stands behind the value
 	Answers []byte // for the client, behind the value
@@ -310,7 +312,7 @@
 		return
 	}
 	m := moved{Server: string(r.book.UID(l.up.server.id)), Method: r.cfg.Settings.Methods[l.method].Name, Pending: l.pending, Left: l.left,
-		Ended: l.ended, Has: l.has, Rest: l.c.rest}
+		Last: l.last, Ended: l.ended, Has: l.has, Rest: l.c.rest}
 	for _, s := range l.c.slots {
 		m.Answers = append(m.Answers, s.text...)
 	}
@@ -363,7 +365,7 @@
 			c.slots = []*slot{{text: m.Answers}}
 		}
 		l := &long{r: r, c: c, up: &upstream{r: r, server: s, away: true}, method: method, client: to, server: from,
-			pending: m.Pending, left: m.Left, ended: m.Ended, has: m.Has}
+			pending: m.Pending, left: m.Left, last: m.Last, ended: m.Ended, has: m.Has}
 		r.counts.Taken++
 		r.away++
 		r.upstreams++
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -37,7 +37,7 @@
 // Long reads the head of an answer with a big value.
 func (b Back) Long(buf []byte) (o wire.Outcome, at, size int, ok bool) {
 	answer, at, size := httpwire.Long(buf, b.Bounds)
-	return wire.Outcome{Status: choice.OK, Report: answer.Get("Endpoint-Load-Metrics")}, at, size, at > 0 && answer.Status == 200 && !answer.Close
+	return wire.Outcome{Status: choice.OK, Report: answer.Get("Endpoint-Load-Metrics"), Close: answer.Close}, at, size, at > 0 && answer.Status == 200
 }
 
 // Behind reads what stands behind the value: nothing may.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,7 @@
 	Status choice.Status
 	Value  []byte // of OK; it points into what was read
 	Report []byte // the load report as it came, names and values; nil: none
+	Close  bool   // of a big value: the connection carries nothing behind it
 }
 
 // Back speaks one protocol to servers, on a connection that carries one write-out at a time.
