--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -235,3 +236,74 @@
 		t.Error(got)
 	}
 }
+
+// beside starts a second process and leaves the first as it is.
+func (p *player) beside(n int) (first *exec.Cmd, door string) {
+	first, door = p.program, p.admin
+	p.admin = strings.Replace(p.listen, ":6379", fmt.Sprint(":", 6400+n), 1)
+	p.run()
+	return first, door
+}
+
+// until waits for what a call says.
+func (p *player) until(door, path, want string) {
+	p.t.Helper()
+	was := p.admin
+	defer func() { p.admin = was }()
+	p.admin = door
+	got := ""
+	for range 60 {
+		if got = p.call("GET", path, ""); strings.Contains(got, want) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	p.t.Errorf("%s says %q, not %q", path, got, want)
+}
+
+// While two processes live, what one door is asked holds in both.
+func TestEitherDoor(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "s2", "origin"})
+	go p.listing("s1", "s2", "origin")
+	_, old := p.beside(0)
+	p.until(p.admin, "/ops/readiness", "200 ready")
+	p.until(old, "/ops/readiness", "503 not ready: another process has taken over")
+	if got := p.call("PUT", "/ops/cache-servers/down", "s1"); got != "200 out" {
+		t.Error(got)
+	}
+	p.until(old, "/ops/stats", "ejected:1|")
+	next := p.admin
+	p.admin = old
+	if got := p.call("PUT", "/ops/cache-servers/up", "s1"); got != "200 in use" {
+		t.Error(got)
+	}
+	if got := p.call("PUT", "/ops/cache-servers/down", "s2"); got != "200 out" {
+		t.Error(got)
+	}
+	p.until(next, "/ops/stats", "ejected:1|")
+}
+
+// The old process is killed, before the new one has taken over or while it hands over: the new one serves.
+func TestOldProcessDies(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			p := newPlayer(t)
+			p.start([]string{"s1", "origin"})
+			go quick(p.server("s1"))
+			if after > 0 {
+				go p.listing("s1", "origin") // else the new one waits for it, and is not ready yet
+			}
+			first, _ := p.beside(0)
+			time.Sleep(after)
+			_ = first.Process.Kill()
+			<-p.ended
+			p.until(p.admin, "/ops/readiness", "200 ready")
+			stop := p.load(8)
+			time.Sleep(300 * time.Millisecond)
+			if answered, lost := stop(); answered < 100 || len(lost) > 0 {
+				t.Errorf("%d answered, lost %q", answered, lost)
+			}
+		})
+	}
+}
