--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -346,21 +346,21 @@
 		c.now([]byte("-ERR wrong number of words\r\n"))
 		return
 	}
-	q, came, waits := c.req(words, write)
-	if came == nil {
+	q, came, waits, ok := c.req(words, write)
+	if !ok {
 		c.now(refusedReq)
 		return
 	}
 	q.slot.q = q
 	c.slots = append(c.slots, &q.slot)
-	r.take(q, *came, waits)
+	r.take(q, came, waits)
 	c.hasAsked()
 }
 
 var refusedReq = []byte("-ERR a req needs a new id, c, and d\r\n")
 
-// req makes the words of a command a req; what came is nil where they are refused, which is counted.
-func (c *client) req(words [][]byte, write bool) (q *req, came *choice.ReqCame, waits choice.Micros) {
+// req makes the words of a command a req; ok is false where they are refused, which is counted.
+func (c *client) req(words [][]byte, write bool) (q *req, came choice.ReqCame, waits choice.Micros, ok bool) {
 	r := c.r
 	size := 0
 	for _, w := range words {
@@ -382,10 +382,10 @@
 		if known {
 			r.refused(method, wire.Failed)
 		}
-		return q, nil, 0
+		return q, came, 0, false
 	}
-	return q, &choice.ReqCame{Req: q.ID, Key: choice.Key(q.Key), Write: write, Method: method, Tenant: choice.Tenant(p.Tenant),
-		Resent: p.Resent}, p.Waits
+	return q, choice.ReqCame{Req: q.ID, Key: choice.Key(q.Key), Write: write, Method: method, Tenant: choice.Tenant(p.Tenant),
+		Resent: p.Resent}, p.Waits, true
 }
 
 // hasAsked counts who has asked, once.
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -46,19 +46,19 @@
 		return false, false
 	}
 	b := &body{r: r, c: c, fd: fd, size: size, has: append([]byte(nil), buf[at:]...)}
-	q, came, waits := c.req(words, true)
+	q, came, waits, good := c.req(words, true)
 	s := &q.slot
 	c.slots = append(c.slots, s)
 	c.offLoop()
 	c.rest = nil
-	if came == nil {
+	if !good {
 		s.text = refusedReq // it goes out behind the body
 		b.start(b.discard)
 		return true, true
 	}
 	q.body, b.q, s.q = b, q, q
 	came.Once = true
-	r.take(q, *came, waits)
+	r.take(q, came, waits)
 	c.hasAsked()
 	return true, true
 }
