A value that comes slowly is waited for while it flows

A command was cut off 2.5 s after its first byte, however its value flowed; now only its head is, and what has stopped for as long. TestSlowValuesAreNotCut.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -144,9 +144,18 @@
 	return gnet.None
 }
 
-// silent: nothing whole has come since it connected, or a command is long in coming.
+// silent: nothing whole has come since it connected, or the head of a command is long in coming, or the rest has stopped.
+// A value may flow slowly, but not for ever.
 func (c *client) silent(now choice.Micros) bool {
-	return !c.spoke && now-c.whole >= c.r.lim.Silent && c.part == 0 || c.part != 0 && now-c.part >= c.r.lim.Slow
+	const values = 10 // times as long as a head
+	slow := c.r.lim.Slow
+	switch {
+	case c.part == 0:
+		return !c.spoke && now-c.whole >= c.r.lim.Silent
+	case c.waiting() <= c.r.lim.Resp.Line:
+		return now-c.part >= slow
+	}
+	return now-c.idle >= slow || now-c.part >= values*slow
 }
 
 // readOn reads what came before the connection was on this loop.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -348,6 +348,25 @@
 	}
 }
 
+// A value that comes slowly is waited for while it flows; one that stops is not.
+func TestSlowValuesAreNotCut(t *testing.T) {
+	l, client, _ := newNoted(t)
+	r := l.r
+	client.in = []byte("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=pay,d=900\r\n$60000\r\n" + strings.Repeat("v", 2000))
+	for range 5 {
+		r.OnTraffic(client)
+		r.began += 1500e3
+		if r.sweep(); client.closed {
+			t.Fatal("cut while it flows")
+		}
+		client.in = append(client.in, strings.Repeat("v", 2000)...)
+	}
+	r.began += r.lim.Slow
+	if r.sweep(); !client.closed {
+		t.Error("it waits for ever")
+	}
+}
+
 // Hundreds that asked once and stayed, or never asked, took the descriptors: each write-out then paid for a connection.
 func TestClientsAboveTheirPartGoBeforeServers(t *testing.T) {
 	l, client, origin := newNoted(t)
