--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -75,24 +74,25 @@
 	b.going = true
 	go func() {
 		client, err := asConn(b.fd)
-		whole := err == nil && b.hold(client) && f(client)
-		if whole {
-			b.r.enroll(client, b.c, b.c.lost)
+		if err != nil {
+			b.r.execute(b.c.lost)
 			return
 		}
-		if err == nil {
-			client.Close()
+		b.hold(client)
+		if f(client) {
+			b.r.enroll(client, b.c, b.c.lost)
+			return
 		}
+		client.Close()
 		b.r.execute(b.c.lost)
 	}()
 }
 
 // hold keeps a connection where the loop can cut it.
-func (b *body) hold(c net.Conn) bool {
+func (b *body) hold(c net.Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.conns = append(b.conns, c)
-	return true
 }
 
 // cut ends what the goroutine does: nobody waits for it any more.
@@ -227,7 +227,7 @@
 			return o, keep && used == len(has) && err == nil
 		case err != nil && isLate(err):
 			return wire.Outcome{Status: choice.TimedOut}, false
-		case err == io.EOF || err != nil:
+		case err != nil:
 			return wire.Outcome{Status: choice.Reset}, false
 		}
 	}
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -327,6 +327,7 @@
 			r.takeover.unsent--
 			r.conns -= len(x.FDs)
 		})
+		p.Close() // a frame may have gone in part: nothing more is told on it, and clients are this process's again
 		r.takeOver(x.Frame)
 	}
 }
