--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1003,7 +1003,7 @@
 	r.decided = append(r.decided, Decision{Action: Subscribe})
 }
 
-// bar: what an operator takes out is left alone as what drains; given back, it is a process that has just started.
+// bar: what an operator takes out is left alone as what drains; given back, it is a process just started.
 func (r *Router) bar(e Barred) {
 	if r.barred[e.Server] = e.On; !e.On {
 		delete(r.barred, e.Server)
