A ban that could not be written is told to the other process, and is not forgotten

Cause: found from a clean clone with a full TMPDIR: the ban was answered 200, and the new process said ejected:0. A file that is missing reads as one where nothing is asked, so that what the old process had told was passed over (ops.go, Operate), and a later change took an older file for the base (intent.go, Change). Ruled out: the hand-over's frames; a spoilt file was right already. Change: a store knows when the file is behind; what is asked is also told between the two processes while both live. Measured: TestReplacingWithNoRoom (a ban before, and one while two live) and TestTroubleWithTheFile fail without it.

--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -237,6 +237,35 @@
 	}
 }
 
+// What cannot be written is told: a folder that takes no file of what was asked loses no ban at a replacement, nor one that
+// is asked while two live.
+func TestReplacingWithNoRoom(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "s2", "origin"})
+	go p.listing("s1", "s2", "origin")
+	// A folder stands where the file is to be written first, as a full disk would have it.
+	if err := os.MkdirAll(filepath.Join(p.tmp, "spurtrestle-"+p.listen+".intent.next", "full"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if got := p.call("PUT", "/ops/cache-servers/down", "s1"); got != "200 out" {
+		t.Fatal(got)
+	}
+	_, old := p.beside(0)
+	p.until(p.admin, "/ops/readiness", "200 ready")
+	p.until(p.admin, "/ops/stats", "ejected:1|")
+	next := p.admin
+	p.admin = old
+	if got := p.call("PUT", "/ops/cache-servers/down", "s2"); got != "200 out" {
+		t.Error(got)
+	}
+	p.until(next, "/ops/stats", "ejected:2|")
+	p.admin = next
+	if got := p.call("PUT", "/ops/cache-servers/up", "s1"); got != "200 in use" {
+		t.Error(got)
+	}
+	p.until(old, "/ops/stats", "ejected:1|")
+}
+
 // beside starts a second process and leaves the first as it is.
 func (p *player) beside(n int) (first *exec.Cmd, door string) {
 	first, door = p.program, p.admin
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -61,8 +61,9 @@
 
 // Store is the file.
 type Store struct {
-	path  string
-	stamp os.FileInfo // of what was last read or written
+	path   string
+	stamp  os.FileInfo // of what was last read or written; nil: there is no file
+	unkept bool        // what was asked last could not be written: the file is older than what this process knows
 }
 
 // Open returns the file of the router that clients reach at an address; nothing is read yet.
@@ -87,6 +88,12 @@
 	return i, nil
 }
 
+// Behind tells whether the file is missing, or older than what was asked.
+func (s *Store) Behind() bool { return s.unkept || s.stamp == nil }
+
+// FallBehind notes that this process knows more than the file, which the next change writes anew.
+func (s *Store) FallBehind() { s.unkept = true }
+
 // Changed tells whether another process has written since.
 func (s *Store) Changed() bool {
 	now, err := os.Stat(s.path)
@@ -94,11 +101,11 @@
 }
 
 // Change reads, changes and writes the file under a lock that ends with the process. What f refuses is not written. A
-// file that is spoilt is written anew from otherwise, what this process knows.
+// file that is spoilt, missing or behind is written anew from otherwise, what this process knows.
 func (s *Store) Change(otherwise Intent, f func(*Intent) error) (Intent, error) {
 	i, refused := otherwise, error(nil)
 	err := s.locked(func() (err error) {
-		if was, err := s.Read(); err == nil {
+		if was, err := s.Read(); err == nil && !s.Behind() {
 			i = was
 		}
 		if refused = f(&i); refused != nil {
@@ -117,6 +124,7 @@
 			return err
 		}
 		s.stamp, err = os.Stat(s.path)
+		s.unkept = err != nil
 		return err
 	})
 	if refused != nil {
@@ -124,6 +132,7 @@
 	}
 	if err != nil {
 		// It could not be kept, and is asked for all the same.
+		s.unkept = true
 		i = otherwise
 		if refused = f(&i); refused != nil {
 			return i, refused
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -84,10 +84,25 @@
 		t.Error(i)
 	}
 	var unkept *NotKept
-	i, err := Open(filepath.Join(dir, "gone"), "r").Change(Intent{}, take("a"))
+	gone := filepath.Join(dir, "gone")
+	s = Open(gone, "r")
+	i, err := s.Change(Intent{}, take("a"))
 	if fmt.Sprint(i.Down) != "[a]" || !errors.As(err, &unkept) || !strings.Contains(err.Error(), "TMPDIR") {
 		t.Error(i, err)
 	}
+	// Once there is room again, what had not been kept is written with the next, whatever an older file says.
+	if err := os.Mkdir(gone, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(gone, "r").Change(Intent{}, take("older")); err != nil {
+		t.Fatal(err)
+	}
+	if !s.Behind() {
+		t.Error("it takes the file for what was asked")
+	}
+	if i, err := s.Change(i, take("b")); fmt.Sprint(i.Down, err, s.Behind()) != "[a b] <nil> false" {
+		t.Error(i, err)
+	}
 }
 
 // What is long past is forgotten, and a list without end is refused.
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -12,6 +13,7 @@
 	"spurtrestle/choice"
 	"spurtrestle/internal/admin"
 	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/handover"
 	"spurtrestle/internal/intent"
 )
 
@@ -22,7 +24,8 @@
 	wanted  intent.Intent           // the loop's own
 	told    atomic.Pointer[figures] // what the loop last left for the door
 	toldAt  choice.Micros
-	emptied bool // clients' connections are being ended since an operator asked for it
+	unkept  atomic.Bool // the file does not have what is wanted
+	emptied bool        // clients' connections are being ended since an operator asked for it
 }
 
 // figures are a copy that the loop leaves, so that nobody waits for it.
@@ -48,9 +51,11 @@
 	i, err := store.Read()
 	if err != nil {
 		r.log.WithError(err).Warn("going on without it")
-		if asked := r.takeover.asked; asked != nil { // the process before this one knows
-			i = *asked
-		}
+	}
+	if a := r.takeover.asked; a != nil && (err != nil || a.Unkept || store.Behind()) { // the process before this one knows
+		i = a.Intent
+		store.FallBehind()
+		r.ops.unkept.Store(true)
 	}
 	i.Empty = i.Empty && r.takeover.old != nil // else of a process that is gone
 	r.ops.wanted = i
@@ -108,7 +113,36 @@
 	} else if err != nil {
 		return err
 	}
-	return r.soon(func() { r.obey(i) })
+	r.ops.unkept.Store(unkept != nil)
+	return r.soon(func() {
+		r.obey(i)
+		r.tellAsked(i)
+	})
+}
+
+// tellAsked tells the other processes of this router what is wanted.
+func (r *Router) tellAsked(i intent.Intent) {
+	text, _ := json.Marshal(asked{i, r.ops.unkept.Load()}) // plain fields: it cannot fail
+	for _, p := range []*handover.Peer{r.takeover.old, r.takeover.heir} {
+		if p != nil {
+			go func() { _ = p.Send(handover.Frame{Kind: handover.Asked, Body: text}) }() // its end is noticed by who reads from it
+		}
+	}
+}
+
+// heardAsked takes over what another process tells.
+func (r *Router) heardAsked(f handover.Frame) {
+	var a asked
+	if json.Unmarshal(f.Body, &a) != nil {
+		return
+	}
+	r.ops.mu.Lock()
+	defer r.ops.mu.Unlock()
+	if a.Unkept {
+		r.ops.store.FallBehind()
+	}
+	r.ops.unkept.Store(a.Unkept)
+	r.execute(func() { r.obey(a.Intent) })
 }
 
 // TakeOut sends nothing new to a cache server until it is given back.
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -28,7 +28,7 @@
 	dir, name string // of the socket by which the processes find each other; before Run
 	ln        *net.TCPListener
 	unix      *net.UnixListener
-	asked     *intent.Intent // of the old process, as it last knew; nil: not told
+	asked     *asked         // of the old process, as it last knew; nil: not told
 	old, heir *handover.Peer // the processes before and behind this one, while they live
 	accepting bool           // clients come to this process
 	handing   bool           // its clients are passed on to the heir
@@ -37,6 +37,12 @@
 	others    [2]int         // descriptors that the old one and the heir hold
 }
 
+// asked is what operators want, as one process tells it to another while both live: a file may be full, or spoilt.
+type asked struct {
+	intent.Intent
+	Unkept bool // the file does not have it
+}
+
 // passed is a client's connection on its way to the heir.
 type passed struct {
 	handover.Frame
@@ -66,7 +72,7 @@
 					t.ln, _ = ln.(*net.TCPListener)
 				}
 			case handover.Asked:
-				t.asked = new(intent.Intent)
+				t.asked = new(asked)
 				err = json.Unmarshal(f.Body, t.asked)
 			case handover.Learned:
 				var s snapshot.State
@@ -211,12 +217,12 @@
 	if f, err := p.Receive(time.Second); err != nil || f.Kind != handover.Hello {
 		return
 	}
-	var knows, asked []byte
+	var knows, wanted []byte
 	if r.soon(func() {
 		t.heir = p
 		r.shareMemory()
 		knows = snapshot.Encode(r.State())
-		asked, _ = json.Marshal(r.ops.wanted) // plain fields: it cannot fail
+		wanted, _ = json.Marshal(asked{r.ops.wanted, r.ops.unkept.Load()}) // plain fields: it cannot fail
 	}) != nil {
 		return
 	}
@@ -237,7 +243,7 @@
 		return
 	}
 	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FDs: []int{fd}}),
-		p.Send(handover.Frame{Kind: handover.Asked, Body: asked}),
+		p.Send(handover.Frame{Kind: handover.Asked, Body: wanted}),
 		p.Send(handover.Frame{Kind: handover.Learned, Body: knows}))
 	unix.Close(fd)
 	for err == nil {
@@ -246,6 +252,8 @@
 			return
 		}
 		switch f.Kind {
+		case handover.Asked:
+			r.heardAsked(f)
 		case handover.Holds:
 			r.heard(1, f)
 		case handover.Ready:
@@ -358,6 +366,8 @@
 			break
 		}
 		switch f.Kind {
+		case handover.Asked:
+			r.heardAsked(f)
 		case handover.Holds:
 			r.heard(0, f)
 		default:
