A big write with no line end behind it never runs; tests that fail without what they show

A big command whose value was not followed by a line end was written out whole, while a small one is refused (longwrite.go, each): the last byte is held back now until the line end has come. Each server of a list told the decisions that it was not out, a list walked for each (ops.go, bar): told only where it was, or came back.

--- a/cmd/spurtrestle/long_test.go
+++ b/cmd/spurtrestle/long_test.go
@@ -25,7 +25,8 @@
 	return n / 1024
 }
 
-// answers has a cache server answer each command with so many bytes, in pieces cut anywhere; of "breaks" only half.
+// answers has a cache server answer each command with so many bytes, in pieces cut anywhere; of "breaks" only half, and
+// of "waits" the second half late.
 func answers(s *side, size int) {
 	for m := range s.came {
 		if !strings.Contains(m.text, "CACHE.GET") {
@@ -42,7 +43,9 @@
 				if _, err := m.on.Write(text[n:next]); err != nil {
 					return
 				}
-				n = next
+				if n = next; strings.Contains(m.text, "waits") && n > len(text)/2 && n < len(text)/2+100_000 {
+					time.Sleep(1800 * time.Millisecond)
+				}
 			}
 			if strings.Contains(m.text, "breaks") {
 				m.on.Close()
@@ -92,12 +95,22 @@
 	if err != nil || len(broken) >= len(whole) || !bytes.HasPrefix(broken, whole[:10]) {
 		t.Errorf("a value that broke: %d bytes, %v", len(broken), err)
 	}
+	// The first bytes go on at once, and beyond the req's time what still flows is not cut.
+	slow, since := ask("waits", "rw"), time.Now()
+	if _, err := io.ReadFull(slow, make([]byte, 10)); err != nil || time.Since(since) > time.Second {
+		t.Error("the first bytes: ", err, time.Since(since))
+	}
+	if n, err := io.ReadFull(slow, make([]byte, len(whole)-10)); err != nil {
+		t.Errorf("the rest: %d, %v", n, err)
+	} else if took := time.Since(since); took < 1600*time.Millisecond {
+		t.Errorf("it shows nothing: %v", took)
+	}
 	again := ask("k0", "again") // on connections that carried big values
 	if n, err := io.ReadFull(again, make([]byte, len(whole))); err != nil {
 		t.Errorf("again: %d, %v", n, err)
 	}
 	time.Sleep(200 * time.Millisecond)
-	if got := p.call("GET", "/ops/stats", ""); !strings.Contains(got, "succeeded.get:33|") || !strings.Contains(got, "aborted.get:1|") ||
+	if got := p.call("GET", "/ops/stats", ""); !strings.Contains(got, "succeeded.get:34|") || !strings.Contains(got, "aborted.get:1|") ||
 		!strings.Contains(got, "outstanding:0|") {
 		t.Error(got)
 	}
--- a/cmd/spurtrestle/longwrite_test.go
+++ b/cmd/spurtrestle/longwrite_test.go
@@ -113,6 +113,13 @@
 	w.gets("-BUSY 1000\r\n")
 	_, _ = io.WriteString(w, "*1\r\n$4\r\nPING\r\n")
 	w.gets("+PONG\r\n")
+	// One with no line end behind it is no command: it never runs, and the connection ends.
+	bad := p.writer()
+	text := resp.AppendLongCommand(nil, 100_000, []byte("CACHE.SET"), []byte("k"), []byte("f"), []byte("c=pay,d=2500"))
+	_, _ = bad.Write(append(text, bytes.Repeat([]byte("v"), 100_002)...))
+	if got, err := io.ReadAll(bad); len(got) > 0 || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("%q, %v", got, err)
+	}
 	// One that its client leaves in the middle is forgotten.
 	gone := p.writer()
 	_, _ = io.WriteString(gone, "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ne\r\n$10\r\nc=pay,d=99\r\n$1000000\r\nvvv")
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -142,6 +142,15 @@
 				}
 				r.obey(asked)
 			}
+			open := 0
+			for _, q := range r.reqs {
+				if !q.over {
+					open++
+				}
+			}
+			if r.publish(); r.ops.told.Load().open != open {
+				t.Fatalf("%d reqs are open, and %d said to be", open, r.ops.told.Load().open)
+			}
 			carried := map[*req]int{}
 			for _, c := range servers {
 				if up, ok := c.ctx.(*upstream); ok && up.carries != nil {
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -65,7 +65,7 @@
 	}
 	l := &long{r: up.r, up: up, c: c, from: fd, has: append([]byte(nil), buf[at:]...), size: size, method: w.q.method, last: o.Close}
 	up.off()
-	up.r.begun(w.q)
+	w.q.over = true // it is counted when the value ends
 	up.r.returned(w, choice.OK, up.r.report(o.Report))
 	w.q.slot.q = nil
 	w.q.slot.long = l
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -104,16 +104,22 @@
 	}
 }
 
-// discard reads the body to its end; false: the client ended first.
+// discard reads the body to its end; false: the client ended first, or what came is no command.
 func (b *body) discard(client net.Conn) bool { return b.each(client, func([]byte) {}) }
 
 // each hands on the body and the line end behind it in pieces.
 func (b *body) each(client net.Conn, put func([]byte)) bool {
 	left := b.size + 2
+	var end []byte // the value's last byte is held back until the line end behind it has come: a broken command must not run
+	pass := func(p []byte) {
+		n := min(len(p), max(0, left-3))
+		put(p[:n])
+		end = append(end, p[n:]...)
+		left -= len(p)
+	}
 	n := min(len(b.has), left)
-	put(b.has[:min(n, b.size)])
+	pass(b.has[:n])
 	b.c.rest = b.has[n:] // the client is off the loop: nothing else touches it
-	left -= n
 	piece := pieces.Get().(*[]byte)
 	defer pieces.Put(piece)
 	if len(*piece) != b.r.lim.Piece {
@@ -123,13 +129,16 @@
 		_ = client.SetReadDeadline(time.Now().Add(span(b.r.lim.Stuck)))
 		n, err := client.Read((*piece)[:min(left, b.r.lim.Piece)])
 		if n > 0 {
-			put((*piece)[:min(n, max(0, left-2))])
-			left -= n
+			pass((*piece)[:n])
 		}
 		if err != nil && left > 0 {
 			return false
 		}
 	}
+	if string(end[1:]) != "\r\n" {
+		return false
+	}
+	put(end[:1])
 	return true
 }
 
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -19,7 +19,8 @@
 
 // ops is what operators see and ask for. The door's goroutines come by the exported methods below.
 type ops struct {
-	mu      sync.Mutex // one change at a time; never held by the loop
+	barred  map[choice.ServerID]bool // what the decisions were told last, of those that they were told of
+	mu      sync.Mutex               // one change at a time; never held by the loop
 	store   *intent.Store
 	wanted  intent.Intent           // the loop's own
 	told    atomic.Pointer[figures] // what the loop last left for the door
@@ -211,7 +212,10 @@
 	if out {
 		since = 0
 	}
-	s.out = out
+	if s.out = out; !out && since == 0 && !r.ops.barred[s.id] {
+		return // as nearly all that a list names: the decisions know nothing else
+	}
+	r.ops.barred[s.id] = out
 	r.input(choice.Barred{Server: s.id, On: out, Since: since})
 	if s.ready = s.listed && !out; !s.ready {
 		r.dismiss(s)
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -120,9 +120,6 @@
 	}
 }
 
-// begun: the answer is on its way and will be counted when it ends.
-func (r *Router) begun(q *req) { q.over = true }
-
 // left: the client of a req is gone.
 func (r *Router) left(q *req) {
 	if !q.over {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,6 +91,7 @@
 		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
+	r.ops.barred = map[choice.ServerID]bool{}
 	r.counts.Ended = make([][3]int, len(cfg.Settings.Methods))
 	r.dialer, r.began = r.dialOff, choice.Micros(r.start.UnixMicro())
 	for i, m := range cfg.Settings.Methods {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -117,6 +117,9 @@
 	return l
 }
 
+// peerOf is the client behind a connection.
+func peerOf(c *notedConn) *client { return c.ctx.(*client) }
+
 func (l *notedLoop) open(ctx any) *notedConn {
 	if ctx == nil {
 		ctx = &client{r: l.r}
@@ -348,6 +351,32 @@
 	}
 }
 
+// A connection that carried a big value is not closed while the kernel has some of it: a close that crosses what its
+// client sends would drop that.
+func TestBigValuesLeaveBeforeAClose(t *testing.T) {
+	l, client, _ := newNoted(t)
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(pair[0])
+	defer unix.Close(pair[1])
+	c := peerOf(client)
+	client.fd, c.carried, c.used = pair[0], true, true
+	if _, err := unix.Write(pair[0], []byte("the value's end")); err != nil {
+		t.Fatal(err)
+	}
+	if l.r.closeIdleClients(); client.closed {
+		t.Error("closed, and the rest of the value is lost")
+	}
+	if _, err := unix.Read(pair[1], make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	if l.r.closeIdleClients(); !client.closed {
+		t.Error("it stays")
+	}
+}
+
 // A value that comes slowly is waited for while it flows; one that stops is not.
 func TestSlowValuesAreNotCut(t *testing.T) {
 	l, client, _ := newNoted(t)
