The loop's first connection is a UDP socket: routers start where there is IPv4 alone

At fault: Router.Run made a Unix socket pair, since gnet gives its loop with a connection only. Ruled out: the rest of the start (with the pair replaced alone, routers serve), handover's Unix socket (a failed dial there is the usual start), splice and sendfile (no io.Copy between sockets; big values go by Read and Write). Now a connected UDP socket to the discard port, to which nothing is sent; no peer's descriptor is held. The program listens once it has all else that it needs.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 .PHONY: build test lint fuzz run demo bench lab proto
 
+# As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	@command -v "$$(go env CC)" >/dev/null || { echo "no C compiler $$(go env CC): install gcc and libc6-dev, or set CC" >&2; exit 1; }
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test:
 	go test -p 1 ./...
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,13 +8,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"runtime/metrics"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/config"
@@ -106,12 +107,8 @@
 	return r, nil
 }
 
-// Run serves until it is drained or cannot go on.
+// Run serves until it is drained or cannot go on. It listens once it has all else that it needs.
 func (r *Router) Run() error {
-	if err := r.listen(); err != nil {
-		return err
-	}
-	defer r.takeover.ln.Close()
 	// A client engine has a loop and no listener: gnet's own listeners cannot be stopped before their loop is.
 	loop, err := gnet.NewClient(r, gnet.WithLogger(r.log), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithReadBufferCap(r.lim.Read), gnet.WithWriteBufferCap(r.lim.ClientOut)) // up to there gnet keeps to one ring buffer
@@ -121,24 +118,28 @@
 	if err = loop.Start(); err != nil {
 		return err
 	}
-	// gnet gives its loop with a connection only: the first is one to nobody, and ends with the loop.
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	nobody, err := net.Dial("udp", noPeer)
 	if err != nil {
-		return err
+		return errors.Join(fmt.Errorf("a UDP socket to %s, for the loop: %w; see that the loopback device is up", noPeer, err), loop.Stop())
 	}
-	defer unix.Close(pair[1])
-	nobody, err := asConn(pair[0])
-	if err != nil {
-		return err
+	if err = r.listen(); err != nil {
+		nobody.Close()
+		return errors.Join(err, loop.Stop())
 	}
+	defer r.takeover.ln.Close()
 	if _, err = loop.EnrollContext(nobody, &heart{r}); err != nil {
-		return err
+		return errors.Join(err, loop.Stop())
 	}
 	<-r.ended
 	return loop.Stop()
 }
 
-// heart is the connection to nobody.
+// noPeer is whom the loop's first connection is to: the port that discards, and nothing is sent there. gnet gives its loop
+// with a connection only. A UDP socket, since there may be no others than TCP and UDP over IPv4: a Unix pair ended every
+// router at its start where that was so. Connected, it takes nobody else's datagrams.
+const noPeer = "127.0.0.1:9"
+
+// heart is the connection to nobody; it ends with the loop.
 type heart struct{ r *Router }
 
 func (h *heart) opened(c gnet.Conn)   { h.r.begin(c.EventLoop()) }
