--- a/choice/choice.go
+++ b/choice/choice.go
@@ -208,6 +208,9 @@
 			timeout = min(timeout, 3*r.seen.long)
 		}
 	}
+	if w := r.ways[s.Zone]; w.rest > 0 && !s.origin { // a trial of the way
+		r.rest(s, w)
+	}
 	if q.retrying {
 		r.retries--
 		q.retrying = false
@@ -304,11 +307,12 @@
 	return s.Zone == q.ranAt.Zone && (q.method.group == GroupZone || s.Cell == q.ranAt.Cell)
 }
 
-// usable: neither draining nor gone, and not set aside; after that, one trial at a time.
+// usable: neither draining nor gone, not set aside nor out of reach; after that, one trial at a time.
 func (r *Router) usable(s *server) bool {
 	// One that has work in hand and is silent for three usual answers may hang: nothing more until it speaks.
 	silent := r.seen.long > 0 && s.inFlight > 0 && !s.origin && r.now-s.heard > 3*r.seen.long
-	return s.State == Ready && !silent && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
+	rests := !s.origin && r.ways[s.Zone].rest > r.now
+	return s.State == Ready && !silent && !rests && (s.aside == 0 || r.now >= s.aside && s.inFlight == 0)
 }
 
 const crowded = 2 // times the quickest answer: where a machine begins to be so
@@ -365,12 +369,6 @@
 	return r.origin == nil || r.originRoom() && (crowded || r.origin.time < r.originGoal)
 }
 
-// upTo is one up to the goal; beyond it falls by the square.
-func upTo(time, goal Micros) float64 {
-	q := min(1, float64(goal)/float64(max(1, time)))
-	return q * q
-}
-
 func (r *Router) originBound() float64 {
 	o := r.origin
 	const fewest = 6 // of all routers, two of one: enough to find its rate, few enough for a stopped origin
@@ -456,6 +454,7 @@
 		s.unheard, s.ghosts = true, nil
 		points = 2
 	}
+	r.follow(s, status, points, took)
 	if points == 0 {
 		return
 	}
@@ -474,15 +473,43 @@
 	// One bad answer is chance, three in a row are not. But a cache used once in seconds has no long row: there
 	// the second one counts, and it is left for three uses, which its partners hardly feel. The origin has no
 	// partner: one late answer of its long tail kept a router from it for half a minute.
-	if s.origin {
-		used = 2
+	rest := max(2e6, 3e6/max(used, 0.1))
+	if s.origin { // its trials cost little: what they carry would be nacked
+		used, rest = 2, 5e5
 	}
 	if s.lost += points; s.lost >= max(2, 1+int(min(2, used)), row) && s.aside <= r.now {
 		// Long enough that trials cost little, random so that the routers' trials do not fall together.
-		s.aside = r.now + Micros(max(2e6, 3e6/max(used, 0.1))*(1+r.chance()/2))
+		s.aside = r.now + Micros(rest*(1+r.chance()/2))
 	}
 }
 
+// follow keeps the record of the way to a zone. Caches of it that are silent one after the other, with no word
+// from any, are out of reach, or gone together: each router found that out cache by cache, and lost a req on
+// each. A refused connection is a word. In a healthy zone two that hang cost a moment at partners.
+func (r *Router) follow(s *server, status Status, points int, took Micros) {
+	w := r.ways[s.Zone]
+	switch {
+	case s.origin || status == TimedOut && points == 0 || status == Ignored || status == Canceled:
+	case status != TimedOut && (status != ConnectError || took < r.connect/2):
+		delete(r.ways, s.Zone)
+	case w.last != s:
+		if w.silent, w.last = w.silent+1, s; w.silent > 1 {
+			r.rest(s, w)
+		} else {
+			r.ways[s.Zone] = w
+		}
+	}
+}
+
+// rest leaves a zone alone, where there are others, until it is time for a trial.
+func (r *Router) rest(s *server, w way) {
+	const short = 3e5 // some answers: long enough for the trial's own, and each costs a req
+	if slices.ContainsFunc(r.caches, func(c *server) bool { return c.Zone != s.Zone }) {
+		w.rest = r.now + Micros(short*(1+r.chance()/2))
+	}
+	r.ways[s.Zone] = w
+}
+
 func (r *Router) measure(s *server, took Micros) {
 	if s.measure(took); !s.origin {
 		r.seen.measure(took)
@@ -622,42 +649,6 @@
 	return clamp(shares)
 }
 
-// clamp makes a negative share zero, takes its size over GF-1 from the positive ones, and renormalises.
-func clamp(shares []float64) []float64 {
-	short := 0.0
-	for i, x := range shares {
-		if x < 0 {
-			short -= x / float64(len(shares)-1)
-			shares[i] = 0
-		}
-	}
-	for i, x := range shares {
-		if x > 0 {
-			shares[i] = max(0, x-short)
-		}
-	}
-	sum := total(shares)
-	for i := range shares {
-		if sum > 0 {
-			shares[i] /= sum
-		} else {
-			shares[i] = 1 / float64(len(shares))
-		}
-	}
-	return shares
-}
-
-func (r *Router) draw(shares []float64) int {
-	x := r.chance()
-	for i, p := range shares {
-		if x < p {
-			return i
-		}
-		x -= p
-	}
-	return 0
-}
-
 // ---- The slot table ----
 
 const (
@@ -717,6 +708,7 @@
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
 		began: now, now: now, rules: reqRules(),
+		connect: s.ConnectTimeout, ways: map[Zone]way{},
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
@@ -987,13 +979,17 @@
 	}
 }
 
-// takeReport keeps the reported service time, or where none is told the own measured one.
+// takeReport keeps the reported service time, or where none is told the own measured one. The origin's is that
+// of all routers' fetches: one of hundreds has a few answers a second, and saw it fill seconds late.
 func (r *Router) takeReport(s *server, rep Report, took Micros) {
 	i := slices.Index(r.figures, FigureServiceTime)
-	if i >= 0 && i < len(rep) && rep[i] > 0 {
+	told := i >= 0 && i < len(rep) && rep[i] > 0
+	if told {
 		took = Micros(rep[i] * 1e3)
 	}
-	if took > 0 && !s.origin {
+	if s.origin && told {
+		s.time = took
+	} else if took > 0 && !s.origin {
 		s.report(r.now, took)
 	}
 }
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -68,6 +68,12 @@
 	return q * q
 }
 
+// upTo is one up to the goal; beyond it falls by the square.
+func upTo(time, goal Micros) float64 {
+	q := min(1, float64(goal)/float64(max(1, time)))
+	return q * q
+}
+
 // leaning is g where it has samples enough, and the other one as far as it lacks them.
 func (g gauge) leaning(on gauge) gauge {
 	mix := func(own, other Micros) Micros { return (g.n*own + (gaugeFull-g.n)*other) / gaugeFull }
@@ -129,6 +135,31 @@
 	return sum
 }
 
+// clamp makes a negative share zero, takes its size over GF-1 from the positive ones, and renormalises.
+func clamp(shares []float64) []float64 {
+	short := 0.0
+	for i, x := range shares {
+		if x < 0 {
+			short -= x / float64(len(shares)-1)
+			shares[i] = 0
+		}
+	}
+	for i, x := range shares {
+		if x > 0 {
+			shares[i] = max(0, x-short)
+		}
+	}
+	sum := total(shares)
+	for i := range shares {
+		if sum > 0 {
+			shares[i] /= sum
+		} else {
+			shares[i] = 1 / float64(len(shares))
+		}
+	}
+	return shares
+}
+
 func keyHash(k Key) KeyHash { return KeyHash(hashText(string(k))) }
 
 // mix spreads the bits of x (the finalizer of MurmurHash3).
@@ -162,3 +193,15 @@
 	d.draws++
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
+
+// draw gives a place by shares that add up to one.
+func (d *dice) draw(shares []float64) int {
+	x := d.chance()
+	for i, p := range shares {
+		if x < p {
+			return i
+		}
+		x -= p
+	}
+	return 0
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -77,6 +77,13 @@
 	fixed    load // what the shares are made from until the next recompute
 }
 
+// way is what is known of the way to the caches of one zone.
+type way struct {
+	silent int     // of them in a row that said nothing, with no word from any other
+	last   *server // the last of these
+	rest   Micros  // nothing goes there until then; 0: in use
+}
+
 type load struct {
 	time          Micros
 	writes, reads float64
@@ -114,6 +121,7 @@
 	originGoal Micros  // what an answer of a busy origin should take at most
 	part       float64 // one over the router count
 	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
+	connect    Micros  // a connection that has not come up by then never will; 0: not known
 	coldShare  float64
 	coldSpan   Micros
 	coldTimes  float64 // multiple of a cold server's present capacity that the routers may ask
@@ -131,6 +139,7 @@
 	decided     []Decision
 	rules       []rule
 	servers     map[ServerID]*server
+	ways        map[Zone]way                 // to those zones from which the last word was none
 	barred      map[ServerID]bool            // taken out by an operator, listed or not
 	before      map[ServerID]ServerKnowledge // from before a restart, until the list names them
 	all         []*server                    // in the list, sorted by id
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -82,6 +82,10 @@
 			s.Methods[1].Group = GroupZone
 		case "fees":
 			s.ConnectionFee, s.HandshakeFee = 0.12, 0.08
+		case "tells":
+			s.ReportFields = []Figure{FigureServiceTime}
+		case "connect":
+			s.ConnectTimeout = span(value)
 		case "copies":
 			s.MayTwoAtOnce, s.WasteFee = true, 0.02
 		case "ask":
@@ -135,8 +139,14 @@
 		server, _ := strconv.Atoi(words[1])
 		n, _ := strconv.Atoi(words[2])
 		status := Status(slices.Index(names, words[3]))
+		last, told, tells := strings.Cut(words[len(words)-1], "told=")
+		var report Report
+		if tells {
+			ms, _ := strconv.ParseFloat(told, 64)
+			report = Report{ms}
+		}
 		return Returned{Req: ReqID(words[0]), Server: ServerID(server), Attempt: Attempt(n), Status: status,
-			Took: span(words[4]), Over: status == OK || len(words) > 5}
+			Took: span(words[4]), Over: status == OK || last == "over", Report: report}
 	case "learned": // of all caches: their usual time, and the retry budget
 		return Learned{Knowledge{Span: 60e6, Seen: Times{span(words[0]), span(words[0]), span(words[0]), 32}, Traffic: 20,
 			Hits: 20, Asked: 20, Answered: 20, Used: 20, Retries: 5}}
