--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,8 +37,8 @@
 			(*Router).giveUp},
 		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
 		{"a fetch of its key is out: wait for it", (*Router).fetchIsOut, (*Router).hold},
-		{"a miss, or a write in aside mode, goes to the origin",
-			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write) },
+		{"a miss, a write in aside mode, or a read too urgent for a cache goes to the origin",
+			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q)) },
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
 		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
@@ -90,6 +90,14 @@
 	}
 }
 
+// isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them, was
+// seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while its
+// last answers are under the goal. It could harm where the origin tells too little of its load.
+func (r *Router) isUrgent(q *req) bool {
+	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
+		q.method.aim < 2*r.seen.best && r.originIsFree(q, false)
+}
+
 // isTooLate: less than a quick answer's time is seldom enough. Reqs that came with a tenth of their time left
 // filled the caches with what nobody waited for. Half of its aim is always worth a try.
 func (r *Router) isTooLate(q *req) bool {
@@ -436,7 +444,6 @@
 			s.coldFrom = r.now
 		}
 		s.lost, s.aside, s.unheard = 0, 0, false
-		// Of a cache used once in seconds one answer is all there is: far too slow, it may be crowded.
 	case QueueFull:
 		s.lost = 0
 	case TimedOut:
@@ -483,7 +490,7 @@
 	}
 }
 
-// follow keeps the record of the way to a zone. Caches of it that are silent one after the other, with no word
+// follow keeps the record of the way to a zone. Caches of it that are silent one after the other, and no word
 // from any, are out of reach, or gone together: each router found that out cache by cache, and lost a req on
 // each. A refused connection is a word. In a healthy zone two that hang cost a moment at partners.
 func (r *Router) follow(s *server, status Status, points int, took Micros) {
@@ -493,18 +500,15 @@
 	case status != TimedOut && (status != ConnectError || took < r.connect/2):
 		delete(r.ways, s.Zone)
 	case w.last != s:
-		if w.silent, w.last = w.silent+1, s; w.silent > 1 {
-			r.rest(s, w)
-		} else {
-			r.ways[s.Zone] = w
-		}
+		w.silent, w.last = w.silent+1, s
+		r.rest(s, w)
 	}
 }
 
-// rest leaves a zone alone, where there are others, until it is time for a trial.
+// rest leaves a zone alone, where two were silent and there are others, until it is time for a trial.
 func (r *Router) rest(s *server, w way) {
 	const short = 3e5 // some answers: long enough for the trial's own, and each costs a req
-	if slices.ContainsFunc(r.caches, func(c *server) bool { return c.Zone != s.Zone }) {
+	if w.silent > 1 && slices.ContainsFunc(r.caches, func(c *server) bool { return c.Zone != s.Zone }) {
 		w.rest = r.now + Micros(short*(1+r.chance()/2))
 	}
 	r.ways[s.Zone] = w
@@ -979,8 +983,8 @@
 	}
 }
 
-// takeReport keeps the reported service time, or where none is told the own measured one. The origin's is that
-// of all routers' fetches: one of hundreds has a few answers a second, and saw it fill seconds late.
+// takeReport keeps the reported service time, or where none is told the own one. The origin's is that of all
+// routers' fetches: one of hundreds has a few answers a second, and saw it fill seconds late.
 func (r *Router) takeReport(s *server, rep Report, took Micros) {
 	i := slices.Index(r.figures, FigureServiceTime)
 	told := i >= 0 && i < len(rep) && rep[i] > 0
