--- a/internal/lab/cacheserver/answer.go
+++ b/internal/lab/cacheserver/answer.go
@@ -17,7 +17,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down || s.vanished {
+	if _, cut := s.cut[k.router]; cut || s.down || s.vanished {
 		return
 	}
 	plain := func(text string) {
--- a/internal/lab/cacheserver/cacheserver.go
+++ b/internal/lab/cacheserver/cacheserver.go
@@ -66,6 +66,7 @@
 	rand     *rand.Rand
 	ln       []net.Listener
 	fillers  []io.Closer
+	cut      map[event.Router][]io.Closer // routers that cannot reach it, and what keeps their addresses silent
 	conns    map[*conn]struct{}
 	alarm    *time.Timer
 	ids      uint64
@@ -85,7 +86,8 @@
 // Start begins a life on its addresses. A warm one has been up for long and holds its keys already.
 func Start(f *Fleet, uid event.Server, zone string, cell int, addrs []string, warm bool, seed uint64) (*Server, error) {
 	s := &Server{fleet: f, UID: uid, Zone: zone, Cell: cell, addrs: addrs, store: machine.NewLRU(f.Set.Keys),
-		rand: rand.New(rand.NewPCG(seed, 7)), conns: map[*conn]struct{}{}, jobs: map[*machine.Job]*command{}}
+		rand: rand.New(rand.NewPCG(seed, 7)), conns: map[*conn]struct{}{}, jobs: map[*machine.Job]*command{},
+		cut: map[event.Router][]io.Closer{}}
 	now := f.Log.Now()
 	cold := event.Micros(0)
 	if !warm {
@@ -106,22 +108,35 @@
 func (s *Server) Addr(r event.Router) string { return s.addrs[r] }
 
 func (s *Server) listen() error {
-	for i, addr := range s.addrs {
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			for _, ln := range s.ln {
+	s.ln = make([]net.Listener, len(s.addrs))
+	for i := range s.addrs {
+		if err := s.listenFor(event.Router(i)); err != nil {
+			for _, ln := range s.ln[:i] {
 				ln.Close()
 			}
 			s.ln = nil
-			return fmt.Errorf("cache server %s: %w", s.UID, err)
+			return err
+		}
+	}
+	for r := range s.cut {
+		if err := s.cutOff(r); err != nil {
+			return err
 		}
-		s.ln = append(s.ln, ln)
-		s.wg.Add(1)
-		go s.accept(ln, event.Router(i))
 	}
 	return nil
 }
 
+func (s *Server) listenFor(r event.Router) error {
+	ln, err := net.Listen("tcp", s.addrs[r])
+	if err != nil {
+		return fmt.Errorf("cache server %s: %w", s.UID, err)
+	}
+	s.ln[r] = ln
+	s.wg.Add(1)
+	go s.accept(ln, r)
+	return nil
+}
+
 func (s *Server) accept(ln net.Listener, r event.Router) {
 	defer s.wg.Done()
 	for {
@@ -130,7 +145,7 @@
 			return
 		}
 		s.mu.Lock()
-		if s.down || s.vanished {
+		if _, cut := s.cut[r]; cut || s.down || s.vanished {
 			s.mu.Unlock()
 			c.Close()
 			continue
@@ -204,6 +219,12 @@
 		c.Close()
 	}
 	s.fillers = nil
+	for r, fillers := range s.cut {
+		for _, c := range fillers {
+			c.Close()
+		}
+		s.cut[r] = nil
+	}
 }
 
 // ring ends the jobs that are due.
--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -274,26 +274,40 @@
 	}
 	strike(scenario.Fault{Kind: "refuse"}, true)
 
-	strike(scenario.Fault{Kind: "vanish"}, false)
-	if c, err := net.DialTimeout("tcp", s.Addr(0), 100*time.Millisecond); err == nil {
-		c.Close()
-		t.Error("a connect to a machine that has vanished came up")
-	}
-	send(t, kept, "CACHE.GET k lost c=status,d=500")
-	_ = kept.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // an error shows in Read
-	if n, err := kept.Read(make([]byte, 1)); n > 0 || !errors.Is(err, syscall.ETIMEDOUT) && !strings.Contains(fmt.Sprint(err), "timeout") {
-		t.Error("a vanished machine said ", n, err)
-	}
-	strike(scenario.Fault{Kind: "vanish"}, true)
-	if got := answer(kept); got != "reset" && got != "end" {
-		t.Error("an old connection of a machine that is back: ", got)
-	}
-	if got := get(dial(t, s)); got != "id" {
-		t.Error("a machine that is back: ", got)
+	// A machine that has vanished, or that this router is cut off from: silent either way, reset when it is back.
+	for name, silent := range map[string]func(bool){
+		"vanished": func(on bool) { strike(scenario.Fault{Kind: "vanish"}, !on) },
+		"cut off": func(on bool) {
+			if err := s.Cut(map[event.Router]bool{0: on}); err != nil {
+				t.Fatal(err)
+			}
+		},
+	} {
+		kept := dial(t, s)
+		if got := get(kept); got != "id" {
+			t.Error(name, "before:", got)
+		}
+		silent(true)
+		if c, err := net.DialTimeout("tcp", s.Addr(0), 100*time.Millisecond); err == nil {
+			c.Close()
+			t.Error(name, ": a connect came up")
+		}
+		send(t, kept, "CACHE.GET k lost c=status,d=500")
+		_ = kept.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // an error shows in Read
+		if n, err := kept.Read(make([]byte, 1)); n > 0 || !errors.Is(err, syscall.ETIMEDOUT) && !strings.Contains(fmt.Sprint(err), "timeout") {
+			t.Error(name, ": it said ", n, err)
+		}
+		silent(false)
+		if got := answer(kept); got != "reset" && got != "end" {
+			t.Error(name, ": an old connection once it is back: ", got)
+		}
+		if got := get(dial(t, s)); got != "id" {
+			t.Error(name, ": once it is back: ", got)
+		}
 	}
 	for _, e := range f.Log.Events() {
 		if e.Req == "lost" {
-			t.Error("a vanished machine took a req")
+			t.Error("a silent machine took a req")
 		}
 	}
 	s.Kill()
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -65,6 +65,13 @@
 	k.end()
 }
 
+// hush: nothing that is answered from now on reaches the router.
+func (k *conn) hush() {
+	k.handed.Lock()
+	defer k.handed.Unlock()
+	k.silent = true
+}
+
 // read takes commands until the connection ends.
 func (k *conn) read() {
 	defer k.s.wg.Done()
--- a/internal/lab/cacheserver/trouble.go
+++ b/internal/lab/cacheserver/trouble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -120,31 +121,82 @@
 	s.vanished = true
 	s.machine.Freeze(now, true)
 	for _, ln := range s.ln {
-		if err := s.silence(ln); err != nil {
+		fillers, err := silence(ln)
+		if s.fillers = append(s.fillers, fillers...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Server) silence(ln net.Listener) error {
+// silence has an address take nothing and refuse nothing, until what it gives back is closed.
+func silence(ln net.Listener) (fillers []io.Closer, err error) {
 	// A copy of the descriptor stays open that nobody accepts on.
 	file, err := ln.(*net.TCPListener).File()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	addr := ln.Addr().String()
 	ln.Close()
-	s.fillers = append(s.fillers, file)
+	fillers = append(fillers, file)
 	if err := unix.Listen(int(file.Fd()), 0); err != nil {
-		return err
+		return fillers, err
 	}
 	for range 2 { // a backlog of nothing still takes one
 		c, err := net.DialTimeout("tcp", addr, 20*time.Millisecond)
 		if err != nil {
 			break
 		}
-		s.fillers = append(s.fillers, c)
+		fillers = append(fillers, c)
+	}
+	return fillers, nil
+}
+
+// Cut takes the way between it and some routers, and gives it back to the others: what is open there stays open and
+// brings nothing, either way, and nothing new comes up. What is open is reset when the way is back.
+func (s *Server) Cut(from map[event.Router]bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.addrs {
+		r := event.Router(r)
+		fillers, was := s.cut[r]
+		switch {
+		case was == from[r]:
+		case was:
+			delete(s.cut, r)
+			if s.down || s.vanished {
+				break
+			}
+			for _, c := range fillers {
+				c.Close()
+			}
+			for k := range s.conns {
+				if k.router == r {
+					k.reset()
+				}
+			}
+			if err := s.listenFor(r); err != nil {
+				return err
+			}
+		default:
+			s.cut[r] = nil
+			if s.down || s.vanished || len(s.ln) == 0 {
+				break
+			}
+			if err := s.cutOff(r); err != nil {
+				return err
+			}
+			for k := range s.conns {
+				if k.router == r {
+					k.hush()
+				}
+			}
+		}
 	}
 	return nil
 }
+
+func (s *Server) cutOff(r event.Router) (err error) {
+	s.cut[r], err = silence(s.ln[r])
+	return err
+}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -42,6 +42,10 @@
 				among = s.Routers.Count
 			}
 			struck := pick(f, among, r)
+			if f.Kind == "zone_lost" {
+				struck = slices.DeleteFunc(r.Perm(among), func(place int) bool { return s.SiteOf(place) != f.Site })
+				slices.Sort(struck)
+			}
 			if f.Kind == "deploy" || f.Batch > 0 {
 				all = append(all, rolling(f, i, struck, among, s)...)
 				break
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -42,6 +42,8 @@
 		return r.actServer(ctx, f, a, struck)
 	case "routers":
 		r.actRouter(ctx, f, a)
+	case "sites":
+		return r.cutOff(f.Site, !a.End)
 	case "origin":
 		if r.origin != nil {
 			r.origin.Strike(f, a.End)
@@ -87,6 +89,14 @@
 		l.server.Kill()
 		time.AfterFunc(r.s.Discovery.NoticeFor.Micros().Duration(), func() { r.tell(l, "left") })
 		return nil
+	case "zone_lost": // silent while it is lost; back as other processes, cold, which reset what was open
+		if a.End {
+			r.tell(victim, "left")
+			victim.server.Kill()
+			return r.succeed(l, victim, f.Moved)
+		}
+		time.AfterFunc(r.s.Discovery.NoticeFor.Micros().Duration(), func() { r.tell(l, "left") })
+		return l.server.Strike(scenario.Fault{Kind: "vanish"}, false)
 	case "drain", "deploy":
 		switch a.Stage {
 		case 0:
@@ -107,6 +117,44 @@
 	return l.server.Strike(f, a.End)
 }
 
+// cutOff cuts a site off from the others, or takes that back: routers on one side, servers, origin and discovery (which
+// are at the first site and at all of them) on the other hear nothing of each other.
+func (r *run) cutOff(site string, on bool) error {
+	r.mu.Lock()
+	if r.cut[site] = on; !on {
+		delete(r.cut, site)
+	}
+	lives := append([]*life(nil), r.lives...)
+	r.mu.Unlock()
+	for _, l := range lives {
+		if err := l.server.Cut(r.unreachable(l.entry.Zone)); err != nil {
+			return err
+		}
+	}
+	if r.origin != nil {
+		r.origin.Cut(r.unreachable(r.s.Sites[0]))
+	}
+	lone := map[event.Router]bool{}
+	for n := range r.s.Routers.Count {
+		lone[event.Router(n)] = r.cut[r.s.SiteOf(n)]
+	}
+	r.registry.Cut(lone)
+	return nil
+}
+
+// unreachable are the routers that cannot reach a site now.
+func (r *run) unreachable(site string) map[event.Router]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	far := map[event.Router]bool{}
+	for n := range r.s.Routers.Count {
+		if at := r.s.SiteOf(n); at != site && (r.cut[at] || r.cut[site]) {
+			far[event.Router(n)] = true
+		}
+	}
+	return far
+}
+
 // succeed starts the successor of a life, unless another fault has done so meanwhile.
 func (r *run) succeed(now, victim *life, moved bool) error {
 	if now != victim {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -67,6 +67,7 @@
 	lives  []*life // by place
 	all    []*life
 	places map[event.Server]referee.Place
+	cut    map[string]bool // sites that are cut off now
 	missed map[event.Req][]*cacheserver.Server
 	cold   map[event.Req]bool
 	failed error
@@ -80,7 +81,7 @@
 		o.Log = logrus.New()
 		o.Log.SetLevel(logrus.PanicLevel)
 	}
-	r := &run{s: s, o: o, log: event.NewLog(), places: map[event.Server]referee.Place{},
+	r := &run{s: s, o: o, log: event.NewLog(), places: map[event.Server]referee.Place{}, cut: map[string]bool{},
 		missed: map[event.Req][]*cacheserver.Server{}, cold: map[event.Req]bool{}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -190,7 +191,7 @@
 	if moved {
 		l.moves++
 	}
-	zone := r.s.Sites[place%len(r.s.Sites)]
+	zone := r.s.SiteOf(place)
 	cell := place / 4
 	uid := event.Server(fmt.Sprintf("s%d.%d", place, l.n))
 	r.places[uid] = referee.Place{Zone: zone, Cell: fmt.Sprint(cell)}
@@ -200,6 +201,9 @@
 	if err != nil {
 		return err
 	}
+	if err := server.Cut(r.unreachable(zone)); err != nil {
+		return err
+	}
 	l.server = server
 	l.entry = registry.Entry{UID: uid, Zone: zone, Kind: "cache", Cell: cell, State: "active", Boot: server.Boot, Addr: server.Addr}
 	r.mu.Lock()
--- a/internal/lab/origin/origin.go
+++ b/internal/lab/origin/origin.go
@@ -47,7 +47,8 @@
 	alarm   *time.Timer
 	jobs    map[*machine.Job]chan struct{}
 	stopped bool
-	asked   float64 // work asked for of late, and that of misses at cold servers
+	cut     map[event.Router]bool // routers that cannot reach it
+	asked   float64               // work asked for of late, and that of misses at cold servers
 	cold    float64
 	at      event.Micros
 	servers []*http.Server
@@ -135,6 +136,20 @@
 	o.turn()
 }
 
+// Cut takes the way between it and some routers, and gives it back to the others. Connections come up there and bring
+// nothing: it listens by net/http, which cannot be made to take none.
+func (o *Origin) Cut(from map[event.Router]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cut = from
+}
+
+func (o *Origin) isCut(r event.Router) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cut[r]
+}
+
 // count keeps what was asked for of late, to tell what pushed the origin over.
 func (o *Origin) count(now event.Micros, work float64, cold bool) {
 	fade := math.Exp(-float64(now-o.at) / float64(max(1, o.fleet.Set.FallSpan)))
@@ -171,6 +186,10 @@
 	if err != nil {
 		return // the router ended it before its last byte
 	}
+	if o.isCut(router) {
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path == "/health/live" || r.URL.Path == "/stats" {
 		return
 	}
@@ -254,6 +273,11 @@
 	if lost {
 		return
 	}
+	if o.isCut(router) {
+		<-r.Context().Done()
+		tell(event.Lost)
+		return
+	}
 	value := cacheserver.Made(req, UID, max(size, len(body)/8))
 	w.Header().Set("Content-Length", fmt.Sprint(len(value)))
 	tell(event.Value)
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -148,7 +148,8 @@
 		case event.Asked:
 			q.asked, q.op, q.hasAsked = append(q.asked, e), e.Op, true
 		case event.Unreached: // a library had taken it, and never had a connection to send it on
-			if n := len(q.asked); n > 0 {
+			// Not where the last asking ended by a cut: it was sent, and this is the next, to a router that is not there.
+			if n := len(q.asked); n > len(q.cuts) {
 				q.asked, q.hasAsked = q.asked[:n-1], n > 1
 			}
 		case event.Answered:
--- a/internal/lab/registry/registry.go
+++ b/internal/lab/registry/registry.go
@@ -44,6 +44,7 @@
 	stuck   int // what is visible while silent
 	late    event.Micros
 	bad     bool
+	cut     map[event.Router]bool // whose agents hear nothing
 	step    time.Duration
 	news    chan struct{} // closed at each change of anything
 	told    []int         // by router: changes told so far
@@ -167,6 +168,14 @@
 	r.stir()
 }
 
+// Cut takes the way between the list and some routers' agents, and gives it back to the others.
+func (r *Registry) Cut(from map[event.Router]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = from
+	r.stir()
+}
+
 // visible is how many changes can be told now.
 func (r *Registry) visible() int {
 	if r.silent {
@@ -240,11 +249,11 @@
 	over := !watch
 	for {
 		n := r.visible()
-		if !r.silent && (over || n > index) {
+		if !r.silent && !r.cut[a.router] && (over || n > index) {
 			break
 		}
 		next := time.Hour
-		if !r.silent && n < len(r.changes) {
+		if !r.silent && !r.cut[a.router] && n < len(r.changes) {
 			next = max(0, r.changes[n].due-r.log.Now()).Duration() + time.Microsecond
 		}
 		news, due := r.news, time.NewTimer(next)
@@ -290,7 +299,7 @@
 	defer r.mu.Unlock()
 	n := r.visible()
 	for router := range r.due {
-		for ; r.due[router] < n; r.due[router]++ {
+		for ; !r.cut[event.Router(router)] && r.due[router] < n; r.due[router]++ {
 			if e := r.changes[r.due[router]].entry; e.State != "active" {
 				r.log.Add(event.Event{Kind: event.Due, Server: e.UID, Router: event.Router(router)})
 			}
--- a/internal/lab/registry/registry_test.go
+++ b/internal/lab/registry/registry_test.go
@@ -56,6 +56,11 @@
 	show("the whole list", "", "{2 true [{a active} {b active}]} false")
 	r.Set(entry("b", "leaving"), false)
 	show("before the delay is over", "?index=2&wait=20", "{2 false []} false")
+	r.Cut(map[event.Router]bool{0: true})
+	if l, err := call(t, r, "?index=2&wait=100"); err == nil {
+		t.Error("a router that is cut off was told ", l)
+	}
+	r.Cut(nil)
 	show("a watch over the delay", "?index=2&wait=1000", "{3 false [{b leaving}]} false")
 	r.Set(entry("b", "left"), false)
 	show("gone, among changes", "?index=3&wait=1000", "{4 false [{b left}]} false")
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -17,7 +17,7 @@
 
 // What a kind of fault strikes, and which fields it needs.
 type faultKind struct {
-	strikes string // servers, routers, origin, discovery, clients
+	strikes string // servers, routers, sites, origin, discovery, clients
 	needs   string // fields that must be set
 	lasts   bool   // for must be set
 }
@@ -32,6 +32,8 @@
 	"ban":              {"servers", "", true},
 	"refuse":           {"servers", "", true},
 	"vanish":           {"servers", "", true},
+	"zone_lost":        {"servers", "site", true},
+	"zone_cut":         {"sites", "site", true},
 	"reset":            {"servers", "share", true},
 	"spoil":            {"servers", "share", true},
 	"surplus":          {"servers", "share", true},
@@ -202,7 +204,8 @@
 	c.want(!kind.lasts || x.For > 0, f+"for", "is missing", "say how long it lasts")
 	c.part(f+"part", x.Part)
 	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
-		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "": true}
+		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "site": x.Site != "", "": true}
+	c.want(kind.strikes != "sites" || len(s.Sites) > 1, f+"kind", "cuts off the only site", "name two sites at least")
 	c.want(has[kind.needs], f+kind.needs, "is missing or out of range", "a fault of kind "+x.Kind+" needs it")
 	for j, form := range x.Answers {
 		c.oneOf(fmt.Sprintf("%sanswers[%d]", f, j), form, "endless", "huge", "length", "nested", "noise")
@@ -216,5 +219,5 @@
 		"write one of "+strings.Join(s.Sites, ", "))
 }
 
-// Strikes names what a kind of fault strikes: servers, routers, origin, discovery or clients.
+// Strikes names what a kind of fault strikes: servers, routers, sites, origin, discovery or clients.
 func (k faultKind) Strikes() string { return k.strikes }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -51,6 +51,9 @@
 	Expect    Expect    `toml:"expect"`
 }
 
+// SiteOf names the site of the server or router at a place.
+func (s *Scenario) SiteOf(place int) string { return s.Sites[place%len(s.Sites)] }
+
 // Service is what every router is told of the service.
 type Service struct {
 	Mode           string  `toml:"mode"` // aside: misses go to the origin; through: the servers see to them
