The lab listens again beside a process that is being started: no address in use by chance

Ruled out: another lab (the network is claimed by a lock), a connection left over (listeners have SO_REUSEADDR, none of the server's was open). A probe that does nothing but listen and close found the address in use 0 of 184,287 times alone and 1,803 of 33,540 while four goroutines start programs: a process being started holds copies of all descriptors until it is another program, the closed listener's too. At fault: listenFor, which took the first no for an answer. Now: it is tried again for up to a second.

--- a/internal/lab/cacheserver/cacheserver.go
+++ b/internal/lab/cacheserver/cacheserver.go
@@ -16,6 +16,7 @@
 
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/machine"
+	"spurtrestle/internal/lab/process"
 	"spurtrestle/internal/lab/scenario"
 )
 
@@ -127,7 +128,7 @@
 }
 
 func (s *Server) listenFor(r event.Router) error {
-	ln, err := net.Listen("tcp", s.addrs[r])
+	ln, err := process.Listen(s.addrs[r])
 	if err != nil {
 		return fmt.Errorf("cache server %s: %w", s.UID, err)
 	}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -3,7 +3,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"strconv"
@@ -79,3 +81,16 @@
 	}
 	return time.Duration(user+system) * time.Second / ticks, pages * int64(os.Getpagesize()), true
 }
+
+// Listen listens at an address that was listened on a moment ago. A process that is being started beside, by another
+// goroutine, holds copies of all descriptors until it is another program: for that long the address seems to be in use,
+// which ended one of some fifty runs of CI's scenarios.
+func Listen(addr string) (net.Listener, error) {
+	const patience = time.Second
+	for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		ln, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return ln, err
+		}
+	}
+}
