--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go test -p 1 ./...
 
 lint:
-	test -z "$$(gofmt -l ageing choice cmd internal proto slate)"
+	test -z "$$(gofmt -l ageing choice cmd internal parts proto slate view)"
 	go vet ./...
 
 fuzz:
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -328,6 +328,8 @@
 // rateSpan is long enough for a dozen answers of one cache at one router, and short against a trouble.
 const rateSpan = 1e6
 
+const inHand = 8 // of all routers: some eight keep a machine of a few cores busy without a long queue
+
 // room bounds what is in flight at a cache by measured rate x time: what it answers within the part of the
 // latency budget that may go into waiting, less for the reqs that are worth less.
 func (r *Router) room(q *req, s *server) bool {
@@ -337,7 +339,7 @@
 	g := s.gauge.leaning(r.seen)
 	// What is answered within that time, and at least a floor. Beyond twice the quickest answer the bound falls
 	// until the machine clears: one in flight from every router kept crowded machines so for the rest of a day.
-	floor := r.fewest * min(1, within/float64(max(1, g.time)))
+	floor := inHand * r.part * min(1, within/float64(max(1, g.time)))
 	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick(crowded)
 	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
@@ -410,7 +412,7 @@
 		return s.time + max(r.originWait(), Micros(float64(s.time)*float64(s.ahead)/r.originBound()))
 	}
 	t := s.gauge.leaning(r.seen).time
-	return t + Micros(float64(t)*float64(s.ahead)/max(1, r.fewest))
+	return t + Micros(float64(t)*float64(s.ahead)/max(1, inHand*r.part))
 }
 
 // soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
@@ -712,14 +714,13 @@
 		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
 		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
 		began: now, now: now, rules: reqRules(),
-		connect: s.ConnectTimeout, ways: map[Zone]way{},
+		connect: s.ConnectTimeout, maxHint: s.MaxHint, ways: map[Zone]way{},
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
 		retries: 10,                                                   // enough for the first seconds
 		part:    1 / float64(max(1, s.Routers)),
 	}
-	r.fewest = 8 * r.part // some eight in hand keep a machine of a few cores busy without a long queue
 	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
 	// all routers use a server alike, keeping pays up to this ratio of one.
 	if s.ConnectionFee > 0 {
@@ -729,9 +730,6 @@
 	r.copyAfter = 0.7 + 18*(s.WasteFee+s.CrossFee)
 	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
 	r.patience = min(1, 0.2+s.WorstMethod)
-	if s.MayHint {
-		r.maxHint = s.MaxHint
-	}
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
 		if most = max(most, m.Criticality); m.Effect == Retryable {
@@ -781,6 +779,8 @@
 	case Barred:
 		r.bar(e)
 		r.runHeld()
+	case Parted:
+		r.part = e.Part
 	case Learned:
 		r.learn(e.Knowledge)
 	case LearnedServers:
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,8 +119,7 @@
 	ask        bool
 	tick       Micros
 	originGoal Micros  // what an answer of a busy origin should take at most
-	part       float64 // one over the router count
-	fewest     float64 // in flight at a cache that is quick, whatever its measured rate
+	part       float64 // of what all routers may send together
 	connect    Micros  // a connection that has not come up by then never will; 0: not known
 	coldShare  float64
 	coldSpan   Micros
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -25,7 +25,7 @@
 // base is a site in aside mode; scripts change it with lines such as "set routers=3 through".
 func base() Settings {
 	return Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, ColdShare: 0.2,
-		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MayHint: true, MaxHint: 1e6,
+		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MaxHint: 1e6,
 		MaxWriteOuts: 3, OverShareWorth: 0.1, DrainGrace: 1e6, AskEvery: 10e6, AnswerSlack: 20e3,
 		Methods: []MethodSettings{
 			{Name: "read", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 2},
@@ -120,6 +120,9 @@
 	case "bar":
 		n, _ := strconv.Atoi(words[0])
 		return Barred{Server: ServerID(n), On: true}
+	case "part":
+		part, _ := strconv.ParseFloat(words[0], 64)
+		return Parted{Part: part}
 	case "unbar":
 		n, _ := strconv.Atoi(words[0])
 		return Barred{Server: ServerID(n), Since: span(words[1])}
--- a/choice/types.go
+++ b/choice/types.go
@@ -80,10 +80,9 @@
 	DrainGrace      Micros
 	MayCancel       bool
 	MayProbe        bool
-	MayHint         bool
 	MayTwoAtOnce    bool
 	MaxWriteOuts    int
-	MaxHint         Micros
+	MaxHint         Micros // 0: nacks do not say when to come back
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
@@ -201,6 +200,9 @@
 		On     bool
 		Since  Micros // given back: it counts as started then
 	}
+	Parted struct { // the part of what all routers may send together is another now, of one; at first it is one of them
+		Part float64
+	}
 	Elapsed struct {
 		Ref TimerRef
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -21,6 +21,11 @@
 	Empty(on bool) error
 }
 
+// Fleet is a router that keeps a view of its fleet.
+type Fleet interface {
+	Whole() (string, error) // as JSON
+}
+
 // ErrUnknown: nobody has that id.
 var ErrUnknown = errors.New("no cache server has that id; see discovery's list")
 
@@ -43,6 +48,12 @@
 		"/ops/cache-servers/up":   {"PUT", func(id string) (string, error) { return "in use\n", withID(id, r.GiveBack) }},
 		"/ops/drain/start":        {"PUT", func(string) (string, error) { return "draining\n", r.Empty(true) }},
 		"/ops/drain/stop":         {"PUT", func(string) (string, error) { return "taking clients\n", r.Empty(false) }},
+		"/ops/fleet": {"GET", func(string) (string, error) {
+			if f, ok := r.(Fleet); ok {
+				return f.Whole()
+			}
+			return "", errNoView
+		}},
 	} {
 		mux.HandleFunc(path, func(w http.ResponseWriter, q *http.Request) {
 			if q.Method != call.method {
@@ -59,7 +70,7 @@
 			switch {
 			case err == nil:
 				_, _ = io.WriteString(w, text) // the caller may be gone
-			case errors.Is(err, ErrUnknown):
+			case errors.Is(err, ErrUnknown), errors.Is(err, errNoView):
 				http.Error(w, err.Error(), http.StatusNotFound)
 			case errors.Is(err, errBody):
 				http.Error(w, err.Error(), http.StatusBadRequest)
@@ -74,6 +85,8 @@
 	_ = s.Serve(&bounded{Listener: ln, most: most}) // ends with the listener
 }
 
+var errNoView = errors.New("this router keeps no view of a fleet; fleet.name in the operator's file switches it on")
+
 var errBody = errors.New("the body is to be the id of a cache server")
 
 func withID(id string, do func(string) error) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,9 @@
 	Settings  choice.Settings
 	Known     json.RawMessage // the list as this router last had it, in discovery's form
 	Limits    Limits
+	Seat      int      // which of the routers it is, from 0
+	Site      string   // empty: not told
+	Sites     []string // all that there are; none: not told
 }
 
 // Load reads the variables through get, os.Getenv in service.
@@ -79,7 +82,7 @@
 		return c, fmt.Errorf("settings: %w", err)
 	}
 	if err = checkShape(c.Settings); err == nil {
-		err = checkPlace(f.Settings)
+		err = c.place(f.Settings)
 	}
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -37,9 +37,9 @@
 	return nil
 }
 
-// checkPlace refuses a router that is none of its fleet: the decisions do not read its number and its location, so that
+// place refuses a router that is none of its fleet: the decisions do not read its number and its location, so that
 // only a file meant for another router has them wrong.
-func checkPlace(settings json.RawMessage) error {
+func (c *Config) place(settings json.RawMessage) error {
 	var p struct {
 		Routers int      `json:"balancers"`
 		Me      int      `json:"me"`
@@ -56,5 +56,6 @@
 	if p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone) {
 		return fmt.Errorf("settings: zone: %q is not among zones %q; correct one of them", p.Zone, p.Zones)
 	}
+	c.Seat, c.Site, c.Sites = p.Me, p.Zone, p.Zones
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"time"
 
 	"spurtrestle/internal/tomlfile"
@@ -16,6 +17,14 @@
 type File struct {
 	State State `toml:"state"`
 	GRPC  GRPC  `toml:"grpc"`
+	Fleet Fleet `toml:"fleet"`
+	where string
+	at    tomlfile.Places
+}
+
+// Refused is an error about one field of the file, found where it is put to use.
+func (f File) Refused(field, what, remedy string) error {
+	return fmt.Errorf("%s: %w", f.where, tomlfile.Error{Line: f.at.Line(field), Field: field, What: what, Remedy: remedy})
 }
 
 // State is about learned state that survives a restart.
@@ -35,6 +44,30 @@
 	Streams     int    `toml:"streams"`     // at once on a connection; 0: 256
 }
 
+// Fleet is about the view of the fleet that the routers keep among themselves.
+type Fleet struct {
+	Name      string   `toml:"name"`      // of the fleet; empty: this router keeps no view
+	Router    string   `toml:"router"`    // this router's name; empty: that of its configuration
+	Site      string   `toml:"site"`      // where it is; empty: that of its configuration
+	Listen    string   `toml:"listen"`    // address and port, for UDP and TCP
+	Advertise string   `toml:"advertise"` // where the others reach it; empty: listen
+	Join      []string `toml:"join"`      // addresses of others, to begin with
+	Dir       string   `toml:"dir"`       // folder for the peers known; empty: they are not kept
+	Probe     string   `toml:"probe"`     // between two probes of another router
+	Forget    string   `toml:"forget"`    // after which lost and left routers are no longer shown
+	Anywhere  bool     `toml:"anywhere"`  // unspecified and public addresses are meant
+	listen    netip.AddrPort
+	advertise netip.AddrPort
+	probe     time.Duration
+	forget    time.Duration
+}
+
+// Addresses are those listened on, and told to others.
+func (f Fleet) Addresses() (listen, advertise netip.AddrPort) { return f.listen, f.advertise }
+
+// Spans are Probe and Forget.
+func (f Fleet) Spans() (probe, forget time.Duration) { return f.probe, f.forget }
+
 const (
 	usualEvery = 10 * time.Second // what is lost by a kill is half of that on average, against half-lives of a minute
 	leastEvery = time.Second
@@ -54,6 +87,7 @@
 	if err != nil {
 		return f, fmt.Errorf("%s: %w", name, err)
 	}
+	f.where, f.at = name, tomlfile.PlacesIn(text)
 	return f, nil
 }
 
@@ -99,5 +133,65 @@
 	if s.span < leastEvery || s.span > mostEvery {
 		return wrong("every", fmt.Sprintf("%v is not from %v to %v", s.span, leastEvery, mostEvery), "write such a span")
 	}
+	return f.Fleet.check(at)
+}
+
+var plain = regexp.MustCompile(`^[A-Za-z0-9._-]{1,60}$`)
+
+func (f *Fleet) check(at tomlfile.Places) error {
+	wrong := func(field, what, remedy string) error {
+		return tomlfile.Error{Line: at.Line("fleet." + field), Field: "fleet." + field, What: what, Remedy: remedy}
+	}
+	if f.Name == "" {
+		if f.Listen != "" || len(f.Join) > 0 {
+			return wrong("name", "is empty, though other fields are set", "name the fleet, or leave all of them empty")
+		}
+		return nil
+	}
+	for field, name := range map[string]string{"name": f.Name, "router": f.Router, "site": f.Site} {
+		if name != "" && !plain.MatchString(name) {
+			return wrong(field, fmt.Sprintf("%q is no name", name), "write 1 to 60 letters, digits, dots, dashes or underscores")
+		}
+	}
+	var err error
+	if f.listen, err = netip.ParseAddrPort(f.Listen); err != nil || f.listen.Port() == 0 {
+		return wrong("listen", fmt.Sprintf("%q is no address and port", f.Listen), `write it as "10.1.2.3:7946"`)
+	}
+	if f.advertise = f.listen; f.Advertise != "" {
+		if f.advertise, err = netip.ParseAddrPort(f.Advertise); err != nil || f.advertise.Port() == 0 {
+			return wrong("advertise", fmt.Sprintf("%q is no address and port", f.Advertise), `write it as "10.1.2.3:7946"`)
+		}
+	}
+	if f.advertise.Addr().IsUnspecified() {
+		return wrong("advertise", fmt.Sprintf("others cannot reach %s", f.advertise), "write the address at which they do")
+	}
+	for field, a := range map[string]netip.Addr{"listen": f.listen.Addr(), "advertise": f.advertise.Addr()} {
+		if !f.Anywhere && !a.IsLoopback() && !a.IsPrivate() && !a.IsLinkLocalUnicast() {
+			return wrong(field, fmt.Sprintf("%s is no address of a private network, and nothing is signed or encrypted here", a),
+				"write one of a network that is trusted, or set anywhere = true if this is meant")
+		}
+	}
+	for i, join := range f.Join {
+		if _, err := netip.ParseAddrPort(join); err != nil {
+			return wrong("join", fmt.Sprintf("its entry %d, %q, is no address and port", i+1, join), `write it as "10.1.2.3:7946"`)
+		}
+	}
+	if f.Dir != "" && !filepath.IsAbs(f.Dir) {
+		return wrong("dir", fmt.Sprintf("%q is no absolute path", f.Dir), "write the whole path: what the router is started from may change")
+	}
+	for _, s := range []struct {
+		field, text string
+		into        *time.Duration
+		least, most time.Duration
+		usual       time.Duration
+	}{{"probe", f.Probe, &f.probe, 100 * time.Millisecond, 10 * time.Second, time.Second},
+		{"forget", f.Forget, &f.forget, time.Second, 240 * time.Hour, 10 * time.Minute}} {
+		if *s.into = s.usual; s.text == "" {
+			continue
+		}
+		if *s.into, err = time.ParseDuration(s.text); err != nil || *s.into < s.least || *s.into > s.most {
+			return wrong(s.field, fmt.Sprintf("%q is no span from %v to %v", s.text, s.least, s.most), `write it as "1s" or "10m"`)
+		}
+	}
 	return nil
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -13,24 +14,31 @@
 		t.Fatal(err)
 	}
 	f, err := Parse(text)
-	if err != nil || f.State.Dir != "" || f.GRPC.Listen != "" || f.State.Interval() != 10*time.Second {
+	if err != nil || f.State.Dir != "" || f.GRPC.Listen != "" || f.Fleet.Name != "" || f.State.Interval() != 10*time.Second {
 		t.Errorf("%+v, %v", f, err)
 	}
-	if f, err := Load(""); err != nil || f != (File{}) {
+	if f, err := Load(""); err != nil || !reflect.DeepEqual(f, File{}) {
 		t.Errorf("without a file: %+v, %v", f, err)
 	}
 }
 
 func TestWrongFilesAreExplained(t *testing.T) {
 	for text, want := range map[string]string{
-		"[state]\ndirr = \"/x\"\n":                 "line 2: state.dirr: is no field here; see deploy/spurtrestle.toml for all fields",
-		"[state]\ndir = \"x\"\n":                   `line 2: state.dir: "x" is no absolute path; write the whole path`,
-		"\n[state]\ndir = \"/x\"\nevery = \"now\"": `line 4: state.every: "now" is no span; write it as "10s" or "1m"`,
-		"[state]\nevery = \"1ms\"\n":               "line 2: state.every: 1ms is not from 1s to 1h0m0s; write such a span",
-		"[grpc]\nlisten = \"here\"\n":              `line 2: grpc.listen: "here" is no address and port; write it as "127.0.0.1:7443"`,
-		"[grpc]\nstreams = -1\n":                   "line 2: grpc.streams: -1 is not from 1 to 10000; write such a number",
-		"[state\n":                                 "line 1: the file:",
-		"[state]\ndir = 7\n":                       "line 2: state.dir:",
+		"[state]\ndirr = \"/x\"\n":                                          "line 2: state.dirr: is no field here; see deploy/spurtrestle.toml for all fields",
+		"[state]\ndir = \"x\"\n":                                            `line 2: state.dir: "x" is no absolute path; write the whole path`,
+		"\n[state]\ndir = \"/x\"\nevery = \"now\"":                          `line 4: state.every: "now" is no span; write it as "10s" or "1m"`,
+		"[state]\nevery = \"1ms\"\n":                                        "line 2: state.every: 1ms is not from 1s to 1h0m0s; write such a span",
+		"[grpc]\nlisten = \"here\"\n":                                       `line 2: grpc.listen: "here" is no address and port; write it as "127.0.0.1:7443"`,
+		"[grpc]\nstreams = -1\n":                                            "line 2: grpc.streams: -1 is not from 1 to 10000; write such a number",
+		"[fleet]\nlisten = \"127.0.0.1:1\"\n":                               "line 1: fleet.name: is empty, though other fields are set",
+		"[fleet]\nname = \"a b\"\n":                                         `line 2: fleet.name: "a b" is no name; write 1 to 60 letters`,
+		"[fleet]\nname = \"a\"\n":                                           `line 1: fleet.listen: "" is no address and port`,
+		"[fleet]\nname = \"a\"\nlisten = \"8.8.8.8:1\"\n":                   `line 3: fleet.`,
+		"[fleet]\nname = \"a\"\nlisten = \"0.0.0.0:1\"\n":                   `line 1: fleet.advertise: others cannot reach 0.0.0.0:1; write the address`,
+		"[fleet]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\njoin = [\"b\"]\n": `line 4: fleet.join: its entry 1, "b", is no address and port`,
+		"[fleet]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\nprobe = \"1ms\"":  `line 4: fleet.probe: "1ms" is no span from 100ms to 10s`,
+		"[state\n":           "line 1: the file:",
+		"[state]\ndir = 7\n": "line 2: state.dir:",
 	} {
 		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v", text, err)
--- /dev/null
+++ b/internal/peers/gossip.go
@@ -0,0 +1,229 @@
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/parts"
+	"spurtrestle/view"
+)
+
+// What one router tells another, by its first byte.
+const (
+	kindWord  = 'w'
+	kindParts = 'p'
+)
+
+const (
+	longest    = 4 << 10 // of a message
+	mostWords  = 8192    // of a state
+	mostAnswer = 1024    // that wait for a step
+)
+
+// monotonic is the clock that all processes of a machine share, in microseconds.
+func monotonic() int64 {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it is always there
+	return t.Nano() / 1e3
+}
+
+// meta is what a process says of itself for all of its life, in as few bytes as its names allow.
+type meta struct {
+	F string `json:"f"`           // fleet
+	N string `json:"n"`           // name
+	S string `json:"s"`           // site
+	P uint64 `json:"p"`           // process
+	I int    `json:"i"`           // seat
+	T int64  `json:"t"`           // start
+	B string `json:"b"`           // build
+	O uint64 `json:"o,omitempty"` // follows
+}
+
+// NodeMeta is called by memberlist.
+func (p *Peers) NodeMeta(int) []byte {
+	m := p.me
+	text, _ := json.Marshal(meta{m.Fleet, string(m.Name), string(m.Site), uint64(m.Process), int(m.Seat), m.Started, m.Build,
+		uint64(m.Follows)}) // plain fields: it cannot fail
+	return text
+}
+
+func memberOf(node *memberlist.Node) (view.Member, error) {
+	var m meta
+	if err := json.Unmarshal(node.Meta, &m); err != nil {
+		return view.Member{}, fmt.Errorf("what %s says of itself cannot be read: %w", node.Address(), err)
+	}
+	if m.N == "" || m.P == 0 || processOf(node) != view.Process(m.P) {
+		return view.Member{}, fmt.Errorf("what %s says of itself is not whole", node.Address())
+	}
+	addr, _ := netip.AddrFromSlice(node.Addr)
+	return view.Member{Fleet: m.F, Name: view.Name(m.N), Site: view.Site(m.S), Process: view.Process(m.P), Seat: view.Seat(m.I),
+		Started: m.T, Build: m.B, Follows: view.Process(m.O), Addr: netip.AddrPortFrom(addr.Unmap(), node.Port).String()}, nil
+}
+
+// NotifyAlive refuses routers of other fleets. It is called by memberlist, as all below.
+func (p *Peers) NotifyAlive(node *memberlist.Node) error {
+	m, err := memberOf(node)
+	if err == nil && m.Fleet != p.me.Fleet {
+		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct fleet.name or fleet.join of one of them",
+			m.Name, m.Addr, m.Fleet, p.me.Name, p.me.Fleet)
+	}
+	if err == nil {
+		return nil
+	}
+	const again = time.Minute
+	p.mu.Lock()
+	now := time.Now()
+	last, said := p.refused[err.Error()]
+	if said = said && now.Sub(last) < again; !said && len(p.refused) < 1000 {
+		p.refused[err.Error()] = now
+	}
+	p.mu.Unlock()
+	if !said {
+		p.log.WithError(err).Warn("fleet: refused")
+	}
+	return err
+}
+
+// NotifyMerge refuses to join another fleet, or to be joined by it.
+func (p *Peers) NotifyMerge(nodes []*memberlist.Node) error {
+	for _, n := range nodes {
+		if err := p.NotifyAlive(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// NotifyJoin: a process is there.
+func (p *Peers) NotifyJoin(node *memberlist.Node) {
+	m, err := memberOf(node)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := *node // the library goes on with its own
+	p.nodes[m.Process] = &n
+	p.view.Joined(p.micros(), m)
+}
+
+// NotifyUpdate: it says otherwise of itself; no process of ours does.
+func (p *Peers) NotifyUpdate(node *memberlist.Node) { p.NotifyJoin(node) }
+
+// NotifyLeave: it is there no more.
+func (p *Peers) NotifyLeave(node *memberlist.Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.nodes, processOf(node))
+	p.view.Gone(p.micros(), processOf(node))
+}
+
+// AckPayload goes with each answer to a probe: who missed a word has it then.
+func (p *Peers) AckPayload() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return encode(p.view.Word())
+}
+
+// NotifyPingComplete: a probe was answered.
+func (p *Peers) NotifyPingComplete(node *memberlist.Node, _ time.Duration, payload []byte) {
+	p.mu.Lock()
+	p.view.Heard(p.micros(), processOf(node))
+	p.mu.Unlock()
+	p.NotifyMsg(payload)
+}
+
+// NotifyMsg takes in what another router says.
+func (p *Peers) NotifyMsg(b []byte) {
+	if len(b) < 2 || len(b) > longest {
+		return
+	}
+	switch b[0] {
+	case kindWord:
+		var w view.Word
+		if json.Unmarshal(b[1:], &w) == nil {
+			p.said(w)
+		}
+	case kindParts:
+		var m parts.Message
+		if json.Unmarshal(b[1:], &m) != nil {
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if a, ok := p.parts.Take(parts.Micros(p.micros()), m); !ok {
+			return
+		} else if len(p.answers) < mostAnswer {
+			p.answers = append(p.answers, a)
+		} else {
+			p.dropped.Add(1)
+		}
+	}
+}
+
+// said passes on what is news.
+func (p *Peers) said(w view.Word) {
+	p.mu.Lock()
+	news := p.view.Said(p.micros(), w)
+	p.mu.Unlock()
+	if news {
+		p.queue.QueueBroadcast(wordOf(w))
+	}
+}
+
+// GetBroadcasts: what is to be passed on.
+func (p *Peers) GetBroadcasts(overhead, limit int) [][]byte {
+	return p.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is all words, for one who has just come or may have missed some.
+func (p *Peers) LocalState(bool) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text, _ := json.Marshal(p.view.Words()) // plain fields: it cannot fail
+	return text
+}
+
+// MergeRemoteState takes such a state in.
+func (p *Peers) MergeRemoteState(b []byte, _ bool) {
+	var words []view.Word
+	if len(b) > mostWords*longest/8 || json.Unmarshal(b, &words) != nil || len(words) > mostWords {
+		return
+	}
+	for _, w := range words {
+		p.said(w)
+	}
+}
+
+// word is one that is to be passed on; a newer one of the same process takes its place.
+type word struct {
+	view.Word
+	text []byte
+}
+
+func encode(w view.Word) []byte {
+	text, _ := json.Marshal(w) // plain fields: it cannot fail
+	return append([]byte{kindWord}, text...)
+}
+
+func wordOf(w view.Word) word { return word{w, encode(w)} }
+
+// Name, Invalidates, Message and Finished are what memberlist's queue wants.
+func (w word) Name() string { return fmt.Sprintf("%x", uint64(w.Process)) }
+
+// Invalidates tells whether another needs no passing on any more.
+func (w word) Invalidates(other memberlist.Broadcast) bool {
+	o, ok := other.(word)
+	return ok && o.Process == w.Process && o.Seq <= w.Seq
+}
+
+// Message is what goes out.
+func (w word) Message() []byte { return w.text }
+
+// Finished: nobody waits for it.
+func (w word) Finished() {}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,431 @@
+// Package peers is a router's place among the other routers: membership by hashicorp/memberlist, over which go a word
+// of each router (package view) and the lending of parts (package parts). What is made of them is decided there; here are
+// sockets, times and goroutines, none of which the router's loop ever waits for.
+//
+// The files: this one begins, ends and steps; gossip.go is what memberlist calls; file.go the file of peers known.
+package peers
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/internal/place"
+	"spurtrestle/parts"
+	"spurtrestle/view"
+)
+
+// Peers is a router's place. Close ends it.
+type Peers struct {
+	cfg    place.Config
+	router place.Router
+	log    *logrus.Logger
+	start  time.Time
+
+	mu      sync.Mutex // of all below; never held while memberlist is called
+	view    *view.View
+	parts   *parts.Parts
+	nodes   map[view.Process]*memberlist.Node
+	answers []parts.Message // for the next step, which makes sure that they are true
+	refused map[string]time.Time
+	lending bool
+	told    share
+	news    bool // the own word is another than was last passed on
+
+	list    *memberlist.Memberlist
+	queue   *memberlist.TransmitLimitedQueue
+	me      view.Member
+	calling atomic.Bool
+	out     string // why the router keeps out
+	failing bool   // the file of peers was not written
+	dropped atomic.Int64
+	stop    chan struct{}
+	ended   sync.WaitGroup
+}
+
+type share struct {
+	now, then float64
+	until     time.Time
+}
+
+// A router that begins has the least that it may have until it knows what the process before has lent.
+func (p *Peers) micros() view.Micros { return view.Micros(time.Since(p.start) / time.Microsecond) }
+
+// Open takes the router's place. Errors are about the configuration: they name file, field and remedy. What is wrong later
+// is logged, and the router serves as if it were alone.
+func Open(cfg place.Config, router place.Router, logger *logrus.Logger) (place.Place, error) {
+	p := &Peers{cfg: cfg, router: router, log: logger, start: time.Now(), nodes: map[view.Process]*memberlist.Node{},
+		refused: map[string]time.Time{}, stop: make(chan struct{}), told: share{now: -1}}
+	var id [8]byte
+	if _, err := crand.Read(id[:]); err != nil {
+		return nil, err
+	}
+	process := binary.BigEndian.Uint64(id[:]) | 1
+	p.me = view.Member{Fleet: cfg.Fleet, Name: view.Name(cfg.Name), Site: view.Site(cfg.Site), Process: view.Process(process),
+		Seat: view.Seat(cfg.Seat), Started: p.start.UnixMicro(), Build: build(), Addr: cfg.Advertise.String()}
+	rules := view.DefaultRules(view.Micros(cfg.Probe / time.Microsecond))
+	if cfg.Forget > 0 {
+		rules.Forget = view.Micros(cfg.Forget / time.Microsecond)
+	}
+	p.view = view.New(p.micros(), rules, p.me)
+	p.parts = parts.New(parts.Micros(p.micros()), parts.DefaultRules(), cfg.Seats, parts.Seat(cfg.Seat), parts.Process(process), cfg.Clear)
+	known, err := p.readKnown()
+	if err != nil {
+		return nil, err
+	}
+	p.cfg.Join = slices.Compact(slices.Sorted(slices.Values(append(known, cfg.Join...))))
+	if cfg.Follows { // the process before has the address until it ends
+		p.ended.Go(func() {
+			for p.begin() != nil {
+				if p.wait(50 * time.Millisecond) {
+					return
+				}
+			}
+			p.run()
+		})
+		return p, nil
+	}
+	if err := p.begin(); err != nil {
+		return nil, cfg.Refused("listen", err.Error(), "give it an address of this machine that nobody listens on")
+	}
+	if err := p.greet(); err != nil {
+		close(p.stop)
+		_ = p.list.Shutdown() // nothing depends on it any more
+		return nil, err
+	}
+	p.ended.Go(p.run)
+	return p, nil
+}
+
+// begin listens, and begins to answer others.
+func (p *Peers) begin() error {
+	probe := p.cfg.Probe
+	c := memberlist.DefaultLANConfig()
+	c.Name = fmt.Sprintf("%s#%x", p.me.Name, uint64(p.me.Process))
+	c.AdvertiseAddr, c.AdvertisePort = p.cfg.Advertise.Addr().String(), int(p.cfg.Advertise.Port())
+	// As many turns of each to a probe as the library has by default.
+	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = probe, probe/2, probe/5
+	c.PushPullInterval, c.GossipToTheDeadTime, c.TCPTimeout = 10*probe, 30*probe, max(2*probe, time.Second)
+	c.EnableCompression = false // words are short; it cost a third of the CPU of a calm router
+	c.HandoffQueueDepth = 4096  // 300 routers that begin at once
+	c.Delegate, c.Events, c.Ping, c.Alive, c.Merge = p, p, p, p, p
+	c.Logger = log.New(io.Discard, "", 0)
+	if p.log.IsLevelEnabled(logrus.DebugLevel) {
+		c.Logger = log.New(p.log.WriterLevel(logrus.DebugLevel), "", 0)
+	}
+	at := p.cfg.Listen
+	sockets, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{at.Addr().String()},
+		BindPort: int(at.Port()), Logger: c.Logger})
+	if err != nil {
+		return err
+	}
+	c.Transport = from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}}
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: c.RetransmitMult, NumNodes: p.size}
+	list, err := memberlist.Create(c)
+	if err != nil {
+		return errors.Join(err, sockets.Shutdown())
+	}
+	p.mu.Lock()
+	p.list = list
+	p.mu.Unlock()
+	return nil
+}
+
+// from dials from the address that the router listens on, so that who is called knows who calls.
+type from struct {
+	*memberlist.NetTransport
+	local *net.TCPAddr
+}
+
+func (f from) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	return f.DialAddressTimeout(memberlist.Address{Addr: addr}, timeout)
+}
+
+func (f from) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout, LocalAddr: f.local}
+	return d.Dial("tcp", a.Addr)
+}
+
+// greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
+// process with a wrong file would take clients until it is told.
+func (p *Peers) greet() error {
+	const patience = 500 * time.Millisecond
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if len(p.cfg.Join) > 0 {
+			_, _ = p.list.Join(p.cfg.Join) // those who are not there are called again and again
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		return nil
+	}
+	for until := time.Now().Add(3 * p.cfg.Probe); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		news, _ := p.view.Step(p.micros())
+		why, twin := p.view.Out(), p.view.Twin()
+		p.mu.Unlock()
+		if news {
+			p.pass()
+		}
+		if why != "" {
+			return p.cfg.Refused("router", why, "give this one a name of its own")
+		}
+		if !twin {
+			return nil
+		}
+	}
+	return nil // it does not say that it lives: a process of this router that was killed
+}
+
+func (p *Peers) wait(span time.Duration) (stopped bool) {
+	select {
+	case <-p.stop:
+		return true
+	case <-time.After(span):
+		return false
+	}
+}
+
+func (p *Peers) run() {
+	step := min(p.cfg.Probe/5, 100*time.Millisecond)
+	for t := time.NewTicker(step); ; {
+		p.step()
+		select {
+		case <-p.stop:
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// step is all that is done by time.
+func (p *Peers) step() {
+	takes, draining, empty := p.router.Standing()
+	p.lend(draining && empty)
+
+	p.mu.Lock()
+	now := p.micros()
+	p.news = p.view.Say(now, takes, draining, 0) || p.news
+	news, lines := p.view.Step(now)
+	p.news = news || p.news
+	pass, out := p.news, p.view.Out()
+	p.news = false
+	send := p.parts.Step(parts.Micros(now), p.seats(), takes)
+	send = append(send, p.answers...)
+	p.answers = nil
+	s := p.share(p.parts.Share(parts.Micros(now)))
+	addr, call := p.view.Whom(now, p.cfg.Join)
+	p.mu.Unlock()
+
+	if pass {
+		p.pass()
+	}
+	// What is given back is not used any more before that is said.
+	if s == p.told || p.set(s) {
+		p.send(send)
+	}
+	p.tell(lines)
+	if out != p.out {
+		p.out = out
+		p.router.KeepOut(out)
+	}
+	if len(lines) > 0 {
+		p.keepKnown()
+	}
+	if call && p.calling.CompareAndSwap(false, true) {
+		p.ended.Go(func() {
+			defer p.calling.Store(false)
+			_, _ = p.list.Join([]string{addr}) // it is called again
+		})
+	}
+}
+
+// lend begins or ends the lending of the own part: first the loop does without it, then it may be asked for.
+func (p *Peers) lend(on bool) {
+	p.mu.Lock()
+	lent, same := p.share(p.parts.Lent()), on == p.lending
+	p.mu.Unlock()
+	if same || on && !p.set(lent) {
+		return
+	}
+	p.mu.Lock()
+	p.lending = on
+	p.parts.Lend(on, false)
+	p.mu.Unlock()
+}
+
+func (p *Peers) share(s parts.Share) share {
+	out := share{now: s.Now, then: s.Then}
+	if s.Until != 0 {
+		out.until = p.start.Add(time.Duration(s.Until) * time.Microsecond)
+	}
+	return out
+}
+
+func (p *Peers) set(s share) bool {
+	if err := p.router.SetPart(s.now, s.until, s.then); err != nil {
+		p.told = share{now: -1} // it may or may not have it
+		return false
+	}
+	p.told = s
+	return true
+}
+
+// seats are the other seats that one router holds. Two on one seat are lent nothing.
+func (p *Peers) seats() map[parts.Seat]parts.Peer {
+	there, twice := map[parts.Seat]parts.Peer{}, map[parts.Seat]bool{}
+	words := map[view.Process]view.Word{}
+	for _, w := range p.view.Words() {
+		words[w.Process] = w
+	}
+	for _, m := range p.view.Living() {
+		seat := parts.Seat(m.Seat)
+		if _, two := there[seat]; two || seat == parts.Seat(p.cfg.Seat) && m.Process != p.me.Process {
+			twice[seat] = true
+		}
+		there[seat] = parts.Peer{Process: parts.Process(m.Process), Lends: words[m.Process].Draining}
+	}
+	for seat := range twice {
+		delete(there, seat)
+	}
+	return there
+}
+
+func (p *Peers) send(messages []parts.Message) {
+	for _, m := range messages {
+		to := m.Borrower
+		if m.Kind == parts.Ask || m.Kind == parts.Return {
+			to = m.Lender
+		}
+		p.mu.Lock()
+		node := p.nodes[view.Process(to)]
+		p.mu.Unlock()
+		if node == nil {
+			continue
+		}
+		body, _ := json.Marshal(m)                                          // plain fields: it cannot fail
+		_ = p.list.SendBestEffort(node, append([]byte{kindParts}, body...)) // lost ones are sent again
+	}
+}
+
+// pass has the own word told to all.
+func (p *Peers) pass() {
+	p.mu.Lock()
+	w := p.view.Word()
+	p.mu.Unlock()
+	p.queue.QueueBroadcast(wordOf(w))
+}
+
+func (p *Peers) tell(lines []view.Line) {
+	for _, l := range lines {
+		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": monotonic()})
+		if l.Bad {
+			entry.Warn("fleet: " + l.What)
+		} else {
+			entry.Info("fleet: " + l.What)
+		}
+	}
+}
+
+// Whole is the view as people are shown it, as JSON.
+func (p *Peers) Whole() (string, error) {
+	p.mu.Lock()
+	w := p.view.Whole(p.micros())
+	p.mu.Unlock()
+	text, err := json.MarshalIndent(w, "", " ")
+	return string(text) + "\n", err
+}
+
+// Figures are the view's figures as statsd lines.
+func (p *Peers) Figures() string {
+	p.mu.Lock()
+	w := p.view.Whole(p.micros())
+	part := p.told.now
+	p.mu.Unlock()
+	counts, settled := map[view.State]int{}, 0
+	for _, r := range w.Routers {
+		counts[r.State]++
+	}
+	if w.Settled {
+		settled = 1
+	}
+	out := ""
+	for s := view.Alive; s <= view.Left; s++ {
+		out += fmt.Sprintf("router.fleet.%v:%d|g\n", s, counts[s])
+	}
+	return out + fmt.Sprintf("router.fleet.settled:%d|g\nrouter.fleet.disagree:%d|g\nrouter.fleet.part_ppm:%d|g\n"+
+		"router.fleet.messages_dropped:%d|c\n", settled, len(w.Disagree), int(part*1e6), p.dropped.Load())
+}
+
+// Close gives the place up, once the router sends nothing more: in order, or to a process that follows.
+func (p *Peers) Close(handed bool) {
+	close(p.stop)
+	p.ended.Wait()
+	p.mu.Lock()
+	list := p.list
+	var last []parts.Message
+	if list != nil {
+		now := p.micros()
+		p.view.End(now, handed)
+		if !handed {
+			last = p.parts.Bequeath(parts.Micros(now))
+		}
+	}
+	p.mu.Unlock()
+	if list == nil {
+		return
+	}
+	p.pass()
+	p.send(append(last, last...))   // nobody asks again
+	time.Sleep(2 * p.cfg.Probe / 5) // two turns of gossip
+	if !handed {
+		_ = list.Leave(p.cfg.Probe) // else the others find out
+	}
+	_ = list.Shutdown()
+	p.keepKnown()
+}
+
+func build() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	return "unknown"
+}
+
+func (p *Peers) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.nodes)
+}
+
+func processOf(node *memberlist.Node) view.Process {
+	for i := len(node.Name) - 1; i >= 0; i-- {
+		if node.Name[i] == '#' {
+			n, _ := strconv.ParseUint(node.Name[i+1:], 16, 64) // 0 is nobody
+			return view.Process(n)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,50 @@
+// Package place says how the program, the router and what keeps the router's place among the others of its fleet are
+// joined, so that a program can be built without the latter.
+package place
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Config is how a router takes part in its fleet.
+type Config struct {
+	Fleet     string
+	Name      string // of the router
+	Site      string
+	Listen    netip.AddrPort
+	Advertise netip.AddrPort
+	Join      []string // addresses of others, to begin with
+	Dir       string   // for the file of peers known; empty: there is none
+	Probe     time.Duration
+	Forget    time.Duration // 0: as the rules have it
+	Seats     int           // as many as the settings say that there are
+	Seat      int
+	Follows   bool // it takes over from a process that lives, and has the address still
+	Clear     bool // that process has lent nothing
+	// Refused makes an error of a field of the operator's file.
+	Refused func(field, what, remedy string) error
+}
+
+// Router is the router that this is the place of. All may be called from any goroutine, but the loop's.
+type Router interface {
+	// Standing tells whether it takes clients, and if not, whether it is being drained and nothing of any client is left.
+	Standing() (takes, draining, empty bool)
+	// SetPart has the loop keep to a part: now until a time (zero: for ever), then afterwards. It is in force once it
+	// returns nil. An error: it is not, and may come into force later.
+	SetPart(now float64, until time.Time, then float64) error
+	// KeepOut has it take no clients for a reason; empty: it may again.
+	KeepOut(why string)
+}
+
+// Place is what is seen of the fleet from a router.
+type Place interface {
+	Whole() (string, error) // the view, as JSON
+	Figures() string        // as statsd lines
+	Close(handed bool)      // once the router sends nothing more; handed: another process has taken over
+}
+
+// Take takes a router's place. Errors are about the configuration.
+type Take func(Config, Router, *logrus.Logger) (Place, error)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -20,8 +21,10 @@
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/intent"
 	"spurtrestle/internal/operator"
+	"spurtrestle/internal/place"
 	"spurtrestle/internal/router"
 	"spurtrestle/internal/snapshot"
+	"spurtrestle/parts"
 )
 
 const usage = `spurtrestle is a router for fleets of cache servers.
@@ -38,13 +41,19 @@
 
 var errUsage = errors.New("wrong usage; see spurtrestle --help")
 
+// Parts are what a program has linked in beside the router; nil: it has not. Each costs memory and time at the start.
+type Parts struct {
+	GRPC  Front
+	Fleet place.Take
+}
+
 // Front begins to take clients of a further protocol, and returns what ends that in order. It is told before the router
 // runs.
 type Front func(*router.Router, config.Config, operator.GRPC, *logrus.Logger) (stop func(), err error)
 
-// Main is a router's main function. grpc is nil in a program that has no gRPC linked in.
-func Main(grpc Front) {
-	err := command(os.Args[1:], os.Stdout, grpc)
+// Main is a router's main function.
+func Main(has Parts) {
+	err := command(os.Args[1:], os.Stdout, has)
 	if err == nil {
 		return
 	}
@@ -55,7 +64,7 @@
 	os.Exit(1)
 }
 
-func command(args []string, out io.Writer, grpc Front) error {
+func command(args []string, out io.Writer, has Parts) error {
 	name := ""
 	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
 		name, args = args[0], args[1:]
@@ -86,7 +95,7 @@
 	}
 	switch name {
 	case "check":
-		return check(*file, *own, out, grpc)
+		return check(*file, *own, out, has)
 	case "version":
 		return version(out)
 	}
@@ -102,21 +111,51 @@
 	default:
 		return fmt.Errorf("--log-format: %q is neither text nor json: %w", *format, errUsage)
 	}
-	return serve(log, *own, grpc)
+	return serve(log, *own, has)
 }
 
 // load reads the operator's file, as far as this program can do what it asks for.
-func load(own string, grpc Front) (operator.File, error) {
+func load(own string, has Parts) (operator.File, error) {
 	mine, err := operator.Load(own)
-	if err == nil && mine.GRPC.Listen != "" && grpc == nil {
+	if err == nil && mine.GRPC.Listen != "" && has.GRPC == nil {
 		err = fmt.Errorf("%s: grpc.listen: this program has no gRPC; start spurtrestle-grpc in its place, or leave the field empty", own)
 	}
+	if err == nil && mine.Fleet.Name != "" && has.Fleet == nil {
+		err = mine.Refused("fleet.name", "this program keeps no view of a fleet", "start spurtrestle-fleet or spurtrestle-grpc in its place, or leave the field empty")
+	}
 	return mine, err
 }
 
+// placeOf is how the router takes part in its fleet, by the operator's file and the configuration.
+func placeOf(mine operator.File, cfg config.Config) (place.Config, error) {
+	f := mine.Fleet
+	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Join: f.Join, Dir: f.Dir, Seats: cfg.Settings.Routers, Seat: cfg.Seat,
+		Refused: func(field, what, remedy string) error { return mine.Refused("fleet."+field, what, remedy) }}
+	c.Listen, c.Advertise = f.Addresses()
+	c.Probe, c.Forget = f.Spans()
+	if c.Name == "" {
+		c.Name = cfg.Name
+	}
+	if c.Name == "" {
+		return c, c.Refused("router", "is empty, and so is name in the configuration", "give the router a name")
+	}
+	if c.Site == "" {
+		c.Site = cfg.Site
+	}
+	if len(cfg.Sites) > 0 && !slices.Contains(cfg.Sites, c.Site) {
+		return c, c.Refused("site", fmt.Sprintf("%q is none of the settings' zones", c.Site), fmt.Sprintf("write one of %q", cfg.Sites))
+	}
+	if c.Dir != "" {
+		if info, err := os.Stat(c.Dir); err == nil && !info.IsDir() {
+			return c, c.Refused("dir", c.Dir+" is no folder", "name a folder, one for each router")
+		}
+	}
+	return c, nil
+}
+
 // check reads a configuration as the router would, and listens nowhere.
-func check(file, own string, out io.Writer, grpc Front) error {
-	mine, err := load(own, grpc)
+func check(file, own string, out io.Writer, has Parts) error {
+	mine, err := load(own, has)
 	if err != nil {
 		return err
 	}
@@ -139,6 +178,9 @@
 	if err == nil {
 		_, err = router.New(cfg, logrus.New())
 	}
+	if err == nil && mine.Fleet.Name != "" {
+		_, err = placeOf(mine, cfg)
+	}
 	if err != nil {
 		return err
 	}
@@ -160,7 +202,16 @@
 	return err
 }
 
-func serve(log *logrus.Logger, own string, grpc Front) error {
+// withFleet is a router as the door sees it, with what is seen of the fleet from its place.
+type withFleet struct {
+	*router.Router
+	place.Place
+}
+
+// Figures are the router's and the view's.
+func (w withFleet) Figures() string { return w.Router.Figures() + w.Place.Figures() }
+
+func serve(log *logrus.Logger, own string, has Parts) error {
 	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -168,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	mine, err := load(own, grpc)
+	mine, err := load(own, has)
 	if err != nil {
 		return err
 	}
@@ -185,10 +236,17 @@
 	}
 	front := func() {}
 	if mine.GRPC.Listen != "" {
-		if front, err = grpc(r, cfg, mine.GRPC, log); err != nil {
+		if front, err = has.GRPC(r, cfg, mine.GRPC, log); err != nil {
 			return err
 		}
 	}
+	var at place.Config
+	if mine.Fleet.Name != "" {
+		if at, err = placeOf(mine, cfg); err != nil {
+			return err
+		}
+	}
+	serveDoor := func(admin.Router) {}
 	if cfg.Admin != "" {
 		door, err := net.Listen("tcp", cfg.Admin)
 		if err != nil {
@@ -197,7 +255,17 @@
 		defer door.Close()
 		r.Join(os.TempDir())
 		r.Operate(intent.Open(os.TempDir(), cfg.Listen))
-		go admin.Serve(door, cfg.Limits.Callers, r)
+		serveDoor = func(seen admin.Router) { go admin.Serve(door, cfg.Limits.Callers, seen) }
+	}
+	var fleet place.Place
+	if at.Fleet != "" {
+		at.Follows, at.Clear = r.Place(parts.Least(at.Seats))
+		if fleet, err = has.Fleet(at, r, log); err != nil {
+			return err
+		}
+		serveDoor(withFleet{r, fleet})
+	} else {
+		serveDoor(r)
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -225,6 +293,9 @@
 		return err
 	}
 	front()
+	if fleet != nil {
+		fleet.Close(r.Handed())
+	}
 	log.Info(r.Counters())
 	if keeper != nil {
 		const most = time.Second // of the time that a planned restart leaves
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -29,6 +29,7 @@
 	inputs := r.inputs
 	r.inputs, r.queued = nil, false
 	r.decided = r.decided[:0]
+	r.lapse()
 	for _, ev := range inputs {
 		if q, ok := ev.(*arrival); ok {
 			ev = q.event(r.now)
@@ -50,7 +51,7 @@
 	if r.takeover.handing {
 		r.passClients()
 	}
-	if r.closing || r.ops.emptied {
+	if r.closing || r.ops.emptied || r.place.out != "" {
 		r.closeIdleClients()
 	}
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -76,7 +76,7 @@
 		}
 	}
 	c.slots, c.over, c.conn = nil, true, nil
-	if c.r.closing || c.r.ops.emptied {
+	if c.r.closing || c.r.ops.emptied || c.r.place.out != "" {
 		c.r.queue() // it may have been the last
 	}
 }
@@ -331,6 +331,8 @@
 		switch {
 		case c.r.ops.wanted.Empty:
 			c.now([]byte("-DRAINING as operators asked\r\n"))
+		case c.r.place.out != "":
+			c.now([]byte("-DRAINING the name is another router's\r\n"))
 		case !c.r.serving:
 			c.now([]byte("-LOADING no list of servers yet\r\n"))
 		case len(words) > 1:
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -143,7 +143,7 @@
 	if c.conn != nil && !c.over && len(c.rest) > 0 {
 		r.execute(c.readOn)
 	}
-	if r.closing || r.ops.emptied || r.takeover.handing {
+	if r.closing || r.ops.emptied || r.place.out != "" || r.takeover.handing {
 		r.queue()
 	}
 }
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -93,7 +93,7 @@
 	method, known := r.methods[o.Method]
 	size := len(o.Key) + len(o.Props) + len(o.Value)
 	switch {
-	case r.closing || r.ops.wanted.Empty:
+	case r.closing || r.ops.wanted.Empty || r.place.out != "":
 		return Ending
 	case !known:
 		return NoMethod
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -36,6 +36,7 @@
 	listed, avoided     int
 	reloaded, notLoaded int
 	why                 error // that it takes no clients; nil: it does
+	draining, empty     bool  // operators drain it or it ends; nothing of any client is in hand
 }
 
 var (
@@ -123,7 +124,7 @@
 
 // tellAsked tells the other processes of this router what is wanted.
 func (r *Router) tellAsked(i intent.Intent) {
-	text, _ := json.Marshal(asked{i, r.ops.unkept.Load()}) // plain fields: it cannot fail
+	text, _ := json.Marshal(asked{Intent: i, Unkept: r.ops.unkept.Load()}) // plain fields: it cannot fail
 	for _, p := range []*handover.Peer{r.takeover.old, r.takeover.heir} {
 		if p != nil {
 			go func() { _ = p.Send(handover.Frame{Kind: handover.Asked, Body: text}) }() // its end is noticed by who reads from it
@@ -226,7 +227,8 @@
 func (r *Router) publish() {
 	c := &r.counts
 	f := &figures{ended: append([][3]int(nil), c.Ended...), forwards: c.Forwards, reloaded: c.Reloaded, notLoaded: c.NotLoaded,
-		open: c.Taken - c.Satisfied - c.Nacked - c.Failed - c.Left, why: r.notReady()}
+		open: c.Taken - c.Satisfied - c.Nacked - c.Failed - c.Left, why: r.notReady(), draining: r.draining || r.ops.wanted.Empty}
+	f.empty = (r.ops.emptied || r.closing) && len(r.clients) == 0 && len(r.reqs) == 0 && r.away == 0 && r.offers.open == 0
 	if r.core != nil {
 		f.listed, f.avoided = r.core.Avoided()
 	}
@@ -238,6 +240,8 @@
 	switch {
 	case r.draining:
 		return errEnding
+	case r.place.out != "":
+		return errors.New("not ready: " + r.place.out)
 	case r.ops.wanted.Empty && r.takeover.old == nil: // while the old process lives yes means that it may be ended
 		return errEmptying
 	case r.takeover.handing:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,7 @@
 	offers    offers          // from fronts off the loop
 	ops       ops             // of operators
 	takeover  takeover        // from the process before, and by the next
+	place     place
 	onServing func(bool)
 
 	ended                      chan struct{} // the loop is to end, or has
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -42,6 +42,7 @@
 type asked struct {
 	intent.Intent
 	Unkept bool // the file does not have it
+	Whole  bool // nothing of the part of what all routers may send is lent
 }
 
 // passed is a client's connection on its way to the heir.
@@ -231,7 +232,7 @@
 		t.heir = p
 		r.shareMemory()
 		knows = snapshot.Encode(r.State())
-		wanted, _ = json.Marshal(asked{r.ops.wanted, r.ops.unkept.Load()}) // plain fields: it cannot fail
+		wanted, _ = json.Marshal(asked{r.ops.wanted, r.ops.unkept.Load(), r.place.whole}) // plain fields: it cannot fail
 	}) != nil {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,8 +132,11 @@
 	s.WasteFee, s.CrossFee = p.Fees.Waste, p.Fees.Cross
 	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
 	l, u := p.Limits, p.Rules
-	s.MayCancel, s.MayProbe, s.MayHint, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Hint, l.Parallel
+	s.MayCancel, s.MayProbe, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Parallel
 	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, Micros(l.MaxHint), Micros(l.Connect)
+	if !l.Hint {
+		s.MaxHint = 0
+	}
 	s.IdleClose = Micros(l.Idle)
 	s.AnswerSlack, s.AskEvery, s.DrainGrace = Micros(u.Slack), Micros(u.AskEvery), Micros(u.Grace)
 	s.ColdShare, s.ColdSpan = u.ColdShare, Micros(u.ColdSpan)
--- /dev/null
+++ b/parts/parts.go
@@ -0,0 +1,261 @@
+// Package parts decides which part of what all routers may send together is one router's. It does no I/O and knows no
+// clock: the time is an argument, in microseconds of this process's own clock that never goes back.
+//
+// Each of N seats owns 1/N. An eighth of that it keeps always; the rest it may lend, an equal piece to each other seat,
+// while it takes no clients. A piece is lent on being asked, for a span that counts at the borrower from its asking and
+// at the lender from its answer, which is later: whatever is late, lost, doubled or out of order, the borrower has
+// stopped before the lender takes the piece back by itself. A borrower that answers a recall gives it back sooner.
+//
+// Nothing is ever taken from who does not answer: of two that do not hear each other none can tell whether the other has
+// ended, and what one may take then, the other would have to leave unused. So the sum over all routers of what they hold
+// is never over the whole, as long as a seat has one living process.
+package parts
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+// The ids are types of their own, so that one cannot stand for another.
+type (
+	Seat    int    // which of the routers, from 0
+	Process uint64 // one life of a router
+)
+
+// Rules are the spans of lending.
+type Rules struct {
+	Lease   Micros // for which a piece is lent to each asking
+	Bequest Micros // the same, by one that ends: it cannot be asked again
+	Ask     Micros // between two askings, or recalls
+	Slack   Micros // what a lender waits longer, beside a hundredth of the span for clocks that do not run alike
+}
+
+// DefaultRules: a lease is renewed three times over, since packets get lost; a bequest covers a restart, and is the time
+// for which a start that reaches nobody does without the pieces.
+func DefaultRules() Rules {
+	return Rules{Lease: 2e6, Bequest: 10e6, Ask: 500e3, Slack: 50e3}
+}
+
+// Kind is what a message says.
+type Kind uint8
+
+// Ask and Return go from borrower to lender, Grant and Recall the other way.
+const (
+	Ask    Kind = iota + 1 // lend me your piece: At is the borrower's time
+	Grant                  // it is yours for a span from At on, which is that of the asking
+	Recall                 // give it back: At is the lender's count
+	Return                 // I do not hold it: At is the count of the recall
+)
+
+// Message goes from one seat's process to another's.
+type Message struct {
+	Kind     Kind
+	From, To Seat
+	Lender   Process // 0 in an asking: whichever it is
+	Borrower Process
+	At       int64
+	For      Micros
+}
+
+// Peer is a seat whose router is there.
+type Peer struct {
+	Process Process
+	Lends   bool
+}
+
+// Share is what a router may use: Now until a time, Then afterwards, until it is told anew.
+type Share struct {
+	Now   float64
+	Until Micros // 0: there is no end
+	Then  float64
+}
+
+type loan struct { // of an own piece
+	until Micros
+	to    Process // 0: to whom the process before this one lent it is not known
+	count int64   // of the last grant
+}
+
+type held struct { // of another's piece
+	until Micros
+	from  Process
+}
+
+// Parts is one process's side. It is not safe for use by several goroutines at once.
+type Parts struct {
+	rules   Rules
+	seats   int
+	me      Seat
+	process Process
+	lends   bool
+	ends    bool
+	count   int64
+	out     map[Seat]loan
+	has     map[Seat]held
+	refuse  map[Seat]Micros  // grants of askings up to then are not taken
+	asked   map[Seat]Micros  // or recalled
+	waiting map[Seat]Message // the last asking of each
+}
+
+const keeps = 1.0 / 8 // so that a router that takes clients again does not stand still until its pieces are back
+
+// Least is what a router of so many has in any case, as part of the whole.
+func Least(seats int) float64 { return keeps / float64(max(1, seats)) }
+
+// New begins with all pieces out, as the process before may have left them; clear says that it has lent none.
+func New(now Micros, rules Rules, seats int, me Seat, process Process, clear bool) *Parts {
+	p := &Parts{rules: rules, seats: max(1, seats), me: me, process: process, out: map[Seat]loan{}, has: map[Seat]held{},
+		refuse: map[Seat]Micros{}, asked: map[Seat]Micros{}, waiting: map[Seat]Message{}}
+	for s := range p.seats {
+		if s := Seat(s); s != me && !clear {
+			p.out[s] = loan{until: p.later(now, rules.Bequest)}
+		}
+	}
+	return p
+}
+
+// later is the end of a span as its lender counts it.
+func (p *Parts) later(now, span Micros) Micros { return now + span + span/100 + p.rules.Slack }
+
+// Lend has the router lend its pieces, or take them back. Share without them has to be in force before: call it then.
+// ends says that the process is about to end.
+func (p *Parts) Lend(on, ends bool) { p.lends, p.ends = on, ends }
+
+// Lent is the share while the router lends.
+func (p *Parts) Lent() Share {
+	return Share{Now: Least(p.seats), Then: Least(p.seats)}
+}
+
+// Share is what may be used.
+func (p *Parts) Share(now Micros) Share {
+	if p.lends {
+		return p.Lent()
+	}
+	piece := p.piece()
+	s := Share{Now: 1 / float64(p.seats)}
+	for _, l := range p.out {
+		if l.until > now {
+			s.Now -= piece
+		}
+	}
+	s.Then = s.Now
+	for _, h := range p.has {
+		if h.until > now {
+			s.Now += piece
+			if s.Until == 0 || h.until < s.Until {
+				s.Until = h.until
+			}
+		}
+	}
+	return s
+}
+
+func (p *Parts) piece() float64 {
+	if p.seats == 1 {
+		return 0
+	}
+	return (1 - keeps) / float64(p.seats) / float64(p.seats-1)
+}
+
+// Step lets time pass. there are the other seats that are there now; takes says that this router could use more.
+func (p *Parts) Step(now Micros, there map[Seat]Peer, takes bool) (send []Message) {
+	for s, l := range p.out {
+		if l.until <= now {
+			delete(p.out, s)
+		}
+	}
+	for s, h := range p.has {
+		if h.until <= now {
+			delete(p.has, s)
+		}
+	}
+	seats := make([]Seat, 0, len(there))
+	for s := range there {
+		seats = append(seats, s)
+	}
+	slices.SortFunc(seats, func(a, b Seat) int { return cmp.Compare(a, b) })
+	for _, s := range seats {
+		peer := there[s]
+		if s == p.me || s < 0 || int(s) >= p.seats {
+			continue
+		}
+		if at, did := p.asked[s]; did && now-at < p.rules.Ask {
+			continue
+		}
+		_, out := p.out[s]
+		switch {
+		case out && !p.lends:
+			p.count++
+			send = append(send, Message{Kind: Recall, From: p.me, To: s, Lender: p.process, Borrower: peer.Process, At: p.count})
+		case peer.Lends && takes && !p.lends:
+			send = append(send, Message{Kind: Ask, From: p.me, To: s, Lender: peer.Process, Borrower: p.process, At: int64(now)})
+		default:
+			continue
+		}
+		p.asked[s] = now
+	}
+	return send
+}
+
+// Bequeath answers all that have asked, as the last thing that a process does.
+func (p *Parts) Bequeath(now Micros) (send []Message) {
+	p.Lend(true, true)
+	for _, m := range p.waiting {
+		if a, ok := p.Take(now, m); ok {
+			send = append(send, a)
+		}
+	}
+	slices.SortFunc(send, func(a, b Message) int { return cmp.Compare(a.To, b.To) })
+	return send
+}
+
+// Take takes in a message, and answers it.
+func (p *Parts) Take(now Micros, m Message) (answer Message, ok bool) {
+	if m.To != p.me || m.From == p.me || m.From < 0 || int(m.From) >= p.seats {
+		return Message{}, false
+	}
+	switch m.Kind {
+	case Ask:
+		if m.Lender != p.process {
+			return Message{}, false
+		}
+		p.waiting[m.From] = m
+		if !p.lends {
+			return Message{}, false
+		}
+		if l, out := p.out[m.From]; out && l.to != m.Borrower && l.until > now {
+			return Message{}, false // an earlier process of that seat may still use it
+		}
+		span := p.rules.Lease
+		if p.ends {
+			span = p.rules.Bequest
+		}
+		p.count++
+		p.out[m.From] = loan{until: max(p.out[m.From].until, p.later(now, span)), to: m.Borrower, count: p.count}
+		return Message{Kind: Grant, From: p.me, To: m.From, Lender: p.process, Borrower: m.Borrower, At: m.At, For: span}, true
+	case Grant:
+		until := Micros(m.At) + m.For // from the asking: how long the answer took does not matter
+		if m.Borrower != p.process || Micros(m.At) <= p.refuse[m.From] || Micros(m.At) > now || until <= now {
+			return Message{}, false
+		}
+		if h := p.has[m.From]; until > h.until {
+			p.has[m.From] = held{until, m.Lender}
+		}
+	case Recall:
+		if m.Borrower != p.process {
+			return Message{}, false
+		}
+		delete(p.has, m.From)
+		p.refuse[m.From] = now // a grant that is still on its way comes too late
+		return Message{Kind: Return, From: p.me, To: m.From, Lender: m.Lender, Borrower: p.process, At: m.At}, true
+	case Return:
+		l, out := p.out[m.From]
+		if out && m.Lender == p.process && m.At > l.count && (l.to == 0 || l.to == m.Borrower) {
+			delete(p.out, m.From)
+		}
+	}
+	return Message{}, false
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,475 @@
+// Package view decides what a router makes of what it hears of the others: who is there, in which state, who speaks for a
+// name, whether all see the same. It does no I/O and knows no clock; the time is an argument, in microseconds of a clock
+// that never goes back, and only spans of it count.
+//
+// A router is a name. Each of its processes is a process of its own here, with a number that no other has: a restart, a
+// replacement and a name that two use are told apart by numbers, never by wall clocks.
+package view
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/crc64"
+	"slices"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+// The ids are types of their own, so that one cannot stand for another.
+type (
+	Name    string // of a router, over all of its processes
+	Site    string
+	Process uint64 // one life of a router; drawn at its start
+	Seat    int    // which of the settings' routers it is, from 0
+)
+
+// Member is what a process says of itself for all of its life.
+type Member struct {
+	Fleet   string
+	Name    Name
+	Site    Site
+	Process Process
+	Seat    Seat
+	Started int64 // the wall clock at its start, in microseconds since 1970; orders processes of one name, nothing else
+	Build   string
+	Addr    string  // where others reach it
+	Follows Process // of the same router, which it takes over from while that serves; 0: none
+}
+
+// Word is what a process says of itself now. Of two words the one with the higher Seq holds, however late it comes.
+type Word struct {
+	Process  Process
+	Seq      uint64
+	Takes    bool    // it takes clients
+	Draining bool    // operators drain it, or it is ending
+	Passing  bool    // it has handed over to a process that follows, and is about to end
+	Out      bool    // it keeps out of service, since its name is another's
+	Left     bool    // it ends now, in order
+	Rival    Process // a younger process of its name that it has seen alive
+	Revision uint64  // of the policy that it holds; 0: there is none
+	Digest   uint64  // of its view, when it last was calm
+}
+
+// State is what a router is held to be.
+type State uint8
+
+// Lost and Left are over; a router that comes back is Alive again.
+const (
+	Alive   State = iota + 1
+	Suspect       // it counts as alive, but this router has heard nothing from itself for long
+	Lost          // it ended, or cannot be reached, without a word
+	Left          // it said that it ends
+)
+
+func (s State) String() string {
+	return [...]string{"", "alive", "suspect", "lost", "left"}[s]
+}
+
+// MarshalText writes a state as people read it.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads one.
+func (s *State) UnmarshalText(text []byte) error {
+	for x := Alive; x <= Left; x++ {
+		if x.String() == string(text) {
+			*s = x
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is none of alive, suspect, lost, left", text)
+}
+
+// Rules are the spans by which a view is kept.
+type Rules struct {
+	Calm      Micros // without a change until it is told, and may be settled
+	Suspect   Micros // without a sign of its own until an alive router is suspect
+	Passing   Micros // for which a router that is being replaced stays alive without a process
+	Stall     Micros // between two steps, from which on the view is held to be old
+	Forget    Micros // after which a lost or left router is no longer shown
+	Call      Micros // between two calls to who is not there, in a small fleet
+	Addresses int    // kept to call at, beyond those of the living
+}
+
+// DefaultRules are those for a probe each so many microseconds.
+func DefaultRules(probe Micros) Rules {
+	return Rules{
+		Calm: probe / 2, // over two turns of gossip
+		// A router is probed by each other about once in as many probes as there are routers; of sixty, most within this.
+		Suspect: 90 * probe,
+		Stall:   2 * probe, // others may have called this one suspect, and it them
+		Passing: 5 * probe, // the next process takes the address some 0.1 s after the old one has ended
+		Forget:  600e6,     // long enough for someone on call to come and look
+		Call:    2 * probe,
+		// A name of 60 bytes each: 64 kB.
+		Addresses: 1024,
+	}
+}
+
+// process is one life of a router.
+type process struct {
+	Member
+	word  Word
+	there bool  // Member was heard
+	state State // Alive, Lost or Left
+	since Micros
+	heard Micros // a sign from itself
+}
+
+// View is one router's view. It is not safe for use by several goroutines at once.
+type View struct {
+	rules Rules
+	me    Member
+	procs map[Process]*process
+
+	digest  uint64
+	changed Micros // the content
+	told    bool   // the digest of this content is in the own word
+	settled bool
+	since   Micros // settled or not
+	last    map[Name]row
+
+	stepped Micros
+	stood   Micros // for so long it stood still, which is not told yet
+
+	call   []string // addresses of those who are not there
+	next   int      // whom to call
+	callAt Micros
+}
+
+// row is what is shown of a name, as far as a change of it is worth a line.
+type row struct {
+	state    State
+	process  Process
+	conflict bool
+	word     Word
+}
+
+// New begins with the own process alone.
+func New(now Micros, rules Rules, me Member) *View {
+	v := &View{rules: rules, me: me, procs: map[Process]*process{}, last: map[Name]row{}, changed: now, since: now}
+	v.procs[me.Process] = &process{Member: me, word: Word{Process: me.Process, Seq: 1}, there: true, state: Alive, since: now, heard: now}
+	v.callAt = now + rules.Call
+	v.look(now)
+	return v
+}
+
+// Joined takes in that a process is there, or is there again.
+func (v *View) Joined(now Micros, m Member) {
+	p := v.process(now, m.Process)
+	if p == nil || m.Process == v.me.Process || p.word.Left {
+		return
+	}
+	if !p.there || p.state != Alive {
+		p.since = now
+	}
+	p.Member, p.there, p.state, p.heard = m, true, Alive, now
+	v.look(now)
+}
+
+// Gone takes in that a process is no more, as was found out.
+func (v *View) Gone(now Micros, id Process) {
+	if p := v.procs[id]; p != nil && p.there && p.state == Alive && id != v.me.Process {
+		v.over(now, p, Lost)
+		v.look(now)
+	}
+}
+
+func (v *View) over(now Micros, p *process, how State) {
+	if p.word.Left {
+		how = Left
+	}
+	p.state, p.since = how, now
+	v.missing(p.Addr)
+}
+
+// Said takes in a process's word. It tells whether it is news, which is passed on.
+func (v *View) Said(now Micros, w Word) bool {
+	p := v.process(now, w.Process)
+	if p == nil || w.Process == v.me.Process || w.Seq <= p.word.Seq {
+		return false
+	}
+	if p.word = w; p.there && w.Left && p.state != Left {
+		v.over(now, p, Left)
+	}
+	v.look(now)
+	return true
+}
+
+// Heard takes in a sign of life from a process itself.
+func (v *View) Heard(now Micros, id Process) {
+	if p := v.procs[id]; p != nil {
+		p.heard = now
+	}
+}
+
+// Say sets what this router says of itself beyond what the view knows. It tells whether the own word is another now.
+func (v *View) Say(now Micros, takes, draining bool, revision uint64) bool {
+	w := v.Word()
+	w.Takes, w.Draining, w.Revision = takes, draining, revision
+	return v.say(now, w)
+}
+
+// End says that this process ends: in order, or to one that follows.
+func (v *View) End(now Micros, passing bool) {
+	w := v.Word()
+	w.Passing, w.Left = passing, !passing
+	v.say(now, w)
+}
+
+func (v *View) say(now Micros, w Word) bool {
+	me := v.procs[v.me.Process]
+	if w == me.word {
+		return false
+	}
+	w.Seq++
+	me.word = w
+	v.look(now)
+	return true
+}
+
+// Step lets time pass. It tells whether the own word is another now, and what has changed since the last step, a line each.
+func (v *View) Step(now Micros) (news bool, lines []Line) {
+	if gap := now - v.stepped; v.stepped > 0 && gap > v.rules.Stall {
+		v.changed, v.stood = now, gap // what it knows is old, however calm it looks
+	}
+	v.stepped = now
+	v.procs[v.me.Process].heard = now
+	for id, p := range v.procs {
+		if p.state != Alive && now-p.since > v.rules.Forget {
+			delete(v.procs, id)
+		}
+	}
+	v.look(now)
+	// A rival is named by the elder alone: the elder of a restart is dead and says nothing.
+	w := v.procs[v.me.Process].word
+	w.Rival, w.Out = 0, false
+	for _, p := range v.living(v.me.Name) {
+		if p.Process == v.me.Process {
+			continue
+		}
+		if older(v.me, p.Member) && p.Follows != v.me.Process {
+			w.Rival = p.Process
+		} else if older(p.Member, v.me) && p.word.Rival == v.me.Process {
+			w.Out = true
+		}
+	}
+	if now-v.changed >= v.rules.Calm {
+		w.Digest = v.digest
+	}
+	news = v.say(now, w)
+	if ok := now-v.changed >= v.rules.Calm && len(v.Disagree()) == 0; ok != v.settled {
+		v.settled, v.since = ok, now
+	}
+	return news, v.lines()
+}
+
+// Whom tells whom to call now, of those who are not there: a way back from a partition that outlasted all memory of
+// the others. Over the whole fleet there are some calls a second, however large it is. always are called as well.
+func (v *View) Whom(now Micros, always []string) (addr string, ok bool) {
+	if now < v.callAt {
+		return "", false
+	}
+	there, alive := map[string]bool{}, 0
+	for _, p := range v.procs {
+		if p.there && p.state == Alive {
+			alive++
+			there[p.Addr] = true
+		}
+	}
+	v.callAt = now + max(v.rules.Call, v.rules.Call*Micros(alive)/8)
+	all := slices.Concat(always, v.call)
+	for range all {
+		addr = all[v.next%len(all)]
+		v.next++
+		if !there[addr] {
+			return addr, true
+		}
+	}
+	return "", false
+}
+
+// Known are the addresses of all others that are there or are missed, for a file that a restart reads.
+func (v *View) Known() []string {
+	all := slices.Clone(v.call)
+	for _, p := range v.procs {
+		if p.there && p.state == Alive && p.Process != v.me.Process {
+			all = append(all, p.Addr)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// Word is what this process says of itself.
+func (v *View) Word() Word { return v.procs[v.me.Process].word }
+
+// Words are all that have been heard, for a router that has just come.
+func (v *View) Words() []Word {
+	var all []Word
+	for _, p := range v.procs {
+		if p.word.Seq > 0 {
+			all = append(all, p.word)
+		}
+	}
+	slices.SortFunc(all, func(a, b Word) int { return cmp.Compare(a.Process, b.Process) })
+	return all
+}
+
+// Living are the processes that speak for a name, by name; this one as well.
+func (v *View) Living() []Member {
+	var all []Member
+	for name, ps := range v.names() {
+		if p, state, _ := v.speaker(name, ps); state == Alive {
+			all = append(all, p.Member)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Disagree names the living routers whose last word on their view is not this router's.
+func (v *View) Disagree() (names []Name) {
+	for name, ps := range v.names() {
+		if p, state, _ := v.speaker(name, ps); state == Alive && p.Process != v.me.Process && p.word.Digest != v.digest {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// process finds or makes one; nil where there are too many: a flood of words does not grow without end.
+func (v *View) process(now Micros, id Process) *process {
+	p := v.procs[id]
+	if p == nil && id != 0 && len(v.procs) < 4*v.rules.Addresses {
+		p = &process{Member: Member{Process: id}, since: now}
+		v.procs[id] = p
+	}
+	return p
+}
+
+func (v *View) missing(addr string) {
+	if slices.Contains(v.call, addr) {
+		return
+	}
+	if v.call = append(v.call, addr); len(v.call) > v.rules.Addresses {
+		v.call = v.call[1:]
+	}
+}
+
+// older orders processes of one name: by their starts, and by number where a clock told the same or was stepped.
+func older(a, b Member) bool {
+	return a.Started < b.Started || a.Started == b.Started && a.Process < b.Process
+}
+
+func (v *View) names() map[Name][]*process {
+	names := map[Name][]*process{}
+	for _, p := range v.procs {
+		if p.there {
+			names[p.Name] = append(names[p.Name], p)
+		}
+	}
+	return names
+}
+
+func (v *View) living(name Name) (ps []*process) {
+	for _, p := range v.procs {
+		if p.there && p.state == Alive && p.Name == name {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// speaker is the process that speaks for a name, what the router is held to be, and whether two that live claim the name.
+// Of several that live the youngest does, since the others will be found dead; but an elder that has seen a younger one
+// lives, and keeps the name; and one that is followed has it until it has handed over.
+func (v *View) speaker(_ Name, ps []*process) (at *process, state State, conflict bool) {
+	slices.SortFunc(ps, func(a, b *process) int {
+		if older(a.Member, b.Member) {
+			return 1
+		}
+		return -1
+	}) // the youngest first
+	for _, p := range ps {
+		if p.state != Alive {
+			continue
+		}
+		if at == nil {
+			at = p
+			continue
+		}
+		for _, young := range ps {
+			if young.state != Alive || !older(p.Member, young.Member) {
+				continue
+			}
+			if p.word.Rival == young.Process {
+				at, conflict = p, true
+			} else if young.Follows == p.Process && !p.word.Passing && at == young {
+				at = p
+			}
+		}
+	}
+	if at != nil {
+		return at, Alive, conflict
+	}
+	for _, p := range ps { // the last that went
+		if at == nil || p.since > at.since {
+			at = p
+		}
+	}
+	if at.word.Passing { // its successor takes the address in a moment
+		return at, Alive, false
+	}
+	return at, at.state, false
+}
+
+// passed turns one whose successor never came into a lost one.
+func (v *View) passed(now Micros) {
+	for _, p := range v.procs {
+		if p.there && p.state != Alive && p.word.Passing && now-p.since > v.rules.Passing {
+			p.word.Passing, p.state, p.since = false, Lost, now
+		}
+	}
+}
+
+// look makes the digest anew: over what the living are, as each of them says it, and nothing that is this router's own
+// impression. Two views with the same living routers in the same states have the same one.
+func (v *View) look(now Micros) {
+	v.passed(now)
+	var rows [][]byte
+	for name, ps := range v.names() {
+		p, state, conflict := v.speaker(name, ps)
+		if state != Alive {
+			continue
+		}
+		row := append([]byte(name), 0)
+		row = append(append(row, p.Site...), 0)
+		for _, n := range []uint64{uint64(p.Process), uint64(p.Seat), p.word.Revision,
+			bits(p.word.Takes, p.word.Draining, p.word.Passing, p.word.Out, conflict)} {
+			row = binary.BigEndian.AppendUint64(row, n)
+		}
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b []byte) int { return cmp.Compare(string(a), string(b)) })
+	sum := crc64.New(table)
+	for _, row := range rows {
+		_, _ = sum.Write(row) // it cannot fail
+	}
+	if d := sum.Sum64(); d != v.digest {
+		v.digest, v.changed = d, now
+	}
+}
+
+var table = crc64.MakeTable(crc64.ECMA)
+
+func bits(flags ...bool) (n uint64) {
+	for i, f := range flags {
+		if f {
+			n |= 1 << i
+		}
+	}
+	return n
+}
