--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -70,7 +70,7 @@
 		t.Fatal(err)
 	}
 	reg.Set(registry.Entry{UID: "s0", Zone: "a", Kind: "cache", State: "active", Addr: x.server.Addr}, true)
-	text, err := fleet.Config(s, "n1", at(6379), at(18500), "1", reg.Known(0))
+	text, err := fleet.Config(s, 0, "n1", at(6379), at(18500), "1", reg.Known(0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -82,7 +82,7 @@
 	}
 	spec := fleet.Spec{Name: "bench", Listen: network.Routers()[0], Discovery: reg.Addr(0), Config: filepath.Join(dir, "config.json"),
 		Log: filepath.Join(dir, "router.log"), Cores: 1}
-	text, err := fleet.Config(s, spec.Name, spec.Listen, spec.Discovery, "1", reg.Known(0))
+	text, err := fleet.Config(s, 0, spec.Name, spec.Listen, spec.Discovery, "1", reg.Known(0))
 	if err != nil {
 		return f, err
 	}
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -24,6 +24,11 @@
 func (n Network) Discovery() []string       { return n.a.discovery(0) }
 func (n Network) Server(place int) []string { return n.a.server(place, 0) }
 
+// Doors, Views and Ways are the operators' doors, and where routers listen for one another and are reached by them.
+func (n Network) Doors() []string { return n.a.doors(0) }
+func (n Network) Views() []string { return n.a.views() }
+func (n Network) Ways() []string  { return n.a.ways() }
+
 // addresses says who listens where. A run has 127.K.0.0/16 for itself, so that a server that comes back finds its
 // address free: connections within the machine leave from 127.0.0.1. K is claimed by a listener that is held.
 type addresses struct {
@@ -74,6 +79,8 @@
 func (a *addresses) routers() []string            { return a.each("127.%d.250.%d:6379") }
 func (a *addresses) calls() []string              { return a.each("127.%d.249.%d:7443") }
 func (a *addresses) doors(n int) []string         { return a.each("127.%d.248.%d:%d", 10250+n) }
+func (a *addresses) views() []string              { return a.each("127.%d.247.%d:7946") }
+func (a *addresses) ways() []string               { return a.each("127.%d.246.%d:7946") }
 func (a *addresses) discovery(moves int) []string { return a.each("127.%d.251.%d:%d", 8500+moves) }
 func (a *addresses) origin() []string             { return a.each("127.%d.252.%d:8080") }
 
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -89,7 +89,7 @@
 func (p *router) configure(known json.RawMessage) error {
 	spec := p.spec()
 	seed := fmt.Sprintf("%08x%08x", crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d %d", p.run.o.Seed, p.n, p.starts)), p.n)
-	text, err := Config(p.run.s, spec.Name, spec.Listen, spec.Discovery, seed, known)
+	text, err := Config(p.run.s, int(p.n), spec.Name, spec.Listen, spec.Discovery, seed, known)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -9,7 +9,7 @@
 )
 
 // settings is the object that a router is told of the service, with the names and units that it has on the wire.
-func settings(s scenario.Scenario) map[string]any {
+func settings(s scenario.Scenario, me int) map[string]any {
 	seconds := func(x scenario.Span) float64 { return float64(x) / 1e6 }
 	var classes, tenants []map[string]any
 	for _, m := range s.Methods {
@@ -32,7 +32,7 @@
 		domain["origin-kind"] = 1
 	}
 	return map[string]any{
-		"balancers": s.Routers.Count, "discovery": "pushed", "resolution-s": 0.001,
+		"balancers": s.Routers.Count, "me": me, "zone": s.SiteOf(me), "zones": s.Sites, "discovery": "pushed", "resolution-s": 0.001,
 		"flavors": []string{"cache", "origin"}, "domain": domain, "over-share-worth": s.Service.OverShareWorth,
 		"load-report": map[string]any{"how": "answers", "fields": fields},
 		"policy-limits": map[string]any{"cancel": s.Service.Cancel, "probes": s.Servers.Probes, "retry-after": s.Service.Hints,
@@ -46,11 +46,11 @@
 }
 
 // Config is a router's configuration file.
-func Config(s scenario.Scenario, name, listen, discovery, seed string, known json.RawMessage) ([]byte, error) {
+func Config(s scenario.Scenario, me int, name, listen, discovery, seed string, known json.RawMessage) ([]byte, error) {
 	return json.MarshalIndent(map[string]any{"name": name, "listen": listen, "discovery": discovery, "seed": seed,
 		"limits": map[string]any{"cores": float64(s.Routers.Cores), "memory_mb": s.Routers.MemoryMB,
 			"sockets": s.Routers.Descriptors},
-		"known": known, "settings": settings(s)}, "", " ")
+		"known": known, "settings": settings(s, me)}, "", " ")
 }
 
 // rules are the figures that the referee judges by.
--- /dev/null
+++ b/internal/lab/viewref/viewref.go
@@ -0,0 +1,343 @@
+// Package viewref judges the views of a fleet's routers: what each showed, by its door, against what was done to them. It
+// has no I/O; a record is judged the same however often.
+package viewref
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"spurtrestle/view"
+)
+
+// Truth is one thing that was done, by the rig's own word.
+type Truth struct {
+	At   time.Duration // since the rig's start
+	Kind Kind
+	Who  int    // router, from 0
+	To   int    // Cut and Heal: the way from Who to this one
+	Note string // what it is part of, for figures
+}
+
+// Kind says what was done.
+type Kind uint8
+
+// Up is told once the process answers, Down when it has ended. Word: what it says of itself changed.
+const (
+	Up Kind = iota + 1
+	Down
+	Stall
+	Wake
+	Cut
+	Heal
+	Word
+	Leave // it was told to end
+)
+
+func (k Kind) String() string {
+	return [...]string{"", "up", "down", "stall", "wake", "cut", "heal", "word", "leave"}[k]
+}
+
+// Sample is a view as a router showed it.
+type Sample struct {
+	At   time.Duration
+	By   int
+	View view.Whole
+}
+
+// Record is a run.
+type Record struct {
+	Names   []view.Name
+	End     time.Duration
+	Truth   []Truth
+	Samples []Sample // in order of time
+}
+
+// Bounds are the times after which what has not become true is a broken rule.
+type Bounds struct {
+	Settle time.Duration // after the last thing done
+	Gone   time.Duration // a router that is dead or out of reach counts as alive no longer than this
+	Back   time.Duration // one that is there and in reach does not count as gone for longer than this
+}
+
+// Broken is a rule that did not hold.
+type Broken struct {
+	At   time.Duration
+	Rule string // settles, dead, living, digest
+	What string
+}
+
+func (b Broken) String() string {
+	return fmt.Sprintf("%v %s: %s", b.At.Round(time.Millisecond), b.Rule, b.What)
+}
+
+// world is the truth at a time.
+type world struct {
+	up, stalled, leaving []bool
+	cut                  map[[2]int]bool
+	since                time.Duration // of this state of things
+}
+
+func newWorld(n int) *world {
+	return &world{up: make([]bool, n), stalled: make([]bool, n), leaving: make([]bool, n), cut: map[[2]int]bool{}}
+}
+
+func (w *world) does(i int) bool { return w.up[i] && !w.stalled[i] }
+
+func (w *world) take(t Truth) {
+	switch t.Kind {
+	case Up, Down:
+		w.up[t.Who], w.stalled[t.Who], w.leaving[t.Who] = t.Kind == Up, false, false
+	case Leave:
+		w.leaving[t.Who] = true
+	case Stall, Wake:
+		w.stalled[t.Who] = t.Kind == Stall
+	case Cut, Heal:
+		w.cut[[2]int{t.Who, t.To}] = t.Kind == Cut
+	}
+	w.since = t.At
+}
+
+// reach are the routers from which a word can come to i: over any ways (loose), or over ways whole in both directions.
+func (w *world) reach(i int, loose bool) []bool {
+	seen, todo := make([]bool, len(w.up)), []int{i}
+	seen[i] = true
+	for len(todo) > 0 {
+		at := todo[0]
+		todo = todo[1:]
+		for j := range w.up {
+			if !seen[j] && w.does(j) && !w.cut[[2]int{j, at}] && (loose || !w.cut[[2]int{at, j}]) {
+				seen[j] = true
+				todo = append(todo, j)
+			}
+		}
+	}
+	return seen
+}
+
+// Judge tells what did not hold; the first of each kind, router and state of things.
+func (r Record) Judge(b Bounds) (broken []Broken) {
+	n := len(r.Names)
+	w := newWorld(n)
+	// together and apart: since when j is certainly in reach of i, or certainly not.
+	together, apart := pairs(n), pairs(n)
+	own := map[int]string{} // the process that speaks for itself
+	contents, said := map[string]string{}, map[string]bool{}
+	tell := func(at time.Duration, rule, key, format string, args ...any) {
+		if key = fmt.Sprint(rule, key, w.since); !said[key] {
+			said[key] = true
+			broken = append(broken, Broken{at, rule, fmt.Sprintf(format, args...)})
+		}
+	}
+	todo := r.Truth
+	for _, s := range r.Samples {
+		for len(todo) > 0 && todo[0].At <= s.At {
+			t := todo[0]
+			todo = todo[1:]
+			w.take(t)
+			if t.Kind == Up {
+				delete(own, t.Who)
+			}
+			for i := range n {
+				tight, loose := w.reach(i, false), w.reach(i, true)
+				for j := range n {
+					mark(together[i], j, w.does(i) && tight[j] && !w.leaving[j], t.At)
+					mark(apart[i], j, w.does(i) && !loose[j], t.At)
+					if t.Kind == Up && (t.Who == j || t.Who == i) && tight[j] && w.does(i) {
+						together[i][j] = t.At // another process: all is to be learned anew
+					}
+				}
+			}
+		}
+		if !w.does(s.By) {
+			continue
+		}
+		i, living := s.By, map[view.Name]view.Router{}
+		for _, row := range s.View.Routers {
+			if row.State <= view.Suspect {
+				living[row.Name] = row
+			}
+			if row.Name == r.Names[i] {
+				own[i] = row.Incarnation
+			}
+		}
+		text := content(s.View)
+		if was, known := contents[s.View.Digest]; known && was != text {
+			tell(s.At, "digest", s.View.Digest, "%s: digest %s stands for\n%s\nand for\n%s", r.Names[i], s.View.Digest, was, text)
+		}
+		contents[s.View.Digest] = text
+		for j, name := range r.Names {
+			row, there := living[name]
+			if since := together[i][j]; since >= 0 && s.At-since > b.Back {
+				switch {
+				case !there:
+					tell(s.At, "living", fmt.Sprint(i, " ", j), "%s holds %s for gone, which has been there and in reach for %v", r.Names[i], name, s.At-since)
+				case own[j] != "" && row.Incarnation != own[j]:
+					tell(s.At, "living", fmt.Sprint(i, " ", j), "%s takes process %s for %s, which is %s", r.Names[i], row.Incarnation, name, own[j])
+				}
+			}
+			if since := apart[i][j]; since >= 0 && s.At-since > b.Gone && there {
+				tell(s.At, "dead", fmt.Sprint(i, " ", j), "%s holds %s for %v, which has been dead or out of reach for %v", r.Names[i], name, row.State, s.At-since)
+			}
+		}
+		if s.At-w.since > b.Settle && !s.View.Settled && w.even() {
+			tell(s.At, "settles", fmt.Sprint(i), "%s is not settled %v after the last event; at odds with %v", r.Names[i], s.At-w.since, s.View.Disagree)
+		}
+	}
+	return broken
+}
+
+// even tells whether each pair of living routers is either in reach of each other or of neither: else nothing says who
+// should see whom.
+func (w *world) even() bool {
+	for i := range w.up {
+		if w.does(i) && !slices.Equal(w.reach(i, false), w.reach(i, true)) {
+			return false
+		}
+	}
+	return true
+}
+
+func pairs(n int) [][]time.Duration {
+	all := make([][]time.Duration, n)
+	for i := range all {
+		all[i] = slices.Repeat([]time.Duration{-1}, n)
+	}
+	return all
+}
+
+func mark(since []time.Duration, j int, on bool, at time.Duration) {
+	if !on {
+		since[j] = -1
+	} else if since[j] < 0 {
+		since[j] = at
+	}
+}
+
+// content is what a digest stands for.
+func content(w view.Whole) string {
+	var rows []string
+	for _, r := range w.Routers {
+		if r.State <= view.Suspect {
+			rows = append(rows, fmt.Sprint(r.Name, r.Site, r.Incarnation, r.Seat, r.Takes, r.Draining, r.Conflict, r.Revision))
+		}
+	}
+	return strings.Join(rows, "\n")
+}
+
+// Event is one state of things, and how long the views took to follow.
+type Event struct {
+	At      time.Duration
+	What    string
+	Settled time.Duration // after it; negative: not before the next, or the end
+}
+
+// Events are the times that the views took to settle after each group of things done, done less than a tenth of a second
+// apart: until every living router shows what is true and says that it is settled, and goes on to.
+func (r Record) Events() (all []Event) {
+	for at := 0; at < len(r.Truth); {
+		next := at + 1
+		for next < len(r.Truth) && r.Truth[next].At-r.Truth[next-1].At < 100*time.Millisecond {
+			next++
+		}
+		last := r.Truth[next-1]
+		end := r.End
+		if next < len(r.Truth) {
+			end = r.Truth[next].At
+		}
+		what := last.Note
+		if what == "" {
+			what = last.Kind.String()
+		}
+		all = append(all, Event{last.At, what, r.settled(last.At, end)})
+		at = next
+	}
+	return all
+}
+
+func (r Record) settled(from, until time.Duration) time.Duration {
+	n := len(r.Names)
+	w := newWorld(n)
+	for _, t := range r.Truth {
+		if t.At <= from {
+			w.take(t)
+		}
+	}
+	right := make([]time.Duration, n) // since when each is right; negative: it is not
+	for i := range right {
+		right[i] = -1
+	}
+	for _, s := range r.Samples {
+		if s.At < from || s.At >= until || !w.does(s.By) {
+			continue
+		}
+		want := w.reach(s.By, false)
+		ok := s.View.Settled
+		living := map[view.Name]bool{}
+		for _, row := range s.View.Routers {
+			living[row.Name] = row.State <= view.Suspect
+		}
+		for j, name := range r.Names {
+			ok = ok && living[name] == want[j]
+		}
+		mark(right, s.By, ok, s.At)
+	}
+	last := time.Duration(0)
+	for i := range n {
+		if !w.does(i) {
+			continue
+		}
+		if right[i] < 0 {
+			return -1
+		}
+		last = max(last, right[i]-from)
+	}
+	return last
+}
+
+// FalseLosses counts how often a router held another for gone that was there and in reach.
+func (r Record) FalseLosses() (count int) {
+	n := len(r.Names)
+	w := newWorld(n)
+	was, todo := map[[2]int]bool{}, r.Truth
+	for _, s := range r.Samples {
+		for len(todo) > 0 && todo[0].At <= s.At {
+			w.take(todo[0])
+			todo = todo[1:]
+		}
+		if !w.does(s.By) {
+			continue
+		}
+		reach := w.reach(s.By, false)
+		for _, row := range s.View.Routers {
+			j := slices.Index(r.Names, row.Name)
+			if j < 0 {
+				continue
+			}
+			lost := row.State == view.Lost && reach[j] && !w.leaving[j]
+			if lost && !was[[2]int{s.By, j}] && s.At-w.since > time.Second {
+				count++
+			}
+			was[[2]int{s.By, j}] = lost
+		}
+	}
+	return count
+}
+
+// Quantile of spans, by the nearest rank; 0 for none.
+func Quantile(spans []time.Duration, q float64) time.Duration {
+	if len(spans) == 0 {
+		return 0
+	}
+	spans = slices.Clone(spans)
+	slices.SortFunc(spans, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	return spans[min(len(spans)-1, int(q*float64(len(spans))))]
+}
+
+// Sort puts a record into the order of time.
+func (r *Record) Sort() {
+	slices.SortStableFunc(r.Truth, func(a, b Truth) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(r.Samples, func(a, b Sample) int { return cmp.Compare(a.At, b.At) })
+}
