spurctl fleet status, watch and wait: any router's view, and where several differ

Need: people and scripts want to see which routers are there, and to wait until all agree.

Change: spurctl fleet asks the doors of one router or several; table, JSON, exit codes 0 settled, 6 not settled or at odds, 7 unreachable; view.Differ tells where two views are not the same.

--- a/cmd/spurctl/main.go
+++ b/cmd/spurctl/main.go
@@ -21,6 +21,9 @@
 	exitBroken = 3 // a rule was broken
 	exitVoid   = 4 // the run does not count
 	exitMissed = 5 // what the scenario expects was not reached
+
+	exitUnsettled   = 6 // routers are not settled on one view, or not for long enough
+	exitUnreachable = 7 // a router cannot be asked
 )
 
 // coded is an error with an exit code of its own.
@@ -84,7 +87,7 @@
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warning or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return usage("%v; see %s --help", err, c.CommandPath()) })
-	root.AddCommand(a.lab(), a.state(), version())
+	root.AddCommand(a.lab(), a.state(), a.fleet(), version())
 	wrongUsage(root)
 	return root
 }
--- a/view/whole.go
+++ b/view/whole.go
@@ -166,3 +166,45 @@
 	}
 	return false
 }
+
+// Differ tells where two views are not the same, a line each: who is held to be what by whom. Ages do not count.
+func Differ(a, b Whole) (lines []string) {
+	show := func(r Router, there bool) string {
+		if !there {
+			return "not there"
+		}
+		s := r.State.String()
+		if r.State == Suspect {
+			s = Alive.String() // one router's own impression
+		}
+		for _, x := range []struct {
+			on   bool
+			what string
+		}{{r.Takes, "takes clients"}, {r.Draining, "draining"}, {r.Conflict, "two of the name"}} {
+			if x.on {
+				s += ", " + x.what
+			}
+		}
+		return fmt.Sprintf("%s, process %s, policy %d", s, r.Incarnation, r.Revision)
+	}
+	rows := [2]map[Name]Router{{}, {}}
+	var names []Name
+	for i, w := range []Whole{a, b} {
+		for _, r := range w.Routers {
+			rows[i][r.Name] = r
+			names = append(names, r.Name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		x, inA := rows[0][name]
+		y, inB := rows[1][name]
+		if !inA && y.State > Suspect || !inB && x.State > Suspect {
+			continue // who has come later does not know of those who were gone
+		}
+		if s, t := show(x, inA), show(y, inB); s != t {
+			lines = append(lines, fmt.Sprintf("%s: %s by %s; %s by %s", name, s, a.By, t, b.By))
+		}
+	}
+	return lines
+}
