Reqs that waited while the process stood still count from then; links and stalls in the lab

Ruled out: the referee (it excuses late answers of a stalled router, not write-outs), and the decisions (they kept to the deadline that they were given). At fault: arrival.event, which counts a deadline from the batch. Now a batch more than 0.25 s after the one before (the loop beats each 0.04 s) says that the loop stood still, and for 50 ms what is read counts as come when that began.

Seen too: spurtrestle-grpc ended in execute with no loop, where a call came between its listener and the loop's start, since a restart in a fleet waits for its old process to be heard. Offers before the loop runs are refused; the front listens last.

--- a/cmd/spurctl/bench.go
+++ b/cmd/spurctl/bench.go
@@ -42,7 +42,7 @@
 			if o.self {
 				return self(c, o.values[0], o.conns, o.rate, o.length, o.output)
 			}
-			program, err := routerProgram(o.router)
+			program, err := routerProgram(o.router, "spurtrestle")
 			if err != nil {
 				return err
 			}
--- a/cmd/spurctl/labrun.go
+++ b/cmd/spurctl/labrun.go
@@ -32,10 +32,7 @@
 			if o.protocol != "" && o.protocol != "resp2" && o.protocol != "grpc" {
 				return usage("--protocol: %q is neither resp2 nor grpc", o.protocol)
 			}
-			program, err := routerProgram(o.router)
-			if err != nil {
-				return err
-			}
+			usual := "spurtrestle"
 			var all []scenario.Scenario
 			for _, file := range files {
 				s, err := scenario.Read(file)
@@ -43,11 +40,19 @@
 					return err
 				}
 				s.Routers.State = s.Routers.State || o.state
+				s.Routers.Fleet = s.Routers.Fleet || o.fleet
 				if o.protocol != "" {
 					s.Clients.Protocol = o.protocol
 				}
+				if s.Routers.Fleet {
+					usual = "spurtrestle-fleet"
+				}
 				all = append(all, s)
 			}
+			program, err := routerProgram(o.router, usual)
+			if err != nil {
+				return err
+			}
 			var worst error
 			var sets []report.Set
 			for i, s := range all {
@@ -70,24 +75,26 @@
 	f := c.Flags()
 	f.Uint64Var(&o.seed, "seed", 0, "of the first run, instead of the scenario's own")
 	f.IntVar(&o.seeds, "seeds", 1, "runs, with seeds that follow each other")
-	f.StringVar(&o.router, "router", "", "program of the router (default: spurtrestle beside this program)")
+	f.StringVar(&o.router, "router", "", "program of the router (default: spurtrestle, or spurtrestle-fleet, beside this program)")
 	f.StringVar(&o.out, "out", "lab-reports", "folder for reports")
 	f.StringVar(&o.label, "label", "", "name of what is run, for comparisons (default: the router's path)")
 	f.StringVar(&o.replay, "trace", "", "recorded traffic to play instead of the scenario's own")
 	f.StringVar(&o.protocol, "protocol", "", "that clients speak, whatever the scenario says: resp2 or grpc (name spurtrestle-grpc with --router)")
 	f.BoolVar(&o.state, "state", false, "give each router a folder that outlives it, whatever the scenario says")
 	f.BoolVar(&o.noPage, "no-page", false, "leave out the HTML pages")
+	f.BoolVar(&o.fleet, "fleet", false, "let the routers keep a view of one another, whatever the scenario says (spurtrestle-fleet, unless --router names another)")
 	outputFlag(c, &o.output)
 	return c
 }
 
-func routerProgram(path string) (string, error) {
+// routerProgram is the path given, or a program beside this one.
+func routerProgram(path, usual string) (string, error) {
 	if path == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return "", err
 		}
-		path = filepath.Join(filepath.Dir(self), "spurtrestle")
+		path = filepath.Join(filepath.Dir(self), usual)
 	}
 	if info, err := os.Stat(path); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
 		return "", fmt.Errorf("%s is no program; run `make build`, or name the router with --router", path)
@@ -124,7 +131,7 @@
 	protocol                           string
 	seeds                              int
 	router, out, output, label, replay string
-	noPage, state                      bool
+	noPage, state, fleet               bool
 }
 
 // playSeeds plays one scenario with each seed, and leaves its report and pages in a folder of its own.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -48,6 +48,7 @@
 	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
 	LingerOpen choice.Micros // after SIGTERM, or an operator's word, new connections are taken for so long
 	Tell       choice.Micros // figures for operators are this old at most while something happens
+	Stood      choice.Micros // from so long between two batches on the process, or its machine, stood still
 	Door       choice.Micros // the loop has so long for an operator's call
 }
 
@@ -115,6 +116,7 @@
 		Linger:     3e6,   // no deadline is longer
 		LingerOpen: 500e3,
 		Tell:       20e3,
+		Stood:      250e3, // six beats of the loop, which it has every two of Tell
 		Door:       800e3, // an answer is due within a second
 	}
 	if l.Connect <= 0 {
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -70,6 +70,7 @@
 	Late                      // the lab itself was late by Limit
 	Barred                    // a router said yes to leaving a server alone: Server, Router
 	Unbarred                  // it was told to use it again: Server, Router
+	Stalled                   // its process stands still, or goes on where Limit is 1: Router
 )
 
 // Outcome is a final answer as a client reads it.
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -6,6 +6,7 @@
 
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/faults"
+	"spurtrestle/internal/lab/links"
 	"spurtrestle/internal/lab/scenario"
 )
 
@@ -42,6 +43,8 @@
 		return r.actServer(ctx, f, a, struck)
 	case "routers":
 		r.actRouter(ctx, f, a)
+	case "links":
+		r.actLinks(f, a.End)
 	case "sites":
 		return r.cutOff(f.Site, !a.End)
 	case "origin":
@@ -209,6 +212,8 @@
 				again()
 			})
 		}
+	case "router_stall":
+		p.stall(!a.End)
 	case "router_empty":
 		r.empty(ctx, p, !a.End)
 	case "router_replace":
@@ -224,6 +229,35 @@
 	}
 }
 
+// actLinks strikes what routers tell one another, or leaves it alone again.
+func (r *run) actLinks(f scenario.Fault, end bool) {
+	groups := [2][]int{f.From, f.To}
+	for i := range groups {
+		if len(groups[i]) == 0 {
+			for n := range r.s.Routers.Count {
+				groups[i] = append(groups[i], n)
+			}
+		}
+	}
+	change := func(rule *links.Rule) {
+		switch f.Kind {
+		case "link_drop":
+			rule.Drop = f.Share
+		case "link_cut":
+			rule.Cut = true
+		case "link_delay":
+			rule.Delay, rule.Jitter = f.Step.Micros().Duration(), f.Step.Micros().Duration()/2
+		}
+		if end {
+			*rule = links.Rule{}
+		}
+	}
+	r.links.Change(groups[0], groups[1], change)
+	if !f.OneWay {
+		r.links.Change(groups[1], groups[0], change)
+	}
+}
+
 // moveDiscovery gives every router's agent a new address, which the router's file names from then on.
 func (r *run) moveDiscovery() error {
 	for _, p := range r.routers {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"spurtrestle/internal/lab/client"
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/faults"
+	"spurtrestle/internal/lab/links"
 	"spurtrestle/internal/lab/origin"
 	"spurtrestle/internal/lab/referee"
 	"spurtrestle/internal/lab/registry"
@@ -61,6 +63,7 @@
 	origin   *origin.Origin
 	registry *registry.Registry
 	front    *client.Front
+	links    *links.Rig // nil: the routers tell one another nothing
 	routers  []*router
 
 	mu     sync.Mutex
@@ -126,6 +129,16 @@
 	if r.net, err = newAddresses(r.s.Routers.Count); err != nil {
 		return err
 	}
+	if r.s.Routers.Fleet {
+		var at, front []netip.AddrPort
+		for i := range r.s.Routers.Count {
+			at = append(at, netip.MustParseAddrPort(r.net.views()[i]))
+			front = append(front, netip.MustParseAddrPort(r.net.ways()[i]))
+		}
+		if r.links, err = links.New(at, front, r.o.Seed); err != nil {
+			return err
+		}
+	}
 	methods := map[string]scenario.Method{}
 	for _, m := range r.s.Methods {
 		methods[m.Name] = m
@@ -342,6 +355,9 @@
 	if r.registry != nil {
 		r.registry.Close()
 	}
+	if r.links != nil {
+		r.links.Close()
+	}
 	if r.net != nil {
 		r.net.close()
 	}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -17,7 +17,7 @@
 
 // What a kind of fault strikes, and which fields it needs.
 type faultKind struct {
-	strikes string // servers, routers, sites, origin, discovery, clients
+	strikes string // servers, routers, links, sites, origin, discovery, clients
 	needs   string // fields that must be set
 	lasts   bool   // for must be set
 }
@@ -51,6 +51,10 @@
 	"router_empty":     {"routers", "", true},
 	"router_replace":   {"routers", "", false},
 	"router_reload":    {"routers", "", false},
+	"router_stall":     {"routers", "", true},
+	"link_drop":        {"links", "share", true},
+	"link_cut":         {"links", "", true},
+	"link_delay":       {"links", "step", true},
 	"hot_key":          {"clients", "share", true},
 	"burst":            {"clients", "factor", true},
 	"leave":            {"clients", "share", true},
@@ -111,6 +115,7 @@
 	c.want(s.Routers.MemoryMB >= 16, "routers.memory_mb", "is below 16", "give each router 16 MB at least")
 	c.want(s.Routers.Descriptors >= 80, "routers.descriptors", "is below 80", "give each router 80 at least")
 	c.positive("routers.cores", float64(s.Routers.Cores))
+	c.want(s.Routers.Probe >= 100e3 && s.Routers.Probe <= 10e6, "routers.probe", "is not from 100ms to 10s", "write such a span")
 	c.want(s.Servers.Count >= 1 && s.Servers.Count <= 200, "servers.count", "is not from 1 to 200", "write such a number")
 	c.positive("servers.cores", float64(s.Servers.Cores))
 	c.positive("servers.keys", float64(s.Servers.Keys))
@@ -205,6 +210,14 @@
 	c.part(f+"part", x.Part)
 	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
 		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "site": x.Site != "", "": true}
+	c.want(kind.strikes != "links" || s.Routers.Fleet, f+"kind", "strikes what routers tell one another, and they tell nothing",
+		"set fleet = true under [routers]")
+	for name, group := range map[string][]int{"from": x.From, "to": x.To} {
+		for j, n := range group {
+			c.want(n >= 0 && n < s.Routers.Count, fmt.Sprintf("%s%s[%d]", f, name, j), fmt.Sprintf("%d is none of the routers", n),
+				fmt.Sprintf("count from 0 to %d", s.Routers.Count-1))
+		}
+	}
 	c.want(kind.strikes != "sites" || len(s.Sites) > 1, f+"kind", "cuts off the only site", "name two sites at least")
 	c.want(has[kind.needs], f+kind.needs, "is missing or out of range", "a fault of kind "+x.Kind+" needs it")
 	for j, form := range x.Answers {
@@ -219,5 +232,5 @@
 		"write one of "+strings.Join(s.Sites, ", "))
 }
 
-// Strikes names what a kind of fault strikes: servers, routers, sites, origin, discovery or clients.
+// Strikes names what a kind of fault strikes: servers, routers, links (what routers tell one another), sites, origin, discovery or clients.
 func (k faultKind) Strikes() string { return k.strikes }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -234,12 +234,6 @@
 		keeper, learned = snapshot.Keep(dir, log)
 		r.Remember(learned, choice.Micros(mine.State.Interval()/time.Microsecond), keeper.Put)
 	}
-	front := func() {}
-	if mine.GRPC.Listen != "" {
-		if front, err = has.GRPC(r, cfg, mine.GRPC, log); err != nil {
-			return err
-		}
-	}
 	var at place.Config
 	if mine.Fleet.Name != "" {
 		if at, err = placeOf(mine, cfg); err != nil {
@@ -267,6 +261,12 @@
 	} else {
 		serveDoor(r)
 	}
+	front := func() {}
+	if mine.GRPC.Listen != "" {
+		if front, err = has.GRPC(r, cfg, mine.GRPC, log); err != nil {
+			return err
+		}
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -23,7 +23,11 @@
 // brings in goes into the next batch.
 func (r *Router) batch() {
 	r.queued = true // what is due goes into this batch
-	r.now = r.clock()
+	was := r.now
+	if r.now = r.clock(); r.now-was > r.lim.Stood {
+		r.log.WithField("for", span(r.now-was)).Warn("the loop stood still; what waited in the sockets counts as come when it began to")
+		r.stoodFrom, r.stoodUntil = was, r.now+r.lim.Quiet
+	}
 	r.counts.Batches++
 	r.fire(r.now)
 	inputs := r.inputs
@@ -32,7 +36,7 @@
 	r.lapse()
 	for _, ev := range inputs {
 		if q, ok := ev.(*arrival); ok {
-			ev = q.event(r.now)
+			ev = q.event(r.cameAt())
 		}
 		r.decided = append(r.decided, r.core.Step(r.now, ev)...)
 	}
@@ -56,6 +60,15 @@
 	}
 }
 
+// cameAt is when a req that has just been read may have come. A process that was stopped for longer than its clients wait
+// found their reqs in its sockets, took them for new, and sent them on after their deadline.
+func (r *Router) cameAt() choice.Micros {
+	if r.now < r.stoodUntil {
+		return r.stoodFrom
+	}
+	return r.now
+}
+
 func (r *Router) carryOut(decided []choice.Decision) {
 	for _, d := range decided {
 		switch d.Action {
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -45,7 +45,7 @@
 	gone bool
 }
 
-// Offer hands over a req from any goroutine; false: too many wait already, and nothing will be called.
+// Offer hands over a req from any goroutine; false: too many wait already, or the loop does not run yet, and nothing will be called.
 func (r *Router) Offer(o *Offer) bool { return r.news(news{o: o}, r.lim.Offers) }
 
 // Withdraw tells that the client of an offer is gone: its write-outs are called off, and neither function is called any
@@ -53,6 +53,11 @@
 func (r *Router) Withdraw(o *Offer) { r.news(news{o, true}, 1<<62) }
 
 func (r *Router) news(n news, most int) bool {
+	select {
+	case <-r.ready:
+	default:
+		return false // a front that listens before the loop runs: a call in that moment ended the process
+	}
 	f := &r.offers
 	f.mu.Lock()
 	if len(f.news) >= most {
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -36,8 +36,8 @@
 	waits choice.Micros
 }
 
-func (a *arrival) event(now choice.Micros) choice.Event {
-	a.came.ValidUntil = now + a.waits
+func (a *arrival) event(at choice.Micros) choice.Event {
+	a.came.ValidUntil = at + a.waits
 	return a.came
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,9 +42,11 @@
 	core    *choice.Router
 	methods map[string]choice.Method
 	now     choice.Micros // of the batch at hand
-	inputs  []choice.Event
-	decided []choice.Decision
-	queued  bool // a batch is on its way
+	// After the loop stood still since stoodFrom, until stoodUntil, what is read may have come at any time since then.
+	stoodFrom, stoodUntil choice.Micros
+	inputs                []choice.Event
+	decided               []choice.Decision
+	queued                bool // a batch is on its way
 
 	timers timers
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -463,3 +463,14 @@
 		t.Error(first.closed, pings.closed, second.closed, third.closed, r.askers)
 	}
 }
+
+// A front may listen before the loop runs: what it offers then is refused.
+func TestOfferBeforeTheLoopRuns(t *testing.T) {
+	r, err := New(config.Config{}, logrus.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Offer(&Offer{}) {
+		t.Error("it is taken, and the loop will never come to it")
+	}
+}
