Settings change between two batches, and a router with no part begins nothing

Need: the policy of a fleet is to change while routers serve, and one that cannot prove that it is current must take nothing.

Change: choice.Changed takes over what may change (tenants' shares, latency budgets, criticality, late shares, cold figures, write-outs and hints); reqs in hand keep the write-outs and times that they came with, what was learned stays.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,11 +28,11 @@
 	return []rule{
 		{"a copy is due", (*Router).copyIsDue, func(r *Router, q *req) { r.send(q, r.origin) }},
 		{"its answer is due", func(_ *Router, q *req) bool { return len(q.outs) > 0 }, (*Router).settle},
-		{"an answer would earn nothing", func(r *Router, q *req) bool { return r.now >= q.final },
-			(*Router).giveUp},
+		{"nothing can be earned", func(r *Router, q *req) bool { return r.now >= q.final }, (*Router).giveUp},
 		{"it may have run and must not run again", (*Router).mustStop, (*Router).giveUp},
-		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= q.most },
-			(*Router).giveUp},
+		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= q.most }, (*Router).giveUp},
+		{"this router has no part in what may be sent, so nothing new is",
+			func(r *Router, q *req) bool { return r.part == 0 && q.sent == 0 }, (*Router).giveUp},
 		{"the retry budget is spent", func(r *Router, q *req) bool { return q.retrying && r.retries < 1 },
 			(*Router).giveUp},
 		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
@@ -90,8 +90,8 @@
 	}
 }
 
-// isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them, was
-// seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while its
+// isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them,
+// was seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while its
 // last answers are under the goal. It could harm where the origin tells too little of its load.
 func (r *Router) isUrgent(q *req) bool {
 	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
@@ -707,14 +707,12 @@
 // New starts a router.
 func New(now Micros, s Settings, seed uint64) (*Router, []Decision) {
 	r := &Router{
-		tenants: map[Tenant]*tenant{}, overWorth: s.OverShareWorth,
-		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind, figures: s.ReportFields,
+		methods: make([]method, len(s.Methods)), tenants: map[Tenant]*tenant{}, figures: s.ReportFields,
+		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind,
 		ask: s.ListOnRequest, mayCopy: s.MayTwoAtOnce && s.MayCancel,
-		tick: max(s.Resolution, 1), coldShare: s.ColdShare, coldSpan: max(s.ColdSpan, 1),
-		coldTimes: safe * s.FallMultiple, fallSpan: max(s.FallSpan, 1), mayCancel: s.MayCancel,
-		maxSends: Attempt(s.MaxWriteOuts), dice: dice{seed: uint32(mix(seed))},
+		tick: max(s.Resolution, 1), mayCancel: s.MayCancel, dice: dice{seed: uint32(mix(seed))},
 		began: now, now: now, rules: reqRules(),
-		connect: s.ConnectTimeout, maxHint: s.MaxHint, ways: map[Zone]way{},
+		connect: s.ConnectTimeout, ways: map[Zone]way{},
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
@@ -723,13 +721,22 @@
 	}
 	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
 	// all routers use a server alike, keeping pays up to this ratio of one.
-	if s.ConnectionFee > 0 {
-		r.keep = s.ConnectionFee * float64(s.Routers) / 100 / s.HandshakeFee
-	}
+	r.keep = s.ConnectionFee * float64(s.Routers) / 100 / max(1e-9, s.HandshakeFee)
 	// A copy is paid for by work and a crossing: the dearer, the later. Of the usual answer.
 	r.copyAfter = 0.7 + 18*(s.WasteFee+s.CrossFee)
-	// A fifth for the least, and more where the worst-served method counts much: there it must not starve.
-	r.patience = min(1, 0.2+s.WorstMethod)
+	if r.adopt(s); r.ask {
+		r.subscribe()
+	}
+	return r, r.decided
+}
+
+// adopt takes over what may change while reqs are in hand: those end by the rules under which they came.
+func (r *Router) adopt(s Settings) {
+	r.overWorth, r.maxSends, r.maxHint = s.OverShareWorth, Attempt(s.MaxWriteOuts), s.MaxHint
+	r.coldShare, r.coldSpan, r.fallSpan = s.ColdShare, max(s.ColdSpan, 1), max(s.FallSpan, 1)
+	// Patience: a fifth for the least, and more where the worst-served method counts much, lest it starve.
+	r.coldTimes, r.patience = safe*s.FallMultiple, min(1, 0.2+s.WorstMethod)
+	r.methods = slices.Clone(r.methods)
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
 		if most = max(most, m.Criticality); m.Effect == Retryable {
@@ -737,23 +744,20 @@
 		}
 	}
 	r.originGoal = tightest / 5 * 2 // a read's miss at the cache and a wait must still fit into its budget
-	for _, m := range s.Methods {
-		own := method{effect: m.Effect, group: m.Group, window: m.Window, aim: m.LatencyBudget,
-			yields: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0}
+	for i, m := range s.Methods {
+		own := method{time: r.methods[i].time, effect: m.Effect, group: m.Group, aim: m.LatencyBudget,
+			window: m.Window, yields: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0}
 		for _, n := range s.Methods {
 			if n.Criticality >= m.Criticality {
 				own.yields = min(own.yields, n.LatencyBudget)
 			}
 		}
-		r.methods = append(r.methods, own)
+		r.methods[i] = own
 	}
 	for _, t := range s.Tenants {
-		r.tenants[t.Name] = &tenant{share: t.Share}
+		own := cmp.Or(r.tenants[t.Name], &tenant{})
+		r.tenants[t.Name], own.share = own, t.Share
 	}
-	if r.ask {
-		r.subscribe()
-	}
-	return r, r.decided
 }
 
 // Step takes one input.
@@ -765,33 +769,31 @@
 		r.reqCame(e)
 	case Returned:
 		r.returned(e)
-		r.runHeld()
 	case Left:
 		r.left(e)
-		r.runHeld()
 	case Streaming:
 		if q := r.reqs[e.Req]; q != nil {
 			r.finish(q)
 		}
 	case ListCame:
 		r.listCame(e)
-		r.runHeld()
 	case Barred:
 		r.bar(e)
-		r.runHeld()
 	case Parted:
 		r.part = e.Part
+	case Changed:
+		r.adopt(e.Settings)
 	case Learned:
 		r.learn(e.Knowledge)
 	case LearnedServers:
-		for _, b := range e.Servers {
-			r.before[b.Server] = b
-		}
+		r.learnServers(e)
 	case Elapsed:
 		if r.askAt != 0 && r.askAt <= r.now {
 			r.subscribe()
 		}
 		r.runWatched()
+	}
+	if _, came := ev.(ReqCame); !came {
 		r.runHeld()
 	}
 	if len(r.held) > 0 {
--- a/choice/knowledge.go
+++ b/choice/knowledge.go
@@ -120,3 +120,10 @@
 	r.asked, r.answered = since(k.Asked, trafficSpan), since(k.Answered, trafficSpan)
 	r.used, r.noise = since(k.Used, useSpan), since(k.Noise, useSpan)
 }
+
+// learnServers keeps what was known of servers until a list names them.
+func (r *Router) learnServers(e LearnedServers) {
+	for _, b := range e.Servers {
+		r.before[b.Server] = b
+	}
+}
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -74,6 +74,14 @@
 		switch name {
 		case "routers":
 			s.Routers, _ = strconv.Atoi(value)
+		case "read-budget":
+			s.Methods = slices.Clone(s.Methods)
+			s.Methods[0].LatencyBudget = span(value)
+		case "share":
+			s.Tenants = []TenantSettings{{Name: "big", Share: 0.9}, {Name: "small", Share: 0.1}}
+			s.Tenants[1].Share, _ = strconv.ParseFloat(value, 64)
+		case "hint":
+			s.MaxHint = span(value)
 		case "sends":
 			s.MaxWriteOuts, _ = strconv.Atoi(value)
 		case "through":
@@ -120,6 +128,9 @@
 	case "bar":
 		n, _ := strconv.Atoi(words[0])
 		return Barred{Server: ServerID(n), On: true}
+	case "change":
+		set(&s, words)
+		return Changed{s}
 	case "part":
 		part, _ := strconv.ParseFloat(words[0], 64)
 		return Parted{Part: part}
--- a/choice/types.go
+++ b/choice/types.go
@@ -203,6 +203,9 @@
 	Parted struct { // the part of what all routers may send together is another now, of one; at first it is one of them
 		Part float64
 	}
+	Changed struct { // the settings are others now; the methods and tenants are the same ones, in the same order
+		Settings
+	}
 	Elapsed struct {
 		Ref TimerRef
 	}
