--- /dev/null
+++ b/accord/holder.go
@@ -0,0 +1,110 @@
+package accord
+
+// Holder is a router's side. It is not safe for use by several goroutines at once.
+type Holder struct {
+	rules    Rules
+	name     Name
+	process  Process
+	serves   bool
+	build    string
+	check    func(doc string) error // whether this router could hold it
+	knows    bool                   // it was told what is in force
+	revision Revision
+	doc      string
+	index    Index
+	until    Micros // of the last grant
+	prepared Token
+	at       Index // of the book when it prepared
+	refused  Token
+	why      string
+	leaving  bool
+	asked    Micros
+	answered bool // the last asking
+	began    bool
+}
+
+// NewHolder begins with nothing known: a router that begins takes no client before it is told what is in force.
+func NewHolder(rules Rules, name Name, process Process, serves bool, build string, check func(doc string) error) *Holder {
+	return &Holder{rules: rules, name: name, process: process, serves: serves, build: build, check: check, answered: true}
+}
+
+// Ask is what to ask with now, if it is time. It is asked of whoever leads.
+func (h *Holder) Ask(now Micros) (r Renewal, due bool) {
+	wait := h.rules.Ask
+	if !h.answered {
+		wait = h.rules.Again
+	}
+	if h.began && now-h.asked < wait {
+		return r, false
+	}
+	h.began, h.asked, h.answered = true, now, false
+	return h.renewal(now), true
+}
+
+func (h *Holder) renewal(now Micros) Renewal {
+	return Renewal{Name: h.name, Process: h.process, At: now, Serves: h.serves, Build: h.build, Held: h.revision, Index: h.index,
+		Prepared: h.prepared, Refused: h.refused, Why: h.why, Leaving: h.leaving}
+}
+
+// Leave has it take nothing more, for good, and is what to say then.
+func (h *Holder) Leave(now Micros) Renewal {
+	h.leaving = true
+	return h.renewal(now)
+}
+
+// Granted takes in an answer. adopt: another revision is in force, and holds from here on. Askings are to go out at once
+// where one has prepared: prepared is told before anything else is taken.
+func (h *Holder) Granted(now Micros, g Grant) (adopt, news bool) {
+	// By its own clock: one from the future is of another process, and one of an older book says nothing that holds.
+	if g.Process != h.process || g.At > now || g.Index < h.index || h.leaving {
+		return false, false
+	}
+	if h.prepared != "" && g.Pending != h.prepared && g.Index <= h.at {
+		return false, false // made before the change was asked for
+	}
+	h.answered = true
+	if g.Index > h.index {
+		h.index = g.Index
+	}
+	if !h.knows || g.Revision != h.revision {
+		if g.Revision < h.revision {
+			return false, false // a folder that was put back: what was decided stays decided
+		}
+		h.revision, h.doc, h.knows, adopt = g.Revision, g.Doc, true, true
+	}
+	h.until = max(h.until, g.At+g.For)
+	if g.Pending != h.prepared {
+		h.prepared = ""
+	}
+	if g.Pending != h.refused {
+		h.refused, h.why = "", ""
+	}
+	if g.Prepare != "" && g.Pending != "" && h.prepared != g.Pending && h.refused != g.Pending {
+		if err := h.check(g.Prepare); err != nil {
+			h.refused, h.why = g.Pending, err.Error()
+		} else {
+			h.prepared, h.at = g.Pending, g.Index
+		}
+		h.answered, news = false, true // it is waited for
+		h.asked = now - h.rules.Again
+	}
+	return adopt, news
+}
+
+// Held is the revision in force here, and its document; false: it was not told yet.
+func (h *Holder) Held() (Revision, string, bool) { return h.revision, h.doc, h.knows }
+
+// Takes tells until when it may take clients: a time, or for ever (0) where it serves on when cut off and has promised
+// nothing. Not at all is a time that is past.
+func (h *Holder) Takes(now Micros) (until Micros) {
+	switch {
+	case !h.knows || h.leaving:
+		return now
+	case h.serves && h.prepared == "":
+		return 0
+	}
+	return h.until
+}
+
+// Prepared is the change that it could hold and that is not resolved here; empty: there is none.
+func (h *Holder) Prepared() Token { return h.prepared }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,8 +91,8 @@
 }
 
 // isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them,
-// was seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while its
-// last answers are under the goal. It could harm where the origin tells too little of its load.
+// was seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while
+// its last answers are under the goal. It could harm where the origin tells too little of its load.
 func (r *Router) isUrgent(q *req) bool {
 	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
 		q.method.aim < 2*r.seen.best && r.originIsFree(q, false)
@@ -746,7 +746,7 @@
 	r.originGoal = tightest / 5 * 2 // a read's miss at the cache and a wait must still fit into its budget
 	for i, m := range s.Methods {
 		own := method{time: r.methods[i].time, effect: m.Effect, group: m.Group, aim: m.LatencyBudget,
-			window: m.Window, yields: m.LatencyBudget, worth: m.Criticality / max(most, 1e-9), lateEarns: m.LateShare > 0}
+			window: m.Window, yields: m.LatencyBudget, lateEarns: m.LateShare > 0, worth: m.Criticality / max(most, 1e-9)}
 		for _, n := range s.Methods {
 			if n.Criticality >= m.Criticality {
 				own.yields = min(own.yields, n.LatencyBudget)
--- a/cmd/spurctl/main.go
+++ b/cmd/spurctl/main.go
@@ -24,6 +24,7 @@
 
 	exitUnsettled   = 6 // routers are not settled on one view, or not for long enough
 	exitUnreachable = 7 // a router cannot be asked
+	exitNowhere     = 8 // a change of policy was refused everywhere
 )
 
 // coded is an error with an exit code of its own.
@@ -87,7 +88,7 @@
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warning or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return usage("%v; see %s --help", err, c.CommandPath()) })
-	root.AddCommand(a.lab(), a.state(), a.fleet(), version())
+	root.AddCommand(a.lab(), a.state(), a.fleet(), a.policy(), version())
 	wrongUsage(root)
 	return root
 }
--- a/cmd/spurctl/main_test.go
+++ b/cmd/spurctl/main_test.go
@@ -29,6 +29,8 @@
 		}
 		write(t, filepath.Join(dir, "cut.state"), whole[:len(whole)/2])
 		write(t, filepath.Join(dir, "bad.toml"), []byte("title = \"x\"\nlength = \"now\"\n"))
+		write(t, filepath.Join(dir, "good.policy"), []byte("schema = 1\nout = [\"s1\"]\n"))
+		write(t, filepath.Join(dir, "bad.policy"), []byte("schema = 1\ncolour = 2\n"))
 		write(t, filepath.Join(dir, "odd.toml"), []byte("titel = \"x\"\n"))
 		return tracetest.Steps(script, func(line string, say func(string, ...any)) {
 			text, code := run(strings.Fields(strings.ReplaceAll(line, "$DIR", dir)))
--- /dev/null
+++ b/cmd/spurctl/policy.go
@@ -0,0 +1,432 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	crand "crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/config"
+	"spurtrestle/internal/policy"
+)
+
+// What the keepers are asked and say, as /ops/policy/ask has it.
+type policyAsk struct {
+	What   string          `json:"what"`
+	Doc    string          `json:"doc,omitempty"`
+	Base   accord.Revision `json:"base,omitempty"`
+	Token  accord.Token    `json:"token,omitempty"`
+	Author string          `json:"author,omitempty"`
+	Reason string          `json:"reason,omitempty"`
+	Name   string          `json:"name,omitempty"`
+	At     int64           `json:"at,omitempty"`
+}
+
+type policySaid struct {
+	Error     string            `json:"error"`
+	Verdict   *accord.Verdict   `json:"verdict"`
+	Current   accord.Revision   `json:"current"`
+	Pending   *accord.Change    `json:"pending"`
+	History   []accord.Change   `json:"history"`
+	Said      []accord.Entry    `json:"said"`
+	Standings []accord.Standing `json:"standings"`
+	Keepers   []string          `json:"keepers"`
+}
+
+func (a *app) policy() *cobra.Command {
+	c := &cobra.Command{Use: "policy", Short: "See and change the policy that all routers of a fleet hold",
+		Long: "Every command but check asks by the operators' door of any router, which asks the keepers.\n" +
+			"Exit codes: 0 done, 1 bad input, 2 wrong usage, 7 the router or the keepers cannot be reached, 8 nowhere. See docs/policy.md.",
+		Example: "  spurctl policy apply policy.toml 10.1.2.3:8400 --base 3 --reason 'less for the importers'", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	keeper := &cobra.Command{Use: "keeper", Short: "Change who keeps the policy", Example: "  spurctl policy keeper replace r2 10.1.2.3:8400",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	keeper.AddCommand(policyWord("replace NAME DOOR", "Let a keeper's lost folder count no more; its new one is taken up", "replace"))
+	c.AddCommand(policyCheck(), policyApply(), policyUndo(), policyShow(), policyDiff(), policyHistory(), policyStatus(), policyFound(),
+		policyWord("dead NAME DOOR", "Say that a router is dead, and cannot be serving under what it had", "dead"), keeper)
+	return c
+}
+
+func askPolicy(ctx context.Context, door string, q policyAsk) (s policySaid, text string, err error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return s, "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+door+"/ops/policy/ask", bytes.NewReader(body))
+	if err != nil {
+		return s, "", err
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return s, "", coded{exitUnreachable, err}
+	}
+	defer a.Body.Close()
+	out, err := io.ReadAll(io.LimitReader(a.Body, 16<<20))
+	if err != nil {
+		return s, "", coded{exitUnreachable, err}
+	}
+	switch {
+	case a.StatusCode != http.StatusOK && strings.Contains(string(out), "line "):
+		return s, "", errors.New(strings.TrimSpace(string(out)))
+	case a.StatusCode != http.StatusOK:
+		return s, "", coded{exitUnreachable, errors.New(strings.TrimSpace(string(out)))}
+	}
+	if q.What == "found" {
+		return s, string(out), nil
+	}
+	if err := json.Unmarshal(out, &s); err != nil {
+		return s, "", fmt.Errorf("what %s says cannot be read: %w", door, err)
+	}
+	if s.Error != "" {
+		return s, "", errors.New(s.Error)
+	}
+	return s, string(out), nil
+}
+
+// lastArg checks that the last argument is a door.
+func lastArg(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usage("%d arguments are wanted, the last of them a router's door; see %s --help", n, c.CommandPath())
+		}
+		return doors(c, args[n-1:])
+	}
+}
+
+func policyCheck() *cobra.Command {
+	var file string
+	c := &cobra.Command{Use: "check FILE", Short: "Tell what is wrong in a policy, by the configuration of a router", Args: cobra.ExactArgs(1),
+		Example: "  spurctl policy check policy.toml --config router.json",
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := readPolicy(args[0])
+			if err != nil {
+				return err
+			}
+			cfg, err := config.Load(func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] })
+			if err != nil {
+				return err
+			}
+			d, err := policy.Parse(text)
+			if err == nil {
+				_, err = d.Settings(cfg.Settings)
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s: good\n", args[0])
+			return err
+		}}
+	c.Flags().StringVar(&file, "config", os.Getenv("EDGE_CONFIG"), "the router's configuration")
+	return c
+}
+
+func readPolicy(file string) (string, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return "", err
+	}
+	if info.Size() > policy.Longest {
+		return "", fmt.Errorf("%s: %d bytes are more than the %d that a policy may have; leave out what is as the routers' own settings have it",
+			file, info.Size(), policy.Longest)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	if _, err := policy.Parse(string(text)); err != nil {
+		return "", fmt.Errorf("%s: %w", file, err)
+	}
+	return string(text), nil
+}
+
+// change is what apply and undo share.
+type change struct {
+	base                  uint64
+	token, author, reason string
+}
+
+func (x *change) flags(c *cobra.Command) {
+	c.Flags().Uint64Var(&x.base, "base", 0, "the revision that it was made for; it is refused if another is in force")
+	c.Flags().StringVar(&x.token, "token", "", "of an earlier try whose answer was lost: the same verdict is told again")
+	c.Flags().StringVar(&x.author, "author", os.Getenv("USER"), "who makes the change")
+	c.Flags().StringVar(&x.reason, "reason", "", "why, for those who look at it later")
+}
+
+func (x *change) apply(c *cobra.Command, door, doc string) error {
+	out := c.OutOrStdout()
+	if x.reason == "" || x.author == "" {
+		return usage("say --author and --reason: they are kept with the change")
+	}
+	if x.token == "" {
+		x.token = crand.Text()
+	}
+	before, _, err := askPolicy(c.Context(), door, policyAsk{What: "status"})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "token %s: revision %d to %d, at %d routers\n", x.token, x.base, x.base+1, len(before.Standings))
+	if uint64(before.Current) != x.base {
+		h, _, err := askPolicy(c.Context(), door, policyAsk{What: "history"})
+		if err == nil && len(h.History) > 0 && uint64(before.Current) > x.base {
+			last := h.History[len(h.History)-1]
+			fmt.Fprintf(out, "revision %d is in force, by %s at %s: %s\n%s", last.Revision, last.Author, stampOf(last.At), last.Reason,
+				lineDiff(last.Doc, doc))
+		}
+	}
+	s, _, err := askPolicy(c.Context(), door, policyAsk{What: "apply", Doc: doc, Base: accord.Revision(x.base), Token: accord.Token(x.token),
+		Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
+	if err != nil {
+		return fmt.Errorf("%w; to learn what became of it ask again with --token %s", err, x.token)
+	}
+	if s.Verdict == nil {
+		return fmt.Errorf("no verdict was told; ask again with --token %s", x.token)
+	}
+	if !s.Verdict.Everywhere {
+		return coded{exitNowhere, fmt.Errorf("nowhere: %s; revision %d stays in force", s.Verdict.Why, s.Verdict.Revision)}
+	}
+	_, err = fmt.Fprintf(out, "everywhere: revision %d is in force\n", s.Verdict.Revision)
+	return err
+}
+
+func policyApply() *cobra.Command {
+	var x change
+	c := &cobra.Command{Use: "apply FILE DOOR", Short: "Change the policy, everywhere or nowhere", Args: lastArg(2),
+		Example: "  spurctl policy apply policy.toml 10.1.2.3:8400 --base 3 --reason 'less for the importers'",
+		RunE: func(c *cobra.Command, args []string) error {
+			doc, err := readPolicy(args[0])
+			if err != nil {
+				return err
+			}
+			if !c.Flags().Changed("base") {
+				return usage("--base is missing: say which revision the change was made for; spurctl policy status tells the one in force")
+			}
+			return x.apply(c, args[1], doc)
+		}}
+	x.flags(c)
+	return c
+}
+
+func policyUndo() *cobra.Command {
+	var x change
+	var to uint64
+	c := &cobra.Command{Use: "undo DOOR", Short: "Put an earlier revision into force again, as a new one", Args: lastArg(1),
+		Example: "  spurctl policy undo 10.1.2.3:8400 --to 2 --reason 'the last one shed too much'",
+		RunE: func(c *cobra.Command, args []string) error {
+			s, _, err := askPolicy(c.Context(), args[0], policyAsk{What: "status"})
+			if err != nil {
+				return err
+			}
+			if !c.Flags().Changed("to") && s.Current > 0 {
+				to = uint64(s.Current) - 1
+			}
+			doc := "schema = 1\n" // each router's own settings
+			if to > 0 {
+				if doc, err = revision(c.Context(), args[0], to); err != nil {
+					return err
+				}
+			}
+			if !c.Flags().Changed("base") {
+				x.base = uint64(s.Current)
+			}
+			return x.apply(c, args[0], doc)
+		}}
+	x.flags(c)
+	c.Flags().Uint64Var(&to, "to", 0, "the revision to go back to (default: the one before)")
+	return c
+}
+
+// revision is the document of one.
+func revision(ctx context.Context, door string, n uint64) (string, error) {
+	h, _, err := askPolicy(ctx, door, policyAsk{What: "history", Base: accord.Revision(n)})
+	if err != nil {
+		return "", err
+	}
+	if len(h.History) != 1 {
+		return "", fmt.Errorf("revision %d is not kept any more, or never was; spurctl policy history lists them", n)
+	}
+	return h.History[0].Doc, nil
+}
+
+func policyShow() *cobra.Command {
+	var n uint64
+	c := &cobra.Command{Use: "show DOOR", Short: "Print the document in force, or that of a revision", Args: lastArg(1),
+		Example: "  spurctl policy show 10.1.2.3:8400 --revision 2",
+		RunE: func(c *cobra.Command, args []string) error {
+			if !c.Flags().Changed("revision") {
+				s, _, err := askPolicy(c.Context(), args[0], policyAsk{What: "status"})
+				if err != nil {
+					return err
+				}
+				if n = uint64(s.Current); n == 0 {
+					_, err := fmt.Fprintln(c.OutOrStdout(), "# revision 0: each router's own settings")
+					return err
+				}
+			}
+			doc, err := revision(c.Context(), args[0], n)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "# revision %d\n%s", n, doc)
+			return err
+		}}
+	c.Flags().Uint64Var(&n, "revision", 0, "of the policy (default: the one in force)")
+	return c
+}
+
+func policyDiff() *cobra.Command {
+	return &cobra.Command{Use: "diff FILE DOOR", Short: "Compare a file with the document in force", Args: lastArg(2),
+		Example: "  spurctl policy diff policy.toml 10.1.2.3:8400",
+		RunE: func(c *cobra.Command, args []string) error {
+			doc, err := readPolicy(args[0])
+			if err != nil {
+				return err
+			}
+			s, _, err := askPolicy(c.Context(), args[1], policyAsk{What: "status"})
+			was := ""
+			if err == nil && s.Current > 0 {
+				was, err = revision(c.Context(), args[1], uint64(s.Current))
+			}
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "from revision %d:\n%s", s.Current, lineDiff(was, doc))
+			return err
+		}}
+}
+
+// lineDiff shows which lines only one of two texts has.
+func lineDiff(a, b string) string {
+	count := map[string]int{}
+	for line := range strings.Lines(b) {
+		count[strings.TrimSpace(line)]++
+	}
+	var out strings.Builder
+	for line := range strings.Lines(a) {
+		if line = strings.TrimSpace(line); count[line] > 0 {
+			count[line]--
+		} else {
+			fmt.Fprintf(&out, "- %s\n", line)
+		}
+	}
+	for line := range strings.Lines(b) {
+		if line = strings.TrimSpace(line); count[line] > 0 {
+			count[line]--
+			fmt.Fprintf(&out, "+ %s\n", line)
+		}
+	}
+	return out.String()
+}
+
+func stampOf(at int64) string { return time.UnixMicro(at).UTC().Format(time.RFC3339) }
+
+func policyHistory() *cobra.Command {
+	var output string
+	c := &cobra.Command{Use: "history DOOR", Short: "List the last changes, with who made them and why", Args: lastArg(1),
+		Example: "  spurctl policy history 10.1.2.3:8400",
+		RunE: func(c *cobra.Command, args []string) error {
+			s, text, err := askPolicy(c.Context(), args[0], policyAsk{What: "history"})
+			if err != nil {
+				return err
+			}
+			if output == "json" {
+				_, err := io.WriteString(c.OutOrStdout(), text)
+				return err
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
+			fmt.Fprintln(t, "revision\tat\tby\twhy")
+			for _, h := range s.History {
+				fmt.Fprintf(t, "%d\t%s\t%s\t%s\n", h.Revision, stampOf(h.At), h.Author, h.Reason)
+			}
+			for _, e := range s.Said {
+				fmt.Fprintf(t, "-\t%s\t%s\tsaid that %s is dead: %s\n", stampOf(e.At), e.Author, e.Name, e.Reason)
+			}
+			return t.Flush()
+		}}
+	outputFlag(c, &output)
+	return c
+}
+
+func policyStatus() *cobra.Command {
+	var output string
+	c := &cobra.Command{Use: "status DOOR", Short: "Show the revision in force, and how each router stands to it", Args: lastArg(1),
+		Example: "  spurctl policy status 10.1.2.3:8400",
+		RunE: func(c *cobra.Command, args []string) error {
+			s, text, err := askPolicy(c.Context(), args[0], policyAsk{What: "status"})
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			if output == "json" {
+				_, err := io.WriteString(out, text)
+				return err
+			}
+			fmt.Fprintf(out, "revision %d is in force\n", s.Current)
+			if p := s.Pending; p != nil {
+				fmt.Fprintf(out, "revision %d is pending, by %s: %s\n", p.Revision, p.Author, p.Reason)
+			}
+			for _, k := range s.Keepers {
+				fmt.Fprintf(out, "keeper %s\n", k)
+			}
+			t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+			fmt.Fprintln(t, "router\tholds\tprepared\theard\tcut off\tbuild")
+			for _, r := range s.Standings {
+				heard, cut := "not by this leader", "refuses"
+				if r.Heard >= 0 {
+					heard = (time.Duration(r.Heard) * time.Microsecond).Round(10*time.Millisecond).String() + " ago"
+				}
+				if r.Serves {
+					cut = "serves"
+				}
+				fmt.Fprintf(t, "%s\t%d\t%v\t%s\t%s\t%s\n", r.Name, r.Held, r.Prepared, heard, cut, r.Build)
+			}
+			return t.Flush()
+		}}
+	outputFlag(c, &output)
+	return c
+}
+
+func policyFound() *cobra.Command {
+	return &cobra.Command{Use: "found DOOR", Short: "Begin the policy of a fleet at a keeper, once", Args: lastArg(1),
+		Example: "  spurctl policy found 10.1.2.3:8400",
+		RunE: func(c *cobra.Command, args []string) error {
+			_, text, err := askPolicy(c.Context(), args[0], policyAsk{What: "found"})
+			if err != nil {
+				return err
+			}
+			_, err = io.WriteString(c.OutOrStdout(), text)
+			return err
+		}}
+}
+
+// policyWord is an operator's word on a router.
+func policyWord(use, short, what string) *cobra.Command {
+	var x change
+	c := &cobra.Command{Use: use, Short: short, Args: lastArg(2), Example: "  spurctl policy " + strings.NewReplacer("NAME", "r2", "DOOR", "10.1.2.3:8400").Replace(use),
+		RunE: func(c *cobra.Command, args []string) error {
+			if x.reason == "" || x.author == "" {
+				return usage("say --author and --reason: they are kept")
+			}
+			_, _, err := askPolicy(c.Context(), args[1], policyAsk{What: what, Name: args[0], Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(c.OutOrStdout(), "done")
+			return err
+		}}
+	c.Flags().StringVar(&x.author, "author", os.Getenv("USER"), "who says so")
+	c.Flags().StringVar(&x.reason, "reason", "", "how that is known")
+	return c
+}
--- a/cmd/spurtrestle-fleet/main.go
+++ b/cmd/spurtrestle-fleet/main.go
@@ -3,8 +3,9 @@
 package main
 
 import (
+	"spurtrestle/internal/keeper"
 	"spurtrestle/internal/peers"
 	"spurtrestle/internal/program"
 )
 
-func main() { program.Main(program.Parts{Fleet: peers.Open}) }
+func main() { program.Main(program.Parts{Fleet: peers.Open, Policy: keeper.Take}) }
--- a/cmd/spurtrestle-grpc/main.go
+++ b/cmd/spurtrestle-grpc/main.go
@@ -11,13 +11,14 @@
 	"spurtrestle/choice"
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/grpcfront"
+	"spurtrestle/internal/keeper"
 	"spurtrestle/internal/operator"
 	"spurtrestle/internal/peers"
 	"spurtrestle/internal/program"
 	"spurtrestle/internal/router"
 )
 
-func main() { program.Main(program.Parts{GRPC: listen, Fleet: peers.Open}) }
+func main() { program.Main(program.Parts{GRPC: listen, Fleet: peers.Open, Policy: keeper.Take}) }
 
 // listen begins to take gRPC clients, and returns what ends that in order.
 func listen(r *router.Router, cfg config.Config, g operator.GRPC, log *logrus.Logger) (stop func(), err error) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,11 +26,20 @@
 	Whole() (string, error) // as JSON
 }
 
+// Policy is a router that is kept to a policy of its fleet.
+type Policy interface {
+	Policy() (string, error) // what it holds, as JSON
+	Ask(request string) (string, error)
+}
+
 // ErrUnknown: nobody has that id.
 var ErrUnknown = errors.New("no cache server has that id; see discovery's list")
 
 const (
-	longestID = 256
+	longestID   = 256
+	longestBody = 256 << 10 // a policy, as JSON
+	// A change of policy has five seconds, and who asks for it is told of it a little later.
+	changePatience = 12 * time.Second
 	// A caller who says nothing goes before the four seconds that such callers were seen to stay.
 	patience = 2 * time.Second
 )
@@ -48,6 +57,18 @@
 		"/ops/cache-servers/up":   {"PUT", func(id string) (string, error) { return "in use\n", withID(id, r.GiveBack) }},
 		"/ops/drain/start":        {"PUT", func(string) (string, error) { return "draining\n", r.Empty(true) }},
 		"/ops/drain/stop":         {"PUT", func(string) (string, error) { return "taking clients\n", r.Empty(false) }},
+		"/ops/policy": {"GET", func(string) (string, error) {
+			if p, ok := r.(Policy); ok {
+				return p.Policy()
+			}
+			return "", errNoPolicy
+		}},
+		"/ops/policy/ask": {"POST", func(body string) (string, error) {
+			if p, ok := r.(Policy); ok {
+				return p.Ask(body)
+			}
+			return "", errNoPolicy
+		}},
 		"/ops/fleet": {"GET", func(string) (string, error) {
 			if f, ok := r.(Fleet); ok {
 				return f.Whole()
@@ -61,7 +82,12 @@
 				http.Error(w, "the method of this call is "+call.method, http.StatusMethodNotAllowed)
 				return
 			}
-			body, err := io.ReadAll(io.LimitReader(q.Body, longestID+64))
+			most := int64(longestID + 64)
+			if _, ok := r.(Policy); ok && path == "/ops/policy/ask" {
+				most = longestBody
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(changePatience)) // a shorter one only ends sooner
+			}
+			body, err := io.ReadAll(io.LimitReader(q.Body, most))
 			if err != nil {
 				http.Error(w, "the body did not come whole", http.StatusBadRequest)
 				return
@@ -70,7 +96,7 @@
 			switch {
 			case err == nil:
 				_, _ = io.WriteString(w, text) // the caller may be gone
-			case errors.Is(err, ErrUnknown), errors.Is(err, errNoView):
+			case errors.Is(err, ErrUnknown), errors.Is(err, errNoView), errors.Is(err, errNoPolicy):
 				http.Error(w, err.Error(), http.StatusNotFound)
 			case errors.Is(err, errBody):
 				http.Error(w, err.Error(), http.StatusBadRequest)
@@ -85,6 +111,8 @@
 	_ = s.Serve(&bounded{Listener: ln, most: most}) // ends with the listener
 }
 
+var errNoPolicy = errors.New("this router is kept to no policy of a fleet; policy.cut_off in the operator's file switches it on")
+
 var errNoView = errors.New("this router keeps no view of a fleet; fleet.name in the operator's file switches it on")
 
 var errBody = errors.New("the body is to be the id of a cache server")
--- /dev/null
+++ b/internal/keeper/door.go
@@ -0,0 +1,215 @@
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/place"
+)
+
+// Request is what an operator asks, by any router, of the leader.
+type Request struct {
+	ID      uint64          `json:"id"`
+	What    string          `json:"what"` // apply, status, history, dead, replace
+	Doc     string          `json:"doc,omitempty"`
+	Base    accord.Revision `json:"base,omitempty"`
+	Token   accord.Token    `json:"token,omitempty"`
+	Author  string          `json:"author,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
+	Name    string          `json:"name,omitempty"`
+	At      int64           `json:"at,omitempty"`
+	Process place.Process   `json:"process,omitempty"` // of the router that asks for the operator
+}
+
+// Reply is the leader's answer.
+type Reply struct {
+	ID        uint64            `json:"id"`
+	Error     string            `json:"error,omitempty"`
+	Verdict   *accord.Verdict   `json:"verdict,omitempty"`
+	Current   accord.Revision   `json:"current"`
+	Pending   *accord.Change    `json:"pending,omitempty"`
+	History   []accord.Change   `json:"history,omitempty"`
+	Said      []accord.Entry    `json:"said,omitempty"`
+	Standings []accord.Standing `json:"standings,omitempty"`
+	Keepers   []string          `json:"keepers,omitempty"`
+}
+
+// Ask asks the leader for an operator and waits for the answer.
+func (k *Keeper) Ask(text string) (string, error) {
+	var q Request
+	if err := json.Unmarshal([]byte(text), &q); err != nil {
+		return "", fmt.Errorf("what is asked cannot be read: %w", err)
+	}
+	if q.What == "found" {
+		return k.found()
+	}
+	q.ID, q.Process = rand.Uint64()|1, k.fleet.Me()
+	if q.What == "apply" {
+		if err := k.check(q.Doc); err != nil { // before anything is sent
+			return "", err
+		}
+	}
+	came := make(chan Reply, 1)
+	k.mu.Lock()
+	k.calls[q.ID] = came
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.calls, q.ID)
+		k.mu.Unlock()
+	}()
+	const patience, again = 8 * time.Second, 500 * time.Millisecond // a change has five
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		for _, leader := range k.fleet.Leaders() {
+			k.tell(leader, said{Request: &q})
+		}
+		select {
+		case r := <-came:
+			out, err := json.MarshalIndent(r, "", " ")
+			return string(out) + "\n", err
+		case <-time.After(again): // by a token it is asked for once, however often
+		case <-k.stop:
+			return "", errNoLeader
+		}
+	}
+	return "", errNoLeader
+}
+
+// replied is called with the lock held.
+func (k *Keeper) replied(r Reply) {
+	select {
+	case k.calls[r.ID] <- r:
+	default:
+	}
+}
+
+// serve answers what an operator asked at another router, or this one, where this keeper leads.
+func (k *Keeper) serve(from place.Process, q Request) {
+	k.mu.Lock()
+	book, council := k.book, k.council
+	k.mu.Unlock()
+	if council == nil || book == nil {
+		return
+	}
+	reply := func(r Reply) {
+		r.ID = q.ID
+		k.tell(from, said{Reply: &r})
+	}
+	var err error
+	switch q.What {
+	case "apply":
+		b := book.now()
+		if v, over := b.Verdicts[q.Token]; over {
+			reply(Reply{Verdict: &v})
+			return
+		}
+		k.mu.Lock()
+		k.wants[q.Token] = append(k.wants[q.Token], waiting{from, q.ID})
+		asked := len(k.wants[q.Token]) > 1
+		k.mu.Unlock()
+		if asked || b.Pending != nil && b.Pending.Token == q.Token {
+			return
+		}
+		_ = book.put(accord.Entry{Kind: accord.Propose, Token: q.Token, Base: q.Base, Doc: q.Doc, Author: q.Author, Reason: q.Reason, At: q.At}) // asked again
+		return
+	case "dead":
+		err = book.put(accord.Entry{Kind: accord.Dead, Name: accord.Name(q.Name), Author: q.Author, Reason: q.Reason, At: q.At})
+		k.log.WithFields(map[string]any{"router": q.Name, "by": q.Author, "reason": q.Reason}).Warn("policy: an operator says that a router is dead")
+	case "replace":
+		err = book.replace(q.Name)
+	case "status", "history":
+	default:
+		err = fmt.Errorf("%q is nothing that can be asked", q.What)
+	}
+	if err == nil && !book.confirmed() {
+		return // another leads: it will be asked
+	}
+	r := Reply{}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	b := book.now()
+	r.Current, _ = b.Current()
+	r.Pending = b.Pending
+	k.mu.Lock()
+	r.Standings = council.Standings(k.micros(), b)
+	k.mu.Unlock()
+	for _, s := range book.servers() {
+		r.Keepers = append(r.Keepers, s)
+	}
+	if q.What == "history" {
+		const most = 20
+		r.History, r.Said = b.History[max(0, len(b.History)-most):], b.Said
+		if q.Base > 0 { // one alone
+			r.History = nil
+			for _, c := range b.History {
+				if c.Revision == q.Base {
+					r.History = append(r.History, c)
+				}
+			}
+		}
+	}
+	reply(r)
+}
+
+// found begins a fleet's policy at this keeper, once and for all.
+func (k *Keeper) found() (string, error) {
+	if k.book == nil {
+		return "", fmt.Errorf("this router is no keeper; found the policy at one of %q", k.cfg.Keepers)
+	}
+	for _, x := range k.fleet.Keepers() {
+		if x.Member {
+			return "", fmt.Errorf("the policy was founded before: %s takes part in it", x.Name)
+		}
+	}
+	if _, _, member := k.book.last(); member {
+		return "", fmt.Errorf("the policy was founded before, and this keeper takes part in it")
+	}
+	if err := k.book.begin(0, true); err != nil {
+		return "", err
+	}
+	k.log.Warn("policy: founded here, as an operator asked")
+	return "founded\n", nil
+}
+
+// welcome tells a keeper that its folder may take part.
+func (k *Keeper) welcome(x place.Keeping) {
+	k.tell(x.Process, said{Welcome: strconv.FormatUint(x.Folder, 16)})
+}
+
+// welcomed begins to take part, if this folder is meant.
+func (k *Keeper) welcomed(number string) {
+	if k.book == nil {
+		return
+	}
+	if mine, _, member := k.book.last(); member || strconv.FormatUint(mine, 16) != number {
+		return
+	}
+	if err := k.book.begin(0, false); err != nil {
+		k.log.WithError(err).Error("policy: this keeper takes no part")
+		return
+	}
+	k.log.Info("policy: welcomed by the keepers")
+}
+
+// resume takes part again after a restart, once it is known what the others have heard this folder speak of.
+func (k *Keeper) resume() {
+	if k.book == nil || !k.book.file.Member {
+		return
+	}
+	const patience = 3 * time.Second
+	for end := time.Now().Add(patience); time.Now().Before(end) && !k.fleet.Met(); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-k.stop:
+			return
+		default:
+		}
+	}
+	if err := k.book.begin(k.fleet.Promised(k.book.file.Number), false); err != nil {
+		k.log.WithError(err).Error("policy: this keeper takes no part")
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,360 @@
+// Package keeper keeps a router to the policy of its fleet: each router holds what the keepers have decided (package
+// accord), and some routers are keepers, which decide it in a log that hashicorp/raft replicates. Asking and answering go by
+// the words of the fleet (package peers). Nothing here is ever waited for by the router's loop.
+//
+// The files: this one the router's side and the leader's; log.go the replicated log; door.go what operators ask.
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/accord"
+	"spurtrestle/choice"
+	"spurtrestle/internal/place"
+	"spurtrestle/internal/policy"
+)
+
+// Config is how a router takes part.
+type Config struct {
+	Name    string
+	Serves  bool     // it goes on under what it has where it cannot reach the keepers
+	Keepers []string // names of routers
+	Log     LogConfig
+	Own     choice.Settings
+	Refused func(field, what, remedy string) error
+}
+
+// keeps tells whether this router is a keeper.
+func (c Config) keeps() bool { return slices.Contains(c.Keepers, c.Name) }
+
+// Router is the router that is kept to the policy. All may be called from any goroutine, but the loop's.
+type Router interface {
+	// SetPolicy has it decide by other settings, with these cache servers out. It is in force once it returns nil.
+	SetPolicy(s choice.Settings, out []string) error
+	// MayTake has it take new reqs until a time: zero for ever, one that is past not at all.
+	MayTake(until time.Time)
+}
+
+// Keeper is a router's side. Close ends it.
+type Keeper struct {
+	cfg    Config
+	router Router
+	fleet  place.Talk
+	log    *logrus.Logger
+	start  time.Time
+	build  string
+
+	mu       sync.Mutex
+	holder   *accord.Holder
+	council  *accord.Council // nil: this one does not lead
+	book     *log            // nil: this one is no keeper, or not yet
+	asks     []ask
+	wants    map[accord.Token][]waiting // who waits for a verdict
+	calls    map[uint64]chan Reply      // of operators, at this router
+	entering map[accord.Name]accord.Micros
+	inForce  accord.Revision // that the loop decides by
+	cannot   string          // why it cannot hold what is in force
+
+	kick  chan struct{}
+	stop  chan struct{}
+	ended sync.WaitGroup
+}
+
+type ask struct {
+	accord.Renewal
+	from place.Process
+}
+
+type waiting struct {
+	from place.Process
+	id   uint64
+}
+
+func (k *Keeper) micros() accord.Micros { return accord.Micros(time.Since(k.start) / time.Microsecond) }
+
+// Open begins to hold the fleet's policy, and to keep it where this router is a keeper.
+func Open(cfg Config, process place.Process, build string, router Router, fleet place.Talk, logger *logrus.Logger) (*Keeper, error) {
+	k := &Keeper{cfg: cfg, router: router, fleet: fleet, log: logger, start: time.Now(), build: build, wants: map[accord.Token][]waiting{}, calls: map[uint64]chan Reply{},
+		entering: map[accord.Name]accord.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
+	k.holder = accord.NewHolder(accord.DefaultRules(), accord.Name(cfg.Name), accord.Process(process), cfg.Serves, build, k.check)
+	if cfg.keeps() {
+		book, err := openLog(cfg.Log, cfg.Name, logger)
+		if err != nil {
+			return nil, cfg.Refused("policy.dir", err.Error(), "give the keeper a folder of its own that it can write, and an address that nobody listens on")
+		}
+		k.book = book
+	}
+	router.MayTake(time.Unix(0, 1)) // not before it is told what is in force
+	fleet.Hear(k.heard)
+	k.ended.Go(k.run)
+	if k.book != nil {
+		k.ended.Go(k.resume)
+		k.ended.Go(func() {
+			for {
+				k.lead(k.book)
+				select {
+				case <-k.stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	return k, nil
+}
+
+// check tells whether this router could hold a document.
+func (k *Keeper) check(doc string) error {
+	_, _, err := k.settings(doc)
+	return err
+}
+
+func (k *Keeper) settings(doc string) (choice.Settings, []string, error) {
+	if doc == "" { // revision 0: its own
+		return k.cfg.Own, nil, nil
+	}
+	d, err := policy.Parse(doc)
+	if err != nil {
+		return k.cfg.Own, nil, err
+	}
+	s, err := d.Settings(k.cfg.Own)
+	return s, d.Out, err
+}
+
+func (k *Keeper) run() {
+	for t := time.NewTicker(20 * time.Millisecond); ; {
+		k.step()
+		select {
+		case <-k.stop:
+			t.Stop()
+			return
+		case <-k.kick:
+		case <-t.C:
+		}
+	}
+}
+
+// what one router's keeper tells another's.
+type said struct {
+	Renewal *accord.Renewal `json:"r,omitempty"`
+	Grant   *accord.Grant   `json:"g,omitempty"`
+	Request *Request        `json:"q,omitempty"`
+	Reply   *Reply          `json:"a,omitempty"`
+	Welcome string          `json:"w,omitempty"` // to a keeper whose folder may vote: its number
+}
+
+func (k *Keeper) tell(to place.Process, s said) {
+	body, _ := json.Marshal(s) // plain fields: it cannot fail
+	k.fleet.Tell(to, body)
+}
+
+// heard takes in what another keeper or router says; it must not wait.
+func (k *Keeper) heard(from place.Process, body []byte) {
+	var s said
+	if json.Unmarshal(body, &s) != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case s.Renewal != nil:
+		const most = 10000 // of a fleet of thousands
+		if k.council != nil && len(k.asks) < most {
+			k.asks = append(k.asks, ask{*s.Renewal, from})
+		}
+	case s.Grant != nil:
+		k.granted(*s.Grant)
+	case s.Request != nil:
+		go k.serve(from, *s.Request)
+	case s.Reply != nil:
+		k.replied(*s.Reply)
+	case s.Welcome != "":
+		go k.welcomed(s.Welcome)
+	}
+}
+
+// granted is called with the lock held.
+func (k *Keeper) granted(g accord.Grant) {
+	adopt, news := k.holder.Granted(k.micros(), g)
+	if adopt {
+		revision, doc, _ := k.holder.Held()
+		go k.adopt(revision, doc)
+	}
+	if adopt || news {
+		select {
+		case k.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// adopt puts a revision into force. Until it is, the router takes nothing.
+func (k *Keeper) adopt(revision accord.Revision, doc string) {
+	k.router.MayTake(time.Unix(0, 1))
+	s, out, err := k.settings(doc)
+	if err == nil {
+		for err = k.router.SetPolicy(s, out); err != nil; err = k.router.SetPolicy(s, out) {
+			select {
+			case <-k.stop:
+				return
+			case <-time.After(50 * time.Millisecond): // the loop is busy
+			}
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now, _, _ := k.holder.Held(); now != revision {
+		return // overtaken
+	}
+	if k.cannot = ""; err != nil {
+		k.cannot = err.Error()
+		k.log.WithError(err).WithField("revision", uint64(revision)).Error("policy: this build cannot hold it; taking no clients")
+		return
+	}
+	k.inForce = revision
+	k.fleet.Holds(uint64(revision))
+	k.log.WithFields(logrus.Fields{"revision": uint64(revision), "mono_us": place.Monotonic()}).Info("policy: in force")
+}
+
+func (k *Keeper) step() {
+	k.mu.Lock()
+	now := k.micros()
+	renewal, due := k.holder.Ask(now)
+	until := k.holder.Takes(now)
+	revision, _, knows := k.holder.Held()
+	able := knows && k.cannot == "" && k.inForce == revision
+	k.mu.Unlock()
+
+	switch {
+	case !able:
+		k.router.MayTake(time.Unix(0, 1))
+	case until == 0:
+		k.router.MayTake(time.Time{})
+	default:
+		k.router.MayTake(k.start.Add(time.Duration(until) * time.Microsecond))
+	}
+	if due {
+		for _, leader := range k.fleet.Leaders() {
+			k.tell(leader, said{Renewal: &renewal})
+		}
+	}
+	if k.book != nil {
+		number, last, member := k.book.last()
+		k.fleet.Keeps(place.Keeping{Folder: number, Addr: k.cfg.Log.Advertise.String(), Member: member, Last: last})
+	}
+}
+
+// lead is the leader's part.
+func (k *Keeper) lead(book *log) {
+	leads := book.leads()
+	k.mu.Lock()
+	if leads != (k.council != nil) {
+		if k.council = nil; leads {
+			k.council = accord.NewCouncil(k.micros(), accord.DefaultRules())
+		}
+		k.asks = nil
+		k.fleet.Leads(leads)
+		k.log.WithField("leads", leads).Info("policy: leading the keepers")
+	}
+	council, asks := k.council, k.asks
+	k.asks = nil
+	k.mu.Unlock()
+	if council == nil {
+		return
+	}
+	book.tend(k.fleet, k.cfg.Keepers, k.welcome)
+	// What has been asked before a majority confirms this leader may be answered; what comes meanwhile waits.
+	if len(asks) > 0 && book.confirmed() {
+		k.mu.Lock()
+		now, b := k.micros(), book.now()
+		for _, a := range asks {
+			g, ok, enter := council.Answer(now, b, a.Renewal)
+			if ok {
+				k.tell(a.from, said{Grant: &g})
+			}
+			if enter != nil && now-k.entering[enter.Name] > 200e3 {
+				k.entering[enter.Name] = now
+				go book.put(*enter) // asked for again until it is there
+			}
+		}
+		k.mu.Unlock()
+	}
+	k.mu.Lock()
+	entry := council.Resolve(k.micros(), book.now())
+	k.mu.Unlock()
+	if entry != nil {
+		book.put(*entry)
+	}
+	for token, v := range book.verdicts() {
+		k.mu.Lock()
+		waits := k.wants[token]
+		delete(k.wants, token)
+		k.mu.Unlock()
+		for _, w := range waits {
+			k.tell(w.from, said{Reply: &Reply{ID: w.id, Verdict: &v}})
+		}
+	}
+}
+
+// Close says that this router takes nothing more, and ends its side.
+func (k *Keeper) Close() {
+	k.mu.Lock()
+	bye := k.holder.Leave(k.micros())
+	k.mu.Unlock()
+	for range 3 { // a lost one is as a crash: the leader finds that its grant has run out
+		for _, leader := range k.fleet.Leaders() {
+			k.tell(leader, said{Renewal: &bye})
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	close(k.stop)
+	k.ended.Wait()
+	if k.book != nil {
+		k.book.close()
+	}
+}
+
+var errNoLeader = errors.New("no leader of the keepers can be reached; nothing was changed, or it is not known: ask again with the same token")
+
+// Policy is what is held here, as JSON, without asking anybody.
+func (k *Keeper) Policy() (string, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.micros()
+	revision, _, knows := k.holder.Held()
+	until := k.holder.Takes(now)
+	w := Held{Revision: revision, InForce: k.inForce, Known: knows, Cannot: k.cannot, Prepared: k.holder.Prepared(), CutOff: "refuse",
+		Keeper: k.cfg.keeps(), Leads: k.council != nil}
+	if k.cfg.Serves {
+		w.CutOff = "serve"
+	}
+	w.Takes = knows && k.cannot == "" && (until == 0 || until > now)
+	if k.book != nil {
+		w.Folder = k.book.state()
+	}
+	text, err := json.MarshalIndent(w, "", " ")
+	return string(text) + "\n", err
+}
+
+// Held is what a router holds.
+type Held struct {
+	Revision accord.Revision `json:"revision"`
+	InForce  accord.Revision `json:"in_force"`
+	Known    bool            `json:"known"`
+	Takes    bool            `json:"may_take"`
+	Cannot   string          `json:"cannot,omitempty"`
+	Prepared accord.Token    `json:"prepared,omitempty"`
+	CutOff   string          `json:"cut_off"`
+	Keeper   bool            `json:"keeper"`
+	Leads    bool            `json:"leads"`
+	Folder   string          `json:"folder,omitempty"`
+}
+
+func (h Held) String() string { return fmt.Sprintf("revision %d", h.Revision) }
--- /dev/null
+++ b/internal/keeper/log.go
@@ -0,0 +1,378 @@
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/place"
+)
+
+// LogConfig is where a keeper keeps the log, and is reached for it.
+type LogConfig struct {
+	Dir       string
+	Listen    netip.AddrPort
+	Advertise netip.AddrPort
+}
+
+// log is the replicated log of one keeper. A folder that is new has a number that no other had; it takes part only once
+// the fleet was founded there, or the leader has welcomed it: a folder that was lost, or put back, has no vote.
+type log struct {
+	cfg  LogConfig
+	out  *logrus.Logger
+	mu   sync.Mutex
+	file keeperFile
+	why  string // it takes no part
+	raft *raft.Raft
+	ends []func() error
+	book *accord.Book
+	done map[accord.Token]accord.Verdict // since the last look
+
+	barrier uint64 // the term in which all that was decided before is in the book
+}
+
+// keeperFile says whose folder it is.
+type keeperFile struct {
+	Name   string `json:"name"`
+	Number uint64 `json:"number"`
+	Member bool   `json:"member"`
+}
+
+const (
+	fileName     = "keeper.json"
+	keptLogs     = 256 // entries behind a snapshot, for those who are a little late
+	snapshotEach = 512 // entries
+	answerWithin = 2 * time.Second
+)
+
+func openLog(cfg LogConfig, name string, out *logrus.Logger) (*log, error) {
+	l := &log{cfg: cfg, out: out, book: &accord.Book{}, done: map[accord.Token]accord.Verdict{}, why: "it has not been welcomed yet"}
+	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	text, err := os.ReadFile(filepath.Join(cfg.Dir, fileName))
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		l.file = keeperFile{Name: name, Number: rand.Uint64() | 1}
+		return l, l.keep()
+	case err != nil:
+		return nil, err
+	}
+	if err := json.Unmarshal(text, &l.file); err != nil || l.file.Number == 0 {
+		return nil, fmt.Errorf("%s in %s cannot be read (%v)", fileName, cfg.Dir, err)
+	}
+	if l.file.Name != name {
+		return nil, fmt.Errorf("%s is the folder of keeper %q, and this one is %q", cfg.Dir, l.file.Name, name)
+	}
+	return l, nil
+}
+
+func (l *log) keep() error {
+	text, err := json.Marshal(l.file)
+	if err != nil {
+		return err
+	}
+	name := filepath.Join(l.cfg.Dir, fileName)
+	if err := os.WriteFile(name+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+// id is a keeper's name and its folder's number: a new folder is another voter.
+func id(name string, number uint64) raft.ServerID {
+	return raft.ServerID(name + "/" + strconv.FormatUint(number, 16))
+}
+
+func nameOf(id raft.ServerID) string {
+	name, _, _ := strings.Cut(string(id), "/")
+	return name
+}
+
+// begin takes part. promised is the highest entry that the others have heard this folder speak of.
+func (l *log) begin(promised uint64, found bool) (err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.raft != nil {
+		return nil
+	}
+	defer func() {
+		if err != nil {
+			l.why = err.Error()
+			for i := len(l.ends) - 1; i >= 0; i-- {
+				err = errors.Join(err, l.ends[i]())
+			}
+			l.ends = nil
+		}
+	}()
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(l.cfg.Dir, "log.db")})
+	if err != nil {
+		return err
+	}
+	l.ends = append(l.ends, store.Close)
+	last, err := store.LastIndex()
+	if err != nil {
+		return err
+	}
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(l.cfg.Dir, 2, hclog.NewNullLogger())
+	if err != nil {
+		return err
+	}
+	if all, err := snapshots.List(); err == nil && len(all) > 0 {
+		last = max(last, all[0].Index)
+	}
+	if last < promised {
+		return fmt.Errorf("the folder ends at entry %d, and its keeper has spoken of %d: it was put back, or lost; "+
+			"empty it, and have the keeper taken up anew with spurctl policy keeper replace", last, promised)
+	}
+	ln, err := net.Listen("tcp", l.cfg.Listen.String())
+	if err != nil {
+		return err
+	}
+	wire := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: layer{ln, l.cfg}, MaxPool: 3, Timeout: answerWithin,
+		Logger: hclog.NewNullLogger()})
+	l.ends = append(l.ends, wire.Close)
+	c := raft.DefaultConfig()
+	c.LocalID = id(l.file.Name, l.file.Number)
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = 600*time.Millisecond, 600*time.Millisecond,
+		400*time.Millisecond, 20*time.Millisecond
+	c.SnapshotThreshold, c.TrailingLogs, c.SnapshotInterval = snapshotEach, keptLogs, 10*time.Second
+	c.Logger = hclog.NewNullLogger()
+	if found {
+		err = raft.BootstrapCluster(c, store, store, snapshots, wire, raft.Configuration{Servers: []raft.Server{{ID: c.LocalID, Address: wire.LocalAddr()}}})
+		if err != nil {
+			return err
+		}
+	}
+	l.file.Member = true
+	if err := l.keep(); err != nil {
+		return err
+	}
+	l.raft, err = raft.NewRaft(c, l, store, store, snapshots, wire)
+	l.why = ""
+	return err
+}
+
+// layer is the keepers' TCP: it dials from the address that it listens on, so that who is called knows who calls.
+type layer struct {
+	net.Listener
+	cfg LogConfig
+}
+
+func (y layer) Addr() net.Addr { return net.TCPAddrFromAddrPort(y.cfg.Advertise) }
+
+func (y layer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: y.cfg.Listen.Addr().AsSlice()}}
+	return d.Dial("tcp", string(to))
+}
+
+func (l *log) node() *raft.Raft {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.raft
+}
+
+// state is how the folder stands, for people; empty: it takes part.
+func (l *log) state() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.why
+}
+
+// leads tells whether this keeper leads, and has in its book all that was decided before.
+func (l *log) leads() bool {
+	node := l.node()
+	if node == nil || node.State() != raft.Leader {
+		return false
+	}
+	if term := node.CurrentTerm(); l.barrier != term {
+		if node.Barrier(answerWithin).Error() != nil || node.CurrentTerm() != term {
+			return false
+		}
+		l.barrier = term
+	}
+	return true
+}
+
+// confirmed tells that a majority held this keeper for the leader at some time since it was called.
+func (l *log) confirmed() bool {
+	node := l.node()
+	return node != nil && node.VerifyLeader().Error() == nil
+}
+
+// put adds an entry, and waits until it is in the book; an error: it may be there or not.
+func (l *log) put(e accord.Entry) error {
+	node := l.node()
+	if node == nil {
+		return errNoLeader
+	}
+	text, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	return node.Apply(text, answerWithin).Error()
+}
+
+// now is the book as it stands.
+func (l *log) now() *accord.Book {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Clone()
+}
+
+// verdicts are those that have come since the last call.
+func (l *log) verdicts() map[accord.Token]accord.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := l.done
+	l.done = map[accord.Token]accord.Verdict{}
+	return all
+}
+
+// Apply is called by raft with each entry, in order.
+func (l *log) Apply(entry *raft.Log) any {
+	var e accord.Entry
+	if json.Unmarshal(entry.Data, &e) != nil {
+		return nil // of a later build: it is told apart by its documents, which are refused by field
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v, ok := l.book.Apply(accord.Index(entry.Index), e); ok {
+		l.done[e.Token] = v
+	}
+	return nil
+}
+
+// Snapshot is called by raft.
+func (l *log) Snapshot() (raft.FSMSnapshot, error) { return snapshot{l.now()}, nil }
+
+// Restore is called by raft.
+func (l *log) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	b := &accord.Book{}
+	if err := json.NewDecoder(from).Decode(b); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.book = b
+	l.mu.Unlock()
+	return nil
+}
+
+type snapshot struct{ *accord.Book }
+
+func (s snapshot) Persist(to raft.SnapshotSink) error {
+	if err := json.NewEncoder(to).Encode(s.Book); err != nil {
+		return errors.Join(err, to.Cancel())
+	}
+	return to.Close()
+}
+
+func (s snapshot) Release() {}
+
+// tend takes up keepers that the file names and that were never there, one at a time.
+func (l *log) tend(fleet place.Talk, names []string, welcome func(place.Keeping)) {
+	node := l.node()
+	f := node.GetConfiguration()
+	if f.Error() != nil {
+		return
+	}
+	have := map[string]raft.Server{}
+	for _, s := range f.Configuration().Servers {
+		have[nameOf(s.ID)] = s
+	}
+	for _, k := range fleet.Keepers() {
+		if _, there := have[k.Name]; there || k.Folder == 0 {
+			continue
+		}
+		for _, name := range names {
+			if name != k.Name {
+				continue
+			}
+			welcome(k) // it has to listen before it can be counted on
+			if k.Member {
+				_ = node.AddVoter(id(k.Name, k.Folder), raft.ServerAddress(k.Addr), 0, answerWithin).Error() // tried again
+			}
+			return
+		}
+	}
+}
+
+// replace has a keeper's old folder count no more; the new one is taken up by itself.
+func (l *log) replace(name string) error {
+	node := l.node()
+	if node == nil {
+		return errNoLeader
+	}
+	f := node.GetConfiguration()
+	if err := f.Error(); err != nil {
+		return err
+	}
+	for _, s := range f.Configuration().Servers {
+		if nameOf(s.ID) == name {
+			return node.RemoveServer(s.ID, 0, answerWithin).Error()
+		}
+	}
+	return fmt.Errorf("%q is no keeper", name)
+}
+
+// servers are the keepers that vote.
+func (l *log) servers() (all []string) {
+	node := l.node()
+	if node == nil {
+		return nil
+	}
+	f := node.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	_, leader := node.LeaderWithID()
+	for _, s := range f.Configuration().Servers {
+		what := string(s.ID) + " at " + string(s.Address)
+		if s.ID == leader {
+			what += ", leads"
+		}
+		all = append(all, what)
+	}
+	return all
+}
+
+// last is the last entry that this folder has, and its number.
+func (l *log) last() (number, last uint64, member bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.raft != nil {
+		last = l.raft.LastIndex()
+	}
+	return l.file.Number, last, l.file.Member && l.raft != nil
+}
+
+func (l *log) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.raft != nil {
+		_ = l.raft.Shutdown().Error() // it ends all the same
+	}
+	for i := len(l.ends) - 1; i >= 0; i-- {
+		if err := l.ends[i](); err != nil {
+			l.out.WithError(err).Debug("policy: closing the log")
+		}
+	}
+	l.ends = nil
+}
--- /dev/null
+++ b/internal/keeper/take.go
@@ -0,0 +1,27 @@
+package keeper
+
+import (
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/operator"
+	"spurtrestle/internal/place"
+	"spurtrestle/internal/router"
+)
+
+// Take has a router hold its fleet's policy, as the operator's file says.
+func Take(p operator.Policy, at place.Config, own choice.Settings, r *router.Router, fleet place.Place, log *logrus.Logger) (place.Policy, error) {
+	talk, ok := fleet.(place.Talk)
+	if !ok {
+		return nil, at.Refused("policy.cut_off", "is set, and routers of this program do not speak to one another", "leave it empty")
+	}
+	c := Config{Name: at.Name, Serves: p.CutOff == "serve", Keepers: p.Keepers, Own: own, Refused: at.Refused}
+	c.Log.Listen, c.Log.Advertise = p.Addresses()
+	c.Log.Dir = p.Dir
+	if c.keeps() && p.Dir == "" {
+		return nil, at.Refused("policy.dir", fmt.Sprintf("is empty, and this router, %q, is a keeper", at.Name), "give it a folder, and listen an address")
+	}
+	return Open(c, talk.Me(), at.Build, r, talk, log)
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -135,7 +135,7 @@
 			at = append(at, netip.MustParseAddrPort(r.net.views()[i]))
 			front = append(front, netip.MustParseAddrPort(r.net.ways()[i]))
 		}
-		if r.links, err = links.New(at, front, r.o.Seed); err != nil {
+		if r.links, err = links.New(at, front, r.o.Seed, 1); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/links/links.go
+++ b/internal/lab/links/links.go
@@ -52,15 +52,19 @@
 	count Count
 }
 
-// New begins to pass on. at and front have one address for each router.
-func New(at, front []netip.AddrPort, seed uint64) (*Rig, error) {
+// New begins to pass on. at and front have one address for each router; of TCP so many ports from there on pass.
+func New(at, front []netip.AddrPort, seed uint64, ports int) (*Rig, error) {
 	r := &Rig{at: at, front: front, seed: seed, pairs: map[[2]int]*pair{}, conns: map[*conn]struct{}{}}
 	for to := range at {
 		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(front[to]))
 		if err == nil {
 			r.udp = append(r.udp, u)
-			var l net.Listener
-			if l, err = net.Listen("tcp", front[to].String()); err == nil {
+			for more := range uint16(ports) {
+				var l net.Listener
+				if l, err = net.Listen("tcp", beside(front[to], more).String()); err != nil {
+					break
+				}
+				r.running.Go(func() { r.accept(l, to, beside(at[to], more)) })
 				r.tcp = append(r.tcp, l)
 			}
 		}
@@ -72,7 +76,6 @@
 	}
 	for to := range at {
 		r.running.Go(func() { r.packets(to) })
-		r.running.Go(func() { r.accept(to) })
 	}
 	return r, nil
 }
@@ -222,20 +225,24 @@
 	})
 }
 
-func (r *Rig) accept(to int) {
+func beside(a netip.AddrPort, more uint16) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr(), a.Port()+more)
+}
+
+func (r *Rig) accept(l net.Listener, to int, at netip.AddrPort) {
 	for {
-		a, err := r.tcp[to].Accept()
+		a, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		r.running.Go(func() { r.connect(to, a.(*net.TCPConn)) })
+		r.running.Go(func() { r.connect(to, at, a.(*net.TCPConn)) })
 	}
 }
 
-func (r *Rig) connect(to int, a *net.TCPConn) {
+func (r *Rig) connect(to int, at netip.AddrPort, a *net.TCPConn) {
 	source, err := netip.ParseAddrPort(a.RemoteAddr().String())
 	c := &conn{from: r.who(source.Addr()), to: to, a: a}
 	if err != nil || c.from < 0 {
@@ -244,7 +251,7 @@
 	}
 	// From the address at which the caller is reached, as the packets.
 	d := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: r.front[c.from].Addr().AsSlice()}}
-	if b, err := d.Dial("tcp", r.at[to].String()); err == nil {
+	if b, err := d.Dial("tcp", at.String()); err == nil {
 		c.b = b.(*net.TCPConn)
 	} else {
 		c.end(true)
--- a/internal/lab/links/links_test.go
+++ b/internal/lab/links/links_test.go
@@ -21,7 +21,7 @@
 func TestPackets(t *testing.T) {
 	at, front := ways(t, 1)
 	came := func(seed uint64, rule Rule) (got string) {
-		r, err := New(at, front, seed)
+		r, err := New(at, front, seed, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -81,7 +81,7 @@
 // A connection over a way that is cut falls silent, or is reset.
 func TestConnections(t *testing.T) {
 	at, front := ways(t, 2)
-	r, err := New(at, front, 1)
+	r, err := New(at, front, 1, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/lab/rig/policy_test.go
@@ -0,0 +1,289 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"spurtrestle/accord"
+)
+
+// A policy whose revisions show from outside: the server that is out.
+func docOut(uid string) string { return fmt.Sprintf("schema = 1\nout = [%q]\n", uid) }
+
+type policySaid struct {
+	Verdict   *accord.Verdict
+	Current   accord.Revision
+	Error     string
+	Standings []accord.Standing
+	Keepers   []string
+}
+
+// ask asks the keepers by a router.
+func (t trial) ask(by int, q map[string]any) (s policySaid, err error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return s, err
+	}
+	c := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Post("http://"+t.Door(by)+"/ops/policy/ask", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return s, err
+	}
+	defer a.Body.Close()
+	var out bytes.Buffer
+	if _, err := out.ReadFrom(a.Body); err != nil {
+		return s, err
+	}
+	if a.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("%s: %s", a.Status, strings.TrimSpace(out.String()))
+	}
+	if q["what"] == "found" {
+		return s, nil
+	}
+	err = json.Unmarshal(out.Bytes(), &s)
+	return s, err
+}
+
+func (t trial) apply(by int, base int, token, doc string) (accord.Verdict, error) {
+	s, err := t.ask(by, map[string]any{"what": "apply", "doc": doc, "base": base, "token": token, "author": "test", "reason": token})
+	if err != nil || s.Verdict == nil {
+		return accord.Verdict{}, fmt.Errorf("no verdict: %w", err)
+	}
+	return *s.Verdict, nil
+}
+
+type held struct {
+	Revision accord.Revision `json:"revision"`
+	InForce  accord.Revision `json:"in_force"`
+	May      bool            `json:"may_take"`
+	Leads    bool            `json:"leads"`
+	Folder   string          `json:"folder"`
+}
+
+func (t trial) held(i int) (h held) {
+	text, err := t.Call(i, "GET", "/ops/policy")
+	if err == nil {
+		err = json.Unmarshal([]byte(text), &h)
+	}
+	if err != nil {
+		h.Revision = 1 << 60
+	}
+	return h
+}
+
+func (t trial) leader(n int) int {
+	t.t.Helper()
+	at := -1
+	t.until("a leader", func() bool {
+		for i := range n {
+			if t.Running(i) && t.held(i).Leads {
+				at = i
+				return true
+			}
+		}
+		return false
+	})
+	return at
+}
+
+// founded is a fleet whose policy was founded, and that takes clients.
+func founded(t *testing.T, cutOff string, routers, keepers int) trial {
+	r := play(t, Options{Routers: routers, Policy: cutOff, Keepers: keepers, Poll: time.Hour})
+	r.start("start", upTo(routers)...)
+	if _, err := r.Call(0, "GET", "/ops/readiness"); err == nil {
+		t.Error("a router takes clients before it knows the policy")
+	}
+	_, err := r.ask(0, map[string]any{"what": "found"})
+	r.must(err)
+	r.ready(upTo(routers)...)
+	r.until("all keepers vote", func() bool {
+		s, err := r.ask(0, map[string]any{"what": "status"})
+		return err == nil && len(s.Keepers) == keepers
+	})
+	return r
+}
+
+func (t trial) ready(who ...int) {
+	t.t.Helper()
+	t.until(fmt.Sprint(who, " are ready"), func() bool {
+		for _, i := range who {
+			if _, err := t.Call(i, "GET", "/ops/readiness"); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (t trial) holds(revision accord.Revision, who ...int) {
+	t.t.Helper()
+	t.until(fmt.Sprint(who, " hold revision ", revision), func() bool {
+		for _, i := range who {
+			if h := t.held(i); h.InForce != revision || !h.May {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A change holds everywhere, or nowhere; the same asked again gets the same verdict; two at one moment are not both made.
+func TestPolicyEverywhereOrNowhere(t *testing.T) {
+	r := founded(t, "refuse", 5, 3)
+	began := time.Now()
+	v, err := r.apply(4, 0, "first", docOut("s0"))
+	r.must(err)
+	if !v.Everywhere || v.Revision != 1 {
+		t.Fatalf("the first change: %+v", v)
+	}
+	t.Logf("verdict after %v", time.Since(began))
+	r.holds(1, upTo(5)...)
+	t.Logf("held by all after %v", time.Since(began))
+	if again, err := r.apply(2, 0, "first", docOut("s0")); err != nil || again != v {
+		t.Errorf("asked again: %+v, %v", again, err)
+	}
+	if v, err := r.apply(1, 0, "stale", docOut("s1")); err != nil || v.Everywhere || !strings.Contains(v.Why, "made for revision 0, and 1 is in force, by test: first") {
+		t.Errorf("for a revision that is past: %+v, %v", v, err)
+	}
+	if _, err := r.apply(1, 1, "wrong", "schema = 1\n[[method]]\nname = \"x\"\n"); err == nil || !strings.Contains(err.Error(), `line 3: method[0].name: "x" is no method`) {
+		t.Errorf("a wrong document: %v", err)
+	}
+	both := make(chan accord.Verdict, 2)
+	for i := range 2 {
+		go func() {
+			v, err := r.apply(i, 1, fmt.Sprint("both", i), docOut(fmt.Sprint("b", i)))
+			if err != nil {
+				t.Error(err)
+			}
+			both <- v
+		}()
+	}
+	if a, b := <-both, <-both; a.Everywhere == b.Everywhere {
+		t.Errorf("of two at one moment: %+v and %+v", a, b)
+	}
+	r.holds(2, upTo(5)...)
+}
+
+// The leader is killed, stalled and cut off in the midst of changes; every verdict holds, and what was decided stays.
+func TestPolicyLosesLeaders(t *testing.T) {
+	r := founded(t, "refuse", 5, 3)
+	current := 0
+	for n, fault := range []string{"kill", "stall", "cut"} {
+		at := r.leader(3)
+		by := (at + 1) % 3
+		done := make(chan struct{})
+		token := "under " + fault
+		go func() {
+			defer close(done)
+			time.Sleep(time.Duration(10+30*n) * time.Millisecond)
+			switch fault {
+			case "kill":
+				r.Kill(fault, at)
+			case "stall":
+				r.must(r.Stall(fault, true, at))
+			case "cut":
+				r.Cut(fault, true, []int{at}, upTo(5), true, false)
+			}
+		}()
+		v, err := r.apply(by, current, token, docOut(fault))
+		<-done
+		for end := time.Now().Add(20 * time.Second); err != nil && time.Now().Before(end); {
+			v, err = r.apply(by, current, token, docOut(fault)) // an answer that was lost
+		}
+		r.must(err)
+		t.Logf("%s at router %d: %+v", fault, at, v)
+		if v.Everywhere {
+			current++
+		}
+		if fault == "cut" {
+			r.until("the one cut off takes nothing", func() bool {
+				_, err := r.Call(at, "GET", "/ops/readiness")
+				return err != nil && strings.Contains(err.Error(), "cannot prove that its policy is current")
+			})
+		}
+		switch fault {
+		case "kill":
+			r.start("again", at)
+		case "stall":
+			r.must(r.Stall("wake", false, at))
+		case "cut":
+			r.Cut("healed", false, []int{at}, upTo(5), true, false)
+		}
+		r.holds(accord.Revision(current), upTo(5)...)
+	}
+}
+
+// refuse: changes go through with routers down, cut off and stalled; what wakes or returns takes nothing under the old one.
+func TestPolicyRefuse(t *testing.T) {
+	r := founded(t, "refuse", 6, 3)
+	r.Kill("down", 3)
+	r.Cut("cut off", true, []int{4}, upTo(6), true, false)
+	r.must(r.Stall("stalled", true, 5))
+	began := time.Now()
+	v, err := r.apply(0, 0, "without three", docOut("s0"))
+	r.must(err)
+	t.Logf("verdict after %v", time.Since(began))
+	if !v.Everywhere {
+		t.Fatalf("%+v", v)
+	}
+	r.holds(1, 0, 1, 2)
+	if h := r.held(4); h.May || h.InForce != 0 {
+		t.Errorf("cut off: %+v", h)
+	}
+	r.must(r.Stall("awake", false, 5))
+	r.Cut("healed", false, []int{4}, upTo(6), true, false)
+	r.start("back", 3)
+	r.holds(1, upTo(6)...)
+	// All restart: what was decided is in force, and nobody serves before it is.
+	r.Kill("all", upTo(6)...)
+	r.start("all again", upTo(6)...)
+	r.holds(1, upTo(6)...)
+}
+
+// serve: a router that is cut off goes on under what it has, and no change goes through, unless an operator says that it
+// is dead; it is named.
+func TestPolicyServe(t *testing.T) {
+	r := founded(t, "serve", 5, 3)
+	v, err := r.apply(0, 0, "first", docOut("s0"))
+	r.must(err)
+	if !v.Everywhere {
+		t.Fatalf("%+v", v)
+	}
+	r.holds(1, upTo(5)...)
+	r.Cut("cut off", true, []int{4}, upTo(5), true, false)
+	time.Sleep(2 * time.Second)
+	if h := r.held(4); !h.May || h.InForce != 1 {
+		t.Errorf("cut off: %+v", h)
+	}
+	if v, err = r.apply(0, 1, "second", docOut("s1")); err != nil || v.Everywhere || !strings.Contains(v.Why, "r4 does not answer, and may be serving") {
+		t.Fatalf("%+v, %v", v, err)
+	}
+	r.holds(1, upTo(4)...)
+	r.Kill("dead", 4)
+	_, err = r.ask(1, map[string]any{"what": "dead", "name": "r4", "author": "test", "reason": "its machine is off"})
+	r.must(err)
+	if v, err = r.apply(0, 1, "third", docOut("s1")); err != nil || !v.Everywhere {
+		t.Fatalf("%+v, %v", v, err)
+	}
+	r.Cut("healed", false, []int{4}, upTo(5), true, false)
+	r.start("back", 4)
+	r.holds(2, upTo(5)...)
+	// The majority of the keepers is lost: nothing changes, serving goes on.
+	r.Kill("majority", 1, 2)
+	time.Sleep(2 * time.Second)
+	if _, err := r.apply(3, 2, "fourth", docOut("s2")); err == nil {
+		t.Error("a change without a majority has a verdict")
+	}
+	r.ready(0, 3, 4)
+	r.start("back", 1, 2)
+	r.until("a change goes through again", func() bool {
+		v, err := r.apply(3, 2, "fourth", docOut("s2"))
+		return err == nil && v.Everywhere
+	})
+	r.holds(3, upTo(5)...)
+}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,9 +36,11 @@
 	Seed    uint64
 	Probe   time.Duration
 	Forget  time.Duration
-	Poll    time.Duration           // between two looks at each view; 0: none are taken
-	Join    []int                   // whom all join, from the beginning of Routers; nil: the first two
-	Keep    bool                    // each has a folder for the peers known
+	Poll    time.Duration // between two looks at each view; 0: none are taken
+	Join    []int         // whom all join, from the beginning of Routers; nil: the first two
+	Keep    bool          // each has a folder for the peers known
+	Policy  string        // cut_off; empty: there is none. The keepers are the first routers
+	Keepers int
 	Fleet   func(router int) string // the fleet's name; nil: one for all
 }
 
@@ -82,7 +85,11 @@
 		r.homes = append(r.homes, i)
 		r.doors = append(r.doors, r.net.Doors()[i])
 	}
-	if r.Links, err = links.New(at, front, o.Seed); err != nil {
+	both := 1
+	if o.Policy != "" {
+		both = 2 // the keepers' log as well
+	}
+	if r.Links, err = links.New(at, front, o.Seed, both); err != nil {
 		r.net.Close()
 		return nil, err
 	}
@@ -253,6 +260,16 @@
 	if r.o.Keep {
 		own += fmt.Sprintf("dir = %q\n", r.file(i, "peers"))
 	}
+	if r.o.Policy != "" {
+		var keepers []string
+		for k := range r.o.Keepers {
+			keepers = append(keepers, fmt.Sprintf("%q", r.names[k]))
+		}
+		own += fmt.Sprintf("[policy]\ncut_off = %q\nkeepers = [%s]\n", r.o.Policy, strings.Join(keepers, ", "))
+		if i < r.o.Keepers {
+			own += fmt.Sprintf("listen = %q\nadvertise = %q\ndir = %q\n", port(r.net.Views()[i]), port(r.net.Ways()[i]), r.file(i, "keeper"))
+		}
+	}
 	return os.WriteFile(r.file(i, "toml"), []byte(own), 0o644)
 }
 
@@ -275,6 +292,12 @@
 	}
 }
 
+// port is the address of the keepers' log beside that of a view.
+func port(view string) string {
+	at := netip.MustParseAddrPort(view)
+	return netip.AddrPortFrom(at.Addr(), at.Port()+1).String()
+}
+
 // Home has a router use the addresses of another for its view, from its next start on.
 func (r *Rig) Home(i, of int) { r.homes[i] = of }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"time"
 
 	"spurtrestle/internal/tomlfile"
@@ -15,11 +16,12 @@
 
 // File is all that the file may hold. The zero value is what holds without one.
 type File struct {
-	State State `toml:"state"`
-	GRPC  GRPC  `toml:"grpc"`
-	Fleet Fleet `toml:"fleet"`
-	where string
-	at    tomlfile.Places
+	State  State  `toml:"state"`
+	GRPC   GRPC   `toml:"grpc"`
+	Fleet  Fleet  `toml:"fleet"`
+	Policy Policy `toml:"policy"`
+	where  string
+	at     tomlfile.Places
 }
 
 // Refused is an error about one field of the file, found where it is put to use.
@@ -62,6 +64,67 @@
 	forget    time.Duration
 }
 
+// Policy is about one policy for the whole fleet.
+type Policy struct {
+	CutOff    string   `toml:"cut_off"`   // serve or refuse, where the keepers cannot be reached; empty: there is none
+	Keepers   []string `toml:"keepers"`   // names of the routers that keep it: three or five
+	Listen    string   `toml:"listen"`    // at a keeper: address and port for the log
+	Advertise string   `toml:"advertise"` // where the other keepers reach it; empty: listen
+	Dir       string   `toml:"dir"`       // at a keeper: the folder of the log
+	listen    netip.AddrPort
+	advertise netip.AddrPort
+}
+
+// Addresses are those listened on, and told to other keepers.
+func (p Policy) Addresses() (listen, advertise netip.AddrPort) { return p.listen, p.advertise }
+
+func (p *Policy) check(at tomlfile.Places, f Fleet) error {
+	wrong := func(field, what, remedy string) error {
+		return tomlfile.Error{Line: at.Line("policy." + field), Field: "policy." + field, What: what, Remedy: remedy}
+	}
+	if p.CutOff == "" {
+		if p.Dir != "" || len(p.Keepers) > 0 {
+			return wrong("cut_off", "is empty, though other fields are set", "say serve or refuse, or leave all of them empty")
+		}
+		return nil
+	}
+	if p.CutOff != "serve" && p.CutOff != "refuse" {
+		return wrong("cut_off", fmt.Sprintf("%q is neither serve nor refuse", p.CutOff), "say what a router does that cannot reach the keepers")
+	}
+	if f.Name == "" {
+		return wrong("cut_off", "is set, and the router keeps no view of a fleet", "name the fleet under [fleet]")
+	}
+	if n := len(p.Keepers); n != 1 && n != 3 && n != 5 {
+		return wrong("keepers", fmt.Sprintf("%d are named", n), "name three or five routers; one alone, where none may be lost")
+	}
+	for i, name := range p.Keepers {
+		if !plain.MatchString(name) || slices.Contains(p.Keepers[:i], name) {
+			return wrong("keepers", fmt.Sprintf("its entry %d, %q, is no name or there twice", i+1, name), "name each router once")
+		}
+	}
+	if p.Listen == "" && p.Dir == "" {
+		return nil // no keeper
+	}
+	var err error
+	if p.listen, err = netip.ParseAddrPort(p.Listen); err != nil || p.listen.Port() == 0 || p.Listen == f.Listen {
+		return wrong("listen", fmt.Sprintf("%q is no address and port, or that of fleet.listen", p.Listen), `write one of its own, as "10.1.2.3:7947"`)
+	}
+	if p.advertise = p.listen; p.Advertise != "" {
+		if p.advertise, err = netip.ParseAddrPort(p.Advertise); err != nil || p.advertise.Port() == 0 {
+			return wrong("advertise", fmt.Sprintf("%q is no address and port", p.Advertise), `write it as "10.1.2.3:7947"`)
+		}
+	}
+	for field, a := range map[string]netip.Addr{"listen": p.listen.Addr(), "advertise": p.advertise.Addr()} {
+		if a.IsUnspecified() || !f.Anywhere && !a.IsLoopback() && !a.IsPrivate() && !a.IsLinkLocalUnicast() {
+			return wrong(field, fmt.Sprintf("%s is no address of a private network", a), "write one of a network that is trusted")
+		}
+	}
+	if !filepath.IsAbs(p.Dir) {
+		return wrong("dir", fmt.Sprintf("%q is no absolute path", p.Dir), "write the whole path of a folder for this keeper alone, on a disk that lasts")
+	}
+	return nil
+}
+
 // Addresses are those listened on, and told to others.
 func (f Fleet) Addresses() (listen, advertise netip.AddrPort) { return f.listen, f.advertise }
 
@@ -133,7 +196,10 @@
 	if s.span < leastEvery || s.span > mostEvery {
 		return wrong("every", fmt.Sprintf("%v is not from %v to %v", s.span, leastEvery, mostEvery), "write such a span")
 	}
-	return f.Fleet.check(at)
+	if err := f.Fleet.check(at); err != nil {
+		return err
+	}
+	return f.Policy.check(at, f.Fleet)
 }
 
 var plain = regexp.MustCompile(`^[A-Za-z0-9._-]{1,60}$`)
--- a/internal/peers/file.go
+++ b/internal/peers/file.go
@@ -39,7 +39,7 @@
 		return nil, nil
 	}
 	if k.Fleet != p.me.Fleet || k.Router != p.me.Name {
-		return nil, p.cfg.Refused("dir", fmt.Sprintf("%s is that of router %q of fleet %q, and this one is %q of %q", p.cfg.Dir,
+		return nil, p.cfg.Refused("fleet.dir", fmt.Sprintf("%s is that of router %q of fleet %q, and this one is %q of %q", p.cfg.Dir,
 			k.Router, k.Fleet, p.me.Name, p.me.Fleet), "give each router a folder of its own")
 	}
 	return k.Peers, nil
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/parts"
 	"spurtrestle/view"
@@ -17,21 +16,16 @@
 const (
 	kindWord  = 'w'
 	kindParts = 'p'
+	kindTalk  = 't'
 )
 
 const (
 	longest    = 4 << 10 // of a message
+	longTalk   = 1 << 20 // a history of documents
 	mostWords  = 8192    // of a state
 	mostAnswer = 1024    // that wait for a step
 )
 
-// monotonic is the clock that all processes of a machine share, in microseconds.
-func monotonic() int64 {
-	var t unix.Timespec
-	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it is always there
-	return t.Nano() / 1e3
-}
-
 // meta is what a process says of itself for all of its life, in as few bytes as its names allow.
 type meta struct {
 	F string `json:"f"`           // fleet
@@ -140,7 +134,7 @@
 
 // NotifyMsg takes in what another router says.
 func (p *Peers) NotifyMsg(b []byte) {
-	if len(b) < 2 || len(b) > longest {
+	if len(b) < 2 || len(b) > longest && (b[0] != kindTalk || len(b) > longTalk) {
 		return
 	}
 	switch b[0] {
@@ -149,6 +143,8 @@
 		if json.Unmarshal(b[1:], &w) == nil {
 			p.said(w)
 		}
+	case kindTalk:
+		p.talked(b[1:])
 	case kindParts:
 		var m parts.Message
 		if json.Unmarshal(b[1:], &m) != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,7 +14,6 @@
 	"io"
 	"log"
 	"net"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"sync"
@@ -44,6 +43,7 @@
 	refused map[string]time.Time
 	lending bool
 	told    share
+	hear    func(place.Process, []byte)
 	news    bool // the own word is another than was last passed on
 
 	list    *memberlist.Memberlist
@@ -76,7 +76,7 @@
 	}
 	process := binary.BigEndian.Uint64(id[:]) | 1
 	p.me = view.Member{Fleet: cfg.Fleet, Name: view.Name(cfg.Name), Site: view.Site(cfg.Site), Process: view.Process(process),
-		Seat: view.Seat(cfg.Seat), Started: p.start.UnixMicro(), Build: build(), Addr: cfg.Advertise.String()}
+		Seat: view.Seat(cfg.Seat), Started: p.start.UnixMicro(), Build: cfg.Build[:min(12, len(cfg.Build))], Addr: cfg.Advertise.String()}
 	rules := view.DefaultRules(view.Micros(cfg.Probe / time.Microsecond))
 	if cfg.Forget > 0 {
 		rules.Forget = view.Micros(cfg.Forget / time.Microsecond)
@@ -100,7 +100,7 @@
 		return p, nil
 	}
 	if err := p.begin(); err != nil {
-		return nil, cfg.Refused("listen", err.Error(), "give it an address of this machine that nobody listens on")
+		return nil, cfg.Refused("fleet.listen", err.Error(), "give it an address of this machine that nobody listens on")
 	}
 	if err := p.greet(); err != nil {
 		close(p.stop)
@@ -185,7 +185,7 @@
 			p.pass()
 		}
 		if why != "" {
-			return p.cfg.Refused("router", why, "give this one a name of its own")
+			return p.cfg.Refused("fleet.router", why, "give this one a name of its own")
 		}
 		if !twin {
 			return nil
@@ -223,7 +223,7 @@
 
 	p.mu.Lock()
 	now := p.micros()
-	p.news = p.view.Say(now, takes, draining, 0) || p.news
+	p.news = p.view.Say(now, takes, draining) || p.news
 	news, lines := p.view.Step(now)
 	p.news = news || p.news
 	pass, out := p.news, p.view.Out()
@@ -336,7 +336,7 @@
 
 func (p *Peers) tell(lines []view.Line) {
 	for _, l := range lines {
-		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": monotonic()})
+		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": place.Monotonic()})
 		if l.Bad {
 			entry.Warn("fleet: " + l.What)
 		} else {
@@ -403,17 +403,6 @@
 	p.keepKnown()
 }
 
-func build() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				return s.Value[:min(12, len(s.Value))]
-			}
-		}
-	}
-	return "unknown"
-}
-
 func (p *Peers) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/peers/talk.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"encoding/binary"
+
+	"spurtrestle/internal/place"
+	"spurtrestle/view"
+)
+
+// What follows makes Peers a place.Talk.
+
+// Me is this process.
+func (p *Peers) Me() place.Process { return place.Process(p.me.Process) }
+
+// Hear has what others tell come to a function.
+func (p *Peers) Hear(f func(place.Process, []byte)) {
+	p.mu.Lock()
+	p.hear = f
+	p.mu.Unlock()
+}
+
+func (p *Peers) talked(b []byte) {
+	p.mu.Lock()
+	hear := p.hear
+	p.mu.Unlock()
+	if len(b) > 8 && hear != nil {
+		hear(place.Process(binary.BigEndian.Uint64(b)), append([]byte(nil), b[8:]...)) // the library uses its buffer again
+	}
+}
+
+// Tell sends a message to a process. What does not fit into a packet goes over a connection, on a goroutine of its own.
+func (p *Peers) Tell(to place.Process, body []byte) {
+	const packet = 1200
+	if to == p.Me() {
+		p.mu.Lock()
+		hear := p.hear
+		p.mu.Unlock()
+		go hear(to, body)
+		return
+	}
+	p.mu.Lock()
+	node, list := p.nodes[view.Process(to)], p.list
+	p.mu.Unlock()
+	if node == nil || list == nil {
+		return
+	}
+	text := append(binary.BigEndian.AppendUint64([]byte{kindTalk}, uint64(p.me.Process)), body...)
+	if len(text) <= packet {
+		_ = list.SendBestEffort(node, text) // asked again
+		return
+	}
+	go func() { _ = list.SendReliable(node, text) }() // asked again
+}
+
+// Leaders are the processes that say that they lead the keepers.
+func (p *Peers) Leaders() (all []place.Process) {
+	p.words(func(m view.Member, w view.Word) {
+		if w.Leads {
+			all = append(all, place.Process(m.Process))
+		}
+	})
+	return all
+}
+
+// Leads says whether this one does.
+func (p *Peers) Leads(on bool) { p.sayMore(func(w *view.Word) { w.Leads = on }) }
+
+// Holds says which revision of the policy this router holds.
+func (p *Peers) Holds(revision uint64) { p.sayMore(func(w *view.Word) { w.Revision = revision }) }
+
+// Keeps says what this router is as a keeper.
+func (p *Peers) Keeps(k place.Keeping) {
+	p.sayMore(func(w *view.Word) { w.Folder, w.Keeper, w.Member, w.Last = k.Folder, k.Addr, k.Member, k.Last })
+}
+
+func (p *Peers) sayMore(change func(*view.Word)) {
+	p.mu.Lock()
+	p.news = p.view.SayMore(p.micros(), change) || p.news
+	p.mu.Unlock()
+}
+
+// Keepers are the living routers that are keepers.
+func (p *Peers) Keepers() (all []place.Keeping) {
+	p.words(func(m view.Member, w view.Word) {
+		if w.Folder != 0 {
+			all = append(all, place.Keeping{Name: string(m.Name), Process: place.Process(m.Process), Folder: w.Folder, Addr: w.Keeper,
+				Member: w.Member, Last: w.Last})
+		}
+	})
+	return all
+}
+
+// Met tells whether another router is there.
+func (p *Peers) Met() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.view.Living()) > 1
+}
+
+// Promised is the highest entry that any process with a folder of this number has spoken of.
+func (p *Peers) Promised(folder uint64) (last uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.view.Words() {
+		if w.Folder == folder {
+			last = max(last, w.Last)
+		}
+	}
+	return last
+}
+
+func (p *Peers) words(do func(view.Member, view.Word)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	words := map[view.Process]view.Word{}
+	for _, w := range p.view.Words() {
+		words[w.Process] = w
+	}
+	for _, m := range p.view.Living() {
+		do(m, words[m.Process])
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -22,9 +22,10 @@
 	Forget    time.Duration // 0: as the rules have it
 	Seats     int           // as many as the settings say that there are
 	Seat      int
+	Build     string
 	Follows   bool // it takes over from a process that lives, and has the address still
 	Clear     bool // that process has lent nothing
-	// Refused makes an error of a field of the operator's file.
+	// Refused makes an error of a field of the operator's file, as in "fleet.listen".
 	Refused func(field, what, remedy string) error
 }
 
@@ -46,5 +47,12 @@
 	Close(handed bool)      // once the router sends nothing more; handed: another process has taken over
 }
 
+// Policy is a router's side of the fleet's policy.
+type Policy interface {
+	Policy() (string, error)            // what is held here, as JSON
+	Ask(request string) (string, error) // of the keepers, for an operator
+	Close()
+}
+
 // Take takes a router's place. Errors are about the configuration.
 type Take func(Config, Router, *logrus.Logger) (Place, error)
--- /dev/null
+++ b/internal/place/talk.go
@@ -0,0 +1,37 @@
+package place
+
+import "golang.org/x/sys/unix"
+
+// Process is one life of a router.
+type Process uint64
+
+// Keeping is what a router says of itself as a keeper of the policy.
+type Keeping struct {
+	Name    string
+	Process Process
+	Folder  uint64 // its number; 0: the router is no keeper
+	Addr    string // where it is reached for the log
+	Member  bool   // it takes part
+	Last    uint64 // the last entry that it has
+}
+
+// Talk is how routers of a fleet speak to one another. Nothing of it waits, and what is told may be lost.
+type Talk interface {
+	Me() Process
+	Tell(to Process, body []byte)
+	Hear(func(from Process, body []byte)) // called by what reads; it must not wait
+	Leaders() []Process                   // who say that they lead the keepers
+	Leads(on bool)                        // this one does
+	Holds(revision uint64)
+	Keeps(Keeping)
+	Keepers() []Keeping // of the living routers, this one as well
+	Met() bool          // another router has been heard
+	Promised(folder uint64) (last uint64)
+}
+
+// Monotonic is the clock that all processes of a machine share, in microseconds.
+func Monotonic() int64 {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it is always there
+	return t.Nano() / 1e3
+}
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,57 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+
+	"spurtrestle/choice"
+)
+
+var own = choice.Settings{MaxWriteOuts: 3, MaxHint: 2e6, OverShareWorth: 0.1, ColdShare: 0.3, ColdSpan: 6e6, FallMultiple: 3, FallSpan: 2e6,
+	Methods: []choice.MethodSettings{{Name: "read", LatencyBudget: 200e3, Deadline: 700e3, Criticality: 2}, {Name: "hold", LatencyBudget: 300e3, Deadline: 900e3}},
+	Tenants: []choice.TenantSettings{{Name: "grain", Share: 0.6}, {Name: "dairy", Share: 0.4}}}
+
+func TestWhatIsLeftOutStays(t *testing.T) {
+	d, err := Parse("schema = 1\nmax_write_outs = 2\n[cold]\nspan = \"3s\"\n[[method]]\nname = \"hold\"\ncriticality = 7.0\n" +
+		"[[tenant]]\nname = \"dairy\"\nshare = 0.2\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := d.Settings(own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.MaxWriteOuts != 2 || s.ColdSpan != 3e6 || s.Methods[1].Criticality != 7 || s.Tenants[1].Share != 0.2 || s.ColdShare != 0.3 ||
+		s.Methods[0] != own.Methods[0] || s.Tenants[0].Share != 0.6 {
+		t.Errorf("%+v", s)
+	}
+	if own.Methods[1].Criticality != 0 || own.Tenants[1].Share != 0.4 {
+		t.Error("the router's own settings were written to")
+	}
+}
+
+func TestWrongDocumentsAreExplained(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                        "line 1: schema: is 0, and this build knows 1; write schema = 1",
+		"schema = 1\ncolor = 2":                   "line 2: color: is no field here; see docs/policy.md for all fields",
+		"schema = 1\nmax_write_outs = 0":          "line 2: max_write_outs: is 0; write 1 to 100",
+		"schema = 1\nmax_hint = \"soon\"":         `line 2: max_hint: "soon" is no span`,
+		"schema = 1\nout = [\"a\", \"a\"]":        `line 2: out: its entry 2, "a", is empty, too long or there twice`,
+		"schema = 1\n[cold]\nshare = 2.0":         "line 3: cold.share: 2 is no part of one",
+		"schema = 1\n[cold]\nfall_multiple = 0.0": "line 3: cold.fall_multiple: 0 is not above zero",
+		"schema = 1\n[[method]]\nname = \"x\"":    `line 3: method[0].name: "x" is no method of the settings`,
+		"schema = 1\n[[method]]\nname = \"read\"\neffect = \"free\"":       "line 4: method[0].effect: cannot change while routers serve",
+		"schema = 1\n[[method]]\nname = \"read\"\nlatency_budget = \"2s\"": `line 4: method[0].latency_budget: "2s" is no span from 1ms to 700ms`,
+		"schema = 1\n[[tenant]]\nname = \"grain\"\nshare = 0.9":            "line 4: tenant[0].share: all shares come to 1.3; let them come to 1 at most",
+		"schema = 1\n[[tenant]]\nname = \"grain\"\nshare = nan":            "line 4: tenant[0].share: NaN is no part of one",
+		"schema = 1\n#" + strings.Repeat("x", Longest):                     "it has 65548 bytes, and 65536 are the most",
+	} {
+		d, err := Parse(text)
+		if err == nil {
+			_, err = d.Settings(own)
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.60q: %v", text, err)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,8 +43,9 @@
 
 // Parts are what a program has linked in beside the router; nil: it has not. Each costs memory and time at the start.
 type Parts struct {
-	GRPC  Front
-	Fleet place.Take
+	GRPC   Front
+	Fleet  place.Take
+	Policy func(operator.Policy, place.Config, choice.Settings, *router.Router, place.Place, *logrus.Logger) (place.Policy, error)
 }
 
 // Front begins to take clients of a further protocol, and returns what ends that in order. It is told before the router
@@ -130,24 +131,24 @@
 func placeOf(mine operator.File, cfg config.Config) (place.Config, error) {
 	f := mine.Fleet
 	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Join: f.Join, Dir: f.Dir, Seats: cfg.Settings.Routers, Seat: cfg.Seat,
-		Refused: func(field, what, remedy string) error { return mine.Refused("fleet."+field, what, remedy) }}
+		Build: revision(), Refused: mine.Refused}
 	c.Listen, c.Advertise = f.Addresses()
 	c.Probe, c.Forget = f.Spans()
 	if c.Name == "" {
 		c.Name = cfg.Name
 	}
 	if c.Name == "" {
-		return c, c.Refused("router", "is empty, and so is name in the configuration", "give the router a name")
+		return c, c.Refused("fleet.router", "is empty, and so is name in the configuration", "give the router a name")
 	}
 	if c.Site == "" {
 		c.Site = cfg.Site
 	}
 	if len(cfg.Sites) > 0 && !slices.Contains(cfg.Sites, c.Site) {
-		return c, c.Refused("site", fmt.Sprintf("%q is none of the settings' zones", c.Site), fmt.Sprintf("write one of %q", cfg.Sites))
+		return c, c.Refused("fleet.site", fmt.Sprintf("%q is none of the settings' zones", c.Site), fmt.Sprintf("write one of %q", cfg.Sites))
 	}
 	if c.Dir != "" {
 		if info, err := os.Stat(c.Dir); err == nil && !info.IsDir() {
-			return c, c.Refused("dir", c.Dir+" is no folder", "name a folder, one for each router")
+			return c, c.Refused("fleet.dir", c.Dir+" is no folder", "name a folder, one for each router")
 		}
 	}
 	return c, nil
@@ -190,16 +191,20 @@
 }
 
 func version(out io.Writer) error {
-	rev := "unknown"
+	_, err := fmt.Fprintln(out, "spurtrestle", revision())
+	return err
+}
+
+// revision is what the program was built from.
+func revision() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" {
-				rev = s.Value
+				return s.Value
 			}
 		}
 	}
-	_, err := fmt.Fprintln(out, "spurtrestle", rev)
-	return err
+	return "unknown"
 }
 
 // withFleet is a router as the door sees it, with what is seen of the fleet from its place.
@@ -211,6 +216,18 @@
 // Figures are the router's and the view's.
 func (w withFleet) Figures() string { return w.Router.Figures() + w.Place.Figures() }
 
+// withPolicy is one that is kept to a policy of the whole fleet as well.
+type withPolicy struct {
+	withFleet
+	kept place.Policy
+}
+
+// Policy is what is held here, as JSON.
+func (w withPolicy) Policy() (string, error) { return w.kept.Policy() }
+
+// Ask asks the keepers.
+func (w withPolicy) Ask(request string) (string, error) { return w.kept.Ask(request) }
+
 func serve(log *logrus.Logger, own string, has Parts) error {
 	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
 	reload := make(chan os.Signal, 1)
@@ -251,13 +268,28 @@
 		r.Operate(intent.Open(os.TempDir(), cfg.Listen))
 		serveDoor = func(seen admin.Router) { go admin.Serve(door, cfg.Limits.Callers, seen) }
 	}
-	var fleet place.Place
+	leave := func() {}
 	if at.Fleet != "" {
 		at.Follows, at.Clear = r.Place(parts.Least(at.Seats))
-		if fleet, err = has.Fleet(at, r, log); err != nil {
+		fleet, err := has.Fleet(at, r, log)
+		if err != nil {
 			return err
 		}
-		serveDoor(withFleet{r, fleet})
+		seen := withFleet{r, fleet}
+		if mine.Policy.CutOff == "" {
+			serveDoor(seen)
+			leave = func() { fleet.Close(r.Handed()) }
+		} else {
+			kept, err := has.Policy(mine.Policy, at, cfg.Settings, r, fleet, log)
+			if err != nil {
+				return err
+			}
+			serveDoor(withPolicy{seen, kept})
+			leave = func() {
+				kept.Close()
+				fleet.Close(r.Handed())
+			}
+		}
 	} else {
 		serveDoor(r)
 	}
@@ -293,9 +325,7 @@
 		return err
 	}
 	front()
-	if fleet != nil {
-		fleet.Close(r.Handed())
-	}
+	leave()
 	log.Info(r.Counters())
 	if keeper != nil {
 		const most = time.Second // of the time that a planned restart leaves
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -333,6 +333,8 @@
 			c.now([]byte("-DRAINING as operators asked\r\n"))
 		case c.r.place.out != "":
 			c.now([]byte("-DRAINING the name is another router's\r\n"))
+		case c.r.place.shut:
+			c.now([]byte("-LOADING the policy may not be current\r\n"))
 		case !c.r.serving:
 			c.now([]byte("-LOADING no list of servers yet\r\n"))
 		case len(words) > 1:
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -43,6 +43,7 @@
 	errNoList   = errors.New("not ready: no list of servers yet")
 	errEmptying = errors.New("not ready: draining, as operators asked")
 	errPassed   = errors.New("not ready: another process has taken over")
+	errStale    = errors.New("not ready: it cannot prove that its policy is current")
 	errEnding   = errors.New("not ready: the process is ending")
 	errBusy     = errors.New("the router did not come to it in time; ask again")
 )
@@ -191,7 +192,7 @@
 	r.ops.wanted = i
 	for _, s := range r.servers {
 		uid := string(r.book.UID(s.id))
-		if out := i.Out(uid); out != was.Out(uid) {
+		if out := i.Out(uid); out != was.Out(uid) && !r.place.gone[uid] {
 			r.log.WithFields(map[string]any{"server": uid, "out": out}).Info("as operators asked")
 			r.bar(s, out, choice.Micros(i.Back[uid]))
 		}
@@ -242,6 +243,8 @@
 		return errEnding
 	case r.place.out != "":
 		return errors.New("not ready: " + r.place.out)
+	case r.place.shut:
+		return errStale
 	case r.ops.wanted.Empty && r.takeover.old == nil: // while the old process lives yes means that it may be ended
 		return errEmptying
 	case r.takeover.handing:
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"spurtrestle/choice"
@@ -10,11 +11,15 @@
 // place is the router's among the others, as far as something outside the loop keeps it. The fields are the loop's, but
 // that which is noted.
 type place struct {
-	watched bool          // something does; before Run
-	part    choice.Micros // until then the part holds that was told; 0: for ever
-	then    float64
-	whole   bool   // nothing of the own part is lent, or may be
-	out     string // why it takes no clients
+	have  float64       // the part; 0: it was not told yet, and the decisions have their own
+	part  choice.Micros // until then the part holds that was told; 0: for ever
+	then  float64
+	whole bool   // nothing of the own part is lent, or may be
+	out   string // why it takes no clients
+
+	may  atomic.Int64    // new reqs may be taken until then, as choice.Micros; 0: for ever. From any goroutine.
+	shut bool            // they may not
+	gone map[string]bool // cache servers that the fleet's policy leaves alone
 }
 
 var errHeir = errors.New("another process is taking over, which begins with the whole part")
@@ -23,11 +28,10 @@
 // certainly its own, unless it follows a process that has lent nothing. It tells whether that is so. Call it after Join
 // and before Run.
 func (r *Router) Place(least float64) (follows, whole bool) {
-	r.place.watched = true
 	follows = r.takeover.old != nil
 	whole = follows && r.takeover.asked != nil && r.takeover.asked.Whole
 	if r.place.whole = whole; !whole {
-		r.place.then, r.place.part = least, 1 // from the first batch on
+		r.place.have, r.place.then, r.place.part = least, least, 1 // from the first batch on
 	}
 	return follows, whole
 }
@@ -60,7 +64,9 @@
 		if !until.IsZero() {
 			r.place.part = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
 		}
-		r.input(choice.Parted{Part: now})
+		if r.place.have = now; !r.place.shut {
+			r.input(choice.Parted{Part: now})
+		}
 		r.batch() // in force before the yes
 	})
 	if busy != nil {
@@ -88,12 +94,67 @@
 }
 
 // refusing tells whether clients' connections are being ended.
-func (r *Router) refusing() bool { return r.draining || r.ops.wanted.Empty || r.place.out != "" }
+func (r *Router) refusing() bool {
+	return r.draining || r.ops.wanted.Empty || r.place.out != "" || r.place.shut
+}
 
-// lapse ends a part that was held until now: also in a process that stood still over its end.
+// lapse ends what was held until now, the part and the leave to take reqs: also in a process that stood still over its end.
+// A batch begins with it.
 func (r *Router) lapse() {
-	if p := &r.place; p.part != 0 && r.now >= p.part {
-		p.part = 0
-		r.decided = append(r.decided, r.core.Step(r.now, choice.Parted{Part: p.then})...)
+	p := &r.place
+	news := p.part != 0 && r.now >= p.part
+	if news {
+		p.part, p.have = 0, p.then
+	}
+	if may := choice.Micros(p.may.Load()); (may != 0 && r.now >= may) != p.shut {
+		p.shut, news = !p.shut, true
+		r.log.WithField("may", !p.shut).Debug("taking new reqs")
+		r.tellServing(r.serving && !r.refusing())
 	}
+	if !news {
+		return
+	}
+	part := p.have
+	if part == 0 {
+		part = 1 / float64(max(1, r.cfg.Settings.Routers))
+	}
+	if p.shut {
+		part = 0
+	}
+	r.decided = append(r.decided, r.core.Step(r.now, choice.Parted{Part: part})...)
 }
+
+// MayTake has the router take new reqs until a time: zero for ever, one that is past not at all. What it does not take
+// is nacked at once, and it is not ready meanwhile.
+func (r *Router) MayTake(until time.Time) {
+	at := choice.Micros(0)
+	if !until.IsZero() {
+		at = max(1, r.began+choice.Micros(until.Sub(r.start)/time.Microsecond))
+	}
+	r.place.may.Store(int64(at))
+}
+
+// SetPolicy has the router decide by other settings, with these cache servers left alone. It is in force once it returns
+// nil; with an error it may come into force later.
+func (r *Router) SetPolicy(s choice.Settings, out []string) error {
+	<-r.ready
+	return r.soon(func() {
+		was := r.place.gone
+		r.place.gone = map[string]bool{}
+		for _, uid := range out {
+			r.place.gone[uid] = true
+		}
+		r.cfg.Settings = s
+		r.input(choice.Changed{Settings: s})
+		for _, x := range r.servers {
+			uid := string(r.book.UID(x.id))
+			if gone := r.place.gone[uid]; gone != was[uid] && !r.ops.wanted.Out(uid) {
+				r.bar(x, gone, r.clock()) // given back it counts as just started
+			}
+		}
+		r.batch() // in force before the yes
+	})
+}
+
+// isOut tells whether a cache server is left alone, by an operator's word to this router or by the fleet's policy.
+func (r *Router) isOut(uid string) bool { return r.ops.wanted.Out(uid) || r.place.gone[uid] }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,6 +168,8 @@
 	var decided []choice.Decision
 	r.core, decided = choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
 	r.carryOut(decided)
+	r.lapse() // a router that has to be told first what it may take begins with nothing
+	r.carryOut(r.decided)
 	r.remind()
 	if len(r.cfg.Known) > 0 {
 		r.listCame(r.known)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -341,7 +341,7 @@
 			s = &server{id: e.Server}
 			r.servers[e.Server] = s
 			uid := string(r.book.UID(e.Server))
-			r.bar(s, r.ops.wanted.Out(uid), choice.Micros(r.ops.wanted.Back[uid])) // before anything is sent there
+			r.bar(s, r.isOut(uid), choice.Micros(r.ops.wanted.Back[uid])) // before anything is sent there
 		}
 		s.isOrigin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
 		if s.speaks = r.cache; s.isOrigin {
--- a/view/view.go
+++ b/view/view.go
@@ -50,6 +50,12 @@
 	Rival    Process // a younger process of its name that it has seen alive
 	Revision uint64  // of the policy that it holds; 0: there is none
 	Digest   uint64  // of its view, when it last was calm
+
+	Leads  bool   // it leads the keepers of the policy
+	Folder uint64 // the number of its folder as a keeper; 0: it is none
+	Keeper string // where it is reached as one
+	Member bool   // its folder takes part
+	Last   uint64 // the last entry of the log that it has
 }
 
 // State is what a router is held to be.
@@ -205,9 +211,16 @@
 }
 
 // Say sets what this router says of itself beyond what the view knows. It tells whether the own word is another now.
-func (v *View) Say(now Micros, takes, draining bool, revision uint64) bool {
+func (v *View) Say(now Micros, takes, draining bool) bool {
+	w := v.Word()
+	w.Takes, w.Draining = takes, draining
+	return v.say(now, w)
+}
+
+// SayMore sets the rest of what this router says of itself. It tells whether the own word is another now.
+func (v *View) SayMore(now Micros, change func(*Word)) bool {
 	w := v.Word()
-	w.Takes, w.Draining, w.Revision = takes, draining, revision
+	change(&w)
 	return v.say(now, w)
 }
 
