The lab changes policy under load, and its referee sees two served at once

Need: what the routers say of a policy proves nothing; the servers saw who was used.

Change: fault kind policy, [routers] policy; referee rule: a req asked more than a second after one router was first seen to serve a policy must not go to a server that it leaves alone, nor while a change that was refused. A folder that was lost or put back has no vote (TestKeeperFolders).

Seen by it: routers took over 2.7 s to end at SIGTERM: what asked the loop waited 0.8 s for one that was over, and the keepers' log was waited for while it waited for a majority. Both end at once now.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -308,17 +308,17 @@
 	k.mu.Lock()
 	bye := k.holder.Leave(k.micros())
 	k.mu.Unlock()
-	for range 3 { // a lost one is as a crash: the leader finds that its grant has run out
+	for range 2 { // a lost one is as a crash: the leader finds that its grant has run out
 		for _, leader := range k.fleet.Leaders() {
 			k.tell(leader, said{Renewal: &bye})
 		}
 		time.Sleep(60 * time.Millisecond)
 	}
 	close(k.stop)
-	k.ended.Wait()
 	if k.book != nil {
-		k.book.close()
+		k.book.close() // what waits for a majority ends with it
 	}
+	k.ended.Wait()
 }
 
 var errNoLeader = errors.New("no leader of the keepers can be reached; nothing was changed, or it is not known: ask again with the same token")
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -365,14 +365,15 @@
 
 func (l *log) close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.raft != nil {
-		_ = l.raft.Shutdown().Error() // it ends all the same
+	node, ends := l.raft, l.ends
+	l.ends = nil
+	l.mu.Unlock()
+	if node != nil {
+		_ = node.Shutdown().Error() // it ends all the same; entries still come in meanwhile
 	}
-	for i := len(l.ends) - 1; i >= 0; i-- {
-		if err := l.ends[i](); err != nil {
+	for i := len(ends) - 1; i >= 0; i-- {
+		if err := ends[i](); err != nil {
 			l.out.WithError(err).Debug("policy: closing the log")
 		}
 	}
-	l.ends = nil
 }
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -70,6 +70,7 @@
 	Late                      // the lab itself was late by Limit
 	Barred                    // a router said yes to leaving a server alone: Server, Router
 	Unbarred                  // it was told to use it again: Server, Router
+	Policied                  // a change of policy has its verdict: Note (the servers that it has out), Limit (1: everywhere), Since (when asked for)
 	Stalled                   // its process stands still, or goes on where Limit is 1: Router
 )
 
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -43,6 +43,8 @@
 		return r.actServer(ctx, f, a, struck)
 	case "routers":
 		r.actRouter(ctx, f, a)
+	case "policy":
+		r.acts.Go(func() { r.change(ctx, f) })
 	case "links":
 		r.actLinks(f, a.End)
 	case "sites":
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -76,11 +76,16 @@
 	return out
 }
 
-func (a *addresses) routers() []string            { return a.each("127.%d.250.%d:6379") }
-func (a *addresses) calls() []string              { return a.each("127.%d.249.%d:7443") }
-func (a *addresses) doors(n int) []string         { return a.each("127.%d.248.%d:%d", 10250+n) }
-func (a *addresses) views() []string              { return a.each("127.%d.247.%d:7946") }
-func (a *addresses) ways() []string               { return a.each("127.%d.246.%d:7946") }
+func (a *addresses) routers() []string    { return a.each("127.%d.250.%d:6379") }
+func (a *addresses) calls() []string      { return a.each("127.%d.249.%d:7443") }
+func (a *addresses) doors(n int) []string { return a.each("127.%d.248.%d:%d", 10250+n) }
+func (a *addresses) views() []string      { return a.each("127.%d.247.%d:7946") }
+func (a *addresses) ways() []string       { return a.each("127.%d.246.%d:7946") }
+
+// logs are the addresses of the keepers' log, beside those of the views.
+func (a *addresses) logs(of string) []string {
+	return a.each(map[string]string{"views": "127.%d.247.%d:7947", "ways": "127.%d.246.%d:7947"}[of])
+}
 func (a *addresses) discovery(moves int) []string { return a.each("127.%d.251.%d:%d", 8500+moves) }
 func (a *addresses) origin() []string             { return a.each("127.%d.252.%d:8080") }
 
--- /dev/null
+++ b/internal/lab/fleet/policy.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// found begins the policy of the run's routers.
+func (r *run) found(ctx context.Context) error {
+	if r.s.Routers.Policy == "" {
+		return nil
+	}
+	const patience = 10 * time.Second
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		_, err := r.ask(ctx, r.routers[0], map[string]any{"what": "found"})
+		if err == nil || time.Now().After(end) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// ask asks the keepers by a router's door.
+func (r *run) ask(ctx context.Context, p *router, q map[string]any) (v *accord.Verdict, err error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.door()+"/ops/policy/ask", strings.NewReader(string(body)))
+	if err != nil {
+		return nil, err
+	}
+	a, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(call)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	if err == nil && a.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", a.Status, text)
+	}
+	if err != nil || q["what"] == "found" {
+		return nil, err
+	}
+	var s struct{ Verdict *accord.Verdict }
+	err = json.Unmarshal(text, &s)
+	return s.Verdict, err
+}
+
+// change has operators ask for a policy that has the picked servers out, by one router after the other until there is a
+// verdict.
+func (r *run) change(ctx context.Context, f scenario.Fault) {
+	r.mu.Lock()
+	var out []string
+	for _, place := range f.Pick {
+		out = append(out, string(r.lives[place].entry.UID))
+	}
+	base := r.policy
+	r.mu.Unlock()
+	list, _ := json.Marshal(out) // strings: it cannot fail
+	began := r.log.Now()
+	q := map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = %s\n", list), "base": base, "token": fmt.Sprint("at ", began),
+		"author": "lab", "reason": "as the scenario has it"}
+	for n := 0; ctx.Err() == nil; n++ {
+		v, err := r.ask(ctx, r.routers[n%len(r.routers)], q)
+		if err != nil || v == nil {
+			time.Sleep(100 * time.Millisecond)
+			if n > 100 {
+				r.fail(ctx, fmt.Errorf("a change of policy has no verdict: %w", err))
+				return
+			}
+			continue
+		}
+		e := event.Event{Kind: event.Policied, Router: event.Nobody, Since: began, Note: strings.Join(out, " ")}
+		if v.Everywhere {
+			e.Limit = 1
+			r.mu.Lock()
+			r.policy = int(v.Revision)
+			r.mu.Unlock()
+		} else {
+			r.o.Log.WithField("why", v.Why).Info("a change of policy holds nowhere")
+		}
+		r.log.Add(e)
+		return
+	}
+}
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -121,6 +121,16 @@
 		text += fmt.Sprintf("[fleet]\nname = \"lab\"\nlisten = %q\nadvertise = %q\njoin = [%s]\nprobe = %q\n", p.run.net.views()[p.n],
 			p.run.net.ways()[p.n], strings.Join(join, ", "), p.run.s.Routers.Probe)
 	}
+	if cut := p.run.s.Routers.Policy; cut != "" {
+		text += fmt.Sprintf("[policy]\ncut_off = %q\nkeepers = [\"r0\", \"r1\", \"r2\"]\n", cut)
+		if p.n < 3 {
+			folder, err := filepath.Abs(filepath.Join(p.run.o.Dir, p.name()+"-keeper"))
+			if err != nil {
+				return err
+			}
+			text += fmt.Sprintf("listen = %q\nadvertise = %q\ndir = %q\n", p.run.net.logs("views")[p.n], p.run.net.logs("ways")[p.n], folder)
+		}
+	}
 	if !p.run.s.Routers.State {
 		return os.WriteFile(file, []byte(text), 0o644)
 	}
--- a/internal/lab/referee/line.go
+++ b/internal/lab/referee/line.go
@@ -11,7 +11,7 @@
 	event.Ended: "write-out ended", event.Ran: "effect ran", event.Fell: "fell over", event.Stopped: "origin stopped", event.Conn: "connected",
 	event.Came: "server up", event.Went: "server down", event.Odd: "odd", event.Told: "told", event.Due: "due", event.Up: "router up",
 	event.Term: "SIGTERM", event.Down: "router ended", event.Killed: "SIGKILL", event.Fault: "fault", event.Sample: "sample", event.Late: "late",
-	event.Stalled: "stalled"}
+	event.Stalled: "stalled", event.Policied: "policied"}
 
 var outcomes = map[event.Outcome]string{event.Satisfied: "satisfied", event.Nacked: "nacked", event.Failed: "failed", event.Foreign: "foreign value"}
 
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"spurtrestle/internal/lab/event"
 )
@@ -112,6 +113,7 @@
 	}
 	j.effects()
 	j.drains()
+	j.policies()
 	j.others()
 	slices.SortStableFunc(j.broken, func(a, b Broken) int { return cmp.Compare(a.At, b.At) })
 	return j.broken
@@ -395,6 +397,49 @@
 	}
 }
 
+// MixedFor is how long two policies may be served at once.
+const MixedFor event.Micros = 1e6
+
+// policies judges by what servers saw that two policies are never served at once for longer than that: a policy is told by
+// the servers that it leaves alone.
+func (j *judge) policies() {
+	type period struct {
+		from, until event.Micros // of when reqs were asked
+		out         []string
+	}
+	var all []period
+	var was []string
+	for i, e := range j.events {
+		if e.Kind != event.Policied || e.Limit != 1 {
+			continue
+		}
+		out := strings.Fields(e.Note)
+		held := e.At // or as soon as a server is used that only the next one uses
+		for _, x := range j.events[:i] {
+			if x.Kind == event.Begun && x.Since >= e.Since && slices.Contains(was, string(x.Server)) && !slices.Contains(out, string(x.Server)) {
+				held = min(held, x.Since)
+			}
+		}
+		if n := len(all); n > 0 {
+			all[n-1].until = e.Since
+		}
+		all = append(all, period{held + MixedFor, math.MaxInt64, out})
+		was = out
+	}
+	for _, e := range j.events {
+		q := j.reqs[e.Req]
+		if e.Kind != event.Begun || q == nil || !q.hasAsked {
+			continue
+		}
+		at := q.asked[q.asking(e.Router, e.Since)].At
+		for _, p := range all {
+			if at > p.from+j.slack(at) && at < p.until && slices.Contains(p.out, string(e.Server)) {
+				j.add(3, q, e.Since, fmt.Sprintf("a req taken %v after a policy was held was sent to %s, which it leaves alone", (at-p.from+MixedFor).Duration(), e.Server))
+			}
+		}
+	}
+}
+
 // others judges rule 4, and what is no rule of its own.
 func (j *judge) others() {
 	ends := map[event.Router]event.Micros{} // when it was told to end
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -287,3 +288,52 @@
 	})
 	r.holds(3, upTo(5)...)
 }
+
+// A keeper whose folder was lost has no vote until an operator has its old one count no more; a folder that was put back
+// takes no part at all, since the others have heard it speak of more.
+func TestKeeperFolders(t *testing.T) {
+	r := founded(t, "refuse", 3, 3)
+	at := (r.leader(3) + 1) % 3
+	other := (at + 1) % 3
+	folder := r.file(at, "keeper")
+	r.must(r.Stop("stopped", at))
+	r.must(os.CopyFS(folder+"-old", os.DirFS(folder)))
+	r.start("again", at)
+	r.holds(0, 0, 1, 2)
+	for n := range 3 {
+		v, err := r.apply(other, n, fmt.Sprint("n", n), docOut("s0"))
+		r.must(err)
+		if !v.Everywhere {
+			t.Fatalf("%+v", v)
+		}
+	}
+	r.holds(3, 0, 1, 2)
+	time.Sleep(500 * time.Millisecond) // its word of what it has goes round
+
+	r.Kill("put back", at)
+	r.must(os.RemoveAll(folder))
+	r.must(os.Rename(folder+"-old", folder))
+	r.start("put back", at)
+	r.until("a folder that was put back takes no part", func() bool {
+		return strings.Contains(r.held(at).Folder, "it was put back, or lost")
+	})
+	r.holds(3, 0, 1, 2) // as a router it goes on
+
+	r.Kill("lost", at)
+	r.must(os.RemoveAll(folder))
+	r.start("lost", at)
+	time.Sleep(2 * time.Second)
+	if h := r.held(at); h.Folder == "" {
+		t.Error("a new folder takes part unasked")
+	}
+	_, err := r.ask(other, map[string]any{"what": "replace", "name": fmt.Sprintf("r%d", at), "author": "test", "reason": "lost"})
+	r.must(err)
+	r.until("it is taken up anew", func() bool {
+		s, err := r.ask(other, map[string]any{"what": "status"})
+		return err == nil && len(s.Keepers) == 3 && r.held(at).Folder == ""
+	})
+	v, err := r.apply(at, 3, "with it", docOut("s1"))
+	if err != nil || !v.Everywhere {
+		t.Errorf("%+v, %v", v, err)
+	}
+}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -52,6 +52,7 @@
 	"router_replace":   {"routers", "", false},
 	"router_reload":    {"routers", "", false},
 	"router_stall":     {"routers", "", true},
+	"policy":           {"policy", "", false},
 	"link_drop":        {"links", "share", true},
 	"link_cut":         {"links", "", true},
 	"link_delay":       {"links", "step", true},
@@ -114,6 +115,8 @@
 	c.want(s.Routers.Count >= 1 && s.Routers.Count <= 64, "routers.count", "is not from 1 to 64", "write such a number")
 	c.want(s.Routers.MemoryMB >= 16, "routers.memory_mb", "is below 16", "give each router 16 MB at least")
 	c.want(s.Routers.Descriptors >= 80, "routers.descriptors", "is below 80", "give each router 80 at least")
+	c.oneOf("routers.policy", s.Routers.Policy, "", "serve", "refuse")
+	c.want(s.Routers.Policy == "" || s.Routers.Fleet && s.Routers.Count >= 3, "routers.policy", "needs three routers that keep a view of one another", "set fleet = true and count = 3 at least")
 	c.positive("routers.cores", float64(s.Routers.Cores))
 	c.want(s.Routers.Probe >= 100e3 && s.Routers.Probe <= 10e6, "routers.probe", "is not from 100ms to 10s", "write such a span")
 	c.want(s.Servers.Count >= 1 && s.Servers.Count <= 200, "servers.count", "is not from 1 to 200", "write such a number")
@@ -210,6 +213,7 @@
 	c.part(f+"part", x.Part)
 	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
 		"batch": x.Batch > 0 && x.Batch <= 1, "count": x.Count > 0 && x.Count <= 2000, "site": x.Site != "", "": true}
+	c.want(kind.strikes != "policy" || s.Routers.Policy != "", f+"kind", "changes a policy that the routers do not have", "set policy under [routers]")
 	c.want(kind.strikes != "links" || s.Routers.Fleet, f+"kind", "strikes what routers tell one another, and they tell nothing",
 		"set fleet = true under [routers]")
 	for name, group := range map[string][]int{"from": x.From, "to": x.To} {
@@ -223,7 +227,7 @@
 	for j, form := range x.Answers {
 		c.oneOf(fmt.Sprintf("%sanswers[%d]", f, j), form, "endless", "huge", "length", "nested", "noise")
 	}
-	most := map[string]int{"servers": s.Servers.Count, "routers": s.Routers.Count}[kind.strikes]
+	most := map[string]int{"servers": s.Servers.Count, "policy": s.Servers.Count, "routers": s.Routers.Count}[kind.strikes]
 	for j, n := range x.Pick {
 		c.want(n >= 0 && n < most, fmt.Sprintf("%spick[%d]", f, j), fmt.Sprintf("%d is none of the %s", n, kind.strikes),
 			fmt.Sprintf("count from 0 to %d", most-1))
@@ -232,5 +236,5 @@
 		"write one of "+strings.Join(s.Sites, ", "))
 }
 
-// Strikes names what a kind of fault strikes: servers, routers, links (what routers tell one another), sites, origin, discovery or clients.
+// Strikes names what a kind of fault strikes: servers, routers, links (what routers tell one another), policy, sites, origin, discovery or clients.
 func (k faultKind) Strikes() string { return k.strikes }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -92,13 +92,14 @@
 
 // Routers are the programs under test.
 type Routers struct {
-	Count       int  `toml:"count"`
-	MemoryMB    int  `toml:"memory_mb"`
-	Descriptors int  `toml:"descriptors"`
-	Cores       int  `toml:"cores"` // GOMAXPROCS of each
-	State       bool `toml:"state"` // each has a folder that outlives it
-	Fleet       bool `toml:"fleet"` // they keep a view of one another, over a network that can be cut
-	Probe       Span `toml:"probe"` // between two probes of one another
+	Count       int    `toml:"count"`
+	MemoryMB    int    `toml:"memory_mb"`
+	Descriptors int    `toml:"descriptors"`
+	Cores       int    `toml:"cores"`  // GOMAXPROCS of each
+	State       bool   `toml:"state"`  // each has a folder that outlives it
+	Fleet       bool   `toml:"fleet"`  // they keep a view of one another, over a network that can be cut
+	Policy      string `toml:"policy"` // they hold one policy, kept by the first three; serve or refuse, where one is cut off
+	Probe       Span   `toml:"probe"`  // between two probes of one another
 }
 
 // Servers are the cache servers.
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -95,6 +95,8 @@
 	select {
 	case <-done:
 		return nil
+	case <-r.ended:
+		return errEnding
 	case <-time.After(span(r.lim.Door)):
 		return errBusy
 	}
