--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run demo bench lab proto standing
+.PHONY: build test lint fuzz run demo bench lab proto standing fleet-long
 
 # As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
@@ -9,7 +9,7 @@
 	go test -p 1 ./...
 
 lint:
-	test -z "$$(gofmt -l ageing choice cmd internal parts proto slate view)"
+	test -z "$$(gofmt -l accord ageing choice cmd internal parts proto slate view)"
 	go vet ./...
 
 fuzz:
@@ -29,6 +29,12 @@
 lab: build
 	bin/spurctl lab run lab/scenarios/*.toml
 
+# Fleets without load, through faults between the processes: some twenty minutes.
+fleet-long: build
+	bin/spurctl lab views --rounds 100 --routers 12
+	bin/spurctl lab views --measure --routers 60
+	bin/spurctl lab views --measure --routers 20 --drop 0.3
+
 bench: build
 	bin/spurctl lab bench --self
 	bin/spurctl lab bench
