--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run demo bench lab proto standing fleet-long
+.PHONY: build test lint fuzz run demo bench lab proto standing fleet-long policy-long
 
 # As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
@@ -35,6 +35,10 @@
 	bin/spurctl lab views --measure --routers 60
 	bin/spurctl lab views --measure --routers 20 --drop 0.3
 
+# Changes of policy all the time under faults: a quarter of an hour.
+policy-long: build
+	bin/spurctl lab policies --rounds 200 --parallel 6
+
 bench: build
 	bin/spurctl lab bench --self
 	bin/spurctl lab bench
--- /dev/null
+++ b/internal/lab/rig/policies.go
@@ -0,0 +1,329 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/lab/links"
+	"spurtrestle/internal/lab/viewref"
+)
+
+// PolicyOutcome is a round of changes under faults.
+type PolicyOutcome struct {
+	Seed       uint64          `json:"seed"`
+	CutOff     string          `json:"cut_off"`
+	Did        []string        `json:"did"`
+	Everywhere int             `json:"everywhere"`
+	Nowhere    int             `json:"nowhere"`
+	Unknown    int             `json:"unknown"` // no answer came to any try
+	Took       []time.Duration `json:"took"`    // of those that hold everywhere, from the asking to the verdict
+	Broken     []string        `json:"broken"`
+}
+
+// asked is one operator's call, for the judge of the history.
+type asked struct {
+	read  bool
+	base  accord.Revision
+	known bool // the answer
+	done  bool // it holds everywhere
+	now   accord.Revision
+}
+
+// history is judged as a counter that only the right base moves on: each answer must fit one moment between call and return.
+var history = porcupine.Model{
+	Init: func() any { return accord.Revision(0) },
+	Step: func(state, in, out any) (bool, any) {
+		at, q, a := state.(accord.Revision), in.(asked), out.(asked)
+		switch {
+		case q.read:
+			return a.now == at, at
+		case a.known && a.done:
+			return q.base == at && a.now == at+1, at + 1
+		case a.known:
+			return true, at
+		}
+		return true, at // it was never made; where it was, it is told to be below
+	},
+}
+
+// AskPolicy asks the keepers by a router's door.
+func (r *Rig) AskPolicy(by int, q map[string]any) (v *accord.Verdict, current accord.Revision, err error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return nil, 0, err
+	}
+	c := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Post("http://"+r.Door(by)+"/ops/policy/ask", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	if err == nil && a.StatusCode != http.StatusOK {
+		err = errors.New(strings.TrimSpace(string(text)))
+	}
+	if err != nil || q["what"] == "found" {
+		return nil, 0, err
+	}
+	var s struct {
+		Verdict *accord.Verdict
+		Current accord.Revision
+	}
+	err = json.Unmarshal(text, &s)
+	return s.Verdict, s.Current, err
+}
+
+// Holds is what a router says that it holds, and whether it takes reqs under it.
+func (r *Rig) Holds(i int) (revision accord.Revision, may bool, err error) {
+	text, err := r.Call(i, "GET", "/ops/policy")
+	if err != nil {
+		return 0, false, err
+	}
+	var h struct {
+		InForce accord.Revision `json:"in_force"`
+		May     bool            `json:"may_take"`
+	}
+	err = json.Unmarshal([]byte(text), &h)
+	return h.InForce, h.May, err
+}
+
+// mixed looks at all routers all the time, and tells where one takes reqs under a revision for longer than the window after
+// another was seen to take them under the next.
+func (r *Rig) mixed(stop chan struct{}, n int) (broken []string) {
+	const window, look = time.Second, 400 * time.Millisecond // an answer may be that old
+	first := map[accord.Revision]time.Duration{}
+	for {
+		select {
+		case <-stop:
+			return broken
+		case <-time.After(20 * time.Millisecond):
+		}
+		for i := range n {
+			if !r.Running(i) {
+				continue
+			}
+			began := r.Now()
+			revision, may, err := r.Holds(i)
+			if err != nil || !may || r.Now()-began > look {
+				continue
+			}
+			if at, ok := first[revision]; !ok || r.Now() < at {
+				first[revision] = r.Now() // by then it surely did
+			}
+			for newer, at := range first {
+				if newer > revision && began > at+window {
+					broken = append(broken, fmt.Sprintf("at %v router %d takes reqs under %d, and %d was served at %v", began, i, revision, newer, at))
+				}
+			}
+		}
+	}
+}
+
+// PolicyRound has operators change the policy all the time while faults strike, puts all in order, and judges.
+func PolicyRound(o Options, acts int) (out PolicyOutcome, err error) {
+	if o.Dir, err = os.MkdirTemp(o.Dir, "policy"); err != nil {
+		return out, err
+	}
+	o.Keepers = 3
+	o.Policy = []string{"refuse", "serve"}[o.Seed%2]
+	r, err := New(o)
+	if err != nil {
+		return out, err
+	}
+	defer r.Close()
+	out = PolicyOutcome{Seed: o.Seed, CutOff: o.Policy}
+	n := o.Routers
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	if err := r.Start("start of all", all...); err != nil {
+		return out, err
+	}
+	if _, _, err := r.AskPolicy(0, map[string]any{"what": "found"}); err != nil {
+		return out, err
+	}
+	if err := r.allHold(0, all, 20*time.Second); err != nil {
+		return out, err
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	note := func(client int, q, a asked, from, to time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		ops = append(ops, porcupine.Operation{ClientId: client, Input: q, Output: a, Call: int64(from), Return: int64(to)})
+	}
+	type lost struct {
+		token string
+		q     asked
+		from  time.Duration
+		by    int
+	}
+	var unknown []lost
+	for op := range 2 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(o.Seed, uint64(100+op)))
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(rng.Int64N(int64(800 * time.Millisecond)))):
+				}
+				by := rng.IntN(n)
+				if !r.Running(by) {
+					continue
+				}
+				from := r.Now()
+				_, current, err := r.AskPolicy(by, map[string]any{"what": "status"})
+				if err != nil {
+					continue
+				}
+				note(2*op, asked{read: true}, asked{now: current}, from, r.Now())
+				from = r.Now()
+				token := fmt.Sprintf("%d-%d", op, k)
+				q := asked{base: current}
+				v, _, err := r.AskPolicy(by, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", token), "base": current,
+					"token": token, "author": fmt.Sprint("operator ", op), "reason": token})
+				if err != nil || v == nil {
+					mu.Lock()
+					unknown = append(unknown, lost{token, q, from, 2*op + 1})
+					mu.Unlock()
+					continue
+				}
+				to := r.Now()
+				note(2*op+1, q, asked{known: true, done: v.Everywhere, now: v.Revision}, from, to)
+				mu.Lock()
+				if v.Everywhere {
+					out.Everywhere++
+					out.Took = append(out.Took, to-from)
+				} else {
+					out.Nowhere++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Go(func() {
+		broken := r.mixed(stop, n)
+		mu.Lock()
+		out.Broken = append(out.Broken, broken...)
+		mu.Unlock()
+	})
+	rng := rand.New(rand.NewPCG(o.Seed, 9))
+	for range acts {
+		time.Sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
+		i, what := rng.IntN(n), ""
+		group := rng.Perm(n)[:1+rng.IntN(n/2)]
+		switch rng.IntN(7) {
+		case 0:
+			what = fmt.Sprintf("kill of %d", i)
+			r.Kill(what, i)
+		case 1:
+			what = "all that are gone start"
+			err = r.order(what, all)
+		case 2:
+			what = fmt.Sprintf("stall of %d", i)
+			err = r.Stall(what, true, i)
+		case 3:
+			what = fmt.Sprintf("%v cut off", group)
+			r.Cut(what, true, group, all, true, false)
+		case 4:
+			what = "ways healed"
+			r.Cut(what, false, all, all, true, false)
+		case 5:
+			what = "30% lost, a fifth doubled and late"
+			r.Links.Change(all, all, func(x *links.Rule) { x.Drop, x.Twice, x.Late = 0.3, 0.2, 0.2 })
+		case 6:
+			what = fmt.Sprintf("%d heard by none", i)
+			r.Cut(what, true, []int{i}, all, false, false)
+		}
+		out.Did = append(out.Did, what)
+		if err != nil {
+			break
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if err != nil {
+		return out, err
+	}
+	r.Links.Change(all, all, func(x *links.Rule) { *x = links.Rule{} })
+	r.did("all in order", viewref.Word, 0, 0)
+	if err := r.order("all in order", all); err != nil {
+		return out, err
+	}
+	// Those whose answer was lost are asked for again by their token; the verdict may have come at any time since.
+	last := accord.Revision(0)
+	for end := time.Now().Add(40 * time.Second); ; {
+		ok := true
+		for _, u := range unknown {
+			v, _, err := r.AskPolicy(0, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", u.token), "base": u.q.base, "token": u.token,
+				"author": "operator", "reason": u.token})
+			if err != nil || v == nil {
+				ok = false
+				break
+			}
+			note(u.by, u.q, asked{known: true, done: v.Everywhere, now: v.Revision}, u.from, r.Now())
+			unknown = unknown[1:]
+		}
+		if ok {
+			from := r.Now()
+			_, current, err := r.AskPolicy(0, map[string]any{"what": "status"})
+			if ok = err == nil; ok {
+				last = current
+				note(9, asked{read: true}, asked{now: current}, from, r.Now())
+				break
+			}
+		}
+		if time.Now().After(end) {
+			out.Broken = append(out.Broken, fmt.Sprintf("%d changes have no verdict 40 s after all was put in order", len(unknown)))
+			break
+		}
+	}
+	out.Unknown = len(unknown)
+	if err := r.allHold(last, all, 30*time.Second); err != nil {
+		out.Broken = append(out.Broken, err.Error())
+	}
+	switch porcupine.CheckOperationsTimeout(history, ops, time.Minute) {
+	case porcupine.Illegal:
+		out.Broken = append(out.Broken, fmt.Sprintf("the history of %d calls fits no order", len(ops)))
+	case porcupine.Unknown:
+		out.Broken = append(out.Broken, "the history could not be judged in a minute")
+	}
+	if len(out.Broken) == 0 {
+		return out, os.RemoveAll(o.Dir)
+	}
+	return out, nil
+}
+
+// allHold waits until routers take reqs under a revision.
+func (r *Rig) allHold(revision accord.Revision, who []int, most time.Duration) error {
+	for end := time.Now().Add(most); ; time.Sleep(50 * time.Millisecond) {
+		why := ""
+		for _, i := range who {
+			if at, may, err := r.Holds(i); err != nil || !may || at != revision {
+				why = fmt.Sprintf("router %d holds %d, takes reqs: %v; %v", i, at, may, err)
+			}
+		}
+		if why == "" {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not all hold revision %d within %v: %s", revision, most, why)
+		}
+	}
+}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -508,3 +508,26 @@
 		t.Errorf("its part is %d", p)
 	}
 }
+
+// Sixteen join four within a second; then each of twelve is stopped in order and started again, one after the other; and one
+// flaps: the others see it as there or gone, and settle once it stays.
+func TestJoinsRollAndFlap(t *testing.T) {
+	r := play(t, Options{Routers: 20, Poll: 300 * time.Millisecond})
+	r.start("start", 0, 1, 2, 3)
+	r.settle()
+	r.start("sixteen join", upTo(20)[4:]...)
+	r.settle()
+	for _, i := range upTo(20)[4:16] {
+		r.must(r.Stop("roll", i))
+		r.start("roll", i)
+	}
+	r.settle()
+	for range 5 {
+		r.Kill("flap", 19)
+		time.Sleep(100 * time.Millisecond)
+		r.start("flap", 19)
+		time.Sleep(200 * time.Millisecond)
+	}
+	r.settle()
+	r.judge(bounds)
+}
