What operators ask is one type for tool and keepers; a change that one router cannot hold, and one in a roll

Cause: the same two structs stood in spurctl and keeper (duplicates). They are accord.Request and Reply now. TestPolicyOneCannot: a router with other settings refuses a document by name, line and field, and the change holds nowhere; changes in the midst of a roll through all routers and keepers hold or do not, and all hold the last one.

--- a/internal/keeper/door.go
+++ b/internal/keeper/door.go
@@ -11,49 +11,22 @@
 	"spurtrestle/internal/place"
 )
 
-// Request is what an operator asks, by any router, of the leader.
-type Request struct {
-	ID      uint64          `json:"id"`
-	What    string          `json:"what"` // apply, status, history, dead, replace
-	Doc     string          `json:"doc,omitempty"`
-	Base    accord.Revision `json:"base,omitempty"`
-	Token   accord.Token    `json:"token,omitempty"`
-	Author  string          `json:"author,omitempty"`
-	Reason  string          `json:"reason,omitempty"`
-	Name    string          `json:"name,omitempty"`
-	At      int64           `json:"at,omitempty"`
-	Process place.Process   `json:"process,omitempty"` // of the router that asks for the operator
-}
-
-// Reply is the leader's answer.
-type Reply struct {
-	ID        uint64            `json:"id"`
-	Error     string            `json:"error,omitempty"`
-	Verdict   *accord.Verdict   `json:"verdict,omitempty"`
-	Current   accord.Revision   `json:"current"`
-	Pending   *accord.Change    `json:"pending,omitempty"`
-	History   []accord.Change   `json:"history,omitempty"`
-	Said      []accord.Entry    `json:"said,omitempty"`
-	Standings []accord.Standing `json:"standings,omitempty"`
-	Keepers   []string          `json:"keepers,omitempty"`
-}
-
 // Ask asks the leader for an operator and waits for the answer.
 func (k *Keeper) Ask(text string) (string, error) {
-	var q Request
+	var q accord.Request
 	if err := json.Unmarshal([]byte(text), &q); err != nil {
 		return "", fmt.Errorf("what is asked cannot be read: %w", err)
 	}
 	if q.What == "found" {
 		return k.found()
 	}
-	q.ID, q.Process = rand.Uint64()|1, k.fleet.Me()
+	q.ID = rand.Uint64() | 1
 	if q.What == "apply" {
 		if err := k.check(q.Doc); err != nil { // before anything is sent
 			return "", err
 		}
 	}
-	came := make(chan Reply, 1)
+	came := make(chan accord.Reply, 1)
 	k.mu.Lock()
 	k.calls[q.ID] = came
 	k.mu.Unlock()
@@ -80,7 +53,7 @@
 }
 
 // replied is called with the lock held.
-func (k *Keeper) replied(r Reply) {
+func (k *Keeper) replied(r accord.Reply) {
 	select {
 	case k.calls[r.ID] <- r:
 	default:
@@ -88,14 +61,14 @@
 }
 
 // serve answers what an operator asked at another router, or this one, where this keeper leads.
-func (k *Keeper) serve(from place.Process, q Request) {
+func (k *Keeper) serve(from place.Process, q accord.Request) {
 	k.mu.Lock()
 	book, council := k.book, k.council
 	k.mu.Unlock()
 	if council == nil || book == nil {
 		return
 	}
-	reply := func(r Reply) {
+	reply := func(r accord.Reply) {
 		r.ID = q.ID
 		k.tell(from, said{Reply: &r})
 	}
@@ -104,7 +77,7 @@
 	case "apply":
 		b := book.now()
 		if v, over := b.Verdicts[q.Token]; over {
-			reply(Reply{Verdict: &v})
+			reply(accord.Reply{Verdict: &v})
 			return
 		}
 		k.mu.Lock()
@@ -128,7 +101,7 @@
 	if err == nil && !book.confirmed() {
 		return // another leads: it will be asked
 	}
-	r := Reply{}
+	r := accord.Reply{}
 	if err != nil {
 		r.Error = err.Error()
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -56,8 +56,8 @@
 	council  *accord.Council // nil: this one does not lead
 	book     *log            // nil: this one is no keeper, or not yet
 	asks     []ask
-	wants    map[accord.Token][]waiting // who waits for a verdict
-	calls    map[uint64]chan Reply      // of operators, at this router
+	wants    map[accord.Token][]waiting   // who waits for a verdict
+	calls    map[uint64]chan accord.Reply // of operators, at this router
 	entering map[accord.Name]accord.Micros
 	inForce  accord.Revision // that the loop decides by
 	cannot   string          // why it cannot hold what is in force
@@ -81,7 +81,7 @@
 
 // Open begins to hold the fleet's policy, and to keep it where this router is a keeper.
 func Open(cfg Config, process place.Process, build string, router Router, fleet place.Talk, logger *logrus.Logger) (*Keeper, error) {
-	k := &Keeper{cfg: cfg, router: router, fleet: fleet, log: logger, start: time.Now(), build: build, wants: map[accord.Token][]waiting{}, calls: map[uint64]chan Reply{},
+	k := &Keeper{cfg: cfg, router: router, fleet: fleet, log: logger, start: time.Now(), build: build, wants: map[accord.Token][]waiting{}, calls: map[uint64]chan accord.Reply{},
 		entering: map[accord.Name]accord.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
 	k.holder = accord.NewHolder(accord.DefaultRules(), accord.Name(cfg.Name), accord.Process(process), cfg.Serves, build, k.check)
 	if cfg.keeps() {
@@ -145,8 +145,8 @@
 type said struct {
 	Renewal *accord.Renewal `json:"r,omitempty"`
 	Grant   *accord.Grant   `json:"g,omitempty"`
-	Request *Request        `json:"q,omitempty"`
-	Reply   *Reply          `json:"a,omitempty"`
+	Request *accord.Request `json:"q,omitempty"`
+	Reply   *accord.Reply   `json:"a,omitempty"`
 	Welcome string          `json:"w,omitempty"` // to a keeper whose folder may vote: its number
 }
 
@@ -298,7 +298,7 @@
 		delete(k.wants, token)
 		k.mu.Unlock()
 		for _, w := range waits {
-			k.tell(w.from, said{Reply: &Reply{ID: w.id, Verdict: &v}})
+			k.tell(w.from, said{Reply: &accord.Reply{ID: w.id, Verdict: &v}})
 		}
 	}
 }
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -337,3 +337,57 @@
 		t.Errorf("%+v, %v", v, err)
 	}
 }
+
+// One router cannot hold a change, as an older build or one with other settings: nowhere, by its name and field.
+func TestPolicyOneCannot(t *testing.T) {
+	r := founded(t, "refuse", 4, 3)
+	r.must(r.Stop("other settings", 3))
+	r.Deadline(3, 300*time.Millisecond)
+	r.start("other settings", 3)
+	r.ready(3)
+	const doc = "schema = 1\n[[method]]\nname = \"read\"\nlatency_budget = \"400ms\"\n"
+	v, err := r.apply(0, 0, "too long for one", doc)
+	if err != nil || v.Everywhere || !strings.Contains(v.Why, "r3 (build ") || !strings.Contains(v.Why, `cannot hold it: line 4: method[0].latency_budget: "400ms" is no span from 1ms to 300ms`) {
+		t.Errorf("%+v, %v", v, err)
+	}
+	r.holds(0, 0, 1, 2, 3)
+	// A change in the midst of a roll through all of them.
+	rolled := make(chan error, 1)
+	go func() {
+		for _, i := range []int{3, 2, 1, 0} {
+			if err := r.Stop("roll", i); err != nil {
+				rolled <- err
+				return
+			}
+			if err := r.Start("roll", i); err != nil {
+				rolled <- err
+				return
+			}
+		}
+		rolled <- nil
+	}()
+	current := 0
+	for n := 0; ; n++ {
+		token := fmt.Sprint("in the roll ", n)
+		for end := time.Now().Add(bounds.Settle); ; {
+			if v, err = r.apply(3, current, token, docOut(token)); err == nil || time.Now().After(end) {
+				break
+			}
+			time.Sleep(50 * time.Millisecond) // the router asked is down: asked again by the same token
+		}
+		r.must(err)
+		if v.Everywhere {
+			current++
+		}
+		select {
+		case err := <-rolled:
+			r.must(err)
+			r.holds(accord.Revision(current), 0, 1, 2, 3)
+			if current < 2 {
+				t.Errorf("only %d of %d changes held", current, n+1)
+			}
+			return
+		default:
+		}
+	}
+}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,14 +55,15 @@
 	http  *http.Client
 	set   scenario.Scenario
 
-	mu      sync.Mutex
-	at      []*process.Process // nil: not running
-	names   []string
-	homes   []int // whose addresses a router uses; its own, but in trials
-	truth   []viewref.Truth
-	samples []viewref.Sample
-	stopped []bool
-	doors   []string
+	mu        sync.Mutex
+	at        []*process.Process // nil: not running
+	names     []string
+	deadlines map[int]time.Duration // of those whose settings are others
+	homes     []int                 // whose addresses a router uses; its own, but in trials
+	truth     []viewref.Truth
+	samples   []viewref.Sample
+	stopped   []bool
+	doors     []string
 
 	paused atomic.Bool
 	stop   context.CancelFunc
@@ -71,7 +73,7 @@
 
 // New prepares a rig, with no router running.
 func New(o Options) (*Rig, error) {
-	r := &Rig{o: o, start: time.Now(), at: make([]*process.Process, o.Routers), stopped: make([]bool, o.Routers),
+	r := &Rig{o: o, start: time.Now(), at: make([]*process.Process, o.Routers), stopped: make([]bool, o.Routers), deadlines: map[int]time.Duration{},
 		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if r.net, err = fleet.NewNetwork(o.Routers); err != nil {
@@ -222,7 +224,12 @@
 
 // Configure writes a router's files.
 func (r *Rig) Configure(i int) error {
-	text, err := fleet.Config(r.set, i, r.names[i], r.net.Routers()[i], r.net.Discovery()[i], fmt.Sprintf("%x", i+1), r.reg.Known(event.Router(i)))
+	set := r.set
+	if d := r.deadlines[i]; d > 0 {
+		set.Methods = slices.Clone(set.Methods)
+		set.Methods[0].Deadline = scenario.Span(d / time.Microsecond)
+	}
+	text, err := fleet.Config(set, i, r.names[i], r.net.Routers()[i], r.net.Discovery()[i], fmt.Sprintf("%x", i+1), r.reg.Known(event.Router(i)))
 	if err == nil {
 		err = os.WriteFile(r.file(i, "json"), text, 0o644)
 	}
@@ -301,6 +308,9 @@
 // Home has a router use the addresses of another for its view, from its next start on.
 func (r *Rig) Home(i, of int) { r.homes[i] = of }
 
+// Deadline gives a router's settings another deadline of the method, from its next start on.
+func (r *Rig) Deadline(i int, d time.Duration) { r.deadlines[i] = d }
+
 // Name gives a router another name, from its next start on.
 func (r *Rig) Name(i int, name string) { r.names[i] = name }
 
