A keeper waits for its folder, and what the door reads of the part is guarded

Seen: the rig's tests with programs built by -race told of two races: the door read the part that the peers' goroutine writes, and a keeper read whether its folder is a member's while founding wrote it.

Also: opening a folder that another process has waited for ever, holding the lock that the router's step needs; it is tried again each half second. A folder that was put back is the one case that ends the trying.

--- a/internal/keeper/door.go
+++ b/internal/keeper/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -171,7 +172,11 @@
 
 // resume takes part again after a restart, once it is known what the others have heard this folder speak of.
 func (k *Keeper) resume() {
-	if k.book == nil || !k.book.file.Member {
+	if k.book == nil {
+		return
+	}
+	number, was := k.book.folder()
+	if !was {
 		return
 	}
 	const patience = 3 * time.Second
@@ -182,7 +187,21 @@
 		default:
 		}
 	}
-	if err := k.book.begin(k.fleet.Promised(k.book.file.Number), false); err != nil {
-		k.log.WithError(err).Error("policy: this keeper takes no part")
+	for said := false; ; said = true {
+		err := k.book.begin(k.fleet.Promised(number), false)
+		if err == nil {
+			return
+		}
+		if !said {
+			k.log.WithError(err).Error("policy: this keeper takes no part")
+		}
+		if errors.Is(err, errPutBack) {
+			return
+		}
+		select { // a process before this one may have the folder, or the address
+		case <-k.stop:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
 	}
 }
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/sirupsen/logrus"
+	"go.etcd.io/bbolt"
 
 	"spurtrestle/accord"
 	"spurtrestle/internal/place"
@@ -61,6 +62,8 @@
 	answerWithin = 2 * time.Second
 )
 
+var errPutBack = errors.New("was put back, or lost")
+
 func openLog(cfg LogConfig, name string, out *logrus.Logger) (*log, error) {
 	l := &log{cfg: cfg, out: out, book: &accord.Book{}, done: map[accord.Token]accord.Verdict{}, why: "it has not been welcomed yet"}
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
@@ -121,7 +124,8 @@
 			l.ends = nil
 		}
 	}()
-	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(l.cfg.Dir, "log.db")})
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(l.cfg.Dir, "log.db"),
+		BoltOptions: &bbolt.Options{Timeout: 100 * time.Millisecond}}) // else it waits for ever for a process that has it
 	if err != nil {
 		return err
 	}
@@ -138,8 +142,8 @@
 		last = max(last, all[0].Index)
 	}
 	if last < promised {
-		return fmt.Errorf("the folder ends at entry %d, and its keeper has spoken of %d: it was put back, or lost; "+
-			"empty it, and have the keeper taken up anew with spurctl policy keeper replace", last, promised)
+		return fmt.Errorf("the folder ends at entry %d, and its keeper has spoken of %d: it %w; "+
+			"empty it, and have the keeper taken up anew with spurctl policy keeper replace", last, promised, errPutBack)
 	}
 	ln, err := net.Listen("tcp", l.cfg.Listen.String())
 	if err != nil {
@@ -353,6 +357,13 @@
 	return all
 }
 
+// folder is its number, and whether it took part before.
+func (l *log) folder() (number uint64, was bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.file.Number, l.file.Member
+}
+
 // last is the last entry that this folder has, and its number.
 func (l *log) last() (number, last uint64, member bool) {
 	l.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -281,12 +281,13 @@
 }
 
 func (p *Peers) set(s share) bool {
-	if err := p.router.SetPart(s.now, s.until, s.then); err != nil {
+	err := p.router.SetPart(s.now, s.until, s.then)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.told = s; err != nil {
 		p.told = share{now: -1} // it may or may not have it
-		return false
 	}
-	p.told = s
-	return true
+	return err == nil
 }
 
 // seats are the other seats that one router holds. Two on one seat are lent nothing.
