--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -335,7 +335,7 @@
 	if k.cfg.Serves {
 		w.CutOff = "serve"
 	}
-	w.Takes = knows && k.cannot == "" && (until == 0 || until > now)
+	w.Takes = knows && k.cannot == "" && k.inForce == revision && (until == 0 || until > now) // as step has it
 	if k.book != nil {
 		w.Folder = k.book.state()
 	}
