One way to ask the keepers in the rig; fields and a method that nobody used are cut

Cause: on rereading the change the rig's tests asked the keepers by a copy of Rig.AskPolicy, the council kept a map that nothing read, and a comment stood over another function.

--- a/accord/book.go
+++ b/accord/book.go
@@ -230,7 +230,6 @@
 	heard   map[Name]heard
 	pending Token
 	since   Micros // of the pending change, at this council
-	asked   map[Kind]Micros
 }
 
 type heard struct {
@@ -240,7 +239,7 @@
 
 // NewCouncil begins as leader.
 func NewCouncil(now Micros, rules Rules) *Council {
-	return &Council{rules: rules, began: now, heard: map[Name]heard{}, asked: map[Kind]Micros{}}
+	return &Council{rules: rules, began: now, heard: map[Name]heard{}}
 }
 
 // Answer takes in an asking, and answers it once a majority has confirmed the leader after it had come; book is as of then.
--- a/accord/explore_test.go
+++ b/accord/explore_test.go
@@ -16,7 +16,6 @@
 var ticks = Rules{Lease: 1, Ask: 1, Again: 1, Patience: 3}
 
 type scope struct {
-	serves  []bool // by router
 	ticks   Micros
 	states  int
 	visited map[string]bool
@@ -41,7 +40,7 @@
 	c := *s
 	c.book = s.book.Clone()
 	l := *s.council
-	l.heard, l.asked = maps.Clone(s.council.heard), maps.Clone(s.council.asked)
+	l.heard = maps.Clone(s.council.heard)
 	c.council = &l
 	c.routers = make([]*Holder, len(s.routers))
 	for i, h := range s.routers {
@@ -205,7 +204,7 @@
 }
 
 func explore(serves []bool, span Micros, asks []int, budget [5]int, bug string) *scope {
-	x := &scope{serves: serves, ticks: span, visited: map[string]bool{}, bug: bug}
+	x := &scope{ticks: span, visited: map[string]bool{}, bug: bug}
 	s := &state{book: &Book{}, council: NewCouncil(0, ticks), first: map[Revision]Micros{}, budget: budget}
 	for i, serve := range serves {
 		p := Process(i + 1)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -8,7 +8,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -356,5 +355,3 @@
 	Leads    bool            `json:"leads"`
 	Folder   string          `json:"folder,omitempty"`
 }
-
-func (h Held) String() string { return fmt.Sprintf("revision %d", h.Revision) }
--- a/internal/lab/rig/policies.go
+++ b/internal/lab/rig/policies.go
@@ -59,30 +59,25 @@
 }
 
 // AskPolicy asks the keepers by a router's door.
-func (r *Rig) AskPolicy(by int, q map[string]any) (v *accord.Verdict, current accord.Revision, err error) {
+func (r *Rig) AskPolicy(by int, q map[string]any) (a accord.Reply, err error) {
 	body, err := json.Marshal(q)
 	if err != nil {
-		return nil, 0, err
+		return a, err
 	}
 	c := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	a, err := c.Post("http://"+r.Door(by)+"/ops/policy/ask", "application/json", bytes.NewReader(body))
+	got, err := c.Post("http://"+r.Door(by)+"/ops/policy/ask", "application/json", bytes.NewReader(body))
 	if err != nil {
-		return nil, 0, err
+		return a, err
 	}
-	defer a.Body.Close()
-	text, err := io.ReadAll(a.Body)
-	if err == nil && a.StatusCode != http.StatusOK {
+	defer got.Body.Close()
+	text, err := io.ReadAll(got.Body)
+	if err == nil && got.StatusCode != http.StatusOK {
 		err = errors.New(strings.TrimSpace(string(text)))
 	}
-	if err != nil || q["what"] == "found" {
-		return nil, 0, err
+	if err == nil && q["what"] != "found" {
+		err = json.Unmarshal(text, &a)
 	}
-	var s struct {
-		Verdict *accord.Verdict
-		Current accord.Revision
-	}
-	err = json.Unmarshal(text, &s)
-	return s.Verdict, s.Current, err
+	return a, err
 }
 
 // Holds is what a router says that it holds, and whether it takes reqs under it.
@@ -152,7 +147,7 @@
 	if err := r.Start("start of all", all...); err != nil {
 		return out, err
 	}
-	if _, _, err := r.AskPolicy(0, map[string]any{"what": "found"}); err != nil {
+	if _, err := r.AskPolicy(0, map[string]any{"what": "found"}); err != nil {
 		return out, err
 	}
 	if err := r.allHold(0, all, 20*time.Second); err != nil {
@@ -188,16 +183,18 @@
 					continue
 				}
 				from := r.Now()
-				_, current, err := r.AskPolicy(by, map[string]any{"what": "status"})
+				now, err := r.AskPolicy(by, map[string]any{"what": "status"})
 				if err != nil {
 					continue
 				}
+				current := now.Current
 				note(2*op, asked{read: true}, asked{now: current}, from, r.Now())
 				from = r.Now()
 				token := fmt.Sprintf("%d-%d", op, k)
 				q := asked{base: current}
-				v, _, err := r.AskPolicy(by, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", token), "base": current,
+				a, err := r.AskPolicy(by, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", token), "base": current,
 					"token": token, "author": fmt.Sprint("operator ", op), "reason": token})
+				v := a.Verdict
 				if err != nil || v == nil {
 					mu.Lock()
 					unknown = append(unknown, lost{token, q, from, 2*op + 1})
@@ -271,8 +268,9 @@
 	for end := time.Now().Add(40 * time.Second); ; {
 		ok := true
 		for _, u := range unknown {
-			v, _, err := r.AskPolicy(0, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", u.token), "base": u.q.base, "token": u.token,
+			a, err := r.AskPolicy(0, map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [%q]\n", u.token), "base": u.q.base, "token": u.token,
 				"author": "operator", "reason": u.token})
+			v := a.Verdict
 			if err != nil || v == nil {
 				ok = false
 				break
@@ -282,10 +280,10 @@
 		}
 		if ok {
 			from := r.Now()
-			_, current, err := r.AskPolicy(0, map[string]any{"what": "status"})
+			now, err := r.AskPolicy(0, map[string]any{"what": "status"})
 			if ok = err == nil; ok {
-				last = current
-				note(9, asked{read: true}, asked{now: current}, from, r.Now())
+				last = now.Current
+				note(9, asked{read: true}, asked{now: last}, from, r.Now())
 				break
 			}
 		}
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -1,10 +1,8 @@
 package rig
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -16,42 +14,8 @@
 // A policy whose revisions show from outside: the server that is out.
 func docOut(uid string) string { return fmt.Sprintf("schema = 1\nout = [%q]\n", uid) }
 
-type policySaid struct {
-	Verdict   *accord.Verdict
-	Current   accord.Revision
-	Error     string
-	Standings []accord.Standing
-	Keepers   []string
-}
-
-// ask asks the keepers by a router.
-func (t trial) ask(by int, q map[string]any) (s policySaid, err error) {
-	body, err := json.Marshal(q)
-	if err != nil {
-		return s, err
-	}
-	c := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	a, err := c.Post("http://"+t.Door(by)+"/ops/policy/ask", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return s, err
-	}
-	defer a.Body.Close()
-	var out bytes.Buffer
-	if _, err := out.ReadFrom(a.Body); err != nil {
-		return s, err
-	}
-	if a.StatusCode != http.StatusOK {
-		return s, fmt.Errorf("%s: %s", a.Status, strings.TrimSpace(out.String()))
-	}
-	if q["what"] == "found" {
-		return s, nil
-	}
-	err = json.Unmarshal(out.Bytes(), &s)
-	return s, err
-}
-
 func (t trial) apply(by int, base int, token, doc string) (accord.Verdict, error) {
-	s, err := t.ask(by, map[string]any{"what": "apply", "doc": doc, "base": base, "token": token, "author": "test", "reason": token})
+	s, err := t.AskPolicy(by, map[string]any{"what": "apply", "doc": doc, "base": base, "token": token, "author": "test", "reason": token})
 	if err != nil || s.Verdict == nil {
 		return accord.Verdict{}, fmt.Errorf("no verdict: %w", err)
 	}
@@ -99,11 +63,11 @@
 	if _, err := r.Call(0, "GET", "/ops/readiness"); err == nil {
 		t.Error("a router takes clients before it knows the policy")
 	}
-	_, err := r.ask(0, map[string]any{"what": "found"})
+	_, err := r.AskPolicy(0, map[string]any{"what": "found"})
 	r.must(err)
 	r.ready(upTo(routers)...)
 	r.until("all keepers vote", func() bool {
-		s, err := r.ask(0, map[string]any{"what": "status"})
+		s, err := r.AskPolicy(0, map[string]any{"what": "status"})
 		return err == nil && len(s.Keepers) == keepers
 	})
 	return r
@@ -266,7 +230,7 @@
 	}
 	r.holds(1, upTo(4)...)
 	r.Kill("dead", 4)
-	_, err = r.ask(1, map[string]any{"what": "dead", "name": "r4", "author": "test", "reason": "its machine is off"})
+	_, err = r.AskPolicy(1, map[string]any{"what": "dead", "name": "r4", "author": "test", "reason": "its machine is off"})
 	r.must(err)
 	if v, err = r.apply(0, 1, "third", docOut("s1")); err != nil || !v.Everywhere {
 		t.Fatalf("%+v, %v", v, err)
@@ -326,10 +290,10 @@
 	if h := r.held(at); h.Folder == "" {
 		t.Error("a new folder takes part unasked")
 	}
-	_, err := r.ask(other, map[string]any{"what": "replace", "name": fmt.Sprintf("r%d", at), "author": "test", "reason": "lost"})
+	_, err := r.AskPolicy(other, map[string]any{"what": "replace", "name": fmt.Sprintf("r%d", at), "author": "test", "reason": "lost"})
 	r.must(err)
 	r.until("it is taken up anew", func() bool {
-		s, err := r.ask(other, map[string]any{"what": "status"})
+		s, err := r.AskPolicy(other, map[string]any{"what": "status"})
 		return err == nil && len(s.Keepers) == 3 && r.held(at).Folder == ""
 	})
 	v, err := r.apply(at, 3, "with it", docOut("s1"))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -62,7 +62,7 @@
 	until     time.Time
 }
 
-// A router that begins has the least that it may have until it knows what the process before has lent.
+// micros is the time since the start, by the monotonic clock.
 func (p *Peers) micros() view.Micros { return view.Micros(time.Since(p.start) / time.Microsecond) }
 
 // Open takes the router's place. Errors are about the configuration: they name file, field and remedy. What is wrong later
