--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,7 @@
 			(*Router).giveUp},
 		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
 		{"a fetch of its key is out: wait for it", (*Router).fetchIsOut, (*Router).hold},
-		{"a miss, a write in aside mode, or a read too urgent for a cache goes to the origin",
+		{"a miss, or a write in aside mode, goes to the origin",
 			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write) },
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
