--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,14 +33,13 @@
 		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= q.most }, (*Router).giveUp},
 		{"this router has no part in what may be sent, so nothing new is",
 			func(r *Router, q *req) bool { return r.part == 0 && q.sent == 0 }, (*Router).giveUp},
-		{"the fleet refuses what is worth so little now", func(_ *Router, q *req) bool { return q.shed },
-			(*Router).giveUp},
+		{"the fleet refuses what is worth so little now", (*Router).isShed, (*Router).giveUp},
 		{"the retry budget is spent", func(r *Router, q *req) bool { return q.retrying && r.retries < 1 },
 			(*Router).giveUp},
 		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
 		{"a fetch of its key is out: wait for it", (*Router).fetchIsOut, (*Router).hold},
-		{"a miss, or a write in aside mode, goes to the origin",
-			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write) },
+		{"a miss, a write in aside mode, or a read too urgent for a cache goes to the origin",
+			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q)) },
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
 		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
@@ -92,6 +91,14 @@
 	}
 }
 
+// isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them,
+// was seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while
+// its last answers are under the goal. It could harm where the origin tells too little of its load.
+func (r *Router) isUrgent(q *req) bool {
+	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
+		q.method.aim < 2*r.seen.best && r.originIsFree(q, false)
+}
+
 // isTooLate: less than a quick answer's time is seldom enough. Reqs that came with a tenth of their time left
 // filled the caches with what nobody waited for. Half of its aim is always worth a try.
 func (r *Router) isTooLate(q *req) bool {
@@ -112,8 +119,7 @@
 		return false
 	}
 	q.admitted = true
-	// In a jam what is over its tenant's share yields, and does not count as asked: a surge of one tenant took
-	// the place of the others.
+	// In a jam what is over its tenant's share yields, uncounted: one tenant's surge took the others' place.
 	over := q.worth < q.method.worth
 	part := ((1.02+0.43*q.worth)*r.answered.now(r.now, trafficSpan) + granted) / r.asked.now(r.now, trafficSpan)
 	if over && part < 1 {
@@ -162,7 +168,6 @@
 		d.After = min(d.After, r.maxHint)
 	}
 	r.decided = append(r.decided, d)
-	r.tally.giveUp(q, r.now)
 	r.finish(q)
 }
 
@@ -171,7 +176,7 @@
 	if !q.done && q.admitted && !q.short && q.sent > 0 {
 		r.asked.add(r.now, trafficSpan)
 	}
-	r.tally.end(q, r.now)
+	r.note(q)
 	q.done, q.settled = true, true
 	if r.fetches[q.key] == q {
 		delete(r.fetches, q.key)
@@ -298,8 +303,7 @@
 		if q.target == nil || r.wait(s) < r.wait(q.target) {
 			q.target = s
 		}
-		// An ordinary key spills to a partner only while the origin could carry the misses that this causes, or
-		// where waiting here is of no use.
+		// An ordinary key spills only while the origin could carry the misses, or where to wait is of no use.
 		if w := r.wait(s); !hot && r.now+w <= q.soon() && !r.originTakes(w > s.time) {
 			return false
 		}
@@ -436,7 +440,6 @@
 		s.heard = r.now
 		if status == OK && !s.origin {
 			r.hits.add(r.now, trafficSpan)
-			count(&r.tally.answers, s.Zone, r.now)
 		}
 		if status == OK || s.time == 0 {
 			r.measure(s, took)
@@ -540,8 +543,7 @@
 	}
 	// The router's part of its work is that of a mean cache's hits (misses cost little); at the start half of
 	// what came stands for them. The budget grows evenly from somewhere under one: of hundreds of routers each
-	// has less than one write-out in the window, and one from each at once is many times what a cold cache can
-	// do.
+	// has less than one write-out in the window, and one from each at once is many times what it can do.
 	since := 1 - math.Exp(-float64(r.now+1-r.began)/trafficSpan)
 	hits := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since
 	mean := hits / float64(len(r.caches))
@@ -770,9 +772,7 @@
 	case Parted:
 		r.part = e.Part
 	case Planned:
-		if r.replan(e) {
-			r.listCame(ListCame{Kind: ListChanges})
-		}
+		r.replan(e)
 	case Changed:
 		r.adopt(e.Settings)
 	case Learned:
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -16,7 +16,6 @@
 	givenUp   decayed // and those of them that were given up
 	worth     decayed // of those that were let in
 	worthLost decayed // and of those of them that were given up
-	answers   map[Zone]*decayed
 }
 
 // tallySpan smooths over what one router sees of a rank by chance, and shows a loss within a second.
@@ -34,20 +33,22 @@
 	d.add(now, tallySpan)
 }
 
-func (t *tally) giveUp(q *req, now Micros) {
-	if !q.done && !q.shed {
-		t.givenUp.add(now, tallySpan)
-		t.worthLost.addSome(q.worth, now, tallySpan)
+// note counts a req that ends, once, by what was just decided on it.
+func (r *Router) note(q *req) {
+	if q.done || q.shed {
+		return
 	}
-}
-
-func (t *tally) end(q *req, now Micros) {
-	if !q.done && !q.shed {
-		t.ended.add(now, tallySpan)
-		t.worth.addSome(q.worth, now, tallySpan)
+	t := &r.tally
+	t.ended.add(r.now, tallySpan)
+	t.worth.addSome(q.worth, r.now, tallySpan)
+	if n := len(r.decided); n > 0 && r.decided[n-1].Req == q.id && (r.decided[n-1].Action == Nack || r.decided[n-1].Action == Fail) {
+		t.givenUp.add(r.now, tallySpan)
+		t.worthLost.addSome(q.worth, r.now, tallySpan)
 	}
 }
 
+func (r *Router) isShed(q *req) bool { return q.shed }
+
 // fetchWait is the time until one more read may go to the origin, behind so many that wait: this router has its part of
 // what the origin bears for all, saved up for a quarter of a second. The misses of a cold site swamp an origin.
 func (r *Router) fetchWait(ahead int) Micros {
@@ -61,13 +62,13 @@
 	return Micros(max(0, min(longest, 1e6*(1+float64(ahead)-r.fetchLeft)/rate)))
 }
 
-// replan keeps what the fleet keeps to now, and tells whether the caches to be used are others.
-func (r *Router) replan(p Planned) (others bool) {
-	others = !slices.Equal(r.planned.Parts, p.Parts)
+// replan keeps what the fleet keeps to now; the caches to be used may be others by it.
+func (r *Router) replan(p Planned) {
+	others := !slices.Equal(r.planned.Parts, p.Parts)
 	if r.planned = p; others {
 		clear(r.ways) // of a zone that is let in again the last word is old
+		r.listCame(ListCame{Kind: ListChanges})
 	}
-	return others
 }
 
 // spend counts a read that goes to the origin.
@@ -132,16 +133,12 @@
 			zones[s.Zone] = z
 		}
 		z.Listed++
+		z.Answers += s.rate.now(r.now, rateSpan)
 		quiet := r.seen.long > 0 && s.inFlight > 0 && r.now-s.heard > 3*r.seen.long // as usable has it
 		if r.ways[s.Zone].rest > 0 || s.aside > 0 || quiet {
 			z.Silent++
 		}
 	}
-	for zone, d := range t.answers {
-		if z := zones[zone]; z != nil {
-			z.Answers = d.now(r.now, tallySpan)
-		}
-	}
 	for _, z := range zones {
 		f.Zones = append(f.Zones, *z)
 	}
