--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run demo bench lab proto standing fleet-long policy-long
+.PHONY: build test lint fuzz run demo bench lab proto standing fleet-long policy-long site-long
 
 # As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
@@ -39,6 +39,10 @@
 policy-long: build
 	bin/spurctl lab policies --rounds 200 --parallel 6
 
+# Losses of whole sites under faults between the routers: ten minutes.
+site-long: build
+	bin/spurctl lab sites --rounds 50
+
 bench: build
 	bin/spurctl lab bench --self
 	bin/spurctl lab bench
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -92,7 +92,7 @@
 }
 
 // isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them,
-// was seldom answered in time, and after a miss never. The origin, to which a connection is kept, has it while
+// was seldom answered in time, after a miss never. The origin, to which a connection is kept, has it while
 // its last answers are under the goal. It could harm where the origin tells too little of its load.
 func (r *Router) isUrgent(q *req) bool {
 	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
--- a/cmd/spurctl/lab.go
+++ b/cmd/spurctl/lab.go
@@ -28,7 +28,7 @@
 		Args:    cobra.NoArgs,
 		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(a.initLab(), a.check(), a.plan(), a.run(), a.compare(), a.recovery(), a.show(), a.record(), a.bench(), a.views(), a.policies())
+	c.AddCommand(a.initLab(), a.check(), a.plan(), a.run(), a.compare(), a.recovery(), a.show(), a.record(), a.bench(), a.views(), a.policies(), a.sites())
 	return c
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -357,6 +357,9 @@
 	if k.book != nil {
 		w.Folder = k.book.state()
 	}
+	if o := k.sites.orders; k.sites.came != 0 && now < k.sites.came+ordersLast && !o.None() {
+		w.Orders = &o
+	}
 	text, err := json.MarshalIndent(w, "", " ")
 	return string(text) + "\n", err
 }
@@ -373,4 +376,6 @@
 	Keeper   bool            `json:"keeper"`
 	Leads    bool            `json:"leads"`
 	Folder   string          `json:"folder,omitempty"`
+
+	Orders *siteplan.Orders `json:"orders,omitempty"` // about sites, from the leader
 }
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -42,6 +42,7 @@
 	Keep    bool          // each has a folder for the peers known
 	Policy  string        // cut_off; empty: there is none. The keepers are the first routers
 	Keepers int
+	Servers int                     // cache servers of each site that discovery lists; 0: one in all
 	Fleet   func(router int) string // the fleet's name; nil: one for all
 }
 
@@ -103,6 +104,9 @@
 		r.net.Close()
 		return nil, err
 	}
+	for _, site := range o.Sites {
+		r.List(site, o.Servers)
+	}
 	// A server that nobody asks: with none a router takes no clients.
 	r.reg.Set(registry.Entry{UID: "s0", Zone: o.Sites[0], Kind: "cache", State: "active", Addr: func(i event.Router) string { return r.net.Server(0)[i] }}, true)
 	if o.Poll > 0 {
@@ -115,6 +119,20 @@
 	return r, nil
 }
 
+// List has discovery list so many of a site's cache servers, and no others of it. Nobody asks them for anything, and none is
+// there.
+func (r *Rig) List(site string, n int) {
+	for i := range r.o.Servers {
+		state := "active"
+		if i >= n {
+			state = "left"
+		}
+		place := 1 + i + r.o.Servers*slices.Index(r.o.Sites, site)
+		r.reg.Set(registry.Entry{UID: event.Server(fmt.Sprintf("%s-%d", site, i)), Zone: site, Kind: "cache", State: state,
+			Addr: func(i event.Router) string { return r.net.Server(place)[i] }}, false)
+	}
+}
+
 // Close ends every router and the network.
 func (r *Rig) Close() {
 	if r.closed {
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -47,7 +47,10 @@
 	if o.Program, err = program(); err != nil {
 		t.Fatal(err)
 	}
-	o.Dir, o.Probe, o.Sites = t.TempDir(), probe, []string{"north", "south"}
+	o.Dir, o.Probe = t.TempDir(), probe
+	if o.Sites == nil {
+		o.Sites = []string{"north", "south"}
+	}
 	if o.Seed == 0 {
 		o.Seed = 1
 	}
