--- a/accord/holder.go
+++ b/accord/holder.go
@@ -18,6 +18,7 @@
 	refused  Token
 	why      string
 	leaving  bool
+	granted  bool // by the leader, to this process itself
 	asked    Micros
 	answered bool // the last asking
 	began    bool
@@ -62,7 +63,7 @@
 	if h.prepared != "" && g.Pending != h.prepared && g.Index <= h.at {
 		return false, false // made before the change was asked for
 	}
-	h.answered = true
+	h.answered, h.granted = true, true
 	if g.Index > h.index {
 		h.index = g.Index
 	}
@@ -91,6 +92,37 @@
 	return adopt, news
 }
 
+// Bequest is what a process leaves, again and again, to the one that takes over from it and cannot ask the leader yet. It
+// counts for no longer than what the process itself could still take by, had it just promised a change: so whatever it
+// promises later, its heir stops in time.
+type Bequest struct {
+	Revision Revision
+	Index    Index
+	Doc      string
+	For      Micros
+}
+
+// Bequeath is what to leave now; false: nothing.
+func (h *Holder) Bequeath(now Micros) (Bequest, bool) {
+	until := h.Takes(now)
+	if until == 0 {
+		until = now + h.rules.Lease
+	}
+	return Bequest{h.revision, h.index, h.doc, until - now}, h.knows && until > now
+}
+
+// Inherit takes in what the process before this one left. adopt: another revision is in force here. What the leader has
+// granted to this process itself goes before it.
+func (h *Holder) Inherit(now Micros, b Bequest) (adopt bool) {
+	if h.granted || h.leaving || h.knows && b.Revision < h.revision || b.For <= 0 {
+		return false
+	}
+	adopt = !h.knows || b.Revision > h.revision
+	h.knows, h.revision, h.doc, h.index = true, b.Revision, b.Doc, max(h.index, b.Index)
+	h.until = max(h.until, now+min(b.For, h.rules.Lease))
+	return adopt
+}
+
 // Held is the revision in force here, and its document; false: it was not told yet.
 func (h *Holder) Held() (Revision, string, bool) { return h.revision, h.doc, h.knows }
 
@@ -100,7 +132,7 @@
 	switch {
 	case !h.knows || h.leaving:
 		return now
-	case h.serves && h.prepared == "":
+	case h.serves && h.prepared == "" && h.granted:
 		return 0
 	}
 	return h.until
--- a/cmd/spurctl/fleetsite.go
+++ b/cmd/spurctl/fleetsite.go
@@ -175,6 +175,9 @@
 				bearing[i].Bears = y.Bears
 			}
 		}
+		if seen != nil {
+			bearing[i].Bears *= max(1, seen.More)
+		}
 		if bearing[i].Bears == 0 {
 			return fmt.Errorf("sites.site: what %s bears is not told; write bears, or ask a router with --door", x.Name)
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -28,6 +28,7 @@
 	Client    Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
 	Value     Kind = 'V' // old to new, with a client's connection and a server's: a big value on its way
 	Holds     Kind = 'S' // both: how many descriptors I hold
+	Bequest   Kind = 'P' // old to new: what it holds of the fleet's policy, for a moment
 	headBytes      = 5
 	most           = 4 << 20 // bytes of one frame
 )
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -42,6 +42,9 @@
 	SetPolicy(s choice.Settings, out []string) error
 	// MayTake has it take new reqs until a time: zero for ever, one that is past not at all.
 	MayTake(until time.Time)
+	// Bequeath leaves something to the process that is to replace this one; Inherit has that come to a function.
+	Bequeath(what func() []byte)
+	Inherit(func([]byte))
 	// SitePlan has it keep to what the fleet does about a lost site, until a time, and tells its load of late. It is in
 	// force once the error is nil.
 	SitePlan(p choice.Planned, until time.Time) (choice.Figures, error)
@@ -98,6 +101,7 @@
 		k.book = book
 	}
 	router.MayTake(time.Unix(0, 1)) // not before it is told what is in force
+	router.Inherit(k.inherit)
 	fleet.Hear(k.heard)
 	k.ended.Go(k.run)
 	k.ended.Go(k.tendSites)
@@ -139,8 +143,13 @@
 }
 
 func (k *Keeper) run() {
+	left := time.Time{}
 	for t := time.NewTicker(20 * time.Millisecond); ; {
 		k.step()
+		if now := time.Now(); now.Sub(left) > 80*time.Millisecond {
+			left = now
+			k.router.Bequeath(k.bequest)
+		}
 		select {
 		case <-k.stop:
 			t.Stop()
@@ -210,6 +219,37 @@
 	}
 }
 
+// bequest is what the process that replaces this one may take by until it can ask the leader itself: its address is this
+// one's until then. The clock is one that both share.
+func (k *Keeper) bequest() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b, ok := k.holder.Bequeath(k.micros())
+	if !ok || k.cannot != "" || k.inForce != b.Revision {
+		return nil
+	}
+	b.For += accord.Micros(place.Monotonic())
+	text, _ := json.Marshal(b) // plain fields: it cannot fail
+	return text
+}
+
+func (k *Keeper) inherit(text []byte) {
+	var b accord.Bequest
+	if json.Unmarshal(text, &b) != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b.For -= accord.Micros(place.Monotonic())
+	if k.holder.Inherit(k.micros(), b) {
+		go k.adopt(b.Revision, b.Doc)
+	}
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
 // adopt puts a revision into force. Until it is, the router takes nothing.
 func (k *Keeper) adopt(revision accord.Revision, doc string) {
 	k.router.MayTake(time.Unix(0, 1))
@@ -321,12 +361,13 @@
 	}
 }
 
-// Close says that this router takes nothing more, and ends its side.
-func (k *Keeper) Close() {
+// Close says that this router takes nothing more, unless another process goes on for it, and ends its side.
+func (k *Keeper) Close(handed bool) {
 	k.mu.Lock()
 	bye := k.holder.Leave(k.micros())
 	k.mu.Unlock()
-	for range 2 { // a lost one is as a crash: the leader finds that its grant has run out
+	// Where another goes on for it the router stays on the roster, and is waited for until the next process asks.
+	for n := 0; n < 2 && !handed; n++ { // a lost one is as a crash: the leader finds that its grant has run out
 		for _, leader := range k.fleet.Leaders() {
 			k.tell(leader, said{Renewal: &bye})
 		}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -81,11 +82,43 @@
 	if answered < len(r.Arrivals)/2 {
 		t.Errorf("%d answers to %d ops", answered, len(r.Arrivals))
 	}
+	if s.Routers.Plan != "" {
+		planned(t, s, r, dir)
+	}
 	if t.Failed() {
 		logs(t, dir)
 	}
 }
 
+// planned: a lost site was ruled on at every stage, and what was refused was worth the least.
+func planned(t *testing.T, s scenario.Scenario, r Result, dir string) {
+	text := ""
+	for i := range s.Routers.Count {
+		log, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("r%d.log", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text += string(log)
+	}
+	for _, what := range []string{"stage=lost", "stage=returning step=1", "stage=returning step=3", "stage=up"} {
+		if !strings.Contains(text, what) {
+			t.Errorf("nobody ruled %q", what)
+		}
+	}
+	nacked, all := map[event.Method]float64{}, map[event.Method]float64{}
+	for _, e := range r.Events {
+		if e.Kind != event.Answered {
+			continue
+		}
+		if all[e.Method]++; e.Outcome == event.Nacked {
+			nacked[e.Method]++
+		}
+	}
+	if read, report := nacked[0]/all[0], nacked[1]/all[1]; report < 2*read || report == 0 {
+		t.Errorf("of reads %.3f were refused, and of reports %.3f, which are worth less", read, report)
+	}
+}
+
 func logs(t *testing.T, dir string) {
 	files, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is good
 	for _, file := range files {
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -355,3 +355,40 @@
 		}
 	}
 }
+
+// A process is replaced while it serves under a policy, a keeper's and another's, in both modes: the next one takes by what the
+// one before leaves it until it can ask the leader itself, under the revision that was in force, and hears of the next.
+func TestReplacedUnderAPolicy(t *testing.T) {
+	for _, mode := range []string{"refuse", "serve"} {
+		t.Run(mode, func(t *testing.T) {
+			r := founded(t, mode, 5, 3)
+			v, err := r.apply(4, 0, "first", docOut("s0"))
+			r.must(err)
+			if !v.Everywhere {
+				t.Fatalf("%+v", v)
+			}
+			r.holds(1, upTo(5)...)
+			for base, i := range []int{4, 1} {
+				r.must(r.Replace(i)) // it waits for the next one's yes
+				shut := time.Duration(0)
+				for end, last := time.Now().Add(3*time.Second), time.Now(); time.Now().Before(end); last = time.Now() {
+					time.Sleep(10 * time.Millisecond)
+					if _, err := r.Call(i, "GET", "/ops/readiness"); err != nil {
+						shut += time.Since(last)
+					}
+				}
+				t.Logf("router %d took nothing for %v of 3 s after the first process had ended", i, shut)
+				if shut > 1500*time.Millisecond {
+					t.Errorf("router %d took nothing for %v", i, shut)
+				}
+				r.holds(accord.Revision(base+1), i)
+				v, err := r.apply(0, base+1, fmt.Sprint("then ", i), docOut(fmt.Sprint("s", i)))
+				r.must(err)
+				if !v.Everywhere {
+					t.Fatalf("%+v", v)
+				}
+				r.holds(accord.Revision(base+2), upTo(5)...)
+			}
+		})
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -52,7 +52,7 @@
 type Policy interface {
 	Policy() (string, error)            // what is held here, as JSON
 	Ask(request string) (string, error) // of the keepers, for an operator
-	Close()
+	Close(handed bool)                  // handed: another process has taken over, by what this one left it
 }
 
 // Take takes a router's place. Errors are about the configuration.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -287,7 +287,7 @@
 			}
 			serveDoor(withPolicy{seen, kept})
 			leave = func() {
-				kept.Close()
+				kept.Close(r.Handed())
 				fleet.Close(r.Handed())
 			}
 		}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -110,10 +110,13 @@
 	if news {
 		p.part, p.have = 0, p.then
 	}
-	if may := choice.Micros(p.may.Load()); (may != 0 && r.now >= may) != p.shut {
+	if r.mayTake() == p.shut {
 		p.shut, news = !p.shut, true
 		r.log.WithField("may", !p.shut).Debug("taking new reqs")
 		r.tellServing(r.serving && !r.refusing())
+		if r.takeover.old != nil && r.serving {
+			r.takeClients()
+		}
 	}
 	if p.until != 0 && r.now >= p.until {
 		r.log.Info("site: no orders have come for a while; going by this router's own evidence")
@@ -156,6 +159,11 @@
 	return f, nil
 }
 
+func (r *Router) mayTake() bool {
+	may := choice.Micros(r.place.may.Load())
+	return may == 0 || r.now < may
+}
+
 // MayTake has the router take new reqs until a time: zero for ever, one that is past not at all. What it does not take
 // is nacked at once, and it is not ready meanwhile.
 func (r *Router) MayTake(until time.Time) {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -36,6 +36,7 @@
 	out       chan passed    // to the heir; room for all clients
 	unsent    int            // passed, and not with the heir yet
 	others    [2]int         // descriptors that the old one and the heir hold
+	inherit   func([]byte)   // takes what the old one leaves; before Run
 }
 
 // asked is what operators want, as one process tells it to another while both live: a file may be full, or spoilt.
@@ -142,6 +143,9 @@
 	if t.accepting || t.handing || r.closing {
 		return
 	}
+	if t.old != nil && !r.mayTake() {
+		return // clients are better off where they are, until the old one has left what it holds of the policy
+	}
 	t.accepting = true
 	_ = t.ln.SetDeadline(time.Time{})
 	go r.accept()
@@ -380,6 +384,10 @@
 			r.heardAsked(f)
 		case handover.Holds:
 			r.heard(0, f)
+		case handover.Bequest:
+			if r.takeover.inherit != nil {
+				r.takeover.inherit(f.Body)
+			}
 		default:
 			r.takeOver(f)
 		}
@@ -393,6 +401,23 @@
 	})
 }
 
+// Inherit has what the process before this one leaves come to a function. Call it before Run.
+func (r *Router) Inherit(f func([]byte)) { r.takeover.inherit = f }
+
+// Bequeath leaves something to the process that is to replace this one, if there is one; it is made only then.
+func (r *Router) Bequeath(what func() []byte) {
+	select {
+	case <-r.ready:
+	default:
+		return
+	}
+	r.execute(func() {
+		if heir := r.takeover.heir; heir != nil {
+			go func() { _ = heir.Send(handover.Frame{Kind: handover.Bequest, Body: what()}) }() // left again soon
+		}
+	})
+}
+
 // heard: another process tells how many descriptors it holds.
 func (r *Router) heard(which int, f handover.Frame) {
 	if n, err := strconv.Atoi(string(f.Body)); err == nil {
--- a/siteplan/chief.go
+++ b/siteplan/chief.go
@@ -105,6 +105,7 @@
 		s.Sites = append(s.Sites, row)
 	}
 	s.Bears, s.Binds = bears(stands)
+	s.More = c.throttle.more
 	c.throttle.step(now, offered, let-lost, missed, s.Bears, trouble)
 	if t := c.throttle.target; t > 0 {
 		orders.Target = t
@@ -344,6 +345,7 @@
 	Now     Micros       `json:"now"`
 	Sites   []SiteStatus `json:"sites"`
 	Bears   float64      `json:"bears"` // reqs a second, by all sites together
+	More    float64      `json:"more"`  // times as much has been answered lately, by the origin as well; 0: less
 	Binds   Site         `json:"binds"` // the site that sets it
 	Offered []Offer      `json:"offered"`
 	Let     float64      `json:"let"`
