--- a/accord/book.go
+++ b/accord/book.go
@@ -42,6 +42,8 @@
 	Leave   Kind = "leave"   // it has ended, by its own word: Name, Process
 	Dead    Kind = "dead"    // it has ended, by an operator's word: Name, Author, Reason, At
 	Site    Kind = "site"    // a site counts as something else: Order
+	Lend    Kind = "lend"    // a lost router's part is the others': Name, Process
+	Unlend  Kind = "unlend"  // it is nobody's but its own again: Name
 )
 
 // Entry is one of the log.
@@ -103,6 +105,7 @@
 	Said     []Entry           `json:"said"` // operators' words on dead routers
 
 	Sites map[siteplan.Site]siteplan.Ruling `json:"sites"`
+	Out   map[Name]bool                     `json:"out"` // routers whose part is lent
 }
 
 // Current is the revision in force, and its document.
@@ -118,6 +121,7 @@
 	c := *b
 	c.History, c.Order, c.Said = slices.Clone(b.History), slices.Clone(b.Order), slices.Clone(b.Said)
 	c.Verdicts, c.Roster, c.Sites = maps.Clone(b.Verdicts), maps.Clone(b.Roster), maps.Clone(b.Sites)
+	c.Out = maps.Clone(b.Out)
 	if b.Pending != nil {
 		p := *b.Pending
 		c.Pending = &p
@@ -179,6 +183,15 @@
 			o.Ruling.Index = uint64(at)
 			b.Sites[o.Site] = o.Ruling
 		}
+	case Lend:
+		if m := b.Roster[e.Name]; m.Process == e.Process && m.Process != 0 { // another has entered meanwhile
+			if b.Out == nil {
+				b.Out = map[Name]bool{}
+			}
+			b.Out[e.Name] = true
+		}
+	case Unlend:
+		delete(b.Out, e.Name)
 	case Dead:
 		delete(b.Roster, e.Name)
 		if b.Said = append(b.Said, e); len(b.Said) > mostHistory {
@@ -204,12 +217,14 @@
 	Again    Micros // until one that was not answered is repeated
 	Patience Micros // for a change to be prepared by all
 	Slack    Micros // that the council waits longer than a lease, beside a hundredth of it
+	Rest     Micros // after the end of a router's last grant until nothing that it had in hand, or had lent, can be left
 }
 
 // DefaultRules: the window stays under a second, also by a clock that runs a hundredth slow. A lease is renewed four
 // times over, and asked for again soon where packets get lost.
 func DefaultRules() Rules {
-	return Rules{Lease: 950e3, Ask: 200e3, Again: 60e3, Patience: 5e6, Slack: 50e3}
+	// What a router leaves to others as it ends counts for ten seconds (package parts); reqs in hand for less.
+	return Rules{Lease: 950e3, Ask: 200e3, Again: 60e3, Patience: 5e6, Slack: 50e3, Rest: 12e6}
 }
 
 // Renewal is what a router asks with.
@@ -237,6 +252,7 @@
 	Doc      string   `json:"doc"` // of that revision, where the asker does not hold it
 	Pending  Token    `json:"pending"`
 	Prepare  string   `json:"prepare"` // the pending document, where the asker has not said what it makes of it
+	Extra    float64  `json:"extra"`   // of what all routers may send together, beside the asker's own part
 }
 
 // Council is the leader's side; a new leader begins with a new one. It is not safe for use by several goroutines at once.
@@ -245,7 +261,10 @@
 	began   Micros
 	heard   map[Name]heard
 	pending Token
-	since   Micros // of the pending change, at this council
+	since   Micros          // of the pending change, at this council
+	seats   int             // that the whole is parted by
+	extra   map[Name]Micros // when a lent part was last given out
+	recall  map[Name]bool   // it is given out no more: its router asks
 }
 
 type heard struct {
@@ -254,8 +273,8 @@
 }
 
 // NewCouncil begins as leader.
-func NewCouncil(now Micros, rules Rules) *Council {
-	return &Council{rules: rules, began: now, heard: map[Name]heard{}}
+func NewCouncil(now Micros, rules Rules, seats int) *Council {
+	return &Council{rules: rules, began: now, heard: map[Name]heard{}, seats: seats, extra: map[Name]Micros{}, recall: map[Name]bool{}}
 }
 
 // Answer takes in an asking, and answers it once a majority has confirmed the leader after it had come; book is as of then.
@@ -272,11 +291,16 @@
 	if !there || m.Process != r.Process || m.Serves != r.Serves {
 		return g, false, &Entry{Kind: Enter, Name: r.Name, Process: r.Process, Serves: r.Serves, Build: r.Build}
 	}
+	if b.Out[r.Name] {
+		c.recall[r.Name] = true // it takes nothing before its part is its own again
+		return g, false, nil
+	}
 	current, doc := b.Current()
 	g = Grant{Process: r.Process, At: r.At, For: c.rules.Lease, Index: b.Index, Revision: current}
 	if r.Held != current {
 		g.Doc = doc
 	}
+	g.Extra = c.lent(now, b)
 	if p := b.Pending; p != nil {
 		g.Pending = p.Token
 		if r.Prepared != p.Token && r.Refused != p.Token {
@@ -286,10 +310,57 @@
 	return g, true, nil
 }
 
+// span is for how long a grant may count, by any clock that runs a hundredth slow.
+func (c *Council) span() Micros { return c.rules.Lease + c.rules.Lease/100 + c.rules.Slack }
+
+// lent is each living router's share of what lost ones may not send.
+func (c *Council) lent(now Micros, b *Book) float64 {
+	n := 0
+	for name := range b.Out {
+		if !c.recall[name] {
+			n++
+			c.extra[name] = now
+		}
+	}
+	// With more routers than seats each has a whole part, and there is nothing to lend.
+	if n == 0 || len(b.Roster) > c.seats || c.seats < 2 {
+		return 0
+	}
+	// By those that are left now it was more than the whole while one that came back had a share and the others had not heard.
+	return float64(n) / float64(c.seats) / float64(c.seats-1)
+}
+
+// Lend tells which lost router's part is to be lent, or is its own again, now. A part is lent only once its router can
+// neither take a req, nor have one in hand, nor have lent the part itself; and the router is granted nothing before all
+// that was given out of the part has run out.
+func (c *Council) Lend(now Micros, b *Book) *Entry {
+	for _, name := range slices.Sorted(maps.Keys(b.Out)) {
+		if c.recall[name] && now-max(c.began, c.extra[name]) > c.span() {
+			return &Entry{Kind: Unlend, Name: name}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.recall)) {
+		if !b.Out[name] {
+			delete(c.recall, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Roster)) {
+		m := b.Roster[name]
+		last := c.began
+		if h, ok := c.heard[name]; ok {
+			last = max(last, h.at) // of any process: it is there
+		}
+		if !m.Serves && !b.Out[name] && now-last > c.span()+c.rules.Rest && len(b.Roster) <= c.seats {
+			return &Entry{Kind: Lend, Name: name, Process: m.Process}
+		}
+	}
+	return nil
+}
+
 // absent tells whether a router that does not serve when cut off can take nothing now: its last grant has run out. A
 // new leader does not know what the one before has granted.
 func (c *Council) absent(now Micros, name Name, m Member) bool {
-	span := c.rules.Lease + c.rules.Lease/100 + c.rules.Slack
+	span := c.span()
 	h, known := c.heard[name]
 	return now-c.began > span && (!known || h.Process != m.Process || now-h.at > span)
 }
--- /dev/null
+++ b/accord/lend_test.go
@@ -0,0 +1,154 @@
+package accord
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// lendDay plays routers that are lost, stand still, come back as others and ask late, and leaders that change, on one clock
+// here and one of its own, up to a hundredth slow, at each router. It tells when parts were more than the whole together,
+// how long lost parts were lent, and whether all was as at first in the end.
+func lendDay(seed uint64, rules Rules) (over string, lent Micros, whole bool) {
+	const seats, tick = 5, Micros(50e3)
+	r := rand.New(rand.NewPCG(seed, 6))
+	type router struct {
+		holder  *Holder
+		name    Name
+		process Process
+		rate    float64 // of its clock
+		up      bool
+		stalled bool
+		until   Micros // of its extra, by its clock
+		extra   float64
+		last    Micros // when it last could take, by the one clock
+	}
+	book, council := &Book{}, NewCouncil(0, rules, seats)
+	index := Index(0)
+	put := func(e Entry) {
+		index++
+		book.Apply(index, e)
+	}
+	routers := make([]*router, seats)
+	process := Process(0)
+	start := func(x *router) {
+		process++
+		x.process, x.up, x.extra = process, true, 0
+		x.holder = NewHolder(rules, x.name, process, false, "", func(string) error { return nil })
+	}
+	for i := range routers {
+		routers[i] = &router{name: Name(fmt.Sprint("r", i)), rate: 1 - 0.01*r.Float64(), last: -1 << 50}
+		start(routers[i])
+	}
+	type late struct {
+		at    Micros
+		to    *router
+		grant Grant
+	}
+	var way []late
+	calm := false
+	for now := Micros(0); now < 150e6; now += tick {
+		if calm = now > 110e6; !calm {
+			switch x := routers[r.IntN(seats)]; r.IntN(400) {
+			case 0, 1:
+				x.up = false
+			case 2, 3, 4:
+				if !x.up {
+					start(x)
+				}
+			case 5:
+				x.stalled = true
+			case 6, 7:
+				x.stalled = false
+			case 8:
+				council = NewCouncil(now, rules, seats)
+			}
+		}
+		if e := council.Lend(now, book); e != nil && r.IntN(3) > 0 {
+			put(*e)
+		}
+		sum := 0.0
+		for _, x := range routers {
+			if calm {
+				x.stalled = false
+				if !x.up {
+					start(x)
+				}
+			}
+			own := Micros(float64(now) * x.rate)
+			if x.up && !x.stalled {
+				if q, due := x.holder.Ask(own); due && r.IntN(4) > 0 {
+					g, ok, enter := council.Answer(now, book.Clone(), q)
+					if enter != nil {
+						put(*enter)
+					}
+					if ok && r.IntN(4) > 0 {
+						way = append(way, late{now + Micros(r.IntN(800e3)), x, g})
+					}
+				}
+			}
+			if x.up && x.holder.Takes(own) > own {
+				x.last = now
+			}
+			if now-x.last < rules.Rest { // what it had in hand
+				sum += 1.0 / seats
+			}
+			if x.up && x.until > own {
+				sum += x.extra
+				if x.extra > 0 {
+					lent += tick
+				}
+			}
+		}
+		if sum > 1+1e-9 {
+			return fmt.Sprintf("seed %d at %d ms: %.3f", seed, now/1e3, sum), lent, false
+		}
+		for _, l := range way {
+			if l.at <= now && l.to.up && !l.to.stalled {
+				own := Micros(float64(now) * l.to.rate)
+				if l.to.holder.Granted(own, l.grant); l.grant.Process == l.to.process && l.grant.At+l.grant.For > own {
+					l.to.extra, l.to.until = l.grant.Extra, l.grant.At+l.grant.For
+				}
+			}
+		}
+		kept := way[:0]
+		for _, l := range way {
+			if l.at > now {
+				kept = append(kept, l)
+			}
+		}
+		way = kept
+	}
+	return "", lent, len(book.Out) == 0
+}
+
+// Whatever is lost, late or comes back: the parts are never more than the whole. With a wait that is too short they are.
+func TestLentPartsNeverOverTheWhole(t *testing.T) {
+	rules := DefaultRules()
+	rules.Rest = 3e6
+	lent := Micros(0)
+	for seed := range uint64(200) {
+		over, span, whole := lendDay(seed, rules)
+		if over != "" || !whole {
+			t.Fatal(over, " all as at first: ", whole)
+		}
+		lent += span
+	}
+	if lent < 1000e6 {
+		t.Errorf("lent for %d s in all, which shows little", lent/1e6)
+	}
+	for what, planted := range map[string]func(*Rules){"a part is lent while reqs are in hand": func(r *Rules) { r.Slack -= 2500e3 },
+		"a router has its part back at once": func(r *Rules) { r.Slack, r.Rest = r.Slack-r.Lease, r.Rest+r.Lease }} {
+		bad := rules
+		planted(&bad)
+		found := false
+		for seed := range uint64(200) {
+			x := bad
+			over, _, _ := lendDay(seed, x)
+			found = found || over != ""
+		}
+		if !found {
+			t.Errorf("%s: not found", what)
+		}
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -42,6 +42,8 @@
 	SetPolicy(s choice.Settings, out []string) error
 	// MayTake has it take new reqs until a time: zero for ever, one that is past not at all.
 	MayTake(until time.Time)
+	// SetExtra adds to its part of what all may send together, until a time.
+	SetExtra(part float64, until time.Time)
 	// Bequeath leaves something to the process that is to replace this one; Inherit has that come to a function.
 	Bequeath(what func() []byte)
 	Inherit(func([]byte))
@@ -68,6 +70,7 @@
 	calls    map[uint64]chan accord.Reply // of operators, at this router
 	entering map[accord.Name]accord.Micros
 	inForce  accord.Revision // that the loop decides by
+	extra    float64         // as last granted
 	cannot   string          // why it cannot hold what is in force
 	sites    sites
 
@@ -121,6 +124,15 @@
 	return k, nil
 }
 
+// rules are those by which this leader waits: nothing is in hand for longer than the longest deadline.
+func (k *Keeper) rules() accord.Rules {
+	r := accord.DefaultRules()
+	for _, m := range k.cfg.Own.Methods {
+		r.Rest = max(r.Rest, accord.Micros(m.Deadline)+1e6)
+	}
+	return r
+}
+
 // check tells whether this router could hold a document.
 func (k *Keeper) check(doc string) error {
 	_, _, _, err := k.settings(doc)
@@ -207,6 +219,10 @@
 // granted is called with the lock held.
 func (k *Keeper) granted(g accord.Grant) {
 	adopt, news := k.holder.Granted(k.micros(), g)
+	if g.Process == accord.Process(k.fleet.Me()) {
+		k.extra = g.Extra
+		k.router.SetExtra(g.Extra, k.start.Add(time.Duration(g.At+g.For)*time.Microsecond))
+	}
 	if adopt {
 		revision, doc, _ := k.holder.Held()
 		go k.adopt(revision, doc)
@@ -313,7 +329,7 @@
 	k.mu.Lock()
 	if leads != (k.council != nil) {
 		if k.council = nil; leads {
-			k.council = accord.NewCouncil(k.micros(), accord.DefaultRules())
+			k.council = accord.NewCouncil(k.micros(), k.rules(), k.cfg.Own.Routers)
 			k.sites.chief = siteplan.NewChief(siteplan.Micros(k.micros()))
 		}
 		k.asks = nil
@@ -350,6 +366,13 @@
 		book.put(*entry)
 	}
 	k.leadSites(book)
+	k.mu.Lock()
+	entry = council.Lend(k.micros(), book.now())
+	k.mu.Unlock()
+	if entry != nil {
+		k.log.WithFields(logrus.Fields{"what": string(entry.Kind), "router": string(entry.Name)}).Warn("policy: a lost router's part")
+		book.put(*entry)
+	}
 	for token, v := range book.verdicts() {
 		k.mu.Lock()
 		waits := k.wants[token]
@@ -390,7 +413,7 @@
 	revision, _, knows := k.holder.Held()
 	until := k.holder.Takes(now)
 	w := Held{Revision: revision, InForce: k.inForce, Known: knows, Cannot: k.cannot, Prepared: k.holder.Prepared(), CutOff: "refuse",
-		Keeper: k.cfg.keeps(), Leads: k.council != nil}
+		Extra: k.extra, Keeper: k.cfg.keeps(), Leads: k.council != nil}
 	if k.cfg.Serves {
 		w.CutOff = "serve"
 	}
@@ -416,6 +439,7 @@
 	CutOff   string          `json:"cut_off"`
 	Keeper   bool            `json:"keeper"`
 	Leads    bool            `json:"leads"`
+	Extra    float64         `json:"extra"` // of what all may send together, of lost routers
 	Folder   string          `json:"folder,omitempty"`
 
 	Orders *siteplan.Orders `json:"orders,omitempty"` // about sites, from the leader
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -28,6 +28,7 @@
 	May      bool            `json:"may_take"`
 	Leads    bool            `json:"leads"`
 	Folder   string          `json:"folder"`
+	Extra    float64         `json:"extra"`
 }
 
 func (t trial) held(i int) (h held) {
@@ -392,3 +393,34 @@
 		})
 	}
 }
+
+// A lost router's part is the others' once nothing that it had in hand can be left, and its own again when it comes back,
+// before it takes a req.
+func TestLostPartIsTakenUp(t *testing.T) {
+	r := founded(t, "refuse", 5, 3)
+	r.Kill("lost", 4)
+	killed := time.Now()
+	has := func(want float64, who ...int) func() bool {
+		return func() bool {
+			for _, i := range who {
+				if h := r.held(i); h.Extra != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	time.Sleep(10 * time.Second)
+	if !has(0, 0, 1, 2, 3)() {
+		t.Error("it was lent while it may have had reqs in hand")
+	}
+	r.until("the others have its part", has(0.05, 0, 1, 2, 3))
+	t.Logf("lent %v after it was killed", time.Since(killed))
+	r.start("back", 4)
+	began := time.Now()
+	r.ready(4)
+	if h := r.held(0); h.Extra != 0 {
+		t.Errorf("it takes reqs, and its part is still lent: %+v", h)
+	}
+	t.Logf("ready %v after its start", time.Since(began))
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -18,6 +18,9 @@
 	whole bool   // nothing of the own part is lent, or may be
 	out   string // why it takes no clients
 
+	extra      float64 // beside the part: of routers that are lost
+	extraUntil choice.Micros
+
 	may  atomic.Int64 // new reqs may be taken until then, as choice.Micros; 0: for ever. From any goroutine.
 	shut bool         // they may not
 
@@ -69,7 +72,7 @@
 			r.place.part = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
 		}
 		if r.place.have = now; !r.place.shut {
-			r.input(choice.Parted{Part: now})
+			r.input(choice.Parted{Part: now + r.place.extra})
 		}
 		r.batch() // in force before the yes
 	})
@@ -123,6 +126,9 @@
 		r.place.plan, r.place.until = choice.Planned{}, 0
 		r.decided = append(r.decided, r.core.Step(r.now, choice.Planned{})...)
 	}
+	if p.extra != 0 && r.now >= p.extraUntil {
+		p.extra, news = 0, true
+	}
 	if !news {
 		return
 	}
@@ -130,6 +136,7 @@
 	if part == 0 {
 		part = 1 / float64(max(1, r.cfg.Settings.Routers))
 	}
+	part += p.extra
 	if p.shut {
 		part = 0
 	}
@@ -159,6 +166,27 @@
 	return f, nil
 }
 
+// SetExtra adds to the router's part, until a time; it does not wait.
+func (r *Router) SetExtra(part float64, until time.Time) {
+	select {
+	case <-r.ready:
+	default:
+		return
+	}
+	r.execute(func() {
+		p := &r.place
+		p.extraUntil = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
+		if part == p.extra {
+			return
+		}
+		p.extra = part
+		if !p.shut && p.have != 0 {
+			r.input(choice.Parted{Part: p.have + part})
+		}
+		r.batch()
+	})
+}
+
 func (r *Router) mayTake() bool {
 	may := choice.Micros(r.place.may.Load())
 	return may == 0 || r.now < may
--- a/siteplan/plan.go
+++ b/siteplan/plan.go
@@ -58,9 +58,10 @@
 		// Longer than a stall of a process that is busy, and short against what reqs in hand can bear.
 		LostAfter: 1e6,
 		BackAfter: 3e6,
-		// Each step doubles what came before: what a cold site has to fetch then is as much again as it has fetched.
-		Steps: []float64{0.25, 0.5, 1},
-		Hold:  1e6,
+		// A quarter, a half and all had a dip of a seventh of the service at the last step, when half of the keys of a site
+		// whose servers counted as warm had to be fetched at once; by eighths it was a third of that.
+		Steps: []float64{0.125, 0.25, 0.375, 0.5, 0.625, 0.75, 0.875, 1},
+		Hold:  500e3,
 	}
 }
 
