--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -40,6 +41,8 @@
 	mu   sync.Mutex
 	file keeperFile
 	why  string // it takes no part
+
+	full atomic.Pointer[string] // its folder cannot be written; nil: it can
 	raft *raft.Raft
 	ends []func() error
 	book *accord.Book
@@ -168,7 +171,8 @@
 	if err := l.keep(); err != nil {
 		return err
 	}
-	l.raft, err = raft.NewRaft(c, l, store, store, snapshots, wire)
+	kept := disk{store, l.wrote}
+	l.raft, err = raft.NewRaft(c, l, kept, kept, snapshots, wire)
 	l.why = ""
 	return err
 }
@@ -196,9 +200,28 @@
 func (l *log) state() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if full := l.full.Load(); l.why == "" && full != nil {
+		return *full
+	}
 	return l.why
 }
 
+// wrote takes in how a write to the folder ended. It is called with and without the lock.
+func (l *log) wrote(err error) {
+	var why *string
+	if err != nil {
+		text := "the folder cannot be written, and its keeper falls behind: " + err.Error()
+		why = &text
+	}
+	entry := l.out.WithField("dir", l.cfg.Dir)
+	switch was := l.full.Swap(why); {
+	case was == nil && err != nil:
+		entry.WithError(err).Error("policy: the keeper's folder cannot be written; free the disk")
+	case was != nil && err == nil:
+		entry.Info("policy: the keeper's folder can be written again")
+	}
+}
+
 // leads tells whether this keeper leads, and has in its book all that was decided before.
 func (l *log) leads() bool {
 	node := l.node()
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -424,3 +424,35 @@
 	}
 	t.Logf("ready %v after its start", time.Since(began))
 }
+
+// A keeper whose disk is full does not hold up the others, goes on as a router, says so, and takes part again once there is
+// room.
+func TestKeepersDiskIsFull(t *testing.T) {
+	r := founded(t, "serve", 4, 3)
+	r.must(r.Stop("to be started with a full disk", 2))
+	r.Full(2, 256)
+	r.start("with a full disk", 2)
+	r.ready(2)
+	big := "schema = 1\n#" + strings.Repeat("x", 50000) + "\n"
+	for n := range 8 {
+		v, err := r.apply(0, n, fmt.Sprint("change ", n), big)
+		r.must(err)
+		if !v.Everywhere {
+			t.Fatalf("change %d: %+v", n, v)
+		}
+	}
+	r.holds(8, 0, 1, 3)
+	r.until("it tells of it", func() bool { return r.held(2).Folder != "" })
+	t.Log(r.held(2))
+	if h := r.held(2); !h.May || h.InForce != 8 {
+		t.Errorf("as a router it holds %+v", h)
+	}
+	r.must(r.Stop("room again", 2))
+	r.Full(2, 0)
+	r.start("room again", 2)
+	r.until("it takes part", func() bool { return r.held(2).Folder == "" })
+	r.Kill("another is lost", 1)
+	v, err := r.apply(0, 8, "with its vote", "schema = 1\n")
+	r.must(err)
+	t.Logf("without router 1, which may be serving: %+v", v)
+}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -60,6 +60,7 @@
 	at        []*process.Process // nil: not running
 	names     []string
 	deadlines map[int]time.Duration // of those whose settings are others
+	files     map[int]int           // the most blocks of a file, of those that have a bound
 	homes     []int                 // whose addresses a router uses; its own, but in trials
 	truth     []viewref.Truth
 	samples   []viewref.Sample
@@ -74,7 +75,7 @@
 
 // New prepares a rig, with no router running.
 func New(o Options) (*Rig, error) {
-	r := &Rig{o: o, start: time.Now(), at: make([]*process.Process, o.Routers), stopped: make([]bool, o.Routers), deadlines: map[int]time.Duration{},
+	r := &Rig{o: o, start: time.Now(), at: make([]*process.Process, o.Routers), stopped: make([]bool, o.Routers), deadlines: map[int]time.Duration{}, files: map[int]int{},
 		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if r.net, err = fleet.NewNetwork(o.Routers); err != nil {
@@ -197,8 +198,11 @@
 }
 
 func (r *Rig) process(i int, door string) (*process.Process, error) {
-	return process.Start(r.o.Program, []string{"--file", r.file(i, "toml"), "--log-format", "json"},
-		[]string{"EDGE_CONFIG=" + r.file(i, "json"), "TMPDIR=" + r.file(i, "tmp"), "GOMAXPROCS=1", "EDGE_ADMIN=" + door}, r.Log(i))
+	program, args := r.o.Program, []string{"--file", r.file(i, "toml"), "--log-format", "json"}
+	if n := r.files[i]; n > 0 {
+		program, args = "/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -f %d; exec "$0" "$@"`, n), program}, args...)
+	}
+	return process.Start(program, args, []string{"EDGE_CONFIG=" + r.file(i, "json"), "TMPDIR=" + r.file(i, "tmp"), "GOMAXPROCS=1", "EDGE_ADMIN=" + door}, r.Log(i))
 }
 
 // Replace starts a second process beside the one that serves, waits for its yes and ends the first in order. The door is
@@ -329,6 +333,9 @@
 // Deadline gives a router's settings another deadline of the method, from its next start on.
 func (r *Rig) Deadline(i int, d time.Duration) { r.deadlines[i] = d }
 
+// Full gives a router files of so many blocks at most, from its next start on: what is written beyond fails as on a full disk.
+func (r *Rig) Full(i, blocks int) { r.files[i] = blocks }
+
 // Name gives a router another name, from its next start on.
 func (r *Rig) Name(i int, name string) { r.names[i] = name }
 
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -309,12 +309,12 @@
 	r.judge(bounds)
 }
 
-// A router that stands still for 1 s and for 5 s is itself again, knows on waking that its view is old, and does not flap.
+// A router that stands still for 1 s, 5 s and half a minute is itself again, knows on waking that its view is old, and does not flap.
 func TestStalls(t *testing.T) {
 	r := play(t, Options{Routers: 6})
 	r.start("start of all", upTo(6)...)
 	r.settle()
-	for _, span := range []time.Duration{time.Second, 5 * time.Second} {
+	for _, span := range []time.Duration{time.Second, 5 * time.Second, 30 * time.Second} {
 		r.must(r.Stall(fmt.Sprintf("stall of %v", span), true, 2))
 		time.Sleep(span)
 		r.must(r.Stall(fmt.Sprintf("wake after %v", span), false, 2))
@@ -325,10 +325,10 @@
 		time.Sleep(4 * time.Second)
 		r.settle()
 	}
-	if n := r.log(2, "stood still"); n < 2 { // a busy machine may make it more
+	if n := r.log(2, "stood still"); n < 3 { // a busy machine may make it more
 		t.Errorf("%d lines say that it stood still", n)
 	}
-	if n := r.log(0, `"fleet: lost".*"router":"r2"`); n > 2 { // once for each stall
+	if n := r.log(0, `"fleet: lost".*"router":"r2"`); n > 3 { // once for each stall
 		t.Errorf("it was held for lost %d times", n)
 	}
 	r.judge(bounds)
@@ -539,3 +539,26 @@
 	r.settle()
 	r.judge(bounds)
 }
+
+// A full disk under the folder of peers, and a folder that is gone, cost a warning and no service.
+func TestFolderOfPeersFullOrLost(t *testing.T) {
+	r := play(t, Options{Routers: 3, Keep: true})
+	r.must(r.Configure(2)) // which makes the folder
+	folder := r.file(2, "peers")
+	r.must(os.Symlink("/dev/full", filepath.Join(folder, "peers.json.new")))
+	r.start("start", 0, 1, 2)
+	r.settle()
+	r.until("it warns", func() bool { return r.log(2, "the peers known are not kept; free the disk") == 1 })
+	if _, err := r.Call(2, "GET", "/ops/readiness"); err != nil {
+		t.Error(err)
+	}
+	r.must(os.Remove(filepath.Join(folder, "peers.json.new")))
+	r.Kill("something to tell", 1)
+	r.until("it is kept again", func() bool { return r.log(2, "the peers known are kept again") == 1 })
+	r.must(os.RemoveAll(folder))
+	r.start("back", 1)
+	r.until("it warns again", func() bool { return r.log(2, "the peers known are not kept") == 2 })
+	if _, err := r.Call(2, "GET", "/ops/readiness"); err != nil {
+		t.Error(err)
+	}
+}
