--- a/cmd/spurctl/labpolicies.go
+++ b/cmd/spurctl/labpolicies.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync"
@@ -16,17 +17,19 @@
 // policies plays changes of policy under faults.
 func (a *app) policies() *cobra.Command {
 	var router, out, output string
-	var routers, rounds, acts, parallel int
+	var routers, rounds, acts, parallel, changes int
+	var measure, serve bool
 	var seed uint64
+	var probe time.Duration
 	c := &cobra.Command{Use: "policies", Short: "Change the policy all the time while faults strike between routers, and judge",
 		Long: "Each round founds a policy, has two operators change it all the time while routers and keepers are killed, stalled and cut\n" +
 			"off and packets are lost, doubled and late, puts all in order, and judges: no two revisions served at once, every change\n" +
 			"everywhere or nowhere, and a history that fits one order. Odd seeds serve when cut off, even ones refuse.\n" +
 			"Exit codes: 0 all kept, 1 it could not be played, 2 wrong usage, 3 a rule was broken.",
-		Example: "  spurctl lab policies --rounds 200", Args: cobra.NoArgs,
+		Example: "  spurctl lab policies --rounds 200\n  spurctl lab policies --measure --routers 60", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if routers < 3 || routers > 60 || rounds < 1 || acts < 1 || parallel < 1 {
-				return usage("--routers is from 3 to 60; --rounds, --acts and --parallel are 1 at least")
+			if routers < 3 || routers > 250 || changes < 1 || rounds < 1 || acts < 1 || parallel < 1 {
+				return usage("--routers is from 3 to 250; --rounds, --acts, --parallel and --changes are 1 at least")
 			}
 			program, err := routerProgram(router, "spurtrestle-fleet")
 			if err == nil {
@@ -38,6 +41,10 @@
 			if err != nil {
 				return err
 			}
+			if measure {
+				return measurePolicy(c.OutOrStdout(), rig.Options{Program: program, Dir: out, Routers: routers, Sites: []string{"north", "south"}, Seed: seed,
+					Probe: probe, Policy: map[bool]string{true: "serve", false: "refuse"}[serve]}, changes)
+			}
 			var mu sync.Mutex
 			var wg sync.WaitGroup
 			var all []rig.PolicyOutcome
@@ -92,7 +99,28 @@
 	f.IntVar(&rounds, "rounds", 1, "with seeds that follow each other")
 	f.IntVar(&acts, "acts", 6, "faults of a round")
 	f.IntVar(&parallel, "parallel", 4, "rounds at a time")
+	f.BoolVar(&measure, "measure", false, "make changes in one fleet that is calm, that has lost its leader, and that loses 30% of its packets")
+	f.IntVar(&changes, "changes", 20, "of each kind, with --measure")
+	f.BoolVar(&serve, "serve", false, "with --measure, routers go on where they are cut off")
+	f.DurationVar(&probe, "probe", 200*time.Millisecond, "of the view, with --measure")
 	f.Uint64Var(&seed, "seed", 1, "of the first round")
 	outputFlag(c, &output)
 	return c
 }
+
+func measurePolicy(w io.Writer, o rig.Options, changes int) error {
+	x, err := rig.MeasurePolicy(o, changes, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	for _, row := range x.Rows {
+		q := func(all []time.Duration, at float64) time.Duration {
+			return viewref.Quantile(all, at).Round(10 * time.Millisecond)
+		}
+		fmt.Fprintf(w, "%d routers, %s, %s: %d of %d everywhere, verdict p50 %v p99 %v, held by all p50 %v p99 %v\n", x.Routers, x.CutOff, row.What,
+			row.Through, row.Changes, q(row.Verdict, 0.5), q(row.Verdict, 0.99), q(row.Effect, 0.5), q(row.Effect, 0.99))
+	}
+	_, err = fmt.Fprintf(w, "%d routers, a calm one: %.1f packets/s, %.0f bytes/s sent, %.2f%% of a core, %.1f MB\n", x.Routers, x.Idle.Packets, x.Idle.Bytes,
+		100*x.Idle.CPU, x.Idle.Memory)
+	return err
+}
--- a/internal/lab/rig/policies.go
+++ b/internal/lab/rig/policies.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -325,3 +326,119 @@
 		}
 	}
 }
+
+// PolicyFigures are what changes of policy take at one size.
+type PolicyFigures struct {
+	Routers int
+	CutOff  string
+	Rows    []PolicyRow
+	Idle    Idle // of a router while nothing changes
+}
+
+// PolicyRow is a state of the fleet in which changes were made.
+type PolicyRow struct {
+	What    string
+	Changes int
+	Through int             // everywhere
+	Verdict []time.Duration // until it was told, of those
+	Effect  []time.Duration // until all that run and can be reached held it
+}
+
+// MeasurePolicy makes changes in a calm fleet, with one keeper dead, and with 30% of the packets lost.
+func MeasurePolicy(o Options, changes int, calm time.Duration) (out PolicyFigures, err error) {
+	if o.Dir, err = os.MkdirTemp(o.Dir, "policy-size"); err != nil {
+		return out, err
+	}
+	defer os.RemoveAll(o.Dir)
+	o.Keepers = 3
+	r, err := New(o)
+	if err != nil {
+		return out, err
+	}
+	defer r.Close()
+	out = PolicyFigures{Routers: o.Routers, CutOff: o.Policy}
+	all := make([]int, o.Routers)
+	for i := range all {
+		all[i] = i
+	}
+	if err := r.Start("start of all", all...); err != nil {
+		return out, err
+	}
+	if _, err := r.AskPolicy(0, map[string]any{"what": "found"}); err != nil {
+		return out, err
+	}
+	if err := r.allHold(0, all, time.Minute); err != nil {
+		return out, err
+	}
+	time.Sleep(5 * o.Probe)
+	var packets, bytes, memory int64
+	var cpu time.Duration
+	sum := func(sign int64) {
+		for i := range all {
+			c := r.Links.Sent(i)
+			used, rss, _ := r.Usage(i)
+			packets, bytes, cpu, memory = packets+sign*c.Packets, bytes+sign*c.Bytes, cpu+time.Duration(sign)*used, memory+max(0, sign)*rss
+		}
+	}
+	sum(-1)
+	time.Sleep(calm)
+	sum(1)
+	per := calm.Seconds() * float64(o.Routers)
+	out.Idle = Idle{Packets: float64(packets) / per, Bytes: float64(bytes) / per, CPU: cpu.Seconds() / per,
+		Memory: float64(memory) / float64(o.Routers) / (1 << 20)}
+	base := 0
+	there := all
+	for _, step := range []struct {
+		what string
+		do   func()
+	}{
+		{"calm", func() {}},
+		{"one keeper dead", func() {
+			at := 0
+			for i := range o.Keepers {
+				if r.leads(i) {
+					at = i
+				}
+			}
+			r.Kill("a keeper, the leader", at)
+			there = slices.DeleteFunc(slices.Clone(all), func(i int) bool { return i == at })
+		}},
+		{"30% lost", func() {
+			for i := range all {
+				if !r.Running(i) {
+					err = r.Start("back", i)
+				}
+			}
+			there = all
+			r.Links.Change(all, all, func(x *links.Rule) { x.Drop = 0.3 })
+		}},
+	} {
+		if step.do(); err != nil {
+			return out, err
+		}
+		row := PolicyRow{What: step.what}
+		for n := range changes {
+			began := time.Now()
+			row.Changes++
+			a, err := r.AskPolicy(there[n%len(there)], map[string]any{"what": "apply", "doc": fmt.Sprintf("schema = 1\nout = [\"s%d\"]\n", base), "base": base,
+				"token": fmt.Sprint(step.what, n), "author": "measure", "reason": step.what})
+			if err != nil || a.Verdict == nil {
+				if s, err := r.AskPolicy(there[0], map[string]any{"what": "status"}); err == nil {
+					base = int(s.Current)
+				}
+				continue
+			}
+			if base = int(a.Verdict.Revision); !a.Verdict.Everywhere {
+				continue
+			}
+			row.Through++
+			row.Verdict = append(row.Verdict, time.Since(began))
+			if err := r.allHold(accord.Revision(base), there, 20*time.Second); err != nil {
+				return out, fmt.Errorf("%s: %w", step.what, err)
+			}
+			row.Effect = append(row.Effect, time.Since(began))
+		}
+		out.Rows = append(out.Rows, row)
+	}
+	return out, nil
+}
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -456,3 +458,41 @@
 	r.must(err)
 	t.Logf("without router 1, which may be serving: %+v", v)
 }
+
+var revisions = flag.Int("revisions", 120, "changes in a row; 1,000 for the figures")
+
+// Many changes in a row, by all routers in turn: each holds, what the keepers keep stays small, and a keeper whose folder was
+// empty or that was away all the time, and a router that comes late, hold the last one.
+func TestManyRevisions(t *testing.T) {
+	r := founded(t, "refuse", 6, 5)
+	r.must(r.Stop("away", 4))
+	r.Kill("late", 5)
+	began := time.Now()
+	for n := range *revisions {
+		v, err := r.apply(n%3, n, fmt.Sprint("change ", n), docOut(fmt.Sprint("s", n)))
+		r.must(err)
+		if !v.Everywhere || int(v.Revision) != n+1 {
+			t.Fatalf("change %d: %+v", n, v)
+		}
+		if n == *revisions/2 { // of five keepers three are left
+			r.Kill("one more", 3)
+		}
+	}
+	t.Logf("%d changes in %v, two of five keepers away for half of them", *revisions, time.Since(began))
+	r.start("back", 3, 4, 5)
+	r.holds(accord.Revision(*revisions), upTo(6)...)
+	for i := range 5 {
+		info, err := os.Stat(filepath.Join(r.file(i, "keeper"), "log.db"))
+		r.must(err)
+		_, rss, _ := r.Usage(i)
+		t.Logf("keeper %d: log of %d kB, %d MB of memory", i, info.Size()>>10, rss>>20)
+		if info.Size() > 4<<20 {
+			t.Errorf("keeper %d has a log of %d bytes", i, info.Size())
+		}
+	}
+	h, err := r.AskPolicy(4, map[string]any{"what": "history"})
+	r.must(err)
+	if len(h.History) == 0 || int(h.History[len(h.History)-1].Revision) != *revisions {
+		t.Errorf("the history ends at %+v", h.History)
+	}
+}
