--- a/internal/lab/report/loss.go
+++ b/internal/lab/report/loss.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 
@@ -179,36 +180,17 @@
 	return p
 }
 
-// inversions pairs each nack with one served that is worth less, the dearest nack with the cheapest served.
+// inversions pairs as many nacks as can be with one served each that is worth less: the cheapest with the cheapest first.
 func inversions(nacked, served map[float64]int) (n int) {
-	var worths []float64
-	for w := range nacked {
-		worths = append(worths, w)
-	}
-	slices.Sort(worths)
-	slices.Reverse(worths)
-	left := 0
-	var cheap []float64
-	for w := range served {
-		cheap = append(cheap, w)
-	}
-	slices.Sort(cheap)
-	at := 0
-	for _, w := range worths {
-		for k := nacked[w]; k > 0; {
-			if left == 0 {
-				if at == len(cheap) || cheap[at] >= w {
-					return n
-				}
-				left = served[cheap[at]]
-				at++
-				continue
-			}
-			if cheap[at-1] >= w {
-				return n
+	left := maps.Clone(served)
+	cheap := slices.Sorted(maps.Keys(served))
+	for _, w := range slices.Sorted(maps.Keys(nacked)) {
+		k := nacked[w]
+		for _, c := range cheap {
+			if c < w {
+				pairs := min(k, left[c])
+				n, k, left[c] = n+pairs, k-pairs, left[c]-pairs
 			}
-			pairs := min(k, left)
-			n, k, left = n+pairs, k-pairs, left-pairs
 		}
 	}
 	return n
--- /dev/null
+++ b/internal/lab/report/loss_test.go
@@ -0,0 +1,57 @@
+package report
+
+import (
+	"fmt"
+	"testing"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/scenario"
+)
+
+func Example_inversions() {
+	for _, x := range []struct{ nacked, served map[float64]int }{
+		{map[float64]int{1: 9}, map[float64]int{3: 9}},             // what is worth less went
+		{map[float64]int{3: 2}, map[float64]int{1: 9}},             // two that are worth more, while nine that are worth less were served
+		{map[float64]int{3: 4, 1: 5}, map[float64]int{1: 3, 5: 7}}, // of four three could have had a place
+		{map[float64]int{5: 1, 3: 1}, map[float64]int{3: 1, 1: 1}}, // each the place of the next
+		{map[float64]int{3: 2}, map[float64]int{3: 9}},             // of one worth it is chance
+	} {
+		fmt.Println(inversions(x.nacked, x.served))
+	}
+	// Output:
+	// 0
+	// 2
+	// 3
+	// 2
+	// 0
+}
+
+// The parts of a loss: what was asked in each, what was answered in time, who was refused.
+func TestPartsOfALoss(t *testing.T) {
+	s := scenario.Default()
+	s.Length, s.Tenants = 30e6, nil
+	s.Methods = []scenario.Method{{Name: "read", LatencyBudget: 200e3, Criticality: 3}, {Name: "report", LatencyBudget: 200e3, Criticality: 1}}
+	r := fleet.Result{Scenario: s, Events: []event.Event{{At: 10e6, Kind: event.Fault, Note: "site_lost"}, {At: 18e6, Kind: event.Fault, Note: "site_lost", Limit: 1}}}
+	op := event.Op(0)
+	ask := func(at event.Micros, m event.Method, out event.Outcome, took event.Micros) {
+		op++
+		id := event.Req(fmt.Sprint(op))
+		r.Events = append(r.Events, event.Event{At: at, Kind: event.Wanted, Op: op, Method: m, Tenant: -1},
+			event.Event{At: at, Kind: event.Asked, Op: op, Req: id, Method: m}, event.Event{At: at + took, Kind: event.Answered, Op: op, Req: id, Outcome: out})
+	}
+	for at := event.Micros(2e6); at < 30e6; at += 1e5 {
+		lost := at >= 10e6 && at < 18e6
+		ask(at, 0, event.Satisfied, 50e3)
+		if lost {
+			ask(at, 1, event.Nacked, 1e3)
+		} else {
+			ask(at, 1, event.Satisfied, 250e3) // late
+		}
+	}
+	l := lossOf(r)
+	if l == nil || l.Before.Service != 0.75 || l.In.Service != 0.75 || l.In.Refused[1].Share != 1 || l.In.Refused[0].Share != 0 || l.Refuse != 0.5 ||
+		l.In.Inversions != 0 || l.Back != 0 || l.Dip != 0 || l.In.Goodput < 9.9 || l.In.P99 > 0.26 || l.Before.P99 < 1.2 {
+		t.Errorf("%+v", l)
+	}
+}
