--- a/internal/keeper/sites.go
+++ b/internal/keeper/sites.go
@@ -175,7 +175,7 @@
 	if r := b.Sites[site]; r.At == q.At && r.By == q.Author {
 		return nil // asked again: the answer was late
 	}
-	order, err := siteplan.Word(&plan, site, b.Sites[site], q.Word, q.Author, q.Reason)
+	order, err := siteplan.Word(&plan, site, b.Sites, q.Word, q.Author, q.Reason)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -496,3 +496,54 @@
 		t.Errorf("the history ends at %+v", h.History)
 	}
 }
+
+// The policy is changed all the time while every router is restarted or replaced, one after the other, keepers as well: no two
+// revisions at once, every change everywhere or nowhere, most everywhere, and all on the last one in the end.
+func TestChangesDuringARoll(t *testing.T) {
+	r := founded(t, "refuse", 5, 3)
+	stop, broken := make(chan struct{}), make(chan []string)
+	go func() { broken <- r.mixed(stop, 5) }()
+	rolled := make(chan error)
+	go func() {
+		var err error
+		for i := 0; i < 5 && err == nil; i++ {
+			if i%2 == 0 {
+				err = r.Replace(i)
+			} else if err = r.Stop("roll", i); err == nil {
+				err = r.Start("roll", i)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		rolled <- err
+	}()
+	base, through, tries := 0, 0, 0
+	for over := false; !over; tries++ {
+		select {
+		case err := <-rolled:
+			r.must(err)
+			over = true
+		default:
+		}
+		// By one router after the other: some are down.
+		for i := range 5 {
+			v, err := r.apply((tries+i)%5, base, fmt.Sprint("try ", tries), docOut(fmt.Sprint("s", tries)))
+			if err != nil {
+				continue
+			}
+			if v.Everywhere {
+				through++
+			}
+			base = int(v.Revision)
+			break
+		}
+	}
+	close(stop)
+	for _, b := range <-broken {
+		t.Error(b)
+	}
+	r.holds(accord.Revision(base), upTo(5)...)
+	t.Logf("%d of %d changes everywhere", through, tries)
+	if through < tries/2 || through == 0 {
+		t.Errorf("%d of %d changes came through", through, tries)
+	}
+}
--- a/siteplan/chief.go
+++ b/siteplan/chief.go
@@ -97,6 +97,9 @@
 		if now-c.began >= settle {
 			next, why := w.next(now, p, e, missed, origin)
 			row.Waits = why
+			if next != nil && next.Stage == Lost && last(p, place.Name, rulings) {
+				next, row.Waits = nil, "it is the only site that is not lost"
+			}
 			if next != nil && order == nil { // one at a time
 				next.Site, next.On = place.Name, w.ruling.Index
 				order = next
@@ -315,7 +318,8 @@
 }
 
 // Word is what an operator may say of a site: lost, back, hold, go. The order that it makes, or why it makes none.
-func Word(p *Plan, site Site, r Ruling, word, by, reason string) (*Order, error) {
+func Word(p *Plan, site Site, rulings map[Site]Ruling, word, by, reason string) (*Order, error) {
+	r := rulings[site]
 	if !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name == site }) {
 		return nil, fmt.Errorf("%q is no site of the plan; spurctl fleet site status names them", site)
 	}
@@ -323,6 +327,9 @@
 	o.By, o.Reason = by, reason
 	switch word {
 	case "lost":
+		if last(p, site, rulings) {
+			return nil, fmt.Errorf("%s is the only site that is not lost: its load could go nowhere", site)
+		}
 		o.Stage, o.Step, o.Held = Lost, 0, true
 	case "back":
 		if r.Stage == Up {
@@ -340,6 +347,11 @@
 	return o, nil
 }
 
+// last tells whether all other sites are lost.
+func last(p *Plan, site Site, rulings map[Site]Ruling) bool {
+	return !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name != site && rulings[x.Name].Stage != Lost })
+}
+
 // Status is what the leader knows, for people.
 type Status struct {
 	Now     Micros       `json:"now"`
--- a/siteplan/siteplan_test.go
+++ b/siteplan/siteplan_test.go
@@ -138,7 +138,7 @@
 			case "leader":
 				d.chief = NewChief(d.now)
 			case "word":
-				o, err := Word(&d.plan, site(), d.rulings[site()], words[3], "ann", "told by phone")
+				o, err := Word(&d.plan, site(), d.rulings, words[3], "ann", "told by phone")
 				if err != nil {
 					say("%v", err)
 				}
