--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -330,7 +330,9 @@
 	if leads != (k.council != nil) {
 		if k.council = nil; leads {
 			k.council = accord.NewCouncil(k.micros(), k.rules(), k.cfg.Own.Routers)
-			k.sites.chief = siteplan.NewChief(siteplan.Micros(k.micros()))
+			// What an earlier time as leader left is old.
+			s := &k.sites
+			s.chief, s.reports, s.given, s.stepped = siteplan.NewChief(siteplan.Micros(k.micros())), nil, nil, -leadEach
 		}
 		k.asks = nil
 		k.fleet.Leads(leads)
@@ -343,6 +345,7 @@
 		return
 	}
 	book.tend(k.fleet, k.cfg.Keepers, k.welcome)
+	k.leadSites(book) // before the first grant: one without orders would have all go by themselves for a moment
 	// What has been asked before a majority confirms this leader may be answered; what comes meanwhile waits.
 	if len(asks) > 0 && book.confirmed() {
 		k.mu.Lock()
@@ -359,15 +362,15 @@
 		}
 		k.mu.Unlock()
 	}
+	b := book.now()
 	k.mu.Lock()
-	entry := council.Resolve(k.micros(), book.now())
+	entry := council.Resolve(k.micros(), b)
 	k.mu.Unlock()
 	if entry != nil {
 		book.put(*entry)
 	}
-	k.leadSites(book)
 	k.mu.Lock()
-	entry = council.Lend(k.micros(), book.now())
+	entry = council.Lend(k.micros(), b)
 	k.mu.Unlock()
 	if entry != nil {
 		k.log.WithFields(logrus.Fields{"what": string(entry.Kind), "router": string(entry.Name)}).Warn("policy: a lost router's part")
--- a/internal/keeper/sites.go
+++ b/internal/keeper/sites.go
@@ -119,15 +119,24 @@
 
 // leadSites is the leader's part.
 func (k *Keeper) leadSites(book *log) {
-	members := k.fleet.Members()
-	b := book.now()
 	k.mu.Lock()
 	s, now := &k.sites, k.micros()
-	if s.chief == nil || k.council == nil || now-s.stepped < leadEach {
+	due := s.chief != nil && k.council != nil && s.plan.On() && now-s.stepped >= leadEach
+	if !due {
+		if !s.plan.On() {
+			s.given = nil
+		}
 		k.mu.Unlock()
 		return
 	}
 	s.stepped = now
+	k.mu.Unlock()
+	members, b := k.fleet.Members(), book.now()
+	k.mu.Lock()
+	if s.chief == nil { // it leads no longer
+		k.mu.Unlock()
+		return
+	}
 	var rows []siteplan.Row
 	for _, m := range members {
 		last := s.reports[accord.Name(m.Name)]
--- a/siteplan/shed.go
+++ b/siteplan/shed.go
@@ -113,6 +113,9 @@
 	if t.target == 0 {
 		t.target, t.borne, t.changed = borne*max(1, t.more), borne, now
 	}
+	if t.borne == 0 { // another leader had come to the target
+		t.borne, t.changed = borne, now
+	}
 	if borne < t.borne*(1-another) || borne > t.borne*(1+another) {
 		t.target += borne - t.borne // what was learnt beside told figures was mostly the origin's part, which stays
 		t.done, t.borne, t.changed = nil, borne, now
--- a/siteplan/siteplan_test.go
+++ b/siteplan/siteplan_test.go
@@ -16,6 +16,7 @@
 	now     Micros
 	plan    Plan
 	chief   *Chief
+	orders  Orders // that all keep to
 	rulings map[Site]Ruling
 	index   uint64
 	down    map[Site]bool        // its routers are not heard
@@ -51,7 +52,7 @@
 	for _, o := range d.offered {
 		let += o.Rate * heard
 	}
-	if t := d.chief.throttle.target; t > 0 {
+	if t := d.orders.Target; t > 0 {
 		let = min(let, t)
 	}
 	lost := max(0, let-answered)
@@ -59,7 +60,7 @@
 		for i := range 2 {
 			r := Row{Name: fmt.Sprint(s, i), Site: s, Heard: !d.down[s]}
 			if r.Heard {
-				r.Report = Report{Site: s, Offered: d.offered, Let: let / heard, Lost: lost / heard, Worth: let / heard, Missed: lost / heard, Target: d.chief.throttle.target}
+				r.Report = Report{Site: s, Offered: d.offered, Let: let / heard, Lost: lost / heard, Worth: let / heard, Missed: lost / heard, Target: d.orders.Target}
 				for _, of := range sites {
 					n := int(4*d.there[of] + 0.5)
 					if d.blind[[2]Site{s, of}] {
@@ -80,6 +81,7 @@
 	if d.check != nil {
 		d.check(orders, order, rows)
 	}
+	d.orders = orders
 	d.take(order)
 	d.now += 100e3
 }
