--- a/internal/lab/rig/sites.go
+++ b/internal/lab/rig/sites.go
@@ -263,10 +263,10 @@
 		site := o.Sites[dice.IntN(3)]
 		other := o.Sites[(slices.Index(o.Sites, site)+1)%3]
 		here, there := at(site)
-		kind := dice.IntN(9)
+		kind := dice.IntN(14)
 		out.Acts = append(out.Acts, fmt.Sprintf("%v %s %d", r.Now().Round(time.Millisecond), site, kind))
 		switch kind {
-		case 0, 1: // lost, or back
+		default: // lost, or back
 			on := up[site]
 			up[site], listed[site] = !on, map[bool]float64{true: 0, false: 1}[on]
 			did(site, false)
@@ -310,6 +310,18 @@
 				did(site, false)
 				time.Sleep(700 * time.Millisecond)
 			}
+		case 0: // half of all routers are restarted
+			for _, i := range dice.Perm(o.Routers)[:o.Routers/2] {
+				if r.Running(i) && err == nil {
+					r.Kill("restart", i)
+					err = r.Start("restart", i)
+				}
+			}
+		case 1: // the policy is changed
+			if a, err := ask(map[string]any{"what": "status"}); err == nil {
+				_, _ = ask(map[string]any{"what": "apply", "doc": SiteDoc(o.Sites, "500ms") + fmt.Sprintf("# %d\n", len(out.Acts)), "base": a.Current,
+					"token": fmt.Sprint("act ", len(out.Acts)), "author": "round", "reason": "dice"}) // nowhere where a router is away
+			}
 		case 8: // an operator
 			did(site, true)
 			_, _ = ask(map[string]any{"what": "site", "name": site, "word": []string{"lost", "back", "hold", "go"}[dice.IntN(4)], "author": "round", "reason": "dice",
@@ -318,7 +330,7 @@
 		if err != nil {
 			return out, err
 		}
-		time.Sleep(time.Duration(500+dice.IntN(2500)) * time.Millisecond)
+		time.Sleep(time.Duration(500+dice.IntN(3500)) * time.Millisecond)
 	}
 	for _, s := range o.Sites {
 		if !up[s] || !r.Running(slices.Index(o.Sites, s)) {
