--- a/choice/choice.go
+++ b/choice/choice.go
@@ -377,6 +377,19 @@
 	return r.originRoom() || q.write && r.origin != nil && r.usable(r.origin)
 }
 
+// fetchWait is the time until one more read may go to the origin, behind so many that wait, where the fleet has
+// a bound on them: of this router's part of it, saved up for a quarter of a second.
+func (r *Router) fetchWait(ahead int) Micros {
+	if r.planned.Fetches == 0 {
+		return 0
+	}
+	const longest = 60e6 // of a router without a part
+	rate := max(1e-9, r.planned.Fetches*r.part)
+	r.fetchLeft = min(max(1, rate/4), r.fetchLeft+rate*float64(r.now-r.fetchAt)/1e6)
+	r.fetchAt = r.now
+	return Micros(max(0, min(longest, 1e6*(1+float64(ahead)-r.fetchLeft)/rate)))
+}
+
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
 // there already if it has room, else only while its last answers are under the goal.
 func (r *Router) originTakes(crowded bool) bool {
@@ -982,21 +995,6 @@
 	}
 }
 
-// takeReport keeps the reported service time, or where none is told the own one. The origin's is that of all
-// routers' fetches: one of hundreds has a few answers a second, and saw it fill seconds late.
-func (r *Router) takeReport(s *server, rep Report, took Micros) {
-	i := slices.Index(r.figures, FigureServiceTime)
-	told := i >= 0 && i < len(rep) && rep[i] > 0
-	if told {
-		took = Micros(rep[i] * 1e3)
-	}
-	if s.origin && told {
-		s.time = took
-	} else if took > 0 && !s.origin {
-		s.report(r.now, took)
-	}
-}
-
 func (r *Router) subscribe() {
 	r.askAt = 0
 	r.decided = append(r.decided, Decision{Action: Subscribe})
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -6,8 +6,7 @@
 	"slices"
 )
 
-// What the fleet is told of a router's load. It is counted here and hangs on nothing; what the fleet makes of it comes
-// back as Planned.
+// What the fleet is told of a router's load, and what is kept of what it tells in return. Nothing is decided here.
 
 // tally counts what came in and what became of it.
 type tally struct {
@@ -49,19 +48,6 @@
 
 func (r *Router) isShed(q *req) bool { return q.shed }
 
-// fetchWait is the time until one more read may go to the origin, behind so many that wait: this router has its part of
-// what the origin bears for all, saved up for a quarter of a second. The misses of a cold site swamp an origin.
-func (r *Router) fetchWait(ahead int) Micros {
-	if r.planned.Fetches == 0 {
-		return 0
-	}
-	const longest = 60e6 // of a router without a part
-	rate := max(1e-9, r.planned.Fetches*r.part)
-	r.fetchLeft = min(max(1, rate/4), r.fetchLeft+rate*float64(r.now-r.fetchAt)/1e6)
-	r.fetchAt = r.now
-	return Micros(max(0, min(longest, 1e6*(1+float64(ahead)-r.fetchLeft)/rate)))
-}
-
 // replan keeps what the fleet keeps to now; the caches to be used may be others by it.
 func (r *Router) replan(p Planned) {
 	others := !slices.Equal(r.planned.Parts, p.Parts)
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// takeReport keeps the reported service time, or where none is told the own one. The origin's is that of all
+// routers' fetches: one of hundreds has a few answers a second, and saw it fill seconds late.
+func (r *Router) takeReport(s *server, rep Report, took Micros) {
+	i := slices.Index(r.figures, FigureServiceTime)
+	told := i >= 0 && i < len(rep) && rep[i] > 0
+	if told {
+		took = Micros(rep[i] * 1e3)
+	}
+	if s.origin && told {
+		s.time = took
+	} else if took > 0 && !s.origin {
+		s.report(r.now, took)
+	}
+}
+
 // leaning is g where it has samples enough, and the other one as far as it lacks them.
 func (g gauge) leaning(on gauge) gauge {
 	mix := func(own, other Micros) Micros { return (g.n*own + (gaugeFull-g.n)*other) / gaugeFull }
