--- a/choice/choice.go
+++ b/choice/choice.go
@@ -377,8 +377,8 @@
 	return r.originRoom() || q.write && r.origin != nil && r.usable(r.origin)
 }
 
-// fetchWait is the time until one more read may go to the origin, behind so many that wait, where the fleet has
-// a bound on them: of this router's part of it, saved up for a quarter of a second.
+// fetchWait is the time until one more read may go to the origin, behind so many that wait, where the fleet
+// has a bound on them: by this router's part of it, saved up for a quarter of a second.
 func (r *Router) fetchWait(ahead int) Micros {
 	if r.planned.Fetches == 0 {
 		return 0
