--- a/choice/choice.go
+++ b/choice/choice.go
@@ -383,11 +383,8 @@
 	if r.planned.Fetches == 0 {
 		return 0
 	}
-	const longest = 60e6 // of a router without a part
-	rate := max(1e-9, r.planned.Fetches*r.part)
-	r.fetchLeft = min(max(1, rate/4), r.fetchLeft+rate*float64(r.now-r.fetchAt)/1e6)
-	r.fetchAt = r.now
-	return Micros(max(0, min(longest, 1e6*(1+float64(ahead)-r.fetchLeft)/rate)))
+	rate := r.refill()
+	return Micros(max(0, 1e6*(1+float64(ahead)-r.fetchLeft)/rate))
 }
 
 // originTakes tells whether the origin could carry the miss of a key that leaves its cache: where others wait
@@ -673,7 +670,11 @@
 	slot := uint32(hash % slots)
 	places, known := r.table[slot]
 	if !known {
-		places = rank(r.caches, slot)
+		spare := r.planned.Spare
+		if len(spare) > 0 && r.share(r.ownerOf(slot).Zone) == 1 { // no slot of another zone moves
+			spare = nil
+		}
+		places = rank(r.caches, slot, spare)
 		r.table[slot] = places
 	}
 	r.group = r.group[:0]
@@ -684,14 +685,14 @@
 }
 
 // rank draws for each cache an arrival of as many a second as its size is; the first three make the group.
-func rank(caches []*server, slot uint32) (places [groupCount]uint32) {
+func rank(caches []*server, slot uint32, spare []ZonePart) (places [groupCount]uint32) {
 	at := [groupCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
 	for i, c := range caches {
-		u := float64(mix(uint64(c.Server)<<32|uint64(slot)+rankSalt)>>11+1) / (1 << 53)
-		if (1-u)/c.size >= at[groupCount-1] { // a logarithm is never less than that, and dear
+		u, size := spread(c, slot), c.size*partOf(spare, c.Zone)
+		if (1-u)/size >= at[groupCount-1] { // a logarithm is never less than that, and dear
 			continue
 		}
-		when := -math.Log(u) / c.size
+		when := -math.Log(u) / size
 		for k := range at {
 			if when < at[k] {
 				copy(at[k+1:], at[k:])
@@ -1052,14 +1053,16 @@
 		r.recall(s)
 	}
 	before := r.caches
-	r.caches, r.origin = make([]*server, 0, len(r.all)), nil
+	r.caches, r.out, r.origin = make([]*server, 0, len(r.all)), nil, nil
 	r.all = slices.DeleteFunc(r.all, func(s *server) bool {
 		switch {
 		case s.State == Gone:
 			delete(r.servers, s.Server)
-		case s.State == Draining || r.barred[s.Server] || !s.origin && r.share(s.Zone) == 0:
+		case s.State == Draining || r.barred[s.Server]:
 		case s.origin:
 			r.origin = s
+		case r.share(s.Zone) == 0:
+			r.out = append(r.out, s)
 		default:
 			r.caches = append(r.caches, s)
 		}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -50,9 +51,10 @@
 
 // replan keeps what the fleet keeps to now; the caches to be used may be others by it.
 func (r *Router) replan(p Planned) {
-	others := !slices.Equal(r.planned.Parts, p.Parts)
+	others := !slices.Equal(r.planned.Parts, p.Parts) || !slices.Equal(r.planned.Spare, p.Spare)
 	if r.planned = p; others {
 		clear(r.ways) // of a zone that is let in again the last word is old
+		clear(r.table)
 		r.listCame(ListCame{Kind: ListChanges})
 	}
 }
@@ -64,9 +66,19 @@
 	}
 }
 
+// refill saves up reads at the origin for a quarter of a second, at this router's rate; without a part it is one in long.
+func (r *Router) refill() (rate float64) {
+	rate = max(0.02, r.planned.Fetches*r.part)
+	r.fetchLeft = min(max(1, rate/4), r.fetchLeft+rate*float64(r.now-r.fetchAt)/1e6)
+	r.fetchAt = r.now
+	return rate
+}
+
 // share is the part of its keys that a zone may have: all, but while the fleet has it out or lets it back in.
-func (r *Router) share(zone Zone) float64 {
-	for _, p := range r.planned.Parts {
+func (r *Router) share(zone Zone) float64 { return partOf(r.planned.Parts, zone) }
+
+func partOf(parts []ZonePart, zone Zone) float64 {
+	for _, p := range parts {
 		if p.Zone == zone {
 			return p.Part
 		}
@@ -74,6 +86,27 @@
 	return 1
 }
 
+// ownerOf is the cache that a slot's ranking has first, of all that are ready, those of zones that are out as well.
+func (r *Router) ownerOf(slot uint32) (owner *server) {
+	first := math.Inf(1)
+	for _, c := range slices.Concat(r.caches, r.out) {
+		if at := arrival(c, slot, c.size); at < first {
+			first, owner = at, c
+		}
+	}
+	return owner
+}
+
+// arrival is when a cache comes for a slot, by chance: the sooner the larger it is.
+func arrival(c *server, slot uint32, size float64) float64 {
+	return -math.Log(spread(c, slot)) / size
+}
+
+// spread draws from (0, 1] for a cache and a slot.
+func spread(c *server, slot uint32) float64 {
+	return float64(mix(uint64(c.Server)<<32|uint64(slot)+rankSalt)>>11+1) / (1 << 53)
+}
+
 // RankRate is how much comes in of one rank.
 type RankRate struct {
 	Rank Rank
--- a/choice/state.go
+++ b/choice/state.go
@@ -145,6 +145,7 @@
 	before      map[ServerID]ServerKnowledge // from before a restart, until the list names them
 	all         []*server                    // in the list, sorted by id
 	caches      []*server                    // ready, sorted by id: the table is built from these
+	out         []*server                    // caches of zones that the fleet has out
 	origin      *server
 	table       map[uint32][groupCount]uint32 // of the slots asked for since the list changed: places in caches
 	group       []*server                     // what groupOf last returned
--- a/choice/types.go
+++ b/choice/types.go
@@ -212,10 +212,11 @@
 	}
 	Planned struct { // what the fleet keeps to while a site is lost; the zero value: nothing
 		Parts   []ZonePart
-		Least   Rank    // less is refused
-		Some    float64 // and of what has just that rank all but so much
-		Back    Micros  // what is refused is to come back within so long
-		Fetches float64 // reads at the origin a second, of all routers together; 0: no bound but the router's own
+		Spare   []ZonePart // weights of zones for the keys whose owner's zone has a part only; 1 where none is named
+		Least   Rank       // less is refused
+		Some    float64    // and of what has just that rank all but so much
+		Back    Micros     // what is refused is to come back within so long
+		Fetches float64    // reads at the origin a second, of all routers together; 0: no bound but the router's own
 	}
 	Changed struct { // the settings are others now; the methods and tenants are the same ones, in the same order
 		Settings
--- a/cmd/spurctl/fleetsite.go
+++ b/cmd/spurctl/fleetsite.go
@@ -169,7 +169,7 @@
 	}
 	bearing := make([]siteplan.Bearing, len(plan.Sites))
 	for i, x := range plan.Sites {
-		bearing[i] = siteplan.Bearing{Name: x.Name, Bears: x.Bears}
+		bearing[i] = siteplan.Bearing{Name: x.Name, Bears: x.Bears, Prefer: x.Prefer}
 		for _, y := range siteRows(seen) {
 			if y.Name == x.Name && x.Bears == 0 {
 				bearing[i].Bears = y.Bears
--- a/internal/keeper/sites.go
+++ b/internal/keeper/sites.go
@@ -91,6 +91,9 @@
 
 func planned(o siteplan.Orders) choice.Planned {
 	p := choice.Planned{Least: choice.Rank(o.Least), Some: o.Some, Back: choice.Micros(o.Back), Fetches: o.Fetches}
+	for _, s := range o.Spare {
+		p.Spare = append(p.Spare, choice.ZonePart{Zone: choice.Zone(s.Site), Part: s.Part})
+	}
 	for _, s := range o.Shares {
 		p.Parts = append(p.Parts, choice.ZonePart{Zone: choice.Zone(s.Site), Part: s.Part})
 	}
@@ -178,9 +181,12 @@
 func (k *Keeper) siteWord(book *log, q accord.Request) error {
 	b := book.now()
 	k.mu.Lock()
-	plan := k.sites.plan
+	plan, site := k.sites.plan, siteplan.Site(q.Name)
+	var spare []siteplan.Share
+	if k.sites.chief != nil && q.Word == "lost" {
+		spare = k.sites.chief.Spare(&plan, site, b.Sites)
+	}
 	k.mu.Unlock()
-	site := siteplan.Site(q.Name)
 	if r := b.Sites[site]; r.At == q.At && r.By == q.Author {
 		return nil // asked again: the answer was late
 	}
@@ -188,7 +194,9 @@
 	if err != nil {
 		return err
 	}
-	order.At = q.At
+	if order.At = q.At; q.Word == "lost" {
+		order.Spare = spare
+	}
 	k.log.WithFields(logrus.Fields{"site": q.Name, "word": q.Word, "by": q.Author, "reason": q.Reason}).Warn("site: an operator's word")
 	return book.put(accord.Entry{Kind: accord.Site, Order: order})
 }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -68,6 +68,7 @@
 		"[[sites.site]]\nname = \"hill\"\n":                                   "line 3: sites.site[0].name: is the only site, and its load could go nowhere",
 		two + "[[sites.site]]\nname = \"moon\"\n":                             `line 8: sites.site[2].name: "moon" is no site that the routers know; write one of ["hill" "coast"]`,
 		two + "[[sites.site]]\nname = \"hill\"\n":                             `line 8: sites.site[2].name: "hill" is empty or there twice`,
+		"[[sites.site]]\nname = \"hill\"\nprefer = [\"hill\"]\n" + two:        `line 4: sites.site[0].prefer: its entry 1, "hill", is the site itself`,
 		two + "[[sites.load]]\nmethod = \"x\"\nrate = 1.0\n":                  `line 8: sites.load[0].method: "x" is no method of the settings`,
 		two + "[[sites.load]]\nmethod = \"read\"\ntenant = \"x\"\nrate = 1.0": `line 9: sites.load[0].tenant: "x" is no tenant of the settings`,
 		two + "[[sites.load]]\nmethod = \"read\"\n":                           "line 7: sites.load[0].rate: 0 is not above zero",
--- a/internal/policy/sites.go
+++ b/internal/policy/sites.go
@@ -23,8 +23,9 @@
 
 // Place is one site.
 type Place struct {
-	Name  string   `toml:"name"`
-	Bears *float64 `toml:"bears"` // answers a second
+	Name   string   `toml:"name"`
+	Bears  *float64 `toml:"bears"`  // answers a second
+	Prefer []string `toml:"prefer"` // where its load goes first
 }
 
 // Load is a part of what is asked for.
@@ -85,6 +86,12 @@
 		}
 		names = append(names, x.Name)
 		p.Sites = append(p.Sites, siteplan.Place{Name: siteplan.Site(x.Name), Bears: above(f+"bears", x.Bears)})
+		for j, name := range x.Prefer {
+			if name == x.Name || slices.Contains(x.Prefer[:j], name) || !slices.ContainsFunc(s.Sites, func(y Place) bool { return y.Name == name }) {
+				wrong(f+"prefer", fmt.Sprintf("its entry %d, %q, is the site itself, there twice or none of the plan", j+1, name), "name other sites of the plan, the first choice first")
+			}
+			p.Sites[i].Prefer = append(p.Sites[i].Prefer, siteplan.Site(name))
+		}
 	}
 	if len(s.Sites) == 1 {
 		wrong("site[0].name", "is the only site, and its load could go nowhere", "name all sites, or leave [sites] out")
--- a/siteplan/chief.go
+++ b/siteplan/chief.go
@@ -20,18 +20,20 @@
 	began    Micros
 	sites    map[Site]*watch
 	throttle throttle
+	load     float64 // answers a second while all sites were whole
 	status   Status
 }
 
 // watch is what the leader has seen of a site.
 type watch struct {
-	ruling Ruling
-	since  Micros  // it knows of that ruling
-	lost   float64 // the part of the worth let in that was given up then
-	gone   Micros  // since when the evidence is that it is lost; 0: it is not
-	there  Micros  // since when that it is back
-	best   float64 // answers a second, of late
-	bestAt Micros
+	ruling  Ruling
+	since   Micros  // it knows of that ruling
+	lost    float64 // the part of the worth let in that was given up then
+	gone    Micros  // since when the evidence is that it is lost; 0: it is not
+	there   Micros  // since when that it is back
+	servers int
+	best    float64 // answers a second, of late
+	bestAt  Micros
 }
 
 // settle is how long a new leader listens before it rules on anything.
@@ -74,7 +76,7 @@
 	var orders Orders
 	var order *Order
 	var stands []standing
-	trouble := false
+	trouble, latest, away := false, uint64(0), 0.0
 	for _, place := range p.Sites {
 		w := c.watch(now, place.Name, rulings[place.Name], missed)
 		e := evidence(place.Name, rows, heard)
@@ -90,9 +92,13 @@
 		if row.degraded() {
 			trouble = true
 		}
+		away += float64(e.usual) * (1 - share)
 		stands = append(stands, standing{place.Name, float64(e.usual) * share * there, row.Bears})
 		if share < 1 {
 			orders.Shares = append(orders.Shares, Share{place.Name, share})
+			if w.ruling.Index >= latest { // of two that are away the last one's
+				latest, orders.Spare = w.ruling.Index, w.ruling.Spare
+			}
 		}
 		if now-c.began >= settle {
 			next, why := w.next(now, p, e, missed, origin)
@@ -102,11 +108,21 @@
 			}
 			if next != nil && order == nil { // one at a time
 				next.Site, next.On = place.Name, w.ruling.Index
+				switch {
+				case next.Stage == Lost && w.ruling.Stage == Up:
+					next.Spare = c.Spare(p, place.Name, rulings)
+				case next.Stage != Up:
+					next.Spare = w.ruling.Spare
+				}
 				order = next
 			}
 		}
 		s.Sites = append(s.Sites, row)
 	}
+	if !trouble {
+		c.load += (let - lost - c.load) / 20
+	}
+	settleOn(stands, away, orders.Spare)
 	s.Bears, s.Binds = bears(stands)
 	s.More = c.throttle.more
 	c.throttle.step(now, offered, let-lost, missed, s.Bears, trouble)
@@ -254,6 +270,7 @@
 	}
 	since(&w.gone, w.ruling.Stage == Up && e.lost() || w.ruling.Stage == Returning && (e.lost() || e.failing()))
 	since(&w.there, w.ruling.Stage == Lost && e.back())
+	w.servers = max(w.servers, e.usual)
 	if w.ruling.Stage == Up && (e.answers >= w.best || now-w.bestAt > remembered) {
 		w.best, w.bestAt = e.answers, now
 	}
@@ -317,6 +334,94 @@
 	return &Order{Ruling: r}
 }
 
+// Spare is how a lost site's keys are to go to the servers of the others. None: evenly, since it is nearly that, or nothing is
+// known. It is settled once for a loss, since each change moves keys.
+func (c *Chief) Spare(p *Plan, site Site, rulings map[Site]Ruling) []Share {
+	var all []Bearing
+	lost := []Site{}
+	for _, x := range p.Sites {
+		w := c.sites[x.Name]
+		if w == nil || w.servers == 0 {
+			return nil
+		}
+		all = append(all, Bearing{x.Name, w.servers, cmp.Or(x.Bears, w.best), x.Prefer})
+		if x.Name != site && rulings[x.Name].Stage == Lost {
+			lost = append(lost, x.Name)
+		}
+	}
+	return weigh(all, append(lost, site), c.load)
+}
+
+// weigh has keys of lost sites go to the servers of the others so that all of these are full together: by what each can bear
+// beside its own keys. Where the last of them prefers some, these take at this load what they can bear, in order. The weights
+// are of servers, the highest 1.
+func weigh(sites []Bearing, lost []Site, load float64) []Share {
+	servers, most, need, prefer := 0.0, 0.0, 0.0, []Site(nil)
+	for _, s := range sites {
+		if servers += float64(s.Servers); slices.Contains(lost, s.Name) {
+			need += float64(s.Servers)
+		} else {
+			most += s.Bears
+		}
+		if len(lost) > 0 && s.Name == lost[len(lost)-1] {
+			prefer = s.Prefer
+		}
+	}
+	if len(prefer) == 0 {
+		load = most
+	}
+	if servers == 0 || load <= 0 {
+		return nil
+	}
+	spare := map[Site]float64{}
+	for _, s := range sites {
+		if !slices.Contains(lost, s.Name) {
+			spare[s.Name] = max(0, s.Bears-load*float64(s.Servers)/servers)
+		}
+	}
+	gets := divide(load*need/servers, spare, prefer)
+	var weights []Share
+	highest, least := 0.0, 1.0
+	for _, s := range sites {
+		if _, left := spare[s.Name]; left && s.Servers > 0 {
+			weights = append(weights, Share{s.Name, gets[s.Name] / float64(s.Servers)})
+			highest = max(highest, weights[len(weights)-1].Part)
+		}
+	}
+	for i := range weights {
+		weights[i].Part = max(fewest, weights[i].Part/max(1e-9, highest))
+		least = min(least, weights[i].Part)
+	}
+	if least > nearlyEven || highest == 0 {
+		return nil
+	}
+	return weights
+}
+
+// divide shares a load out: to those preferred as far as they have to spare, in order, the rest by what is left of that.
+func divide(load float64, spare map[Site]float64, prefer []Site) map[Site]float64 {
+	gets, left, sum := map[Site]float64{}, maps.Clone(spare), 0.0
+	for _, name := range prefer {
+		gets[name] = min(load, left[name])
+		load -= gets[name]
+		left[name] -= gets[name]
+	}
+	for _, x := range left {
+		sum += x
+	}
+	for name, x := range left {
+		if sum > 0 {
+			gets[name] += load * x / sum
+		}
+	}
+	return gets
+}
+
+const (
+	fewest     = 0.05 // of the weight of the one with most: each takes a few, so that its figure stays known
+	nearlyEven = 0.8  // by less keys are better off where plain hashing has them
+)
+
 // Word is what an operator may say of a site: lost, back, hold, go. The order that it makes, or why it makes none.
 func Word(p *Plan, site Site, rulings map[Site]Ruling, word, by, reason string) (*Order, error) {
 	r := rulings[site]
--- a/siteplan/plan.go
+++ b/siteplan/plan.go
@@ -38,8 +38,9 @@
 
 // Place is one site of a plan.
 type Place struct {
-	Name  Site
-	Bears float64 // answers a second of all its cache servers; 0: as many as were seen lately
+	Name   Site
+	Bears  float64 // answers a second of all its cache servers; 0: as many as were seen lately
+	Prefer []Site  // where its load goes first while it is lost; empty: by what each has to spare
 }
 
 // Load is a part of what is asked for.
@@ -79,14 +80,15 @@
 
 // Ruling is what was decided on a site; the zero value is that it is up, which nobody had to decide.
 type Ruling struct {
-	Stage  Stage  `json:"stage"`
-	Step   int    `json:"step"`  // of the return
-	Held   bool   `json:"held"`  // by an operator: no step is taken, and no return begins
-	Fails  int    `json:"fails"` // losses that followed soon on a return
-	By     string `json:"by"`    // an operator, or "evidence"
-	Reason string `json:"reason"`
-	At     int64  `json:"at"` // by the wall clock, in microseconds since 1970, for people
-	Index  uint64 `json:"index"`
+	Stage  Stage   `json:"stage"`
+	Step   int     `json:"step"`  // of the return
+	Held   bool    `json:"held"`  // by an operator: no step is taken, and no return begins
+	Fails  int     `json:"fails"` // losses that followed soon on a return
+	By     string  `json:"by"`    // an operator, or "evidence"
+	Reason string  `json:"reason"`
+	Spare  []Share `json:"spare,omitempty"` // how its keys go to the others, by weights of their servers; none: evenly
+	At     int64   `json:"at"`              // by the wall clock, in microseconds since 1970, for people
+	Index  uint64  `json:"index"`
 }
 
 // share is the part of its keys that a site may have.
@@ -136,6 +138,7 @@
 // Orders are what all routers keep to.
 type Orders struct {
 	Shares  []Share `json:"shares,omitempty"` // of sites that are not up
+	Spare   []Share `json:"spare,omitempty"`  // weights of sites for the keys of those
 	Least   Rank    `json:"least"`            // less is refused
 	Some    float64 `json:"some"`             // of what has just that rank so much is let in
 	Back    Micros  `json:"back"`             // what is refused is to come back within so long
--- a/siteplan/shed.go
+++ b/siteplan/shed.go
@@ -51,6 +51,25 @@
 	return most, binds
 }
 
+// settleOn has the keys of servers that are away count with those of the sites that have them, by weights.
+func settleOn(sites []standing, away float64, weights []Share) {
+	each, sum := make([]float64, len(sites)), 0.0
+	for i, s := range sites {
+		each[i] = s.servers
+		for _, w := range weights {
+			if w.Site == s.name {
+				each[i] *= w.Part
+			}
+		}
+		sum += each[i]
+	}
+	for i := range sites {
+		if sum > 0 {
+			sites[i].servers += away * each[i] / sum
+		}
+	}
+}
+
 // standing is a site as far as what it bears goes.
 type standing struct {
 	name    Site
