--- a/accord/book.go
+++ b/accord/book.go
@@ -60,6 +60,7 @@
 	Process Process  `json:"process,omitempty"`
 	Serves  bool     `json:"serves,omitempty"`
 	Build   string   `json:"build,omitempty"`
+	Site    string   `json:"site,omitempty"`
 
 	Order *siteplan.Order `json:"order,omitempty"`
 }
@@ -87,6 +88,7 @@
 	Process Process `json:"process"`
 	Serves  bool    `json:"serves"` // it goes on under what it has where it cannot reach the keepers
 	Build   string  `json:"build"`
+	Site    string  `json:"site"`
 }
 
 const (
@@ -169,7 +171,7 @@
 			return b.end(e.Token, Verdict{Revision: current, Why: e.Why})
 		}
 	case Enter:
-		b.Roster[e.Name] = Member{e.Process, e.Serves, e.Build}
+		b.Roster[e.Name] = Member{e.Process, e.Serves, e.Build, e.Site}
 	case Leave:
 		if b.Roster[e.Name].Process == e.Process {
 			delete(b.Roster, e.Name)
@@ -234,6 +236,7 @@
 	At       Micros   `json:"at"` // by its own clock
 	Serves   bool     `json:"serves"`
 	Build    string   `json:"build"`
+	Site     string   `json:"site"`
 	Held     Revision `json:"held"`
 	Index    Index    `json:"index"`    // the highest that it was told of
 	Prepared Token    `json:"prepared"` // the change that it could hold
@@ -288,8 +291,8 @@
 		}
 		return g, false, nil
 	}
-	if !there || m.Process != r.Process || m.Serves != r.Serves {
-		return g, false, &Entry{Kind: Enter, Name: r.Name, Process: r.Process, Serves: r.Serves, Build: r.Build}
+	if !there || m.Process != r.Process || m.Serves != r.Serves || m.Site != r.Site {
+		return g, false, &Entry{Kind: Enter, Name: r.Name, Process: r.Process, Serves: r.Serves, Build: r.Build, Site: r.Site}
 	}
 	if b.Out[r.Name] {
 		c.recall[r.Name] = true // it takes nothing before its part is its own again
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -298,6 +298,7 @@
 	k.mu.Lock()
 	now := k.micros()
 	renewal, due := k.holder.Ask(now)
+	renewal.Site = k.cfg.Site
 	report := k.sites.report
 	until := k.holder.Takes(now)
 	revision, _, knows := k.holder.Held()
@@ -391,6 +392,7 @@
 func (k *Keeper) Close(handed bool) {
 	k.mu.Lock()
 	bye := k.holder.Leave(k.micros())
+	bye.Site = k.cfg.Site
 	k.mu.Unlock()
 	// Where another goes on for it the router stays on the roster, and is waited for until the next process asks.
 	for n := 0; n < 2 && !handed; n++ { // a lost one is as a crash: the leader finds that its grant has run out
--- a/internal/keeper/sites.go
+++ b/internal/keeper/sites.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -134,7 +135,14 @@
 	}
 	s.stepped = now
 	k.mu.Unlock()
+	// The roster as well: a view that began after a site was lost has never heard of its routers, and the site seemed to have
+	// none to wait for.
 	members, b := k.fleet.Members(), book.now()
+	for name, m := range b.Roster {
+		if !slices.ContainsFunc(members, func(x place.Member) bool { return x.Name == string(name) }) {
+			members = append(members, place.Member{Name: string(name), Site: m.Site})
+		}
+	}
 	k.mu.Lock()
 	if s.chief == nil { // it leads no longer
 		k.mu.Unlock()
