--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -228,10 +228,15 @@
 		go k.adopt(revision, doc)
 	}
 	if adopt || news {
-		select {
-		case k.kick <- struct{}{}:
-		default:
-		}
+		k.wake()
+	}
+}
+
+// wake has the next look come at once.
+func (k *Keeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -260,10 +265,7 @@
 	if k.holder.Inherit(k.micros(), b) {
 		go k.adopt(b.Revision, b.Doc)
 	}
-	select {
-	case k.kick <- struct{}{}:
-	default:
-	}
+	k.wake()
 }
 
 // adopt puts a revision into force. Until it is, the router takes nothing.
@@ -290,6 +292,7 @@
 		return
 	}
 	k.inForce, k.sites.plan = revision, plan
+	k.wake() // it takes reqs again at once: by the next look ten milliseconds of the fleet were lost in each change
 	k.fleet.Holds(uint64(revision))
 	k.log.WithFields(logrus.Fields{"revision": uint64(revision), "mono_us": place.Monotonic()}).Info("policy: in force")
 }
