--- a/cmd/spurctl/fleetsite_test.go
+++ b/cmd/spurctl/fleetsite_test.go
@@ -26,6 +26,8 @@
 	}{
 		{sites + "bears = 320.0\n" + loads, nil, "coast", []string{"without coast: asked 900/s, borne 640/s (hill binds): 260/s are refused", "status 540/s 35/s 6.5%",
 			"alert 135/s 0/s 0.0%", "report 225/s 225/s 100.0%", "grain 630/s 182/s 28.9%"}},
+		{strings.Replace(sites, "name = \"coast\"\n", "name = \"coast\"\nprefer = [\"hill\"]\n", 1) + "bears = 320.0\n" + loads, nil, "coast",
+			[]string{"asked 900/s, borne 640/s"}},
 		{sites + "bears = 320.0\n" + loads, nil, "coast,hill", []string{"borne 320/s (valley binds)", "status 540/s 355/s 65.7%"}},
 		{sites + loads, seen, "coast", []string{"asked 550/s, borne 520/s (hill binds): 30/s are refused", "report 100/s 30/s 30.0%",
 			"over share or asked again, worth 0.594 50/s 0/s 0.0%", "alert 100/s 0/s"}},
--- a/cmd/spurctl/policy.go
+++ b/cmd/spurctl/policy.go
@@ -100,6 +100,9 @@
 			if err == nil {
 				_, err = d.Settings(cfg.Settings)
 			}
+			if err == nil {
+				_, err = d.Plan(cfg.Settings, cfg.Sites)
+			}
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
--- a/siteplan/chief.go
+++ b/siteplan/chief.go
@@ -367,7 +367,7 @@
 			prefer = s.Prefer
 		}
 	}
-	if len(prefer) == 0 {
+	if len(prefer) == 0 || load > most { // beyond what they bear nobody has anything to spare
 		load = most
 	}
 	if servers == 0 || load <= 0 {
