The origin gets no repeat of what only a zone or a cell knows

Ruled out: writes (they go to the origin alone), copies (retryable only), pick (it asks inGroup). Cause: in aside mode a deduplicated read that a cache of one zone may have run was turned to the origin, which stands in another, on a miss after it, or with no cache left: turnToOrigin, originIsFree and the rule before the origin's room did not ask inGroup. Change: the rule 'there is no origin to turn to' asks inGroup, and so does originIsFree. Tests: choice/testdata/dedup-origin.trace and, over sockets, cmd/spurtrestle/testdata/group-origin.trace; both fail with the change taken out (tried).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,7 +42,7 @@
 			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q)) },
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
-		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && r.origin == nil },
+		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && !inGroup(q, r.origin) },
 			(*Router).giveUp},
 		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoomFor(q) },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
@@ -199,7 +199,7 @@
 
 // originIsFree: a read may go there though no cache has missed.
 func (r *Router) originIsFree(q *req, pressed bool) bool {
-	return r.origin != nil && !r.fetchIsOut(q) && r.originTakes(pressed)
+	return inGroup(q, r.origin) && !r.fetchIsOut(q) && r.originTakes(pressed)
 }
 
 func (r *Router) send(q *req, s *server) {
@@ -311,10 +311,10 @@
 	return false
 }
 
-// inGroup: a deduplicated req that may have run goes only where its repeat is known.
+// inGroup: a deduplicated req that may have run goes only where its repeat is known, and the origin may not.
 func inGroup(q *req, s *server) bool {
-	if q.maybeRan == 0 || q.method.effect != Deduplicated || q.method.group == GroupAll {
-		return true
+	if s == nil || q.maybeRan == 0 || q.method.effect != Deduplicated || q.method.group == GroupAll {
+		return s != nil
 	}
 	return s.Zone == q.ranAt.Zone && (q.method.group == GroupZone || s.Cell == q.ranAt.Cell)
 }
--- a/choice/trace_test.go
+++ b/choice/trace_test.go
@@ -34,6 +34,7 @@
 			{Name: "pay", Effect: NonRetryable, LatencyBudget: 1500e3, Deadline: 3000e3, Criticality: 5,
 				LateShare: 0.5},
 			{Name: "low", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 0.2},
+			{Name: "look", Effect: Deduplicated, Window: 600e3, LatencyBudget: 400e3, Deadline: 800e3, Criticality: 2},
 		}}
 }
 
@@ -87,7 +88,8 @@
 		case "through":
 			s.Aside, s.OriginKind = false, ""
 		case "zone-group":
-			s.Methods[1].Group = GroupZone
+			s.Methods = slices.Clone(s.Methods)
+			s.Methods[1].Group, s.Methods[4].Group = GroupZone, GroupZone
 		case "fees":
 			s.ConnectionFee, s.HandshakeFee = 0.12, 0.08
 		case "tells":
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,9 +33,10 @@
 	out     strings.Builder
 	sockets int
 	idle    float64
-	own     bool   // each client process has a router of its own
-	binary  string // the program; "": the test binary
-	noDoor  bool   // for operators
+	own     bool     // each client process has a router of its own
+	swaps   []string // of the settings: what, by what
+	binary  string   // the program; "": the test binary
+	noDoor  bool     // for operators
 	listen  string
 	admin   string
 	tmp     string // TMPDIR of the programs
@@ -210,6 +212,7 @@
 	targets := []map[string]any{}
 	for _, w := range words {
 		name, state, _ := strings.Cut(w, ":")
+		name, zone, _ := strings.Cut(name, "@")
 		kind := "std"
 		if name == "origin" {
 			kind = "origin"
@@ -217,7 +220,7 @@
 		if state == "" {
 			state = "active"
 		}
-		targets = append(targets, map[string]any{"uid": name, "endpoint": p.server(name).ln.Addr().String(), "az": "a",
+		targets = append(targets, map[string]any{"uid": name, "endpoint": p.server(name).ln.Addr().String(), "az": cmp.Or(zone, "a"),
 			"model": kind, "state": state, "capacity_hint": 1, "boot_ms": 0})
 	}
 	text, _ := json.Marshal(map[string]any{"rev": rev, "all": all, "targets": targets})
@@ -257,6 +260,7 @@
 		p.config = strings.NewReplacer(`"balancers":1`, `"balancers":400,"weights":"nominal"`,
 			`"cancel":true`, `"cancel":true,"parallel-tries":true`).Replace(p.config)
 	}
+	p.config = strings.NewReplacer(p.swaps...).Replace(p.config)
 	p.configure(p.config)
 	p.run()
 }
@@ -343,6 +347,10 @@
 	case "idle after":
 		p.idle, _ = strconv.ParseFloat(rest, 64)
 		return nil
+	case "settings have": // one text in place of another
+		old, with, _ := strings.Cut(rest, " for ")
+		p.swaps = append(p.swaps, with, old)
+		return nil
 	case "router starts":
 		p.start(words)
 		return nil
