A silent watch is noticed before it counts as told, and older versions are no answer

Ruled out: the list itself (a quarter drains from 3 s on, told with the next list), waiting write-outs (dismissed with it). Cause: limits.go, Watch 20 s and WatchSlack 2 s: a silent call was given up at 22 s, the very moment from which it counts as told, and the next call, with a dial and a pause before it, came after that. Known sites have a grace of one and two seconds, which hid it. Change: calls wait 4 s and are late after 0.5 s more; a dial to discovery has as long; every failed call is followed by the whole list. On the way: changes under an older version were taken, and what had changed up to it never came (discovery.go): no answer now.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -43,7 +43,7 @@
 	Join       choice.Micros // a process that replaces another waits so long for discovery's list
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
-	WatchSlack choice.Micros // an answer to it is late after so much more
+	WatchSlack choice.Micros // an answer to it is late after so much more; and so is a connection to it
 	AskAgain   choice.Micros // after a failed call to discovery
 	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
 	LingerOpen choice.Micros // after SIGTERM, or an operator's word, new connections are taken for so long
@@ -110,8 +110,11 @@
 		Unread:     10e6, // slow readers make long pauses
 		Join:       2e6,  // a third of the time that it has
 		Crossing:   3e3,  // some three times the way from a client to its router
-		Watch:      20e6, // the example of the protocol
-		WatchSlack: 2e6,
+		// A watch that has fallen silent counts as told 6 s later, and two after its wait at the earliest. It is noticed a
+		// second and a half before that: by a wait of 20 s and a slack of 2 s it was noticed just then, too late where the
+		// grace is short.
+		Watch:      4e6,
+		WatchSlack: 500e3, // the agent is on this machine, and answers at once
 		AskAgain:   100e3, // well within the 200 ms after which a watch begins anew
 		Linger:     3e6,   // no deadline is longer
 		LingerOpen: 500e3,
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -98,6 +99,8 @@
 		return l, errors.New("targets is missing")
 	case !a.All && !b.whole:
 		return l, errors.New("changes came where the whole list was asked for")
+	case !a.All && *a.Rev < b.rev: // another's count: what it changed up to there would never come
+		return l, fmt.Errorf("changes up to version %d came where there was %d already", *a.Rev, b.rev)
 	}
 	targets := *a.Targets
 	b.rev, b.whole = *a.Rev, b.whole || a.All
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -92,8 +92,12 @@
 
 // dialOff connects to an address and enrolls the connection for p; failed runs on the loop.
 func (r *Router) dialOff(addr string, p peer, failed func(error)) {
+	within := r.lim.Connect
+	if _, is := p.(*watch); is { // servers may be long in coming up, the agent may not: a call waits behind it
+		within = min(within, r.lim.WatchSlack)
+	}
 	go func() {
-		c, err := net.DialTimeout("tcp", addr, span(r.lim.Connect))
+		c, err := net.DialTimeout("tcp", addr, span(within))
 		if err == nil {
 			var enrolled <-chan gnet.RegisteredResult
 			if enrolled, err = r.loop.Enroll(gnet.NewContext(context.Background(), p), c); err != nil {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -128,7 +128,6 @@
 		err = fmt.Errorf("status %d", answer.Status)
 	}
 	if err != nil {
-		w.r.book.Forget()
 		w.failed(err)
 		return
 	}
@@ -140,12 +139,14 @@
 	w.call()
 }
 
-// failed: the old list holds. Where the decisions ask for lists they also say when to ask again.
+// failed: the old list holds. Where the decisions ask for lists they also say when to ask again. The next call is for the
+// whole list: whoever answers then may count its versions anew, and what was on its way is lost.
 func (w *watch) failed(err error) {
 	if w.over {
 		return
 	}
 	w.calling = false
+	w.r.book.Forget()
 	w.r.cancel(w.late)
 	w.r.counts.ListsFailed++
 	if !w.failing { // once for a row of them
