A req whose client left while it waited for a connection is not sent on

Cause: left() in internal/router/reqs.go told the decisions, and those call nothing off without leave to recall; a write-out that waited for a connection went out once one was free, however long after. Change: what has not left us whole ends with its client (counted as left-waiting). The req is settled behind its Left, as before, also where its last write-out ends earlier.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -85,31 +85,31 @@
 		Reserve:         held + callers,
 		Upstreams:       (sockets - reserve) / 2,
 		// Clients hold a third at most for reqs; a quarter of that is left free for clients that come in.
-		Clients:    sockets / 3,
-		Askers:     sockets / 4,
-		Resp:       resp.Bounds{Bulk: 64 * kibibyte, Long: 4 * mebibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 4 MiB
-		Origin:     httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte, Long: 4 * mebibyte},
-		Discovery:  httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
-		Read:       64 * kibibyte,
-		Piece:      32 * kibibyte,
-		ClientIn:   256 * kibibyte,
-		ClientOut:  mebibyte,
-		Callers:    callers,
-		Offers:     4096, // some rounds of more than a loop takes in
-		Pipeline:   256,
-		HeldBytes:  memory * mebibyte / 8,
-		Buffered:   memory * mebibyte / 4,
-		Connect:    s.ConnectTimeout,
-		Idle:       s.IdleClose * 9 / 10, // a req may be on its way when the server closes
-		Sweep:      250e3,
-		Quiet:      50e3,  // many times the way from a client: what it sent with its connection has come
-		Silent:     2e6,   // no req is owed to it by then
-		Slow:       2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
-		Stuck:      3e6,   // no deadline is longer
-		Turn:       5e3,
-		Unread:     10e6, // slow readers make long pauses
-		Join:       2e6,  // a third of the time that it has
-		Crossing:   3e3,  // some three times the way from a client to its router
+		Clients:   sockets / 3,
+		Askers:    sockets / 4,
+		Resp:      resp.Bounds{Bulk: 64 * kibibyte, Long: 4 * mebibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 4 MiB
+		Origin:    httpwire.Bounds{Head: 16 * kibibyte, Body: 64 * kibibyte, Long: 4 * mebibyte},
+		Discovery: httpwire.Bounds{Head: 16 * kibibyte, Body: 4 * mebibyte}, // a whole list of thousands
+		Read:      64 * kibibyte,
+		Piece:     32 * kibibyte,
+		ClientIn:  256 * kibibyte,
+		ClientOut: mebibyte,
+		Callers:   callers,
+		Offers:    4096, // some rounds of more than a loop takes in
+		Pipeline:  256,
+		HeldBytes: memory * mebibyte / 8,
+		Buffered:  memory * mebibyte / 4,
+		Connect:   s.ConnectTimeout,
+		Idle:      s.IdleClose * 9 / 10, // a req may be on its way when the server closes
+		Sweep:     250e3,
+		Quiet:     50e3,  // many times the way from a client: what it sent with its connection has come
+		Silent:    2e6,   // no req is owed to it by then
+		Slow:      2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
+		Stuck:     3e6,   // no deadline is longer
+		Turn:      5e3,
+		Unread:    10e6, // slow readers make long pauses
+		Join:      2e6,  // a third of the time that it has
+		Crossing:  3e3,  // some three times the way from a client to its router
 		// A watch that has fallen silent counts as told 6 s later, and two after its wait at the earliest. It is noticed a
 		// second and a half before that: by a wait of 20 s and a slack of 2 s it was noticed just then, too late where the
 		// grace is short.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -11,6 +11,8 @@
 	Failed    int
 	Left      int // their clients had gone before the answer
 
+	LeftWaiting int // write-outs that were not sent since their clients had gone meanwhile
+
 	Ended [][3]int // by method: satisfied, nacked, failed
 
 	WriteOuts int
@@ -37,7 +39,7 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("taken=%d satisfied=%d nacked=%d failed=%d left=%d write-outs=%d ok=%d miss=%d never-ran=%d "+
 		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
-		"lists-failed=%d batches=%d", c.Taken, c.Satisfied, c.Nacked, c.Failed, c.Left, c.WriteOuts, c.OK, c.Miss,
+		"lists-failed=%d batches=%d left-waiting=%d", c.Taken, c.Satisfied, c.Nacked, c.Failed, c.Left, c.WriteOuts, c.OK, c.Miss,
 		c.NeverRan, c.MayHave, c.GivenUp, c.ClientConns, c.Dials, c.DialsFailed, c.Shed, c.Broken, c.Lists,
-		c.ListsFailed, c.Batches)
+		c.ListsFailed, c.Batches, c.LeftWaiting)
 }
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -43,6 +43,7 @@
 	r.carryOut(r.decided)
 	for _, ev := range inputs {
 		if l, ok := ev.(choice.Left); ok && r.reqs[l.Req] != nil {
+			r.reqs[l.Req].leaving = false
 			r.settle(r.reqs[l.Req])
 		}
 	}
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -27,6 +27,7 @@
 	outs      []*writeOut    // two at most
 	writeOuts choice.Attempt // so far
 	over      bool           // answered, or the client is gone
+	leaving   bool           // the client is gone, and the decisions are still to be told: they may name it until then
 	body      *body          // of a big write, which is passed on as it comes
 }
 
@@ -102,7 +103,7 @@
 
 // settle forgets a req once nothing of it is left.
 func (r *Router) settle(q *req) {
-	if q.over && len(q.outs) == 0 && r.reqs[q.ID] == q {
+	if q.over && !q.leaving && len(q.outs) == 0 && r.reqs[q.ID] == q {
 		delete(r.reqs, q.ID)
 		r.held -= q.size
 	}
@@ -120,15 +121,28 @@
 	}
 }
 
-// left: the client of a req is gone.
+// left: the client of a req is gone. What of it has not left us whole does not: where the settings allow no recall it went
+// out once it had a connection, long after.
 func (r *Router) left(q *req) {
-	if !q.over {
-		q.over = true
-		r.counts.Left++
-		r.input(choice.Left{Req: q.ID}) // a decision made before that may still name it: it is settled behind
+	if q.over {
+		return
+	}
+	q.over, q.leaving = true, true
+	r.counts.Left++
+	r.input(choice.Left{Req: q.ID})
+	for _, w := range slices.Clone(q.outs) {
+		if w.unsent() {
+			r.counts.LeftWaiting++
+			r.giveUp(w, choice.Ignored)
+		}
 	}
 }
 
+// unsent: its last byte has not left us, so that it has not run.
+func (w *writeOut) unsent() bool {
+	return w.up == nil || !w.up.away && w.up.conn.OutboundBuffered() > 0
+}
+
 // writeOut begins a write-out.
 func (r *Router) writeOut(d choice.Decision) {
 	q, s := r.reqs[d.Req], r.servers[d.Server]
@@ -198,7 +212,7 @@
 func (r *Router) timedOut(w *writeOut) {
 	switch {
 	case !slices.Contains(w.q.outs, w):
-	case w.up == nil || w.up.conn.OutboundBuffered() > 0:
+	case w.unsent():
 		r.giveUp(w, choice.Ignored)
 	default:
 		r.giveUp(w, choice.TimedOut)
