A drain answers all before SIGKILL; nothing is closed or sent where something is owed

A server listed at another address: a dial or a busy connection to the old one joined the pool of the new, so that reqs went to whoever is there now, past the grace. Looked at (TIOCINQ) at the close. The drain ended under a connection that waited to be accepted, or was on its way to the loop. A deduplicated repeat was decided within its window and could go out behind it, once it had a connection. A write-out has a time by which it is begun (Decision.By). TestRepeatOutOfItsWindow.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,7 +42,7 @@
 			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q)) },
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
-		{"there is no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && !inGroup(q, r.origin) },
+		{"no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && !inGroup(q, r.origin) },
 			(*Router).giveUp},
 		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoomFor(q) },
 			func(r *Router, q *req) { r.send(q, r.origin) }},
@@ -249,8 +249,11 @@
 	} else {
 		s.reads++
 	}
-	r.decided = append(r.decided,
-		Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: max(timeout, r.tick)})
+	d := Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: max(timeout, r.tick)}
+	if q.maybeRan > 0 && q.method.effect == Deduplicated { // it may wait for a connection past the window
+		d.By = q.maybeRan + q.method.window - r.tick
+	}
+	r.decided = append(r.decided, d)
 }
 
 const useSpan = 20e6 // a few reqs of one of hundreds of routers to a mean cache
@@ -714,7 +717,7 @@
 		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind,
 		ask: s.ListOnRequest, mayCopy: s.MayTwoAtOnce && s.MayCancel,
 		tick: max(s.Resolution, 1), mayCancel: s.MayCancel, dice: dice{seed: uint32(mix(seed))},
-		began: now, now: now, rules: reqRules(),
+		began: now, now: now, rules: reqRules(), endBy: math.MaxInt64,
 		connect: s.ConnectTimeout, ways: map[Zone]way{},
 		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
 		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
@@ -789,6 +792,11 @@
 		r.replan(e)
 	case Changed:
 		r.adopt(e.Settings)
+	case Ending:
+		r.endBy = e.By
+		for _, q := range r.reqs {
+			q.final = min(q.final, e.By)
+		}
 	case Learned:
 		r.learn(e.Knowledge)
 	case LearnedServers:
@@ -830,13 +838,6 @@
 	}
 }
 
-func (r *Router) wake(at Micros) {
-	if r.wakeAt <= r.now || at < r.wakeAt {
-		r.wakeAt = max(at, r.now+1)
-		r.decided = append(r.decided, Decision{Action: Wake, After: r.wakeAt - r.now, Ref: 1})
-	}
-}
-
 // runWatched looks at the reqs whose copy is due; its time drifts slowly, so that they stand in order.
 func (r *Router) runWatched() {
 	for len(r.watched) > 0 {
@@ -877,7 +878,8 @@
 	r.arrived++
 	// A tick before the deadline nothing can be had any more, and an answer is due.
 	q := &req{id: e.Req, method: m, key: e.Key, most: r.maxSends, write: e.Write, worth: m.worth,
-		seq: r.arrived, aim: r.now + m.aim, final: e.ValidUntil - r.tick, hash: hashText(string(e.Key)), drawn: -1}
+		seq: r.arrived, aim: r.now + m.aim, final: min(e.ValidUntil, r.endBy) - r.tick,
+		hash: hashText(string(e.Key)), drawn: -1}
 	if !m.lateEarns {
 		q.final = min(q.final, q.aim)
 	}
@@ -996,11 +998,6 @@
 	}
 }
 
-func (r *Router) subscribe() {
-	r.askAt = 0
-	r.decided = append(r.decided, Decision{Action: Subscribe})
-}
-
 // bar: what an operator takes out is left alone as what drains; given back, it is a process just started.
 func (r *Router) bar(e Barred) {
 	if r.barred[e.Server] = e.On; !e.On {
--- a/choice/state.go
+++ b/choice/state.go
@@ -171,4 +171,19 @@
 	wakeAt      Micros
 	askAt       Micros
 	askWait     Micros
+	endBy       Micros // of the process
+}
+
+// wake asks for a look at that time at the latest.
+func (r *Router) wake(at Micros) {
+	if r.wakeAt <= r.now || at < r.wakeAt {
+		r.wakeAt = max(at, r.now+1)
+		r.decided = append(r.decided, Decision{Action: Wake, After: r.wakeAt - r.now, Ref: 1})
+	}
+}
+
+// subscribe asks for the list.
+func (r *Router) subscribe() {
+	r.askAt = 0
+	r.decided = append(r.decided, Decision{Action: Subscribe})
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -221,6 +221,9 @@
 	Changed struct { // the settings are others now; the methods and tenants are the same ones, in the same order
 		Settings
 	}
+	Ending struct { // the process ends: no answer is of use after that
+		By Micros
+	}
 	Elapsed struct {
 		Ref TimerRef
 	}
@@ -253,5 +256,6 @@
 	Server  ServerID
 	Attempt Attempt
 	After   Micros
+	By      Micros // of a write-out: it is not begun later than that; 0: any time
 	Ref     TimerRef
 }
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -213,6 +213,10 @@
 	for _, w := range words {
 		name, state, _ := strings.Cut(w, ":")
 		name, zone, _ := strings.Cut(name, "@")
+		name, at, moved := strings.Cut(name, "=") // one's name at another's address
+		if !moved {
+			at = name
+		}
 		kind := "std"
 		if name == "origin" {
 			kind = "origin"
@@ -220,7 +224,7 @@
 		if state == "" {
 			state = "active"
 		}
-		targets = append(targets, map[string]any{"uid": name, "endpoint": p.server(name).ln.Addr().String(), "az": cmp.Or(zone, "a"),
+		targets = append(targets, map[string]any{"uid": name, "endpoint": p.server(at).ln.Addr().String(), "az": cmp.Or(zone, "a"),
 			"model": kind, "state": state, "capacity_hint": 1, "boot_ms": 0})
 	}
 	text, _ := json.Marshal(map[string]any{"rev": rev, "all": all, "targets": targets})
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -46,6 +46,7 @@
 	WatchSlack choice.Micros // an answer to it is late after so much more; and so is a connection to it
 	AskAgain   choice.Micros // after a failed call to discovery
 	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
+	Ending     choice.Micros // after SIGTERM all is answered within so long
 	LingerOpen choice.Micros // after SIGTERM, or an operator's word, new connections are taken for so long
 	Tell       choice.Micros // figures for operators are this old at most while something happens
 	Stood      choice.Micros // from so long between two batches on the process, or its machine, stood still
@@ -78,6 +79,10 @@
 		callers = min(32, sockets/12) // those who stay and say nothing come some at a time
 		sockets -= callers + 3        // its listener, and two files of what was asked
 	}
+	longest := choice.Micros(0)
+	for _, m := range s.Methods {
+		longest = max(longest, m.Deadline)
+	}
 	l := Limits{
 		Memory:          int64(memory) * mebibyte * 7 / 10, // the rest is for what the collector does not see
 		Descriptors:     sockets - reserve,
@@ -105,7 +110,7 @@
 		Quiet:     50e3,  // many times the way from a client: what it sent with its connection has come
 		Silent:    2e6,   // no req is owed to it by then
 		Slow:      2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
-		Stuck:     3e6,   // no deadline is longer
+		Stuck:     max(3e6, longest),
 		Turn:      5e3,
 		Unread:    10e6, // slow readers make long pauses
 		Join:      2e6,  // a third of the time that it has
@@ -116,7 +121,9 @@
 		Watch:      4e6,
 		WatchSlack: 500e3, // the agent is on this machine, and answers at once
 		AskAgain:   100e3, // well within the 200 ms after which a watch begins anew
-		Linger:     3e6,   // no deadline is longer
+		Linger:     max(3e6, longest),
+		// SIGKILL comes 0.7 s after the longest deadline at the earliest, and after 3.7 s however long that is.
+		Ending:     min(3e6, longest) + 500e3,
 		LingerOpen: 500e3,
 		Tell:       20e3,
 		Stood:      250e3, // six beats of the loop, which it has every two of Tell
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -20,6 +20,7 @@
 	idle    choice.Micros // since when it has been quiet
 	whole   choice.Micros // when the last whole command came, or the connection
 	part    choice.Micros // when the first byte came of a command that is not whole yet; 0: there is none
+	coming  bool          // accepted, and not with the loop yet
 	used    bool          // something has come on it
 	spoke   bool          // a whole command has come on it
 	asked   bool          // a req has come on it
@@ -45,6 +46,10 @@
 		c.back(conn)
 		return
 	}
+	if c.coming {
+		c.coming = false
+		c.r.takeover.coming.Add(-1)
+	}
 	c.conn, c.idle = conn, c.r.clock()
 	c.whole = c.idle
 	c.r.clients[c] = struct{}{}
@@ -316,6 +321,13 @@
 	return c.settled() && !c.carried
 }
 
+// unheard: it has sent something that the loop has not read. Closing it then resets the connection under a req that was taken;
+// after a pause of the process, or under load, the loop comes to its timers before its sockets.
+func (c *client) unheard() bool {
+	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
 // ended: it is quiet, or it does not take its answers. gnet writes what it can at a close, and no more.
 func (c *client) ended() bool {
 	return c.conn == nil || c.quiet() || len(c.slots) == 0 && c.r.clock()-c.idle > c.r.lim.Linger
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -1,5 +1,13 @@
 package router
 
+import (
+	"slices"
+
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/choice"
+)
+
 // Drain ends the router in order: it takes new connections for a while, then closes each client's once nothing of it
 // is in hand, and stops when all are closed.
 func (r *Router) Drain() {
@@ -12,6 +20,9 @@
 		r.log.Info("draining")
 		r.publish()
 		r.tellServing(false)
+		r.endBy = r.clock() + r.lim.Ending
+		r.input(choice.Ending{By: r.endBy})
+		r.after(r.lim.Ending, r.endWriteOuts)
 		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
 			r.queue()
@@ -19,9 +30,40 @@
 	})
 }
 
+// endWriteOuts: nobody waits for the process any longer. What is still out is given up, so that its req gets its answer; a
+// server that hung had a req of the longest deadline until after SIGKILL.
+func (r *Router) endWriteOuts() {
+	for _, q := range r.reqs {
+		for _, w := range slices.Clone(q.outs) {
+			if w.up == nil || !w.up.away {
+				r.timedOut(w)
+			}
+		}
+	}
+}
+
 // Drained tells, after Run, whether the router ended because it was told to.
 func (r *Router) Drained() bool { return r.draining }
 
+// someoneComes: a client's connection is accepted, or may be, and the loop does not have it yet. It came while new ones were
+// taken, and may carry a req.
+func (r *Router) someoneComes() bool {
+	t := &r.takeover
+	if t.coming.Load() > 0 {
+		return true
+	}
+	if t.handing || t.ln == nil {
+		return false
+	}
+	fd, err := dupOf(t.ln)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(fd)
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	return err == nil && n > 0
+}
+
 // closeIdleClients closes the clients that wait for nothing. One that has just come in is spared for a while: its first
 // req is on its way. A command that has come in part gets a sweep's time for the rest.
 func (r *Router) closeIdleClients() {
@@ -31,11 +73,15 @@
 			continue // it is passed on
 		}
 		quiet := now - c.idle
-		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.waiting() == 0 || quiet > r.lim.Sweep) {
+		if c.ended() && (c.used || quiet >= r.lim.Quiet) && (c.waiting() == 0 || quiet > r.lim.Sweep) && !c.unheard() {
 			r.close(c.conn)
 		}
 	}
 	if r.closing && r.takeover.unsent == 0 && len(r.clients) == 0 && r.away == 0 && r.offers.open == 0 && !r.stopped {
+		if r.someoneComes() && r.clock() < r.endBy {
+			r.after(r.lim.Turn, r.queue)
+			return
+		}
 		r.stopped = true
 		if r.takeover.unix != nil {
 			r.takeover.unix.Close()
--- /dev/null
+++ b/internal/router/endings_test.go
@@ -0,0 +1,209 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/resp"
+)
+
+// The orders in which things end that a kernel brings about once in a long while, each forced: by a socket that holds bytes
+// which the loop has not read, a dial that is held, a clock that is set on.
+
+// held returns a router whose dials wait to be let through, with two servers and the origin.
+func held(t *testing.T, change func(*choice.Settings)) (l *notedLoop, up func() *notedConn) {
+	cfg := notedConfig()
+	cfg.Limits.Idle, cfg.Limits.Sweep, cfg.Limits.Quiet = 60e6, 250e3, 50e3
+	cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel = 3, true
+	cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1},
+		choice.MethodSettings{Name: "look", Effect: choice.Deduplicated, Window: 400e3, LatencyBudget: 2e6, Criticality: 1})
+	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
+		`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"}]}`)
+	if change != nil {
+		change(&cfg.Settings)
+	}
+	l = newLoop(t, cfg)
+	var dials []peer
+	l.r.dialer = func(_ string, p peer, _ func(error)) { dials = append(dials, p) }
+	return l, func() *notedConn {
+		if len(dials) == 0 {
+			t.Fatal("nobody dials")
+		}
+		p := dials[0]
+		dials = dials[1:]
+		c := l.open(p)
+		l.rounds()
+		return c
+	}
+}
+
+func (l *notedLoop) comes(c *notedConn, text string) {
+	c.in = append(c.in, text...)
+	if l.r.OnTraffic(c) != 0 {
+		_ = l.Close(c)
+	}
+	l.rounds()
+}
+
+func command(words ...string) string {
+	var all [][]byte
+	for _, w := range words {
+		all = append(all, []byte(w))
+	}
+	return string(resp.AppendCommand(nil, all...))
+}
+
+// pass sets the clock on.
+func (l *notedLoop) pass(by choice.Micros) {
+	l.r.began += by
+	l.r.lim.Stood = 1 << 60
+	l.r.batch()
+	l.rounds()
+}
+
+// A repeat that waits for a connection until its group may have forgotten the first is not sent any more.
+func TestRepeatOutOfItsWindow(t *testing.T) {
+	l, up := held(t, nil)
+	client := l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=look,d=1900"))
+	first := up()
+	l.pass(100e3)
+	_ = l.Close(first) // it may have run; the repeat waits for a new connection
+	l.rounds()
+	l.pass(350e3)
+	if second := up(); second.wrote != "" {
+		t.Errorf("450 ms after the first, of which repeats are known for 400, there went out %q", second.wrote)
+	}
+	if client.wrote != "-ERR failed\r\n" {
+		t.Errorf("the client got %q", client.wrote)
+	}
+}
+
+// sockets returns a real connection's two ends.
+func sockets(t *testing.T) (mine, others int) {
+	two, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		unix.Close(two[0])
+		unix.Close(two[1])
+	})
+	return two[0], two[1]
+}
+
+// A req lies in a client's socket when the loop comes to close the client: after a pause of the process its timers go before
+// its sockets. The client is not closed under it, by none of those who close clients that say nothing.
+func TestClientIsNotClosedUnderItsReq(t *testing.T) {
+	for name, closes := range map[string]func(*Router){
+		"sweep": (*Router).sweep,
+		"shed":  func(r *Router) { r.shedClient(false) },
+		"drain": func(r *Router) { r.closing = true; r.closeIdleClients() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := held(t, nil)
+			client, empty := l.open(nil), l.open(nil)
+			var other int
+			client.fd, other = sockets(t)
+			empty.fd, _ = sockets(t)
+			l.comes(client, command("PING"))
+			l.comes(empty, command("PING"))
+			if _, err := unix.Write(other, []byte(command("CACHE.GET", "k", "r1", "c=get,d=1900"))); err != nil {
+				t.Fatal(err)
+			}
+			l.r.began += 3e6
+			l.r.now = l.r.clock()
+			closes(l.r)
+			if name == "shed" {
+				l.r.shedClient(false)
+			}
+			if client.closed {
+				t.Error("closed under a req that was taken")
+			}
+			if !empty.closed {
+				t.Error("one with nothing on its way was kept")
+			}
+		})
+	}
+}
+
+// A connection waits to be accepted when the last client is closed in a drain: the router does not end before it has it.
+func TestDrainWaitsForWhoComes(t *testing.T) {
+	l, _ := held(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l.r.takeover.ln = ln.(*net.TCPListener)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l.r.closing, l.r.endBy = true, l.r.clock()+1e6
+	if l.r.closeIdleClients(); l.r.stopped {
+		t.Fatal("it ended under a connection that was to be accepted")
+	}
+	l.r.takeover.coming.Add(1) // accepted, and on its way to the loop
+	if a, err := ln.Accept(); err == nil {
+		defer a.Close()
+	}
+	if l.r.closeIdleClients(); l.r.stopped {
+		t.Fatal("it ended under a connection that was accepted")
+	}
+	client := l.open(&client{r: l.r, coming: true})
+	if l.r.closeIdleClients(); l.r.stopped {
+		t.Fatal("it ended under a client")
+	}
+	_ = l.Close(client)
+	if l.r.closeIdleClients(); !l.r.stopped {
+		t.Error("it goes on with nobody there")
+	}
+}
+
+// A list moves a server while a dial to its old address is out: what waits goes to the new one, and the old connection is
+// not used.
+func TestDialToWhereAServerWas(t *testing.T) {
+	l, up := held(t, nil)
+	client := l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=get,d=1900"))
+	list, err := l.r.book.Take([]byte(`{"rev":2,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
+		`{"uid":"s","endpoint":"127.0.0.1:9","model":"m","state":"active"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.r.listCame(list)
+	l.rounds()
+	if old := up(); old.wrote != "" || !old.closed {
+		t.Errorf("where it was there came %q, closed: %v", old.wrote, old.closed)
+	}
+	if moved := up(); !strings.Contains(moved.wrote, "r1") || moved.ctx.(*upstream).addr != "127.0.0.1:9" {
+		t.Errorf("where it is there came %q", moved.wrote)
+	}
+}
+
+// All that is in hand is answered by the end of the process, whatever its deadline, and what comes late as well.
+func TestAllIsAnsweredByTheEnd(t *testing.T) {
+	l, up := held(t, func(s *choice.Settings) { s.Methods[1].LatencyBudget = 6e6 })
+	close(l.r.ready)
+	l.r.lim.Ending, l.r.lim.LingerOpen = 3e6, 500e3
+	client := l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=get,d=6000")) // sent, and no answer comes
+	up()
+	l.comes(client, command("CACHE.GET", "k2", "r2", "c=get,d=6000")) // waits for a connection that does not come up
+	l.r.Drain()
+	l.rounds()
+	l.pass(2.9e6)
+	late := command("CACHE.GET", "k3", "r3", "c=get,d=6000")
+	l.comes(client, late)
+	l.pass(200e3)
+	if n := strings.Count(client.wrote, "-BUSY"); n != 3 {
+		t.Error(fmt.Sprint(n, " of three reqs were answered by the end: ", client.wrote))
+	}
+}
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -364,7 +364,7 @@
 		if len(m.Answers) > 0 {
 			c.slots = []*slot{{text: m.Answers}}
 		}
-		l := &long{r: r, c: c, up: &upstream{r: r, server: s, away: true}, method: method, client: to, server: from,
+		l := &long{r: r, c: c, up: &upstream{r: r, server: s, addr: s.addr, away: true}, method: method, client: to, server: from,
 			pending: m.Pending, left: m.Left, last: m.Last, ended: m.Ended, has: m.Has}
 		r.counts.Taken++
 		r.away++
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -50,6 +50,7 @@
 	sent   choice.Micros
 	within choice.Micros // its time-out
 	timer  *timer
+	late   *timer    // not begun by then, it is not begun any more; nil: it may be
 	up     *upstream // nil: it waits for a connection
 	whole  bool      // its last byte has left us
 }
@@ -162,6 +163,13 @@
 	q.outs = append(q.outs, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
+	if d.By > 0 {
+		w.late = r.after(max(0, d.By-r.now), func() {
+			if slices.Contains(q.outs, w) && w.unsent() {
+				r.giveUp(w, choice.Ignored)
+			}
+		})
+	}
 	r.connect(w)
 }
 
@@ -174,6 +182,7 @@
 	}
 	q.outs = slices.Delete(q.outs, n, n+1)
 	r.cancel(w.timer)
+	r.cancel(w.late)
 	if w.up != nil && !w.up.away {
 		w.up.left()
 		w.up.carries, w.up = nil, nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,7 @@
 
 	ended                      chan struct{} // the loop is to end, or has
 	draining, closing, stopped bool
+	endBy                      choice.Micros // all that is taken is answered by then; 0: no end is in sight
 	scratch                    []byte
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -40,8 +40,13 @@
 func (c *notedConn) Discard(n int) (int, error) { c.in = c.in[n:]; return n, nil }
 func (c *notedConn) InboundBuffered() int       { return len(c.in) }
 func (c *notedConn) OutboundBuffered() int      { return c.left }
-func (c *notedConn) Fd() int                    { return c.fd }
-func (c *notedConn) EventLoop() gnet.EventLoop  { return nil }
+func (c *notedConn) Fd() int {
+	if c.fd == 0 {
+		return -1 // not the test's own input
+	}
+	return c.fd
+}
+func (c *notedConn) EventLoop() gnet.EventLoop { return nil }
 func (c *notedConn) Write(p []byte) (int, error) {
 	if c.fails != nil { // gnet closes the connection within the write
 		c.closing(c)
@@ -135,7 +140,7 @@
 	for _, s := range l.r.servers {
 		s.dialing++
 		l.r.dials++
-		origin = l.open(&upstream{r: l.r, server: s})
+		origin = l.open(&upstream{r: l.r, server: s, addr: s.addr})
 	}
 	return l, l.open(nil), origin
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -33,6 +33,7 @@
 type upstream struct {
 	r       *Router
 	server  *server
+	addr    string // where it leads; the server may have another by now
 	conn    gnet.Conn
 	carries *writeOut     // nil: idle
 	since   choice.Micros // idle since
@@ -80,10 +81,13 @@
 	s.dialing++
 	r.dials++
 	r.counts.Dials++
-	r.dialer(s.addr, &upstream{r: r, server: s}, func(error) {
+	addr := s.addr
+	r.dialer(addr, &upstream{r: r, server: s, addr: addr}, func(error) {
 		r.counts.DialsFailed++
 		s.dialing--
-		if len(s.waiting) > s.dialing {
+		if addr != s.addr { // nothing is known of the new one
+			r.starved = append(r.starved, s)
+		} else if len(s.waiting) > s.dialing {
 			r.returned(s.waiting[0], choice.ConnectError, nil)
 		}
 		r.feed()
@@ -129,9 +133,16 @@
 	up.free()
 }
 
-// free gives the connection to the first that waits, or keeps it.
+// free gives the connection to the first that waits, or keeps it. One that leads where the server no longer is, busy or on
+// its way when the list told so, brought reqs to whoever is there now.
 func (up *upstream) free() {
 	s := up.server
+	if up.addr != s.addr {
+		up.r.starved = append(up.r.starved, s)
+		up.r.close(up.conn)
+		up.r.feed()
+		return
+	}
 	if len(s.waiting) > 0 {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -249,7 +260,7 @@
 				r.close(c.conn)
 			}
 		// Some ask once and keep the connection for good. Clients may hold only so many, and had none left for reqs.
-		case !c.over && c.quiet() && c.waiting() == 0 && now-c.idle >= r.lim.Silent:
+		case !c.over && now-c.idle >= r.lim.Silent && c.quiet() && c.waiting() == 0 && !c.unheard():
 			r.close(c.conn)
 		}
 	}
@@ -327,6 +338,10 @@
 	if longest == nil {
 		return false
 	}
+	if longest.unheard() {
+		longest.idle = now
+		return r.shedClient(askers)
+	}
 	r.counts.Shed++
 	r.close(longest.conn)
 	return true
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	asked     *asked         // of the old process, as it last knew; nil: not told
 	old, heir *handover.Peer // the processes before and behind this one, while they live
 	accepting bool           // clients come to this process
+	coming    atomic.Int32   // accepted, and not with the loop yet
 	findable  bool           // the next process can find it, or was to
 	handing   bool           // its clients are passed on to the heir
 	out       chan passed    // to the heir; room for all clients
@@ -188,8 +190,10 @@
 			time.Sleep(pause)
 			continue
 		}
-		enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), &client{r: r}), c)
+		r.takeover.coming.Add(1)
+		enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), &client{r: r, coming: true}), c)
 		if err != nil {
+			r.takeover.coming.Add(-1)
 			c.Close()
 			return
 		}
