What is another service's is refused, by a line that names both

Review: state that outlives a process or is handed on was taken whoever's it was. SIGHUP with another service's file moved discovery to that service's servers; a folder of learned state gave its times; a process started at the address of one that serves took its clients. Change: settings.SameService, by the methods' names (a service may add some or drop some, not both at once): SIGHUP refused, state left alone, the start ended with 1. Also SIGTERM during the start, which ended the process by the signal, ends it in order.

--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -380,7 +380,9 @@
 		return nil
 	case "router rereads": // its file, which names another discovery now, or is bad
 		text := strings.ReplaceAll(p.config, p.server("discovery").ln.Addr().String(), rest)
-		if rest != "badly" {
+		if rest == "as-another" { // service's
+			text = strings.Replace(p.config, `"name":"get"`, `"name":"tile"`, 1)
+		} else if rest != "badly" {
 			text = strings.ReplaceAll(p.config, p.server("discovery").ln.Addr().String(), p.server(rest).ln.Addr().String())
 		}
 		p.configure(text)
--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -127,6 +128,33 @@
 	}
 }
 
+// A process of another service is started at the address and in the TMPDIR of one that serves: it ends with 1 and names both,
+// and the one that serves goes on.
+func TestNotReplacedByAnotherService(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "origin"})
+	go p.listing("s1", "origin")
+	for range 100 {
+		if found, _ := filepath.Glob(filepath.Join(p.tmp, "*.sock")); len(found) > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.configure(strings.Replace(p.config, `"name":"get"`, `"name":"tile"`, 1))
+	within, done := context.WithTimeout(t.Context(), patience)
+	defer done()
+	other := exec.CommandContext(within, os.Args[0])
+	other.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+p.file, "TMPDIR="+p.tmp, "EDGE_ADMIN="+strings.Replace(p.admin, "6380", "6381", 1))
+	out, _ := other.CombinedOutput() // the code tells
+	if other.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "listen: a process serves at "+p.listen+
+		", but it is of a service with the methods get, pay, and this router serves one with tile, pay") {
+		t.Errorf("%d, %s", other.ProcessState.ExitCode(), out)
+	}
+	if got := p.ping(); got != "+PONG" {
+		t.Error("the one that served:", got)
+	}
+}
+
 // Ten replacements in a row under load: no client loses a connection or a req, and a ban lasts.
 func TestReplacingLosesNothing(t *testing.T) {
 	p := newPlayer(t)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -23,6 +23,7 @@
 	"spurtrestle/internal/operator"
 	"spurtrestle/internal/place"
 	"spurtrestle/internal/router"
+	"spurtrestle/internal/settings"
 	"spurtrestle/internal/snapshot"
 	"spurtrestle/parts"
 )
@@ -233,6 +234,9 @@
 	// From the first moment on: a SIGHUP that comes early must not end the program. One that waits is as good as many.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	// A SIGTERM that comes before the router serves ends it in order as well, once it does.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -265,7 +269,9 @@
 			return fmt.Errorf("admin: %w; give the operators' door a free address", err)
 		}
 		defer door.Close()
-		r.Join(os.TempDir())
+		if err := r.Join(os.TempDir()); err != nil {
+			return err
+		}
 		r.Operate(intent.Open(os.TempDir(), cfg.Listen))
 		serveDoor = func(seen admin.Router) { go admin.Serve(door, cfg.Limits.Callers, seen) }
 	}
@@ -300,8 +306,6 @@
 			return err
 		}
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGUSR1 {
@@ -314,11 +318,17 @@
 	}()
 	go func() {
 		for range reload {
-			if cfg, err := config.Reload(os.Getenv); err != nil {
+			again, err := config.Reload(os.Getenv)
+			if err == nil { // its discovery would send our reqs to another's servers
+				if err = settings.SameService(settings.Methods(again.Settings), settings.Methods(cfg.Settings)); err != nil {
+					err = fmt.Errorf("settings: %w; start it anew, or give it a file of its own in place of %q", err, os.Getenv("EDGE_CONFIG"))
+				}
+			}
+			if err != nil {
 				log.WithError(err).Error("the new configuration is not taken; the old one holds")
 				r.NotLoaded()
 			} else {
-				r.Reload(cfg.Discovery)
+				r.Reload(again.Discovery)
 			}
 		}
 	}()
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -6,6 +6,7 @@
 	"spurtrestle/ageing"
 	"spurtrestle/choice"
 	"spurtrestle/internal/discovery"
+	"spurtrestle/internal/settings"
 	"spurtrestle/internal/snapshot"
 )
 
@@ -38,6 +39,11 @@
 		return
 	}
 	s := *m.learned
+	if err := sameService(s, r.cfg.Settings); err != nil {
+		r.log.WithError(err).Warn("what was learned before is left alone; give each service a folder of its own")
+		m.learned = nil
+		return
+	}
 	k := s.Knowledge
 	for _, method := range r.cfg.Settings.Methods { // by name: their order may have changed
 		time := choice.Micros(0)
@@ -61,6 +67,15 @@
 	m.learned = nil
 }
 
+// sameService: what another service's router has learned, of methods that are not ours, is not ours.
+func sameService(s snapshot.State, ours choice.Settings) error {
+	var theirs []string
+	for _, m := range s.Methods {
+		theirs = append(theirs, m.Name)
+	}
+	return settings.SameService(theirs, settings.Methods(ours))
+}
+
 // name gives the decisions what is known of servers that a list names, ahead of the list.
 func (r *Router) name(l choice.ListCame) {
 	if r.memory == nil || len(r.memory.waiting) == 0 {
--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,20 @@
 	"spurtrestle/internal/snapshot"
 )
 
+// What another service's router has learned is left alone, and a line names both.
+func TestLearnedByAnotherService(t *testing.T) {
+	l, _, _ := newNoted(t)
+	var said strings.Builder
+	l.r.log.SetOutput(&said)
+	l.r.Remember(&snapshot.State{Version: snapshot.Version, Methods: []snapshot.Method{{Name: "tile", Time: 7000}},
+		Servers: []snapshot.Server{{UID: "o"}}}, 1e6, func(snapshot.State) {})
+	l.r.now = l.r.clock()
+	l.r.remind()
+	if len(l.r.memory.waiting) > 0 || !strings.Contains(said.String(), "methods tile, and this router serves one with pay") {
+		t.Errorf("%d servers of it are known; %s", len(l.r.memory.waiting), said.String())
+	}
+}
+
 // What one router knew the next begins with, for the servers that its lists name and by their names.
 func TestRemembers(t *testing.T) {
 	l, client, _ := newNoted(t)
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -54,16 +54,17 @@
 }
 
 // Join finds the process that this one replaces, if there is one, and takes its listener and what it knows. Call it
-// before Run.
-func (r *Router) Join(dir string) {
+// before Run. An error: the process that serves there is another service's, and neither its clients nor its address is ours.
+func (r *Router) Join(dir string) error {
 	const patience = time.Second
 	t := &r.takeover
 	t.dir, t.name = dir, "spurtrestle-"+r.cfg.Listen+".sock"
 	old, err := handover.Dial(t.dir, t.name, patience)
 	if err != nil {
-		return // nobody: the usual start
+		return nil // nobody: the usual start
 	}
 	var state *snapshot.State
+	var another error
 	if err = old.Send(handover.Frame{Kind: handover.Hello}); err == nil {
 		for err == nil && state == nil {
 			var f handover.Frame
@@ -82,6 +83,10 @@
 			case handover.Learned:
 				var s snapshot.State
 				if s, err = snapshot.Decode(f.Body); err == nil {
+					another = sameService(s, r.cfg.Settings)
+					err = another
+				}
+				if err == nil {
 					state = &s
 				}
 			}
@@ -91,19 +96,23 @@
 		err = errors.New("its listener is another one")
 	}
 	if err != nil {
-		r.log.WithError(err).Warn("a process that this one replaces does not hand over; both listen")
 		if t.ln != nil {
 			t.ln.Close()
 			t.ln = nil
 		}
 		old.Close()
-		return
+		if another != nil {
+			return fmt.Errorf("listen: a process serves at %s, but %w; give this one an address or a TMPDIR of its own", r.cfg.Listen, another)
+		}
+		r.log.WithError(err).Warn("a process that this one replaces does not hand over; both listen")
+		return nil
 	}
 	t.old = old
 	if r.memory == nil {
 		r.memory = &memory{learned: state, waiting: map[discovery.UID]choice.ServerKnowledge{}}
 	}
 	r.log.Info("replacing a process that serves")
+	return nil
 }
 
 func listenerOf(f handover.Frame) (net.Listener, error) {
