Where servers have answered twice, a connection rests before it is used again

Review: a second answer that comes some milliseconds late met the next req of a connection used again at once, and was its answer: no answer of the protocol says whose it is. Change: once a router has seen bytes that nobody asked for, connections that have carried a write-out rest 50 ms before the next, for half a minute; new ones do not. The first of a row can still meet a req: no rule without ids in answers can rule that out (docs/endings.md). Test: TestSecondAnswerMeetsNobody fails with it taken out (tried).

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -33,6 +33,8 @@
 	Buffered   int // bytes that the connections of all clients hold
 	Connect    choice.Micros
 	Idle       choice.Micros // a connection idle for so long is closed before its server would
+	Rest       choice.Micros // a connection used just now is left alone for so long, where servers have answered twice
+	Wary       choice.Micros // which counts for so long
 	Sweep      choice.Micros // between two looks for idle connections
 	Quiet      choice.Micros // a client from which nothing came for so long may be closed to make room
 	Silent     choice.Micros // a client with no open req that has sent nothing for so long is closed
@@ -111,6 +113,8 @@
 		Silent:    2e6,   // no req is owed to it by then
 		Slow:      2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
 		Stuck:     max(3e6, longest),
+		Rest:      50e3, // second answers come some milliseconds late
+		Wary:      30e6,
 		Turn:      5e3,
 		Unread:    10e6, // slow readers make long pauses
 		Join:      2e6,  // a third of the time that it has
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -207,3 +207,42 @@
 		t.Error(fmt.Sprint(n, " of three reqs were answered by the end: ", client.wrote))
 	}
 }
+
+const hit = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
+
+// A server answers twice, the second time some milliseconds late. Once that was seen, a connection that has just been used is
+// not used again before a second answer would have come: the next client got it for its own.
+func TestSecondAnswerMeetsNobody(t *testing.T) {
+	l, up := held(t, nil)
+	l.r.lim.Rest, l.r.lim.Wary = 50e3, 30e6
+	client := l.open(nil)
+	ask := func(id string) { l.comes(client, command("CACHE.GET", "k"+id, id, "c=get,d=1900")) }
+	ask("r1")
+	first := up()
+	l.comes(first, hit)
+	l.comes(first, hit) // seen: nobody had asked
+	if !first.closed {
+		t.Fatal("a connection with an answer too many is kept")
+	}
+	ask("r2")
+	second := up()
+	l.comes(second, hit)
+	ask("r3")
+	third := up() // a connection of its own
+	l.comes(second, "*3\r\n$5\r\nagain\r\n$-1\r\n$-1\r\n")
+	if !second.closed || strings.Contains(client.wrote, "again") {
+		t.Errorf("the second answer is used: %q", client.wrote)
+	}
+	l.comes(third, hit)
+	l.pass(60e3)
+	ask("r4") // it has rested
+	if l.comes(third, hit); client.wrote != strings.Repeat("$1\r\nv\r\n", 4) {
+		t.Errorf("the client got %q", client.wrote)
+	}
+	ask("r5") // one that waits does not get one that was used just now
+	ask("r6")
+	l.comes(third, hit)
+	if strings.Contains(third.wrote, "r6") {
+		t.Error("a connection goes on without a rest")
+	}
+}
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -167,7 +167,7 @@
 				}
 			}
 		}
-		for range 400 { // all deadlines pass, and what is out comes to its end, also of hundreds of pipelined commands
+		for range 400 + len(steps)/2 { // all deadlines pass, and what is out comes to its end, also of a thousand pipelined commands
 			l.rounds()
 			dialled(false)
 			r.began += 1e6
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,7 +63,8 @@
 	origin    wire.Back
 	dialer    func(addr string, p peer, failed func(error)) // dialOff, but in tests
 	dials     int
-	upstreams int       // open connections to servers
+	upstreams int // open connections to servers
+	waryUntil choice.Micros
 	starved   []*server // with write-outs that wait for a dial
 	conns     int       // open connections of all kinds
 	book      *discovery.Book
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -39,6 +39,7 @@
 	since   choice.Micros // idle since
 	writing bool          // gnet may close it within a write
 	away    bool          // off the loop: a big value comes on it
+	used    bool          // it has carried a write-out
 }
 
 func (s *server) forget(w *writeOut) {
@@ -48,11 +49,12 @@
 // connect gives a write-out a connection: an idle one, else the first that gets free.
 func (r *Router) connect(w *writeOut) {
 	s := w.server
-	if n := len(s.idle); n > 0 {
-		up := s.idle[n-1]
-		s.idle = s.idle[:n-1]
-		up.send(w)
-		return
+	for i, up := range slices.Backward(s.idle) {
+		if up.rested() {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			up.send(w)
+			return
+		}
 	}
 	s.waiting = append(s.waiting, w)
 	r.starved = append(r.starved, s)
@@ -143,7 +145,8 @@
 		up.r.feed()
 		return
 	}
-	if len(s.waiting) > 0 {
+	up.since = up.r.clock()
+	if len(s.waiting) > 0 && up.rested() {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		up.send(w)
@@ -153,12 +156,25 @@
 		up.r.close(up.conn)
 		return
 	}
-	up.since = up.r.clock()
 	s.idle = append(s.idle, up)
+	if len(s.waiting) > 0 {
+		up.r.starved = append(up.r.starved, s)
+		up.r.feed()
+	}
 }
 
+// rested: what answers twice does so some milliseconds late, and no answer says whose it is. Where that was seen lately a
+// connection that has carried a write-out is left alone for as long, so that the second answer meets nobody.
+func (up *upstream) rested() bool {
+	now := up.r.clock()
+	return now >= up.r.waryUntil || !up.used || now-up.since >= up.r.lim.Rest
+}
+
+// unasked: a server has sent what nobody asked for.
+func (r *Router) unasked() { r.waryUntil = r.clock() + r.lim.Wary }
+
 func (up *upstream) send(w *writeOut) {
-	up.carries, w.up = w, up
+	up.carries, w.up, up.used = w, up, true
 	if w.q.body != nil {
 		w.q.body.soon(w)
 		return
@@ -187,6 +203,7 @@
 	w := up.carries
 	if w == nil {
 		up.r.counts.Broken++
+		up.r.unasked()
 		return gnet.Close
 	}
 	buf, err := up.conn.Peek(-1)
@@ -207,6 +224,9 @@
 		return gnet.None
 	}
 	up.r.spoke(w, o)
+	if used < len(buf) {
+		up.r.unasked()
+	}
 	if used < len(buf) || !keep {
 		return gnet.Close
 	}
