An ended connection is not used for a req that must not run twice; big writes end with their clients

A connection that its server had ended, with the end still unread, took a non-retryable or deduplicated req, which then ended as one that may have run: looked at (MSG_PEEK) for these methods. A big write whose client went while it waited for a connection was sent on later, since its client is off the loop: looked at (POLLRDHUP) before its first byte goes.

--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -246,3 +246,29 @@
 		t.Error("a connection goes on without a rest")
 	}
 }
+
+// A server has ended an idle connection, and the loop has not come to it: a req that must not run twice is not written to it,
+// where it would end as one that may have run.
+func TestEndedConnectionIsNotUsed(t *testing.T) {
+	l, up := held(t, nil)
+	client := l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=pay,d=900"))
+	first := up()
+	l.comes(first, hit)
+	var other int
+	first.fd, other = sockets(t)
+	l.comes(client, command("CACHE.GET", "k", "r2", "c=pay,d=900")) // open, and used
+	if l.comes(first, hit); !strings.Contains(first.wrote, "r2") {
+		t.Error("an open connection is not used")
+	}
+	if err := unix.Shutdown(other, unix.SHUT_WR); err != nil {
+		t.Fatal(err)
+	}
+	l.comes(client, command("CACHE.GET", "k", "r3", "c=pay,d=900"))
+	if strings.Contains(first.wrote, "r3") {
+		t.Error("written to a connection that was ended")
+	}
+	if second := up(); !strings.Contains(second.wrote, "r3") {
+		t.Error("not written to a new one")
+	}
+}
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"spurtrestle/choice"
 	"spurtrestle/internal/resp"
 	"spurtrestle/internal/wire"
@@ -152,9 +154,22 @@
 	})
 }
 
+// hungUp tells of a descriptor whose other end sends no more; bytes that came before that may still wait.
+func hungUp(fd int) bool {
+	is := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(is, 0)
+	return err == nil && n > 0
+}
+
 // send passes the body on to the server that was decided on, and then brings its answer.
 func (b *body) send(w *writeOut) {
 	r, up := b.r, w.up
+	if hungUp(b.fd) { // off the loop nobody has seen that the client went while it waited
+		r.left(b.q)
+		r.giveUp(w, choice.Ignored)
+		b.start(b.discard)
+		return
+	}
 	fd, err := up.conn.Dup()
 	if err != nil {
 		r.log.WithError(err).Warn("a big value cannot be passed on")
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -50,7 +50,7 @@
 func (r *Router) connect(w *writeOut) {
 	s := w.server
 	for i, up := range slices.Backward(s.idle) {
-		if up.rested() {
+		if up.rested() && up.open(w) {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			up.send(w)
 			return
@@ -146,7 +146,7 @@
 		return
 	}
 	up.since = up.r.clock()
-	if len(s.waiting) > 0 && up.rested() {
+	if len(s.waiting) > 0 && up.rested() && up.open(s.waiting[0]) {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		up.send(w)
@@ -170,6 +170,18 @@
 	return now >= up.r.waryUntil || !up.used || now-up.since >= up.r.lim.Rest
 }
 
+// open: the server has not ended it, nor sent anything on it that the loop is still to read. What is written to an ended
+// connection may have run for all that is known, so it is looked at where that forbids another try. The rest is told by the
+// loop in time, or tried again.
+func (up *upstream) open(w *writeOut) bool {
+	if up.r.cfg.Settings.Methods[w.q.method].Effect == choice.Retryable || !up.used {
+		return true
+	}
+	var one [1]byte
+	_, _, err := unix.Recvfrom(up.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err != nil && err != unix.ECONNRESET
+}
+
 // unasked: a server has sent what nobody asked for.
 func (r *Router) unasked() { r.waryUntil = r.clock() + r.lim.Wary }
 
