A call for lists has two seconds again where lists are asked for

Traced by the routers' logs: n3 and n4 met 503 at 0.03 s and had a list only at 3.9 s and 2.6 s. Where lists are asked for one service answers all routers and a call waits its turn for up to two seconds; given up after 0.5 s it only came again. Where lists are pushed it stays 4 s and 0.5 s. Also: a big body's client is looked at again before the last byte goes, since its end stands behind the body. Test: watch-asked.trace (fails with 0.5 s: the call is given up at 0.5 s and s2's list is answered to nobody).

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -46,6 +46,7 @@
 	Crossing   choice.Micros // a client's deadline comes sooner by this: from it to us and back
 	Watch      choice.Micros // of one call to discovery
 	WatchSlack choice.Micros // an answer to it is late after so much more; and so is a connection to it
+	ListSlack  choice.Micros // an answer to a call that does not wait
 	AskAgain   choice.Micros // after a failed call to discovery
 	Linger     choice.Micros // a client that takes no more of its answers for so long is closed
 	Ending     choice.Micros // after SIGTERM all is answered within so long
@@ -119,11 +120,12 @@
 		Unread:    10e6, // slow readers make long pauses
 		Join:      2e6,  // a third of the time that it has
 		Crossing:  3e3,  // some three times the way from a client to its router
-		// A watch that has fallen silent counts as told 6 s later, and two after its wait at the earliest. It is noticed a
-		// second and a half before that: by a wait of 20 s and a slack of 2 s it was noticed just then, too late where the
-		// grace is short.
+		// Where lists are pushed an agent on this machine answers, at once and at no cost. A watch that has fallen silent
+		// counts as told 6 s later, and two after its wait at the earliest: by a wait of 20 s and 2 s of patience it was
+		// noticed just then, too late where the grace is short. Now it is noticed a second and a half before that.
 		Watch:      4e6,
-		WatchSlack: 500e3, // the agent is on this machine, and answers at once
+		WatchSlack: 500e3,
+		ListSlack:  500e3,
 		AskAgain:   100e3, // well within the 200 ms after which a watch begins anew
 		Linger:     max(3e6, longest),
 		// SIGKILL comes 0.7 s after the longest deadline at the earliest, and after 3.7 s however long that is.
@@ -139,6 +141,11 @@
 	if l.Idle <= 0 {
 		l.Idle = 15e6
 	}
+	if s.ListOnRequest {
+		// One service answers all routers: calls cost, and wait in turn for up to two seconds. Given up after half a
+		// second they only came again, and lists did not come at all. A watch is noticed a second before it counts as told.
+		l.Watch, l.WatchSlack, l.ListSlack = 20e6, 1e6, 2e6
+	}
 	l.Sweep = min(l.Sweep, l.Idle/20) // found in time, however short the server's patience
 	return l, nil
 }
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -140,6 +141,13 @@
 	if string(end[1:]) != "\r\n" {
 		return false
 	}
+	if raw, err := client.(syscall.Conn).SyscallConn(); err == nil { // its end stands behind a big body, unseen until now
+		gone := false
+		_ = raw.Control(func(fd uintptr) { gone = hungUp(int(fd)) })
+		if gone {
+			return false
+		}
+	}
 	put(end[:1])
 	return true
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -60,7 +60,11 @@
 	r := w.r
 	w.calling = true
 	path, wait := r.book.Call(r.lim.Watch)
-	w.late = r.after(wait+r.lim.WatchSlack, func() { r.close(w.conn) })
+	slack := r.lim.WatchSlack
+	if wait == 0 {
+		slack = r.lim.ListSlack
+	}
+	w.late = r.after(wait+slack, func() { r.close(w.conn) })
 	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, w.addr, nil, nil)) // an error: closed
 }
 
