--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Seat      int      // which of the routers it is, from 0
 	Site      string   // empty: not told
 	Sites     []string // all that there are; none: not told
+	Mixed     error    // the settings are of both shapes; nil: of one
 }
 
 // Load reads the variables through get, os.Getenv in service.
@@ -81,12 +82,15 @@
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
-	if err = checkShape(c.Settings); err == nil {
+	if err = checkFees(c.Settings); err == nil {
 		err = c.place(f.Settings)
 	}
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
+	if err = mixed(c.Settings); err != nil {
+		c.Mixed = fmt.Errorf("%s: %w", path, err)
+	}
 	c.Known = f.Known
 	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Admin != "", c.Settings)
 	return c, err
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -11,9 +11,10 @@
 // A deployment has one of two shapes: clients reach a pool of routers, or each client process has a router of its own.
 // policy-limits.parallel-tries says which, and nothing else in the program asks.
 
-// checkShape refuses settings that are of both. A mixed file is mostly one that was half moved: it would serve, and only
-// its figures would tell.
-func checkShape(s choice.Settings) error {
+// mixed tells of settings that are of both. A mixed file is mostly one that was half moved: it serves, and only its figures
+// tell. But there are customers who mean it (copies beside lists without sizes, sizes without copies), and a router that
+// refused to start there served nobody: a start only warns, and spurtrestle check refuses.
+func mixed(s choice.Settings) error {
 	const own = "policy-limits.parallel-tries is true, as where each client process has a router of its own"
 	for _, c := range []struct {
 		wrong             bool
@@ -27,8 +28,6 @@
 			"say aside, or set parallel-tries to false"},
 		{s.MayTwoAtOnce && s.MaxWriteOuts < 3, "policy-limits.send-cap", "a cache, a copy and one more write-out do not " +
 			"fit, though " + own, "say 3 at least"},
-		{s.WasteFee < 0, "fees.waste", "less than nothing", "say 0 or more"},
-		{s.CrossFee < 0, "fees.cross-zone", "less than nothing", "say 0 or more"},
 	} {
 		if c.wrong {
 			return fmt.Errorf("settings: %s: %s; %s", c.key, c.what, c.remedy)
@@ -37,6 +36,16 @@
 	return nil
 }
 
+// checkFees refuses what is no price.
+func checkFees(s choice.Settings) error {
+	for key, fee := range map[string]float64{"waste": s.WasteFee, "cross-zone": s.CrossFee} {
+		if fee < 0 {
+			return fmt.Errorf("settings: fees.%s: less than nothing; say 0 or more", key)
+		}
+	}
+	return nil
+}
+
 // place refuses a router that is none of its fleet: the decisions do not read its number and its location, so that
 // only a file meant for another router has them wrong.
 func (c *Config) place(settings json.RawMessage) error {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -178,6 +178,9 @@
 		}
 		return os.Getenv(name)
 	})
+	if err == nil {
+		err = cfg.Mixed
+	}
 	if err == nil {
 		_, err = router.New(cfg, logrus.New())
 	}
@@ -241,6 +244,9 @@
 	if err != nil {
 		return err
 	}
+	if cfg.Mixed != nil {
+		log.WithError(cfg.Mixed).Warn("the settings are of two shapes; serving by each key as it stands")
+	}
 	mine, err := load(own, has)
 	if err != nil {
 		return err
