--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -21,193 +23,265 @@
 	f.Add([]byte{0, 1, 2, 4, 1, 2, 3, 5, 0, 7, 2, 5, 0})
 	f.Add([]byte{0, 1, 1, 4, 12, 0, 2, 3, 9, 9, 0, 2, 12, 2, 0, 7, 12, 4, 9, 99, 12, 6})
 	f.Add([]byte("commands, answers, breaks, lists and time-outs in some order, over and over; 0123456789"))
-	f.Fuzz(func(t *testing.T, steps []byte) {
-		cfg := notedConfig()
-		// Little room, so that clients stall, dials wait and connections are shed.
-		cfg.Limits.Descriptors, cfg.Limits.MostDescriptors, cfg.Limits.Upstreams = 12, 14, 6
-		cfg.Limits.Pipeline, cfg.Limits.HeldBytes, cfg.Limits.Quiet, cfg.Limits.Linger = 3, 100, 10e3, 1e6
-		cfg.Limits.Idle = 2e6
-		cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
-		cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1})
-		cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
-			`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"},` +
-			`{"uid":"u","endpoint":"127.0.0.1:3","model":"m","state":"active"}]}`)
-		l := newLoop(t, cfg)
-		r := l.r
-		type dial struct {
-			p      peer
-			failed func(error)
-		}
-		var dials []dial
-		r.dialer = func(_ string, p peer, failed func(error)) { dials = append(dials, dial{p, failed}) }
-		clients, servers := []*notedConn{l.open(nil)}, []*notedConn(nil)
-		asked, out := map[*notedConn]int{}, map[string]choice.Micros{}
-		traffic := func(c *notedConn) {
-			if r.OnTraffic(c) == gnet.Close {
-				_ = l.Close(c)
-			}
-		}
-		dialled := func(up bool) {
-			if len(dials) == 0 {
+	f.Fuzz(func(t *testing.T, steps []byte) { inThisOrder(t, steps, nil) })
+}
+
+// TestRandomOrders plays some thousand random steps a hundred times; FuzzRouter looks for worse ones.
+func TestRandomOrders(t *testing.T) {
+	for seed := range byte(100) {
+		inThisOrder(t, randomSteps(seed), nil)
+	}
+}
+
+func randomSteps(seed byte) []byte {
+	steps := make([]byte, 2400)
+	_, _ = rand.NewChaCha8([32]byte{seed}).Read(steps) // it cannot fail
+	return steps
+}
+
+// What the referee of random orders is for is found, wherever it comes in.
+func TestRandomOrdersFindPlanted(t *testing.T) {
+	for name, plant := range map[string]func(*notedLoop){
+		"an answer is lost": func(l *notedLoop) {
+			for _, q := range l.r.reqs {
+				q.over = true
 				return
 			}
-			d := dials[0]
-			dials = dials[1:]
-			if up {
-				servers = append(servers, l.open(d.p))
+		},
+		"an answer comes twice": func(l *notedLoop) {
+			for c := range l.r.clients {
+				c.write([]byte("-BUSY\r\n"))
 				return
 			}
-			r.dials--
-			d.failed(errors.New("refused"))
-		}
-		pick := func(from []*notedConn, n byte) *notedConn { // nil: that one is closed
-			if len(from) == 0 || from[int(n)%len(from)].closed {
-				return nil
+		},
+		"a connection is not counted": func(l *notedLoop) { l.r.upstreams++ },
+	} {
+		found := 0
+		for seed := range byte(10) {
+			left := 200 // steps until it strikes
+			told := &judged{TB: t}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				defer func() { told.said = told.said || recover() != nil }()
+				inThisOrder(told, randomSteps(seed), func(l *notedLoop) {
+					if left--; left == 0 || left < 0 && left%50 == 0 {
+						plant(l)
+					}
+				})
+			}()
+			if <-done; told.said {
+				found++
 			}
-			return from[int(n)%len(from)]
 		}
-		for i := 0; i+1 < len(steps); i += 2 {
-			n := steps[i+1]
-			switch steps[i] % 13 {
-			case 0, 1, 2:
-				if c := pick(clients, n); c != nil {
-					asked[c]++
-					if steps[i]%13 == 2 {
-						c.in = append(c.in, "*2\r\n$4\r\nPING\r\n$1\r\nx\r\n"...)
-						traffic(c)
-						break
-					}
-					if n%2 == 0 {
-						c.in = resp.AppendCommand(c.in, []byte("CACHE.GET"), []byte{'k', n}, fmt.Append(nil, "r", i), []byte("c=get,d=1900"))
-						traffic(c)
-						break
-					}
-					c.in = resp.AppendCommand(c.in, []byte("CACHE.SET"), []byte("k"), fmt.Append(nil, "r", i), []byte("c=pay,d=900"), []byte("v"))
+		if found < 9 {
+			t.Errorf("%s: found in %d of 10 plays", name, found)
+		}
+	}
+}
+
+// judged notes that a test would fail.
+type judged struct {
+	testing.TB
+	said bool
+}
+
+func (j *judged) Errorf(string, ...any) { j.said = true }
+func (j *judged) Fatalf(string, ...any) {
+	j.said = true
+	runtime.Goexit()
+}
+
+// inThisOrder plays steps; after each, also does something else, if there is something.
+func inThisOrder(t testing.TB, steps []byte, also func(*notedLoop)) {
+	cfg := notedConfig()
+	// Little room, so that clients stall, dials wait and connections are shed.
+	cfg.Limits.Descriptors, cfg.Limits.MostDescriptors, cfg.Limits.Upstreams = 12, 14, 6
+	cfg.Limits.Pipeline, cfg.Limits.HeldBytes, cfg.Limits.Quiet, cfg.Limits.Linger = 3, 100, 10e3, 1e6
+	cfg.Limits.Idle = 2e6
+	cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
+	cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1})
+	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
+		`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"},` +
+		`{"uid":"u","endpoint":"127.0.0.1:3","model":"m","state":"active"}]}`)
+	l := newLoop(t, cfg)
+	r := l.r
+	type dial struct {
+		p      peer
+		failed func(error)
+	}
+	var dials []dial
+	r.dialer = func(_ string, p peer, failed func(error)) { dials = append(dials, dial{p, failed}) }
+	clients, servers := []*notedConn{l.open(nil)}, []*notedConn(nil)
+	asked, out := map[*notedConn]int{}, map[string]choice.Micros{}
+	traffic := func(c *notedConn) {
+		if r.OnTraffic(c) == gnet.Close {
+			_ = l.Close(c)
+		}
+	}
+	dialled := func(up bool) {
+		if len(dials) == 0 {
+			return
+		}
+		d := dials[0]
+		dials = dials[1:]
+		if up {
+			servers = append(servers, l.open(d.p))
+			return
+		}
+		r.dials--
+		d.failed(errors.New("refused"))
+	}
+	pick := func(from []*notedConn, n byte) *notedConn { // nil: that one is closed
+		if len(from) == 0 || from[int(n)%len(from)].closed {
+			return nil
+		}
+		return from[int(n)%len(from)]
+	}
+	for i := 0; i+1 < len(steps); i += 2 {
+		n := steps[i+1]
+		switch steps[i] % 13 {
+		case 0, 1, 2:
+			if c := pick(clients, n); c != nil {
+				asked[c]++
+				if steps[i]%13 == 2 {
+					c.in = append(c.in, "*2\r\n$4\r\nPING\r\n$1\r\nx\r\n"...)
 					traffic(c)
+					break
 				}
-			case 3:
-				clients = append(clients, l.open(nil))
-			case 4:
-				if c := pick(clients, n); c != nil {
-					_ = l.Close(c)
-				}
-			case 5:
-				if c := pick(servers, n); c != nil {
-					if _, http := c.ctx.(*upstream).server.speaks.(http1.Back); !http {
-						c.in = append(c.in, []string{"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "-BUSY\r\n",
-							"-ERR failed\r\n", "*1\r", "nonsense\r\n"}[int(n)%6]...)
-						traffic(c)
-						break
-					}
-					c.in = append(c.in, []string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv", "HTTP/1.1 5",
-						"HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
-						"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv"}[int(n)%5]...)
+				if n%2 == 0 {
+					c.in = resp.AppendCommand(c.in, []byte("CACHE.GET"), []byte{'k', n}, fmt.Append(nil, "r", i), []byte("c=get,d=1900"))
 					traffic(c)
+					break
 				}
-			case 6:
-				if c := pick(servers, n); c != nil {
-					_ = l.Close(c)
-				}
-			case 7:
-				dialled(n%4 > 0)
-			case 8:
-				state := []string{"active", "leaving", "left", "active"}[n%4]
-				uid, kind := []string{"o", "s", "u"}[n/4%3], []string{"origin", "m", "m"}[n/4%3]
-				if list, err := r.book.Take(fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[{"uid":%q,"endpoint":`+
-					`"127.0.0.1:%d","model":%q,"state":%q}]}`, i+2, n%16 == 0, uid, 1+n%2, kind, state)); err == nil {
-					r.listCame(list)
-				}
-			case 9:
-				r.began += choice.Micros(n) * 10e3
-				r.batch()
-			case 10:
-				if c := pick(servers, n); c != nil {
-					c.left = int(n) % 2
-				}
-			case 11:
-				l.rounds()
-			case 12: // operators take out and give back, drain and undo it
-				asked, uid := r.ops.wanted, []string{"s", "u"}[n%2]
-				asked.Back = map[string]int64{}
-				switch n / 2 % 4 {
-				case 0:
-					if !asked.Out(uid) {
-						out[uid] = r.clock()
-					}
-					_ = asked.TakeOut(uid)
-				case 1:
-					_ = asked.GiveBack(uid, time.UnixMicro(int64(r.clock())))
-				default:
-					asked.Empty = n/2%4 == 2
-				}
-				r.obey(asked)
+				c.in = resp.AppendCommand(c.in, []byte("CACHE.SET"), []byte("k"), fmt.Append(nil, "r", i), []byte("c=pay,d=900"), []byte("v"))
+				traffic(c)
 			}
-			open := 0
-			for _, q := range r.reqs {
-				if !q.over {
-					open++
+		case 3:
+			clients = append(clients, l.open(nil))
+		case 4:
+			if c := pick(clients, n); c != nil {
+				_ = l.Close(c)
+			}
+		case 5:
+			if c := pick(servers, n); c != nil {
+				if _, http := c.ctx.(*upstream).server.speaks.(http1.Back); !http {
+					c.in = append(c.in, []string{"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "-BUSY\r\n",
+						"-ERR failed\r\n", "*1\r", "nonsense\r\n"}[int(n)%6]...)
+					traffic(c)
+					break
 				}
+				c.in = append(c.in, []string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv", "HTTP/1.1 5",
+					"HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+					"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv"}[int(n)%5]...)
+				traffic(c)
 			}
-			if r.publish(); r.ops.told.Load().open != open {
-				t.Fatalf("%d reqs are open, and %d said to be", open, r.ops.told.Load().open)
+		case 6:
+			if c := pick(servers, n); c != nil {
+				_ = l.Close(c)
 			}
-			carried := map[*req]int{}
-			for _, c := range servers {
-				if up, ok := c.ctx.(*upstream); ok && up.carries != nil {
-					if uid := string(r.book.UID(up.server.id)); uid != "" && up.server.out && up.carries.sent > out[uid] {
-						t.Fatalf("a write-out to %s, which is out", uid)
-					}
-					most := 1
-					if cfg.Settings.MayTwoAtOnce {
-						most = 2
-					}
-					if carried[up.carries.q]++; carried[up.carries.q] > most {
-						t.Fatalf("%d write-outs of one req are out", carried[up.carries.q])
-					}
-				}
+		case 7:
+			dialled(n%4 > 0)
+		case 8:
+			state := []string{"active", "leaving", "left", "active"}[n%4]
+			uid, kind := []string{"o", "s", "u"}[n/4%3], []string{"origin", "m", "m"}[n/4%3]
+			if list, err := r.book.Take(fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[{"uid":%q,"endpoint":`+
+				`"127.0.0.1:%d","model":%q,"state":%q}]}`, i+2, n%16 == 0, uid, 1+n%2, kind, state)); err == nil {
+				r.listCame(list)
 			}
-		}
-		for range 400 + len(steps)/2 { // all deadlines pass, and what is out comes to its end, also of a thousand pipelined commands
-			l.rounds()
-			dialled(false)
-			r.began += 1e6
+		case 9:
+			r.began += choice.Micros(n) * 10e3
 			r.batch()
-		}
-		l.rounds()
-		for _, c := range clients {
-			answers := 0
-			for rest := []byte(c.wrote); len(rest) > 0; answers++ {
-				_, used, err := resp.ReadReply(rest, r.lim.Resp)
-				if err != nil || used == 0 {
-					t.Fatalf("a client got %q", c.wrote)
-				}
-				rest = rest[used:]
+		case 10:
+			if c := pick(servers, n); c != nil {
+				c.left = int(n) % 2
 			}
-			if !c.closed && answers != asked[c] || answers > asked[c] {
-				t.Errorf("%d commands got %d answers: %q", asked[c], answers, c.wrote)
+		case 11:
+			l.rounds()
+		case 12: // operators take out and give back, drain and undo it
+			asked, uid := r.ops.wanted, []string{"s", "u"}[n%2]
+			asked.Back = map[string]int64{}
+			switch n / 2 % 4 {
+			case 0:
+				if !asked.Out(uid) {
+					out[uid] = r.clock()
+				}
+				_ = asked.TakeOut(uid)
+			case 1:
+				_ = asked.GiveBack(uid, time.UnixMicro(int64(r.clock())))
+			default:
+				asked.Empty = n/2%4 == 2
 			}
+			r.obey(asked)
+		}
+		if also != nil {
+			also(l)
 		}
-		n := r.counts
-		var ended [3]int
-		for _, m := range n.Ended {
-			for i := range m {
-				ended[i] += m[i]
+		open := 0
+		for _, q := range r.reqs {
+			if !q.over {
+				open++
 			}
 		}
-		if ended != [3]int{n.Satisfied, n.Nacked, n.Failed} {
-			t.Errorf("%v by method, %v in all", ended, n)
+		if r.publish(); r.ops.told.Load().open != open {
+			t.Fatalf("%d reqs are open, and %d said to be", open, r.ops.told.Load().open)
 		}
-		if n.Taken != n.Satisfied+n.Nacked+n.Failed+n.Left || len(r.reqs) != 0 || r.held != 0 {
-			t.Errorf("%v, %d reqs, %d bytes", n, len(r.reqs), r.held)
+		carried := map[*req]int{}
+		for _, c := range servers {
+			if up, ok := c.ctx.(*upstream); ok && up.carries != nil {
+				if uid := string(r.book.UID(up.server.id)); uid != "" && up.server.out && up.carries.sent > out[uid] {
+					t.Fatalf("a write-out to %s, which is out", uid)
+				}
+				most := 1
+				if cfg.Settings.MayTwoAtOnce {
+					most = 2
+				}
+				if carried[up.carries.q]++; carried[up.carries.q] > most {
+					t.Fatalf("%d write-outs of one req are out", carried[up.carries.q])
+				}
+			}
+		}
+	}
+	for range 400 + len(steps)/2 { // all deadlines pass, and what is out comes to its end, also of a thousand pipelined commands
+		l.rounds()
+		dialled(false)
+		r.began += 1e6
+		r.batch()
+	}
+	l.rounds()
+	for _, c := range clients {
+		answers := 0
+		for rest := []byte(c.wrote); len(rest) > 0; answers++ {
+			_, used, err := resp.ReadReply(rest, r.lim.Resp)
+			if err != nil || used == 0 {
+				t.Fatalf("a client got %q", c.wrote)
+			}
+			rest = rest[used:]
 		}
-		if n.WriteOuts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
-			t.Errorf("write-outs without an outcome: %v", n)
+		if !c.closed && answers != asked[c] || answers > asked[c] {
+			t.Errorf("%d commands got %d answers: %q", asked[c], answers, c.wrote)
 		}
-		isOpen := func(c *notedConn) bool { return !c.closed }
-		up := len(slices.DeleteFunc(slices.Clone(servers), func(c *notedConn) bool { return c.closed }))
-		if in := slices.ContainsFunc(clients, isOpen); up != r.upstreams || in != (len(r.clients) > 0) ||
-			r.conns != r.upstreams+len(r.clients) || r.dials != len(dials) {
-			t.Errorf("%d of %d to servers are open, %d in all, %d dials of %d", r.upstreams, up, r.conns, r.dials, len(dials))
+	}
+	n := r.counts
+	var ended [3]int
+	for _, m := range n.Ended {
+		for i := range m {
+			ended[i] += m[i]
 		}
-	})
+	}
+	if ended != [3]int{n.Satisfied, n.Nacked, n.Failed} {
+		t.Errorf("%v by method, %v in all", ended, n)
+	}
+	if n.Taken != n.Satisfied+n.Nacked+n.Failed+n.Left || len(r.reqs) != 0 || r.held != 0 {
+		t.Errorf("%v, %d reqs, %d bytes", n, len(r.reqs), r.held)
+	}
+	if n.WriteOuts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
+		t.Errorf("write-outs without an outcome: %v", n)
+	}
+	isOpen := func(c *notedConn) bool { return !c.closed }
+	up := len(slices.DeleteFunc(slices.Clone(servers), func(c *notedConn) bool { return c.closed }))
+	if in := slices.ContainsFunc(clients, isOpen); up != r.upstreams || in != (len(r.clients) > 0) ||
+		r.conns != r.upstreams+len(r.clients) || r.dials != len(dials) {
+		t.Errorf("%d of %d to servers are open, %d in all, %d dials of %d", r.upstreams, up, r.conns, r.dials, len(dials))
+	}
 }
