The drawn settings' stand-ins are all there before their players run

Seen: make race (part of it: choice, router, discovery, config, settings, handover, cmd/spurtrestle) told of a data race in TestAnySettings, its own: a stand-in was made by a goroutine where the list did not name it. Change: made before.

--- a/cmd/spurtrestle/settings_test.go
+++ b/cmd/spurtrestle/settings_test.go
@@ -118,8 +118,9 @@
 	var mu sync.Mutex
 	saw := map[string][]arrivalAt{}
 	for name, zone := range map[string]string{"s1": "a", "s2": "b", "s3": "a", "origin": "c"} {
+		s := p.server(name)
 		go func() {
-			for m := range p.server(name).came {
+			for m := range s.came {
 				words := strings.Fields(m.text[strings.IndexByte(m.text, ':')+1:])
 				if len(words) < 4 {
 					continue // an end, or a probe
