A wrong operator's file is told by the same field each time

The test was right and keeps its line, now with the field's name. Fields are checked in the file's order (four loops). Each wrong file is now read fifty times and has to be told alike; two files with several faults are new.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -114,9 +114,10 @@
 			return wrong("advertise", fmt.Sprintf("%q is no address and port", p.Advertise), `write it as "10.1.2.3:7947"`)
 		}
 	}
-	for field, a := range map[string]netip.Addr{"listen": p.listen.Addr(), "advertise": p.advertise.Addr()} {
-		if a.IsUnspecified() || !f.Anywhere && !a.IsLoopback() && !a.IsPrivate() && !a.IsLinkLocalUnicast() {
-			return wrong(field, fmt.Sprintf("%s is no address of a private network", a), "write one of a network that is trusted")
+	for _, field := range []named[netip.AddrPort]{{"listen", p.listen}, {"advertise", p.advertise}} {
+		a := field.value.Addr()
+		if a.IsUnspecified() || !f.Anywhere && !trusted(a) {
+			return wrong(field.name, fmt.Sprintf("%s is no address of a private network", a), "write one of a network that is trusted")
 		}
 	}
 	if !filepath.IsAbs(p.Dir) {
@@ -184,12 +185,13 @@
 		return tomlfile.Error{Line: at.Line("grpc.listen"), Field: "grpc.listen", What: fmt.Sprintf("%q is no address and port", g.Listen),
 			Remedy: `write it as "127.0.0.1:7443"`}
 	}
-	for field, n := range map[string]*int{"connections": &g.Connections, "streams": &g.Streams} {
+	for _, field := range []named[*int]{{"connections", &g.Connections}, {"streams", &g.Streams}} {
+		n := field.value
 		if *n == 0 {
 			*n = 256
 		}
 		if *n < 1 || *n > 10000 {
-			return tomlfile.Error{Line: at.Line("grpc." + field), Field: "grpc." + field, What: fmt.Sprintf("%d is not from 1 to 10000", *n),
+			return tomlfile.Error{Line: at.Line("grpc." + field.name), Field: "grpc." + field.name, What: fmt.Sprintf("%d is not from 1 to 10000", *n),
 				Remedy: "write such a number"}
 		}
 	}
@@ -202,6 +204,16 @@
 	return f.Policy.check(at, f.Fleet)
 }
 
+// named is a field of a table by its name. Fields are looked at in the file's order, not in a map's: a file with two faults,
+// or one fault that shows in two fields, is told the same line each time.
+type named[T any] struct {
+	name  string
+	value T
+}
+
+// trusted tells whether an address is one of a private network.
+func trusted(a netip.Addr) bool { return a.IsLoopback() || a.IsPrivate() || a.IsLinkLocalUnicast() }
+
 var plain = regexp.MustCompile(`^[A-Za-z0-9._-]{1,60}$`)
 
 func (f *Fleet) check(at tomlfile.Places) error {
@@ -214,9 +226,9 @@
 		}
 		return nil
 	}
-	for field, name := range map[string]string{"name": f.Name, "router": f.Router, "site": f.Site} {
-		if name != "" && !plain.MatchString(name) {
-			return wrong(field, fmt.Sprintf("%q is no name", name), "write 1 to 60 letters, digits, dots, dashes or underscores")
+	for _, field := range []named[string]{{"name", f.Name}, {"router", f.Router}, {"site", f.Site}} {
+		if field.value != "" && !plain.MatchString(field.value) {
+			return wrong(field.name, fmt.Sprintf("%q is no name", field.value), "write 1 to 60 letters, digits, dots, dashes or underscores")
 		}
 	}
 	var err error
@@ -231,9 +243,9 @@
 	if f.advertise.Addr().IsUnspecified() {
 		return wrong("advertise", fmt.Sprintf("others cannot reach %s", f.advertise), "write the address at which they do")
 	}
-	for field, a := range map[string]netip.Addr{"listen": f.listen.Addr(), "advertise": f.advertise.Addr()} {
-		if !f.Anywhere && !a.IsLoopback() && !a.IsPrivate() && !a.IsLinkLocalUnicast() {
-			return wrong(field, fmt.Sprintf("%s is no address of a private network, and nothing is signed or encrypted here", a),
+	for _, field := range []named[netip.AddrPort]{{"listen", f.listen}, {"advertise", f.advertise}} {
+		if a := field.value.Addr(); !f.Anywhere && !trusted(a) {
+			return wrong(field.name, fmt.Sprintf("%s is no address of a private network, and nothing is signed or encrypted here", a),
 				"write one of a network that is trusted, or set anywhere = true if this is meant")
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -33,15 +33,20 @@
 		"[fleet]\nlisten = \"127.0.0.1:1\"\n":                               "line 1: fleet.name: is empty, though other fields are set",
 		"[fleet]\nname = \"a b\"\n":                                         `line 2: fleet.name: "a b" is no name; write 1 to 60 letters`,
 		"[fleet]\nname = \"a\"\n":                                           `line 1: fleet.listen: "" is no address and port`,
-		"[fleet]\nname = \"a\"\nlisten = \"8.8.8.8:1\"\n":                   `line 3: fleet.`,
+		"[fleet]\nname = \"a\"\nlisten = \"8.8.8.8:1\"\n":                   `line 3: fleet.listen: 8.8.8.8 is no address`,
+		"[fleet]\nname = \"a b\"\nrouter = \"c d\"\nsite = \"e f\"\n":       `line 2: fleet.name: "a b" is no name`,
+		"[grpc]\nconnections = -1\nstreams = -1\n":                          "line 2: grpc.connections: -1 is not",
 		"[fleet]\nname = \"a\"\nlisten = \"0.0.0.0:1\"\n":                   `line 1: fleet.advertise: others cannot reach 0.0.0.0:1; write the address`,
 		"[fleet]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\njoin = [\"b\"]\n": `line 4: fleet.join: its entry 1, "b", is no address and port`,
 		"[fleet]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\nprobe = \"1ms\"":  `line 4: fleet.probe: "1ms" is no span from 100ms to 10s`,
 		"[state\n":           "line 1: the file:",
 		"[state]\ndir = 7\n": "line 2: state.dir:",
 	} {
-		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%q: %v", text, err)
+		for range 50 { // the same line each time, whatever else is wrong in it
+			if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%q: %v", text, err)
+				break
+			}
 		}
 	}
 }
