A reset does not end an answer that came without a length

At fault: OnClose dropped gnet's reason, and upstream.closed read what had come as if the connection had ended in order (servers.go, Read(buf, true)), so that half a value went out as the whole. Closing it here, at a time-out, did the same.

Change: only an end that was read (io.EOF of a read) is one; a reset, a hang-up and our own close end the write-out as reset. Lists keep being read, since JSON tells whether it is whole.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -66,7 +66,7 @@
 	}
 }
 
-func (c *client) closed() {
+func (c *client) closed(bool) {
 	delete(c.r.clients, c)
 	if c.asked {
 		c.r.askers--
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -1,15 +1,19 @@
 package router
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"os"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
 	"spurtrestle/internal/resp"
@@ -132,11 +136,14 @@
 		r.dials--
 		d.failed(errors.New("refused"))
 	}
-	pick := func(from []*notedConn, n byte) *notedConn { // nil: that one is closed
-		if len(from) == 0 || from[int(n)%len(from)].closed {
-			return nil
+	open := func(of []*notedConn) []*notedConn {
+		return slices.DeleteFunc(slices.Clone(of), func(c *notedConn) bool { return c.closed })
+	}
+	pick := func(from []*notedConn, n byte) *notedConn { // one that is open; nil: there is none
+		if from = open(from); len(from) > 0 {
+			return from[int(n)%len(from)]
 		}
-		return from[int(n)%len(from)]
+		return nil
 	}
 	for i := 0; i+1 < len(steps); i += 2 {
 		n := steps[i+1]
@@ -173,12 +180,17 @@
 				}
 				c.in = append(c.in, []string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv", "HTTP/1.1 5",
 					"HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
-					"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv"}[int(n)%5]...)
+					"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv", "HTTP/1.1 200 OK\r\n\r\nhalf"}[int(n)%6]...)
 				traffic(c)
 			}
 		case 6:
-			if c := pick(servers, n); c != nil {
-				_ = l.Close(c)
+			if c := pick(servers, n); c != nil && n/16%2 == 0 {
+				l.ends(c, os.NewSyscallError("read", unix.ECONNRESET))
+			} else if c != nil {
+				if bytes.Contains(c.in, []byte("half")) {
+					c.in = append(c.in, ", whole"...)
+				}
+				l.ends(c, os.NewSyscallError("read", io.EOF))
 			}
 		case 7:
 			dialled(n%4 > 0)
@@ -217,14 +229,14 @@
 		if also != nil {
 			also(l)
 		}
-		open := 0
+		inHand := 0
 		for _, q := range r.reqs {
 			if !q.over {
-				open++
+				inHand++
 			}
 		}
-		if r.publish(); r.ops.told.Load().open != open {
-			t.Fatalf("%d reqs are open, and %d said to be", open, r.ops.told.Load().open)
+		if r.publish(); r.ops.told.Load().open != inHand {
+			t.Fatalf("%d reqs are open, and %d said to be", inHand, r.ops.told.Load().open)
 		}
 		carried := map[*req]int{}
 		for _, c := range servers {
@@ -252,8 +264,8 @@
 	for _, c := range clients {
 		answers := 0
 		for rest := []byte(c.wrote); len(rest) > 0; answers++ {
-			_, used, err := resp.ReadReply(rest, r.lim.Resp)
-			if err != nil || used == 0 {
+			a, used, err := resp.ReadReply(rest, r.lim.Resp)
+			if err != nil || used == 0 || bytes.Contains(a.Text, []byte("half")) && !bytes.HasSuffix(a.Text, []byte("whole")) {
 				t.Fatalf("a client got %q", c.wrote)
 			}
 			rest = rest[used:]
@@ -278,9 +290,8 @@
 	if n.WriteOuts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
 		t.Errorf("write-outs without an outcome: %v", n)
 	}
-	isOpen := func(c *notedConn) bool { return !c.closed }
-	up := len(slices.DeleteFunc(slices.Clone(servers), func(c *notedConn) bool { return c.closed }))
-	if in := slices.ContainsFunc(clients, isOpen); up != r.upstreams || in != (len(r.clients) > 0) ||
+	up := len(open(servers))
+	if in := len(open(clients)) > 0; up != r.upstreams || in != (len(r.clients) > 0) ||
 		r.conns != r.upstreams+len(r.clients) || r.dials != len(dials) {
 		t.Errorf("%d of %d to servers are open, %d in all, %d dials of %d", r.upstreams, up, r.conns, r.dials, len(dials))
 	}
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -154,7 +154,7 @@
 	c.r.conns--
 	c.away = false
 	delete(c.r.clients, c)
-	c.closed()
+	c.closed(false)
 }
 
 var pieces = sync.Pool{New: func() any { return new([]byte) }}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,7 +10,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"runtime/metrics"
 	"time"
 
@@ -88,7 +90,7 @@
 type peer interface {
 	opened(gnet.Conn)
 	traffic() gnet.Action
-	closed()
+	closed(ended bool) // ended: by the other side, in order, and all that it sent has been read
 }
 
 // New returns a router that is not running yet.
@@ -149,7 +151,7 @@
 
 func (h *heart) opened(c gnet.Conn)   { h.r.begin(c.EventLoop()) }
 func (h *heart) traffic() gnet.Action { return gnet.None }
-func (h *heart) closed() {
+func (h *heart) closed(bool) {
 	if !h.r.stopped {
 		h.r.stopped = true
 		close(h.r.ended)
@@ -211,11 +213,13 @@
 	return gnet.Close
 }
 
-// OnClose passes on that a connection is no more.
-func (r *Router) OnClose(c gnet.Conn, _ error) gnet.Action {
+// OnClose passes on that a connection is no more. Only an end that was read is one in order: gnet tells a reset as the error of
+// a read or a write, a hang-up as io.EOF of its own, and what is closed here as no error.
+func (r *Router) OnClose(c gnet.Conn, err error) gnet.Action {
 	r.conns--
 	if p, ok := c.Context().(peer); ok {
-		p.closed()
+		var read *os.SyscallError
+		p.closed(errors.As(err, &read) && read.Err == io.EOF)
 		c.SetContext(nil)
 	}
 	return gnet.None
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -71,11 +71,16 @@
 }
 
 func (l *notedLoop) Close(c gnet.Conn) error {
+	l.ends(c, nil)
+	return nil
+}
+
+// ends: a connection is no more, for a reason as gnet tells it.
+func (l *notedLoop) ends(c gnet.Conn, why error) {
 	if n := c.(*notedConn); !n.closed {
 		n.closed = true
-		l.r.OnClose(c, nil)
+		l.r.OnClose(c, why)
 	}
-	return nil
 }
 
 func (l *notedLoop) rounds() {
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -249,7 +249,10 @@
 
 // closed: before its last byte has left us a write-out has never run; after that it may have. gnet still writes out
 // what is buffered after this; what was given up must not reach the server then, so the sending side is shut first.
-func (up *upstream) closed() {
+//
+// An answer without a length lasts until the connection ends. A reset is no such end: the rest of the value was on its way,
+// and the client got half of one for the whole.
+func (up *upstream) closed(ended bool) {
 	s := up.server
 	up.r.upstreams--
 	if up.conn.OutboundBuffered() > 0 {
@@ -263,7 +266,7 @@
 	status := choice.Reset
 	if up.writing || up.conn.OutboundBuffered() > 0 || w.q.body != nil { // a body has not begun to go
 		status = choice.ConnectError
-	} else if buf, _ := up.conn.Peek(-1); len(buf) > 0 { // an end may be what makes an answer whole
+	} else if buf, _ := up.conn.Peek(-1); ended && len(buf) > 0 {
 		if o, used, _, err := up.server.speaks.Read(buf, true); err == nil && used > 0 {
 			up.r.spoke(w, o)
 			return
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -78,7 +78,9 @@
 	w.call()
 }
 
-func (w *watch) closed() {
+// closed: a list that came without a length is read however the connection ended, since JSON tells by itself whether it is
+// whole.
+func (w *watch) closed(bool) {
 	buf, _ := w.conn.Peek(-1)
 	w.conn = nil
 	if w.over {
