The lab tells a connection's end as of when it was read

Cause, by reading and a probe: vanish holds the stand-in's lock while it dials its own addresses, up to 20 ms each until nothing answers (trouble.go, silence), and conn.gone took the time of a router's close only behind that lock (conn.go). Probe: held for 21 ms with one router, 61 with three, 122 with six; site-lost has six. The router had closed in time; the stand-in's clock was late, and no pacer saw it.

Change: the time is taken when the end is read, before the lock; the fillers connect without waiting (0.25 ms with six routers, so that a cut no longer holds up the routers that are not cut); the origin tells of an end before it waits for its lock. TestEndIsToldAsOfWhenItWasRead holds the lock while the end is read; it failed before (told 5.4 ms after).

--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -315,3 +315,40 @@
 		t.Error("a killed server takes connections")
 	}
 }
+
+// The end of a connection is told as of when it was read, whatever else holds the server then. One that fell silent dialled
+// its own addresses for up to 20 ms each meanwhile, and a router that gave up just then seemed to have two write-outs out.
+func TestEndIsToldAsOfWhenItWasRead(t *testing.T) {
+	s, f := start(t, nil)
+	if err := s.Strike(scenario.Fault{Kind: "hang"}, false); err != nil {
+		t.Fatal(err)
+	}
+	a := dial(t, s)
+	send(t, a, "CACHE.GET k id1 c=status,d=500")
+	var k *conn
+	for k == nil {
+		time.Sleep(time.Millisecond)
+		s.mu.Lock()
+		for c := range s.conns {
+			if len(c.slots) > 0 {
+				k = c
+			}
+		}
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	a.Close()
+	<-k.ended // it was read, and the server is held
+	read := f.Log.Now()
+	for f.Log.Now() < read+5e3 {
+		time.Sleep(time.Millisecond)
+	}
+	s.mu.Unlock()
+	s.Kill()
+	s.Wait()
+	for _, e := range f.Log.Events() {
+		if e.Kind == event.Ended && e.At > read {
+			t.Errorf("told %v after it was read", (e.At - read).Duration())
+		}
+	}
+}
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -131,6 +131,7 @@
 
 // gone: the router ended the connection, or the server did. What was in hand there has no answer.
 func (k *conn) gone() {
+	read := k.s.fleet.Log.Now() // others may hold the server for long, and a router may have gone on since
 	k.end()
 	s := k.s
 	s.mu.Lock()
@@ -143,7 +144,7 @@
 		}
 		c.over = true
 		if c.req != "" {
-			s.fleet.Log.Add(event.Event{Kind: event.Ended, Req: c.req, Server: s.UID, Router: k.router, Reply: event.Lost})
+			s.fleet.Log.AddAt(event.Event{At: read, Kind: event.Ended, Req: c.req, Server: s.UID, Router: k.router, Reply: event.Lost})
 		}
 		if c.job != nil && s.fleet.Set.CancelStops && s.machine.Cancel(now, c.job) {
 			delete(s.jobs, c.job)
--- a/internal/lab/cacheserver/trouble.go
+++ b/internal/lab/cacheserver/trouble.go
@@ -5,7 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"time"
+	"os"
 
 	"golang.org/x/sys/unix"
 
@@ -132,22 +132,26 @@
 // silence has an address take nothing and refuse nothing, until what it gives back is closed.
 func silence(ln net.Listener) (fillers []io.Closer, err error) {
 	// A copy of the descriptor stays open that nobody accepts on.
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
 	file, err := ln.(*net.TCPListener).File()
 	if err != nil {
 		return nil, err
 	}
-	addr := ln.Addr().String()
 	ln.Close()
 	fillers = append(fillers, file)
 	if err := unix.Listen(int(file.Fd()), 0); err != nil {
 		return fillers, err
 	}
-	for range 2 { // a backlog of nothing still takes one
-		c, err := net.DialTimeout("tcp", addr, 20*time.Millisecond)
+	for range 2 { // a backlog of nothing still takes one; nobody waits for the other, since the caller holds the server
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
-			break
+			return fillers, err
+		}
+		fillers = append(fillers, os.NewFile(uintptr(fd), addr.String()))
+		to := &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().Unmap().As4()}
+		if err = unix.Connect(fd, to); err != nil && err != unix.EINPROGRESS {
+			return fillers, err
 		}
-		fillers = append(fillers, c)
 	}
 	return fillers, nil
 }
--- a/internal/lab/origin/origin.go
+++ b/internal/lab/origin/origin.go
@@ -245,17 +245,16 @@
 	case <-done:
 	case <-r.Context().Done():
 		lost = true
-		if !write { // a read is called off, a write that has begun goes on
+		tell(event.Lost) // before it waits for anybody
+		if !write {      // a read is called off, a write that has begun goes on
 			o.mu.Lock()
 			if o.machine.Cancel(o.fleet.Log.Now(), job) {
 				delete(o.jobs, job)
 			}
 			o.turn()
 			o.mu.Unlock()
-			tell(event.Lost)
 			return
 		}
-		tell(event.Lost)
 		select {
 		case <-done:
 		case <-time.After(10 * time.Second):
