A wrong configuration is refused by file, field and remedy

Most errors named the field alone: neither the file nor what helps, and a wrong EDGE_LISTEN was told as the file's fault; two negative fees were told in the order of a Go map. Now each names the file (or the variable, where it is at fault), the field and the remedy, a missing settings object by its name in place of 'unexpected end of JSON input', a known list as well. The tests that held the old texts hold the new ones whole, with a wrong variable beside a right file. Exit 1, before anything listens, as before.

--- a/cmd/spurtrestle/main_test.go
+++ b/cmd/spurtrestle/main_test.go
@@ -28,7 +28,7 @@
 	program := exec.Command(os.Args[0])
 	program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+file)
 	out, err := program.CombinedOutput()
-	const want = "spurtrestle: listen: \"nowhere\" is no address and port\n"
+	want := "spurtrestle: " + file + ": listen: \"nowhere\" is no address and port; write it as \"127.0.0.1:6379\"\n"
 	if program.ProcessState.ExitCode() != 1 || string(out) != want {
 		t.Errorf("%v: %s", err, out)
 	}
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -60,10 +60,10 @@
 		{"elapsed 1 1", "passed 1 1", `line 21: "passed" is not an event`},
 		{"server 8 a std 0 U", "server 8 a std 0 X", `line 5: server: field phase: "X" is not known`},
 		{"mark 1.1 2", "demand 0", `line 11: "demand" stands where mark is due`},
-		{`"balancers":2`, `"balancers":0`, "line 2: launch: field profile-data: balancers is missing or below 1"},
+		{`"balancers":2`, `"balancers":0`, "line 2: launch: field profile-data: balancers: missing or below 1; say how many routers there are"},
 		{`"origin-kind":1`, `"origin-kind":5`,
-			"line 2: launch: field profile-data: domain.origin-kind is 5, but flavors has 2 names"},
-		{`"rules":`, `"rulez":`, "line 2: launch: field profile-data: rules is missing"},
+			"line 2: launch: field profile-data: domain.origin-kind: 5, but flavors has 2 names; they count from 0"},
+		{`"rules":`, `"rulez":`, "line 2: launch: field profile-data: rules: missing; give the object, as the service was told it"},
 	} {
 		var out strings.Builder
 		err := host(strings.NewReader(strings.Replace(batches, c.from, c.to, 1)), &out)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -14,6 +15,7 @@
 
 // Config is what a router is told.
 type Config struct {
+	File      string // where it stands
 	Name      string
 	Listen    string
 	Admin     string // the operators' door; empty: there is none
@@ -28,17 +30,32 @@
 	Mixed     error    // the settings are of both shapes; nil: of one
 }
 
-// Load reads the variables through get, os.Getenv in service.
+// Load reads the variables through get, os.Getenv in service. An error names the file, or the variable, the field, and what helps.
 func Load(get func(string) string) (Config, error) {
-	var c Config
 	path := get("EDGE_CONFIG")
 	if path == "" {
-		return c, fmt.Errorf("EDGE_CONFIG is not set")
+		return Config{}, fmt.Errorf("EDGE_CONFIG is not set; have it name the configuration")
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return c, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return Config{}, fmt.Errorf("EDGE_CONFIG: %w; have it name a file that can be read", err)
 	}
+	c, err := parse(data, get)
+	c.File = path
+	var of ofVariable
+	if err != nil && !errors.As(err, &of) {
+		err = fmt.Errorf("%s: %w", path, err)
+	}
+	if c.Mixed != nil {
+		c.Mixed = fmt.Errorf("%s: %w", path, c.Mixed)
+	}
+	return c, err
+}
+
+// ofVariable is an error of a variable: the file is not at fault.
+type ofVariable struct{ error }
+
+func parse(data []byte, get func(string) string) (c Config, err error) {
 	var f struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -53,31 +70,30 @@
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &f); err != nil {
-		return c, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return c, fmt.Errorf("%w; write one object of JSON, as README.md has it", err)
 	}
-	either := func(variable, told string) string {
-		if v := get(variable); v != "" {
-			return v
-		}
-		return told
+	if c.Name = get("EDGE_NAME"); c.Name == "" {
+		c.Name = f.Name
 	}
-	c.Name = either("EDGE_NAME", f.Name)
-	if c.Listen, err = address("listen", either("EDGE_LISTEN", f.Listen)); err != nil {
+	if c.Listen, err = address(get, "EDGE_LISTEN", "listen", f.Listen); err != nil {
 		return c, err
 	}
-	if c.Admin = either("EDGE_ADMIN", f.Admin); c.Admin != "" {
-		if c.Admin, err = address("admin", c.Admin); err == nil && c.Admin == c.Listen {
-			err = fmt.Errorf("admin: %s is listen too; give the operators' door an address of its own", c.Admin)
-		}
-		if err != nil {
+	if f.Admin != "" || get("EDGE_ADMIN") != "" {
+		if c.Admin, err = address(get, "EDGE_ADMIN", "admin", f.Admin); err != nil {
 			return c, err
 		}
+		if c.Admin == c.Listen {
+			return c, fmt.Errorf("admin: %s is listen too; give the operators' door an address of its own", c.Admin)
+		}
 	}
-	if c.Discovery, err = address("discovery", either("EDGE_DISCOVERY", f.Discovery)); err != nil {
+	if c.Discovery, err = address(get, "EDGE_DISCOVERY", "discovery", f.Discovery); err != nil {
 		return c, err
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-		return c, fmt.Errorf("seed: %q is not a hexadecimal number", f.Seed)
+		return c, fmt.Errorf("seed: %q is no number; write up to 16 hexadecimal digits", f.Seed)
+	}
+	if len(f.Settings) == 0 {
+		return c, fmt.Errorf("settings: missing; give the object that describes the service")
 	}
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
@@ -86,11 +102,9 @@
 		err = c.place(f.Settings)
 	}
 	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	if err = mixed(c.Settings); err != nil {
-		c.Mixed = fmt.Errorf("%s: %w", path, err)
+		return c, err
 	}
+	c.Mixed = mixed(c.Settings)
 	c.Known = f.Known
 	c.Limits, err = newLimits(f.Limits.Memory, f.Limits.Sockets, c.Admin != "", c.Settings)
 	return c, err
@@ -106,9 +120,18 @@
 	})
 }
 
-func address(field, text string) (string, error) {
+// address is that of a variable, or else of the file's field.
+func address(get func(string) string, variable, field, text string) (string, error) {
+	of, v := field, get(variable)
+	if v != "" {
+		of, text = variable, v
+	}
 	if _, err := netip.ParseAddrPort(text); err != nil {
-		return "", fmt.Errorf("%s: %q is no address and port", field, text)
+		err = fmt.Errorf(`%s: %q is no address and port; write it as "127.0.0.1:6379"`, of, text)
+		if v != "" {
+			err = ofVariable{err}
+		}
+		return "", err
 	}
 	return text, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,24 +41,30 @@
 // What is wrong is named by its field.
 func TestBadConfigurationIsNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
-		{`"127.0.0.4:6379"`, `"here"`, `listen: "here" is no address and port`},
-		{`"127.0.1.1:8500"`, `""`, `discovery: "" is no address and port`},
-		{`8c1f30d27a5be964`, `x`, `seed: "x" is not a hexadecimal number`},
-		{`"discovery":`, `"admin":"door","discovery":`, `admin: "door" is no address and port`},
-		{`"discovery":`, `"admin":"127.0.0.4:6379","discovery":`, `admin: 127.0.0.4:6379 is listen too; give the operators' door an address of its own`},
-		{`"sockets":1024`, `"sockets":10`, "limits.sockets: 10 are fewer than 50"},
-		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1 is less than 16"},
-		{`"balancers":2`, `"balancers":0`, "settings: balancers is missing or below 1"},
-		{`"effect":"free"`, `"effect":"odd"`, `settings: request-classes: "get" lacks a name, an effect, a group or a deadline`},
-		{`"settings":`, `"set":`, "settings: unexpected end of JSON input"},
-		{`"balancers":2`, `"balancers":2,"weights":"heavy"`, `settings: weights is "heavy", neither silent, nominal, rough nor live`},
-		{whole, `{"name"`, "EDGE_CONFIG: unexpected end of JSON input"},
+		{`"127.0.0.4:6379"`, `"here"`, `FILE: listen: "here" is no address and port; write it as "127.0.0.1:6379"`},
+		{`"127.0.1.1:8500"`, `""`, `FILE: discovery: "" is no address and port; write it as "127.0.0.1:6379"`},
+		{`8c1f30d27a5be964`, `x`, `FILE: seed: "x" is no number; write up to 16 hexadecimal digits`},
+		{`"discovery":`, `"admin":"door","discovery":`, `FILE: admin: "door" is no address and port; write it as "127.0.0.1:6379"`},
+		{`"discovery":`, `"admin":"127.0.0.4:6379","discovery":`, `FILE: admin: 127.0.0.4:6379 is listen too; give the operators' door an address of its own`},
+		{`"sockets":1024`, `"sockets":10`, "FILE: limits.sockets: 10 are fewer than 50; give it as many at least"},
+		{`"memory_mb":192`, `"memory_mb":1`, "FILE: limits.memory_mb: 1 is less than 16; give it as much at least"},
+		{`"balancers":2`, `"balancers":0`, "FILE: settings: balancers: missing or below 1; say how many routers there are"},
+		{`"effect":"free"`, `"effect":"odd"`, `FILE: settings: request-classes: "get" lacks a name, an effect, a group or a deadline; ` +
+			`effects are free, guarded and single_shot, groups all, zone and cell`},
+		{`"settings":`, `"set":`, "FILE: settings: missing; give the object that describes the service"},
+		{`"balancers":2`, `"balancers":2,"weights":"heavy"`, `FILE: settings: weights: "heavy"; say silent, nominal, rough or live`},
+		{whole, `{"name"`, "FILE: unexpected end of JSON input; write one object of JSON, as README.md has it"},
 	} {
-		if _, err := load(t, strings.Replace(whole, c.from, c.to, 1), nil); err == nil || err.Error() != c.want {
+		cfg, err := load(t, strings.Replace(whole, c.from, c.to, 1), nil)
+		if err == nil || err.Error() != strings.Replace(c.want, "FILE", cfg.File, 1) {
 			t.Errorf("with %s: %v", c.to, err)
 		}
 	}
-	if _, err := Load(func(string) string { return "" }); err == nil || err.Error() != "EDGE_CONFIG is not set" {
+	const variable = `EDGE_LISTEN: "there" is no address and port; write it as "127.0.0.1:6379"` // the file is right
+	if _, err := load(t, whole, map[string]string{"EDGE_LISTEN": "there"}); err == nil || err.Error() != variable {
+		t.Error(err)
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || err.Error() != "EDGE_CONFIG is not set; have it name the configuration" {
 		t.Error(err)
 	}
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -72,10 +72,10 @@
 		leastMemory  = 16
 	)
 	if sockets < leastSockets {
-		return Limits{}, fmt.Errorf("limits.sockets: %d are fewer than %d", sockets, leastSockets)
+		return Limits{}, fmt.Errorf("limits.sockets: %d are fewer than %d; give it as many at least", sockets, leastSockets)
 	}
 	if memory < leastMemory {
-		return Limits{}, fmt.Errorf("limits.memory_mb: %d is less than %d", memory, leastMemory)
+		return Limits{}, fmt.Errorf("limits.memory_mb: %d is less than %d; give it as much at least", memory, leastMemory)
 	}
 	callers := 0
 	if door {
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -38,9 +38,12 @@
 
 // checkFees refuses what is no price.
 func checkFees(s choice.Settings) error {
-	for key, fee := range map[string]float64{"waste": s.WasteFee, "cross-zone": s.CrossFee} {
-		if fee < 0 {
-			return fmt.Errorf("settings: fees.%s: less than nothing; say 0 or more", key)
+	for _, f := range []struct {
+		key string
+		fee float64
+	}{{"waste", s.WasteFee}, {"cross-zone", s.CrossFee}} {
+		if f.fee < 0 {
+			return fmt.Errorf("settings: fees.%s: less than nothing; say 0 or more", f.key)
 		}
 	}
 	return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -108,7 +108,7 @@
 	if len(cfg.Known) > 0 {
 		var err error
 		if r.known, err = r.book.Saved(cfg.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+			return nil, fmt.Errorf("%s: known: %w; give a list in discovery's form, or leave it out", cfg.File, err)
 		}
 	}
 	return r, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,7 @@
 func Micros(s float64) choice.Micros { return choice.Micros(math.Round(s * 1e6)) }
 
 // Parse reads the settings object. Unknown keys are ignored; a needed one that is missing or
-// contradicts another is named.
+// contradicts another is named, with what helps.
 func Parse(data []byte) (choice.Settings, error) {
 	var p struct {
 		Balancers  *int     `json:"balancers"`
@@ -97,24 +97,24 @@
 	}
 	switch {
 	case p.Balancers == nil || *p.Balancers < 1:
-		return s, errors.New("balancers is missing or below 1")
+		return s, errors.New("balancers: missing or below 1; say how many routers there are")
 	case len(p.Classes) == 0:
-		return s, errors.New("request-classes is missing or empty")
+		return s, errors.New("request-classes: missing or empty; name the service's methods")
 	case p.Rules == nil:
-		return s, errors.New("rules is missing")
+		return s, errors.New("rules: missing; give the object, as the service was told it")
 	case p.Limits.SendCap == nil || *p.Limits.SendCap < 1:
-		return s, errors.New("policy-limits.send-cap is missing or below 1")
+		return s, errors.New("policy-limits.send-cap: missing or below 1; say how many write-outs a req may have")
 	case p.Discovery != "pushed" && p.Discovery != "on_request":
-		return s, fmt.Errorf("discovery is %q, neither pushed nor on_request", p.Discovery)
+		return s, fmt.Errorf("discovery: %q; say pushed or on_request", p.Discovery)
 	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
-		return s, fmt.Errorf("domain.mode is %q, neither aside nor through", p.Domain.Mode)
+		return s, fmt.Errorf("domain.mode: %q; say aside or through", p.Domain.Mode)
 	case !slices.Contains([]string{"", "silent", "nominal", "rough", "live"}, p.Weights):
-		return s, fmt.Errorf("weights is %q, neither silent, nominal, rough nor live", p.Weights)
+		return s, fmt.Errorf("weights: %q; say silent, nominal, rough or live", p.Weights)
 	case p.Domain.Mode == "aside" && p.Domain.Kind == nil:
-		return s, errors.New("domain.origin-kind is missing though domain.mode is aside")
+		return s, errors.New("domain.origin-kind: missing, though domain.mode is aside; say which of flavors the origin is, from 0")
 	}
 	if k := p.Domain.Kind; k != nil && *k >= len(p.Flavors) {
-		return s, fmt.Errorf("domain.origin-kind is %d, but flavors has %d names", *k, len(p.Flavors))
+		return s, fmt.Errorf("domain.origin-kind: %d, but flavors has %d names; they count from 0", *k, len(p.Flavors))
 	} else if k != nil && *k >= 0 {
 		s.OriginKind = choice.Kind(p.Flavors[*k])
 	}
@@ -145,7 +145,8 @@
 		e, ok := effects[c.Effect]
 		g, ok2 := groups[c.Group]
 		if !ok || !ok2 || c.Name == "" || c.Deadline <= 0 {
-			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline", c.Name)
+			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline; effects are %s, groups %s",
+				c.Name, "free, guarded and single_shot", "all, zone and cell")
 		}
 		s.Methods = append(s.Methods, choice.MethodSettings{Name: c.Name, Effect: e, Group: g,
 			Window: Micros(c.Window), LatencyBudget: Micros(c.Aim), Deadline: Micros(c.Deadline),
