--- a/choice/choice.go
+++ b/choice/choice.go
@@ -190,7 +190,8 @@
 // room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each one
 // once a minute. A copy at a partner would crowd that one, and push out what it holds.
 func (r *Router) copyIsDue(q *req) bool {
-	if q.copyAt == 0 || r.now < q.copyAt || len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= q.most {
+	if q.copyAt == 0 || r.now < q.copyAt || r.now >= q.final || // the loop comes late to it where it stood still
+		len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= q.most {
 		return false
 	}
 	q.copyAt = 0
