What waited for a connection past its time is not sent when it comes up

TestConnectionComesBehindTheTime sets the clock on with no timer fired: without the mend both reqs went out, 1.1 s after the deadline and 50 ms behind the window.

--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -272,3 +272,26 @@
 		t.Error("not written to a new one")
 	}
 }
+
+// After a pause of the process a connection comes up before the loop comes to its timers: what has waited for it past its
+// deadline, or past the window in which a repeat is known, is not sent.
+func TestConnectionComesBehindTheTime(t *testing.T) {
+	l, up := held(t, nil)
+	client := l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=get,d=1900"))
+	l.r.began += 3e6
+	if late := up(); late.wrote != "" {
+		t.Errorf("1.1 s after the deadline there went out %q", late.wrote)
+	}
+	l, up = held(t, nil)
+	client = l.open(nil)
+	l.comes(client, command("CACHE.GET", "k", "r1", "c=look,d=1900"))
+	first := up()
+	l.pass(100e3)
+	_ = l.Close(first) // it may have run
+	l.rounds()
+	l.r.began += 350e3
+	if second := up(); second.wrote != "" {
+		t.Errorf("450 ms after the first, of which repeats are known for 400, there went out %q", second.wrote)
+	}
+}
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -50,9 +50,10 @@
 	sent   choice.Micros
 	within choice.Micros // its time-out
 	timer  *timer
-	late   *timer    // not begun by then, it is not begun any more; nil: it may be
-	up     *upstream // nil: it waits for a connection
-	whole  bool      // its last byte has left us
+	late   *timer        // at until; nil: that is its time-out
+	until  choice.Micros // not begun by then, it is not begun any more
+	up     *upstream     // nil: it waits for a connection
+	whole  bool          // its last byte has left us
 }
 
 // take makes a req of this router's what a front has read whole; its client waits so long from now.
@@ -159,11 +160,12 @@
 		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After}
+	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
 	q.outs = append(q.outs, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
-	if d.By > 0 {
+	if d.By > 0 && d.By < w.until {
+		w.until = d.By
 		w.late = r.after(max(0, d.By-r.now), func() {
 			if slices.Contains(q.outs, w) && w.unsent() {
 				r.giveUp(w, choice.Ignored)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -146,6 +146,10 @@
 		return
 	}
 	up.since = up.r.clock()
+	// After a pause of the process its connections come up before its timers go off.
+	for len(s.waiting) > 0 && s.waiting[0].until <= up.since {
+		up.r.giveUp(s.waiting[0], choice.Ignored)
+	}
 	if len(s.waiting) > 0 && up.rested() && up.open(s.waiting[0]) {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
