Forced: a dial to discovery that hangs, a silent watch on request, a half-close

The watch: 20.9 s silent, kept; 21.1 s, given up, and the whole list asked for within a second, by the limits that a configuration leads to. The dial: a socket whose backlog is full.

--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -504,6 +504,8 @@
 	case "lists", "changes":
 		body := p.list(what == "lists", number(0), words[1:])
 		fmt.Fprintf(s.last, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case "half-closes": // and reads on
+		_ = s.last.(*net.TCPConn).CloseWrite()
 	case "closes", "resets", "stops":
 		if what == "stops" {
 			s.ln.Close()
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -1,14 +1,19 @@
 package router
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
+	"spurtrestle/internal/config"
 	"spurtrestle/internal/resp"
 )
 
@@ -295,3 +300,99 @@
 		t.Errorf("450 ms after the first, of which repeats are known for 400, there went out %q", second.wrote)
 	}
 }
+
+// loaded is a router with the limits that a configuration leads to, and a dial to discovery that has been let through.
+func loaded(t *testing.T, asked string) (l *notedLoop, up func() *notedConn) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{"memory_mb":64,"sockets":256},`+
+		`"settings":{"balancers":1,"discovery":%q,"domain":{"mode":"aside","origin-kind":0},"flavors":["origin"],"policy-limits":{"send-cap":1},`+
+		`"rules":{},"resolution-s":0.001,"request-classes":[{"name":"get","effect":"free","slo-s":1,"deadline-s":1}]}}`, asked)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Load(func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = newLoop(t, cfg)
+	var dials []peer
+	l.r.dialer = func(_ string, p peer, _ func(error)) { dials = append(dials, p) }
+	l.r.rewatch(cfg.Discovery)
+	return l, func() *notedConn {
+		if len(dials) == 0 {
+			return nil
+		}
+		c := l.open(dials[0])
+		dials = dials[1:]
+		l.rounds()
+		return c
+	}
+}
+
+// Where lists are asked for a watch may wait for 20 s; one that has fallen silent is given up a second later, a second before
+// what it misses counts as told, and the whole list is asked for.
+func TestSilentWatchOnRequest(t *testing.T) {
+	const list = `{"rev":5,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"}]}`
+	l, up := loaded(t, "on_request")
+	first := up()
+	l.comes(first, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+	if !strings.Contains(first.wrote, "index=5&wait=20000") {
+		t.Fatalf("it watches with %q", first.wrote)
+	}
+	l.pass(20.9e6)
+	if first.closed {
+		t.Fatal("given up while an answer is due")
+	}
+	l.pass(0.2e6)
+	if !first.closed {
+		t.Fatal("21.1 s silent, and not given up")
+	}
+	for range 9 { // the decisions say when: within the second
+		if second := up(); second != nil {
+			if second.wrote != "GET /registry/instances HTTP/1.1\r\nHost: 127.0.0.1:2\r\n\r\n" {
+				t.Errorf("it goes on with %q", second.wrote)
+			}
+			return
+		}
+		l.pass(0.1e6)
+	}
+	t.Error("nobody asks for the list")
+}
+
+// A dial to discovery that hangs ends with an answer's slack, whatever servers may take to come up: a call waits behind it.
+func TestDialToDiscoveryHangs(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	if err = errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	for range 2 { // nobody accepts: the backlog takes one, and the next never comes up
+		c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	l, _ := loaded(t, "pushed")
+	l.r.lim.Connect, l.r.lim.WatchSlack = 60e6, 50e3
+	failed := make(chan error, 1)
+	l.r.dials++
+	l.r.dialOff(addr, l.r.watch, func(err error) { failed <- err })
+	for until := time.Now().Add(5 * time.Second); len(failed) == 0; l.rounds() {
+		if time.Now().After(until) {
+			t.Fatal("the dial hangs on")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error(err)
+	}
+}
