Forced: SIGTERM during SIGHUP and a handover, discovery silent at the start

SIGHUP's reading is held by a pipe, the new process's take-over by a list that does not come, and SIGTERM comes meanwhile, to each of the two.

--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -504,6 +504,9 @@
 	case "lists", "changes":
 		body := p.list(what == "lists", number(0), words[1:])
 		fmt.Fprintf(s.last, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case "lists-and-resets": // without a length
+		fmt.Fprintf(s.last, "HTTP/1.1 200 OK\r\n\r\n%s", p.list(true, number(0), words[1:]))
+		s.closeAll(true)
 	case "half-closes": // and reads on
 		_ = s.last.(*net.TCPConn).CloseWrite()
 	case "closes", "resets", "stops":
--- a/cmd/spurtrestle/signal_test.go
+++ b/cmd/spurtrestle/signal_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -50,3 +51,94 @@
 		t.Errorf("%v: %s", err, log.text())
 	}
 }
+
+// asks begins a req at the program whose server does not answer yet.
+func (p *player) asks(who, id string) {
+	p.do(who, "opens", "")
+	p.do(who, "sends", "CACHE.GET k "+id+" c=get,d=2500")
+	got := p.see(p.server("s1"))
+	for strings.HasSuffix(got, "the end") { // of a process before
+		got = p.see(p.server("s1"))
+	}
+	if !strings.Contains(got, id) {
+		p.t.Fatalf("s1 gets %s", got)
+	}
+}
+
+func (p *player) endsInOrder(what string) {
+	p.t.Helper()
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			p.t.Errorf("%s: %v", what, err)
+		}
+	case <-time.After(patience):
+		p.t.Fatalf("%s goes on", what)
+	}
+}
+
+const valueOfS1 = `"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n"`
+
+// SIGTERM comes while SIGHUP has the file read again, which a pipe holds back for good: the req in hand is answered, and the
+// program ends in order.
+func TestTermDuringReload(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "origin"})
+	p.asks("a", "r1")
+	if err := os.Remove(p.file); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(p.file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_ = p.program.Process.Signal(syscall.SIGHUP)
+	in, err := os.OpenFile(p.file, os.O_WRONLY, 0) // returns once the program reads it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	_ = p.program.Process.Signal(syscall.SIGTERM)
+	p.do("s1", "writes", valueOfS1)
+	if got := p.see(p.peers["a"]); got != "$one" {
+		t.Error(got)
+	}
+	p.endsInOrder("the program")
+}
+
+// SIGTERM comes to one of two processes while the new one waits for discovery's list, before it takes clients.
+func TestTermDuringHandover(t *testing.T) {
+	t.Run("the new one", func(t *testing.T) {
+		p := newPlayer(t)
+		p.start([]string{"s1", "origin"})
+		p.asks("a", "r1")
+		p.beside(0)
+		_ = p.program.Process.Signal(syscall.SIGTERM)
+		p.endsInOrder("the new process")
+		p.do("s1", "writes", valueOfS1)
+		if got := p.see(p.peers["a"]); got != "$one" {
+			t.Error(got)
+		}
+		p.asks("b", "r2")
+		p.do("s1", "writes", valueOfS1)
+		if got := p.see(p.peers["b"]); got != "$one" {
+			t.Error(got)
+		}
+	})
+	t.Run("the old one", func(t *testing.T) {
+		p := newPlayer(t)
+		p.start([]string{"s1", "origin"})
+		p.asks("a", "r1")
+		first, _ := p.beside(0)
+		_ = first.Process.Signal(syscall.SIGTERM)
+		p.do("s1", "writes", valueOfS1)
+		if got := p.see(p.peers["a"]); got != "$one" {
+			t.Error(got)
+		}
+		p.endsInOrder("the old process")
+		p.asks("b", "r2")
+		p.do("s1", "writes", valueOfS1)
+		if got := p.see(p.peers["b"]); got != "$one" {
+			t.Error(got)
+		}
+	})
+}
