A router of another service is refused by the fleet, by the methods of both

Routers of two services under one fleet name made one fleet: parts were lent between them, and a policy's document passed. What a process says of itself holds its methods now, as many as fit into the library's 512 bytes; where some are cut, one in common is enough. An older build names none and is taken as before. TestOtherService plays three processes; without the check none says so and all three see each other.

--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -44,6 +44,7 @@
 	Keepers int
 	Servers int                     // cache servers of each site that discovery lists; 0: one in all
 	Fleet   func(router int) string // the fleet's name; nil: one for all
+	Method  func(router int) string // the service's; nil: one for all
 }
 
 // Rig is a running one. Close ends all that it started.
@@ -251,6 +252,10 @@
 		set.Methods = slices.Clone(set.Methods)
 		set.Methods[0].Deadline = scenario.Span(d / time.Microsecond)
 	}
+	if r.o.Method != nil {
+		set.Methods = slices.Clone(set.Methods)
+		set.Methods[0].Name = r.o.Method(i)
+	}
 	text, err := fleet.Config(set, i, r.names[i], r.net.Routers()[i], r.net.Discovery()[i], fmt.Sprintf("%x", i+1), r.reg.Known(event.Router(i)))
 	if err == nil {
 		err = os.WriteFile(r.file(i, "json"), text, 0o644)
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -479,6 +479,23 @@
 	}
 }
 
+// A router of another service is refused on both sides, by the methods of both, whatever its fleet is called.
+func TestOtherService(t *testing.T) {
+	r := play(t, Options{Routers: 3, Method: func(i int) string { return []string{"get", "get", "tile"}[i] }})
+	r.start("start", 0, 1)
+	r.start("of another service", 2)
+	const of = `: it is of a service with the methods %s, and this router serves one with %s; correct fleet.name or fleet.join of one of them`
+	r.until("both sides say so", func() bool {
+		return r.log(2, `router \\"r[01]\\" at \S+`+fmt.Sprintf(of, "get", "tile")) > 0 &&
+			r.log(0, fmt.Sprintf(of, "tile", "get"))+r.log(1, fmt.Sprintf(of, "tile", "get")) > 0
+	})
+	for i, want := range []int{2, 2, 1} {
+		if w, err := r.View(i); err != nil || len(w.Routers) != want {
+			t.Errorf("router %d sees %d routers; %v", i, len(w.Routers), err)
+		}
+	}
+}
+
 // A process that is replaced while it serves is one router, never lost for a moment.
 func TestReplaced(t *testing.T) {
 	r := play(t, Options{Routers: 4})
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 
+	"spurtrestle/internal/settings"
 	"spurtrestle/parts"
 	"spurtrestle/view"
 )
@@ -28,22 +30,41 @@
 
 // meta is what a process says of itself for all of its life, in as few bytes as its names allow.
 type meta struct {
-	F string `json:"f"`           // fleet
-	N string `json:"n"`           // name
-	S string `json:"s"`           // site
-	P uint64 `json:"p"`           // process
-	I int    `json:"i"`           // seat
-	T int64  `json:"t"`           // start
-	B string `json:"b"`           // build
-	O uint64 `json:"o,omitempty"` // follows
+	F string   `json:"f"`           // fleet
+	N string   `json:"n"`           // name
+	S string   `json:"s"`           // site
+	P uint64   `json:"p"`           // process
+	I int      `json:"i"`           // seat
+	T int64    `json:"t"`           // start
+	B string   `json:"b"`           // build
+	O uint64   `json:"o,omitempty"` // follows
+	M []string `json:"m,omitempty"` // the service's methods, as many as there is room for
+	C bool     `json:"c,omitempty"` // there are more
 }
 
 // NodeMeta is called by memberlist.
-func (p *Peers) NodeMeta(int) []byte {
+func (p *Peers) NodeMeta(limit int) []byte {
 	m := p.me
-	text, _ := json.Marshal(meta{m.Fleet, string(m.Name), string(m.Site), uint64(m.Process), int(m.Seat), m.Started, m.Build,
-		uint64(m.Follows)}) // plain fields: it cannot fail
-	return text
+	said := meta{F: m.Fleet, N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
+		O: uint64(m.Follows), M: p.cfg.Methods}
+	for {
+		text, _ := json.Marshal(said) // plain fields: it cannot fail
+		if len(text) <= limit || len(said.M) == 0 {
+			return text
+		}
+		said.M, said.C = said.M[:len(said.M)-1], true
+	}
+}
+
+// sameService: a router of another service has other servers and other limits, whatever its fleet is called. One of an older
+// build names no methods.
+func (p *Peers) sameService(node *memberlist.Node) error {
+	var m meta
+	_ = json.Unmarshal(node.Meta, &m) // memberOf tells what is wrong in it
+	if len(m.M) == 0 || m.C && slices.ContainsFunc(m.M, func(x string) bool { return slices.Contains(p.cfg.Methods, x) }) {
+		return nil
+	}
+	return settings.SameService(m.M, p.cfg.Methods)
 }
 
 func memberOf(node *memberlist.Node) (view.Member, error) {
@@ -59,7 +80,7 @@
 		Started: m.T, Build: m.B, Follows: view.Process(m.O), Addr: netip.AddrPortFrom(addr.Unmap(), node.Port).String()}, nil
 }
 
-// NotifyAlive refuses routers of other fleets. It is called by memberlist, as all below.
+// NotifyAlive refuses routers of other fleets and of other services. It is called by memberlist, as all below.
 func (p *Peers) NotifyAlive(node *memberlist.Node) error {
 	m, err := memberOf(node)
 	if err == nil && m.Fleet != p.me.Fleet {
@@ -67,7 +88,10 @@
 			m.Name, m.Addr, m.Fleet, p.me.Name, p.me.Fleet)
 	}
 	if err == nil {
-		return nil
+		if err = p.sameService(node); err == nil {
+			return nil
+		}
+		err = fmt.Errorf("router %q at %s: %w; correct fleet.name or fleet.join of one of them, %q or this one, %q", m.Name, m.Addr, err, m.Name, p.me.Name)
 	}
 	const again = time.Minute
 	p.mu.Lock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -24,8 +24,9 @@
 	Seats     int           // as many as the settings say that there are
 	Seat      int
 	Build     string
-	Follows   bool // it takes over from a process that lives, and has the address still
-	Clear     bool // that process has lent nothing
+	Methods   []string // of the service
+	Follows   bool     // it takes over from a process that lives, and has the address still
+	Clear     bool     // that process has lent nothing
 	// Refused makes an error of a field of the operator's file, as in "fleet.listen".
 	Refused func(field, what, remedy string) error
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -132,7 +132,7 @@
 func placeOf(mine operator.File, cfg config.Config) (place.Config, error) {
 	f := mine.Fleet
 	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Join: f.Join, Dir: f.Dir, Seats: cfg.Settings.Routers, Seat: cfg.Seat,
-		Build: revision(), Refused: mine.Refused}
+		Build: revision(), Methods: settings.Methods(cfg.Settings), Refused: mine.Refused}
 	c.Listen, c.Advertise = f.Addresses()
 	c.Probe, c.Forget = f.Spans()
 	if c.Name == "" {
