A reset does not end the answer to a big write either

The same fault in its second place (longwrite.go, await): the goroutine that brings a big write's answer took any error of the read but a time-out for the connection's end, so that half an answer without a length, and then a reset, went out as the receipt. Only io.EOF is an end. TestBigWritesThatEnd has both ways; without the change the client got '$2 ha'. Nothing else reads with an end: searched for.

--- a/cmd/spurtrestle/longwrite_test.go
+++ b/cmd/spurtrestle/longwrite_test.go
@@ -98,6 +98,13 @@
 	w.gets("-ERR a req needs a new id, c, and d\r\n")
 	go func() { // the origin ends the connection once all has come: it may have run
 		for m := range o.came {
+			switch {
+			case strings.Contains(m.text, "PUT /k half"): // without a length, and reset: no answer
+				_, _ = io.WriteString(m.on, "HTTP/1.1 200 OK\r\n\r\nha")
+				_ = m.on.(*net.TCPConn).SetLinger(0)
+			case strings.Contains(m.text, "PUT /k whole"):
+				_, _ = io.WriteString(m.on, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			}
 			if strings.Contains(m.text, "PUT ") {
 				m.on.Close()
 			}
@@ -107,6 +114,10 @@
 	w.gets("-ERR failed\r\n")
 	w.put("c", "c=get,d=2500", size) // may run again, but its body is gone: the client may send it again
 	w.gets("-BUSY 1000\r\n")
+	w.put("half", "c=pay,d=2500", size)
+	w.gets("-ERR failed\r\n")
+	w.put("whole", "c=pay,d=2500", size)
+	w.gets("$5\r\nwhole\r\n")
 	o.ln.Close()
 	o.closeAll(true)
 	w.put("d", "c=pay,d=2500", size) // no connection: it never ran
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -251,7 +252,7 @@
 	for {
 		n, err := server.Read(more)
 		has = append(has, more[:n]...)
-		o, used, keep, broken := speaks.Read(has, err != nil && !isLate(err))
+		o, used, keep, broken := speaks.Read(has, err == io.EOF) // a reset is no end of an answer without a length
 		switch {
 		case broken != nil:
 			return wire.Outcome{Status: choice.Failed}, false
