A drain does not wait for a connection that could not be enrolled

By review: a connection that was accepted and for which gnet had no descriptor stayed counted as coming, so that the next drain waited for nobody until all had to be answered (up to 3.5 s). Its place is given back. TestDrainWaitsForNobody: without it, 3 s later still one came.

--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/choice"
@@ -172,6 +174,46 @@
 	}
 }
 
+// enrollsNobody is a loop for which there is no descriptor left.
+type enrollsNobody struct{ *notedLoop }
+
+func (enrollsNobody) Enroll(_ context.Context, c net.Conn) (<-chan gnet.RegisteredResult, error) {
+	out := make(chan gnet.RegisteredResult, 1)
+	out <- gnet.RegisteredResult{Err: unix.EMFILE}
+	return out, c.Close()
+}
+
+// A connection that is accepted, and for which there is no descriptor on the way to the loop, is not waited for in a drain.
+func TestDrainWaitsForNobody(t *testing.T) {
+	l, _ := held(t, nil)
+	l.r.loop = enrollsNobody{l}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.r.takeover.ln = ln.(*net.TCPListener)
+	ended := make(chan struct{})
+	go func() {
+		l.r.accept()
+		close(ended)
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Read(make([]byte, 1)) // returns once it is closed there
+	for until := time.Now().Add(patience); l.r.takeover.coming.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("somebody comes who was refused")
+		}
+	}
+	ln.Close()
+	<-ended
+}
+
+const patience = 3 * time.Second
+
 // A list moves a server while a dial to its old address is out: what waits goes to the new one, and the old connection is
 // not used.
 func TestDialToWhereAServerWas(t *testing.T) {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -189,7 +189,7 @@
 // accept runs off the loop, until the listener is closed or clients are the heir's.
 func (r *Router) accept() {
 	const pause = 5 * time.Millisecond // where there are no descriptors
-	var under []<-chan gnet.RegisteredResult
+	var under []<-chan struct{}
 	for {
 		c, err := r.takeover.ln.Accept()
 		switch {
@@ -206,7 +206,14 @@
 			c.Close()
 			return
 		}
-		if under = append(under, enrolled); len(under) >= acceptsAtOnce {
+		done := make(chan struct{})
+		go func() { // one that is not enrolled, for want of a descriptor, does not come any more: a drain would wait for it
+			if (<-enrolled).Err != nil {
+				r.takeover.coming.Add(-1)
+			}
+			close(done)
+		}()
+		if under = append(under, done); len(under) >= acceptsAtOnce {
 			<-under[0]
 			under = under[1:]
 		}
