A router that has just begun lets a cold cache have its keys step by step

A probe printed each write-out to a cold server with the budget's terms: 62 came within 0.8 s, 59 of them the first from a router that had begun 0.01 to 0.8 s before, 'left' from 0 to 1 then. Other cold servers got 11 to 44 in their worst second: this one owns a hot key. Ruled out: hot draws (drawn=-1, nobody knew it as hot), the budget's growth (0.02 a second), routers that had not been told. At fault: own keys pass while the budget is over 0, and it begins evenly from 0 to 1: each of hundreds has one at once. That was measured as harmless where routers start one after the other, since own reads of a mean cache come seldom.

Change: over 1-since, where since is the part of five seconds that the router has run; the estimate beside it uses that already.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -545,7 +545,7 @@
 
 const safe = 0.6 // of the multiple: the work of a req varies, and so do the keys
 
-// warmFor lets a cold cache have a fraction of its keys, the same at every router, and a part of its budget.
+// warmFor lets a cold cache have a fraction of its keys, alike at every router, by a budget, own ones first.
 func (r *Router) warmFor(q *req, s *server, own bool) bool {
 	age, at := r.coldAge(s), float64(q.hash>>32&0xffff)/0x10000
 	if age >= r.coldSpan || at >= r.share(s.Zone) {
@@ -572,7 +572,7 @@
 	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two by chance
 	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
 	s.coldAt = r.now
-	return s.coldLeft >= 1 || own && s.coldLeft > 0 // its own keys before hot ones and those of partners
+	return s.coldLeft >= 1 || own && s.coldLeft > 1-since // one hot read from each new router pushed one over
 }
 
 // ---- Hot keys and their shares ----
