--- a/choice/choice.go
+++ b/choice/choice.go
@@ -572,7 +572,7 @@
 	most := max(2, part*mean*float64(r.fallSpan)/4e6) // saved up: a quarter of the window, or two by chance
 	s.coldLeft = min(most, s.coldLeft+part/safe*mean*float64(r.now-s.coldAt)/1e6)
 	s.coldAt = r.now
-	return s.coldLeft >= 1 || own && s.coldLeft > 1-since // one hot read from each new router pushed one over
+	return s.coldLeft >= 1 || own && s.coldLeft > (1-since)*(1-r.part) // a hot read of each new one is too much
 }
 
 // ---- Hot keys and their shares ----
