What a process holds is told by three looks

TestStartsWithIPv4Alone was red once beside 800 processes: a client's connection that ended at the moment of the look stands in no table, and seemed to be a socket that may not be. A socket counts as held where all of three looks have it. With a Unix socket planted at the start the test fails as before.

--- a/cmd/spurtrestle/platform_test.go
+++ b/cmd/spurtrestle/platform_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -99,8 +100,22 @@
 	return strings.TrimSpace(string(buf[:n]))
 }
 
-// socketsOf are the sockets that a process holds, by kind; what is neither TCP nor UDP over IPv4 is "other".
+// socketsOf are the sockets that a process holds at each of three looks, by kind. At one look a connection that ends just then is
+// in no table any more, and seems to be of another kind.
 func socketsOf(t *testing.T, pid int) map[string][]string {
+	held := socketsNow(t, pid)
+	for range 2 {
+		time.Sleep(50 * time.Millisecond)
+		now := socketsNow(t, pid)
+		for kind := range held {
+			held[kind] = slices.DeleteFunc(held[kind], func(s string) bool { return !slices.Contains(now[kind], s) })
+		}
+	}
+	return held
+}
+
+// socketsNow: what is neither TCP nor UDP over IPv4 is "other".
+func socketsNow(t *testing.T, pid int) map[string][]string {
 	kinds := map[string][]string{}
 	in := map[string]string{}
 	for _, kind := range []string{"tcp", "udp"} {
