--- a/internal/lab/origin/origin_test.go
+++ b/internal/lab/origin/origin_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,12 +34,23 @@
 
 func TestOrigin(t *testing.T) {
 	log := event.NewLog()
+	var mu sync.Mutex // of these two: the origin's own goroutines call
 	filled, dropped := "", ""
+	note := func(to *string, what string) {
+		mu.Lock()
+		defer mu.Unlock()
+		*to += what
+	}
+	noted := func(of *string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		return *of
+	}
 	methods := map[string]scenario.Method{"read": {Name: "read", Effect: "retryable"}, "book": {Name: "book", Effect: "non-retryable"},
 		"hold": {Name: "hold", Effect: "deduplicated", Window: 60e6}}
 	set := scenario.Origin{Cores: 1, Queue: 0, Work: 1000}
 	o, err := Start(&Fleet{Log: log, Set: set, Methods: methods, Repeats: &cacheserver.Repeats{}, Cold: func(event.Req) bool { return false },
-		Filled: func(r event.Req, k string) { filled += string(r) + " " + k + ";" }, Dropped: func(k string) { dropped += k + ";" }},
+		Filled: func(r event.Req, k string) { note(&filled, string(r)+" "+k+";") }, Dropped: func(k string) { note(&dropped, k+";") }},
 		[]string{"127.15.0.1:18080"}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -68,7 +80,9 @@
 		t.Error("a full origin answers ", status, never)
 	}
 	o.Strike(scenario.Fault{Kind: "origin_stop"}, true)
-	time.Sleep(100 * time.Millisecond)
+	for until := time.Now().Add(long); strings.Count(noted(&dropped), "k;") < 4 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
 	ran := ""
 	for _, e := range log.Events() {
 		if e.Kind == event.Ran {
@@ -76,7 +90,7 @@
 		}
 	}
 	// What nobody waits for any more runs all the same, once.
-	if ran != "id2;id3;id5;" || filled != "id1 a b;" || !strings.HasPrefix(dropped, "k;k;k;k;") {
-		t.Errorf("ran %s, filled %s, dropped %s", ran, filled, dropped)
+	if ran != "id2;id3;id5;" || noted(&filled) != "id1 a b;" || !strings.HasPrefix(noted(&dropped), "k;k;k;k;") {
+		t.Errorf("ran %s, filled %s, dropped %s", ran, noted(&filled), noted(&dropped))
 	}
 }
