--- a/cmd/spurtrestle/signal_test.go
+++ b/cmd/spurtrestle/signal_test.go
@@ -77,7 +77,14 @@
 	}
 }
 
-const valueOfS1 = `"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n"`
+// served has the server answer, and the client get that.
+func (p *player) served(who string) {
+	p.t.Helper()
+	p.do("s1", "writes", `"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n"`)
+	if got := p.see(p.peers[who]); got != "$one" {
+		p.t.Errorf("%s got %s", who, got)
+	}
+}
 
 // SIGTERM comes while SIGHUP has the file read again, which a pipe holds back for good: the req in hand is answered, and the
 // program ends in order.
@@ -98,10 +105,7 @@
 	}
 	defer in.Close()
 	_ = p.program.Process.Signal(syscall.SIGTERM)
-	p.do("s1", "writes", valueOfS1)
-	if got := p.see(p.peers["a"]); got != "$one" {
-		t.Error(got)
-	}
+	p.served("a")
 	p.endsInOrder("the program")
 }
 
@@ -113,16 +117,10 @@
 		p.asks("a", "r1")
 		p.beside(0)
 		_ = p.program.Process.Signal(syscall.SIGTERM)
-		p.do("s1", "writes", valueOfS1)
-		if got := p.see(p.peers["a"]); got != "$one" {
-			t.Error(got)
-		}
+		p.served("a")
 		p.endsInOrder("the new process")
 		p.asks("b", "r2")
-		p.do("s1", "writes", valueOfS1)
-		if got := p.see(p.peers["b"]); got != "$one" {
-			t.Error(got)
-		}
+		p.served("b")
 	})
 	t.Run("the old one", func(t *testing.T) {
 		p := newPlayer(t)
@@ -130,15 +128,9 @@
 		p.asks("a", "r1")
 		first, _ := p.beside(0)
 		_ = first.Process.Signal(syscall.SIGTERM)
-		p.do("s1", "writes", valueOfS1)
-		if got := p.see(p.peers["a"]); got != "$one" {
-			t.Error(got)
-		}
+		p.served("a")
 		p.endsInOrder("the old process")
 		p.asks("b", "r2")
-		p.do("s1", "writes", valueOfS1)
-		if got := p.see(p.peers["b"]); got != "$one" {
-			t.Error(got)
-		}
+		p.served("b")
 	})
 }
