The player counts a program's serving lines from before its start

The player counted the lines of earlier programs after the new one had been started; where the test was held up for that long, the new one's was among them.

--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -281,10 +281,10 @@
 		p.program.Env = append(p.program.Env, "EDGE_ADMIN="+p.admin)
 	}
 	p.program.Stderr = &p.log
-	if err := p.program.Start(); err != nil {
+	program, before := p.program, strings.Count(p.log.text(), "msg=serving") // by programs before this one
+	if err := program.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	program, before := p.program, strings.Count(p.log.text(), "msg=serving")
 	p.t.Cleanup(func() { _ = program.Process.Kill() })
 	go func() { p.ended <- program.Wait() }()
 	for range 300 {
