--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -15,6 +15,9 @@
 	Name      string // of the router
 	Site      string
 	Sites     []string // all that there are; none: that is not known
+	Tiered    bool     // full membership within the site alone, summaries of the other sites; off: the whole fleet
+	Region    string   // of the site; needed with Tiered
+	Remote    []string // with Tiered: addresses of routers of other sites, to begin with
 	Listen    netip.AddrPort
 	Advertise netip.AddrPort
 	Join      []string // addresses of others, to begin with
