Every attempt is sent the time that is left, the origin's too

Cause: internal/wire/http1 wrote X-Props as the client had sent it, so that the origin read the client's first d however much of it was spent; most further attempts go there, after a miss. internal/wire/resp2 rewrote d, but rounded up, and told the router's own wait alone; a big write told the whole wait however late its connection came. Change: wire.Attempt is what a protocol is given; the properties of a request can be written out only through it, with the deadline min(router's wait, client's rest) as of the write, rounded down, at least 1 ms. One rewriting, in internal/wire. What is not begun when the client gives up is not begun any more.

--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -140,7 +140,7 @@
 			return nil, status.Error(codes.DeadlineExceeded, "the deadline had passed when the call came")
 		}
 	}
-	o.Props = props(o, at)
+	o.Props = wire.NewProps(props(o, at))
 	if !s.r.Offer(o) {
 		return nil, status.Error(codes.ResourceExhausted, "too many calls wait to be taken")
 	}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -397,11 +397,11 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q = &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: own(words[3]), Write: write}, size: size, from: c}
+	q = &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
 	if write && len(words) > 4 {
 		q.Value = own(words[4])
 	}
-	p := resp2.ReadProps(q.Props)
+	p := resp2.ReadProps(words[3])
 	method, known := r.methods[string(p.Method)]
 	if p.Bad || p.Waits == 0 || !known || len(q.ID) == 0 || r.reqs[q.ID] != nil {
 		if known {
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -189,7 +189,9 @@
 	conn := up.conn
 	up.off()
 	r.close(conn)
-	head, tail := up.server.speaks.AppendLong(nil, &b.q.Req, b.size, w.within, up.server.addr)
+	// The router waits its whole time once the value has gone, but no longer than the client does.
+	w.sent = r.clock()
+	head, tail := up.server.speaks.AppendLong(nil, wire.NewAttempt(&b.q.Req, up.server.addr, w.remaining(w.sent)), b.size)
 	b.start(func(client net.Conn) bool {
 		server, err := asConn(fd)
 		if err != nil {
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -96,7 +96,7 @@
 
 func (r *Router) takeOffer(o *Offer) Refusal {
 	method, known := r.methods[o.Method]
-	size := len(o.Key) + len(o.Props) + len(o.Value)
+	size := len(o.Key) + o.Props.Len() + len(o.Value)
 	switch {
 	case r.closing || r.ops.wanted.Empty || r.place.out != "":
 		return Ending
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -22,6 +22,7 @@
 	wire.Req
 	size      int // bytes that it holds
 	method    choice.Method
+	due       choice.Micros // its client gives up then
 	from      asker
 	slot      slot           // of a RESP2 client
 	outs      []*writeOut    // two at most
@@ -33,12 +34,14 @@
 
 // arrival is a req on its way into a batch; its deadline counts from there.
 type arrival struct {
+	q     *req
 	came  choice.ReqCame
 	waits choice.Micros
 }
 
 func (a *arrival) event(at choice.Micros) choice.Event {
-	a.came.ValidUntil = at + a.waits
+	a.q.due = at + a.waits
+	a.came.ValidUntil = a.q.due
 	return a.came
 }
 
@@ -56,13 +59,18 @@
 	whole  bool          // its last byte has left us
 }
 
+// remaining is how long an answer can still be of use: until the router stops waiting for it, or the client does.
+func (w *writeOut) remaining(now choice.Micros) choice.Micros {
+	return min(w.sent+w.within, w.q.due) - now
+}
+
 // take makes a req of this router's what a front has read whole; its client waits so long from now.
 func (r *Router) take(q *req, came choice.ReqCame, waits choice.Micros) {
 	r.reqs[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
 	q.method = came.Method
-	r.input(&arrival{came: came, waits: max(waits-r.lim.Crossing, 1)})
+	r.input(&arrival{q: q, came: came, waits: max(waits-r.lim.Crossing, 1)})
 }
 
 // answer gives a req its only answer.
@@ -160,7 +168,7 @@
 		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
+	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: min(r.now+d.After, q.due)}
 	q.outs = append(q.outs, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -195,8 +195,8 @@
 		w.q.body.soon(w)
 		return
 	}
-	left := max(1, w.sent+w.within-up.r.clock())
-	up.r.scratch = up.server.speaks.Append(up.r.scratch[:0], &w.q.Req, left, up.server.addr)
+	attempt := wire.NewAttempt(&w.q.Req, up.server.addr, w.remaining(up.r.clock()))
+	up.r.scratch = up.server.speaks.Append(up.r.scratch[:0], attempt)
 	up.writing = true
 	_, err := up.conn.Write(up.r.scratch)
 	up.writing = false
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -13,25 +13,27 @@
 // Back speaks to the origin.
 type Back struct{ Bounds httpwire.Bounds }
 
-// Append adds a request. It tells no time: the origin does not ask for one.
-func (Back) Append(to []byte, q *wire.Req, _ choice.Micros, host string) []byte {
-	return httpwire.AppendRequest(appendReq(to, q, host))
+// Append adds a request.
+func (Back) Append(to []byte, a wire.Attempt) []byte {
+	method, path, headers, body := partsOf(a)
+	return httpwire.AppendRequest(to, method, path, a.Host, headers, body)
 }
 
 // AppendLong adds the head of such a request.
-func (Back) AppendLong(to []byte, q *wire.Req, size int, _ choice.Micros, host string) (head []byte, tail string) {
-	to, method, path, host, headers, _ := appendReq(to, q, host)
+func (Back) AppendLong(to []byte, a wire.Attempt, size int) (head []byte, tail string) {
+	method, path, headers, _ := partsOf(a)
 	headers = append(headers, httpwire.Header{Name: "Content-Length", Value: strconv.AppendInt(nil, int64(size), 10)})
-	return httpwire.AppendRequest(to, method, path, host, headers, nil), ""
+	return httpwire.AppendRequest(to, method, path, a.Host, headers, nil), ""
 }
 
-func appendReq(to []byte, q *wire.Req, host string) (_ []byte, method, path, _ string, headers []httpwire.Header, body []byte) {
-	headers = []httpwire.Header{{Name: "X-Trace-Id", Value: []byte(q.ID)}, {Name: "X-Props", Value: q.Props}}
+func partsOf(a wire.Attempt) (method, path string, headers []httpwire.Header, body []byte) {
+	request := a.Request
+	headers = []httpwire.Header{{Name: "X-Trace-Id", Value: []byte(request.ID)}, {Name: "X-Props", Value: a.AppendProps(nil)}}
 	method = "GET"
-	if q.Write {
-		method, body = "PUT", q.Value
+	if request.Write {
+		method, body = "PUT", request.Value
 	}
-	return to, method, "/" + url.PathEscape(string(q.Key)), host, headers, body
+	return method, "/" + url.PathEscape(string(request.Key)), headers, body
 }
 
 // Long reads the head of an answer with a big value.
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -20,28 +20,29 @@
 // Back speaks to cache servers.
 type Back struct{ Bounds resp.Bounds }
 
-// Append adds a command: as its client sent it, but for d.
-func (Back) Append(to []byte, q *wire.Req, left choice.Micros, _ string) []byte {
+// Append adds a command: as its client sent it, but for the deadline.
+func (Back) Append(to []byte, a wire.Attempt) []byte {
 	var id, props [128]byte // what is longer is allocated
-	words, n := wordsOf(q, left, id[:0], props[:0])
+	words, n := wordsOf(a, id[:0], props[:0])
 	return resp.AppendCommand(to, words[:n]...)
 }
 
 // AppendLong adds the head of such a command.
-func (Back) AppendLong(to []byte, q *wire.Req, size int, left choice.Micros, _ string) (head []byte, tail string) {
-	words, n := wordsOf(q, left, nil, nil)
+func (Back) AppendLong(to []byte, a wire.Attempt, size int) (head []byte, tail string) {
+	words, n := wordsOf(a, nil, nil)
 	return resp.AppendLongCommand(to, size, words[:n-1]...), "\r\n"
 }
 
-func wordsOf(q *wire.Req, left choice.Micros, id, props []byte) (words [5][]byte, n int) {
+func wordsOf(a wire.Attempt, id, props []byte) (words [5][]byte, n int) {
+	request := a.Request
 	verb, n := get, 4
-	if q.Write {
+	if request.Write {
 		verb, n = set, 5
 	}
-	if q.Verb != nil {
-		verb = q.Verb
+	if request.Verb != nil {
+		verb = request.Verb
 	}
-	return [5][]byte{verb, q.Key, append(id, q.ID...), AppendProps(props, q.Props, left), q.Value}, n
+	return [5][]byte{verb, request.Key, append(id, request.ID...), a.AppendProps(props), request.Value}, n
 }
 
 var errUnexpected = errors.New("an answer of no known form")
@@ -87,23 +88,6 @@
 	return string(first) == word
 }
 
-// AppendProps rewrites d, the time that the receiver may count on; the rest goes on as it came.
-func AppendProps(to, props []byte, within choice.Micros) []byte {
-	first := true
-	for part := range bytes.SplitSeq(props, []byte(",")) {
-		if !first {
-			to = append(to, ',')
-		}
-		first = false
-		if bytes.HasPrefix(part, []byte("d=")) {
-			to = strconv.AppendInt(append(to, "d="...), int64(max(1, (within+999)/1000)), 10)
-			continue
-		}
-		to = append(to, part...)
-	}
-	return to
-}
-
 // AppendAnswer adds a req's final answer.
 func AppendAnswer(to []byte, a wire.Answer) []byte {
 	switch a.Kind {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 type Req struct {
 	ID    choice.ReqID
 	Key   []byte
-	Props []byte // names and values, as its client gave them
+	Props Props
 	Value []byte // of a write
 	Write bool
 	Verb  []byte // as its client wrote it; nil: the protocol's own
@@ -42,10 +42,10 @@
 
 // Back speaks one protocol to servers, on a connection that carries one write-out at a time.
 type Back interface {
-	// Append adds a write-out; left is how long the router waits, host where it goes.
-	Append(to []byte, q *Req, left choice.Micros, host string) []byte
-	// AppendLong adds the head of a write whose value, of that size, is passed on behind it; tail ends it.
-	AppendLong(to []byte, q *Req, size int, left choice.Micros, host string) (head []byte, tail string)
+	// Append adds an attempt.
+	Append(to []byte, a Attempt) []byte
+	// AppendLong adds the head of a write whose value, of size bytes, is passed on behind it; tail ends it.
+	AppendLong(to []byte, a Attempt, size int) (head []byte, tail string)
 	// Read reads an answer from what has come so far; ended: no more comes. used is 0 while it is not whole; keep
 	// tells whether the connection can carry another write-out. An error is an answer that cannot be read.
 	Read(buf []byte, ended bool) (o Outcome, used int, keep bool, err error)
