--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -32,6 +32,9 @@
 	away    bool          // off the loop: a big value passes on it
 	rest    []byte        // what came before it left the loop, and is not read yet
 	words   [][]byte
+
+	arrivals arrivalTimes  // of what is not read yet
+	came     choice.Micros // when the last byte of the command came that is being read
 }
 
 // slot is the place of one command among the answers of its connection.
@@ -124,6 +127,7 @@
 			break
 		}
 		c.spoke, c.whole, c.part = true, c.idle, 0
+		c.came = c.arrivals.take(used, c.idle)
 		if len(words) > 0 {
 			c.command(words)
 		}
@@ -140,6 +144,9 @@
 			if n > 0 && !c.stalled && c.part == 0 {
 				c.part = c.idle
 			}
+			if c.stalled {
+				c.arrivals.waiting(n, c.idle)
+			}
 			c.r.buffer(n)
 		}
 	}
@@ -378,7 +385,7 @@
 	}
 	q.slot.q = q
 	c.slots = append(c.slots, &q.slot)
-	r.take(q, came, waits)
+	r.take(q, came, waits, c.came)
 	c.hasAsked()
 }
 
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -135,6 +135,8 @@
 // back takes the client onto the loop again, with what was answered meanwhile.
 func (c *client) back(conn gnet.Conn) {
 	r := c.r
+	c.arrivals = arrivalTimes{}
+	c.arrivals.waiting(len(c.rest), c.idle) // they came before the connection left the loop
 	c.conn, c.away, c.carried, c.idle = conn, false, true, r.clock()
 	r.away--
 	r.conns-- // it was counted all the time
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -61,7 +61,7 @@
 	}
 	q.body, b.q, s.q = b, q, q
 	came.Once = true
-	r.take(q, came, waits)
+	r.take(q, came, waits, c.idle)
 	c.hasAsked()
 	return true, true
 }
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -115,7 +115,7 @@
 	}
 	o.q = &req{Req: o.Req, size: size, from: o}
 	r.offers.open++
-	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits)
+	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
 	return 0
 }
 
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -37,11 +37,14 @@
 	q     *req
 	came  choice.ReqCame
 	waits choice.Micros
+	since choice.Micros // its last byte came then
 }
 
+// event dates a request. The decisions count its time from when the router came to read it, since the protocol does not
+// count the time for which a command waits for those before it; servers are sent what is left since its last byte came.
 func (a *arrival) event(at choice.Micros) choice.Event {
-	a.q.due = at + a.waits
-	a.came.ValidUntil = a.q.due
+	a.q.due = min(at, a.since) + a.waits
+	a.came.ValidUntil = at + a.waits
 	return a.came
 }
 
@@ -64,13 +67,13 @@
 	return min(w.sent+w.within, w.q.due) - now
 }
 
-// take makes a req of this router's what a front has read whole; its client waits so long from now.
-func (r *Router) take(q *req, came choice.ReqCame, waits choice.Micros) {
+// take makes a req of this router's what a front has read whole; its client waits so long from when its last byte came, since.
+func (r *Router) take(q *req, came choice.ReqCame, waits, since choice.Micros) {
 	r.reqs[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
 	q.method = came.Method
-	r.input(&arrival{q: q, came: came, waits: max(waits-r.lim.Crossing, 1)})
+	r.input(&arrival{q: q, came: came, waits: max(waits-r.lim.Crossing, 1), since: since})
 }
 
 // answer gives a req its only answer.
@@ -168,7 +171,7 @@
 		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: min(r.now+d.After, q.due)}
+	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
 	q.outs = append(q.outs, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -46,6 +46,7 @@
 	}
 	return c.fd
 }
+func (c *notedConn) Dup() (int, error)         { return unix.Dup(c.fd) }
 func (c *notedConn) EventLoop() gnet.EventLoop { return nil }
 func (c *notedConn) Write(p []byte) (int, error) {
 	if c.fails != nil { // gnet closes the connection within the write
@@ -61,6 +62,7 @@
 	r    *Router
 	mu   sync.Mutex // the alarm of the timers comes from elsewhere
 	work []gnet.Runnable
+	fd   int // of connections that are opened from now on; 0: they have none
 }
 
 func (l *notedLoop) Execute(_ context.Context, f gnet.Runnable) error {
@@ -134,7 +136,7 @@
 	if ctx == nil {
 		ctx = &client{r: l.r}
 	}
-	c := &notedConn{ctx: ctx, closing: func(c gnet.Conn) { _ = l.Close(c) }}
+	c := &notedConn{ctx: ctx, fd: l.fd, closing: func(c gnet.Conn) { _ = l.Close(c) }}
 	l.r.OnOpen(c)
 	return c
 }
