--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 	CGO_ENABLED=1 go test -race -count=1 -p 1 -timeout 30m ./...
 
 lint:
-	test -z "$$(gofmt -l accord ageing choice cmd internal parts proto siteplan slate view)"
+	test -z "$$(gofmt -l $$(go list -f '{{.Dir}}' ./...))"
 	go vet ./...
+	go tool staticcheck ./...
 
 fuzz:
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/resp
--- a/internal/keeper/door.go
+++ b/internal/keeper/door.go
@@ -117,9 +117,7 @@
 	k.mu.Lock()
 	r.Standings = council.Standings(k.micros(), b)
 	k.mu.Unlock()
-	for _, s := range book.servers() {
-		r.Keepers = append(r.Keepers, s)
-	}
+	r.Keepers = append(r.Keepers, book.servers()...)
 	if q.What == "history" {
 		const most = 20
 		r.History, r.Said = b.History[max(0, len(b.History)-most):], b.Said
--- a/internal/lab/bench/load.go
+++ b/internal/lab/bench/load.go
@@ -62,7 +62,6 @@
 	due     []int64 // microseconds since the start, of those without an answer
 	hist    *hdrhistogram.Histogram
 	out     Outcome
-	buf     []byte
 	scratch []byte
 }
 
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -24,7 +24,6 @@
 	key    string
 	size   int
 	write  bool
-	repeat bool
 	missed bool
 	probe  bool
 	pong   []byte // its answer, where that is no load report
--- a/internal/lab/client/conn.go
+++ b/internal/lab/client/conn.go
@@ -26,7 +26,6 @@
 	gives  event.Micros // when its client goes; 0: never
 	asked  event.Micros
 	answer chan result
-	over   bool
 }
 
 // pool holds the connections to one router.
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -25,7 +25,6 @@
 	rate    float64 // of its clock
 	stalled bool
 	using   Share // what its loop was told
-	loop    float64
 }
 
 type mail struct {
--- a/siteplan/siteplan_test.go
+++ b/siteplan/siteplan_test.go
@@ -24,7 +24,6 @@
 	blind   map[[2]Site]bool     // what routers of the first see of the second: nothing
 	offered []Offer              // of each router
 	can     float64              // answers a second of a whole site
-	share   func(Site) float64   // of its keys that the site has
 	said    func(string, ...any) // an order
 	check   func(Orders, *Order, []Row)
 }
--- a/view/view.go
+++ b/view/view.go
@@ -131,7 +131,6 @@
 
 	digest  uint64
 	changed Micros // the content
-	told    bool   // the digest of this content is in the own word
 	settled bool
 	since   Micros // settled or not
 	last    map[Name]row
