--- a/cmd/spurctl/state.go
+++ b/cmd/spurctl/state.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
-	"spurtrestle/ageing"
 	"spurtrestle/choice"
 	"spurtrestle/internal/snapshot"
+	"spurtrestle/staleness"
 )
 
 func (a *app) state() *cobra.Command {
@@ -99,13 +99,13 @@
 // explain tells what a state holds, and what of it would be restored at a time.
 func explain(s snapshot.State, file string, now choice.Micros) shown {
 	k := s.Knowledge
-	age := ageing.Age(now, k.At)
+	age := staleness.Age(now, k.At)
 	out := shown{File: file, Version: s.Version, Router: s.Router, Written: stamp(k.At), Age: since(now, k.At), SeenMs: ms(k.Seen.Time),
 		QuickMs: ms(k.Seen.Best), Traffic: k.Traffic, Budget: k.Retries, HotKeys: len(k.Keys), Methods: map[string]float64{},
 		Servers: []shownServer{}, Weights: map[string]float64{}}
-	for name, half := range map[string]choice.Micros{"times": ageing.Times, "quickest": ageing.Quick, "rates": ageing.Rates,
-		"health": ageing.Health, "hot keys": ageing.HotKeys, "retry budget": ageing.Budget} {
-		out.Weights[name] = math.Round(1000*ageing.Weight(age, half)) / 1000
+	for name, half := range map[string]choice.Micros{"times": staleness.Times, "quickest": staleness.Quick, "rates": staleness.Rates,
+		"health": staleness.Health, "hot keys": staleness.HotKeys, "retry budget": staleness.Budget} {
+		out.Weights[name] = math.Round(1000*staleness.Weight(age, half)) / 1000
 	}
 	for _, m := range s.Methods {
 		out.Methods[m.Name] = ms(m.Time)
@@ -114,7 +114,7 @@
 		x.Server = choice.ServerID(i)
 		k.Servers = append(k.Servers, x.ServerKnowledge)
 	}
-	left := ageing.Fade(k, now)
+	left := staleness.Fade(k, now)
 	out.Watched = (time.Duration(left.Span) * time.Microsecond).Round(time.Millisecond).String()
 	out.BudgetIs, out.KeysNow = left.Retries, len(left.Keys)
 	restored := map[choice.ServerID]choice.ServerKnowledge{}
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -3,11 +3,11 @@
 import (
 	"math/rand/v2"
 
-	"spurtrestle/ageing"
 	"spurtrestle/choice"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/settings"
 	"spurtrestle/internal/snapshot"
+	"spurtrestle/staleness"
 )
 
 // memory is what the router has from an earlier process, and where it leaves what it knows.
@@ -58,7 +58,7 @@
 		x.Server = choice.ServerID(i) // only to find it again: numbers are given by the list
 		k.Servers = append(k.Servers, x.ServerKnowledge)
 	}
-	k = ageing.Fade(k, r.now)
+	k = staleness.Fade(k, r.now)
 	for _, x := range k.Servers {
 		m.waiting[discovery.UID(s.Servers[x.Server].UID)] = x
 	}
--- a/ageing/ageing.go
+++ b/staleness/staleness.go
@@ -1,10 +1,10 @@
-// Package ageing decides how much of what a router knew still counts after a restart. It does no I/O and takes the time
+// Package staleness decides how much of what a router knew still counts after a restart. It does no I/O and takes the time
 // as an argument; package choice gives the knowledge and takes what is left of it.
 //
 // Every kind of figure has a half-life, and ages by the time of its own evidence: what was restored and not seen anew
 // keeps its time, so that a row of restarts makes nothing younger. Weights fall smoothly to nothing, where the prior of
 // package choice (no answers measured yet) stands in.
-package ageing
+package staleness
 
 import (
 	"math"
--- a/ageing/ageing_test.go
+++ b/staleness/staleness_test.go
@@ -1,4 +1,4 @@
-package ageing
+package staleness
 
 import (
 	"fmt"
