--- a/slate/slate.go
+++ b/benchwire/benchwire.go
@@ -1,6 +1,6 @@
-// Package slate reads and writes the bench's wire, slate-8695. The wire's names end here: what comes
+// Package benchwire reads and writes the bench's wire, slate-8695. The wire's names end here: what comes
 // out are the inputs of package choice, and what goes in are its decisions.
-package slate
+package benchwire
 
 import (
 	"bufio"
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,8 +7,8 @@
 	"os"
 	"runtime/debug"
 
+	"spurtrestle/benchwire"
 	"spurtrestle/choice"
-	"spurtrestle/slate"
 )
 
 func main() {
@@ -20,8 +20,8 @@
 }
 
 func host(in io.Reader, out io.Writer) error {
-	r, w := slate.NewReader(in), slate.NewWriter(out)
-	routers := map[slate.Instance]*choice.Router{}
+	r, w := benchwire.NewReader(in), benchwire.NewWriter(out)
+	routers := map[benchwire.Instance]*choice.Router{}
 	for {
 		b, err := r.Next()
 		if err == io.EOF {
@@ -33,9 +33,9 @@
 		for _, input := range b.Inputs {
 			var decided []choice.Decision
 			switch ev := input.Event.(type) {
-			case slate.Launch:
+			case benchwire.Launch:
 				routers[input.Instance], decided = choice.New(b.Now, ev.Settings, ev.Seed)
-			case slate.Shutdown:
+			case benchwire.Shutdown:
 				delete(routers, input.Instance)
 			default:
 				if router := routers[input.Instance]; router != nil {
