The lab records what deadline each attempt was sent with, and its first byte at the origin

Change: event.Event has DeadlineSent, in microseconds, 0 for none: in Begun what the attempt told, in Asked what its client told (over gRPC the call's own deadline, which is later than the limit it is judged by). Cache servers and the origin read the props in one place, where the greatest of several d counts and one that is no time is refused by cache servers wherever it stands. The origin's connections note the first byte of each request.

--- a/internal/lab/cacheserver/answer.go
+++ b/internal/lab/cacheserver/answer.go
@@ -36,7 +36,7 @@
 		c.on, c.began = k, now
 		k.slots = append(k.slots, c)
 		s.fleet.Log.AddAt(event.Event{At: now, Kind: event.Begun, Req: c.req, Server: s.UID, Router: k.router, Since: since,
-			Write: c.write})
+			Write: c.write, DeadlineSent: c.sent})
 		s.take(c, now)
 	case "PING":
 		if s.fleet.Set.Probes {
--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -162,6 +162,33 @@
 	}
 }
 
+func TestAttemptsAreNotedWithDeadlineSent(t *testing.T) {
+	s, f := start(t, nil)
+	c := dial(t, s)
+	if got := ask(t, c, "CACHE.GET k id1 c=status,d=480"); got != "miss" {
+		t.Error(got)
+	}
+	if got := ask(t, c, "CACHE.SET k id2 c=order,d=0.5 v"); got != "id2" {
+		t.Error(got)
+	}
+	want := map[event.Req]event.Micros{"id1": 480e3, "id2": 500}
+	for _, e := range f.Log.Events() {
+		if e.Kind != event.Begun {
+			continue
+		}
+		if e.DeadlineSent != want[e.Req] {
+			t.Errorf("%s was noted as %v", e.Req, e.DeadlineSent)
+		}
+		delete(want, e.Req)
+	}
+	if len(want) > 0 {
+		t.Error("not noted: ", want)
+	}
+	if got := ask(t, c, "CACHE.GET k id3 c=status,d=480,d=0"); got != "SYNTAX" {
+		t.Error("a deadline that is none is answered ", got)
+	}
+}
+
 // The servers of a group drop a repeat together: it is answered, and its effect does not run again.
 func TestRepeatsAreDropped(t *testing.T) {
 	s, f := start(t, nil)
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +23,7 @@
 	key    string
 	size   int
 	write  bool
+	sent   event.Micros // the deadline sent
 	repeat bool
 	missed bool
 	probe  bool
@@ -234,19 +234,8 @@
 	if verb == "CACHE.GET" && len(words) != 4 || verb == "CACHE.SET" && len(words) != 5 {
 		return nil, false
 	}
-	c = &command{key: string(words[1]), req: event.Req(words[2]), write: verb == "CACHE.SET", cut: -1}
-	left := false
-	for part := range bytes.SplitSeq(words[3], []byte(",")) {
-		name, value, _ := bytes.Cut(part, []byte("="))
-		switch string(name) {
-		case "c":
-			c.method = string(value)
-		case "d":
-			ms, err := strconv.ParseFloat(string(value), 64)
-			left = err == nil && ms > 0
-		case "size":
-			c.size, _ = strconv.Atoi(string(value)) // 0 where it is none
-		}
-	}
-	return c, c.key != "" && c.req != "" && c.method != "" && left
+	props := ReadProps(string(words[3]))
+	c = &command{key: string(words[1]), req: event.Req(words[2]), method: props.Method, size: props.Size,
+		write: verb == "CACHE.SET", sent: props.DeadlineSent, cut: -1}
+	return c, c.key != "" && c.req != "" && c.method != "" && c.sent > 0 && !props.BadDeadline
 }
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -177,7 +177,10 @@
 	if a.Tenant >= 0 {
 		props += ",t=" + f.s.Tenants[a.Tenant].Name
 	}
-	props += fmt.Sprintf(",d=%d,size=%d", m.Deadline.Micros()/1000, a.Size)
+	const millisecond = event.Micros(1e3)
+	ms := q.limit / millisecond
+	q.sent = ms * millisecond
+	props += fmt.Sprintf(",d=%d,size=%d", ms, a.Size)
 	if try > 0 {
 		props += ",r=1"
 	}
--- a/internal/lab/client/conn.go
+++ b/internal/lab/client/conn.go
@@ -15,6 +15,9 @@
 
 var bounds = resp.Bounds{Bulk: 1 << 20, Line: 1 << 12, Args: 16}
 
+// lateAnswers is how long a client waits on behind its limit.
+const lateAnswers event.Micros = 500e3
+
 // pending is a req that has no answer yet.
 type pending struct {
 	req    event.Req
@@ -23,6 +26,7 @@
 	write  bool
 	props  string
 	limit  event.Micros // how long it may wait
+	sent   event.Micros // the deadline sent over RESP2, in whole milliseconds
 	gives  event.Micros // when its client goes; 0: never
 	asked  event.Micros
 	answer chan result
@@ -116,7 +120,7 @@
 	}
 	// Under the lock, so that the order on the wire is the order of those who wait.
 	c.waits = append(c.waits, q)
-	note.Kind = event.Asked
+	note.Kind, note.DeadlineSent = event.Asked, q.sent
 	q.asked = p.f.log.Now()
 	note.At = q.asked
 	p.f.log.AddAt(note)
@@ -127,7 +131,7 @@
 		c.end()
 	}
 	// An answer that comes late is to be seen as late, so the client waits on for a while.
-	over := time.NewTimer((q.limit + 500e3).Duration())
+	over := time.NewTimer((q.limit + lateAnswers).Duration())
 	defer over.Stop()
 	goes := make(<-chan time.Time)
 	if q.gives > 0 {
--- a/internal/lab/client/grpc.go
+++ b/internal/lab/client/grpc.go
@@ -62,7 +62,8 @@
 		at.Tenant = p.f.s.Tenants[q.a.Tenant].Name
 	}
 	// The call's own deadline is later than what the req is told to be judged by: a late answer is to be seen as late.
-	ctx, cancel := context.WithTimeout(context.Background(), (q.limit + 500e3).Duration())
+	note.DeadlineSent = q.limit + lateAnswers
+	ctx, cancel := context.WithTimeout(context.Background(), note.DeadlineSent.Duration())
 	defer cancel()
 	goes := make(chan struct{})
 	if q.gives > 0 {
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -35,7 +35,7 @@
 // What a client saw.
 const (
 	Wanted    Kind = iota + 1 // an op came up: Op, Method, Tenant, Site; At is its intended time
-	Asked                     // the last byte of a req went out: Req, Op, Router, Method, Limit
+	Asked                     // the last byte of a req went out: Req, Op, Router, Method, Limit, DeadlineSent
 	Answered                  // the last byte of its answer came: Req, Router, Outcome, Limit (the hint)
 	Cut                       // the router ended the connection with no answer: Req, Router
 	Left                      // the client gave up or went: Req, Router
@@ -46,7 +46,7 @@
 
 // What a cache server or the origin saw.
 const (
-	Begun   Kind = iota + 20 // a write-out came whole: Req, Server, Router, Write; Since is its first byte
+	Begun   Kind = iota + 20 // a write-out came whole: Req, Server, Router, Write, DeadlineSent; Since is its first byte
 	Ended                    // it ended there: Req, Server, Router, Reply
 	Ran                      // its effect ran: Req, Server
 	Fell                     // the server was pushed over while cold: Server, Note
@@ -117,6 +117,8 @@
 	Reply   Reply
 	Write   bool
 	Note    string
+	// DeadlineSent is the time that its sender allows, told with the request or the attempt. 0: none was told.
+	DeadlineSent Micros
 }
 
 // Log gathers events from many goroutines, in chunks: a slice that grows would be copied whole under the lock, which
--- /dev/null
+++ b/internal/lab/origin/conn_test.go
@@ -0,0 +1,80 @@
+package origin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"spurtrestle/internal/lab/cacheserver"
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+// A write's body may come long after its head. What an attempt tells is judged by when it began, on a kept connection too.
+func TestAttemptsAreNotedWithFirstByteAndDeadlineSent(t *testing.T) {
+	log := event.NewLog()
+	methods := map[string]scenario.Method{"book": {Name: "book", Effect: "non-retryable"}}
+	o, err := Start(&Fleet{Log: log, Set: scenario.Origin{Cores: 1, Work: 1}, Methods: methods, Repeats: &cacheserver.Repeats{},
+		Cold: func(event.Req) bool { return false }, Dropped: func(string) {}}, []string{"127.15.0.2:18080"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	c, err := net.Dial("tcp", o.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	write := func(text string) {
+		if _, err := c.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, attempt := range []struct {
+		id, props string
+		want      event.Micros
+	}{{"id1", "c=book,d=700", 700e3}, {"id2", "c=book,d=1", 1e3}, {"id3", "c=book", 0}} {
+		before := log.Now()
+		write("PUT /k HTTP/1.1\r\nHost: o\r\nX-Trace-Id: " + attempt.id + "\r\nX-Props: " + attempt.props + "\r\nContent-Length: 2\r\n" +
+			"Expect: 100-continue\r\n\r\n")
+		goesOn(t, answers)
+		body := log.Now()
+		write("vv")
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil || answer.StatusCode != http.StatusOK {
+			t.Fatal(answer, err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		begun := attemptOf(log, event.Req(attempt.id))
+		if begun.Since < before || begun.Since >= body || begun.At < body {
+			t.Errorf("%s: first byte at %v, whole at %v, not from %v and from %v", attempt.id, begun.Since, begun.At, before, body)
+		}
+		if begun.DeadlineSent != attempt.want {
+			t.Errorf("%s: %q was noted as %v", attempt.id, attempt.props, begun.DeadlineSent)
+		}
+	}
+}
+
+// goesOn waits until the origin has the head and asks for the body.
+func goesOn(t *testing.T, answers *bufio.Reader) {
+	for _, want := range []string{"HTTP/1.1 100 Continue\r\n", "\r\n"} {
+		if line, err := answers.ReadString('\n'); err != nil || line != want {
+			t.Fatalf("%q, %v", line, err)
+		}
+	}
+}
+
+func attemptOf(log *event.Log, id event.Req) event.Event {
+	for _, e := range log.Events() {
+		if e.Kind == event.Begun && e.Req == id {
+			return e
+		}
+	}
+	return event.Event{}
+}
--- a/internal/lab/origin/origin.go
+++ b/internal/lab/origin/origin.go
@@ -55,7 +55,7 @@
 	wg      sync.WaitGroup
 }
 
-type routerKey struct{}
+type connKey struct{}
 
 // Start begins to serve, on one address for each router.
 func Start(f *Fleet, addrs []string, seed uint64) (*Origin, error) {
@@ -74,15 +74,15 @@
 		}
 		r := event.Router(i)
 		srv := &http.Server{Handler: o, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second,
-			ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 				f.Log.Add(event.Event{Kind: event.Conn, Server: UID, Router: r})
-				return context.WithValue(ctx, routerKey{}, r)
+				return context.WithValue(ctx, connKey{}, c)
 			}}
 		o.servers = append(o.servers, srv)
 		o.wg.Add(1)
 		go func() {
 			defer o.wg.Done()
-			_ = srv.Serve(ln) // ends with Close
+			_ = srv.Serve(listener{ln, r, f.Log}) // ends with Close
 		}()
 	}
 	f.Log.Add(event.Event{Kind: event.Came, Server: UID, Router: event.Nobody})
@@ -177,8 +177,14 @@
 
 // ServeHTTP takes one write-out.
 func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	router := conn.router
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
-	router, _ := r.Context().Value(routerKey{}).(event.Router)
+	since := conn.nextRequest()
 	odd := func(what string) {
 		o.fleet.Log.Add(event.Event{Kind: event.Odd, Server: UID, Router: router, Note: what})
 		w.WriteHeader(http.StatusBadRequest)
@@ -195,16 +201,8 @@
 	}
 	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/"))
 	req := event.Req(r.Header.Get("X-Trace-Id"))
-	method, size := "", 0
-	for part := range strings.SplitSeq(r.Header.Get("X-Props"), ",") {
-		switch name, value, _ := strings.Cut(part, "="); name {
-		case "c":
-			method = value
-		case "size":
-			_, _ = fmt.Sscanf(value, "%d", &size) // 0 where it is none
-		}
-	}
-	m, known := o.fleet.Methods[method]
+	props := cacheserver.ReadProps(r.Header.Get("X-Props"))
+	m, known := o.fleet.Methods[props.Method]
 	write := r.Method == http.MethodPut
 	if err != nil || req == "" || key == "" || !known || !write && r.Method != http.MethodGet {
 		odd("a request no client sent")
@@ -214,7 +212,8 @@
 	tell := func(reply event.Reply) {
 		o.fleet.Log.Add(event.Event{Kind: event.Ended, Req: req, Server: UID, Router: router, Reply: reply})
 	}
-	o.fleet.Log.AddAt(event.Event{At: now, Kind: event.Begun, Req: req, Server: UID, Router: router, Since: now, Write: write})
+	o.fleet.Log.AddAt(event.Event{At: now, Kind: event.Begun, Req: req, Server: UID, Router: router, Since: since, Write: write,
+		DeadlineSent: props.DeadlineSent})
 	o.mu.Lock()
 	work := float64(o.fleet.Set.Work) * o.rand.ExpFloat64()
 	o.count(now, work, !write && o.fleet.Cold(req))
@@ -277,7 +276,7 @@
 		tell(event.Lost)
 		return
 	}
-	value := cacheserver.Made(req, UID, max(size, len(body)/8))
+	value := cacheserver.Made(req, UID, max(props.Size, len(body)/8))
 	w.Header().Set("Content-Length", fmt.Sprint(len(value)))
 	tell(event.Value)
 	_, _ = w.Write(value) // where the router has gone, it has no use for it
