The referee judges deadlines sent: never none, never more than the client had left

Change: under rule 1, an attempt whose deadline sent is more than what its client had left at the attempt's first byte, by more than the slack and the lab's own lateness at either end, is a break; so is one that tells none where the client told one. Judged against what the client told on the asking that the attempt belongs to; not where the router stood still or was dead in between. Evidence lines show what was sent.

--- a/internal/lab/referee/line.go
+++ b/internal/lab/referee/line.go
@@ -33,6 +33,9 @@
 	if e.Kind == event.Asked || e.Kind == event.Late {
 		s += fmt.Sprintf(" limit=%v", e.Limit.Duration())
 	}
+	if e.Kind == event.Asked || e.Kind == event.Begun {
+		s += fmt.Sprintf(" deadline-sent=%v", e.DeadlineSent.Duration())
+	}
 	if o := outcomes[e.Outcome]; o != "" && e.Kind == event.Answered {
 		s += " " + o
 	}
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -1,6 +1,7 @@
 // Package referee judges a run on the four rules, from what the stand-ins saw. It does no I/O, and never asks a router.
 //
-//	1  each req taken gets exactly one answer before its deadline, and nothing is sent for it after
+//	1  each req taken gets exactly one answer before its deadline, and nothing is sent for it after;
+//	   each attempt tells its server a deadline, and no more time than its client has left
 //	2  no effect twice, never two write-outs at once, no more write-outs than allowed
 //	3  nothing new to a server past the grace after this router was told that it drains or is gone, or to leave it alone
 //	4  no cold server pushed over, and misses at cold servers don't push the origin over
@@ -106,6 +107,7 @@
 	for _, id := range j.order {
 		if q := j.reqs[id]; q.hasAsked {
 			j.oneAnswer(q)
+			j.deadlinesSent(q)
 			j.noEffectTwice(q)
 		} else if len(q.sent) > 0 {
 			j.add(0, q, q.sent[0].begun.At, "a write-out for a req that no client asked for")
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -76,6 +76,8 @@
 			if name == "share" {
 				e.Limit = event.Micros(n)
 			}
+		case "deadline":
+			e.DeadlineSent = event.Micros(n) * 1e3
 		case "note":
 			e.Note = value
 		case "since":
