Scripts of the referee that were misread: numbers with a unit counted as 0

Cause: the test's reader took "limit=500ms" for 0 and said nothing. In stalled.trace the limits were 0 and the router, told to go on by "limit=1ms", stood still for ever, so that the script judged nothing: req b is never answered, asked after the stall, and "all kept" was what it led to. Stricter, not eased.

--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -59,7 +59,10 @@
 	}
 	for _, w := range words[2:] {
 		name, value, _ := strings.Cut(w, "=")
-		n, _ := strconv.Atoi(value)
+		n, err := strconv.Atoi(value)
+		if err != nil && slices.Contains([]string{"op", "router", "limit", "share", "deadline", "since"}, name) {
+			t.Fatalf("%s: %v", w, err)
+		}
 		switch name {
 		case "req":
 			e.Req = event.Req(value)
