Faulty routers that send the client's first deadline on late attempts are caught

Cause: no scripted router told its servers too much time, and the honest one itself passed d on as it came. Change: the scripted routers send what is left, rounded down to whole milliseconds, 1 at least; a read whose answer got lost is asked for once more at the next cache server (so that there are late attempts there). Three new kinds keep to all else: one sends the origin the client's first d, one sends it to cache servers, one sends the origin none. The test demands that they break this rule and no other, and the honest one is played on the same scenarios.

--- a/internal/lab/cheat/cheat.go
+++ b/internal/lab/cheat/cheat.go
@@ -54,6 +54,10 @@
 	Lingers  Kind = "lingers"  // does not end after SIGTERM
 	Bars     Kind = "bars"     // says yes to operators and goes on sending to a server that they take out
 	Invents  Kind = "invents"  // sends on reqs that no client asked for
+
+	FirstDeadlineOrigin Kind = "first-deadline-origin" // sends the origin its client's first deadline, however late it is
+	FirstDeadlineCache  Kind = "first-deadline-cache"  // the same with cache servers
+	NoDeadline          Kind = "no-deadline"           // sends the origin none
 )
 
 // Starter starts scripted routers within this process.
@@ -389,7 +393,7 @@
 	again := -1
 	switch {
 	case !write:
-		return busyLine
+		again = 1
 	case r.kind == Hides:
 		return busyLine
 	case r.kind == Repeats && q.method == "book":
@@ -405,6 +409,9 @@
 			return resp.AppendBulk(nil, a.Items[0].Text)
 		}
 	}
+	if !write {
+		return busyLine
+	}
 	return failedLine
 }
 
@@ -450,8 +457,8 @@
 		return resp.Reply{}, errNeverRan
 	}
 	defer c.Close()
-	_ = c.SetDeadline(q.due.Add(-30 * time.Millisecond)) // an error shows below
-	words := [][]byte{[]byte(q.verb), []byte(q.key), []byte(q.id), []byte(q.props)}
+	_ = c.SetDeadline(q.due.Add(-margin)) // an error shows below
+	words := [][]byte{[]byte(q.verb), []byte(q.key), []byte(q.id), []byte(r.propsForCache(q))}
 	if q.verb == "CACHE.SET" {
 		words = append(words, q.value)
 	}
@@ -476,7 +483,7 @@
 
 // fetch has the origin answer.
 func (r *router) fetch(q cmd, o target) []byte {
-	ctx, cancel := context.WithDeadline(context.Background(), q.due.Add(-30*time.Millisecond))
+	ctx, cancel := context.WithDeadline(context.Background(), q.due.Add(-margin))
 	defer cancel()
 	method, body := http.MethodGet, io.Reader(nil)
 	if q.verb == "CACHE.SET" {
@@ -487,7 +494,7 @@
 		return failedLine
 	}
 	req.Header.Set("X-Trace-Id", q.id)
-	req.Header.Set("X-Props", q.props)
+	req.Header.Set("X-Props", r.propsForOrigin(q))
 	// A connection of its own: the library would send some requests again by itself on one that was kept.
 	t := &http.Transport{DisableKeepAlives: true}
 	answer, err := t.RoundTrip(req)
--- a/internal/lab/cheat/cheat_test.go
+++ b/internal/lab/cheat/cheat_test.go
@@ -1,10 +1,12 @@
 package cheat
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
 	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/referee"
 	"spurtrestle/internal/lab/scenario"
 )
 
@@ -113,6 +115,19 @@
 // slow: longer than the 50 ms that sockets are granted.
 var slow = strings.NewReplacer(`"2ms"`, `"120ms"`, "rate = 100.0", "rate = 20.0").Replace(aside)
 
+// lateMisses: a cache server finds out that it lacks a key long after it was asked, so that the origin is asked late.
+var lateMisses = strings.NewReplacer("count = 4\n", "count = 4\nfilled = 0.0\nmiss_work = \"200ms\"\n", "rate = 100.0", "rate = 20.0").Replace(aside)
+
+// lateResets: half of the answers get lost, long after the first attempt, so that the next cache server is asked late.
+var lateResets = strings.Replace(slow, `"120ms"`, `"150ms"`, 1) + `
+[[fault]]
+kind = "reset"
+at = "100ms"
+for = "2s"
+part = 1.0
+share = 0.5
+`
+
 // weak: one that is cold can do next to nothing, and so can the origin.
 func weak(text string) string {
 	return strings.NewReplacer("count = 4\n", "count = 4\ncores = 1\ncold_share = 0.02\ncold_span = \"60s\"\nfall_multiple = 2.0\nfall_span = \"500ms\"\n").Replace(text)
@@ -122,6 +137,9 @@
 	return text + "\n[origin]\ncores = 1\nwork = \"40ms\"\nfall_multiple = 2.0\nfall_span = \"500ms\"\n"
 }
 
+// alone: those that keep to all but the one rule, so that nothing else gives them away.
+var alone = map[Kind]bool{FirstDeadlineOrigin: true, FirstDeadlineCache: true, NoDeadline: true}
+
 func TestCheatersAreCaught(t *testing.T) {
 	for _, c := range []struct {
 		kind Kind
@@ -151,7 +169,12 @@
 		{Crashes, aside, 0, "ended by itself"},
 		{Lingers, aside, 0, "had not ended by its time"},
 		{Invents, aside, 0, "no client asked for"},
+		{FirstDeadlineOrigin, lateMisses, 1, "more than its client had left"},
+		{FirstDeadlineCache, lateResets, 1, "more than its client had left"},
+		{NoDeadline, lateMisses, 1, "sent to origin with no deadline"},
 		{Honest, aside, -1, ""},
+		{Honest, lateMisses, -1, ""},
+		{Honest, lateResets, -1, ""},
 		{Honest, drained, -1, ""},
 		{Honest, banned, -1, ""},
 		{Honest, rubbish, -1, ""},
@@ -167,10 +190,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			for _, b := range r.Broken {
-				if b.Rule == c.rule && strings.Contains(b.What, c.says) {
-					return
+			is := func(b referee.Broken) bool { return b.Rule == c.rule && strings.Contains(b.What, c.says) }
+			if slices.ContainsFunc(r.Broken, is) {
+				if others := slices.DeleteFunc(r.Broken, is); alone[c.kind] && len(others) > 0 {
+					t.Errorf("%d other rule breaks: %v\n%s", len(others), others[0], strings.Join(others[0].Evidence, "\n"))
 				}
+				return
 			}
 			if c.rule >= 0 || len(r.Broken) > 0 {
 				t.Errorf("%d rule breaks", len(r.Broken))
