A client that goes while a big value passes to it takes its other requests with it

Further attempts of what it had pipelined behind went on: the origin got one 0.4 s after the close. Change: while such requests are open the loop looks at the client's descriptor each 25 ms (watchClient). New forced tests for 'no attempt begins more than 0.1 s after the close', first, retry and hedge, waiting for a connection, room, another's fetch, or a time, by RESP2 and gRPC; each has the same play with a client that stays, where the attempt does begin.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -40,6 +40,7 @@
 	Silent     choice.Micros // a client with no open req that has sent nothing for so long is closed
 	Slow       choice.Micros // one that has sent a part of a command and not the rest for so long
 	Stuck      choice.Micros // a server that gives nothing more of a big value for so long is given up
+	Away       choice.Micros // until a client to which one passes is looked at again: it may have gone
 	Turn       choice.Micros // until a big value's turn is looked at again
 	Unread     choice.Micros // a client that takes nothing more of one
 	Join       choice.Micros // a process that replaces another waits so long for discovery's list
@@ -116,6 +117,7 @@
 		Stuck:     max(3e6, longest),
 		Rest:      50e3, // second answers come some milliseconds late
 		Wary:      30e6,
+		Away:      25e3, // no attempt begins more than 0.1 s after its client has gone
 		Turn:      5e3,
 		Unread:    10e6, // slow readers make long pauses
 		Join:      2e6,  // a third of the time that it has
--- /dev/null
+++ b/internal/router/gone_test.go
@@ -0,0 +1,225 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"spurtrestle/choice"
+	"spurtrestle/internal/wire"
+)
+
+// departure is a router of which each dial is held, with clients of one protocol that leave.
+type departure struct {
+	t       *testing.T
+	l       *notedLoop
+	dials   []heldDial
+	conns   []*notedConn // to servers, in the order in which they came up
+	clients map[string]*notedConn
+	offers  map[string]*Offer // of gRPC clients
+	byGRPC  bool
+}
+
+type heldDial struct {
+	addr string
+	to   peer
+}
+
+const (
+	originAddr = "127.0.0.1:1"
+	cacheAddr  = "127.0.0.1:2"
+	getBudget  = 2e6 // as held has it
+)
+
+func newDeparture(t *testing.T, byGRPC bool, change func(*choice.Settings)) *departure {
+	l, _ := held(t, change)
+	d := &departure{t: t, l: l, clients: map[string]*notedConn{}, offers: map[string]*Offer{}, byGRPC: byGRPC}
+	close(l.r.ready)
+	l.r.lim.Offers = 100
+	for i := range l.r.cfg.Settings.Methods {
+		l.r.cfg.Settings.Methods[i].Deadline = getBudget
+	}
+	l.r.dialer = func(addr string, p peer, _ func(error)) { d.dials = append(d.dials, heldDial{addr, p}) }
+	return d
+}
+
+// asks has a client of its own ask.
+func (d *departure) asks(id, key, method string, write bool) {
+	props := fmt.Sprintf("c=%s,d=1900", method)
+	if d.byGRPC {
+		o := &Offer{Req: wire.Req{ID: choice.ReqID(id), Key: []byte(key), Props: []byte(props), Write: write}, Method: method, Waits: 1900e3,
+			Answer: func(wire.Answer) {}, Refuse: func(why Refusal) { d.t.Errorf("%s is refused: %d", id, why) }}
+		d.offers[id] = o
+		d.l.r.Offer(o)
+		d.l.rounds()
+		return
+	}
+	d.clients[id] = d.l.open(nil)
+	words := []string{"CACHE.GET", key, id, props}
+	if write {
+		words = append(words, "v")
+		words[0] = "CACHE.SET"
+	}
+	d.l.comes(d.clients[id], command(words...))
+}
+
+// leaves has a client close its connection, or cancel its call.
+func (d *departure) leaves(id string) {
+	if d.byGRPC {
+		d.l.r.Withdraw(d.offers[id])
+	} else {
+		_ = d.l.Close(d.clients[id])
+	}
+	d.l.rounds()
+}
+
+// comesUp lets the first held dial to a server through.
+func (d *departure) comesUp(addr string) *notedConn {
+	d.t.Helper()
+	for i, held := range d.dials {
+		if held.addr == addr {
+			d.dials = append(d.dials[:i:i], d.dials[i+1:]...)
+			c := d.l.open(held.to)
+			d.conns = append(d.conns, c)
+			d.l.rounds()
+			return c
+		}
+	}
+	d.t.Fatalf("nobody dials %s", addr)
+	return nil
+}
+
+// attempts counts those of a request that were begun.
+func (d *departure) attempts(id string) (n int) {
+	for _, c := range d.conns {
+		n += strings.Count(c.wrote, id)
+	}
+	return n
+}
+
+// begins fails the test unless so many attempts of a request have begun.
+func (d *departure) begins(id string, n int) {
+	d.t.Helper()
+	if got := d.attempts(id); got != n {
+		d.t.Fatalf("%d attempts of %s have begun, not %d", got, id, n)
+	}
+}
+
+// A client that closes its connection or cancels its call is gone: whatever its request was waiting for just then, no attempt
+// of it begins more than 0.1 s later, the first, a retry or a hedge.
+func TestNoAttemptForAClientThatIsGone(t *testing.T) {
+	never := func(s *choice.Settings) { s.MayCancel = false }
+	hedges := func(s *choice.Settings) { s.MayTwoAtOnce = true }
+	tell := map[string]struct {
+		change func(*choice.Settings)
+		before func(d *departure) // what leads to it, of the request "gone"
+	}{
+		"the first attempt waits for a connection":       {nil, firstWaits},
+		"the same, and attempts are not called off":      {never, firstWaits},
+		"a write waits for a connection to the origin":   {never, func(d *departure) { d.asks("gone", "k", "pay", true) }},
+		"a retry waits for a connection":                 {nil, retryWaits},
+		"a retry waits, and attempts are not called off": {never, retryWaits},
+		"a retry at the origin is scheduled": {nil, func(d *departure) {
+			d.asks("gone", "k", "get", true)
+			_ = d.l.Close(d.comesUp(originAddr))
+			d.l.rounds()
+			d.begins("gone", 1)
+		}},
+		"it waits for room at its cache": {never, func(d *departure) {
+			for i := range 8 {
+				d.asks(fmt.Sprint("other", i), "k", "get", false)
+				d.comesUp(cacheAddr)
+			}
+			d.asks("gone", "k", "get", false)
+		}},
+		"it waits for another's fetch of its key": {never, func(d *departure) {
+			d.asks("other", "k", "get", false)
+			d.l.comes(d.comesUp(cacheAddr), "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+			d.comesUp(originAddr)
+			d.asks("gone", "k", "get", false)
+		}},
+		"a miss waits for a connection to the origin": {never, func(d *departure) {
+			d.asks("gone", "k", "get", false)
+			d.l.comes(d.comesUp(cacheAddr), "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+			d.begins("gone", 1)
+		}},
+		"a hedge is due later": {hedges, hedgeIsDue},
+		"a hedge waits for a connection": {hedges, func(d *departure) {
+			hedgeIsDue(d)
+			d.l.pass(500e3)
+			if len(d.dials) != 1 || d.dials[0].addr != originAddr {
+				d.t.Fatal("no hedge waits")
+			}
+		}},
+	}
+	for name, c := range tell {
+		for _, byGRPC := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, gRPC %v", name, byGRPC), func(t *testing.T) {
+				stays := newDeparture(t, byGRPC, c.change)
+				c.before(stays)
+				began := stays.attempts("gone")
+				stays.answerAllElse(began)
+				if stays.attempts("gone") == began {
+					t.Fatal("nor does one begin for a client that stays")
+				}
+				d := newDeparture(t, byGRPC, c.change)
+				c.before(d)
+				d.leaves("gone")
+				d.answerAllElse(began)
+				if n := d.attempts("gone"); n != began {
+					t.Errorf("%d attempts began after the client had gone", n-began)
+				}
+				if len(d.l.r.reqs) != 0 {
+					t.Errorf("%d requests are left", len(d.l.r.reqs))
+				}
+			})
+		}
+	}
+}
+
+func firstWaits(d *departure) { d.asks("gone", "k", "get", false) }
+
+func retryWaits(d *departure) {
+	d.asks("gone", "k", "get", false)
+	d.l.ends(d.comesUp(cacheAddr), errNoAnswer)
+	d.l.rounds()
+	d.begins("gone", 1)
+	if len(d.dials) == 0 {
+		d.t.Fatal("no retry waits")
+	}
+}
+
+func hedgeIsDue(d *departure) {
+	d.asks("other", "k", "get", false)
+	c := d.comesUp(cacheAddr)
+	d.l.pass(100e3)
+	d.l.comes(c, hit)
+	d.asks("gone", "k", "get", false)
+	d.begins("gone", 1)
+	if len(d.dials) > 0 {
+		d.t.Fatal("a hedge waits already")
+	}
+}
+
+// answerAllElse lets time pass from a tenth of a second on: each dial comes up, and servers answer what is asked, but the first
+// attempts of the request that is gone.
+func (d *departure) answerAllElse(began int) {
+	d.l.pass(100e3)
+	for range 60 {
+		for len(d.dials) > 0 {
+			d.comesUp(d.dials[0].addr)
+		}
+		for _, c := range d.conns {
+			up, is := c.ctx.(*upstream)
+			if c.closed || !is || up.carries == nil || up.carries.q.ID == "gone" && up.carries.nth < choice.Attempt(began) {
+				continue
+			}
+			text := hit
+			if up.server.isOrigin {
+				text = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv"
+			}
+			d.l.comes(c, text)
+		}
+		d.l.pass(50e3)
+	}
+}
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -191,10 +191,35 @@
 		l.end(err)
 		return
 	}
-	l.r.execute(func() { l.r.passing[l] = struct{}{} })
+	l.r.execute(func() {
+		l.r.passing[l] = struct{}{}
+		l.watchClient()
+	})
 	l.run()
 }
 
+// watchClient looks, while the client has requests open behind the value, whether it has closed its connection: the goroutine
+// finds out only once there is something to write, and until then their attempts went on.
+func (l *long) watchClient() {
+	open := slices.ContainsFunc(l.c.slots, func(s *slot) bool { return s.q != nil && !s.q.over })
+	if !l.c.away || !open {
+		return
+	}
+	gone := false // nor is it where it is closed here: it is on its way back to the loop
+	if raw, err := l.client.(syscall.Conn).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { gone = hungUp(int(fd)) })
+	}
+	if gone {
+		for _, s := range l.c.slots {
+			if s.q != nil {
+				l.r.left(s.q)
+			}
+		}
+		return
+	}
+	l.r.after(l.r.lim.Away, l.watchClient)
+}
+
 var errStopped = errors.New("stopped for another process")
 
 // run passes on what is left.
