Attempts get their descriptors in a crowd of idle clients

Seen with TestDescriptorsForTheWatchInACrowd (discovery down, twice as many idle clients as descriptors that come again at once, RLIMIT_NOFILE at limits.sockets): the watch had its list, but at 50 descriptors five of six requests were nacked, and none was answered for seconds. Counters told the cause: six write-outs, one dial, 4,286 clients closed. Clients may hold ten descriptors more than a dial may use (MostDescriptors); each closed to make room was followed by a new one, and who has just come may not be closed for 50 ms, so that roomToDial found too few. Change: while attempts wait for descriptors (not for their servers' part) and another client is quiet, one that comes is shut unread where it would hold a dial's descriptors. roomForClient alone.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -57,7 +57,7 @@
 	if c.r.takeover.handing {
 		c.r.queue()
 	}
-	if !c.r.roomForClient() {
+	if !c.r.roomForClient(c) {
 		c.r.close(conn)
 		return
 	}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -331,15 +331,35 @@
 }
 
 // roomForClient does the same for a client that has come in; false where it can't be kept.
-func (r *Router) roomForClient() bool {
+func (r *Router) roomForClient(c *client) bool {
 	for r.used() > r.lim.Descriptors {
 		if !r.shed() {
 			break
 		}
 	}
+	if r.dialsWait() && r.anotherIsQuiet(c) {
+		return r.used() <= r.lim.Descriptors-descriptorsOfDial
+	}
 	return r.used() <= r.lim.MostDescriptors
 }
 
+// dialsWait: attempts wait for a connection, not because servers have their part of the descriptors, but because there are none.
+// Those that clients leave must then not go to the next client: of a crowd that came again at once it was each time younger than
+// may be closed, and no attempt ever got one.
+func (r *Router) dialsWait() bool {
+	return len(r.starved) > 0 && r.upstreams+descriptorsOfDial*(r.dials+1) <= r.lim.Upstreams
+}
+
+// anotherIsQuiet: a client can be closed, now or as soon as it has been quiet for long enough.
+func (r *Router) anotherIsQuiet(than *client) bool {
+	for c := range r.clients {
+		if c != than && c.quiet() {
+			return true
+		}
+	}
+	return false
+}
+
 // shed closes a client while they hold more than they need for reqs, else an idle connection to a server. Hundreds that
 // asked once and stayed, or never asked, took the descriptors of the servers' connections, and each write-out paid for
 // a new one.
