--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -138,3 +138,21 @@
 		t.Error(i, err)
 	}
 }
+
+// Operators may take thousands of cache servers out, and the next process finds all of them.
+func TestThousandsAreOut(t *testing.T) {
+	const servers = 2000
+	i := Intent{}
+	for n := range servers {
+		if err := i.TakeOut(fmt.Sprint("s-", n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dir := t.TempDir()
+	if _, err := Open(dir, "r", nil).Change(i, take("last")); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := Open(dir, "r", nil).Read(); len(again.Down) != servers+1 || err != nil {
+		t.Error(len(again.Down), err)
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 	"strings"
@@ -50,3 +51,16 @@
 		}
 	}
 }
+
+// The fleet may have thousands of routers: all of them may stand in the file.
+func TestManyRoutersToJoin(t *testing.T) {
+	const routers = 2000
+	text := "[fleet]\nname = \"f\"\nlisten = \"127.0.0.1:7946\"\njoin = ["
+	for i := range routers {
+		text += fmt.Sprintf("\"10.1.%d.%d:7946\", ", i/250, i%250)
+	}
+	f, err := Parse([]byte(text + "]\n"))
+	if err != nil || len(f.Fleet.Join) != routers || f.Fleet.Join[routers-1] != "10.1.7.249:7946" {
+		t.Error(len(f.Fleet.Join), err)
+	}
+}
