--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -48,6 +48,10 @@
 
 // connect gives a write-out a connection: an idle one, else the first that gets free.
 func (r *Router) connect(w *writeOut) {
+	if r.hasGone(w.q) {
+		r.left(w.q)
+		return
+	}
 	s := w.server
 	for i, up := range slices.Backward(s.idle) {
 		if up.rested() && up.open(w) {
@@ -150,6 +154,9 @@
 	for len(s.waiting) > 0 && s.waiting[0].until <= up.since {
 		up.r.giveUp(s.waiting[0], choice.Ignored)
 	}
+	for len(s.waiting) > 0 && up.r.hasGone(s.waiting[0].q) {
+		up.r.left(s.waiting[0].q)
+	}
 	if len(s.waiting) > 0 && up.rested() && up.open(s.waiting[0]) {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -331,15 +338,35 @@
 }
 
 // roomForClient does the same for a client that has come in; false where it can't be kept.
-func (r *Router) roomForClient() bool {
+func (r *Router) roomForClient(c *client) bool {
 	for r.used() > r.lim.Descriptors {
 		if !r.shed() {
 			break
 		}
 	}
+	if r.dialsWait() && r.anotherIsQuiet(c) {
+		return r.used() <= r.lim.Descriptors-descriptorsOfDial
+	}
 	return r.used() <= r.lim.MostDescriptors
 }
 
+// dialsWait: attempts wait for a connection, not because servers have their part of the descriptors, but because there are none.
+// Those that clients leave must then not go to the next client: of a crowd that came again at once it was each time younger than
+// may be closed, and no attempt ever got one.
+func (r *Router) dialsWait() bool {
+	return len(r.starved) > 0 && r.upstreams+descriptorsOfDial*(r.dials+1) <= r.lim.Upstreams
+}
+
+// anotherIsQuiet: a client can be closed, now or as soon as it has been quiet for long enough.
+func (r *Router) anotherIsQuiet(than *client) bool {
+	for c := range r.clients {
+		if c != than && c.quiet() {
+			return true
+		}
+	}
+	return false
+}
+
 // shed closes a client while they hold more than they need for reqs, else an idle connection to a server. Hundreds that
 // asked once and stayed, or never asked, took the descriptors of the servers' connections, and each write-out paid for
 // a new one.
