After a pause no attempt begins for a client whose end lies unread

Change: for a second after two batches that were over 80 ms apart the descriptor of the client is looked at ahead of each attempt (one poll). While the loop is in time nothing is looked at. Seen to fail: TestNoAttemptForAnEndThatLiesUnread (new, forced) without the look in connect and without that in free; it tells too that nothing is looked at while the loop is in time. A gRPC client's cancel that waits behind a pause has no such look.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -53,6 +53,7 @@
 	Ending     choice.Micros // after SIGTERM all is answered within so long
 	LingerOpen choice.Micros // after SIGTERM, or an operator's word, new connections are taken for so long
 	Tell       choice.Micros // figures for operators are this old at most while something happens
+	Behind     choice.Micros // from so long between two batches on the loop is late: what has come in that time may lie unread
 	Stood      choice.Micros // from so long between two batches on the process, or its machine, stood still
 	Door       choice.Micros // the loop has so long for an operator's call
 }
@@ -134,6 +135,7 @@
 		Ending:     min(3e6, longest) + 500e3,
 		LingerOpen: 500e3,
 		Tell:       20e3,
+		Behind:     80e3,  // two beats; a client may have gone for 0.1 s
 		Stood:      250e3, // six beats of the loop, which it has every two of Tell
 		Door:       800e3, // an answer is due within a second
 	}
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -28,6 +28,7 @@
 		r.log.WithField("for", span(r.now-was)).Warn("the loop stood still; what waited in the sockets counts as come when it began to")
 		r.stoodFrom, r.stoodUntil = was, r.now+r.lim.Quiet
 	}
+	r.noteLag(was)
 	r.counts.Batches++
 	r.fire(r.now)
 	inputs := r.inputs
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"spurtrestle/choice"
 	"spurtrestle/internal/wire"
 )
@@ -223,3 +225,53 @@
 		d.l.pass(50e3)
 	}
 }
+
+// The process stood still, and the loop has read a request, but not yet that its client has closed: no attempt of it begins, neither
+// on a connection that is open nor on one that comes up then.
+func TestNoAttemptForAnEndThatLiesUnread(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		d := newDeparture(t, false, nil)
+		d.l.r.lim.Behind = 80e3
+		for range 30 { // it has been in time for long
+			d.l.pass(50e3)
+		}
+		d.asks("before", "k", "get", false)
+		server := d.comesUp(cacheAddr)
+		d.l.comes(server, hit)
+		open := func() (client *notedConn, closes func()) {
+			client = d.l.open(nil)
+			var other int
+			client.fd, other = sockets(t)
+			return client, func() {
+				if err := unix.Shutdown(other, unix.SHUT_RDWR); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		waits, closes := open()
+		gone, closesToo := open()
+		d.asks("other", "k", "get", false) // on the open connection
+		d.l.comes(waits, command("CACHE.GET", "k", "waits", "c=get,d=1900"))
+		closes()
+		closesToo()
+		if late {
+			d.l.pass(100e3)
+		}
+		up := d.comesUp(cacheAddr)
+		if got := strings.Contains(up.wrote, "waits"); got == late {
+			t.Errorf("late: %v; begun on a connection that came up: %v", late, got)
+		}
+		d.l.comes(server, hit)
+		d.l.comes(gone, command("CACHE.GET", "k", "gone", "c=get,d=1900"))
+		if got := d.attempts("gone") > 0; got == late {
+			t.Errorf("late: %v; begun on an open connection: %v", late, got)
+		}
+		for _, c := range []*notedConn{waits, gone} {
+			_ = d.l.Close(c)
+		}
+		d.l.rounds()
+		if len(d.l.r.reqs) != 0 {
+			t.Errorf("%d requests are left", len(d.l.r.reqs))
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,7 @@
 	now     choice.Micros // of the batch at hand
 	// After the loop stood still since stoodFrom, until stoodUntil, what is read may have come at any time since then.
 	stoodFrom, stoodUntil choice.Micros
+	behindUntil           choice.Micros // until then the ends of clients may lie unread
 	inputs                []choice.Event
 	decided               []choice.Decision
 	queued                bool // a batch is on its way
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -48,6 +48,10 @@
 
 // connect gives a write-out a connection: an idle one, else the first that gets free.
 func (r *Router) connect(w *writeOut) {
+	if r.hasGone(w.q) {
+		r.left(w.q)
+		return
+	}
 	s := w.server
 	for i, up := range slices.Backward(s.idle) {
 		if up.rested() && up.open(w) {
@@ -150,6 +154,9 @@
 	for len(s.waiting) > 0 && s.waiting[0].until <= up.since {
 		up.r.giveUp(s.waiting[0], choice.Ignored)
 	}
+	for len(s.waiting) > 0 && up.r.hasGone(s.waiting[0].q) {
+		up.r.left(s.waiting[0].q)
+	}
 	if len(s.waiting) > 0 && up.rested() && up.open(s.waiting[0]) {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
