Rename: intent is operatorstate

Change: the package, its type (State) and its mentions; the file on disk keeps its name, since a newer process reads an older one's.

--- a/internal/intent/intent.go
+++ b/internal/operatorstate/operatorstate.go
@@ -1,6 +1,6 @@
-// Package intent keeps what operators have asked of a router: which cache servers are out, and whether it is to be
+// Package operatorstate keeps what operators have asked of a router: which cache servers are out, and whether it is to be
 // empty. It stands in a file that the processes of one router share, so that it outlives each of them.
-package intent
+package operatorstate
 
 import (
 	"encoding/json"
@@ -17,8 +17,8 @@
 	"spurtrestle/internal/settings"
 )
 
-// Intent is what has been asked, as the file has it.
-type Intent struct {
+// State is what has been asked, as the file has it.
+type State struct {
 	Down  []string         `json:"down"`  // cache servers to leave alone, by their names in discovery
 	Back  map[string]int64 `json:"back"`  // when others were given back, Unix time in microseconds
 	Empty bool             `json:"empty"` // the router is to be drained
@@ -27,10 +27,10 @@
 const most = 4096 // names; no fleet has so many out
 
 // Out tells whether a cache server is to be left alone.
-func (i Intent) Out(uid string) bool { return slices.Contains(i.Down, uid) }
+func (s State) Out(uid string) bool { return slices.Contains(s.Down, uid) }
 
 // TakeOut and GiveBack say what they change; asked twice they change nothing more.
-func (i *Intent) TakeOut(uid string) error {
+func (i *State) TakeOut(uid string) error {
 	if i.Out(uid) {
 		return nil
 	}
@@ -44,7 +44,7 @@
 }
 
 // GiveBack notes when, since the cache server is cold from then on. What is long past is forgotten.
-func (i *Intent) GiveBack(uid string, now time.Time) error {
+func (i *State) GiveBack(uid string, now time.Time) error {
 	const cold = 5 * time.Minute // longer than any warm-up
 	for other, at := range i.Back {
 		if now.Sub(time.UnixMicro(at)) > cold {
@@ -63,7 +63,7 @@
 
 // kept is what stands in the file.
 type kept struct {
-	Intent
+	State
 	Service []string `json:"service,omitempty"` // the methods of the service that it was asked for; none: an older build's
 }
 
@@ -82,7 +82,7 @@
 
 // Read returns what the file has; nothing where there is none. A file that cannot be read, or that was asked of another
 // service's router, is told of by its name, and how to get rid of it.
-func (s *Store) Read() (i Intent, err error) {
+func (s *Store) Read() (i State, err error) {
 	s.stamp, _ = os.Stat(s.path)
 	data, err := os.ReadFile(s.path)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -96,9 +96,9 @@
 		err = settings.SameService(k.Service, s.mine)
 	}
 	if err != nil {
-		return Intent{}, fmt.Errorf("%s: %w; what operators asked before is not known: ask again, which writes it anew", s.path, err)
+		return State{}, fmt.Errorf("%s: %w; what operators asked before is not known: ask again, which writes it anew", s.path, err)
 	}
-	return k.Intent, nil
+	return k.State, nil
 }
 
 // Behind tells whether the file is missing, or older than what was asked.
@@ -115,7 +115,7 @@
 
 // Change reads, changes and writes the file under a lock that ends with the process. What f refuses is not written. A
 // file that is spoilt, missing or behind is written anew from otherwise, what this process knows.
-func (s *Store) Change(otherwise Intent, f func(*Intent) error) (Intent, error) {
+func (s *Store) Change(otherwise State, f func(*State) error) (State, error) {
 	i, refused := otherwise, error(nil)
 	err := s.locked(func() (err error) {
 		if was, err := s.Read(); err == nil && !s.Behind() {
--- a/internal/intent/intent_test.go
+++ b/internal/operatorstate/operatorstate_test.go
@@ -1,4 +1,4 @@
-package intent
+package operatorstate
 
 import (
 	"errors"
@@ -11,10 +11,10 @@
 	"time"
 )
 
-func take(uid string) func(*Intent) error { return func(i *Intent) error { return i.TakeOut(uid) } }
+func take(uid string) func(*State) error { return func(i *State) error { return i.TakeOut(uid) } }
 
-func give(uid string) func(*Intent) error {
-	return func(i *Intent) error { return i.GiveBack(uid, time.UnixMicro(7e6)) }
+func give(uid string) func(*State) error {
+	return func(i *State) error { return i.GiveBack(uid, time.UnixMicro(7e6)) }
 }
 
 // What one process is asked the other reads; asked twice nothing changes, and one call back undoes it.
@@ -22,14 +22,14 @@
 	dir := t.TempDir()
 	one, two := Open(dir, "127.0.0.1:1", nil), Open(dir, "127.0.0.1:1", nil)
 	for _, uid := range []string{"b", "a", "b"} {
-		if _, err := one.Change(Intent{}, take(uid)); err != nil {
+		if _, err := one.Change(State{}, take(uid)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if !two.Changed() || one.Changed() {
 		t.Error("who has written, and who has read?")
 	}
-	i, err := two.Change(Intent{Down: []string{"of no account"}}, give("b"))
+	i, err := two.Change(State{Down: []string{"of no account"}}, give("b"))
 	if got := fmt.Sprint(i, err, two.Changed(), one.Changed()); got != "{[a] map[b:7000000] false} <nil> false true" {
 		t.Error(got)
 	}
@@ -49,7 +49,7 @@
 		all.Go(func() {
 			s := Open(dir, "r", nil)
 			for k := range 50 {
-				if _, err := s.Change(Intent{}, take(fmt.Sprint(n, "-", k))); err != nil {
+				if _, err := s.Change(State{}, take(fmt.Sprint(n, "-", k))); err != nil {
 					t.Error(err)
 				}
 			}
@@ -73,11 +73,11 @@
 	if i, err := s.Read(); err == nil || !strings.HasPrefix(err.Error(), file+": ") || len(i.Down) > 0 {
 		t.Error(i, err)
 	}
-	if i, err := s.Change(Intent{Down: []string{"y"}}, take("z")); fmt.Sprint(i.Down, err) != "[y z] <nil>" {
+	if i, err := s.Change(State{Down: []string{"y"}}, take("z")); fmt.Sprint(i.Down, err) != "[y z] <nil>" {
 		t.Error(i, err)
 	}
 	refused := errors.New("no")
-	if _, err := s.Change(Intent{}, func(*Intent) error { return refused }); err != refused {
+	if _, err := s.Change(State{}, func(*State) error { return refused }); err != refused {
 		t.Error(err)
 	}
 	if i, _ := s.Read(); fmt.Sprint(i.Down) != "[y z]" {
@@ -86,7 +86,7 @@
 	var unkept *NotKept
 	gone := filepath.Join(dir, "gone")
 	s = Open(gone, "r", nil)
-	i, err := s.Change(Intent{}, take("a"))
+	i, err := s.Change(State{}, take("a"))
 	if fmt.Sprint(i.Down) != "[a]" || !errors.As(err, &unkept) || !strings.Contains(err.Error(), "TMPDIR") {
 		t.Error(i, err)
 	}
@@ -94,7 +94,7 @@
 	if err := os.Mkdir(gone, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(gone, "r", nil).Change(Intent{}, take("older")); err != nil {
+	if _, err := Open(gone, "r", nil).Change(State{}, take("older")); err != nil {
 		t.Fatal(err)
 	}
 	if !s.Behind() {
@@ -107,7 +107,7 @@
 
 // What is long past is forgotten, and a list without end is refused.
 func TestBounds(t *testing.T) {
-	i := Intent{Back: map[string]int64{"old": 0}, Down: []string{"x"}}
+	i := State{Back: map[string]int64{"old": 0}, Down: []string{"x"}}
 	if err := i.GiveBack("x", time.UnixMicro(1e9)); err != nil || fmt.Sprint(i.Back) != "map[x:1000000000]" {
 		t.Error(i, err)
 	}
@@ -124,14 +124,14 @@
 func TestOfAnotherService(t *testing.T) {
 	dir := t.TempDir()
 	theirs, ours := Open(dir, "r", []string{"tile", "put"}), Open(dir, "r", []string{"get", "put"})
-	if _, err := theirs.Change(Intent{}, take("a")); err != nil {
+	if _, err := theirs.Change(State{}, take("a")); err != nil {
 		t.Fatal(err)
 	}
 	i, err := ours.Read()
 	if len(i.Down) > 0 || err == nil || !strings.Contains(err.Error(), "r.intent: it is of a service with the methods tile, put, and this router serves one with get, put; ") {
 		t.Error(i, err)
 	}
-	if i, err = ours.Change(Intent{}, take("b")); err != nil || len(i.Down) != 1 {
+	if i, err = ours.Change(State{}, take("b")); err != nil || len(i.Down) != 1 {
 		t.Error(i, err)
 	}
 	if i, err = Open(dir, "r", []string{"get"}).Read(); err != nil || !i.Out("b") { // a part of the methods is the same service
@@ -142,7 +142,7 @@
 // Operators may take thousands of cache servers out, and the next process finds all of them.
 func TestThousandsAreOut(t *testing.T) {
 	const servers = 2000
-	i := Intent{}
+	i := State{}
 	for n := range servers {
 		if err := i.TakeOut(fmt.Sprint("s-", n)); err != nil {
 			t.Fatal(err)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -19,8 +19,8 @@
 	"spurtrestle/choice"
 	"spurtrestle/internal/admin"
 	"spurtrestle/internal/config"
-	"spurtrestle/internal/intent"
 	"spurtrestle/internal/operator"
+	"spurtrestle/internal/operatorstate"
 	"spurtrestle/internal/place"
 	"spurtrestle/internal/router"
 	"spurtrestle/internal/settings"
@@ -278,7 +278,7 @@
 		if err := r.Join(os.TempDir()); err != nil {
 			return err
 		}
-		r.Operate(intent.Open(os.TempDir(), cfg.Listen, settings.Methods(cfg.Settings)))
+		r.Operate(operatorstate.Open(os.TempDir(), cfg.Listen, settings.Methods(cfg.Settings)))
 		serveDoor = func(seen admin.Router) { go admin.Serve(door, cfg.Limits.Callers, seen) }
 	}
 	leave := func() {}
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -14,15 +14,15 @@
 	"spurtrestle/internal/admin"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
-	"spurtrestle/internal/intent"
+	"spurtrestle/internal/operatorstate"
 )
 
 // ops is what operators see and ask for. The door's goroutines come by the exported methods below.
 type ops struct {
 	barred  map[choice.ServerID]bool // what the decisions were told last, of those that they were told of
 	mu      sync.Mutex               // one change at a time; never held by the loop
-	store   *intent.Store
-	wanted  intent.Intent           // the loop's own
+	store   *operatorstate.Store
+	wanted  operatorstate.State     // the loop's own
 	told    atomic.Pointer[figures] // what the loop last left for the door
 	toldAt  choice.Micros
 	unkept  atomic.Bool // the file does not have what is wanted
@@ -49,14 +49,14 @@
 )
 
 // Operate has the router keep to what is asked of it by operators, now and by the file. Call it before Run.
-func (r *Router) Operate(store *intent.Store) {
+func (r *Router) Operate(store *operatorstate.Store) {
 	r.ops.store = store
 	i, err := store.Read()
 	if err != nil {
 		r.log.WithError(err).Warn("going on without it")
 	}
 	if a := r.takeover.asked; a != nil && (err != nil || a.Unkept || store.Behind()) { // the process before this one knows
-		i = a.Intent
+		i = a.State
 		store.FallBehind()
 		r.ops.unkept.Store(true)
 	}
@@ -103,16 +103,16 @@
 }
 
 // change is what an operator asks: kept first, then in force, then the yes.
-func (r *Router) change(f func(*intent.Intent) error) error {
+func (r *Router) change(f func(*operatorstate.State) error) error {
 	<-r.ready
 	r.ops.mu.Lock()
 	defer r.ops.mu.Unlock()
-	var has intent.Intent
+	var has operatorstate.State
 	if err := r.soon(func() { has = r.ops.wanted }); err != nil {
 		return err
 	}
 	i, err := r.ops.store.Change(has, f)
-	var unkept *intent.NotKept
+	var unkept *operatorstate.NotKept
 	if errors.As(err, &unkept) {
 		r.log.WithError(err).Warn("what an operator asked holds in this process alone")
 	} else if err != nil {
@@ -126,8 +126,8 @@
 }
 
 // tellAsked tells the other processes of this router what is wanted.
-func (r *Router) tellAsked(i intent.Intent) {
-	text, _ := json.Marshal(asked{Intent: i, Unkept: r.ops.unkept.Load()}) // plain fields: it cannot fail
+func (r *Router) tellAsked(i operatorstate.State) {
+	text, _ := json.Marshal(asked{State: i, Unkept: r.ops.unkept.Load()}) // plain fields: it cannot fail
 	for _, p := range []*handover.Peer{r.takeover.old, r.takeover.heir} {
 		if p != nil {
 			go func() { _ = p.Send(handover.Frame{Kind: handover.Asked, Body: text}) }() // its end is noticed by who reads from it
@@ -147,12 +147,12 @@
 		r.ops.store.FallBehind()
 	}
 	r.ops.unkept.Store(a.Unkept)
-	r.execute(func() { r.obey(a.Intent) })
+	r.execute(func() { r.obey(a.State) })
 }
 
 // TakeOut sends nothing new to a cache server until it is given back.
 func (r *Router) TakeOut(uid string) error {
-	return r.change(func(i *intent.Intent) error {
+	return r.change(func(i *operatorstate.State) error {
 		if !i.Out(uid) && !r.has(uid) {
 			return admin.ErrUnknown
 		}
@@ -162,7 +162,7 @@
 
 // GiveBack uses a cache server again.
 func (r *Router) GiveBack(uid string) error {
-	return r.change(func(i *intent.Intent) error {
+	return r.change(func(i *operatorstate.State) error {
 		if !i.Out(uid) && !r.has(uid) {
 			return admin.ErrUnknown
 		}
@@ -172,7 +172,7 @@
 
 // Empty ends the clients' connections, each once nothing of it is in hand, or takes clients again.
 func (r *Router) Empty(on bool) error {
-	return r.change(func(i *intent.Intent) error {
+	return r.change(func(i *operatorstate.State) error {
 		i.Empty = on
 		return nil
 	})
@@ -189,7 +189,7 @@
 }
 
 // obey takes over what is wanted.
-func (r *Router) obey(i intent.Intent) {
+func (r *Router) obey(i operatorstate.State) {
 	was := r.ops.wanted
 	r.ops.wanted = i
 	for _, s := range r.servers {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -19,7 +19,7 @@
 	"spurtrestle/choice"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
-	"spurtrestle/internal/intent"
+	"spurtrestle/internal/operatorstate"
 	"spurtrestle/internal/snapshot"
 )
 
@@ -43,7 +43,7 @@
 
 // asked is what operators want, as one process tells it to another while both live: a file may be full, or spoilt.
 type asked struct {
-	intent.Intent
+	operatorstate.State
 	Unkept bool // the file does not have it
 	Whole  bool // nothing of the part of what all routers may send is lent
 }
