--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -128,7 +128,7 @@
 		return nil, invalid(field, what)
 	}
 	done := make(chan ended, 1)
-	o := &router.Offer{Req: wire.Req{ID: choice.ReqID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
+	o := &router.Offer{Request: wire.Request{ID: choice.ReqID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
 		Tenant: choice.Tenant(at.GetTenant()), Resent: at.GetResent(),
 		Answer: func(a wire.Answer) {
 			a.Value = bytes.Clone(a.Value)
@@ -208,17 +208,17 @@
 	switch {
 	case e.refused != 0:
 		return nil, refusals[e.refused]
-	case e.Kind == wire.Satisfied:
+	case e.Kind == wire.Served:
 		return e.Value, nil
 	case e.Long:
 		return nil, status.Error(codes.ResourceExhausted, "the value is too big for gRPC; RESP2 passes it")
 	case e.Kind == wire.Failed:
 		return nil, status.Error(codes.Aborted, "failed: it may have run")
-	case e.Hint <= 0:
+	case e.RetryAfter <= 0:
 		return nil, status.Error(codes.Unavailable, "nacked: trying again is harmless")
 	}
 	return nil, with(status.New(codes.Unavailable, "nacked: trying again is harmless"),
-		&errdetails.RetryInfo{RetryDelay: durationpb.New(time.Duration(e.Hint) * time.Microsecond)})
+		&errdetails.RetryInfo{RetryDelay: durationpb.New(time.Duration(e.RetryAfter) * time.Microsecond)})
 }
 
 func invalid(field, what string) error {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -404,7 +404,7 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q = &req{Req: wire.Req{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
+	q = &req{Request: wire.Request{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
 	if write && len(words) > 4 {
 		q.Value = own(words[4])
 	}
--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -141,7 +141,7 @@
 	l.r.lim.Offers = 10
 	close(l.r.ready)
 	answered := func(wire.Answer) {}
-	offer := &Offer{Req: wire.Req{ID: "r1", Key: []byte("k"), Props: wire.NewProps([]byte("c=get,d=1"))}, Method: "get", Waits: 1900e3,
+	offer := &Offer{Request: wire.Request{ID: "r1", Key: []byte("k"), Props: wire.NewProps([]byte("c=get,d=1"))}, Method: "get", Waits: 1900e3,
 		Answer: answered, Refuse: func(why Refusal) { t.Errorf("refused: %d", why) }}
 	if !l.r.Offer(offer) {
 		t.Fatal("the offer is not taken")
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -49,7 +49,7 @@
 func (d *departure) asks(id, key, method string, write bool) {
 	props := fmt.Sprintf("c=%s,d=1900", method)
 	if d.byGRPC {
-		o := &Offer{Req: wire.Req{ID: choice.ReqID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
+		o := &Offer{Request: wire.Request{ID: choice.ReqID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
 			Answer: func(wire.Answer) {}, Refuse: func(why Refusal) { d.t.Errorf("%s is refused: %d", id, why) }}
 		d.offers[id] = o
 		d.l.r.Offer(o)
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -238,7 +238,7 @@
 	}
 	r.execute(func() {
 		delete(r.passing, l)
-		r.count(l.method, wire.Satisfied)
+		r.count(l.method, wire.Served)
 	})
 	r.enroll(l.client, l.c, l.c.lost)
 	if !l.last && l.rest(l.server) {
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -191,7 +191,7 @@
 	r.close(conn)
 	// The router waits its whole time once the value has gone, but no longer than the client does.
 	w.sent = r.clock()
-	head, tail := up.server.speaks.AppendLong(nil, wire.NewAttempt(&b.q.Req, up.server.addr, w.remaining(w.sent)), b.size)
+	head, tail := up.server.speaks.AppendLong(nil, wire.NewAttempt(&b.q.Request, up.server.addr, w.remaining(w.sent)), b.size)
 	b.start(func(client net.Conn) bool {
 		server, err := asConn(fd)
 		if err != nil {
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -21,7 +21,7 @@
 // Offer is a req of a front off the loop: a protocol whose library has goroutines of its own. Its fields are not changed
 // once it is offered.
 type Offer struct {
-	wire.Req
+	wire.Request
 	Method string
 	Tenant choice.Tenant
 	Waits  choice.Micros // how long its client waits; 0: as long as the method allows
@@ -113,7 +113,7 @@
 	if o.Waits > 0 {
 		waits = min(waits, o.Waits)
 	}
-	o.q = &req{Req: o.Req, size: size, from: o}
+	o.q = &req{Request: o.Request, size: size, from: o}
 	r.offers.open++
 	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
 	return 0
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -19,7 +19,7 @@
 
 // req is one req from its last byte on, until its answer is given and no write-out of it is out.
 type req struct {
-	wire.Req
+	wire.Request
 	size      int // bytes that it holds
 	method    choice.Method
 	due       choice.Micros // its client gives up then
@@ -98,9 +98,9 @@
 // count is the one place where a req's end is counted, but for those whose clients left.
 func (r *Router) count(m choice.Method, k wire.Kind) {
 	switch k {
-	case wire.Satisfied:
+	case wire.Served:
 		r.counts.Satisfied++
-	case wire.Nacked:
+	case wire.Rejected:
 		r.counts.Nacked++
 	case wire.Failed:
 		r.counts.Failed++
@@ -124,7 +124,7 @@
 
 func (r *Router) nack(id choice.ReqID, hint choice.Micros) {
 	if q := r.reqs[id]; q != nil {
-		r.answer(q, wire.Answer{Kind: wire.Nacked, Hint: hint})
+		r.answer(q, wire.Answer{Kind: wire.Rejected, RetryAfter: hint})
 	}
 }
 
@@ -252,7 +252,7 @@
 // spoke: a server has answered. A value goes to who asked as soon as it has come whole.
 func (r *Router) spoke(w *writeOut, o wire.Outcome) {
 	if o.Status == choice.OK {
-		r.answer(w.q, wire.Answer{Kind: wire.Satisfied, Value: o.Value})
+		r.answer(w.q, wire.Answer{Kind: wire.Served, Value: o.Value})
 	}
 	r.returned(w, o.Status, r.report(o.Report))
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -202,7 +202,7 @@
 		w.q.body.soon(w)
 		return
 	}
-	attempt := wire.NewAttempt(&w.q.Req, up.server.addr, w.remaining(up.r.clock()))
+	attempt := wire.NewAttempt(&w.q.Request, up.server.addr, w.remaining(up.r.clock()))
 	up.r.scratch = up.server.speaks.Append(up.r.scratch[:0], attempt)
 	up.writing = true
 	_, err := up.conn.Write(up.r.scratch)
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -10,14 +10,14 @@
 // Attempt is one send of a request to one server. Its properties can be written out only with the deadline that the
 // server is sent, so that no protocol can pass on the deadline that the client gave at first.
 type Attempt struct {
-	Request  *Req
+	Request  *Request
 	Host     string // where it goes, host and port
 	deadline Deadline
 }
 
 // NewAttempt makes an attempt of a request. remaining is how long its server's answer can still be of use: until the
 // router stops waiting or the client does, whichever is first, as of the moment in which the attempt is written.
-func NewAttempt(request *Req, host string, remaining choice.Micros) Attempt {
+func NewAttempt(request *Request, host string, remaining choice.Micros) Attempt {
 	return Attempt{Request: request, Host: host, deadline: deadlineOf(remaining)}
 }
 
--- a/internal/wire/attempt_test.go
+++ b/internal/wire/attempt_test.go
@@ -17,7 +17,7 @@
 
 func Example_props() {
 	for _, text := range []string{"c=get,d=480", "d=480", "d=480,c=get", "c=get,d=480,t=a,d=9", "xd=480,d=1", "d =480,d=1", "dd=4,,D=5,d", "d=0.5"} {
-		request := &wire.Req{Props: wire.NewProps([]byte(text))}
+		request := &wire.Request{Props: wire.NewProps([]byte(text))}
 		fmt.Printf("%-20q %q\n", text, wire.NewAttempt(request, "", 47_999).AppendProps(nil))
 	}
 	// Output:
@@ -69,7 +69,7 @@
 		text := strings.Join(properties, ",")
 		remaining := choice.Micros(random.Int64N(3e6) - 1e3)
 		write := random.IntN(2) == 0
-		request := &wire.Req{ID: "id", Key: []byte("k"), Props: wire.NewProps([]byte(text)), Write: write, Value: []byte("abc")}
+		request := &wire.Request{ID: "id", Key: []byte("k"), Props: wire.NewProps([]byte(text)), Write: write, Value: []byte("abc")}
 		sent := sentProps(t, wire.NewAttempt(request, "o:1", remaining), write && random.IntN(2) == 0)
 		for protocol, props := range sent {
 			after := strings.Split(string(props), ",")
--- a/internal/wire/http1/http1_test.go
+++ b/internal/wire/http1/http1_test.go
@@ -10,7 +10,7 @@
 var back = Back{httpwire.Bounds{Head: 1000, Body: 100}}
 
 func Example_append() {
-	q := &wire.Req{ID: "id", Key: []byte("a b/c"), Props: wire.NewProps([]byte("c=get\r\n,d=5"))}
+	q := &wire.Request{ID: "id", Key: []byte("a b/c"), Props: wire.NewProps([]byte("c=get\r\n,d=5"))}
 	fmt.Printf("%q\n", back.Append(nil, wire.NewAttempt(q, "origin:80", 3900)))
 	q.Write, q.Value = true, []byte("v")
 	fmt.Printf("%q\n", back.Append(nil, wire.NewAttempt(q, "origin:80", 3900)))
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -1,4 +1,4 @@
-// Package resp2 speaks the platform's form of RESP2: reqs of clients and their answers, write-outs to cache servers and
+// Package resp2 speaks the platform's form of RESP2: requests of clients and their answers, attempts at cache servers and
 // theirs. It does no I/O.
 package resp2
 
@@ -88,22 +88,22 @@
 	return string(first) == word
 }
 
-// AppendAnswer adds a req's final answer.
+// AppendAnswer adds a request's final answer.
 func AppendAnswer(to []byte, a wire.Answer) []byte {
 	switch a.Kind {
-	case wire.Satisfied:
+	case wire.Served:
 		return resp.AppendBulk(to, a.Value)
-	case wire.Nacked:
+	case wire.Rejected:
 		to = append(to, "-BUSY"...)
-		if a.Hint > 0 {
-			to = strconv.AppendInt(append(to, ' '), int64((a.Hint+999)/1000), 10)
+		if a.RetryAfter > 0 {
+			to = strconv.AppendInt(append(to, ' '), int64((a.RetryAfter+999)/1000), 10)
 		}
 		return append(to, "\r\n"...)
 	}
 	return append(to, "-ERR failed\r\n"...)
 }
 
-// Props are what the props of a req tell the router.
+// Props are what the properties of a request tell the router.
 type Props struct {
 	Method []byte
 	Tenant []byte
--- a/internal/wire/resp2/resp2_test.go
+++ b/internal/wire/resp2/resp2_test.go
@@ -11,7 +11,7 @@
 var back = Back{resp.Bounds{Bulk: 64, Line: 64, Args: 16}}
 
 func Example_append() {
-	q := &wire.Req{ID: "id", Key: []byte("k"), Props: wire.NewProps([]byte("c=get,d=2000,x=1"))}
+	q := &wire.Request{ID: "id", Key: []byte("k"), Props: wire.NewProps([]byte("c=get,d=2000,x=1"))}
 	fmt.Printf("%q\n", back.Append(nil, wire.NewAttempt(q, "", 2500)))
 	q.Write, q.Value, q.Verb = true, []byte("v"), []byte("cache.set")
 	fmt.Printf("%q\n", back.Append(nil, wire.NewAttempt(q, "", 0)))
@@ -40,7 +40,7 @@
 }
 
 func Example_answers() {
-	for _, a := range []wire.Answer{{Value: []byte("v")}, {Kind: wire.Nacked}, {Kind: wire.Nacked, Hint: 1500}, {Kind: wire.Failed}} {
+	for _, a := range []wire.Answer{{Value: []byte("v")}, {Kind: wire.Rejected}, {Kind: wire.Rejected, RetryAfter: 1500}, {Kind: wire.Failed}} {
 		fmt.Printf("%q\n", AppendAnswer(nil, a))
 	}
 	// Output:
@@ -67,11 +67,11 @@
 	// "": method "" tenant "" waits 0 resent false bad false
 }
 
-// A write-out as it is sent is a command that can be read, and its props hold one d for each that came.
+// An attempt as it is sent is a command that can be read, and its props hold one d for each that came.
 func FuzzAppend(f *testing.F) {
 	f.Add([]byte("c=get,d=5"), []byte("k"), false)
 	f.Fuzz(func(t *testing.T, props, key []byte, write bool) {
-		q := &wire.Req{ID: "id", Key: key, Props: wire.NewProps(props), Write: write}
+		q := &wire.Request{ID: "id", Key: key, Props: wire.NewProps(props), Write: write}
 		b := resp.Bounds{Bulk: 1 << 20, Line: 64, Args: 16}
 		words, used, err := resp.Command(back.Append(nil, wire.NewAttempt(q, "", 7999)), nil, b)
 		if err != nil || used == 0 || len(words) < 4 {
@@ -85,7 +85,7 @@
 }
 
 func BenchmarkAppend(b *testing.B) {
-	q := &wire.Req{ID: "9b1f03aa5c7e2d41", Key: []byte("7f3a9c21e0b4d655"), Props: wire.NewProps([]byte("c=read,t=acme,d=480"))}
+	q := &wire.Request{ID: "9b1f03aa5c7e2d41", Key: []byte("7f3a9c21e0b4d655"), Props: wire.NewProps([]byte("c=read,t=acme,d=480"))}
 	to := make([]byte, 0, 256)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,12 +1,12 @@
-// Package wire holds what a req, its answer and the outcome of a write-out are, whatever protocol they came by. The
+// Package wire holds what a request, its answer, an attempt and its outcome are, whatever protocol they came by. The
 // router knows these alone; each protocol has a package of its own that reads and writes them, without I/O and without
 // knowing the router.
 package wire
 
 import "spurtrestle/choice"
 
-// Req is one req as it is passed on. Its bytes belong to it until it is over.
-type Req struct {
+// Request is one request as it is passed on. Its bytes belong to it until it is over.
+type Request struct {
 	ID    choice.ReqID
 	Key   []byte
 	Props Props
@@ -19,20 +19,20 @@
 type Kind uint8
 
 const (
-	Satisfied Kind = iota
-	Nacked         // trying again is harmless
-	Failed         // nothing is promised
+	Served   Kind = iota
+	Rejected      // trying again is harmless
+	Failed        // nothing is promised
 )
 
-// Answer is the one final answer of a req.
+// Answer is the one final answer of a request.
 type Answer struct {
-	Kind  Kind
-	Value []byte        // of a satisfied one; it may change once the answer is written
-	Long  bool          // of a failed one: there is a value, too big for who asked
-	Hint  choice.Micros // of a nacked one: when to come back; 0: no hint
+	Kind       Kind
+	Value      []byte        // of a served one; it may change once the answer is written
+	Long       bool          // of a failed one: there is a value, too big for who asked
+	RetryAfter choice.Micros // of a rejected one: when to come back; 0: not told
 }
 
-// Outcome is how a write-out ended, by what its server said.
+// Outcome is how an attempt ended, by what its server said.
 type Outcome struct {
 	Status choice.Status
 	Value  []byte // of OK; it points into what was read
@@ -40,14 +40,14 @@
 	Close  bool   // of a big value: the connection carries nothing behind it
 }
 
-// Back speaks one protocol to servers, on a connection that carries one write-out at a time.
+// Back speaks one protocol to servers, on a connection that carries one attempt at a time.
 type Back interface {
 	// Append adds an attempt.
 	Append(to []byte, a Attempt) []byte
 	// AppendLong adds the head of a write whose value, of size bytes, is passed on behind it; tail ends it.
 	AppendLong(to []byte, a Attempt, size int) (head []byte, tail string)
 	// Read reads an answer from what has come so far; ended: no more comes. used is 0 while it is not whole; keep
-	// tells whether the connection can carry another write-out. An error is an answer that cannot be read.
+	// tells whether the connection can carry another attempt. An error is an answer that cannot be read.
 	Read(buf []byte, ended bool) (o Outcome, used int, keep bool, err error)
 	// Long tells of an answer that Read refuses for its size: its value begins at a place in buf and has that size. ok is
 	// false where it is no such answer.
