--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -1,4 +1,4 @@
-// Package grpcfront takes reqs of gRPC clients and hands them to the router's loop; it decides nothing about them. The
+// Package grpcfront takes requests of gRPC clients and hands them to the router's loop; it decides nothing about them. The
 // library's goroutines stand off the loop: a call is offered in a bounded queue, and its answer comes back through a channel
 // with room for it, so that neither side ever waits for the other.
 package grpcfront
@@ -122,7 +122,7 @@
 	refused router.Refusal
 }
 
-// ask offers a req and waits for its one answer.
+// ask offers a request and waits for its one answer.
 func (s *Server) ask(ctx context.Context, at *cachev1.Attributes, key, value []byte, write bool) ([]byte, error) {
 	if field, what := s.wrong(at, key, value); what != "" {
 		return nil, invalid(field, what)
@@ -182,7 +182,7 @@
 	return "", ""
 }
 
-// props are the names and values that cache servers and the origin are sent; the time is put in with each write-out.
+// props are the names and values that cache servers and the origin are sent; the time is put in with each attempt.
 func props(o *router.Offer, at *cachev1.Attributes) []byte {
 	p := "c=" + o.Method
 	if o.Tenant != "" {
--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// seen counts what the server saw of a req.
+// seen counts what the server saw of a request.
 func (x *site) seen(id string, kind event.Kind) (n int) {
 	for _, e := range x.log.Events() {
 		if e.Kind == kind && string(e.Req) == id {
@@ -179,7 +179,7 @@
 	if status.Code(err) != codes.Aborted {
 		t.Error(err)
 	}
-	// What may run again is nacked once its tries are used up, with the time to come back.
+	// What may run again is rejected once its tries are used up, with the time to come back.
 	_, err = x.get(t.Context(), x.id(), "status")
 	if s := status.Convert(err); s.Code() != codes.Unavailable || len(s.Details()) != 1 ||
 		s.Details()[0].(*errdetails.RetryInfo).RetryDelay.AsDuration() < 100*time.Millisecond {
@@ -219,7 +219,7 @@
 	}
 }
 
-// A client that cancels has its write-out called off at once, and a second req with its id is refused only until then.
+// A client that cancels has its attempt called off at once, and a second request with its id is refused only until then.
 func TestCancelRecalls(t *testing.T) {
 	x := start(t)
 	x.strike("hang", 0, false)
@@ -242,7 +242,7 @@
 	x.strike("hang", 0, true)
 }
 
-// A client's deadline that is shorter than the method's own counts; one that has passed brings no write-out; a longer one,
+// A client's deadline that is shorter than the method's own counts; one that has passed brings no attempt; a longer one,
 // or none, lengthens nothing.
 func TestDeadlines(t *testing.T) {
 	x := start(t)
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// cameAt is when a req that has just been read may have come. A process that was stopped for longer than its clients wait
-// found their reqs in its sockets, took them for new, and sent them on after their deadline.
+// cameAt is when a request that has just been read may have come. A process that was stopped for longer than its clients wait
+// found their requests in its sockets, took them for new, and sent them on after their deadline.
 func (r *Router) cameAt() choice.Micros {
 	if r.now < r.stoodUntil {
 		return r.stoodFrom
@@ -75,9 +75,9 @@
 	for _, d := range decided {
 		switch d.Action {
 		case choice.WriteOut:
-			r.writeOut(d)
+			r.beginAttempt(d)
 		case choice.Nack:
-			r.nack(d.Req, d.After)
+			r.reject(d.Req, d.After)
 		case choice.Fail:
 			r.fail(d.Req)
 		case choice.Recall:
--- a/internal/router/behind.go
+++ b/internal/router/behind.go
@@ -17,7 +17,7 @@
 // hasGone tells, while the loop is late, whether the client of a request has closed its connection and that is not read yet. Of some
 // hundred sockets that wait for the loop it reads requests before it comes to the ends behind others, and began attempts for clients
 // that had gone long before. Otherwise ends are read in time, and the call is spared.
-func (r *Router) hasGone(q *req) bool {
+func (r *Router) hasGone(q *request) bool {
 	c, is := q.from.(*client)
 	return is && !q.over && r.now < r.behindUntil && c.conn != nil && hungUp(c.conn.Fd())
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -23,7 +23,7 @@
 	coming  bool          // accepted, and not with the loop yet
 	used    bool          // something has come on it
 	spoke   bool          // a whole command has come on it
-	asked   bool          // a req has come on it
+	asked   bool          // a request has come on it
 	stalled bool          // its next commands wait until there is room; it is on the router's list of those
 	over    bool          // to be closed once the answers are out
 	first   bool          // a big write is next, and waits until all before it is answered
@@ -39,7 +39,7 @@
 
 // slot is the place of one command among the answers of its connection.
 type slot struct {
-	q    *req
+	q    *request
 	text []byte // nil: not answered yet
 	long *long  // a big value is its answer
 }
@@ -232,8 +232,8 @@
 	c.fill(s, text)
 }
 
-// answer gives a req of this client its final answer, in its turn.
-func (c *client) answer(q *req, a wire.Answer) {
+// answer gives a request of this client its final answer, in its turn.
+func (c *client) answer(q *request, a wire.Answer) {
 	c.r.scratch = resp2.AppendAnswer(c.r.scratch[:0], a)
 	c.fill(&q.slot, c.r.scratch)
 }
@@ -315,7 +315,7 @@
 	}
 }
 
-// settled: no req of it is in hand and all answers are with the kernel. A command that has come in part is not taken yet.
+// settled: no request of it is in hand and all answers are with the kernel. A command that has come in part is not taken yet.
 func (c *client) settled() bool { return len(c.slots) == 0 && c.conn.OutboundBuffered() == 0 }
 
 // quiet: it is settled, and could be closed. A close that crosses what the client sends drops all that the kernel still
@@ -328,7 +328,7 @@
 	return c.settled() && !c.carried
 }
 
-// unheard: it has sent something that the loop has not read. Closing it then resets the connection under a req that was taken;
+// unheard: it has sent something that the loop has not read. Closing it then resets the connection under a request that was taken;
 // after a pause of the process, or under load, the loop comes to its timers before its sockets.
 func (c *client) unheard() bool {
 	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.TIOCINQ)
@@ -371,7 +371,7 @@
 	}
 }
 
-// take makes a command a req.
+// take makes a command a request.
 func (c *client) take(words [][]byte, n int, write bool) {
 	r := c.r
 	if len(words) != n {
@@ -391,8 +391,8 @@
 
 var refusedReq = []byte("-ERR a req needs a new id, c, and d\r\n")
 
-// req makes the words of a command a req; ok is false where they are refused, which is counted.
-func (c *client) req(words [][]byte, write bool) (q *req, came choice.ReqCame, waits choice.Micros, ok bool) {
+// request makes the words of a command a request; ok is false where they are refused, which is counted.
+func (c *client) req(words [][]byte, write bool) (q *request, came choice.ReqCame, waits choice.Micros, ok bool) {
 	r := c.r
 	size := 0
 	for _, w := range words {
@@ -404,7 +404,7 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q = &req{Request: wire.Request{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
+	q = &request{Request: wire.Request{Verb: own(words[0]), Key: own(words[1]), ID: choice.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
 	if write && len(words) > 4 {
 		q.Value = own(words[4])
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -30,11 +30,11 @@
 	})
 }
 
-// endWriteOuts: nobody waits for the process any longer. What is still out is given up, so that its req gets its answer; a
-// server that hung had a req of the longest deadline until after SIGKILL.
+// endWriteOuts: nobody waits for the process any longer. What is still out is given up, so that its request gets its answer; a
+// server that hung had a request of the longest deadline until after SIGKILL.
 func (r *Router) endWriteOuts() {
 	for _, q := range r.reqs {
-		for _, w := range slices.Clone(q.outs) {
+		for _, w := range slices.Clone(q.attempts) {
 			if w.up == nil || !w.up.away {
 				r.timedOut(w)
 			}
@@ -46,7 +46,7 @@
 func (r *Router) Drained() bool { return r.draining }
 
 // someoneComes: a client's connection is accepted, or may be, and the loop does not have it yet. It came while new ones were
-// taken, and may carry a req.
+// taken, and may carry a request.
 func (r *Router) someoneComes() bool {
 	t := &r.takeover
 	if t.coming.Load() > 0 {
@@ -65,7 +65,7 @@
 }
 
 // closeIdleClients closes the clients that wait for nothing. One that has just come in is spared for a while: its first
-// req is on its way. A command that has come in part gets a sweep's time for the rest.
+// request is on its way. A command that has come in part gets a sweep's time for the rest.
 func (r *Router) closeIdleClients() {
 	now := r.clock()
 	for c := range r.clients {
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -104,7 +104,7 @@
 	return two[0], two[1]
 }
 
-// A req lies in a client's socket when the loop comes to close the client: after a pause of the process its timers go before
+// A request lies in a client's socket when the loop comes to close the client: after a pause of the process its timers go before
 // its sockets. The client is not closed under it, by none of those who close clients that say nothing.
 func TestClientIsNotClosedUnderItsReq(t *testing.T) {
 	for name, closes := range map[string]func(*Router){
@@ -294,7 +294,7 @@
 	}
 }
 
-// A server has ended an idle connection, and the loop has not come to it: a req that must not run twice is not written to it,
+// A server has ended an idle connection, and the loop has not come to it: a request that must not run twice is not written to it,
 // where it would end as one that may have run.
 func TestEndedConnectionIsNotUsed(t *testing.T) {
 	l, up := held(t, nil)
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -21,7 +21,7 @@
 )
 
 // FuzzRouter lets clients, servers, discovery, dials and the clock do what the input says, in its order. Whatever
-// that is, each req that was taken gets one answer or loses its client, nothing is left of it, and what is counted as
+// that is, each request that was taken gets one answer or loses its client, nothing is left of it, and what is counted as
 // open is what is open.
 func FuzzRouter(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 4, 1, 2, 3, 5, 0, 7, 2, 5, 0})
@@ -61,7 +61,7 @@
 		"a connection is not counted": func(l *notedLoop) { l.r.upstreams++ },
 		"what may have run is told as never run": func(l *notedLoop) {
 			for _, q := range l.r.reqs {
-				for _, w := range slices.Clone(q.outs) {
+				for _, w := range slices.Clone(q.attempts) {
 					if w.whole && q.Write {
 						l.r.giveUp(w, choice.Ignored)
 						return
@@ -72,9 +72,9 @@
 		"a write-out to a server that goes": func(l *notedLoop) {
 			for _, s := range l.r.servers {
 				for _, q := range l.r.reqs {
-					if !s.ready && !q.over && len(q.outs) == 0 {
+					if !s.ready && !q.over && len(q.attempts) == 0 {
 						s.ready = true
-						l.r.writeOut(choice.Decision{Req: q.ID, Server: s.id, After: 1e6})
+						l.r.beginAttempt(choice.Decision{Req: q.ID, Server: s.id, After: 1e6})
 						s.ready = false
 						return
 					}
@@ -83,10 +83,10 @@
 		},
 		"a write-out for a req that is over": func(l *notedLoop) {
 			for _, q := range l.r.reqs {
-				if q.over && len(q.outs) == 0 {
+				if q.over && len(q.attempts) == 0 {
 					for id := range l.r.servers {
 						q.over = false
-						l.r.writeOut(choice.Decision{Req: q.ID, Server: id, After: 1e6})
+						l.r.beginAttempt(choice.Decision{Req: q.ID, Server: id, After: 1e6})
 						q.over = true
 						return
 					}
@@ -131,7 +131,7 @@
 	runtime.Goexit()
 }
 
-// kinds of steps, each as often as keeps reqs coming, going out and being answered: with all alike hardly one got so far.
+// kinds of steps, each as often as keeps requests coming, going out and being answered: with all alike hardly one got so far.
 var kinds = []byte{0, 0, 0, 0, 1, 1, 2, 3, 3, 4, 5, 5, 5, 5, 6, 7, 7, 7, 7, 7, 8, 9, 9, 10, 11, 11, 11, 11, 11, 11, 12, 13}
 
 // inThisOrder plays steps; after each, also does something else, if there is something.
@@ -162,11 +162,11 @@
 	gone := map[string]bool{} // that drain, or are no more, by the last list
 	type sent struct {
 		on *notedConn
-		w  *writeOut
+		w  *attempt
 	}
 	outs := map[sent]bool{}          // that were there after the last step; true: the last byte had left
 	ran := map[choice.ReqID]string{} // that may have run, and where
-	never := (*writeOut)(nil)        // answered in this step as never run
+	never := (*attempt)(nil)         // answered in this step as never run
 	traffic := func(c *notedConn) {
 		if r.OnTraffic(c) == gnet.Close {
 			_ = l.Close(c)
@@ -312,7 +312,7 @@
 		never = nil
 		was := outs
 		outs = map[sent]bool{}
-		carried := map[*req]int{}
+		carried := map[*request]int{}
 		for _, c := range servers {
 			if up, ok := c.ctx.(*upstream); ok && up.carries != nil {
 				w := up.carries
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -41,7 +41,7 @@
 	stopped        atomic.Bool // the goroutine is to end, and the value to go on elsewhere
 }
 
-// long takes an answer that is too big to be held: its write-out ends here, at the first bytes of its value. false: it is
+// long takes an answer that is too big to be held: its attempt ends here, at the first bytes of its value. false: it is
 // no such answer. Its connection is to be closed on the loop then; what is left of it is the descriptor.
 func (up *upstream) long(buf []byte) bool {
 	w := up.carries
@@ -402,7 +402,7 @@
 	})
 }
 
-// rest reads what stands behind the value and tells whether the connection can carry another write-out.
+// rest reads what stands behind the value and tells whether the connection can carry another attempt.
 func (l *long) rest(server net.Conn) bool {
 	_ = server.SetDeadline(time.Now().Add(span(l.r.lim.Stuck)))
 	for {
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -21,7 +21,7 @@
 type body struct {
 	r    *Router
 	c    *client
-	q    *req // nil: refused at its head
+	q    *request // nil: refused at its head
 	fd   int
 	has  []byte // of the value, read already
 	size int
@@ -154,7 +154,7 @@
 }
 
 // soon begins to send in the next round, when no call of the server's connection is under way.
-func (b *body) soon(w *writeOut) {
+func (b *body) soon(w *attempt) {
 	up := w.up
 	b.r.execute(func() {
 		if w.up == up { // else it ended meanwhile
@@ -171,7 +171,7 @@
 }
 
 // send passes the body on to the server that was decided on, and then brings its answer.
-func (b *body) send(w *writeOut) {
+func (b *body) send(w *attempt) {
 	r, up := b.r, w.up
 	if hungUp(b.fd) { // off the loop nobody has seen that the client went while it waited
 		r.left(b.q)
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -7,18 +7,18 @@
 	"spurtrestle/internal/wire"
 )
 
-// Refusal is why a req that a front offers is not taken.
+// Refusal is why a request that a front offers is not taken.
 type Refusal uint8
 
 const (
 	Full     Refusal = iota + 1 // the router holds all that it may
 	NoMethod                    // the settings do not name its method
-	SameID                      // another open req has its id
+	SameID                      // another open request has its id
 	Late                        // its time was over when it came
 	Ending                      // the router takes nothing new
 )
 
-// Offer is a req of a front off the loop: a protocol whose library has goroutines of its own. Its fields are not changed
+// Offer is a request of a front off the loop: a protocol whose library has goroutines of its own. Its fields are not changed
 // once it is offered.
 type Offer struct {
 	wire.Request
@@ -30,7 +30,7 @@
 	Answer func(wire.Answer)
 	Refuse func(Refusal)
 
-	q *req // belongs to the loop; nil: not taken
+	q *request // belongs to the loop; nil: not taken
 }
 
 // offers is the way from fronts to the loop. Its lock is held for an append, never across the loop's work.
@@ -45,10 +45,10 @@
 	gone bool
 }
 
-// Offer hands over a req from any goroutine; false: too many wait already, or the loop does not run yet, and nothing will be called.
+// Offer hands over a request from any goroutine; false: too many wait already, or the loop does not run yet, and nothing will be called.
 func (r *Router) Offer(o *Offer) bool { return r.news(news{o: o}, r.lim.Offers) }
 
-// Withdraw tells that the client of an offer is gone: its write-outs are called off, and neither function is called any
+// Withdraw tells that the client of an offer is gone: its attempts are called off, and neither function is called any
 // more once the loop has come to it.
 func (r *Router) Withdraw(o *Offer) { r.news(news{o, true}, 1<<62) }
 
@@ -113,14 +113,14 @@
 	if o.Waits > 0 {
 		waits = min(waits, o.Waits)
 	}
-	o.q = &req{Request: o.Request, size: size, from: o}
+	o.q = &request{Request: o.Request, size: size, from: o}
 	r.offers.open++
 	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
 	return 0
 }
 
 // answer makes an Offer an asker.
-func (o *Offer) answer(_ *req, a wire.Answer) {
+func (o *Offer) answer(_ *request, a wire.Answer) {
 	o.Answer(a)
 }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -21,7 +21,7 @@
 	extra      float64 // beside the part: of routers that are lost
 	extraUntil choice.Micros
 
-	may  atomic.Int64 // new reqs may be taken until then, as choice.Micros; 0: for ever. From any goroutine.
+	may  atomic.Int64 // new requests may be taken until then, as choice.Micros; 0: for ever. From any goroutine.
 	shut bool         // they may not
 
 	plan  choice.Planned  // that the fleet keeps to
@@ -105,7 +105,7 @@
 	return r.draining || r.ops.wanted.Empty || r.place.out != "" || r.place.shut
 }
 
-// lapse ends what was held until now, the part and the leave to take reqs: also in a process that stood still over its end.
+// lapse ends what was held until now, the part and the leave to take requests: also in a process that stood still over its end.
 // A batch begins with it.
 func (r *Router) lapse() {
 	p := &r.place
@@ -192,8 +192,8 @@
 	return may == 0 || r.now < may
 }
 
-// MayTake has the router take new reqs until a time: zero for ever, one that is past not at all. What it does not take
-// is nacked at once, and it is not ready meanwhile.
+// MayTake has the router take new requests until a time: zero for ever, one that is past not at all. What it does not take
+// is rejected at once, and it is not ready meanwhile.
 func (r *Router) MayTake(until time.Time) {
 	at := choice.Micros(0)
 	if !until.IsZero() {
--- a/internal/router/reqs.go
+++ b/internal/router/reqs.go
@@ -11,30 +11,30 @@
 	"spurtrestle/internal/wire"
 )
 
-// asker is whoever a req came from, by whatever protocol.
+// asker is whoever a request came from, by whatever protocol.
 type asker interface {
-	// answer passes on the one final answer of a req. It must not wait.
-	answer(*req, wire.Answer)
+	// answer passes on the one final answer of a request. It must not wait.
+	answer(*request, wire.Answer)
 }
 
-// req is one req from its last byte on, until its answer is given and no write-out of it is out.
-type req struct {
+// request is one request from its last byte on, until its answer is given and no attempt of it is out.
+type request struct {
 	wire.Request
-	size      int // bytes that it holds
-	method    choice.Method
-	due       choice.Micros // its client gives up then
-	from      asker
-	slot      slot           // of a RESP2 client
-	outs      []*writeOut    // two at most
-	writeOuts choice.Attempt // so far
-	over      bool           // answered, or the client is gone
-	leaving   bool           // the client is gone, and the decisions are still to be told: they may name it until then
-	body      *body          // of a big write, which is passed on as it comes
+	size     int // bytes that it holds
+	method   choice.Method
+	due      choice.Micros // its client gives up then
+	from     asker
+	slot     slot           // of a RESP2 client
+	attempts []*attempt     // two at most
+	begun    choice.Attempt // so far
+	over     bool           // answered, or the client is gone
+	leaving  bool           // the client is gone, and the decisions are still to be told: they may name it until then
+	body     *body          // of a big write, which is passed on as it comes
 }
 
-// arrival is a req on its way into a batch; its deadline counts from there.
+// arrival is a request on its way into a batch; its deadline counts from there.
 type arrival struct {
-	q     *req
+	q     *request
 	came  choice.ReqCame
 	waits choice.Micros
 	since choice.Micros // its last byte came then
@@ -48,9 +48,9 @@
 	return a.came
 }
 
-// writeOut is one write-out from its decision to its outcome.
-type writeOut struct {
-	q      *req
+// attempt is one attempt from its decision to its outcome.
+type attempt struct {
+	q      *request
 	nth    choice.Attempt
 	server *server
 	sent   choice.Micros
@@ -63,12 +63,12 @@
 }
 
 // remaining is how long an answer can still be of use: until the router stops waiting for it, or the client does.
-func (w *writeOut) remaining(now choice.Micros) choice.Micros {
+func (w *attempt) remaining(now choice.Micros) choice.Micros {
 	return min(w.sent+w.within, w.q.due) - now
 }
 
-// take makes a req of this router's what a front has read whole; its client waits so long from when its last byte came, since.
-func (r *Router) take(q *req, came choice.ReqCame, waits, since choice.Micros) {
+// take makes a request of this router's what a front has read whole; its client waits so long from when its last byte came, since.
+func (r *Router) take(q *request, came choice.ReqCame, waits, since choice.Micros) {
 	r.reqs[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
@@ -76,8 +76,8 @@
 	r.input(&arrival{q: q, came: came, waits: max(waits-r.lim.Crossing, 1), since: since})
 }
 
-// answer gives a req its only answer.
-func (r *Router) answer(q *req, a wire.Answer) bool {
+// answer gives a request its only answer.
+func (r *Router) answer(q *request, a wire.Answer) bool {
 	if q.over {
 		return false
 	}
@@ -95,7 +95,7 @@
 	return true
 }
 
-// count is the one place where a req's end is counted, but for those whose clients left.
+// count is the one place where a request's end is counted, but for those whose clients left.
 func (r *Router) count(m choice.Method, k wire.Kind) {
 	switch k {
 	case wire.Served:
@@ -108,21 +108,21 @@
 	r.counts.Ended[m][k]++
 }
 
-// refused counts a req that ended before the decisions saw it.
+// refused counts a request that ended before the decisions saw it.
 func (r *Router) refused(m choice.Method, k wire.Kind) {
 	r.counts.Taken++
 	r.count(m, k)
 }
 
-// settle forgets a req once nothing of it is left.
-func (r *Router) settle(q *req) {
-	if q.over && !q.leaving && len(q.outs) == 0 && r.reqs[q.ID] == q {
+// settle forgets a request once nothing of it is left.
+func (r *Router) settle(q *request) {
+	if q.over && !q.leaving && len(q.attempts) == 0 && r.reqs[q.ID] == q {
 		delete(r.reqs, q.ID)
 		r.held -= q.size
 	}
 }
 
-func (r *Router) nack(id choice.ReqID, hint choice.Micros) {
+func (r *Router) reject(id choice.ReqID, hint choice.Micros) {
 	if q := r.reqs[id]; q != nil {
 		r.answer(q, wire.Answer{Kind: wire.Rejected, RetryAfter: hint})
 	}
@@ -134,16 +134,16 @@
 	}
 }
 
-// left: the client of a req is gone. What of it has not left us whole does not: where the settings allow no recall it went
+// left: the client of a request is gone. What of it has not left us whole does not: where the settings allow no recall it went
 // out once it had a connection, long after.
-func (r *Router) left(q *req) {
+func (r *Router) left(q *request) {
 	if q.over {
 		return
 	}
 	q.over, q.leaving = true, true
 	r.counts.Left++
 	r.input(choice.Left{Req: q.ID})
-	for _, w := range slices.Clone(q.outs) {
+	for _, w := range slices.Clone(q.attempts) {
 		if w.unsent() {
 			r.counts.LeftWaiting++
 			r.giveUp(w, choice.Ignored)
@@ -152,33 +152,33 @@
 }
 
 // unsent: its last byte has not left us, so that it has not run.
-func (w *writeOut) unsent() bool {
+func (w *attempt) unsent() bool {
 	return w.up == nil || !w.up.away && w.up.conn.OutboundBuffered() > 0
 }
 
-// writeOut begins a write-out.
-func (r *Router) writeOut(d choice.Decision) {
+// beginAttempt begins an attempt.
+func (r *Router) beginAttempt(d choice.Decision) {
 	q, s := r.reqs[d.Req], r.servers[d.Server]
 	if q == nil {
 		r.log.Error("a write-out for a req that is over")
 		return
 	}
-	nth := q.writeOuts
-	q.writeOuts++
-	// The req may have lost its client, and the server its place in the list, since this was decided: the news is in the
+	nth := q.begun
+	q.begun++
+	// The request may have lost its client, and the server its place in the list, since this was decided: the news is in the
 	// batch behind the decision, or in the next. Nothing is sent then.
 	if q.over || s == nil || !s.ready {
 		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
 		return
 	}
-	w := &writeOut{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
-	q.outs = append(q.outs, w)
+	w := &attempt{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
+	q.attempts = append(q.attempts, w)
 	r.counts.WriteOuts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
 	if d.By > 0 && d.By < w.until {
 		w.until = d.By
 		w.late = r.after(max(0, d.By-r.now), func() {
-			if slices.Contains(q.outs, w) && w.unsent() {
+			if slices.Contains(q.attempts, w) && w.unsent() {
 				r.giveUp(w, choice.Ignored)
 			}
 		})
@@ -186,14 +186,14 @@
 	r.connect(w)
 }
 
-// returned ends a write-out and hands its outcome over.
-func (r *Router) returned(w *writeOut, status choice.Status, report choice.Report) {
+// returned ends an attempt and hands its outcome over.
+func (r *Router) returned(w *attempt, status choice.Status, report choice.Report) {
 	q := w.q
-	n := slices.Index(q.outs, w)
+	n := slices.Index(q.attempts, w)
 	if n < 0 {
 		return
 	}
-	q.outs = slices.Delete(q.outs, n, n+1)
+	q.attempts = slices.Delete(q.attempts, n, n+1)
 	r.cancel(w.timer)
 	r.cancel(w.late)
 	if w.up != nil && !w.up.away {
@@ -219,8 +219,8 @@
 	r.settle(q)
 }
 
-// giveUp ends a write-out that is still out by closing its connection, so that no late byte reaches another req.
-func (r *Router) giveUp(w *writeOut, status choice.Status) {
+// giveUp ends an attempt that is still out by closing its connection, so that no late byte reaches another request.
+func (r *Router) giveUp(w *attempt, status choice.Status) {
 	up := w.up
 	r.returned(w, status, nil)
 	if up != nil && up.away {
@@ -231,9 +231,9 @@
 }
 
 // timedOut: what has not left us whole by its time has never run, and that is not held against the server.
-func (r *Router) timedOut(w *writeOut) {
+func (r *Router) timedOut(w *attempt) {
 	switch {
-	case !slices.Contains(w.q.outs, w):
+	case !slices.Contains(w.q.attempts, w):
 	case w.unsent():
 		r.giveUp(w, choice.Ignored)
 	default:
@@ -243,14 +243,14 @@
 
 func (r *Router) recall(id choice.ReqID, n choice.Attempt) {
 	if q := r.reqs[id]; q != nil {
-		if i := slices.IndexFunc(q.outs, func(w *writeOut) bool { return w.nth == n }); i >= 0 {
-			r.giveUp(q.outs[i], choice.Canceled)
+		if i := slices.IndexFunc(q.attempts, func(w *attempt) bool { return w.nth == n }); i >= 0 {
+			r.giveUp(q.attempts[i], choice.Canceled)
 		}
 	}
 }
 
 // spoke: a server has answered. A value goes to who asked as soon as it has come whole.
-func (r *Router) spoke(w *writeOut, o wire.Outcome) {
+func (r *Router) spoke(w *attempt, o wire.Outcome) {
 	if o.Status == choice.OK {
 		r.answer(w.q, wire.Answer{Kind: wire.Served, Value: o.Value})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,8 +1,8 @@
 // Package router is the router on sockets: one gnet loop that owns all state. It gathers what came in, hands it to
-// package choice in one go, and carries out what came back. It decides nothing about reqs itself.
+// package choice in one go, and carries out what came back. It decides nothing about requests itself.
 //
-// The files: this one the loop's callbacks; batch.go the hand-over to the decisions; reqs.go the reqs and their
-// write-outs, whatever protocol they came by; clients.go, servers.go (pools and dials) and watch.go the kinds of
+// The files: this one the loop's callbacks; batch.go the hand-over to the decisions; requests.go the requests and their
+// attempts, whatever protocol they came by; clients.go, servers.go (pools and dials) and watch.go the kinds of
 // connections; timers.go the timers; memory.go what outlives the process; drain.go the end.
 package router
 
@@ -53,13 +53,13 @@
 
 	timers timers
 
-	reqs      map[choice.ReqID]*req
-	held      int                  // bytes of all reqs
+	reqs      map[choice.ReqID]*request
+	held      int                  // bytes of all requests
 	buffered  int                  // bytes that the clients' connections hold, or more
 	clients   map[*client]struct{} // all that are open
 	passing   map[*long]struct{}   // big values under way to clients
 	away      int                  // more that are off the loop
-	askers    int                  // those of them that have sent a req
+	askers    int                  // those of them that have sent a request
 	stalled   []*client            // clients whose commands wait for room
 	servers   map[choice.ServerID]*server
 	cache     wire.Back // how cache servers are spoken to, and the origin
@@ -68,7 +68,7 @@
 	dials     int
 	upstreams int // open connections to servers
 	waryUntil choice.Micros
-	starved   []*server // with write-outs that wait for a dial
+	starved   []*server // with attempts that wait for a dial
 	conns     int       // open connections of all kinds
 	book      *discovery.Book
 	watch     *watch
@@ -97,7 +97,7 @@
 // New returns a router that is not running yet.
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}), ended: make(chan struct{}),
-		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*req{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
+		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*request{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
 		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
 	r.ops.barred = map[choice.ServerID]bool{}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -152,7 +152,7 @@
 	return l, l.open(nil), origin
 }
 
-// A break before the last byte has left us means that the req never ran, so that it may be nacked; after that it may
+// A break before the last byte has left us means that the request never ran, so that it may be rejected; after that it may
 // have run, and only a failure may be told.
 func Example_breaks() {
 	for _, c := range []struct {
@@ -196,7 +196,7 @@
 	}
 }
 
-// A write-out whose time is over while it waits for a connection was never sent: no blame, and it may be nacked.
+// An attempt whose time is over while it waits for a connection was never sent: no blame, and it may be rejected.
 func TestTimeOutBeforeTheConnection(t *testing.T) {
 	l, client, origin := newNoted(t)
 	r := l.r
@@ -236,7 +236,7 @@
 	}
 }
 
-// A write-out that waits for a connection is not sent once its server drains.
+// An attempt that waits for a connection is not sent once its server drains.
 func TestNothingWaitsForADrainingServer(t *testing.T) {
 	l, client, origin := newNoted(t)
 	s := origin.ctx.(*upstream).server
@@ -317,7 +317,7 @@
 	r.OnTraffic(c)
 }
 
-// Without a descriptor to spare a write-out waits for a connection that gets free, and none is dialled.
+// Without a descriptor to spare an attempt waits for a connection that gets free, and none is dialled.
 func TestWriteOutsWaitForDescriptors(t *testing.T) {
 	l, client, origin := newNoted(t)
 	l.r.lim.Upstreams = 1
@@ -334,7 +334,7 @@
 	}
 }
 
-// A client that has just come in was closed to make room while its first req was on its way, and lost it. Those quiet
+// A client that has just come in was closed to make room while its first request was on its way, and lost it. Those quiet
 // for long go first, and none goes while it waits for an answer.
 func TestWhoIsClosedToMakeRoom(t *testing.T) {
 	l, client, origin := newNoted(t)
@@ -409,7 +409,7 @@
 	}
 }
 
-// Hundreds that asked once and stayed, or never asked, took the descriptors: each write-out then paid for a connection.
+// Hundreds that asked once and stayed, or never asked, took the descriptors: each attempt then paid for a connection.
 func TestClientsAboveTheirPartGoBeforeServers(t *testing.T) {
 	l, client, origin := newNoted(t)
 	r := l.r
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -14,7 +14,7 @@
 
 // server is a cache server or the origin: what is connected to it.
 //
-// A connection carries one write-out at a time. The settings allow more, but answers come in order, and a write-out is
+// A connection carries one attempt at a time. The settings allow more, but answers come in order, and an attempt is
 // given up by closing its connection: a slow one would hold up those behind it, and one given up would reset them.
 type server struct {
 	id       choice.ServerID
@@ -25,7 +25,7 @@
 	out      bool // an operator has taken it out
 	isOrigin bool
 	idle     []*upstream // the last used at the end
-	waiting  []*writeOut // for a connection
+	waiting  []*attempt  // for a connection
 	dialing  int
 }
 
@@ -35,19 +35,19 @@
 	server  *server
 	addr    string // where it leads; the server may have another by now
 	conn    gnet.Conn
-	carries *writeOut     // nil: idle
+	carries *attempt      // nil: idle
 	since   choice.Micros // idle since
 	writing bool          // gnet may close it within a write
 	away    bool          // off the loop: a big value comes on it
-	used    bool          // it has carried a write-out
+	used    bool          // it has carried an attempt
 }
 
-func (s *server) forget(w *writeOut) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(x *writeOut) bool { return x == w })
+func (s *server) forget(w *attempt) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(x *attempt) bool { return x == w })
 }
 
-// connect gives a write-out a connection: an idle one, else the first that gets free.
-func (r *Router) connect(w *writeOut) {
+// connect gives an attempt a connection: an idle one, else the first that gets free.
+func (r *Router) connect(w *attempt) {
 	if r.hasGone(w.q) {
 		r.left(w.q)
 		return
@@ -67,7 +67,7 @@
 
 const descriptorsOfDial = 2 // gnet takes a copy, and then the first is closed
 
-// feed dials for write-outs that wait, as far as there are descriptors; else they wait on, for one that gets free.
+// feed dials for attempts that wait, as far as there are descriptors; else they wait on, for one that gets free.
 func (r *Router) feed() {
 	for len(r.starved) > 0 {
 		s := r.starved[0]
@@ -140,7 +140,7 @@
 }
 
 // free gives the connection to the first that waits, or keeps it. One that leads where the server no longer is, busy or on
-// its way when the list told so, brought reqs to whoever is there now.
+// its way when the list told so, brought requests to whoever is there now.
 func (up *upstream) free() {
 	s := up.server
 	if up.addr != s.addr {
@@ -175,7 +175,7 @@
 }
 
 // rested: what answers twice does so some milliseconds late, and no answer says whose it is. Where that was seen lately a
-// connection that has carried a write-out is left alone for as long, so that the second answer meets nobody.
+// connection that has carried an attempt is left alone for as long, so that the second answer meets nobody.
 func (up *upstream) rested() bool {
 	now := up.r.clock()
 	return now >= up.r.waryUntil || !up.used || now-up.since >= up.r.lim.Rest
@@ -184,7 +184,7 @@
 // open: the server has not ended it, nor sent anything on it that the loop is still to read. What is written to an ended
 // connection may have run for all that is known, so it is looked at where that forbids another try. The rest is told by the
 // loop in time, or tried again.
-func (up *upstream) open(w *writeOut) bool {
+func (up *upstream) open(w *attempt) bool {
 	if up.r.cfg.Settings.Methods[w.q.method].Effect == choice.Retryable || !up.used {
 		return true
 	}
@@ -196,7 +196,7 @@
 // unasked: a server has sent what nobody asked for.
 func (r *Router) unasked() { r.waryUntil = r.clock() + r.lim.Wary }
 
-func (up *upstream) send(w *writeOut) {
+func (up *upstream) send(w *attempt) {
 	up.carries, w.up, up.used = w, up, true
 	if w.q.body != nil {
 		w.q.body.soon(w)
@@ -213,7 +213,7 @@
 	up.left()
 }
 
-// left counts a write-out once its last byte is with the kernel.
+// left counts an attempt once its last byte is with the kernel.
 func (up *upstream) left() {
 	if w := up.carries; w != nil && !w.whole && !up.writing && up.conn.OutboundBuffered() == 0 {
 		w.whole = true
@@ -238,7 +238,7 @@
 		return gnet.Close
 	}
 	if err != nil {
-		// It answered, so that it is no lost connection, but what it said is spoilt: its req may have run.
+		// It answered, so that it is no lost connection, but what it said is spoilt: its request may have run.
 		up.r.counts.Broken++
 		up.r.returned(w, choice.Failed, nil)
 		return gnet.Close
@@ -258,7 +258,7 @@
 	return gnet.None
 }
 
-// closed: before its last byte has left us a write-out has never run; after that it may have. gnet still writes out
+// closed: before its last byte has left us an attempt has never run; after that it may have. gnet still writes out
 // what is buffered after this; what was given up must not reach the server then, so the sending side is shut first.
 //
 // An answer without a length lasts until the connection ends. A reset is no such end: the rest of the value was on its way,
@@ -305,7 +305,7 @@
 			if c.ended() && c.conn != nil {
 				r.close(c.conn)
 			}
-		// Some ask once and keep the connection for good. Clients may hold only so many, and had none left for reqs.
+		// Some ask once and keep the connection for good. Clients may hold only so many, and had none left for requests.
 		case !c.over && now-c.idle >= r.lim.Silent && c.quiet() && c.waiting() == 0 && !c.unheard():
 			r.close(c.conn)
 		}
@@ -367,8 +367,8 @@
 	return false
 }
 
-// shed closes a client while they hold more than they need for reqs, else an idle connection to a server. Hundreds that
-// asked once and stayed, or never asked, took the descriptors of the servers' connections, and each write-out paid for
+// shed closes a client while they hold more than they need for requests, else an idle connection to a server. Hundreds that
+// asked once and stayed, or never asked, took the descriptors of the servers' connections, and each attempt paid for
 // a new one.
 func (r *Router) shed() bool {
 	return len(r.clients) > r.lim.Clients && r.shedClient(false) || r.shedServer() || r.shedClient(false)
@@ -391,7 +391,7 @@
 }
 
 // shedClient closes the client that has been quiet longest, first of those that never asked. One that has just come in
-// is spared: its first req is on its way, and closing the connection would lose it. askers: of those that have asked.
+// is spared: its first request is on its way, and closing the connection would lose it. askers: of those that have asked.
 func (r *Router) shedClient(askers bool) bool {
 	now := r.clock()
 	var longest *client
