--- /dev/null
+++ b/cmd/spurctl/scalecapacity.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/internal/scale/capacity"
+)
+
+func (a *app) scaleCapacity() *cobra.Command {
+	var target, write, check, output string
+	var measured []string
+	c := &cobra.Command{
+		Use:   "capacity --target FILE --measured FILE.json...",
+		Short: "Work out what a fleet of a given size needs, and what breaks first",
+		Long: "Reads the fleet that is asked about and the results of scale runs, and prints the page of capacity: slopes, needs of each\n" +
+			"role, limits, what breaks at which size. What no run has measured is said so. A page is written whole or not at all.",
+		Example: "  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --write docs/CAPACITY.md\n" +
+			"  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --check docs/CAPACITY.md",
+		RunE: func(c *cobra.Command, more []string) error {
+			if target == "" {
+				return usage("--target: names no file; give that of the fleet, as docs/scale/target.toml")
+			}
+			if len(more) > 0 && len(measured) == 0 {
+				return usage("%q is no argument; name results by --measured", more[0])
+			}
+			if write != "" && check != "" {
+				return usage("--write and --check are both given; use one of them")
+			}
+			report, err := workCapacity(target, append(measured, more...)) // a shell gives more files after the first
+			if err != nil {
+				return err
+			}
+			return putCapacity(c.OutOrStdout(), report, write, check, output)
+		},
+	}
+	c.Flags().StringVar(&target, "target", "", "file of the fleet that is asked about")
+	c.Flags().StringSliceVar(&measured, "measured", nil, "results of scale runs; more may follow, by the shell's *.json")
+	c.Flags().StringVar(&write, "write", "", "write the page into this file")
+	c.Flags().StringVar(&check, "check", "", "tell whether this page follows from its figures")
+	outputFlag(c, &output)
+	return c
+}
+
+func workCapacity(target string, files []string) (capacity.Report, error) {
+	text, err := os.ReadFile(target)
+	if err != nil {
+		return capacity.Report{}, capacity.FieldError{File: target, Field: "the file", What: err.Error(), Remedy: "name the file of a fleet, as docs/scale/target.toml"}
+	}
+	wanted, err := capacity.ReadTarget(target, text)
+	if err != nil {
+		return capacity.Report{}, err
+	}
+	measured, err := readMeasured(files)
+	if err != nil {
+		return capacity.Report{}, err
+	}
+	return capacity.Work(wanted, measured), nil
+}
+
+// putCapacity prints, writes or checks the page.
+func putCapacity(w io.Writer, report capacity.Report, write, check, output string) error {
+	page, err := capacity.Page(report)
+	if err != nil {
+		return err
+	}
+	switch {
+	case write != "":
+		return writeWhole(write, page)
+	case check != "":
+		has, err := os.ReadFile(check)
+		if err != nil {
+			return capacity.FieldError{File: check, Field: "the file", What: err.Error(), Remedy: "write it by --write"}
+		}
+		return capacity.Check(check, string(has), page)
+	case output == "json":
+		return writeJSON(w, report)
+	}
+	_, err = io.WriteString(w, page)
+	return err
+}
+
+// writeWhole puts a file into place by a name beside it, so that no half of it is ever there.
+func writeWhole(file, text string) error {
+	refused := func(err error) error {
+		return capacity.FieldError{File: file, Field: "the file", What: err.Error(), Remedy: "name one in a folder that can be written"}
+	}
+	beside, err := os.CreateTemp(filepath.Dir(file), "."+filepath.Base(file)+"-*")
+	if err != nil {
+		return refused(err)
+	}
+	defer os.Remove(beside.Name()) // gone already where it took its place
+	const readable = 0o644
+	_, err = io.WriteString(beside, text)
+	if err == nil {
+		err = beside.Chmod(readable)
+	}
+	if closed := beside.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = os.Rename(beside.Name(), file)
+	}
+	if err != nil {
+		return refused(fmt.Errorf("it was not written: %w", err))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/capacity/breaks.go
@@ -0,0 +1,118 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"spurtrestle/internal/scale/result"
+)
+
+// Break is the size of a fleet at which a limit is reached.
+type Break struct {
+	What   string  `json:"what"`
+	Limit  float64 `json:"limit"`
+	Unit   Unit    `json:"unit"`
+	Size   float64 `json:"size"` // routers; 0: at none up to the target, or it is not known
+	Basis  Basis   `json:"basis"`
+	Factor float64 `json:"factor,omitempty"` // size by the largest measured
+	From   string  `json:"from"`
+}
+
+// Breaks are those of one part of the fleet, the first to break first; what is not reached or not known stands last.
+type Breaks struct {
+	Name string  `json:"name"`
+	All  []Break `json:"all"`
+}
+
+func breaks(t Target, e Evidence, now Today) []Breaks {
+	flat := Breaks{Name: "Flat membership, today's fleet", All: measuredBreaks(t, e, result.Flat)}
+	flat.All = append(flat.All, countedBreak("a full state is longer than a router takes, and is dropped whole", mostWords, Number, mostWords+1,
+		"limit of `internal/peers`: words of a state"))
+	all := []Breaks{
+		flat,
+		{Name: "Tiered membership", All: measuredBreaks(t, e, result.Tiered)},
+		{Name: "Policy, parts and purges as they are today", All: countedBreaks(t, now)},
+	}
+	for i := range all {
+		slices.SortStableFunc(all[i].All, func(a, b Break) int {
+			if (a.Size == 0) != (b.Size == 0) {
+				return cmp.Compare(b.Size, a.Size)
+			}
+			return cmp.Compare(a.Size, b.Size)
+		})
+	}
+	return all
+}
+
+// measuredBreaks are those of a router at rest, and of what a change takes.
+func measuredBreaks(t Target, e Evidence, topology result.Topology) []Break {
+	limits := []struct {
+		what   string
+		figure Figure
+		limit  float64
+	}{
+		{"bytes of a router", FigureBytes, t.Control.BytesPerSecond},
+		{"bytes of the router with the most", FigureWorst, t.Control.BytesPerSecond},
+		{"processor time of a router", FigureCPU, t.Control.CoreShare},
+		{"memory of a router", FigureMemory, t.Control.MemoryBytes},
+		{"time of a change until all have it", FigureChange, t.Changes.Within.Seconds()},
+	}
+	var all []Break
+	for _, l := range limits {
+		all = append(all, measuredBreak(e, Key{topology, result.Rest, l.figure}, l.what, l.limit))
+	}
+	return all
+}
+
+func measuredBreak(e Evidence, key Key, what string, limit float64) Break {
+	b := Break{What: what, Limit: limit, Unit: key.Figure.Unit(), Basis: Missing}
+	s := e.Of(key)
+	if s == nil {
+		b.From = "no trial"
+		return b
+	}
+	if s.Choice == nil {
+		b.From = fmt.Sprintf("`%s`: %s", key, s.Unfit)
+		return b
+	}
+	b.From = fmt.Sprintf("`%s`: %s", key, s.Choice.Form)
+	size, reached := s.Choice.Reaches(limit)
+	if !reached {
+		b.Basis = FromRuns
+		return b
+	}
+	b.Size, b.Basis, b.Factor = size, FromRuns, size/s.Choice.Largest
+	if b.Factor > 1 {
+		b.Basis = Extrapolated
+	}
+	return b
+}
+
+func countedBreak(what string, limit float64, unit Unit, size float64, from string) Break {
+	return Break{What: what, Limit: limit, Unit: unit, Size: size, Basis: Counted, From: from}
+}
+
+func countedBreaks(t Target, now Today) []Break {
+	limit := t.Control.BytesPerSecond
+	anySize := func(value float64) float64 {
+		if value > limit {
+			return 1
+		}
+		return 0
+	}
+	// A pass of the leader waits for a majority, here in other regions.
+	pass := leaderRest + 2*t.Assumed.NetworkDelay.Seconds()
+
+	return []Break{
+		countedBreak("renewals of a router, leader in its region", limit, BytesPerSecond, anySize(now.Near.Bytes), fmt.Sprintf("%s at any size", show(now.Near.Bytes, BytesPerSecond))),
+		countedBreak("renewals of a router, leader and majority in other regions", limit, BytesPerSecond, anySize(now.Far.Bytes), fmt.Sprintf("%s at any size; delay assumed", show(now.Far.Bytes, BytesPerSecond))),
+		countedBreak("purges, if every router hears each", limit, BytesPerSecond, anySize(t.Purges.PerSecond*t.Purges.Bytes),
+			fmt.Sprintf("%s at any size; no mechanism is built", show(t.Purges.PerSecond*t.Purges.Bytes, BytesPerSecond))),
+		countedBreak("askings dropped by the leader just after an election, majority in other regions", mostAskings, Number, mostAskings*now.AskAgain/pass,
+			fmt.Sprintf("more come in a pass of %s than wait; delay assumed", show(pass, Seconds))),
+		countedBreak("askings dropped by the leader on an ordinary day, the same", mostAskings, Number, mostAskings/now.Far.Askings/pass, "the same"),
+		countedBreak("answers to recalls dropped at a router that begins", handoffQueue, Number, handoffQueue+2, "lending is by pairs: all other seats answer at once"),
+		countedBreak("answers dropped at a router that lends", mostAnswers, Number, mostAnswers*lendingAsk/peersStep+1, "all other seats ask each half second, evenly spread"),
+	}
+}
--- /dev/null
+++ b/internal/scale/capacity/capacity_test.go
@@ -0,0 +1,399 @@
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spurtrestle/accord"
+	"spurtrestle/internal/scale/result"
+	"spurtrestle/internal/scale/slope"
+	"spurtrestle/parts"
+)
+
+const (
+	targetFile = "../../../docs/scale/target.toml"
+	pageFile   = "../../../docs/CAPACITY.md"
+	runFiles   = "../../../docs/scale/*.json"
+)
+
+func read(t *testing.T, file string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func ourTarget(t *testing.T) Target {
+	t.Helper()
+	target, err := ReadTarget(targetFile, []byte(read(t, targetFile)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return target
+}
+
+// The page in the repository is what its target and its runs give.
+func TestPageFollowsFromItsFigures(t *testing.T) {
+	files, err := filepath.Glob(runFiles)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var measured []Measured
+	for _, file := range files {
+		m, err := DecodeMeasured(file, []byte(read(t, file)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Name = filepath.Base(file)
+		measured = append(measured, m)
+	}
+	want, err := Page(Work(ourTarget(t), measured))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Check("docs/CAPACITY.md", read(t, pageFile), want); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStalePageIsFound(t *testing.T) {
+	target := ourTarget(t)
+	before, err := Page(Work(target, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Check("p", before, before); err != nil {
+		t.Error(err)
+	}
+	target.Purges.PerSecond++
+	after, err := Page(Work(target, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stale StaleError
+	if err := Check("p", before, after); !errors.As(err, &stale) || !strings.Contains(stale.Want, "421/s") {
+		t.Error("another target:", err)
+	}
+	if err := Check("p", before[:len(before)-20], before); !errors.As(err, &stale) {
+		t.Error("cut short:", err)
+	}
+	if err := Check("p", before+"more\n", before); !errors.As(err, &stale) {
+		t.Error("longer:", err)
+	}
+}
+
+func TestWrongTargetsAreRefused(t *testing.T) {
+	whole := read(t, targetFile)
+	for _, c := range []struct{ old, new, field, remedy string }{
+		{"routers = 14_000", "routers = 0", "routers", "give a number above 0"},
+		{"routers = 14_000", "", "routers", "give a number above 0"},
+		{"routers = 14_000", "routers = -3", "routers", "give a number above 0"},
+		{"routers = 14_000", "routers = 1.5", "routers", "give a whole number"},
+		{"routers = 14_000", "routers = nan", "routers", "give a number above 0"},
+		{"routers = 14_000", "routers = inf", "routers", "give a number above 0"},
+		{"routers = 14_000", "routers = 700", "sites", "correct one of them"},
+		{"routers = 14_000", "router = 14_000", "router", "see docs/scale/target.toml for all fields"},
+		{"sites = 760", "sites = 0", "sites", "give a number above 0"},
+		{"core_share = 0.02", "core_share = 2.0", "control.core_share", "1 at most"},
+		{"herd = 10 ", "herd = 0.5 ", "failures.herd", "1 or more"},
+		{`within = "7.1s"`, `within = "soon"`, "purges.within", "correct this line"},
+		{`within = "7.1s"`, `within = "0s"`, "purges.within", "give a number above 0"},
+		{"machines = 28", "machines = 2", "assumed.keepers", "correct one of them"},
+	} {
+		text := strings.Replace(whole, c.old, c.new, 1)
+		if text == whole {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		_, err := ReadTarget("fleet.toml", []byte(text))
+		if err == nil {
+			t.Errorf("%q: taken", c.new)
+			continue
+		}
+		for _, part := range []string{"fleet.toml", "line ", c.field, c.remedy} {
+			if !strings.Contains(err.Error(), part) {
+				t.Errorf("%q: %v: no %q in it", c.new, err, part)
+			}
+		}
+	}
+}
+
+func TestWrongResultsAreRefused(t *testing.T) {
+	for text, field := range map[string]string{
+		``:                           "the file",
+		`{"format":2,"trials":[{}]}`: "format",
+		`{"format":1}`:               "trials",
+		`{"format":1,"colour":2}`:    "the file",
+		`{"format":1,"trials":[{"topology":"flat"}]}`:              "trials[0].routers",
+		`{"format":1,"trials":[{"topology":"ring","routers":50}]}`: "trials[0].topology",
+	} {
+		_, err := DecodeMeasured("runs.json", []byte(text))
+		var wrong FieldError
+		if !errors.As(err, &wrong) || wrong.File != "runs.json" || wrong.Field != field || wrong.Remedy == "" {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// Whatever fleet is asked about, a page is written, and no figure of it is not a number.
+func TestAnyTargetHasAPage(t *testing.T) {
+	ours := ourTarget(t)
+	rapid.Check(t, func(t *rapid.T) {
+		target := ours
+		target.Routers = float64(rapid.IntRange(1, 1_000_000).Draw(t, "routers"))
+		target.Sites = float64(rapid.IntRange(1, int(target.Routers)).Draw(t, "sites"))
+		target.Zones = float64(rapid.IntRange(1, int(target.Sites)).Draw(t, "zones"))
+		target.Regions = float64(rapid.IntRange(1, int(target.Zones)).Draw(t, "regions"))
+		target.CacheServers = float64(rapid.IntRange(int(target.Assumed.Copies), 100_000).Draw(t, "cache servers"))
+		target.Purges.PerSecond = rapid.Float64Range(0.001, 1e6).Draw(t, "purges")
+		target.Changes.PerDay = rapid.Float64Range(0.001, 1e6).Draw(t, "changes")
+		target.Control.Machines = float64(rapid.IntRange(int(target.Assumed.Keepers), 1000).Draw(t, "machines"))
+		for _, c := range target.checks() {
+			if c.wrong {
+				t.Fatalf("%s %s", c.field, c.what)
+			}
+		}
+		page, err := Page(Work(target, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, odd := range []string{"NaN", "Inf", "<nil>", "%!", "<no value>"} {
+			if strings.Contains(page, odd) {
+				t.Fatalf("%q in the page", odd)
+			}
+		}
+	})
+}
+
+// made are trials by a rule: bytes of a router by its fleet's size.
+func made(topology result.Topology, fault result.Fault, sizes []int, bytes func(size float64, seed int) float64) (all []result.Trial) {
+	for _, size := range sizes {
+		for seed := 1; seed <= 3; seed++ {
+			b := bytes(float64(size), seed)
+			settled, change := 5.0, 1.0
+			all = append(all, result.Trial{Topology: topology, Fault: fault, Seed: uint64(seed), Routers: size, Sites: size / 10, Probe: 1,
+				PerRouter: result.Usage{BytesIn: b / 2, BytesOut: b / 2, CPU: 0.001, Memory: 1e6}, Worst: result.Usage{BytesOut: 2 * b},
+				Mechanisms: []result.Mechanism{{Name: "probe", Bytes: b}}, Settled: &settled, Change: &change})
+		}
+	}
+	return all
+}
+
+var (
+	manySizes = []int{50, 100, 200, 400, 800, 1600}
+	fewSizes  = []int{50, 100, 200}
+)
+
+func linear(size float64, seed int) float64 { return (100 + 2*size) * (1 + 0.01*float64(seed-2)) }
+
+func TestEstimatesSayWhatTheyRestOn(t *testing.T) {
+	target := ourTarget(t)
+	target.Routers = 3200
+	evidence := Gather([]Measured{{Name: "made.json", File: result.File{Trials: append(made(result.Flat, result.Rest, manySizes, linear),
+		made(result.Tiered, result.Rest, fewSizes, linear)...)}}})
+
+	e := predicted(evidence, target, Key{result.Flat, result.Rest, FigureBytes})
+	if e.Basis != Extrapolated || e.Factor != 2 || math.Abs(e.Value-6500) > 65 || e.Low >= 6500 || e.High <= 6500 {
+		t.Errorf("%+v", e)
+	}
+	target.Routers = 1000
+	if e := predicted(evidence, target, Key{result.Flat, result.Rest, FigureBytes}); e.Basis != FromRuns {
+		t.Errorf("%+v", e)
+	}
+	if e := predicted(evidence, target, Key{result.Tiered, result.Rest, FigureBytes}); e.Basis != Missing || !strings.Contains(e.Note, "3 sizes over a factor of 4") {
+		t.Errorf("%+v", e)
+	}
+	if e := predicted(evidence, target, Key{result.Flat, result.RegionCut, FigureBytes}); e.Basis != Missing || e.Note != "no trial" {
+		t.Errorf("%+v", e)
+	}
+	both := sum(counted(100, BytesPerSecond, ""), predicted(evidence, target, Key{result.Flat, result.Rest, FigureBytes}))
+	if both.Basis != FromRuns || math.Abs(both.Value-2200) > 25 {
+		t.Errorf("%+v", both)
+	}
+	if e := sum(counted(100, BytesPerSecond, ""), missing("")); e.Basis != Missing {
+		t.Errorf("%+v", e)
+	}
+}
+
+func TestTrialsThatCountForNothing(t *testing.T) {
+	trials := made(result.Flat, result.Rest, manySizes, linear)
+	trials[4].Settled = nil
+	trials[5].Incomplete = "it was interrupted"
+	evidence := Gather([]Measured{{File: result.File{Trials: trials}}})
+	if len(evidence.Incomplete) != 1 || evidence.Incomplete[0].Why != "it was interrupted" || evidence.Incomplete[0].Routers != 100 {
+		t.Errorf("%+v", evidence.Incomplete)
+	}
+	settled := evidence.Of(Key{result.Flat, result.Rest, FigureSettled})
+	if settled.Choice != nil || settled.Absent != 1 || settled.AbsentN != 100 {
+		t.Errorf("fitted, with a fleet left out that never settled: %+v", settled)
+	}
+	if bytes := evidence.Of(Key{result.Flat, result.Rest, FigureBytes}); len(bytes.Points) != len(trials)-1 || bytes.Choice == nil || bytes.Choice.Form != slope.Linear {
+		t.Errorf("%+v", bytes)
+	}
+}
+
+func TestWhatBreaksFirst(t *testing.T) {
+	target := ourTarget(t)
+	steep := func(size float64, seed int) float64 { return linear(size, seed) / 2 }
+	evidence := Gather([]Measured{{File: result.File{Trials: made(result.Flat, result.Rest, manySizes, steep)}}})
+	flat := breaks(target, evidence, today(target))[0].All
+	want := []struct {
+		what string
+		size float64
+	}{
+		{"bytes of the router with the most", 950}, {"bytes of a router", 1950},
+		{"a full state is longer than a router takes, and is dropped whole", mostWords + 1},
+	}
+	for i, w := range want {
+		if flat[i].What != w.what || math.Abs(flat[i].Size-w.size) > w.size/50 {
+			t.Errorf("%d: %+v", i, flat[i])
+		}
+	}
+	if flat[1].Basis != Extrapolated || math.Abs(flat[1].Factor-1950.0/1600) > 0.05 || flat[0].Basis != FromRuns {
+		t.Errorf("%+v %+v", flat[0], flat[1])
+	}
+	for _, b := range flat[3:] {
+		if b.Size != 0 {
+			t.Errorf("%+v is reached", b)
+		}
+	}
+}
+
+func TestLargestSizeHeld(t *testing.T) {
+	target := ourTarget(t)
+	for _, c := range []struct {
+		bytes func(float64, int) float64
+		size  int
+	}{
+		{linear, 800}, // 1700 there, and 3300 at the next
+		{func(float64, int) float64 { return 3000 }, 0},
+		{func(float64, int) float64 { return 1000 }, 1600},
+		{func(size float64, seed int) float64 { // one seed of one size is over
+			if size == 200 && seed == 2 {
+				return 2001
+			}
+			return 1000
+		}, 100},
+	} {
+		report := Work(target, []Measured{{File: result.File{Trials: made(result.Flat, result.Rest, manySizes, c.bytes)}}})
+		if len(report.Held) != 1 || report.Held[0].Size != c.size || report.Held[0].Largest != 1600 {
+			t.Errorf("%+v, want %d", report.Held, c.size)
+		}
+	}
+}
+
+// What is counted for mechanisms of today rests on limits that stand in their code, unexported.
+func TestLimitsStandInTheCode(t *testing.T) {
+	for file, lines := range map[string][]string{
+		"../../keeper/keeper.go":          {fmt.Sprintf(`const most = %d\b`, mostAskings), fmt.Sprintf(`time\.After\(%d \* time\.Millisecond\)`, int(leaderRest*1e3))},
+		"../../peers/gossip.go":           {fmt.Sprintf(`mostWords +=\s*%d\b`, mostWords), fmt.Sprintf(`mostAnswer +=\s*%d\b`, mostAnswers)},
+		"../../peers/peers.go":            {fmt.Sprintf(`HandoffQueueDepth = %d\b`, handoffQueue), fmt.Sprintf(`min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
+		"../../config/limits.go":          {fmt.Sprintf(`Watch: +%de6,`, int(watchWaitPush)), fmt.Sprintf(`l\.Watch, .* = %de6,`, int(watchWait))},
+		"../../../docs/operating.md":      {fmt.Sprintf(`Values over %d KiB, up to %d MiB`, bigValue>>10, largestValue>>20)},
+		"../../../internal/keeper/log.go": {`b\.book\.Clone\(\)|l\.book\.Clone\(\)`},
+	} {
+		text := read(t, file)
+		for _, line := range lines {
+			if !regexp.MustCompile(line).MatchString(text) {
+				t.Errorf("%s has no %s any more: count its mechanism anew", file, line)
+			}
+		}
+	}
+	if parts.DefaultRules().Ask != lendingAsk*microseconds {
+		t.Error("lending asks by another span")
+	}
+}
+
+func TestAskingsOfAHolder(t *testing.T) {
+	for _, c := range []struct {
+		delay                accord.Micros
+		least, most, covered float64
+	}{
+		{1_000, 5, 5, 1},      // each 0.2 s, as it should
+		{40_000, 5, 5, 1},     // answered before it is asked again
+		{600_000, 6, 16, 1},   // asked again while the answer is on its way
+		{2_000_000, 5, 17, 0}, // later than the lease
+	} {
+		perSecond, covered := playAskings(c.delay)
+		if perSecond < c.least || perSecond > c.most || covered != c.covered {
+			t.Errorf("after %d us: %v askings a second, %v covered", c.delay, perSecond, covered)
+		}
+	}
+}
+
+func TestGrantsThroughRepresentatives(t *testing.T) {
+	target := ourTarget(t)
+	now := today(target)
+	g := grants(target, now)
+	if g.Chosen == nil || !g.Chosen.Fits || g.Chosen.Leader >= now.Near.Leader {
+		t.Fatalf("%+v", g)
+	}
+	one, two := throughRepresentatives(target, 3, 1), throughRepresentatives(target, 3, 2)
+	if two.Busiest >= one.Busiest || two.Leader != 2*one.Leader || two.Router != one.Router {
+		t.Errorf("%+v %+v", one, two)
+	}
+	target.Control.BytesPerSecond = 1
+	if g := grants(target, now); g.Chosen != nil || g.KeepsOne != nil {
+		t.Errorf("something fits into a byte: %+v", g)
+	}
+}
+
+func TestPurgesAreSharedOut(t *testing.T) {
+	target := ourTarget(t)
+	p := purging(target, 1800)
+	all, one := p.Options[0], *p.Chosen
+	if all.Fits || !one.Fits || all.Heard < target.Purges.PerSecond*target.Purges.Bytes {
+		t.Errorf("%+v\n%+v", all, one)
+	}
+	if want := all.Heard / target.RoutersPerSite(); math.Abs(one.Heard-want) > 1 {
+		t.Errorf("%v heard, want %v", one.Heard, want)
+	}
+	if one.Smallest < 2 || one.Smallest > target.RoutersPerSite() {
+		t.Errorf("smallest site %v", one.Smallest)
+	}
+	total := 0.0
+	for _, s := range p.Steps {
+		total += s.Seconds
+	}
+	if p.Seconds != total || p.Within != (total <= 7.1) {
+		t.Errorf("%+v", p)
+	}
+	if p.Missed != 420*3600 || p.MissedBytes != 420*3600*20 {
+		t.Errorf("missed %v, %v bytes", p.Missed, p.MissedBytes)
+	}
+}
+
+func TestTimeInQueue(t *testing.T) {
+	if got := timeInQueue(2, 0.25); got != 3 { // half busy: the wait is half of the service
+		t.Error(got)
+	}
+	if got := timeInQueue(5, 0.2); got != -1 {
+		t.Error(got)
+	}
+}
+
+func TestShow(t *testing.T) {
+	for _, c := range []struct {
+		value float64
+		unit  Unit
+		want  string
+	}{
+		{2000, BytesPerSecond, "2 KB/s"}, {999.9, BytesPerSecond, "1 KB/s"}, {0, BytesPerSecond, "0 B/s"}, {13456, BytesPerSecond, "13.5 KB/s"},
+		{50e12, BitsPerSecond, "50 Tbit/s"}, {0.0123, Cores, "1.23% of a core"}, {32e6, Bytes, "32 MB"},
+		{0.00001428, Seconds, "14.3 us"}, {0.2, Seconds, "200 ms"}, {7.1, Seconds, "7.1 s"}, {3600, Seconds, "60 min"}, {86400, Seconds, "24 h"},
+		{14000, Number, "14,000"}, {195986000, Number, "196,000,000"}, {12.345, Number, "12.3"}, {70000, PerSecond, "70,000/s"},
+	} {
+		if got := show(c.value, c.unit); got != c.want {
+			t.Errorf("%v %s: %q, want %q", c.value, c.unit, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/capacity/page.go
@@ -0,0 +1,283 @@
+package capacity
+
+import (
+	"cmp"
+	_ "embed"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"text/template"
+
+	"spurtrestle/internal/scale/result"
+	"spurtrestle/internal/scale/slope"
+)
+
+// Report is all that the page tells.
+type Report struct {
+	Target   Target     `json:"target"`
+	Sources  []Source   `json:"sources"`
+	Peak     []Line     `json:"peak"`
+	Sizes    []SizeRow  `json:"sizes"` // at rest
+	Slopes   []Series   `json:"slopes"`
+	Held     []Held     `json:"held"`
+	Roles    []Role     `json:"roles"`
+	Breaks   []Breaks   `json:"breaks"`
+	Today    Today      `json:"today"`
+	Grants   Grants     `json:"grants"`
+	Purging  Purging    `json:"purging"`
+	Budget   Budget     `json:"budget"`
+	Excluded []Excluded `json:"excluded"`
+}
+
+// Source is a file that figures come from.
+type Source struct {
+	Name   string `json:"name"`
+	Build  string `json:"build"`
+	Cores  int    `json:"cores"`
+	Trials int    `json:"trials"`
+	Probes string `json:"probes"` // seconds between two probes of a router
+	Sites  string `json:"sites"`  // routers to a site
+}
+
+// SizeRow is what was measured at one size of one kind of fleet at rest, the mean over the seeds.
+type SizeRow struct {
+	Topology result.Topology `json:"topology"`
+	Routers  int             `json:"routers"`
+	Seeds    int             `json:"seeds"`
+	Bytes    slope.Interval  `json:"bytes"` // the bounds are the least and the most of the seeds, here and below
+	Worst    slope.Interval  `json:"worst"`
+	CPU      slope.Interval  `json:"cpu"`
+	Memory   slope.Interval  `json:"memory"`
+	Settled  slope.Interval  `json:"settled"`
+	Change   slope.Interval  `json:"change"`
+	Settles  int             `json:"settles"` // seeds in which it settled
+	Changes  int             `json:"changes"` // seeds in which all had the change
+}
+
+// Held is the largest size measured at which all seeds kept to a router's budget, at rest.
+type Held struct {
+	Topology result.Topology `json:"topology"`
+	Size     int             `json:"size"`    // 0: none
+	Largest  int             `json:"largest"` // measured
+}
+
+// Work works a report out.
+func Work(t Target, files []Measured) Report {
+	e := Gather(files)
+	now := today(t)
+	g := grants(t, now)
+	spent := documentsOnce(t)
+	if g.Chosen != nil {
+		spent += g.Chosen.Router
+	}
+	p := purging(t, t.Control.BytesPerSecond-spent)
+	membership := predicted(e, t, Key{result.Tiered, result.Rest, FigureBytes})
+	ofRepresentative := predicted(e, t, Key{result.Tiered, result.Rest, FigureWorst})
+	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Slopes: e.Series, Roles: roles(t, e, now, p), Breaks: breaks(t, e, now),
+		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete}
+	for _, f := range e.Files {
+		r.Sources = append(r.Sources, source(f))
+	}
+	r.Held = held(t, r.Sizes)
+	return r
+}
+
+func source(f Measured) Source {
+	probes, perSite := map[string]bool{}, map[string]bool{}
+	for _, trial := range f.Trials {
+		probes[digits(trial.Probe)] = true
+		if trial.Sites > 0 {
+			perSite[digits(math.Round(10*float64(trial.Routers)/float64(trial.Sites))/10)] = true
+		}
+	}
+	list := func(set map[string]bool) string { return strings.Join(slices.Sorted(maps.Keys(set)), ", ") }
+	return Source{Name: f.Name, Build: f.Build, Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite)}
+}
+
+// sizeRows are by topology and size.
+func sizeRows(e Evidence) (rows []SizeRow) {
+	type group struct {
+		topology result.Topology
+		routers  int
+	}
+	trials := map[group][]result.Trial{}
+	for _, f := range e.Files {
+		for _, t := range f.Trials {
+			if t.Fault == result.Rest && t.Incomplete == "" {
+				g := group{t.Topology, t.Routers}
+				trials[g] = append(trials[g], t)
+			}
+		}
+	}
+	for g, all := range trials {
+		row := SizeRow{Topology: g.topology, Routers: g.routers, Seeds: len(all)}
+		row.Bytes, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.BytesIn + t.PerRouter.BytesOut) })
+		row.Worst, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Worst.BytesIn + t.Worst.BytesOut) })
+		row.CPU, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.CPU) })
+		row.Memory, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.Memory) })
+		row.Settled, row.Settles = spread(all, func(t result.Trial) *float64 { return t.Settled })
+		row.Change, row.Changes = spread(all, func(t result.Trial) *float64 { return t.Change })
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b SizeRow) int {
+		return cmp.Or(cmp.Compare(a.Topology, b.Topology), cmp.Compare(a.Routers, b.Routers))
+	})
+	return rows
+}
+
+func pointer(value float64) *float64 { return &value }
+
+// spread is mean, least and most, and in how many trials there is a value.
+func spread(all []result.Trial, of func(result.Trial) *float64) (i slope.Interval, count int) {
+	i.Low = math.Inf(1)
+	for _, t := range all {
+		v := of(t)
+		if v == nil {
+			continue
+		}
+		count++
+		i.Value += *v
+		i.Low, i.High = min(i.Low, *v), max(i.High, *v)
+	}
+	if count == 0 {
+		return slope.Interval{}, 0
+	}
+	i.Value /= float64(count)
+	return i, count
+}
+
+// held looks upwards from the smallest size, and ends at the first that is over a limit.
+func held(t Target, rows []SizeRow) (all []Held) {
+	for _, topology := range []result.Topology{result.Flat, result.Tiered} {
+		h, over := Held{Topology: topology}, false
+		for _, r := range rows {
+			if r.Topology != topology {
+				continue
+			}
+			c := t.Control
+			over = over || r.Bytes.High > c.BytesPerSecond || r.CPU.High > c.CoreShare || r.Memory.High > c.MemoryBytes
+			if h.Largest = r.Routers; !over {
+				h.Size = r.Routers
+			}
+		}
+		if h.Largest > 0 {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+//go:embed capacity.md.tmpl
+var page string
+
+var pageTemplate = template.Must(template.New("capacity").Funcs(template.FuncMap{
+	"cell": cell, "from": from, "share": share, "limit": limit,
+	"number":  func(v float64) string { return show(v, Number) },
+	"bytes":   func(v float64) string { return show(v, Bytes) },
+	"rate":    func(v float64) string { return show(v, BytesPerSecond) },
+	"times":   func(v float64) string { return show(v, PerSecond) },
+	"time":    func(v float64) string { return show(v, Seconds) },
+	"bits":    func(v float64) string { return show(v, BitsPerSecond) },
+	"cores":   func(v float64) string { return show(v, Cores) },
+	"percent": func(v float64) string { return digits(v*100) + "%" },
+	"value":   show,
+	"around":  func(i slope.Interval, unit Unit) string { return around(i, unit) },
+	"seen": func(i slope.Interval, count, of int) string {
+		if count == 0 {
+			return fmt.Sprintf("in none of %d", of)
+		}
+		text := around(i, Seconds)
+		if count < of {
+			text += fmt.Sprintf(", in %d of %d", count, of)
+		}
+		return text
+	},
+	"rivals": func(c *slope.Choice) string {
+		var names []string
+		for _, f := range c.Rivals {
+			names = append(names, f.Form.String())
+		}
+		return cmp.Or(strings.Join(names, ", "), "-")
+	},
+	"breakSize": breakSize,
+	"yes": func(v bool) string {
+		if v {
+			return "yes"
+		}
+		return "no"
+	},
+	"add":   func(a, b int) int { return a + b },
+	"step":  func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
+	"base":  func(f slope.Fit) string { return interval(f.Base, false) },
+	"short": func(text string) string { return text[:min(len(text), 10)] },
+}).Parse(page))
+
+func around(i slope.Interval, unit Unit) string {
+	return fmt.Sprintf("%s (%s to %s)", show(i.Value, unit), show(i.Low, unit), show(i.High, unit))
+}
+
+// interval writes coefficients, which may be very small.
+func interval(i slope.Interval, none bool) string {
+	if none {
+		return "-"
+	}
+	return fmt.Sprintf("%.3g (%.3g to %.3g)", i.Value, i.Low, i.High)
+}
+
+func breakSize(b Break) string {
+	switch {
+	case b.Size == 0 && b.Basis == Missing:
+		return "not measured"
+	case b.Size == 0:
+		return "not reached"
+	case b.Basis == Extrapolated:
+		return fmt.Sprintf("%s, x%s beyond what is measured", show(b.Size, Number), digits(b.Factor))
+	case b.Size == 1:
+		return "any"
+	}
+	return show(b.Size, Number)
+}
+
+// Page writes the report as markdown.
+func Page(r Report) (string, error) {
+	var out strings.Builder
+	if err := pageTemplate.Execute(&out, r); err != nil {
+		return "", err
+	}
+	return out.String(), nil
+}
+
+// StaleError says that a page does not follow from its figures.
+type StaleError struct {
+	Page string
+	Line int
+	Has  string
+	Want string
+}
+
+func (e StaleError) Error() string {
+	return fmt.Sprintf("%s: line %d: it has %q, and its figures give %q; write it anew: spurctl scale capacity --target FILE --measured FILE... --write %s",
+		e.Page, e.Line, e.Has, e.Want, e.Page)
+}
+
+// Check tells whether a page is what its report gives; the error is a StaleError.
+func Check(name, has, want string) error {
+	if has == want {
+		return nil
+	}
+	a, b := strings.Split(has, "\n"), strings.Split(want, "\n")
+	at := func(lines []string, i int) string {
+		if i < len(lines) {
+			return lines[i]
+		}
+		return "the page's end"
+	}
+	for i := range max(len(a), len(b)) {
+		if at(a, i) != at(b, i) {
+			return StaleError{name, i + 1, at(a, i), at(b, i)}
+		}
+	}
+	return StaleError{name, len(a), "", ""}
+}
--- /dev/null
+++ b/internal/scale/capacity/wire.go
@@ -0,0 +1,54 @@
+package capacity
+
+import (
+	"encoding/json"
+
+	"spurtrestle/accord"
+	"spurtrestle/parts"
+	"spurtrestle/view"
+)
+
+// Sizes of the messages that routers send today, in bytes of payload, of samples with names of a large fleet: numbers have as
+// many digits as after some days.
+type wire struct {
+	Renewal   float64 // a router asks the keepers' leader
+	Grant     float64 // it is answered, and holds what is in force
+	PartsPair float64 // two messages of the lending of parts: one is asked, one answered
+	Word      float64 // what a router says of itself, in a full state
+	Member    float64 // of the roster in the keepers' log
+}
+
+const (
+	sampleName    = "site-0760-router-18"
+	sampleSite    = "site-0760"
+	sampleProcess = 1 << 63 // drawn at random: mostly as many digits
+	sampleBuild   = "0123456789abcdef0123456789abcdef01234567"
+	sampleTime    = 86_400_000_000 // a day, in microseconds
+	sampleCount   = 1_000_000      // of a log's entries
+
+	// talkFrame is around each message of the policy: its kind and process (internal/peers), and the key of its field
+	// (internal/keeper).
+	talkFrame = 1 + 8 + len(`{"r":}`)
+	kindFrame = 1
+)
+
+func wireSizes() wire {
+	renewal := accord.Renewal{Name: sampleName, Process: sampleProcess, At: sampleTime, Serves: true, Build: sampleBuild, Site: sampleSite,
+		Held: sampleCount, Index: sampleCount}
+	grant := accord.Grant{Process: sampleProcess, At: sampleTime, For: accord.DefaultRules().Lease, Index: sampleCount, Revision: sampleCount}
+	lending := parts.Message{Kind: parts.Recall, From: 10_000, To: 10_001, Lender: sampleProcess, Borrower: sampleProcess, At: sampleTime}
+	word := view.Word{Process: sampleProcess, Seq: sampleCount, Takes: true, Revision: sampleCount, Digest: sampleProcess}
+	member := map[accord.Name]accord.Member{sampleName: {Process: sampleProcess, Serves: true, Build: sampleBuild, Site: sampleSite}}
+	return wire{
+		Renewal:   encoded(renewal) + float64(talkFrame),
+		Grant:     encoded(grant) + float64(talkFrame),
+		PartsPair: 2 * (encoded(lending) + kindFrame),
+		Word:      encoded(word),
+		Member:    encoded(member),
+	}
+}
+
+func encoded(value any) float64 {
+	text, _ := json.Marshal(value) // plain fields: it cannot fail
+	return float64(len(text))
+}
