Measure what the leader of the keepers computes, by the size of the roster

Cause: the keeper's processor time had no slope, and the leader's askings were judged by an assumed pass. Change: spurctl scale leader times decoding, answering and a pass for rosters of any size, without sockets and raft; the capacity page fits them and tells at which size the leader drops askings.

--- a/cmd/spurctl/scalecapacity.go
+++ b/cmd/spurctl/scalecapacity.go
@@ -12,15 +12,15 @@
 )
 
 func (a *app) scaleCapacity() *cobra.Command {
-	var target, write, check, output string
+	var target, ofLeader, write, check, output string
 	var measured []string
 	c := &cobra.Command{
 		Use:   "capacity --target FILE --measured FILE.json...",
 		Short: "Work out what a fleet of a given size needs, and what breaks first",
 		Long: "Reads the fleet that is asked about and the results of scale runs, and prints the page of capacity: slopes, needs of each\n" +
 			"role, limits, what breaks at which size. What no run has measured is said so. A page is written whole or not at all.",
-		Example: "  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --write docs/CAPACITY.md\n" +
-			"  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --check docs/CAPACITY.md",
+		Example: "  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --leader docs/scale/leader/leader.json --write docs/CAPACITY.md\n" +
+			"  spurctl scale capacity --target docs/scale/target.toml --measured docs/scale/flat.json docs/scale/tiered.json --leader docs/scale/leader/leader.json --check docs/CAPACITY.md",
 		RunE: func(c *cobra.Command, more []string) error {
 			if target == "" {
 				return usage("--target: names no file; give that of the fleet, as docs/scale/target.toml")
@@ -31,7 +31,7 @@
 			if write != "" && check != "" {
 				return usage("--write and --check are both given; use one of them")
 			}
-			report, err := workCapacity(target, append(measured, more...)) // a shell gives more files after the first
+			report, err := workCapacity(target, append(measured, more...), ofLeader) // a shell gives more files after the first
 			if err != nil {
 				return err
 			}
@@ -40,13 +40,14 @@
 	}
 	c.Flags().StringVar(&target, "target", "", "file of the fleet that is asked about")
 	c.Flags().StringSliceVar(&measured, "measured", nil, "results of scale runs; more may follow, by the shell's *.json")
+	c.Flags().StringVar(&ofLeader, "leader", "", "what spurctl scale leader measured")
 	c.Flags().StringVar(&write, "write", "", "write the page into this file")
 	c.Flags().StringVar(&check, "check", "", "tell whether this page follows from its figures")
 	outputFlag(c, &output)
 	return c
 }
 
-func workCapacity(target string, files []string) (capacity.Report, error) {
+func workCapacity(target string, files []string, ofLeader string) (capacity.Report, error) {
 	text, err := os.ReadFile(target)
 	if err != nil {
 		return capacity.Report{}, capacity.FieldError{File: target, Field: "the file", What: err.Error(), Remedy: "name the file of a fleet, as docs/scale/target.toml"}
@@ -59,7 +60,27 @@
 	if err != nil {
 		return capacity.Report{}, err
 	}
-	return capacity.Work(wanted, measured), nil
+	slopes, err := readLeader(ofLeader)
+	if err != nil {
+		return capacity.Report{}, err
+	}
+	return capacity.Work(wanted, measured, slopes), nil
+}
+
+// readLeader is nil where no file is named.
+func readLeader(file string) (*capacity.LeaderSlopes, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, capacity.FieldError{File: file, Field: "the file", What: err.Error(), Remedy: "name a file that spurctl scale leader wrote"}
+	}
+	f, err := capacity.DecodeLeader(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return capacity.FitLeader(filepath.Base(file), &f), nil
 }
 
 // putCapacity prints, writes or checks the page.
--- a/cmd/spurctl/scalecapacity_test.go
+++ b/cmd/spurctl/scalecapacity_test.go
@@ -134,3 +134,22 @@
 		}
 	}
 }
+
+func TestScaleLeader(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "leader.json")
+	c := (&app{}).scaleLeader()
+	c.SetContext(t.Context())
+	if text, err := execute(c, "--sizes", "5,10", "--seeds", "2", "--span", "1ms", "--write", file); err != nil {
+		t.Fatal(text, err)
+	}
+	page, err := execute((&app{}).scaleCapacity(), "--target", ourFleet, "--leader", file)
+	if err != nil || !strings.Contains(page, "not fitted") && !strings.Contains(page, "no trial of the leader") {
+		t.Error("two sizes tell no slope:", err)
+	}
+	if _, err := execute((&app{}).scaleCapacity(), "--target", ourFleet, "--leader", ourFleet); err == nil || !strings.Contains(err.Error(), "spurctl scale leader") {
+		t.Error(err)
+	}
+	if _, err := execute((&app{}).scaleLeader(), "--sizes", "0"); err == nil {
+		t.Error("a roster of nobody")
+	}
+}
--- /dev/null
+++ b/cmd/spurctl/scaleleader.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/internal/scale/leader"
+)
+
+func (a *app) scaleLeader() *cobra.Command {
+	var output, write string
+	var sizes []int
+	var seeds int
+	var span time.Duration
+	c := &cobra.Command{
+		Use:   "leader",
+		Short: "Measure what the leader of the policy's keepers computes, by the size of the roster",
+		Long: "Times decoding and answering of each router's asking, and a pass beside them, in this process on one core: without sockets\n" +
+			"and without the replicated log. Ctrl-C keeps what is finished.",
+		Example: "  spurctl scale leader --write docs/scale/leader/leader.json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := checkLeaderFlags(sizes, seeds, span); err != nil {
+				return err
+			}
+			file := leader.File{Format: leader.Format, Kind: leader.Kind, Build: builtFrom(), Cores: runtime.NumCPU()}
+			begin := time.Now()
+			clock := func() time.Duration { return time.Since(begin) }
+			var stopped error
+			for seed := 1; seed <= seeds && stopped == nil; seed++ {
+				for _, routers := range sizes {
+					if stopped = c.Context().Err(); stopped != nil {
+						break
+					}
+					sample, err := leader.Measure(routers, uint64(seed), span, clock)
+					if err != nil {
+						return err
+					}
+					file.Samples = append(file.Samples, sample)
+					fmt.Fprintf(c.ErrOrStderr(), "%d routers, seed %d\n", routers, seed)
+				}
+			}
+			if err := putLeader(c, file, write, output); err != nil {
+				return err
+			}
+			if stopped != nil {
+				return fmt.Errorf("interrupted after %d of %d rosters", len(file.Samples), seeds*len(sizes))
+			}
+			return nil
+		},
+	}
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{200, 400, 800, 1600, 3200, 6400, 14000}, "routers on the roster")
+	c.Flags().IntVar(&seeds, "seeds", 3, "rosters of each size")
+	c.Flags().DurationVar(&span, "span", 300*time.Millisecond, "for which each part is timed at least")
+	c.Flags().StringVar(&write, "write", "", "write the results into this file, as JSON")
+	outputFlag(c, &output)
+	return c
+}
+
+func checkLeaderFlags(sizes []int, seeds int, span time.Duration) error {
+	const most = 200_000 // some hundred MB
+	for _, n := range sizes {
+		if n < 1 || n > most {
+			return usage("--sizes: %d is not within 1 to %d", n, most)
+		}
+	}
+	if len(sizes) == 0 || seeds < 1 || span <= 0 {
+		return usage("--sizes, --seeds and --span: give one or more of each, and a span above 0")
+	}
+	return nil
+}
+
+func putLeader(c *cobra.Command, file leader.File, write, output string) error {
+	if write != "" {
+		text, err := json.MarshalIndent(file, "", " ")
+		if err != nil {
+			return err
+		}
+		return writeWhole(write, string(text)+"\n")
+	}
+	if output == "json" {
+		return writeJSON(c.OutOrStdout(), file)
+	}
+	table := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "routers\tseed\tdecode\tanswer\tpass")
+	for _, s := range file.Samples {
+		span := func(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+		fmt.Fprintf(table, "%d\t%d\t%v\t%v\t%v\n", s.Routers, s.Seed, span(s.Decode), span(s.Answer), span(s.Pass))
+	}
+	return table.Flush()
+}
+
+// builtFrom is the commit of this program; unknown where the build does not tell.
+func builtFrom() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	return "unknown"
+}
--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -25,14 +25,14 @@
 	All  []Break `json:"all"`
 }
 
-func breaks(t Target, e Evidence, now Today) []Breaks {
+func breaks(t Target, e Evidence, now Today, ofLeader *LeaderSlopes) []Breaks {
 	flat := Breaks{Name: "Flat membership, today's fleet", All: measuredBreaks(t, e, result.Flat)}
 	flat.All = append(flat.All, countedBreak("a full state is longer than a router takes, and is dropped whole", mostWords, Number, mostWords+1,
 		"limit of `internal/peers`: words of a state"))
 	all := []Breaks{
 		flat,
 		{Name: "Tiered membership", All: measuredBreaks(t, e, result.Tiered)},
-		{Name: "Policy, parts and purges as they are today", All: countedBreaks(t, now)},
+		{Name: "Policy, parts and purges as they are today", All: append(countedBreaks(t, now), leaderBreaks(t, now, ofLeader)...)},
 	}
 	for i := range all {
 		slices.SortStableFunc(all[i].All, func(a, b Break) int {
@@ -111,8 +111,27 @@
 			fmt.Sprintf("%s at any size; no mechanism is built", show(t.Purges.PerSecond*t.Purges.Bytes, BytesPerSecond))),
 		countedBreak("askings dropped by the leader just after an election, majority in other regions", mostAskings, Number, mostAskings*now.AskAgain/pass,
 			fmt.Sprintf("more come in a pass of %s than wait; delay assumed", show(pass, Seconds))),
-		countedBreak("askings dropped by the leader on an ordinary day, the same", mostAskings, Number, mostAskings/now.Far.Askings/pass, "the same"),
 		countedBreak("answers to recalls dropped at a router that begins", handoffQueue, Number, handoffQueue+2, "lending is by pairs: all other seats answer at once"),
 		countedBreak("answers dropped at a router that lends", mostAnswers, Number, mostAnswers*lendingAsk/peersStep+1, "all other seats ask each half second, evenly spread"),
 	}
 }
+
+// leaderBreaks are those of the leader of the policy's keepers on an ordinary day.
+func leaderBreaks(t Target, now Today, s *LeaderSlopes) []Break {
+	const near, far = "askings dropped by the leader on an ordinary day, all in one region", "askings dropped by the leader on an ordinary day, majority in other regions"
+	if !s.Fitted() {
+		none := Break{Limit: mostAskings, Unit: Number, Basis: Missing, From: "no trial of the leader"}
+		first, second := none, none
+		first.What, second.What = near, far
+		return []Break{first, second}
+	}
+	at := func(what string, askings, confirm float64) Break {
+		b := Break{What: what, Limit: mostAskings, Unit: Number, Size: s.failsAt(askings, confirm), Basis: FromRuns,
+			From: "`leader/answer` and `leader/pass`, without sockets and raft"}
+		if b.Factor = b.Size / s.Largest; b.Factor > 1 {
+			b.Basis = Extrapolated
+		}
+		return b
+	}
+	return []Break{at(near, now.Near.Askings, nearDelay.Seconds()), at(far, now.Far.Askings, 2*t.Assumed.NetworkDelay.Seconds())}
+}
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"spurtrestle/accord"
+	"spurtrestle/internal/scale/leader"
 	"spurtrestle/internal/scale/result"
 	"spurtrestle/internal/scale/slope"
 	"spurtrestle/parts"
@@ -22,6 +23,7 @@
 	targetFile = "../../../docs/scale/target.toml"
 	pageFile   = "../../../docs/CAPACITY.md"
 	runFiles   = "../../../docs/scale/*.json"
+	leaderFile = "../../../docs/scale/leader/leader.json"
 )
 
 func read(t *testing.T, file string) string {
@@ -42,6 +44,19 @@
 	return target
 }
 
+// ourLeader is nil where nothing was measured.
+func ourLeader(t *testing.T) *LeaderSlopes {
+	t.Helper()
+	if _, err := os.Stat(leaderFile); errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	f, err := DecodeLeader(leaderFile, []byte(read(t, leaderFile)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return FitLeader(filepath.Base(leaderFile), &f)
+}
+
 // The page in the repository is what its target and its runs give.
 func TestPageFollowsFromItsFigures(t *testing.T) {
 	files, err := filepath.Glob(runFiles)
@@ -57,7 +72,7 @@
 		m.Name = filepath.Base(file)
 		measured = append(measured, m)
 	}
-	want, err := Page(Work(ourTarget(t), measured))
+	want, err := Page(Work(ourTarget(t), measured, ourLeader(t)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +83,7 @@
 
 func TestStalePageIsFound(t *testing.T) {
 	target := ourTarget(t)
-	before, err := Page(Work(target, nil))
+	before, err := Page(Work(target, nil, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +91,7 @@
 		t.Error(err)
 	}
 	target.Purges.PerSecond++
-	after, err := Page(Work(target, nil))
+	after, err := Page(Work(target, nil, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -162,7 +177,7 @@
 				t.Fatalf("%s %s", c.field, c.what)
 			}
 		}
-		page, err := Page(Work(target, nil))
+		page, err := Page(Work(target, nil, nil))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -245,7 +260,7 @@
 	target := ourTarget(t)
 	steep := func(size float64, seed int) float64 { return linear(size, seed) / 2 }
 	evidence := Gather([]Measured{{File: result.File{Trials: made(result.Flat, result.Rest, manySizes, steep)}}})
-	flat := breaks(target, evidence, today(target))[0].All
+	flat := breaks(target, evidence, today(target, nil), nil)[0].All
 	want := []struct {
 		what string
 		size float64
@@ -284,7 +299,7 @@
 			return 1000
 		}, 100},
 	} {
-		report := Work(target, []Measured{{File: result.File{Trials: made(result.Flat, result.Rest, manySizes, c.bytes)}}})
+		report := Work(target, []Measured{{File: result.File{Trials: made(result.Flat, result.Rest, manySizes, c.bytes)}}}, nil)
 		if len(report.Held) != 1 || report.Held[0].Size != c.size || report.Held[0].Largest != 1600 {
 			t.Errorf("%+v, want %d", report.Held, c.size)
 		}
@@ -332,7 +347,7 @@
 
 func TestGrantsThroughRepresentatives(t *testing.T) {
 	target := ourTarget(t)
-	now := today(target)
+	now := today(target, nil)
 	g := grants(target, now)
 	if g.Chosen == nil || !g.Chosen.Fits || g.Chosen.Leader >= now.Near.Leader {
 		t.Fatalf("%+v", g)
@@ -397,3 +412,58 @@
 		}
 	}
 }
+
+// madeLeader takes answer seconds for an asking, and pass seconds a router for a pass.
+func madeLeader(answer, pass float64) *LeaderSlopes {
+	f := &leader.File{Format: leader.Format, Kind: leader.Kind}
+	for _, routers := range []int{100, 400, 1600, 6400, 25600} {
+		for seed := range 3 {
+			wobble := 1 + 0.001*float64(seed-1)
+			f.Samples = append(f.Samples, leader.Sample{Routers: routers, Decode: 1e-6 * wobble, Answer: answer * wobble, Pass: pass * float64(routers) * wobble})
+		}
+	}
+	return FitLeader("made.json", f)
+}
+
+func TestLeaderFallsBehind(t *testing.T) {
+	near := func(a, b float64) bool { return math.Abs(a-b) < 0.01*b }
+	s := madeLeader(10e-6, 1e-6)
+	if !s.Fitted() || s.Largest != 25600 {
+		t.Fatalf("%+v", s)
+	}
+	l := s.load(10_000, 5, 0.03) // half of the time goes for answers; 50 ms of rest and confirming, 10 ms a pass
+	if !near(l.Busy, 0.5) || !near(l.Pass, 0.12) || !near(l.Waiting, 6000) || !near(l.Cores, 0.05+0.5+0.01/0.12) || l.fails() {
+		t.Errorf("%+v", l)
+	}
+	if l := s.load(20_001, 5, 0); l.Busy < 1 || !l.fails() || l.Pass != 0 {
+		t.Errorf("%+v", l)
+	}
+	size := s.failsAt(5, 0.03)
+	if s.load(size+1, 5, 0.03).fails() != true || s.load(size-1, 5, 0.03).fails() {
+		t.Errorf("fails at %v", size)
+	}
+	target := ourTarget(t)
+	report := Work(target, nil, s)
+	if report.Today.NearLoad == nil || report.Today.FarLoad == nil {
+		t.Error("nothing told of the leader")
+	}
+	if text, err := Page(report); err != nil || !strings.Contains(text, "leader/answer: an asking, in the pass | constant |") {
+		t.Error(err)
+	}
+}
+
+func TestWrongLeaderFilesAreRefused(t *testing.T) {
+	for text, field := range map[string]string{
+		`[`:                                   "the file",
+		`{"format":1,"trials":[]}`:            "the file",
+		`{"format":1,"kind":"other"}`:         "kind",
+		`{"format":2,"kind":"policy_leader"}`: "kind",
+		`{"format":1,"kind":"policy_leader","samples":[{"routers":5,"decode_s":1,"pass_s":1}]}`: "samples[0]",
+	} {
+		_, err := DecodeLeader("l.json", []byte(text))
+		var wrong FieldError
+		if !errors.As(err, &wrong) || wrong.Field != field || wrong.File != "l.json" || wrong.Remedy == "" {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -16,19 +16,20 @@
 
 // Report is all that the page tells.
 type Report struct {
-	Target   Target     `json:"target"`
-	Sources  []Source   `json:"sources"`
-	Peak     []Line     `json:"peak"`
-	Sizes    []SizeRow  `json:"sizes"` // at rest
-	Slopes   []Series   `json:"slopes"`
-	Held     []Held     `json:"held"`
-	Roles    []Role     `json:"roles"`
-	Breaks   []Breaks   `json:"breaks"`
-	Today    Today      `json:"today"`
-	Grants   Grants     `json:"grants"`
-	Purging  Purging    `json:"purging"`
-	Budget   Budget     `json:"budget"`
-	Excluded []Excluded `json:"excluded"`
+	Target   Target        `json:"target"`
+	Sources  []Source      `json:"sources"`
+	Peak     []Line        `json:"peak"`
+	Sizes    []SizeRow     `json:"sizes"` // at rest
+	Slopes   []Series      `json:"slopes"`
+	Held     []Held        `json:"held"`
+	Roles    []Role        `json:"roles"`
+	Breaks   []Breaks      `json:"breaks"`
+	Today    Today         `json:"today"`
+	Grants   Grants        `json:"grants"`
+	Purging  Purging       `json:"purging"`
+	Budget   Budget        `json:"budget"`
+	Leader   *LeaderSlopes `json:"leader"` // nil: not measured
+	Excluded []Excluded    `json:"excluded"`
 }
 
 // Source is a file that figures come from.
@@ -63,10 +64,10 @@
 	Largest  int             `json:"largest"` // measured
 }
 
-// Work works a report out.
-func Work(t Target, files []Measured) Report {
+// Work works a report out; of the leader nil where nothing was measured.
+func Work(t Target, files []Measured, ofLeader *LeaderSlopes) Report {
 	e := Gather(files)
-	now := today(t)
+	now := today(t, ofLeader)
 	g := grants(t, now)
 	spent := documentsOnce(t)
 	if g.Chosen != nil {
@@ -75,8 +76,8 @@
 	p := purging(t, t.Control.BytesPerSecond-spent)
 	membership := predicted(e, t, Key{result.Tiered, result.Rest, FigureBytes})
 	ofRepresentative := predicted(e, t, Key{result.Tiered, result.Rest, FigureWorst})
-	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Slopes: e.Series, Roles: roles(t, e, now, p), Breaks: breaks(t, e, now),
-		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete}
+	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
+		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete, Leader: ofLeader}
 	for _, f := range e.Files {
 		r.Sources = append(r.Sources, source(f))
 	}
@@ -208,10 +209,11 @@
 		}
 		return "no"
 	},
-	"add":   func(a, b int) int { return a + b },
-	"step":  func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
-	"base":  func(f slope.Fit) string { return interval(f.Base, false) },
-	"short": func(text string) string { return text[:min(len(text), 10)] },
+	"fitted": func(s *LeaderSlopes) bool { return s.Fitted() },
+	"add":    func(a, b int) int { return a + b },
+	"step":   func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
+	"base":   func(f slope.Fit) string { return interval(f.Base, false) },
+	"short":  func(text string) string { return text[:min(len(text), 10)] },
 }).Parse(page))
 
 func around(i slope.Interval, unit Unit) string {
@@ -258,7 +260,7 @@
 }
 
 func (e StaleError) Error() string {
-	return fmt.Sprintf("%s: line %d: it has %q, and its figures give %q; write it anew: spurctl scale capacity --target FILE --measured FILE... --write %s",
+	return fmt.Sprintf("%s: line %d: it has %q, and its figures give %q; write it anew: spurctl scale capacity --target FILE --measured FILE... --leader FILE --write %s",
 		e.Page, e.Line, e.Has, e.Want, e.Page)
 }
 
--- a/internal/scale/capacity/roles.go
+++ b/internal/scale/capacity/roles.go
@@ -127,13 +127,13 @@
 	return Row{Quantity: quantity, Ordinary: at(result.Rest), Herd: at(result.RestartsX), Cut: at(result.RegionCut), Mechanism: mechanism}
 }
 
-func roles(t Target, e Evidence, now Today, p Purging) []Role {
+func roles(t Target, e Evidence, now Today, p Purging, ofLeader *LeaderSlopes) []Role {
 	return []Role{
 		router(t, e, result.Flat, "Router, flat membership", "Every router knows every other: today's fleet."),
 		router(t, e, result.Tiered, "Router, tiered membership", "Full membership within its site; off by default."),
 		routerToday(t, now),
 		representative(t, e),
-		keeper(t, now),
+		keeper(t, now, ofLeader),
 		controlMachine(t, p),
 		cacheServer(t, p),
 		origin(t),
@@ -190,7 +190,7 @@
 	}}
 }
 
-func keeper(t Target, now Today) Role {
+func keeper(t Target, now Today, ofLeader *LeaderSlopes) Role {
 	herd, perRegion := t.Failures.Herd, t.Routers/t.Regions
 	entries := 2 * (t.RestartsPerSecond() + t.ChangesPerSecond())
 	return Role{Name: "Keeper: control machine that holds the policy's log", Note: "The leader of them; the others hold the same state and answer nobody.", Rows: []Row{
@@ -199,7 +199,7 @@
 			Mechanism: "each router asks by itself"},
 		{Quantity: "bytes in and out", Ordinary: counted(now.Far.LeaderIO, BytesPerSecond, ""), Herd: counted(now.Far.LeaderIO, BytesPerSecond, ""),
 			Cut: counted(now.Elected*now.RenewalBytes, BytesPerSecond, "in alone"), Mechanism: "the same"},
-		always("processor time", missing(fmt.Sprintf("one core leaves %s for an asking; above %s askings between two passes they are dropped", show(now.Core, Seconds), show(mostAskings, Number))), "one goroutine takes all askings"),
+		always("processor time, without sockets and raft", leaderCores(t, now, ofLeader), "one goroutine answers all askings, one decodes them"),
 		always("state", counted(now.RosterBytes, Bytes, "roster; the documents of a hundred changes beside it"), "`accord.Book`"),
 		always("roster's entries copied", counted(now.RosterCopied, PerSecond, "two copies of the book a pass, at most"), "`Book.Clone`"),
 		{Quantity: "entries of the log", Ordinary: counted(entries, PerSecond, "a leave and an enter a restart, two a change"),
@@ -209,6 +209,21 @@
 	}}
 }
 
+// leaderCores is for a fleet in which the leader is another region's for all.
+func leaderCores(t Target, now Today, s *LeaderSlopes) Estimate {
+	if now.FarLoad == nil {
+		return missing(fmt.Sprintf("one core leaves %s for an asking", show(now.Core, Seconds)))
+	}
+	factor := t.Routers / s.Largest
+	basis := FromRuns
+	if factor > 1 {
+		basis = Extrapolated
+	}
+	// The bounds of its parts are narrow beside the machine's own; no interval is made of them.
+	value := now.FarLoad.Cores
+	return Estimate{Basis: basis, Value: value, Low: value, High: value, Unit: Cores, Factor: factor, From: "`leader/decode`, `leader/answer`, `leader/pass`"}
+}
+
 func controlMachine(t Target, p Purging) Role {
 	return Role{Name: "Control machine that keeps no log", Note: "Today none does anything. By the design below:", Rows: []Row{
 		always("bytes out, purges", counted(p.MachineOut, BytesPerSecond, "streams of all sites, over the machines that are no keepers"), "streams of purges"),
--- a/internal/scale/capacity/show.go
+++ b/internal/scale/capacity/show.go
@@ -99,11 +99,19 @@
 	case Counted:
 		return show(e.Value, e.Unit)
 	}
+	if e.Low == e.High {
+		return show(e.Value, e.Unit) + beyond(e)
+	}
 	text := fmt.Sprintf("%s (%s to %s)", show(e.Value, e.Unit), show(e.Low, e.Unit), show(e.High, e.Unit))
-	if e.Basis == Extrapolated {
-		text += fmt.Sprintf(", x%s beyond", digits(e.Factor))
+	return text + beyond(e)
+}
+
+// beyond tells by which factor a value is extrapolated.
+func beyond(e Estimate) string {
+	if e.Basis != Extrapolated {
+		return ""
 	}
-	return text
+	return fmt.Sprintf(", x%s beyond", digits(e.Factor))
 }
 
 // from is what a row's estimates rest on.
--- a/internal/scale/capacity/today.go
+++ b/internal/scale/capacity/today.go
@@ -47,6 +47,9 @@
 	FullState     float64 `json:"full_state_bytes"`
 	DocumentBytes float64 `json:"document_bytes_per_s"` // of one router: each change's document comes twice
 
+	NearLoad *Load `json:"near_load"` // of the leader; nil: not measured
+	FarLoad  *Load `json:"far_load"`
+
 	Change       float64 `json:"change_s"`               // from a proposal until it is in force everywhere, by the spans of the code
 	ChangeBusy   float64 `json:"change_busy"`            // share of the time in which a change is being made: one at a time
 	ChangeWait   float64 `json:"change_wait_s"`          // with the wait for its turn
@@ -81,7 +84,7 @@
 // nearDelay is a stated guess of an asking, a majority's confirmation and a grant within one region.
 const nearDelay = 5 * time.Millisecond
 
-func today(t Target) Today {
+func today(t Target, slopes *LeaderSlopes) Today {
 	w, ask, lend := wireSizes(), accord.DefaultRules(), parts.DefaultRules()
 	others, patience := t.Routers-1, seconds(ask.Patience)
 	d := Today{RenewalBytes: w.Renewal, GrantBytes: w.Grant, AskEvery: seconds(ask.Ask), AskAgain: seconds(ask.Again), Lease: seconds(ask.Lease)}
@@ -117,6 +120,11 @@
 	d.WatchesRequest = t.Routers / watchWait
 	d.ListBytes = t.CacheServers * t.Assumed.ListEntryBytes
 	d.ListsBytes = t.RestartsPerSecond() * d.ListBytes
+	if slopes.Fitted() {
+		near := slopes.load(t.Routers, d.Near.Askings, nearDelay.Seconds())
+		far := slopes.load(t.Routers, d.Far.Askings, 2*t.Assumed.NetworkDelay.Seconds())
+		d.NearLoad, d.FarLoad = &near, &far
+	}
 	return d
 }
 
