Leader's times are processor time

Cause: by the wall clock they scattered by 20 to 30% beside other work on the machine. Change: the clock is what the process has used.

--- a/cmd/spurctl/scaleleader.go
+++ b/cmd/spurctl/scaleleader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/internal/scale/leader"
 )
@@ -21,8 +22,8 @@
 	c := &cobra.Command{
 		Use:   "leader",
 		Short: "Measure what the leader of the policy's keepers computes, by the size of the roster",
-		Long: "Times decoding and answering of each router's asking, and a pass beside them, in this process on one core: without sockets\n" +
-			"and without the replicated log. Ctrl-C keeps what is finished.",
+		Long: "Times decoding and answering of each router's asking, and a pass beside them, in this process, by its processor time:\n" +
+			"without sockets and without the replicated log. Ctrl-C keeps what is finished.",
 		Example: "  spurctl scale leader --write docs/scale/leader/leader.json",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -30,15 +31,13 @@
 				return err
 			}
 			file := leader.File{Format: leader.Format, Kind: leader.Kind, Build: builtFrom(), Cores: runtime.NumCPU()}
-			begin := time.Now()
-			clock := func() time.Duration { return time.Since(begin) }
 			var stopped error
 			for seed := 1; seed <= seeds && stopped == nil; seed++ {
 				for _, routers := range sizes {
 					if stopped = c.Context().Err(); stopped != nil {
 						break
 					}
-					sample, err := leader.Measure(routers, uint64(seed), span, clock)
+					sample, err := leader.Measure(routers, uint64(seed), span, processorTime)
 					if err != nil {
 						return err
 					}
@@ -96,6 +95,15 @@
 	return table.Flush()
 }
 
+// processorTime is what this process has used, of all cores: what others on the machine use is not in it.
+func processorTime() time.Duration {
+	var used unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &used) != nil {
+		return 0 // it cannot fail for the own process
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
 // builtFrom is the commit of this program; unknown where the build does not tell.
 func builtFrom() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
--- a/internal/scale/leader/leader.go
+++ b/internal/scale/leader/leader.go
@@ -1,6 +1,6 @@
 // Package leader measures what the leader of the policy's keepers computes for each asking and in each pass, for rosters of
 // any size, without sockets and without a replicated log: decoding and answering as package keeper does it, by package accord.
-// It does no I/O; the clock is an argument.
+// It does no I/O; the clock is an argument, and may count processor time.
 package leader
 
 import (
