Of forms that cannot be told apart the one with fewest parameters stands

Cause: noise around a constant was fitted as n^2 where that was better by a hair. Change: within 2 of the best AICc the fewest parameters stand; the others widen each prediction, and each break tells the earliest size that is not ruled out; the page has what breaks first over all parts.

--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -16,6 +16,7 @@
 	Size   float64 `json:"size"` // routers; 0: at none up to the target, or it is not known
 	Basis  Basis   `json:"basis"`
 	Factor float64 `json:"factor,omitempty"` // size by the largest measured
+	Early  float64 `json:"early,omitempty"`  // size by a form that is not ruled out; 0: none reaches it earlier
 	From   string  `json:"from"`
 }
 
@@ -35,16 +36,33 @@
 		{Name: "Policy, parts and purges as they are today", All: append(countedBreaks(t, now), leaderBreaks(t, now, ofLeader)...)},
 	}
 	for i := range all {
-		slices.SortStableFunc(all[i].All, func(a, b Break) int {
-			if (a.Size == 0) != (b.Size == 0) {
-				return cmp.Compare(b.Size, a.Size)
-			}
-			return cmp.Compare(a.Size, b.Size)
-		})
+		slices.SortStableFunc(all[i].All, earlier)
 	}
 	return all
 }
 
+// earlier has what is not reached, or not known, last.
+func earlier(a, b Break) int {
+	if (a.Size == 0) != (b.Size == 0) {
+		return cmp.Compare(b.Size, a.Size)
+	}
+	return cmp.Compare(a.Size, b.Size)
+}
+
+// first are the first to break of several parts together, a few of them.
+func first(parts ...Breaks) (all []Break) {
+	const few = 8
+	for _, part := range parts {
+		for _, b := range part.All {
+			if b.Size > 0 {
+				all = append(all, b)
+			}
+		}
+	}
+	slices.SortStableFunc(all, earlier)
+	return all[:min(few, len(all))]
+}
+
 // measuredBreaks are those of a router at rest, and of what a change takes.
 func measuredBreaks(t Target, e Evidence, topology result.Topology) []Break {
 	limits := []struct {
@@ -78,6 +96,9 @@
 	}
 	b.From = fmt.Sprintf("`%s`: %s", key, s.Choice.Form)
 	size, reached := s.Choice.Reaches(limit)
+	if early, ok := s.Choice.Earliest(limit); ok && (!reached || early < size) {
+		b.Early = early
+	}
 	if !reached {
 		b.Basis = FromRuns
 		return b
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -283,6 +283,31 @@
 	}
 }
 
+func TestFirstOfAllParts(t *testing.T) {
+	a := Breaks{All: []Break{{What: "c", Size: 30}, {What: "unknown"}}}
+	b := Breaks{All: []Break{{What: "a", Size: 1}, {What: "b", Size: 2}, {What: "never"}}}
+	got := ""
+	for _, x := range first(a, b) {
+		got += x.What
+	}
+	if got != "abc" {
+		t.Error(got)
+	}
+}
+
+func TestShareOfTheWorst(t *testing.T) {
+	r := Row{Ordinary: counted(10, Bytes, ""), Herd: Estimate{Basis: FromRuns, Value: 20, High: 90}, Cut: missing("")}
+	if got := share(r); got != "-" {
+		t.Error(got)
+	}
+	if got := share(r.within(100, Bytes)); got != "20%, up to 90%" {
+		t.Error(got)
+	}
+	if got := share(Row{Ordinary: missing(""), Herd: missing(""), Cut: missing("")}.within(100, Bytes)); got != "-" {
+		t.Error(got)
+	}
+}
+
 func TestLargestSizeHeld(t *testing.T) {
 	target := ourTarget(t)
 	for _, c := range []struct {
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -23,6 +23,7 @@
 	Slopes   []Series      `json:"slopes"`
 	Held     []Held        `json:"held"`
 	Roles    []Role        `json:"roles"`
+	First    []Break       `json:"first"` // of today's fleet, all parts together
 	Breaks   []Breaks      `json:"breaks"`
 	Today    Today         `json:"today"`
 	Grants   Grants        `json:"grants"`
@@ -82,6 +83,7 @@
 		r.Sources = append(r.Sources, source(f))
 	}
 	r.Held = held(t, r.Sizes)
+	r.First = first(r.Breaks[0], r.Breaks[2])
 	return r
 }
 
@@ -229,17 +231,24 @@
 }
 
 func breakSize(b Break) string {
+	if b.Early > 0 {
+		return fmt.Sprintf("%s; not ruled out: from %s on", chosenSize(b), show(math.Ceil(b.Early), Number))
+	}
+	return chosenSize(b)
+}
+
+func chosenSize(b Break) string {
 	switch {
 	case b.Size == 0 && b.Basis == Missing:
 		return "not measured"
 	case b.Size == 0:
 		return "not reached"
 	case b.Basis == Extrapolated:
-		return fmt.Sprintf("%s, x%s beyond what is measured", show(b.Size, Number), digits(b.Factor))
+		return fmt.Sprintf("%s, x%s beyond what is measured", show(math.Ceil(b.Size), Number), digits(b.Factor))
 	case b.Size == 1:
 		return "any"
 	}
-	return show(b.Size, Number)
+	return show(math.Ceil(b.Size), Number)
 }
 
 // Page writes the report as markdown.
--- a/internal/scale/capacity/roles.go
+++ b/internal/scale/capacity/roles.go
@@ -91,17 +91,19 @@
 	Limit     *Limit   `json:"limit"` // nil: the target sets none
 }
 
-// Share is the greatest of the three by the limit; false: there is none, or nothing is known.
-func (r Row) Share() (share float64, ok bool) {
+// Share is the greatest of the three by the limit, and the greatest of their upper bounds; not ok: there is no limit, or
+// nothing is known.
+func (r Row) Share() (share, upTo float64, ok bool) {
 	if r.Limit == nil {
-		return 0, false
+		return 0, 0, false
 	}
 	for _, e := range []Estimate{r.Ordinary, r.Herd, r.Cut} {
 		if e.Basis != Missing {
 			share, ok = max(share, e.Value/r.Limit.Value), true
+			upTo = max(upTo, e.High/r.Limit.Value)
 		}
 	}
-	return share, ok
+	return share, upTo, ok
 }
 
 // Role is what one kind of machine needs.
--- a/internal/scale/capacity/show.go
+++ b/internal/scale/capacity/show.go
@@ -136,9 +136,12 @@
 }
 
 func share(r Row) string {
-	part, ok := r.Share()
-	if !ok {
+	part, upTo, ok := r.Share()
+	switch {
+	case !ok:
 		return "-"
+	case upTo > part:
+		return fmt.Sprintf("%s%%, up to %s%%", digits(part*100), digits(upTo*100))
 	}
 	return digits(part*100) + "%"
 }
--- a/internal/scale/slope/slope.go
+++ b/internal/scale/slope/slope.go
@@ -7,7 +7,8 @@
 //
 // The form is chosen by AICc, Akaike's criterion with its correction for few measurements: with some fifteen of them the
 // plain criterion takes the second parameter too gladly, and the error of leaving one size out hangs on the largest size,
-// which no other one bounds. A form whose step is not above zero is no candidate, since beyond the largest size it falls below
+// which no other one bounds. Forms within 2 of the best cannot be told from it; of them the one with the fewest parameters is
+// chosen, and the others stay named as rivals and widen each prediction. A form whose step is not above zero is no candidate, since beyond the largest size it falls below
 // zero; where all fall, the figure counts as constant.
 package slope
 
@@ -144,13 +145,22 @@
 		}
 	}
 	slices.SortStableFunc(fits, func(a, b Fit) int { return cmp.Compare(a.AICc, b.AICc) })
-	choice := Choice{Fit: fits[0]}
-	for _, fit := range fits[1:] {
-		if fit.AICc-choice.AICc < indistinct {
-			choice.Rivals = append(choice.Rivals, fit)
+	return chosen(fits), nil
+}
+
+// chosen takes fits in order of AICc.
+func chosen(fits []Fit) Choice {
+	best := fits[0]
+	var alike []Fit
+	for _, fit := range fits {
+		if fit.AICc-best.AICc >= indistinct {
+			continue
 		}
+		alike = append(alike, fit)
 	}
-	return choice, nil
+	simplest := slices.MinFunc(alike, func(a, b Fit) int { return cmp.Compare(a.Form.parameters(), b.Form.parameters()) })
+	rivals := slices.DeleteFunc(alike, func(f Fit) bool { return f.Form == simplest.Form })
+	return Choice{Fit: simplest, Rivals: rivals}
 }
 
 func check(points []Point) error {
@@ -289,6 +299,17 @@
 	return p
 }
 
+// Earliest is the least size at which the chosen form, or one that cannot be told from it, comes to a limit.
+func (c Choice) Earliest(limit float64) (size float64, ok bool) {
+	size, ok = c.Reaches(limit)
+	for _, rival := range c.Rivals {
+		if other, reached := rival.Reaches(limit); reached && (!ok || other < size) {
+			size, ok = other, true
+		}
+	}
+	return size, ok
+}
+
 // Reaches is the size at which the fitted value comes to a limit: the smallest size measured where it is over it from the
 // start, and ok false where it never is.
 func (f Fit) Reaches(limit float64) (size float64, ok bool) {
--- a/internal/scale/slope/slope_test.go
+++ b/internal/scale/slope/slope_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -162,6 +163,30 @@
 	}
 }
 
+// A form with more parameters has to be better by more than a hair.
+func TestSimplestOfThoseAlike(t *testing.T) {
+	fits := []Fit{{Form: Square, AICc: -50}, {Form: Linear, AICc: -49.5}, {Form: Constant, AICc: -48.5}, {Form: Log, AICc: -47}}
+	c := chosen(slices.Clone(fits))
+	if c.Form != Constant || len(c.Rivals) != 2 || c.Rivals[0].Form != Square || c.Rivals[1].Form != Linear {
+		t.Errorf("%v, %v", c.Form, c.Rivals)
+	}
+	fits[2].AICc = -47.9
+	if c := chosen(fits); c.Form != Square || len(c.Rivals) != 1 {
+		t.Errorf("%v, %v", c.Form, c.Rivals)
+	}
+}
+
+func TestEarliest(t *testing.T) {
+	flat := Fit{Form: Constant, Base: Interval{Value: 10}, Smallest: 50}
+	steep := Fit{Form: Linear, Step: Interval{Value: 0.01}, Smallest: 50}
+	if _, ok := (Choice{Fit: flat}).Earliest(20); ok {
+		t.Error("a constant reaches 20")
+	}
+	if size, ok := (Choice{Fit: flat, Rivals: []Fit{steep}}).Earliest(20); !ok || math.Abs(size-2000) > 1 {
+		t.Error(size, ok)
+	}
+}
+
 func TestRivalsWidenThePrediction(t *testing.T) {
 	c := Choice{Fit: Fit{Form: Constant, Base: Interval{10, 9, 11}, Largest: 100, floor: 1},
 		Rivals: []Fit{{Form: Linear, Base: Interval{9, 9, 9}, Step: Interval{0.1, 0.1, 0.1}, Largest: 100, floor: 1}}}
