Traffic between routers counted by mechanism where it passes, off unless asked for

Change: place.Wire is told of each message that a router sends and receives, and may lose it; internal/peers wraps memberlist's transport with it where a Wire is given.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	c.Transport = from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}}
+	c.Transport = p.metered(from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}})
 	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: c.RetransmitMult, NumNodes: p.size}
 	list, err := memberlist.Create(c)
 	if err != nil {
@@ -160,6 +160,14 @@
 	return d.Dial("tcp", a.Addr)
 }
 
+// metered has a transport's traffic counted, where someone wants that.
+func (p *Peers) metered(t memberlist.NodeAwareTransport) memberlist.NodeAwareTransport {
+	if p.cfg.Wire == nil {
+		return t
+	}
+	return meter(t, p.cfg.Wire)
+}
+
 // greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
 // process with a wrong file would take clients until it is told.
 func (p *Peers) greet() error {
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -132,3 +132,18 @@
 		do(m, words[m.Process])
 	}
 }
+
+// Digest is that of the view, and whether all of the living have said the same for a while.
+func (p *Peers) Digest() (digest uint64, settled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Digest()
+}
+
+// RevisionOf is the policy's revision that a process last said that it holds; 0: none is known.
+func (p *Peers) RevisionOf(process place.Process) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, _ := p.view.WordOf(view.Process(process))
+	return w.Revision
+}
--- a/view/view.go
+++ b/view/view.go
@@ -486,3 +486,15 @@
 	}
 	return n
 }
+
+// Digest is that of the view, and whether all of the living have said the same for a while.
+func (v *View) Digest() (digest uint64, settled bool) { return v.digest, v.settled }
+
+// WordOf is what a process last said of itself; false where nothing of it was heard.
+func (v *View) WordOf(id Process) (Word, bool) {
+	p := v.procs[id]
+	if p == nil || p.word.Seq == 0 {
+		return Word{}, false
+	}
+	return p.word, true
+}
