Membership in tiers: full within a site, versioned summaries of sites and regions beyond

Change: package hierarchy, pure, holds one summary for each site of the own region and for each region and decides what is sent to whom; internal/peers carries it in datagrams over memberlist's socket and keeps the pool to the site; fleet.tiered, region and remote in the operator's file, off by default, refused together with a policy. Not measured yet: bytes, processor time, faults.

--- /dev/null
+++ b/hierarchy/hierarchy.go
@@ -0,0 +1,149 @@
+// Package hierarchy decides what a router of a tiered fleet knows of the other sites and regions, and what it sends to whom
+// for that. Full membership ends at the site; each site is known to the others of its region by one summary, and each region
+// to the other regions by one. Summaries carry versions, so that they may be lost, doubled, reordered and written by two
+// routers at once, and all routers still come to hold the same.
+//
+// The package does no I/O and knows no clock: the time is an argument, in microseconds of a clock that never goes back. It
+// holds no goroutines and no globals. All state and all datagrams are bounded.
+//
+// The files: table.go holds the summaries of one tier; role.go decides who represents a site and a region; publish.go writes
+// summaries; spread.go chooses who is told what, and when; wire.go is the encoding; status.go is what people are shown.
+package hierarchy
+
+import (
+	"math/rand/v2"
+	"net/netip"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+const second Micros = 1e6
+
+// Rules are the bounds and spans of a hierarchy.
+type Rules struct {
+	Representatives int // of a site
+	Standbys        int // ranks below the representatives that take over after silence alone
+	SitesInFront    int // sites of a region whose representatives speak for the region
+
+	Silence     Micros // after which a candidate that was not heard counts as asleep
+	Listen      Micros // after a start, before the router represents anybody
+	PublishSite Micros // at least, between two versions of a site's summary
+	PublishArea Micros // the same, of a region's
+	TakeOver    Micros // a difference that lasts this long for each rank is published by the next in rank
+	Beat        Micros // between two signs of life of a site, and of a region
+
+	Ping     Micros // between two signs of a representative to the standbys
+	Push     Micros // at least, between two pushes
+	Exchange Micros // between two exchanges of digests, of each kind
+	Call     Micros // between two calls to addresses that do not answer, while nobody else is known
+	CallCalm Micros // the same, while others are known
+	Fanout   int    // routers that news is pushed to, on each kind of link
+
+	Stale  Micros // without a sign of life, after which a summary is shown as stale
+	Lost   Micros // the same, after which its routers count as gone
+	Forget Micros // the same, after which it is dropped
+	Calm   Micros // without a difference, after which this router is settled
+}
+
+// DefaultRules are those that docs/tiers-design.md gives the reasons for.
+func DefaultRules() Rules {
+	return Rules{
+		Representatives: 2, Standbys: 3, SitesInFront: 2,
+		Silence: 2500e3, Listen: 2 * second, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
+		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallCalm: 10 * second, Fanout: 3,
+		Stale: 60 * second, Lost: 180 * second, Forget: 24 * 3600 * second, Calm: 2 * second,
+	}
+}
+
+// Config is what a router is for all of its life.
+type Config struct {
+	Fleet  string
+	Region string
+	Site   string
+	Name   string
+	Addr   netip.AddrPort   // where others reach it
+	Remote []netip.AddrPort // routers of other sites, to begin with
+	Wall   uint32           // seconds since 1970 at the time of New; orders summaries of a site that began anew, nothing else
+	Seed   uint64           // of the choice of partners
+}
+
+// Member is a living router of the own site.
+type Member struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Local is what the router knows of its own site, from its full membership.
+type Local struct {
+	Members []Member // that live, this router as well, by name
+	Counts  Counts
+	Digest  uint64 // of the site's membership
+	Least   uint64 // revision of the policy that a living router holds
+	Most    uint64 // the same
+}
+
+// Datagram is one that is to be sent. It is never longer than MaxDatagram.
+type Datagram struct {
+	To   netip.AddrPort
+	Body []byte
+}
+
+// Hierarchy is one router's knowledge of the tiers. It is not safe for use by several goroutines at once.
+type Hierarchy struct {
+	rules  Rules
+	cfg    Config
+	start  Micros
+	now    Micros
+	random *rand.Rand
+
+	local  Local
+	ranks  map[netip.AddrPort]int // of the site's living routers
+	silent map[netip.AddrPort]Micros
+	role   Role
+	tables [tiers]*table
+
+	published [tiers]publication
+	spread    spread
+	out       []Datagram
+	unlike    Micros // when another router was last found to hold something else
+	alike     Micros // when one was last found to hold the same
+	dropped   uint64 // datagrams that were not understood, or not answered since too many were
+}
+
+// New begins with nothing known.
+func New(now Micros, rules Rules, cfg Config) *Hierarchy {
+	h := &Hierarchy{rules: rules, cfg: cfg, start: now, now: now, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		ranks: map[netip.AddrPort]int{}, silent: map[netip.AddrPort]Micros{}, unlike: now}
+	h.tables[Sites] = newTable(maxSites)
+	h.tables[Regions] = newTable(maxRegions)
+	return h
+}
+
+// Step lets time pass and takes in what the site's membership is now. It returns what is to be sent. It is meant to be
+// called some ten times a second.
+func (h *Hierarchy) Step(now Micros, local Local) []Datagram {
+	h.now, h.local = now, local
+	h.assume()
+	h.publish()
+	h.expire()
+	h.push()
+	h.exchange()
+	h.call()
+	out := h.out
+	h.out = nil
+	return out
+}
+
+// wall is about the time in seconds since 1970, as far as the start's was right.
+func (h *Hierarchy) wall() uint32 { return h.cfg.Wall + uint32((h.now-h.start)/second) }
+
+func (h *Hierarchy) expire() {
+	for _, t := range h.tables {
+		for key, e := range t.entries {
+			if h.now-e.heard > h.rules.Forget {
+				t.drop(key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hierarchy/publish.go
@@ -0,0 +1,120 @@
+package hierarchy
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+)
+
+// publication is the state of writing one summary.
+type publication struct {
+	last  Micros  // when this router last wrote it
+	since Micros  // since when what is held differs from what it should be; 0: it does not
+	of    Version // the version that it differed from
+}
+
+// publish writes the summaries that this router answers for, where what is held is not what is so.
+func (h *Hierarchy) publish() {
+	if !h.role.Site {
+		h.published = [tiers]publication{}
+		return
+	}
+	rank := slices.Index(h.representatives(), h.cfg.Addr)
+	s, b := h.ownSite()
+	h.write(Sites, s, b, rank, h.rules.PublishSite)
+	if !h.role.Region {
+		h.published[Regions] = publication{}
+		return
+	}
+	s, b = h.ownRegion()
+	h.write(Regions, s, b, slices.Index(s.Representatives, h.cfg.Addr), h.rules.PublishArea)
+}
+
+// write publishes a summary if its content is another than that held, or a sign of life if one is due. The first in rank
+// does so at once, the others once it has not.
+func (h *Hierarchy) write(tier Tier, s Summary, b Beat, rank int, least Micros) {
+	if rank < 0 {
+		rank = h.candidates()
+	}
+	t, p, wait := h.tables[tier], &h.published[tier], Micros(rank)*h.rules.TakeOver
+	held := t.entries[keyOf(s.Name)]
+	if held == nil {
+		held = &entry{}
+	}
+	b.Count = max(held.Count+1, h.wall())
+	if same(held.Summary, s) {
+		p.since = 0
+		h.beat(tier, held, b, wait)
+		return
+	}
+	if p.since == 0 || p.of != held.Version {
+		p.since, p.of = h.now, held.Version
+	}
+	if h.now-p.since < wait || p.last != 0 && h.now-p.last < least {
+		return
+	}
+	s.Version = held.Version.next(h.cfg.Wall, uint16(keyOf(h.cfg.Addr.String())))
+	t.merge(h.now, s, b)
+	p.last, p.since = h.now, 0
+	h.news(tier, keyOf(s.Name))
+}
+
+// beat gives a sign of life if nobody has done so lately, or if there is a newer policy than anybody has told of.
+func (h *Hierarchy) beat(tier Tier, held *entry, b Beat, wait Micros) {
+	newer := b.Most > held.Most
+	if !newer && h.now-held.heard < h.rules.Beat+wait {
+		return
+	}
+	first := newer && b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
+	held.Beat, held.heard = b, h.now
+	h.newsBeat(tier, keyOf(held.Name), first)
+}
+
+// same tells whether two summaries say the same, whatever their versions.
+func same(a, b Summary) bool {
+	return a.Name == b.Name && a.Counts == b.Counts && a.Groups == b.Groups && a.Gone == b.Gone && a.Digest == b.Digest &&
+		slices.Equal(a.Representatives, b.Representatives)
+}
+
+func (h *Hierarchy) ownSite() (Summary, Beat) {
+	return Summary{Name: h.cfg.Site, Counts: h.local.Counts, Digest: h.local.Digest, Representatives: h.representatives()},
+		Beat{Least: h.local.Least, Most: h.local.Most}
+}
+
+// ownRegion is the sum over the region's sites. The routers of a lost site do not count as alive.
+func (h *Hierarchy) ownRegion() (Summary, Beat) {
+	s, b := Summary{Name: h.cfg.Region}, Beat{}
+	t := h.tables[Sites]
+	for _, k := range t.keys() {
+		e := t.entries[k]
+		s.Groups++
+		s.Counts.Of += e.Counts.Of
+		s.Digest = mix(mix(s.Digest, uint64(k)), e.Digest)
+		if h.now-e.heard > h.rules.Lost {
+			s.Gone++
+			continue
+		}
+		s.Counts.Alive += e.Counts.Alive
+		s.Counts.Takes += e.Counts.Takes
+		if s.Groups-s.Gone == 1 {
+			b.Least = e.Least
+		}
+		b.Least, b.Most = min(b.Least, e.Least), max(b.Most, e.Most)
+	}
+	for _, e := range h.front() {
+		for _, addr := range e.Representatives {
+			if len(s.Representatives) < maxRepresentatives {
+				s.Representatives = append(s.Representatives, addr)
+			}
+		}
+	}
+	return s, b
+}
+
+// sortAddresses brings addresses into an order that does not depend on a map's.
+func sortAddresses(all []netip.AddrPort) []netip.AddrPort {
+	slices.SortFunc(all, func(a, b netip.AddrPort) int {
+		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
+	})
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/hierarchy/spread.go
@@ -0,0 +1,387 @@
+package hierarchy
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// link is a kind of way from router to router.
+type link uint8
+
+const (
+	withinSite link = iota // any two routers of a site
+	withinArea             // representatives of the sites of a region
+	between                // representatives of regions
+	links
+)
+
+// tiersOn are the tables that are exchanged on a link.
+func tiersOn(l link) []Tier {
+	if l == between {
+		return []Tier{Regions}
+	}
+	return []Tier{Sites, Regions}
+}
+
+const (
+	mostAnswers  = 32 // datagrams that wait for a step
+	mostRepair   = 3  // datagrams of summaries that answer one digest
+	mostRelayed  = 8  // summaries of a repair that are passed on as news; a router that is new has to be told all
+	everyBeat    = 5  // exchanges, one of which carries all signs of life
+	digestCalm   = second
+	digestMoving = 4 * second // between two digests while the table changes anyway
+)
+
+// ids names entries of the tables.
+type ids [tiers]map[key]bool
+
+func (x *ids) add(t Tier, k key) {
+	if x[t] == nil {
+		x[t] = map[key]bool{}
+	}
+	x[t][k] = true
+}
+
+func (x *ids) empty() bool { return len(x[Sites]) == 0 && len(x[Regions]) == 0 }
+
+// spread is the state of telling others.
+type spread struct {
+	summaries ids        // that are news, and not pushed yet
+	beats     [links]ids // signs of life that are not passed on yet
+	urgent    bool       // one of them tells of a policy that is newer than any known
+	pushed    Micros
+	pinged    Micros
+	exchanged [links]Micros
+	turns     [links]int
+	digested  [tiers]Micros
+	changed   [tiers]Micros // the table
+	called    Micros
+	nextCall  int
+}
+
+func (h *Hierarchy) news(t Tier, k key) {
+	h.spread.summaries.add(t, k)
+	h.spread.changed[t] = h.now
+}
+
+// newsBeat has a sign of life passed on with the next exchange, or pushed at once if it is urgent.
+func (h *Hierarchy) newsBeat(t Tier, k key, urgent bool) {
+	for l := range links {
+		if h.active(l) {
+			h.spread.beats[l].add(t, k)
+		}
+	}
+	h.spread.urgent = h.spread.urgent || urgent
+}
+
+// active tells whether this router uses a link.
+func (h *Hierarchy) active(l link) bool {
+	return l == withinSite || l == withinArea && h.role.Site || l == between && h.role.Region
+}
+
+// partners draws up to n routers at the other end of a link.
+func (h *Hierarchy) partners(l link, n int) (all []netip.AddrPort) {
+	if l == withinSite {
+		for _, m := range h.local.Members {
+			if m.Addr != h.cfg.Addr {
+				all = append(all, m.Addr)
+			}
+		}
+		h.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		return all[:min(n, len(all))]
+	}
+	tier, own := Sites, h.cfg.Site
+	if l == between {
+		tier, own = Regions, h.cfg.Region
+	}
+	t := h.tables[tier]
+	keys := slices.Clone(t.keys())
+	h.random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	for _, k := range keys {
+		e := t.entries[k]
+		if len(all) < n && e.Name != own && len(e.Representatives) > 0 && h.now-e.heard <= h.rules.Lost {
+			all = append(all, e.Representatives[h.random.IntN(len(e.Representatives))])
+		}
+	}
+	return all
+}
+
+// push tells some partners on each link what is news, at once.
+func (h *Hierarchy) push() {
+	s := &h.spread
+	if s.summaries.empty() && !s.urgent || h.now-s.pushed < h.rules.Push {
+		return
+	}
+	for l := range links {
+		if !h.active(l) {
+			continue
+		}
+		bodies := h.newsOn(l)
+		for _, to := range h.partners(l, h.rules.Fanout) {
+			for _, body := range bodies {
+				h.out = append(h.out, Datagram{to, body})
+			}
+		}
+	}
+	s.summaries, s.urgent, s.pushed = ids{}, false, h.now
+}
+
+func (h *Hierarchy) newsOn(l link) (bodies [][]byte) {
+	var records [][]byte
+	for _, tier := range tiersOn(l) {
+		records = append(records, h.records(tier, h.spread.summaries[tier])...)
+	}
+	bodies = h.packed(kindNews, records)
+	if h.spread.urgent {
+		bodies = append(bodies, h.hello(l, h.spread.beats[l]))
+	}
+	return bodies
+}
+
+func (h *Hierarchy) records(tier Tier, which map[key]bool) (all [][]byte) {
+	for _, k := range h.tables[tier].keys() {
+		if which[k] {
+			all = append(all, appendRecord(nil, tier, h.tables[tier].entries[k]))
+		}
+	}
+	return all
+}
+
+// exchange tells partners on each link the digests of the tables and the signs of life that rose.
+func (h *Hierarchy) exchange() {
+	h.ping()
+	s := &h.spread
+	for l := range links {
+		if !h.active(l) || h.now-s.exchanged[l] < h.rules.Exchange {
+			continue
+		}
+		s.exchanged[l] = h.now
+		s.turns[l]++
+		which := s.beats[l]
+		if s.turns[l]%everyBeat == 0 {
+			which = h.everything()
+		}
+		s.beats[l] = ids{}
+		body := h.hello(l, which)
+		for _, to := range h.partners(l, h.rules.Fanout) {
+			h.out = append(h.out, Datagram{to, body})
+		}
+	}
+}
+
+// ping tells the standbys and the other representatives of the site that this one is awake.
+func (h *Hierarchy) ping() {
+	if !h.role.Site || h.now-h.spread.pinged < h.rules.Ping {
+		return
+	}
+	h.spread.pinged = h.now
+	for _, m := range h.local.Members[:min(len(h.local.Members), h.candidates())] {
+		if m.Addr != h.cfg.Addr {
+			h.out = append(h.out, Datagram{m.Addr, h.header(kindPing)})
+		}
+	}
+}
+
+func (h *Hierarchy) everything() (all ids) {
+	for tier := range tiers {
+		for _, k := range h.tables[tier].keys() {
+			all.add(tier, k)
+		}
+	}
+	return all
+}
+
+// call tries addresses from which nothing is heard: those to begin with, and the last known of stale summaries. It is the way
+// back from a cut, however long that was.
+func (h *Hierarchy) call() {
+	s, span := &h.spread, h.rules.CallCalm
+	if h.alone() {
+		span = h.rules.Call
+	}
+	if !h.role.Site || h.now-s.called < span {
+		return
+	}
+	s.called = h.now
+	all := h.strangers()
+	if len(all) == 0 {
+		return
+	}
+	h.out = append(h.out, Datagram{all[s.nextCall%len(all)], h.hello(between, h.everything())})
+	s.nextCall++
+}
+
+// alone tells whether this router should know of others in a tier, and has heard of none lately.
+func (h *Hierarchy) alone() bool {
+	for tier, own := range []string{h.cfg.Site, h.cfg.Region} {
+		if Tier(tier) == Regions && !h.role.Region {
+			continue
+		}
+		others := false
+		for _, e := range h.tables[tier].entries {
+			others = others || e.Name != own && h.now-e.heard <= h.rules.Stale
+		}
+		if !others {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Hierarchy) strangers() (all []netip.AddrPort) {
+	all = append(all, h.cfg.Remote...)
+	for tier := range tiers {
+		if tier == Regions && !h.role.Region {
+			continue
+		}
+		for _, e := range h.tables[tier].entries {
+			if h.now-e.heard > h.rules.Stale {
+				all = append(all, e.Representatives...)
+			}
+		}
+	}
+	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool {
+		_, mate := h.ranks[a]
+		return mate || a == h.cfg.Addr
+	})
+	return sortAddresses(all)
+}
+
+// Take takes a datagram in. What it is answered with goes out with the next step.
+func (h *Hierarchy) Take(now Micros, body []byte) {
+	m, err := decode(body)
+	if err != nil || m.fleet != keyOf(h.cfg.Fleet) {
+		h.dropped++
+		return
+	}
+	h.now = max(h.now, now)
+	if _, mate := h.ranks[m.from]; mate {
+		h.silent[m.from] = h.now
+	}
+	near := m.region == keyOf(h.cfg.Region)
+	switch m.kind {
+	case kindHello:
+		h.takeBeats(m, near)
+		h.compare(m, near)
+	case kindDigest:
+		if near || m.tier == Regions {
+			h.repair(m)
+		}
+	case kindWant:
+		h.answer(m.from, h.packed(kindRepair, h.records(m.tier, m.wanted())), mostRepair)
+	case kindNews, kindRepair:
+		h.takeRecords(m, near)
+	}
+}
+
+func (h *Hierarchy) takeBeats(m message, near bool) {
+	for tier := range tiers {
+		if tier == Sites && !near {
+			continue
+		}
+		t := h.tables[tier]
+		for _, b := range m.beats[tier] {
+			newest := t.newest(h.now, h.rules.Lost)
+			if !t.beat(h.now, b.key, b.Beat) {
+				continue
+			}
+			h.newsBeat(tier, b.key, b.Most > newest)
+		}
+	}
+}
+
+// compare answers digests that are not this router's own with all versions held.
+func (h *Hierarchy) compare(m message, near bool) {
+	alike := true
+	for tier := range tiers {
+		if tier == Sites && !near || m.sums[tier] == h.tables[tier].sum() {
+			continue
+		}
+		alike = false
+		if span := h.now - h.spread.digested[tier]; span < digestCalm || span < digestMoving && h.now-h.spread.changed[tier] < digestCalm {
+			continue
+		}
+		h.spread.digested[tier] = h.now
+		h.answer(m.from, h.digests(tier), mostRepair)
+	}
+	if alike {
+		h.alike = h.now
+	} else {
+		h.unlike = h.now
+	}
+}
+
+// repair answers a digest: with the summaries that the other lacks, and by asking for those that this one lacks.
+func (h *Hierarchy) repair(m message) {
+	t := h.tables[m.tier]
+	theirs, lacks, wants := map[key]Version{}, map[key]bool{}, []key(nil)
+	for _, v := range m.versions {
+		theirs[v.key] = v.Version
+		if e := t.entries[v.key]; e == nil || e.Version < v.Version {
+			wants = append(wants, v.key)
+		}
+	}
+	for k, e := range t.entries {
+		if k >= m.first && k <= m.last && theirs[k] < e.Version {
+			lacks[k] = true
+		}
+	}
+	h.answer(m.from, h.packed(kindRepair, h.records(m.tier, lacks)), mostRepair)
+	if len(wants) > 0 {
+		h.answer(m.from, [][]byte{h.want(m.tier, wants)}, 1)
+	}
+}
+
+func (h *Hierarchy) takeRecords(m message, near bool) {
+	relay := m.kind == kindNews || len(m.records) <= mostRelayed
+	for _, r := range m.records {
+		if r.tier == Sites && !near || h.outdated(r.Beat) {
+			continue
+		}
+		if r.tier == Regions && r.Name == h.cfg.Region {
+			h.greet(r.Representatives)
+		}
+		k := keyOf(r.Name)
+		if !h.tables[r.tier].merge(h.now, r.Summary, r.Beat) {
+			continue
+		}
+		h.spread.changed[r.tier] = h.now
+		if relay {
+			h.news(r.tier, k)
+		}
+	}
+}
+
+// greet calls those who speak for the own region and whose sites this router does not know: two sites of a region may have
+// nothing to begin with but the addresses of a third elsewhere.
+func (h *Hierarchy) greet(representatives []netip.AddrPort) {
+	if !h.role.Site {
+		return
+	}
+	known := map[netip.AddrPort]bool{}
+	for _, e := range h.tables[Sites].entries {
+		for _, addr := range e.Representatives {
+			known[addr] = true
+		}
+	}
+	for _, addr := range representatives {
+		if _, mate := h.ranks[addr]; !mate && !known[addr] {
+			h.answer(addr, [][]byte{h.hello(withinArea, h.everything())}, 1)
+		}
+	}
+}
+
+// outdated tells whether a summary is so old that it would be dropped: one that is dropped here is still held elsewhere.
+func (h *Hierarchy) outdated(b Beat) bool {
+	forget := int64(h.rules.Forget / second)
+	return int64(h.wall())-int64(b.Count) > forget
+}
+
+func (h *Hierarchy) answer(to netip.AddrPort, bodies [][]byte, most int) {
+	for i, body := range bodies {
+		if i >= most || len(h.out) >= mostAnswers {
+			h.dropped++
+			return
+		}
+		h.out = append(h.out, Datagram{to, body})
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -57,6 +57,9 @@
 	Dir       string   `toml:"dir"`       // folder for the peers known; empty: they are not kept
 	Probe     string   `toml:"probe"`     // between two probes of another router
 	Forget    string   `toml:"forget"`    // after which lost and left routers are no longer shown
+	Tiered    bool     `toml:"tiered"`    // full membership within the site alone, summaries of other sites and regions
+	Region    string   `toml:"region"`    // with Tiered: that the site is in
+	Remote    []string `toml:"remote"`    // with Tiered: addresses of routers of other sites, to begin with
 	Anywhere  bool     `toml:"anywhere"`  // unspecified and public addresses are meant
 	listen    netip.AddrPort
 	advertise netip.AddrPort
@@ -94,6 +97,10 @@
 	if f.Name == "" {
 		return wrong("cut_off", "is set, and the router keeps no view of a fleet", "name the fleet under [fleet]")
 	}
+	if f.Tiered {
+		return wrong("cut_off", "is set, and fleet.tiered is true: keepers and routers of several sites do not reach one another through it yet",
+			"leave policy.cut_off empty, or set fleet.tiered = false")
+	}
 	if n := len(p.Keepers); n != 1 && n != 3 && n != 5 {
 		return wrong("keepers", fmt.Sprintf("%d are named", n), "name three or five routers; one alone, where none may be lost")
 	}
@@ -226,7 +233,7 @@
 		}
 		return nil
 	}
-	for _, field := range []named[string]{{"name", f.Name}, {"router", f.Router}, {"site", f.Site}} {
+	for _, field := range []named[string]{{"name", f.Name}, {"router", f.Router}, {"site", f.Site}, {"region", f.Region}} {
 		if field.value != "" && !plain.MatchString(field.value) {
 			return wrong(field.name, fmt.Sprintf("%q is no name", field.value), "write 1 to 60 letters, digits, dots, dashes or underscores")
 		}
@@ -249,11 +256,19 @@
 				"write one of a network that is trusted, or set anywhere = true if this is meant")
 		}
 	}
-	for i, join := range f.Join {
-		if _, err := netip.ParseAddrPort(join); err != nil {
-			return wrong("join", fmt.Sprintf("its entry %d, %q, is no address and port", i+1, join), `write it as "10.1.2.3:7946"`)
+	for _, field := range []named[[]string]{{"join", f.Join}, {"remote", f.Remote}} {
+		for i, text := range field.value {
+			if _, err := netip.ParseAddrPort(text); err != nil {
+				return wrong(field.name, fmt.Sprintf("its entry %d, %q, is no address and port", i+1, text), `write it as "10.1.2.3:7946"`)
+			}
 		}
 	}
+	if !f.Tiered && (f.Region != "" || len(f.Remote) > 0) {
+		return wrong("tiered", "is false, though region or remote is set", "set tiered = true at every router of the fleet, or leave both empty")
+	}
+	if f.Tiered && f.Region == "" {
+		return wrong("region", "is empty, and tiered is true", "name the region that the router's site is in")
+	}
 	if f.Dir != "" && !filepath.IsAbs(f.Dir) {
 		return wrong("dir", fmt.Sprintf("%q is no absolute path", f.Dir), "write the whole path: what the router is started from may change")
 	}
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -19,6 +19,7 @@
 	kindWord  = 'w'
 	kindParts = 'p'
 	kindTalk  = 't'
+	kindTiers = 'h' // package hierarchy's
 )
 
 const (
@@ -45,7 +46,7 @@
 // NodeMeta is called by memberlist.
 func (p *Peers) NodeMeta(limit int) []byte {
 	m := p.me
-	said := meta{F: m.Fleet, N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
+	said := meta{F: pool(p.cfg), N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
 		O: uint64(m.Follows), M: p.cfg.Methods}
 	for {
 		text, _ := json.Marshal(said) // plain fields: it cannot fail
@@ -83,9 +84,9 @@
 // NotifyAlive refuses routers of other fleets and of other services. It is called by memberlist, as all below.
 func (p *Peers) NotifyAlive(node *memberlist.Node) error {
 	m, err := memberOf(node)
-	if err == nil && m.Fleet != p.me.Fleet {
-		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct fleet.name or fleet.join of one of them",
-			m.Name, m.Addr, m.Fleet, p.me.Name, p.me.Fleet)
+	if own := pool(p.cfg); err == nil && m.Fleet != own {
+		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct %s of one of them",
+			m.Name, m.Addr, m.Fleet, p.me.Name, own, fieldsOf(m.Fleet, own))
 	}
 	if err == nil {
 		if err = p.sameService(node); err == nil {
@@ -169,6 +170,8 @@
 		}
 	case kindTalk:
 		p.talked(b[1:])
+	case kindTiers:
+		p.takeTiers(b[1:])
 	case kindParts:
 		var m parts.Message
 		if json.Unmarshal(b[1:], &m) != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
+	"spurtrestle/hierarchy"
 	"spurtrestle/internal/place"
 	"spurtrestle/parts"
 	"spurtrestle/view"
@@ -44,7 +45,8 @@
 	lending bool
 	told    share
 	hear    func(place.Process, []byte)
-	news    bool // the own word is another than was last passed on
+	tiers   *hierarchy.Hierarchy // nil: the fleet is flat
+	news    bool                 // the own word is another than was last passed on
 
 	list    *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
@@ -83,6 +85,9 @@
 	}
 	p.view = view.New(p.micros(), rules, p.me)
 	p.parts = parts.New(parts.Micros(p.micros()), parts.DefaultRules(), cfg.Seats, parts.Seat(cfg.Seat), parts.Process(process), cfg.Clear)
+	if err := p.beginTiers(process); err != nil {
+		return nil, err
+	}
 	known, err := p.readKnown()
 	if err != nil {
 		return nil, err
@@ -120,6 +125,7 @@
 	// As many turns of each to a probe as the library has by default.
 	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = probe, probe/2, probe/5
 	c.PushPullInterval, c.GossipToTheDeadTime, c.TCPTimeout = 10*probe, 30*probe, max(2*probe, time.Second)
+	p.tune(c)
 	c.EnableCompression = false // words are short; it cost a third of the CPU of a calm router
 	c.HandoffQueueDepth = 4096  // 300 routers that begin at once
 	c.Delegate, c.Events, c.Ping, c.Alive, c.Merge = p, p, p, p, p
@@ -235,8 +241,11 @@
 	p.answers = nil
 	s := p.share(p.parts.Share(parts.Micros(now)))
 	addr, call := p.view.Whom(now, p.cfg.Join)
+	summaries := p.stepTiers(now)
 	p.mu.Unlock()
 
+	p.sendTiers(summaries)
+
 	if pass {
 		p.pass()
 	}
@@ -351,7 +360,7 @@
 // Whole is the view as people are shown it, as JSON.
 func (p *Peers) Whole() (string, error) {
 	p.mu.Lock()
-	w := p.view.Whole(p.micros())
+	w := p.whole()
 	p.mu.Unlock()
 	text, err := json.MarshalIndent(w, "", " ")
 	return string(text) + "\n", err
--- /dev/null
+++ b/internal/peers/tiers.go
@@ -0,0 +1,193 @@
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc64"
+	"net/netip"
+	"strings"
+
+	"github.com/hashicorp/memberlist"
+
+	"spurtrestle/hierarchy"
+	"spurtrestle/internal/place"
+	"spurtrestle/view"
+)
+
+// What a tiered fleet has beside the view of the own site (package hierarchy). Without cfg.Tiered, p.tiers is nil and nothing
+// here does anything.
+
+// In a site of some twenty routers whole states every ten probes were most of the traffic at rest. What they repair is found
+// by the digests that go with each heartbeat.
+const stateEveryProbes = 60
+
+// beginTiers is called before the router listens.
+func (p *Peers) beginTiers(process uint64) error {
+	if !p.cfg.Tiered {
+		return nil
+	}
+	if p.cfg.Region == "" || p.cfg.Site == "" {
+		return p.cfg.Refused("fleet.region", "is empty, or the site is", "name the region of the site, and the site")
+	}
+	c := hierarchy.Config{Fleet: p.cfg.Fleet, Region: p.cfg.Region, Site: p.cfg.Site, Name: p.cfg.Name, Addr: p.cfg.Advertise,
+		Wall: uint32(p.start.Unix()), Seed: process}
+	for _, text := range p.cfg.Remote {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return p.cfg.Refused("fleet.remote", err.Error(), `write addresses and ports as "10.1.2.3:7946"`)
+		}
+		c.Remote = append(c.Remote, addr)
+	}
+	p.tiers = hierarchy.New(hierarchy.Micros(p.micros()), hierarchy.DefaultRules(), c)
+	return nil
+}
+
+// tune has the library send less than its defaults, within a site.
+func (p *Peers) tune(c *memberlist.Config) {
+	if p.cfg.Tiered {
+		c.PushPullInterval = stateEveryProbes * p.cfg.Probe
+	}
+}
+
+// pool names those that share full membership. No fleet's name has a slash, so that flat routers and tiered ones, and those
+// of other sites, refuse each other by it; routers of earlier builds do as well.
+func pool(cfg place.Config) string {
+	if !cfg.Tiered {
+		return cfg.Fleet
+	}
+	return cfg.Fleet + "/" + cfg.Region + "/" + cfg.Site
+}
+
+// stepTiers lets time pass for the tiers. p.mu is held.
+func (p *Peers) stepTiers(now view.Micros) []hierarchy.Datagram {
+	if p.tiers == nil {
+		return nil
+	}
+	return p.tiers.Step(hierarchy.Micros(now), p.local(now))
+}
+
+// local is what the tiers are told of the site. p.mu is held.
+func (p *Peers) local(now view.Micros) (l hierarchy.Local) {
+	for _, s := range p.view.Whole(now).Sites {
+		l.Counts.Alive += uint32(s.Alive)
+		l.Counts.Takes += uint32(s.Takes)
+		l.Counts.Of += uint32(s.Of)
+	}
+	revisions := map[view.Process]uint64{}
+	for _, w := range p.view.Words() {
+		revisions[w.Process] = w.Revision
+	}
+	var text []byte
+	for i, m := range p.view.Living() {
+		text = binary.BigEndian.AppendUint64(append(append(text, m.Name...), 0), uint64(m.Process))
+		if r := revisions[m.Process]; i == 0 {
+			l.Least, l.Most = r, r
+		} else {
+			l.Least, l.Most = min(l.Least, r), max(l.Most, r)
+		}
+		if addr, err := netip.ParseAddrPort(m.Addr); err == nil {
+			l.Members = append(l.Members, hierarchy.Member{Name: string(m.Name), Addr: addr})
+		}
+	}
+	l.Digest = crc64.Checksum(text, crcTable)
+	return l
+}
+
+var crcTable = crc64.MakeTable(crc64.ECMA)
+
+func (p *Peers) sendTiers(all []hierarchy.Datagram) {
+	for _, d := range all {
+		to := memberlist.Address{Addr: d.To.String()}
+		_ = p.list.SendToAddress(to, append([]byte{kindTiers}, d.Body...)) // lost ones are made good
+	}
+}
+
+func (p *Peers) takeTiers(body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tiers != nil {
+		p.tiers.Take(hierarchy.Micros(p.micros()), body)
+	}
+}
+
+var errFlat = errors.New("this router is of no tiered fleet; set fleet.tiered")
+
+// Tiers is what this router knows of sites and regions. An error: the fleet is flat.
+func (p *Peers) Tiers() (hierarchy.Status, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tiers == nil {
+		return hierarchy.Status{}, errFlat
+	}
+	return p.tiers.Status(hierarchy.Micros(p.micros())), nil
+}
+
+// Role is what this router represents in a tiered fleet; nothing in a flat one.
+func (p *Peers) Role() hierarchy.Role {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tiers == nil {
+		return hierarchy.Role{Rank: -1}
+	}
+	return p.tiers.Role()
+}
+
+// Settled tells whether the view of the site is settled and, in a tiered fleet, the tiers are.
+func (p *Peers) Settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	settled := p.view.Whole(p.micros()).Settled
+	if p.tiers == nil {
+		return settled
+	}
+	return settled && p.tiers.Settled(hierarchy.Micros(p.micros()))
+}
+
+// TierDigests are over the summaries held of sites and of regions; zero in a flat fleet. All routers of a region that know
+// the same have the same first, all of the fleet the same second.
+func (p *Peers) TierDigests() (sites, regions uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tiers == nil {
+		return 0, 0
+	}
+	return p.tiers.Digests()
+}
+
+// NewestRevision is the highest revision of the policy that is told of, by this site's routers or any summary.
+func (p *Peers) NewestRevision() (newest uint64) {
+	p.words(func(_ view.Member, w view.Word) { newest = max(newest, w.Revision) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tiers != nil {
+		newest = max(newest, p.tiers.Newest())
+	}
+	return newest
+}
+
+// whole is the view with the tiers, as people are shown them.
+type whole struct {
+	view.Whole
+	Tiers *hierarchy.Status `json:"tiers,omitempty"`
+}
+
+// whole is as of now. p.mu is held.
+func (p *Peers) whole() whole {
+	w := whole{Whole: p.view.Whole(p.micros())}
+	if p.tiers != nil {
+		s := p.tiers.Status(hierarchy.Micros(p.micros()))
+		w.Tiers = &s
+	}
+	return w
+}
+
+// fieldsOf are those of the operator's file by which two pools differ.
+func fieldsOf(theirs, own string) string {
+	if !strings.Contains(theirs+own, "/") {
+		return "fleet.name or fleet.join"
+	}
+	if !strings.Contains(theirs, "/") || !strings.Contains(own, "/") {
+		return "fleet.tiered"
+	}
+	return "fleet.name, fleet.region, fleet.site or fleet.join"
+}
--- /dev/null
+++ b/internal/peers/tiers_test.go
@@ -0,0 +1,248 @@
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/hierarchy"
+	"spurtrestle/internal/place"
+)
+
+// idle is a router that takes clients and has none.
+type idle struct{}
+
+func (idle) Standing() (takes, draining, empty bool)           { return true, false, false }
+func (idle) SetPart(now float64, _ time.Time, _ float64) error { return nil }
+func (idle) KeepOut(string)                                    {}
+
+// address is one of this machine that nobody listens on.
+func address(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// fleet is a fleet of real places on loopback.
+type fleet struct {
+	t       *testing.T
+	routers []*Peers
+	configs []place.Config
+}
+
+const perSite = 3
+
+// siteConfigs are those of one fleet's routers: four sites in two regions.
+func siteConfigs(t *testing.T) (all []place.Config) {
+	for i, site := range []string{"hill", "coast", "valley", "plain"} {
+		for r := range perSite {
+			at := address(t)
+			c := place.Config{Fleet: "harvest", Name: fmt.Sprintf("%s-%d", site, r), Site: site, Tiered: true, Region: []string{"north", "south"}[i/2],
+				Listen: at, Advertise: at, Probe: 100 * time.Millisecond, Seats: 4 * perSite, Seat: len(all), Build: "test",
+				Refused: func(field, what, remedy string) error { return fmt.Errorf("%s: %s; %s", field, what, remedy) }}
+			for _, mate := range all[i*perSite:] {
+				c.Join = append(c.Join, mate.Advertise.String())
+			}
+			if i > 0 {
+				c.Remote = []string{all[0].Advertise.String()}
+			}
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+func open(t *testing.T, configs []place.Config) *fleet {
+	f := &fleet{t: t}
+	for _, c := range configs {
+		f.open(c)
+	}
+	t.Cleanup(func() {
+		var wg sync.WaitGroup
+		for _, p := range f.routers {
+			wg.Go(func() { p.Close(false) })
+		}
+		wg.Wait()
+	})
+	return f
+}
+
+func (f *fleet) open(c place.Config) *Peers {
+	f.t.Helper()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	p, err := Open(c, idle{}, quiet)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.routers = append(f.routers, p.(*Peers))
+	f.configs = append(f.configs, c)
+	return p.(*Peers)
+}
+
+// until waits for all routers to be as they should.
+func (f *fleet) until(what string, ok func(*Peers) bool) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for {
+		missing := slices.IndexFunc(f.routers, func(p *Peers) bool { return !ok(p) })
+		switch {
+		case missing < 0:
+			return time.Since(began)
+		case time.Since(began) > time.Minute:
+			text, _ := f.routers[missing].Whole()
+			f.t.Fatalf("after a minute not %s at %s: %s", what, f.configs[missing].Name, text)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func status(p *Peers) hierarchy.Status {
+	s, _ := p.Tiers()
+	return s
+}
+
+func alive(groups []hierarchy.Group, name string) uint32 {
+	for _, g := range groups {
+		if g.Name == name {
+			return g.Alive
+		}
+	}
+	return 0
+}
+
+func agree(f *fleet) func(*Peers) bool {
+	return func(p *Peers) bool {
+		_, regions := p.TierDigests()
+		_, want := f.routers[0].TierDigests()
+		return p.Settled() && regions == want && alive(status(p).Regions, "north") == 2*perSite && alive(status(p).Regions, "south") == 2*perSite
+	}
+}
+
+// Four sites of two regions find one another by their summaries alone; a change is known everywhere; a representative that
+// dies is replaced.
+func TestSitesKnowOneAnotherBySummaries(t *testing.T) {
+	f := open(t, siteConfigs(t))
+	t.Logf("settled after %v", f.until("settled", agree(f)))
+
+	for i, p := range f.routers {
+		if n := len(p.Members()); n != perSite {
+			t.Errorf("%s has %d members in its pool, want those of its site", f.configs[i].Name, n)
+		}
+	}
+
+	f.routers[0].Holds(7)
+	t.Logf("revision known after %v", f.until("told of revision 7", func(p *Peers) bool { return p.NewestRevision() == 7 }))
+
+	last := f.routers[len(f.routers)-1]
+	f.routers = f.routers[:len(f.routers)-1]
+	last.Close(false)
+	t.Logf("a leave known after %v", f.until("told that a router of plain left", func(p *Peers) bool {
+		return alive(status(p).Regions, "south") == 2*perSite-1
+	}))
+
+	var first *Peers
+	for i, c := range f.configs {
+		if c.Name == "hill-0" {
+			first = f.routers[i]
+			f.routers = slices.Delete(f.routers, i, i+1)
+			break
+		}
+	}
+	if !first.Role().Site {
+		t.Error("the first router of hill does not represent it")
+	}
+	first.kill()
+	t.Logf("a death known after %v", f.until("told that a router of hill died", func(p *Peers) bool {
+		return alive(status(p).Regions, "north") == 2*perSite-1
+	}))
+}
+
+// kill ends a place without a word, as a crash does.
+func (p *Peers) kill() {
+	close(p.stop)
+	p.ended.Wait()
+	_ = p.list.Shutdown() // it is dead
+}
+
+// A flat router and a tiered one of the same fleet refuse each other, whichever calls.
+func TestFlatAndTieredRefuseEachOther(t *testing.T) {
+	configs := siteConfigs(t)
+	tiered := configs[0]
+	flat := configs[1]
+	flat.Tiered, flat.Region, flat.Remote = false, "", nil
+	flat.Join = []string{tiered.Advertise.String()}
+	second := configs[2]
+	second.Join = []string{flat.Advertise.String(), tiered.Advertise.String()}
+	f := open(t, []place.Config{tiered, flat, second})
+
+	refused := func(p *Peers) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for why := range p.refused {
+			if strings.Contains(why, "fleet.tiered") {
+				return true
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(30 * time.Second); !refused(f.routers[1]) || len(f.routers[0].Members()) != 2 || !f.routers[0].Settled(); {
+		if time.Now().After(end) {
+			t.Fatalf("refused: %v; members of the tiered one: %v", refused(f.routers[1]), f.routers[0].Members())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := len(f.routers[1].Members()); n != 1 {
+		t.Errorf("the flat router has %d members, want itself alone", n)
+	}
+}
+
+// What a flat router says of itself and shows is what it was before there were tiers.
+func TestFlatRouterSaysNothingOfTiers(t *testing.T) {
+	c := siteConfigs(t)[0]
+	c.Tiered, c.Region, c.Remote = false, "", nil
+	f := open(t, []place.Config{c})
+	p := f.routers[0]
+	want := fmt.Sprintf(`{"f":"harvest","n":"hill-0","s":"hill","p":%d,"i":0,"t":%d,"b":"test"}`, p.me.Process, p.me.Started)
+	if got := string(p.NodeMeta(512)); got != want {
+		t.Errorf("meta is %s, want %s", got, want)
+	}
+	text, err := p.Whole()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var shown map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(text), &shown); err != nil || len(shown) != 9 {
+		t.Errorf("it shows %s, %v", text, err)
+	}
+	if _, err := p.Tiers(); err == nil {
+		t.Error("a flat router has tiers")
+	}
+}
+
+// A tiered fleet needs a region and addresses that can be read.
+func TestTieredNeedsItsFields(t *testing.T) {
+	for want, change := range map[string]func(*place.Config){
+		"fleet.region": func(c *place.Config) { c.Region = "" },
+		"fleet.remote": func(c *place.Config) { c.Remote = []string{"there"} },
+	} {
+		c := siteConfigs(t)[0]
+		change(&c)
+		if _, err := Open(c, idle{}, logrus.New()); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want one of %s", err, want)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -131,7 +131,8 @@
 // placeOf is how the router takes part in its fleet, by the operator's file and the configuration.
 func placeOf(mine operator.File, cfg config.Config) (place.Config, error) {
 	f := mine.Fleet
-	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Join: f.Join, Dir: f.Dir, Seats: cfg.Settings.Routers, Seat: cfg.Seat,
+	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Tiered: f.Tiered, Region: f.Region, Remote: f.Remote, Join: f.Join, Dir: f.Dir,
+		Seats: cfg.Settings.Routers, Seat: cfg.Seat,
 		Build: revision(), Methods: settings.Methods(cfg.Settings), Refused: mine.Refused}
 	c.Listen, c.Advertise = f.Addresses()
 	c.Probe, c.Forget = f.Spans()
@@ -148,6 +149,9 @@
 	if len(cfg.Sites) > 0 && !slices.Contains(cfg.Sites, c.Site) {
 		return c, c.Refused("fleet.site", fmt.Sprintf("%q is none of the settings' zones", c.Site), fmt.Sprintf("write one of %q", cfg.Sites))
 	}
+	if c.Tiered && c.Site == "" {
+		return c, c.Refused("fleet.site", "is empty, and so is the site in the configuration", "name the site; a tiered fleet is made of them")
+	}
 	if c.Dir != "" {
 		if info, err := os.Stat(c.Dir); err == nil && !info.IsDir() {
 			return c, c.Refused("fleet.dir", c.Dir+" is no folder", "name a folder, one for each router")
