Representatives by age; the hierarchy simulated with losses and kills

Cause: by name a restarted router took its role back at once, and a site changed its representatives twice for each restart. Change: the oldest routers of a site represent it; every hello tells of the newest policy; a network in virtual time in hierarchy's tests, which loses datagrams and kills a representative each second.

--- a/hierarchy/hierarchy.go
+++ b/hierarchy/hierarchy.go
@@ -27,8 +27,9 @@
 	SitesInFront    int // sites of a region whose representatives speak for the region
 
 	Silence     Micros // after which a candidate that was not heard counts as asleep
-	Listen      Micros // after a start, before the router represents anybody
-	PublishSite Micros // at least, between two versions of a site's summary
+	Listen      Micros // after a start, before the router represents its site
+	ListenArea  Micros // the same, its region
+	PublishSite Micros // at least, between two versions of a site's summary that a router writes
 	PublishArea Micros // the same, of a region's
 	TakeOver    Micros // a difference that lasts this long for each rank is published by the next in rank
 	Beat        Micros // between two signs of life of a site, and of a region
@@ -50,7 +51,7 @@
 func DefaultRules() Rules {
 	return Rules{
 		Representatives: 2, Standbys: 3, SitesInFront: 2,
-		Silence: 2500e3, Listen: 2 * second, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
+		Silence: 2500e3, Listen: 2 * second, ListenArea: 3500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
 		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallCalm: 10 * second, Fanout: 3,
 		Stale: 60 * second, Lost: 180 * second, Forget: 24 * 3600 * second, Calm: 2 * second,
 	}
@@ -70,13 +71,14 @@
 
 // Member is a living router of the own site.
 type Member struct {
-	Name string
-	Addr netip.AddrPort
+	Name    string
+	Addr    netip.AddrPort
+	Started int64 // by its wall clock; orders the routers of a site, nothing else
 }
 
 // Local is what the router knows of its own site, from its full membership.
 type Local struct {
-	Members []Member // that live, this router as well, by name
+	Members []Member // that live, this router as well
 	Counts  Counts
 	Digest  uint64 // of the site's membership
 	Least   uint64 // revision of the policy that a living router holds
@@ -107,7 +109,7 @@
 	spread    spread
 	out       []Datagram
 	unlike    Micros // when another router was last found to hold something else
-	alike     Micros // when one was last found to hold the same
+	compared  bool   // with another router
 	dropped   uint64 // datagrams that were not understood, or not answered since too many were
 }
 
--- /dev/null
+++ b/hierarchy/hierarchy_test.go
@@ -0,0 +1,87 @@
+package hierarchy
+
+import (
+	"testing"
+)
+
+// At rest: five sites of 18 routers settle in ten seconds, and stay so for little.
+func TestSettlesInTenSeconds(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, seed, 5, 2, 18)
+		w.startAll(second)
+		took := w.until("settled", 20*second, w.settled)
+		w.run(10 * second)
+		w.forget()
+		w.run(60 * second)
+		mean, most, worst := w.rates(60 * second)
+		t.Logf("seed %d: settled after %.1f s; at rest %.0f B/s a router, %.0f at most (%s, %+v)", seed, float64(took)/1e6, mean, most, worst.name, worst.h.Role())
+		w.verdict(2 * second)
+	}
+}
+
+// verdict fails where the checker saw something that is not guaranteed.
+func (w *world) verdict(over Micros) {
+	w.t.Helper()
+	w.t.Logf("longest: %.1f s with too many representatives, %.1f s with none; %d of %d falsely lost; datagrams up to %d bytes",
+		float64(w.longestOver)/1e6, float64(w.longestNone)/1e6, w.falselyLost, w.judged, w.longestFlight)
+	if w.longestOver > over {
+		w.t.Errorf("a site had too many representatives for %.1f s", float64(w.longestOver)/1e6)
+	}
+	if w.falselyLost > 0 {
+		w.t.Errorf("%d times in %d one with living routers counted as lost", w.falselyLost, w.judged)
+	}
+	if w.longestFlight > MaxDatagram {
+		w.t.Errorf("a datagram of %d bytes", w.longestFlight)
+	}
+}
+
+// A change is known everywhere within seven seconds with 2% of the datagrams lost and a representative killed each second.
+func TestChangeIsKnownWhileRepresentativesDie(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, seed, 5, 2, 18)
+		w.startAll(second)
+		w.until("settled", 20*second, w.settled)
+		w.lose = 0.02
+		slowest := w.changes(20, 8*second)
+		t.Logf("seed %d: the slowest of 20 changes was known after %.1f s", seed, float64(slowest)/1e6)
+		took := w.until("agreed after the last fault", 20*second, w.agreed)
+		t.Logf("agreed %.1f s after the last fault", float64(took)/1e6)
+		w.verdict(15 * second)
+	}
+}
+
+// changes has a router hold a new revision every so often, while a representative is killed each second and comes back ten
+// seconds later, and returns the longest time until one was known to all.
+func (w *world) changes(n int, every Micros) (slowest Micros) {
+	w.t.Helper()
+	var down []*node
+	second := second
+	for revision := uint64(1); revision <= uint64(n); revision++ {
+		changed, known := w.now, Micros(0)
+		w.hold(w.pick(w.living(ordinary)), revision)
+		for w.now-changed < every {
+			w.run(stepEvery)
+			if known == 0 && w.known(revision) {
+				known = w.now - changed
+			}
+			if w.now%second < stepEvery {
+				victim := w.pick(w.living(represents))
+				w.kill(victim)
+				down = append(down, victim)
+			}
+			for len(down) > 0 && w.now-down[0].since > 10*second {
+				w.start(down[0])
+				down = down[1:]
+			}
+		}
+		if known == 0 {
+			w.t.Errorf("revision %d was not known everywhere after %d s", revision, every/second)
+			known = every
+		}
+		slowest = max(slowest, known)
+	}
+	for _, n := range down {
+		w.start(n)
+	}
+	return slowest
+}
--- a/hierarchy/role.go
+++ b/hierarchy/role.go
@@ -1,6 +1,7 @@
 package hierarchy
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 )
@@ -8,7 +9,7 @@
 // Role is what a router does beyond its site. Nobody votes for it: each router follows the same rule over the membership of
 // its site, and two that follow it from different views for a moment do no harm, since summaries carry versions.
 type Role struct {
-	Rank   int  // among the living of the site, by name; -1: not known
+	Rank   int  // among the living of the site, by age; -1: not known
 	Site   bool // it represents its site
 	Region bool // and its region
 }
@@ -19,19 +20,35 @@
 // assume takes the roles that the rule gives this router.
 func (h *Hierarchy) assume() {
 	h.rank()
+	before := h.role
 	h.role = Role{Rank: -1}
+	defer func() { h.begin(before) }()
 	rank, there := h.ranks[h.cfg.Addr]
 	if !there || h.now-h.start < h.rules.Listen {
 		return
 	}
 	h.role.Rank = rank
 	h.role.Site = h.represents(rank)
-	h.role.Region = h.role.Site && h.inFront()
+	h.role.Region = h.role.Site && h.now-h.start >= h.rules.ListenArea && h.inFront()
 }
 
-// rank orders the living of the site by name, so that a restart changes nobody's rank for good.
+// begin has a router that has a new role tell what it knows at once.
+func (h *Hierarchy) begin(before Role) {
+	if h.role.Site && !before.Site {
+		h.spread.begin(withinArea)
+	}
+	if h.role.Region && !before.Region {
+		h.spread.begin(between)
+	}
+}
+
+// rank orders the living of the site, the oldest first: a router that begins anew is the last, so that a restart moves a role
+// once and not there and back, and who has a role has known the fleet for a while.
 func (h *Hierarchy) rank() {
 	clear(h.ranks)
+	slices.SortFunc(h.local.Members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.Name, b.Name))
+	})
 	for i, m := range h.local.Members {
 		h.ranks[m.Addr] = i
 		if _, known := h.silent[m.Addr]; !known {
--- /dev/null
+++ b/hierarchy/sim_test.go
@@ -0,0 +1,371 @@
+package hierarchy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+)
+
+// A fleet in virtual time: routers of this package, a network that loses, doubles, reorders and is cut, a membership of each
+// site that finds joins and deaths late, and a checker of what the routers hold.
+
+const (
+	tick      = 10e3 // microseconds
+	stepEvery = 100e3
+	overhead  = 20 + 8 + 2 // IPv4, UDP, and the two bytes by which memberlist and internal/peers mark a datagram
+	ring      = 1024       // ticks that a datagram may take
+)
+
+type node struct {
+	site    *site
+	name    string
+	addr    netip.AddrPort
+	index   int // within its site
+	phase   Micros
+	h       *Hierarchy // nil: dead
+	since   Micros     // alive or dead
+	life    uint64
+	started Micros
+	most    uint64 // revision of the policy
+	before  uint64 // the one before
+	held    Micros // since when it has most
+	skew    Micros // its wall clock's error
+	in      int    // bytes
+	out     int
+	worst   int // datagrams a second
+	remote  []netip.AddrPort
+}
+
+type site struct {
+	name, region string
+	nodes        []*node
+	over         Micros // since when it has too many representatives; 0: it has not
+	none         Micros // since when it has none though a router lives; 0: it has
+}
+
+type flight struct {
+	to   *node
+	body []byte
+}
+
+type world struct {
+	t      testing.TB
+	rng    *rand.Rand
+	rules  Rules
+	now    Micros
+	sites  []*site
+	nodes  []*node
+	byAddr map[netip.AddrPort]*node
+	air    [ring][]flight
+
+	lose, double float64
+	delay        Micros // at most
+	cut          func(from, to *node) bool
+	least, most  Micros // until a death is found by the membership
+
+	falselyLost   int    // times that a router held a site or region for lost that had a living router, each second
+	judged        int    // how often that was looked at
+	longestOver   Micros // that a site had too many representatives
+	longestNone   Micros // that it had none
+	longestFlight int    // bytes of a datagram
+}
+
+// newWorld makes a fleet of dead routers. The regions have about equally many sites.
+func newWorld(t testing.TB, seed uint64, sites, regions, perSite int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), rules: DefaultRules(), byAddr: map[netip.AddrPort]*node{}, delay: 20e3,
+		cut: func(_, _ *node) bool { return false }, least: 4e6, most: 7e6}
+	for i := range sites {
+		s := &site{name: fmt.Sprintf("site%03d", i), region: fmt.Sprintf("region%02d", i%regions)}
+		for j := range perSite {
+			n := &node{site: s, name: fmt.Sprintf("%s-r%02d", s.name, j), index: j, phase: Micros(w.rng.IntN(stepEvery/tick)) * tick}
+			n.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), byte(j + 1)}), 7946)
+			s.nodes, w.nodes = append(s.nodes, n), append(w.nodes, n)
+			w.byAddr[n.addr] = n
+		}
+		w.sites = append(w.sites, s)
+	}
+	for i, s := range w.sites {
+		for _, n := range s.nodes { // the first router of the own region, and of the next
+			n.remote = []netip.AddrPort{w.sites[i%regions].nodes[0].addr, w.sites[(i%regions+1)%regions].nodes[0].addr}
+		}
+	}
+	return w
+}
+
+func (w *world) start(n *node) {
+	n.life++
+	n.since, n.started = w.now, w.now
+	n.h = New(w.now, w.rules, Config{Fleet: "harvest", Region: n.site.region, Site: n.site.name, Name: n.name, Addr: n.addr, Remote: n.remote,
+		Wall: uint32(1.8e9 + float64(w.now+n.skew)/1e6), Seed: w.rng.Uint64()})
+}
+
+func (w *world) kill(n *node) { n.h, n.since = nil, w.now }
+
+// startAll starts all routers over a span.
+func (w *world) startAll(span Micros) {
+	begin := map[Micros][]*node{}
+	for _, n := range w.nodes {
+		at := Micros(w.rng.IntN(int(span/tick))) * tick
+		begin[at] = append(begin[at], n)
+	}
+	for at := Micros(0); at < span; at += tick {
+		for _, n := range begin[at] {
+			w.start(n)
+		}
+		w.step()
+	}
+}
+
+// run lets time pass.
+func (w *world) run(span Micros) {
+	for end := w.now + span; w.now < end; {
+		w.step()
+	}
+}
+
+func (w *world) step() {
+	w.now += tick
+	slot := &w.air[w.now/tick%ring]
+	for _, f := range *slot {
+		if f.to.h != nil {
+			f.to.in += len(f.body) + overhead
+			f.to.h.Take(w.now, f.body)
+		}
+	}
+	*slot = (*slot)[:0]
+	for _, n := range w.nodes {
+		if n.h != nil && w.now%stepEvery == n.phase {
+			w.send(n, n.h.Step(w.now, w.local(n)))
+		}
+	}
+	if w.now%(100*tick) == 0 {
+		w.check()
+	}
+}
+
+func (w *world) send(from *node, all []Datagram) {
+	for _, d := range all {
+		from.out += len(d.Body) + overhead
+		w.longestFlight = max(w.longestFlight, len(d.Body))
+		to := w.byAddr[d.To]
+		if to == nil || w.cut(from, to) {
+			continue
+		}
+		for range w.copies() {
+			at := w.now + tick + Micros(w.rng.Int64N(int64(w.delay)))
+			slot := at / tick % ring
+			w.air[slot] = append(w.air[slot], flight{to, d.Body})
+		}
+	}
+}
+
+func (w *world) copies() int {
+	switch x := w.rng.Float64(); {
+	case x < w.lose:
+		return 0
+	case x < w.lose+w.double:
+		return 2
+	}
+	return 1
+}
+
+// local is what a router's membership tells of its site: deaths are found late, and joins a little late, by each router at
+// another time.
+func (w *world) local(n *node) (l Local) {
+	l.Counts.Of = uint32(len(n.site.nodes))
+	l.Least = ^uint64(0)
+	for _, m := range n.site.nodes {
+		if !w.sees(n, m) {
+			continue
+		}
+		l.Members = append(l.Members, Member{m.name, m.addr, int64(m.started + m.skew)})
+		l.Counts.Alive++
+		l.Counts.Takes++
+		l.Digest = mix(mix(l.Digest, uint64(m.index)), m.life)
+		r := m.most
+		if n != m && w.now-m.held < 500e3 { // until the site's gossip has told it
+			r = m.before
+		}
+		l.Least, l.Most = min(l.Least, r), max(l.Most, r)
+	}
+	return l
+}
+
+func (w *world) sees(n, m *node) bool {
+	if n == m {
+		return true
+	}
+	if m.life == 0 {
+		return false
+	}
+	chance := Micros(mix(mix(uint64(n.index), uint64(m.index)), m.life) % 1000)
+	if m.h == nil {
+		return w.now-m.since < w.least+(w.most-w.least)*chance/1000
+	}
+	return w.now-m.since > 100e3+500*chance
+}
+
+// check judges, each second, what the routers hold against what is so.
+func (w *world) check() {
+	lives := map[string]bool{}
+	for _, s := range w.sites {
+		representatives, living := 0, 0
+		for _, n := range s.nodes {
+			if n.h == nil {
+				continue
+			}
+			living++
+			lives[s.name], lives[s.region] = true, true
+			if n.h.Role().Site {
+				representatives++
+			}
+		}
+		w.longestOver = max(w.longestOver, w.lasts(&s.over, representatives > w.rules.Representatives))
+		w.longestNone = max(w.longestNone, w.lasts(&s.none, representatives == 0 && living > 0))
+	}
+	for _, n := range w.nodes {
+		if n.h == nil || w.now-n.since < 10*second {
+			continue
+		}
+		for _, t := range n.h.tables {
+			for _, e := range t.entries {
+				w.judged++
+				if lives[e.Name] && w.now-e.heard > w.rules.Lost {
+					w.falselyLost++
+				}
+			}
+		}
+	}
+}
+
+// lasts is for how long something has been so.
+func (w *world) lasts(since *Micros, so bool) Micros {
+	if !so {
+		*since = 0
+		return 0
+	}
+	if *since == 0 {
+		*since = w.now
+	}
+	return w.now - *since
+}
+
+// until is the time that passes until something is so; it fails after a limit.
+func (w *world) until(what string, limit Micros, so func() bool) Micros {
+	w.t.Helper()
+	began := w.now
+	for !so() {
+		if w.now-began >= limit {
+			w.t.Errorf("after %d s not %s: %s", limit/second, what, w.odd())
+			return w.now - began
+		}
+		w.run(stepEvery)
+	}
+	return w.now - began
+}
+
+// agreed tells whether all living routers hold the same: of the regions in the fleet, of the sites in each region.
+func (w *world) agreed() bool { return w.odd() == "" }
+
+// odd tells of one that does not.
+func (w *world) odd() string {
+	var regions uint64
+	var first *node
+	sites := map[string]uint64{}
+	for _, n := range w.nodes {
+		if n.h == nil {
+			continue
+		}
+		s, r := n.h.Digests()
+		if first == nil {
+			first, regions = n, r
+		}
+		if was, known := sites[n.site.region]; known && was != s {
+			return fmt.Sprintf("%s differs on the sites of its region", n.name)
+		}
+		sites[n.site.region] = s
+		if r != regions {
+			return fmt.Sprintf("%s and %s differ on the regions", n.name, first.name)
+		}
+	}
+	return w.wrong(first)
+}
+
+// wrong tells what one router holds for so that is not.
+func (w *world) wrong(first *node) string {
+	alive := map[string]uint32{}
+	for _, n := range w.nodes {
+		if n.h != nil {
+			alive[n.site.region]++
+		}
+	}
+	if first == nil {
+		return "no router lives"
+	}
+	for region, n := range alive {
+		e := first.h.tables[Regions].entries[keyOf(region)]
+		if e == nil || e.Counts.Alive != n {
+			return fmt.Sprintf("%s does not know of %d alive in %s: %+v", first.name, n, region, e)
+		}
+	}
+	return ""
+}
+
+// settled tells whether all agree and say so.
+func (w *world) settled() bool {
+	for _, n := range w.nodes {
+		if n.h != nil && !n.h.Settled(w.now) {
+			return false
+		}
+	}
+	return w.agreed()
+}
+
+// living are those that serve; of a kind, where that is asked.
+func (w *world) living(ok func(*node) bool) (all []*node) {
+	for _, n := range w.nodes {
+		if n.h != nil && ok(n) {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// hold has a router hold a revision.
+func (w *world) hold(n *node, revision uint64) { n.before, n.most, n.held = n.most, revision, w.now }
+
+func ordinary(n *node) bool { return !n.h.Role().Site && n.h.Role().Rank >= 0 }
+
+func represents(n *node) bool { return n.h.Role().Site }
+
+func (w *world) pick(all []*node) *node { return all[w.rng.IntN(len(all))] }
+
+// known tells whether all living routers that have been there for a while know of a revision.
+func (w *world) known(revision uint64) bool {
+	for _, n := range w.nodes {
+		if n.h != nil && w.now-n.since > 5*second && n.h.Newest() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// rates are bytes a second, in and out together, of each router since the last call.
+func (w *world) rates(span Micros) (mean, most float64, worst *node) {
+	for _, n := range w.nodes {
+		rate := float64(n.in+n.out) * 1e6 / float64(span)
+		mean += rate / float64(len(w.nodes))
+		if rate > most {
+			most, worst = rate, n
+		}
+	}
+	w.forget()
+	return mean, most, worst
+}
+
+func (w *world) forget() {
+	for _, n := range w.nodes {
+		n.in, n.out = 0, 0
+	}
+}
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -29,7 +29,7 @@
 	mostRelayed  = 8  // summaries of a repair that are passed on as news; a router that is new has to be told all
 	everyBeat    = 5  // exchanges, one of which carries all signs of life
 	digestCalm   = second
-	digestMoving = 4 * second // between two digests while the table changes anyway
+	digestMoving = 2 * second // between two digests while the table changes anyway
 )
 
 // ids names entries of the tables.
@@ -74,6 +74,9 @@
 	h.spread.urgent = h.spread.urgent || urgent
 }
 
+// begin has the next exchange on a link be at once, and whole.
+func (s *spread) begin(l link) { s.exchanged[l], s.turns[l] = 0, -1 }
+
 // active tells whether this router uses a link.
 func (h *Hierarchy) active(l link) bool {
 	return l == withinSite || l == withinArea && h.role.Site || l == between && h.role.Region
@@ -94,18 +97,26 @@
 	if l == between {
 		tier, own = Regions, h.cfg.Region
 	}
-	t := h.tables[tier]
-	keys := slices.Clone(t.keys())
-	h.random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
-	for _, k := range keys {
-		e := t.entries[k]
-		if len(all) < n && e.Name != own && len(e.Representatives) > 0 && h.now-e.heard <= h.rules.Lost {
-			all = append(all, e.Representatives[h.random.IntN(len(e.Representatives))])
+	others, begin := h.shuffled(tier), h.random.IntN(maxRepresentatives)
+	for turn := range maxRepresentatives { // a second of the same only where there are fewer than n others
+		for _, e := range others {
+			if len(all) == n {
+				return all
+			}
+			if e.Name != own && turn < len(e.Representatives) && h.now-e.heard <= h.rules.Lost {
+				all = append(all, e.Representatives[(begin+turn)%len(e.Representatives)])
+			}
 		}
 	}
 	return all
 }
 
+func (h *Hierarchy) shuffled(tier Tier) []*entry {
+	all := h.tables[tier].byName()
+	h.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
+
 // push tells some partners on each link what is news, at once.
 func (h *Hierarchy) push() {
 	s := &h.spread
@@ -291,23 +302,18 @@
 
 // compare answers digests that are not this router's own with all versions held.
 func (h *Hierarchy) compare(m message, near bool) {
-	alike := true
+	h.compared = true
 	for tier := range tiers {
 		if tier == Sites && !near || m.sums[tier] == h.tables[tier].sum() {
 			continue
 		}
-		alike = false
+		h.unlike = h.now
 		if span := h.now - h.spread.digested[tier]; span < digestCalm || span < digestMoving && h.now-h.spread.changed[tier] < digestCalm {
 			continue
 		}
 		h.spread.digested[tier] = h.now
 		h.answer(m.from, h.digests(tier), mostRepair)
 	}
-	if alike {
-		h.alike = h.now
-	} else {
-		h.unlike = h.now
-	}
 }
 
 // repair answers a digest: with the summaries that the other lacks, and by asking for those that this one lacks.
--- a/hierarchy/status.go
+++ b/hierarchy/status.go
@@ -89,7 +89,7 @@
 			return false
 		}
 	}
-	return h.alike > h.unlike && h.now-h.unlike >= h.rules.Calm || len(h.partners(withinSite, 1)) == 0 && h.alone()
+	return h.now-h.unlike >= h.rules.Calm && (h.compared || len(h.local.Members) == 1)
 }
 
 // Newest is the highest revision of the policy that is told of by this router's site or any summary that is not lost.
--- a/hierarchy/table.go
+++ b/hierarchy/table.go
@@ -167,6 +167,16 @@
 	return most
 }
 
+// leader is an entry that tells of the highest revision of the policy; nil where none tells of any.
+func (t *table) leader() (k key, leader *entry) {
+	for _, x := range t.keys() {
+		if e := t.entries[x]; e.Most > 0 && (leader == nil || e.Most > leader.Most) {
+			k, leader = x, e
+		}
+	}
+	return k, leader
+}
+
 // byName are all entries, in the order of their names.
 func (t *table) byName() []*entry {
 	all := make([]*entry, 0, len(t.entries))
--- a/hierarchy/wire.go
+++ b/hierarchy/wire.go
@@ -57,6 +57,9 @@
 	return all
 }
 
+// longestBeat is the most that a sign of life takes, in bytes.
+const longestBeat = 1 + 4 + 4 + 2*binary.MaxVarintLen64
+
 func (h *Hierarchy) header(kind byte) []byte {
 	b := make([]byte, 0, 64)
 	b = append(b, kind)
@@ -80,13 +83,15 @@
 	}
 	for _, tier := range tiersOn(l) {
 		b = h.appendBeats(b, tier, which[tier])
+		if k, e := h.tables[tier].leader(); e != nil && !which[tier][k] {
+			b = appendBeatOf(b, tier, k, e.Beat)
+		}
 	}
 	return b
 }
 
 // appendBeats begins at a random place, so that what there is no room for this time is there another time.
 func (h *Hierarchy) appendBeats(b []byte, tier Tier, which map[key]bool) []byte {
-	const longest = 1 + 4 + 4 + 2*binary.MaxVarintLen64
 	t := h.tables[tier]
 	keys, begin := t.keys(), 0
 	if len(which) > 100 {
@@ -94,17 +99,20 @@
 	}
 	for i := range keys {
 		k := keys[(begin+i)%len(keys)]
-		if !which[k] || len(b)+longest > MaxDatagram {
+		if !which[k] || len(b)+(1+int(tiers))*longestBeat > MaxDatagram {
 			continue
 		}
-		e := t.entries[k]
-		b = append(b, byte(tier))
-		b = binary.BigEndian.AppendUint32(b, uint32(k))
-		b = appendBeat(b, e.Beat)
+		b = appendBeatOf(b, tier, k, t.entries[k].Beat)
 	}
 	return b
 }
 
+func appendBeatOf(b []byte, tier Tier, k key, x Beat) []byte {
+	b = append(b, byte(tier))
+	b = binary.BigEndian.AppendUint32(b, uint32(k))
+	return appendBeat(b, x)
+}
+
 func appendBeat(b []byte, x Beat) []byte {
 	b = binary.BigEndian.AppendUint32(b, x.Count)
 	b = binary.AppendUvarint(b, x.Most)
--- a/internal/peers/tiers.go
+++ b/internal/peers/tiers.go
@@ -86,7 +86,7 @@
 			l.Least, l.Most = min(l.Least, r), max(l.Most, r)
 		}
 		if addr, err := netip.ParseAddrPort(m.Addr); err == nil {
-			l.Members = append(l.Members, hierarchy.Member{Name: string(m.Name), Addr: addr})
+			l.Members = append(l.Members, hierarchy.Member{Name: string(m.Name), Addr: addr, Started: m.Started})
 		}
 	}
 	l.Digest = crc64.Checksum(text, crcTable)
