spurctl scale run: what membership costs a router as its fleet grows, by hollow routers

Change: internal/lab/scale plays scenarios (strict TOML) of hollow routers in a few worker processes on loopback, flat or tiered, at rest or under loss, a cut region, restarts and killed representatives; bytes and messages by mechanism, CPU and memory less the harness's own, times until all agree and until a change is known.

--- a/cmd/spurctl/main.go
+++ b/cmd/spurctl/main.go
@@ -88,7 +88,7 @@
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warning or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return usage("%v; see %s --help", err, c.CommandPath()) })
-	root.AddCommand(a.lab(), a.state(), a.fleet(), a.policy(), version())
+	root.AddCommand(a.lab(), a.state(), a.fleet(), a.policy(), a.scale(), version())
 	wrongUsage(root)
 	return root
 }
@@ -111,15 +111,19 @@
 func version() *cobra.Command {
 	return &cobra.Command{Use: "version", Short: "Tell what this program was built from", Example: "  spurctl version",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			rev := "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				for _, s := range info.Settings {
-					if s.Key == "vcs.revision" {
-						rev = s.Value
-					}
-				}
-			}
-			_, err := fmt.Fprintln(c.OutOrStdout(), "spurctl", rev)
+			_, err := fmt.Fprintln(c.OutOrStdout(), "spurctl", builtFrom())
 			return err
 		}}
 }
+
+// builtFrom is the commit that this program was built from.
+func builtFrom() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/cmd/spurctl/scale.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// scale is all that measures and plans how large a fleet can be.
+func (a *app) scale() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "scale",
+		Short: "Measure what a fleet's size costs its routers",
+		Long: "Hollow routers - the real membership without clients - are started on loopback in growing numbers, and what each of them\n" +
+			"sends, receives and uses is counted. See docs/scale.md.",
+		Example: "  spurctl scale run lab/scale/quick.toml",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(a.scaleRun(), a.scaleWorker())
+	return c
+}
--- /dev/null
+++ b/cmd/spurctl/scalerun.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"runtime"
+
+	"github.com/spf13/cobra"
+
+	"spurtrestle/internal/lab/scale"
+	"spurtrestle/internal/scale/result"
+)
+
+// scaleRun plays a scale scenario.
+func (a *app) scaleRun() *cobra.Command {
+	var into string
+	var sizes []int
+	var seeds []uint
+	var more bool
+	c := &cobra.Command{Use: "run FILE", Short: "Play a scale scenario and count what each router uses",
+		Long: "Plays a trial for each fault, seed and size of the scenario. Ctrl-C ends it and keeps the trials that are finished.\n" +
+			"Exit codes: 0 done, 1 it could not be played, 2 wrong usage, 4 a trial is incomplete, 5 the scenario's bound was not kept.",
+		Example: "  spurctl scale run lab/scale/quick.toml\n  spurctl scale run --json flat.json lab/scale/flat.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := scale.Read(args[0])
+			if err != nil {
+				return err
+			}
+			part, err := s.Part(sizes, wide(seeds))
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			options, err := a.scaleOptions(into, more)
+			if err != nil {
+				return err
+			}
+			file, err := scale.Run(c.Context(), part, options)
+			file.Trials = file.Trials[len(options.Before):]
+			if bad := scale.Table(c.OutOrStdout(), file.Trials); bad != nil {
+				return bad
+			}
+			if errors.Is(err, context.Canceled) {
+				return fmt.Errorf("interrupted: %d trials are finished, and kept", len(file.Trials))
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			return scaleVerdict(part, file.Trials)
+		}}
+	c.Flags().StringVar(&into, "json", "", "file for the result as JSON, written after each trial")
+	c.Flags().BoolVar(&more, "append", false, "keep the trials that the file of --json has, and add to them")
+	c.Flags().IntSliceVar(&sizes, "sizes", nil, "these of the scenario's sizes alone")
+	c.Flags().UintSliceVar(&seeds, "seeds", nil, "these of the scenario's seeds alone")
+	return c
+}
+
+func wide(seeds []uint) (all []uint64) {
+	for _, s := range seeds {
+		all = append(all, uint64(s))
+	}
+	return all
+}
+
+func (a *app) scaleOptions(into string, more bool) (o scale.Options, err error) {
+	var before result.File
+	if more {
+		if before, err = readResult(into); err != nil {
+			return o, err
+		}
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return o, err
+	}
+	machine, err := scale.ThisMachine()
+	if err != nil {
+		return o, err
+	}
+	return scale.Options{Program: []string{program, "scale", "worker"}, Build: builtFrom(), Cores: runtime.NumCPU(), Machine: machine, Before: before.Trials,
+		Progress: func(line string) { a.log.Info(line) },
+		Finished: func(file result.File) error { return writeResult(into, file) }}, nil
+}
+
+// readResult reads a result that is added to; there may be none yet.
+func readResult(name string) (file result.File, err error) {
+	text, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return file, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &file)
+	}
+	if err == nil && file.Format != result.Format {
+		err = fmt.Errorf("%s is of format %d, and this program writes %d", name, file.Format, result.Format)
+	}
+	if err != nil {
+		return file, fmt.Errorf("--append: %w; name a file that scale run has written", err)
+	}
+	return file, nil
+}
+
+// writeResult writes the file whole or not at all; an empty name means that nobody wants it.
+func writeResult(name string, file result.File) error {
+	if name == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(file, "", " ")
+	if err == nil {
+		err = os.WriteFile(name+".new", append(text, '\n'), 0o644)
+	}
+	if err == nil {
+		err = os.Rename(name+".new", name)
+	}
+	if err != nil {
+		return fmt.Errorf("--json: %w; name a file in a folder that can be written", err)
+	}
+	return nil
+}
+
+func scaleVerdict(s scale.Scenario, trials []result.Trial) error {
+	for _, t := range trials {
+		if t.Incomplete != "" {
+			return coded{exitVoid, fmt.Errorf("%d routers, seed %d: incomplete: %s", t.Routers, t.Seed, t.Incomplete)}
+		}
+	}
+	if err := s.Kept(trials); err != nil {
+		return coded{exitMissed, err}
+	}
+	return nil
+}
+
+// scaleWorker holds hollow routers for scale run.
+func (a *app) scaleWorker() *cobra.Command {
+	return &cobra.Command{Use: "worker", Hidden: true, Short: "Hold hollow routers for spurctl scale run, steered by standard input",
+		Example: "  spurctl scale worker < requests", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return scale.Work(c.InOrStdin(), c.OutOrStdout()) }}
+}
--- /dev/null
+++ b/internal/lab/scale/check.go
@@ -0,0 +1,97 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"spurtrestle/internal/scale/result"
+	"spurtrestle/internal/tomlfile"
+)
+
+const (
+	mostProcesses = 8
+	mostSpan      = 10 * time.Minute
+	leastProbe    = 50 * time.Millisecond
+)
+
+var (
+	topologies = []result.Topology{result.Flat, result.Tiered}
+	faults     = []result.Fault{result.Rest, result.Loss, result.RegionCut, result.Restarts, result.RestartsX, result.SpeakerEnd}
+)
+
+type checker struct {
+	at    tomlfile.Places
+	wrong []error
+}
+
+func (c *checker) want(ok bool, field, what, remedy string) {
+	if !ok {
+		c.wrong = append(c.wrong, tomlfile.Error{Line: c.at.Line(field), Field: field, What: what, Remedy: remedy})
+	}
+}
+
+func (c *checker) within(field string, x, least, most int) {
+	c.want(x >= least && x <= most, field, fmt.Sprintf("%d is not from %d to %d", x, least, most),
+		fmt.Sprintf("write a number from %d to %d", least, most))
+}
+
+func (c *checker) span(field string, s Span, least time.Duration) {
+	c.want(time.Duration(s) >= least && time.Duration(s) <= mostSpan, field,
+		fmt.Sprintf("%v is not from %v to %v", time.Duration(s), least, mostSpan), fmt.Sprintf("write a span from %q to %q", least, mostSpan))
+}
+
+func oneOf[T ~string](c *checker, field string, x T, of []T) {
+	var names []string
+	for _, o := range of {
+		names = append(names, string(o))
+	}
+	c.want(slices.Contains(of, x), field, fmt.Sprintf("%q is not known", x), "write one of "+strings.Join(names, ", "))
+}
+
+// check tells all that is wrong with a scenario by itself, whatever the machine.
+func check(s *Scenario, at tomlfile.Places) []error {
+	c := &checker{at: at}
+	c.want(s.Title != "", "title", "is missing", "name the run in a few words")
+	oneOf(c, "topology", s.Topology, topologies)
+	c.want(len(s.Sizes) > 0, "sizes", "is missing or empty: the run has no routers", "name one number of routers at least, as in sizes = [25, 50]")
+	for i, n := range s.Sizes {
+		field := fmt.Sprintf("sizes[%d]", i)
+		c.want(n > 0, field, fmt.Sprintf("%d routers are no fleet", n), "write a number above zero")
+		c.want(n <= mostAddresses, field, fmt.Sprintf("%d routers do not fit into one loopback network", n),
+			fmt.Sprintf("write %d at most", mostAddresses))
+	}
+	c.want(len(s.Seeds) > 0, "seeds", "is empty", "name one seed at least, as in seeds = [1]")
+	c.within("routers_per_site", s.RoutersPerSite, 1, 1000)
+	c.within("sites_per_region", s.SitesPerRegion, 1, 1000)
+	c.within("processes", s.Processes, 1, mostProcesses)
+	c.want(s.Network == 0 || s.Network >= firstNet && s.Network < firstNet+nets, "network",
+		fmt.Sprintf("%d is no network of the harness", s.Network), fmt.Sprintf("write a number from %d to %d, or leave it out", firstNet, firstNet+nets-1))
+	c.want(s.Loss >= 0 && s.Loss < 1, "loss", fmt.Sprintf("%v is no share of packets", s.Loss), "write a number from 0 to below 1")
+	c.span("probe", s.Probe, leastProbe)
+	c.span("settle", s.Settle, time.Second)
+	c.span("calm", s.Calm, 0)
+	c.span("measure", s.Measure, time.Second)
+	c.span("change", s.Change, time.Second)
+	c.span("kill_every", s.KillEvery, 100*time.Millisecond)
+	c.span("back_after", s.BackAfter, 100*time.Millisecond)
+	c.faults(s)
+	c.want(s.Bound.Slope >= 0, "bound.bytes_slope", "is below zero", "write a number above zero, or leave it out")
+	c.want(s.Bound.Slope == 0 || len(s.Sizes) >= 3, "bound.bytes_slope", "no slope follows from less than three sizes", "name three sizes, or leave it out")
+	c.want(s.Bound.Bytes >= 0, "bound.bytes_per_s", "is below zero", "write a number above zero, or leave it out")
+	return c.wrong
+}
+
+func (c *checker) faults(s *Scenario) {
+	c.want(len(s.Faults) > 0, "faults", "is empty", `name one, as in faults = ["rest"]`)
+	for i, f := range s.Faults {
+		field := fmt.Sprintf("faults[%d]", i)
+		oneOf(c, field, f, faults)
+		c.want(f != result.SpeakerEnd || s.Topology == result.Tiered, field, "a flat fleet has no representatives", `write topology = "tiered", or another fault`)
+		for _, n := range s.Sizes {
+			c.want(f != result.RegionCut || s.regions(max(1, n)) > 1, field, fmt.Sprintf("%d routers are one region", n),
+				"write fewer routers_per_site or sites_per_region, or larger sizes")
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/trial.go
@@ -0,0 +1,434 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"spurtrestle/internal/place"
+	"spurtrestle/internal/scale/result"
+)
+
+const (
+	idleSpan    = time.Second // for which workers without routers are measured
+	statusEvery = 250 * time.Millisecond
+	knownEvery  = 100 * time.Millisecond
+	startsAtOne = 8 // routers that a worker is told to start at a time
+)
+
+// trial is one fleet under one fault.
+type trial struct {
+	scenario Scenario
+	network  network
+	workers  workers
+	random   *rand.Rand
+	order    []int              // in which the routers start
+	specs    map[int]routerSpec // by which they were started
+	away     away
+	revision uint64
+	most     int64 // memory that the workers may use together, in bytes
+	out      result.Trial
+}
+
+// plan is which trial to play.
+type plan struct {
+	fault result.Fault
+	size  int
+	seed  uint64
+}
+
+var errMemory = errors.New("the workers use more than half of the machine's memory")
+
+// play plays one trial. What was measured until an error is in the result, which tells then why it is incomplete.
+func play(ctx context.Context, s Scenario, p plan, program []string, m Machine) (result.Trial, error) {
+	n, err := claimNetwork(s.Network)
+	if err != nil {
+		return result.Trial{}, err
+	}
+	defer n.close()
+	if err := n.taken(p.size); err != nil {
+		return result.Trial{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ws, err := startWorkers(ctx, program, processes(s, p.size))
+	if err != nil {
+		return result.Trial{}, err
+	}
+	defer ws.end()
+	t := &trial{scenario: s, specs: map[int]routerSpec{}, away: away{gone: map[int]bool{}}, network: n, workers: ws, random: rand.New(rand.NewPCG(p.seed, uint64(p.size))), most: m.Memory / 2,
+		out: result.Trial{Topology: s.Topology, Fault: p.fault, Seed: p.seed, Routers: p.size, Sites: s.sites(p.size), Regions: s.regions(p.size),
+			Probe: time.Duration(s.Probe).Seconds()}}
+	t.order = t.random.Perm(p.size)
+	err = t.run(ctx)
+	if ctx.Err() != nil {
+		return t.out, ctx.Err()
+	}
+	if err != nil {
+		t.out.Incomplete = err.Error()
+	}
+	return t.out, err
+}
+
+func (t *trial) run(ctx context.Context) error {
+	if err := t.measureHarness(ctx); err != nil {
+		return err
+	}
+	if t.out.Fault == result.Loss {
+		t.out.Loss = t.scenario.Loss
+		if err := t.link(linkState{Loss: t.out.Loss}); err != nil {
+			return err
+		}
+	}
+	if err := t.start(); err != nil {
+		return err
+	}
+	if err := t.settle(ctx, time.Now()); err != nil {
+		return err
+	}
+	if err := sleep(ctx, time.Duration(t.scenario.Calm)); err != nil {
+		return err
+	}
+	if err := t.measure(ctx); err != nil {
+		return err
+	}
+	return t.change(ctx)
+}
+
+// measureHarness measures what the workers use before there are routers.
+func (t *trial) measureHarness(ctx context.Context) error {
+	before, err := t.usage()
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err := sleep(ctx, idleSpan); err != nil {
+		return err
+	}
+	after, err := t.usage()
+	if err != nil {
+		return err
+	}
+	each := float64(t.out.Routers)
+	t.out.Harness = result.Usage{CPU: (after.CPU - before.CPU).Seconds() / time.Since(begin).Seconds() / each, Memory: float64(after.Memory) / each}
+	return nil
+}
+
+// usage is what all workers used so far. They are ended in time when they use too much memory.
+func (t *trial) usage() (sum processUsage, err error) {
+	replies, err := t.workers.askAllTheSame(request{Kind: requestCount})
+	for _, r := range replies {
+		if r.Usage != nil {
+			sum.CPU += r.Usage.CPU
+			sum.Memory += r.Usage.Memory
+		}
+	}
+	if err == nil && sum.Memory > t.most {
+		err = errMemory
+	}
+	return sum, err
+}
+
+// workerOf is the worker that a router is at. Routers that follow each other are at one worker, and so are most of a site.
+func (t *trial) workerOf(router int) int { return router * len(t.workers) / t.out.Routers }
+
+// start starts all routers, some at each worker at a time.
+func (t *trial) start() error {
+	var started []int // before the routers of this turn
+	queues := make([][]int, len(t.workers))
+	for _, r := range t.order {
+		queues[t.workerOf(r)] = append(queues[t.workerOf(r)], r)
+	}
+	for slices.ContainsFunc(queues, func(q []int) bool { return len(q) > 0 }) {
+		batches := make([][]routerSpec, len(t.workers))
+		for i, q := range queues {
+			k := min(startsAtOne, len(q))
+			for _, r := range q[:k] {
+				t.specs[r] = t.spec(r, started)
+				batches[i] = append(batches[i], t.specs[r])
+			}
+			queues[i] = q[k:]
+		}
+		if _, err := t.workers.askAll(func(i int) request { return request{Kind: requestStart, Routers: batches[i]} }); err != nil {
+			return err
+		}
+		for _, batch := range batches {
+			for _, s := range batch {
+				started = append(started, s.Index)
+			}
+		}
+		if _, err := t.usage(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const mostJoin = 4
+
+// spec is how a router starts: whom it calls at first follows from the fleet's shape and from who was begun before.
+func (t *trial) spec(router int, started []int) routerSpec {
+	s := t.scenario
+	site := router / s.RoutersPerSite
+	spec := routerSpec{Index: router, Network: t.network.number, Fleet: t.out.Routers, Topology: s.Topology, Site: site,
+		Region: site / s.SitesPerRegion, Probe: time.Duration(s.Probe), Seed: t.out.Seed}
+	if s.Topology == result.Flat {
+		spec.Join = t.flatJoin(router, started)
+		return spec
+	}
+	first := site * s.RoutersPerSite
+	for r := first; r < min(first+s.RoutersPerSite, t.out.Routers) && len(spec.Join) < mostJoin; r++ {
+		if r != router {
+			spec.Join = append(spec.Join, r)
+		}
+	}
+	spec.Remote = t.remote(spec)
+	return spec
+}
+
+// flatJoin is the first router that started and some others of those that run.
+func (t *trial) flatJoin(router int, started []int) (join []int) {
+	if t.order[0] != router {
+		join = append(join, t.order[0])
+	}
+	for range min(mostJoin-1, len(started)) {
+		if r := started[t.random.IntN(len(started))]; r != router && !slices.Contains(join, r) {
+			join = append(join, r)
+		}
+	}
+	return join
+}
+
+// remote is the first router of the first site of the own region, and of the next region.
+func (t *trial) remote(spec routerSpec) (remote []int) {
+	perRegion := t.scenario.RoutersPerSite * t.scenario.SitesPerRegion
+	for _, region := range []int{spec.Region, (spec.Region + 1) % t.out.Regions} {
+		if r := region * perRegion; r != spec.Index && r/t.scenario.RoutersPerSite != spec.Site && !slices.Contains(remote, r) {
+			remote = append(remote, r)
+		}
+	}
+	return remote
+}
+
+// settle waits until all views agree, since a time.
+func (t *trial) settle(ctx context.Context, since time.Time) error {
+	t.out.Settled, t.out.AllSettled = nil, nil
+	for time.Since(since) < time.Duration(t.scenario.Settle) {
+		agreed, settled, err := t.agreement()
+		if err != nil {
+			return err
+		}
+		if !agreed {
+			t.out.Settled = nil // they did for a moment alone
+		} else if t.out.Settled == nil {
+			t.out.Settled = seconds(since)
+		}
+		if agreed && settled {
+			t.out.AllSettled = seconds(since)
+			return nil
+		}
+		if err := sleep(ctx, statusEvery); err != nil {
+			return err
+		}
+		if _, err := t.usage(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func seconds(since time.Time) *float64 {
+	s := time.Since(since).Seconds()
+	return &s
+}
+
+// agreement tells whether the views are the same, and whether all routers know that they are.
+func (t *trial) agreement() (agreed, settled bool, err error) {
+	replies, err := t.workers.askAllTheSame(request{Kind: requestStatus})
+	if err != nil {
+		return false, false, err
+	}
+	digests, agreed := map[string]uint64{}, true
+	running, know := 0, 0
+	for _, r := range replies {
+		running, know = running+r.Routers, know+r.Status.Settled
+		for scope, all := range r.Status.Digests {
+			for _, d := range all {
+				if known, ok := digests[scope]; ok && known != d {
+					agreed = false
+				}
+				digests[scope] = d
+			}
+		}
+	}
+	return agreed && running == t.out.Routers, know == t.out.Routers, nil
+}
+
+// measure counts for a while, during which the fault strikes.
+func (t *trial) measure(ctx context.Context) error {
+	before, err := t.workers.askAllTheSame(request{Kind: requestCount})
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err := t.strike(ctx, begin.Add(time.Duration(t.scenario.Measure))); err != nil {
+		return err
+	}
+	after, err := t.workers.askAllTheSame(request{Kind: requestCount})
+	if err != nil {
+		return err
+	}
+	t.rates(before, after, time.Since(begin))
+	return t.heal(ctx)
+}
+
+// change has one router say that it holds a new revision of the policy, and waits until it is known everywhere.
+func (t *trial) change(ctx context.Context) error {
+	at := t.random.IntN(t.out.Routers)
+	ctx, cancel := context.WithCancel(ctx)
+	var striking sync.WaitGroup
+	if t.out.Fault == result.SpeakerEnd {
+		striking.Go(func() { _ = t.killRepresentatives(ctx, time.Now().Add(time.Duration(t.scenario.Change))) }) // it ends with the change
+	}
+	defer func() {
+		cancel()
+		striking.Wait()
+		t.away.Wait()
+	}()
+	t.revision++
+	changed, err := t.workers[t.workerOf(at)].ask(request{Kind: requestChange, Router: at, Revision: t.revision})
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	for time.Since(begin) < time.Duration(t.scenario.Change) {
+		known, running, err := t.known(changed.Process)
+		if err != nil {
+			return err
+		}
+		if known == running {
+			t.out.Change = seconds(begin)
+			return nil
+		}
+		if err := sleep(ctx, knownEvery); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *trial) known(process place.Process) (known, running int, err error) {
+	replies, err := t.workers.askAllTheSame(request{Kind: requestKnown, Process: process, Revision: t.revision})
+	for _, r := range replies {
+		known, running = known+r.Known, running+r.Routers
+	}
+	return known, running, err
+}
+
+func (t *trial) link(l linkState) error {
+	_, err := t.workers.askAllTheSame(request{Kind: requestLink, Link: l})
+	return err
+}
+
+func sleep(ctx context.Context, span time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(span):
+		return nil
+	}
+}
+
+// rates makes the trial's rates of two counts.
+func (t *trial) rates(before, after []reply, span time.Duration) {
+	t.out.Measured = span.Seconds()
+	each := float64(t.out.Routers)
+	was := totals(before)
+	var sum, worst routerRate
+	for router, now := range totals(after) {
+		r := now.since(was[router], span)
+		sum = sum.plus(r)
+		if r.bytes() > worst.bytes() {
+			worst = r
+		}
+	}
+	var cpu time.Duration
+	var memory int64
+	for i := range after {
+		cpu += after[i].Usage.CPU - before[i].Usage.CPU
+		memory += after[i].Usage.Memory
+	}
+	used := result.Usage{CPU: max(0, cpu.Seconds()/span.Seconds()/each-t.out.Harness.CPU), Memory: max(0, float64(memory)/each-t.out.Harness.Memory)}
+	t.out.PerRouter, t.out.Worst = sum.usage(each, used), worst.usage(1, used)
+	t.out.Mechanisms = nil
+	for m := range place.Mechanisms {
+		in, out := sum[m].received, sum[m].sent
+		if in.messages+out.messages > 0 {
+			t.out.Mechanisms = append(t.out.Mechanisms, result.Mechanism{Name: m.String(), Bytes: (in.bytes + out.bytes) / each,
+				Messages: (in.messages + out.messages) / each})
+		}
+	}
+}
+
+// totals are the counts by router, over all of its processes.
+func totals(replies []reply) map[int]routerCounts {
+	all := map[int]routerCounts{}
+	for _, r := range replies {
+		for _, c := range r.Counts {
+			sum := all[c.Index]
+			for m := range place.Mechanisms {
+				sum.Sent[m].Bytes += c.Sent[m].Bytes
+				sum.Sent[m].Messages += c.Sent[m].Messages
+				sum.Received[m].Bytes += c.Received[m].Bytes
+				sum.Received[m].Messages += c.Received[m].Messages
+			}
+			all[c.Index] = sum
+		}
+	}
+	return all
+}
+
+// rate is bytes and messages a second.
+type rate struct{ bytes, messages float64 }
+
+// routerRate is a router's traffic by mechanism.
+type routerRate [place.Mechanisms]struct{ sent, received rate }
+
+func (c routerCounts) since(was routerCounts, span time.Duration) (r routerRate) {
+	of := func(now, was count) rate {
+		return rate{float64(now.Bytes-was.Bytes) / span.Seconds(), float64(now.Messages-was.Messages) / span.Seconds()}
+	}
+	for m := range r {
+		r[m].sent, r[m].received = of(c.Sent[m], was.Sent[m]), of(c.Received[m], was.Received[m])
+	}
+	return r
+}
+
+func (r routerRate) plus(o routerRate) routerRate {
+	for m := range r {
+		r[m].sent = rate{r[m].sent.bytes + o[m].sent.bytes, r[m].sent.messages + o[m].sent.messages}
+		r[m].received = rate{r[m].received.bytes + o[m].received.bytes, r[m].received.messages + o[m].received.messages}
+	}
+	return r
+}
+
+func (r routerRate) bytes() (sum float64) {
+	for _, m := range r {
+		sum += m.sent.bytes + m.received.bytes
+	}
+	return sum
+}
+
+// usage is that of one of so many routers which have this traffic together.
+func (r routerRate) usage(routers float64, used result.Usage) result.Usage {
+	for _, m := range r {
+		used.BytesIn += m.received.bytes / routers
+		used.BytesOut += m.sent.bytes / routers
+		used.MessagesIn += m.received.messages / routers
+		used.MessagesOut += m.sent.messages / routers
+	}
+	return used
+}
--- /dev/null
+++ b/internal/lab/scale/worker.go
@@ -0,0 +1,182 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"spurtrestle/internal/place"
+	"spurtrestle/internal/scale/result"
+)
+
+// worker holds the hollow routers of one process.
+type worker struct {
+	link atomic.Pointer[linkState]
+
+	mu      sync.Mutex // of the below; a request takes long, and the routers do not wait for it
+	routers map[int]*hollow
+	ended   []routerCounts // of processes of routers that are no more
+}
+
+// Work answers requests until there are no more, and ends then without a word to the fleet.
+func Work(requests io.Reader, replies io.Writer) error {
+	w := &worker{routers: map[int]*hollow{}}
+	w.link.Store(&linkState{})
+	in, out := json.NewDecoder(bufio.NewReader(requests)), json.NewEncoder(replies)
+	for {
+		var r request
+		if err := in.Decode(&r); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("a request cannot be read: %w", err)
+		}
+		answer, err := w.answer(r)
+		if err != nil {
+			answer.Error = err.Error()
+		}
+		answer.Routers = len(w.routers)
+		if err := out.Encode(answer); err != nil {
+			return fmt.Errorf("a reply cannot be written: %w", err)
+		}
+	}
+}
+
+func (w *worker) answer(r request) (reply, error) {
+	switch r.Kind {
+	case requestStart:
+		return reply{}, w.start(r.Routers)
+	case requestCount:
+		return w.count()
+	case requestStatus:
+		return reply{Status: w.status()}, nil
+	case requestRoles:
+		return reply{Roles: w.representatives()}, nil
+	case requestChange:
+		return w.change(r.Router, r.Revision)
+	case requestKnown:
+		return reply{Known: w.known(r.Process, r.Revision)}, nil
+	case requestLink:
+		w.link.Store(&r.Link)
+		return reply{}, nil
+	case requestKill, requestEnd:
+		return reply{}, w.end(r.Router, r.Kind == requestKill)
+	}
+	return reply{}, fmt.Errorf("%q is no request", r.Kind)
+}
+
+func (w *worker) start(specs []routerSpec) error {
+	failed := make([]error, len(specs))
+	var wg sync.WaitGroup
+	for i, spec := range specs {
+		wg.Go(func() {
+			h := &hollow{spec: spec}
+			if failed[i] = h.open(&w.link); failed[i] != nil {
+				return
+			}
+			w.mu.Lock()
+			w.routers[spec.Index] = h
+			w.mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return errors.Join(failed...)
+}
+
+func (w *worker) count() (reply, error) {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		return reply{}, fmt.Errorf("the CPU time: %w", err)
+	}
+	memory, err := rss()
+	if err != nil {
+		return reply{}, err
+	}
+	answer := reply{Usage: &processUsage{time.Duration(used.Utime.Nano() + used.Stime.Nano()), memory}}
+	answer.Counts = slices.Clone(w.ended)
+	for _, h := range w.routers {
+		answer.Counts = append(answer.Counts, h.wire.counts())
+	}
+	return answer, nil
+}
+
+// status asks each router; a flat one's answer is kept short, since the whole view of a large fleet would cost more than
+// what is measured.
+func (w *worker) status() *status {
+	s := &status{Digests: map[string][]uint64{}}
+	add := func(scope string, digest uint64) {
+		if !slices.Contains(s.Digests[scope], digest) {
+			s.Digests[scope] = append(s.Digests[scope], digest)
+		}
+	}
+	for _, h := range w.routers {
+		digest, settled := h.place.Digest()
+		if h.spec.Topology == result.Flat {
+			add("fleet", digest)
+		} else {
+			sites, regions := h.place.TierDigests()
+			add("fleet", regions)
+			add(fmt.Sprintf("region %d", h.spec.Region), sites)
+			add(fmt.Sprintf("site %d", h.spec.Site), digest)
+			settled = h.place.Settled()
+		}
+		if settled {
+			s.Settled++
+		}
+	}
+	return s
+}
+
+func (w *worker) representatives() (all []int) {
+	for i, h := range w.routers {
+		if h.place.Role().Site {
+			all = append(all, i)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (w *worker) change(router int, revision uint64) (reply, error) {
+	h := w.routers[router]
+	if h == nil {
+		return reply{}, fmt.Errorf("router %d does not run here", router)
+	}
+	h.place.Holds(revision)
+	return reply{Process: h.place.Me()}, nil
+}
+
+func (w *worker) known(process place.Process, revision uint64) (n int) {
+	for _, h := range w.routers {
+		newest := h.place.RevisionOf(process)
+		if h.spec.Topology == result.Tiered {
+			newest = h.place.NewestRevision()
+		}
+		if newest >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) end(router int, killed bool) error {
+	h := w.routers[router]
+	if h == nil {
+		return fmt.Errorf("router %d does not run here", router)
+	}
+	delete(w.routers, router)
+	if killed {
+		h.wire.dead.Store(true)
+		h.place.Kill()
+	} else {
+		h.place.Close(false)
+	}
+	w.ended = append(w.ended, h.wire.counts())
+	return nil
+}
--- a/internal/peers/meter.go
+++ b/internal/peers/meter.go
@@ -223,6 +223,8 @@
 		return place.Lending
 	case kindTalk:
 		return place.Grant
+	case kindTiers:
+		return place.Summary
 	}
 	return place.Other
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -423,6 +423,18 @@
 	p.keepKnown()
 }
 
+// Kill gives the place up as a killed process does: without a word.
+func (p *Peers) Kill() {
+	close(p.stop)
+	p.ended.Wait()
+	p.mu.Lock()
+	list := p.list
+	p.mu.Unlock()
+	if list != nil {
+		_ = list.Shutdown() // nothing depends on it any more
+	}
+}
+
 func (p *Peers) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -49,6 +49,8 @@
 	Harness    Usage       `json:"harness"`    // what was taken off
 	Mechanisms []Mechanism `json:"mechanisms"`
 	Settled    *float64    `json:"settled_s"`            // from the last start until all views agreed; null: they did not
+	AllSettled *float64    `json:"all_settled_s"`        // from the same time until all routers knew that all agreed; null: they did not
+	Events     int         `json:"events"`               // routers ended by the fault
 	Change     *float64    `json:"change_s"`             // from a change at one router until all had it; null: not all had it
 	Incomplete string      `json:"incomplete,omitempty"` // why the trial ended early; empty: it did not
 }
