--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
+	"spurtrestle/hierarchy"
 	"spurtrestle/internal/place"
 	"spurtrestle/parts"
 	"spurtrestle/view"
@@ -44,7 +45,8 @@
 	lending bool
 	told    share
 	hear    func(place.Process, []byte)
-	news    bool // the own word is another than was last passed on
+	tiers   *hierarchy.Hierarchy // nil: the fleet is flat
+	news    bool                 // the own word is another than was last passed on
 
 	list    *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
@@ -83,6 +85,9 @@
 	}
 	p.view = view.New(p.micros(), rules, p.me)
 	p.parts = parts.New(parts.Micros(p.micros()), parts.DefaultRules(), cfg.Seats, parts.Seat(cfg.Seat), parts.Process(process), cfg.Clear)
+	if err := p.beginTiers(process); err != nil {
+		return nil, err
+	}
 	known, err := p.readKnown()
 	if err != nil {
 		return nil, err
@@ -120,6 +125,7 @@
 	// As many turns of each to a probe as the library has by default.
 	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = probe, probe/2, probe/5
 	c.PushPullInterval, c.GossipToTheDeadTime, c.TCPTimeout = 10*probe, 30*probe, max(2*probe, time.Second)
+	p.tune(c)
 	c.EnableCompression = false // words are short; it cost a third of the CPU of a calm router
 	c.HandoffQueueDepth = 4096  // 300 routers that begin at once
 	c.Delegate, c.Events, c.Ping, c.Alive, c.Merge = p, p, p, p, p
@@ -133,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	c.Transport = from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}}
+	c.Transport = p.metered(from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}})
 	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: c.RetransmitMult, NumNodes: p.size}
 	list, err := memberlist.Create(c)
 	if err != nil {
@@ -160,6 +166,14 @@
 	return d.Dial("tcp", a.Addr)
 }
 
+// metered has a transport's traffic counted, where someone wants that.
+func (p *Peers) metered(t memberlist.NodeAwareTransport) memberlist.NodeAwareTransport {
+	if p.cfg.Wire == nil {
+		return t
+	}
+	return meter(t, p.cfg.Wire)
+}
+
 // greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
 // process with a wrong file would take clients until it is told.
 func (p *Peers) greet() error {
@@ -235,8 +249,11 @@
 	p.answers = nil
 	s := p.share(p.parts.Share(parts.Micros(now)))
 	addr, call := p.view.Whom(now, p.cfg.Join)
+	summaries := p.stepTiers(now)
 	p.mu.Unlock()
 
+	p.sendTiers(summaries)
+
 	if pass {
 		p.pass()
 	}
@@ -351,7 +368,7 @@
 // Whole is the view as people are shown it, as JSON.
 func (p *Peers) Whole() (string, error) {
 	p.mu.Lock()
-	w := p.view.Whole(p.micros())
+	w := p.whole()
 	p.mu.Unlock()
 	text, err := json.MarshalIndent(w, "", " ")
 	return string(text) + "\n", err
@@ -406,6 +423,18 @@
 	p.keepKnown()
 }
 
+// Kill gives the place up as a killed process does: without a word.
+func (p *Peers) Kill() {
+	close(p.stop)
+	p.ended.Wait()
+	p.mu.Lock()
+	list := p.list
+	p.mu.Unlock()
+	if list != nil {
+		_ = list.Shutdown() // nothing depends on it any more
+	}
+}
+
 func (p *Peers) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
