Slopes, capacity and leader stand under spurctl scale; the leader is measured

Cause: the harness has come with the parent command, and with the time until all routers know that they agree. Change: joined; that time is a figure; a test of ours went by the place of a series in the list and now goes by its name and slope.

--- a/cmd/spurctl/scale.go
+++ b/cmd/spurctl/scale.go
@@ -15,6 +15,6 @@
 		Args:    cobra.NoArgs,
 		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(a.scaleRun(), a.scaleWorker())
+	c.AddCommand(a.scaleRun(), a.scaleWorker(), a.scaleSlopes(), a.scaleCapacity(), a.scaleLeader())
 	return c
 }
--- a/cmd/spurctl/scalecapacity_test.go
+++ b/cmd/spurctl/scalecapacity_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -63,9 +64,24 @@
 		t.Errorf("%q in\n%s", line, text)
 	}
 	text, err = execute((&app{}).scaleSlopes(), "--output", "json", runs)
-	var series []map[string]any
-	if err != nil || json.Unmarshal([]byte(text), &series) != nil || len(series) == 0 || series[0]["figure"] != "bytes" {
-		t.Errorf("%v\n%s", err, text)
+	var series []struct {
+		Figure string
+		Choice struct {
+			Form string
+			Step struct{ Value float64 }
+		}
+	}
+	if err != nil || json.Unmarshal([]byte(text), &series) != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	found := false
+	for _, s := range series {
+		if s.Figure == "bytes" {
+			found = s.Choice.Form == "n" && math.Abs(s.Choice.Step.Value-1) < 0.01
+		}
+	}
+	if !found {
+		t.Errorf("no slope of 1 byte a router in\n%s", text)
 	}
 }
 
--- a/cmd/spurctl/scaleleader.go
+++ b/cmd/spurctl/scaleleader.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"runtime"
-	"runtime/debug"
 	"text/tabwriter"
 	"time"
 
@@ -103,15 +102,3 @@
 	}
 	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
 }
-
-// builtFrom is the commit of this program; unknown where the build does not tell.
-func builtFrom() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				return s.Value
-			}
-		}
-	}
-	return "unknown"
-}
--- a/internal/scale/capacity/measured.go
+++ b/internal/scale/capacity/measured.go
@@ -69,7 +69,8 @@
 	FigureCPU      Figure = "cpu"
 	FigureMemory   Figure = "memory"
 	FigureWorst    Figure = "worst_bytes" // of the router with the most
-	FigureSettled  Figure = "settled"
+	FigureSettled  Figure = "settled"     // all views agree
+	FigureKnown    Figure = "all_settled" // and all routers know it
 	FigureChange   Figure = "change"
 )
 
@@ -84,7 +85,7 @@
 		return Cores
 	case FigureMemory:
 		return Bytes
-	case FigureSettled, FigureChange:
+	case FigureSettled, FigureKnown, FigureChange:
 		return Seconds
 	default:
 		return BytesPerSecond
@@ -184,7 +185,7 @@
 		key := Key{trial.Topology, trial.Fault, figure}
 		s := series[key]
 		if s == nil {
-			s = &Series{Key: key}
+			s = &Series{Key: key, Points: []slope.Point{}}
 			series[key] = s
 		}
 		size := float64(trial.Routers)
@@ -207,6 +208,7 @@
 		plain(mechanismFigure(m.Name), m.Bytes)
 	}
 	add(FigureSettled, trial.Settled)
+	add(FigureKnown, trial.AllSettled)
 	add(FigureChange, trial.Change)
 }
 
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -53,8 +53,10 @@
 	CPU      slope.Interval  `json:"cpu"`
 	Memory   slope.Interval  `json:"memory"`
 	Settled  slope.Interval  `json:"settled"`
+	Known    slope.Interval  `json:"all_settled"`
 	Change   slope.Interval  `json:"change"`
 	Settles  int             `json:"settles"` // seeds in which it settled
+	Knows    int             `json:"knows"`   // seeds in which all routers knew it
 	Changes  int             `json:"changes"` // seeds in which all had the change
 }
 
@@ -121,6 +123,7 @@
 		row.CPU, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.CPU) })
 		row.Memory, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.Memory) })
 		row.Settled, row.Settles = spread(all, func(t result.Trial) *float64 { return t.Settled })
+		row.Known, row.Knows = spread(all, func(t result.Trial) *float64 { return t.AllSettled })
 		row.Change, row.Changes = spread(all, func(t result.Trial) *float64 { return t.Change })
 		rows = append(rows, row)
 	}
--- a/internal/scale/capacity/roles.go
+++ b/internal/scale/capacity/roles.go
@@ -154,7 +154,8 @@
 		measuredRow(e, t, topology, FigureMessages, "messages in and out", mechanism),
 		measuredRow(e, t, topology, FigureCPU, "processor time", mechanism).within(c.CoreShare, Cores),
 		measuredRow(e, t, topology, FigureMemory, "memory, all state in it", mechanism).within(c.MemoryBytes, Bytes),
-		measuredRow(e, t, topology, FigureSettled, "from the last start until settled", mechanism),
+		measuredRow(e, t, topology, FigureSettled, "until all views agree: from the last start, or the fault's end", mechanism),
+		measuredRow(e, t, topology, FigureKnown, "until all routers know that they do", mechanism),
 		measuredRow(e, t, topology, FigureChange, "from a change at one router until all have it", mechanism).within(t.Changes.Within.Seconds(), Seconds),
 	}}
 }
--- a/internal/scale/slope/slope.go
+++ b/internal/scale/slope/slope.go
@@ -70,8 +70,8 @@
 
 // Point is one measurement.
 type Point struct {
-	Size  float64 // routers; above 0
-	Value float64 // in the figure's own unit
+	Size  float64 `json:"size"`  // routers; above 0
+	Value float64 `json:"value"` // in the figure's own unit
 }
 
 // Limits of what is fitted at all.
