--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -20,6 +20,7 @@
 	Sources  []Source      `json:"sources"`
 	Peak     []Line        `json:"peak"`
 	Sizes    []SizeRow     `json:"sizes"` // at rest
+	Parts    []PartsRow    `json:"parts"` // at rest, by mechanism
 	Slopes   []Series      `json:"slopes"`
 	Held     []Held        `json:"held"`
 	Roles    []Role        `json:"roles"`
@@ -60,6 +61,16 @@
 	Changes  int             `json:"changes"` // seeds in which all had the change
 }
 
+// PartsRow is what each mechanism causes at one size of one kind of fleet at rest, the mean over the seeds.
+type PartsRow struct {
+	Topology result.Topology `json:"topology"`
+	Routers  int             `json:"routers"`
+	Bytes    []float64       `json:"bytes_per_s"` // in the order of Mechanisms; 0 where it causes none
+}
+
+// Mechanisms are those that a scale run tells apart.
+var Mechanisms = []string{"probe", "gossip", "heartbeat", "full_state", "summary", "lending", "grant", "other"}
+
 // Held is the largest size measured at which all seeds kept to a router's budget, at rest.
 type Held struct {
 	Topology result.Topology `json:"topology"`
@@ -79,7 +90,7 @@
 	p := purging(t, t.Control.BytesPerSecond-spent)
 	membership := predicted(e, t, Key{result.Tiered, result.Rest, FigureBytes})
 	ofRepresentative := predicted(e, t, Key{result.Tiered, result.Rest, FigureWorst})
-	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
+	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Parts: partsRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
 		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete, Leader: ofLeader}
 	for _, f := range e.Files {
 		r.Sources = append(r.Sources, source(f))
@@ -101,12 +112,18 @@
 	return Source{Name: f.Name, Build: f.Build, Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite)}
 }
 
-// sizeRows are by topology and size.
-func sizeRows(e Evidence) (rows []SizeRow) {
-	type group struct {
-		topology result.Topology
-		routers  int
-	}
+// group is one size of one kind of fleet.
+type group struct {
+	topology result.Topology
+	routers  int
+}
+
+func compareGroups(a, b group) int {
+	return cmp.Or(cmp.Compare(a.topology, b.topology), cmp.Compare(a.routers, b.routers))
+}
+
+// atRest are the trials without a fault that were not ended early.
+func atRest(e Evidence) map[group][]result.Trial {
 	trials := map[group][]result.Trial{}
 	for _, f := range e.Files {
 		for _, t := range f.Trials {
@@ -116,7 +133,31 @@
 			}
 		}
 	}
-	for g, all := range trials {
+	return trials
+}
+
+// partsRows are by topology and size.
+func partsRows(e Evidence) (rows []PartsRow) {
+	trials := atRest(e)
+	for _, g := range slices.SortedFunc(maps.Keys(trials), compareGroups) {
+		row := PartsRow{Topology: g.topology, Routers: g.routers, Bytes: make([]float64, len(Mechanisms))}
+		for _, trial := range trials[g] {
+			for _, m := range trial.Mechanisms {
+				if i := slices.Index(Mechanisms, m.Name); i >= 0 {
+					row.Bytes[i] += m.Bytes / float64(len(trials[g]))
+				}
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// sizeRows are by topology and size.
+func sizeRows(e Evidence) (rows []SizeRow) {
+	trials := atRest(e)
+	for _, g := range slices.SortedFunc(maps.Keys(trials), compareGroups) {
+		all := trials[g]
 		row := SizeRow{Topology: g.topology, Routers: g.routers, Seeds: len(all)}
 		row.Bytes, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.BytesIn + t.PerRouter.BytesOut) })
 		row.Worst, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Worst.BytesIn + t.Worst.BytesOut) })
@@ -127,9 +168,6 @@
 		row.Change, row.Changes = spread(all, func(t result.Trial) *float64 { return t.Change })
 		rows = append(rows, row)
 	}
-	slices.SortFunc(rows, func(a, b SizeRow) int {
-		return cmp.Or(cmp.Compare(a.Topology, b.Topology), cmp.Compare(a.Routers, b.Routers))
-	})
 	return rows
 }
 
@@ -214,11 +252,12 @@
 		}
 		return "no"
 	},
-	"fitted": func(s *LeaderSlopes) bool { return s.Fitted() },
-	"add":    func(a, b int) int { return a + b },
-	"step":   func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
-	"base":   func(f slope.Fit) string { return interval(f.Base, false) },
-	"short":  func(text string) string { return text[:min(len(text), 10)] },
+	"mechanisms": func() []string { return Mechanisms },
+	"fitted":     func(s *LeaderSlopes) bool { return s.Fitted() },
+	"add":        func(a, b int) int { return a + b },
+	"step":       func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
+	"base":       func(f slope.Fit) string { return interval(f.Base, false) },
+	"short":      func(text string) string { return text[:min(len(text), 10)] },
 }).Parse(page))
 
 func around(i slope.Interval, unit Unit) string {
--- a/internal/scale/capacity/wire.go
+++ b/internal/scale/capacity/wire.go
@@ -8,8 +8,9 @@
 	"spurtrestle/view"
 )
 
-// Sizes of the messages that routers send today, in bytes of payload, of samples with names of a large fleet: numbers have as
-// many digits as after some days.
+// Sizes of the messages that routers send today, in bytes with the headers of IPv4 and UDP, as scale runs count them; of
+// samples with names of a large fleet, whose numbers have as many digits as after some days. Words and members are parts of
+// larger messages, and have no headers of their own.
 type wire struct {
 	Renewal   float64 // a router asks the keepers' leader
 	Grant     float64 // it is answered, and holds what is in force
@@ -28,8 +29,8 @@
 
 	// talkFrame is around each message of the policy: its kind and process (internal/peers), and the key of its field
 	// (internal/keeper).
-	talkFrame = 1 + 8 + len(`{"r":}`)
-	kindFrame = 1
+	talkFrame = datagramHeader + 1 + 8 + len(`{"r":}`)
+	kindFrame = datagramHeader + 1
 )
 
 func wireSizes() wire {
