--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run demo bench lab proto standing fleet-long policy-long site-long accord-long
+.PHONY: build test race lint fuzz run demo bench lab proto standing fleet-long policy-long site-long accord-long scale scale-long
 
 # As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
@@ -47,6 +47,14 @@
 site-long: build
 	bin/spurctl lab sites --rounds 50
 
+# What a fleet's size costs its routers, small: under a minute, and it fails when a router's bytes grow with the fleet.
+scale: build
+	bin/spurctl scale run lab/scale/quick.toml
+
+# The same at all sizes and under all faults: some two hours. Trials that are finished are kept in scale-*.json.
+scale-long: build
+	for s in flat flat-faults tiered tiered-faults tiered-region-cut; do bin/spurctl scale run --json scale-$$s.json lab/scale/$$s.toml || exit 1; done
+
 # Every order of a small fleet that asks, loses, doubles, begins anew and changes its leader: minutes, and some GB.
 accord-long:
 	go test -count=1 -timeout 60m -run TestEveryOrder -long -v ./accord
--- a/cmd/spurctl/main_test.go
+++ b/cmd/spurctl/main_test.go
@@ -32,6 +32,9 @@
 		write(t, filepath.Join(dir, "good.policy"), []byte("schema = 1\nout = [\"s1\"]\n"))
 		write(t, filepath.Join(dir, "bad.policy"), []byte("schema = 1\ncolour = 2\n"))
 		write(t, filepath.Join(dir, "odd.toml"), []byte("titel = \"x\"\n"))
+		write(t, filepath.Join(dir, "empty.toml"), []byte("title = \"x\"\nsizes = []\n"))
+		write(t, filepath.Join(dir, "scale.toml"), []byte("title = \"x\"\nsizes = [2]\n"))
+		write(t, filepath.Join(dir, "result.json"), []byte("{\"format\": 9}\n"))
 		return tracetest.Steps(script, func(line string, say func(string, ...any)) {
 			text, code := run(strings.Fields(strings.ReplaceAll(line, "$DIR", dir)))
 			say("%s", strings.ReplaceAll(text, dir, "$DIR"))
--- a/cmd/spurctl/scalerun.go
+++ b/cmd/spurctl/scalerun.go
@@ -68,6 +68,12 @@
 
 func (a *app) scaleOptions(into string, more bool) (o scale.Options, err error) {
 	var before result.File
+	if more && into == "" {
+		return o, usage("--append: there is no file to add to; name it by --json")
+	}
+	if err := writable(into); err != nil {
+		return o, err
+	}
 	if more {
 		if before, err = readResult(into); err != nil {
 			return o, err
@@ -104,6 +110,21 @@
 	return file, nil
 }
 
+// writable tells before a long run whether its result can be written; an empty name means that nobody wants it.
+func writable(name string) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name + partSuffix)
+	if err != nil {
+		return fmt.Errorf("--json: %w; name a file in a folder that can be written", err)
+	}
+	return errors.Join(f.Close(), os.Remove(f.Name()))
+}
+
+// partSuffix is that of a result which is not whole yet.
+const partSuffix = ".new"
+
 // writeResult writes the file whole or not at all; an empty name means that nobody wants it.
 func writeResult(name string, file result.File) error {
 	if name == "" {
@@ -111,10 +132,10 @@
 	}
 	text, err := json.MarshalIndent(file, "", " ")
 	if err == nil {
-		err = os.WriteFile(name+".new", append(text, '\n'), 0o644)
+		err = os.WriteFile(name+partSuffix, append(text, '\n'), 0o644)
 	}
 	if err == nil {
-		err = os.Rename(name+".new", name)
+		err = os.Rename(name+partSuffix, name)
 	}
 	if err != nil {
 		return fmt.Errorf("--json: %w; name a file in a folder that can be written", err)
--- /dev/null
+++ b/internal/lab/scale/run_test.go
@@ -0,0 +1,123 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/scale/result"
+)
+
+func options() Options {
+	return Options{Program: []string{os.Args[0], workerArgument}, Machine: Machine{Memory: 8 << 30, Files: 10000},
+		Progress: func(string) {}, Finished: func(result.File) error { return nil }}
+}
+
+func small(topology result.Topology, fault result.Fault, size int) Scenario {
+	s := Default()
+	s.Title, s.Topology, s.Faults, s.Sizes = "test", topology, []result.Fault{fault}, []int{size}
+	s.RoutersPerSite, s.SitesPerRegion, s.Processes = 2, 2, 2
+	s.Probe, s.Calm, s.Measure = Span(200*time.Millisecond), 0, Span(2*time.Second)
+	s.KillEvery, s.BackAfter = Span(500*time.Millisecond), Span(time.Second)
+	return s
+}
+
+func TestRun(t *testing.T) {
+	for _, s := range []Scenario{
+		small(result.Flat, result.Rest, 5),
+		small(result.Flat, result.RegionCut, 8),
+		small(result.Flat, result.RestartsX, 4),
+		small(result.Tiered, result.Loss, 8),
+		small(result.Tiered, result.SpeakerEnd, 8),
+	} {
+		t.Run(fmt.Sprintf("%s_%s", s.Topology, s.Faults[0]), func(t *testing.T) {
+			t.Parallel()
+			file, err := Run(t.Context(), s, options())
+			if err != nil || len(file.Trials) != 1 {
+				t.Fatal(file, err)
+			}
+			got := file.Trials[0]
+			if got.Settled == nil || got.AllSettled == nil || got.Change == nil {
+				t.Errorf("it did not settle, or a change was not known everywhere: %+v", got)
+			}
+			if got.PerRouter.BytesIn == 0 || got.PerRouter.MessagesOut == 0 || len(got.Mechanisms) == 0 || got.Measured < 2 {
+				t.Errorf("nothing was counted: %+v", got)
+			}
+			if restarted := got.Fault == result.RestartsX || got.Fault == result.SpeakerEnd; restarted != (got.Events > 0) {
+				t.Errorf("%d routers were ended", got.Events)
+			}
+		})
+	}
+}
+
+// What a router sends is what others receive.
+func TestSentIsReceived(t *testing.T) {
+	file, err := Run(t.Context(), small(result.Flat, result.Rest, 4), options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := file.Trials[0].PerRouter
+	if u.BytesIn < 0.8*u.BytesOut || u.BytesOut < 0.8*u.BytesIn {
+		t.Errorf("%.0f B/s sent, %.0f received", u.BytesOut, u.BytesIn)
+	}
+}
+
+// An interrupted run keeps what is finished, and leaves no worker running.
+func TestInterruptedRunKeepsFinishedTrials(t *testing.T) {
+	s := small(result.Flat, result.Rest, 2)
+	s.Sizes = []int{2, 4}
+	s.Measure = Span(time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	o := options()
+	o.Finished = func(result.File) error { cancel(); return nil }
+	file, err := Run(ctx, s, o)
+	if !errors.Is(err, context.Canceled) || len(file.Trials) != 1 {
+		t.Fatalf("%d trials, %v", len(file.Trials), err)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("workers are left: %v", left)
+	}
+}
+
+// A worker that ends makes its trial an incomplete one; the others are ended.
+func TestWorkerThatEndsLeavesNothingRunning(t *testing.T) {
+	o := options()
+	o.Program = []string{"/bin/true"}
+	if _, err := Run(t.Context(), small(result.Flat, result.Rest, 2), o); err != nil {
+		t.Fatal(err) // it is in the trial
+	}
+	file, _ := Run(t.Context(), small(result.Flat, result.Rest, 2), o)
+	if len(file.Trials) != 1 || !strings.Contains(file.Trials[0].Incomplete, "a worker has ended") {
+		t.Errorf("%+v", file.Trials)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("workers are left: %v", left)
+	}
+}
+
+// children are the processes that this one has started and that have not ended.
+func children(t *testing.T) (left []string) {
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range stats {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // it ended just now
+		}
+		fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+		if len(fields) > 1 && fields[1] == fmt.Sprint(os.Getpid()) {
+			left = append(left, string(text))
+		}
+	}
+	slices.Sort(left)
+	return left
+}
