Signs of life in few bytes; sites introduce themselves by their summaries

Cause: at the target's size a region's representative spent up to 5.9 KB/s at rest, mostly on signs of life and on calls to the first addresses, and a fleet that began at once stayed in parts for a minute. Change: counts told by their lag, all of them to one partner in ten seconds, two partners an exchange; a call carries the caller's own summaries, is made each second in the first 12 s, then each minute unless one is missed.

--- a/hierarchy/hierarchy.go
+++ b/hierarchy/hierarchy.go
@@ -34,12 +34,15 @@
 	TakeOver    Micros // a difference that lasts this long for each rank is published by the next in rank
 	Beat        Micros // between two signs of life of a site, and of a region
 
-	Ping     Micros // between two signs of a representative to the standbys
-	Push     Micros // at least, between two pushes
-	Exchange Micros // between two exchanges of digests, of each kind
-	Call     Micros // between two calls to addresses that do not answer, while nobody else is known
-	CallCalm Micros // the same, while others are known
-	Fanout   int    // routers that news is pushed to, on each kind of link
+	Ping      Micros // between two signs of a representative to the standbys
+	Push      Micros // at least, between two pushes
+	Exchange  Micros // between two exchanges of digests, of each kind
+	Call      Micros // between two calls to addresses that do not answer, while nobody else is known
+	CallFirst Micros // after a start, for which addresses are called as often as while nobody is known
+	CallLost  Micros // the same, while others are known and some are missed
+	CallCalm  Micros // the same, while none is missed
+	Fanout    int    // routers that news is pushed to, on each kind of link
+	Partners  int    // routers of an exchange, on each kind of link
 
 	Stale  Micros // without a sign of life, after which a summary is shown as stale
 	Lost   Micros // the same, after which its routers count as gone
@@ -52,7 +55,7 @@
 	return Rules{
 		Representatives: 2, Standbys: 3, SitesInFront: 2,
 		Silence: 2500e3, Listen: 2 * second, ListenArea: 3500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
-		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallCalm: 10 * second, Fanout: 3,
+		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallFirst: 12 * second, CallLost: 5 * second, CallCalm: 60 * second, Fanout: 3, Partners: 2,
 		Stale: 60 * second, Lost: 180 * second, Forget: 24 * 3600 * second, Calm: 2 * second,
 	}
 }
--- a/hierarchy/hierarchy_test.go
+++ b/hierarchy/hierarchy_test.go
@@ -13,8 +13,8 @@
 		w.run(10 * second)
 		w.forget()
 		w.run(60 * second)
-		mean, most, worst := w.rates(60 * second)
-		t.Logf("seed %d: settled after %.1f s; at rest %.0f B/s a router, %.0f at most (%s, %+v)", seed, float64(took)/1e6, mean, most, worst.name, worst.h.Role())
+		t.Logf("seed %d: settled after %.1f s", seed, float64(took)/1e6)
+		w.rates(60 * second)
 		w.verdict(2 * second)
 	}
 }
@@ -85,3 +85,22 @@
 	}
 	return slowest
 }
+
+// The target's size, by its representatives alone: 760 sites in 41 regions.
+func TestTargetSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("half a minute")
+	}
+	w := newWorld(t, 1, 760, 41, 2)
+	w.startAll(second)
+	took := w.until("settled", 30*second, w.settled)
+	w.run(10 * second)
+	w.forget()
+	w.run(30 * second)
+	t.Logf("settled after %.1f s", float64(took)/1e6)
+	w.rates(30 * second)
+	w.hold(w.nodes[700], 1)
+	changed := w.until("told of revision 1", 7*second, func() bool { return w.known(1) })
+	t.Logf("a change known everywhere after %.1f s", float64(changed)/1e6)
+	w.verdict(2 * second)
+}
--- a/hierarchy/sim_test.go
+++ b/hierarchy/sim_test.go
@@ -64,11 +64,12 @@
 	cut          func(from, to *node) bool
 	least, most  Micros // until a death is found by the membership
 
-	falselyLost   int    // times that a router held a site or region for lost that had a living router, each second
-	judged        int    // how often that was looked at
-	longestOver   Micros // that a site had too many representatives
-	longestNone   Micros // that it had none
-	longestFlight int    // bytes of a datagram
+	falselyLost   int                 // times that a router held a site or region for lost that had a living router, each second
+	judged        int                 // how often that was looked at
+	longestOver   Micros              // that a site had too many representatives
+	longestNone   Micros              // that it had none
+	longestFlight int                 // bytes of a datagram
+	sent          [kindRepair + 1]int // bytes of each kind of datagram
 }
 
 // newWorld makes a fleet of dead routers. The regions have about equally many sites.
@@ -147,6 +148,7 @@
 func (w *world) send(from *node, all []Datagram) {
 	for _, d := range all {
 		from.out += len(d.Body) + overhead
+		w.sent[d.Body[0]] += len(d.Body) + overhead
 		w.longestFlight = max(w.longestFlight, len(d.Body))
 		to := w.byAddr[d.To]
 		if to == nil || w.cut(from, to) {
@@ -351,21 +353,37 @@
 	return true
 }
 
-// rates are bytes a second, in and out together, of each router since the last call.
-func (w *world) rates(span Micros) (mean, most float64, worst *node) {
-	for _, n := range w.nodes {
-		rate := float64(n.in+n.out) * 1e6 / float64(span)
-		mean += rate / float64(len(w.nodes))
-		if rate > most {
-			most, worst = rate, n
+// rates logs bytes a second since the last call, in and out together, by role, and returns the most.
+func (w *world) rates(span Micros) (most float64) {
+	for role, ok := range map[string]func(*node) bool{"router": ordinary, "site's representative": forSite, "region's representative": forRegion} {
+		sum, top, all := 0.0, 0.0, w.living(ok)
+		for _, n := range all {
+			rate := float64(n.in+n.out) * 1e6 / float64(span)
+			sum, top = sum+rate, max(top, rate)
 		}
+		most = max(most, top)
+		w.t.Logf("%d of %s: %.0f B/s, %.0f at most", len(all), role, sum/float64(max(1, len(all))), top)
 	}
+	w.t.Logf("bytes a second sent by a router, by kind: %v", w.mix(span))
 	w.forget()
-	return mean, most, worst
+	return most
+}
+
+func forSite(n *node) bool { return n.h.Role().Site && !n.h.Role().Region }
+
+func forRegion(n *node) bool { return n.h.Role().Region }
+
+// mix is what a router sends a second of each kind, on average.
+func (w *world) mix(span Micros) (all []int) {
+	for _, n := range w.sent {
+		all = append(all, int(float64(n)*1e6/float64(span)/float64(len(w.nodes))))
+	}
+	return all
 }
 
 func (w *world) forget() {
 	for _, n := range w.nodes {
 		n.in, n.out = 0, 0
 	}
+	w.sent = [kindRepair + 1]int{}
 }
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -27,7 +27,7 @@
 	mostAnswers  = 32 // datagrams that wait for a step
 	mostRepair   = 3  // datagrams of summaries that answer one digest
 	mostRelayed  = 8  // summaries of a repair that are passed on as news; a router that is new has to be told all
-	everyBeat    = 5  // exchanges, one of which carries all signs of life
+	everyBeat    = 5  // exchanges, one of which carries all signs of life to one partner
 	digestCalm   = second
 	digestMoving = 2 * second // between two digests while the table changes anyway
 )
@@ -168,15 +168,14 @@
 		}
 		s.exchanged[l] = h.now
 		s.turns[l]++
-		which := s.beats[l]
-		if s.turns[l]%everyBeat == 0 {
-			which = h.everything()
+		for i, to := range h.partners(l, h.rules.Partners) {
+			which := s.beats[l]
+			if i == 0 && s.turns[l]%everyBeat == 0 {
+				which = h.everything()
+			}
+			h.out = append(h.out, Datagram{to, h.hello(l, which)})
 		}
 		s.beats[l] = ids{}
-		body := h.hello(l, which)
-		for _, to := range h.partners(l, h.rules.Fanout) {
-			h.out = append(h.out, Datagram{to, body})
-		}
 	}
 }
 
@@ -205,11 +204,8 @@
 // call tries addresses from which nothing is heard: those to begin with, and the last known of stale summaries. It is the way
 // back from a cut, however long that was.
 func (h *Hierarchy) call() {
-	s, span := &h.spread, h.rules.CallCalm
-	if h.alone() {
-		span = h.rules.Call
-	}
-	if !h.role.Site || h.now-s.called < span {
+	s := &h.spread
+	if !h.role.Site || h.now-s.called < h.rules.Call || h.now-s.called < h.callEvery() {
 		return
 	}
 	s.called = h.now
@@ -217,10 +213,28 @@
 	if len(all) == 0 {
 		return
 	}
-	h.out = append(h.out, Datagram{all[s.nextCall%len(all)], h.hello(between, h.everything())})
+	h.introduce(all[s.nextCall%len(all)])
 	s.nextCall++
 }
 
+func (h *Hierarchy) callEvery() Micros {
+	switch {
+	case h.alone() || h.now-h.start < h.rules.CallFirst:
+		return h.rules.Call
+	case h.missing():
+		return h.rules.CallLost
+	}
+	return h.rules.CallCalm
+}
+
+// introduce tells a router that may know nothing of this one: the own summaries, and the digests of the tables.
+func (h *Hierarchy) introduce(to netip.AddrPort) {
+	records := h.records(Sites, map[key]bool{keyOf(h.cfg.Site): true})
+	records = append(records, h.records(Regions, map[key]bool{keyOf(h.cfg.Region): true})...)
+	h.answer(to, h.packed(kindNews, records), 1)
+	h.answer(to, [][]byte{h.hello(withinArea, ids{})}, 1)
+}
+
 // alone tells whether this router should know of others in a tier, and has heard of none lately.
 func (h *Hierarchy) alone() bool {
 	for tier, own := range []string{h.cfg.Site, h.cfg.Region} {
@@ -238,6 +252,18 @@
 	return false
 }
 
+// missing tells whether a summary that this router exchanges is stale.
+func (h *Hierarchy) missing() bool {
+	for tier := range tiers {
+		for _, e := range h.tables[tier].entries {
+			if h.now-e.heard > h.rules.Stale && (tier == Sites || h.role.Region) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (h *Hierarchy) strangers() (all []netip.AddrPort) {
 	all = append(all, h.cfg.Remote...)
 	for tier := range tiers {
@@ -371,7 +397,7 @@
 	}
 	for _, addr := range representatives {
 		if _, mate := h.ranks[addr]; !mate && !known[addr] {
-			h.answer(addr, [][]byte{h.hello(withinArea, h.everything())}, 1)
+			h.introduce(addr)
 		}
 	}
 }
--- a/hierarchy/table.go
+++ b/hierarchy/table.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"iter"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 )
@@ -143,6 +145,18 @@
 	return t.sorted
 }
 
+// keysFrom are all keys, beginning at a random one.
+func (t *table) keysFrom(random *rand.Rand) iter.Seq[key] {
+	return func(yield func(key) bool) {
+		keys := t.keys()
+		if len(keys) == 0 {
+			return
+		}
+		for i, begin := 0, random.IntN(len(keys)); i < len(keys) && yield(keys[(begin+i)%len(keys)]); i++ {
+		}
+	}
+}
+
 // sum is the digest over all versions held: two tables with the same summaries have the same one.
 func (t *table) sum() uint64 {
 	t.keys()
--- a/hierarchy/wire.go
+++ b/hierarchy/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"net/netip"
 )
 
@@ -58,7 +59,7 @@
 }
 
 // longestBeat is the most that a sign of life takes, in bytes.
-const longestBeat = 1 + 4 + 4 + 2*binary.MaxVarintLen64
+const longestBeat = 4 + 5 + 2*binary.MaxVarintLen64
 
 func (h *Hierarchy) header(kind byte) []byte {
 	b := make([]byte, 0, 64)
@@ -75,42 +76,48 @@
 	return binary.BigEndian.AppendUint16(b, a.Port())
 }
 
-// hello is a datagram with the digests of the tables, and as many of the signs of life as there is room for.
+// hello is a datagram with the digests of the tables, and as many of the signs of life as there is room for. Those are in
+// groups, each headed by its tier and how many it has. Their counts are told by how far they lag behind this router's clock.
 func (h *Hierarchy) hello(l link, which ids) []byte {
 	b := h.header(kindHello)
 	for _, t := range h.tables {
 		b = binary.BigEndian.AppendUint64(b, t.sum())
 	}
+	b = binary.BigEndian.AppendUint32(b, h.wall())
 	for _, tier := range tiersOn(l) {
-		b = h.appendBeats(b, tier, which[tier])
-		if k, e := h.tables[tier].leader(); e != nil && !which[tier][k] {
-			b = appendBeatOf(b, tier, k, e.Beat)
+		t := h.tables[tier]
+		keys := h.chosen(t, which[tier], (MaxDatagram-len(b))/longestBeat-1)
+		if len(keys) == 0 {
+			continue
+		}
+		b = append(b, byte(tier), byte(len(keys)))
+		for _, k := range keys {
+			b = binary.BigEndian.AppendUint32(b, uint32(k))
+			b = h.appendLag(b, t.entries[k].Beat)
 		}
 	}
 	return b
 }
 
-// appendBeats begins at a random place, so that what there is no room for this time is there another time.
-func (h *Hierarchy) appendBeats(b []byte, tier Tier, which map[key]bool) []byte {
-	t := h.tables[tier]
-	keys, begin := t.keys(), 0
-	if len(which) > 100 {
-		begin = h.random.IntN(len(keys))
-	}
-	for i := range keys {
-		k := keys[(begin+i)%len(keys)]
-		if !which[k] || len(b)+(1+int(tiers))*longestBeat > MaxDatagram {
-			continue
+// chosen are up to most of the entries asked for, and one that tells of the newest policy. What there is no room for this time
+// is there another time.
+func (h *Hierarchy) chosen(t *table, which map[key]bool, most int) (all []key) {
+	for k := range t.keysFrom(h.random) {
+		if which[k] && len(all) < most {
+			all = append(all, k)
 		}
-		b = appendBeatOf(b, tier, k, t.entries[k].Beat)
 	}
-	return b
+	if k, e := t.leader(); e != nil && !which[k] {
+		all = append(all, k)
+	}
+	return all
 }
 
-func appendBeatOf(b []byte, tier Tier, k key, x Beat) []byte {
-	b = append(b, byte(tier))
-	b = binary.BigEndian.AppendUint32(b, uint32(k))
-	return appendBeat(b, x)
+// appendLag is a sign of life in few bytes: its count is never far from the clock.
+func (h *Hierarchy) appendLag(b []byte, x Beat) []byte {
+	b = binary.AppendVarint(b, int64(h.wall())-int64(x.Count))
+	b = binary.AppendUvarint(b, x.Most)
+	return binary.AppendUvarint(b, x.Most-x.Least)
 }
 
 func appendBeat(b []byte, x Beat) []byte {
@@ -242,8 +249,21 @@
 	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(r.take(2)))
 }
 
-func (r *reader) beat() Beat {
-	b := Beat{Count: r.uint32(), Most: r.uvarint()}
+func (r *reader) beat() Beat { return r.revisions(r.uint32()) }
+
+// lag reads a sign of life whose count lags behind a clock.
+func (r *reader) lag(wall uint32) Beat {
+	lag, size := binary.Varint(r.b)
+	if size <= 0 || lag < int64(wall)-math.MaxUint32 || lag > int64(wall) {
+		r.bad = true
+		return Beat{}
+	}
+	r.b = r.b[size:]
+	return r.revisions(uint32(int64(wall) - lag))
+}
+
+func (r *reader) revisions(count uint32) Beat {
+	b := Beat{Count: count, Most: r.uvarint()}
 	older := r.uvarint()
 	r.bad = r.bad || older > b.Most
 	b.Least = b.Most - older
@@ -279,9 +299,12 @@
 		for tier := range tiers {
 			m.sums[tier] = r.uint64()
 		}
+		wall := r.uint32()
 		for len(r.b) > 0 && !r.bad {
 			tier := r.tier()
-			m.beats[tier] = append(m.beats[tier], beatOf{r.key(), r.beat()})
+			for n := int(r.byte()); n > 0 && !r.bad; n-- {
+				m.beats[tier] = append(m.beats[tier], beatOf{r.key(), r.lag(wall)})
+			}
 		}
 	case kindDigest:
 		m.tier, m.first, m.last = r.tier(), r.key(), r.key()
