--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -421,6 +421,23 @@
 	}
 }
 
+func TestShowBetween(t *testing.T) {
+	for _, c := range []struct {
+		value, low, high float64
+		unit             Unit
+		want             string
+	}{
+		{1500, 1200, 1800, BytesPerSecond, "1.5 KB/s (1.2 to 1.8)"},
+		{1500, 900, 1800, BytesPerSecond, "1.5 KB/s (900 B/s to 1.8 KB/s)"},
+		{0.01, 0.009, 0.011, Cores, "1% of a core (0.9 to 1.1)"},
+		{14, 13, 15000, Number, "14 (13 to 15,000)"},
+	} {
+		if got := showBetween(c.value, c.low, c.high, c.unit); got != c.want {
+			t.Errorf("%q, want %q", got, c.want)
+		}
+	}
+}
+
 func TestShow(t *testing.T) {
 	for _, c := range []struct {
 		value float64
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"text/template"
 
@@ -36,12 +37,13 @@
 
 // Source is a file that figures come from.
 type Source struct {
-	Name   string `json:"name"`
-	Build  string `json:"build"`
-	Cores  int    `json:"cores"`
-	Trials int    `json:"trials"`
-	Probes string `json:"probes"` // seconds between two probes of a router
-	Sites  string `json:"sites"`  // routers to a site
+	Name    string `json:"name"`
+	Build   string `json:"build"`
+	Cores   int    `json:"cores"`
+	Trials  int    `json:"trials"`
+	Probes  string `json:"probes"`  // seconds between two probes of a router
+	Sites   string `json:"sites"`   // routers to a site
+	Regions string `json:"regions"` // sites to a region
 }
 
 // SizeRow is what was measured at one size of one kind of fleet at rest, the mean over the seeds.
@@ -101,17 +103,25 @@
 }
 
 func source(f Measured) Source {
-	probes, perSite := map[string]bool{}, map[string]bool{}
+	probes, perSite, perRegion := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, trial := range f.Trials {
 		probes[digits(trial.Probe)] = true
 		if trial.Sites > 0 {
-			perSite[digits(math.Round(10*float64(trial.Routers)/float64(trial.Sites))/10)] = true
+			perSite[rounded(trial.Routers, trial.Sites)] = true
 		}
+		if trial.Regions > 0 {
+			perRegion[rounded(trial.Sites, trial.Regions)] = true
+		}
+	}
+	list := func(set map[string]bool) string {
+		return strings.Join(slices.SortedFunc(maps.Keys(set), func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) }), ", ")
 	}
-	list := func(set map[string]bool) string { return strings.Join(slices.Sorted(maps.Keys(set)), ", ") }
-	return Source{Name: f.Name, Build: f.Build, Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite)}
+	return Source{Name: f.Name, Build: f.Build, Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite), Regions: list(perRegion)}
 }
 
+// rounded is a ratio as a whole number.
+func rounded(a, b int) string { return strconv.Itoa(int(math.Round(float64(a) / float64(b)))) }
+
 // group is one size of one kind of fleet.
 type group struct {
 	topology result.Topology
@@ -261,7 +271,7 @@
 }).Parse(page))
 
 func around(i slope.Interval, unit Unit) string {
-	return fmt.Sprintf("%s (%s to %s)", show(i.Value, unit), show(i.Low, unit), show(i.High, unit))
+	return showBetween(i.Value, i.Low, i.High, unit)
 }
 
 // interval writes coefficients, which may be very small.
--- a/internal/scale/capacity/show.go
+++ b/internal/scale/capacity/show.go
@@ -102,8 +102,20 @@
 	if e.Low == e.High {
 		return show(e.Value, e.Unit) + beyond(e)
 	}
-	text := fmt.Sprintf("%s (%s to %s)", show(e.Value, e.Unit), show(e.Low, e.Unit), show(e.High, e.Unit))
-	return text + beyond(e)
+	return showBetween(e.Value, e.Low, e.High, e.Unit) + beyond(e)
+}
+
+// showBetween writes a value and its bounds, the unit once where it is the same.
+func showBetween(value, low, high float64, unit Unit) string {
+	texts := [3]string{show(value, unit), show(low, unit), show(high, unit)}
+	suffix := strings.TrimLeft(texts[0], "0123456789.,")
+	for _, text := range texts {
+		if strings.TrimLeft(text, "0123456789.,") != suffix {
+			return fmt.Sprintf("%s (%s to %s)", texts[0], texts[1], texts[2])
+		}
+	}
+	bare := func(text string) string { return strings.TrimSuffix(text, suffix) }
+	return fmt.Sprintf("%s (%s to %s)", texts[0], bare(texts[1]), bare(texts[2]))
 }
 
 // beyond tells by which factor a value is extrapolated.
