--- a/internal/peers/tiers.go
+++ b/internal/peers/tiers.go
@@ -6,6 +6,7 @@
 	"hash/crc64"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/hashicorp/memberlist"
 
@@ -17,9 +18,15 @@
 // What a tiered fleet has beside the view of the own site (package hierarchy). Without cfg.Tiered, p.tiers is nil and nothing
 // here does anything.
 
-// In a site of some twenty routers whole states every ten probes were most of the traffic at rest. What they repair is found
-// by the digests that go with each heartbeat.
-const stateEveryProbes = 60
+// In a site of some twenty routers whole states every ten probes were five sixths of the traffic at rest, and heartbeats as
+// JSON half of the rest. What whole states repair is found sooner by the digests of heartbeats: see atOdds.
+const (
+	stateEveryProbes = 300
+	tieredTransmits  = 2                                           // of a heartbeat by each router, for each power of ten of routers; one that misses it has it by a probe
+	lookEvery        = view.Micros(time.Second / time.Microsecond) // between two looks at the site, while its view's digest stays
+	tieredSteps      = 200 * time.Millisecond
+	oddsProbes       = 5 // that two views differ before one asks the other for its whole state, and between two askings
+)
 
 // beginTiers is called before the router listens.
 func (p *Peers) beginTiers(process uint64) error {
@@ -49,6 +56,47 @@
 	}
 }
 
+// between is the span between two steps.
+func (p *Peers) between() time.Duration {
+	if p.cfg.Tiered {
+		return min(p.cfg.Probe/5, tieredSteps)
+	}
+	return min(p.cfg.Probe/5, 100*time.Millisecond)
+}
+
+func (p *Peers) transmits(c *memberlist.Config) int {
+	if p.cfg.Tiered {
+		return tieredTransmits
+	}
+	return c.RetransmitMult
+}
+
+// atOdds is a mate whose view has differed from this one's for a while, to be asked for its whole state. p.mu is held.
+func (p *Peers) atOdds(now view.Micros) (addr string, call bool) {
+	if !p.cfg.Tiered {
+		return "", false
+	}
+	span := oddsProbes * view.Micros(p.cfg.Probe/time.Microsecond)
+	if _, settled := p.view.Digest(); settled {
+		p.odds = now
+	}
+	if now-p.odds < span {
+		return "", false
+	}
+	p.odds = now
+	names := p.view.Disagree()
+	if len(names) == 0 {
+		return "", false
+	}
+	name := names[int(now/span)%len(names)]
+	for _, m := range p.view.Living() {
+		if m.Name == name {
+			return m.Addr, true
+		}
+	}
+	return "", false
+}
+
 // pool names those that share full membership. No fleet's name has a slash, so that flat routers and tiered ones, and those
 // of other sites, refuse each other by it; routers of earlier builds do as well.
 func pool(cfg place.Config) string {
@@ -63,7 +111,10 @@
 	if p.tiers == nil {
 		return nil
 	}
-	return p.tiers.Step(hierarchy.Micros(now), p.local(now))
+	if digest, _ := p.view.Digest(); digest != p.seen || now-p.looked >= lookEvery {
+		p.seen, p.looked, p.site = digest, now, p.local(now)
+	}
+	return p.tiers.Step(hierarchy.Micros(now), p.site)
 }
 
 // local is what the tiers are told of the site. p.mu is held.
@@ -136,7 +187,7 @@
 func (p *Peers) Settled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	settled := p.view.Whole(p.micros()).Settled
+	_, settled := p.view.Digest()
 	if p.tiers == nil {
 		return settled
 	}
