--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -20,8 +20,9 @@
 	Target   Target        `json:"target"`
 	Sources  []Source      `json:"sources"`
 	Peak     []Line        `json:"peak"`
-	Sizes    []SizeRow     `json:"sizes"` // at rest
-	Parts    []PartsRow    `json:"parts"` // at rest, by mechanism
+	Sizes    []SizeRow     `json:"sizes"`  // at rest
+	Faults   []SizeRow     `json:"faults"` // each but rest
+	Parts    []PartsRow    `json:"parts"`  // at rest, by mechanism
 	Slopes   []Series      `json:"slopes"`
 	Held     []Held        `json:"held"`
 	Roles    []Role        `json:"roles"`
@@ -46,9 +47,10 @@
 	Regions string `json:"regions"` // sites to a region
 }
 
-// SizeRow is what was measured at one size of one kind of fleet at rest, the mean over the seeds.
+// SizeRow is what was measured at one size of one kind of fleet under one fault, the mean over the seeds.
 type SizeRow struct {
 	Topology result.Topology `json:"topology"`
+	Fault    result.Fault    `json:"fault"`
 	Routers  int             `json:"routers"`
 	Seeds    int             `json:"seeds"`
 	Bytes    slope.Interval  `json:"bytes"` // the bounds are the least and the most of the seeds, here and below
@@ -92,7 +94,7 @@
 	p := purging(t, t.Control.BytesPerSecond-spent)
 	membership := predicted(e, t, Key{result.Tiered, result.Rest, FigureBytes})
 	ofRepresentative := predicted(e, t, Key{result.Tiered, result.Rest, FigureWorst})
-	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e), Parts: partsRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
+	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e, atRest), Faults: sizeRows(e, func(f result.Fault) bool { return !atRest(f) }), Parts: partsRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
 		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete, Leader: ofLeader}
 	for _, f := range e.Files {
 		r.Sources = append(r.Sources, source(f))
@@ -122,23 +124,24 @@
 // rounded is a ratio as a whole number.
 func rounded(a, b int) string { return strconv.Itoa(int(math.Round(float64(a) / float64(b)))) }
 
-// group is one size of one kind of fleet.
+// group is one size of one kind of fleet under one fault.
 type group struct {
 	topology result.Topology
+	fault    result.Fault
 	routers  int
 }
 
 func compareGroups(a, b group) int {
-	return cmp.Or(cmp.Compare(a.topology, b.topology), cmp.Compare(a.routers, b.routers))
+	return cmp.Or(cmp.Compare(a.topology, b.topology), cmp.Compare(a.fault, b.fault), cmp.Compare(a.routers, b.routers))
 }
 
-// atRest are the trials without a fault that were not ended early.
-func atRest(e Evidence) map[group][]result.Trial {
+// groups are the trials that were not ended early, of those faults that are wanted.
+func groups(e Evidence, wanted func(result.Fault) bool) map[group][]result.Trial {
 	trials := map[group][]result.Trial{}
 	for _, f := range e.Files {
 		for _, t := range f.Trials {
-			if t.Fault == result.Rest && t.Incomplete == "" {
-				g := group{t.Topology, t.Routers}
+			if wanted(t.Fault) && t.Incomplete == "" {
+				g := group{t.Topology, t.Fault, t.Routers}
 				trials[g] = append(trials[g], t)
 			}
 		}
@@ -148,7 +151,7 @@
 
 // partsRows are by topology and size.
 func partsRows(e Evidence) (rows []PartsRow) {
-	trials := atRest(e)
+	trials := groups(e, atRest)
 	for _, g := range slices.SortedFunc(maps.Keys(trials), compareGroups) {
 		row := PartsRow{Topology: g.topology, Routers: g.routers, Bytes: make([]float64, len(Mechanisms))}
 		for _, trial := range trials[g] {
@@ -163,12 +166,14 @@
 	return rows
 }
 
-// sizeRows are by topology and size.
-func sizeRows(e Evidence) (rows []SizeRow) {
-	trials := atRest(e)
+func atRest(f result.Fault) bool { return f == result.Rest }
+
+// sizeRows are by topology, fault and size.
+func sizeRows(e Evidence, wanted func(result.Fault) bool) (rows []SizeRow) {
+	trials := groups(e, wanted)
 	for _, g := range slices.SortedFunc(maps.Keys(trials), compareGroups) {
 		all := trials[g]
-		row := SizeRow{Topology: g.topology, Routers: g.routers, Seeds: len(all)}
+		row := SizeRow{Topology: g.topology, Fault: g.fault, Routers: g.routers, Seeds: len(all)}
 		row.Bytes, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.BytesIn + t.PerRouter.BytesOut) })
 		row.Worst, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Worst.BytesIn + t.Worst.BytesOut) })
 		row.CPU, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.CPU) })
