--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -336,7 +336,8 @@
 	for file, lines := range map[string][]string{
 		"../../keeper/keeper.go":          {fmt.Sprintf(`const most = %d\b`, mostAskings), fmt.Sprintf(`time\.After\(%d \* time\.Millisecond\)`, int(leaderRest*1e3))},
 		"../../peers/gossip.go":           {fmt.Sprintf(`mostWords +=\s*%d\b`, mostWords), fmt.Sprintf(`mostAnswer +=\s*%d\b`, mostAnswers)},
-		"../../peers/peers.go":            {fmt.Sprintf(`HandoffQueueDepth = %d\b`, handoffQueue), fmt.Sprintf(`min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
+		"../../peers/peers.go":            {fmt.Sprintf(`HandoffQueueDepth = %d\b`, handoffQueue)},
+		"../../peers/tiers.go":            {fmt.Sprintf(`return min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
 		"../../config/limits.go":          {fmt.Sprintf(`Watch: +%de6,`, int(watchWaitPush)), fmt.Sprintf(`l\.Watch, .* = %de6,`, int(watchWait))},
 		"../../../docs/operating.md":      {fmt.Sprintf(`Values over %d KiB, up to %d MiB`, bigValue>>10, largestValue>>20)},
 		"../../../internal/keeper/log.go": {`b\.book\.Clone\(\)|l\.book\.Clone\(\)`},
