--- a/cmd/spurctl/scalerun.go
+++ b/cmd/spurctl/scalerun.go
@@ -20,6 +20,7 @@
 	var into string
 	var sizes []int
 	var seeds []uint
+	var faults []string
 	var more bool
 	c := &cobra.Command{Use: "run FILE", Short: "Play a scale scenario and count what each router uses",
 		Long: "Plays a trial for each fault, seed and size of the scenario. Ctrl-C ends it and keeps the trials that are finished.\n" +
@@ -31,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			part, err := s.Part(sizes, wide(seeds))
+			part, err := s.Part(sizes, wide(seeds), named(faults))
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
@@ -56,9 +57,17 @@
 	c.Flags().BoolVar(&more, "append", false, "keep the trials that the file of --json has, and add to them")
 	c.Flags().IntSliceVar(&sizes, "sizes", nil, "these of the scenario's sizes alone")
 	c.Flags().UintSliceVar(&seeds, "seeds", nil, "these of the scenario's seeds alone")
+	c.Flags().StringSliceVar(&faults, "faults", nil, "these of the scenario's faults alone")
 	return c
 }
 
+func named(faults []string) (all []result.Fault) {
+	for _, f := range faults {
+		all = append(all, result.Fault(f))
+	}
+	return all
+}
+
 func wide(seeds []uint) (all []uint64) {
 	for _, s := range seeds {
 		all = append(all, uint64(s))
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -111,23 +111,29 @@
 	return (s.sites(routers) + s.SitesPerRegion - 1) / s.SitesPerRegion
 }
 
-// Part is the scenario with these sizes and seeds alone; none: with all. An error: the scenario does not have one of them.
-func (s Scenario) Part(sizes []int, seeds []uint64) (Scenario, error) {
-	for _, n := range sizes {
-		if !slices.Contains(s.Sizes, n) {
-			return s, fmt.Errorf("sizes: %d is none of the scenario's; choose of %v", n, s.Sizes)
-		}
+// Part is the scenario with these sizes, seeds and faults alone; none: with all. An error: the scenario does not have one.
+func (s Scenario) Part(sizes []int, seeds []uint64, faults []result.Fault) (part Scenario, err error) {
+	part = s
+	if part.Sizes, err = chosen("sizes", sizes, s.Sizes); err != nil {
+		return s, err
 	}
-	for _, n := range seeds {
-		if !slices.Contains(s.Seeds, n) {
-			return s, fmt.Errorf("seeds: %d is none of the scenario's; choose of %v", n, s.Seeds)
-		}
+	if part.Seeds, err = chosen("seeds", seeds, s.Seeds); err != nil {
+		return s, err
 	}
-	if len(sizes) > 0 {
-		s.Sizes = sizes
+	if part.Faults, err = chosen("faults", faults, s.Faults); err != nil {
+		return s, err
 	}
-	if len(seeds) > 0 {
-		s.Seeds = seeds
+	return part, nil
+}
+
+func chosen[T comparable](field string, choice, of []T) ([]T, error) {
+	if len(choice) == 0 {
+		return of, nil
+	}
+	for _, x := range choice {
+		if !slices.Contains(of, x) {
+			return nil, fmt.Errorf("%s: %v is none of the scenario's; choose of %v", field, x, of)
+		}
 	}
-	return s, nil
+	return choice, nil
 }
--- a/internal/lab/scale/scenario_test.go
+++ b/internal/lab/scale/scenario_test.go
@@ -61,13 +61,16 @@
 func TestPart(t *testing.T) {
 	s := Default()
 	s.Sizes, s.Seeds = []int{12, 25}, []uint64{1, 2}
-	part, err := s.Part([]int{25}, []uint64{2})
+	part, err := s.Part([]int{25}, []uint64{2}, nil)
 	if err != nil || len(part.plans()) != 1 || part.plans()[0] != (plan{result.Rest, 25, 2}) {
 		t.Errorf("%v, %v", part.plans(), err)
 	}
-	if _, err := s.Part([]int{26}, nil); err == nil {
+	if _, err := s.Part([]int{26}, nil, nil); err == nil {
 		t.Error("a size that the scenario does not have was taken")
 	}
+	if _, err := s.Part(nil, nil, []result.Fault{result.Loss}); err == nil {
+		t.Error("a fault that the scenario does not have was taken")
+	}
 }
 
 // Bytes that are constant keep to a bound, bytes in proportion to the size do not.
