--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	CGO_ENABLED=1 go test -race -count=1 -p 1 -timeout 30m ./...
 
 lint:
-	test -z "$$(gofmt -l accord ageing choice cmd internal parts proto siteplan slate view)"
+	test -z "$$(gofmt -l accord ageing choice cmd hierarchy internal parts proto siteplan slate view)"
 	go vet ./...
 
 fuzz:
@@ -22,6 +22,8 @@
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/lab/trace
 	go test -run - -fuzz FuzzParse -fuzztime 30s -fuzzminimizetime 1x ./internal/lab/scenario
 	go test -run - -fuzz FuzzDecode -fuzztime 30s ./internal/snapshot
+	go test -run - -fuzz FuzzDecode -fuzztime 30s ./hierarchy
+	go test -run - -fuzz FuzzUnpackWords -fuzztime 30s ./internal/peers
 	go test -run - -fuzz FuzzAppend -fuzztime 30s ./internal/wire/resp2
 	go test -run - -fuzz FuzzRouter -fuzztime 60s -fuzzminimizetime 1x ./internal/router
 
--- a/cmd/spurctl/fleet.go
+++ b/cmd/spurctl/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"spurtrestle/hierarchy"
 	"spurtrestle/view"
 )
 
@@ -30,9 +31,10 @@
 
 // answer is what a router's door said.
 type answer struct {
-	Door  string      `json:"door"`
-	View  *view.Whole `json:"view"`
-	Error string      `json:"error,omitempty"`
+	Door  string            `json:"door"`
+	View  *view.Whole       `json:"view"`
+	Tiers *hierarchy.Status `json:"tiers,omitempty"` // of a tiered fleet, whose view is of the site alone
+	Error string            `json:"error,omitempty"`
 }
 
 // askFleet asks all doors at once.
@@ -47,14 +49,20 @@
 				all[i].Error = err.Error()
 				return
 			}
-			all[i].View = &w
+			all[i].View, all[i].Tiers = &w.Whole, w.Tiers
 		})
 	}
 	wg.Wait()
 	return all
 }
 
-func askView(ctx context.Context, door string) (w view.Whole, err error) {
+// seen is what a door shows.
+type seen struct {
+	view.Whole
+	Tiers *hierarchy.Status `json:"tiers"`
+}
+
+func askView(ctx context.Context, door string) (w seen, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+"/ops/fleet", nil)
@@ -94,20 +102,22 @@
 
 // fleetVerdict is the error that a look ends with; nil: all are settled on one view.
 func fleetVerdict(all []answer) error {
-	var first *view.Whole
 	for _, a := range all {
 		if a.View == nil {
 			return coded{exitUnreachable, fmt.Errorf("%s cannot be asked: %s", a.Door, a.Error)}
 		}
 	}
-	for _, a := range all {
+	for i, a := range all {
 		switch {
 		case !a.View.Settled:
 			return coded{exitUnsettled, fmt.Errorf("%s is not settled; at odds with %v", a.View.By, a.View.Disagree)}
-		case first == nil:
-			first = a.View
-		case first.Digest != a.View.Digest:
-			return coded{exitUnsettled, fmt.Errorf("%s and %s are settled on different views", first.By, a.View.By)}
+		case a.Tiers != nil && !a.Tiers.Settled:
+			return coded{exitUnsettled, fmt.Errorf("%s is not settled on the other sites and regions", a.View.By)}
+		}
+		for _, b := range all[:i] {
+			if !sameViews(a, b) {
+				return coded{exitUnsettled, fmt.Errorf("%s and %s are settled on different views", b.View.By, a.View.By)}
+			}
 		}
 	}
 	return nil
@@ -168,14 +178,17 @@
 				return fleetVerdict(all)
 			}
 			var first *view.Whole
+			var tiers *hierarchy.Status
 			for _, a := range all {
 				switch {
 				case a.View == nil:
 				case first == nil:
 					first = a.View
-					if err := printView(out, *first); err != nil {
+					if err := errors.Join(printView(out, *first), printTiers(out, a.Tiers)); err != nil {
 						return err
 					}
+					tiers = a.Tiers
+				case otherSite(tiers, a.Tiers): // it knows other routers, and the same summaries
 				default:
 					for _, line := range view.Differ(*first, *a.View) {
 						fmt.Fprintln(out, line)
@@ -251,7 +264,7 @@
 	if was.View == nil || before.Settled != w.Settled {
 		lines = append(lines, fmt.Sprintf("%s: settled: %v, at odds with %v", w.By, w.Settled, w.Disagree))
 	}
-	return lines
+	return append(lines, tierChanges(was.Tiers, now.Tiers)...)
 }
 
 func fleetWait() *cobra.Command {
--- /dev/null
+++ b/cmd/spurctl/fleettiers_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"spurtrestle/hierarchy"
+	"spurtrestle/view"
+)
+
+// Sites and regions are shown by their summaries; routers of several sites are compared by what both know.
+func TestTiersAreShownAndCompared(t *testing.T) {
+	at := func(region, site, digest string) answer {
+		return answer{Door: "d", View: &view.Whole{By: view.Name(site), Settled: true, Digest: digest},
+			Tiers: &hierarchy.Status{Region: region, Site: site, RepresentsSite: true, Settled: true, SitesDigest: region, RegionsDigest: "1",
+				Sites:   []hierarchy.Group{{Name: site, Counts: hierarchy.Counts{Alive: 17, Takes: 16, Of: 18}}},
+				Regions: []hierarchy.Group{{Name: "south", State: hierarchy.Lost, Sites: 19, SitesLost: 2, Counts: hierarchy.Counts{Alive: 300, Takes: 299, Of: 342}}}}}
+	}
+	hill, coast, plain := at("north", "hill", "a"), at("north", "coast", "b"), at("south", "plain", "c")
+	if err := fleetVerdict([]answer{hill, coast, plain}); err != nil {
+		t.Error(err)
+	}
+	for what, change := range map[string]func(a *answer){
+		"another site's table":      func(a *answer) { a.Tiers.SitesDigest = "2" },
+		"another region's table":    func(a *answer) { a.Tiers.RegionsDigest = "2" },
+		"tiers that differ":         func(a *answer) { a.Tiers.Settled = false },
+		"a flat router among tiers": func(a *answer) { a.Tiers = nil },
+		"another view of one site":  func(a *answer) { a.Tiers.Site = "hill" },
+	} {
+		other := at("north", "coast", "b")
+		change(&other)
+		if err := fleetVerdict([]answer{hill, other}); err == nil {
+			t.Errorf("%s is not told", what)
+		}
+	}
+	var out bytes.Buffer
+	if err := printTiers(&out, hill.Tiers); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{"site hill of region north, represents its site; tiers settled", "site hill fresh - 17 of 18 16",
+		"region south lost 17 of 19 300 of 342 299"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in %s", want, text)
+		}
+	}
+	if lines := tierChanges(hill.Tiers, at("north", "hill", "a").Tiers); len(lines) > 0 {
+		t.Errorf("no change is told as %q", lines)
+	}
+	if lines := tierChanges(nil, hill.Tiers); len(lines) != 3 || lines[1] != "region south: lost, 300 of 342 alive, 299 take clients" {
+		t.Errorf("%q", lines)
+	}
+}
--- a/hierarchy/hierarchy_test.go
+++ b/hierarchy/hierarchy_test.go
@@ -9,12 +9,14 @@
 	for seed := range uint64(5) {
 		w := newWorld(t, seed, 5, 2, 18)
 		w.startAll(second)
-		took := w.until("settled", 20*second, w.settled)
+		took := w.until("settled", 10*second, w.settled)
 		w.run(10 * second)
 		w.forget()
 		w.run(60 * second)
 		t.Logf("seed %d: settled after %.1f s", seed, float64(took)/1e6)
-		w.rates(60 * second)
+		if most := w.rates(60 * second); most > 1000 {
+			t.Errorf("a router spends %.0f B/s", most)
+		}
 		w.verdict(2 * second)
 	}
 }
@@ -40,13 +42,16 @@
 	for seed := range uint64(5) {
 		w := newWorld(t, seed, 5, 2, 18)
 		w.startAll(second)
-		w.until("settled", 20*second, w.settled)
+		w.until("settled", 10*second, w.settled)
 		w.lose = 0.02
 		slowest := w.changes(20, 8*second)
+		if slowest > 7*second {
+			t.Errorf("a change took %.1f s", float64(slowest)/1e6)
+		}
 		t.Logf("seed %d: the slowest of 20 changes was known after %.1f s", seed, float64(slowest)/1e6)
 		took := w.until("agreed after the last fault", 20*second, w.agreed)
 		t.Logf("agreed %.1f s after the last fault", float64(took)/1e6)
-		w.verdict(15 * second)
+		w.verdict(5 * second)
 	}
 }
 
@@ -89,16 +94,18 @@
 // The target's size, by its representatives alone: 760 sites in 41 regions.
 func TestTargetSize(t *testing.T) {
 	if testing.Short() {
-		t.Skip("half a minute")
+		t.Skip("some ten seconds")
 	}
 	w := newWorld(t, 1, 760, 41, 2)
 	w.startAll(second)
-	took := w.until("settled", 30*second, w.settled)
-	w.run(10 * second)
+	took := w.until("settled", 10*second, w.settled)
+	w.run(4 * second)
 	w.forget()
-	w.run(30 * second)
+	w.run(20 * second)
 	t.Logf("settled after %.1f s", float64(took)/1e6)
-	w.rates(30 * second)
+	if most := w.rates(20 * second); most > 1500 {
+		t.Errorf("a representative spends %.0f B/s", most)
+	}
 	w.hold(w.nodes[700], 1)
 	changed := w.until("told of revision 1", 7*second, func() bool { return w.known(1) })
 	t.Logf("a change known everywhere after %.1f s", float64(changed)/1e6)
