A tiered router asks a mate for the heartbeat that it missed

Change: who differs from a mate for a probe asks it, three at a time; exchanges are twice as often in a router's first 12 s. Flat fleets are as before.

--- a/hierarchy/hierarchy.go
+++ b/hierarchy/hierarchy.go
@@ -38,7 +38,7 @@
 	Push      Micros // at least, between two pushes
 	Exchange  Micros // between two exchanges of digests, of each kind
 	Call      Micros // between two calls to addresses that do not answer, while nobody else is known
-	CallFirst Micros // after a start, for which addresses are called as often as while nobody is known
+	CallFirst Micros // after a start, for which addresses are called as often as while nobody is known, and exchanges are twice as often
 	CallLost  Micros // the same, while others are known and some are missed
 	CallCalm  Micros // the same, while none is missed
 	Fanout    int    // routers that news is pushed to, on each kind of link
--- a/hierarchy/hierarchy_test.go
+++ b/hierarchy/hierarchy_test.go
@@ -1,6 +1,7 @@
 package hierarchy
 
 import (
+	"flag"
 	"testing"
 )
 
@@ -44,7 +45,7 @@
 		w.startAll(second)
 		w.until("settled", 10*second, w.settled)
 		w.lose = 0.02
-		slowest := w.changes(20, 8*second)
+		slowest := w.changes(0, 20, 8*second)
 		if slowest > 7*second {
 			t.Errorf("a change took %.1f s", float64(slowest)/1e6)
 		}
@@ -57,11 +58,11 @@
 
 // changes has a router hold a new revision every so often, while a representative is killed each second and comes back ten
 // seconds later, and returns the longest time until one was known to all.
-func (w *world) changes(n int, every Micros) (slowest Micros) {
+func (w *world) changes(after uint64, n int, every Micros) (slowest Micros) {
 	w.t.Helper()
 	var down []*node
 	second := second
-	for revision := uint64(1); revision <= uint64(n); revision++ {
+	for revision := after + 1; revision <= after+uint64(n); revision++ {
 		changed, known := w.now, Micros(0)
 		w.hold(w.pick(w.living(ordinary)), revision)
 		for w.now-changed < every {
@@ -111,3 +112,35 @@
 	t.Logf("a change known everywhere after %.1f s", float64(changed)/1e6)
 	w.verdict(2 * second)
 }
+
+var long = flag.Bool("long", false, "play the target's whole fleet: minutes, and a GB")
+
+// The target's whole fleet: 13,680 routers at 760 sites in 41 regions, at rest, with the target's changes of configuration, and
+// with losses and a representative killed each second.
+func TestWholeFleet(t *testing.T) {
+	if !*long {
+		t.Skip("minutes; -long plays it")
+	}
+	w := newWorld(t, 1, 760, 41, 18)
+	w.startAll(second)
+	took := w.until("settled", 20*second, w.settled)
+	t.Logf("settled after %.1f s", float64(took)/1e6)
+	w.run(4 * second)
+	w.forget()
+	w.run(20 * second)
+	w.rates(20 * second)
+	for revision := range uint64(3) { // 13,000 a day
+		for _, n := range w.nodes {
+			w.hold(n, revision+1)
+			n.held += Micros(w.rng.IntN(1e6)) // in force here within a second
+		}
+		w.run(6600e3)
+	}
+	t.Logf("with a change in each 6.6 s:")
+	w.rates(3 * 6600e3)
+	w.lose = 0.02
+	slowest := w.changes(10, 3, 8*second)
+	t.Logf("the slowest of 3 changes was known after %.1f s, with 2%% lost and a representative killed each second", float64(slowest)/1e6)
+	w.rates(24 * second)
+	w.verdict(5 * second)
+}
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -163,7 +163,7 @@
 	h.ping()
 	s := &h.spread
 	for l := range links {
-		if !h.active(l) || h.now-s.exchanged[l] < h.rules.Exchange {
+		if !h.active(l) || h.now-s.exchanged[l] < h.exchangeEvery() {
 			continue
 		}
 		s.exchanged[l] = h.now
@@ -179,6 +179,13 @@
 	}
 }
 
+func (h *Hierarchy) exchangeEvery() Micros {
+	if h.now-h.start < h.rules.CallFirst {
+		return h.rules.Exchange / 2
+	}
+	return h.rules.Exchange
+}
+
 // ping tells the standbys and the other representatives of the site that this one is awake.
 func (h *Hierarchy) ping() {
 	if !h.role.Site || h.now-h.spread.pinged < h.rules.Ping {
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -21,6 +21,7 @@
 	kindTalk   = 't'
 	kindTiers  = 'h' // package hierarchy's
 	kindPacked = 'q' // a heartbeat in few bytes
+	kindAsk    = 'a' // for the heartbeat of who is asked
 )
 
 const (
@@ -173,6 +174,8 @@
 		if w, _, err := unpackWord(b[1:]); err == nil {
 			p.said(w)
 		}
+	case kindAsk:
+		p.asked(b[1:])
 	case kindTalk:
 		p.talked(b[1:])
 	case kindTiers:
--- a/internal/peers/meter.go
+++ b/internal/peers/meter.go
@@ -217,7 +217,7 @@
 		return place.Other
 	}
 	switch b[0] {
-	case kindWord, kindPacked:
+	case kindWord, kindPacked, kindAsk:
 		return place.Heartbeat
 	case kindParts:
 		return place.Lending
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,6 +49,7 @@
 	site    hierarchy.Local      // as the tiers were last told
 	seen    uint64               // digest of the view that site is of
 	looked  view.Micros          // when site was made
+	asks    view.Micros          // when the views of the site last were alike, or mates were asked for their heartbeats
 	odds    view.Micros          // when the views of the site last were alike, or one was asked for its own
 	news    bool                 // the own word is another than was last passed on
 
@@ -255,9 +256,11 @@
 	if !call {
 		addr, call = p.atOdds(now)
 	}
+	ask := p.whomToAsk(now)
 	summaries := p.stepTiers(now)
 	p.mu.Unlock()
 
+	p.ask(ask)
 	p.sendTiers(summaries)
 
 	if pass {
--- a/internal/peers/tiers.go
+++ b/internal/peers/tiers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/crc64"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 // JSON half of the rest. What whole states repair is found sooner by the digests of heartbeats: see atOdds.
 const (
 	stateEveryProbes = 300
+	mostAsked        = 3                                           // mates, for their heartbeats at once
 	tieredTransmits  = 2                                           // of a heartbeat by each router, for each power of ten of routers; one that misses it has it by a probe
 	lookEvery        = view.Micros(time.Second / time.Microsecond) // between two looks at the site, while its view's digest stays
 	tieredSteps      = 200 * time.Millisecond
@@ -71,6 +73,48 @@
 	return c.RetransmitMult
 }
 
+// whomToAsk are some mates whose last heartbeat tells of another view than this one's, for a probe by now: a heartbeat that is
+// passed on a few times is missed by a few. In a large fleet some router misses one at each change. p.mu is held.
+func (p *Peers) whomToAsk(now view.Micros) (nodes []*memberlist.Node) {
+	if !p.cfg.Tiered {
+		return nil
+	}
+	if _, settled := p.view.Digest(); settled {
+		p.asks = now
+	}
+	if now-p.asks < view.Micros(p.cfg.Probe/time.Microsecond) {
+		return nil
+	}
+	p.asks = now
+	names := p.view.Disagree()
+	for _, m := range p.view.Living() {
+		if node := p.nodes[m.Process]; node != nil && len(nodes) < mostAsked && slices.Contains(names, m.Name) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+func (p *Peers) ask(nodes []*memberlist.Node) {
+	body := binary.BigEndian.AppendUint64([]byte{kindAsk}, uint64(p.me.Process))
+	for _, node := range nodes {
+		_ = p.list.SendBestEffort(node, body) // asked again
+	}
+}
+
+// asked answers a mate with this router's heartbeat.
+func (p *Peers) asked(b []byte) {
+	if !p.cfg.Tiered || len(b) != 8 {
+		return
+	}
+	p.mu.Lock()
+	node, list, body := p.nodes[view.Process(binary.BigEndian.Uint64(b))], p.list, p.encode(p.view.Word())
+	p.mu.Unlock()
+	if node != nil && list != nil {
+		_ = list.SendBestEffort(node, body) // asked again
+	}
+}
+
 // atOdds is a mate whose view has differed from this one's for a while, to be asked for its whole state. p.mu is held.
 func (p *Peers) atOdds(now view.Micros) (addr string, call bool) {
 	if !p.cfg.Tiered {
