Design: no router bears two roles, and the budget tells each of them

Cause: with membership's, policy's and purges' work on one router its bytes would be over the limit. Change: policy has other representatives than membership, which hear no purges; the budget has a column for each.

--- a/internal/scale/capacity/design.go
+++ b/internal/scale/capacity/design.go
@@ -195,12 +195,12 @@
 }
 
 func purging(t Target, left float64) Purging {
-	p := Purging{Left: left, Streams: math.Ceil(t.RoutersPerSite()), Machines: max(1, t.Control.Machines-t.Assumed.Keepers)}
-	routers, caches := t.RoutersPerSite(), max(1, t.CachesPerSite())
+	p := Purging{Left: left, Streams: math.Ceil(sharers(t)), Machines: max(1, t.Control.Machines-t.Assumed.Keepers)}
+	caches := max(1, t.CachesPerSite())
 	owners := min(t.Assumed.Copies, caches)
-	second := min(2, routers)
+	second := min(2, sharers(t))
 	p.Options = []PurgeOption{
-		purgeOption(t, "every router hears each", routers, owners, left),
+		purgeOption(t, "every router hears each", sharers(t), owners, left),
 		purgeOption(t, "one router of a site, all its cache servers", 1, caches, left),
 		purgeOption(t, "one router of a site, the owners", 1, owners, left),
 		purgeOption(t, "two routers of a site, the owners", second, owners, left),
@@ -212,8 +212,9 @@
 	}
 	p.Within = p.Seconds <= t.Purges.Within.Seconds()
 
-	p.MachineOut = t.Routers * p.Chosen.Heard / p.Machines
-	p.MachineBack = t.Routers / purgeBack / p.Machines
+	hearers := t.Sites * sharers(t)
+	p.MachineOut = hearers * p.Chosen.Heard / p.Machines
+	p.MachineBack = hearers / purgeBack / p.Machines
 	p.Missed = t.Purges.PerSecond * t.Failures.RegionCut.Seconds()
 	p.MissedBytes = p.Missed * t.Purges.Bytes
 	p.CatchUp = t.Failures.RegionCut.Seconds() // the budget of the streams, once more
@@ -223,9 +224,12 @@
 	return p
 }
 
+// sharers are the routers of a site that hear purges: all but membership's representatives, which have enough to do.
+func sharers(t Target) float64 { return max(1, t.RoutersPerSite()-membershipRepresentatives) }
+
 func purgeOption(t Target, name string, hear, reach, left float64) PurgeOption {
 	streams := hear // a router hears its own stream, and those for which it stands by
-	share := t.Purges.PerSecond / t.RoutersPerSite()
+	share := t.Purges.PerSecond / sharers(t)
 	o := PurgeOption{Name: name, Hear: hear, Reach: reach}
 	o.Heard = share*hear*t.Purges.Bytes + streams*datagramHeader/purgeBatch
 	o.Told = (purgeCount + datagramHeader) / purgeBack
@@ -235,9 +239,9 @@
 	o.Fits = o.Control <= left
 	perStream := streams*datagramHeader/purgeBatch + o.Told
 	if rest := left - perStream; rest > 0 {
-		o.Smallest = math.Ceil(t.Purges.PerSecond * hear * t.Purges.Bytes / rest)
+		o.Smallest = math.Ceil(t.Purges.PerSecond*hear*t.Purges.Bytes/rest) + membershipRepresentatives
 	}
-	if hear == t.RoutersPerSite() {
+	if hear == sharers(t) {
 		o.Smallest = 0 // each hears all, in a site of any size
 	}
 	return o
@@ -257,19 +261,19 @@
 	}
 }
 
-// BudgetLine is one part of what a router spends by the design.
+// BudgetLine is one part of what a router spends by the design. No router bears two of the three roles.
 type BudgetLine struct {
-	Name           string   `json:"name"`
-	Router         Estimate `json:"router"`
-	Representative Estimate `json:"representative"`
+	Name       string   `json:"name"`
+	Router     Estimate `json:"router"`
+	Membership Estimate `json:"membership_representative"`
+	Policy     Estimate `json:"policy_representative"`
 }
 
 // Budget is a router's bytes by the design, all parts together.
 type Budget struct {
-	Lines          []BudgetLine `json:"lines"`
-	Router         Estimate     `json:"router"`
-	Representative Estimate     `json:"representative"`
-	Limit          float64      `json:"limit_bytes_per_s"`
+	Lines []BudgetLine `json:"lines"`
+	All   BudgetLine   `json:"all"`
+	Limit float64      `json:"limit_bytes_per_s"`
 }
 
 // documentsOnce is each change's document told once, with its preparation.
@@ -277,20 +281,20 @@
 
 func budget(t Target, g Grants, p Purging, membership, ofRepresentative Estimate) Budget {
 	b := Budget{Limit: t.Control.BytesPerSecond}
-	same := func(name string, value float64) BudgetLine {
-		e := counted(value, BytesPerSecond, name)
-		return BudgetLine{name, e, e}
-	}
-	b.Lines = append(b.Lines, BudgetLine{"membership in tiers", membership, ofRepresentative})
+	bytes := func(value float64) Estimate { return counted(value, BytesPerSecond, "") }
+	documents := bytes(documentsOnce(t))
+	b.Lines = append(b.Lines, BudgetLine{"membership in tiers", membership, ofRepresentative, membership})
 	if g.Chosen != nil {
-		b.Lines = append(b.Lines, BudgetLine{"renewals through representatives", counted(g.Chosen.Router, BytesPerSecond, ""), counted(g.Chosen.Busiest, BytesPerSecond, "")})
+		b.Lines = append(b.Lines, BudgetLine{"renewals through representatives", bytes(g.Chosen.Router), bytes(g.Chosen.Router), bytes(g.Chosen.Busiest)})
 	}
-	b.Lines = append(b.Lines, same("documents of changes, each once", documentsOnce(t)))
-	b.Lines = append(b.Lines, same("purges heard", p.Chosen.Heard), same("purges told back", p.Chosen.Told))
-	b.Router, b.Representative = Estimate{Basis: Counted, Unit: BytesPerSecond}, Estimate{Basis: Counted, Unit: BytesPerSecond}
+	b.Lines = append(b.Lines, BudgetLine{"documents of changes, each once", documents, documents, documents},
+		BudgetLine{"purges heard", bytes(p.Chosen.Heard), bytes(0), bytes(p.Chosen.Heard)},
+		BudgetLine{"purges told back", bytes(p.Chosen.Told), bytes(0), bytes(p.Chosen.Told)})
+	b.All = BudgetLine{Name: "all", Router: bytes(0), Membership: bytes(0), Policy: bytes(0)}
 	for _, line := range b.Lines {
-		b.Router = sum(b.Router, line.Router)
-		b.Representative = sum(b.Representative, line.Representative)
+		b.All.Router = sum(b.All.Router, line.Router)
+		b.All.Membership = sum(b.All.Membership, line.Membership)
+		b.All.Policy = sum(b.All.Policy, line.Policy)
 	}
 	return b
 }
