--- a/internal/lab/scale/check.go
+++ b/internal/lab/scale/check.go
@@ -79,6 +79,8 @@
 	c.faults(s)
 	c.want(s.Bound.Slope >= 0, "bound.bytes_slope", "is below zero", "write a number above zero, or leave it out")
 	c.want(s.Bound.Slope == 0 || len(s.Sizes) >= 3, "bound.bytes_slope", "no slope follows from less than three sizes", "name three sizes, or leave it out")
+	c.want(s.Bound.Settled >= 0 && s.Bound.Settled <= s.Settle, "bound.settled", "is below zero or longer than settle, for which a trial waits",
+		"write a span up to settle, or leave it out")
 	c.want(s.Bound.Bytes >= 0, "bound.bytes_per_s", "is below zero", "write a number above zero, or leave it out")
 	return c.wrong
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -89,6 +89,9 @@
 		if s.Bound.Bytes > 0 && b > s.Bound.Bytes {
 			return fmt.Errorf("bound.bytes_per_s: a router of %d used %.0f B/s, and %.0f were allowed", t.Routers, b, s.Bound.Bytes)
 		}
+		if most := time.Duration(s.Bound.Settled); most > 0 && (t.AllSettled == nil || *t.AllSettled > most.Seconds()) {
+			return fmt.Errorf("bound.settled: %d routers settled in: %s, and %v was allowed", t.Routers, span(t.AllSettled), most)
+		}
 		sizes, bytes = append(sizes, math.Log(float64(t.Routers))), append(bytes, math.Log(b))
 	}
 	if s.Bound.Slope == 0 {
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -62,6 +62,8 @@
 	// Slope is the highest exponent of the bytes of a router over the size of the fleet: 0 is constant, 1 in proportion.
 	Slope float64 `toml:"bytes_slope"`
 	Bytes float64 `toml:"bytes_per_s"` // of a router, in and out together
+	// Settled is the longest time from the last start until all routers know that they agree.
+	Settled Span `toml:"settled"`
 }
 
 // Default is a scenario before its file is read.
--- a/internal/lab/scale/scenario_test.go
+++ b/internal/lab/scale/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"spurtrestle/internal/scale/result"
 )
@@ -23,6 +24,7 @@
 		"too many processes":  {good + "processes = 99\n", "line 3: processes: 99 is not from 1 to 8; write a number from 1 to 8"},
 		"network of others":   {good + "network = 130\n", "line 3: network: 130 is no network of the harness; write a number from 70 to 109"},
 		"too large":           {"title = \"x\"\nsizes = [99000]\n", "line 2: sizes[0]: 99000 routers do not fit into one loopback network"},
+		"a bound never seen":  {good + "[bound]\nsettled = \"2m\"\n", "line 4: bound.settled: is below zero or longer than settle"},
 		"slope of two points": {"title = \"x\"\nsizes = [1, 2]\n[bound]\nbytes_slope = 0.1\n", "line 4: bound.bytes_slope: no slope follows from less than three sizes"},
 	} {
 		if _, err := Parse([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
@@ -76,22 +78,27 @@
 // Bytes that are constant keep to a bound, bytes in proportion to the size do not.
 func TestKept(t *testing.T) {
 	s := Default()
-	s.Sizes, s.Bound = []int{10, 20, 40}, Bound{Slope: 0.2, Bytes: 2000}
+	s.Sizes, s.Bound = []int{10, 20, 40}, Bound{Slope: 0.2, Bytes: 2000, Settled: Span(10 * time.Second)}
+	settled, late := 8.0, 12.0
 	trials := func(bytes ...float64) (all []result.Trial) {
 		for i, b := range bytes {
-			all = append(all, result.Trial{Fault: result.Rest, Routers: s.Sizes[i], PerRouter: result.Usage{BytesIn: b / 2, BytesOut: b / 2}})
+			all = append(all, result.Trial{Fault: result.Rest, Routers: s.Sizes[i], PerRouter: result.Usage{BytesIn: b / 2, BytesOut: b / 2}, AllSettled: &settled})
 		}
 		return all
 	}
 	if err := s.Kept(trials(1000, 1010, 990)); err != nil {
 		t.Error(err)
 	}
+	unsettled, slow := trials(1000, 1000, 1000), trials(1000, 1000, 1000)
+	unsettled[1].AllSettled, slow[1].AllSettled = nil, &late
 	for _, c := range []struct {
 		trials []result.Trial
 		want   string
 	}{
 		{trials(100, 200, 400), "to the power of 1.00, and 0.20 was allowed"},
 		{trials(100, 200, 2400), "a router of 40 used 2400 B/s, and 2000 were allowed"},
+		{unsettled, "20 routers settled in: never, and 10s was allowed"},
+		{slow, "20 routers settled in: 12.0 s, and 10s was allowed"},
 		{trials(100, 100), "2 of 3 sizes were measured"},
 	} {
 		if err := s.Kept(c.trials); err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -23,7 +23,7 @@
 
 func span(s *float64) string {
 	if s == nil {
-		return "not"
+		return "never"
 	}
 	return fmt.Sprintf("%.1f s", *s)
 }
