--- a/hierarchy/publish.go
+++ b/hierarchy/publish.go
@@ -61,11 +61,10 @@
 
 // beat gives a sign of life if nobody has done so lately, or if there is a newer policy than anybody has told of.
 func (h *Hierarchy) beat(tier Tier, held *entry, b Beat, wait Micros) {
-	newer := b.Most > held.Most
-	if !newer && h.now-held.heard < h.rules.Beat+wait {
+	first := b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
+	if !first && h.now-held.heard < h.rules.Beat+wait {
 		return
 	}
-	first := newer && b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
 	held.Beat, held.heard = b, h.now
 	h.newsBeat(tier, keyOf(held.Name), first)
 }
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -1,6 +1,7 @@
 package hierarchy
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 )
@@ -127,16 +128,46 @@
 		if !h.active(l) {
 			continue
 		}
-		bodies := h.newsOn(l)
-		for _, to := range h.partners(l, h.rules.Fanout) {
-			for _, body := range bodies {
-				h.out = append(h.out, Datagram{to, body})
-			}
+		to := h.partners(l, h.rules.Fanout)
+		if l == withinSite {
+			to = h.ring(h.rules.Fanout)
 		}
+		h.sendAll(to, h.newsOn(l))
 	}
 	s.summaries, s.urgent, s.pushed = ids{}, false, h.now
 }
 
+func (h *Hierarchy) sendAll(to []netip.AddrPort, bodies [][]byte) {
+	for _, addr := range to {
+		for _, body := range bodies {
+			h.out = append(h.out, Datagram{addr, body})
+		}
+	}
+}
+
+// ring are up to n mates at distances 1, k, k squared ... in the order of ranks, where k to the power of n is the number of routers.
+// Where each passes news on to them, each hears it from n others, in some hops of each distance: none is left out by chance, as
+// some are of any large number of routers that draw whom they tell.
+func (h *Hierarchy) ring(n int) (all []netip.AddrPort) {
+	members := h.local.Members
+	own, there := h.ranks[h.cfg.Addr]
+	if !there || n == 0 {
+		return nil
+	}
+	distances := []int{}
+	for i := range n {
+		d := int(math.Round(math.Pow(float64(len(members)), float64(i)/float64(n))))
+		for slices.Contains(distances, d) {
+			d++
+		}
+		if d < len(members) {
+			distances = append(distances, d)
+			all = append(all, members[(own+d)%len(members)].Addr)
+		}
+	}
+	return all
+}
+
 func (h *Hierarchy) newsOn(l link) (bodies [][]byte) {
 	var records [][]byte
 	for _, tier := range tiersOn(l) {
@@ -145,6 +176,7 @@
 	bodies = h.packed(kindNews, records)
 	if h.spread.urgent {
 		bodies = append(bodies, h.hello(l, h.spread.beats[l]))
+		h.spread.beats[l] = ids{}
 	}
 	return bodies
 }
