--- a/hierarchy/hierarchy.go
+++ b/hierarchy/hierarchy.go
@@ -54,7 +54,7 @@
 func DefaultRules() Rules {
 	return Rules{
 		Representatives: 2, Standbys: 3, SitesInFront: 2,
-		Silence: 2500e3, Listen: 2 * second, ListenArea: 3500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
+		Silence: 2500e3, Listen: second, ListenArea: 2500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
 		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallFirst: 12 * second, CallLost: 5 * second, CallCalm: 60 * second, Fanout: 3, Partners: 2,
 		Stale: 60 * second, Lost: 180 * second, Forget: 24 * 3600 * second, Calm: 2 * second,
 	}
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -356,7 +356,7 @@
 		}
 		t := h.tables[tier]
 		for _, b := range m.beats[tier] {
-			newest := t.newest(h.now, h.rules.Lost)
+			newest := h.told()
 			if !t.beat(h.now, b.key, b.Beat) {
 				continue
 			}
--- a/hierarchy/status.go
+++ b/hierarchy/status.go
@@ -93,8 +93,10 @@
 }
 
 // Newest is the highest revision of the policy that is told of by this router's site or any summary that is not lost.
-func (h *Hierarchy) Newest() uint64 {
-	newest := h.local.Most
+func (h *Hierarchy) Newest() uint64 { return max(h.local.Most, h.told()) }
+
+// told is the highest revision of the policy that any summary which is not lost tells of.
+func (h *Hierarchy) told() (newest uint64) {
 	for _, t := range h.tables {
 		newest = max(newest, t.newest(h.now, h.rules.Lost))
 	}
