--- a/hierarchy/publish.go
+++ b/hierarchy/publish.go
@@ -1,8 +1,6 @@
 package hierarchy
 
 import (
-	"cmp"
-	"net/netip"
 	"slices"
 )
 
@@ -109,11 +107,3 @@
 	}
 	return s, b
 }
-
-// sortAddresses brings addresses into an order that does not depend on a map's.
-func sortAddresses(all []netip.AddrPort) []netip.AddrPort {
-	slices.SortFunc(all, func(a, b netip.AddrPort) int {
-		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
-	})
-	return slices.Compact(all)
-}
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -1,6 +1,7 @@
 package hierarchy
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -315,11 +316,7 @@
 			}
 		}
 	}
-	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool {
-		_, mate := h.ranks[a]
-		return mate || a == h.cfg.Addr
-	})
-	return sortAddresses(all)
+	return h.others(all)
 }
 
 // Take takes a datagram in. What it is answered with goes out with the next step.
@@ -456,3 +453,34 @@
 		h.out = append(h.out, Datagram{to, body})
 	}
 }
+
+// Known are representatives of other sites, for a file that a restart reads: those of the region's sites and of the regions, as many as
+// there is room for.
+func (h *Hierarchy) Known() (all []netip.AddrPort) {
+	const most = 64
+	for tier := range tiers {
+		for _, e := range h.tables[tier].byName() {
+			all = append(all, e.Representatives...)
+		}
+	}
+	all = h.others(all)
+	h.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
+// others are addresses that are none of the own site's, in order.
+func (h *Hierarchy) others(all []netip.AddrPort) []netip.AddrPort {
+	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool {
+		_, mate := h.ranks[a]
+		return mate || a == h.cfg.Addr
+	})
+	return sortAddresses(all)
+}
+
+// sortAddresses brings addresses into an order that does not depend on a map's.
+func sortAddresses(all []netip.AddrPort) []netip.AddrPort {
+	slices.SortFunc(all, func(a, b netip.AddrPort) int {
+		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
+	})
+	return slices.Compact(all)
+}
--- a/internal/peers/file.go
+++ b/internal/peers/file.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"spurtrestle/view"
 )
@@ -16,11 +17,12 @@
 	Fleet  string    `json:"fleet"`
 	Router view.Name `json:"router"`
 	Peers  []string  `json:"peers"`
+	Remote []string  `json:"remote,omitempty"` // of a tiered fleet: representatives of other sites
 }
 
 const file = "peers.json"
 
-// readKnown reads the file. A folder of another router is refused; one that cannot be read is not needed.
+// readKnown reads the file, and takes the representatives in it for some of fleet.remote. A folder of another router is refused; one that cannot be read is not needed.
 func (p *Peers) readKnown() ([]string, error) {
 	if p.cfg.Dir == "" {
 		return nil, nil
@@ -42,6 +44,7 @@
 		return nil, p.cfg.Refused("fleet.dir", fmt.Sprintf("%s is that of router %q of fleet %q, and this one is %q of %q", p.cfg.Dir,
 			k.Router, k.Fleet, p.me.Name, p.me.Fleet), "give each router a folder of its own")
 	}
+	p.cfg.Remote = append(slices.Clone(p.cfg.Remote), k.Remote...)
 	return k.Peers, nil
 }
 
@@ -51,7 +54,7 @@
 		return
 	}
 	p.mu.Lock()
-	k := known{p.me.Fleet, p.me.Name, p.view.Known()}
+	k := known{p.me.Fleet, p.me.Name, p.view.Known(), p.knownRemote()}
 	p.mu.Unlock()
 	text, err := json.MarshalIndent(k, "", " ")
 	name := filepath.Join(p.cfg.Dir, file)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,13 +90,13 @@
 	}
 	p.view = view.New(p.micros(), rules, p.me)
 	p.parts = parts.New(parts.Micros(p.micros()), parts.DefaultRules(), cfg.Seats, parts.Seat(cfg.Seat), parts.Process(process), cfg.Clear)
-	if err := p.beginTiers(process); err != nil {
-		return nil, err
-	}
 	known, err := p.readKnown()
 	if err != nil {
 		return nil, err
 	}
+	if err := p.beginTiers(process); err != nil {
+		return nil, err
+	}
 	p.cfg.Join = slices.Compact(slices.Sorted(slices.Values(append(known, cfg.Join...))))
 	if cfg.Follows { // the process before has the address until it ends
 		p.ended.Go(func() {
--- a/internal/peers/tiers.go
+++ b/internal/peers/tiers.go
@@ -51,6 +51,17 @@
 	return nil
 }
 
+// knownRemote are the representatives of other sites, for the file of peers. p.mu is held.
+func (p *Peers) knownRemote() (all []string) {
+	if p.tiers == nil {
+		return nil
+	}
+	for _, addr := range p.tiers.Known() {
+		all = append(all, addr.String())
+	}
+	return all
+}
+
 // tune has the library send less than its defaults, within a site.
 func (p *Peers) tune(c *memberlist.Config) {
 	if p.cfg.Tiered {
--- a/internal/peers/tiers_test.go
+++ b/internal/peers/tiers_test.go
@@ -172,6 +172,26 @@
 	}))
 }
 
+// A site that ends and begins again with nothing to begin with but its folders finds the other sites.
+func TestSiteFindsTheFleetByItsFolders(t *testing.T) {
+	configs := siteConfigs(t)[:2*perSite]
+	for i := range configs {
+		configs[i].Dir = t.TempDir()
+	}
+	f := open(t, configs)
+	both := func(p *Peers) bool { return p.Settled() && alive(status(p).Regions, "north") == 2*perSite }
+	f.until("settled", both)
+	for _, p := range f.routers[perSite:] {
+		p.Close(false)
+	}
+	f.routers, f.configs = f.routers[:perSite], f.configs[:perSite]
+	for _, c := range configs[perSite:] {
+		c.Join, c.Remote = nil, nil
+		f.open(c)
+	}
+	t.Logf("found after %v", f.until("one again", both))
+}
+
 // A flat router and a tiered one of the same fleet refuse each other, whichever calls.
 func TestFlatAndTieredRefuseEachOther(t *testing.T) {
 	configs := siteConfigs(t)
