A representative passes on all that it learns

Cause: of more than eight summaries that came as a repair none was passed on as news, and after a start a whole site at times learned them one router at a time.

--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -28,7 +28,7 @@
 const (
 	mostAnswers  = 32 // datagrams that wait for a step
 	mostRepair   = 3  // datagrams of summaries that answer one digest
-	mostRelayed  = 8  // summaries of a repair that are passed on as news; a router that is new has to be told all
+	mostRelayed  = 8  // summaries of a repair that an ordinary router passes on as news; one that is new has to be told all
 	everyBeat    = 5  // exchanges, one of which carries all signs of life to one partner
 	digestCalm   = second
 	digestMoving = 2 * second // between two digests while the table changes anyway
@@ -400,7 +400,7 @@
 }
 
 func (h *Hierarchy) takeRecords(m message, near bool) {
-	relay := m.kind == kindNews || len(m.records) <= mostRelayed
+	relay := m.kind == kindNews || len(m.records) <= mostRelayed || h.role.Site
 	for _, r := range m.records {
 		if r.tier == Sites && !near || h.outdated(r.Beat) {
 			continue
