--- a/hierarchy/publish.go
+++ b/hierarchy/publish.go
@@ -1,8 +1,6 @@
 package hierarchy
 
 import (
-	"cmp"
-	"net/netip"
 	"slices"
 )
 
@@ -61,11 +59,10 @@
 
 // beat gives a sign of life if nobody has done so lately, or if there is a newer policy than anybody has told of.
 func (h *Hierarchy) beat(tier Tier, held *entry, b Beat, wait Micros) {
-	newer := b.Most > held.Most
-	if !newer && h.now-held.heard < h.rules.Beat+wait {
+	first := b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
+	if !first && h.now-held.heard < h.rules.Beat+wait {
 		return
 	}
-	first := newer && b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
 	held.Beat, held.heard = b, h.now
 	h.newsBeat(tier, keyOf(held.Name), first)
 }
@@ -110,11 +107,3 @@
 	}
 	return s, b
 }
-
-// sortAddresses brings addresses into an order that does not depend on a map's.
-func sortAddresses(all []netip.AddrPort) []netip.AddrPort {
-	slices.SortFunc(all, func(a, b netip.AddrPort) int {
-		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
-	})
-	return slices.Compact(all)
-}
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -1,6 +1,8 @@
 package hierarchy
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 )
@@ -26,7 +28,7 @@
 const (
 	mostAnswers  = 32 // datagrams that wait for a step
 	mostRepair   = 3  // datagrams of summaries that answer one digest
-	mostRelayed  = 8  // summaries of a repair that are passed on as news; a router that is new has to be told all
+	mostRelayed  = 8  // summaries of a repair that an ordinary router passes on as news; one that is new has to be told all
 	everyBeat    = 5  // exchanges, one of which carries all signs of life to one partner
 	digestCalm   = second
 	digestMoving = 2 * second // between two digests while the table changes anyway
@@ -127,16 +129,46 @@
 		if !h.active(l) {
 			continue
 		}
-		bodies := h.newsOn(l)
-		for _, to := range h.partners(l, h.rules.Fanout) {
-			for _, body := range bodies {
-				h.out = append(h.out, Datagram{to, body})
-			}
+		to := h.partners(l, h.rules.Fanout)
+		if l == withinSite {
+			to = h.ring(h.rules.Fanout)
 		}
+		h.sendAll(to, h.newsOn(l))
 	}
 	s.summaries, s.urgent, s.pushed = ids{}, false, h.now
 }
 
+func (h *Hierarchy) sendAll(to []netip.AddrPort, bodies [][]byte) {
+	for _, addr := range to {
+		for _, body := range bodies {
+			h.out = append(h.out, Datagram{addr, body})
+		}
+	}
+}
+
+// ring are up to n mates at distances 1, k, k squared ... in the order of ranks, where k to the power of n is the number of routers.
+// Where each passes news on to them, each hears it from n others, in some hops of each distance: none is left out by chance, as
+// some are of any large number of routers that draw whom they tell.
+func (h *Hierarchy) ring(n int) (all []netip.AddrPort) {
+	members := h.local.Members
+	own, there := h.ranks[h.cfg.Addr]
+	if !there || n == 0 {
+		return nil
+	}
+	distances := []int{}
+	for i := range n {
+		d := int(math.Round(math.Pow(float64(len(members)), float64(i)/float64(n))))
+		for slices.Contains(distances, d) {
+			d++
+		}
+		if d < len(members) {
+			distances = append(distances, d)
+			all = append(all, members[(own+d)%len(members)].Addr)
+		}
+	}
+	return all
+}
+
 func (h *Hierarchy) newsOn(l link) (bodies [][]byte) {
 	var records [][]byte
 	for _, tier := range tiersOn(l) {
@@ -145,6 +177,7 @@
 	bodies = h.packed(kindNews, records)
 	if h.spread.urgent {
 		bodies = append(bodies, h.hello(l, h.spread.beats[l]))
+		h.spread.beats[l] = ids{}
 	}
 	return bodies
 }
@@ -283,11 +316,7 @@
 			}
 		}
 	}
-	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool {
-		_, mate := h.ranks[a]
-		return mate || a == h.cfg.Addr
-	})
-	return sortAddresses(all)
+	return h.others(all)
 }
 
 // Take takes a datagram in. What it is answered with goes out with the next step.
@@ -324,7 +353,7 @@
 		}
 		t := h.tables[tier]
 		for _, b := range m.beats[tier] {
-			newest := t.newest(h.now, h.rules.Lost)
+			newest := h.told()
 			if !t.beat(h.now, b.key, b.Beat) {
 				continue
 			}
@@ -371,7 +400,7 @@
 }
 
 func (h *Hierarchy) takeRecords(m message, near bool) {
-	relay := m.kind == kindNews || len(m.records) <= mostRelayed
+	relay := m.kind == kindNews || len(m.records) <= mostRelayed || h.role.Site
 	for _, r := range m.records {
 		if r.tier == Sites && !near || h.outdated(r.Beat) {
 			continue
@@ -424,3 +453,34 @@
 		h.out = append(h.out, Datagram{to, body})
 	}
 }
+
+// Known are representatives of other sites, for a file that a restart reads: those of the region's sites and of the regions, as many as
+// there is room for.
+func (h *Hierarchy) Known() (all []netip.AddrPort) {
+	const most = 64
+	for tier := range tiers {
+		for _, e := range h.tables[tier].byName() {
+			all = append(all, e.Representatives...)
+		}
+	}
+	all = h.others(all)
+	h.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
+// others are addresses that are none of the own site's, in order.
+func (h *Hierarchy) others(all []netip.AddrPort) []netip.AddrPort {
+	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool {
+		_, mate := h.ranks[a]
+		return mate || a == h.cfg.Addr
+	})
+	return sortAddresses(all)
+}
+
+// sortAddresses brings addresses into an order that does not depend on a map's.
+func sortAddresses(all []netip.AddrPort) []netip.AddrPort {
+	slices.SortFunc(all, func(a, b netip.AddrPort) int {
+		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
+	})
+	return slices.Compact(all)
+}
