--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run demo bench lab proto standing fleet-long policy-long site-long accord-long
+.PHONY: build test race lint fuzz run demo bench lab proto standing fleet-long policy-long site-long accord-long scale scale-long
 
 # As deploy/balancer.toml has it: linked against the C library, which wants a C compiler.
 build:
@@ -23,6 +23,8 @@
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/lab/trace
 	go test -run - -fuzz FuzzParse -fuzztime 30s -fuzzminimizetime 1x ./internal/lab/scenario
 	go test -run - -fuzz FuzzDecode -fuzztime 30s ./internal/snapshot
+	go test -run - -fuzz FuzzDecode -fuzztime 30s ./hierarchy
+	go test -run - -fuzz FuzzUnpackWords -fuzztime 30s ./internal/peers
 	go test -run - -fuzz FuzzAppend -fuzztime 30s ./internal/wire/resp2
 	go test -run - -fuzz FuzzRouter -fuzztime 60s -fuzzminimizetime 1x ./internal/router
 
@@ -48,6 +50,14 @@
 site-long: build
 	bin/spurctl lab sites --rounds 50
 
+# What a fleet's size costs its routers, small: under a minute, and it fails when a router's bytes grow with the fleet.
+scale: build
+	bin/spurctl scale run lab/scale/quick.toml
+
+# The same at all sizes and under all faults: some two hours. Trials that are finished are kept in scale-*.json.
+scale-long: build
+	for s in flat flat-faults tiered tiered-faults tiered-region-cut; do bin/spurctl scale run --json scale-$$s.json lab/scale/$$s.toml || exit 1; done
+
 # Every order of a small fleet that asks, loses, doubles, begins anew and changes its leader: minutes, and some GB.
 accord-long:
 	go test -count=1 -timeout 60m -run TestEveryOrder -long -v ./accord
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -16,9 +16,12 @@
 
 // What one router tells another, by its first byte.
 const (
-	kindWord  = 'w'
-	kindParts = 'p'
-	kindTalk  = 't'
+	kindWord   = 'w'
+	kindParts  = 'p'
+	kindTalk   = 't'
+	kindTiers  = 'h' // package hierarchy's
+	kindPacked = 'q' // a heartbeat in few bytes
+	kindAsk    = 'a' // for the heartbeat of who is asked
 )
 
 const (
@@ -45,7 +48,7 @@
 // NodeMeta is called by memberlist.
 func (p *Peers) NodeMeta(limit int) []byte {
 	m := p.me
-	said := meta{F: m.Fleet, N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
+	said := meta{F: pool(p.cfg), N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
 		O: uint64(m.Follows), M: p.cfg.Methods}
 	for {
 		text, _ := json.Marshal(said) // plain fields: it cannot fail
@@ -83,9 +86,9 @@
 // NotifyAlive refuses routers of other fleets and of other services. It is called by memberlist, as all below.
 func (p *Peers) NotifyAlive(node *memberlist.Node) error {
 	m, err := memberOf(node)
-	if err == nil && m.Fleet != p.me.Fleet {
-		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct fleet.name or fleet.join of one of them",
-			m.Name, m.Addr, m.Fleet, p.me.Name, p.me.Fleet)
+	if own := pool(p.cfg); err == nil && m.Fleet != own {
+		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct %s of one of them",
+			m.Name, m.Addr, m.Fleet, p.me.Name, own, fieldsOf(m.Fleet, own))
 	}
 	if err == nil {
 		if err = p.sameService(node); err == nil {
@@ -145,7 +148,7 @@
 func (p *Peers) AckPayload() []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return encode(p.view.Word())
+	return p.encode(p.view.Word())
 }
 
 // NotifyPingComplete: a probe was answered.
@@ -167,8 +170,16 @@
 		if json.Unmarshal(b[1:], &w) == nil {
 			p.said(w)
 		}
+	case kindPacked:
+		if w, _, err := unpackWord(b[1:]); err == nil {
+			p.said(w)
+		}
+	case kindAsk:
+		p.asked(b[1:])
 	case kindTalk:
 		p.talked(b[1:])
+	case kindTiers:
+		p.takeTiers(b[1:])
 	case kindParts:
 		var m parts.Message
 		if json.Unmarshal(b[1:], &m) != nil {
@@ -192,7 +203,7 @@
 	news := p.view.Said(p.micros(), w)
 	p.mu.Unlock()
 	if news {
-		p.queue.QueueBroadcast(wordOf(w))
+		p.queue.QueueBroadcast(p.wordOf(w))
 	}
 }
 
@@ -205,14 +216,17 @@
 func (p *Peers) LocalState(bool) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cfg.Tiered {
+		return packWords(p.view.Words())
+	}
 	text, _ := json.Marshal(p.view.Words()) // plain fields: it cannot fail
 	return text
 }
 
 // MergeRemoteState takes such a state in.
 func (p *Peers) MergeRemoteState(b []byte, _ bool) {
-	var words []view.Word
-	if len(b) > mostWords*longest/8 || json.Unmarshal(b, &words) != nil || len(words) > mostWords {
+	words, err := wordsIn(b)
+	if err != nil || len(words) > mostWords {
 		return
 	}
 	for _, w := range words {
@@ -226,12 +240,26 @@
 	text []byte
 }
 
-func encode(w view.Word) []byte {
+func wordsIn(b []byte) (words []view.Word, err error) {
+	switch {
+	case len(b) > mostWords*longest/8:
+		return nil, errWord
+	case len(b) > 0 && b[0] == kindPacked:
+		return unpackWords(b)
+	}
+	err = json.Unmarshal(b, &words)
+	return words, err
+}
+
+func (p *Peers) encode(w view.Word) []byte {
+	if p.cfg.Tiered {
+		return packWord([]byte{kindPacked}, w)
+	}
 	text, _ := json.Marshal(w) // plain fields: it cannot fail
 	return append([]byte{kindWord}, text...)
 }
 
-func wordOf(w view.Word) word { return word{w, encode(w)} }
+func (p *Peers) wordOf(w view.Word) word { return word{w, p.encode(w)} }
 
 // Name, Invalidates, Message and Finished are what memberlist's queue wants.
 func (w word) Name() string { return fmt.Sprintf("%x", uint64(w.Process)) }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
+	"spurtrestle/hierarchy"
 	"spurtrestle/internal/place"
 	"spurtrestle/parts"
 	"spurtrestle/view"
@@ -44,7 +45,13 @@
 	lending bool
 	told    share
 	hear    func(place.Process, []byte)
-	news    bool // the own word is another than was last passed on
+	tiers   *hierarchy.Hierarchy // nil: the fleet is flat
+	site    hierarchy.Local      // as the tiers were last told
+	seen    uint64               // digest of the view that site is of
+	looked  view.Micros          // when site was made
+	asks    view.Micros          // when the views of the site last were alike, or mates were asked for their heartbeats
+	odds    view.Micros          // when the views of the site last were alike, or one was asked for its own
+	news    bool                 // the own word is another than was last passed on
 
 	list    *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
@@ -87,6 +94,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.beginTiers(process); err != nil {
+		return nil, err
+	}
 	p.cfg.Join = slices.Compact(slices.Sorted(slices.Values(append(known, cfg.Join...))))
 	if cfg.Follows { // the process before has the address until it ends
 		p.ended.Go(func() {
@@ -120,6 +130,7 @@
 	// As many turns of each to a probe as the library has by default.
 	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = probe, probe/2, probe/5
 	c.PushPullInterval, c.GossipToTheDeadTime, c.TCPTimeout = 10*probe, 30*probe, max(2*probe, time.Second)
+	p.tune(c)
 	c.EnableCompression = false // words are short; it cost a third of the CPU of a calm router
 	c.HandoffQueueDepth = 4096  // 300 routers that begin at once
 	c.Delegate, c.Events, c.Ping, c.Alive, c.Merge = p, p, p, p, p
@@ -133,8 +144,8 @@
 	if err != nil {
 		return err
 	}
-	c.Transport = from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}}
-	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: c.RetransmitMult, NumNodes: p.size}
+	c.Transport = p.metered(from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}})
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: p.transmits(c), NumNodes: p.size}
 	list, err := memberlist.Create(c)
 	if err != nil {
 		return errors.Join(err, sockets.Shutdown())
@@ -160,6 +171,14 @@
 	return d.Dial("tcp", a.Addr)
 }
 
+// metered has a transport's traffic counted, where someone wants that.
+func (p *Peers) metered(t memberlist.NodeAwareTransport) memberlist.NodeAwareTransport {
+	if p.cfg.Wire == nil {
+		return t
+	}
+	return meter(t, p.cfg.Wire)
+}
+
 // greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
 // process with a wrong file would take clients until it is told.
 func (p *Peers) greet() error {
@@ -206,8 +225,7 @@
 }
 
 func (p *Peers) run() {
-	step := min(p.cfg.Probe/5, 100*time.Millisecond)
-	for t := time.NewTicker(step); ; {
+	for t := time.NewTicker(p.between()); ; {
 		p.step()
 		select {
 		case <-p.stop:
@@ -235,8 +253,16 @@
 	p.answers = nil
 	s := p.share(p.parts.Share(parts.Micros(now)))
 	addr, call := p.view.Whom(now, p.cfg.Join)
+	if !call {
+		addr, call = p.atOdds(now)
+	}
+	ask := p.whomToAsk(now)
+	summaries := p.stepTiers(now)
 	p.mu.Unlock()
 
+	p.ask(ask)
+	p.sendTiers(summaries)
+
 	if pass {
 		p.pass()
 	}
@@ -334,7 +360,7 @@
 	p.mu.Lock()
 	w := p.view.Word()
 	p.mu.Unlock()
-	p.queue.QueueBroadcast(wordOf(w))
+	p.queue.QueueBroadcast(p.wordOf(w))
 }
 
 func (p *Peers) tell(lines []view.Line) {
@@ -351,7 +377,7 @@
 // Whole is the view as people are shown it, as JSON.
 func (p *Peers) Whole() (string, error) {
 	p.mu.Lock()
-	w := p.view.Whole(p.micros())
+	w := p.whole()
 	p.mu.Unlock()
 	text, err := json.MarshalIndent(w, "", " ")
 	return string(text) + "\n", err
@@ -406,6 +432,18 @@
 	p.keepKnown()
 }
 
+// Kill gives the place up as a killed process does: without a word.
+func (p *Peers) Kill() {
+	close(p.stop)
+	p.ended.Wait()
+	p.mu.Lock()
+	list := p.list
+	p.mu.Unlock()
+	if list != nil {
+		_ = list.Shutdown() // nothing depends on it any more
+	}
+}
+
 func (p *Peers) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
