A region gives a sign of life each 20 s, and calm calls are spread over time

Cause: with a change of policy in each 6.6 s a region's representative spent 1.8 KB/s beside its probes, and each minute all called the first addresses at once.

--- a/hierarchy/hierarchy.go
+++ b/hierarchy/hierarchy.go
@@ -32,7 +32,8 @@
 	PublishSite Micros // at least, between two versions of a site's summary that a router writes
 	PublishArea Micros // the same, of a region's
 	TakeOver    Micros // a difference that lasts this long for each rank is published by the next in rank
-	Beat        Micros // between two signs of life of a site, and of a region
+	BeatSite    Micros // between two signs of life of a site
+	BeatArea    Micros // the same, of a region
 
 	Ping      Micros // between two signs of a representative to the standbys
 	Push      Micros // at least, between two pushes
@@ -54,7 +55,7 @@
 func DefaultRules() Rules {
 	return Rules{
 		Representatives: 2, Standbys: 3, SitesInFront: 2,
-		Silence: 2500e3, Listen: second, ListenArea: 2500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, Beat: 10 * second,
+		Silence: 2500e3, Listen: second, ListenArea: 2500e3, PublishSite: second, PublishArea: 2 * second, TakeOver: second, BeatSite: 10 * second, BeatArea: 20 * second,
 		Ping: second, Push: 200e3, Exchange: 2 * second, Call: second, CallFirst: 12 * second, CallLost: 5 * second, CallCalm: 60 * second, Fanout: 3, Partners: 2,
 		Stale: 60 * second, Lost: 180 * second, Forget: 24 * 3600 * second, Calm: 2 * second,
 	}
--- a/hierarchy/hierarchy_test.go
+++ b/hierarchy/hierarchy_test.go
@@ -100,10 +100,14 @@
 	w := newWorld(t, 1, 760, 41, 2)
 	w.startAll(second)
 	took := w.until("settled", 10*second, w.settled)
-	w.run(4 * second)
+	w.run(50 * second)
 	w.forget()
 	w.run(20 * second)
 	t.Logf("settled after %.1f s", float64(took)/1e6)
+	t.Logf("the oldest sign of life is %.1f s old", float64(w.oldest())/1e6)
+	if w.oldest() > w.rules.Stale {
+		t.Error("a summary is stale at rest")
+	}
 	if most := w.rates(20 * second); most > 1500 {
 		t.Errorf("a representative spends %.0f B/s", most)
 	}
--- a/hierarchy/publish.go
+++ b/hierarchy/publish.go
@@ -11,6 +11,9 @@
 	of    Version // the version that it differed from
 }
 
+// pace is how often a summary is written at most, and how often it gives a sign of life.
+type pace struct{ publish, beat Micros }
+
 // publish writes the summaries that this router answers for, where what is held is not what is so.
 func (h *Hierarchy) publish() {
 	if !h.role.Site {
@@ -19,18 +22,18 @@
 	}
 	rank := slices.Index(h.representatives(), h.cfg.Addr)
 	s, b := h.ownSite()
-	h.write(Sites, s, b, rank, h.rules.PublishSite)
+	h.write(Sites, s, b, rank, pace{h.rules.PublishSite, h.rules.BeatSite})
 	if !h.role.Region {
 		h.published[Regions] = publication{}
 		return
 	}
 	s, b = h.ownRegion()
-	h.write(Regions, s, b, slices.Index(s.Representatives, h.cfg.Addr), h.rules.PublishArea)
+	h.write(Regions, s, b, slices.Index(s.Representatives, h.cfg.Addr), pace{h.rules.PublishArea, h.rules.BeatArea})
 }
 
 // write publishes a summary if its content is another than that held, or a sign of life if one is due. The first in rank
 // does so at once, the others once it has not.
-func (h *Hierarchy) write(tier Tier, s Summary, b Beat, rank int, least Micros) {
+func (h *Hierarchy) write(tier Tier, s Summary, b Beat, rank int, at pace) {
 	if rank < 0 {
 		rank = h.candidates()
 	}
@@ -42,13 +45,13 @@
 	b.Count = max(held.Count+1, h.wall())
 	if same(held.Summary, s) {
 		p.since = 0
-		h.beat(tier, held, b, wait)
+		h.beat(tier, held, b, at.beat+wait)
 		return
 	}
 	if p.since == 0 || p.of != held.Version {
 		p.since, p.of = h.now, held.Version
 	}
-	if h.now-p.since < wait || p.last != 0 && h.now-p.last < least {
+	if h.now-p.since < wait || p.last != 0 && h.now-p.last < at.publish {
 		return
 	}
 	s.Version = held.Version.next(h.cfg.Wall, uint16(keyOf(h.cfg.Addr.String())))
@@ -58,9 +61,9 @@
 }
 
 // beat gives a sign of life if nobody has done so lately, or if there is a newer policy than anybody has told of.
-func (h *Hierarchy) beat(tier Tier, held *entry, b Beat, wait Micros) {
+func (h *Hierarchy) beat(tier Tier, held *entry, b Beat, after Micros) {
 	first := b.Most > h.tables[tier].newest(h.now, h.rules.Lost)
-	if !first && h.now-held.heard < h.rules.Beat+wait {
+	if !first && h.now-held.heard < after {
 		return
 	}
 	held.Beat, held.heard = b, h.now
--- a/hierarchy/sim_test.go
+++ b/hierarchy/sim_test.go
@@ -361,6 +361,18 @@
 	return true
 }
 
+// oldest is the greatest age of a summary at any router.
+func (w *world) oldest() (most Micros) {
+	for _, n := range w.living(func(*node) bool { return true }) {
+		for _, t := range n.h.tables {
+			for _, e := range t.entries {
+				most = max(most, w.now-e.heard)
+			}
+		}
+	}
+	return most
+}
+
 // rates logs bytes a second since the last call, in and out together, by role, and returns the most.
 func (w *world) rates(span Micros) (most float64) {
 	for role, ok := range map[string]func(*node) bool{"router": ordinary, "site's representative": forSite, "region's representative": forRegion} {
--- a/hierarchy/spread.go
+++ b/hierarchy/spread.go
@@ -29,7 +29,7 @@
 	mostAnswers  = 32 // datagrams that wait for a step
 	mostRepair   = 3  // datagrams of summaries that answer one digest
 	mostRelayed  = 8  // summaries of a repair that an ordinary router passes on as news; one that is new has to be told all
-	everyBeat    = 5  // exchanges, one of which carries all signs of life to one partner
+	everyBeat    = 10 // exchanges, one of which carries all signs of life to one partner
 	digestCalm   = second
 	digestMoving = 2 * second // between two digests while the table changes anyway
 )
@@ -57,7 +57,7 @@
 	turns     [links]int
 	digested  [tiers]Micros
 	changed   [tiers]Micros // the table
-	called    Micros
+	call      Micros        // when to call next
 	nextCall  int
 }
 
@@ -245,10 +245,11 @@
 // back from a cut, however long that was.
 func (h *Hierarchy) call() {
 	s := &h.spread
-	if !h.role.Site || h.now-s.called < h.rules.Call || h.now-s.called < h.callEvery() {
+	if !h.role.Site || h.now < s.call {
 		return
 	}
-	s.called = h.now
+	every := h.callEvery()
+	s.call = h.now + every - Micros(h.random.Int64N(int64(every/2))) // a fleet that began at once does not call at once
 	all := h.strangers()
 	if len(all) == 0 {
 		return
