--- a/internal/peers/tiers.go
+++ b/internal/peers/tiers.go
@@ -20,14 +20,17 @@
 // here does anything.
 
 // In a site of some twenty routers whole states every ten probes were five sixths of the traffic at rest, and heartbeats as
-// JSON half of the rest. What whole states repair is found sooner by the digests of heartbeats: see atOdds.
+// JSON half of the rest. What whole states repair is found sooner by the digests of heartbeats: see whomToAsk and atOdds.
 const (
-	stateEveryProbes = 300
-	mostAsked        = 3                                           // mates, for their heartbeats at once
-	tieredTransmits  = 2                                           // of a heartbeat by each router, for each power of ten of routers; one that misses it has it by a probe
-	lookEvery        = view.Micros(time.Second / time.Microsecond) // between two looks at the site, while its view's digest stays
-	tieredSteps      = 200 * time.Millisecond
-	oddsProbes       = 5 // that two views differ before one asks the other for its whole state, and between two askings
+	stateEveryProbes = 300 // between two exchanges of whole states
+	oddsProbes       = 5   // that two views differ before one asks the other for its whole state, and between two askings
+	mostAsked        = 3   // mates, for their heartbeats at once
+
+	// Copies of a heartbeat that each router passes on, for each power of ten of routers. Who misses it asks for it.
+	tieredTransmits = 2
+
+	tieredSteps = 200 * time.Millisecond
+	lookEvery   = view.Micros(time.Second / time.Microsecond) // between two looks at a site whose view's digest stays
 )
 
 // beginTiers is called before the router listens.
