Scale runs: a change is made once five representatives have been killed

Cause: under representative_killed the change was known everywhere before a second one had been killed, so that no stand-in was at work. Change: five are killed first, and the router at which the change is made is spared.

--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -28,6 +28,7 @@
 	order    []int              // in which the routers start
 	specs    map[int]routerSpec // by which they were started
 	away     away
+	turn     int // of order, at whose router the change is made
 	revision uint64
 	most     int64 // memory that the workers may use together, in bytes
 	out      result.Trial
@@ -285,19 +286,47 @@
 	return t.heal(ctx)
 }
 
+// killsBeforeChange is how many representatives have been killed when the change is made, so that stand-ins are at work.
+const killsBeforeChange = 5
+
+// changeAt is a router that runs now, and that no fault ends from now on: a change that is lost with its router is known nowhere.
+func (t *trial) changeAt() (int, error) {
+	t.away.mu.Lock()
+	defer t.away.mu.Unlock()
+	if len(t.away.gone) >= t.out.Routers {
+		return 0, errNobody
+	}
+	for {
+		if r := t.order[t.turn%t.out.Routers]; !t.away.gone[r] {
+			t.away.gone[r] = true
+			return r, nil
+		}
+		t.turn++
+	}
+}
+
+var errNobody = errors.New("no router runs at which a change could be made")
+
 // change has one router say that it holds a new revision of the policy, and waits until it is known everywhere.
 func (t *trial) change(ctx context.Context) error {
-	at := t.random.IntN(t.out.Routers)
 	ctx, cancel := context.WithCancel(ctx)
 	var striking sync.WaitGroup
-	if t.out.Fault == result.SpeakerEnd {
-		striking.Go(func() { _ = t.killRepresentatives(ctx, time.Now().Add(time.Duration(t.scenario.Change))) }) // it ends with the change
-	}
 	defer func() {
 		cancel()
 		striking.Wait()
 		t.away.Wait()
 	}()
+	if t.out.Fault == result.SpeakerEnd {
+		until := time.Now().Add(time.Duration(t.scenario.Change) + time.Duration(killsBeforeChange*t.scenario.KillEvery))
+		striking.Go(func() { _ = t.killRepresentatives(ctx, until) }) // it ends with the change
+		if err := sleep(ctx, time.Duration(killsBeforeChange*t.scenario.KillEvery)); err != nil {
+			return err
+		}
+	}
+	at, err := t.changeAt()
+	if err != nil {
+		return err
+	}
 	t.revision++
 	changed, err := t.workers[t.workerOf(at)].ask(request{Kind: requestChange, Router: at, Revision: t.revision})
 	if err != nil {
