--- a/internal/scale/capacity/measured.go
+++ b/internal/scale/capacity/measured.go
@@ -219,6 +219,11 @@
 		return s
 	}
 	choice, err := slope.Choose(s.Points)
+	var few slope.RangeError
+	if errors.As(err, &few) {
+		s.Unfit = fmt.Sprintf("%d sizes over a factor of %.3g", few.Sizes, few.Factor) // what is needed stands above the table
+		return s
+	}
 	if err != nil {
 		s.Unfit = err.Error()
 		return s
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -272,7 +272,7 @@
 	"add":        func(a, b int) int { return a + b },
 	"step":       func(f slope.Fit) string { return interval(f.Step, f.Form == slope.Constant) },
 	"base":       func(f slope.Fit) string { return interval(f.Base, false) },
-	"short":      func(text string) string { return text[:min(len(text), 10)] },
+	"short":      shortCommit,
 }).Parse(page))
 
 func around(i slope.Interval, unit Unit) string {
@@ -308,6 +308,15 @@
 	return show(math.Ceil(b.Size), Number)
 }
 
+// shortCommit leaves what is no commit alone.
+func shortCommit(build string) string {
+	const whole, enough = 40, 10
+	if len(build) != whole {
+		return build
+	}
+	return build[:enough]
+}
+
 // Page writes the report as markdown.
 func Page(r Report) (string, error) {
 	var out strings.Builder
