--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -91,7 +91,10 @@
 		return b
 	}
 	if s.Choice == nil {
-		b.From = fmt.Sprintf("`%s`: %s", key, s.Unfit)
+		b.From = fmt.Sprintf("`%s`: not fitted, %s", key, s.Unfit)
+		if size, over := s.smallestOver(limit); over {
+			b.Size, b.Basis = size, FromRuns
+		}
 		return b
 	}
 	b.From = fmt.Sprintf("`%s`: %s", key, s.Choice.Form)
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -281,6 +281,25 @@
 	}
 }
 
+// Too few sizes for a form, and yet over the limit.
+func TestBreakWithoutAForm(t *testing.T) {
+	target := ourTarget(t)
+	steep := func(size float64, seed int) float64 {
+		if size == 50 && seed == 1 {
+			return 1999 // one seed keeps within it
+		}
+		return 2001
+	}
+	evidence := Gather([]Measured{{File: result.File{Trials: made(result.Flat, result.Rest, fewSizes, steep)}}})
+	b := measuredBreak(evidence, Key{result.Flat, result.Rest, FigureBytes}, "bytes", target.Control.BytesPerSecond)
+	if b.Size != 100 || b.Basis != FromRuns || !strings.Contains(b.From, "not fitted") {
+		t.Errorf("%+v", b)
+	}
+	if b := measuredBreak(evidence, Key{result.Flat, result.Rest, FigureMemory}, "memory", target.Control.MemoryBytes); b.Size != 0 || b.Basis != Missing {
+		t.Errorf("%+v", b)
+	}
+}
+
 func TestFirstOfAllParts(t *testing.T) {
 	a := Breaks{All: []Break{{What: "c", Size: 30}, {What: "unknown"}}}
 	b := Breaks{All: []Break{{What: "a", Size: 1}, {What: "b", Size: 2}, {What: "never"}}}
--- a/internal/scale/capacity/measured.go
+++ b/internal/scale/capacity/measured.go
@@ -133,6 +133,20 @@
 	return mean / count, size, true
 }
 
+// smallestOver is the smallest size measured at which no seed is within a limit.
+func (s Series) smallestOver(limit float64) (size float64, ok bool) {
+	within := map[float64]bool{}
+	for _, p := range s.Points {
+		within[p.Size] = within[p.Size] || p.Value <= limit
+	}
+	for at, kept := range within {
+		if !kept && (!ok || at < size) {
+			size, ok = at, true
+		}
+	}
+	return size, ok
+}
+
 // Excluded is a trial that ended early, and is left out.
 type Excluded struct {
 	Topology result.Topology `json:"topology"`
