What the leader drops is told as counted, with an assumed delay

Cause: its size was told as measured, and rests on measured times and an assumed delay. Change: its kind. Measured: go test ./internal/scale/... ./cmd/spurctl passes.

--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -150,8 +150,8 @@
 		return []Break{first, second}
 	}
 	at := func(what string, askings, confirm float64) Break {
-		b := Break{What: what, Limit: mostAskings, Unit: Number, Size: s.failsAt(askings, confirm), Basis: FromRuns,
-			From: "`leader/answer` and `leader/pass`, without sockets and raft"}
+		b := Break{What: what, Limit: mostAskings, Unit: Number, Size: s.failsAt(askings, confirm), Basis: Counted,
+			From: "counted with `leader/answer` and `leader/pass`, without sockets and raft; delay assumed"}
 		if b.Factor = b.Size / s.Largest; b.Factor > 1 {
 			b.Basis = Extrapolated
 		}
