--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -91,7 +91,10 @@
 		return b
 	}
 	if s.Choice == nil {
-		b.From = fmt.Sprintf("`%s`: %s", key, s.Unfit)
+		b.From = fmt.Sprintf("`%s`: not fitted, %s", key, s.Unfit)
+		if size, over := s.smallestOver(limit); over {
+			b.Size, b.Basis = size, FromRuns
+		}
 		return b
 	}
 	b.From = fmt.Sprintf("`%s`: %s", key, s.Choice.Form)
@@ -147,8 +150,8 @@
 		return []Break{first, second}
 	}
 	at := func(what string, askings, confirm float64) Break {
-		b := Break{What: what, Limit: mostAskings, Unit: Number, Size: s.failsAt(askings, confirm), Basis: FromRuns,
-			From: "`leader/answer` and `leader/pass`, without sockets and raft"}
+		b := Break{What: what, Limit: mostAskings, Unit: Number, Size: s.failsAt(askings, confirm), Basis: Counted,
+			From: "counted with `leader/answer` and `leader/pass`, without sockets and raft; delay assumed"}
 		if b.Factor = b.Size / s.Largest; b.Factor > 1 {
 			b.Basis = Extrapolated
 		}
