Refused calls to discovery wait up to 3.5 s again, others 1.5 s

With 1.5 s at most between failed calls the routers' calls were some ten times what discovery takes, and some routers were refused for fourteen seconds (log of n0: refused from 0.06 to 13.9 s). Change: a call that discovery answers without a list is told as refused (ListCame.Refused), and waits up to 3.5 s; calls that bring no answer wait 1.5 s. On the simulator's wire a failed list counts as refused, as it waited there before.

--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -242,6 +242,7 @@
 		l := choice.ListCame{Kind: word(f, "how", listKinds)}
 		f.text("seq-no")
 		if l.Kind == choice.ListFailed {
+			l.Refused = true // the wire does not tell why, and calls of many routers beyond what discovery can take are refused
 			return l
 		}
 		slot := f.whole("slot", listSlots-1)
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1012,8 +1012,8 @@
 
 func (r *Router) listCame(e ListCame) {
 	if e.Kind == ListFailed {
-		// Twice as long each time, half of it random. We count as told after 6 s, of which a call may take 2 twice.
-		r.askWait = min(max(2*r.askWait, 250e3), 15e5)
+		// Twice as long, half random. We count as told after 6 s; two calls may take 4, and refused ones none.
+		r.askWait = min(max(2*r.askWait, 250e3), map[bool]Micros{true: 35e5, false: 15e5}[e.Refused])
 		r.askAt = r.now + r.askWait/2 + Micros(r.chance()*float64(r.askWait)/2)
 		return
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -169,6 +169,7 @@
 	ListCame struct {
 		Kind    ListKind
 		Entries []Entry
+		Refused bool // of ListFailed: discovery answered that it takes no such call now
 	}
 	ReqCame struct {
 		Req        ReqID
--- a/internal/router/told_test.go
+++ b/internal/router/told_test.go
@@ -141,3 +141,22 @@
 	t.Fatal("no list comes any more")
 	return 0
 }
+
+// Discovery refuses what is beyond the calls that it can take, of all routers together. Routers that asked again too soon
+// kept each other out: some had no list for fourteen seconds.
+func TestRefusedCallsAreSpread(t *testing.T) {
+	const lasts, step, most = choice.Micros(40e6), choice.Micros(50e3), 20 // with 1.5 s at most between two there were over 30
+	l, _ := loaded(t, "on_request")
+	o := &outage{l: l, fails: callRefused, due: map[*notedConn]choice.Micros{}}
+	l.r.dialer = o.dial
+	l.r.rewatch(l.r.cfg.Discovery)
+	l.rounds()
+	for passed := choice.Micros(0); passed < lasts; passed += step {
+		o.step()
+		l.pass(step)
+	}
+	if n := l.r.counts.ListsFailed; n > most {
+		t.Errorf("%d calls in %v", n, span(lasts))
+	}
+	t.Logf("%d calls", l.r.counts.ListsFailed)
+}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -133,8 +134,8 @@
 	w.calling = false
 	w.r.cancel(w.late)
 	l, err := w.r.book.Take(answer.Body)
-	if answer.Status != 200 {
-		err = fmt.Errorf("status %d", answer.Status)
+	if answer.Status != http.StatusOK {
+		err = &refusedError{status: answer.Status}
 	}
 	if err != nil {
 		w.failed(err)
@@ -148,6 +149,12 @@
 	w.call()
 }
 
+// refusedError is a call that discovery answered without a list, as one that has more calls than it can take does.
+type refusedError struct{ status int }
+
+// Error tells the status.
+func (e *refusedError) Error() string { return fmt.Sprintf("status %d", e.status) }
+
 // failed: the old list holds. Where the decisions ask for lists they also say when to ask again. The next call is for the
 // whole list: whoever answers then may count its versions anew, and what was on its way is lost.
 func (w *watch) failed(err error) {
@@ -163,7 +170,8 @@
 		w.r.log.WithError(err).Warn("a call to discovery failed; going on with the last list")
 	}
 	if w.r.cfg.Settings.ListOnRequest {
-		w.r.input(choice.ListCame{Kind: choice.ListFailed})
+		var refused *refusedError
+		w.r.input(choice.ListCame{Kind: choice.ListFailed, Refused: errors.As(err, &refused)})
 		return
 	}
 	w.r.cancel(w.again)
