Two tests that depended on the moment: a signal's delay, and a free port

Cause: TestClientsGoneWhileTheProcessStands sent its requests before the signal to stop had taken effect, and the program rightly sent on what it read until then: exactly as many as it had idle connections, 8 of 400, in three whole runs of the package. TestSitesKnowOneAnotherBySummaries took a free port of 127.0.0.1 that a connection had before the router listened. Change: the first waits until each thread of the process is in state T; the second has loopback addresses of its own.

--- a/cmd/spurtrestle/gone_test.go
+++ b/cmd/spurtrestle/gone_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -48,6 +50,7 @@
 	if err := p.program.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	p.standsStill()
 	for i, c := range all {
 		_, _ = c.Write(resp.AppendCommand(nil, []byte("CACHE.GET"), fmt.Append(nil, "k", i), fmt.Append(nil, "r", i), []byte("c=get,d=2500")))
 		c.Close()
@@ -67,3 +70,35 @@
 		t.Errorf("%d of %d requests of clients that had gone were sent on", n, clients)
 	}
 }
+
+// standsStill waits until each thread of the program has stopped: a signal to stop takes effect a little after it is sent, and
+// what the program does until then is rightly done for clients that are still there.
+func (p *player) standsStill() {
+	p.t.Helper()
+	tasks := fmt.Sprintf("/proc/%d/task", p.program.Process.Pid)
+	for began := time.Now(); time.Since(began) < patience; time.Sleep(time.Millisecond) {
+		if allStopped(tasks) {
+			return
+		}
+	}
+	p.t.Fatal("the program does not stop")
+}
+
+// allStopped tells whether each thread in a folder of /proc is in state T, stopped.
+func allStopped(tasks string) bool {
+	threads, err := os.ReadDir(tasks)
+	if err != nil {
+		return false
+	}
+	for _, thread := range threads {
+		text, err := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+		if err != nil {
+			return false
+		}
+		_, state, found := strings.Cut(string(text), ") ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
--- a/internal/peers/tiers_test.go
+++ b/internal/peers/tiers_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -14,9 +13,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"os"
 	"spurtrestle/hierarchy"
 	"spurtrestle/internal/place"
 	"spurtrestle/view"
+	"sync/atomic"
 )
 
 // idle is a router that takes clients and has none.
@@ -26,15 +27,20 @@
 func (idle) SetPart(now float64, _ time.Time, _ float64) error { return nil }
 func (idle) KeepOut(string)                                    {}
 
-// address is one of this machine that nobody listens on.
+// addresses counts those that this process has given out.
+var addresses atomic.Uint32
+
+// address is one of this machine that no other test uses: a loopback address of its own. A free port of 127.0.0.1 may be
+// taken by a connection before a router listens on it.
 func address(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const port = 7946
+	n := addresses.Add(1)
+	if n > 250 {
+		t.Fatal("no more addresses")
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	at := netip.AddrFrom4([4]byte{127, 66, byte(1 + os.Getpid()%250), byte(n)})
+	return netip.AddrPortFrom(at, port)
 }
 
 // fleet is a fleet of real places on loopback.
