No client is shut for an attempt's descriptor while a process is replaced

Cause: the rule that a newcomer is shut while attempts wait for descriptors also held for clients that another process hands over, whose descriptors both count then: a request that was taken was lost with its connection. Change: the rule rests while another process of the router lives. Measured: TestNoClientIsShutWhileAProcessIsReplaced, seen to fail without the mend; internal/router green.

--- a/internal/router/crowd_test.go
+++ b/internal/router/crowd_test.go
@@ -49,3 +49,21 @@
 		t.Error("a client is refused though none is there that could be closed in its place")
 	}
 }
+
+// While a process replaces another, clients go from one to the other with requests that were taken, and the descriptors of both
+// count: a client that comes is not shut though an attempt waits for a descriptor and another client is quiet.
+func TestNoClientIsShutWhileAProcessIsReplaced(t *testing.T) {
+	for what, others := range map[string]int{"alone": 0, "replaced": 3} {
+		l, _ := held(t, nil)
+		r := l.r
+		r.lim.Upstreams = 8
+		asks := l.open(nil)
+		l.open(nil) // quiet, and too young to be closed
+		r.takeover.others[0] = others
+		r.lim.Descriptors, r.lim.MostDescriptors = r.used(), r.used()+5
+		l.comes(asks, command("CACHE.GET", "k", "r1", "c=get,d=1900")) // no descriptor for its attempt
+		if newcomer := l.open(nil); newcomer.closed != (others == 0) {
+			t.Errorf("%s: the client that came is closed: %v", what, newcomer.closed)
+		}
+	}
+}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -344,12 +344,16 @@
 			break
 		}
 	}
-	if r.dialsWait() && r.anotherIsQuiet(c) {
+	if !r.handsOver() && r.dialsWait() && r.anotherIsQuiet(c) {
 		return r.used() <= r.lim.Descriptors-descriptorsOfDial
 	}
 	return r.used() <= r.lim.MostDescriptors
 }
 
+// handsOver: another process of this router lives, and clients go from one to the other with requests that were taken. What both
+// hold counts against the descriptors then, so that dials may wait though nobody crowds in.
+func (r *Router) handsOver() bool { return r.takeover.others != [2]int{} }
+
 // dialsWait: attempts wait for a connection, not because servers have their part of the descriptors, but because there are none.
 // Those that clients leave must then not go to the next client: of a crowd that came again at once it was each time younger than
 // may be closed, and no attempt ever got one.
