--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -132,7 +132,7 @@
 	for _, d := range append([]Decision(nil), r.Step(f.now, ev)...) {
 		switch d.Action {
 		case WriteOut:
-			f.writeOut(i, r, d)
+			f.attempt(i, r, d)
 		case Wake:
 			f.after(d.After, func() {
 				if f.routers[i] == r {
@@ -143,8 +143,8 @@
 	}
 }
 
-// writeOut has a server answer, which holds what was fetched for it.
-func (f *fleet) writeOut(i int, r *Router, d Decision) {
+// attempt has a server answer, which holds what was fetched for it.
+func (f *fleet) attempt(i int, r *Router, d Decision) {
 	took, status := Micros(15e3*(0.5+f.rand.ExpFloat64())), OK
 	key := f.open[d.Req]
 	if d.Server == fleetOrigin {
--- a/cmd/spurtrestle/size_test.go
+++ b/cmd/spurtrestle/size_test.go
@@ -18,7 +18,7 @@
 func figure(t *testing.T, pid int, name string) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		t.Skip("no /proc here")
+		t.Fatal(err)
 	}
 	_, rest, _ := strings.Cut(string(text), name+":")
 	n, _ := strconv.Atoi(strings.Fields(rest)[0])
@@ -29,7 +29,7 @@
 func used(t *testing.T, pid int) time.Duration {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
-		t.Skip("no /proc here")
+		t.Fatal(err)
 	}
 	_, rest, _ := strings.Cut(string(text), ") ")
 	f := strings.Fields(rest)
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -46,7 +46,7 @@
 
 // What a cache server or the origin saw.
 const (
-	Begun   Kind = iota + 20 // a write-out came whole: Req, Server, Router, Write, DeadlineSent; Since is its first byte
+	Begun   Kind = iota + 20 // an attempt came whole: Req, Server, Router, Write, DeadlineSent; Since is its first byte
 	Ended                    // it ended there: Req, Server, Router, Reply
 	Ran                      // its effect ran: Req, Server
 	Fell                     // the server was pushed over while cold: Server, Note
