--- a/cmd/spurctl/scalecapacity.go
+++ b/cmd/spurctl/scalecapacity.go
@@ -110,6 +110,9 @@
 	refused := func(err error) error {
 		return capacity.FieldError{File: file, Field: "the file", What: err.Error(), Remedy: "name one in a folder that can be written"}
 	}
+	if err := replaceable(file); err != nil {
+		return refused(err)
+	}
 	beside, err := os.CreateTemp(filepath.Dir(file), "."+filepath.Base(file)+"-*")
 	if err != nil {
 		return refused(err)
@@ -131,3 +134,12 @@
 	}
 	return nil
 }
+
+// replaceable tells why a file may not be put in place of what has its name: a device or a folder is not to be replaced.
+func replaceable(file string) error {
+	info, err := os.Stat(file)
+	if err == nil && !info.Mode().IsRegular() {
+		return fmt.Errorf("%s is no regular file", file)
+	}
+	return nil
+}
--- a/cmd/spurctl/scalerun.go
+++ b/cmd/spurctl/scalerun.go
@@ -140,6 +140,9 @@
 		return nil
 	}
 	text, err := json.MarshalIndent(file, "", " ")
+	if err == nil {
+		err = replaceable(name)
+	}
 	if err == nil {
 		err = os.WriteFile(name+partSuffix, append(text, '\n'), 0o644)
 	}
