Scale runs record the load of other processes and each trial's build

Change: a trial notes the cores that others used in its window (/proc/stat less the workers) and its own build; the page shows both. Measured: go test ./internal/scale/... ./internal/lab/scale ./cmd/spurctl green.

--- a/cmd/spurctl/scalerun.go
+++ b/cmd/spurctl/scalerun.go
@@ -116,9 +116,19 @@
 	if err != nil {
 		return file, fmt.Errorf("--append: %w; name a file that scale run has written", err)
 	}
+	keepBuild(&file)
 	return file, nil
 }
 
+// keepBuild notes with each trial which build it is of, since the file's own becomes that of the last run.
+func keepBuild(file *result.File) {
+	for i := range file.Trials {
+		if file.Trials[i].Build == "" {
+			file.Trials[i].Build = file.Build
+		}
+	}
+}
+
 // writable tells before a long run whether its result can be written; an empty name means that nobody wants it.
 func writable(name string) error {
 	if name == "" {
--- /dev/null
+++ b/cmd/spurctl/scalerun_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"spurtrestle/internal/scale/result"
+)
+
+// A file that is added to gets the build of the new trials; those that it had keep theirs.
+func TestAddedTrialsKeepTheirBuild(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "old.json")
+	old := result.File{Format: result.Format, Build: "first", Trials: []result.Trial{{Routers: 1}, {Routers: 2, Build: "earlier"}}}
+	if err := writeResult(name, old); err != nil {
+		t.Fatal(err)
+	}
+	file, err := readResult(name)
+	if err != nil || len(file.Trials) != 2 || file.Trials[0].Build != "first" || file.Trials[1].Build != "earlier" {
+		t.Errorf("%+v, %v", file.Trials, err)
+	}
+	if file, err := readResult(filepath.Join(t.TempDir(), "none.json")); err != nil || len(file.Trials) != 0 {
+		t.Errorf("%+v, %v", file, err)
+	}
+	if err := os.WriteFile(name, []byte("{"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readResult(name); err == nil {
+		t.Error("half a file was read")
+	}
+}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -44,6 +44,7 @@
 			return file, err
 		}
 		o.Progress(fmt.Sprintf("  %s, in %v", summary(t), time.Since(begin).Round(100*time.Millisecond)))
+		t.Build = o.Build
 		file.Trials = append(file.Trials, t)
 		if err := o.Finished(file); err != nil {
 			return file, err
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -46,6 +46,13 @@
 // summary is a finished trial in a line.
 func summary(t result.Trial) string {
 	u := t.PerRouter
-	return fmt.Sprintf("%.0f B/s (%s), %.2f%% of a core, %.2f MB, agreed %s, all settled %s, change %s%s", u.BytesIn+u.BytesOut, mechanisms(t),
-		100*u.CPU, u.Memory/1e6, span(t.Settled), span(t.AllSettled), span(t.Change), incomplete(t))
+	return fmt.Sprintf("%.0f B/s (%s), %.2f%% of a core, %.2f MB, agreed %s, all settled %s, change %s%s%s", u.BytesIn+u.BytesOut, mechanisms(t),
+		100*u.CPU, u.Memory/1e6, span(t.Settled), span(t.AllSettled), span(t.Change), others(t), incomplete(t))
+}
+
+func others(t result.Trial) string {
+	if t.OtherLoad == nil {
+		return ""
+	}
+	return fmt.Sprintf(", others used %.2f cores", *t.OtherLoad)
 }
--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -274,6 +274,10 @@
 	if err != nil {
 		return err
 	}
+	busyBefore, err := machineBusy()
+	if err != nil {
+		return err
+	}
 	begin := time.Now()
 	if err := t.strike(ctx, begin.Add(time.Duration(t.scenario.Measure))); err != nil {
 		return err
@@ -282,10 +286,25 @@
 	if err != nil {
 		return err
 	}
-	t.rates(before, after, time.Since(begin))
+	busyAfter, err := machineBusy()
+	if err != nil {
+		return err
+	}
+	span := time.Since(begin)
+	others := otherLoad(busyAfter-busyBefore, workersUsed(before, after), span)
+	t.out.OtherLoad = &others
+	t.rates(before, after, span)
 	return t.heal(ctx)
 }
 
+// workersUsed is the processor time of all workers between two counts.
+func workersUsed(before, after []reply) (used time.Duration) {
+	for i := range after {
+		used += after[i].Usage.CPU - before[i].Usage.CPU
+	}
+	return used
+}
+
 // killsBeforeChange is how many representatives have been killed when the change is made, so that stand-ins are at work.
 const killsBeforeChange = 5
 
@@ -384,11 +403,10 @@
 			worst = r
 		}
 	}
-	var cpu time.Duration
+	cpu := workersUsed(before, after)
 	var memory int64
-	for i := range after {
-		cpu += after[i].Usage.CPU - before[i].Usage.CPU
-		memory += after[i].Usage.Memory
+	for _, worker := range after {
+		memory += worker.Usage.Memory
 	}
 	used := result.Usage{CPU: max(0, cpu.Seconds()/span.Seconds()/each-t.out.Harness.CPU), Memory: max(0, float64(memory)/each-t.out.Harness.Memory)}
 	t.out.PerRouter, t.out.Worst = sum.usage(each, used), worst.usage(1, used)
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -371,6 +371,23 @@
 	}
 }
 
+func TestSourceTellsBuildsAndOtherLoad(t *testing.T) {
+	half, none := 0.5, 0.0
+	file := Measured{Name: "a.json", File: result.File{Build: "new", Trials: []result.Trial{
+		{Routers: 1, Build: "old", OtherLoad: &half}, {Routers: 2, OtherLoad: &none}, {Routers: 3, Build: "old", OtherLoad: &none}}}}
+	if s := source(file); s.Build != "old, new" || s.Others != "0.50" {
+		t.Errorf("%+v", s)
+	}
+	file.Trials[0].OtherLoad = nil
+	if s := source(file); s.Others != "0.00; not recorded in 1" {
+		t.Errorf("%+v", s)
+	}
+	file.Trials = file.Trials[:1]
+	if s := source(file); s.Others != "not recorded" {
+		t.Errorf("%+v", s)
+	}
+}
+
 func TestAskingsOfAHolder(t *testing.T) {
 	for _, c := range []struct {
 		delay                accord.Micros
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -45,6 +45,7 @@
 	Probes  string `json:"probes"`  // seconds between two probes of a router
 	Sites   string `json:"sites"`   // routers to a site
 	Regions string `json:"regions"` // sites to a region
+	Others  string `json:"others"`  // most cores that other processes used in a window
 }
 
 // SizeRow is what was measured at one size of one kind of fleet under one fault, the mean over the seeds.
@@ -118,7 +119,38 @@
 	list := func(set map[string]bool) string {
 		return strings.Join(slices.SortedFunc(maps.Keys(set), func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) }), ", ")
 	}
-	return Source{Name: f.Name, Build: f.Build, Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite), Regions: list(perRegion)}
+	return Source{Name: f.Name, Build: builds(f), Cores: f.Cores, Trials: len(f.Trials), Probes: list(probes), Sites: list(perSite), Regions: list(perRegion),
+		Others: mostOtherLoad(f.Trials)}
+}
+
+// builds are those of all trials, in the order in which they were played.
+func builds(f Measured) string {
+	var all []string
+	for _, t := range f.Trials {
+		if build := shortCommit(cmp.Or(t.Build, f.Build)); !slices.Contains(all, build) {
+			all = append(all, build)
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+// mostOtherLoad is the most that others used of the machine while one of the trials was measured.
+func mostOtherLoad(trials []result.Trial) string {
+	most, unknown := 0.0, 0
+	for _, t := range trials {
+		if t.OtherLoad == nil {
+			unknown++
+			continue
+		}
+		most = max(most, *t.OtherLoad)
+	}
+	switch unknown {
+	case 0:
+		return fmt.Sprintf("%.2f", most)
+	case len(trials):
+		return "not recorded"
+	}
+	return fmt.Sprintf("%.2f; not recorded in %d", most, unknown)
 }
 
 // rounded is a ratio as a whole number.
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -8,7 +8,7 @@
 // File is what one call of the harness measured: one trial per size, seed, topology and fault.
 type File struct {
 	Format int     `json:"format"`
-	Build  string  `json:"build"`  // commit of the binary
+	Build  string  `json:"build"`  // commit of the binary that wrote the file
 	Cores  int     `json:"cores"`  // of the machine
 	Trials []Trial `json:"trials"` // in the order in which they were run
 }
@@ -35,18 +35,20 @@
 
 // Trial is one fleet of one size under one fault.
 type Trial struct {
+	Build      string      `json:"build,omitempty"` // commit of the binary; empty: that of the file
 	Topology   Topology    `json:"topology"`
 	Fault      Fault       `json:"fault"`
 	Seed       uint64      `json:"seed"`
 	Routers    int         `json:"routers"`
 	Sites      int         `json:"sites"`
 	Regions    int         `json:"regions"`
-	Probe      float64     `json:"probe_s"`    // seconds between two probes of a router
-	Measured   float64     `json:"measured_s"` // length of the window that the rates are of, in seconds
-	Loss       float64     `json:"loss"`       // share of packets lost, 0 to 1
-	PerRouter  Usage       `json:"per_router"` // mean over all routers, harness's own share taken off
-	Worst      Usage       `json:"worst"`      // the router with the most bytes; CPU and memory as in PerRouter
-	Harness    Usage       `json:"harness"`    // what was taken off
+	Probe      float64     `json:"probe_s"`                    // seconds between two probes of a router
+	Measured   float64     `json:"measured_s"`                 // length of the window that the rates are of, in seconds
+	Loss       float64     `json:"loss"`                       // share of packets lost, 0 to 1
+	PerRouter  Usage       `json:"per_router"`                 // mean over all routers, harness's own share taken off
+	Worst      Usage       `json:"worst"`                      // the router with the most bytes; CPU and memory as in PerRouter
+	Harness    Usage       `json:"harness"`                    // what was taken off
+	OtherLoad  *float64    `json:"other_load_cores,omitempty"` // cores that other processes used in the window; null: not recorded
 	Mechanisms []Mechanism `json:"mechanisms"`
 	Settled    *float64    `json:"settled_s"`            // from the last start until all views agreed; null: they did not
 	AllSettled *float64    `json:"all_settled_s"`        // from the same time until all routers knew that all agreed; null: they did not
