Scale runs with processes of the router's program among hollow routers

Need: nothing showed that a hollow router costs what a real one costs. Change: the view always counts its traffic (place.Traffic) and shows it in /ops/stats; scenarios take 'real', routers of a fleet that are processes of spurtrestle-fleet, with as many beside them whose fleet is off; the page has a table of them, apart from the slopes. The wire that counted and lost is now place.Traffic and place.Links. No figures of real routers yet.

--- a/cmd/spurctl/scalerun.go
+++ b/cmd/spurctl/scalerun.go
@@ -22,6 +22,7 @@
 	var seeds []uint
 	var faults []string
 	var more bool
+	var router string
 	c := &cobra.Command{Use: "run FILE", Short: "Play a scale scenario and count what each router uses",
 		Long: "Plays a trial for each fault, seed and size of the scenario. Ctrl-C ends it and keeps the trials that are finished.\n" +
 			"Exit codes: 0 done, 1 it could not be played, 2 wrong usage, 4 a trial is incomplete, 5 the scenario's bound was not kept.",
@@ -40,6 +41,11 @@
 			if err != nil {
 				return err
 			}
+			if part.Real > 0 {
+				if options.Router, err = routerProgram(router, "spurtrestle-fleet"); err != nil {
+					return err
+				}
+			}
 			file, err := scale.Run(c.Context(), part, options)
 			file.Trials = file.Trials[len(options.Before):]
 			if bad := scale.Table(c.OutOrStdout(), file.Trials); bad != nil {
@@ -54,6 +60,7 @@
 			return scaleVerdict(part, file.Trials)
 		}}
 	c.Flags().StringVar(&into, "json", "", "file for the result as JSON, written after each trial")
+	c.Flags().StringVar(&router, "router", "", "program of the real routers (default: spurtrestle-fleet beside this program)")
 	c.Flags().BoolVar(&more, "append", false, "keep the trials that the file of --json has, and add to them")
 	c.Flags().IntSliceVar(&sizes, "sizes", nil, "these of the scenario's sizes alone")
 	c.Flags().UintSliceVar(&seeds, "seeds", nil, "these of the scenario's seeds alone")
--- a/internal/lab/scale/capacity.go
+++ b/internal/lab/scale/capacity.go
@@ -15,7 +15,8 @@
 	memoryBase   = 3 << 20
 	memoryTiered = 1 << 20
 	memoryRow    = 45 << 10
-	filesOfEach  = 12 // sockets and connections of a router at a time, at most
+	memoryReal   = 64 << 20 // of a process of the router's program
+	filesOfEach  = 12       // sockets and connections of a router at a time, at most
 	spareFiles   = 200
 )
 
@@ -50,7 +51,7 @@
 // Fits tells what of a scenario is too large for a machine.
 func (s Scenario) Fits(m Machine) error {
 	for i, n := range s.Sizes {
-		if need := memoryNeeded(s.Topology, n); need > m.Memory/2 {
+		if need := memoryNeeded(s.Topology, n) + 2*memoryReal*int64(s.Real); need > m.Memory/2 {
 			return fmt.Errorf("sizes[%d]: %d %s routers need some %d MB, and half of this machine's memory is %d MB; write a smaller size",
 				i, n, s.Topology, need>>20, m.Memory/2>>20)
 		}
--- a/internal/lab/scale/check.go
+++ b/internal/lab/scale/check.go
@@ -12,6 +12,7 @@
 
 const (
 	mostProcesses = 8
+	mostReal      = 32 // processes, and as many again whose fleet is switched off
 	mostSpan      = 10 * time.Minute
 	leastProbe    = 50 * time.Millisecond
 )
@@ -66,6 +67,7 @@
 	c.within("routers_per_site", s.RoutersPerSite, 1, 1000)
 	c.within("sites_per_region", s.SitesPerRegion, 1, 1000)
 	c.within("processes", s.Processes, 1, mostProcesses)
+	c.real(s)
 	c.want(s.Network == 0 || s.Network >= firstNet && s.Network < firstNet+nets, "network",
 		fmt.Sprintf("%d is no network of the harness", s.Network), fmt.Sprintf("write a number from %d to %d, or leave it out", firstNet, firstNet+nets-1))
 	c.want(s.Loss >= 0 && s.Loss < 1, "loss", fmt.Sprintf("%v is no share of packets", s.Loss), "write a number from 0 to below 1")
@@ -85,6 +87,24 @@
 	return c.wrong
 }
 
+// faultsOfReal are those under which the network itself loses nothing: the links of real processes cannot be struck.
+var faultsOfReal = []result.Fault{result.Rest, result.Restarts, result.RestartsX}
+
+func (c *checker) real(s *Scenario) {
+	c.within("real", s.Real, 0, mostReal)
+	if s.Real == 0 {
+		return
+	}
+	for i, n := range s.Sizes {
+		c.want(n > s.Real, fmt.Sprintf("sizes[%d]", i), fmt.Sprintf("%d routers are no more than the %d real ones", n, s.Real),
+			"write a larger size, or fewer real routers")
+	}
+	for i, f := range s.Faults {
+		c.want(slices.Contains(faultsOfReal, f), fmt.Sprintf("faults[%d]", i), fmt.Sprintf("%q strikes links, and those of real routers cannot be struck", f),
+			"leave real out, or write another fault")
+	}
+}
+
 func (c *checker) faults(s *Scenario) {
 	c.want(len(s.Faults) > 0, "faults", "is empty", `name one, as in faults = ["rest"]`)
 	for i, f := range s.Faults {
--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -67,10 +67,19 @@
 	span := time.Until(until)
 	n := restarts(t.out.Routers, span, times)
 	return t.every(ctx, span/time.Duration(n), until, func() (request, error) {
-		return request{Kind: requestEnd, Router: t.random.IntN(t.out.Routers)}, nil
+		return request{Kind: requestEnd, Router: t.anyHollow()}, nil
 	}, 0)
 }
 
+// anyHollow draws a router that is no process of its own.
+func (t *trial) anyHollow() int {
+	for {
+		if router := t.random.IntN(t.out.Routers); !t.isReal[router] {
+			return router
+		}
+	}
+}
+
 // killRepresentatives kills one after the other until a time. Each is started again a while later.
 func (t *trial) killRepresentatives(ctx context.Context, until time.Time) error {
 	return t.every(ctx, time.Duration(t.scenario.KillEvery), until, func() (request, error) {
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -19,19 +19,19 @@
 // hollow is a router without clients: its place among the others is real.
 type hollow struct {
 	spec  routerSpec
-	wire  *countingWire
+	links *faultyLinks
 	place *peers.Peers
 }
 
 // open takes the router's place. It returns once that has been announced.
 func (h *hollow) open(link *atomic.Pointer[linkState]) error {
 	s := h.spec
-	h.wire = &countingWire{link: link, index: s.Index, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))}
+	h.links = &faultyLinks{link: link, index: s.Index, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))}
 	at := address(s.Network, s.Index)
-	cfg := place.Config{Fleet: "scale", Name: fmt.Sprintf("r%05d", s.Index), Site: fmt.Sprintf("s%04d", s.Site), Listen: at, Advertise: at,
-		Join: addresses(s.Network, s.Join), Probe: s.Probe, Seats: s.Fleet, Seat: s.Index, Build: "scale", Wire: h.wire, Refused: refused}
+	cfg := place.Config{Fleet: fleetName, Name: routerName(s), Site: siteName(s), Listen: at, Advertise: at,
+		Join: addresses(s.Network, s.Join), Probe: s.Probe, Seats: s.Fleet, Seat: s.Index, Build: "scale", Links: h.links, Refused: refused}
 	if s.Topology == result.Tiered {
-		cfg.Tiered, cfg.Region, cfg.Remote = true, fmt.Sprintf("g%03d", s.Region), addresses(s.Network, s.Remote)
+		cfg.Tiered, cfg.Region, cfg.Remote = true, regionName(s), addresses(s.Network, s.Remote)
 	}
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
@@ -43,6 +43,16 @@
 	return nil
 }
 
+// fleetName is that of all fleets of a run; they differ by their networks.
+const fleetName = "scale"
+
+func routerName(s routerSpec) string { return fmt.Sprintf("r%05d", s.Index) }
+func siteName(s routerSpec) string   { return fmt.Sprintf("s%04d", s.Site) }
+func regionName(s routerSpec) string { return fmt.Sprintf("g%03d", s.Region) }
+
+// counts are the router's so far, also after its end.
+func (h *hollow) counts() routerCounts { return routerCounts{h.spec.Index, h.place.Traffic()} }
+
 func addresses(network int, routers []int) (all []string) {
 	for _, i := range routers {
 		all = append(all, address(network, i).String())
@@ -59,10 +69,8 @@
 func (hollowRouter) SetPart(_ float64, _ time.Time, _ float64) error { return nil }
 func (hollowRouter) KeepOut(string)                                  {}
 
-// countingWire counts a router's traffic, and loses what the faults of the run say.
-type countingWire struct {
-	sent, received [place.Mechanisms]struct{ bytes, messages atomic.Int64 }
-
+// faultyLinks lose what the faults of the run say.
+type faultyLinks struct {
 	link  *atomic.Pointer[linkState]
 	index int
 	dead  atomic.Bool // the router was killed: nothing more goes out
@@ -71,44 +79,25 @@
 	random *rand.Rand
 }
 
-func (w *countingWire) Sent(m place.Mechanism, bytes, messages int) {
-	w.sent[m].bytes.Add(int64(bytes))
-	w.sent[m].messages.Add(int64(messages))
-}
-
-func (w *countingWire) Received(m place.Mechanism, bytes, messages int) {
-	w.received[m].bytes.Add(int64(bytes))
-	w.received[m].messages.Add(int64(messages))
-}
-
-func (w *countingWire) Lose(to string) bool {
-	link := w.link.Load()
-	if w.dead.Load() || w.cutFrom(to, link) {
+func (l *faultyLinks) Lose(to string) bool {
+	link := l.link.Load()
+	if l.dead.Load() || l.cutFrom(to, link) {
 		return true
 	}
 	if link.Loss == 0 {
 		return false
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.random.Float64() < link.Loss
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64() < link.Loss
 }
 
-func (w *countingWire) Refuse(to string) bool { return w.dead.Load() || w.cutFrom(to, w.link.Load()) }
+func (l *faultyLinks) Refuse(to string) bool { return l.dead.Load() || l.cutFrom(to, l.link.Load()) }
 
-func (w *countingWire) cutFrom(to string, link *linkState) bool {
+func (l *faultyLinks) cutFrom(to string, link *linkState) bool {
 	if len(link.Cut) == 0 {
 		return false
 	}
 	at, err := netip.ParseAddrPort(to)
-	return err == nil && link.inside(w.index) != link.inside(routerAt(at))
-}
-
-func (w *countingWire) counts() (c routerCounts) {
-	c.Index = w.index
-	for m := range place.Mechanisms {
-		c.Sent[m] = count{w.sent[m].bytes.Load(), w.sent[m].messages.Load()}
-		c.Received[m] = count{w.received[m].bytes.Load(), w.received[m].messages.Load()}
-	}
-	return c
+	return err == nil && link.inside(l.index) != link.inside(routerAt(at))
 }
--- a/internal/lab/scale/protocol.go
+++ b/internal/lab/scale/protocol.go
@@ -77,14 +77,8 @@
 
 // routerCounts are the bytes and messages of one router so far, by mechanism.
 type routerCounts struct {
-	Index    int                     `json:"i"`
-	Sent     [place.Mechanisms]count `json:"s"`
-	Received [place.Mechanisms]count `json:"r"`
-}
-
-type count struct {
-	Bytes    int64 `json:"b"`
-	Messages int64 `json:"m"`
+	Index int `json:"i"`
+	place.TrafficCounts
 }
 
 // status tells what the routers of a worker hold to be true. Each scope (the fleet, a region, a site) is agreed on where all
--- /dev/null
+++ b/internal/lab/scale/real.go
@@ -0,0 +1,247 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/process"
+	"spurtrestle/internal/lab/registry"
+	"spurtrestle/internal/lab/scenario"
+	"spurtrestle/internal/place"
+	"spurtrestle/internal/scale/result"
+)
+
+const (
+	realReady   = 10 * time.Second // until a started process answers at its admin endpoint
+	realPoll    = 20 * time.Millisecond
+	realTimeout = 2 * time.Second // for one answer
+)
+
+// realRouters are processes of the router's own program. Half of them take the places of some routers of the fleet; the
+// others are the same with their fleet switched off, so that the difference is what membership costs a process.
+type realRouters struct {
+	network  fleet.Network
+	registry *registry.Registry
+	settings scenario.Scenario
+	client   http.Client
+	dir      string // for configurations and logs
+	members  []realRouter
+	alone    []realRouter
+}
+
+// realRouter is one process.
+type realRouter struct {
+	index   int // of the fleet's router whose place it has
+	admin   string
+	process *process.Process
+	log     string
+}
+
+// realSample is what one process has used and counted so far.
+type realSample struct {
+	traffic place.TrafficCounts // of a member alone
+	cpu     time.Duration
+	memory  int64
+}
+
+// realIndexes spreads some real routers evenly over a fleet.
+func realIndexes(real, routers int) (all []int) {
+	for i := range real {
+		all = append(all, (2*i+1)*routers/(2*real))
+	}
+	return all
+}
+
+// startReal starts a process for each of these routers, and one alone beside each, and waits until all answer.
+func startReal(ctx context.Context, program string, routers int, specs []routerSpec) (r *realRouters, err error) {
+	r = &realRouters{settings: scenario.Default(), client: http.Client{Timeout: realTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	defer func() {
+		if err != nil {
+			r.end()
+			r = nil
+		}
+	}()
+	if r.network, err = fleet.NewNetwork(2 * len(specs)); err != nil {
+		return r, err
+	}
+	if r.dir, err = os.MkdirTemp("", "scale-real"); err != nil {
+		return r, err
+	}
+	r.settings.Routers.Count = routers
+	r.settings.Methods = []scenario.Method{{Name: "read", Share: 1, Effect: "retryable", LatencyBudget: 200e3, Deadline: 700e3, Criticality: 1}}
+	if r.registry, err = registry.Start(event.NewLog(), r.settings.Discovery, r.network.Discovery()); err != nil {
+		return r, err
+	}
+	// A server that nobody asks: without one in the list a router takes no clients.
+	r.registry.Set(registry.Entry{UID: "s0", Zone: r.settings.Sites[0], Kind: "cache", State: "active",
+		Addr: func(i event.Router) string { return r.network.Server(0)[i] }}, true)
+	for i, spec := range specs {
+		member, err := r.start(program, 2*i, spec, fleetSection(spec))
+		if err != nil {
+			return r, err
+		}
+		r.members = append(r.members, member)
+		alone, err := r.start(program, 2*i+1, spec, "")
+		if err != nil {
+			return r, err
+		}
+		r.alone = append(r.alone, alone)
+	}
+	return r, r.waitReady(ctx)
+}
+
+// fleetSection is the part of the operator's file that a hollow router's spec stands for.
+func fleetSection(spec routerSpec) string {
+	at := address(spec.Network, spec.Index)
+	var text strings.Builder
+	fmt.Fprintf(&text, "[fleet]\nname = %q\nrouter = %q\nsite = %q\nlisten = %q\nadvertise = %q\nprobe = %q\njoin = %s\n",
+		fleetName, routerName(spec), siteName(spec), at, at, spec.Probe, tomlStrings(addresses(spec.Network, spec.Join)))
+	if spec.Topology == result.Tiered {
+		fmt.Fprintf(&text, "tiered = true\nregion = %q\nremote = %s\n", regionName(spec), tomlStrings(addresses(spec.Network, spec.Remote)))
+	}
+	return text.String()
+}
+
+// tomlStrings writes a list; JSON's form of plain strings is TOML's as well.
+func tomlStrings(all []string) string {
+	if all == nil {
+		all = []string{}
+	}
+	text, _ := json.Marshal(all) // strings alone: it cannot fail
+	return string(text)
+}
+
+// start writes the files of one process and starts it. slot is its place in the processes' own network.
+func (r *realRouters) start(program string, slot int, spec routerSpec, operator string) (realRouter, error) {
+	name := func(what string) string { return filepath.Join(r.dir, fmt.Sprintf("p%d.%s", slot, what)) }
+	started := realRouter{index: spec.Index, admin: r.network.Doors()[slot], log: name("log")}
+	settings := r.settings
+	settings.Sites = []string{siteName(spec)}
+	config, err := fleet.Config(settings, spec.Index, routerName(spec), r.network.Routers()[slot], r.network.Discovery()[slot],
+		fmt.Sprintf("%x", slot+1), r.registry.Known(event.Router(slot)))
+	if err != nil {
+		return started, err
+	}
+	err = errors.Join(os.WriteFile(name("json"), config, 0o644), os.WriteFile(name("toml"), []byte(operator), 0o644), os.Mkdir(name("tmp"), 0o700))
+	if err != nil {
+		return started, err
+	}
+	started.process, err = process.Start(program, []string{"--file", name("toml")},
+		[]string{"EDGE_CONFIG=" + name("json"), "EDGE_ADMIN=" + started.admin, "TMPDIR=" + name("tmp"), "GOMAXPROCS=1"}, started.log)
+	return started, err
+}
+
+// waitReady waits until all processes answer at their admin endpoints.
+func (r *realRouters) waitReady(ctx context.Context) error {
+	deadline := time.Now().Add(realReady)
+	for _, router := range append(append([]realRouter{}, r.members...), r.alone...) {
+		for {
+			_, err := r.stats(router)
+			if err == nil {
+				break
+			}
+			select {
+			case <-router.process.Done():
+				return router.failed(fmt.Errorf("ended at its start: %v", router.process.Err()))
+			default:
+			}
+			if time.Now().After(deadline) {
+				return router.failed(fmt.Errorf("did not answer within %v: %w", realReady, err))
+			}
+			if err := sleep(ctx, realPoll); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// failed tells what a process did, with the end of its log, since its folder is removed.
+func (router realRouter) failed(what error) error {
+	const most = 500
+	log, _ := os.ReadFile(router.log) // without it the error is the same
+	return fmt.Errorf("the real router %d %w; its log ends with %q", router.index, what, log[max(0, len(log)-most):])
+}
+
+// stats are the figures that a process shows.
+func (r *realRouters) stats(router realRouter) (string, error) {
+	answer, err := r.client.Get("http://" + router.admin + "/ops/stats")
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", answer.Status, text)
+	}
+	return string(text), err
+}
+
+// sample reads what processes used so far.
+func (r *realRouters) sample(routers []realRouter) (all []realSample, err error) {
+	for _, router := range routers {
+		var s realSample
+		text, err := r.stats(router)
+		if err != nil {
+			return nil, router.failed(err)
+		}
+		if s.traffic, err = place.ParseStatsd(text); err != nil {
+			return nil, router.failed(err)
+		}
+		var running bool
+		if s.cpu, s.memory, running = router.process.Usage(); !running {
+			return nil, router.failed(errors.New("has ended"))
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// end kills all processes, and removes their files.
+func (r *realRouters) end() {
+	for _, router := range append(append([]realRouter{}, r.members...), r.alone...) {
+		if router.process != nil {
+			router.process.End()
+		}
+	}
+	if r.registry != nil {
+		r.registry.Close()
+	}
+	if r.network != (fleet.Network{}) {
+		r.network.Close()
+	}
+	if r.dir != "" {
+		_ = os.RemoveAll(r.dir) // it is in the folder for temporary files
+	}
+}
+
+// samplesUsed is the processor time of processes between two samples of each.
+func samplesUsed(before, after []realSample) (used time.Duration) {
+	for i := range after {
+		used += after[i].cpu - before[i].cpu
+	}
+	return used
+}
+
+// realMean is the mean of processes between two samples of each.
+func realMean(before, after []realSample, span time.Duration) result.Usage {
+	var sum routerRate
+	var used result.Usage
+	each := float64(len(after))
+	used.CPU = samplesUsed(before, after).Seconds() / span.Seconds() / each
+	for i := range after {
+		sum = sum.plus(rateSince(before[i].traffic, after[i].traffic, span))
+		used.Memory += float64(after[i].memory) / each
+	}
+	return sum.usage(each, used)
+}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -14,6 +14,7 @@
 // Options are what a run needs beside its scenario.
 type Options struct {
 	Program  []string // of a worker, with its arguments
+	Router   string   // program of the router, for scenarios with real ones
 	Build    string
 	Cores    int
 	Machine  Machine
@@ -36,7 +37,7 @@
 	for i, p := range plans {
 		o.Progress(fmt.Sprintf("trial %d of %d: %s, %s, %d routers, seed %d", i+1, len(plans), s.Topology, p.fault, p.size, p.seed))
 		begin := time.Now()
-		t, err := play(ctx, s, p, o.Program, o.Machine)
+		t, err := play(ctx, s, p, o)
 		if ctx.Err() != nil {
 			return file, ctx.Err()
 		}
--- a/internal/lab/scale/run_test.go
+++ b/internal/lab/scale/run_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,6 +58,65 @@
 	}
 }
 
+var routerProgram = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "scale-router")
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(dir, "router")
+	if out, err := exec.Command("go", "build", "-o", program, "spurtrestle/cmd/spurtrestle-fleet").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%v: %s", err, out)
+	}
+	return program, nil
+})
+
+// Processes of the router's program are members like the hollow ones, and show what they count.
+func TestRealRoutersTakePart(t *testing.T) {
+	program, err := routerProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []Scenario{small(result.Flat, result.Rest, 4), small(result.Tiered, result.RestartsX, 8)} {
+		t.Run(string(s.Topology), func(t *testing.T) {
+			s.Real = 2
+			o := options()
+			o.Router = program
+			file, err := Run(t.Context(), s, o)
+			if err != nil || len(file.Trials) != 1 {
+				t.Fatal(file, err)
+			}
+			got := file.Trials[0]
+			if got.AllSettled == nil || got.Change == nil {
+				t.Errorf("it did not settle, or a change was not known everywhere: %+v", got)
+			}
+			if got.Real == nil || got.Real.Routers != 2 {
+				t.Fatalf("no real routers: %+v", got)
+			}
+			if p, alone := got.Real.PerRouter, got.Real.Alone; p.BytesIn == 0 || p.BytesOut == 0 || p.Memory == 0 || alone.BytesOut != 0 || alone.Memory == 0 {
+				t.Errorf("%+v", *got.Real)
+			}
+		})
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("processes are left: %v", left)
+	}
+}
+
+// A program that ends at once makes the trial an incomplete one, and leaves nothing running.
+func TestRealRouterThatEndsIsTold(t *testing.T) {
+	s := small(result.Flat, result.Rest, 3)
+	s.Real = 1
+	o := options()
+	o.Router = "/bin/false"
+	file, _ := Run(t.Context(), s, o)
+	if len(file.Trials) != 1 || !strings.Contains(file.Trials[0].Incomplete, "the real router 1 ended at its start") {
+		t.Errorf("%+v", file.Trials)
+	}
+	if left := children(t); len(left) > 0 {
+		t.Errorf("processes are left: %v", left)
+	}
+}
+
 // What a router sends is what others receive.
 func TestSentIsReceived(t *testing.T) {
 	file, err := Run(t.Context(), small(result.Flat, result.Rest, 4), options())
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -53,6 +53,7 @@
 	KillEvery      Span            `toml:"kill_every"` // between two representatives killed
 	BackAfter      Span            `toml:"back_after"` // from being killed to the next process of the router
 	Processes      int             `toml:"processes"`  // at most
+	Real           int             `toml:"real"`       // routers of each fleet that are processes of the router's program
 	Network        int             `toml:"network"`    // 127.NETWORK.0.0/16 is used; 0: one that is free
 	Bound          Bound           `toml:"bound"`
 }
--- a/internal/lab/scale/scenario_test.go
+++ b/internal/lab/scale/scenario_test.go
@@ -25,6 +25,9 @@
 		"network of others":   {good + "network = 130\n", "line 3: network: 130 is no network of the harness; write a number from 70 to 109"},
 		"too large":           {"title = \"x\"\nsizes = [99000]\n", "line 2: sizes[0]: 99000 routers do not fit into one loopback network"},
 		"a bound never seen":  {good + "[bound]\nsettled = \"2m\"\n", "line 4: bound.settled: is below zero or longer than settle"},
+		"all real":            {good + "real = 12\n", "line 2: sizes[0]: 12 routers are no more than the 12 real ones; write a larger size"},
+		"too many real":       {good + "real = 33\n", "line 3: real: 33 is not from 0 to 32"},
+		"links of real":       {"title = \"x\"\nsizes = [36]\nreal = 2\nfaults = [\"loss\"]\n", "line 4: faults[0]: \"loss\" strikes links, and those of real routers"},
 		"slope of two points": {"title = \"x\"\nsizes = [1, 2]\n[bound]\nbytes_slope = 0.1\n", "line 4: bound.bytes_slope: no slope follows from less than three sizes"},
 	} {
 		if _, err := Parse([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
@@ -37,7 +40,7 @@
 }
 
 func TestShelfIsSound(t *testing.T) {
-	for _, name := range []string{"quick", "flat", "tiered", "tiered-faults", "flat-faults", "tiered-region-cut"} {
+	for _, name := range []string{"quick", "flat", "tiered", "tiered-faults", "flat-faults", "tiered-region-cut", "real"} {
 		if _, err := Read("../../../lab/scale/" + name + ".toml"); err != nil {
 			t.Error(err)
 		}
@@ -51,7 +54,11 @@
 	if err == nil || !strings.Contains(err.Error(), "sizes[1]: 800 flat routers need some") {
 		t.Errorf("memory: %v", err)
 	}
-	s.Topology, s.Sizes = result.Tiered, []int{3200}
+	s.Topology, s.Sizes, s.Real = result.Tiered, []int{50}, 8
+	if err = s.Fits(Machine{Memory: 1 << 30, Files: 20000}); err == nil {
+		t.Error("sixteen processes fit into half a GiB")
+	}
+	s.Sizes, s.Real = []int{3200}, 0
 	if err := s.Fits(Machine{Memory: 24 << 30, Files: 20000}); err != nil {
 		t.Error(err)
 	}
--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -31,6 +31,8 @@
 	turn     int // of order, at whose router the change is made
 	revision uint64
 	most     int64 // memory that the workers may use together, in bytes
+	isReal   map[int]bool
+	real     *realRouters // nil: there are none
 	out      result.Trial
 }
 
@@ -44,7 +46,7 @@
 var errMemory = errors.New("the workers use more than half of the machine's memory")
 
 // play plays one trial. What was measured until an error is in the result, which tells then why it is incomplete.
-func play(ctx context.Context, s Scenario, p plan, program []string, m Machine) (result.Trial, error) {
+func play(ctx context.Context, s Scenario, p plan, o Options) (result.Trial, error) {
 	n, err := claimNetwork(s.Network)
 	if err != nil {
 		return result.Trial{}, err
@@ -55,16 +57,22 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ws, err := startWorkers(ctx, program, processes(s, p.size))
+	ws, err := startWorkers(ctx, o.Program, processes(s, p.size))
 	if err != nil {
 		return result.Trial{}, err
 	}
 	defer ws.end()
-	t := &trial{scenario: s, specs: map[int]routerSpec{}, away: away{gone: map[int]bool{}}, network: n, workers: ws, random: rand.New(rand.NewPCG(p.seed, uint64(p.size))), most: m.Memory / 2,
+	t := &trial{scenario: s, specs: map[int]routerSpec{}, away: away{gone: map[int]bool{}}, network: n, workers: ws, random: rand.New(rand.NewPCG(p.seed, uint64(p.size))), most: o.Machine.Memory / 2, isReal: map[int]bool{},
 		out: result.Trial{Topology: s.Topology, Fault: p.fault, Seed: p.seed, Routers: p.size, Sites: s.sites(p.size), Regions: s.regions(p.size),
 			Probe: time.Duration(s.Probe).Seconds()}}
 	t.order = t.random.Perm(p.size)
-	err = t.run(ctx)
+	for _, index := range realIndexes(s.Real, p.size) {
+		t.isReal[index] = true
+	}
+	err = t.run(ctx, o.Router)
+	if t.real != nil {
+		t.real.end()
+	}
 	if ctx.Err() != nil {
 		return t.out, ctx.Err()
 	}
@@ -74,7 +82,10 @@
 	return t.out, err
 }
 
-func (t *trial) run(ctx context.Context) error {
+// hollowRouters are those that are no processes of their own.
+func (t *trial) hollowRouters() int { return t.out.Routers - len(t.isReal) }
+
+func (t *trial) run(ctx context.Context, router string) error {
 	if err := t.measureHarness(ctx); err != nil {
 		return err
 	}
@@ -84,7 +95,11 @@
 			return err
 		}
 	}
-	if err := t.start(); err != nil {
+	started, err := t.start()
+	if err != nil {
+		return err
+	}
+	if err := t.startReal(ctx, router, started); err != nil {
 		return err
 	}
 	if err := t.settle(ctx, time.Now()); err != nil {
@@ -113,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	each := float64(t.out.Routers)
+	each := float64(t.hollowRouters())
 	t.out.Harness = result.Usage{CPU: (after.CPU - before.CPU).Seconds() / time.Since(begin).Seconds() / each, Memory: float64(after.Memory) / each}
 	return nil
 }
@@ -136,11 +151,26 @@
 // workerOf is the worker that a router is at. Routers that follow each other are at one worker, and so are most of a site.
 func (t *trial) workerOf(router int) int { return router * len(t.workers) / t.out.Routers }
 
-// start starts all routers, some at each worker at a time.
-func (t *trial) start() error {
-	var started []int // before the routers of this turn
+// startReal starts the real routers, once the hollow ones have been started.
+func (t *trial) startReal(ctx context.Context, router string, started []int) (err error) {
+	if len(t.isReal) == 0 {
+		return nil
+	}
+	var specs []routerSpec
+	for _, index := range realIndexes(len(t.isReal), t.out.Routers) {
+		specs = append(specs, t.spec(index, started))
+	}
+	t.real, err = startReal(ctx, router, t.out.Routers, specs)
+	return err
+}
+
+// start starts all hollow routers, some at each worker at a time, and returns which.
+func (t *trial) start() (started []int, err error) {
 	queues := make([][]int, len(t.workers))
 	for _, r := range t.order {
+		if t.isReal[r] {
+			continue
+		}
 		queues[t.workerOf(r)] = append(queues[t.workerOf(r)], r)
 	}
 	for slices.ContainsFunc(queues, func(q []int) bool { return len(q) > 0 }) {
@@ -154,7 +184,7 @@
 			queues[i] = q[k:]
 		}
 		if _, err := t.workers.askAll(func(i int) request { return request{Kind: requestStart, Routers: batches[i]} }); err != nil {
-			return err
+			return started, err
 		}
 		for _, batch := range batches {
 			for _, s := range batch {
@@ -162,10 +192,10 @@
 			}
 		}
 		if _, err := t.usage(); err != nil {
-			return err
+			return started, err
 		}
 	}
-	return nil
+	return started, nil
 }
 
 const mostJoin = 4
@@ -265,7 +295,7 @@
 			}
 		}
 	}
-	return agreed && running == t.out.Routers, know == t.out.Routers, nil
+	return agreed && running == t.hollowRouters(), know == t.hollowRouters(), nil
 }
 
 // measure counts for a while, during which the fault strikes.
@@ -274,6 +304,10 @@
 	if err != nil {
 		return err
 	}
+	realBefore, err := t.sampleReal()
+	if err != nil {
+		return err
+	}
 	busyBefore, err := machineBusy()
 	if err != nil {
 		return err
@@ -291,12 +325,44 @@
 		return err
 	}
 	span := time.Since(begin)
-	others := otherLoad(busyAfter-busyBefore, workersUsed(before, after), span)
+	realAfter, err := t.sampleReal()
+	if err != nil {
+		return err
+	}
+	own := workersUsed(before, after) + realBefore.used(realAfter)
+	others := otherLoad(busyAfter-busyBefore, own, span)
 	t.out.OtherLoad = &others
 	t.rates(before, after, span)
+	t.realRates(realBefore, realAfter, span)
 	return t.heal(ctx)
 }
 
+// realSamples are of the real routers and of those beside them that are alone.
+type realSamples struct{ members, alone []realSample }
+
+func (before realSamples) used(after realSamples) time.Duration {
+	return samplesUsed(before.members, after.members) + samplesUsed(before.alone, after.alone)
+}
+
+func (t *trial) sampleReal() (s realSamples, err error) {
+	if t.real == nil {
+		return s, nil
+	}
+	if s.members, err = t.real.sample(t.real.members); err != nil {
+		return s, err
+	}
+	s.alone, err = t.real.sample(t.real.alone)
+	return s, err
+}
+
+// realRates makes the real routers' part of the result.
+func (t *trial) realRates(before, after realSamples, span time.Duration) {
+	if t.real == nil {
+		return
+	}
+	t.out.Real = &result.Real{Routers: len(after.members), PerRouter: realMean(before.members, after.members, span), Alone: realMean(before.alone, after.alone, span)}
+}
+
 // workersUsed is the processor time of all workers between two counts.
 func workersUsed(before, after []reply) (used time.Duration) {
 	for i := range after {
@@ -312,11 +378,11 @@
 func (t *trial) changeAt() (int, error) {
 	t.away.mu.Lock()
 	defer t.away.mu.Unlock()
-	if len(t.away.gone) >= t.out.Routers {
+	if len(t.away.gone) >= t.hollowRouters() {
 		return 0, errNobody
 	}
 	for {
-		if r := t.order[t.turn%t.out.Routers]; !t.away.gone[r] {
+		if r := t.order[t.turn%t.out.Routers]; !t.away.gone[r] && !t.isReal[r] {
 			t.away.gone[r] = true
 			return r, nil
 		}
@@ -393,11 +459,11 @@
 // rates makes the trial's rates of two counts.
 func (t *trial) rates(before, after []reply, span time.Duration) {
 	t.out.Measured = span.Seconds()
-	each := float64(t.out.Routers)
+	each := float64(t.hollowRouters())
 	was := totals(before)
 	var sum, worst routerRate
 	for router, now := range totals(after) {
-		r := now.since(was[router], span)
+		r := rateSince(was[router], now, span)
 		sum = sum.plus(r)
 		if r.bytes() > worst.bytes() {
 			worst = r
@@ -421,17 +487,12 @@
 }
 
 // totals are the counts by router, over all of its processes.
-func totals(replies []reply) map[int]routerCounts {
-	all := map[int]routerCounts{}
+func totals(replies []reply) map[int]place.TrafficCounts {
+	all := map[int]place.TrafficCounts{}
 	for _, r := range replies {
 		for _, c := range r.Counts {
 			sum := all[c.Index]
-			for m := range place.Mechanisms {
-				sum.Sent[m].Bytes += c.Sent[m].Bytes
-				sum.Sent[m].Messages += c.Sent[m].Messages
-				sum.Received[m].Bytes += c.Received[m].Bytes
-				sum.Received[m].Messages += c.Received[m].Messages
-			}
+			sum.Add(c.TrafficCounts)
 			all[c.Index] = sum
 		}
 	}
@@ -444,12 +505,13 @@
 // routerRate is a router's traffic by mechanism.
 type routerRate [place.Mechanisms]struct{ sent, received rate }
 
-func (c routerCounts) since(was routerCounts, span time.Duration) (r routerRate) {
-	of := func(now, was count) rate {
+// rateSince is the traffic between two counts.
+func rateSince(was, now place.TrafficCounts, span time.Duration) (r routerRate) {
+	of := func(now, was place.Count) rate {
 		return rate{float64(now.Bytes-was.Bytes) / span.Seconds(), float64(now.Messages-was.Messages) / span.Seconds()}
 	}
 	for m := range r {
-		r[m].sent, r[m].received = of(c.Sent[m], was.Sent[m]), of(c.Received[m], was.Received[m])
+		r[m].sent, r[m].received = of(now.Sent[m], was.Sent[m]), of(now.Received[m], was.Received[m])
 	}
 	return r
 }
--- a/internal/lab/scale/trial_test.go
+++ b/internal/lab/scale/trial_test.go
@@ -46,7 +46,7 @@
 
 func TestWireLosesWhatTheLinkSays(t *testing.T) {
 	var link atomic.Pointer[linkState]
-	w := &countingWire{link: &link, index: 1, random: rand.New(rand.NewPCG(1, 1))}
+	w := &faultyLinks{link: &link, index: 1, random: rand.New(rand.NewPCG(1, 1))}
 	inside, outside := address(80, 0).String(), address(80, 2).String()
 
 	link.Store(&linkState{Cut: []int{0, 2}})
@@ -91,7 +91,7 @@
 	tr := &trial{out: result.Trial{Routers: 2, Harness: result.Usage{CPU: 0.001, Memory: 1000}}}
 	counts := func(router int, bytes, messages int64) (c routerCounts) {
 		c.Index = router
-		c.Sent[place.Probe], c.Received[place.FullState] = count{bytes, messages}, count{bytes, messages}
+		c.Sent[place.Probe], c.Received[place.FullState] = place.Count{Bytes: bytes, Messages: messages}, place.Count{Bytes: bytes, Messages: messages}
 		return c
 	}
 	before := []reply{{Usage: &processUsage{time.Second, 0}, Counts: []routerCounts{counts(0, 100, 1), counts(1, 0, 0)}}}
--- a/internal/lab/scale/worker.go
+++ b/internal/lab/scale/worker.go
@@ -110,7 +110,7 @@
 func (w *worker) counts() []routerCounts {
 	all := slices.Clone(w.ended)
 	for _, h := range w.routers {
-		all = append(all, h.wire.counts())
+		all = append(all, h.counts())
 	}
 	return all
 }
@@ -181,11 +181,11 @@
 	}
 	delete(w.routers, router)
 	if killed {
-		h.wire.dead.Store(true)
+		h.links.dead.Store(true)
 		h.place.Kill()
 	} else {
 		h.place.Close(false)
 	}
-	w.ended = append(w.ended, h.wire.counts())
+	w.ended = append(w.ended, h.counts())
 	return nil
 }
--- a/internal/peers/meter.go
+++ b/internal/peers/meter.go
@@ -35,18 +35,28 @@
 	listChecksum
 )
 
-// metered is a transport that tells a wire of all that passes through it.
+// metered is a transport that counts all that passes through it, and loses what the links of a trial say.
 type metered struct {
 	memberlist.NodeAwareTransport
-	wire    place.Wire
+	traffic *place.Traffic
+	links   place.Links
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	stop    chan struct{}
 	ended   *sync.WaitGroup
 }
 
-func meter(below memberlist.NodeAwareTransport, wire place.Wire) memberlist.NodeAwareTransport {
-	m := metered{below, wire, make(chan *memberlist.Packet), make(chan net.Conn), make(chan struct{}), &sync.WaitGroup{}}
+// noLoss are links that lose nothing on purpose.
+type noLoss struct{}
+
+func (noLoss) Lose(string) bool   { return false }
+func (noLoss) Refuse(string) bool { return false }
+
+func meter(below memberlist.NodeAwareTransport, traffic *place.Traffic, links place.Links) memberlist.NodeAwareTransport {
+	if links == nil {
+		links = noLoss{}
+	}
+	m := metered{below, traffic, links, make(chan *memberlist.Packet), make(chan net.Conn), make(chan struct{}), &sync.WaitGroup{}}
 	m.ended.Go(m.pass)
 	return m
 }
@@ -58,7 +68,7 @@
 		case <-m.stop:
 			return
 		case p := <-m.NodeAwareTransport.PacketCh():
-			countPacket(p.Buf, m.wire.Received)
+			countPacket(p.Buf, m.traffic.Received)
 			select {
 			case m.packets <- p:
 			case <-m.stop:
@@ -83,8 +93,8 @@
 }
 
 func (m metered) WriteToAddress(b []byte, to memberlist.Address) (time.Time, error) {
-	countPacket(b, m.wire.Sent)
-	if m.wire.Lose(to.Addr) {
+	countPacket(b, m.traffic.Sent)
+	if m.links.Lose(to.Addr) {
 		return time.Now(), nil
 	}
 	return m.NodeAwareTransport.WriteToAddress(b, to)
@@ -97,7 +107,7 @@
 var errCut = errors.New("the link is cut")
 
 func (m metered) DialAddressTimeout(to memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	if m.wire.Refuse(to.Addr) {
+	if m.links.Refuse(to.Addr) {
 		return nil, errCut
 	}
 	c, err := m.NodeAwareTransport.DialAddressTimeout(to, timeout)
@@ -107,7 +117,7 @@
 	return m.count(c), nil
 }
 
-func (m metered) count(c net.Conn) net.Conn { return &meteredConn{Conn: c, wire: m.wire} }
+func (m metered) count(c net.Conn) net.Conn { return &meteredConn{Conn: c, traffic: m.traffic} }
 
 func (m metered) Shutdown() error {
 	err := m.NodeAwareTransport.Shutdown()
@@ -120,22 +130,22 @@
 // writes of one connection come one after the other.
 type meteredConn struct {
 	net.Conn
-	wire  place.Wire
-	known bool // what it is for
-	use   place.Mechanism
+	traffic *place.Traffic
+	known   bool // what it is for
+	use     place.Mechanism
 }
 
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.opened(b[:n])
-	c.wire.Received(c.use, n, 0)
+	c.traffic.Received(c.use, n, 0)
 	return n, err
 }
 
 func (c *meteredConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.opened(b[:n])
-	c.wire.Sent(c.use, n, 0)
+	c.traffic.Sent(c.use, n, 0)
 	return n, err
 }
 
@@ -148,8 +158,8 @@
 	if c.use = mechanism(b); b[0] == listPushPull {
 		c.use = place.FullState
 	}
-	c.wire.Sent(c.use, connectionFrames/2, 1)
-	c.wire.Received(c.use, connectionFrames/2, 1)
+	c.traffic.Sent(c.use, connectionFrames/2, 1)
+	c.traffic.Received(c.use, connectionFrames/2, 1)
 }
 
 // countPacket tells what a packet's bytes are for. The header counts for the first message, as does what frames several.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -60,6 +60,7 @@
 	out     string // why the router keeps out
 	failing bool   // the file of peers was not written
 	dropped atomic.Int64
+	traffic place.Traffic
 	stop    chan struct{}
 	ended   sync.WaitGroup
 }
@@ -144,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	c.Transport = p.metered(from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}})
+	c.Transport = meter(from{sockets, &net.TCPAddr{IP: at.Addr().AsSlice()}}, &p.traffic, p.cfg.Links)
 	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: p.transmits(c), NumNodes: p.size}
 	list, err := memberlist.Create(c)
 	if err != nil {
@@ -171,14 +172,6 @@
 	return d.Dial("tcp", a.Addr)
 }
 
-// metered has a transport's traffic counted, where someone wants that.
-func (p *Peers) metered(t memberlist.NodeAwareTransport) memberlist.NodeAwareTransport {
-	if p.cfg.Wire == nil {
-		return t
-	}
-	return meter(t, p.cfg.Wire)
-}
-
 // greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
 // process with a wrong file would take clients until it is told.
 func (p *Peers) greet() error {
@@ -401,9 +394,12 @@
 		out += fmt.Sprintf("router.fleet.%v:%d|g\n", s, counts[s])
 	}
 	return out + fmt.Sprintf("router.fleet.settled:%d|g\nrouter.fleet.disagree:%d|g\nrouter.fleet.part_ppm:%d|g\n"+
-		"router.fleet.messages_dropped:%d|c\n", settled, len(w.Disagree), int(part*1e6), p.dropped.Load())
+		"router.fleet.messages_dropped:%d|c\n", settled, len(w.Disagree), int(part*1e6), p.dropped.Load()) + p.traffic.Counts().Statsd()
 }
 
+// Traffic is what was sent and received so far for the router's place, by mechanism.
+func (p *Peers) Traffic() place.TrafficCounts { return p.traffic.Counts() }
+
 // Close gives the place up, once the router sends nothing more: in order, or to a process that follows.
 func (p *Peers) Close(handed bool) {
 	close(p.stop)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -30,7 +30,7 @@
 	Methods   []string // of the service
 	Follows   bool     // it takes over from a process that lives, and has the address still
 	Clear     bool     // that process has lent nothing
-	Wire      Wire     // is told of all that is sent and received, and may lose it; nil: nobody
+	Links     Links    // may lose what is sent, in trials; nil: nothing is lost on purpose
 	// Refused makes an error of a field of the operator's file, as in "fleet.listen".
 	Refused func(field, what, remedy string) error
 }
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -388,6 +388,28 @@
 	}
 }
 
+// Hollow routers beside real ones are no further seed of fleets of hollow ones alone.
+func TestRealRoutersStandApart(t *testing.T) {
+	hollow := made(result.Tiered, result.Rest, manySizes, func(float64, int) float64 { return 600 })
+	beside := result.Trial{Topology: result.Tiered, Fault: result.Rest, Routers: 100, PerRouter: result.Usage{BytesIn: 300, BytesOut: 300},
+		Real: &result.Real{Routers: 8, PerRouter: result.Usage{BytesIn: 310, BytesOut: 310, CPU: 0.004, Memory: 9e6}, Alone: result.Usage{CPU: 0.001, Memory: 7e6}}}
+	target := ourTarget(t)
+	alone := Work(target, []Measured{{File: result.File{Trials: hollow}}}, nil)
+	both := Work(target, []Measured{{File: result.File{Trials: append(hollow, beside)}}}, nil)
+	if len(both.Real) != 1 || both.Real[0].Processes != 8 || both.Real[0].Bytes.Value != 620 || both.Real[0].Memory.Value != 2e6 {
+		t.Fatalf("%+v", both.Real)
+	}
+	for i, row := range alone.Sizes {
+		if both.Sizes[i] != row {
+			t.Errorf("%+v became %+v", row, both.Sizes[i])
+		}
+	}
+	page, err := Page(both)
+	if err != nil || !strings.Contains(page, "| tiered | 100 | 8 | 620 B/s") {
+		t.Errorf("%v, %s", err, page)
+	}
+}
+
 func TestAskingsOfAHolder(t *testing.T) {
 	for _, c := range []struct {
 		delay                accord.Micros
--- a/internal/scale/capacity/measured.go
+++ b/internal/scale/capacity/measured.go
@@ -183,7 +183,9 @@
 				e.Incomplete = append(e.Incomplete, Excluded{trial.Topology, trial.Fault, trial.Routers, trial.Seed, trial.Incomplete})
 				continue
 			}
-			take(series, trial)
+			if trial.Real == nil { // hollow routers beside real ones are shown beside these alone
+				take(series, trial)
+			}
 		}
 	}
 	for _, s := range series {
--- a/internal/scale/capacity/page.go
+++ b/internal/scale/capacity/page.go
@@ -24,6 +24,7 @@
 	Faults   []SizeRow     `json:"faults"` // each but rest
 	Parts    []PartsRow    `json:"parts"`  // at rest, by mechanism
 	Slopes   []Series      `json:"slopes"`
+	Real     []RealRow     `json:"real"`
 	Held     []Held        `json:"held"`
 	Roles    []Role        `json:"roles"`
 	First    []Break       `json:"first"` // of today's fleet, all parts together
@@ -73,6 +74,20 @@
 	Bytes    []float64       `json:"bytes_per_s"` // in the order of Mechanisms; 0 where it causes none
 }
 
+// RealRow is what membership costs a process of the router's program, beside hollow routers of the same fleet at rest; the
+// mean over the seeds. CPU and memory of a process are those beyond one whose fleet is switched off.
+type RealRow struct {
+	Topology     result.Topology `json:"topology"`
+	Routers      int             `json:"routers"`
+	Processes    int             `json:"processes"` // of all seeds
+	Bytes        slope.Interval  `json:"bytes"`     // of a process; the bounds are the least and the most of the seeds, here and below
+	CPU          slope.Interval  `json:"cpu"`
+	Memory       slope.Interval  `json:"memory"`
+	HollowBytes  slope.Interval  `json:"hollow_bytes"`
+	HollowCPU    slope.Interval  `json:"hollow_cpu"`
+	HollowMemory slope.Interval  `json:"hollow_memory"`
+}
+
 // Mechanisms are those that a scale run tells apart.
 var Mechanisms = []string{"probe", "gossip", "heartbeat", "full_state", "summary", "lending", "grant", "other"}
 
@@ -95,7 +110,7 @@
 	p := purging(t, t.Control.BytesPerSecond-spent)
 	membership := predicted(e, t, Key{result.Tiered, result.Rest, FigureBytes})
 	ofRepresentative := predicted(e, t, Key{result.Tiered, result.Rest, FigureWorst})
-	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e, atRest), Faults: sizeRows(e, func(f result.Fault) bool { return !atRest(f) }), Parts: partsRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
+	r := Report{Target: t, Peak: peak(t), Sizes: sizeRows(e, atRest), Faults: sizeRows(e, func(f result.Fault) bool { return !atRest(f) }), Parts: partsRows(e), Real: realRows(e), Slopes: e.Series, Roles: roles(t, e, now, p, ofLeader), Breaks: breaks(t, e, now, ofLeader),
 		Today: now, Grants: g, Purging: p, Budget: budget(t, g, p, membership, ofRepresentative), Excluded: e.Incomplete, Leader: ofLeader}
 	for _, f := range e.Files {
 		r.Sources = append(r.Sources, source(f))
@@ -172,7 +187,7 @@
 	trials := map[group][]result.Trial{}
 	for _, f := range e.Files {
 		for _, t := range f.Trials {
-			if wanted(t.Fault) && t.Incomplete == "" {
+			if wanted(t.Fault) && t.Incomplete == "" && t.Real == nil {
 				g := group{t.Topology, t.Fault, t.Routers}
 				trials[g] = append(trials[g], t)
 			}
@@ -198,6 +213,34 @@
 	return rows
 }
 
+// realRows are by topology and size.
+func realRows(e Evidence) (rows []RealRow) {
+	trials := map[group][]result.Trial{}
+	for _, f := range e.Files {
+		for _, t := range f.Trials {
+			if t.Real != nil && t.Incomplete == "" && atRest(t.Fault) {
+				g := group{t.Topology, t.Fault, t.Routers}
+				trials[g] = append(trials[g], t)
+			}
+		}
+	}
+	for _, g := range slices.SortedFunc(maps.Keys(trials), compareGroups) {
+		all := trials[g]
+		row := RealRow{Topology: g.topology, Routers: g.routers}
+		for _, t := range all {
+			row.Processes += t.Real.Routers
+		}
+		row.Bytes, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Real.PerRouter.BytesIn + t.Real.PerRouter.BytesOut) })
+		row.CPU, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Real.PerRouter.CPU - t.Real.Alone.CPU) })
+		row.Memory, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.Real.PerRouter.Memory - t.Real.Alone.Memory) })
+		row.HollowBytes, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.BytesIn + t.PerRouter.BytesOut) })
+		row.HollowCPU, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.CPU) })
+		row.HollowMemory, _ = spread(all, func(t result.Trial) *float64 { return pointer(t.PerRouter.Memory) })
+		rows = append(rows, row)
+	}
+	return rows
+}
+
 func atRest(f result.Fault) bool { return f == result.Rest }
 
 // sizeRows are by topology, fault and size.
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -50,6 +50,7 @@
 	Harness    Usage       `json:"harness"`                    // what was taken off
 	OtherLoad  *float64    `json:"other_load_cores,omitempty"` // cores that other processes used in the window; null: not recorded
 	Mechanisms []Mechanism `json:"mechanisms"`
+	Real       *Real       `json:"real,omitempty"`       // processes of the router's program among the routers; null: there were none
 	Settled    *float64    `json:"settled_s"`            // from the last start until all views agreed; null: they did not
 	AllSettled *float64    `json:"all_settled_s"`        // from the same time until all routers knew that all agreed; null: they did not
 	Events     int         `json:"events"`               // routers ended by the fault
@@ -57,6 +58,13 @@
 	Incomplete string      `json:"incomplete,omitempty"` // why the trial ended early; empty: it did not
 }
 
+// Real is what processes of the router's own program used that took part in the fleet, without clients.
+type Real struct {
+	Routers   int   `json:"routers"`    // of the trial's; PerRouter and Worst of the trial leave them out
+	PerRouter Usage `json:"per_router"` // mean over them, each a whole process
+	Alone     Usage `json:"alone"`      // CPU and memory of as many processes whose fleet is switched off
+}
+
 // Usage is what one router uses.
 type Usage struct {
 	BytesIn     float64 `json:"bytes_in_per_s"`
