--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,8 @@
 	go test -run - -fuzz FuzzRead -fuzztime 30s ./internal/lab/trace
 	go test -run - -fuzz FuzzParse -fuzztime 30s -fuzzminimizetime 1x ./internal/lab/scenario
 	go test -run - -fuzz FuzzDecode -fuzztime 30s ./internal/snapshot
-	go test -run - -fuzz FuzzDecode -fuzztime 30s ./hierarchy
-	go test -run - -fuzz FuzzUnpackWords -fuzztime 30s ./internal/peers
+	go test -run - -fuzz FuzzDecode -fuzztime 30s ./core/hierarchy
+	go test -run - -fuzz FuzzUnpackWords -fuzztime 30s ./internal/gossip
 	go test -run - -fuzz FuzzAppend -fuzztime 30s ./internal/wire/resp2
 	go test -run - -fuzz FuzzRouter -fuzztime 60s -fuzzminimizetime 1x ./internal/router
 
@@ -60,7 +60,7 @@
 
 # Every order of a small fleet that asks, loses, doubles, begins anew and changes its leader: minutes, and some GB.
 accord-long:
-	go test -count=1 -timeout 60m -run TestEveryOrder -long -v ./accord
+	go test -count=1 -timeout 60m -run TestEveryOrder -long -v ./core/policycommit
 
 bench: build
 	bin/spurctl lab bench --self
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -1,5 +1,5 @@
 // Package benchwire reads and writes the bench's wire, slate-8695. The wire's names end here: what comes
-// out are the inputs of package choice, and what goes in are its decisions.
+// out are the inputs of package routing, and what goes in are its decisions.
 package benchwire
 
 import (
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/settings"
 )
 
@@ -23,12 +23,12 @@
 type (
 	Launch struct {
 		Seed     uint64
-		Settings choice.Settings
+		Settings routing.Settings
 	}
 	Shutdown struct{}
 )
 
-// Input is one event for one instance: a choice.Event, a Launch or a Shutdown.
+// Input is one event for one instance: a routing.Event, a Launch or a Shutdown.
 type Input struct {
 	Instance Instance
 	Event    any
@@ -36,7 +36,7 @@
 
 // Batch is what happened at one clock time.
 type Batch struct {
-	Now    choice.Micros
+	Now    routing.Micros
 	Seq    string
 	Inputs []Input
 }
@@ -47,14 +47,14 @@
 type Reader struct {
 	in    *bufio.Reader
 	line  int
-	lists [listSlots][]choice.Entry
+	lists [listSlots][]routing.Entry
 	known [listSlots]bool
-	told  map[Instance]choice.Settings
+	told  map[Instance]routing.Settings
 }
 
 // NewReader returns a Reader on in.
 func NewReader(in io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(in, 1<<20), told: map[Instance]choice.Settings{}}
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), told: map[Instance]routing.Settings{}}
 }
 
 // fields walks the parts of one line and remembers the first that is malformed.
@@ -113,7 +113,7 @@
 	return x
 }
 
-func (f *fields) seconds(field string) choice.Micros {
+func (f *fields) seconds(field string) routing.Micros {
 	return settings.Micros(f.number(field))
 }
 
@@ -125,12 +125,12 @@
 	return s == "1"
 }
 
-func (f *fields) row(field string) choice.Report {
+func (f *fields) row(field string) routing.Report {
 	s := f.optional(field)
 	if s == "" {
 		return nil
 	}
-	var out choice.Report
+	var out routing.Report
 	for part := range strings.SplitSeq(s, ",") {
 		x, err := strconv.ParseFloat(part, 64)
 		if part == "-" {
@@ -155,13 +155,13 @@
 }
 
 var (
-	listKinds = map[string]choice.ListKind{"INCREMENTAL": choice.ListChanges, "FULL": choice.ListFull,
-		"SAVED": choice.ListSaved, "FAILED": choice.ListFailed}
-	states   = map[string]choice.State{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
-	statuses = map[string]choice.Status{"Ok": choice.OK, "Failed": choice.Failed,
-		"QueueFull": choice.QueueFull, "TimedOut": choice.TimedOut, "ConnectError": choice.ConnectError,
-		"ResetByPeer": choice.Reset, "Canceled": choice.Canceled, "Ignored": choice.Ignored,
-		"Miss": choice.Miss}
+	listKinds = map[string]routing.ListKind{"INCREMENTAL": routing.ListChanges, "FULL": routing.ListFull,
+		"SAVED": routing.ListSaved, "FAILED": routing.ListFailed}
+	states   = map[string]routing.State{"U": routing.Ready, "L": routing.Draining, "D": routing.Gone}
+	statuses = map[string]routing.Status{"Ok": routing.OK, "Failed": routing.Failed,
+		"QueueFull": routing.QueueFull, "TimedOut": routing.TimedOut, "ConnectError": routing.ConnectError,
+		"ResetByPeer": routing.Reset, "Canceled": routing.Canceled, "Ignored": routing.Ignored,
+		"Miss": routing.Miss}
 )
 
 // open reads the next line and its name; io.EOF only where a line is wholly absent.
@@ -239,9 +239,9 @@
 		return l
 	},
 	"members": func(r *Reader, f *fields, _ Instance) any {
-		l := choice.ListCame{Kind: word(f, "how", listKinds)}
+		l := routing.ListCame{Kind: word(f, "how", listKinds)}
 		f.text("seq-no")
-		if l.Kind == choice.ListFailed {
+		if l.Kind == routing.ListFailed {
 			l.Refused = true // the wire does not tell why, and calls of many routers beyond what discovery can take are refused
 			return l
 		}
@@ -255,18 +255,18 @@
 		return l
 	},
 	"demand": func(r *Reader, f *fields, inst Instance) any {
-		q := choice.ReqCame{Req: choice.ReqID(f.text("ticket"))}
+		q := routing.ReqCame{Req: routing.ReqID(f.text("ticket"))}
 		name := f.text("kind")
 		methods := r.told[inst].Methods
-		i := slices.IndexFunc(methods, func(m choice.MethodSettings) bool { return m.Name == name })
+		i := slices.IndexFunc(methods, func(m routing.MethodSettings) bool { return m.Name == name })
 		if i < 0 {
 			f.fail("kind", fmt.Sprintf("%q is no class of the settings", name))
 		}
-		q.Method = choice.Method(i)
-		if q.Tenant = choice.Tenant(f.optional("team")); q.Tenant == "0" {
+		q.Method = routing.Method(i)
+		if q.Tenant = routing.Tenant(f.optional("team")); q.Tenant == "0" {
 			q.Tenant = ""
 		}
-		q.Key = choice.Key(f.optional("partition-key"))
+		q.Key = routing.Key(f.optional("partition-key"))
 		q.ValidUntil = f.seconds("valid-until-s")
 		f.number("hint-s")
 		f.number("size")
@@ -275,10 +275,10 @@
 	},
 	"shutdown": func(_ *Reader, _ *fields, _ Instance) any { return Shutdown{} },
 	"accepted": func(_ *Reader, f *fields, _ Instance) any {
-		return choice.Streaming{Req: choice.ReqID(f.text("ticket")), Attempt: choice.Attempt(f.whole("n", 1<<31))}
+		return routing.Streaming{Req: routing.ReqID(f.text("ticket")), Attempt: routing.Attempt(f.whole("n", 1<<31))}
 	},
 	"elapsed": func(_ *Reader, f *fields, _ Instance) any {
-		return choice.Elapsed{Ref: choice.TimerRef(f.whole("ref", 1<<63-1))}
+		return routing.Elapsed{Ref: routing.TimerRef(f.whole("ref", 1<<63-1))}
 	},
 	"message": func(_ *Reader, f *fields, _ Instance) any { // routers tell each other nothing
 		f.text("sender")
@@ -286,13 +286,13 @@
 		return nil
 	},
 	"expired": func(_ *Reader, f *fields, _ Instance) any {
-		return choice.Left{Req: choice.ReqID(f.text("ticket"))}
+		return routing.Left{Req: routing.ReqID(f.text("ticket"))}
 	},
 	"returned": func(_ *Reader, f *fields, _ Instance) any {
-		o := choice.Returned{Req: choice.ReqID(f.text("ticket"))}
+		o := routing.Returned{Req: routing.ReqID(f.text("ticket"))}
 		f.number("detail")
-		o.Server = choice.ServerID(f.whole("server", math.MaxUint32))
-		o.Attempt = choice.Attempt(f.whole("n", 1<<31))
+		o.Server = routing.ServerID(f.whole("server", math.MaxUint32))
+		o.Attempt = routing.Attempt(f.whole("n", 1<<31))
 		o.Status = word(f, "code", statuses)
 		o.Took = f.seconds("elapsed-s")
 		o.Over = f.flag("complete")
@@ -300,7 +300,7 @@
 		return o
 	},
 	"probe_result": func(_ *Reader, f *fields, _ Instance) any {
-		p := choice.Probed{Server: choice.ServerID(f.whole("server", math.MaxUint32))}
+		p := routing.Probed{Server: routing.ServerID(f.whole("server", math.MaxUint32))}
 		p.Status = word(f, "code", statuses)
 		p.Took = f.seconds("elapsed-s")
 		p.Report = f.row("feedback")
@@ -314,18 +314,18 @@
 	if f.err != nil {
 		return
 	}
-	entries := make([]choice.Entry, 0, min(n, 1024))
+	entries := make([]routing.Entry, 0, min(n, 1024))
 	for range n {
 		e, err := r.open()
 		if err != nil || e.name != "server" {
 			f.err = fmt.Errorf("a server line of list %d is missing", slot)
 			return
 		}
-		entries = append(entries, choice.Entry{
-			Server:  choice.ServerID(e.whole("server", math.MaxUint32)),
-			Zone:    choice.Zone(e.optional("az")),
-			Kind:    choice.Kind(e.optional("model")),
-			Cell:    choice.Cell(e.number("pod")),
+		entries = append(entries, routing.Entry{
+			Server:  routing.ServerID(e.whole("server", math.MaxUint32)),
+			Zone:    routing.Zone(e.optional("az")),
+			Kind:    routing.Kind(e.optional("model")),
+			Cell:    routing.Cell(e.number("pod")),
 			State:   word(e, "phase", states),
 			Weight:  e.number("weight"),
 			Started: e.seconds("started-at-s"),
@@ -347,7 +347,7 @@
 func NewWriter(out io.Writer) *Writer { return &Writer{out: out} }
 
 // Add puts one decision of an instance into the reply.
-func (w *Writer) Add(inst Instance, d choice.Decision) {
+func (w *Writer) Add(inst Instance, d routing.Decision) {
 	put := func(name string, parts ...string) {
 		w.buf = append(w.buf, name...)
 		w.buf = strconv.AppendInt(append(w.buf, ' '), int64(inst), 10)
@@ -358,21 +358,21 @@
 	}
 	server := strconv.FormatUint(uint64(d.Server), 10)
 	switch d.Action {
-	case choice.WriteOut:
+	case routing.WriteOut:
 		put("pass_on", string(d.Req), server, span(d.After))
-	case choice.Nack:
+	case routing.Nack:
 		put("bounce", string(d.Req), span(d.After))
-	case choice.Fail:
+	case routing.Fail:
 		put("report_failure", string(d.Req))
-	case choice.Recall:
+	case routing.Recall:
 		put("recall", string(d.Req), strconv.Itoa(int(d.Attempt)))
-	case choice.Wake:
+	case routing.Wake:
 		put("schedule", span(d.After), strconv.FormatInt(int64(d.Ref), 10))
-	case choice.Subscribe:
+	case routing.Subscribe:
 		put("stream_changes", "1")
-	case choice.Probe:
+	case routing.Probe:
 		put("probe", server)
-	case choice.Disconnect:
+	case routing.Disconnect:
 		put("drop_conns", server)
 	}
 }
@@ -385,6 +385,6 @@
 	return err
 }
 
-func span(t choice.Micros) string {
+func span(t routing.Micros) string {
 	return fmt.Sprintf("%d.%06d", t/1e6, t%1e6)
 }
--- a/cmd/spurctl/fleet.go
+++ b/cmd/spurctl/fleet.go
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/cobra"
 
-	"spurtrestle/hierarchy"
-	"spurtrestle/view"
+	"spurtrestle/core/hierarchy"
+	"spurtrestle/core/membership"
 )
 
 func (a *app) fleet() *cobra.Command {
@@ -32,7 +32,7 @@
 // answer is what a router's door said.
 type answer struct {
 	Door  string            `json:"door"`
-	View  *view.Whole       `json:"view"`
+	View  *membership.Whole `json:"view"`
 	Tiers *hierarchy.Status `json:"tiers,omitempty"` // of a tiered fleet, whose view is of the site alone
 	Error string            `json:"error,omitempty"`
 }
@@ -58,7 +58,7 @@
 
 // seen is what a door shows.
 type seen struct {
-	view.Whole
+	membership.Whole
 	Tiers *hierarchy.Status `json:"tiers"`
 }
 
@@ -123,7 +123,7 @@
 	return nil
 }
 
-func spanOf(m view.Micros) string {
+func spanOf(m membership.Micros) string {
 	d := time.Duration(m) * time.Microsecond
 	if d > 10*time.Second {
 		return d.Round(time.Second).String()
@@ -131,7 +131,7 @@
 	return d.Round(100 * time.Millisecond).String()
 }
 
-func printView(out io.Writer, w view.Whole) error {
+func printView(out io.Writer, w membership.Whole) error {
 	state := "not settled"
 	if w.Settled {
 		state = "settled"
@@ -148,7 +148,7 @@
 	for _, r := range w.Routers {
 		clients := "no"
 		switch {
-		case r.State > view.Suspect:
+		case r.State > membership.Suspect:
 			clients = "-"
 		case r.Draining:
 			clients = "draining"
@@ -177,7 +177,7 @@
 				}
 				return fleetVerdict(all)
 			}
-			var first *view.Whole
+			var first *membership.Whole
 			var tiers *hierarchy.Status
 			for _, a := range all {
 				switch {
@@ -190,7 +190,7 @@
 					tiers = a.Tiers
 				case otherSite(tiers, a.Tiers): // it knows other routers, and the same summaries
 				default:
-					for _, line := range view.Differ(*first, *a.View) {
+					for _, line := range membership.Differ(*first, *a.View) {
 						fmt.Fprintln(out, line)
 					}
 				}
@@ -241,11 +241,11 @@
 	case now.View == nil:
 		return nil
 	}
-	w, before := *now.View, view.Whole{}
+	w, before := *now.View, membership.Whole{}
 	if was.View != nil {
 		before = *was.View
 	}
-	rows := map[view.Name]view.Router{}
+	rows := map[membership.Name]membership.Router{}
 	for _, r := range before.Routers {
 		rows[r.Name] = r
 	}
--- a/cmd/spurctl/fleetsite.go
+++ b/cmd/spurctl/fleetsite.go
@@ -11,11 +11,11 @@
 
 	"github.com/spf13/cobra"
 
-	"spurtrestle/accord"
-	"spurtrestle/choice"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sitefailover"
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/policy"
-	"spurtrestle/siteplan"
 )
 
 func fleetSite() *cobra.Command {
@@ -40,7 +40,7 @@
 			if reason == "" || author == "" {
 				return usage("say --author and --reason: they are kept")
 			}
-			s, _, err := askPolicy(c.Context(), args[1], accord.Request{What: "site", Name: args[0], Word: word, Author: author, Reason: reason, At: time.Now().UnixMicro()})
+			s, _, err := askPolicy(c.Context(), args[1], policycommit.Request{What: "site", Name: args[0], Word: word, Author: author, Reason: reason, At: time.Now().UnixMicro()})
 			if err != nil {
 				return err
 			}
@@ -56,7 +56,7 @@
 	c := &cobra.Command{Use: "status DOOR", Short: "Tell what each site counts as, what is refused, and what the next step waits for", Args: lastArg(1),
 		Example: "  spurctl fleet site status 10.1.2.3:8400",
 		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], accord.Request{What: "sites"})
+			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "sites"})
 			if err != nil {
 				return err
 			}
@@ -70,7 +70,7 @@
 	return c
 }
 
-func showSites(w io.Writer, s accord.Reply) error {
+func showSites(w io.Writer, s policycommit.Reply) error {
 	if s.Sites == nil {
 		return errors.New("nothing is planned for sites: the policy in force has no [sites]; see docs/site.md")
 	}
@@ -133,9 +133,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
-			var seen *siteplan.Status
+			var seen *sitefailover.Status
 			if door != "" {
-				r, _, err := askPolicy(c.Context(), door, accord.Request{What: "sites"})
+				r, _, err := askPolicy(c.Context(), door, policycommit.Request{What: "sites"})
 				if err != nil {
 					return err
 				}
@@ -152,8 +152,8 @@
 	return c
 }
 
-func rehearse(w io.Writer, plan siteplan.Plan, s choice.Settings, seen *siteplan.Status, lose []string) error {
-	var lost []siteplan.Site
+func rehearse(w io.Writer, plan sitefailover.Plan, s routing.Settings, seen *sitefailover.Status, lose []string) error {
+	var lost []sitefailover.Site
 	for _, name := range lose {
 		known := false
 		for _, x := range plan.Sites {
@@ -162,14 +162,14 @@
 		if !known {
 			return fmt.Errorf("--lose: %q is no site of the plan, which has %q", name, plan.Names())
 		}
-		lost = append(lost, siteplan.Site(name))
+		lost = append(lost, sitefailover.Site(name))
 	}
 	if len(lost) >= len(plan.Sites) {
 		return errors.New("--lose: no site is left; leave one out")
 	}
-	bearing := make([]siteplan.Bearing, len(plan.Sites))
+	bearing := make([]sitefailover.Bearing, len(plan.Sites))
 	for i, x := range plan.Sites {
-		bearing[i] = siteplan.Bearing{Name: x.Name, Bears: x.Bears, Prefer: x.Prefer}
+		bearing[i] = sitefailover.Bearing{Name: x.Name, Bears: x.Bears, Prefer: x.Prefer}
 		for _, y := range siteRows(seen) {
 			if y.Name == x.Name && x.Bears == 0 {
 				bearing[i].Bears = y.Bears
@@ -192,14 +192,14 @@
 	for _, t := range s.Tenants {
 		shares[string(t.Name)] = t.Share
 	}
-	asked := siteplan.Spread(plan.Loads, worth, shares, s.OverShareWorth)
+	asked := sitefailover.Spread(plan.Loads, worth, shares, s.OverShareWorth)
 	if seen != nil {
 		asked = measured(seen, s.Methods, worth)
 	}
 	if len(asked) == 0 {
 		return errors.New("sites.load: none is told; add a [[sites.load]] with method and rate for each method, or ask a router with --door")
 	}
-	o := siteplan.Rehearse(bearing, asked, lost)
+	o := sitefailover.Rehearse(bearing, asked, lost)
 	verdict := "the rest bears it"
 	if o.Asked > o.Bears {
 		verdict = fmt.Sprintf("%.0f/s are refused", o.Asked-o.Bears)
@@ -208,7 +208,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, x := range []struct {
 		title string
-		rows  []siteplan.Refused
+		rows  []sitefailover.Refused
 	}{{"method", o.Method}, {"tenant", o.Tenant}} {
 		if len(x.rows) > 0 {
 			fmt.Fprintf(t, "%s\tasked\trefused\t\t\n", x.title)
@@ -220,7 +220,7 @@
 	return t.Flush()
 }
 
-func siteRows(s *siteplan.Status) []siteplan.SiteStatus {
+func siteRows(s *sitefailover.Status) []sitefailover.SiteStatus {
 	if s == nil {
 		return nil
 	}
@@ -228,11 +228,11 @@
 }
 
 // measured names what the routers count by rank: of methods of one worth they cannot tell, and they are named together.
-func measured(s *siteplan.Status, methods []choice.MethodSettings, worth map[string]float64) (all []siteplan.Asked) {
+func measured(s *sitefailover.Status, methods []routing.MethodSettings, worth map[string]float64) (all []sitefailover.Asked) {
 	for _, o := range s.Offered {
 		var names []string
 		for _, m := range methods {
-			if siteplan.RankOf(worth[m.Name]) == o.Rank {
+			if sitefailover.RankOf(worth[m.Name]) == o.Rank {
 				names = append(names, m.Name)
 			}
 		}
@@ -240,7 +240,7 @@
 		if name == "" {
 			name = fmt.Sprintf("over share or asked again, worth %.3f", float64(o.Rank)/1e6)
 		}
-		all = append(all, siteplan.Asked{Method: name, Rank: o.Rank, Rate: o.Rate})
+		all = append(all, sitefailover.Asked{Method: name, Rank: o.Rank, Rate: o.Rate})
 	}
 	return all
 }
--- a/cmd/spurctl/fleetsite_test.go
+++ b/cmd/spurctl/fleetsite_test.go
@@ -5,22 +5,22 @@
 	"strings"
 	"testing"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sitefailover"
 	"spurtrestle/internal/policy"
-	"spurtrestle/siteplan"
 )
 
 // A rehearsal says what a loss would be like, from told figures and from measured ones, and what it lacks.
 func TestRehearsal(t *testing.T) {
-	s := choice.Settings{OverShareWorth: 0.1, Tenants: []choice.TenantSettings{{Name: "grain", Share: 0.7}, {Name: "dairy", Share: 0.3}},
-		Methods: []choice.MethodSettings{{Name: "alert", Criticality: 5}, {Name: "status", Criticality: 3}, {Name: "report", Criticality: 1}}}
+	s := routing.Settings{OverShareWorth: 0.1, Tenants: []routing.TenantSettings{{Name: "grain", Share: 0.7}, {Name: "dairy", Share: 0.3}},
+		Methods: []routing.MethodSettings{{Name: "alert", Criticality: 5}, {Name: "status", Criticality: 3}, {Name: "report", Criticality: 1}}}
 	const sites = "schema = 1\n[[sites.site]]\nname = \"hill\"\nbears = 320.0\n[[sites.site]]\nname = \"coast\"\nbears = 320.0\n[[sites.site]]\nname = \"valley\"\n"
 	const loads = "[[sites.load]]\nmethod = \"status\"\nrate = 540.0\n[[sites.load]]\nmethod = \"alert\"\nrate = 135.0\n[[sites.load]]\nmethod = \"report\"\nrate = 225.0\n"
-	seen := &siteplan.Status{Offered: []siteplan.Offer{{Rank: 1000001, Rate: 100}, {Rank: 600001, Rate: 300}, {Rank: 594002, Rate: 50}, {Rank: 200001, Rate: 100}},
-		Sites: []siteplan.SiteStatus{{Name: "valley", Bears: 200}}}
+	seen := &sitefailover.Status{Offered: []sitefailover.Offer{{Rank: 1000001, Rate: 100}, {Rank: 600001, Rate: 300}, {Rank: 594002, Rate: 50}, {Rank: 200001, Rate: 100}},
+		Sites: []sitefailover.SiteStatus{{Name: "valley", Bears: 200}}}
 	for _, x := range []struct {
 		doc  string
-		seen *siteplan.Status
+		seen *sitefailover.Status
 		lose string
 		want []string
 	}{
--- a/cmd/spurctl/policy.go
+++ b/cmd/spurctl/policy.go
@@ -16,7 +16,7 @@
 
 	"github.com/spf13/cobra"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/policy"
 )
@@ -35,7 +35,7 @@
 	return c
 }
 
-func askPolicy(ctx context.Context, door string, q accord.Request) (s accord.Reply, text string, err error) {
+func askPolicy(ctx context.Context, door string, q policycommit.Request) (s policycommit.Reply, text string, err error) {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return s, "", err
@@ -153,20 +153,20 @@
 	if x.token == "" {
 		x.token = crand.Text()
 	}
-	before, _, err := askPolicy(c.Context(), door, accord.Request{What: "status"})
+	before, _, err := askPolicy(c.Context(), door, policycommit.Request{What: "status"})
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "token %s: revision %d to %d, at %d routers\n", x.token, x.base, x.base+1, len(before.Standings))
 	if uint64(before.Current) != x.base {
-		h, _, err := askPolicy(c.Context(), door, accord.Request{What: "history"})
+		h, _, err := askPolicy(c.Context(), door, policycommit.Request{What: "history"})
 		if err == nil && len(h.History) > 0 && uint64(before.Current) > x.base {
 			last := h.History[len(h.History)-1]
 			fmt.Fprintf(out, "revision %d is in force, by %s at %s: %s\n%s", last.Revision, last.Author, stampOf(last.At), last.Reason,
 				lineDiff(last.Doc, doc))
 		}
 	}
-	s, _, err := askPolicy(c.Context(), door, accord.Request{What: "apply", Doc: doc, Base: accord.Revision(x.base), Token: accord.Token(x.token),
+	s, _, err := askPolicy(c.Context(), door, policycommit.Request{What: "apply", Doc: doc, Base: policycommit.Revision(x.base), Token: policycommit.Token(x.token),
 		Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
 	if err != nil {
 		return fmt.Errorf("%w; to learn what became of it ask again with --token %s", err, x.token)
@@ -205,7 +205,7 @@
 	c := &cobra.Command{Use: "undo DOOR", Short: "Put an earlier revision into force again, as a new one", Args: lastArg(1),
 		Example: "  spurctl policy undo 10.1.2.3:8400 --to 2 --reason 'the last one shed too much'",
 		RunE: func(c *cobra.Command, args []string) error {
-			s, _, err := askPolicy(c.Context(), args[0], accord.Request{What: "status"})
+			s, _, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "status"})
 			if err != nil {
 				return err
 			}
@@ -230,7 +230,7 @@
 
 // revision is the document of one.
 func revision(ctx context.Context, door string, n uint64) (string, error) {
-	h, _, err := askPolicy(ctx, door, accord.Request{What: "history", Base: accord.Revision(n)})
+	h, _, err := askPolicy(ctx, door, policycommit.Request{What: "history", Base: policycommit.Revision(n)})
 	if err != nil {
 		return "", err
 	}
@@ -246,7 +246,7 @@
 		Example: "  spurctl policy show 10.1.2.3:8400 --revision 2",
 		RunE: func(c *cobra.Command, args []string) error {
 			if !c.Flags().Changed("revision") {
-				s, _, err := askPolicy(c.Context(), args[0], accord.Request{What: "status"})
+				s, _, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "status"})
 				if err != nil {
 					return err
 				}
@@ -274,7 +274,7 @@
 			if err != nil {
 				return err
 			}
-			s, _, err := askPolicy(c.Context(), args[1], accord.Request{What: "status"})
+			s, _, err := askPolicy(c.Context(), args[1], policycommit.Request{What: "status"})
 			was := ""
 			if err == nil && s.Current > 0 {
 				was, err = revision(c.Context(), args[1], uint64(s.Current))
@@ -317,7 +317,7 @@
 	c := &cobra.Command{Use: "history DOOR", Short: "List the last changes, with who made them and why", Args: lastArg(1),
 		Example: "  spurctl policy history 10.1.2.3:8400",
 		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], accord.Request{What: "history"})
+			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "history"})
 			if err != nil {
 				return err
 			}
@@ -344,7 +344,7 @@
 	c := &cobra.Command{Use: "status DOOR", Short: "Show the revision in force, and how each router stands to it", Args: lastArg(1),
 		Example: "  spurctl policy status 10.1.2.3:8400",
 		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], accord.Request{What: "status"})
+			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "status"})
 			if err != nil {
 				return err
 			}
@@ -382,7 +382,7 @@
 	return &cobra.Command{Use: "found DOOR", Short: "Begin the policy of a fleet at a keeper, once", Args: lastArg(1),
 		Example: "  spurctl policy found 10.1.2.3:8400",
 		RunE: func(c *cobra.Command, args []string) error {
-			_, text, err := askPolicy(c.Context(), args[0], accord.Request{What: "found"})
+			_, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "found"})
 			if err != nil {
 				return err
 			}
@@ -399,7 +399,7 @@
 			if x.reason == "" || x.author == "" {
 				return usage("say --author and --reason: they are kept")
 			}
-			_, _, err := askPolicy(c.Context(), args[1], accord.Request{What: what, Name: args[0], Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
+			_, _, err := askPolicy(c.Context(), args[1], policycommit.Request{What: what, Name: args[0], Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
 			if err != nil {
 				return err
 			}
--- a/cmd/spurctl/state.go
+++ b/cmd/spurctl/state.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/staleness"
 	"spurtrestle/internal/snapshot"
-	"spurtrestle/staleness"
 )
 
 func (a *app) state() *cobra.Command {
@@ -85,25 +85,25 @@
 	Servers  []shownServer      `json:"servers"`
 }
 
-func ms(t choice.Micros) float64 { return float64(t) / 1e3 }
+func ms(t routing.Micros) float64 { return float64(t) / 1e3 }
 
-func since(now, at choice.Micros) string {
+func since(now, at routing.Micros) string {
 	if at > now {
 		return "in the future"
 	}
 	return (time.Duration(now-at) * time.Microsecond).Round(time.Second).String()
 }
 
-func stamp(at choice.Micros) string { return time.UnixMicro(int64(at)).UTC().Format(time.RFC3339) }
+func stamp(at routing.Micros) string { return time.UnixMicro(int64(at)).UTC().Format(time.RFC3339) }
 
 // explain tells what a state holds, and what of it would be restored at a time.
-func explain(s snapshot.State, file string, now choice.Micros) shown {
+func explain(s snapshot.State, file string, now routing.Micros) shown {
 	k := s.Knowledge
 	age := staleness.Age(now, k.At)
 	out := shown{File: file, Version: s.Version, Router: s.Router, Written: stamp(k.At), Age: since(now, k.At), SeenMs: ms(k.Seen.Time),
 		QuickMs: ms(k.Seen.Best), Traffic: k.Traffic, Budget: k.Retries, HotKeys: len(k.Keys), Methods: map[string]float64{},
 		Servers: []shownServer{}, Weights: map[string]float64{}}
-	for name, half := range map[string]choice.Micros{"times": staleness.Times, "quickest": staleness.Quick, "rates": staleness.Rates,
+	for name, half := range map[string]routing.Micros{"times": staleness.Times, "quickest": staleness.Quick, "rates": staleness.Rates,
 		"health": staleness.Health, "hot keys": staleness.HotKeys, "retry budget": staleness.Budget} {
 		out.Weights[name] = math.Round(1000*staleness.Weight(age, half)) / 1000
 	}
@@ -111,20 +111,20 @@
 		out.Methods[m.Name] = ms(m.Time)
 	}
 	for i, x := range s.Servers {
-		x.Server = choice.ServerID(i)
+		x.Server = routing.ServerID(i)
 		k.Servers = append(k.Servers, x.ServerKnowledge)
 	}
 	left := staleness.Fade(k, now)
 	out.Watched = (time.Duration(left.Span) * time.Microsecond).Round(time.Millisecond).String()
 	out.BudgetIs, out.KeysNow = left.Retries, len(left.Keys)
-	restored := map[choice.ServerID]choice.ServerKnowledge{}
+	restored := map[routing.ServerID]routing.ServerKnowledge{}
 	for _, x := range left.Servers {
 		restored[x.Server] = x
 	}
 	for i, x := range s.Servers {
-		r := restored[choice.ServerID(i)]
+		r := restored[routing.ServerID(i)]
 		row := shownServer{UID: x.UID, Age: since(now, x.At), TimeMs: ms(x.Times.Time), QuickMs: ms(x.Times.Best), Answers: x.Times.N,
-			Restored: min(r.Times.N, choice.MostRecalled), Rate: x.Rate, Aside: x.Aside, AsideNow: r.Aside}
+			Restored: min(r.Times.N, routing.MostRecalled), Rate: x.Rate, Aside: x.Aside, AsideNow: r.Aside}
 		if x.Started > 0 {
 			row.Started = stamp(x.Started)
 		}
@@ -153,7 +153,7 @@
 			for _, p := range passed {
 				a.log.WithError(p).Warn("passed over")
 			}
-			x := explain(s, from, choice.Micros(now.UnixMicro()))
+			x := explain(s, from, routing.Micros(now.UnixMicro()))
 			if output == "json" {
 				return writeJSON(c.OutOrStdout(), x)
 			}
--- a/cmd/spurtrestle-fleet/main.go
+++ b/cmd/spurtrestle-fleet/main.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"spurtrestle/internal/keeper"
-	"spurtrestle/internal/peers"
+	"spurtrestle/internal/controlplane"
+	"spurtrestle/internal/gossip"
 	"spurtrestle/internal/program"
 )
 
-func main() { program.Main(program.Parts{Fleet: peers.Open, Policy: keeper.Take}) }
+func main() { program.Main(program.Parts{Fleet: gossip.Open, Policy: controlplane.Take}) }
--- a/cmd/spurtrestle-grpc/main.go
+++ b/cmd/spurtrestle-grpc/main.go
@@ -8,17 +8,17 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/controlplane"
+	"spurtrestle/internal/gossip"
 	"spurtrestle/internal/grpcfront"
-	"spurtrestle/internal/keeper"
 	"spurtrestle/internal/operator"
-	"spurtrestle/internal/peers"
 	"spurtrestle/internal/program"
 	"spurtrestle/internal/router"
 )
 
-func main() { program.Main(program.Parts{GRPC: listen, Fleet: peers.Open, Policy: keeper.Take}) }
+func main() { program.Main(program.Parts{GRPC: listen, Fleet: gossip.Open, Policy: controlplane.Take}) }
 
 // listen begins to take gRPC clients, and returns what ends that in order.
 func listen(r *router.Router, cfg config.Config, g operator.GRPC, log *logrus.Logger) (stop func(), err error) {
@@ -33,7 +33,7 @@
 		}
 	}()
 	log.WithField("listen", g.Listen).Info("taking gRPC clients, in clear text")
-	longest := choice.Micros(0)
+	longest := routing.Micros(0)
 	for _, m := range cfg.Settings.Methods {
 		longest = max(longest, m.Deadline)
 	}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,7 +8,7 @@
 	"runtime/debug"
 
 	"spurtrestle/benchwire"
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 func main() {
@@ -21,7 +21,7 @@
 
 func host(in io.Reader, out io.Writer) error {
 	r, w := benchwire.NewReader(in), benchwire.NewWriter(out)
-	routers := map[benchwire.Instance]*choice.Router{}
+	routers := map[benchwire.Instance]*routing.Router{}
 	for {
 		b, err := r.Next()
 		if err == io.EOF {
@@ -31,10 +31,10 @@
 			return err
 		}
 		for _, input := range b.Inputs {
-			var decided []choice.Decision
+			var decided []routing.Decision
 			switch ev := input.Event.(type) {
 			case benchwire.Launch:
-				routers[input.Instance], decided = choice.New(b.Now, ev.Settings, ev.Seed)
+				routers[input.Instance], decided = routing.New(b.Now, ev.Settings, ev.Seed)
 			case benchwire.Shutdown:
 				delete(routers, input.Instance)
 			default:
--- a/hierarchy/sim_test.go
+++ b/core/hierarchy/sim_test.go
@@ -13,7 +13,7 @@
 const (
 	tick      = 10e3 // microseconds
 	stepEvery = 200e3
-	overhead  = 20 + 8 + 2 // IPv4, UDP, and the two bytes by which memberlist and internal/peers mark a datagram
+	overhead  = 20 + 8 + 2 // IPv4, UDP, and the two bytes by which memberlist and internal/gossip mark a datagram
 	ring      = 1024       // ticks that a datagram may take
 )
 
--- a/view/view.go
+++ b/core/membership/membership.go
@@ -1,10 +1,10 @@
-// Package view decides what a router makes of what it hears of the others: who is there, in which state, who speaks for a
+// Package membership decides what a router makes of what it hears of the others: who is there, in which state, who speaks for a
 // name, whether all see the same. It does no I/O and knows no clock; the time is an argument, in microseconds of a clock
 // that never goes back, and only spans of it count.
 //
 // A router is a name. Each of its processes is a process of its own here, with a number that no other has: a restart, a
 // replacement and a name that two use are told apart by numbers, never by wall clocks.
-package view
+package membership
 
 import (
 	"cmp"
--- a/view/view_test.go
+++ b/core/membership/membership_test.go
@@ -1,4 +1,4 @@
-package view
+package membership
 
 import (
 	"fmt"
--- a/accord/ask.go
+++ b/core/policycommit/ask.go
@@ -1,6 +1,6 @@
-package accord
+package policycommit
 
-import "spurtrestle/siteplan"
+import "spurtrestle/core/sitefailover"
 
 // Request is what an operator asks of the leader, by any router.
 type Request struct {
@@ -28,6 +28,6 @@
 	Standings []Standing `json:"standings,omitempty"`
 	Keepers   []string   `json:"keepers,omitempty"`
 
-	Sites *siteplan.Status `json:"sites,omitempty"`
-	Plan  string           `json:"plan,omitempty"` // the document that it is of
+	Sites *sitefailover.Status `json:"sites,omitempty"`
+	Plan  string               `json:"plan,omitempty"` // the document that it is of
 }
--- a/accord/book.go
+++ b/core/policycommit/book.go
@@ -1,4 +1,4 @@
-// Package accord decides how a change of policy takes hold everywhere or nowhere. It does no I/O and knows no clock; the
+// Package policycommit decides how a change of policy takes hold everywhere or nowhere. It does no I/O and knows no clock; the
 // time is an argument, in microseconds of this process's own clock that never goes back.
 //
 // Three parts: the book is what the keepers have decided, the same at each of them, entry by entry of a log that a
@@ -7,7 +7,7 @@
 // A router takes reqs by the leader's word alone: a grant, which counts for a span from when the router asked, and is
 // answered only after a majority has confirmed the leader once more. So whatever is late, stalled or cut off, a router takes
 // nothing under a revision for longer than that span after the next one was first granted to anybody.
-package accord
+package policycommit
 
 import (
 	"cmp"
@@ -15,7 +15,7 @@
 	"maps"
 	"slices"
 
-	"spurtrestle/siteplan"
+	"spurtrestle/core/sitefailover"
 )
 
 // Micros is a time or a span in whole microseconds.
@@ -62,7 +62,7 @@
 	Build   string   `json:"build,omitempty"`
 	Site    string   `json:"site,omitempty"`
 
-	Order *siteplan.Order `json:"order,omitempty"`
+	Order *sitefailover.Order `json:"order,omitempty"`
 }
 
 // Change is one that was decided, or is pending.
@@ -106,8 +106,8 @@
 	Roster   map[Name]Member   `json:"roster"`
 	Said     []Entry           `json:"said"` // operators' words on dead routers
 
-	Sites map[siteplan.Site]siteplan.Ruling `json:"sites"`
-	Out   map[Name]bool                     `json:"out"` // routers whose part is lent
+	Sites map[sitefailover.Site]sitefailover.Ruling `json:"sites"`
+	Out   map[Name]bool                             `json:"out"` // routers whose part is lent
 }
 
 // Current is the revision in force, and its document.
@@ -180,7 +180,7 @@
 		// Made for what the site counted as then: of an operator's word and the leader's the later one is void.
 		if o := e.Order; o != nil && b.Sites[o.Site].Index == o.On {
 			if b.Sites == nil {
-				b.Sites = map[siteplan.Site]siteplan.Ruling{}
+				b.Sites = map[sitefailover.Site]sitefailover.Ruling{}
 			}
 			o.Ruling.Index = uint64(at)
 			b.Sites[o.Site] = o.Ruling
@@ -225,7 +225,7 @@
 // DefaultRules: the window stays under a second, also by a clock that runs a hundredth slow. A lease is renewed four
 // times over, and asked for again soon where packets get lost.
 func DefaultRules() Rules {
-	// What a router leaves to others as it ends counts for ten seconds (package parts); reqs in hand for less.
+	// What a router leaves to others as it ends counts for ten seconds (package sharelease); reqs in hand for less.
 	return Rules{Lease: 950e3, Ask: 200e3, Again: 60e3, Patience: 5e6, Slack: 50e3, Rest: 12e6}
 }
 
--- a/accord/explore_test.go
+++ b/core/policycommit/explore_test.go
@@ -1,4 +1,4 @@
-package accord
+package policycommit
 
 import (
 	"flag"
--- a/accord/holder.go
+++ b/core/policycommit/holder.go
@@ -1,4 +1,4 @@
-package accord
+package policycommit
 
 // Holder is a router's side. It is not safe for use by several goroutines at once.
 type Holder struct {
--- a/choice/choice.go
+++ b/core/routing/choice.go
@@ -1,4 +1,4 @@
-// Package choice: every decision of a router stands in this file.
+// Package routing: every decision of a router stands in this file.
 // How to call it: New starts a router on its settings and seed; Step takes one input at a clock time and
 // returns what to do now, in order, in a slice that the next Step reuses. A router keeps to itself: no I/O,
 // clock, goroutine or global, and the same inputs always give the same decisions. The interface (inputs,
@@ -6,7 +6,7 @@
 // measure.go. None of these decides anything.
 // How it is laid out: the rules for one req, in order; what the rules ask (targets, room, health, cold
 // servers); the hot keys and their shares; the slot table; the inputs.
-package choice
+package routing
 
 import (
 	"cmp"
--- a/choice/fleet_test.go
+++ b/core/routing/fleet_test.go
@@ -1,4 +1,4 @@
-package choice
+package routing
 
 import (
 	"container/heap"
--- a/choice/state.go
+++ b/core/routing/state.go
@@ -1,4 +1,4 @@
-package choice
+package routing
 
 // The state of a router, grouped by how long it lives. It is plain data; choice.go decides.
 
--- a/choice/types.go
+++ b/core/routing/types.go
@@ -1,6 +1,6 @@
-// Package choice decides, for one router of a fleet of cache servers, what becomes of each req.
+// Package routing decides, for one router of a fleet of cache servers, what becomes of each req.
 // This file holds the plain types of its inputs and decisions; every decision is in choice.go.
-package choice
+package routing
 
 // Micros is a clock time or a span in whole microseconds.
 type Micros int64
--- a/parts/parts.go
+++ b/core/sharelease/sharelease.go
@@ -1,4 +1,4 @@
-// Package parts decides which part of what all routers may send together is one router's. It does no I/O and knows no
+// Package sharelease decides which part of what all routers may send together is one router's. It does no I/O and knows no
 // clock: the time is an argument, in microseconds of this process's own clock that never goes back.
 //
 // Each of N seats owns 1/N. An eighth of that it keeps always; the rest it may lend, an equal piece to each other seat,
@@ -9,7 +9,7 @@
 // Nothing is ever taken from who does not answer: of two that do not hear each other none can tell whether the other has
 // ended, and what one may take then, the other would have to leave unused. So the sum over all routers of what they hold
 // is never over the whole, as long as a seat has one living process.
-package parts
+package sharelease
 
 import (
 	"cmp"
--- a/parts/parts_test.go
+++ b/core/sharelease/sharelease_test.go
@@ -1,4 +1,4 @@
-package parts
+package sharelease
 
 import (
 	"fmt"
--- a/siteplan/plan.go
+++ b/core/sitefailover/plan.go
@@ -1,14 +1,14 @@
-// Package siteplan decides what a fleet does when a whole site is lost: which site counts as lost and when it is back, how
+// Package sitefailover decides what a fleet does when a whole site is lost: which site counts as lost and when it is back, how
 // much of its keys a returning site has, and what all routers refuse meanwhile. It does no I/O and knows no clock; the
 // time is an argument, in microseconds of a clock that never goes back.
 //
-// One process decides, the leader of the keepers (package accord): each router's report comes with its asking, and the
+// One process decides, the leader of the keepers (package policycommit): each router's report comes with its asking, and the
 // orders go out with the grants, so that all routers keep to the same ones. What a site counts as is an entry of the
 // keepers' log, and outlives the leader. A router that has had no orders for a while goes by its own evidence.
 //
-// The files: this one what operators plan and what is ruled on a site; chief.go the leader's side; shed.go what is let in;
+// The files: this one what operators plan and what is ruled on a site; coordinator.go the leader's side; shed.go what is let in;
 // rehearse.go what a loss would be like, beforehand.
-package siteplan
+package sitefailover
 
 import (
 	"cmp"
--- a/siteplan/shed.go
+++ b/core/sitefailover/shed.go
@@ -1,4 +1,4 @@
-package siteplan
+package sitefailover
 
 import (
 	"cmp"
--- a/staleness/staleness.go
+++ b/core/staleness/staleness.go
@@ -1,34 +1,34 @@
 // Package staleness decides how much of what a router knew still counts after a restart. It does no I/O and takes the time
-// as an argument; package choice gives the knowledge and takes what is left of it.
+// as an argument; package routing gives the knowledge and takes what is left of it.
 //
 // Every kind of figure has a half-life, and ages by the time of its own evidence: what was restored and not seen anew
 // keeps its time, so that a row of restarts makes nothing younger. Weights fall smoothly to nothing, where the prior of
-// package choice (no answers measured yet) stands in.
+// package routing (no answers measured yet) stands in.
 package staleness
 
 import (
 	"math"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // Half-lives. Each is some times as long as the figure takes to be measured anew, and short against the time in which it
 // changes by itself.
 const (
-	Times   choice.Micros = 10 * 60e6 // service times: machines keep their speed for hours, but neighbours come and go
-	Quick   choice.Micros = 60 * 60e6 // the quickest time: what tells crowding from a slow method
-	Rates   choice.Micros = 60e6      // of traffic and answers: a crest lasts minutes
-	Health  choice.Micros = 15e6      // failures in a row, and being set aside: some trials long
-	HotKeys choice.Micros = 60e6      // hot keys cool within minutes
-	Budget  choice.Micros = 30e6      // the retry budget, towards a new router's
+	Times   routing.Micros = 10 * 60e6 // service times: machines keep their speed for hours, but neighbours come and go
+	Quick   routing.Micros = 60 * 60e6 // the quickest time: what tells crowding from a slow method
+	Rates   routing.Micros = 60e6      // of traffic and answers: a crest lasts minutes
+	Health  routing.Micros = 15e6      // failures in a row, and being set aside: some trials long
+	HotKeys routing.Micros = 60e6      // hot keys cool within minutes
+	Budget  routing.Micros = 30e6      // the retry budget, towards a new router's
 )
 
 // Unknown is the age of evidence from the future: the clock was set back, and by how much nobody can tell. It leaves
 // an eighth of the times and nothing that changes within minutes.
-const Unknown choice.Micros = 30 * 60e6
+const Unknown routing.Micros = 30 * 60e6
 
 // MostWatched is how long rates count as watched at most: some times the longest span of a rate.
-const MostWatched choice.Micros = 60e6
+const MostWatched routing.Micros = 60e6
 
 // Least is the weight under which a figure is dropped: of 32 answers one is left.
 const Least = 1.0 / 32
@@ -36,7 +36,7 @@
 const newBudget = 10 // of a router that has just started
 
 // Age is how old evidence is.
-func Age(now, at choice.Micros) choice.Micros {
+func Age(now, at routing.Micros) routing.Micros {
 	if at > now {
 		return Unknown
 	}
@@ -44,7 +44,7 @@
 }
 
 // Weight is what evidence of an age counts, from one to nothing.
-func Weight(age, halfLife choice.Micros) float64 {
+func Weight(age, halfLife routing.Micros) float64 {
 	w := math.Exp2(-float64(age) / float64(halfLife))
 	if w < Least {
 		return 0
@@ -53,13 +53,13 @@
 }
 
 // Fade is what is left of knowledge at a time. The knowledge given is not changed.
-func Fade(k choice.Knowledge, now choice.Micros) choice.Knowledge {
+func Fade(k routing.Knowledge, now routing.Micros) routing.Knowledge {
 	age := Age(now, k.At)
 	out := k
 	out.Seen = times(k.Seen, age)
 	rates := Weight(age, Rates)
 	// The rates themselves stay: what fades is for how long they count as watched.
-	out.Span = choice.Micros(rates * float64(min(max(k.Span, 0), MostWatched)))
+	out.Span = routing.Micros(rates * float64(min(max(k.Span, 0), MostWatched)))
 	out.Retries = newBudget - Weight(age, Budget)*max(0, newBudget-k.Retries)
 	hot := Weight(age, HotKeys)
 	out.Reads = hot * k.Reads
@@ -71,7 +71,7 @@
 	}
 	out.Methods = nil
 	for _, t := range k.Methods {
-		out.Methods = append(out.Methods, choice.Micros(Weight(age, Times)*float64(t)))
+		out.Methods = append(out.Methods, routing.Micros(Weight(age, Times)*float64(t)))
 	}
 	out.Servers = nil
 	for _, s := range k.Servers {
@@ -83,7 +83,7 @@
 }
 
 // server fades by the time of its own evidence; false where nothing is left.
-func server(s choice.ServerKnowledge, now choice.Micros) (choice.ServerKnowledge, bool) {
+func server(s routing.ServerKnowledge, now routing.Micros) (routing.ServerKnowledge, bool) {
 	age := Age(now, s.At)
 	s.Times = times(s.Times, age)
 	s.Rate *= Weight(age, Rates)
@@ -100,11 +100,11 @@
 }
 
 // times fades a gauge: fewer answers, and the quickest time goes over into the usual one.
-func times(t choice.Times, age choice.Micros) choice.Times {
+func times(t routing.Times, age routing.Micros) routing.Times {
 	t.N = int(Weight(age, Times) * float64(max(0, t.N)))
 	if t.N == 0 {
-		return choice.Times{}
+		return routing.Times{}
 	}
-	t.Best += choice.Micros((1 - Weight(age, Quick)) * float64(max(0, t.Long-t.Best)))
+	t.Best += routing.Micros((1 - Weight(age, Quick)) * float64(max(0, t.Long-t.Best)))
 	return t
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,7 @@
 	"os"
 	"strconv"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/settings"
 )
 
@@ -21,7 +21,7 @@
 	Admin     string // the operators' door; empty: there is none
 	Discovery string
 	Seed      uint64
-	Settings  choice.Settings
+	Settings  routing.Settings
 	Known     json.RawMessage // the list as this router last had it, in discovery's form
 	Limits    Limits
 	Seat      int      // which of the routers it is, from 0
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // A deployment has one of two shapes: clients reach a pool of routers, or each client process has a router of its own.
@@ -14,7 +14,7 @@
 // mixed tells of settings that are of both. A mixed file is mostly one that was half moved: it serves, and only its figures
 // tell. But there are customers who mean it (copies beside lists without sizes, sizes without copies), and a router that
 // refused to start there served nobody: a start only warns, and spurtrestle check refuses.
-func mixed(s choice.Settings) error {
+func mixed(s routing.Settings) error {
 	const own = "policy-limits.parallel-tries is true, as where each client process has a router of its own"
 	for _, c := range []struct {
 		wrong             bool
@@ -37,7 +37,7 @@
 }
 
 // checkFees refuses what is no price.
-func checkFees(s choice.Settings) error {
+func checkFees(s routing.Settings) error {
 	for _, f := range []struct {
 		key string
 		fee float64
--- a/internal/keeper/keeper.go
+++ b/internal/controlplane/controlplane.go
@@ -1,9 +1,9 @@
-// Package keeper keeps a router to the policy of its fleet: each router holds what the keepers have decided (package
-// accord), and some routers are keepers, which decide it in a log that hashicorp/raft replicates. Asking and answering go by
-// the words of the fleet (package peers). Nothing here is ever waited for by the router's loop.
+// Package controlplane keeps a router to the policy of its fleet: each router holds what the keepers have decided (package
+// policycommit), and some routers are keepers, which decide it in a log that hashicorp/raft replicates. Asking and answering go by
+// the words of the fleet (package gossip). Nothing here is ever waited for by the router's loop.
 //
 // The files: this one the router's side and the leader's; log.go the replicated log; door.go what operators ask.
-package keeper
+package controlplane
 
 import (
 	"encoding/json"
@@ -14,11 +14,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/accord"
-	"spurtrestle/choice"
-	"spurtrestle/internal/place"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sitefailover"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/policy"
-	"spurtrestle/siteplan"
 )
 
 // Config is how a router takes part.
@@ -27,7 +27,7 @@
 	Serves  bool     // it goes on under what it has where it cannot reach the keepers
 	Keepers []string // names of routers
 	Log     LogConfig
-	Own     choice.Settings
+	Own     routing.Settings
 	Site    string
 	Sites   []string // all that the settings have; none: they tell nothing of them
 	Refused func(field, what, remedy string) error
@@ -39,7 +39,7 @@
 // Router is the router that is kept to the policy. All may be called from any goroutine, but the loop's.
 type Router interface {
 	// SetPolicy has it decide by other settings, with these cache servers out. It is in force once it returns nil.
-	SetPolicy(s choice.Settings, out []string) error
+	SetPolicy(s routing.Settings, out []string) error
 	// MayTake has it take new reqs until a time: zero for ever, one that is past not at all.
 	MayTake(until time.Time)
 	// SetExtra adds to its part of what all may send together, until a time.
@@ -49,29 +49,29 @@
 	Inherit(func([]byte))
 	// SitePlan has it keep to what the fleet does about a lost site, until a time, and tells its load of late. It is in
 	// force once the error is nil.
-	SitePlan(p choice.Planned, until time.Time) (choice.Figures, error)
+	SitePlan(p routing.Planned, until time.Time) (routing.Figures, error)
 }
 
 // Keeper is a router's side. Close ends it.
 type Keeper struct {
 	cfg    Config
 	router Router
-	fleet  place.Talk
+	fleet  fleet.Talk
 	log    *logrus.Logger
 	start  time.Time
 	build  string
 
 	mu       sync.Mutex
-	holder   *accord.Holder
-	council  *accord.Council // nil: this one does not lead
-	book     *log            // nil: this one is no keeper, or not yet
+	holder   *policycommit.Holder
+	council  *policycommit.Council // nil: this one does not lead
+	book     *log                  // nil: this one is no keeper, or not yet
 	asks     []ask
-	wants    map[accord.Token][]waiting   // who waits for a verdict
-	calls    map[uint64]chan accord.Reply // of operators, at this router
-	entering map[accord.Name]accord.Micros
-	inForce  accord.Revision // that the loop decides by
-	extra    float64         // as last granted
-	cannot   string          // why it cannot hold what is in force
+	wants    map[policycommit.Token][]waiting   // who waits for a verdict
+	calls    map[uint64]chan policycommit.Reply // of operators, at this router
+	entering map[policycommit.Name]policycommit.Micros
+	inForce  policycommit.Revision // that the loop decides by
+	extra    float64               // as last granted
+	cannot   string                // why it cannot hold what is in force
 	sites    sites
 
 	kick  chan struct{}
@@ -80,22 +80,24 @@
 }
 
 type ask struct {
-	accord.Renewal
-	from place.Process
+	policycommit.Renewal
+	from fleet.Process
 }
 
 type waiting struct {
-	from place.Process
+	from fleet.Process
 	id   uint64
 }
 
-func (k *Keeper) micros() accord.Micros { return accord.Micros(time.Since(k.start) / time.Microsecond) }
+func (k *Keeper) micros() policycommit.Micros {
+	return policycommit.Micros(time.Since(k.start) / time.Microsecond)
+}
 
 // Open begins to hold the fleet's policy, and to keep it where this router is a keeper.
-func Open(cfg Config, process place.Process, build string, router Router, fleet place.Talk, logger *logrus.Logger) (*Keeper, error) {
-	k := &Keeper{cfg: cfg, router: router, fleet: fleet, log: logger, start: time.Now(), build: build, wants: map[accord.Token][]waiting{}, calls: map[uint64]chan accord.Reply{},
-		entering: map[accord.Name]accord.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
-	k.holder = accord.NewHolder(accord.DefaultRules(), accord.Name(cfg.Name), accord.Process(process), cfg.Serves, build, k.check)
+func Open(cfg Config, process fleet.Process, build string, router Router, transport fleet.Talk, logger *logrus.Logger) (*Keeper, error) {
+	k := &Keeper{cfg: cfg, router: router, fleet: transport, log: logger, start: time.Now(), build: build, wants: map[policycommit.Token][]waiting{}, calls: map[uint64]chan policycommit.Reply{},
+		entering: map[policycommit.Name]policycommit.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
+	k.holder = policycommit.NewHolder(policycommit.DefaultRules(), policycommit.Name(cfg.Name), policycommit.Process(process), cfg.Serves, build, k.check)
 	if cfg.keeps() {
 		book, err := openLog(cfg.Log, cfg.Name, logger)
 		if err != nil {
@@ -105,7 +107,7 @@
 	}
 	router.MayTake(time.Unix(0, 1)) // not before it is told what is in force
 	router.Inherit(k.inherit)
-	fleet.Hear(k.heard)
+	transport.Hear(k.heard)
 	k.ended.Go(k.run)
 	k.ended.Go(k.tendSites)
 	if k.book != nil {
@@ -125,10 +127,10 @@
 }
 
 // rules are those by which this leader waits: nothing is in hand for longer than the longest deadline.
-func (k *Keeper) rules() accord.Rules {
-	r := accord.DefaultRules()
+func (k *Keeper) rules() policycommit.Rules {
+	r := policycommit.DefaultRules()
 	for _, m := range k.cfg.Own.Methods {
-		r.Rest = max(r.Rest, accord.Micros(m.Deadline)+1e6)
+		r.Rest = max(r.Rest, policycommit.Micros(m.Deadline)+1e6)
 	}
 	return r
 }
@@ -139,7 +141,7 @@
 	return err
 }
 
-func (k *Keeper) settings(doc string) (s choice.Settings, out []string, plan siteplan.Plan, err error) {
+func (k *Keeper) settings(doc string) (s routing.Settings, out []string, plan sitefailover.Plan, err error) {
 	if doc == "" { // revision 0: its own
 		return k.cfg.Own, nil, plan, nil
 	}
@@ -174,23 +176,23 @@
 
 // what one router's keeper tells another's.
 type said struct {
-	Renewal *accord.Renewal `json:"r,omitempty"`
-	Grant   *accord.Grant   `json:"g,omitempty"`
-	Request *accord.Request `json:"q,omitempty"`
-	Reply   *accord.Reply   `json:"a,omitempty"`
-	Welcome string          `json:"w,omitempty"` // to a keeper whose folder may vote: its number
-
-	Report *siteplan.Report `json:"s,omitempty"` // with a renewal
-	Orders *siteplan.Orders `json:"o,omitempty"` // with a grant
+	Renewal *policycommit.Renewal `json:"r,omitempty"`
+	Grant   *policycommit.Grant   `json:"g,omitempty"`
+	Request *policycommit.Request `json:"q,omitempty"`
+	Reply   *policycommit.Reply   `json:"a,omitempty"`
+	Welcome string                `json:"w,omitempty"` // to a keeper whose folder may vote: its number
+
+	Report *sitefailover.Report `json:"s,omitempty"` // with a renewal
+	Orders *sitefailover.Orders `json:"o,omitempty"` // with a grant
 }
 
-func (k *Keeper) tell(to place.Process, s said) {
+func (k *Keeper) tell(to fleet.Process, s said) {
 	body, _ := json.Marshal(s) // plain fields: it cannot fail
 	k.fleet.Tell(to, body)
 }
 
 // heard takes in what another keeper or router says; it must not wait.
-func (k *Keeper) heard(from place.Process, body []byte) {
+func (k *Keeper) heard(from fleet.Process, body []byte) {
 	var s said
 	if json.Unmarshal(body, &s) != nil {
 		return
@@ -217,9 +219,9 @@
 }
 
 // granted is called with the lock held.
-func (k *Keeper) granted(g accord.Grant) {
+func (k *Keeper) granted(g policycommit.Grant) {
 	adopt, news := k.holder.Granted(k.micros(), g)
-	if g.Process == accord.Process(k.fleet.Me()) {
+	if g.Process == policycommit.Process(k.fleet.Me()) {
 		k.extra = g.Extra
 		k.router.SetExtra(g.Extra, k.start.Add(time.Duration(g.At+g.For)*time.Microsecond))
 	}
@@ -249,19 +251,19 @@
 	if !ok || k.cannot != "" || k.inForce != b.Revision {
 		return nil
 	}
-	b.For += accord.Micros(place.Monotonic())
+	b.For += policycommit.Micros(fleet.Monotonic())
 	text, _ := json.Marshal(b) // plain fields: it cannot fail
 	return text
 }
 
 func (k *Keeper) inherit(text []byte) {
-	var b accord.Bequest
+	var b policycommit.Bequest
 	if json.Unmarshal(text, &b) != nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b.For -= accord.Micros(place.Monotonic())
+	b.For -= policycommit.Micros(fleet.Monotonic())
 	if k.holder.Inherit(k.micros(), b) {
 		go k.adopt(b.Revision, b.Doc)
 	}
@@ -269,7 +271,7 @@
 }
 
 // adopt puts a revision into force. Until it is, the router takes nothing.
-func (k *Keeper) adopt(revision accord.Revision, doc string) {
+func (k *Keeper) adopt(revision policycommit.Revision, doc string) {
 	k.router.MayTake(time.Unix(0, 1))
 	s, out, plan, err := k.settings(doc)
 	if err == nil {
@@ -294,7 +296,7 @@
 	k.inForce, k.sites.plan = revision, plan
 	k.wake() // it takes reqs again at once: by the next look ten milliseconds of the fleet were lost in each change
 	k.fleet.Holds(uint64(revision))
-	k.log.WithFields(logrus.Fields{"revision": uint64(revision), "mono_us": place.Monotonic()}).Info("policy: in force")
+	k.log.WithFields(logrus.Fields{"revision": uint64(revision), "mono_us": fleet.Monotonic()}).Info("policy: in force")
 }
 
 func (k *Keeper) step() {
@@ -323,7 +325,7 @@
 	}
 	if k.book != nil {
 		number, last, member := k.book.last()
-		k.fleet.Keeps(place.Keeping{Folder: number, Addr: k.cfg.Log.Advertise.String(), Member: member, Last: last})
+		k.fleet.Keeps(fleet.Keeping{Folder: number, Addr: k.cfg.Log.Advertise.String(), Member: member, Last: last})
 	}
 }
 
@@ -333,10 +335,10 @@
 	k.mu.Lock()
 	if leads != (k.council != nil) {
 		if k.council = nil; leads {
-			k.council = accord.NewCouncil(k.micros(), k.rules(), k.cfg.Own.Routers)
+			k.council = policycommit.NewCouncil(k.micros(), k.rules(), k.cfg.Own.Routers)
 			// What an earlier time as leader left is old.
 			s := &k.sites
-			s.chief, s.reports, s.given, s.stepped = siteplan.NewChief(siteplan.Micros(k.micros())), nil, nil, -leadEach
+			s.chief, s.reports, s.given, s.stepped = sitefailover.NewChief(sitefailover.Micros(k.micros())), nil, nil, -leadEach
 		}
 		k.asks = nil
 		k.fleet.Leads(leads)
@@ -386,7 +388,7 @@
 		delete(k.wants, token)
 		k.mu.Unlock()
 		for _, w := range waits {
-			k.tell(w.from, said{Reply: &accord.Reply{ID: w.id, Verdict: &v}})
+			k.tell(w.from, said{Reply: &policycommit.Reply{ID: w.id, Verdict: &v}})
 		}
 	}
 }
@@ -438,17 +440,17 @@
 
 // Held is what a router holds.
 type Held struct {
-	Revision accord.Revision `json:"revision"`
-	InForce  accord.Revision `json:"in_force"`
-	Known    bool            `json:"known"`
-	Takes    bool            `json:"may_take"`
-	Cannot   string          `json:"cannot,omitempty"`
-	Prepared accord.Token    `json:"prepared,omitempty"`
-	CutOff   string          `json:"cut_off"`
-	Keeper   bool            `json:"keeper"`
-	Leads    bool            `json:"leads"`
-	Extra    float64         `json:"extra"` // of what all may send together, of lost routers
-	Folder   string          `json:"folder,omitempty"`
-
-	Orders *siteplan.Orders `json:"orders,omitempty"` // about sites, from the leader
+	Revision policycommit.Revision `json:"revision"`
+	InForce  policycommit.Revision `json:"in_force"`
+	Known    bool                  `json:"known"`
+	Takes    bool                  `json:"may_take"`
+	Cannot   string                `json:"cannot,omitempty"`
+	Prepared policycommit.Token    `json:"prepared,omitempty"`
+	CutOff   string                `json:"cut_off"`
+	Keeper   bool                  `json:"keeper"`
+	Leads    bool                  `json:"leads"`
+	Extra    float64               `json:"extra"` // of what all may send together, of lost routers
+	Folder   string                `json:"folder,omitempty"`
+
+	Orders *sitefailover.Orders `json:"orders,omitempty"` // about sites, from the leader
 }
--- a/internal/keeper/disk.go
+++ b/internal/controlplane/disk.go
@@ -1,4 +1,4 @@
-package keeper
+package controlplane
 
 import (
 	"github.com/hashicorp/raft"
--- a/internal/keeper/door.go
+++ b/internal/controlplane/door.go
@@ -1,4 +1,4 @@
-package keeper
+package controlplane
 
 import (
 	"encoding/json"
@@ -8,13 +8,13 @@
 	"strconv"
 	"time"
 
-	"spurtrestle/accord"
-	"spurtrestle/internal/place"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/internal/fleet"
 )
 
 // Ask asks the leader for an operator and waits for the answer.
 func (k *Keeper) Ask(text string) (string, error) {
-	var q accord.Request
+	var q policycommit.Request
 	if err := json.Unmarshal([]byte(text), &q); err != nil {
 		return "", fmt.Errorf("what is asked cannot be read: %w", err)
 	}
@@ -27,7 +27,7 @@
 			return "", err
 		}
 	}
-	came := make(chan accord.Reply, 1)
+	came := make(chan policycommit.Reply, 1)
 	k.mu.Lock()
 	k.calls[q.ID] = came
 	k.mu.Unlock()
@@ -54,7 +54,7 @@
 }
 
 // replied is called with the lock held.
-func (k *Keeper) replied(r accord.Reply) {
+func (k *Keeper) replied(r policycommit.Reply) {
 	select {
 	case k.calls[r.ID] <- r:
 	default:
@@ -62,14 +62,14 @@
 }
 
 // serve answers what an operator asked at another router, or this one, where this keeper leads.
-func (k *Keeper) serve(from place.Process, q accord.Request) {
+func (k *Keeper) serve(from fleet.Process, q policycommit.Request) {
 	k.mu.Lock()
 	book, council := k.book, k.council
 	k.mu.Unlock()
 	if council == nil || book == nil {
 		return
 	}
-	reply := func(r accord.Reply) {
+	reply := func(r policycommit.Reply) {
 		r.ID = q.ID
 		k.tell(from, said{Reply: &r})
 	}
@@ -78,7 +78,7 @@
 	case "apply":
 		b := book.now()
 		if v, over := b.Verdicts[q.Token]; over {
-			reply(accord.Reply{Verdict: &v})
+			reply(policycommit.Reply{Verdict: &v})
 			return
 		}
 		k.mu.Lock()
@@ -88,10 +88,10 @@
 		if asked || b.Pending != nil && b.Pending.Token == q.Token {
 			return
 		}
-		_ = book.put(accord.Entry{Kind: accord.Propose, Token: q.Token, Base: q.Base, Doc: q.Doc, Author: q.Author, Reason: q.Reason, At: q.At}) // asked again
+		_ = book.put(policycommit.Entry{Kind: policycommit.Propose, Token: q.Token, Base: q.Base, Doc: q.Doc, Author: q.Author, Reason: q.Reason, At: q.At}) // asked again
 		return
 	case "dead":
-		err = book.put(accord.Entry{Kind: accord.Dead, Name: accord.Name(q.Name), Author: q.Author, Reason: q.Reason, At: q.At})
+		err = book.put(policycommit.Entry{Kind: policycommit.Dead, Name: policycommit.Name(q.Name), Author: q.Author, Reason: q.Reason, At: q.At})
 		k.log.WithFields(map[string]any{"router": q.Name, "by": q.Author, "reason": q.Reason}).Warn("policy: an operator says that a router is dead")
 	case "replace":
 		err = book.replace(q.Name)
@@ -104,7 +104,7 @@
 	if err == nil && !book.confirmed() {
 		return // another leads: it will be asked
 	}
-	r := accord.Reply{}
+	r := policycommit.Reply{}
 	if err != nil {
 		r.Error = err.Error()
 	}
@@ -154,7 +154,7 @@
 }
 
 // welcome tells a keeper that its folder may take part.
-func (k *Keeper) welcome(x place.Keeping) {
+func (k *Keeper) welcome(x fleet.Keeping) {
 	k.tell(x.Process, said{Welcome: strconv.FormatUint(x.Folder, 16)})
 }
 
--- a/internal/keeper/log.go
+++ b/internal/controlplane/log.go
@@ -1,4 +1,4 @@
-package keeper
+package controlplane
 
 import (
 	"encoding/json"
@@ -22,8 +22,8 @@
 	"github.com/sirupsen/logrus"
 	"go.etcd.io/bbolt"
 
-	"spurtrestle/accord"
-	"spurtrestle/internal/place"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/internal/fleet"
 )
 
 // LogConfig is where a keeper keeps the log, and is reached for it.
@@ -45,8 +45,8 @@
 	full atomic.Pointer[string] // its folder cannot be written; nil: it can
 	raft *raft.Raft
 	ends []func() error
-	book *accord.Book
-	done map[accord.Token]accord.Verdict // since the last look
+	book *policycommit.Book
+	done map[policycommit.Token]policycommit.Verdict // since the last look
 
 	barrier uint64 // the term in which all that was decided before is in the book
 }
@@ -68,7 +68,7 @@
 var errPutBack = errors.New("was put back, or lost")
 
 func openLog(cfg LogConfig, name string, out *logrus.Logger) (*log, error) {
-	l := &log{cfg: cfg, out: out, book: &accord.Book{}, done: map[accord.Token]accord.Verdict{}, why: "it has not been welcomed yet"}
+	l := &log{cfg: cfg, out: out, book: &policycommit.Book{}, done: map[policycommit.Token]policycommit.Verdict{}, why: "it has not been welcomed yet"}
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return nil, err
 	}
@@ -244,7 +244,7 @@
 }
 
 // put adds an entry, and waits until it is in the book; an error: it may be there or not.
-func (l *log) put(e accord.Entry) error {
+func (l *log) put(e policycommit.Entry) error {
 	node := l.node()
 	if node == nil {
 		return errNoLeader
@@ -257,30 +257,30 @@
 }
 
 // now is the book as it stands.
-func (l *log) now() *accord.Book {
+func (l *log) now() *policycommit.Book {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.book.Clone()
 }
 
 // verdicts are those that have come since the last call.
-func (l *log) verdicts() map[accord.Token]accord.Verdict {
+func (l *log) verdicts() map[policycommit.Token]policycommit.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.done
-	l.done = map[accord.Token]accord.Verdict{}
+	l.done = map[policycommit.Token]policycommit.Verdict{}
 	return all
 }
 
 // Apply is called by raft with each entry, in order.
 func (l *log) Apply(entry *raft.Log) any {
-	var e accord.Entry
+	var e policycommit.Entry
 	if json.Unmarshal(entry.Data, &e) != nil {
 		return nil // of a later build: it is told apart by its documents, which are refused by field
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if v, ok := l.book.Apply(accord.Index(entry.Index), e); ok {
+	if v, ok := l.book.Apply(policycommit.Index(entry.Index), e); ok {
 		l.done[e.Token] = v
 	}
 	return nil
@@ -292,7 +292,7 @@
 // Restore is called by raft.
 func (l *log) Restore(from io.ReadCloser) error {
 	defer from.Close()
-	b := &accord.Book{}
+	b := &policycommit.Book{}
 	if err := json.NewDecoder(from).Decode(b); err != nil {
 		return err
 	}
@@ -302,7 +302,7 @@
 	return nil
 }
 
-type snapshot struct{ *accord.Book }
+type snapshot struct{ *policycommit.Book }
 
 func (s snapshot) Persist(to raft.SnapshotSink) error {
 	if err := json.NewEncoder(to).Encode(s.Book); err != nil {
@@ -314,7 +314,7 @@
 func (s snapshot) Release() {}
 
 // tend takes up keepers that the file names and that were never there, one at a time.
-func (l *log) tend(fleet place.Talk, names []string, welcome func(place.Keeping)) {
+func (l *log) tend(transport fleet.Talk, names []string, welcome func(fleet.Keeping)) {
 	node := l.node()
 	f := node.GetConfiguration()
 	if f.Error() != nil {
@@ -324,7 +324,7 @@
 	for _, s := range f.Configuration().Servers {
 		have[nameOf(s.ID)] = s
 	}
-	for _, k := range fleet.Keepers() {
+	for _, k := range transport.Keepers() {
 		if _, there := have[k.Name]; there || k.Folder == 0 {
 			continue
 		}
--- a/internal/keeper/sites.go
+++ b/internal/controlplane/sites.go
@@ -1,4 +1,4 @@
-package keeper
+package controlplane
 
 import (
 	"slices"
@@ -6,30 +6,30 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/accord"
-	"spurtrestle/choice"
-	"spurtrestle/internal/place"
-	"spurtrestle/siteplan"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sitefailover"
+	"spurtrestle/internal/fleet"
 )
 
-// sites is what a router does about the loss of a site (package siteplan), and the leader's part of it.
+// sites is what a router does about the loss of a site (package sitefailover), and the leader's part of it.
 type sites struct {
-	plan   siteplan.Plan // of the policy in force here
-	memory siteplan.Memory
-	report *siteplan.Report // of late; nil: nothing is planned
-	orders siteplan.Orders  // as last told
-	came   accord.Micros    // when; 0: never
+	plan   sitefailover.Plan // of the policy in force here
+	memory sitefailover.Memory
+	report *sitefailover.Report // of late; nil: nothing is planned
+	orders sitefailover.Orders  // as last told
+	came   policycommit.Micros  // when; 0: never
 
-	chief   *siteplan.Chief
-	stepped accord.Micros
-	ruled   accord.Micros // when an entry was last asked for
-	given   *siteplan.Orders
-	reports map[accord.Name]reported
+	chief   *sitefailover.Chief
+	stepped policycommit.Micros
+	ruled   policycommit.Micros // when an entry was last asked for
+	given   *sitefailover.Orders
+	reports map[policycommit.Name]reported
 }
 
 type reported struct {
-	siteplan.Report
-	at accord.Micros
+	sitefailover.Report
+	at policycommit.Micros
 }
 
 const (
@@ -43,7 +43,7 @@
 
 // tendSites looks at the router's load, and has it keep to what the leader orders.
 func (k *Keeper) tendSites() {
-	var last *choice.Planned
+	var last *routing.Planned
 	for t := time.NewTicker(look); ; {
 		select {
 		case <-k.stop:
@@ -55,7 +55,7 @@
 		s := &k.sites
 		on, orders, until := s.plan.On(), s.orders, s.came+ordersLast
 		if !on || s.came == 0 || k.micros() >= until {
-			orders = siteplan.Orders{}
+			orders = sitefailover.Orders{}
 		}
 		if !on {
 			s.report = nil
@@ -75,47 +75,47 @@
 			continue
 		}
 		k.mu.Lock()
-		r := siteplan.Report{Site: siteplan.Site(k.cfg.Site), Let: f.Ended, Lost: f.GivenUp, Worth: f.Worth, Missed: f.WorthLost, Origin: f.Origin, Target: orders.Target}
+		r := sitefailover.Report{Site: sitefailover.Site(k.cfg.Site), Let: f.Ended, Lost: f.GivenUp, Worth: f.Worth, Missed: f.WorthLost, Origin: f.Origin, Target: orders.Target}
 		for _, o := range f.Offered {
 			if o.Rate >= 0.05 { // a second; less says nothing, and makes a packet long
-				r.Offered = append(r.Offered, siteplan.Offer{Rank: siteplan.Rank(o.Rank), Rate: o.Rate})
+				r.Offered = append(r.Offered, sitefailover.Offer{Rank: sitefailover.Rank(o.Rank), Rate: o.Rate})
 			}
 		}
 		for _, z := range f.Zones {
-			r.Seen = append(r.Seen, siteplan.Seen{Site: siteplan.Site(z.Zone), Listed: z.Listed, Silent: z.Silent, Answers: z.Answers})
+			r.Seen = append(r.Seen, sitefailover.Seen{Site: sitefailover.Site(z.Zone), Listed: z.Listed, Silent: z.Silent, Answers: z.Answers})
 		}
-		r.Seen = s.memory.Note(siteplan.Micros(k.micros()), r.Seen)
+		r.Seen = s.memory.Note(sitefailover.Micros(k.micros()), r.Seen)
 		s.report = &r
 		k.mu.Unlock()
 	}
 }
 
-func planned(o siteplan.Orders) choice.Planned {
-	p := choice.Planned{Least: choice.Rank(o.Least), Some: o.Some, Back: choice.Micros(o.Back), Fetches: o.Fetches}
+func planned(o sitefailover.Orders) routing.Planned {
+	p := routing.Planned{Least: routing.Rank(o.Least), Some: o.Some, Back: routing.Micros(o.Back), Fetches: o.Fetches}
 	for _, s := range o.Spare {
-		p.Spare = append(p.Spare, choice.ZonePart{Zone: choice.Zone(s.Site), Part: s.Part})
+		p.Spare = append(p.Spare, routing.ZonePart{Zone: routing.Zone(s.Site), Part: s.Part})
 	}
 	for _, s := range o.Shares {
-		p.Parts = append(p.Parts, choice.ZonePart{Zone: choice.Zone(s.Site), Part: s.Part})
+		p.Parts = append(p.Parts, routing.ZonePart{Zone: routing.Zone(s.Site), Part: s.Part})
 	}
 	return p
 }
 
 // reported is called with the lock held, at who leads.
-func (k *Keeper) reported(name accord.Name, r *siteplan.Report) {
+func (k *Keeper) reported(name policycommit.Name, r *sitefailover.Report) {
 	if r == nil {
 		return
 	}
 	if k.sites.reports == nil {
-		k.sites.reports = map[accord.Name]reported{}
+		k.sites.reports = map[policycommit.Name]reported{}
 	}
 	k.sites.reports[name] = reported{*r, k.micros()}
 }
 
 // ordered is called with the lock held.
-func (k *Keeper) ordered(o *siteplan.Orders) {
+func (k *Keeper) ordered(o *sitefailover.Orders) {
 	if k.sites.came = k.micros(); o == nil {
-		k.sites.orders = siteplan.Orders{}
+		k.sites.orders = sitefailover.Orders{}
 		return
 	}
 	k.sites.orders = *o
@@ -139,8 +139,8 @@
 	// none to wait for.
 	members, b := k.fleet.Members(), book.now()
 	for name, m := range b.Roster {
-		if !slices.ContainsFunc(members, func(x place.Member) bool { return x.Name == string(name) }) {
-			members = append(members, place.Member{Name: string(name), Site: m.Site})
+		if !slices.ContainsFunc(members, func(x fleet.Member) bool { return x.Name == string(name) }) {
+			members = append(members, fleet.Member{Name: string(name), Site: m.Site})
 		}
 	}
 	k.mu.Lock()
@@ -148,12 +148,12 @@
 		k.mu.Unlock()
 		return
 	}
-	var rows []siteplan.Row
+	var rows []sitefailover.Row
 	for _, m := range members {
-		last := s.reports[accord.Name(m.Name)]
-		rows = append(rows, siteplan.Row{Name: m.Name, Site: siteplan.Site(m.Site), Heard: last.at != 0 && now-last.at < heardFor, Report: last.Report})
+		last := s.reports[policycommit.Name(m.Name)]
+		rows = append(rows, sitefailover.Row{Name: m.Name, Site: sitefailover.Site(m.Site), Heard: last.at != 0 && now-last.at < heardFor, Report: last.Report})
 	}
-	orders, order := s.chief.Step(siteplan.Micros(now), &s.plan, b.Sites, rows)
+	orders, order := s.chief.Step(sitefailover.Micros(now), &s.plan, b.Sites, rows)
 	if s.given = &orders; orders.None() {
 		s.given = nil
 	}
@@ -169,12 +169,12 @@
 	}
 	order.At = time.Now().UnixMicro()
 	k.log.WithFields(logrus.Fields{"site": order.Site, "stage": order.Stage.String(), "step": order.Step + 1, "why": order.Reason,
-		"mono_us": place.Monotonic()}).Warn("site: ruling")
-	go book.put(accord.Entry{Kind: accord.Site, Order: order}) // decided anew if it does not get there
+		"mono_us": fleet.Monotonic()}).Warn("site: ruling")
+	go book.put(policycommit.Entry{Kind: policycommit.Site, Order: order}) // decided anew if it does not get there
 }
 
 // siteStatus is called at who leads.
-func (k *Keeper) siteStatus(b *accord.Book) (*siteplan.Status, string) {
+func (k *Keeper) siteStatus(b *policycommit.Book) (*sitefailover.Status, string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, doc := b.Current()
@@ -186,11 +186,11 @@
 }
 
 // siteWord carries out what an operator says of a site.
-func (k *Keeper) siteWord(book *log, q accord.Request) error {
+func (k *Keeper) siteWord(book *log, q policycommit.Request) error {
 	b := book.now()
 	k.mu.Lock()
-	plan, site := k.sites.plan, siteplan.Site(q.Name)
-	var spare []siteplan.Share
+	plan, site := k.sites.plan, sitefailover.Site(q.Name)
+	var spare []sitefailover.Share
 	if k.sites.chief != nil && q.Word == "lost" {
 		spare = k.sites.chief.Spare(&plan, site, b.Sites)
 	}
@@ -198,7 +198,7 @@
 	if r := b.Sites[site]; r.At == q.At && r.By == q.Author {
 		return nil // asked again: the answer was late
 	}
-	order, err := siteplan.Word(&plan, site, b.Sites, q.Word, q.Author, q.Reason)
+	order, err := sitefailover.Word(&plan, site, b.Sites, q.Word, q.Author, q.Reason)
 	if err != nil {
 		return err
 	}
@@ -206,5 +206,5 @@
 		order.Spare = spare
 	}
 	k.log.WithFields(logrus.Fields{"site": q.Name, "word": q.Word, "by": q.Author, "reason": q.Reason}).Warn("site: an operator's word")
-	return book.put(accord.Entry{Kind: accord.Site, Order: order})
+	return book.put(policycommit.Entry{Kind: policycommit.Site, Order: order})
 }
--- a/internal/keeper/take.go
+++ b/internal/controlplane/take.go
@@ -1,19 +1,19 @@
-package keeper
+package controlplane
 
 import (
 	"fmt"
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/operator"
-	"spurtrestle/internal/place"
 	"spurtrestle/internal/router"
 )
 
 // Take has a router hold its fleet's policy, as the operator's file says.
-func Take(p operator.Policy, at place.Config, own choice.Settings, r *router.Router, fleet place.Place, log *logrus.Logger) (place.Policy, error) {
-	talk, ok := fleet.(place.Talk)
+func Take(p operator.Policy, at fleet.Config, own routing.Settings, r *router.Router, member fleet.Place, log *logrus.Logger) (fleet.Policy, error) {
+	talk, ok := member.(fleet.Talk)
 	if !ok {
 		return nil, at.Refused("policy.cut_off", "is set, and routers of this program do not speak to one another", "leave it empty")
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // UID is a server's name in discovery, the same at every router.
@@ -22,20 +22,20 @@
 type Book struct {
 	rev   int64
 	whole bool // a whole list has come, so that the next call is a watch
-	ids   map[UID]choice.ServerID
-	uids  map[choice.ServerID]UID
-	addrs map[choice.ServerID]string
+	ids   map[UID]routing.ServerID
+	uids  map[routing.ServerID]UID
+	addrs map[routing.ServerID]string
 }
 
 // New returns an empty Book.
 func New() *Book {
-	return &Book{ids: map[UID]choice.ServerID{}, uids: map[choice.ServerID]UID{},
-		addrs: map[choice.ServerID]string{}}
+	return &Book{ids: map[UID]routing.ServerID{}, uids: map[routing.ServerID]UID{},
+		addrs: map[routing.ServerID]string{}}
 }
 
 // Call is the next call, and how long discovery may take over it: the whole list at once, then watches of the given
 // length.
-func (b *Book) Call(wait choice.Micros) (path string, most choice.Micros) {
+func (b *Book) Call(wait routing.Micros) (path string, most routing.Micros) {
 	path = "/registry/instances"
 	if !b.whole {
 		return path, 0
@@ -44,13 +44,13 @@
 }
 
 // Endpoint is where a server is reached.
-func (b *Book) Endpoint(id choice.ServerID) string { return b.addrs[id] }
+func (b *Book) Endpoint(id routing.ServerID) string { return b.addrs[id] }
 
 // UID is a server's name; empty where its number is not known.
-func (b *Book) UID(id choice.ServerID) UID { return b.uids[id] }
+func (b *Book) UID(id routing.ServerID) UID { return b.uids[id] }
 
 // ID is a server's number; false where nobody in the list has that name.
-func (b *Book) ID(uid UID) (choice.ServerID, bool) {
+func (b *Book) ID(uid UID) (routing.ServerID, bool) {
 	id, ok := b.ids[uid]
 	return id, ok
 }
@@ -75,20 +75,20 @@
 	Targets *[]target `json:"targets"`
 }
 
-var states = map[string]choice.State{"active": choice.Ready, "leaving": choice.Draining, "left": choice.Gone}
+var states = map[string]routing.State{"active": routing.Ready, "leaving": routing.Draining, "left": routing.Gone}
 
 // Saved reads the list that a router starts with; it may be old, so that the next call asks for the whole one.
-func (b *Book) Saved(body []byte) (choice.ListCame, error) {
+func (b *Book) Saved(body []byte) (routing.ListCame, error) {
 	l, err := b.Take(body)
-	l.Kind = choice.ListSaved
+	l.Kind = routing.ListSaved
 	b.whole = false
 	return l, err
 }
 
 // Take reads an answer. One that cannot be read changes nothing; an odd entry does not keep the others from counting.
-func (b *Book) Take(body []byte) (choice.ListCame, error) {
+func (b *Book) Take(body []byte) (routing.ListCame, error) {
 	var a answer
-	l := choice.ListCame{Kind: choice.ListChanges}
+	l := routing.ListCame{Kind: routing.ListChanges}
 	if err := json.Unmarshal(body, &a); err != nil {
 		return l, err
 	}
@@ -105,7 +105,7 @@
 	targets := *a.Targets
 	b.rev, b.whole = *a.Rev, b.whole || a.All
 	if a.All {
-		l.Kind = choice.ListFull
+		l.Kind = routing.ListFull
 	}
 	// In order of name, so that two names that share a number are told apart alike at every router.
 	slices.SortStableFunc(targets, func(x, y target) int { return strings.Compare(string(x.UID), string(y.UID)) })
@@ -115,7 +115,7 @@
 		}
 		state, known := states[t.State]
 		if !known {
-			state = choice.Draining // whatever it means, it does not ask for anything new
+			state = routing.Draining // whatever it means, it does not ask for anything new
 		}
 		if t.Boot < 0 || t.Boot > math.MaxInt64/2e3 {
 			t.Boot = 0
@@ -124,21 +124,21 @@
 		if t.Endpoint != "" {
 			b.addrs[id] = t.Endpoint
 		}
-		l.Entries = append(l.Entries, choice.Entry{Server: id, Zone: choice.Zone(t.Zone), Kind: choice.Kind(t.Kind),
-			Cell: choice.Cell(t.Cell), State: state, Weight: t.Weight, Started: choice.Micros(t.Boot * 1e3)})
+		l.Entries = append(l.Entries, routing.Entry{Server: id, Zone: routing.Zone(t.Zone), Kind: routing.Kind(t.Kind),
+			Cell: routing.Cell(t.Cell), State: state, Weight: t.Weight, Started: routing.Micros(t.Boot * 1e3)})
 	}
 	b.prune(l)
 	return l, nil
 }
 
 // prune forgets who is gone: servers come under ever new names.
-func (b *Book) prune(l choice.ListCame) {
-	named := map[choice.ServerID]bool{}
+func (b *Book) prune(l routing.ListCame) {
+	named := map[routing.ServerID]bool{}
 	for _, e := range l.Entries {
-		named[e.Server] = e.State != choice.Gone
+		named[e.Server] = e.State != routing.Gone
 	}
 	for uid, id := range b.ids {
-		if keep, told := named[id]; told && !keep || !told && l.Kind == choice.ListFull {
+		if keep, told := named[id]; told && !keep || !told && l.Kind == routing.ListFull {
 			delete(b.ids, uid)
 			delete(b.uids, id)
 			delete(b.addrs, id)
@@ -148,16 +148,16 @@
 
 // id is the number of a server: a hash of its name, so that it is the same at every router. Of two names with one hash
 // the later gets the next hash of its own.
-func (b *Book) id(uid UID) choice.ServerID {
+func (b *Book) id(uid UID) routing.ServerID {
 	if id, ok := b.ids[uid]; ok {
 		return id
 	}
 	h := fnv.New32a()
 	h.Write([]byte(uid))
-	id := choice.ServerID(h.Sum32())
+	id := routing.ServerID(h.Sum32())
 	for b.uids[id] != "" {
 		h.Write([]byte{0})
-		id = choice.ServerID(h.Sum32())
+		id = routing.ServerID(h.Sum32())
 	}
 	b.ids[uid], b.uids[id] = id, uid
 	return id
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 func entry(uid, more string) string {
@@ -69,7 +69,7 @@
 // The numbers are the same at every router, whatever it heard of first; two names with one hash get two numbers.
 func TestNumbersOfServers(t *testing.T) {
 	const one, other = "costarring", "liquid" // one FNV-1a hash of 32 bits
-	ids := func(lists ...[]byte) map[UID]choice.ServerID {
+	ids := func(lists ...[]byte) map[UID]routing.ServerID {
 		b := New()
 		for _, l := range lists {
 			if _, err := b.Take(l); err != nil {
--- a/internal/place/place.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,6 @@
-// Package place says how the program, the router and what keeps the router's place among the others of its fleet are
+// Package fleet says how the program, the router and what keeps the router's place among the others of its fleet are
 // joined, so that a program can be built without the latter.
-package place
+package fleet
 
 import (
 	"net/netip"
--- a/internal/place/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -1,4 +1,4 @@
-package place
+package fleet
 
 import (
 	"testing"
--- a/internal/peers/gossip.go
+++ b/internal/gossip/delegate.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"encoding/json"
@@ -9,9 +9,9 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"spurtrestle/core/membership"
+	"spurtrestle/core/sharelease"
 	"spurtrestle/internal/settings"
-	"spurtrestle/parts"
-	"spurtrestle/view"
 )
 
 // What one router tells another, by its first byte.
@@ -70,17 +70,17 @@
 	return settings.SameService(m.M, p.cfg.Methods)
 }
 
-func memberOf(node *memberlist.Node) (view.Member, error) {
+func memberOf(node *memberlist.Node) (membership.Member, error) {
 	var m meta
 	if err := json.Unmarshal(node.Meta, &m); err != nil {
-		return view.Member{}, fmt.Errorf("what %s says of itself cannot be read: %w", node.Address(), err)
+		return membership.Member{}, fmt.Errorf("what %s says of itself cannot be read: %w", node.Address(), err)
 	}
-	if m.N == "" || m.P == 0 || processOf(node) != view.Process(m.P) {
-		return view.Member{}, fmt.Errorf("what %s says of itself is not whole", node.Address())
+	if m.N == "" || m.P == 0 || processOf(node) != membership.Process(m.P) {
+		return membership.Member{}, fmt.Errorf("what %s says of itself is not whole", node.Address())
 	}
 	addr, _ := netip.AddrFromSlice(node.Addr)
-	return view.Member{Fleet: m.F, Name: view.Name(m.N), Site: view.Site(m.S), Process: view.Process(m.P), Seat: view.Seat(m.I),
-		Started: m.T, Build: m.B, Follows: view.Process(m.O), Addr: netip.AddrPortFrom(addr.Unmap(), node.Port).String()}, nil
+	return membership.Member{Fleet: m.F, Name: membership.Name(m.N), Site: membership.Site(m.S), Process: membership.Process(m.P), Seat: membership.Seat(m.I),
+		Started: m.T, Build: m.B, Follows: membership.Process(m.O), Addr: netip.AddrPortFrom(addr.Unmap(), node.Port).String()}, nil
 }
 
 // NotifyAlive refuses routers of other fleets and of other services. It is called by memberlist, as all below.
@@ -166,7 +166,7 @@
 	}
 	switch b[0] {
 	case kindWord:
-		var w view.Word
+		var w membership.Word
 		if json.Unmarshal(b[1:], &w) == nil {
 			p.said(w)
 		}
@@ -181,13 +181,13 @@
 	case kindTiers:
 		p.takeTiers(b[1:])
 	case kindParts:
-		var m parts.Message
+		var m sharelease.Message
 		if json.Unmarshal(b[1:], &m) != nil {
 			return
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if a, ok := p.parts.Take(parts.Micros(p.micros()), m); !ok {
+		if a, ok := p.parts.Take(sharelease.Micros(p.micros()), m); !ok {
 			return
 		} else if len(p.answers) < mostAnswer {
 			p.answers = append(p.answers, a)
@@ -198,7 +198,7 @@
 }
 
 // said passes on what is news.
-func (p *Peers) said(w view.Word) {
+func (p *Peers) said(w membership.Word) {
 	p.mu.Lock()
 	news := p.view.Said(p.micros(), w)
 	p.mu.Unlock()
@@ -236,11 +236,11 @@
 
 // word is one that is to be passed on; a newer one of the same process takes its place.
 type word struct {
-	view.Word
+	membership.Word
 	text []byte
 }
 
-func wordsIn(b []byte) (words []view.Word, err error) {
+func wordsIn(b []byte) (words []membership.Word, err error) {
 	switch {
 	case len(b) > mostWords*longest/8:
 		return nil, errWord
@@ -251,7 +251,7 @@
 	return words, err
 }
 
-func (p *Peers) encode(w view.Word) []byte {
+func (p *Peers) encode(w membership.Word) []byte {
 	if p.cfg.Tiered {
 		return packWord([]byte{kindPacked}, w)
 	}
@@ -259,7 +259,7 @@
 	return append([]byte{kindWord}, text...)
 }
 
-func (p *Peers) wordOf(w view.Word) word { return word{w, p.encode(w)} }
+func (p *Peers) wordOf(w membership.Word) word { return word{w, p.encode(w)} }
 
 // Name, Invalidates, Message and Finished are what memberlist's queue wants.
 func (w word) Name() string { return fmt.Sprintf("%x", uint64(w.Process)) }
--- a/internal/peers/file.go
+++ b/internal/gossip/file.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"encoding/json"
@@ -9,15 +9,15 @@
 	"path/filepath"
 	"slices"
 
-	"spurtrestle/view"
+	"spurtrestle/core/membership"
 )
 
 // known is the file of peers: whom to call after a restart when nobody of join is there.
 type known struct {
-	Fleet  string    `json:"fleet"`
-	Router view.Name `json:"router"`
-	Peers  []string  `json:"peers"`
-	Remote []string  `json:"remote,omitempty"` // of a tiered fleet: representatives of other sites
+	Fleet  string          `json:"fleet"`
+	Router membership.Name `json:"router"`
+	Peers  []string        `json:"peers"`
+	Remote []string        `json:"remote,omitempty"` // of a tiered fleet: representatives of other sites
 }
 
 const file = "peers.json"
--- a/internal/peers/peers.go
+++ b/internal/gossip/gossip.go
@@ -1,9 +1,9 @@
-// Package peers is a router's place among the other routers: membership by hashicorp/memberlist, over which go a word
-// of each router (package view) and the lending of parts (package parts). What is made of them is decided there; here are
+// Package gossip is a router's place among the other routers: membership by hashicorp/memberlist, over which go a word
+// of each router (package membership) and the lending of parts (package sharelease). What is made of them is decided there; here are
 // sockets, times and goroutines, none of which the router's loop ever waits for.
 //
-// The files: this one begins, ends and steps; gossip.go is what memberlist calls; file.go the file of peers known.
-package peers
+// The files: this one begins, ends and steps; delegate.go is what memberlist calls; file.go the file of peers known.
+package gossip
 
 import (
 	crand "crypto/rand"
@@ -23,44 +23,44 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/hierarchy"
-	"spurtrestle/internal/place"
-	"spurtrestle/parts"
-	"spurtrestle/view"
+	"spurtrestle/core/hierarchy"
+	"spurtrestle/core/membership"
+	"spurtrestle/core/sharelease"
+	"spurtrestle/internal/fleet"
 )
 
 // Peers is a router's place. Close ends it.
 type Peers struct {
-	cfg    place.Config
-	router place.Router
+	cfg    fleet.Config
+	router fleet.Router
 	log    *logrus.Logger
 	start  time.Time
 
 	mu      sync.Mutex // of all below; never held while memberlist is called
-	view    *view.View
-	parts   *parts.Parts
-	nodes   map[view.Process]*memberlist.Node
-	answers []parts.Message // for the next step, which makes sure that they are true
+	view    *membership.View
+	parts   *sharelease.Parts
+	nodes   map[membership.Process]*memberlist.Node
+	answers []sharelease.Message // for the next step, which makes sure that they are true
 	refused map[string]time.Time
 	lending bool
 	told    share
-	hear    func(place.Process, []byte)
+	hear    func(fleet.Process, []byte)
 	tiers   *hierarchy.Hierarchy // nil: the fleet is flat
 	site    hierarchy.Local      // as the tiers were last told
 	seen    uint64               // digest of the view that site is of
-	looked  view.Micros          // when site was made
-	asks    view.Micros          // when the views of the site last were alike, or mates were asked for their heartbeats
-	odds    view.Micros          // when the views of the site last were alike, or one was asked for its own
+	looked  membership.Micros    // when site was made
+	asks    membership.Micros    // when the views of the site last were alike, or mates were asked for their heartbeats
+	odds    membership.Micros    // when the views of the site last were alike, or one was asked for its own
 	news    bool                 // the own word is another than was last passed on
 
 	list    *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
-	me      view.Member
+	me      membership.Member
 	calling atomic.Bool
 	out     string // why the router keeps out
 	failing bool   // the file of peers was not written
 	dropped atomic.Int64
-	traffic place.Traffic
+	traffic fleet.Traffic
 	stop    chan struct{}
 	ended   sync.WaitGroup
 }
@@ -71,26 +71,28 @@
 }
 
 // micros is the time since the start, by the monotonic clock.
-func (p *Peers) micros() view.Micros { return view.Micros(time.Since(p.start) / time.Microsecond) }
+func (p *Peers) micros() membership.Micros {
+	return membership.Micros(time.Since(p.start) / time.Microsecond)
+}
 
 // Open takes the router's place. Errors are about the configuration: they name file, field and remedy. What is wrong later
 // is logged, and the router serves as if it were alone.
-func Open(cfg place.Config, router place.Router, logger *logrus.Logger) (place.Place, error) {
-	p := &Peers{cfg: cfg, router: router, log: logger, start: time.Now(), nodes: map[view.Process]*memberlist.Node{},
+func Open(cfg fleet.Config, router fleet.Router, logger *logrus.Logger) (fleet.Place, error) {
+	p := &Peers{cfg: cfg, router: router, log: logger, start: time.Now(), nodes: map[membership.Process]*memberlist.Node{},
 		refused: map[string]time.Time{}, stop: make(chan struct{}), told: share{now: -1}}
 	var id [8]byte
 	if _, err := crand.Read(id[:]); err != nil {
 		return nil, err
 	}
 	process := binary.BigEndian.Uint64(id[:]) | 1
-	p.me = view.Member{Fleet: cfg.Fleet, Name: view.Name(cfg.Name), Site: view.Site(cfg.Site), Process: view.Process(process),
-		Seat: view.Seat(cfg.Seat), Started: p.start.UnixMicro(), Build: cfg.Build[:min(12, len(cfg.Build))], Addr: cfg.Advertise.String()}
-	rules := view.DefaultRules(view.Micros(cfg.Probe / time.Microsecond))
+	p.me = membership.Member{Fleet: cfg.Fleet, Name: membership.Name(cfg.Name), Site: membership.Site(cfg.Site), Process: membership.Process(process),
+		Seat: membership.Seat(cfg.Seat), Started: p.start.UnixMicro(), Build: cfg.Build[:min(12, len(cfg.Build))], Addr: cfg.Advertise.String()}
+	rules := membership.DefaultRules(membership.Micros(cfg.Probe / time.Microsecond))
 	if cfg.Forget > 0 {
-		rules.Forget = view.Micros(cfg.Forget / time.Microsecond)
+		rules.Forget = membership.Micros(cfg.Forget / time.Microsecond)
 	}
-	p.view = view.New(p.micros(), rules, p.me)
-	p.parts = parts.New(parts.Micros(p.micros()), parts.DefaultRules(), cfg.Seats, parts.Seat(cfg.Seat), parts.Process(process), cfg.Clear)
+	p.view = membership.New(p.micros(), rules, p.me)
+	p.parts = sharelease.New(sharelease.Micros(p.micros()), sharelease.DefaultRules(), cfg.Seats, sharelease.Seat(cfg.Seat), sharelease.Process(process), cfg.Clear)
 	known, err := p.readKnown()
 	if err != nil {
 		return nil, err
@@ -241,10 +243,10 @@
 	p.news = news || p.news
 	pass, out := p.news, p.view.Out()
 	p.news = false
-	send := p.parts.Step(parts.Micros(now), p.seats(), takes)
+	send := p.parts.Step(sharelease.Micros(now), p.seats(), takes)
 	send = append(send, p.answers...)
 	p.answers = nil
-	s := p.share(p.parts.Share(parts.Micros(now)))
+	s := p.share(p.parts.Share(sharelease.Micros(now)))
 	addr, call := p.view.Whom(now, p.cfg.Join)
 	if !call {
 		addr, call = p.atOdds(now)
@@ -293,7 +295,7 @@
 	p.mu.Unlock()
 }
 
-func (p *Peers) share(s parts.Share) share {
+func (p *Peers) share(s sharelease.Share) share {
 	out := share{now: s.Now, then: s.Then}
 	if s.Until != 0 {
 		out.until = p.start.Add(time.Duration(s.Until) * time.Microsecond)
@@ -312,18 +314,18 @@
 }
 
 // seats are the other seats that one router holds. Two on one seat are lent nothing.
-func (p *Peers) seats() map[parts.Seat]parts.Peer {
-	there, twice := map[parts.Seat]parts.Peer{}, map[parts.Seat]bool{}
-	words := map[view.Process]view.Word{}
+func (p *Peers) seats() map[sharelease.Seat]sharelease.Peer {
+	there, twice := map[sharelease.Seat]sharelease.Peer{}, map[sharelease.Seat]bool{}
+	words := map[membership.Process]membership.Word{}
 	for _, w := range p.view.Words() {
 		words[w.Process] = w
 	}
 	for _, m := range p.view.Living() {
-		seat := parts.Seat(m.Seat)
-		if _, two := there[seat]; two || seat == parts.Seat(p.cfg.Seat) && m.Process != p.me.Process {
+		seat := sharelease.Seat(m.Seat)
+		if _, two := there[seat]; two || seat == sharelease.Seat(p.cfg.Seat) && m.Process != p.me.Process {
 			twice[seat] = true
 		}
-		there[seat] = parts.Peer{Process: parts.Process(m.Process), Lends: words[m.Process].Draining}
+		there[seat] = sharelease.Peer{Process: sharelease.Process(m.Process), Lends: words[m.Process].Draining}
 	}
 	for seat := range twice {
 		delete(there, seat)
@@ -331,14 +333,14 @@
 	return there
 }
 
-func (p *Peers) send(messages []parts.Message) {
+func (p *Peers) send(messages []sharelease.Message) {
 	for _, m := range messages {
 		to := m.Borrower
-		if m.Kind == parts.Ask || m.Kind == parts.Return {
+		if m.Kind == sharelease.Ask || m.Kind == sharelease.Return {
 			to = m.Lender
 		}
 		p.mu.Lock()
-		node := p.nodes[view.Process(to)]
+		node := p.nodes[membership.Process(to)]
 		p.mu.Unlock()
 		if node == nil {
 			continue
@@ -356,9 +358,9 @@
 	p.queue.QueueBroadcast(p.wordOf(w))
 }
 
-func (p *Peers) tell(lines []view.Line) {
+func (p *Peers) tell(lines []membership.Line) {
 	for _, l := range lines {
-		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": place.Monotonic()})
+		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": fleet.Monotonic()})
 		if l.Bad {
 			entry.Warn("fleet: " + l.What)
 		} else {
@@ -382,7 +384,7 @@
 	w := p.view.Whole(p.micros())
 	part := p.told.now
 	p.mu.Unlock()
-	counts, settled := map[view.State]int{}, 0
+	counts, settled := map[membership.State]int{}, 0
 	for _, r := range w.Routers {
 		counts[r.State]++
 	}
@@ -390,7 +392,7 @@
 		settled = 1
 	}
 	out := ""
-	for s := view.Alive; s <= view.Left; s++ {
+	for s := membership.Alive; s <= membership.Left; s++ {
 		out += fmt.Sprintf("router.fleet.%v:%d|g\n", s, counts[s])
 	}
 	return out + fmt.Sprintf("router.fleet.settled:%d|g\nrouter.fleet.disagree:%d|g\nrouter.fleet.part_ppm:%d|g\n"+
@@ -398,7 +400,7 @@
 }
 
 // Traffic is what was sent and received so far for the router's place, by mechanism.
-func (p *Peers) Traffic() place.TrafficCounts { return p.traffic.Counts() }
+func (p *Peers) Traffic() fleet.TrafficCounts { return p.traffic.Counts() }
 
 // Close gives the place up, once the router sends nothing more: in order, or to a process that follows.
 func (p *Peers) Close(handed bool) {
@@ -406,12 +408,12 @@
 	p.ended.Wait()
 	p.mu.Lock()
 	list := p.list
-	var last []parts.Message
+	var last []sharelease.Message
 	if list != nil {
 		now := p.micros()
 		p.view.End(now, handed)
 		if !handed {
-			last = p.parts.Bequeath(parts.Micros(now))
+			last = p.parts.Bequeath(sharelease.Micros(now))
 		}
 	}
 	p.mu.Unlock()
@@ -446,11 +448,11 @@
 	return len(p.nodes)
 }
 
-func processOf(node *memberlist.Node) view.Process {
+func processOf(node *memberlist.Node) membership.Process {
 	for i := len(node.Name) - 1; i >= 0; i-- {
 		if node.Name[i] == '#' {
 			n, _ := strconv.ParseUint(node.Name[i+1:], 16, 64) // 0 is nobody
-			return view.Process(n)
+			return membership.Process(n)
 		}
 	}
 	return 0
--- a/internal/peers/meter.go
+++ b/internal/gossip/meter.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"encoding/binary"
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 )
 
 // What the layers below memberlist add, in bytes.
@@ -38,8 +38,8 @@
 // metered is a transport that counts all that passes through it, and loses what the links of a trial say.
 type metered struct {
 	memberlist.NodeAwareTransport
-	traffic *place.Traffic
-	links   place.Links
+	traffic *fleet.Traffic
+	links   fleet.Links
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	stop    chan struct{}
@@ -52,7 +52,7 @@
 func (noLoss) Lose(string) bool   { return false }
 func (noLoss) Refuse(string) bool { return false }
 
-func meter(below memberlist.NodeAwareTransport, traffic *place.Traffic, links place.Links) memberlist.NodeAwareTransport {
+func meter(below memberlist.NodeAwareTransport, traffic *fleet.Traffic, links fleet.Links) memberlist.NodeAwareTransport {
 	if links == nil {
 		links = noLoss{}
 	}
@@ -130,9 +130,9 @@
 // writes of one connection come one after the other.
 type meteredConn struct {
 	net.Conn
-	traffic *place.Traffic
+	traffic *fleet.Traffic
 	known   bool // what it is for
-	use     place.Mechanism
+	use     fleet.Mechanism
 }
 
 func (c *meteredConn) Read(b []byte) (int, error) {
@@ -156,17 +156,17 @@
 	}
 	c.known = true
 	if c.use = mechanism(b); b[0] == listPushPull {
-		c.use = place.FullState
+		c.use = fleet.FullState
 	}
 	c.traffic.Sent(c.use, connectionFrames/2, 1)
 	c.traffic.Received(c.use, connectionFrames/2, 1)
 }
 
 // countPacket tells what a packet's bytes are for. The header counts for the first message, as does what frames several.
-func countPacket(b []byte, tell func(place.Mechanism, int, int)) {
+func countPacket(b []byte, tell func(fleet.Mechanism, int, int)) {
 	parts, whole := messages(b)
 	if !whole || len(parts) == 0 {
-		tell(place.Other, packetHeader+len(b), 1)
+		tell(fleet.Other, packetHeader+len(b), 1)
 		return
 	}
 	extra := packetHeader + len(b)
@@ -207,34 +207,34 @@
 	return parts, true
 }
 
-func mechanism(message []byte) place.Mechanism {
+func mechanism(message []byte) fleet.Mechanism {
 	if len(message) == 0 {
-		return place.Other
+		return fleet.Other
 	}
 	switch message[0] {
 	case listPing, listIndirectPing, listAck, listNack:
-		return place.Probe
+		return fleet.Probe
 	case listSuspect, listAlive, listDead:
-		return place.Gossip
+		return fleet.Gossip
 	case listUser:
 		return userMechanism(message[1:])
 	}
-	return place.Other
+	return fleet.Other
 }
 
-func userMechanism(b []byte) place.Mechanism {
+func userMechanism(b []byte) fleet.Mechanism {
 	if len(b) == 0 {
-		return place.Other
+		return fleet.Other
 	}
 	switch b[0] {
 	case kindWord, kindPacked, kindAsk:
-		return place.Heartbeat
+		return fleet.Heartbeat
 	case kindParts:
-		return place.Lending
+		return fleet.Lending
 	case kindTalk:
-		return place.Grant
+		return fleet.Grant
 	case kindTiers:
-		return place.Summary
+		return fleet.Summary
 	}
-	return place.Other
+	return fleet.Other
 }
--- a/internal/peers/meter_test.go
+++ b/internal/gossip/meter_test.go
@@ -1,15 +1,15 @@
-package peers
+package gossip
 
 import (
 	"encoding/binary"
 	"testing"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 )
 
-type tally [place.Mechanisms]struct{ bytes, messages int }
+type tally [fleet.Mechanisms]struct{ bytes, messages int }
 
-func (t *tally) add(m place.Mechanism, bytes, messages int) {
+func (t *tally) add(m fleet.Mechanism, bytes, messages int) {
 	t[m].bytes += bytes
 	t[m].messages += messages
 }
@@ -35,11 +35,11 @@
 	countPacket([]byte{listUser, kindTiers, 1}, got.add)
 	var want tally
 	framing := packetHeader + len(packed) - len(ping) - len(alive) - len(heartbeat)
-	want.add(place.Probe, framing+len(ping), 1)
-	want.add(place.Gossip, len(alive), 1)
-	want.add(place.Heartbeat, len(heartbeat), 1)
-	want.add(place.Lending, packetHeader+3, 1)
-	want.add(place.Summary, packetHeader+3, 1)
+	want.add(fleet.Probe, framing+len(ping), 1)
+	want.add(fleet.Gossip, len(alive), 1)
+	want.add(fleet.Heartbeat, len(heartbeat), 1)
+	want.add(fleet.Lending, packetHeader+3, 1)
+	want.add(fleet.Summary, packetHeader+3, 1)
 	if got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
--- a/internal/peers/talk.go
+++ b/internal/gossip/talk.go
@@ -1,19 +1,19 @@
-package peers
+package gossip
 
 import (
 	"encoding/binary"
 
-	"spurtrestle/internal/place"
-	"spurtrestle/view"
+	"spurtrestle/core/membership"
+	"spurtrestle/internal/fleet"
 )
 
-// What follows makes Peers a place.Talk.
+// What follows makes Peers a fleet.Talk.
 
 // Me is this process.
-func (p *Peers) Me() place.Process { return place.Process(p.me.Process) }
+func (p *Peers) Me() fleet.Process { return fleet.Process(p.me.Process) }
 
 // Hear has what others tell come to a function.
-func (p *Peers) Hear(f func(place.Process, []byte)) {
+func (p *Peers) Hear(f func(fleet.Process, []byte)) {
 	p.mu.Lock()
 	p.hear = f
 	p.mu.Unlock()
@@ -24,12 +24,12 @@
 	hear := p.hear
 	p.mu.Unlock()
 	if len(b) > 8 && hear != nil {
-		hear(place.Process(binary.BigEndian.Uint64(b)), append([]byte(nil), b[8:]...)) // the library uses its buffer again
+		hear(fleet.Process(binary.BigEndian.Uint64(b)), append([]byte(nil), b[8:]...)) // the library uses its buffer again
 	}
 }
 
 // Tell sends a message to a process. What does not fit into a packet goes over a connection, on a goroutine of its own.
-func (p *Peers) Tell(to place.Process, body []byte) {
+func (p *Peers) Tell(to fleet.Process, body []byte) {
 	const packet = 1200
 	if to == p.Me() {
 		p.mu.Lock()
@@ -39,7 +39,7 @@
 		return
 	}
 	p.mu.Lock()
-	node, list := p.nodes[view.Process(to)], p.list
+	node, list := p.nodes[membership.Process(to)], p.list
 	p.mu.Unlock()
 	if node == nil || list == nil {
 		return
@@ -53,37 +53,37 @@
 }
 
 // Leaders are the processes that say that they lead the keepers.
-func (p *Peers) Leaders() (all []place.Process) {
-	p.words(func(m view.Member, w view.Word) {
+func (p *Peers) Leaders() (all []fleet.Process) {
+	p.words(func(m membership.Member, w membership.Word) {
 		if w.Leads {
-			all = append(all, place.Process(m.Process))
+			all = append(all, fleet.Process(m.Process))
 		}
 	})
 	return all
 }
 
 // Leads says whether this one does.
-func (p *Peers) Leads(on bool) { p.sayMore(func(w *view.Word) { w.Leads = on }) }
+func (p *Peers) Leads(on bool) { p.sayMore(func(w *membership.Word) { w.Leads = on }) }
 
 // Holds says which revision of the policy this router holds.
-func (p *Peers) Holds(revision uint64) { p.sayMore(func(w *view.Word) { w.Revision = revision }) }
+func (p *Peers) Holds(revision uint64) { p.sayMore(func(w *membership.Word) { w.Revision = revision }) }
 
 // Keeps says what this router is as a keeper.
-func (p *Peers) Keeps(k place.Keeping) {
-	p.sayMore(func(w *view.Word) { w.Folder, w.Keeper, w.Member, w.Last = k.Folder, k.Addr, k.Member, k.Last })
+func (p *Peers) Keeps(k fleet.Keeping) {
+	p.sayMore(func(w *membership.Word) { w.Folder, w.Keeper, w.Member, w.Last = k.Folder, k.Addr, k.Member, k.Last })
 }
 
-func (p *Peers) sayMore(change func(*view.Word)) {
+func (p *Peers) sayMore(change func(*membership.Word)) {
 	p.mu.Lock()
 	p.news = p.view.SayMore(p.micros(), change) || p.news
 	p.mu.Unlock()
 }
 
 // Keepers are the living routers that are keepers.
-func (p *Peers) Keepers() (all []place.Keeping) {
-	p.words(func(m view.Member, w view.Word) {
+func (p *Peers) Keepers() (all []fleet.Keeping) {
+	p.words(func(m membership.Member, w membership.Word) {
 		if w.Folder != 0 {
-			all = append(all, place.Keeping{Name: string(m.Name), Process: place.Process(m.Process), Folder: w.Folder, Addr: w.Keeper,
+			all = append(all, fleet.Keeping{Name: string(m.Name), Process: fleet.Process(m.Process), Folder: w.Folder, Addr: w.Keeper,
 				Member: w.Member, Last: w.Last})
 		}
 	})
@@ -110,21 +110,21 @@
 }
 
 // Members are the routers that are there, or were lost without a word.
-func (p *Peers) Members() (all []place.Member) {
+func (p *Peers) Members() (all []fleet.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.view.Whole(p.micros()).Routers {
-		if r.State != view.Left {
-			all = append(all, place.Member{Name: string(r.Name), Site: string(r.Site)})
+		if r.State != membership.Left {
+			all = append(all, fleet.Member{Name: string(r.Name), Site: string(r.Site)})
 		}
 	}
 	return all
 }
 
-func (p *Peers) words(do func(view.Member, view.Word)) {
+func (p *Peers) words(do func(membership.Member, membership.Word)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	words := map[view.Process]view.Word{}
+	words := map[membership.Process]membership.Word{}
 	for _, w := range p.view.Words() {
 		words[w.Process] = w
 	}
@@ -141,9 +141,9 @@
 }
 
 // RevisionOf is the policy's revision that a process last said that it holds; 0: none is known.
-func (p *Peers) RevisionOf(process place.Process) uint64 {
+func (p *Peers) RevisionOf(process fleet.Process) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, _ := p.view.WordOf(view.Process(process))
+	w, _ := p.view.WordOf(membership.Process(process))
 	return w.Revision
 }
--- a/internal/peers/tiers.go
+++ b/internal/gossip/tiers.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"encoding/binary"
@@ -11,9 +11,9 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"spurtrestle/hierarchy"
-	"spurtrestle/internal/place"
-	"spurtrestle/view"
+	"spurtrestle/core/hierarchy"
+	"spurtrestle/core/membership"
+	"spurtrestle/internal/fleet"
 )
 
 // What a tiered fleet has beside the view of the own site (package hierarchy). Without cfg.Tiered, p.tiers is nil and nothing
@@ -30,7 +30,7 @@
 	tieredTransmits = 2
 
 	tieredSteps = 200 * time.Millisecond
-	lookEvery   = view.Micros(time.Second / time.Microsecond) // between two looks at a site whose view's digest stays
+	lookEvery   = membership.Micros(time.Second / time.Microsecond) // between two looks at a site whose view's digest stays
 )
 
 // beginTiers is called before the router listens.
@@ -89,14 +89,14 @@
 
 // whomToAsk are some mates whose last heartbeat tells of another view than this one's, for a probe by now: a heartbeat that is
 // passed on a few times is missed by a few. In a large fleet some router misses one at each change. p.mu is held.
-func (p *Peers) whomToAsk(now view.Micros) (nodes []*memberlist.Node) {
+func (p *Peers) whomToAsk(now membership.Micros) (nodes []*memberlist.Node) {
 	if !p.cfg.Tiered {
 		return nil
 	}
 	if _, settled := p.view.Digest(); settled {
 		p.asks = now
 	}
-	if now-p.asks < view.Micros(p.cfg.Probe/time.Microsecond) {
+	if now-p.asks < membership.Micros(p.cfg.Probe/time.Microsecond) {
 		return nil
 	}
 	p.asks = now
@@ -122,7 +122,7 @@
 		return
 	}
 	p.mu.Lock()
-	node, list, body := p.nodes[view.Process(binary.BigEndian.Uint64(b))], p.list, p.encode(p.view.Word())
+	node, list, body := p.nodes[membership.Process(binary.BigEndian.Uint64(b))], p.list, p.encode(p.view.Word())
 	p.mu.Unlock()
 	if node != nil && list != nil {
 		_ = list.SendBestEffort(node, body) // asked again
@@ -130,11 +130,11 @@
 }
 
 // atOdds is a mate whose view has differed from this one's for a while, to be asked for its whole state. p.mu is held.
-func (p *Peers) atOdds(now view.Micros) (addr string, call bool) {
+func (p *Peers) atOdds(now membership.Micros) (addr string, call bool) {
 	if !p.cfg.Tiered {
 		return "", false
 	}
-	span := oddsProbes * view.Micros(p.cfg.Probe/time.Microsecond)
+	span := oddsProbes * membership.Micros(p.cfg.Probe/time.Microsecond)
 	if _, settled := p.view.Digest(); settled {
 		p.odds = now
 	}
@@ -157,7 +157,7 @@
 
 // pool names those that share full membership. No fleet's name has a slash, so that flat routers and tiered ones, and those
 // of other sites, refuse each other by it; routers of earlier builds do as well.
-func pool(cfg place.Config) string {
+func pool(cfg fleet.Config) string {
 	if !cfg.Tiered {
 		return cfg.Fleet
 	}
@@ -165,7 +165,7 @@
 }
 
 // stepTiers lets time pass for the tiers. p.mu is held.
-func (p *Peers) stepTiers(now view.Micros) []hierarchy.Datagram {
+func (p *Peers) stepTiers(now membership.Micros) []hierarchy.Datagram {
 	if p.tiers == nil {
 		return nil
 	}
@@ -176,13 +176,13 @@
 }
 
 // local is what the tiers are told of the site. p.mu is held.
-func (p *Peers) local(now view.Micros) (l hierarchy.Local) {
+func (p *Peers) local(now membership.Micros) (l hierarchy.Local) {
 	for _, s := range p.view.Whole(now).Sites {
 		l.Counts.Alive += uint32(s.Alive)
 		l.Counts.Takes += uint32(s.Takes)
 		l.Counts.Of += uint32(s.Of)
 	}
-	revisions := map[view.Process]uint64{}
+	revisions := map[membership.Process]uint64{}
 	for _, w := range p.view.Words() {
 		revisions[w.Process] = w.Revision
 	}
@@ -265,7 +265,7 @@
 
 // NewestRevision is the highest revision of the policy that is told of, by this site's routers or any summary.
 func (p *Peers) NewestRevision() (newest uint64) {
-	p.words(func(_ view.Member, w view.Word) { newest = max(newest, w.Revision) })
+	p.words(func(_ membership.Member, w membership.Word) { newest = max(newest, w.Revision) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers != nil {
@@ -276,7 +276,7 @@
 
 // whole is the view with the tiers, as people are shown them.
 type whole struct {
-	view.Whole
+	membership.Whole
 	Tiers *hierarchy.Status `json:"tiers,omitempty"`
 }
 
--- a/internal/peers/tiers_test.go
+++ b/internal/gossip/tiers_test.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"encoding/json"
@@ -14,9 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"os"
-	"spurtrestle/hierarchy"
-	"spurtrestle/internal/place"
-	"spurtrestle/view"
+	"spurtrestle/core/hierarchy"
+	"spurtrestle/core/membership"
+	"spurtrestle/internal/fleet"
 	"sync/atomic"
 )
 
@@ -44,20 +44,20 @@
 }
 
 // fleet is a fleet of real places on loopback.
-type fleet struct {
+type testFleet struct {
 	t       *testing.T
 	routers []*Peers
-	configs []place.Config
+	configs []fleet.Config
 }
 
 const perSite = 3
 
 // siteConfigs are those of one fleet's routers: four sites in two regions.
-func siteConfigs(t *testing.T) (all []place.Config) {
+func siteConfigs(t *testing.T) (all []fleet.Config) {
 	for i, site := range []string{"hill", "coast", "valley", "plain"} {
 		for r := range perSite {
 			at := address(t)
-			c := place.Config{Fleet: "harvest", Name: fmt.Sprintf("%s-%d", site, r), Site: site, Tiered: true, Region: []string{"north", "south"}[i/2],
+			c := fleet.Config{Fleet: "harvest", Name: fmt.Sprintf("%s-%d", site, r), Site: site, Tiered: true, Region: []string{"north", "south"}[i/2],
 				Listen: at, Advertise: at, Probe: 100 * time.Millisecond, Seats: 4 * perSite, Seat: len(all), Build: "test",
 				Refused: func(field, what, remedy string) error { return fmt.Errorf("%s: %s; %s", field, what, remedy) }}
 			for _, mate := range all[i*perSite:] {
@@ -72,8 +72,8 @@
 	return all
 }
 
-func open(t *testing.T, configs []place.Config) *fleet {
-	f := &fleet{t: t}
+func open(t *testing.T, configs []fleet.Config) *testFleet {
+	f := &testFleet{t: t}
 	for _, c := range configs {
 		f.open(c)
 	}
@@ -87,7 +87,7 @@
 	return f
 }
 
-func (f *fleet) open(c place.Config) *Peers {
+func (f *testFleet) open(c fleet.Config) *Peers {
 	f.t.Helper()
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
@@ -101,7 +101,7 @@
 }
 
 // until waits for all routers to be as they should.
-func (f *fleet) until(what string, ok func(*Peers) bool) time.Duration {
+func (f *testFleet) until(what string, ok func(*Peers) bool) time.Duration {
 	f.t.Helper()
 	began := time.Now()
 	for {
@@ -131,7 +131,7 @@
 	return 0
 }
 
-func agree(f *fleet) func(*Peers) bool {
+func agree(f *testFleet) func(*Peers) bool {
 	return func(p *Peers) bool {
 		_, regions := p.TierDigests()
 		_, want := f.routers[0].TierDigests()
@@ -207,7 +207,7 @@
 	flat.Join = []string{tiered.Advertise.String()}
 	second := configs[2]
 	second.Join = []string{flat.Advertise.String(), tiered.Advertise.String()}
-	f := open(t, []place.Config{tiered, flat, second})
+	f := open(t, []fleet.Config{tiered, flat, second})
 
 	refused := func(p *Peers) bool {
 		p.mu.Lock()
@@ -234,7 +234,7 @@
 func TestFlatRouterSaysNothingOfTiers(t *testing.T) {
 	c := siteConfigs(t)[0]
 	c.Tiered, c.Region, c.Remote = false, "", nil
-	f := open(t, []place.Config{c})
+	f := open(t, []fleet.Config{c})
 	p := f.routers[0]
 	want := fmt.Sprintf(`{"f":"harvest","n":"hill-0","s":"hill","p":%d,"i":0,"t":%d,"b":"test"}`, p.me.Process, p.me.Started)
 	if got := string(p.NodeMeta(512)); got != want {
@@ -255,9 +255,9 @@
 
 // A tiered fleet needs a region and addresses that can be read.
 func TestTieredNeedsItsFields(t *testing.T) {
-	for want, change := range map[string]func(*place.Config){
-		"fleet.region": func(c *place.Config) { c.Region = "" },
-		"fleet.remote": func(c *place.Config) { c.Remote = []string{"there"} },
+	for want, change := range map[string]func(*fleet.Config){
+		"fleet.region": func(c *fleet.Config) { c.Region = "" },
+		"fleet.remote": func(c *fleet.Config) { c.Remote = []string{"there"} },
 	} {
 		c := siteConfigs(t)[0]
 		change(&c)
@@ -269,7 +269,7 @@
 
 // A packed heartbeat is read as it was; a part of one is refused.
 func TestHeartbeatsPacked(t *testing.T) {
-	for _, w := range []view.Word{
+	for _, w := range []membership.Word{
 		{Process: 1, Seq: 1},
 		{Process: 1 << 63, Seq: 1 << 40, Takes: true, Draining: true, Passing: true, Out: true, Left: true, Rival: 7, Revision: 1 << 50, Digest: 1 << 63},
 		{Process: 9, Seq: 3, Leads: true, Folder: 5, Keeper: "10.0.0.1:7947", Member: true, Last: 77},
@@ -288,7 +288,7 @@
 }
 
 func FuzzUnpackWords(f *testing.F) {
-	f.Add(packWords([]view.Word{{Process: 1, Seq: 1}, {Process: 9, Seq: 3, Folder: 5, Keeper: "10.0.0.1:7947", Rival: 4}}))
+	f.Add(packWords([]membership.Word{{Process: 1, Seq: 1}, {Process: 9, Seq: 3, Folder: 5, Keeper: "10.0.0.1:7947", Rival: 4}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
--- a/internal/peers/wordcode.go
+++ b/internal/gossip/wordcode.go
@@ -1,10 +1,10 @@
-package peers
+package gossip
 
 import (
 	"encoding/binary"
 	"errors"
 
-	"spurtrestle/view"
+	"spurtrestle/core/membership"
 )
 
 // Heartbeats in few bytes, for the sites of a tiered fleet, where they go with each answer to a probe and with each change.
@@ -34,7 +34,7 @@
 }
 
 // packWord appends a heartbeat.
-func packWord(b []byte, w view.Word) []byte {
+func packWord(b []byte, w membership.Word) []byte {
 	keeps := w.Folder != 0 || w.Keeper != "" || w.Member || w.Last != 0
 	b = binary.BigEndian.AppendUint64(b, uint64(w.Process))
 	b = binary.AppendUvarint(b, w.Seq)
@@ -64,15 +64,15 @@
 var errWord = errors.New("a heartbeat is not whole")
 
 // unpackWord reads a heartbeat and returns what comes after it.
-func unpackWord(b []byte) (w view.Word, rest []byte, err error) {
+func unpackWord(b []byte) (w membership.Word, rest []byte, err error) {
 	r := &unpacker{b: b}
-	w.Process, w.Seq = view.Process(r.uint64()), r.uvarint()
+	w.Process, w.Seq = membership.Process(r.uint64()), r.uvarint()
 	flags := r.bytes(1)[0]
 	w.Takes, w.Draining, w.Passing = flags&flagTakes != 0, flags&flagDraining != 0, flags&flagPassing != 0
 	w.Out, w.Left, w.Leads = flags&flagOut != 0, flags&flagLeft != 0, flags&flagLeads != 0
 	w.Revision, w.Digest = r.uvarint(), r.uint64()
 	if flags&flagRival != 0 {
-		w.Rival = view.Process(r.uint64())
+		w.Rival = membership.Process(r.uint64())
 	}
 	if flags&flagKeeper != 0 {
 		w.Folder, w.Member = r.uint64(), r.bytes(1)[0] != 0
@@ -80,13 +80,13 @@
 		w.Last = r.uvarint()
 	}
 	if r.short {
-		return view.Word{}, nil, errWord
+		return membership.Word{}, nil, errWord
 	}
 	return w, r.b, nil
 }
 
 // packWords is a state: all heartbeats that a router has heard.
-func packWords(words []view.Word) []byte {
+func packWords(words []membership.Word) []byte {
 	b := []byte{kindPacked}
 	for _, w := range words {
 		b = packWord(b, w)
@@ -95,9 +95,9 @@
 }
 
 // unpackWords reads a state.
-func unpackWords(b []byte) (words []view.Word, err error) {
+func unpackWords(b []byte) (words []membership.Word, err error) {
 	for rest := b[1:]; len(rest) > 0; {
-		var w view.Word
+		var w membership.Word
 		if w, rest, err = unpackWord(rest); err != nil {
 			return nil, err
 		}
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -21,7 +21,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/router"
 	"spurtrestle/internal/wire"
 	cachev1 "spurtrestle/proto/spurtrestle/cache/v1"
@@ -128,15 +128,15 @@
 		return nil, invalid(field, what)
 	}
 	done := make(chan ended, 1)
-	o := &router.Offer{Request: wire.Request{ID: choice.ReqID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
-		Tenant: choice.Tenant(at.GetTenant()), Resent: at.GetResent(),
+	o := &router.Offer{Request: wire.Request{ID: routing.ReqID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
+		Tenant: routing.Tenant(at.GetTenant()), Resent: at.GetResent(),
 		Answer: func(a wire.Answer) {
 			a.Value = bytes.Clone(a.Value)
 			done <- ended{Answer: a}
 		},
 		Refuse: func(why router.Refusal) { done <- ended{refused: why} }}
 	if due, told := ctx.Deadline(); told {
-		if o.Waits = choice.Micros(time.Until(due) / time.Microsecond); o.Waits <= 0 {
+		if o.Waits = routing.Micros(time.Until(due) / time.Microsecond); o.Waits <= 0 {
 			return nil, status.Error(codes.DeadlineExceeded, "the deadline had passed when the call came")
 		}
 	}
--- a/internal/lab/fleet/policy.go
+++ b/internal/lab/fleet/policy.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/scenario"
 )
@@ -57,7 +57,7 @@
 }
 
 // ask asks the keepers by a router's door.
-func (r *run) ask(ctx context.Context, p *router, q map[string]any) (v *accord.Verdict, err error) {
+func (r *run) ask(ctx context.Context, p *router, q map[string]any) (v *policycommit.Verdict, err error) {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return nil, err
@@ -80,7 +80,7 @@
 	if err != nil || q["what"] == "found" {
 		return nil, err
 	}
-	var s struct{ Verdict *accord.Verdict }
+	var s struct{ Verdict *policycommit.Verdict }
 	err = json.Unmarshal(text, &s)
 	return s.Verdict, err
 }
--- a/internal/lab/rig/policies.go
+++ b/internal/lab/rig/policies.go
@@ -16,7 +16,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 	"spurtrestle/internal/lab/links"
 	"spurtrestle/internal/lab/viewref"
 )
@@ -36,17 +36,17 @@
 // asked is one operator's call, for the judge of the history.
 type asked struct {
 	read  bool
-	base  accord.Revision
+	base  policycommit.Revision
 	known bool // the answer
 	done  bool // it holds everywhere
-	now   accord.Revision
+	now   policycommit.Revision
 }
 
 // history is judged as a counter that only the right base moves on: each answer must fit one moment between call and return.
 var history = porcupine.Model{
-	Init: func() any { return accord.Revision(0) },
+	Init: func() any { return policycommit.Revision(0) },
 	Step: func(state, in, out any) (bool, any) {
-		at, q, a := state.(accord.Revision), in.(asked), out.(asked)
+		at, q, a := state.(policycommit.Revision), in.(asked), out.(asked)
 		switch {
 		case q.read:
 			return a.now == at, at
@@ -60,7 +60,7 @@
 }
 
 // AskPolicy asks the keepers by a router's door.
-func (r *Rig) AskPolicy(by int, q map[string]any) (a accord.Reply, err error) {
+func (r *Rig) AskPolicy(by int, q map[string]any) (a policycommit.Reply, err error) {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return a, err
@@ -82,14 +82,14 @@
 }
 
 // Holds is what a router says that it holds, and whether it takes reqs under it.
-func (r *Rig) Holds(i int) (revision accord.Revision, may bool, err error) {
+func (r *Rig) Holds(i int) (revision policycommit.Revision, may bool, err error) {
 	text, err := r.Call(i, "GET", "/ops/policy")
 	if err != nil {
 		return 0, false, err
 	}
 	var h struct {
-		InForce accord.Revision `json:"in_force"`
-		May     bool            `json:"may_take"`
+		InForce policycommit.Revision `json:"in_force"`
+		May     bool                  `json:"may_take"`
 	}
 	err = json.Unmarshal([]byte(text), &h)
 	return h.InForce, h.May, err
@@ -99,7 +99,7 @@
 // another was seen to take them under the next.
 func (r *Rig) mixed(stop chan struct{}, n int) (broken []string) {
 	const window, look = time.Second, 400 * time.Millisecond // an answer may be that old
-	first := map[accord.Revision]time.Duration{}
+	first := map[policycommit.Revision]time.Duration{}
 	for {
 		select {
 		case <-stop:
@@ -256,7 +256,7 @@
 		return out, err
 	}
 	// Those whose answer was lost are asked for again by their token; the verdict may have come at any time since.
-	last := accord.Revision(0)
+	last := policycommit.Revision(0)
 	for end := time.Now().Add(40 * time.Second); ; {
 		ok := true
 		for _, u := range unknown {
@@ -316,7 +316,7 @@
 	return all, r.allHold(0, all, time.Minute)
 }
 
-func (r *Rig) allHold(revision accord.Revision, who []int, most time.Duration) error {
+func (r *Rig) allHold(revision policycommit.Revision, who []int, most time.Duration) error {
 	for end := time.Now().Add(most); ; time.Sleep(50 * time.Millisecond) {
 		why := ""
 		for _, i := range who {
@@ -430,7 +430,7 @@
 			}
 			row.Through++
 			row.Verdict = append(row.Verdict, time.Since(began))
-			if err := r.allHold(accord.Revision(base), there, 20*time.Second); err != nil {
+			if err := r.allHold(policycommit.Revision(base), there, 20*time.Second); err != nil {
 				return out, fmt.Errorf("%s: %w", step.what, err)
 			}
 			row.Effect = append(row.Effect, time.Since(began))
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -10,27 +10,27 @@
 	"testing"
 	"time"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 )
 
 // A policy whose revisions show from outside: the server that is out.
 func docOut(uid string) string { return fmt.Sprintf("schema = 1\nout = [%q]\n", uid) }
 
-func (t trial) apply(by int, base int, token, doc string) (accord.Verdict, error) {
+func (t trial) apply(by int, base int, token, doc string) (policycommit.Verdict, error) {
 	s, err := t.AskPolicy(by, map[string]any{"what": "apply", "doc": doc, "base": base, "token": token, "author": "test", "reason": token})
 	if err != nil || s.Verdict == nil {
-		return accord.Verdict{}, fmt.Errorf("no verdict: %w", err)
+		return policycommit.Verdict{}, fmt.Errorf("no verdict: %w", err)
 	}
 	return *s.Verdict, nil
 }
 
 type held struct {
-	Revision accord.Revision `json:"revision"`
-	InForce  accord.Revision `json:"in_force"`
-	May      bool            `json:"may_take"`
-	Leads    bool            `json:"leads"`
-	Folder   string          `json:"folder"`
-	Extra    float64         `json:"extra"`
+	Revision policycommit.Revision `json:"revision"`
+	InForce  policycommit.Revision `json:"in_force"`
+	May      bool                  `json:"may_take"`
+	Leads    bool                  `json:"leads"`
+	Folder   string                `json:"folder"`
+	Extra    float64               `json:"extra"`
 }
 
 func (t trial) held(i int) (h held) {
@@ -88,7 +88,7 @@
 	})
 }
 
-func (t trial) holds(revision accord.Revision, who ...int) {
+func (t trial) holds(revision policycommit.Revision, who ...int) {
 	t.t.Helper()
 	t.until(fmt.Sprint(who, " hold revision ", revision), func() bool {
 		for _, i := range who {
@@ -121,7 +121,7 @@
 	if _, err := r.apply(1, 1, "wrong", "schema = 1\n[[method]]\nname = \"x\"\n"); err == nil || !strings.Contains(err.Error(), `line 3: method[0].name: "x" is no method`) {
 		t.Errorf("a wrong document: %v", err)
 	}
-	both := make(chan accord.Verdict, 2)
+	both := make(chan policycommit.Verdict, 2)
 	for i := range 2 {
 		go func() {
 			v, err := r.apply(i, 1, fmt.Sprint("both", i), docOut(fmt.Sprint("b", i)))
@@ -182,7 +182,7 @@
 		case "cut":
 			r.Cut("healed", false, []int{at}, upTo(5), true, false)
 		}
-		r.holds(accord.Revision(current), upTo(5)...)
+		r.holds(policycommit.Revision(current), upTo(5)...)
 	}
 }
 
@@ -349,7 +349,7 @@
 		select {
 		case err := <-rolled:
 			r.must(err)
-			r.holds(accord.Revision(current), 0, 1, 2, 3)
+			r.holds(policycommit.Revision(current), 0, 1, 2, 3)
 			if current < 2 {
 				t.Errorf("only %d of %d changes held", current, n+1)
 			}
@@ -384,13 +384,13 @@
 				if shut > 1500*time.Millisecond {
 					t.Errorf("router %d took nothing for %v", i, shut)
 				}
-				r.holds(accord.Revision(base+1), i)
+				r.holds(policycommit.Revision(base+1), i)
 				v, err := r.apply(0, base+1, fmt.Sprint("then ", i), docOut(fmt.Sprint("s", i)))
 				r.must(err)
 				if !v.Everywhere {
 					t.Fatalf("%+v", v)
 				}
-				r.holds(accord.Revision(base+2), upTo(5)...)
+				r.holds(policycommit.Revision(base+2), upTo(5)...)
 			}
 		})
 	}
@@ -478,7 +478,7 @@
 	}
 	t.Logf("%d changes in %v, two of five keepers away for half of them", *revisions, time.Since(began))
 	r.start("back", 3, 4, 5)
-	r.holds(accord.Revision(*revisions), upTo(6)...)
+	r.holds(policycommit.Revision(*revisions), upTo(6)...)
 	for i := range 5 {
 		info, err := os.Stat(filepath.Join(r.file(i, "keeper"), "log.db"))
 		r.must(err)
@@ -539,7 +539,7 @@
 	for _, b := range <-broken {
 		t.Error(b)
 	}
-	r.holds(accord.Revision(base), upTo(5)...)
+	r.holds(policycommit.Revision(base), upTo(5)...)
 	t.Logf("%d of %d changes everywhere", through, tries)
 	if through < tries/2 || through == 0 {
 		t.Errorf("%d of %d changes came through", through, tries)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"spurtrestle/core/membership"
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/fleet"
 	"spurtrestle/internal/lab/links"
@@ -25,7 +26,6 @@
 	"spurtrestle/internal/lab/registry"
 	"spurtrestle/internal/lab/scenario"
 	"spurtrestle/internal/lab/viewref"
-	"spurtrestle/view"
 )
 
 // Options are what a rig is.
@@ -454,7 +454,7 @@
 }
 
 // View asks a router's door.
-func (r *Rig) View(i int) (w view.Whole, err error) {
+func (r *Rig) View(i int) (w membership.Whole, err error) {
 	a, err := r.http.Get("http://" + r.Door(i) + "/ops/fleet")
 	if err != nil {
 		return w, err
@@ -540,7 +540,7 @@
 	rec := viewref.Record{End: r.Now(), Truth: append([]viewref.Truth(nil), r.truth...),
 		Samples: append([]viewref.Sample(nil), r.samples...)}
 	for _, n := range r.names {
-		rec.Names = append(rec.Names, view.Name(n))
+		rec.Names = append(rec.Names, membership.Name(n))
 	}
 	rec.Sort()
 	return rec
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"spurtrestle/core/membership"
 	"spurtrestle/internal/lab/links"
 	"spurtrestle/internal/lab/viewref"
-	"spurtrestle/view"
 )
 
 // The times in here are those of a probe each 200 ms on a machine that is busy with the other trials; docs/results.md has
@@ -150,14 +150,14 @@
 	r.Kill("crash right after a leave", 2)
 	time.Sleep(7 * time.Second)
 	r.settle()
-	if w, err := r.View(0); err != nil || state(w, "r5") != view.Left || state(w, "r2") != view.Lost {
+	if w, err := r.View(0); err != nil || state(w, "r5") != membership.Left || state(w, "r2") != membership.Lost {
 		t.Errorf("r5 is %v and r2 %v; %v", state(w, "r5"), state(w, "r2"), err)
 	}
 	rec := r.judge(bounds)
 	cheaters(t, rec)
 }
 
-func state(w view.Whole, name view.Name) view.State {
+func state(w membership.Whole, name membership.Name) membership.State {
 	for _, r := range w.Routers {
 		if r.Name == name {
 			return r.State
@@ -168,19 +168,19 @@
 
 // cheaters changes what one router showed in an honest record, in the ways in which a view can be wrong; each is caught.
 func cheaters(t *testing.T, honest viewref.Record) {
-	first := map[view.Name]string{}
+	first := map[membership.Name]string{}
 	for name, c := range map[string]struct {
 		rule  string
-		cheat func(*view.Whole)
+		cheat func(*membership.Whole)
 	}{
-		"never gives up the dead": {"dead", func(w *view.Whole) {
+		"never gives up the dead": {"dead", func(w *membership.Whole) {
 			for i := range w.Routers {
-				if w.Routers[i].State == view.Lost {
-					w.Routers[i].State = view.Alive
+				if w.Routers[i].State == membership.Lost {
+					w.Routers[i].State = membership.Alive
 				}
 			}
 		}},
-		"repeats an old incarnation": {"living", func(w *view.Whole) {
+		"repeats an old incarnation": {"living", func(w *membership.Whole) {
 			for i, r := range w.Routers {
 				if first[r.Name] == "" {
 					first[r.Name] = r.Incarnation
@@ -190,28 +190,28 @@
 				}
 			}
 		}},
-		"answers for another": {"living", func(w *view.Whole) {
+		"answers for another": {"living", func(w *membership.Whole) {
 			for i, r := range w.Routers {
 				if r.Name == "r1" {
 					w.Routers[i].Incarnation = "bad"
 				}
 			}
 		}},
-		"gives up the living": {"living", func(w *view.Whole) {
+		"gives up the living": {"living", func(w *membership.Whole) {
 			for i, r := range w.Routers {
 				if r.Name == "r1" {
-					w.Routers[i].State = view.Lost
+					w.Routers[i].State = membership.Lost
 				}
 			}
 		}},
-		"one digest for all": {"digest", func(w *view.Whole) { w.Digest = "1" }},
-		"never settles":      {"settles", func(w *view.Whole) { w.Settled = false }},
+		"one digest for all": {"digest", func(w *membership.Whole) { w.Digest = "1" }},
+		"never settles":      {"settles", func(w *membership.Whole) { w.Settled = false }},
 	} {
 		rec := honest
 		rec.Samples = nil
 		for _, s := range honest.Samples {
 			if s.By == 0 {
-				s.View.Routers = append([]view.Router(nil), s.View.Routers...)
+				s.View.Routers = append([]membership.Router(nil), s.View.Routers...)
 				c.cheat(&s.View)
 			}
 			rec.Samples = append(rec.Samples, s)
@@ -254,7 +254,7 @@
 	r.settle() // the others pass on what does not go straight
 	r.Cut("heard by none", true, []int{5}, all, false, false)
 	time.Sleep(10 * time.Second)
-	if w, err := r.View(0); err != nil || state(w, "r5") != view.Lost {
+	if w, err := r.View(0); err != nil || state(w, "r5") != membership.Lost {
 		t.Errorf("a router that is heard by none is %v; %v", state(w, "r5"), err)
 	}
 	r.Cut("heard again", false, []int{5}, all, false, false)
@@ -381,13 +381,13 @@
 	})
 }
 
-func row(w view.Whole, name view.Name) view.Router {
+func row(w membership.Whole, name membership.Name) membership.Router {
 	for _, r := range w.Routers {
 		if r.Name == name {
 			return r
 		}
 	}
-	return view.Router{}
+	return membership.Router{}
 }
 
 func (t trial) until(what string, ok func() bool) {
@@ -512,7 +512,7 @@
 				return
 			case <-time.After(30 * time.Millisecond):
 			}
-			if w, err := r.View(2); err == nil && state(w, "r0") != view.Alive {
+			if w, err := r.View(2); err == nil && state(w, "r0") != membership.Alive {
 				n++
 			}
 		}
--- a/internal/lab/rig/site_test.go
+++ b/internal/lab/rig/site_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"spurtrestle/core/sitefailover"
 	"spurtrestle/internal/lab/links"
-	"spurtrestle/siteplan"
 )
 
 var threeSites = []string{"hill", "coast", "valley"}
@@ -40,7 +40,7 @@
 	return s.Sites[0].Shows() + " " + s.Sites[1].Shows() + " " + s.Sites[2].Shows()
 }
 
-func (t trial) keepsTo(site siteplan.Site, share float64, who ...int) {
+func (t trial) keepsTo(site sitefailover.Site, share float64, who ...int) {
 	t.t.Helper()
 	t.until(fmt.Sprint(who, " give ", site, " a share of ", share), func() bool {
 		for _, i := range who {
@@ -72,16 +72,16 @@
 	site := threeSites[leader]
 	left := []int{(leader + 1) % 3, (leader + 2) % 3, 3 + (leader+1)%3, 3 + (leader+2)%3}
 	r.must(r.LoseSite(site, true))
-	r.keepsTo(siteplan.Site(site), 0, left...)
+	r.keepsTo(sitefailover.Site(site), 0, left...)
 	r.must(r.LoseSite(site, false))
-	r.keepsTo(siteplan.Site(site), 0.125, upTo(6)...)
+	r.keepsTo(sitefailover.Site(site), 0.125, upTo(6)...)
 	r.must(r.LoseSite(site, true))
-	r.keepsTo(siteplan.Site(site), 0, left...)
+	r.keepsTo(sitefailover.Site(site), 0, left...)
 	r.must(r.LoseSite(site, false))
-	r.keepsTo(siteplan.Site(site), 1, upTo(6)...)
+	r.keepsTo(sitefailover.Site(site), 1, upTo(6)...)
 	s, err := r.Sites(left[0])
 	r.must(err)
-	if x := s.Sites[leader]; x.Stage == siteplan.Up && x.Fails == 0 {
+	if x := s.Sites[leader]; x.Stage == sitefailover.Up && x.Fails == 0 {
 		t.Errorf("its second loss did not count: %+v", x)
 	}
 }
@@ -199,17 +199,17 @@
 
 // The judge of rounds finds what must not be.
 func TestJudgeOfSites(t *testing.T) {
-	at := func(s float64, stage siteplan.Stage, step int, index uint64, orders map[int]map[siteplan.Site]float64) SiteSample {
+	at := func(s float64, stage sitefailover.Stage, step int, index uint64, orders map[int]map[sitefailover.Site]float64) SiteSample {
 		return SiteSample{At: time.Duration(s * float64(time.Second)), Orders: orders,
-			Sites: []siteplan.SiteStatus{{Name: "a", Ruling: siteplan.Ruling{Stage: stage, Step: step, Index: index, By: "evidence"}}}}
+			Sites: []sitefailover.SiteStatus{{Name: "a", Ruling: sitefailover.Ruling{Stage: stage, Step: step, Index: index, By: "evidence"}}}}
 	}
 	lost := SiteTruth{At: 4 * time.Second, Site: "a"}
 	back := SiteTruth{At: 9 * time.Second, Site: "a", Listed: 1, Routers: true}
-	both := func(x, y float64) map[int]map[siteplan.Site]float64 {
-		return map[int]map[siteplan.Site]float64{0: {"a": x}, 1: {"a": y}}
+	both := func(x, y float64) map[int]map[sitefailover.Site]float64 {
+		return map[int]map[sitefailover.Site]float64{0: {"a": x}, 1: {"a": y}}
 	}
-	good := []SiteSample{at(1, siteplan.Up, 0, 0, nil), at(5, siteplan.Lost, 0, 1, both(0, 0)), at(11, siteplan.Returning, 0, 2, both(0.25, 0.25)),
-		at(12, siteplan.Returning, 1, 3, both(0.5, 0.25)), at(13, siteplan.Up, 0, 4, nil)}
+	good := []SiteSample{at(1, sitefailover.Up, 0, 0, nil), at(5, sitefailover.Lost, 0, 1, both(0, 0)), at(11, sitefailover.Returning, 0, 2, both(0.25, 0.25)),
+		at(12, sitefailover.Returning, 1, 3, both(0.5, 0.25)), at(13, sitefailover.Up, 0, 4, nil)}
 	steps := []float64{0.25, 0.5, 1}
 	if broken := JudgeSites(good, []SiteTruth{lost, back}, steps); len(broken) > 0 {
 		t.Error(broken)
@@ -220,9 +220,9 @@
 	}{
 		"lost while it is there": {good, nil},
 		"back while it is not":   {good, []SiteTruth{lost}},
-		"a step is skipped":      {[]SiteSample{good[1], good[2], at(12, siteplan.Returning, 3, 3, nil)}, []SiteTruth{lost, back}},
-		"shares at odds":         {[]SiteSample{good[1], at(6, siteplan.Lost, 0, 1, both(0, 1)), at(8, siteplan.Lost, 0, 1, both(0, 1))}, []SiteTruth{lost}},
-		"no step":                {[]SiteSample{good[1], at(6, siteplan.Lost, 0, 1, both(0.3, 0.3))}, []SiteTruth{lost}},
+		"a step is skipped":      {[]SiteSample{good[1], good[2], at(12, sitefailover.Returning, 3, 3, nil)}, []SiteTruth{lost, back}},
+		"shares at odds":         {[]SiteSample{good[1], at(6, sitefailover.Lost, 0, 1, both(0, 1)), at(8, sitefailover.Lost, 0, 1, both(0, 1))}, []SiteTruth{lost}},
+		"no step":                {[]SiteSample{good[1], at(6, sitefailover.Lost, 0, 1, both(0.3, 0.3))}, []SiteTruth{lost}},
 	} {
 		if len(JudgeSites(x.samples, x.truth, steps)) == 0 {
 			t.Errorf("%s: not found", what)
--- a/internal/lab/rig/sites.go
+++ b/internal/lab/rig/sites.go
@@ -8,23 +8,23 @@
 	"sync"
 	"time"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/sitefailover"
 	"spurtrestle/internal/lab/links"
-	"spurtrestle/siteplan"
 )
 
 // SiteSample is what was seen of sites at one moment.
 type SiteSample struct {
 	At     time.Duration
-	Sites  []siteplan.SiteStatus             // at who leads; nil: nobody was found to
-	Orders map[int]map[siteplan.Site]float64 // by router that has orders: the shares of sites that are not up
+	Sites  []sitefailover.SiteStatus             // at who leads; nil: nobody was found to
+	Orders map[int]map[sitefailover.Site]float64 // by router that has orders: the shares of sites that are not up
 }
 
 // SiteTruth is what was done to a site: the part of its servers that are listed, and whether its routers run and are not cut
 // off.
 type SiteTruth struct {
 	At      time.Duration
-	Site    siteplan.Site
+	Site    sitefailover.Site
 	Listed  float64
 	Routers bool
 	Word    bool // an operator spoke
@@ -49,7 +49,7 @@
 }
 
 // Sites asks what each site counts as, by a router.
-func (r *Rig) Sites(by int) (*siteplan.Status, error) {
+func (r *Rig) Sites(by int) (*sitefailover.Status, error) {
 	a, err := r.AskPolicy(by, map[string]any{"what": "sites"})
 	if err == nil && a.Error != "" {
 		err = fmt.Errorf("%s", a.Error)
@@ -58,9 +58,9 @@
 }
 
 // Orders are what a router keeps to about sites; nil: nothing.
-func (r *Rig) Orders(i int) (*siteplan.Orders, error) {
+func (r *Rig) Orders(i int) (*sitefailover.Orders, error) {
 	text, err := r.Call(i, "GET", "/ops/policy")
-	var h struct{ Orders *siteplan.Orders }
+	var h struct{ Orders *sitefailover.Orders }
 	if err == nil {
 		err = json.Unmarshal([]byte(text), &h)
 	}
@@ -90,7 +90,7 @@
 func JudgeSites(samples []SiteSample, truth []SiteTruth, steps []float64) (broken []string) {
 	const late, moment = 4 * time.Second, 1500 * time.Millisecond
 	// was tells whether something held of a site at some time of the last while before a moment.
-	was := func(at time.Duration, site siteplan.Site, ok func(SiteTruth) bool) bool {
+	was := func(at time.Duration, site sitefailover.Site, ok func(SiteTruth) bool) bool {
 		last := SiteTruth{Site: site, Listed: 1, Routers: true}
 		held := false
 		for _, t := range truth {
@@ -105,7 +105,7 @@
 		}
 		return held || ok(last)
 	}
-	before := map[siteplan.Site]siteplan.Ruling{}
+	before := map[sitefailover.Site]sitefailover.Ruling{}
 	for _, s := range samples {
 		for _, x := range s.Sites {
 			b := before[x.Name]
@@ -119,11 +119,11 @@
 			}
 			bad := ""
 			switch {
-			case x.Stage == siteplan.Lost && b.Stage == siteplan.Up && !was(s.At, x.Name, func(t SiteTruth) bool { return t.Listed <= 0.2 }):
+			case x.Stage == sitefailover.Lost && b.Stage == sitefailover.Up && !was(s.At, x.Name, func(t SiteTruth) bool { return t.Listed <= 0.2 }):
 				bad = "is called lost, and its servers are there"
-			case x.Stage == siteplan.Returning && b.Stage == siteplan.Lost && !was(s.At, x.Name, func(t SiteTruth) bool { return t.Listed > 0.5 && t.Routers }):
+			case x.Stage == sitefailover.Returning && b.Stage == sitefailover.Lost && !was(s.At, x.Name, func(t SiteTruth) bool { return t.Listed > 0.5 && t.Routers }):
 				bad = "returns, and is not there"
-			case x.Stage == siteplan.Returning && b.Stage == siteplan.Returning && x.Step > b.Step+2: // looks are apart
+			case x.Stage == sitefailover.Returning && b.Stage == sitefailover.Returning && x.Step > b.Step+2: // looks are apart
 				bad = fmt.Sprintf("went from step %d to %d", b.Step+1, x.Step+1)
 			}
 			if bad != "" {
@@ -132,9 +132,9 @@
 		}
 	}
 	// Shares that differ between routers for longer than a moment, where each has orders.
-	since := map[siteplan.Site]time.Duration{}
+	since := map[sitefailover.Site]time.Duration{}
 	for _, s := range samples {
-		shares := map[siteplan.Site][]float64{}
+		shares := map[sitefailover.Site][]float64{}
 		for _, of := range s.Orders {
 			for site := range before {
 				share, named := of[site]
@@ -177,7 +177,7 @@
 	if err != nil {
 		return out, err
 	}
-	ask := func(q map[string]any) (a accord.Reply, err error) {
+	ask := func(q map[string]any) (a policycommit.Reply, err error) {
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for i := range o.Routers {
 				if !r.Running(i) {
@@ -203,7 +203,7 @@
 	}
 	did := func(site string, word bool) {
 		mu.Lock()
-		truth = append(truth, SiteTruth{At: r.Now(), Site: siteplan.Site(site), Listed: listed[site], Routers: up[site], Word: word})
+		truth = append(truth, SiteTruth{At: r.Now(), Site: sitefailover.Site(site), Listed: listed[site], Routers: up[site], Word: word})
 		mu.Unlock()
 	}
 	stop := make(chan struct{})
@@ -215,13 +215,13 @@
 				return
 			case <-time.After(150 * time.Millisecond):
 			}
-			s := SiteSample{At: r.Now(), Orders: map[int]map[siteplan.Site]float64{}}
+			s := SiteSample{At: r.Now(), Orders: map[int]map[sitefailover.Site]float64{}}
 			for i := range o.Routers {
 				if !r.Running(i) {
 					continue
 				}
 				if orders, err := r.Orders(i); err == nil && orders != nil {
-					s.Orders[i] = map[siteplan.Site]float64{}
+					s.Orders[i] = map[sitefailover.Site]float64{}
 					for _, x := range orders.Shares {
 						s.Orders[i][x.Site] = x.Part
 					}
@@ -351,7 +351,7 @@
 		}
 		whole := s.Sites != nil && s.Sites.Orders.None()
 		for _, x := range s.Sites.Sites {
-			whole = whole && x.Stage == siteplan.Up
+			whole = whole && x.Stage == sitefailover.Up
 		}
 		if whole {
 			break
@@ -365,7 +365,7 @@
 	}
 	out.Settled = r.Now() - ordered
 	end()
-	seen := map[siteplan.Site]uint64{}
+	seen := map[sitefailover.Site]uint64{}
 	for _, s := range samples {
 		for _, x := range s.Sites {
 			if x.Index > seen[x.Name] {
@@ -374,7 +374,7 @@
 			}
 		}
 	}
-	out.Broken = append(out.Broken, JudgeSites(samples, truth, siteplan.DefaultPlan().Steps)...)
+	out.Broken = append(out.Broken, JudgeSites(samples, truth, sitefailover.DefaultPlan().Steps)...)
 	return out, nil
 }
 
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -11,8 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/internal/peers"
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
+	"spurtrestle/internal/gossip"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -20,7 +20,7 @@
 type hollow struct {
 	spec  routerSpec
 	links *faultyLinks
-	place *peers.Peers
+	place *gossip.Peers
 }
 
 // open takes the router's place. It returns once that has been announced.
@@ -28,18 +28,18 @@
 	s := h.spec
 	h.links = &faultyLinks{link: link, index: s.Index, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))}
 	at := address(s.Network, s.Index)
-	cfg := place.Config{Fleet: fleetName, Name: routerName(s), Site: siteName(s), Listen: at, Advertise: at,
+	cfg := fleet.Config{Fleet: fleetName, Name: routerName(s), Site: siteName(s), Listen: at, Advertise: at,
 		Join: addresses(s.Network, s.Join), Probe: s.Probe, Seats: s.Fleet, Seat: s.Index, Build: "scale", Links: h.links, Refused: refused}
 	if s.Topology == result.Tiered {
 		cfg.Tiered, cfg.Region, cfg.Remote = true, regionName(s), addresses(s.Network, s.Remote)
 	}
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
-	opened, err := peers.Open(cfg, hollowRouter{}, silent)
+	opened, err := gossip.Open(cfg, hollowRouter{}, silent)
 	if err != nil {
 		return fmt.Errorf("router %d at %v: %w", s.Index, at, err)
 	}
-	h.place = opened.(*peers.Peers)
+	h.place = opened.(*gossip.Peers)
 	return nil
 }
 
--- a/internal/lab/scale/protocol.go
+++ b/internal/lab/scale/protocol.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -30,7 +30,7 @@
 	Routers  []routerSpec  `json:"routers,omitempty"`
 	Router   int           `json:"router,omitempty"`
 	Revision uint64        `json:"revision,omitempty"`
-	Process  place.Process `json:"process,omitempty"`
+	Process  fleet.Process `json:"process,omitempty"`
 	Link     linkState     `json:"link,omitzero"`
 }
 
@@ -60,7 +60,7 @@
 
 type reply struct {
 	Error   string         `json:"error,omitempty"`
-	Process place.Process  `json:"process,omitempty"` // of the router that a change was made at
+	Process fleet.Process  `json:"process,omitempty"` // of the router that a change was made at
 	Known   int            `json:"known,omitempty"`
 	Routers int            `json:"routers"` // that run
 	Usage   *processUsage  `json:"usage,omitempty"`
@@ -78,7 +78,7 @@
 // routerCounts are the bytes and messages of one router so far, by mechanism.
 type routerCounts struct {
 	Index int `json:"i"`
-	place.TrafficCounts
+	fleet.TrafficCounts
 }
 
 // status tells what the routers of a worker hold to be true. Each scope (the fleet, a region, a site) is agreed on where all
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -12,12 +12,12 @@
 	"strings"
 	"time"
 
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/lab/event"
-	"spurtrestle/internal/lab/fleet"
+	labfleet "spurtrestle/internal/lab/fleet"
 	"spurtrestle/internal/lab/process"
 	"spurtrestle/internal/lab/registry"
 	"spurtrestle/internal/lab/scenario"
-	"spurtrestle/internal/place"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -30,7 +30,7 @@
 // realRouters are processes of the router's own program. Half of them take the places of some routers of the fleet; the
 // others are the same with their fleet switched off, so that the difference is what membership costs a process.
 type realRouters struct {
-	network  fleet.Network
+	network  labfleet.Network
 	registry *registry.Registry
 	settings scenario.Scenario
 	client   http.Client
@@ -49,7 +49,7 @@
 
 // realSample is what one process has used and counted so far.
 type realSample struct {
-	traffic place.TrafficCounts // of a member alone
+	traffic fleet.TrafficCounts // of a member alone
 	cpu     time.Duration
 	memory  int64
 }
@@ -71,7 +71,7 @@
 			r = nil
 		}
 	}()
-	if r.network, err = fleet.NewNetwork(2 * len(specs)); err != nil {
+	if r.network, err = labfleet.NewNetwork(2 * len(specs)); err != nil {
 		return r, err
 	}
 	if r.dir, err = os.MkdirTemp("", "scale-real"); err != nil {
@@ -127,7 +127,7 @@
 	started := realRouter{index: spec.Index, admin: r.network.Doors()[slot], log: name("log")}
 	settings := r.settings
 	settings.Sites = []string{siteName(spec)}
-	config, err := fleet.Config(settings, spec.Index, routerName(spec), r.network.Routers()[slot], r.network.Discovery()[slot],
+	config, err := labfleet.Config(settings, spec.Index, routerName(spec), r.network.Routers()[slot], r.network.Discovery()[slot],
 		fmt.Sprintf("%x", slot+1), r.registry.Known(event.Router(slot)))
 	if err != nil {
 		return started, err
@@ -195,7 +195,7 @@
 		if err != nil {
 			return nil, router.failed(err)
 		}
-		if s.traffic, err = place.ParseStatsd(text); err != nil {
+		if s.traffic, err = fleet.ParseStatsd(text); err != nil {
 			return nil, router.failed(err)
 		}
 		var running bool
@@ -217,7 +217,7 @@
 	if r.registry != nil {
 		r.registry.Close()
 	}
-	if r.network != (fleet.Network{}) {
+	if r.network != (labfleet.Network{}) {
 		r.network.Close()
 	}
 	if r.dir != "" {
--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -434,7 +434,7 @@
 	return nil
 }
 
-func (t *trial) known(process place.Process) (known, running int, err error) {
+func (t *trial) known(process fleet.Process) (known, running int, err error) {
 	replies, err := t.workers.askAllTheSame(request{Kind: requestKnown, Process: process, Revision: t.revision})
 	for _, r := range replies {
 		known, running = known+r.Known, running+r.Routers
@@ -477,7 +477,7 @@
 	used := result.Usage{CPU: max(0, cpu.Seconds()/span.Seconds()/each-t.out.Harness.CPU), Memory: max(0, float64(memory)/each-t.out.Harness.Memory)}
 	t.out.PerRouter, t.out.Worst = sum.usage(each, used), worst.usage(1, used)
 	t.out.Mechanisms = nil
-	for m := range place.Mechanisms {
+	for m := range fleet.Mechanisms {
 		in, out := sum[m].received, sum[m].sent
 		if in.messages+out.messages > 0 {
 			t.out.Mechanisms = append(t.out.Mechanisms, result.Mechanism{Name: m.String(), Bytes: (in.bytes + out.bytes) / each,
@@ -487,8 +487,8 @@
 }
 
 // totals are the counts by router, over all of its processes.
-func totals(replies []reply) map[int]place.TrafficCounts {
-	all := map[int]place.TrafficCounts{}
+func totals(replies []reply) map[int]fleet.TrafficCounts {
+	all := map[int]fleet.TrafficCounts{}
 	for _, r := range replies {
 		for _, c := range r.Counts {
 			sum := all[c.Index]
@@ -503,11 +503,11 @@
 type rate struct{ bytes, messages float64 }
 
 // routerRate is a router's traffic by mechanism.
-type routerRate [place.Mechanisms]struct{ sent, received rate }
+type routerRate [fleet.Mechanisms]struct{ sent, received rate }
 
 // rateSince is the traffic between two counts.
-func rateSince(was, now place.TrafficCounts, span time.Duration) (r routerRate) {
-	of := func(now, was place.Count) rate {
+func rateSince(was, now fleet.TrafficCounts, span time.Duration) (r routerRate) {
+	of := func(now, was fleet.Count) rate {
 		return rate{float64(now.Bytes-was.Bytes) / span.Seconds(), float64(now.Messages-was.Messages) / span.Seconds()}
 	}
 	for m := range r {
--- a/internal/lab/scale/trial_test.go
+++ b/internal/lab/scale/trial_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -91,7 +91,7 @@
 	tr := &trial{out: result.Trial{Routers: 2, Harness: result.Usage{CPU: 0.001, Memory: 1000}}}
 	counts := func(router int, bytes, messages int64) (c routerCounts) {
 		c.Index = router
-		c.Sent[place.Probe], c.Received[place.FullState] = place.Count{Bytes: bytes, Messages: messages}, place.Count{Bytes: bytes, Messages: messages}
+		c.Sent[fleet.Probe], c.Received[fleet.FullState] = fleet.Count{Bytes: bytes, Messages: messages}, fleet.Count{Bytes: bytes, Messages: messages}
 		return c
 	}
 	before := []reply{{Usage: &processUsage{time.Second, 0}, Counts: []routerCounts{counts(0, 100, 1), counts(1, 0, 0)}}}
--- a/internal/lab/scale/worker.go
+++ b/internal/lab/scale/worker.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"spurtrestle/internal/place"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -161,7 +161,7 @@
 	return reply{Process: h.place.Me()}, nil
 }
 
-func (w *worker) known(process place.Process, revision uint64) (n int) {
+func (w *worker) known(process fleet.Process, revision uint64) (n int) {
 	for _, h := range w.routers {
 		newest := h.place.RevisionOf(process)
 		if h.spec.Topology == result.Tiered {
--- a/internal/lab/viewref/viewref.go
+++ b/internal/lab/viewref/viewref.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"spurtrestle/view"
+	"spurtrestle/core/membership"
 )
 
 // Truth is one thing that was done, by the rig's own word.
@@ -44,12 +44,12 @@
 type Sample struct {
 	At   time.Duration
 	By   int
-	View view.Whole
+	View membership.Whole
 }
 
 // Record is a run.
 type Record struct {
-	Names   []view.Name
+	Names   []membership.Name
 	End     time.Duration
 	Truth   []Truth
 	Samples []Sample // in order of time
@@ -155,9 +155,9 @@
 		if !w.does(s.By) {
 			continue
 		}
-		i, living := s.By, map[view.Name]view.Router{}
+		i, living := s.By, map[membership.Name]membership.Router{}
 		for _, row := range s.View.Routers {
-			if row.State <= view.Suspect {
+			if row.State <= membership.Suspect {
 				living[row.Name] = row
 			}
 			if row.Name == r.Names[i] {
@@ -219,10 +219,10 @@
 }
 
 // content is what a digest stands for.
-func content(w view.Whole) string {
+func content(w membership.Whole) string {
 	var rows []string
 	for _, r := range w.Routers {
-		if r.State <= view.Suspect {
+		if r.State <= membership.Suspect {
 			rows = append(rows, fmt.Sprint(r.Name, r.Site, r.Incarnation, r.Seat, r.Takes, r.Draining, r.Conflict, r.Revision))
 		}
 	}
@@ -274,9 +274,9 @@
 func (r Record) Right(s Sample) bool { return r.right(s, r.at(s.At).reach(s.By, false)) }
 
 func (r Record) right(s Sample, want []bool) bool {
-	living := map[view.Name]bool{}
+	living := map[membership.Name]bool{}
 	for _, row := range s.View.Routers {
-		living[row.Name] = row.State <= view.Suspect
+		living[row.Name] = row.State <= membership.Suspect
 	}
 	for j, name := range r.Names {
 		if living[name] != want[j] {
@@ -331,7 +331,7 @@
 			if j < 0 {
 				continue
 			}
-			lost := row.State == view.Lost && reach[j] && !w.leaving[j]
+			lost := row.State == membership.Lost && reach[j] && !w.leaving[j]
 			if lost && !was[[2]int{s.By, j}] && s.At-w.since > time.Second {
 				count++
 			}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/tomlfile"
 )
 
@@ -78,7 +78,7 @@
 }
 
 // Settings are a router's own settings with the document in force.
-func (d Document) Settings(own choice.Settings) (choice.Settings, error) {
+func (d Document) Settings(own routing.Settings) (routing.Settings, error) {
 	s := own
 	s.Methods, s.Tenants = slices.Clone(own.Methods), slices.Clone(own.Tenants)
 	part := func(field string, from *float64, into *float64) error {
@@ -101,12 +101,12 @@
 		*into = *from
 		return nil
 	}
-	span := func(field string, from *string, into *choice.Micros, least, most choice.Micros) error {
+	span := func(field string, from *string, into *routing.Micros, least, most routing.Micros) error {
 		if from == nil {
 			return nil
 		}
 		x, err := time.ParseDuration(*from)
-		if at := choice.Micros(x / time.Microsecond); err != nil || at < least || at > most {
+		if at := routing.Micros(x / time.Microsecond); err != nil || at < least || at > most {
 			return d.wrong(field, fmt.Sprintf("%q is no span from %v to %v", *from, time.Duration(least)*time.Microsecond,
 				time.Duration(most)*time.Microsecond), `write it as "250ms" or "4s"`)
 		} else {
@@ -135,7 +135,7 @@
 	named := map[string]bool{}
 	for i, m := range d.Methods {
 		f := fmt.Sprintf("method[%d].", i)
-		at := slices.IndexFunc(s.Methods, func(x choice.MethodSettings) bool { return x.Name == m.Name })
+		at := slices.IndexFunc(s.Methods, func(x routing.MethodSettings) bool { return x.Name == m.Name })
 		if at < 0 || named[m.Name] {
 			errs = append(errs, d.wrong(f+"name", fmt.Sprintf("%q is no method of the settings, or is there twice", m.Name), "name each method once"))
 			continue
@@ -154,7 +154,7 @@
 	named = map[string]bool{}
 	for i, t := range d.Tenants {
 		f := fmt.Sprintf("tenant[%d].", i)
-		at := slices.IndexFunc(s.Tenants, func(x choice.TenantSettings) bool { return string(x.Name) == t.Name })
+		at := slices.IndexFunc(s.Tenants, func(x routing.TenantSettings) bool { return string(x.Name) == t.Name })
 		if at < 0 || named[t.Name] {
 			errs = append(errs, d.wrong(f+"name", fmt.Sprintf("%q is no tenant of the settings, or is there twice", t.Name), "name each tenant once"))
 			continue
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -4,12 +4,12 @@
 	"strings"
 	"testing"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
-var own = choice.Settings{MaxWriteOuts: 3, MaxHint: 2e6, OverShareWorth: 0.1, ColdShare: 0.3, ColdSpan: 6e6, FallMultiple: 3, FallSpan: 2e6,
-	Methods: []choice.MethodSettings{{Name: "read", LatencyBudget: 200e3, Deadline: 700e3, Criticality: 2}, {Name: "hold", LatencyBudget: 300e3, Deadline: 900e3}},
-	Tenants: []choice.TenantSettings{{Name: "grain", Share: 0.6}, {Name: "dairy", Share: 0.4}}}
+var own = routing.Settings{MaxWriteOuts: 3, MaxHint: 2e6, OverShareWorth: 0.1, ColdShare: 0.3, ColdSpan: 6e6, FallMultiple: 3, FallSpan: 2e6,
+	Methods: []routing.MethodSettings{{Name: "read", LatencyBudget: 200e3, Deadline: 700e3, Criticality: 2}, {Name: "hold", LatencyBudget: 300e3, Deadline: 900e3}},
+	Tenants: []routing.TenantSettings{{Name: "grain", Share: 0.6}, {Name: "dairy", Share: 0.4}}}
 
 func TestWhatIsLeftOutStays(t *testing.T) {
 	d, err := Parse("schema = 1\nmax_write_outs = 2\n[cold]\nspan = \"3s\"\n[[method]]\nname = \"hold\"\ncriticality = 7.0\n" +
--- a/internal/policy/sites.go
+++ b/internal/policy/sites.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"spurtrestle/choice"
-	"spurtrestle/siteplan"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sitefailover"
 )
 
 // Sites is what is planned for the loss of a site.
@@ -36,8 +36,8 @@
 }
 
 // Plan is what the document says of sites. sites are all that there are; none: that is not known.
-func (d Document) Plan(own choice.Settings, sites []string) (siteplan.Plan, error) {
-	p, s := siteplan.DefaultPlan(), d.Sites
+func (d Document) Plan(own routing.Settings, sites []string) (sitefailover.Plan, error) {
+	p, s := sitefailover.DefaultPlan(), d.Sites
 	var errs []error
 	wrong := func(field, what, remedy string) { errs = append(errs, d.wrong("sites."+field, what, remedy)) }
 	above := func(field string, x *float64) float64 {
@@ -48,7 +48,7 @@
 		}
 		return 0
 	}
-	span := func(field string, text *string, into *siteplan.Micros, least time.Duration) {
+	span := func(field string, text *string, into *sitefailover.Micros, least time.Duration) {
 		if text == nil {
 			return
 		}
@@ -57,7 +57,7 @@
 			wrong(field, fmt.Sprintf("%q is no span from %v to an hour", *text, least), `write it as "1s" or "90s"`)
 			return
 		}
-		*into = siteplan.Micros(x / time.Microsecond)
+		*into = sitefailover.Micros(x / time.Microsecond)
 	}
 	p.Fetches = above("fetches", s.Fetches)
 	span("lost_after", s.LostAfter, &p.LostAfter, 500*time.Millisecond) // less is what a busy process stands still for
@@ -85,12 +85,12 @@
 			wrong(f+"name", fmt.Sprintf("%q is no site that the routers know", x.Name), fmt.Sprintf("write one of %q", sites))
 		}
 		names = append(names, x.Name)
-		p.Sites = append(p.Sites, siteplan.Place{Name: siteplan.Site(x.Name), Bears: above(f+"bears", x.Bears)})
+		p.Sites = append(p.Sites, sitefailover.Place{Name: sitefailover.Site(x.Name), Bears: above(f+"bears", x.Bears)})
 		for j, name := range x.Prefer {
 			if name == x.Name || slices.Contains(x.Prefer[:j], name) || !slices.ContainsFunc(s.Sites, func(y Place) bool { return y.Name == name }) {
 				wrong(f+"prefer", fmt.Sprintf("its entry %d, %q, is the site itself, there twice or none of the plan", j+1, name), "name other sites of the plan, the first choice first")
 			}
-			p.Sites[i].Prefer = append(p.Sites[i].Prefer, siteplan.Site(name))
+			p.Sites[i].Prefer = append(p.Sites[i].Prefer, sitefailover.Site(name))
 		}
 	}
 	if len(s.Sites) == 1 {
@@ -106,18 +106,18 @@
 	}
 	for i, x := range s.Loads {
 		f := fmt.Sprintf("load[%d].", i)
-		if !slices.ContainsFunc(own.Methods, func(m choice.MethodSettings) bool { return m.Name == x.Method }) {
+		if !slices.ContainsFunc(own.Methods, func(m routing.MethodSettings) bool { return m.Name == x.Method }) {
 			wrong(f+"method", fmt.Sprintf("%q is no method of the settings", x.Method), "write one of them")
 		}
-		if x.Tenant != "" && !slices.ContainsFunc(own.Tenants, func(t choice.TenantSettings) bool { return string(t.Name) == x.Tenant }) {
+		if x.Tenant != "" && !slices.ContainsFunc(own.Tenants, func(t routing.TenantSettings) bool { return string(t.Name) == x.Tenant }) {
 			wrong(f+"tenant", fmt.Sprintf("%q is no tenant of the settings", x.Tenant), "write one of them, or leave it out for all")
 		}
 		above(f+"rate", &x.Rate)
-		p.Loads = append(p.Loads, siteplan.Load(x))
+		p.Loads = append(p.Loads, sitefailover.Load(x))
 	}
 	for _, err := range errs {
 		if err != nil {
-			return siteplan.Plan{}, err
+			return sitefailover.Plan{}, err
 		}
 	}
 	return p, nil
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -16,16 +16,16 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/sharelease"
 	"spurtrestle/internal/admin"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/fleet"
 	"spurtrestle/internal/operator"
 	"spurtrestle/internal/operatorstate"
-	"spurtrestle/internal/place"
 	"spurtrestle/internal/router"
 	"spurtrestle/internal/settings"
 	"spurtrestle/internal/snapshot"
-	"spurtrestle/parts"
 )
 
 const usage = `spurtrestle is a router for fleets of cache servers.
@@ -45,8 +45,8 @@
 // Parts are what a program has linked in beside the router; nil: it has not. Each costs memory and time at the start.
 type Parts struct {
 	GRPC   Front
-	Fleet  place.Take
-	Policy func(operator.Policy, place.Config, choice.Settings, *router.Router, place.Place, *logrus.Logger) (place.Policy, error)
+	Fleet  fleet.Take
+	Policy func(operator.Policy, fleet.Config, routing.Settings, *router.Router, fleet.Place, *logrus.Logger) (fleet.Policy, error)
 }
 
 // Front begins to take clients of a further protocol, and returns what ends that in order. It is told before the router
@@ -129,9 +129,9 @@
 }
 
 // placeOf is how the router takes part in its fleet, by the operator's file and the configuration.
-func placeOf(mine operator.File, cfg config.Config) (place.Config, error) {
+func placeOf(mine operator.File, cfg config.Config) (fleet.Config, error) {
 	f := mine.Fleet
-	c := place.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Tiered: f.Tiered, Region: f.Region, Remote: f.Remote, Join: f.Join, Dir: f.Dir,
+	c := fleet.Config{Fleet: f.Name, Name: f.Router, Site: f.Site, Tiered: f.Tiered, Region: f.Region, Remote: f.Remote, Join: f.Join, Dir: f.Dir,
 		Seats: cfg.Settings.Routers, Seat: cfg.Seat,
 		Build: revision(), Methods: settings.Methods(cfg.Settings), Refused: mine.Refused}
 	c.Listen, c.Advertise = f.Addresses()
@@ -219,7 +219,7 @@
 // withFleet is a router as the door sees it, with what is seen of the fleet from its place.
 type withFleet struct {
 	*router.Router
-	place.Place
+	fleet.Place
 }
 
 // Figures are the router's and the view's.
@@ -228,7 +228,7 @@
 // withPolicy is one that is kept to a policy of the whole fleet as well.
 type withPolicy struct {
 	withFleet
-	kept place.Policy
+	kept fleet.Policy
 }
 
 // Policy is what is held here, as JSON.
@@ -264,9 +264,9 @@
 	if dir := mine.State.Dir; dir != "" {
 		var learned *snapshot.State
 		keeper, learned = snapshot.Keep(dir, log)
-		r.Remember(learned, choice.Micros(mine.State.Interval()/time.Microsecond), keeper.Put)
+		r.Remember(learned, routing.Micros(mine.State.Interval()/time.Microsecond), keeper.Put)
 	}
-	var at place.Config
+	var at fleet.Config
 	if mine.Fleet.Name != "" {
 		if at, err = placeOf(mine, cfg); err != nil {
 			return err
@@ -287,24 +287,24 @@
 	}
 	leave := func() {}
 	if at.Fleet != "" {
-		at.Follows, at.Clear = r.Place(parts.Least(at.Seats))
-		fleet, err := has.Fleet(at, r, log)
+		at.Follows, at.Clear = r.Place(sharelease.Least(at.Seats))
+		member, err := has.Fleet(at, r, log)
 		if err != nil {
 			return err
 		}
-		seen := withFleet{r, fleet}
+		seen := withFleet{r, member}
 		if mine.Policy.CutOff == "" {
 			serveDoor(seen)
-			leave = func() { fleet.Close(r.Handed()) }
+			leave = func() { member.Close(r.Handed()) }
 		} else {
-			kept, err := has.Policy(mine.Policy, at, cfg.Settings, r, fleet, log)
+			kept, err := has.Policy(mine.Policy, at, cfg.Settings, r, member, log)
 			if err != nil {
 				return err
 			}
 			serveDoor(withPolicy{seen, kept})
 			leave = func() {
 				kept.Close(r.Handed())
-				fleet.Close(r.Handed())
+				member.Close(r.Handed())
 			}
 		}
 	} else {
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // input gathers one input; the first of a round queues the batch.
-func (r *Router) input(ev choice.Event) {
+func (r *Router) input(ev routing.Event) {
 	r.inputs = append(r.inputs, ev)
 	r.queue()
 }
@@ -43,7 +43,7 @@
 	}
 	r.carryOut(r.decided)
 	for _, ev := range inputs {
-		if l, ok := ev.(choice.Left); ok && r.reqs[l.Req] != nil {
+		if l, ok := ev.(routing.Left); ok && r.reqs[l.Req] != nil {
 			r.reqs[l.Req].leaving = false
 			r.settle(r.reqs[l.Req])
 		}
@@ -64,32 +64,32 @@
 
 // cameAt is when a request that has just been read may have come. A process that was stopped for longer than its clients wait
 // found their requests in its sockets, took them for new, and sent them on after their deadline.
-func (r *Router) cameAt() choice.Micros {
+func (r *Router) cameAt() routing.Micros {
 	if r.now < r.stoodUntil {
 		return r.stoodFrom
 	}
 	return r.now
 }
 
-func (r *Router) carryOut(decided []choice.Decision) {
+func (r *Router) carryOut(decided []routing.Decision) {
 	for _, d := range decided {
 		switch d.Action {
-		case choice.WriteOut:
+		case routing.WriteOut:
 			r.beginAttempt(d)
-		case choice.Nack:
+		case routing.Nack:
 			r.reject(d.Req, d.After)
-		case choice.Fail:
+		case routing.Fail:
 			r.fail(d.Req)
-		case choice.Recall:
+		case routing.Recall:
 			r.recall(d.Req, d.Attempt)
-		case choice.Wake:
+		case routing.Wake:
 			ref := d.Ref
-			r.after(d.After, func() { r.input(choice.Elapsed{Ref: ref}) })
-		case choice.Subscribe:
+			r.after(d.After, func() { r.input(routing.Elapsed{Ref: ref}) })
+		case routing.Subscribe:
 			if r.watch != nil {
 				r.watch.call()
 			}
-		case choice.Disconnect:
+		case routing.Disconnect:
 			if s := r.servers[d.Server]; s != nil {
 				r.closeIdle(s)
 			}
--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/wire"
 )
 
@@ -133,7 +133,7 @@
 
 // A front off the loop gives the client's time in the call; its properties hold a placeholder.
 func TestDeadlineOfAnOffer(t *testing.T) {
-	l, up := held(t, func(s *choice.Settings) {
+	l, up := held(t, func(s *routing.Settings) {
 		for i := range s.Methods {
 			s.Methods[i].Deadline = 3e6
 		}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // Drain ends the router in order: it takes new connections for a while, then closes each client's once nothing of it
@@ -21,7 +21,7 @@
 		r.publish()
 		r.tellServing(false)
 		r.endBy = r.clock() + r.lim.Ending
-		r.input(choice.Ending{By: r.endBy})
+		r.input(routing.Ending{By: r.endBy})
 		r.after(r.lim.Ending, r.endWriteOuts)
 		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -14,7 +14,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/resp"
 )
@@ -23,12 +23,12 @@
 // which the loop has not read, a dial that is held, a clock that is set on.
 
 // held returns a router whose dials wait to be let through, with two servers and the origin.
-func held(t *testing.T, change func(*choice.Settings)) (l *notedLoop, up func() *notedConn) {
+func held(t *testing.T, change func(*routing.Settings)) (l *notedLoop, up func() *notedConn) {
 	cfg := notedConfig()
 	cfg.Limits.Idle, cfg.Limits.Sweep, cfg.Limits.Quiet = 60e6, 250e3, 50e3
 	cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel = 3, true
-	cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1},
-		choice.MethodSettings{Name: "look", Effect: choice.Deduplicated, Window: 400e3, LatencyBudget: 2e6, Criticality: 1})
+	cfg.Settings.Methods = append(cfg.Settings.Methods, routing.MethodSettings{Name: "get", LatencyBudget: 2e6, Criticality: 1},
+		routing.MethodSettings{Name: "look", Effect: routing.Deduplicated, Window: 400e3, LatencyBudget: 2e6, Criticality: 1})
 	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
 		`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"}]}`)
 	if change != nil {
@@ -66,7 +66,7 @@
 }
 
 // pass sets the clock on.
-func (l *notedLoop) pass(by choice.Micros) {
+func (l *notedLoop) pass(by routing.Micros) {
 	l.r.began += by
 	l.r.lim.Stood = 1 << 60
 	l.r.batch()
@@ -237,7 +237,7 @@
 
 // All that is in hand is answered by the end of the process, whatever its deadline, and what comes late as well.
 func TestAllIsAnsweredByTheEnd(t *testing.T) {
-	l, up := held(t, func(s *choice.Settings) { s.Methods[1].LatencyBudget = 6e6 })
+	l, up := held(t, func(s *routing.Settings) { s.Methods[1].LatencyBudget = 6e6 })
 	close(l.r.ready)
 	l.r.lim.Ending, l.r.lim.LingerOpen = 3e6, 500e3
 	client := l.open(nil)
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -15,7 +15,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/resp"
 	"spurtrestle/internal/wire/http1"
 )
@@ -63,7 +63,7 @@
 			for _, q := range l.r.reqs {
 				for _, w := range slices.Clone(q.attempts) {
 					if w.whole && q.Write {
-						l.r.giveUp(w, choice.Ignored)
+						l.r.giveUp(w, routing.Ignored)
 						return
 					}
 				}
@@ -74,7 +74,7 @@
 				for _, q := range l.r.reqs {
 					if !s.ready && !q.over && len(q.attempts) == 0 {
 						s.ready = true
-						l.r.beginAttempt(choice.Decision{Req: q.ID, Server: s.id, After: 1e6})
+						l.r.beginAttempt(routing.Decision{Req: q.ID, Server: s.id, After: 1e6})
 						s.ready = false
 						return
 					}
@@ -86,7 +86,7 @@
 				if q.over && len(q.attempts) == 0 {
 					for id := range l.r.servers {
 						q.over = false
-						l.r.beginAttempt(choice.Decision{Req: q.ID, Server: id, After: 1e6})
+						l.r.beginAttempt(routing.Decision{Req: q.ID, Server: id, After: 1e6})
 						q.over = true
 						return
 					}
@@ -142,7 +142,7 @@
 	cfg.Limits.Pipeline, cfg.Limits.HeldBytes, cfg.Limits.Quiet, cfg.Limits.Linger = 3, 100, 10e3, 1e6
 	cfg.Limits.Idle = 2e6
 	cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
-	cfg.Settings.Methods = append(cfg.Settings.Methods, choice.MethodSettings{Name: "get", LatencyBudget: 6e6, Criticality: 1})
+	cfg.Settings.Methods = append(cfg.Settings.Methods, routing.MethodSettings{Name: "get", LatencyBudget: 6e6, Criticality: 1})
 	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
 		`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"},` +
 		`{"uid":"u","endpoint":"127.0.0.1:3","model":"m","state":"active"}]}`)
@@ -155,18 +155,18 @@
 	var dials []dial
 	r.dialer = func(_ string, p peer, failed func(error)) { dials = append(dials, dial{p, failed}) }
 	clients, servers := []*notedConn{l.open(nil)}, []*notedConn(nil)
-	asked, out := map[*notedConn]int{}, map[string]choice.Micros{}
+	asked, out := map[*notedConn]int{}, map[string]routing.Micros{}
 	close(r.ready)
 	r.lim.Ending, r.lim.LingerOpen, r.lim.Turn = 3e6, 500e3, 5e3
-	endBy := choice.Micros(0) // by when all is answered, after SIGTERM
-	gone := map[string]bool{} // that drain, or are no more, by the last list
+	endBy := routing.Micros(0) // by when all is answered, after SIGTERM
+	gone := map[string]bool{}  // that drain, or are no more, by the last list
 	type sent struct {
 		on *notedConn
 		w  *attempt
 	}
-	outs := map[sent]bool{}          // that were there after the last step; true: the last byte had left
-	ran := map[choice.ReqID]string{} // that may have run, and where
-	never := (*attempt)(nil)         // answered in this step as never run
+	outs := map[sent]bool{}           // that were there after the last step; true: the last byte had left
+	ran := map[routing.ReqID]string{} // that may have run, and where
+	never := (*attempt)(nil)          // answered in this step as never run
 	traffic := func(c *notedConn) {
 		if r.OnTraffic(c) == gnet.Close {
 			_ = l.Close(c)
@@ -261,7 +261,7 @@
 				gone[uid] = state != "active"
 			}
 		case 9:
-			r.began += choice.Micros(n) * []choice.Micros{1e3, 1e3, 1e3, 10e3}[n%4]
+			r.began += routing.Micros(n) * []routing.Micros{1e3, 1e3, 1e3, 10e3}[n%4]
 			r.batch()
 		case 10:
 			if c := pick(servers, n); c != nil {
@@ -305,7 +305,7 @@
 		}
 		for s, whole := range outs {
 			up, on := s.on.ctx.(*upstream)
-			if whole && s.w != never && r.cfg.Settings.Methods[s.w.q.method].Effect == choice.NonRetryable && !(on && up.carries == s.w) {
+			if whole && s.w != never && r.cfg.Settings.Methods[s.w.q.method].Effect == routing.NonRetryable && !(on && up.carries == s.w) {
 				ran[s.w.q.ID] = string(r.book.UID(s.w.server.id))
 			}
 		}
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/wire"
 )
 
@@ -33,7 +33,7 @@
 	getBudget  = 2e6 // as held has it
 )
 
-func newDeparture(t *testing.T, byGRPC bool, change func(*choice.Settings)) *departure {
+func newDeparture(t *testing.T, byGRPC bool, change func(*routing.Settings)) *departure {
 	l, _ := held(t, change)
 	d := &departure{t: t, l: l, clients: map[string]*notedConn{}, offers: map[string]*Offer{}, byGRPC: byGRPC}
 	close(l.r.ready)
@@ -49,7 +49,7 @@
 func (d *departure) asks(id, key, method string, write bool) {
 	props := fmt.Sprintf("c=%s,d=1900", method)
 	if d.byGRPC {
-		o := &Offer{Request: wire.Request{ID: choice.ReqID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
+		o := &Offer{Request: wire.Request{ID: routing.ReqID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
 			Answer: func(wire.Answer) {}, Refuse: func(why Refusal) { d.t.Errorf("%s is refused: %d", id, why) }}
 		d.offers[id] = o
 		d.l.r.Offer(o)
@@ -110,10 +110,10 @@
 // A client that closes its connection or cancels its call is gone: whatever its request was waiting for just then, no attempt
 // of it begins more than 0.1 s later, the first, a retry or a hedge.
 func TestNoAttemptForAClientThatIsGone(t *testing.T) {
-	never := func(s *choice.Settings) { s.MayCancel = false }
-	hedges := func(s *choice.Settings) { s.MayTwoAtOnce = true }
+	never := func(s *routing.Settings) { s.MayCancel = false }
+	hedges := func(s *routing.Settings) { s.MayTwoAtOnce = true }
 	tell := map[string]struct {
-		change func(*choice.Settings)
+		change func(*routing.Settings)
 		before func(d *departure) // what leads to it, of the request "gone"
 	}{
 		"the first attempt waits for a connection":       {nil, firstWaits},
@@ -213,7 +213,7 @@
 		}
 		for _, c := range d.conns {
 			up, is := c.ctx.(*upstream)
-			if c.closed || !is || up.carries == nil || up.carries.q.ID == "gone" && up.carries.nth < choice.Attempt(began) {
+			if c.closed || !is || up.carries == nil || up.carries.q.ID == "gone" && up.carries.nth < routing.Attempt(began) {
 				continue
 			}
 			text := hit
--- a/internal/router/long.go
+++ b/internal/router/long.go
@@ -16,7 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
 	"spurtrestle/internal/wire"
@@ -31,7 +31,7 @@
 	from   int // descriptor of the server's connection
 	has    []byte
 	size   int
-	method choice.Method
+	method routing.Method
 	last   bool // the server's connection carries nothing behind it
 
 	client, server net.Conn    // of the goroutine
@@ -52,7 +52,7 @@
 	c, plain := w.q.from.(*client)
 	if !plain { // other protocols hand values over whole
 		up.r.answer(w.q, wire.Answer{Kind: wire.Failed, Long: true})
-		up.r.returned(w, choice.OK, up.r.report(o.Report))
+		up.r.returned(w, routing.OK, up.r.report(o.Report))
 		return true
 	}
 	if w.q.over {
@@ -66,7 +66,7 @@
 	l := &long{r: up.r, up: up, c: c, from: fd, has: append([]byte(nil), buf[at:]...), size: size, method: w.q.method, last: o.Close}
 	up.off()
 	w.q.over = true // it is counted when the value ends
-	up.r.returned(w, choice.OK, up.r.report(o.Report))
+	up.r.returned(w, routing.OK, up.r.report(o.Report))
 	w.q.slot.q = nil
 	w.q.slot.long = l
 	if !c.away {
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/resp"
 	"spurtrestle/internal/wire"
 	"spurtrestle/internal/wire/resp2"
@@ -175,14 +175,14 @@
 	r, up := b.r, w.up
 	if hungUp(b.fd) { // off the loop nobody has seen that the client went while it waited
 		r.left(b.q)
-		r.giveUp(w, choice.Ignored)
+		r.giveUp(w, routing.Ignored)
 		b.start(b.discard)
 		return
 	}
 	fd, err := up.conn.Dup()
 	if err != nil {
 		r.log.WithError(err).Warn("a big value cannot be passed on")
-		r.giveUp(w, choice.ConnectError)
+		r.giveUp(w, routing.ConnectError)
 		return
 	}
 	r.cancel(w.timer) // its time begins when the body has gone
@@ -196,7 +196,7 @@
 		server, err := asConn(fd)
 		if err != nil {
 			r.execute(func() {
-				r.returned(w, choice.ConnectError, nil)
+				r.returned(w, routing.ConnectError, nil)
 				up.ended()
 			})
 			return b.discard(client)
@@ -217,7 +217,7 @@
 			server.Close()
 			done := make(chan struct{})
 			r.execute(func() {
-				r.returned(w, choice.ConnectError, nil)
+				r.returned(w, routing.ConnectError, nil)
 				up.ended()
 				close(done)
 			})
@@ -230,7 +230,7 @@
 		r.execute(func() {
 			defer close(done)
 			r.counts.Forwards++
-			w.whole, w.sent = true, r.clock()-choice.Micros(time.Since(sent)/time.Microsecond) // its time counts from there
+			w.whole, w.sent = true, r.clock()-routing.Micros(time.Since(sent)/time.Microsecond) // its time counts from there
 			r.spoke(w, o)
 			if !keep {
 				up.ended()
@@ -257,13 +257,13 @@
 		o, used, keep, broken := speaks.Read(has, err == io.EOF) // a reset is no end of an answer without a length
 		switch {
 		case broken != nil:
-			return wire.Outcome{Status: choice.Failed}, false
+			return wire.Outcome{Status: routing.Failed}, false
 		case used > 0:
 			return o, keep && used == len(has) && err == nil
 		case err != nil && isLate(err):
-			return wire.Outcome{Status: choice.TimedOut}, false
+			return wire.Outcome{Status: routing.TimedOut}, false
 		case err != nil:
-			return wire.Outcome{Status: choice.Reset}, false
+			return wire.Outcome{Status: routing.Reset}, false
 		}
 	}
 }
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -3,26 +3,26 @@
 import (
 	"math/rand/v2"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
+	"spurtrestle/core/staleness"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/settings"
 	"spurtrestle/internal/snapshot"
-	"spurtrestle/staleness"
 )
 
 // memory is what the router has from an earlier process, and where it leaves what it knows.
 type memory struct {
 	learned *snapshot.State
-	waiting map[discovery.UID]choice.ServerKnowledge // of servers that no list has named yet
-	every   choice.Micros
+	waiting map[discovery.UID]routing.ServerKnowledge // of servers that no list has named yet
+	every   routing.Micros
 	keep    func(snapshot.State)
 	rand    *rand.Rand
 }
 
 // Remember has the router begin with what an earlier process had learned (nil: nothing), and hand over what it knows
 // itself about every so often. keep is called on the loop and must not wait. Call it before Run.
-func (r *Router) Remember(learned *snapshot.State, every choice.Micros, keep func(snapshot.State)) {
-	r.memory = &memory{learned: learned, every: every, keep: keep, waiting: map[discovery.UID]choice.ServerKnowledge{},
+func (r *Router) Remember(learned *snapshot.State, every routing.Micros, keep func(snapshot.State)) {
+	r.memory = &memory{learned: learned, every: every, keep: keep, waiting: map[discovery.UID]routing.ServerKnowledge{},
 		rand: rand.New(rand.NewPCG(r.cfg.Seed, 1))}
 }
 
@@ -46,7 +46,7 @@
 	}
 	k := s.Knowledge
 	for _, method := range r.cfg.Settings.Methods { // by name: their order may have changed
-		time := choice.Micros(0)
+		time := routing.Micros(0)
 		for _, x := range s.Methods {
 			if x.Name == method.Name {
 				time = x.Time
@@ -55,7 +55,7 @@
 		k.Methods = append(k.Methods, time)
 	}
 	for i, x := range s.Servers {
-		x.Server = choice.ServerID(i) // only to find it again: numbers are given by the list
+		x.Server = routing.ServerID(i) // only to find it again: numbers are given by the list
 		k.Servers = append(k.Servers, x.ServerKnowledge)
 	}
 	k = staleness.Fade(k, r.now)
@@ -63,12 +63,12 @@
 		m.waiting[discovery.UID(s.Servers[x.Server].UID)] = x
 	}
 	k.Servers = nil
-	r.carryOut(r.core.Step(r.now, choice.Learned{Knowledge: k}))
+	r.carryOut(r.core.Step(r.now, routing.Learned{Knowledge: k}))
 	m.learned = nil
 }
 
 // sameService: what another service's router has learned, of methods that are not ours, is not ours.
-func sameService(s snapshot.State, ours choice.Settings) error {
+func sameService(s snapshot.State, ours routing.Settings) error {
 	var theirs []string
 	for _, m := range s.Methods {
 		theirs = append(theirs, m.Name)
@@ -77,11 +77,11 @@
 }
 
 // name gives the decisions what is known of servers that a list names, ahead of the list.
-func (r *Router) name(l choice.ListCame) {
+func (r *Router) name(l routing.ListCame) {
 	if r.memory == nil || len(r.memory.waiting) == 0 {
 		return
 	}
-	var known []choice.ServerKnowledge
+	var known []routing.ServerKnowledge
 	for _, e := range l.Entries {
 		uid := r.book.UID(e.Server)
 		if x, ok := r.memory.waiting[uid]; ok {
@@ -91,14 +91,14 @@
 		}
 	}
 	if len(known) > 0 {
-		r.input(choice.LearnedServers{Servers: known})
+		r.input(routing.LearnedServers{Servers: known})
 	}
 }
 
 // later keeps what is known after a while; not all routers of a fleet at once.
 func (r *Router) later() {
 	m := r.memory
-	r.after(choice.Micros(float64(m.every)*(0.75+m.rand.Float64()/2)), func() {
+	r.after(routing.Micros(float64(m.every)*(0.75+m.rand.Float64()/2)), func() {
 		m.keep(r.State())
 		r.later()
 	})
--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/snapshot"
 )
 
@@ -30,10 +30,10 @@
 	client.asks(l.r, "r1")
 	l.rounds()
 	old := snapshot.State{Version: snapshot.Version, Methods: []snapshot.Method{{Name: l.r.cfg.Settings.Methods[0].Name, Time: 7000}},
-		Knowledge: choice.Knowledge{At: l.r.clock(), Span: 60e6, Seen: choice.Times{Time: 3000, Long: 3000, Best: 2000, N: 32}}}
+		Knowledge: routing.Knowledge{At: l.r.clock(), Span: 60e6, Seen: routing.Times{Time: 3000, Long: 3000, Best: 2000, N: 32}}}
 	for i := range 3 {
-		old.Servers = append(old.Servers, snapshot.Server{UID: fmt.Sprint("uid-", i), ServerKnowledge: choice.ServerKnowledge{At: l.r.clock(),
-			Times: choice.Times{Time: choice.Micros(1000 * (i + 1)), Long: 1, Best: 1, N: 32}}})
+		old.Servers = append(old.Servers, snapshot.Server{UID: fmt.Sprint("uid-", i), ServerKnowledge: routing.ServerKnowledge{At: l.r.clock(),
+			Times: routing.Times{Time: routing.Micros(1000 * (i + 1)), Long: 1, Best: 1, N: 32}}})
 	}
 	r := l.r
 	r.Remember(&old, 1e6, func(snapshot.State) {})
@@ -54,8 +54,8 @@
 		r.listCame(got)
 		l.rounds()
 	}
-	known := func() map[string]choice.Micros {
-		out := map[string]choice.Micros{}
+	known := func() map[string]routing.Micros {
+		out := map[string]routing.Micros{}
 		for _, s := range r.State().Servers {
 			out[s.UID] = s.Times.Time
 		}
@@ -94,7 +94,7 @@
 	l, _, _ := newNoted(b)
 	r := l.r
 	body := `{"rev":9,"all":true,"targets":[`
-	var known []choice.ServerKnowledge
+	var known []routing.ServerKnowledge
 	for i := range 150 {
 		if i > 0 {
 			body += ","
@@ -106,14 +106,14 @@
 		b.Fatal(err)
 	}
 	for _, e := range got.Entries {
-		known = append(known, choice.ServerKnowledge{Server: e.Server, At: 1, Times: choice.Times{Time: 5, Long: 5, Best: 5, N: 32}})
+		known = append(known, routing.ServerKnowledge{Server: e.Server, At: 1, Times: routing.Times{Time: 5, Long: 5, Best: 5, N: 32}})
 	}
-	r.core.Step(r.clock(), choice.LearnedServers{Servers: known})
-	var keys []choice.KeyKnowledge
+	r.core.Step(r.clock(), routing.LearnedServers{Servers: known})
+	var keys []routing.KeyKnowledge
 	for i := range 1024 {
-		keys = append(keys, choice.KeyKnowledge{Key: choice.KeyHash(i), Count: 5})
+		keys = append(keys, routing.KeyKnowledge{Key: routing.KeyHash(i), Count: 5})
 	}
-	r.core.Step(r.clock(), choice.Learned{Knowledge: choice.Knowledge{Keys: keys, Reads: 5000}})
+	r.core.Step(r.clock(), routing.Learned{Knowledge: routing.Knowledge{Keys: keys, Reads: 5000}})
 	r.core.Step(r.clock(), got)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/wire"
 )
 
@@ -23,8 +23,8 @@
 type Offer struct {
 	wire.Request
 	Method string
-	Tenant choice.Tenant
-	Waits  choice.Micros // how long its client waits; 0: as long as the method allows
+	Tenant routing.Tenant
+	Waits  routing.Micros // how long its client waits; 0: as long as the method allows
 	Resent bool
 	// Exactly one of the two is called, on the loop, once: it must not wait. An answer's value is good only within it.
 	Answer func(wire.Answer)
@@ -115,7 +115,7 @@
 	}
 	o.q = &request{Request: o.Request, size: size, from: o}
 	r.offers.open++
-	r.take(o.q, choice.ReqCame{Req: o.ID, Key: choice.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
+	r.take(o.q, routing.ReqCame{Req: o.ID, Key: routing.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
 	return 0
 }
 
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/admin"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
@@ -19,12 +19,12 @@
 
 // ops is what operators see and ask for. The door's goroutines come by the exported methods below.
 type ops struct {
-	barred  map[choice.ServerID]bool // what the decisions were told last, of those that they were told of
-	mu      sync.Mutex               // one change at a time; never held by the loop
+	barred  map[routing.ServerID]bool // what the decisions were told last, of those that they were told of
+	mu      sync.Mutex                // one change at a time; never held by the loop
 	store   *operatorstate.Store
 	wanted  operatorstate.State     // the loop's own
 	told    atomic.Pointer[figures] // what the loop last left for the door
-	toldAt  choice.Micros
+	toldAt  routing.Micros
 	unkept  atomic.Bool // the file does not have what is wanted
 	emptied bool        // clients' connections are being ended since an operator asked for it
 }
@@ -196,7 +196,7 @@
 		uid := string(r.book.UID(s.id))
 		if out := i.Out(uid); out != was.Out(uid) && !r.place.gone[uid] {
 			r.log.WithFields(map[string]any{"server": uid, "out": out}).Info("as operators asked")
-			r.bar(s, out, choice.Micros(i.Back[uid]))
+			r.bar(s, out, routing.Micros(i.Back[uid]))
 		}
 	}
 	if i.Empty != was.Empty {
@@ -212,7 +212,7 @@
 }
 
 // bar tells the decisions that a server is out, or back since then.
-func (r *Router) bar(s *server, out bool, since choice.Micros) {
+func (r *Router) bar(s *server, out bool, since routing.Micros) {
 	if out {
 		since = 0
 	}
@@ -220,7 +220,7 @@
 		return // as nearly all that a list names: the decisions know nothing else
 	}
 	r.ops.barred[s.id] = out
-	r.input(choice.Barred{Server: s.id, On: out, Since: since})
+	r.input(routing.Barred{Server: s.id, On: out, Since: since})
 	if s.ready = s.listed && !out; !s.ready {
 		r.dismiss(s)
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -6,26 +6,26 @@
 	"sync/atomic"
 	"time"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // place is the router's among the others, as far as something outside the loop keeps it. The fields are the loop's, but
 // that which is noted.
 type place struct {
-	have  float64       // the part; 0: it was not told yet, and the decisions have their own
-	part  choice.Micros // until then the part holds that was told; 0: for ever
+	have  float64        // the part; 0: it was not told yet, and the decisions have their own
+	part  routing.Micros // until then the part holds that was told; 0: for ever
 	then  float64
 	whole bool   // nothing of the own part is lent, or may be
 	out   string // why it takes no clients
 
 	extra      float64 // beside the part: of routers that are lost
-	extraUntil choice.Micros
+	extraUntil routing.Micros
 
-	may  atomic.Int64 // new requests may be taken until then, as choice.Micros; 0: for ever. From any goroutine.
+	may  atomic.Int64 // new requests may be taken until then, as routing.Micros; 0: for ever. From any goroutine.
 	shut bool         // they may not
 
-	plan  choice.Planned  // that the fleet keeps to
-	until choice.Micros   // and so long; 0: there is none
+	plan  routing.Planned // that the fleet keeps to
+	until routing.Micros  // and so long; 0: there is none
 	gone  map[string]bool // cache servers that the fleet's policy leaves alone
 }
 
@@ -69,10 +69,10 @@
 		}
 		r.place.whole, r.place.then, r.place.part = whole, then, 0
 		if !until.IsZero() {
-			r.place.part = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
+			r.place.part = r.began + routing.Micros(until.Sub(r.start)/time.Microsecond)
 		}
 		if r.place.have = now; !r.place.shut {
-			r.input(choice.Parted{Part: now + r.place.extra})
+			r.input(routing.Parted{Part: now + r.place.extra})
 		}
 		r.batch() // in force before the yes
 	})
@@ -123,8 +123,8 @@
 	}
 	if p.until != 0 && r.now >= p.until {
 		r.log.Info("site: no orders have come for a while; going by this router's own evidence")
-		r.place.plan, r.place.until = choice.Planned{}, 0
-		r.decided = append(r.decided, r.core.Step(r.now, choice.Planned{})...)
+		r.place.plan, r.place.until = routing.Planned{}, 0
+		r.decided = append(r.decided, r.core.Step(r.now, routing.Planned{})...)
 	}
 	if p.extra != 0 && r.now >= p.extraUntil {
 		p.extra, news = 0, true
@@ -140,17 +140,17 @@
 	if p.shut {
 		part = 0
 	}
-	r.decided = append(r.decided, r.core.Step(r.now, choice.Parted{Part: part})...)
+	r.decided = append(r.decided, r.core.Step(r.now, routing.Parted{Part: part})...)
 }
 
 // SitePlan has the router keep to what the fleet does about a lost site, until a time, and tells its load of late. It is in
 // force once the error is nil; with one it may come into force later.
-func (r *Router) SitePlan(p choice.Planned, until time.Time) (choice.Figures, error) {
+func (r *Router) SitePlan(p routing.Planned, until time.Time) (routing.Figures, error) {
 	<-r.ready
-	var f choice.Figures
+	var f routing.Figures
 	busy := r.soon(func() {
-		r.place.until = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
-		if reflect.DeepEqual(p, choice.Planned{}) {
+		r.place.until = r.began + routing.Micros(until.Sub(r.start)/time.Microsecond)
+		if reflect.DeepEqual(p, routing.Planned{}) {
 			r.place.until = 0
 		}
 		if !reflect.DeepEqual(p, r.place.plan) {
@@ -161,7 +161,7 @@
 		f = r.core.Figures(r.clock())
 	})
 	if busy != nil {
-		return choice.Figures{}, busy // what is written to f later is nobody's
+		return routing.Figures{}, busy // what is written to f later is nobody's
 	}
 	return f, nil
 }
@@ -175,36 +175,36 @@
 	}
 	r.execute(func() {
 		p := &r.place
-		p.extraUntil = r.began + choice.Micros(until.Sub(r.start)/time.Microsecond)
+		p.extraUntil = r.began + routing.Micros(until.Sub(r.start)/time.Microsecond)
 		if part == p.extra {
 			return
 		}
 		p.extra = part
 		if !p.shut && p.have != 0 {
-			r.input(choice.Parted{Part: p.have + part})
+			r.input(routing.Parted{Part: p.have + part})
 		}
 		r.batch()
 	})
 }
 
 func (r *Router) mayTake() bool {
-	may := choice.Micros(r.place.may.Load())
+	may := routing.Micros(r.place.may.Load())
 	return may == 0 || r.now < may
 }
 
 // MayTake has the router take new requests until a time: zero for ever, one that is past not at all. What it does not take
 // is rejected at once, and it is not ready meanwhile.
 func (r *Router) MayTake(until time.Time) {
-	at := choice.Micros(0)
+	at := routing.Micros(0)
 	if !until.IsZero() {
-		at = max(1, r.began+choice.Micros(until.Sub(r.start)/time.Microsecond))
+		at = max(1, r.began+routing.Micros(until.Sub(r.start)/time.Microsecond))
 	}
 	r.place.may.Store(int64(at))
 }
 
 // SetPolicy has the router decide by other settings, with these cache servers left alone. It is in force once it returns
 // nil; with an error it may come into force later.
-func (r *Router) SetPolicy(s choice.Settings, out []string) error {
+func (r *Router) SetPolicy(s routing.Settings, out []string) error {
 	<-r.ready
 	return r.soon(func() {
 		was := r.place.gone
@@ -212,7 +212,7 @@
 		for _, uid := range out {
 			r.place.gone[uid] = true
 		}
-		r.input(choice.Changed{Settings: s})
+		r.input(routing.Changed{Settings: s})
 		for _, x := range r.servers {
 			uid := string(r.book.UID(x.id))
 			if gone := r.place.gone[uid]; gone != was[uid] && !r.ops.wanted.Out(uid) {
