--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strconv"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/settings"
 	"spurtrestle/internal/wire"
 )
@@ -21,28 +21,28 @@
 type request struct {
 	wire.Request
 	size     int // bytes that it holds
-	method   choice.Method
-	due      choice.Micros // its client gives up then
+	method   routing.Method
+	due      routing.Micros // its client gives up then
 	from     asker
-	slot     slot           // of a RESP2 client
-	attempts []*attempt     // two at most
-	begun    choice.Attempt // so far
-	over     bool           // answered, or the client is gone
-	leaving  bool           // the client is gone, and the decisions are still to be told: they may name it until then
-	body     *body          // of a big write, which is passed on as it comes
+	slot     slot            // of a RESP2 client
+	attempts []*attempt      // two at most
+	begun    routing.Attempt // so far
+	over     bool            // answered, or the client is gone
+	leaving  bool            // the client is gone, and the decisions are still to be told: they may name it until then
+	body     *body           // of a big write, which is passed on as it comes
 }
 
 // arrival is a request on its way into a batch; its deadline counts from there.
 type arrival struct {
 	q     *request
-	came  choice.ReqCame
-	waits choice.Micros
-	since choice.Micros // its last byte came then
+	came  routing.ReqCame
+	waits routing.Micros
+	since routing.Micros // its last byte came then
 }
 
 // event dates a request. The decisions count its time from when the router came to read it, since the protocol does not
 // count the time for which a command waits for those before it; servers are sent what is left since its last byte came.
-func (a *arrival) event(at choice.Micros) choice.Event {
+func (a *arrival) event(at routing.Micros) routing.Event {
 	a.q.due = min(at, a.since) + a.waits
 	a.came.ValidUntil = at + a.waits
 	return a.came
@@ -51,24 +51,24 @@
 // attempt is one attempt from its decision to its outcome.
 type attempt struct {
 	q      *request
-	nth    choice.Attempt
+	nth    routing.Attempt
 	server *server
-	sent   choice.Micros
-	within choice.Micros // its time-out
+	sent   routing.Micros
+	within routing.Micros // its time-out
 	timer  *timer
-	late   *timer        // at until; nil: that is its time-out
-	until  choice.Micros // not begun by then, it is not begun any more
-	up     *upstream     // nil: it waits for a connection
-	whole  bool          // its last byte has left us
+	late   *timer         // at until; nil: that is its time-out
+	until  routing.Micros // not begun by then, it is not begun any more
+	up     *upstream      // nil: it waits for a connection
+	whole  bool           // its last byte has left us
 }
 
 // remaining is how long an answer can still be of use: until the router stops waiting for it, or the client does.
-func (w *attempt) remaining(now choice.Micros) choice.Micros {
+func (w *attempt) remaining(now routing.Micros) routing.Micros {
 	return min(w.sent+w.within, w.q.due) - now
 }
 
 // take makes a request of this router's what a front has read whole; its client waits so long from when its last byte came, since.
-func (r *Router) take(q *request, came choice.ReqCame, waits, since choice.Micros) {
+func (r *Router) take(q *request, came routing.ReqCame, waits, since routing.Micros) {
 	r.reqs[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
@@ -96,7 +96,7 @@
 }
 
 // count is the one place where a request's end is counted, but for those whose clients left.
-func (r *Router) count(m choice.Method, k wire.Kind) {
+func (r *Router) count(m routing.Method, k wire.Kind) {
 	switch k {
 	case wire.Served:
 		r.counts.Satisfied++
@@ -109,7 +109,7 @@
 }
 
 // refused counts a request that ended before the decisions saw it.
-func (r *Router) refused(m choice.Method, k wire.Kind) {
+func (r *Router) refused(m routing.Method, k wire.Kind) {
 	r.counts.Taken++
 	r.count(m, k)
 }
@@ -122,13 +122,13 @@
 	}
 }
 
-func (r *Router) reject(id choice.ReqID, hint choice.Micros) {
+func (r *Router) reject(id routing.ReqID, hint routing.Micros) {
 	if q := r.reqs[id]; q != nil {
 		r.answer(q, wire.Answer{Kind: wire.Rejected, RetryAfter: hint})
 	}
 }
 
-func (r *Router) fail(id choice.ReqID) {
+func (r *Router) fail(id routing.ReqID) {
 	if q := r.reqs[id]; q != nil {
 		r.answer(q, wire.Answer{Kind: wire.Failed})
 	}
@@ -142,11 +142,11 @@
 	}
 	q.over, q.leaving = true, true
 	r.counts.Left++
-	r.input(choice.Left{Req: q.ID})
+	r.input(routing.Left{Req: q.ID})
 	for _, w := range slices.Clone(q.attempts) {
 		if w.unsent() {
 			r.counts.LeftWaiting++
-			r.giveUp(w, choice.Ignored)
+			r.giveUp(w, routing.Ignored)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 }
 
 // beginAttempt begins an attempt.
-func (r *Router) beginAttempt(d choice.Decision) {
+func (r *Router) beginAttempt(d routing.Decision) {
 	q, s := r.reqs[d.Req], r.servers[d.Server]
 	if q == nil {
 		r.log.Error("a write-out for a req that is over")
@@ -168,7 +168,7 @@
 	// The request may have lost its client, and the server its place in the list, since this was decided: the news is in the
 	// batch behind the decision, or in the next. Nothing is sent then.
 	if q.over || s == nil || !s.ready {
-		r.input(choice.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: choice.Ignored, Over: q.over})
+		r.input(routing.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: routing.Ignored, Over: q.over})
 		return
 	}
 	w := &attempt{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
@@ -179,7 +179,7 @@
 		w.until = d.By
 		w.late = r.after(max(0, d.By-r.now), func() {
 			if slices.Contains(q.attempts, w) && w.unsent() {
-				r.giveUp(w, choice.Ignored)
+				r.giveUp(w, routing.Ignored)
 			}
 		})
 	}
@@ -187,7 +187,7 @@
 }
 
 // returned ends an attempt and hands its outcome over.
-func (r *Router) returned(w *attempt, status choice.Status, report choice.Report) {
+func (r *Router) returned(w *attempt, status routing.Status, report routing.Report) {
 	q := w.q
 	n := slices.Index(q.attempts, w)
 	if n < 0 {
@@ -203,24 +203,24 @@
 		w.server.forget(w)
 	}
 	switch status {
-	case choice.OK:
+	case routing.OK:
 		r.counts.OK++
-	case choice.Miss:
+	case routing.Miss:
 		r.counts.Miss++
-	case choice.QueueFull, choice.ConnectError, choice.Ignored:
+	case routing.QueueFull, routing.ConnectError, routing.Ignored:
 		r.counts.NeverRan++
-	case choice.Canceled:
+	case routing.Canceled:
 		r.counts.GivenUp++
 	default:
 		r.counts.MayHave++
 	}
-	r.input(choice.Returned{Req: q.ID, Server: w.server.id, Attempt: w.nth, Status: status,
+	r.input(routing.Returned{Req: q.ID, Server: w.server.id, Attempt: w.nth, Status: status,
 		Took: r.clock() - w.sent, Over: q.over, Report: report})
 	r.settle(q)
 }
 
 // giveUp ends an attempt that is still out by closing its connection, so that no late byte reaches another request.
-func (r *Router) giveUp(w *attempt, status choice.Status) {
+func (r *Router) giveUp(w *attempt, status routing.Status) {
 	up := w.up
 	r.returned(w, status, nil)
 	if up != nil && up.away {
@@ -235,34 +235,34 @@
 	switch {
 	case !slices.Contains(w.q.attempts, w):
 	case w.unsent():
-		r.giveUp(w, choice.Ignored)
+		r.giveUp(w, routing.Ignored)
 	default:
-		r.giveUp(w, choice.TimedOut)
+		r.giveUp(w, routing.TimedOut)
 	}
 }
 
-func (r *Router) recall(id choice.ReqID, n choice.Attempt) {
+func (r *Router) recall(id routing.ReqID, n routing.Attempt) {
 	if q := r.reqs[id]; q != nil {
 		if i := slices.IndexFunc(q.attempts, func(w *attempt) bool { return w.nth == n }); i >= 0 {
-			r.giveUp(q.attempts[i], choice.Canceled)
+			r.giveUp(q.attempts[i], routing.Canceled)
 		}
 	}
 }
 
 // spoke: a server has answered. A value goes to who asked as soon as it has come whole.
 func (r *Router) spoke(w *attempt, o wire.Outcome) {
-	if o.Status == choice.OK {
+	if o.Status == routing.OK {
 		r.answer(w.q, wire.Answer{Kind: wire.Served, Value: o.Value})
 	}
 	r.returned(w, o.Status, r.report(o.Report))
 }
 
 // report reads "name=value,..." into the order of the settings; nil where nothing is told.
-func (r *Router) report(text []byte) choice.Report {
+func (r *Router) report(text []byte) routing.Report {
 	if bytes.IndexByte(text, '=') < 0 {
 		return nil
 	}
-	out := make(choice.Report, len(r.cfg.Settings.ReportFields))
+	out := make(routing.Report, len(r.cfg.Settings.ReportFields))
 	for i := range out {
 		out[i] = math.NaN()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,5 +1,5 @@
 // Package router is the router on sockets: one gnet loop that owns all state. It gathers what came in, hands it to
-// package choice in one go, and carries out what came back. It decides nothing about requests itself.
+// package routing in one go, and carries out what came back. It decides nothing about requests itself.
 //
 // The files: this one the loop's callbacks; batch.go the hand-over to the decisions; requests.go the requests and their
 // attempts, whatever protocol they came by; clients.go, servers.go (pools and dials) and watch.go the kinds of
@@ -19,7 +19,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
 	"spurtrestle/internal/counters"
 	"spurtrestle/internal/discovery"
@@ -37,23 +37,23 @@
 	counts counters.Counters
 
 	start time.Time
-	began choice.Micros // the wall clock at the start; the time is that and what has passed by the monotonic clock
+	began routing.Micros // the wall clock at the start; the time is that and what has passed by the monotonic clock
 	loop  gnet.EventLoop
 	ready chan struct{} // closed once loop is set
 
-	core    *choice.Router
-	methods map[string]choice.Method
-	now     choice.Micros // of the batch at hand
+	core    *routing.Router
+	methods map[string]routing.Method
+	now     routing.Micros // of the batch at hand
 	// After the loop stood still since stoodFrom, until stoodUntil, what is read may have come at any time since then.
-	stoodFrom, stoodUntil choice.Micros
-	behindUntil           choice.Micros // until then the ends of clients may lie unread
-	inputs                []choice.Event
-	decided               []choice.Decision
+	stoodFrom, stoodUntil routing.Micros
+	behindUntil           routing.Micros // until then the ends of clients may lie unread
+	inputs                []routing.Event
+	decided               []routing.Decision
 	queued                bool // a batch is on its way
 
 	timers timers
 
-	reqs      map[choice.ReqID]*request
+	reqs      map[routing.ReqID]*request
 	held      int                  // bytes of all requests
 	buffered  int                  // bytes that the clients' connections hold, or more
 	clients   map[*client]struct{} // all that are open
@@ -61,29 +61,29 @@
 	away      int                  // more that are off the loop
 	askers    int                  // those of them that have sent a request
 	stalled   []*client            // clients whose commands wait for room
-	servers   map[choice.ServerID]*server
+	servers   map[routing.ServerID]*server
 	cache     wire.Back // how cache servers are spoken to, and the origin
 	origin    wire.Back
 	dialer    func(addr string, p peer, failed func(error)) // dialOff, but in tests
 	dials     int
 	upstreams int // open connections to servers
-	waryUntil choice.Micros
+	waryUntil routing.Micros
 	starved   []*server // with attempts that wait for a dial
 	conns     int       // open connections of all kinds
 	book      *discovery.Book
 	watch     *watch
-	known     choice.ListCame // the list to start with
-	serving   bool            // a list with a server to use has come
-	memory    *memory         // nil: nothing is kept over a restart
-	offers    offers          // from fronts off the loop
-	ops       ops             // of operators
-	takeover  takeover        // from the process before, and by the next
+	known     routing.ListCame // the list to start with
+	serving   bool             // a list with a server to use has come
+	memory    *memory          // nil: nothing is kept over a restart
+	offers    offers           // from fronts off the loop
+	ops       ops              // of operators
+	takeover  takeover         // from the process before, and by the next
 	place     place
 	onServing func(bool)
 
 	ended                      chan struct{} // the loop is to end, or has
 	draining, closing, stopped bool
-	endBy                      choice.Micros // all that is taken is answered by then; 0: no end is in sight
+	endBy                      routing.Micros // all that is taken is answered by then; 0: no end is in sight
 	scratch                    []byte
 }
 
@@ -97,14 +97,14 @@
 // New returns a router that is not running yet.
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}), ended: make(chan struct{}),
-		methods: map[string]choice.Method{}, reqs: map[choice.ReqID]*request{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
-		servers: map[choice.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
+		methods: map[string]routing.Method{}, reqs: map[routing.ReqID]*request{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
+		servers: map[routing.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
-	r.ops.barred = map[choice.ServerID]bool{}
+	r.ops.barred = map[routing.ServerID]bool{}
 	r.counts.Ended = make([][3]int, len(cfg.Settings.Methods))
-	r.dialer, r.began = r.dialOff, choice.Micros(r.start.UnixMicro())
+	r.dialer, r.began = r.dialOff, routing.Micros(r.start.UnixMicro())
 	for i, m := range cfg.Settings.Methods {
-		r.methods[m.Name] = choice.Method(i)
+		r.methods[m.Name] = routing.Method(i)
 	}
 	if len(cfg.Known) > 0 {
 		var err error
@@ -160,18 +160,18 @@
 }
 
 // clock is the time in microseconds since 1970. It never goes back.
-func (r *Router) clock() choice.Micros {
-	return r.began + choice.Micros(time.Since(r.start)/time.Microsecond)
+func (r *Router) clock() routing.Micros {
+	return r.began + routing.Micros(time.Since(r.start)/time.Microsecond)
 }
 
-func span(t choice.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+func span(t routing.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
 func (r *Router) begin(loop gnet.EventLoop) {
 	r.loop = loop
 	r.now = r.clock()
 	r.timers.init(r)
-	var decided []choice.Decision
-	r.core, decided = choice.New(r.now, r.cfg.Settings, r.cfg.Seed)
+	var decided []routing.Decision
+	r.core, decided = routing.New(r.now, r.cfg.Settings, r.cfg.Seed)
 	r.carryOut(decided)
 	r.lapse() // a router that has to be told first what it may take begins with nothing
 	r.carryOut(r.decided)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -8,7 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 // A connection carries one attempt at a time. The settings allow more, but answers come in order, and an attempt is
 // given up by closing its connection: a slow one would hold up those behind it, and one given up would reset them.
 type server struct {
-	id       choice.ServerID
+	id       routing.ServerID
 	addr     string
 	speaks   wire.Back
 	ready    bool // listed and not out: idle connections are of use
@@ -35,11 +35,11 @@
 	server  *server
 	addr    string // where it leads; the server may have another by now
 	conn    gnet.Conn
-	carries *attempt      // nil: idle
-	since   choice.Micros // idle since
-	writing bool          // gnet may close it within a write
-	away    bool          // off the loop: a big value comes on it
-	used    bool          // it has carried an attempt
+	carries *attempt       // nil: idle
+	since   routing.Micros // idle since
+	writing bool           // gnet may close it within a write
+	away    bool           // off the loop: a big value comes on it
+	used    bool           // it has carried an attempt
 }
 
 func (s *server) forget(w *attempt) {
@@ -94,7 +94,7 @@
 		if addr != s.addr { // nothing is known of the new one
 			r.starved = append(r.starved, s)
 		} else if len(s.waiting) > s.dialing {
-			r.returned(s.waiting[0], choice.ConnectError, nil)
+			r.returned(s.waiting[0], routing.ConnectError, nil)
 		}
 		r.feed()
 	})
@@ -152,7 +152,7 @@
 	up.since = up.r.clock()
 	// After a pause of the process its connections come up before its timers go off.
 	for len(s.waiting) > 0 && s.waiting[0].until <= up.since {
-		up.r.giveUp(s.waiting[0], choice.Ignored)
+		up.r.giveUp(s.waiting[0], routing.Ignored)
 	}
 	for len(s.waiting) > 0 && up.r.hasGone(s.waiting[0].q) {
 		up.r.left(s.waiting[0].q)
@@ -185,7 +185,7 @@
 // connection may have run for all that is known, so it is looked at where that forbids another try. The rest is told by the
 // loop in time, or tried again.
 func (up *upstream) open(w *attempt) bool {
-	if up.r.cfg.Settings.Methods[w.q.method].Effect == choice.Retryable || !up.used {
+	if up.r.cfg.Settings.Methods[w.q.method].Effect == routing.Retryable || !up.used {
 		return true
 	}
 	var one [1]byte
@@ -240,7 +240,7 @@
 	if err != nil {
 		// It answered, so that it is no lost connection, but what it said is spoilt: its request may have run.
 		up.r.counts.Broken++
-		up.r.returned(w, choice.Failed, nil)
+		up.r.returned(w, routing.Failed, nil)
 		return gnet.Close
 	}
 	if used == 0 {
@@ -274,9 +274,9 @@
 	if w == nil {
 		return
 	}
-	status := choice.Reset
+	status := routing.Reset
 	if up.writing || up.conn.OutboundBuffered() > 0 || w.q.body != nil { // a body has not begun to go
-		status = choice.ConnectError
+		status = routing.ConnectError
 	} else if buf, _ := up.conn.Peek(-1); ended && len(buf) > 0 {
 		if o, used, _, err := up.server.speaks.Read(buf, true); err == nil && used > 0 {
 			up.r.spoke(w, o)
@@ -418,19 +418,19 @@
 }
 
 // listCame takes a list: who is named, and where.
-func (r *Router) listCame(l choice.ListCame) {
+func (r *Router) listCame(l routing.ListCame) {
 	r.counts.Lists++
 	r.name(l)
 	r.input(l)
-	named := map[choice.ServerID]bool{}
+	named := map[routing.ServerID]bool{}
 	for _, e := range l.Entries {
-		named[e.Server] = e.State != choice.Gone
+		named[e.Server] = e.State != routing.Gone
 		s := r.servers[e.Server]
 		if s == nil {
 			s = &server{id: e.Server}
 			r.servers[e.Server] = s
 			uid := string(r.book.UID(e.Server))
-			r.bar(s, r.isOut(uid), choice.Micros(r.ops.wanted.Back[uid])) // before anything is sent there
+			r.bar(s, r.isOut(uid), routing.Micros(r.ops.wanted.Back[uid])) // before anything is sent there
 		}
 		s.isOrigin = r.cfg.Settings.OriginKind != "" && e.Kind == r.cfg.Settings.OriginKind
 		if s.speaks = r.cache; s.isOrigin {
@@ -440,7 +440,7 @@
 			r.closeIdle(s)
 			s.addr = addr
 		}
-		s.listed = e.State == choice.Ready
+		s.listed = e.State == routing.Ready
 		if s.ready = s.listed && !s.out; !s.ready {
 			r.dismiss(s)
 		}
@@ -451,7 +451,7 @@
 	}
 	r.listKnown(l)
 	for id, s := range r.servers {
-		if keep, told := named[id]; told && !keep || !told && l.Kind != choice.ListChanges {
+		if keep, told := named[id]; told && !keep || !told && l.Kind != routing.ListChanges {
 			delete(r.servers, id)
 			s.ready, s.listed = false, false
 			r.dismiss(s)
@@ -463,6 +463,6 @@
 func (r *Router) dismiss(s *server) {
 	r.closeIdle(s)
 	for len(s.waiting) > 0 {
-		r.returned(s.waiting[0], choice.Ignored, nil)
+		r.returned(s.waiting[0], routing.Ignored, nil)
 	}
 }
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -16,7 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
 	"spurtrestle/internal/operatorstate"
@@ -109,7 +109,7 @@
 	}
 	t.old = old
 	if r.memory == nil {
-		r.memory = &memory{learned: state, waiting: map[discovery.UID]choice.ServerKnowledge{}}
+		r.memory = &memory{learned: state, waiting: map[discovery.UID]routing.ServerKnowledge{}}
 	}
 	r.log.Info("replacing a process that serves")
 	return nil
@@ -170,8 +170,8 @@
 }
 
 // listKnown: with an old process at work there is time to wait for discovery's own list.
-func (r *Router) listKnown(l choice.ListCame) {
-	if r.serving && (r.takeover.old == nil || l.Kind != choice.ListSaved) {
+func (r *Router) listKnown(l routing.ListCame) {
+	if r.serving && (r.takeover.old == nil || l.Kind != routing.ListSaved) {
 		r.takeClients()
 	}
 	r.showUp()
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/httpwire"
 )
 
@@ -171,7 +171,7 @@
 	}
 	if w.r.cfg.Settings.ListOnRequest {
 		var refused *refusedError
-		w.r.input(choice.ListCame{Kind: choice.ListFailed, Refused: errors.As(err, &refused)})
+		w.r.input(routing.ListCame{Kind: routing.ListFailed, Refused: errors.As(err, &refused)})
 		return
 	}
 	w.r.cancel(w.again)
--- a/internal/scale/capacity/breaks.go
+++ b/internal/scale/capacity/breaks.go
@@ -29,7 +29,7 @@
 func breaks(t Target, e Evidence, now Today, ofLeader *LeaderSlopes) []Breaks {
 	flat := Breaks{Name: "Flat membership, today's fleet", All: measuredBreaks(t, e, result.Flat)}
 	flat.All = append(flat.All, countedBreak("a full state is longer than a router takes, and is dropped whole", mostWords, Number, mostWords+1,
-		"limit of `internal/peers`: words of a state"))
+		"limit of `internal/gossip`: words of a state"))
 	all := []Breaks{
 		flat,
 		{Name: "Tiered membership", All: measuredBreaks(t, e, result.Tiered)},
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -12,11 +12,11 @@
 
 	"pgregory.net/rapid"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/sharelease"
 	"spurtrestle/internal/scale/leader"
 	"spurtrestle/internal/scale/result"
 	"spurtrestle/internal/scale/slope"
-	"spurtrestle/parts"
 )
 
 const (
@@ -351,13 +351,13 @@
 // What is counted for mechanisms of today rests on limits that stand in their code, unexported.
 func TestLimitsStandInTheCode(t *testing.T) {
 	for file, lines := range map[string][]string{
-		"../../keeper/keeper.go":          {fmt.Sprintf(`const most = %d\b`, mostAskings), fmt.Sprintf(`time\.After\(%d \* time\.Millisecond\)`, int(leaderRest*1e3))},
-		"../../peers/gossip.go":           {fmt.Sprintf(`mostWords +=\s*%d\b`, mostWords), fmt.Sprintf(`mostAnswer +=\s*%d\b`, mostAnswers)},
-		"../../peers/peers.go":            {fmt.Sprintf(`HandoffQueueDepth = %d\b`, handoffQueue)},
-		"../../peers/tiers.go":            {fmt.Sprintf(`return min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
-		"../../config/limits.go":          {fmt.Sprintf(`Watch: +%de6,`, int(watchWaitPush)), fmt.Sprintf(`l\.Watch, .* = %de6,`, int(watchWait))},
-		"../../../docs/operating.md":      {fmt.Sprintf(`Values over %d KiB, up to %d MiB`, bigValue>>10, largestValue>>20)},
-		"../../../internal/keeper/log.go": {`b\.book\.Clone\(\)|l\.book\.Clone\(\)`},
+		"../../controlplane/controlplane.go":    {fmt.Sprintf(`const most = %d\b`, mostAskings), fmt.Sprintf(`time\.After\(%d \* time\.Millisecond\)`, int(leaderRest*1e3))},
+		"../../gossip/delegate.go":              {fmt.Sprintf(`mostWords +=\s*%d\b`, mostWords), fmt.Sprintf(`mostAnswer +=\s*%d\b`, mostAnswers)},
+		"../../gossip/gossip.go":                {fmt.Sprintf(`HandoffQueueDepth = %d\b`, handoffQueue)},
+		"../../gossip/tiers.go":                 {fmt.Sprintf(`return min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
+		"../../config/limits.go":                {fmt.Sprintf(`Watch: +%de6,`, int(watchWaitPush)), fmt.Sprintf(`l\.Watch, .* = %de6,`, int(watchWait))},
+		"../../../docs/operating.md":            {fmt.Sprintf(`Values over %d KiB, up to %d MiB`, bigValue>>10, largestValue>>20)},
+		"../../../internal/controlplane/log.go": {`b\.book\.Clone\(\)|l\.book\.Clone\(\)`},
 	} {
 		text := read(t, file)
 		for _, line := range lines {
@@ -366,7 +366,7 @@
 			}
 		}
 	}
-	if parts.DefaultRules().Ask != lendingAsk*microseconds {
+	if sharelease.DefaultRules().Ask != lendingAsk*microseconds {
 		t.Error("lending asks by another span")
 	}
 }
@@ -412,7 +412,7 @@
 
 func TestAskingsOfAHolder(t *testing.T) {
 	for _, c := range []struct {
-		delay                accord.Micros
+		delay                policycommit.Micros
 		least, most, covered float64
 	}{
 		{1_000, 5, 5, 1},      // each 0.2 s, as it should
--- a/internal/scale/capacity/design.go
+++ b/internal/scale/capacity/design.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 )
 
 // Sizes of the compact messages that are designed, in bytes.
@@ -148,9 +148,9 @@
 	return 2 * (every + gathered + leaderRest + 2*delay + 4*delay)
 }
 
-// waitedFor is how long a router that does not answer holds a change up, by accord.Council: its lease by a clock that runs a
+// waitedFor is how long a router that does not answer holds a change up, by policycommit.Council: its lease by a clock that runs a
 // hundredth slow, and a slack.
-func waitedFor(lease float64) float64 { return lease*1.01 + seconds(accord.DefaultRules().Slack) }
+func waitedFor(lease float64) float64 { return lease*1.01 + seconds(policycommit.DefaultRules().Slack) }
 
 // PurgeOption is one way by which purges reach the cache servers of a site.
 type PurgeOption struct {
--- a/internal/scale/capacity/today.go
+++ b/internal/scale/capacity/today.go
@@ -3,25 +3,25 @@
 import (
 	"time"
 
-	"spurtrestle/accord"
-	"spurtrestle/parts"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/sharelease"
 )
 
 // Limits that stand in the code of today; TestLimitsStandInTheCode finds one that has changed.
 const (
-	mostAskings   = 10_000   // internal/keeper: askings that wait for the leader's next pass; more are dropped
-	mostWords     = 8_192    // internal/peers: routers of a full state; a longer one is dropped whole
-	handoffQueue  = 4_096    // internal/peers: messages that wait at a router; more are dropped
-	mostAnswers   = 1_024    // internal/peers: answers of the lending of parts that wait for a step; more are dropped
-	leaderRest    = 20e-3    // seconds; internal/keeper: between two passes of the leader
-	peersStep     = 100e-3   // seconds; internal/peers: between two steps, by a probe of half a second or more
+	mostAskings   = 10_000   // internal/controlplane: askings that wait for the leader's next pass; more are dropped
+	mostWords     = 8_192    // internal/gossip: routers of a full state; a longer one is dropped whole
+	handoffQueue  = 4_096    // internal/gossip: messages that wait at a router; more are dropped
+	mostAnswers   = 1_024    // internal/gossip: answers of the lending of parts that wait for a step; more are dropped
+	leaderRest    = 20e-3    // seconds; internal/controlplane: between two passes of the leader
+	peersStep     = 100e-3   // seconds; internal/gossip: between two steps, by a probe of half a second or more
 	watchWait     = 20.0     // seconds; internal/config: a watch of discovery, where lists come on request
 	watchWaitPush = 4.0      // seconds; internal/config: where they are pushed
 	bigValue      = 64 << 10 // bytes; docs/operating.md: the largest value that does not pass in pieces
 	largestValue  = 4 << 20  // bytes; docs/operating.md
 )
 
-// lendingAsk is parts.DefaultRules' span between two askings, in seconds.
+// lendingAsk is sharelease.DefaultRules' span between two askings, in seconds.
 const lendingAsk = 0.5
 
 const microseconds = 1e6
@@ -85,7 +85,7 @@
 const nearDelay = 5 * time.Millisecond
 
 func today(t Target, slopes *LeaderSlopes) Today {
-	w, ask, lend := wireSizes(), accord.DefaultRules(), parts.DefaultRules()
+	w, ask, lend := wireSizes(), policycommit.DefaultRules(), sharelease.DefaultRules()
 	others, patience := t.Routers-1, seconds(ask.Patience)
 	d := Today{RenewalBytes: w.Renewal, GrantBytes: w.Grant, AskEvery: seconds(ask.Ask), AskAgain: seconds(ask.Again), Lease: seconds(ask.Lease)}
 
@@ -128,10 +128,10 @@
 	return d
 }
 
-func seconds(span accord.Micros) float64 { return float64(span) / microseconds }
+func seconds(span policycommit.Micros) float64 { return float64(span) / microseconds }
 
 func renewing(t Target, w wire, delay time.Duration) Renewing {
-	perSecond, covered := playAskings(accord.Micros(delay / time.Microsecond))
+	perSecond, covered := playAskings(policycommit.Micros(delay / time.Microsecond))
 	bytes := perSecond * (w.Renewal + w.Grant)
 	return Renewing{Delay: delay.Seconds(), Askings: perSecond, Covered: covered, Bytes: bytes,
 		Leader: perSecond * t.Routers, LeaderIO: bytes * t.Routers}
@@ -140,15 +140,15 @@
 // playAskings plays a router's side of the policy for a minute against a leader that grants each asking after a delay, and
 // counts its askings a second and the share of the time in which it may take clients. The first ten seconds
 // are left out.
-func playAskings(delay accord.Micros) (perSecond, covered float64) {
-	const step, begin, end = 20_000, 10 * microseconds, 70 * microseconds // internal/keeper looks every 20 ms
-	rules := accord.DefaultRules()
-	holder := accord.NewHolder(rules, sampleName, 1, false, sampleBuild, func(string) error { return nil })
-	var underWay []accord.Renewal
+func playAskings(delay policycommit.Micros) (perSecond, covered float64) {
+	const step, begin, end = 20_000, 10 * microseconds, 70 * microseconds // internal/controlplane looks every 20 ms
+	rules := policycommit.DefaultRules()
+	holder := policycommit.NewHolder(rules, sampleName, 1, false, sampleBuild, func(string) error { return nil })
+	var underWay []policycommit.Renewal
 	asked, may, looks := 0, 0, 0
-	for now := accord.Micros(0); now < end; now += step {
+	for now := policycommit.Micros(0); now < end; now += step {
 		for len(underWay) > 0 && underWay[0].At+delay <= now {
-			holder.Granted(now, accord.Grant{Process: 1, At: underWay[0].At, For: rules.Lease, Index: 1, Revision: 1})
+			holder.Granted(now, policycommit.Grant{Process: 1, At: underWay[0].At, For: rules.Lease, Index: 1, Revision: 1})
 			underWay = underWay[1:]
 		}
 		if renewal, due := holder.Ask(now); due {
--- a/internal/scale/capacity/wire.go
+++ b/internal/scale/capacity/wire.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/json"
 
-	"spurtrestle/accord"
-	"spurtrestle/parts"
-	"spurtrestle/view"
+	"spurtrestle/core/membership"
+	"spurtrestle/core/policycommit"
+	"spurtrestle/core/sharelease"
 )
 
 // Sizes of the messages that routers send today, in bytes with the headers of IPv4 and UDP, as scale runs count them; of
@@ -27,19 +27,19 @@
 	sampleTime    = 86_400_000_000 // a day, in microseconds
 	sampleCount   = 1_000_000      // of a log's entries
 
-	// talkFrame is around each message of the policy: its kind and process (internal/peers), and the key of its field
-	// (internal/keeper).
+	// talkFrame is around each message of the policy: its kind and process (internal/gossip), and the key of its field
+	// (internal/controlplane).
 	talkFrame = datagramHeader + 1 + 8 + len(`{"r":}`)
 	kindFrame = datagramHeader + 1
 )
 
 func wireSizes() wire {
-	renewal := accord.Renewal{Name: sampleName, Process: sampleProcess, At: sampleTime, Serves: true, Build: sampleBuild, Site: sampleSite,
+	renewal := policycommit.Renewal{Name: sampleName, Process: sampleProcess, At: sampleTime, Serves: true, Build: sampleBuild, Site: sampleSite,
 		Held: sampleCount, Index: sampleCount}
-	grant := accord.Grant{Process: sampleProcess, At: sampleTime, For: accord.DefaultRules().Lease, Index: sampleCount, Revision: sampleCount}
-	lending := parts.Message{Kind: parts.Recall, From: 10_000, To: 10_001, Lender: sampleProcess, Borrower: sampleProcess, At: sampleTime}
-	word := view.Word{Process: sampleProcess, Seq: sampleCount, Takes: true, Revision: sampleCount, Digest: sampleProcess}
-	member := map[accord.Name]accord.Member{sampleName: {Process: sampleProcess, Serves: true, Build: sampleBuild, Site: sampleSite}}
+	grant := policycommit.Grant{Process: sampleProcess, At: sampleTime, For: policycommit.DefaultRules().Lease, Index: sampleCount, Revision: sampleCount}
+	lending := sharelease.Message{Kind: sharelease.Recall, From: 10_000, To: 10_001, Lender: sampleProcess, Borrower: sampleProcess, At: sampleTime}
+	word := membership.Word{Process: sampleProcess, Seq: sampleCount, Takes: true, Revision: sampleCount, Digest: sampleProcess}
+	member := map[policycommit.Name]policycommit.Member{sampleName: {Process: sampleProcess, Serves: true, Build: sampleBuild, Site: sampleSite}}
 	return wire{
 		Renewal:   encoded(renewal) + float64(talkFrame),
 		Grant:     encoded(grant) + float64(talkFrame),
--- a/internal/scale/leader/leader.go
+++ b/internal/scale/leader/leader.go
@@ -1,5 +1,5 @@
 // Package leader measures what the leader of the policy's keepers computes for each asking and in each pass, for rosters of
-// any size, without sockets and without a replicated log: decoding and answering as package keeper does it, by package accord.
+// any size, without sockets and without a replicated log: decoding and answering as package controlplane does it, by package policycommit.
 // It does no I/O; the clock is an argument, and may count processor time.
 package leader
 
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"spurtrestle/accord"
+	"spurtrestle/core/policycommit"
 )
 
 // Format is the version of the JSON form. A file of another version is refused.
@@ -36,10 +36,10 @@
 	Pass    float64 `json:"pass_s"`   // of one pass beside its askings
 }
 
-// said is what package keeper sends, as far as it is measured here.
+// said is what package controlplane sends, as far as it is measured here.
 type said struct {
-	Renewal *accord.Renewal `json:"r,omitempty"`
-	Grant   *accord.Grant   `json:"g,omitempty"`
+	Renewal *policycommit.Renewal `json:"r,omitempty"`
+	Grant   *policycommit.Grant   `json:"g,omitempty"`
 }
 
 const (
@@ -50,27 +50,27 @@
 
 // fleet is a leader with all routers on its roster.
 type fleet struct {
-	book    *accord.Book
-	council *accord.Council
+	book    *policycommit.Book
+	council *policycommit.Council
 	askings [][]byte
-	decoded []accord.Renewal
-	now     accord.Micros
+	decoded []policycommit.Renewal
+	now     policycommit.Micros
 }
 
 func newFleet(routers int, seed uint64) *fleet {
 	random := rand.New(rand.NewPCG(seed, uint64(routers)))
-	f := &fleet{book: &accord.Book{}, council: accord.NewCouncil(0, accord.DefaultRules(), routers), now: 10e6}
+	f := &fleet{book: &policycommit.Book{}, council: policycommit.NewCouncil(0, policycommit.DefaultRules(), routers), now: 10e6}
 	for i := range routers {
 		site := fmt.Sprintf("site-%04d", i/perSite)
-		name := accord.Name(fmt.Sprintf("%s-router-%02d", site, i%perSite))
-		process := accord.Process(random.Uint64() | 1)
-		f.book.Apply(accord.Index(steadyIndex+i), accord.Entry{Kind: accord.Enter, Name: name, Process: process, Serves: true, Build: sampleBuild, Site: site})
-		renewal := accord.Renewal{Name: name, Process: process, At: 86_400_000_000, Serves: true, Build: sampleBuild, Site: site, Index: steadyIndex}
+		name := policycommit.Name(fmt.Sprintf("%s-router-%02d", site, i%perSite))
+		process := policycommit.Process(random.Uint64() | 1)
+		f.book.Apply(policycommit.Index(steadyIndex+i), policycommit.Entry{Kind: policycommit.Enter, Name: name, Process: process, Serves: true, Build: sampleBuild, Site: site})
+		renewal := policycommit.Renewal{Name: name, Process: process, At: 86_400_000_000, Serves: true, Build: sampleBuild, Site: site, Index: steadyIndex}
 		text, _ := json.Marshal(said{Renewal: &renewal}) // plain fields: it cannot fail
 		f.askings = append(f.askings, text)
 	}
 	random.Shuffle(routers, func(i, j int) { f.askings[i], f.askings[j] = f.askings[j], f.askings[i] })
-	f.decoded = make([]accord.Renewal, routers)
+	f.decoded = make([]policycommit.Renewal, routers)
 	return f
 }
 
--- a/internal/settings/service.go
+++ b/internal/settings/service.go
@@ -5,11 +5,11 @@
 	"slices"
 	"strings"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // Methods are the names of all methods.
-func Methods(s choice.Settings) []string {
+func Methods(s routing.Settings) []string {
 	var names []string
 	for _, m := range s.Methods {
 		names = append(names, m.Name)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,26 +9,26 @@
 	"math"
 	"slices"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 var (
 	// Figures names what load reports hold.
-	Figures = map[string]choice.Figure{"avg_ms": choice.FigureServiceTime, "waiting": choice.FigureQueue,
-		"active": choice.FigureInFlight, "cpu": choice.FigureBusy, "err_rps": choice.FigureErrors,
-		"x0": choice.FigureHits}
-	effects = map[string]choice.Effect{"free": choice.Retryable, "guarded": choice.Deduplicated,
-		"single_shot": choice.NonRetryable}
-	groups = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
-		"cell": choice.GroupCell}
+	Figures = map[string]routing.Figure{"avg_ms": routing.FigureServiceTime, "waiting": routing.FigureQueue,
+		"active": routing.FigureInFlight, "cpu": routing.FigureBusy, "err_rps": routing.FigureErrors,
+		"x0": routing.FigureHits}
+	effects = map[string]routing.Effect{"free": routing.Retryable, "guarded": routing.Deduplicated,
+		"single_shot": routing.NonRetryable}
+	groups = map[string]routing.Group{"": routing.GroupAll, "all": routing.GroupAll, "zone": routing.GroupZone,
+		"cell": routing.GroupCell}
 )
 
 // Micros is a span told in seconds.
-func Micros(s float64) choice.Micros { return choice.Micros(math.Round(s * 1e6)) }
+func Micros(s float64) routing.Micros { return routing.Micros(math.Round(s * 1e6)) }
 
 // Parse reads the settings object. Unknown keys are ignored; a needed one that is missing or
 // contradicts another is named, with what helps.
-func Parse(data []byte) (choice.Settings, error) {
+func Parse(data []byte) (routing.Settings, error) {
 	var p struct {
 		Balancers  *int     `json:"balancers"`
 		Discovery  string   `json:"discovery"`
@@ -91,7 +91,7 @@
 			Quota float64 `json:"quota-per-s"`
 		} `json:"tenants"`
 	}
-	var s choice.Settings
+	var s routing.Settings
 	if err := json.Unmarshal(data, &p); err != nil {
 		return s, err
 	}
@@ -116,7 +116,7 @@
 	if k := p.Domain.Kind; k != nil && *k >= len(p.Flavors) {
 		return s, fmt.Errorf("domain.origin-kind: %d, but flavors has %d names; they count from 0", *k, len(p.Flavors))
 	} else if k != nil && *k >= 0 {
-		s.OriginKind = choice.Kind(p.Flavors[*k])
+		s.OriginKind = routing.Kind(p.Flavors[*k])
 	}
 	s.Routers = *p.Balancers
 	s.Aside = p.Domain.Mode == "aside"
@@ -148,13 +148,13 @@
 			return s, fmt.Errorf("request-classes: %q lacks a name, an effect, a group or a deadline; effects are %s, groups %s",
 				c.Name, "free, guarded and single_shot", "all, zone and cell")
 		}
-		s.Methods = append(s.Methods, choice.MethodSettings{Name: c.Name, Effect: e, Group: g,
+		s.Methods = append(s.Methods, routing.MethodSettings{Name: c.Name, Effect: e, Group: g,
 			Window: Micros(c.Window), LatencyBudget: Micros(c.Aim), Deadline: Micros(c.Deadline),
 			Criticality: c.Worth, LateShare: c.Late, Stream: c.Stream})
 	}
 	for _, t := range p.Tenants {
 		s.Tenants = append(s.Tenants,
-			choice.TenantSettings{Name: choice.Tenant(t.Name), Share: t.Share, Quota: t.Quota})
+			routing.TenantSettings{Name: routing.Tenant(t.Name), Share: t.Share, Quota: t.Quota})
 	}
 	return s, nil
 }
--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -16,7 +16,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // Version is that of the files written here.
@@ -39,14 +39,14 @@
 // Server is what is known of one server, by its name in discovery: addresses and numbers change.
 type Server struct {
 	UID string
-	choice.ServerKnowledge
+	routing.ServerKnowledge
 }
 
 // State is all that a file holds. Knowledge.Servers and Knowledge.Methods are empty: names stand in their place.
 type State struct {
 	Version   int
 	Router    string
-	Knowledge choice.Knowledge
+	Knowledge routing.Knowledge
 	Methods   []Method
 	Servers   []Server
 }
@@ -54,7 +54,7 @@
 // Method is the smoothed time of one method.
 type Method struct {
 	Name string
-	Time choice.Micros
+	Time routing.Micros
 }
 
 // Errors of a file that cannot be used.
@@ -120,7 +120,7 @@
 	}
 }
 
-func (m *message) times(field protowire.Number, t choice.Times) {
+func (m *message) times(field protowire.Number, t routing.Times) {
 	m.number(field, int64(t.Time))
 	m.number(field+1, int64(t.Long))
 	m.number(field+2, int64(t.Best))
@@ -224,9 +224,9 @@
 
 func (p parsed) number(field protowire.Number) int64 { return protowire.DecodeZigZag(p.numbers[field]) }
 
-func (p parsed) micros(field protowire.Number) choice.Micros {
+func (p parsed) micros(field protowire.Number) routing.Micros {
 	// A time past the year 2200 or a span of centuries is damage that a checksum does not see.
-	return choice.Micros(max(0, min(p.number(field), 1<<53)))
+	return routing.Micros(max(0, min(p.number(field), 1<<53)))
 }
 
 // real is a rate or a count: neither below zero nor endless.
@@ -238,8 +238,8 @@
 	return x
 }
 
-func (p parsed) times(field protowire.Number) choice.Times {
-	return choice.Times{Time: p.micros(field), Long: p.micros(field + 1), Best: p.micros(field + 2),
+func (p parsed) times(field protowire.Number) routing.Times {
+	return routing.Times{Time: p.micros(field), Long: p.micros(field + 1), Best: p.micros(field + 2),
 		N: int(max(0, min(32, p.number(field+3))))}
 }
 
@@ -312,7 +312,7 @@
 		for p := r.payload; len(p) > 0; p = p[12:] {
 			count := math.Float64frombits(binary.LittleEndian.Uint64(p[4:]))
 			if count > 0 && count < 1e12 {
-				k.Keys = append(k.Keys, choice.KeyKnowledge{Key: choice.KeyHash(binary.LittleEndian.Uint32(p)), Count: count})
+				k.Keys = append(k.Keys, routing.KeyKnowledge{Key: routing.KeyHash(binary.LittleEndian.Uint32(p)), Count: count})
 			}
 		}
 		return nil
--- a/internal/snapshot/keeper.go
+++ b/internal/snapshot/keeper.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 // Keeper writes states in a goroutine of its own, the newest that it was given; who gives them never waits.
@@ -56,7 +56,7 @@
 	return &s
 }
 
-func written(at choice.Micros) string { return time.UnixMicro(int64(at)).UTC().Format(time.RFC3339) }
+func written(at routing.Micros) string { return time.UnixMicro(int64(at)).UTC().Format(time.RFC3339) }
 
 // locked takes the folder's lock, where it is not held yet.
 func (k *Keeper) locked() bool {
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -22,7 +22,7 @@
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 )
 
 var kills = flag.Int("kills", 25, "how often the writing process is killed")
@@ -38,13 +38,13 @@
 // sample is a state that tells its number in several places.
 func sample(n int) State {
 	x := float64(n)
-	s := State{Version: Version, Router: name(uint64(n)), Methods: []Method{{"read", choice.Micros(1000 + n)}},
-		Knowledge: choice.Knowledge{At: 1e15 + choice.Micros(n), Span: 5e6, Seen: choice.Times{Time: 900, Long: 1000, Best: 500, N: 32},
+	s := State{Version: Version, Router: name(uint64(n)), Methods: []Method{{"read", routing.Micros(1000 + n)}},
+		Knowledge: routing.Knowledge{At: 1e15 + routing.Micros(n), Span: 5e6, Seen: routing.Times{Time: 900, Long: 1000, Best: 500, N: 32},
 			Traffic: 10 + x, Hits: 9, Asked: 8, Answered: 7, Used: 6, Noise: 0.5, Retries: 4, Reads: x,
-			Keys: []choice.KeyKnowledge{{Key: 0xfeedbeef, Count: 3 + x}, {Key: 7, Count: 2}}}}
+			Keys: []routing.KeyKnowledge{{Key: 0xfeedbeef, Count: 3 + x}, {Key: 7, Count: 2}}}}
 	for i := range 20 {
-		s.Servers = append(s.Servers, Server{UID: fmt.Sprintf("s-%d.%02d", n, i), ServerKnowledge: choice.ServerKnowledge{
-			Started: choice.Micros(i), At: 1e15, Times: choice.Times{Time: 5, Long: 6, Best: 4, N: i}, Rate: x, Told: 77, Lost: i % 3,
+		s.Servers = append(s.Servers, Server{UID: fmt.Sprintf("s-%d.%02d", n, i), ServerKnowledge: routing.ServerKnowledge{
+			Started: routing.Micros(i), At: 1e15, Times: routing.Times{Time: 5, Long: 6, Best: 4, N: i}, Rate: x, Told: 77, Lost: i % 3,
 			Aside: i%2 == 0, Unheard: i%5 == 0}})
 	}
 	return s
@@ -278,7 +278,7 @@
 		s.Servers = append(s.Servers, Server{UID: fmt.Sprint("server-", i), ServerKnowledge: s.Servers[0].ServerKnowledge})
 	}
 	for i := range 10000 {
-		s.Knowledge.Keys = append(s.Knowledge.Keys, choice.KeyKnowledge{Key: choice.KeyHash(i), Count: 3})
+		s.Knowledge.Keys = append(s.Knowledge.Keys, routing.KeyKnowledge{Key: routing.KeyHash(i), Count: 3})
 	}
 	for b.Loop() {
 		Encode(s)
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -5,7 +5,7 @@
 	"net/url"
 	"strconv"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/httpwire"
 	"spurtrestle/internal/wire"
 )
@@ -39,7 +39,7 @@
 // Long reads the head of an answer with a big value.
 func (b Back) Long(buf []byte) (o wire.Outcome, at, size int, ok bool) {
 	answer, at, size := httpwire.Long(buf, b.Bounds)
-	return wire.Outcome{Status: choice.OK, Report: answer.Get("Endpoint-Load-Metrics"), Close: answer.Close}, at, size, at > 0 && answer.Status == 200
+	return wire.Outcome{Status: routing.OK, Report: answer.Get("Endpoint-Load-Metrics"), Close: answer.Close}, at, size, at > 0 && answer.Status == 200
 }
 
 // Behind reads what stands behind the value: nothing may.
@@ -54,11 +54,11 @@
 	o.Report = answer.Get("Endpoint-Load-Metrics")
 	switch {
 	case answer.Status == 200:
-		o.Status, o.Value = choice.OK, answer.Body
+		o.Status, o.Value = routing.OK, answer.Body
 	case (answer.Status == 503 || answer.Status == 504) && string(answer.Get("X-Never-Ran")) == "1":
-		o.Status = choice.QueueFull
+		o.Status = routing.QueueFull
 	default:
-		o.Status = choice.Failed
+		o.Status = routing.Failed
 	}
 	return o, used, !answer.Close, nil
 }
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -7,7 +7,7 @@
 	"errors"
 	"strconv"
 
-	"spurtrestle/choice"
+	"spurtrestle/core/routing"
 	"spurtrestle/internal/resp"
 	"spurtrestle/internal/wire"
 )
@@ -56,13 +56,13 @@
 	switch {
 	case reply.Kind == '*' && len(reply.Items) == 3 && reply.Items[0].Kind == '$':
 		o.Report = reply.Items[2].Text
-		if o.Status = choice.Miss; !reply.Items[0].Null {
-			o.Status, o.Value = choice.OK, reply.Items[0].Text
+		if o.Status = routing.Miss; !reply.Items[0].Null {
+			o.Status, o.Value = routing.OK, reply.Items[0].Text
 		}
 	case reply.Kind == '-' && isWord(reply.Text, "BUSY"):
-		o.Status = choice.QueueFull
+		o.Status = routing.QueueFull
 	case reply.Kind == '-':
-		o.Status, o.Report = choice.Failed, reply.Text[bytes.LastIndexByte(reply.Text, ' ')+1:]
+		o.Status, o.Report = routing.Failed, reply.Text[bytes.LastIndexByte(reply.Text, ' ')+1:]
 	default:
 		return o, 0, false, errUnexpected
 	}
@@ -72,7 +72,7 @@
 // Long reads the head of an answer with a big value.
 func (b Back) Long(buf []byte) (o wire.Outcome, at, size int, ok bool) {
 	at, size, ok = resp.LongReply(buf, b.Bounds)
-	return wire.Outcome{Status: choice.OK}, at, size, ok
+	return wire.Outcome{Status: routing.OK}, at, size, ok
 }
 
 // Behind reads the two entries that follow the value, and the line end before them.
@@ -107,7 +107,7 @@
 type Props struct {
 	Method []byte
 	Tenant []byte
-	Waits  choice.Micros // how long its client waits; 0: not told
+	Waits  routing.Micros // how long its client waits; 0: not told
 	Resent bool
 	Bad    bool // d is no time
 }
@@ -128,7 +128,7 @@
 				p.Bad = true
 				continue
 			}
-			p.Waits = choice.Micros(ms * 1e3)
+			p.Waits = routing.Micros(ms * 1e3)
 		case "r":
 			p.Resent = string(value) == "1"
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,11 +3,11 @@
 // knowing the router.
 package wire
 
-import "spurtrestle/choice"
+import "spurtrestle/core/routing"
 
 // Request is one request as it is passed on. Its bytes belong to it until it is over.
 type Request struct {
-	ID    choice.ReqID
+	ID    routing.ReqID
 	Key   []byte
 	Props Props
 	Value []byte // of a write
@@ -27,14 +27,14 @@
 // Answer is the one final answer of a request.
 type Answer struct {
 	Kind       Kind
-	Value      []byte        // of a served one; it may change once the answer is written
-	Long       bool          // of a failed one: there is a value, too big for who asked
-	RetryAfter choice.Micros // of a rejected one: when to come back; 0: not told
+	Value      []byte         // of a served one; it may change once the answer is written
+	Long       bool           // of a failed one: there is a value, too big for who asked
+	RetryAfter routing.Micros // of a rejected one: when to come back; 0: not told
 }
 
 // Outcome is how an attempt ended, by what its server said.
 type Outcome struct {
-	Status choice.Status
+	Status routing.Status
 	Value  []byte // of OK; it points into what was read
 	Report []byte // the load report as it came, names and values; nil: none
 	Close  bool   // of a big value: the connection carries nothing behind it
