--- a/core/routing/knowledge.go
+++ b/core/routing/knowledge.go
@@ -3,7 +3,7 @@
 import "math"
 
 // What a router knows, as plain data that outlives it. This file copies; how much of it counts after a restart is
-// decided by package staleness, and what is made of what is known of a server in choice.go (recall).
+// decided by package staleness, and what is made of what is known of a server in health.go (recall).
 //
 // Never part of it: write-outs and reqs in hand, connections, ghosts, what deduplicated reqs may have run (their reqs
 // end with the process), and the budgets of cold servers, which follow from the start that the list tells.
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -1,6 +1,6 @@
 package routing
 
-// The state of a router, grouped by how long it lives. It is plain data; choice.go decides.
+// The state of a router, grouped by how long it lives. It is plain data.
 
 // ---- State of one write-out ----
 
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -1,7 +1,7 @@
-// Package routing decides, for one router of a fleet of cache servers, what becomes of each req.
-// This file holds the plain types of its inputs and decisions; every decision is in choice.go.
 package routing
 
+// This file: the plain types of settings, inputs and decisions.
+
 // Micros is a clock time or a span in whole microseconds.
 type Micros int64
 
