--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -255,7 +255,7 @@
 		return l
 	},
 	"demand": func(r *Reader, f *fields, inst Instance) any {
-		q := routing.ReqCame{Req: routing.ReqID(f.text("ticket"))}
+		q := routing.RequestCame{Request: routing.RequestID(f.text("ticket"))}
 		name := f.text("kind")
 		methods := r.told[inst].Methods
 		i := slices.IndexFunc(methods, func(m routing.MethodSettings) bool { return m.Name == name })
@@ -275,7 +275,7 @@
 	},
 	"shutdown": func(_ *Reader, _ *fields, _ Instance) any { return Shutdown{} },
 	"accepted": func(_ *Reader, f *fields, _ Instance) any {
-		return routing.Streaming{Req: routing.ReqID(f.text("ticket")), Attempt: routing.Attempt(f.whole("n", 1<<31))}
+		return routing.Streaming{Request: routing.RequestID(f.text("ticket")), Attempt: routing.Attempt(f.whole("n", 1<<31))}
 	},
 	"elapsed": func(_ *Reader, f *fields, _ Instance) any {
 		return routing.Elapsed{Ref: routing.TimerRef(f.whole("ref", 1<<63-1))}
@@ -286,10 +286,10 @@
 		return nil
 	},
 	"expired": func(_ *Reader, f *fields, _ Instance) any {
-		return routing.Left{Req: routing.ReqID(f.text("ticket"))}
+		return routing.Left{Request: routing.RequestID(f.text("ticket"))}
 	},
 	"returned": func(_ *Reader, f *fields, _ Instance) any {
-		o := routing.Returned{Req: routing.ReqID(f.text("ticket"))}
+		o := routing.Returned{Request: routing.RequestID(f.text("ticket"))}
 		f.number("detail")
 		o.Server = routing.ServerID(f.whole("server", math.MaxUint32))
 		o.Attempt = routing.Attempt(f.whole("n", 1<<31))
@@ -358,14 +358,14 @@
 	}
 	server := strconv.FormatUint(uint64(d.Server), 10)
 	switch d.Action {
-	case routing.WriteOut:
-		put("pass_on", string(d.Req), server, span(d.After))
-	case routing.Nack:
-		put("bounce", string(d.Req), span(d.After))
+	case routing.Send:
+		put("pass_on", string(d.Request), server, span(d.After))
+	case routing.Reject:
+		put("bounce", string(d.Request), span(d.After))
 	case routing.Fail:
-		put("report_failure", string(d.Req))
-	case routing.Recall:
-		put("recall", string(d.Req), strconv.Itoa(int(d.Attempt)))
+		put("report_failure", string(d.Request))
+	case routing.Cancel:
+		put("recall", string(d.Request), strconv.Itoa(int(d.Attempt)))
 	case routing.Wake:
 		put("schedule", span(d.After), strconv.FormatInt(int64(d.Ref), 10))
 	case routing.Subscribe:
--- a/cmd/spurctl/fleet.go
+++ b/cmd/spurctl/fleet.go
@@ -37,7 +37,7 @@
 	Error string            `json:"error,omitempty"`
 }
 
-// askFleet asks all doors at once.
+// askFleet asks all admin endpoints at once.
 func askFleet(ctx context.Context, doors []string) []answer {
 	all := make([]answer, len(doors))
 	var wg sync.WaitGroup
@@ -56,7 +56,7 @@
 	return all
 }
 
-// seen is what a door shows.
+// seen is what an admin endpoint shows.
 type seen struct {
 	membership.Whole
 	Tiers *hierarchy.Status `json:"tiers"`
@@ -87,7 +87,7 @@
 	return w, nil
 }
 
-// doors checks the addresses given.
+// admin endpoints checks the addresses given.
 func doors(c *cobra.Command, args []string) error {
 	if len(args) == 0 {
 		return errors.New("name the door of one router at least")
--- a/cmd/spurctl/policy.go
+++ b/cmd/spurctl/policy.go
@@ -73,7 +73,7 @@
 	return s, string(out), nil
 }
 
-// lastArg checks that the last argument is a door.
+// lastArg checks that the last argument is an admin endpoint.
 func lastArg(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		if len(args) != n {
--- a/cmd/spurtrestle/long_test.go
+++ b/cmd/spurtrestle/long_test.go
@@ -95,7 +95,7 @@
 	if err != nil || len(broken) >= len(whole) || !bytes.HasPrefix(broken, whole[:10]) {
 		t.Errorf("a value that broke: %d bytes, %v", len(broken), err)
 	}
-	// The first bytes go on at once, and beyond the req's time what still flows is not cut.
+	// The first bytes go on at once, and beyond the request's time what still flows is not cut.
 	slow, since := ask("waits", "rw"), time.Now()
 	if _, err := io.ReadFull(slow, make([]byte, 10)); err != nil || time.Since(since) > time.Second {
 		t.Error("the first bytes: ", err, time.Since(since))
--- a/cmd/spurtrestle/play_test.go
+++ b/cmd/spurtrestle/play_test.go
@@ -411,7 +411,7 @@
 			}
 		}
 		return saw
-	case "idlers come": // to the operators' door: half say nothing, half say half a call
+	case "idlers come": // to the admin endpoint: half say nothing, half say half a call
 		for i := range number(0) {
 			if c, err := net.Dial("tcp", p.admin); err == nil {
 				p.t.Cleanup(func() { c.Close() })
@@ -529,7 +529,7 @@
 	return saw
 }
 
-// call is one call at the operators' door, which has a second for it.
+// call is one call at the admin endpoint, which has a second for it.
 func (p *player) call(method, path, body string) string {
 	q, err := http.NewRequest(method, "http://"+p.admin+path, strings.NewReader(body))
 	if err != nil {
--- a/cmd/spurtrestle/replace_test.go
+++ b/cmd/spurtrestle/replace_test.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// Ten replacements in a row under load: no client loses a connection or a req, and a ban lasts.
+// Ten replacements in a row under load: no client loses a connection or a request, and a ban lasts.
 func TestReplacingLosesNothing(t *testing.T) {
 	p := newPlayer(t)
 	p.start([]string{"s1", "s2", "origin"})
--- a/cmd/spurtrestle/settings_test.go
+++ b/cmd/spurtrestle/settings_test.go
@@ -78,13 +78,13 @@
 	return d
 }
 
-// arrivalAt is a req as a server saw it.
+// arrivalAt is a request as a server saw it.
 type arrivalAt struct {
 	zone string
 	at   time.Time
 }
 
-// The program keeps the rules whatever legal settings say: with each of a hundred, reqs of each class are answered, failed,
+// The program keeps the rules whatever legal settings say: with each of a hundred, requests of each class are answered, failed,
 // reset, missed and left hanging by the servers, and each gets one answer in time, and none runs twice where it must not.
 func TestAnySettings(t *testing.T) {
 	var asked, served atomic.Int32 // of those that the servers answer
@@ -199,7 +199,7 @@
 	}
 }
 
-// oneAnswer sends one req, and wants one answer to it and nothing behind that; true: it was served.
+// oneAnswer sends one request, and wants one answer to it and nothing behind that; true: it was served.
 func (p *player) oneAnswer(t *testing.T, id string, c drawnClass, within time.Duration) bool {
 	conn, err := net.Dial("tcp", p.listen)
 	if err != nil {
--- a/cmd/spurtrestle/signal_test.go
+++ b/cmd/spurtrestle/signal_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// asks begins a req at the program whose server does not answer yet.
+// asks begins a request at the program whose server does not answer yet.
 func (p *player) asks(who, id string) {
 	p.do(who, "opens", "")
 	p.do(who, "sends", "CACHE.GET k "+id+" c=get,d=2500")
@@ -86,7 +86,7 @@
 	}
 }
 
-// SIGTERM comes while SIGHUP has the file read again, which a pipe holds back for good: the req in hand is answered, and the
+// SIGTERM comes while SIGHUP has the file read again, which a pipe holds back for good: the request in hand is answered, and the
 // program ends in order.
 func TestTermDuringReload(t *testing.T) {
 	p := newPlayer(t)
--- a/core/policycommit/book.go
+++ b/core/policycommit/book.go
@@ -4,7 +4,7 @@
 // Three parts: the book is what the keepers have decided, the same at each of them, entry by entry of a log that a
 // library replicates; the council is what the leader of the keepers does with it; the holder is each router's side.
 //
-// A router takes reqs by the leader's word alone: a grant, which counts for a span from when the router asked, and is
+// A router takes requests by the leader's word alone: a grant, which counts for a span from when the router asked, and is
 // answered only after a majority has confirmed the leader once more. So whatever is late, stalled or cut off, a router takes
 // nothing under a revision for longer than that span after the next one was first granted to anybody.
 package policycommit
@@ -225,7 +225,7 @@
 // DefaultRules: the window stays under a second, also by a clock that runs a hundredth slow. A lease is renewed four
 // times over, and asked for again soon where packets get lost.
 func DefaultRules() Rules {
-	// What a router leaves to others as it ends counts for ten seconds (package sharelease); reqs in hand for less.
+	// What a router leaves to others as it ends counts for ten seconds (package sharelease); requests in hand for less.
 	return Rules{Lease: 950e3, Ask: 200e3, Again: 60e3, Patience: 5e6, Slack: 50e3, Rest: 12e6}
 }
 
@@ -334,7 +334,7 @@
 }
 
 // Lend tells which lost router's part is to be lent, or is its own again, now. A part is lent only once its router can
-// neither take a req, nor have one in hand, nor have lent the part itself; and the router is granted nothing before all
+// neither take a request, nor have one in hand, nor have lent the part itself; and the router is granted nothing before all
 // that was given out of the part has run out.
 func (c *Council) Lend(now Micros, b *Book) *Entry {
 	for _, name := range slices.Sorted(maps.Keys(b.Out)) {
--- a/core/policycommit/explore_test.go
+++ b/core/policycommit/explore_test.go
@@ -104,7 +104,7 @@
 	if x.found != "" {
 		return
 	}
-	for i, h := range s.routers { // who could take a req now, and under what
+	for i, h := range s.routers { // who could take a request now, and under what
 		until := h.Takes(s.now)
 		if x.bug == "a lease is not looked at" {
 			until = 0
--- a/core/routing/admission.go
+++ b/core/routing/admission.go
@@ -4,9 +4,9 @@
 
 // This file: what is refused, and how much may be in flight at a cache.
 
-// isTooLate: less than a quick answer's time is seldom enough. Reqs that came with a tenth of their time left
-// filled the caches with what nobody waited for. Half of its aim is always worth a try.
-func (r *Router) isTooLate(q *req) bool {
+// isTooLate: less than a quick answer's time is seldom enough. Requests that came with a tenth of their time
+// left filled the caches with what nobody waited for. Half of its aim is always worth a try.
+func (r *Router) isTooLate(q *request) bool {
 	quickest := r.seen.best
 	if q.toOrigin && r.origin != nil {
 		quickest = r.origin.best
@@ -17,9 +17,9 @@
 const granted = 0.3 // answers a second: trials go on, and a few lost by chance are no jam
 
 // mostAreLost guards against a jam that keeps itself up: caches that go on with overdue work, full of what
-// hundreds of routers send one by one, answer nobody in time. A router sends on as many reqs as were answered
-// of those that ended lately, and some more, least of what is worth least.
-func (r *Router) mostAreLost(q *req) bool {
+// hundreds of routers send one by one, answer nobody in time. A router sends on as many requests as were
+// answered of those that ended lately, and some more, least of what is worth least.
+func (r *Router) mostAreLost(q *request) bool {
 	if q.admitted {
 		return false
 	}
@@ -37,12 +37,12 @@
 	return lost
 }
 
-func (r *Router) hold(q *req) {
+func (r *Router) hold(q *request) {
 	if q.settled = true; q.held {
 		return
 	}
 	q.held = true
-	at, _ := slices.BinarySearchFunc(r.held, q, func(a, b *req) int {
+	at, _ := slices.BinarySearchFunc(r.held, q, func(a, b *request) int {
 		if a.write == b.write && a.worth == b.worth {
 			return a.seq - b.seq
 		}
@@ -53,16 +53,16 @@
 	})
 	r.held = slices.Insert(r.held, at, q)
 	if s := r.waitsFor(q); s != nil {
-		s.ahead++ // counting them anew for each req took too long
+		s.ahead++ // counting them anew for each request took too long
 	}
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a failure. The hint is the wait and
-// four latency budgets, as long as a crest: clients told to come back sooner kept the queue full.
-func (r *Router) giveUp(q *req) {
-	d := Decision{Action: Fail, Req: q.id}
-	if q.maybeRan == 0 || q.method.effect == Retryable {
-		d.Action = Nack
+// giveUp answers at once: a rejection where trying again is harmless, else a failure. The hint is the wait
+// and four latency budgets, as long as a crest: clients told to come back sooner kept the queue full.
+func (r *Router) giveUp(q *request) {
+	d := Decision{Action: Fail, Request: q.id}
+	if q.maybeRan == 0 || q.method.effect == Idempotent {
+		d.Action = Reject
 		d.After = 4 * q.method.aim
 		if s := r.waitsFor(q); s != nil {
 			d.After += r.wait(s)
@@ -84,8 +84,8 @@
 const inHand = 8 // of all routers: some eight keep a machine of a few cores busy without a long queue
 
 // room bounds what is in flight at a cache by measured rate x time: what it answers within the part of the
-// latency budget that may go into waiting, less for the reqs that are worth less.
-func (r *Router) room(q *req, s *server) bool {
+// latency budget that may go into waiting, less for the requests that are worth less.
+func (r *Router) room(q *request, s *server) bool {
 	// Six tenths leave time for a miss and the origin. The most worth may use all of that, the least only a
 	// part: a queue that the best still fit into turns the rest away.
 	within := float64(q.method.yields) * 0.6 * (r.patience + (1-r.patience)*min(1, q.worth))
@@ -94,7 +94,7 @@
 	// until the machine clears: one in flight from every router kept crowded machines so for the rest of a day.
 	floor := inHand * r.part * min(1, within/float64(max(1, g.time)))
 	bound := max(floor, s.rate.now(r.now, rateSpan)*within/1e6) * g.quick(crowded)
-	// A timed-out write-out counts until it is known to be off the server. Else a crowded server that goes on
+	// A timed-out attempt counts until it is known to be off the server. Else a crowded server that goes on
 	// with overdue work is sent ever more: all of it late, none of it answered.
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= r.now })
 	out := s.inFlight + len(s.ghosts)
--- a/core/routing/coldstart.go
+++ b/core/routing/coldstart.go
@@ -13,10 +13,10 @@
 	return max(0, r.now-start)
 }
 
-const safe = 0.6 // of the multiple: the work of a req varies, and so do the keys
+const safe = 0.6 // of the multiple: the work of a request varies, and so do the keys
 
 // warmFor lets a cold cache have a fraction of its keys, alike at every router, by a budget, own ones first.
-func (r *Router) warmFor(q *req, s *server, own bool) bool {
+func (r *Router) warmFor(q *request, s *server, own bool) bool {
 	age, at := r.coldAge(s), float64(q.hash>>32&0xffff)/0x10000
 	if age >= r.coldSpan || at >= r.share(s.Zone) {
 		return at < r.share(s.Zone)
@@ -27,7 +27,7 @@
 	}
 	// The router's part of its work is that of a mean cache's hits (misses cost little); at the start half of
 	// what came stands for them. The budget grows evenly from somewhere under one: of hundreds of routers each
-	// has less than one write-out in the window, and one from each at once is many times what it can do.
+	// has less than one attempt in the window, and one from each at once is many times what it can do.
 	since := 1 - math.Exp(-float64(r.now+1-r.began)/trafficSpan)
 	hits := max(r.hits.now(r.now, trafficSpan), r.traffic.now(r.now, trafficSpan)/2) / since
 	mean := hits / float64(len(r.caches))
--- a/core/routing/engine.go
+++ b/core/routing/engine.go
@@ -4,24 +4,24 @@
 
 // This file: passes over the requests by the rules; it decides nothing.
 
-// A rule is a condition and an effect. After every input the rules are gone through in order, for each req
+// A rule is a condition and an effect. After every input the rules are gone through in order, for each request
 // that the input touched, until none fires.
 type rule struct {
 	name string
-	when func(*Router, *req) bool
-	do   func(*Router, *req)
+	when func(*Router, *request) bool
+	do   func(*Router, *request)
 }
 
-func (r *Router) run(q *req) {
+func (r *Router) run(q *request) {
 	for q.settled = q.done; !q.settled; {
 		i := slices.IndexFunc(r.rules, func(x rule) bool { return x.when(r, q) })
 		r.rules[i].do(r, q)
 	}
 }
 
-func (r *Router) settle(q *req) { q.settled = true }
+func (r *Router) settle(q *request) { q.settled = true }
 
-// runWatched looks at the reqs whose copy is due; its time drifts slowly, so that they stand in order.
+// runWatched looks at the requests whose copy is due; its time drifts slowly, so that they stand in order.
 func (r *Router) runWatched() {
 	for len(r.watched) > 0 {
 		q := r.watched[0]
@@ -44,12 +44,12 @@
 	}
 	for _, q := range slices.Clone(r.held) {
 		r.run(q)
-		if s := r.waitsFor(q); s != nil && !q.done && len(q.outs) == 0 {
+		if s := r.waitsFor(q); s != nil && !q.done && len(q.attempts) == 0 {
 			s.ahead++
 		}
 	}
-	r.held = slices.DeleteFunc(r.held, func(q *req) bool {
-		q.held = !q.done && len(q.outs) == 0
+	r.held = slices.DeleteFunc(r.held, func(q *request) bool {
+		q.held = !q.done && len(q.attempts) == 0
 		return !q.held
 	})
 }
--- a/core/routing/figures.go
+++ b/core/routing/figures.go
@@ -12,7 +12,7 @@
 // tally counts what came in and what became of it.
 type tally struct {
 	offered   map[Rank]*decayed
-	ended     decayed // reqs that were let in, a second
+	ended     decayed // requests that were let in, a second
 	givenUp   decayed // and those of them that were given up
 	worth     decayed // of those that were let in
 	worthLost decayed // and of those of them that were given up
@@ -33,21 +33,21 @@
 	d.add(now, tallySpan)
 }
 
-// note counts a req that ends, once, by what was just decided on it.
-func (r *Router) note(q *req) {
+// note counts a request that ends, once, by what was just decided on it.
+func (r *Router) note(q *request) {
 	if q.done || q.shed {
 		return
 	}
 	t := &r.tally
 	t.ended.add(r.now, tallySpan)
 	t.worth.addSome(q.worth, r.now, tallySpan)
-	if n := len(r.decided); n > 0 && r.decided[n-1].Req == q.id && (r.decided[n-1].Action == Nack || r.decided[n-1].Action == Fail) {
+	if n := len(r.decided); n > 0 && r.decided[n-1].Request == q.id && (r.decided[n-1].Action == Reject || r.decided[n-1].Action == Fail) {
 		t.givenUp.add(r.now, tallySpan)
 		t.worthLost.addSome(q.worth, r.now, tallySpan)
 	}
 }
 
-func (r *Router) isShed(q *req) bool { return q.shed }
+func (r *Router) isShed(q *request) bool { return q.shed }
 
 // replan keeps what the fleet keeps to now; the caches to be used may be others by it.
 func (r *Router) replan(p Planned) {
@@ -60,7 +60,7 @@
 }
 
 // spend counts a read that goes to the origin.
-func (r *Router) spend(q *req, s *server) {
+func (r *Router) spend(q *request, s *server) {
 	if s.origin && !q.write && r.planned.Fetches > 0 {
 		r.fetchLeft--
 	}
@@ -110,7 +110,7 @@
 // RankRate is how much comes in of one rank.
 type RankRate struct {
 	Rank Rank
-	Rate float64 // reqs a second
+	Rate float64 // requests a second
 }
 
 // ZoneFigures is what a router sees of the caches of a zone.
@@ -124,7 +124,7 @@
 // Figures are a router's load over about the last second.
 type Figures struct {
 	Offered          []RankRate // the highest first
-	Ended            float64    // reqs a second that were let in
+	Ended            float64    // requests a second that were let in
 	GivenUp          float64    // and of them given up
 	Worth, WorthLost float64    // the same by worth, of the highest
 	Zones            []ZoneFigures
--- a/core/routing/fleet_test.go
+++ b/core/routing/fleet_test.go
@@ -23,7 +23,7 @@
 	sends   []Micros // to the cold server, of routers that had been told
 	asked   int
 	hotKey  Key
-	open    map[ReqID]Key
+	open    map[RequestID]Key
 }
 
 // scene is one deployment, and what happens to it.
@@ -88,7 +88,7 @@
 }
 
 func newFleet(s scene, seed uint64) *fleet {
-	f := &fleet{scene: s, rand: rand.New(rand.NewPCG(seed, 7)), held: map[ServerID]map[Key]bool{}, open: map[ReqID]Key{},
+	f := &fleet{scene: s, rand: rand.New(rand.NewPCG(seed, 7)), held: map[ServerID]map[Key]bool{}, open: map[RequestID]Key{},
 		started: warmUp, routers: make([]*Router, s.routers), told: make([]Micros, s.routers)}
 	f.cold = ServerID(1 + f.rand.IntN(s.caches))
 	sum := 0.0
@@ -131,7 +131,7 @@
 	r := f.routers[i]
 	for _, d := range append([]Decision(nil), r.Step(f.now, ev)...) {
 		switch d.Action {
-		case WriteOut:
+		case Send:
 			f.attempt(i, r, d)
 		case Wake:
 			f.after(d.After, func() {
@@ -146,7 +146,7 @@
 // attempt has a server answer, which holds what was fetched for it.
 func (f *fleet) attempt(i int, r *Router, d Decision) {
 	took, status := Micros(15e3*(0.5+f.rand.ExpFloat64())), OK
-	key := f.open[d.Req]
+	key := f.open[d.Request]
 	if d.Server == fleetOrigin {
 		took *= 4
 	}
@@ -164,12 +164,12 @@
 		}
 	}
 	nth := Attempt(0)
-	if q := r.reqs[d.Req]; q != nil {
+	if q := r.requests[d.Request]; q != nil {
 		nth = q.sent - 1
 	}
 	f.after(took, func() {
 		if f.routers[i] == r {
-			f.step(i, Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: status, Took: took, Over: status == OK})
+			f.step(i, Returned{Request: d.Request, Server: d.Server, Attempt: nth, Status: status, Took: took, Over: status == OK})
 		}
 	})
 }
@@ -190,11 +190,11 @@
 		i %= max(1, len(f.routers)/6)
 	}
 	f.asked++
-	id := ReqID(fmt.Sprint(f.asked))
+	id := RequestID(fmt.Sprint(f.asked))
 	if f.open[id] = Key(fmt.Sprint("k", at)); f.rand.Float64() < f.hot/float64(f.caches) {
 		f.open[id] = f.hotKey
 	}
-	f.step(i, ReqCame{Req: id, Key: f.open[id], ValidUntil: f.now + 1200e3})
+	f.step(i, RequestCame{Request: id, Key: f.open[id], ValidUntil: f.now + 1200e3})
 	rate := f.load * f.capacity * float64(f.caches)
 	if f.now >= f.started {
 		rate *= f.burst
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -7,7 +7,7 @@
 
 // This file: what a server's answers tell of it: set aside, out of reach, an idle connection closed.
 
-const useSpan = 20e6 // a few reqs of one of hundreds of routers to a mean cache
+const useSpan = 20e6 // a few requests of one of hundreds of routers to a mean cache
 
 // leave closes an idle connection that costs more than a new one would. Where each of hundreds of routers
 // keeps one to every cache, a cache is at its maximum, and refuses most routers though it has little to do.
@@ -20,7 +20,7 @@
 }
 
 // judge keeps a server's record by what this router itself has seen of it.
-func (r *Router) judge(w *writeOut, status Status, took Micros) {
+func (r *Router) judge(w *attempt, status Status, took Micros) {
 	s, points := w.server, 0
 	used := s.used.now(r.now, useSpan) / (1 - math.Exp(-float64(r.now+1-r.began)/useSpan))
 	switch status {
@@ -33,7 +33,7 @@
 			r.measure(s, took)
 		}
 		s.rate.add(r.now, rateSpan)
-		// What was sent before an answered write-out has had its turn.
+		// What was sent before an answered attempt has had its turn.
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= w.sent })
 		if s.aside != 0 && s.unheard { // after a crash the list is late to tell of the new process, which is cold
 			s.coldFrom = r.now
@@ -62,7 +62,7 @@
 	}
 	// What strikes all alike (broken connections, spoilt answers) is no one's ill health: it set
 	// aside a healthy fleet, and the origin. A row too long for chance at the others' share is.
-	const granted, unlikely, most = 1, 1e-5, 8 // write-outs a second; such a row is seen once in many minutes
+	const granted, unlikely, most = 1, 1e-5, 8 // attempts a second; such a row is seen once in many minutes
 	others := max(0, r.noise.now(r.now, useSpan)-float64(s.lost)*1e6/useSpan)
 	share := min(0.5, others/(r.used.now(r.now, useSpan)+granted))
 	row := min(most, int(math.Ceil(math.Log(unlikely)/math.Log(share))))
@@ -73,7 +73,7 @@
 	// the second one counts, and it is left for three uses, which its partners hardly feel. The origin has no
 	// partner: one late answer of its long tail kept a router from it for half a minute.
 	rest := max(2e6, 3e6/max(used, 0.1))
-	if s.origin { // its trials cost little: what they carry would be nacked
+	if s.origin { // its trials cost little: what they carry would be rejected
 		used, rest = 2, 5e5
 	}
 	if s.lost += points; s.lost >= max(2, 1+int(min(2, used)), row) && s.aside <= r.now {
@@ -83,8 +83,8 @@
 }
 
 // follow keeps the record of the way to a zone. Caches of it that are silent one after the other, and no word
-// from any, are out of reach, or gone together: each router found that out cache by cache, and lost a req on
-// each. A refused connection is a word. In a healthy zone two that hang cost a moment at partners.
+// from any, are out of reach, or gone together: each router found that out cache by cache, and lost a request
+// on each. A refused connection is a word. In a healthy zone two that hang cost a moment at partners.
 func (r *Router) follow(s *server, status Status, points int, took Micros) {
 	w := r.ways[s.Zone]
 	switch {
@@ -99,7 +99,7 @@
 
 // rest leaves a zone alone, where two were silent and there are others, until it is time for a trial.
 func (r *Router) rest(s *server, w way) {
-	const short = 3e5 // some answers: long enough for the trial's own, and each costs a req
+	const short = 3e5 // some answers: long enough for the trial's own, and each costs a request
 	if w.silent > 1 && slices.ContainsFunc(r.caches, func(c *server) bool { return c.Zone != s.Zone }) {
 		w.rest = r.now + Micros(short*(1+r.chance()/2))
 	}
--- a/core/routing/hotkeys.go
+++ b/core/routing/hotkeys.go
@@ -13,7 +13,7 @@
 // load is what the reads of a key are, as a multiple of a mean cache's reads, and how sure that is. One read
 // is chance, however few a router of hundreds has seen; and forty reads of other keys are granted at the
 // start.
-func (r *Router) load(q *req) (load, sure float64) {
+func (r *Router) load(q *request) (load, sure float64) {
 	const few, granted = 2, 40
 	n := r.hot.counts[keyHash(q.key)]
 	if n < few || q.write || q.key == "" {
--- a/core/routing/inputs.go
+++ b/core/routing/inputs.go
@@ -15,16 +15,16 @@
 		aside: s.Aside, sized: s.ListsSizes, originKind: s.OriginKind,
 		ask: s.ListOnRequest, mayCopy: s.MayTwoAtOnce && s.MayCancel,
 		tick: max(s.Resolution, 1), mayCancel: s.MayCancel, dice: dice{seed: uint32(mix(seed))},
-		began: now, now: now, rules: reqRules(), endBy: math.MaxInt64,
+		began: now, now: now, rules: requestRules(), endBy: math.MaxInt64,
 		connect: s.ConnectTimeout, ways: map[Zone]way{},
-		servers: map[ServerID]*server{}, reqs: map[ReqID]*req{}, fetches: map[Key]*req{},
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, fetches: map[Key]*request{},
 		before: map[ServerID]ServerKnowledge{}, barred: map[ServerID]bool{}, table: map[uint32][groupCount]uint32{},
 		hot:     keyCounts{counts: map[KeyHash]float64{}, most: 1024}, // several times the keys over the bound
 		retries: 10,                                                   // enough for the first seconds
 		part:    1 / float64(max(1, s.Routers)),
 	}
-	// In a day a connection to every cache costs its fee for each hundred, a new one for each req its own: where
-	// all routers use a server alike, keeping pays up to this ratio of one.
+	// In a day a connection to every cache costs its fee for each hundred, a new one for each request its own:
+	// where all routers use a server alike, keeping pays up to this ratio of one.
 	r.keep = s.ConnectionFee * float64(s.Routers) / 100 / max(1e-9, s.HandshakeFee)
 	// A copy is paid for by work and a crossing: the dearer, the later. Of the usual answer.
 	r.copyAfter = 0.7 + 18*(s.WasteFee+s.CrossFee)
@@ -34,16 +34,16 @@
 	return r, r.decided
 }
 
-// adopt takes over what may change while reqs are in hand: those end by the rules under which they came.
+// adopt takes over what may change while requests are in hand: those end by the rules under which they came.
 func (r *Router) adopt(s Settings) {
-	r.overWorth, r.maxSends, r.maxHint = s.OverShareWorth, Attempt(s.MaxWriteOuts), s.MaxHint
+	r.overWorth, r.maxSends, r.maxHint = s.OverShareWorth, Attempt(s.MaxAttempts), s.MaxHint
 	r.coldShare, r.coldSpan, r.fallSpan = s.ColdShare, max(s.ColdSpan, 1), max(s.FallSpan, 1)
 	// Patience: a fifth for the least, and more where the worst-served method counts much, lest it starve.
 	r.coldTimes, r.patience = safe*s.FallMultiple, min(1, 0.2+s.WorstMethod)
 	r.methods = slices.Clone(r.methods)
 	most, tightest := 0.0, Micros(math.MaxInt64)
 	for _, m := range s.Methods {
-		if most = max(most, m.Criticality); m.Effect == Retryable {
+		if most = max(most, m.Criticality); m.Effect == Idempotent {
 			tightest = min(tightest, m.LatencyBudget)
 		}
 	}
@@ -70,14 +70,14 @@
 	r.now, r.decided = max(now, r.now), r.decided[:0]
 	r.recompute()
 	switch e := ev.(type) {
-	case ReqCame:
-		r.reqCame(e)
+	case RequestCame:
+		r.requestCame(e)
 	case Returned:
 		r.returned(e)
 	case Left:
 		r.left(e)
 	case Streaming:
-		if q := r.reqs[e.Req]; q != nil {
+		if q := r.requests[e.Request]; q != nil {
 			r.finish(q)
 		}
 	case ListCame:
@@ -92,7 +92,7 @@
 		r.adopt(e.Settings)
 	case Ending:
 		r.endBy = e.By
-		for _, q := range r.reqs {
+		for _, q := range r.requests {
 			q.final = min(q.final, e.By)
 		}
 	case Learned:
@@ -105,11 +105,11 @@
 		}
 		r.runWatched()
 	}
-	if _, came := ev.(ReqCame); !came {
+	if _, came := ev.(RequestCame); !came {
 		r.runHeld()
 	}
 	if len(r.held) > 0 {
-		r.wake(r.now + max(r.tick, 5e3)) // held reqs are looked at again that often at least
+		r.wake(r.now + max(r.tick, 5e3)) // held requests are looked at again that often at least
 	}
 	if r.askAt != 0 {
 		r.wake(r.askAt)
@@ -119,11 +119,11 @@
 
 const trafficSpan = 5e6 // of the rate of a tenant, and of all: longer than a burst
 
-func (r *Router) reqCame(e ReqCame) {
+func (r *Router) requestCame(e RequestCame) {
 	m := &r.methods[e.Method]
 	r.arrived++
 	// A tick before the deadline nothing can be had any more, and an answer is due.
-	q := &req{id: e.Req, method: m, key: e.Key, most: r.maxSends, write: e.Write, worth: m.worth,
+	q := &request{id: e.Request, method: m, key: e.Key, most: r.maxSends, write: e.Write, worth: m.worth,
 		seq: r.arrived, aim: r.now + m.aim, final: min(e.ValidUntil, r.endBy) - r.tick,
 		hash: hashText(string(e.Key)), drawn: -1}
 	if !m.lateEarns {
@@ -134,13 +134,13 @@
 		q.most = 1
 	}
 	if e.Key == "" {
-		q.hash = hashText(string(e.Req))
+		q.hash = hashText(string(e.Request))
 	}
 	r.traffic.add(r.now, trafficSpan)
 	if t := r.tenants[e.Tenant]; t != nil {
 		t.rate.add(r.now, trafficSpan)
 		// Each router takes its part of a tenant's share to be that of its own traffic; a fifth over is chance, and
-		// two deviations: at two reqs a second half of all seemed to be over.
+		// two deviations: at two requests a second half of all seemed to be over.
 		due := t.share * r.traffic.value
 		if t.rate.value > 1.2*due+2*math.Sqrt(due*1e6/trafficSpan/2) {
 			q.worth *= r.overWorth
@@ -151,11 +151,11 @@
 	}
 	count(&r.tally.offered, q.rank, r.now)
 	q.shed = q.rank < r.planned.Least || q.rank == r.planned.Least && r.chance() >= r.planned.Some
-	r.retries = min(r.retries+0.1, 20) // a tenth of the reqs may be tried again, and a short burst
+	r.retries = min(r.retries+0.1, 20) // a tenth of the requests may be tried again, and a short burst
 	if !e.Write && e.Key != "" {
 		r.hot.count(keyHash(e.Key))
 	}
-	r.reqs[q.id] = q
+	r.requests[q.id] = q
 	r.run(q)
 }
 
--- a/core/routing/knowledge.go
+++ b/core/routing/knowledge.go
@@ -5,7 +5,7 @@
 // What a router knows, as plain data that outlives it. This file copies; how much of it counts after a restart is
 // decided by package staleness, and what is made of what is known of a server in health.go (recall).
 //
-// Never part of it: write-outs and reqs in hand, connections, ghosts, what deduplicated reqs may have run (their reqs
+// Never part of it: attempts and requests in hand, connections, ghosts, what deduplicated requests may have run (their requests
 // end with the process), and the budgets of cold servers, which follow from the start that the list tells.
 
 // Times are what a gauge has measured.
@@ -21,7 +21,7 @@
 	At      Micros // of the last own evidence; what was restored and not seen since keeps its time
 	Times   Times
 	Rate    float64 // answers a second
-	Used    float64 // write-outs a second, over longer
+	Used    float64 // attempts a second, over longer
 	Told    Micros  // mean of the service times that it reported; 0: none
 	Lost    int     // points for failures in a row
 	Aside   bool    // it is set aside
--- a/core/routing/knowledge_test.go
+++ b/core/routing/knowledge_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// busy is a router that has answered for some seconds, with server 3 slow and a hot key, and has a req in hand.
+// busy is a router that has answered for some seconds, with server 3 slow and a hot key, and has a request in hand.
 func busy(seed uint64) *Router {
 	r, _ := New(0, base(), seed)
 	r.Step(0, input(base(), "list", []string{"full", "1", "2", "3", "4", "9"}))
@@ -19,17 +19,17 @@
 		if i%5 == 0 {
 			key = "hot"
 		}
-		for _, d := range r.Step(now, ReqCame{Req: ReqID(fmt.Sprint(i)), Key: key, ValidUntil: now + 1e6}) {
-			if d.Action == WriteOut {
+		for _, d := range r.Step(now, RequestCame{Request: RequestID(fmt.Sprint(i)), Key: key, ValidUntil: now + 1e6}) {
+			if d.Action == Send {
 				took := Micros(10e3)
 				if d.Server == 3 {
 					took = 40e3
 				}
-				r.Step(now, Returned{Req: d.Req, Server: d.Server, Status: OK, Took: took, Over: true})
+				r.Step(now, Returned{Request: d.Request, Server: d.Server, Status: OK, Took: took, Over: true})
 			}
 		}
 	}
-	r.Step(10e6, ReqCame{Req: "in hand", Key: "k1", ValidUntil: 11e6})
+	r.Step(10e6, RequestCame{Request: "in hand", Key: "k1", ValidUntil: 11e6})
 	return r
 }
 
@@ -72,10 +72,10 @@
 			t.Errorf("a rate of %v became %v", x[1], x[0])
 		}
 	}
-	if len(r.reqs) > 0 || len(r.held) > 0 || r.servers[1].inFlight > 0 || len(r.servers[1].ghosts) > 0 {
+	if len(r.requests) > 0 || len(r.held) > 0 || r.servers[1].inFlight > 0 || len(r.servers[1].ghosts) > 0 {
 		t.Error("reqs or write-outs came with it")
 	}
-	if load, _ := r.load(&req{key: "hot"}); load < hotBound {
+	if load, _ := r.load(&request{key: "hot"}); load < hotBound {
 		t.Errorf("the hot key has a load of %v", load)
 	}
 }
@@ -109,7 +109,7 @@
 	r.Step(10e6, input(base(), "list", []string{"full", "1", "2", "3", "4", "9"}))
 	for _, status := range []Status{Reset, QueueFull} {
 		s := r.servers[1]
-		r.judge(&writeOut{server: s, sent: 10e6}, status, 5e3)
+		r.judge(&attempt{server: s, sent: 10e6}, status, 5e3)
 		if s.aside != 0 {
 			t.Errorf("after one %v it is set aside until %v", status, s.aside)
 		}
@@ -136,7 +136,7 @@
 }
 
 // Many routers that start from one knowledge at once spread the reads of a hot key, and try a server that was set aside
-// with one req each.
+// with one request each.
 func TestTwentyRestoreAtOnce(t *testing.T) {
 	k := knows(busy(1), 10e6)
 	for i := range k.Servers {
@@ -152,8 +152,8 @@
 		r.Step(10e6, input(base(), "list", []string{"full", "1", "2", "3", "4", "9"}))
 		tried := 0
 		for i := range 10 {
-			for _, d := range r.Step(10e6, ReqCame{Req: ReqID(fmt.Sprint(i)), Key: "hot", ValidUntil: 11e6}) {
-				if d.Action == WriteOut {
+			for _, d := range r.Step(10e6, RequestCame{Request: RequestID(fmt.Sprint(i)), Key: "hot", ValidUntil: 11e6}) {
+				if d.Action == Send {
 					got[d.Server]++
 					if d.Server == 2 {
 						tried++
--- a/core/routing/origin.go
+++ b/core/routing/origin.go
@@ -5,14 +5,14 @@
 // This file: what goes to the origin, and how much of it.
 
 // isFetch: only reads of a known key share one fetch.
-func (r *Router) isFetch(q *req) bool { return r.aside && !q.write && q.key != "" }
+func (r *Router) isFetch(q *request) bool { return r.aside && !q.write && q.key != "" }
 
-func (r *Router) fetchIsOut(q *req) bool {
+func (r *Router) fetchIsOut(q *request) bool {
 	f := r.fetches[q.key]
 	return r.isFetch(q) && f != nil && f != q
 }
 
-func (r *Router) turnToOrigin(q *req) {
+func (r *Router) turnToOrigin(q *request) {
 	q.toOrigin = true
 	if r.isFetch(q) && r.fetches[q.key] == nil {
 		r.fetches[q.key] = q
@@ -22,13 +22,13 @@
 // isUrgent: a read of a method that has less than two of a cache's quick answers, new connections in them,
 // was seldom answered in time, after a miss never. The origin, to which a connection is kept, has it while
 // its last answers are under the goal. It could harm where the origin tells too little of its load.
-func (r *Router) isUrgent(q *req) bool {
+func (r *Router) isUrgent(q *request) bool {
 	return r.aside && !q.write && !q.short && q.sent == 0 && r.seen.n >= gaugeFull/4 && // not slow by chance
 		q.method.aim < 2*r.seen.best && r.originIsFree(q, false)
 }
 
 // originIsFree: a read may go there though no cache has missed.
-func (r *Router) originIsFree(q *req, pressed bool) bool {
+func (r *Router) originIsFree(q *request, pressed bool) bool {
 	return inGroup(q, r.origin) && !r.fetchIsOut(q) && r.originTakes(pressed)
 }
 
@@ -49,7 +49,7 @@
 }
 
 // originRoomFor lets writes go past the bound: they are few, worth the most, and have nowhere else to go.
-func (r *Router) originRoomFor(q *req) bool {
+func (r *Router) originRoomFor(q *request) bool {
 	return r.originRoom() || q.write && r.origin != nil && r.usable(r.origin)
 }
 
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -2,43 +2,47 @@
 
 // This file: the rules for one request, in order, and how it ends.
 
-func reqRules() []rule {
+func requestRules() []rule {
 	return []rule{
-		{"a copy is due", (*Router).copyIsDue, func(r *Router, q *req) { r.send(q, r.origin) }},
-		{"its answer is due", func(_ *Router, q *req) bool { return len(q.outs) > 0 }, (*Router).settle},
-		{"nothing can be earned", func(r *Router, q *req) bool { return r.now >= q.final }, (*Router).giveUp},
+		{"a copy is due", (*Router).copyIsDue, func(r *Router, q *request) { r.send(q, r.origin) }},
+		{"its answer is due", func(_ *Router, q *request) bool { return len(q.attempts) > 0 }, (*Router).settle},
+		{"nothing can be earned", func(r *Router, q *request) bool { return r.now >= q.final }, (*Router).giveUp},
 		{"it may have run and must not run again", (*Router).mustStop, (*Router).giveUp},
-		{"its write-outs are used up", func(r *Router, q *req) bool { return q.sent >= q.most }, (*Router).giveUp},
+		{"its attempts are used up", func(_ *Router, q *request) bool { return q.sent >= q.most },
+			(*Router).giveUp},
 		{"this router has no part in what may be sent, so nothing new is",
-			func(r *Router, q *req) bool { return r.part == 0 && q.sent == 0 }, (*Router).giveUp},
+			func(r *Router, q *request) bool { return r.part == 0 && q.sent == 0 }, (*Router).giveUp},
 		{"the fleet refuses what is worth so little now", (*Router).isShed, (*Router).giveUp},
-		{"the retry budget is spent", func(r *Router, q *req) bool { return q.retrying && r.retries < 1 },
+		{"the retry budget is spent", func(r *Router, q *request) bool { return q.retrying && r.retries < 1 },
 			(*Router).giveUp},
-		{"its pause is not over", func(r *Router, q *req) bool { return r.now < q.pause }, (*Router).hold},
+		{"its pause is not over", func(r *Router, q *request) bool { return r.now < q.pause }, (*Router).hold},
 		{"a fetch of its key is out: wait for it", (*Router).fetchIsOut, (*Router).hold},
 		{"a miss, a write in aside mode, or a read too urgent for a cache goes to the origin",
-			func(r *Router, q *req) bool { return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q)) },
+			func(r *Router, q *request) bool {
+				return !q.toOrigin && (q.missed || r.aside && q.write || r.isUrgent(q))
+			},
 			(*Router).turnToOrigin},
 		{"too little time is left for an answer", (*Router).isTooLate, (*Router).giveUp},
-		{"no origin to turn to", func(r *Router, q *req) bool { return q.toOrigin && !inGroup(q, r.origin) },
+		{"no origin to turn to", func(r *Router, q *request) bool { return q.toOrigin && !inGroup(q, r.origin) },
 			(*Router).giveUp},
-		{"the origin has room", func(r *Router, q *req) bool { return q.toOrigin && r.originRoomFor(q) },
-			func(r *Router, q *req) { r.send(q, r.origin) }},
+		{"the origin has room", func(r *Router, q *request) bool { return q.toOrigin && r.originRoomFor(q) },
+			func(r *Router, q *request) { r.send(q, r.origin) }},
 		{"the origin cannot answer in time",
-			func(r *Router, q *req) bool { return q.toOrigin && r.now+r.wait(r.origin) > q.soon() },
+			func(r *Router, q *request) bool { return q.toOrigin && r.now+r.wait(r.origin) > q.soon() },
 			(*Router).giveUp},
-		{"wait for the origin", func(_ *Router, q *req) bool { return q.toOrigin }, (*Router).hold},
+		{"wait for the origin", func(_ *Router, q *request) bool { return q.toOrigin }, (*Router).hold},
 		{"the caches answer too little", (*Router).mostAreLost, (*Router).giveUp},
-		{"a cache has room", (*Router).pick, func(r *Router, q *req) { r.send(q, q.target) }},
-		{"no cache can be used", func(_ *Router, q *req) bool { return q.target == nil }, (*Router).turnToOrigin},
+		{"a cache has room", (*Router).pick, func(r *Router, q *request) { r.send(q, q.target) }},
+		{"no cache can be used", func(_ *Router, q *request) bool { return q.target == nil },
+			(*Router).turnToOrigin},
 		{"the cache cannot answer in time",
-			func(r *Router, q *req) bool { return r.now+r.wait(q.target) > q.soon() }, (*Router).giveUp},
-		{"wait for the cache", func(*Router, *req) bool { return true }, (*Router).hold},
+			func(r *Router, q *request) bool { return r.now+r.wait(q.target) > q.soon() }, (*Router).giveUp},
+		{"wait for the cache", func(*Router, *request) bool { return true }, (*Router).hold},
 	}
 }
 
-func (r *Router) finish(q *req) {
-	// Once: a write-out may end after its req. Where time was short or nothing was sent no cache is to blame.
+func (r *Router) finish(q *request) {
+	// Once: an attempt may end after its request. Where time was short or nothing was sent no cache is to blame.
 	if !q.done && q.admitted && !q.short && q.sent > 0 {
 		r.asked.add(r.now, trafficSpan)
 	}
@@ -47,12 +51,12 @@
 	if r.fetches[q.key] == q {
 		delete(r.fetches, q.key)
 	}
-	if len(q.outs) == 0 {
-		delete(r.reqs, q.id)
+	if len(q.attempts) == 0 {
+		delete(r.requests, q.id)
 	}
 }
 
-func (r *Router) send(q *req, s *server) {
+func (r *Router) send(q *request, s *server) {
 	left := q.final - r.now
 	timeout := left
 	if !s.origin && r.aside && q.sent+1 < q.most && r.retries >= 1 {
@@ -83,9 +87,9 @@
 	}
 	s.used.add(r.now, useSpan)
 	r.used.add(r.now, useSpan)
-	q.outs = append(q.outs, &writeOut{server: s, nth: q.sent, sent: r.now})
+	q.attempts = append(q.attempts, &attempt{server: s, nth: q.sent, sent: r.now})
 	q.sent++
-	if r.mayCopy && q.sent == 1 && !q.write && q.method.effect == Retryable && !s.origin && r.seen.n > 0 {
+	if r.mayCopy && q.sent == 1 && !q.write && q.method.effect == Idempotent && !s.origin && r.seen.n > 0 {
 		q.copyAt = r.now + Micros(r.copyAfter*float64(r.seen.long))
 		r.watched = append(r.watched, q)
 		r.wake(q.copyAt)
@@ -99,21 +103,21 @@
 	} else {
 		s.reads++
 	}
-	d := Decision{Action: WriteOut, Req: q.id, Server: s.Server, After: max(timeout, r.tick)}
+	d := Decision{Action: Send, Request: q.id, Server: s.Server, After: max(timeout, r.tick)}
 	if q.maybeRan > 0 && q.method.effect == Deduplicated { // it may wait for a connection past the window
 		d.By = q.maybeRan + q.method.window - r.tick
 	}
 	r.decided = append(r.decided, d)
 }
 
-func (r *Router) waitsFor(q *req) *server {
+func (r *Router) waitsFor(q *request) *server {
 	if q.toOrigin {
 		return r.origin
 	}
 	return q.target
 }
 
-// wait is the time until an answer, behind those held for the same server that go before the req at hand.
+// wait is the time until an answer, behind those held for the same server that go before the request at hand.
 func (r *Router) wait(s *server) Micros {
 	if s.aside > r.now {
 		return s.aside - r.now + s.best
@@ -126,10 +130,10 @@
 	return t + Micros(float64(t)*float64(s.ahead)/max(1, inHand*r.part))
 }
 
-// soon: a late answer may still earn something, but it takes the place of one in time. So a req that can be
-// had again waits no longer than its latency budget allows.
-func (q *req) soon() Micros {
-	if q.method.effect == Retryable {
+// soon: a late answer may still earn something, but it takes the place of one in time. So a request that can
+// be had again waits no longer than its latency budget allows.
+func (q *request) soon() Micros {
+	if q.method.effect == Idempotent {
 		return min(q.aim, q.final)
 	}
 	return q.final
--- a/core/routing/retry.go
+++ b/core/routing/retry.go
@@ -5,27 +5,28 @@
 // This file: whether a request may be sent again, a second time at once, and whereto.
 
 // mustStop guards rule 2, no effect twice. A tick is left over so that a repeat arrives within the window.
-func (r *Router) mustStop(q *req) bool {
-	if q.maybeRan == 0 || q.method.effect == Retryable {
+func (r *Router) mustStop(q *request) bool {
+	if q.maybeRan == 0 || q.method.effect == Idempotent {
 		return false
 	}
-	return q.method.effect == NonRetryable || r.now+r.tick >= q.maybeRan+q.method.window
+	return q.method.effect == NonIdempotent || r.now+r.tick >= q.maybeRan+q.method.window
 }
 
-// copyIsDue: the one write-out of a read is out for longer than its cache should take, and the origin has
+// copyIsDue: the one attempt of a read is out for longer than its cache should take, and the origin has
 // room to spare. The cache may be crowded, or silent, and a router of hundreds cannot know: it asks each one
 // once a minute. A copy at a partner would crowd that one, and push out what it holds.
-func (r *Router) copyIsDue(q *req) bool {
+func (r *Router) copyIsDue(q *request) bool {
 	if q.copyAt == 0 || r.now < q.copyAt || r.now >= q.final || // the loop comes late to it where it stood still
-		len(q.outs) != 1 || q.outs[0].server.origin || q.sent >= q.most {
+		len(q.attempts) != 1 || q.attempts[0].server.origin || q.sent >= q.most {
 		return false
 	}
 	q.copyAt = 0
 	return r.originIsFree(q, false)
 }
 
-// inGroup: a deduplicated req that may have run goes only where its repeat is known, and the origin may not.
-func inGroup(q *req, s *server) bool {
+// inGroup: a deduplicated request that may have run goes only where its repeat is known, and the origin may
+// not.
+func inGroup(q *request, s *server) bool {
 	if s == nil || q.maybeRan == 0 || q.method.effect != Deduplicated || q.method.group == GroupAll {
 		return s != nil
 	}
@@ -36,16 +37,16 @@
 	if s := r.servers[e.Server]; s != nil {
 		r.takeReport(s, e.Report, e.Took)
 	}
-	q := r.reqs[e.Req]
+	q := r.requests[e.Request]
 	if q == nil {
 		return
 	}
-	nth := slices.IndexFunc(q.outs, func(w *writeOut) bool { return w.nth == e.Attempt })
+	nth := slices.IndexFunc(q.attempts, func(w *attempt) bool { return w.nth == e.Attempt })
 	if nth < 0 {
 		return
 	}
-	w := q.outs[nth]
-	q.outs = slices.Delete(q.outs, nth, nth+1)
+	w := q.attempts[nth]
+	q.attempts = slices.Delete(q.attempts, nth, nth+1)
 	w.server.inFlight--
 	w.server.ended = r.now
 	r.judge(w, e.Status, e.Took)
@@ -86,33 +87,33 @@
 	if e.Status == QueueFull || q.retrying && !(noise && w.server.lost <= 1) {
 		q.failed = append(q.failed, w.server)
 	}
-	if w.server.origin && len(q.outs) == 0 {
+	if w.server.origin && len(q.attempts) == 0 {
 		const pause = 20e3 // a few of a quick origin's answers
 		if q.pause = r.now + pause; !q.write && (e.Status == TimedOut || e.Status == QueueFull) {
-			r.giveUp(q) // the fetch failed: its waiters are free to go, and this req tries no other
+			r.giveUp(q) // the fetch failed: its waiters are free to go, and this request tries no other
 			return
 		}
 	}
 	r.run(q)
 }
 
-// left: the client is gone; its write-out is called off.
+// left: the client is gone; its attempt is called off.
 func (r *Router) left(e Left) {
-	q := r.reqs[e.Req]
+	q := r.requests[e.Request]
 	if q == nil || q.done {
 		return
 	}
 	r.callOff(q)
-	// Impatience is no jam: many left before a usual answer was due, and those who stayed were nacked for it.
-	q.short = q.short || len(q.outs) == 0 || r.now-q.outs[0].sent < 2*r.seen.long
+	// Impatience is no jam: many left before a usual answer was due, and those who stayed were rejected for it.
+	q.short = q.short || len(q.attempts) == 0 || r.now-q.attempts[0].sent < 2*r.seen.long
 	r.finish(q)
 }
 
-// callOff ends what is still out for a req that is over.
-func (r *Router) callOff(q *req) {
-	for _, w := range q.outs {
+// callOff ends what is still out for a request that is over.
+func (r *Router) callOff(q *request) {
+	for _, w := range q.attempts {
 		if r.mayCancel && !q.done {
-			r.decided = append(r.decided, Decision{Action: Recall, Req: q.id, Attempt: w.nth})
+			r.decided = append(r.decided, Decision{Action: Cancel, Request: q.id, Attempt: w.nth})
 		}
 	}
 }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -97,15 +97,15 @@
 		if i%every == 0 {
 			key = "hot"
 		}
-		id := ReqID(fmt.Sprint(i))
-		for _, d := range r.Step(now, ReqCame{Req: id, Key: key, ValidUntil: now + 1e6}) {
-			if d.Action != WriteOut {
+		id := RequestID(fmt.Sprint(i))
+		for _, d := range r.Step(now, RequestCame{Request: id, Key: key, ValidUntil: now + 1e6}) {
+			if d.Action != Send {
 				continue
 			}
 			if key == "hot" {
 				to[d.Server]++
 			}
-			r.Step(now, Returned{Req: id, Server: d.Server, Status: OK, Took: 1e3, Over: true})
+			r.Step(now, Returned{Request: id, Server: d.Server, Status: OK, Took: 1e3, Over: true})
 		}
 	}
 	return to
@@ -118,39 +118,39 @@
 		if to := reads(r, 2000, c.every); len(to) != c.caches {
 			t.Errorf("one read in %d over five caches went to %v", c.every, to)
 		}
-		if len(r.hot.keys) > 1024 || len(r.reqs) != 0 {
-			t.Errorf("%d hot keys and %d reqs are kept", len(r.hot.keys), len(r.reqs))
+		if len(r.hot.keys) > 1024 || len(r.requests) != 0 {
+			t.Errorf("%d hot keys and %d reqs are kept", len(r.hot.keys), len(r.requests))
 		}
 	}
 }
 
-// A fleet that fails all reqs is not asked many times over: the budget for the first seconds, then one in ten.
+// A fleet that fails all requests is not asked many times over: the budget for the first seconds, then one in ten.
 func Example_retryBudget() {
 	r, _ := New(0, base(), 1)
 	r.Step(0, ListCame{Entries: []Entry{{Server: 1}, {Server: 2}, {Server: 3}}})
 	retries := 0
 	for i := range 100 {
-		id, now := ReqID(fmt.Sprint(i)), Micros(i)*100e3
-		decided := r.Step(now, ReqCame{Req: id, Key: "k", ValidUntil: now + 1e6})
-		for n := 0; len(decided) > 0 && decided[0].Action == WriteOut; n++ {
-			decided = r.Step(now, Returned{Req: id, Server: decided[0].Server, Attempt: Attempt(n), Status: Failed})
-			if len(decided) > 0 && decided[0].Action == WriteOut {
+		id, now := RequestID(fmt.Sprint(i)), Micros(i)*100e3
+		decided := r.Step(now, RequestCame{Request: id, Key: "k", ValidUntil: now + 1e6})
+		for n := 0; len(decided) > 0 && decided[0].Action == Send; n++ {
+			decided = r.Step(now, Returned{Request: id, Server: decided[0].Server, Attempt: Attempt(n), Status: Failed})
+			if len(decided) > 0 && decided[0].Action == Send {
 				retries++
 			}
 		}
 	}
 	fmt.Println(retries, "retries for 100 reqs")
-	// Output: 12 retries for 100 reqs
+	// Output: 12 retries for 100 requests
 }
 
-// A client that leaves while a write-out is out ends its req twice, by leaving and by the outcome. Counted twice it
-// looked like a jam: the next req of a quiet router was nacked.
+// A client that leaves while an attempt is out ends its request twice, by leaving and by the outcome. Counted twice it
+// looked like a jam: the next request of a quiet router was rejected.
 func TestAReqWhoseClientLeftIsAskedOnce(t *testing.T) {
 	r, _ := New(0, base(), 1)
 	r.Step(0, ListCame{Entries: []Entry{{Server: 1}}})
-	r.Step(0, ReqCame{Req: "a", Key: "k", ValidUntil: 1e6})
-	r.Step(0, Left{Req: "a"})
-	r.Step(0, Returned{Req: "a", Server: 1, Status: Canceled, Over: true})
+	r.Step(0, RequestCame{Request: "a", Key: "k", ValidUntil: 1e6})
+	r.Step(0, Left{Request: "a"})
+	r.Step(0, Returned{Request: "a", Server: 1, Status: Canceled, Over: true})
 	if n := r.asked.now(0, trafficSpan) * trafficSpan / 1e6; n != 1 {
 		t.Errorf("one req counts as %v", n)
 	}
--- a/core/routing/selection.go
+++ b/core/routing/selection.go
@@ -7,9 +7,9 @@
 
 // This file: which cache a request goes to: the slot table, and which caches can be used.
 
-// pick finds the cache for a req: the first of its group, or the one drawn for a hot key; where that one
+// pick finds the cache for a request: the first of its group, or the one drawn for a hot key; where that one
 // cannot be used, the group's next. It leaves the best choice in target and tells whether there is room now.
-func (r *Router) pick(q *req) bool {
+func (r *Router) pick(q *request) bool {
 	q.target = nil
 	first, hot := 0, false
 	if load, sure := r.load(q); load > hotBound {
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -2,23 +2,23 @@
 
 // The state of a router, grouped by how long it lives. It is plain data.
 
-// ---- State of one write-out ----
+// ---- State of one attempt ----
 
-type writeOut struct {
+type attempt struct {
 	server *server
 	nth    Attempt
 	sent   Micros
 }
 
-// A ghost is a write-out that timed out but may still hold its place at the server.
+// A ghost is an attempt that timed out but may still hold its place at the server.
 type ghost struct {
 	sent, until Micros
 }
 
-// ---- State of one req ----
+// ---- State of one request ----
 
-type req struct {
-	id     ReqID
+type request struct {
+	id     RequestID
 	method *method
 	key    Key
 	hash   uint64 // of the key, or of the id where there is none; for a very hot key that of the group drawn
@@ -28,20 +28,20 @@
 	aim    Micros  // an answer by then earns all
 	final  Micros  // an answer after this earns nothing
 
-	outs     []*writeOut // at most two, the second a copy
-	sent     Attempt     // write-outs so far
-	most     Attempt     // and at most
+	attempts []*attempt // at most two, the second a copy
+	sent     Attempt    // attempts so far
+	most     Attempt    // and at most
 	failed   []*server
 	missed   bool    // a cache said miss: the origin is next
 	toOrigin bool    // only the origin can take it now
-	copyAt   Micros  // when a copy may join its write-out; 0: never
-	retrying bool    // the next write-out is a retry and pays for it
-	pause    Micros  // no write-out before then
-	maybeRan Micros  // when the first write-out that may have run was sent; 0: none
+	copyAt   Micros  // when a copy may join its attempt; 0: never
+	retrying bool    // the next attempt is a retry and pays for it
+	pause    Micros  // no attempt before then
+	maybeRan Micros  // when the first attempt that may have run was sent; 0: none
 	ranAt    *server // and where
 	drawn    int     // place in its group drawn for a hot key; -1: none yet
 	target   *server // the cache it goes to or waits for
-	admitted bool    // not among those nacked since the caches answer too little
+	admitted bool    // not among those rejected since the caches answer too little
 	spoke    bool    // answered, or a cache said something to it
 	short    bool    // it came with less than half of its latency budget left
 	held     bool
@@ -58,8 +58,8 @@
 	origin   bool
 	size     float64 // as listed; 1 where lists tell none
 	inFlight int
-	ahead    int    // reqs held for it, so far as the pass over the held ones has come
-	ended    Micros // when a write-out to it last ended
+	ahead    int    // requests held for it, so far as the pass over the held ones has come
+	ended    Micros // when an attempt to it last ended
 	heard    Micros // when it last answered, or was first asked again after a rest
 	ghosts   []ghost
 	lost     int      // points for failures in a row
@@ -68,10 +68,10 @@
 	recalled bool     // its times are from before a restart
 	coldFrom Micros   // when it was seen to come back
 	coldRun  Micros   // the start that the budget is for
-	coldLeft float64  // write-outs that it may have now while cold
+	coldLeft float64  // attempts that it may have now while cold
 	coldAt   Micros   // when that was reckoned
 	rate     decayed  // answers a second
-	used     decayed  // write-outs a second, over longer
+	used     decayed  // attempts a second, over longer
 	gauge             // of the time of its answers
 	reported []sample // service times, for Algorithm 2
 	writes   float64  // own, since the last recompute
@@ -131,7 +131,7 @@
 	mayCopy    bool
 	copyAfter  float64 // a read has a copy once it is out for so many usual answers
 	keep       float64 // an idle connection is kept to a server used this many times as much as the mean
-	patience   float64 // part of the wait allowed that a req of no worth may use
+	patience   float64 // part of the wait allowed that a request of no worth may use
 	maxSends   Attempt
 	maxHint    Micros // 0: no hints here
 
@@ -151,19 +151,19 @@
 	group       []*server                     // what groupOf last returned
 	seen        gauge                         // of the answers of all caches together
 	hits        decayed                       // answers of caches a second, misses aside
-	reqs        map[ReqID]*req
-	held        []*req // writes first, then by worth, then by age
-	watched     []*req // one write-out each, in the order of their times for a copy
-	fetches     map[Key]*req
+	requests    map[RequestID]*request
+	held        []*request // writes first, then by worth, then by age
+	watched     []*request // one attempt each, in the order of their times for a copy
+	fetches     map[Key]*request
 	hot         keyCounts // of reads, bounded and aged
 	traffic     decayed
-	asked       decayed // reqs for caches that ended, a second
+	asked       decayed // requests for caches that ended, a second
 	answered    decayed // and answers of caches
 	planned     Planned
 	fetchLeft   float64 // reads that may go to the origin now, where the fleet has a bound on them
 	fetchAt     Micros  // when that was reckoned
 	tally       tally
-	used        decayed // write-outs a second to all servers
+	used        decayed // attempts a second to all servers
 	noise       decayed // and those that told against a server
 	arrived     int
 	retries     float64 // the retry budget
--- a/core/routing/trace_test.go
+++ b/core/routing/trace_test.go
@@ -26,12 +26,12 @@
 func base() Settings {
 	return Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, ColdShare: 0.2,
 		ColdSpan: 10e6, FallSpan: 1e6, FallMultiple: 2, MayCancel: true, MaxHint: 1e6,
-		MaxWriteOuts: 3, OverShareWorth: 0.1, DrainGrace: 1e6, AskEvery: 10e6, AnswerSlack: 20e3,
+		MaxAttempts: 3, OverShareWorth: 0.1, DrainGrace: 1e6, AskEvery: 10e6, AnswerSlack: 20e3,
 		Methods: []MethodSettings{
 			{Name: "read", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 2},
 			{Name: "hold", Effect: Deduplicated, Window: 600e3, LatencyBudget: 400e3, Deadline: 800e3,
 				Criticality: 5, LateShare: 0.5},
-			{Name: "pay", Effect: NonRetryable, LatencyBudget: 1500e3, Deadline: 3000e3, Criticality: 5,
+			{Name: "pay", Effect: NonIdempotent, LatencyBudget: 1500e3, Deadline: 3000e3, Criticality: 5,
 				LateShare: 0.5},
 			{Name: "low", LatencyBudget: 500e3, Deadline: 1200e3, Criticality: 0.2},
 			{Name: "look", Effect: Deduplicated, Window: 600e3, LatencyBudget: 400e3, Deadline: 800e3, Criticality: 2},
@@ -84,7 +84,7 @@
 		case "hint":
 			s.MaxHint = span(value)
 		case "sends":
-			s.MaxWriteOuts, _ = strconv.Atoi(value)
+			s.MaxAttempts, _ = strconv.Atoi(value)
 		case "through":
 			s.Aside, s.OriginKind = false, ""
 		case "zone-group":
@@ -108,7 +108,7 @@
 	}
 }
 
-// input reads "list full 1 2:draining 9", "req a read key 1.2", "back a 1 0 timeout 0.3 [over]", and the rest.
+// input reads "list full 1 2:draining 9", "request a read key 1.2", "back a 1 0 timeout 0.3 [over]", and the rest.
 func input(s Settings, name string, words []string) Event {
 	switch name {
 	case "list":
@@ -164,7 +164,7 @@
 		return Barred{Server: ServerID(n), Since: span(words[1])}
 	case "req":
 		m := slices.IndexFunc(s.Methods, func(m MethodSettings) bool { return m.Name == words[1] })
-		q := ReqCame{Req: ReqID(words[0]), Method: Method(m), ValidUntil: span(words[3]),
+		q := RequestCame{Request: RequestID(words[0]), Method: Method(m), ValidUntil: span(words[3]),
 			Write: words[1] == "hold" || words[1] == "pay", Once: words[len(words)-1] == "once"}
 		if words[2] != "-" {
 			q.Key = Key(words[2])
@@ -184,7 +184,7 @@
 			ms, _ := strconv.ParseFloat(told, 64)
 			report = Report{ms}
 		}
-		return Returned{Req: ReqID(words[0]), Server: ServerID(server), Attempt: Attempt(n), Status: status,
+		return Returned{Request: RequestID(words[0]), Server: ServerID(server), Attempt: Attempt(n), Status: status,
 			Took: span(words[4]), Over: status == OK || last == "over", Report: report}
 	case "learned": // of all caches: their usual time, and the retry budget
 		return Learned{Knowledge{Span: 60e6, Seen: Times{span(words[0]), span(words[0]), span(words[0]), 32}, Traffic: 20,
@@ -201,7 +201,7 @@
 		}
 		return LearnedServers{[]ServerKnowledge{b}}
 	case "left":
-		return Left{Req: ReqID(words[0])}
+		return Left{Request: RequestID(words[0])}
 	case "timer":
 		return Elapsed{Ref: 1}
 	}
@@ -219,14 +219,14 @@
 func show(d Decision) string {
 	after := fmt.Sprintf("%.3f", float64(d.After)/1e6)
 	switch d.Action {
-	case WriteOut:
-		return fmt.Sprint("write-out ", d.Req, " to ", d.Server, " for ", after)
-	case Nack:
-		return fmt.Sprint("nack ", d.Req, ", come back after ", after)
+	case Send:
+		return fmt.Sprint("write-out ", d.Request, " to ", d.Server, " for ", after)
+	case Reject:
+		return fmt.Sprint("nack ", d.Request, ", come back after ", after)
 	case Fail:
-		return fmt.Sprint("fail ", d.Req)
-	case Recall:
-		return fmt.Sprint("recall ", d.Req, " ", d.Attempt)
+		return fmt.Sprint("fail ", d.Request)
+	case Cancel:
+		return fmt.Sprint("recall ", d.Request, " ", d.Attempt)
 	case Subscribe:
 		return "subscribe"
 	case Disconnect:
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -7,18 +7,18 @@
 
 // The ids are types of their own, so that one cannot stand for another.
 type (
-	ServerID uint32
-	ReqID    string
-	Key      string
-	KeyHash  uint32 // of a key, as routers tell it to each other
-	Tenant   string
-	Zone     string
-	Kind     string
-	Cell     int64
-	TimerRef int64
-	Method   int // index into Settings.Methods
-	Attempt  int // a req's write-outs count from 0
-	Rank     int // of a req, in millionths of the highest worth, and one: what is refused last
+	ServerID  uint32
+	RequestID string
+	Key       string
+	KeyHash   uint32 // of a key, as routers tell it to each other
+	Tenant    string
+	Zone      string
+	Kind      string
+	Cell      int64
+	TimerRef  int64
+	Method    int // index into Settings.Methods
+	Attempt   int // a request's attempts count from 0
+	Rank      int // of a request, in millionths of the highest worth, and one: what is refused last
 )
 
 // ZonePart is the part of its keys that the caches of a zone may have.
@@ -31,12 +31,12 @@
 type Effect int
 
 const (
-	Retryable    Effect = iota // may run again
-	Deduplicated               // a group of servers drops repeats within a window
-	NonRetryable               // must never run twice
+	Idempotent    Effect = iota // may run again
+	Deduplicated                // a group of servers drops repeats within a window
+	NonIdempotent               // must never run twice
 )
 
-// Group names the servers that drop repeats of a deduplicated req.
+// Group names the servers that drop repeats of a deduplicated request.
 type Group int
 
 const (
@@ -62,7 +62,7 @@
 type TenantSettings struct {
 	Name  Tenant
 	Share float64
-	Quota float64 // reqs a second over all routers
+	Quota float64 // requests a second over all routers
 }
 
 // Settings is what a router is told at its start.
@@ -88,16 +88,16 @@
 	MayCancel       bool
 	MayProbe        bool
 	MayTwoAtOnce    bool
-	MaxWriteOuts    int
-	MaxHint         Micros // 0: nacks do not say when to come back
+	MaxAttempts     int
+	MaxHint         Micros // 0: rejections do not say when to come back
 	OverShareWorth  float64
 	WorstMethod     float64 // weight of the worst-served method in what the service is judged by
 	ConnectTimeout  Micros
 	IdleClose       Micros  // when a server closes an idle connection at the latest
 	ConnectionFee   float64 // for a hundred connections kept open to each server
-	HandshakeFee    float64 // for a new connection with each req
+	HandshakeFee    float64 // for a new connection with each request
 	WasteFee        float64 // for work that answers nothing, as a part of all
-	CrossFee        float64 // for each req crossing locations once
+	CrossFee        float64 // for each request crossing locations once
 	ReportsOnProbes bool
 }
 
@@ -107,8 +107,8 @@
 const (
 	FigureUnknown     Figure = iota
 	FigureServiceTime        // recent service time without waiting, in milliseconds
-	FigureQueue              // reqs waiting
-	FigureInFlight           // reqs in hand
+	FigureQueue              // requests waiting
+	FigureInFlight           // requests in hand
 	FigureBusy               // busy share of the cores
 	FigureErrors             // errors a second
 	FigureHits               // recent share of hits
@@ -144,7 +144,7 @@
 	ListFailed
 )
 
-// Status is how a write-out ended.
+// Status is how an attempt ended.
 type Status int
 
 const (
@@ -171,31 +171,31 @@
 		Entries []Entry
 		Refused bool // of ListFailed: discovery answered that it takes no such call now
 	}
-	ReqCame struct {
-		Req        ReqID
+	RequestCame struct {
+		Request    RequestID
 		Method     Method
 		Tenant     Tenant
 		Key        Key
 		ValidUntil Micros
 		Resent     bool
 		Write      bool
-		Once       bool // its body is not kept: one write-out at most
+		Once       bool // its body is not kept: one attempt at most
 	}
 	Returned struct {
-		Req     ReqID
+		Request RequestID
 		Server  ServerID
 		Attempt Attempt
 		Status  Status
 		Took    Micros
-		Over    bool // the req is answered
+		Over    bool // the request is answered
 		Report  Report
 	}
 	Streaming struct { // the answer has begun and belongs to the client
-		Req     ReqID
+		Request RequestID
 		Attempt Attempt
 	}
 	Left struct { // the client is gone
-		Req ReqID
+		Request RequestID
 	}
 	Learned struct { // what an earlier process knew, faded by its age; before anything else
 		Knowledge
@@ -240,11 +240,11 @@
 type Action int
 
 const (
-	WriteOut Action = iota // Req, Server, After (time-out)
-	Nack                   // Req, After (when to come back; 0: no hint)
-	Fail                   // Req
-	Recall                 // Req, Attempt
-	Wake                   // After, Ref
+	Send   Action = iota // Request, Server, After (time-out)
+	Reject               // Request, After (when to come back; 0: no hint)
+	Fail                 // Request
+	Cancel               // Request, Attempt
+	Wake                 // After, Ref
 	Subscribe
 	Probe      // Server
 	Disconnect // Server: close what is idle
@@ -253,10 +253,10 @@
 // Decision is one thing to do now.
 type Decision struct {
 	Action  Action
-	Req     ReqID
+	Request RequestID
 	Server  ServerID
 	Attempt Attempt
 	After   Micros
-	By      Micros // of a write-out: it is not begun later than that; 0: any time
+	By      Micros // of an attempt: it is not begun later than that; 0: any time
 	Ref     TimerRef
 }
--- a/core/sitefailover/coordinator.go
+++ b/core/sitefailover/coordinator.go
@@ -461,7 +461,7 @@
 type Status struct {
 	Now     Micros       `json:"now"`
 	Sites   []SiteStatus `json:"sites"`
-	Bears   float64      `json:"bears"` // reqs a second, by all sites together
+	Bears   float64      `json:"bears"` // requests a second, by all sites together
 	More    float64      `json:"more"`  // times as much has been answered lately, by the origin as well; 0: less
 	Binds   Site         `json:"binds"` // the site that sets it
 	Offered []Offer      `json:"offered"`
--- a/core/sitefailover/plan.go
+++ b/core/sitefailover/plan.go
@@ -21,7 +21,7 @@
 // Site names a site.
 type Site string
 
-// Rank orders reqs by what is refused last: millionths of the highest worth, and one. What is of a tenant over its share, and what
+// Rank orders requests by what is refused last: millionths of the highest worth, and one. What is of a tenant over its share, and what
 // was refused before, has less.
 type Rank int
 
@@ -56,7 +56,7 @@
 // DefaultPlan has the spans and steps of a plan that says nothing of them.
 func DefaultPlan() Plan {
 	return Plan{
-		// Longer than a stall of a process that is busy, and short against what reqs in hand can bear.
+		// Longer than a stall of a process that is busy, and short against what requests in hand can bear.
 		LostAfter: 1e6,
 		BackAfter: 3e6,
 		// A quarter, a half and all had a dip of a seventh of the service at the last step, when half of the keys of a site
@@ -126,7 +126,7 @@
 type Report struct {
 	Site    Site    `json:"site"`
 	Offered []Offer `json:"offered"`
-	Let     float64 `json:"let"`    // reqs a second that were let in and have ended
+	Let     float64 `json:"let"`    // requests a second that were let in and have ended
 	Lost    float64 `json:"lost"`   // of these: given up
 	Worth   float64 `json:"worth"`  // of what was let in, a second
 	Missed  float64 `json:"missed"` // of this: given up
@@ -143,7 +143,7 @@
 	Some    float64 `json:"some"`             // of what has just that rank so much is let in
 	Back    Micros  `json:"back"`             // what is refused is to come back within so long
 	Fetches float64 `json:"fetches"`          // at the origin for reads, a second, of all routers; 0: no bound
-	Target  float64 `json:"target"`           // reqs a second that are let in; 0: all
+	Target  float64 `json:"target"`           // requests a second that are let in; 0: all
 }
 
 // Share is the part of its keys that a site's cache servers may have.
--- a/core/sitefailover/shed.go
+++ b/core/sitefailover/shed.go
@@ -96,7 +96,7 @@
 const (
 	turn = 250e3 // between two steps: some answers of every router, and a report from each
 	// Of the worth let in so much is given up in an ordinary crest: below the first the target rises, above the second it
-	// falls. Between them it stands still, so that it does not swing. By reqs alone it rose until the most critical, whose
+	// falls. Between them it stands still, so that it does not swing. By requests alone it rose until the most critical, whose
 	// budgets are the tightest, were lost in queues of the others.
 	fewLost, manyLost = 0.01, 0.03
 	fall, rise, free  = 0.97, 1.04, 1.06 // a turn; free: all sites are whole
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,4 +1,4 @@
-// Package admin is the operators' HTTP door: on an address and on goroutines of its own, so that an answer never waits
+// Package admin is the admin HTTP endpoint: on an address and on goroutines of its own, so that an answer never waits
 // for a client, and bounded, so that callers who stay take nothing from clients and servers.
 package admin
 
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Router is what the door speaks for. What is told to it is in force once it returns nil.
+// Router is what the admin endpoint speaks for. What is told to it is in force once it returns nil.
 type Router interface {
 	Ready() error // nil: it takes clients; else why not
 	Figures() string
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,7 +18,7 @@
 	File      string // where it stands
 	Name      string
 	Listen    string
-	Admin     string // the operators' door; empty: there is none
+	Admin     string // the admin endpoint; empty: there is none
 	Discovery string
 	Seed      uint64
 	Settings  routing.Settings
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -18,7 +18,7 @@
 	Clients         int   // of these, for clients: over that one of them goes before a server's idle connection
 	Askers          int   // of these, for clients that have asked: over that the one quiet longest goes
 
-	Callers int // at the operators' door, kept apart from all of these
+	Callers int // at the admin endpoint, kept apart from all of these
 
 	Resp       resp.Bounds
 	Origin     httpwire.Bounds
@@ -27,9 +27,9 @@
 	Piece      int // bytes of a big value that are on their way through
 	ClientIn   int // bytes of one client that wait to be read on
 	ClientOut  int // bytes of answers that one client has not taken
-	Offers     int // reqs of fronts off the loop that wait to be taken
+	Offers     int // requests of fronts off the loop that wait to be taken
 	Pipeline   int // commands of one client that wait for their answers
-	HeldBytes  int // bytes of all reqs in hand
+	HeldBytes  int // bytes of all requests in hand
 	Buffered   int // bytes that the connections of all clients hold
 	Connect    routing.Micros
 	Idle       routing.Micros // a connection idle for so long is closed before its server would
@@ -37,7 +37,7 @@
 	Wary       routing.Micros // which counts for so long
 	Sweep      routing.Micros // between two looks for idle connections
 	Quiet      routing.Micros // a client from which nothing came for so long may be closed to make room
-	Silent     routing.Micros // a client with no open req that has sent nothing for so long is closed
+	Silent     routing.Micros // a client with no open request that has sent nothing for so long is closed
 	Slow       routing.Micros // one that has sent a part of a command and not the rest for so long
 	Stuck      routing.Micros // a server that gives nothing more of a big value for so long is given up
 	Away       routing.Micros // until a client to which one passes is looked at again: it may have gone
@@ -94,7 +94,7 @@
 		MostDescriptors: sockets - held,
 		Reserve:         held + callers,
 		Upstreams:       (sockets - reserve) / 2,
-		// Clients hold a third at most for reqs; a quarter of that is left free for clients that come in.
+		// Clients hold a third at most for requests; a quarter of that is left free for clients that come in.
 		Clients:   sockets / 3,
 		Askers:    sockets / 4,
 		Resp:      resp.Bounds{Bulk: 64 * kibibyte, Long: 4 * mebibyte, Line: 4 * kibibyte, Args: 16}, // values hold at most 4 MiB
@@ -110,10 +110,10 @@
 		HeldBytes: memory * mebibyte / 8,
 		Buffered:  memory * mebibyte / 4,
 		Connect:   s.ConnectTimeout,
-		Idle:      s.IdleClose * 9 / 10, // a req may be on its way when the server closes
+		Idle:      s.IdleClose * 9 / 10, // a request may be on its way when the server closes
 		Sweep:     250e3,
 		Quiet:     50e3,  // many times the way from a client: what it sent with its connection has come
-		Silent:    2e6,   // no req is owed to it by then
+		Silent:    2e6,   // no request is owed to it by then
 		Slow:      2.5e6, // a head may take 2 s, and who never ends it is owed an end within 3
 		Stuck:     max(3e6, longest),
 		Rest:      50e3, // second answers come some milliseconds late
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -23,10 +23,10 @@
 		{s.MayTwoAtOnce && !s.ListsSizes, "weights", "lists that tell no sizes, though " + own, "say nominal or rough"},
 		{!s.MayTwoAtOnce && s.ListsSizes, "weights", "lists that tell sizes, as of routers in client processes, though " +
 			"policy-limits.parallel-tries is not true", "say silent, or set both"},
-		{s.MayTwoAtOnce && !s.MayCancel, "policy-limits.cancel", "write-outs cannot be called off, though " + own, "say true"},
+		{s.MayTwoAtOnce && !s.MayCancel, "policy-limits.cancel", "attempts cannot be called off, though " + own, "say true"},
 		{s.MayTwoAtOnce && !s.Aside, "domain.mode", "the servers ask the origin themselves, though " + own,
 			"say aside, or set parallel-tries to false"},
-		{s.MayTwoAtOnce && s.MaxWriteOuts < 3, "policy-limits.send-cap", "a cache, a copy and one more write-out do not " +
+		{s.MayTwoAtOnce && s.MaxAttempts < 3, "policy-limits.send-cap", "a cache, a copy and one more attempt do not " +
 			"fit, though " + own, "say 3 at least"},
 	} {
 		if c.wrong {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -40,7 +40,7 @@
 type Router interface {
 	// SetPolicy has it decide by other settings, with these cache servers out. It is in force once it returns nil.
 	SetPolicy(s routing.Settings, out []string) error
-	// MayTake has it take new reqs until a time: zero for ever, one that is past not at all.
+	// MayTake has it take new requests until a time: zero for ever, one that is past not at all.
 	MayTake(until time.Time)
 	// SetExtra adds to its part of what all may send together, until a time.
 	SetExtra(part float64, until time.Time)
@@ -294,7 +294,7 @@
 		return
 	}
 	k.inForce, k.sites.plan = revision, plan
-	k.wake() // it takes reqs again at once: by the next look ten milliseconds of the fleet were lost in each change
+	k.wake() // it takes requests again at once: by the next look ten milliseconds of the fleet were lost in each change
 	k.fleet.Holds(uint64(revision))
 	k.log.WithFields(logrus.Fields{"revision": uint64(revision), "mono_us": fleet.Monotonic()}).Info("policy: in force")
 }
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -128,7 +128,7 @@
 		return nil, invalid(field, what)
 	}
 	done := make(chan ended, 1)
-	o := &router.Offer{Request: wire.Request{ID: routing.ReqID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
+	o := &router.Offer{Request: wire.Request{ID: routing.RequestID(at.GetId()), Key: key, Value: value, Write: write}, Method: at.GetMethod(),
 		Tenant: routing.Tenant(at.GetTenant()), Resent: at.GetResent(),
 		Answer: func(a wire.Answer) {
 			a.Value = bytes.Clone(a.Value)
--- a/internal/lab/bench/bench_test.go
+++ b/internal/lab/bench/bench_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// BenchmarkGenerator shows what the generator adds at 50,000 reqs a second: under a millisecond at p99 is wanted.
+// BenchmarkGenerator shows what the generator adds at 50,000 requests a second: under a millisecond at p99 is wanted.
 func BenchmarkGenerator(b *testing.B) {
 	null, err := NewNull("127.0.0.1:0", Bulk(512))
 	if err != nil {
--- a/internal/lab/bench/load.go
+++ b/internal/lab/bench/load.go
@@ -1,6 +1,6 @@
 // Package bench loads one address with plain reads and measures what comes back: in a closed loop, each connection
-// keeping so many reqs in hand, or in an open loop, reqs coming by schedule whatever becomes of the answers. Latency in
-// the open loop counts from the time when a req was to be sent, so that a generator that falls behind shows it.
+// keeping so many requests in hand, or in an open loop, requests coming by schedule whatever becomes of the answers. Latency in
+// the open loop counts from the time when a request was to be sent, so that a generator that falls behind shows it.
 //
 // The files: load.go the generator; null.go servers that answer at once; router.go a router between the two.
 package bench
@@ -25,10 +25,10 @@
 type Load struct {
 	Addr   string
 	Conns  int
-	Depth  int           // closed loop: reqs in hand on a connection
-	Rate   float64       // open loop: reqs a second over all connections; 0: closed
+	Depth  int           // closed loop: requests in hand on a connection
+	Rate   float64       // open loop: requests a second over all connections; 0: closed
 	Keys   int           // read in turns
-	Props  string        // of each req, as the protocol has them
+	Props  string        // of each request, as the protocol has them
 	Length time.Duration // that is measured
 	Warm   time.Duration // before that
 	First  uint64        // of the ids, so that two loads share none
@@ -164,7 +164,7 @@
 	return lates[0]
 }
 
-// send writes so many reqs in one go; due is when they were to be sent, from the start.
+// send writes so many requests in one go; due is when they were to be sent, from the start.
 func (k *link) send(n int, due time.Duration) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -184,7 +184,7 @@
 
 var bounds = resp.Bounds{Bulk: 1 << 20, Line: 1 << 12, Args: 16}
 
-// read takes answers; in the closed loop each brings the next req.
+// read takes answers; in the closed loop each brings the next request.
 func (k *link) read(start time.Time, from, until time.Duration) error {
 	buf := make([]byte, 256<<10)
 	have := 0
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -122,7 +122,7 @@
 	return f, nil
 }
 
-// ready waits until one req is satisfied.
+// ready waits until one request is satisfied.
 func ready(ctx context.Context, l Load) error {
 	l.Conns, l.Depth, l.Rate, l.Warm, l.Length, l.First = 1, 1, 0, 0, 20*time.Millisecond, 1<<40
 	for range 200 {
--- a/internal/lab/cacheserver/answer.go
+++ b/internal/lab/cacheserver/answer.go
@@ -156,7 +156,7 @@
 	s.send(c, Made(c.req, s.UID, c.size), report, event.Value)
 }
 
-// Made is the value or receipt that a server makes for one req.
+// Made is the value or receipt that a server makes for one request.
 func Made(req event.Req, by event.Server, size int) []byte {
 	v := append([]byte(req), ' ')
 	v = append(append(v, by...), ' ')
@@ -166,7 +166,7 @@
 	return v
 }
 
-// MadeFor tells whether a value was made for a req.
+// MadeFor tells whether a value was made for a request.
 func MadeFor(req event.Req, value []byte) bool {
 	return len(value) > len(req) && string(value[:len(req)]) == string(req) && value[len(req)] == ' '
 }
--- a/internal/lab/cacheserver/cacheserver.go
+++ b/internal/lab/cacheserver/cacheserver.go
@@ -31,13 +31,13 @@
 	Repeats *Repeats
 }
 
-// Repeats remembers deduplicated reqs, as all servers of a group do together.
+// Repeats remembers deduplicated requests, as all servers of a group do together.
 type Repeats struct {
 	mu   sync.Mutex
 	seen map[string]event.Micros
 }
 
-// Known tells whether a req ran in a group within a window, and remembers it otherwise.
+// Known tells whether a request ran in a group within a window, and remembers it otherwise.
 func (r *Repeats) Known(group string, req event.Req, now, window event.Micros) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -153,7 +153,7 @@
 		t.Fatal(err)
 	}
 	send(t, c, "PING")
-	c.Close() // a probe that is given up is no write-out
+	c.Close() // a probe that is given up is no attempt
 	time.Sleep(50 * time.Millisecond)
 	for _, e := range f.Log.Events() {
 		if e.Kind == event.Ended || e.Kind == event.Begun {
@@ -344,7 +344,7 @@
 }
 
 // The end of a connection is told as of when it was read, whatever else holds the server then. One that fell silent dialled
-// its own addresses for up to 20 ms each meanwhile, and a router that gave up just then seemed to have two write-outs out.
+// its own addresses for up to 20 ms each meanwhile, and a router that gave up just then seemed to have two attempts out.
 func TestEndIsToldAsOfWhenItWasRead(t *testing.T) {
 	s, f := start(t, nil)
 	if err := s.Strike(scenario.Fault{Kind: "hang"}, false); err != nil {
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -15,7 +15,7 @@
 // bounds are wider than a router's: what a router may not send must be seen here.
 var bounds = resp.Bounds{Bulk: 1 << 20, Line: 1 << 14, Args: 64}
 
-// command is one write-out from its last byte on.
+// command is one attempt from its last byte on.
 type command struct {
 	on     *conn
 	req    event.Req
@@ -189,7 +189,7 @@
 	}
 }
 
-// tell notes the end of a write-out as of the time when its answer began to leave: the router may act on it at once.
+// tell notes the end of an attempt as of the time when its answer began to leave: the router may act on it at once.
 func (k *conn) tell(c *command, at event.Micros, reply event.Reply) {
 	if c.req == "" {
 		return
@@ -212,7 +212,7 @@
 	}
 }
 
-// hand gives an answer to the writer, unless it has gone: each end of a write-out is told once.
+// hand gives an answer to the writer, unless it has gone: each end of an attempt is told once.
 func (k *conn) hand(c *command) bool {
 	k.handed.Lock()
 	defer k.handed.Unlock()
--- a/internal/lab/cheat/cheat.go
+++ b/internal/lab/cheat/cheat.go
@@ -1,7 +1,7 @@
 // Package cheat holds scripted routers that break one rule each, and an honest one. They exist so that the referee and
 // the stand-ins are themselves put to the test: each cheat must be caught, and the honest one must not be.
 //
-// A scripted router is no router to use: it dials for every write-out, and knows no health, no retries and no limits.
+// A scripted router is no router to use: it dials for every attempt, and knows no health, no retries and no limits.
 package cheat
 
 import (
@@ -34,17 +34,17 @@
 const (
 	Honest   Kind = "honest"
 	Twice    Kind = "twice"    // answers twice
-	Never    Kind = "never"    // lets every tenth req hang
+	Never    Kind = "never"    // lets every tenth request hang
 	Late     Kind = "late"     // answers every tenth after its deadline
 	Cutting  Kind = "cutting"  // ends the connection of every tenth that it has sent on
 	Forges   Kind = "forges"   // answers with a value of its own making
-	After    Kind = "after"    // sends a write-out for a req that is answered
-	Parallel Kind = "parallel" // two write-outs at once
-	Repeats  Kind = "repeats"  // sends a non-retryable req again though it may have run
-	Hides    Kind = "hides"    // nacks a req that may have run
-	Window   Kind = "window"   // repeats a deduplicated req after its window
-	Strays   Kind = "strays"   // repeats a deduplicated req outside its group
-	Greedy   Kind = "greedy"   // more write-outs than are allowed
+	After    Kind = "after"    // sends an attempt for a request that is answered
+	Parallel Kind = "parallel" // two attempts at once
+	Repeats  Kind = "repeats"  // sends a non-retryable request again though it may have run
+	Hides    Kind = "hides"    // rejections a request that may have run
+	Window   Kind = "window"   // repeats a deduplicated request after its window
+	Strays   Kind = "strays"   // repeats a deduplicated request outside its group
+	Greedy   Kind = "greedy"   // more attempts than are allowed
 	Drains   Kind = "drains"   // goes on sending to servers that drain
 	Floods   Kind = "floods"   // sends all to the server that started last
 	Garbles  Kind = "garbles"  // sends servers what no client sent
@@ -53,7 +53,7 @@
 	Crashes  Kind = "crashes"  // ends by itself
 	Lingers  Kind = "lingers"  // does not end after SIGTERM
 	Bars     Kind = "bars"     // says yes to operators and goes on sending to a server that they take out
-	Invents  Kind = "invents"  // sends on reqs that no client asked for
+	Invents  Kind = "invents"  // sends on requests that no client asked for
 
 	FirstDeadlineOrigin Kind = "first-deadline-origin" // sends the origin its client's first deadline, however late it is
 	FirstDeadlineCache  Kind = "first-deadline-cache"  // the same with cache servers
@@ -87,7 +87,7 @@
 			return nil, err
 		}
 		context.AfterFunc(ctx, func() { door.Close() })
-		r.work.Go(func() { _ = http.Serve(door, http.HandlerFunc(r.operators)) }) // ends with the door
+		r.work.Go(func() { _ = http.Serve(door, http.HandlerFunc(r.operators)) }) // ends with the admin endpoint
 		r.work.Go(r.accept)
 		r.work.Go(func() { r.watch(ctx) })
 		if kind == Crashes {
@@ -450,7 +450,7 @@
 
 var errNeverRan = errors.New("it never ran")
 
-// ask sends a write-out and waits for its answer.
+// ask sends an attempt and waits for its answer.
 func (r *router) ask(q cmd, t target) (resp.Reply, error) {
 	c, err := net.DialTimeout("tcp", t.Endpoint, 100*time.Millisecond)
 	if err != nil {
--- a/internal/lab/client/bad.go
+++ b/internal/lab/client/bad.go
@@ -53,7 +53,7 @@
 func (f *Front) bad(ctx context.Context, kind string, router event.Router, text string, n int) {
 	c, err := net.DialTimeout("tcp", f.addrs[router], time.Second)
 	if err != nil {
-		return // turned away at the door is an answer as well
+		return // turned away at the admin endpoint is an answer as well
 	}
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -38,7 +38,7 @@
 
 // router is the way to one router, by one protocol.
 type router interface {
-	// ask sends a req and waits for what becomes of it; kept: where the connection ended under it, it may be sent once more.
+	// ask sends a request and waits for what becomes of it; kept: where the connection ended under it, it may be sent once more.
 	ask(*pending) (res result, kept bool)
 	close()
 }
@@ -163,7 +163,7 @@
 	hint event.Micros
 }
 
-// try sends one req, once more where a connection that was kept ended under it.
+// try sends one request, once more where a connection that was kept ended under it.
 func (f *Front) try(op event.Op, try int, a arrivals.Arrival, leaves event.Micros) result {
 	m := f.s.Methods[a.Method]
 	q := &pending{req: f.id(op, try), op: op, a: a, write: m.Write, answer: make(chan result, 1), limit: m.Deadline.Micros()}
--- a/internal/lab/client/conn.go
+++ b/internal/lab/client/conn.go
@@ -18,7 +18,7 @@
 // lateAnswers is how long a client waits on behind its limit.
 const lateAnswers event.Micros = 500e3
 
-// pending is a req that has no answer yet.
+// pending is a request that has no answer yet.
 type pending struct {
 	req    event.Req
 	op     event.Op
@@ -44,7 +44,7 @@
 	closed bool
 }
 
-// conn is one connection. Answers come in the order of reqs.
+// conn is one connection. Answers come in the order of requests.
 type conn struct {
 	p     *pool
 	c     net.Conn
@@ -99,7 +99,7 @@
 
 var errNoRoom = noRoom{}
 
-// ask sends a req and waits for what becomes of it; kept: the connection had carried others before.
+// ask sends a request and waits for what becomes of it; kept: the connection had carried others before.
 func (p *pool) ask(q *pending) (res result, kept bool) {
 	note := event.Event{Req: q.req, Op: q.op, Router: p.router, Method: q.a.Method, Limit: q.limit}
 	var c *conn
--- a/internal/lab/client/grpc.go
+++ b/internal/lab/client/grpc.go
@@ -30,7 +30,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
-		// The library's own retries are off: a second try would be a req that the record does not know.
+		// The library's own retries are off: a second try would be a request that the record does not know.
 		conn, err := grpc.NewClient(p.addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
 			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second}))
 		if err != nil {
@@ -61,7 +61,7 @@
 	if q.a.Tenant >= 0 {
 		at.Tenant = p.f.s.Tenants[q.a.Tenant].Name
 	}
-	// The call's own deadline is later than what the req is told to be judged by: a late answer is to be seen as late.
+	// The call's own deadline is later than what the request is told to be judged by: a late answer is to be seen as late.
 	note.DeadlineSent = q.limit + lateAnswers
 	ctx, cancel := context.WithTimeout(context.Background(), note.DeadlineSent.Duration())
 	defer cancel()
@@ -112,7 +112,7 @@
 	case s.Code() == codes.Unavailable: // the library's: no connection, or one that ended under the call
 		say(event.Cut, 0, 0)
 		return result{how: cut}, true
-	case s.Code() == codes.DeadlineExceeded: // noted as nothing: the referee finds a req that was never answered
+	case s.Code() == codes.DeadlineExceeded: // noted as nothing: the referee finds a request that was never answered
 		return result{how: failed}, false
 	default:
 		say(event.Answered, event.Failed, 0)
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -35,20 +35,20 @@
 // What a client saw.
 const (
 	Wanted    Kind = iota + 1 // an op came up: Op, Method, Tenant, Site; At is its intended time
-	Asked                     // the last byte of a req went out: Req, Op, Router, Method, Limit, DeadlineSent
-	Answered                  // the last byte of its answer came: Req, Router, Outcome, Limit (the hint)
-	Cut                       // the router ended the connection with no answer: Req, Router
-	Left                      // the client gave up or went: Req, Router
-	Unreached                 // no connection to the router: Req, Router
-	Surplus                   // bytes that no req asked for: Router, Req (the last one answered there)
+	Asked                     // the last byte of a request went out: Request, Op, Router, Method, Limit, DeadlineSent
+	Answered                  // the last byte of its answer came: Request, Router, Outcome, Limit (the hint)
+	Cut                       // the router ended the connection with no answer: Request, Router
+	Left                      // the client gave up or went: Request, Router
+	Unreached                 // no connection to the router: Request, Router
+	Surplus                   // bytes that no request asked for: Router, Request (the last one answered there)
 	Owed                      // a bad client got neither an error nor a close in time: Router, Note
 )
 
 // What a cache server or the origin saw.
 const (
-	Begun   Kind = iota + 20 // an attempt came whole: Req, Server, Router, Write, DeadlineSent; Since is its first byte
-	Ended                    // it ended there: Req, Server, Router, Reply
-	Ran                      // its effect ran: Req, Server
+	Begun   Kind = iota + 20 // an attempt came whole: Request, Server, Router, Write, DeadlineSent; Since is its first byte
+	Ended                    // it ended there: Request, Server, Router, Reply
+	Ran                      // its effect ran: Request, Server
 	Fell                     // the server was pushed over while cold: Server, Note
 	Stopped                  // the origin was pushed over: Server, Limit (share of cold misses in parts of 1000)
 	Conn                     // a connection was accepted: Server, Router
@@ -78,13 +78,13 @@
 type Outcome uint8
 
 const (
-	Satisfied Outcome = iota + 1 // with the value made for this req
+	Satisfied Outcome = iota + 1 // with the value made for this request
 	Nacked
 	Failed
-	Foreign // a value that was not made for this req
+	Foreign // a value that was not made for this request
 )
 
-// Reply is how a write-out ended at the server.
+// Reply is how an attempt ended at the server.
 type Reply uint8
 
 const (
--- a/internal/lab/fleet/addresses.go
+++ b/internal/lab/fleet/addresses.go
@@ -24,7 +24,7 @@
 func (n Network) Discovery() []string       { return n.a.discovery(0) }
 func (n Network) Server(place int) []string { return n.a.server(place, 0) }
 
-// Doors, Views and Ways are the operators' doors, and where routers listen for one another and are reached by them.
+// Doors, Views and Ways are the operators' admin endpoints, and where routers listen for one another and are reached by them.
 func (n Network) Doors() []string { return n.a.doors(0) }
 func (n Network) Views() []string { return n.a.views() }
 func (n Network) Ways() []string  { return n.a.ways() }
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -245,7 +245,7 @@
 	r.registry.Set(e, false)
 }
 
-// noteMiss: the origin's answer is to fill the servers that missed for a req.
+// noteMiss: the origin's answer is to fill the servers that missed for a request.
 func (r *run) noteMiss(req event.Req, s *cacheserver.Server, cold bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -22,7 +22,7 @@
 	Name, Listen, Discovery, Config, Log string
 	File                                 string // the operator's own; empty: none
 	Cores                                int
-	Admin                                string // the operators' door
+	Admin                                string // the admin endpoint
 	Tmp                                  string // a folder that its processes share
 }
 
@@ -64,7 +64,7 @@
 	mu      sync.Mutex
 	at      Instance
 	starts  int
-	doors   int // of the processes beside others: each has a door of its own
+	doors   int // of the processes beside others: each has an admin endpoint of its own
 	moves   int
 	ending  bool // it was told to end
 	up      bool
--- a/internal/lab/machine/machine.go
+++ b/internal/lab/machine/machine.go
@@ -1,4 +1,4 @@
-// Package machine is the model of one machine that works on reqs: cores, a bounded queue, a cold start that warms up,
+// Package machine is the model of one machine that works on requests: cores, a bounded queue, a cold start that warms up,
 // and a fall when a cold machine is asked far more than it can do. It does no I/O and takes the time as an argument, so
 // that a cache server or the origin of the lab behaves alike in every run.
 package machine
--- a/internal/lab/origin/origin.go
+++ b/internal/lab/origin/origin.go
@@ -1,5 +1,5 @@
 // Package origin is a stand-in for the slow, shared store behind the cache servers. It speaks HTTP/1.1 as the published
-// protocol has it, works on a machine of package machine, and counts how often each req's effect ran.
+// protocol has it, works on a machine of package machine, and counts how often each request's effect ran.
 package origin
 
 import (
@@ -175,7 +175,7 @@
 	})
 }
 
-// ServeHTTP takes one write-out.
+// ServeHTTP takes one attempt.
 func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
--- a/internal/lab/referee/deadline.go
+++ b/internal/lab/referee/deadline.go
@@ -9,7 +9,7 @@
 // leastDeadline may be sent however little is left: deadlines go out in whole milliseconds, and never as none.
 const leastDeadline event.Micros = 1e3
 
-// deadlinesSent judges, for one req, that each attempt tells its server at most the time that its client has left.
+// deadlinesSent judges, for one request, that each attempt tells its server at most the time that its client has left.
 func (j *judge) deadlinesSent(q *req) {
 	for _, w := range q.sent {
 		j.deadlineSent(q, w.begun)
@@ -31,7 +31,7 @@
 	}
 	left := asked.At + asked.DeadlineSent - begun.Since
 	excess := begun.DeadlineSent - max(leastDeadline, left)
-	// A stall of the lab at either end makes the req seem older than it is to its router.
+	// A stall of the lab at either end makes the request seem older than it is to its router.
 	if excess > max(j.slack(asked.At), j.slack(begun.Since)) {
 		j.add(1, q, begun.Since, fmt.Sprintf("sent to %s with a deadline of %v, %v more than its client had left",
 			begun.Server, begun.DeadlineSent.Duration(), excess.Duration()))
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -1,13 +1,13 @@
 // Package referee judges a run on the four rules, from what the stand-ins saw. It does no I/O, and never asks a router.
 //
-//	1  each req taken gets exactly one answer before its deadline, and nothing is sent for it after;
+//	1  each request taken gets exactly one answer before its deadline, and nothing is sent for it after;
 //	   each attempt tells its server a deadline, and no more time than its client has left
-//	2  no effect twice, never two write-outs at once, no more write-outs than allowed
+//	2  no effect twice, never two attempts at once, no more attempts than allowed
 //	3  nothing new to a server past the grace after this router was told that it drains or is gone, or to leave it alone
 //	4  no cold server pushed over, and misses at cold servers don't push the origin over
 //	0  no crash, nothing sent that is not of the protocol, bad clients get an error or a close
 //
-// What a router was holding when it was killed is its client's to ask again, and no lost req.
+// What a router was holding when it was killed is its client's to ask again, and no lost request.
 package referee
 
 import (
@@ -35,7 +35,7 @@
 type Rules struct {
 	Methods      []Method
 	Places       map[event.Server]Place
-	MaxWriteOuts int          // of one req
+	MaxWriteOuts int          // of one request
 	Grace        event.Micros // of a drain
 	Slack        event.Micros // each limit is longer by this on sockets
 	ToldAfter    event.Micros // what has reached a router's agent counts as told after this, whether it asked or not
@@ -73,7 +73,7 @@
 	ended *event.Event
 }
 
-// req is one try.
+// request is one try.
 type req struct {
 	id       event.Req
 	asked    []event.Event // twice where a kept connection ended under the first
@@ -199,7 +199,7 @@
 	return slices.ContainsFunc(j.killed[r], func(s span) bool { return s.from <= until && s.until >= from })
 }
 
-// asking is the one of a req's askings that something at a router belongs to: a client may send it again, with the
+// asking is the one of a request's askings that something at a router belongs to: a client may send it again, with the
 // same id, where a kept connection ended under it.
 func (q *req) asking(r event.Router, at event.Micros) int {
 	of := 0
@@ -225,7 +225,7 @@
 	j.broken = append(j.broken, b)
 }
 
-// oneAnswer judges rule 1 for one req.
+// oneAnswer judges rule 1 for one request.
 func (j *judge) oneAnswer(q *req) {
 	last := q.asked[len(q.asked)-1]
 	router, due := last.Router, last.At+last.Limit
@@ -263,7 +263,7 @@
 	default:
 		j.add(1, q, due, "never answered")
 	}
-	// A router may close a connection that it takes for idle; the req that crossed the close was not taken. It is sent
+	// A router may close a connection that it takes for idle; the request that crossed the close was not taken. It is sent
 	// once more on a new one, and that time it counts. But one that was sent on had been taken.
 	for _, c := range q.cuts {
 		sent := slices.ContainsFunc(q.sent, func(w *writeOut) bool { return w.begun.Router == c.Router && w.begun.Since < c.At })
@@ -283,7 +283,7 @@
 	}
 }
 
-// noEffectTwice judges rule 2 for one req.
+// noEffectTwice judges rule 2 for one request.
 func (j *judge) noEffectTwice(q *req) {
 	m := j.method(q)
 	sent := make([]int, len(q.asked)) // by asking: another router knows nothing of what the first had sent
@@ -406,7 +406,7 @@
 // the servers that it leaves alone.
 func (j *judge) policies() {
 	type period struct {
-		from, until event.Micros // of when reqs were asked
+		from, until event.Micros // of when requests were asked
 		out         []string
 	}
 	var all []period
--- a/internal/lab/report/loss.go
+++ b/internal/lab/report/loss.go
@@ -32,10 +32,10 @@
 	Methods []NamedPart `json:"methods"`
 	Tenants []NamedPart `json:"tenants"`
 	Goodput float64     `json:"goodput"` // ops a second that were answered in time
-	Refused []NamedPart `json:"refused"` // part of the first tries that were nacked, by method
+	Refused []NamedPart `json:"refused"` // part of the first tries that were rejected, by method
 	// P99 is that of the tries that were satisfied, as a part of the method's latency budget; the worst method's.
 	P99 float64 `json:"p99_of_budget"`
-	// Inversions are first tries that were nacked while a less critical one that came within the same quarter of a second
+	// Inversions are first tries that were rejected while a less critical one that came within the same quarter of a second
 	// was served, as a part of all first tries.
 	Inversions float64 `json:"inversions"`
 }
@@ -180,7 +180,7 @@
 	return p
 }
 
-// inversions pairs as many nacks as can be with one served each that is worth less: the cheapest with the cheapest first.
+// inversions pairs as many rejections as can be with one served each that is worth less: the cheapest with the cheapest first.
 func inversions(nacked, served map[float64]int) (n int) {
 	left := maps.Clone(served)
 	cheap := slices.Sorted(maps.Keys(served))
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -81,7 +81,7 @@
 	Max  float64 `json:"max"`
 }
 
-// Outs are write-outs to cache servers and to the origin.
+// Outs are attempts to cache servers and to the origin.
 type Outs struct {
 	All     int     `json:"all"`
 	PerTry  float64 `json:"per_try"`
@@ -91,7 +91,7 @@
 	Refused int     `json:"turned_away"`
 }
 
-// Bucket counts nacks whose hint is up to a time.
+// Bucket counts rejections whose hint is up to a time.
 type Bucket struct {
 	Hint string `json:"hint"`
 	N    int    `json:"n"`
@@ -121,7 +121,7 @@
 	P99       float64 `json:"p99_ms"`
 }
 
-// ServerLoad is how many write-outs came to a life of a server, by second.
+// ServerLoad is how many attempts came to a life of a server, by second.
 type ServerLoad struct {
 	Server event.Server `json:"server"`
 	All    int          `json:"all"`
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -14,7 +14,7 @@
 )
 
 // played is a run of 20 s with an op every 10 ms, answered after 10 ms; a router is down from 10 to 11 s, and then ops take
-// 100 ms for so many seconds. Every tenth op is a late one, every hundredth is nacked with a hint and never satisfied.
+// 100 ms for so many seconds. Every tenth op is a late one, every hundredth is rejected with a hint and never satisfied.
 func played(seed uint64, bad event.Micros) fleet.Result {
 	s := scenario.Default()
 	s.Title, s.Length = "played", 20e6
--- a/internal/lab/rig/policies.go
+++ b/internal/lab/rig/policies.go
@@ -81,7 +81,7 @@
 	return a, err
 }
 
-// Holds is what a router says that it holds, and whether it takes reqs under it.
+// Holds is what a router says that it holds, and whether it takes requests under it.
 func (r *Rig) Holds(i int) (revision policycommit.Revision, may bool, err error) {
 	text, err := r.Call(i, "GET", "/ops/policy")
 	if err != nil {
@@ -95,7 +95,7 @@
 	return h.InForce, h.May, err
 }
 
-// mixed looks at all routers all the time, and tells where one takes reqs under a revision for longer than the window after
+// mixed looks at all routers all the time, and tells where one takes requests under a revision for longer than the window after
 // another was seen to take them under the next.
 func (r *Rig) mixed(stop chan struct{}, n int) (broken []string) {
 	const window, look = time.Second, 400 * time.Millisecond // an answer may be that old
@@ -300,8 +300,8 @@
 	return out, nil
 }
 
-// allHold waits until routers take reqs under a revision.
-// found starts all routers, founds their policy, and waits until all take reqs.
+// allHold waits until routers take requests under a revision.
+// found starts all routers, founds their policy, and waits until all take requests.
 func (r *Rig) found() ([]int, error) {
 	all := make([]int, r.o.Routers)
 	for i := range all {
--- a/internal/lab/rig/policy_test.go
+++ b/internal/lab/rig/policy_test.go
@@ -397,7 +397,7 @@
 }
 
 // A lost router's part is the others' once nothing that it had in hand can be left, and its own again when it comes back,
-// before it takes a req.
+// before it takes a request.
 func TestLostPartIsTakenUp(t *testing.T) {
 	r := founded(t, "refuse", 5, 3)
 	r.Kill("lost", 4)
@@ -446,7 +446,7 @@
 	r.holds(8, 0, 1, 3)
 	r.until("it tells of it", func() bool { return r.held(2).Folder != "" })
 	t.Log(r.held(2))
-	r.until("as a router it holds the last one", func() bool { h := r.held(2); return h.May && h.InForce == 8 }) // its door may be a moment behind
+	r.until("as a router it holds the last one", func() bool { h := r.held(2); return h.May && h.InForce == 8 }) // its admin endpoint may be a moment behind
 	r.must(r.Stop("room again", 2))
 	r.Full(2, 0)
 	r.start("room again", 2)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -170,7 +170,7 @@
 // Log is where a router's log goes.
 func (r *Rig) Log(i int) string { return filepath.Join(r.o.Dir, fmt.Sprintf("p%d.log", i)) }
 
-// Start starts a router and waits until its door answers.
+// Start starts a router and waits until its admin endpoint answers.
 func (r *Rig) Start(note string, who ...int) error {
 	for _, i := range who {
 		if err := r.begin(i); err != nil {
@@ -206,7 +206,7 @@
 	return process.Start(program, args, []string{"EDGE_CONFIG=" + r.file(i, "json"), "TMPDIR=" + r.file(i, "tmp"), "GOMAXPROCS=1", "EDGE_ADMIN=" + door}, r.Log(i))
 }
 
-// Replace starts a second process beside the one that serves, waits for its yes and ends the first in order. The door is
+// Replace starts a second process beside the one that serves, waits for its yes and ends the first in order. The admin endpoint is
 // another then.
 func (r *Rig) Replace(i int) error {
 	r.mu.Lock()
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -149,7 +149,7 @@
 	HonourHints float64 `toml:"honour_hints"` // share of the clients
 	Patience    float64 `toml:"patience"`     // of the deadline, until a try is given up
 	Leave       float64 `toml:"leave"`        // share that leaves before an answer
-	Pipeline    int     `toml:"pipeline"`     // reqs at once on a connection
+	Pipeline    int     `toml:"pipeline"`     // requests at once on a connection
 	FrontNotice Span    `toml:"front_notice"` // until the front misses a dead router
 }
 
@@ -187,7 +187,7 @@
 	Batch   float64  `toml:"batch"`   // part struck at a time
 	Moved   bool     `toml:"moved"`   // it comes back at a new address
 	Factor  float64  `toml:"factor"`  // times slower, times the rate, ...
-	Share   float64  `toml:"share"`   // of the answers, reqs or keys
+	Share   float64  `toml:"share"`   // of the answers, requests or keys
 	Site    string   `toml:"site"`    // one site only
 	Step    Span     `toml:"step"`    // of a clock
 	Answers []string `toml:"answers"` // forms of spoilt answers
--- a/internal/lab/viewref/viewref.go
+++ b/internal/lab/viewref/viewref.go
@@ -1,4 +1,4 @@
-// Package viewref judges the views of a fleet's routers: what each showed, by its door, against what was done to them. It
+// Package viewref judges the views of a fleet's routers: what each showed, by its admin endpoint, against what was done to them. It
 // has no I/O; a record is judged the same however often.
 package viewref
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -125,7 +125,7 @@
 		if *n < 1 || *n > 100 || own.MayTwoAtOnce && *n < 3 {
 			errs = append(errs, d.wrong("max_write_outs", fmt.Sprintf("is %d", *n), "write 1 to 100, and 3 at least where two may be out at once"))
 		}
-		s.MaxWriteOuts = *n
+		s.MaxAttempts = *n
 	}
 	for i, uid := range d.Out {
 		if uid == "" || len(uid) > 256 || slices.Contains(d.Out[:i], uid) {
@@ -143,7 +143,7 @@
 		named[m.Name] = true
 		for field, x := range map[string]any{"effect": m.Effect, "group": m.Group, "window": m.Window, "deadline": m.Deadline} {
 			if x != nil {
-				errs = append(errs, d.wrong(f+field, "cannot change while routers serve: reqs in hand were taken under it, at other routers as well",
+				errs = append(errs, d.wrong(f+field, "cannot change while routers serve: requests in hand were taken under it, at other routers as well",
 					"leave it out, and restart the routers with other settings"))
 			}
 		}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -216,7 +216,7 @@
 	return "unknown"
 }
 
-// withFleet is a router as the door sees it, with what is seen of the fleet from its place.
+// withFleet is a router as the admin endpoint sees it, with what is seen of the fleet from its place.
 type withFleet struct {
 	*router.Router
 	fleet.Place
@@ -329,7 +329,7 @@
 	go func() {
 		for range reload {
 			again, err := config.Reload(os.Getenv)
-			if err == nil { // its discovery would send our reqs to another's servers
+			if err == nil { // its discovery would send our requests to another's servers
 				if err = settings.SameService(settings.Methods(again.Settings), settings.Methods(cfg.Settings)); err != nil {
 					err = fmt.Errorf("settings: %w; start it anew, or give it a file of its own in place of %q", err, os.Getenv("EDGE_CONFIG"))
 				}
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -43,9 +43,9 @@
 	}
 	r.carryOut(r.decided)
 	for _, ev := range inputs {
-		if l, ok := ev.(routing.Left); ok && r.reqs[l.Req] != nil {
-			r.reqs[l.Req].leaving = false
-			r.settle(r.reqs[l.Req])
+		if l, ok := ev.(routing.Left); ok && r.requests[l.Request] != nil {
+			r.requests[l.Request].leaving = false
+			r.settle(r.requests[l.Request])
 		}
 	}
 	r.resume()
@@ -74,14 +74,14 @@
 func (r *Router) carryOut(decided []routing.Decision) {
 	for _, d := range decided {
 		switch d.Action {
-		case routing.WriteOut:
+		case routing.Send:
 			r.beginAttempt(d)
-		case routing.Nack:
-			r.reject(d.Req, d.After)
+		case routing.Reject:
+			r.reject(d.Request, d.After)
 		case routing.Fail:
-			r.fail(d.Req)
-		case routing.Recall:
-			r.recall(d.Req, d.Attempt)
+			r.fail(d.Request)
+		case routing.Cancel:
+			r.recall(d.Request, d.Attempt)
 		case routing.Wake:
 			ref := d.Ref
 			r.after(d.After, func() { r.input(routing.Elapsed{Ref: ref}) })
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -378,7 +378,7 @@
 		c.now([]byte("-ERR wrong number of words\r\n"))
 		return
 	}
-	q, came, waits, ok := c.req(words, write)
+	q, came, waits, ok := c.request(words, write)
 	if !ok {
 		c.now(refusedReq)
 		return
@@ -392,7 +392,7 @@
 var refusedReq = []byte("-ERR a req needs a new id, c, and d\r\n")
 
 // request makes the words of a command a request; ok is false where they are refused, which is counted.
-func (c *client) req(words [][]byte, write bool) (q *request, came routing.ReqCame, waits routing.Micros, ok bool) {
+func (c *client) request(words [][]byte, write bool) (q *request, came routing.RequestCame, waits routing.Micros, ok bool) {
 	r := c.r
 	size := 0
 	for _, w := range words {
@@ -404,19 +404,19 @@
 		all = append(all, w...)
 		return all[from:len(all):len(all)]
 	}
-	q = &request{Request: wire.Request{Verb: own(words[0]), Key: own(words[1]), ID: routing.ReqID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
+	q = &request{Request: wire.Request{Verb: own(words[0]), Key: own(words[1]), ID: routing.RequestID(words[2]), Props: wire.NewProps(own(words[3])), Write: write}, size: size, from: c}
 	if write && len(words) > 4 {
 		q.Value = own(words[4])
 	}
 	p := resp2.ReadProps(words[3])
 	method, known := r.methods[string(p.Method)]
-	if p.Bad || p.Waits == 0 || !known || len(q.ID) == 0 || r.reqs[q.ID] != nil {
+	if p.Bad || p.Waits == 0 || !known || len(q.ID) == 0 || r.requests[q.ID] != nil {
 		if known {
 			r.refused(method, wire.Failed)
 		}
 		return q, came, 0, false
 	}
-	return q, routing.ReqCame{Req: q.ID, Key: routing.Key(q.Key), Write: write, Method: method, Tenant: routing.Tenant(p.Tenant),
+	return q, routing.RequestCame{Request: q.ID, Key: routing.Key(q.Key), Write: write, Method: method, Tenant: routing.Tenant(p.Tenant),
 		Resent: p.Resent}, p.Waits, true
 }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -22,7 +22,7 @@
 		r.tellServing(false)
 		r.endBy = r.clock() + r.lim.Ending
 		r.input(routing.Ending{By: r.endBy})
-		r.after(r.lim.Ending, r.endWriteOuts)
+		r.after(r.lim.Ending, r.endAttempts)
 		r.after(r.lim.LingerOpen, func() {
 			r.closing = true
 			r.queue()
@@ -30,10 +30,10 @@
 	})
 }
 
-// endWriteOuts: nobody waits for the process any longer. What is still out is given up, so that its request gets its answer; a
+// endAttempts: nobody waits for the process any longer. What is still out is given up, so that its request gets its answer; a
 // server that hung had a request of the longest deadline until after SIGKILL.
-func (r *Router) endWriteOuts() {
-	for _, q := range r.reqs {
+func (r *Router) endAttempts() {
+	for _, q := range r.requests {
 		for _, w := range slices.Clone(q.attempts) {
 			if w.up == nil || !w.up.away {
 				r.timedOut(w)
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -47,7 +47,7 @@
 func TestRandomOrdersFindPlanted(t *testing.T) {
 	for name, plant := range map[string]func(*notedLoop){
 		"an answer is lost": func(l *notedLoop) {
-			for _, q := range l.r.reqs {
+			for _, q := range l.r.requests {
 				q.over = true
 				return
 			}
@@ -60,7 +60,7 @@
 		},
 		"a connection is not counted": func(l *notedLoop) { l.r.upstreams++ },
 		"what may have run is told as never run": func(l *notedLoop) {
-			for _, q := range l.r.reqs {
+			for _, q := range l.r.requests {
 				for _, w := range slices.Clone(q.attempts) {
 					if w.whole && q.Write {
 						l.r.giveUp(w, routing.Ignored)
@@ -71,10 +71,10 @@
 		},
 		"a write-out to a server that goes": func(l *notedLoop) {
 			for _, s := range l.r.servers {
-				for _, q := range l.r.reqs {
+				for _, q := range l.r.requests {
 					if !s.ready && !q.over && len(q.attempts) == 0 {
 						s.ready = true
-						l.r.beginAttempt(routing.Decision{Req: q.ID, Server: s.id, After: 1e6})
+						l.r.beginAttempt(routing.Decision{Request: q.ID, Server: s.id, After: 1e6})
 						s.ready = false
 						return
 					}
@@ -82,11 +82,11 @@
 			}
 		},
 		"a write-out for a req that is over": func(l *notedLoop) {
-			for _, q := range l.r.reqs {
+			for _, q := range l.r.requests {
 				if q.over && len(q.attempts) == 0 {
 					for id := range l.r.servers {
 						q.over = false
-						l.r.beginAttempt(routing.Decision{Req: q.ID, Server: id, After: 1e6})
+						l.r.beginAttempt(routing.Decision{Request: q.ID, Server: id, After: 1e6})
 						q.over = true
 						return
 					}
@@ -141,7 +141,7 @@
 	cfg.Limits.Descriptors, cfg.Limits.MostDescriptors, cfg.Limits.Upstreams = 12, 14, 6
 	cfg.Limits.Pipeline, cfg.Limits.HeldBytes, cfg.Limits.Quiet, cfg.Limits.Linger = 3, 100, 10e3, 1e6
 	cfg.Limits.Idle = 2e6
-	cfg.Settings.MaxWriteOuts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
+	cfg.Settings.MaxAttempts, cfg.Settings.MayCancel, cfg.Settings.MayTwoAtOnce = 3, true, len(steps)%2 == 1
 	cfg.Settings.Methods = append(cfg.Settings.Methods, routing.MethodSettings{Name: "get", LatencyBudget: 6e6, Criticality: 1})
 	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
 		`{"uid":"s","endpoint":"127.0.0.1:2","model":"m","state":"active"},` +
@@ -164,9 +164,9 @@
 		on *notedConn
 		w  *attempt
 	}
-	outs := map[sent]bool{}           // that were there after the last step; true: the last byte had left
-	ran := map[routing.ReqID]string{} // that may have run, and where
-	never := (*attempt)(nil)          // answered in this step as never run
+	outs := map[sent]bool{}               // that were there after the last step; true: the last byte had left
+	ran := map[routing.RequestID]string{} // that may have run, and where
+	never := (*attempt)(nil)              // answered in this step as never run
 	traffic := func(c *notedConn) {
 		if r.OnTraffic(c) == gnet.Close {
 			_ = l.Close(c)
@@ -295,7 +295,7 @@
 			also(l)
 		}
 		inHand := 0
-		for _, q := range r.reqs {
+		for _, q := range r.requests {
 			if !q.over {
 				inHand++
 			}
@@ -305,7 +305,7 @@
 		}
 		for s, whole := range outs {
 			up, on := s.on.ctx.(*upstream)
-			if whole && s.w != never && r.cfg.Settings.Methods[s.w.q.method].Effect == routing.NonRetryable && !(on && up.carries == s.w) {
+			if whole && s.w != never && r.cfg.Settings.Methods[s.w.q.method].Effect == routing.NonIdempotent && !(on && up.carries == s.w) {
 				ran[s.w.q.ID] = string(r.book.UID(s.w.server.id))
 			}
 		}
@@ -346,7 +346,7 @@
 	r.began += max(0, endBy+50e3-r.clock())
 	r.batch()
 	l.rounds()
-	for _, q := range r.reqs {
+	for _, q := range r.requests {
 		if !q.over {
 			t.Fatalf("%s is in hand after the end of the drain", q.ID)
 		}
@@ -378,13 +378,13 @@
 			ended[i] += m[i]
 		}
 	}
-	if ended != [3]int{n.Satisfied, n.Nacked, n.Failed} {
+	if ended != [3]int{n.Served, n.Rejected, n.Failed} {
 		t.Errorf("%v by method, %v in all", ended, n)
 	}
-	if n.Taken != n.Satisfied+n.Nacked+n.Failed+n.Left || len(r.reqs) != 0 || r.held != 0 {
-		t.Errorf("%v, %d reqs, %d bytes", n, len(r.reqs), r.held)
+	if n.Taken != n.Served+n.Rejected+n.Failed+n.Left || len(r.requests) != 0 || r.held != 0 {
+		t.Errorf("%v, %d reqs, %d bytes", n, len(r.requests), r.held)
 	}
-	if n.WriteOuts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
+	if n.Attempts != n.OK+n.Miss+n.NeverRan+n.MayHave+n.GivenUp {
 		t.Errorf("write-outs without an outcome: %v", n)
 	}
 	up := len(open(servers))
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -49,7 +49,7 @@
 func (d *departure) asks(id, key, method string, write bool) {
 	props := fmt.Sprintf("c=%s,d=1900", method)
 	if d.byGRPC {
-		o := &Offer{Request: wire.Request{ID: routing.ReqID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
+		o := &Offer{Request: wire.Request{ID: routing.RequestID(id), Key: []byte(key), Props: wire.NewProps([]byte(props)), Write: write}, Method: method, Waits: 1900e3,
 			Answer: func(wire.Answer) {}, Refuse: func(why Refusal) { d.t.Errorf("%s is refused: %d", id, why) }}
 		d.offers[id] = o
 		d.l.r.Offer(o)
@@ -171,8 +171,8 @@
 				if n := d.attempts("gone"); n != began {
 					t.Errorf("%d attempts began after the client had gone", n-began)
 				}
-				if len(d.l.r.reqs) != 0 {
-					t.Errorf("%d requests are left", len(d.l.r.reqs))
+				if len(d.l.r.requests) != 0 {
+					t.Errorf("%d requests are left", len(d.l.r.requests))
 				}
 			})
 		}
@@ -270,8 +270,8 @@
 			_ = d.l.Close(c)
 		}
 		d.l.rounds()
-		if len(d.l.r.reqs) != 0 {
-			t.Errorf("%d requests are left", len(d.l.r.reqs))
+		if len(d.l.r.requests) != 0 {
+			t.Errorf("%d requests are left", len(d.l.r.requests))
 		}
 	}
 }
--- a/internal/router/longwrite.go
+++ b/internal/router/longwrite.go
@@ -49,7 +49,7 @@
 		return false, false
 	}
 	b := &body{r: r, c: c, fd: fd, size: size, has: append([]byte(nil), buf[at:]...)}
-	q, came, waits, good := c.req(words, true)
+	q, came, waits, good := c.request(words, true)
 	s := &q.slot
 	c.slots = append(c.slots, s)
 	c.offLoop()
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -102,7 +102,7 @@
 		return Ending
 	case !known:
 		return NoMethod
-	case r.reqs[o.ID] != nil:
+	case r.requests[o.ID] != nil:
 		return SameID
 	case o.Waits < 0:
 		return Late
@@ -115,7 +115,7 @@
 	}
 	o.q = &request{Request: o.Request, size: size, from: o}
 	r.offers.open++
-	r.take(o.q, routing.ReqCame{Req: o.ID, Key: routing.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
+	r.take(o.q, routing.RequestCame{Request: o.ID, Key: routing.Key(o.Key), Write: o.Write, Method: method, Tenant: o.Tenant, Resent: o.Resent}, waits, r.clock())
 	return 0
 }
 
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -17,13 +17,13 @@
 	"spurtrestle/internal/operatorstate"
 )
 
-// ops is what operators see and ask for. The door's goroutines come by the exported methods below.
+// ops is what operators see and ask for. The admin endpoint's goroutines come by the exported methods below.
 type ops struct {
 	barred  map[routing.ServerID]bool // what the decisions were told last, of those that they were told of
 	mu      sync.Mutex                // one change at a time; never held by the loop
 	store   *operatorstate.Store
 	wanted  operatorstate.State     // the loop's own
-	told    atomic.Pointer[figures] // what the loop last left for the door
+	told    atomic.Pointer[figures] // what the loop last left for the admin endpoint
 	toldAt  routing.Micros
 	unkept  atomic.Bool // the file does not have what is wanted
 	emptied bool        // clients' connections are being ended since an operator asked for it
@@ -85,7 +85,7 @@
 	}
 }
 
-// now has the loop do something, and waits for it as long as the door's caller may be kept.
+// now has the loop do something, and waits for it as long as the admin endpoint's caller may be kept.
 func (r *Router) soon(f func()) error {
 	done := make(chan struct{})
 	r.execute(func() {
@@ -226,12 +226,12 @@
 	}
 }
 
-// publish leaves the figures for the door.
+// publish leaves the figures for the admin endpoint.
 func (r *Router) publish() {
 	c := &r.counts
 	f := &figures{ended: append([][3]int(nil), c.Ended...), forwards: c.Forwards, reloaded: c.Reloaded, notLoaded: c.NotLoaded,
-		open: c.Taken - c.Satisfied - c.Nacked - c.Failed - c.Left, why: r.notReady(), draining: r.draining || r.ops.wanted.Empty}
-	f.empty = (r.ops.emptied || r.closing) && len(r.clients) == 0 && len(r.reqs) == 0 && r.away == 0 && r.offers.open == 0
+		open: c.Taken - c.Served - c.Rejected - c.Failed - c.Left, why: r.notReady(), draining: r.draining || r.ops.wanted.Empty}
+	f.empty = (r.ops.emptied || r.closing) && len(r.clients) == 0 && len(r.requests) == 0 && r.away == 0 && r.offers.open == 0
 	if r.core != nil {
 		f.listed, f.avoided = r.core.Avoided()
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -115,7 +115,7 @@
 	}
 	if r.mayTake() == p.shut {
 		p.shut, news = !p.shut, true
-		r.log.WithField("may", !p.shut).Debug("taking new reqs")
+		r.log.WithField("may", !p.shut).Debug("taking new requests")
 		r.tellServing(r.serving && !r.refusing())
 		if r.takeover.old != nil && r.serving {
 			r.takeClients()
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -35,7 +35,7 @@
 // arrival is a request on its way into a batch; its deadline counts from there.
 type arrival struct {
 	q     *request
-	came  routing.ReqCame
+	came  routing.RequestCame
 	waits routing.Micros
 	since routing.Micros // its last byte came then
 }
@@ -68,8 +68,8 @@
 }
 
 // take makes a request of this router's what a front has read whole; its client waits so long from when its last byte came, since.
-func (r *Router) take(q *request, came routing.ReqCame, waits, since routing.Micros) {
-	r.reqs[q.ID] = q
+func (r *Router) take(q *request, came routing.RequestCame, waits, since routing.Micros) {
+	r.requests[q.ID] = q
 	r.held += q.size
 	r.counts.Taken++
 	q.method = came.Method
@@ -99,9 +99,9 @@
 func (r *Router) count(m routing.Method, k wire.Kind) {
 	switch k {
 	case wire.Served:
-		r.counts.Satisfied++
+		r.counts.Served++
 	case wire.Rejected:
-		r.counts.Nacked++
+		r.counts.Rejected++
 	case wire.Failed:
 		r.counts.Failed++
 	}
@@ -116,20 +116,20 @@
 
 // settle forgets a request once nothing of it is left.
 func (r *Router) settle(q *request) {
-	if q.over && !q.leaving && len(q.attempts) == 0 && r.reqs[q.ID] == q {
-		delete(r.reqs, q.ID)
+	if q.over && !q.leaving && len(q.attempts) == 0 && r.requests[q.ID] == q {
+		delete(r.requests, q.ID)
 		r.held -= q.size
 	}
 }
 
-func (r *Router) reject(id routing.ReqID, hint routing.Micros) {
-	if q := r.reqs[id]; q != nil {
+func (r *Router) reject(id routing.RequestID, hint routing.Micros) {
+	if q := r.requests[id]; q != nil {
 		r.answer(q, wire.Answer{Kind: wire.Rejected, RetryAfter: hint})
 	}
 }
 
-func (r *Router) fail(id routing.ReqID) {
-	if q := r.reqs[id]; q != nil {
+func (r *Router) fail(id routing.RequestID) {
+	if q := r.requests[id]; q != nil {
 		r.answer(q, wire.Answer{Kind: wire.Failed})
 	}
 }
@@ -142,7 +142,7 @@
 	}
 	q.over, q.leaving = true, true
 	r.counts.Left++
-	r.input(routing.Left{Req: q.ID})
+	r.input(routing.Left{Request: q.ID})
 	for _, w := range slices.Clone(q.attempts) {
 		if w.unsent() {
 			r.counts.LeftWaiting++
@@ -158,9 +158,9 @@
 
 // beginAttempt begins an attempt.
 func (r *Router) beginAttempt(d routing.Decision) {
-	q, s := r.reqs[d.Req], r.servers[d.Server]
+	q, s := r.requests[d.Request], r.servers[d.Server]
 	if q == nil {
-		r.log.Error("a write-out for a req that is over")
+		r.log.Error("an attempt of a request that is over")
 		return
 	}
 	nth := q.begun
@@ -168,12 +168,12 @@
 	// The request may have lost its client, and the server its place in the list, since this was decided: the news is in the
 	// batch behind the decision, or in the next. Nothing is sent then.
 	if q.over || s == nil || !s.ready {
-		r.input(routing.Returned{Req: d.Req, Server: d.Server, Attempt: nth, Status: routing.Ignored, Over: q.over})
+		r.input(routing.Returned{Request: d.Request, Server: d.Server, Attempt: nth, Status: routing.Ignored, Over: q.over})
 		return
 	}
 	w := &attempt{q: q, nth: nth, server: s, sent: r.now, within: d.After, until: r.now + d.After}
 	q.attempts = append(q.attempts, w)
-	r.counts.WriteOuts++
+	r.counts.Attempts++
 	w.timer = r.after(d.After, func() { r.timedOut(w) })
 	if d.By > 0 && d.By < w.until {
 		w.until = d.By
@@ -214,7 +214,7 @@
 	default:
 		r.counts.MayHave++
 	}
-	r.input(routing.Returned{Req: q.ID, Server: w.server.id, Attempt: w.nth, Status: status,
+	r.input(routing.Returned{Request: q.ID, Server: w.server.id, Attempt: w.nth, Status: status,
 		Took: r.clock() - w.sent, Over: q.over, Report: report})
 	r.settle(q)
 }
@@ -241,8 +241,8 @@
 	}
 }
 
-func (r *Router) recall(id routing.ReqID, n routing.Attempt) {
-	if q := r.reqs[id]; q != nil {
+func (r *Router) recall(id routing.RequestID, n routing.Attempt) {
+	if q := r.requests[id]; q != nil {
 		if i := slices.IndexFunc(q.attempts, func(w *attempt) bool { return w.nth == n }); i >= 0 {
 			r.giveUp(q.attempts[i], routing.Canceled)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,7 @@
 
 	timers timers
 
-	reqs      map[routing.ReqID]*request
+	requests  map[routing.RequestID]*request
 	held      int                  // bytes of all requests
 	buffered  int                  // bytes that the clients' connections hold, or more
 	clients   map[*client]struct{} // all that are open
@@ -97,7 +97,7 @@
 // New returns a router that is not running yet.
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, lim: cfg.Limits, log: log, start: time.Now(), ready: make(chan struct{}), ended: make(chan struct{}),
-		methods: map[string]routing.Method{}, reqs: map[routing.ReqID]*request{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
+		methods: map[string]routing.Method{}, requests: map[routing.RequestID]*request{}, clients: map[*client]struct{}{}, passing: map[*long]struct{}{},
 		servers: map[routing.ServerID]*server{}, book: discovery.New(), cache: resp2.Back{Bounds: cfg.Limits.Resp},
 		origin: http1.Back{Bounds: cfg.Limits.Origin}}
 	r.ops.barred = map[routing.ServerID]bool{}
@@ -274,5 +274,5 @@
 	allocated := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}, {Name: "/gc/heap/allocs:bytes"}}
 	metrics.Read(allocated)
 	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d allocs=%d alloc-bytes=%d", r.counts,
-		len(r.clients), r.conns, r.dials, len(r.reqs), r.held, allocated[0].Value.Uint64(), allocated[1].Value.Uint64())
+		len(r.clients), r.conns, r.dials, len(r.requests), r.held, allocated[0].Value.Uint64(), allocated[1].Value.Uint64())
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -105,8 +105,8 @@
 	cfg := config.Config{Listen: "-", Limits: config.Limits{Resp: resp.Bounds{Bulk: 1 << 16, Line: 1 << 10, Args: 8},
 		Descriptors: 100, Upstreams: 50, Clients: 50, Askers: 50, Silent: 2e6, Slow: 2e6, MostDescriptors: 110, Pipeline: 10, HeldBytes: 1 << 20, ClientIn: 1 << 20, ClientOut: 1 << 20, Buffered: 1 << 20}}
 	cfg.Limits.Origin = httpwire.Bounds{Head: 1 << 10, Body: 1 << 16}
-	cfg.Settings = routing.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxWriteOuts: 1,
-		Methods: []routing.MethodSettings{{Name: "pay", Effect: routing.NonRetryable, LatencyBudget: 5e6, Criticality: 1}}}
+	cfg.Settings = routing.Settings{Routers: 1, Aside: true, OriginKind: "origin", Resolution: 1e3, MaxAttempts: 1,
+		Methods: []routing.MethodSettings{{Name: "pay", Effect: routing.NonIdempotent, LatencyBudget: 5e6, Criticality: 1}}}
 	cfg.Known = []byte(`{"rev":1,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"}]}`)
 	return cfg
 }
@@ -172,12 +172,12 @@
 			_ = l.Close(origin)
 		}
 		l.rounds()
-		fmt.Printf("%s: %q, then %d reqs and %d bytes held\n", c.name, client.wrote, len(l.r.reqs), l.r.held)
+		fmt.Printf("%s: %q, then %d reqs and %d bytes held\n", c.name, client.wrote, len(l.r.requests), l.r.held)
 	}
 	// Output:
-	// all had left: "-ERR failed\r\n", then 0 reqs and 0 bytes held
-	// some was still in our buffer: "-BUSY\r\n", then 0 reqs and 0 bytes held
-	// the write itself failed: "-BUSY\r\n", then 0 reqs and 0 bytes held
+	// all had left: "-ERR failed\r\n", then 0 requests and 0 bytes held
+	// some was still in our buffer: "-BUSY\r\n", then 0 requests and 0 bytes held
+	// the write itself failed: "-BUSY\r\n", then 0 requests and 0 bytes held
 }
 
 // gnet writes out what is buffered after OnClose. What was told as never run must not run all the same.
@@ -266,16 +266,16 @@
 	client.asks(l.r, "r1")
 	l.r.listCame(list)
 	l.rounds()
-	if client.wrote != "-BUSY\r\n" || strings.Contains(origin.wrote, "r1") || len(l.r.reqs) != 0 {
-		t.Errorf("the client got %q, the server %q, and %d reqs are left", client.wrote, origin.wrote, len(l.r.reqs))
+	if client.wrote != "-BUSY\r\n" || strings.Contains(origin.wrote, "r1") || len(l.r.requests) != 0 {
+		t.Errorf("the client got %q, the server %q, and %d reqs are left", client.wrote, origin.wrote, len(l.r.requests))
 	}
 
 	l, client, origin = newNoted(t)
 	client.asks(l.r, "r1")
 	_ = l.Close(client)
 	l.rounds()
-	if origin.wrote != "" || len(l.r.reqs) != 0 || l.r.counts.Left != 1 {
-		t.Errorf("the server got %q, and %d reqs are left", origin.wrote, len(l.r.reqs))
+	if origin.wrote != "" || len(l.r.requests) != 0 || l.r.counts.Left != 1 {
+		t.Errorf("the server got %q, and %d reqs are left", origin.wrote, len(l.r.requests))
 	}
 }
 
@@ -323,7 +323,7 @@
 	l.r.lim.Upstreams = 1
 	client.asks(l.r, "r1", "r2")
 	l.rounds()
-	if strings.Count(origin.wrote, "PUT /k") != 1 || l.r.dials != 0 || l.r.counts.WriteOuts != 2 {
+	if strings.Count(origin.wrote, "PUT /k") != 1 || l.r.dials != 0 || l.r.counts.Attempts != 2 {
 		t.Errorf("%q, %d dials, %+v", origin.wrote, l.r.dials, l.r.counts)
 	}
 	origin.in = []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -185,7 +185,7 @@
 // connection may have run for all that is known, so it is looked at where that forbids another try. The rest is told by the
 // loop in time, or tried again.
 func (up *upstream) open(w *attempt) bool {
-	if up.r.cfg.Settings.Methods[w.q.method].Effect == routing.Retryable || !up.used {
+	if up.r.cfg.Settings.Methods[w.q.method].Effect == routing.Idempotent || !up.used {
 		return true
 	}
 	var one [1]byte
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,8 +17,8 @@
 	Figures = map[string]routing.Figure{"avg_ms": routing.FigureServiceTime, "waiting": routing.FigureQueue,
 		"active": routing.FigureInFlight, "cpu": routing.FigureBusy, "err_rps": routing.FigureErrors,
 		"x0": routing.FigureHits}
-	effects = map[string]routing.Effect{"free": routing.Retryable, "guarded": routing.Deduplicated,
-		"single_shot": routing.NonRetryable}
+	effects = map[string]routing.Effect{"free": routing.Idempotent, "guarded": routing.Deduplicated,
+		"single_shot": routing.NonIdempotent}
 	groups = map[string]routing.Group{"": routing.GroupAll, "all": routing.GroupAll, "zone": routing.GroupZone,
 		"cell": routing.GroupCell}
 )
@@ -103,7 +103,7 @@
 	case p.Rules == nil:
 		return s, errors.New("rules: missing; give the object, as the service was told it")
 	case p.Limits.SendCap == nil || *p.Limits.SendCap < 1:
-		return s, errors.New("policy-limits.send-cap: missing or below 1; say how many write-outs a req may have")
+		return s, errors.New("policy-limits.send-cap: missing or below 1; say how many attempts a request may have")
 	case p.Discovery != "pushed" && p.Discovery != "on_request":
 		return s, fmt.Errorf("discovery: %q; say pushed or on_request", p.Discovery)
 	case p.Domain.Mode != "aside" && p.Domain.Mode != "through":
@@ -133,7 +133,7 @@
 	s.ConnectionFee, s.HandshakeFee = p.Fees.Connection, p.Fees.Handshake
 	l, u := p.Limits, p.Rules
 	s.MayCancel, s.MayProbe, s.MayTwoAtOnce = l.Cancel, l.Probes, l.Parallel
-	s.MaxWriteOuts, s.MaxHint, s.ConnectTimeout = *l.SendCap, Micros(l.MaxHint), Micros(l.Connect)
+	s.MaxAttempts, s.MaxHint, s.ConnectTimeout = *l.SendCap, Micros(l.MaxHint), Micros(l.Connect)
 	if !l.Hint {
 		s.MaxHint = 0
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 
 // Request is one request as it is passed on. Its bytes belong to it until it is over.
 type Request struct {
-	ID    routing.ReqID
+	ID    routing.RequestID
 	Key   []byte
 	Props Props
 	Value []byte // of a write
