--- a/cmd/spurctl/fleet.go
+++ b/cmd/spurctl/fleet.go
@@ -31,10 +31,10 @@
 
 // answer is what a router's door said.
 type answer struct {
-	Door  string            `json:"door"`
-	View  *membership.Whole `json:"view"`
-	Tiers *hierarchy.Status `json:"tiers,omitempty"` // of a tiered fleet, whose view is of the site alone
-	Error string            `json:"error,omitempty"`
+	Door  string               `json:"door"`
+	View  *membership.Snapshot `json:"view"`
+	Tiers *hierarchy.Status    `json:"tiers,omitempty"` // of a tiered fleet, whose view is of the site alone
+	Error string               `json:"error,omitempty"`
 }
 
 // askFleet asks all admin endpoints at once.
@@ -49,7 +49,7 @@
 				all[i].Error = err.Error()
 				return
 			}
-			all[i].View, all[i].Tiers = &w.Whole, w.Tiers
+			all[i].View, all[i].Tiers = &w.Snapshot, w.Tiers
 		})
 	}
 	wg.Wait()
@@ -58,7 +58,7 @@
 
 // seen is what an admin endpoint shows.
 type seen struct {
-	membership.Whole
+	membership.Snapshot
 	Tiers *hierarchy.Status `json:"tiers"`
 }
 
@@ -131,7 +131,7 @@
 	return d.Round(100 * time.Millisecond).String()
 }
 
-func printView(out io.Writer, w membership.Whole) error {
+func printView(out io.Writer, w membership.Snapshot) error {
 	state := "not settled"
 	if w.Settled {
 		state = "settled"
@@ -177,7 +177,7 @@
 				}
 				return fleetVerdict(all)
 			}
-			var first *membership.Whole
+			var first *membership.Snapshot
 			var tiers *hierarchy.Status
 			for _, a := range all {
 				switch {
@@ -241,7 +241,7 @@
 	case now.View == nil:
 		return nil
 	}
-	w, before := *now.View, membership.Whole{}
+	w, before := *now.View, membership.Snapshot{}
 	if was.View != nil {
 		before = *was.View
 	}
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -38,8 +38,8 @@
 	Follows Process // of the same router, which it takes over from while that serves; 0: none
 }
 
-// Word is what a process says of itself now. Of two words the one with the higher Seq holds, however late it comes.
-type Word struct {
+// Heartbeat is what a process says of itself now. Of two words the one with the higher Seq holds, however late it comes.
+type Heartbeat struct {
 	Process  Process
 	Seq      uint64
 	Takes    bool    // it takes clients
@@ -116,7 +116,7 @@
 // process is one life of a router.
 type process struct {
 	Member
-	word  Word
+	word  Heartbeat
 	there bool  // Member was heard
 	state State // Alive, Lost or Left
 	since Micros
@@ -148,13 +148,13 @@
 	state    State
 	process  Process
 	conflict bool
-	word     Word
+	word     Heartbeat
 }
 
 // New begins with the own process alone.
 func New(now Micros, rules Rules, me Member) *View {
 	v := &View{rules: rules, me: me, procs: map[Process]*process{}, last: map[Name]row{}, changed: now, since: now}
-	v.procs[me.Process] = &process{Member: me, word: Word{Process: me.Process, Seq: 1}, there: true, state: Alive, since: now, heard: now}
+	v.procs[me.Process] = &process{Member: me, word: Heartbeat{Process: me.Process, Seq: 1}, there: true, state: Alive, since: now, heard: now}
 	v.callAt = now + rules.Call
 	v.look(now)
 	return v
@@ -190,7 +190,7 @@
 }
 
 // Said takes in a process's word. It tells whether it is news, which is passed on.
-func (v *View) Said(now Micros, w Word) bool {
+func (v *View) Said(now Micros, w Heartbeat) bool {
 	p := v.process(now, w.Process)
 	if p == nil || w.Process == v.me.Process || w.Seq <= p.word.Seq {
 		return false
@@ -211,26 +211,26 @@
 
 // Say sets what this router says of itself beyond what the view knows. It tells whether the own word is another now.
 func (v *View) Say(now Micros, takes, draining bool) bool {
-	w := v.Word()
+	w := v.Heartbeat()
 	w.Takes, w.Draining = takes, draining
 	return v.say(now, w)
 }
 
 // SayMore sets the rest of what this router says of itself. It tells whether the own word is another now.
-func (v *View) SayMore(now Micros, change func(*Word)) bool {
-	w := v.Word()
+func (v *View) SayMore(now Micros, change func(*Heartbeat)) bool {
+	w := v.Heartbeat()
 	change(&w)
 	return v.say(now, w)
 }
 
 // End says that this process ends: in order, or to one that follows.
 func (v *View) End(now Micros, passing bool) {
-	w := v.Word()
+	w := v.Heartbeat()
 	w.Passing, w.Left = passing, !passing
 	v.say(now, w)
 }
 
-func (v *View) say(now Micros, w Word) bool {
+func (v *View) say(now Micros, w Heartbeat) bool {
 	me := v.procs[v.me.Process]
 	if w == me.word {
 		return false
@@ -318,18 +318,18 @@
 	return slices.Compact(all)
 }
 
-// Word is what this process says of itself.
-func (v *View) Word() Word { return v.procs[v.me.Process].word }
+// Heartbeat is what this process says of itself.
+func (v *View) Heartbeat() Heartbeat { return v.procs[v.me.Process].word }
 
-// Words are all that have been heard, for a router that has just come.
-func (v *View) Words() []Word {
-	var all []Word
+// Heartbeats are all that have been heard, for a router that has just come.
+func (v *View) Heartbeats() []Heartbeat {
+	var all []Heartbeat
 	for _, p := range v.procs {
 		if p.word.Seq > 0 {
 			all = append(all, p.word)
 		}
 	}
-	slices.SortFunc(all, func(a, b Word) int { return cmp.Compare(a.Process, b.Process) })
+	slices.SortFunc(all, func(a, b Heartbeat) int { return cmp.Compare(a.Process, b.Process) })
 	return all
 }
 
@@ -495,11 +495,11 @@
 // Digest is that of the view, and whether all of the living have said the same for a while.
 func (v *View) Digest() (digest uint64, settled bool) { return v.digest, v.settled }
 
-// WordOf is what a process last said of itself; false where nothing of it was heard.
-func (v *View) WordOf(id Process) (Word, bool) {
+// HeartbeatOf is what a process last said of itself; false where nothing of it was heard.
+func (v *View) HeartbeatOf(id Process) (Heartbeat, bool) {
 	p := v.procs[id]
 	if p == nil || p.word.Seq == 0 {
-		return Word{}, false
+		return Heartbeat{}, false
 	}
 	return p.word, true
 }
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -78,7 +78,7 @@
 			case "heard":
 				v.Heard(now, id())
 			case "said":
-				w := Word{Process: id(), Digest: v.digest}
+				w := Heartbeat{Process: id(), Digest: v.digest}
 				seq[w.Process]++
 				w.Seq = seq[w.Process]
 				for _, x := range words[3:] {
@@ -120,7 +120,7 @@
 				t.Fatalf("what is %q?", words[1])
 			}
 			log()
-			w := v.Whole(now)
+			w := v.Snapshot(now)
 			out := fmt.Sprintf("settled=%v", w.Settled)
 			for _, r := range w.Routers {
 				out += fmt.Sprintf(" %s/%s:%v", r.Name, r.Incarnation, r.State)
@@ -155,14 +155,14 @@
 	for range 300 {
 		n := 1 + rng.IntN(5)
 		var members []Member
-		var words []Word
+		var words []Heartbeat
 		for i := range n {
 			name := Name(strconv.Itoa(i))
 			for range 1 + rng.IntN(2) {
 				p := Process(10 + rng.IntN(40))
 				members = append(members, Member{Name: name, Site: "s", Process: p, Started: int64(p), Addr: fmt.Sprint(p)})
 				for seq := range uint64(3) {
-					words = append(words, Word{Process: p, Seq: seq + 2, Takes: rng.IntN(2) == 0, Revision: uint64(rng.IntN(2))})
+					words = append(words, Heartbeat{Process: p, Seq: seq + 2, Takes: rng.IntN(2) == 0, Revision: uint64(rng.IntN(2))})
 				}
 			}
 		}
@@ -174,7 +174,7 @@
 				kept = append(kept, m)
 			}
 		}
-		last := map[Process]Word{}
+		last := map[Process]Heartbeat{}
 		for i, w := range words { // and a word has one content
 			if l, ok := last[w.Process]; ok && l.Seq >= w.Seq {
 				words[i] = l
@@ -201,7 +201,7 @@
 			}
 			digest = v.digest
 			text := ""
-			for _, r := range v.Whole(1).Routers {
+			for _, r := range v.Snapshot(1).Routers {
 				text += fmt.Sprintln(r.Name, r.Site, r.Incarnation, r.Takes, r.Draining, r.Conflict, r.Revision)
 			}
 			if was, known := stands[digest]; known && was != text {
@@ -212,12 +212,12 @@
 	}
 }
 
-// Words of processes that nobody has seen do not grow without end, and leave room again.
+// Heartbeats of processes that nobody has seen do not grow without end, and leave room again.
 func TestFloodOfWordsIsBounded(t *testing.T) {
 	r := rules()
 	v := New(0, r, member([]string{"me/1"}))
 	for i := range Process(100000) {
-		v.Said(1e6, Word{Process: 10 + i, Seq: 1})
+		v.Said(1e6, Heartbeat{Process: 10 + i, Seq: 1})
 	}
 	if len(v.procs) > 4*r.Addresses {
 		t.Errorf("%d processes are held", len(v.procs))
--- a/core/membership/snapshot.go
+++ b/core/membership/snapshot.go
@@ -34,8 +34,8 @@
 	Of    int  `json:"of"`
 }
 
-// Whole is a view as people are shown it.
-type Whole struct {
+// Snapshot is a view as people are shown it.
+type Snapshot struct {
 	Fleet    string      `json:"fleet"`
 	By       Name        `json:"by"`
 	Digest   string      `json:"digest"`
@@ -47,9 +47,9 @@
 	Routers  []Router    `json:"routers"`
 }
 
-// Whole is the view as of now.
-func (v *View) Whole(now Micros) Whole {
-	w := Whole{Fleet: v.me.Fleet, By: v.me.Name, Digest: hex(v.digest), Settled: v.settled, For: now - v.since,
+// Snapshot is the view as of now.
+func (v *View) Snapshot(now Micros) Snapshot {
+	w := Snapshot{Fleet: v.me.Fleet, By: v.me.Name, Digest: hex(v.digest), Settled: v.settled, For: now - v.since,
 		Disagree: v.Disagree(), Out: v.Out()}
 	if w.Disagree == nil {
 		w.Disagree = []Name{}
@@ -88,7 +88,7 @@
 
 // Out tells why this process has to keep out of service; empty: it has not.
 func (v *View) Out() string {
-	if !v.Word().Out {
+	if !v.Heartbeat().Out {
 		return ""
 	}
 	for _, p := range v.living(v.me.Name) {
@@ -113,7 +113,7 @@
 	seen := map[Name]bool{}
 	for name, ps := range v.names() {
 		p, state, conflict := v.speaker(name, ps)
-		now := row{state, p.Process, conflict, Word{Takes: p.word.Takes, Draining: p.word.Draining, Revision: p.word.Revision}}
+		now := row{state, p.Process, conflict, Heartbeat{Takes: p.word.Takes, Draining: p.word.Draining, Revision: p.word.Revision}}
 		was, known := v.last[name]
 		seen[name] = true
 		if known && was == now {
@@ -169,7 +169,7 @@
 }
 
 // Differ tells where two views are not the same, a line each: who is held to be what by whom. Ages do not count.
-func Differ(a, b Whole) (lines []string) {
+func Differ(a, b Snapshot) (lines []string) {
 	show := func(r Router, there bool) string {
 		if !there {
 			return "not there"
@@ -190,7 +190,7 @@
 	}
 	rows := [2]map[Name]Router{{}, {}}
 	var names []Name
-	for i, w := range []Whole{a, b} {
+	for i, w := range []Snapshot{a, b} {
 		for _, r := range w.Routers {
 			rows[i][r.Name] = r
 			names = append(names, r.Name)
--- a/core/policycommit/ask.go
+++ b/core/policycommit/ask.go
@@ -18,15 +18,15 @@
 
 // Reply is the leader's answer.
 type Reply struct {
-	ID        uint64     `json:"id"`
-	Error     string     `json:"error,omitempty"`
-	Verdict   *Verdict   `json:"verdict,omitempty"`
-	Current   Revision   `json:"current"`
-	Pending   *Change    `json:"pending,omitempty"`
-	History   []Change   `json:"history,omitempty"`
-	Said      []Entry    `json:"said,omitempty"`
-	Standings []Standing `json:"standings,omitempty"`
-	Keepers   []string   `json:"keepers,omitempty"`
+	ID        uint64          `json:"id"`
+	Error     string          `json:"error,omitempty"`
+	Verdict   *Verdict        `json:"verdict,omitempty"`
+	Current   Revision        `json:"current"`
+	Pending   *Change         `json:"pending,omitempty"`
+	History   []Change        `json:"history,omitempty"`
+	Said      []Entry         `json:"said,omitempty"`
+	Standings []FollowerState `json:"standings,omitempty"`
+	Keepers   []string        `json:"keepers,omitempty"`
 
 	Sites *sitefailover.Status `json:"sites,omitempty"`
 	Plan  string               `json:"plan,omitempty"` // the document that it is of
--- a/core/policycommit/explore_test.go
+++ b/core/policycommit/explore_test.go
@@ -27,12 +27,12 @@
 
 type state struct {
 	now     Micros
-	book    *Book
-	council *Council
-	routers []*Holder
+	book    *LogState
+	council *Leader
+	routers []*Follower
 	procs   []Process
 	asks    []*Renewal // under way, by router
-	grants  []*Grant
+	grants  []*Lease
 	first   map[Revision]Micros // when a revision could first be served, anywhere
 	budget  [5]int              // proposals, losses, doubles, crashes, leaders
 	left    []int               // askings, by router
@@ -44,14 +44,14 @@
 	l := *s.council
 	l.heard = maps.Clone(s.council.heard)
 	c.council = &l
-	c.routers = make([]*Holder, len(s.routers))
+	c.routers = make([]*Follower, len(s.routers))
 	for i, h := range s.routers {
 		x := *h
 		c.routers[i] = &x
 	}
 	c.procs = append([]Process(nil), s.procs...)
 	c.left = append([]int(nil), s.left...)
-	c.asks, c.grants = append([]*Renewal(nil), s.asks...), append([]*Grant(nil), s.grants...)
+	c.asks, c.grants = append([]*Renewal(nil), s.asks...), append([]*Lease(nil), s.grants...)
 	c.first = maps.Clone(s.first)
 	return &c
 }
@@ -105,7 +105,7 @@
 		return
 	}
 	for i, h := range s.routers { // who could take a request now, and under what
-		until := h.Takes(s.now)
+		until := h.AcceptsUntil(s.now)
 		if x.bug == "a lease is not looked at" {
 			until = 0
 		}
@@ -154,7 +154,7 @@
 		})
 	}
 	if s.budget[4] > 0 {
-		next(func(c *state) { c.budget[4]--; c.council = NewCouncil(c.now, ticks, 3) })
+		next(func(c *state) { c.budget[4]--; c.council = NewLeader(c.now, ticks, 3) })
 	}
 	for i, h := range s.routers {
 		if s.asks[i] == nil && s.grants[i] == nil && s.left[i] > 0 {
@@ -201,7 +201,7 @@
 			next(func(c *state) {
 				c.budget[3]--
 				c.procs[i] += 10
-				c.routers[i] = NewHolder(ticks, h.name, c.procs[i], h.serves, "", h.check)
+				c.routers[i] = NewFollower(ticks, h.name, c.procs[i], h.serves, "", h.check)
 			})
 		}
 	}
@@ -209,19 +209,19 @@
 
 func explore(serves []bool, span Micros, asks []int, budget [5]int, bug string) *scope {
 	x := &scope{ticks: span, visited: map[[16]byte]struct{}{}, bug: bug}
-	s := &state{book: &Book{}, council: NewCouncil(0, ticks, 3), first: map[Revision]Micros{}, budget: budget}
+	s := &state{book: &LogState{}, council: NewLeader(0, ticks, 3), first: map[Revision]Micros{}, budget: budget}
 	for i, serve := range serves {
 		p := Process(i + 1)
 		name := Name(fmt.Sprint("r", i))
 		s.book.Apply(s.book.Index+1, Entry{Kind: Enter, Name: name, Process: p, Serves: serve})
 		s.procs, s.left = append(s.procs, p), append(s.left, asks[i])
-		h := NewHolder(ticks, name, p, serve, "", func(string) error { return nil })
+		h := NewFollower(ticks, name, p, serve, "", func(string) error { return nil })
 		if g, ok, _ := s.council.Answer(0, s.book, h.renewal(0)); ok { // all begin as told of revision 0
 			h.Granted(0, g)
 		}
 		s.routers = append(s.routers, h)
 	}
-	s.asks, s.grants = make([]*Renewal, len(serves)), make([]*Grant, len(serves))
+	s.asks, s.grants = make([]*Renewal, len(serves)), make([]*Lease, len(serves))
 	x.run(s)
 	return x
 }
--- a/core/policycommit/holder.go
+++ b/core/policycommit/follower.go
@@ -1,7 +1,7 @@
 package policycommit
 
-// Holder is a router's side. It is not safe for use by several goroutines at once.
-type Holder struct {
+// Follower is a router's side. It is not safe for use by several goroutines at once.
+type Follower struct {
 	rules    Rules
 	name     Name
 	process  Process
@@ -14,7 +14,7 @@
 	index    Index
 	until    Micros // of the last grant
 	prepared Token
-	at       Index // of the book when it prepared
+	at       Index // of the log state when it prepared
 	refused  Token
 	why      string
 	leaving  bool
@@ -24,13 +24,13 @@
 	began    bool
 }
 
-// NewHolder begins with nothing known: a router that begins takes no client before it is told what is in force.
-func NewHolder(rules Rules, name Name, process Process, serves bool, build string, check func(doc string) error) *Holder {
-	return &Holder{rules: rules, name: name, process: process, serves: serves, build: build, check: check, answered: true}
+// NewFollower begins with nothing known: a router that begins takes no client before it is told what is in force.
+func NewFollower(rules Rules, name Name, process Process, serves bool, build string, check func(doc string) error) *Follower {
+	return &Follower{rules: rules, name: name, process: process, serves: serves, build: build, check: check, answered: true}
 }
 
 // Ask is what to ask with now, if it is time. It is asked of whoever leads.
-func (h *Holder) Ask(now Micros) (r Renewal, due bool) {
+func (h *Follower) Ask(now Micros) (r Renewal, due bool) {
 	wait := h.rules.Ask
 	if !h.answered {
 		wait = h.rules.Again
@@ -42,20 +42,20 @@
 	return h.renewal(now), true
 }
 
-func (h *Holder) renewal(now Micros) Renewal {
+func (h *Follower) renewal(now Micros) Renewal {
 	return Renewal{Name: h.name, Process: h.process, At: now, Serves: h.serves, Build: h.build, Held: h.revision, Index: h.index,
 		Prepared: h.prepared, Refused: h.refused, Why: h.why, Leaving: h.leaving}
 }
 
 // Leave has it take nothing more, for good, and is what to say then.
-func (h *Holder) Leave(now Micros) Renewal {
+func (h *Follower) Leave(now Micros) Renewal {
 	h.leaving = true
 	return h.renewal(now)
 }
 
 // Granted takes in an answer. adopt: another revision is in force, and holds from here on. Askings are to go out at once
 // where one has prepared: prepared is told before anything else is taken.
-func (h *Holder) Granted(now Micros, g Grant) (adopt, news bool) {
+func (h *Follower) Granted(now Micros, g Lease) (adopt, news bool) {
 	// By its own clock: one from the future is of another process, and one of an older book says nothing that holds.
 	if g.Process != h.process || g.At > now || g.Index < h.index || h.leaving {
 		return false, false
@@ -92,28 +92,28 @@
 	return adopt, news
 }
 
-// Bequest is what a process leaves, again and again, to the one that takes over from it and cannot ask the leader yet. It
+// LeaseTransfer is what a process leaves, again and again, to the one that takes over from it and cannot ask the leader yet. It
 // counts for no longer than what the process itself could still take by, had it just promised a change: so whatever it
 // promises later, its heir stops in time.
-type Bequest struct {
+type LeaseTransfer struct {
 	Revision Revision
 	Index    Index
 	Doc      string
 	For      Micros
 }
 
-// Bequeath is what to leave now; false: nothing.
-func (h *Holder) Bequeath(now Micros) (Bequest, bool) {
-	until := h.Takes(now)
+// Transfer is what to leave now; false: nothing.
+func (h *Follower) Transfer(now Micros) (LeaseTransfer, bool) {
+	until := h.AcceptsUntil(now)
 	if until == 0 {
 		until = now + h.rules.Lease
 	}
-	return Bequest{h.revision, h.index, h.doc, until - now}, h.knows && until > now
+	return LeaseTransfer{h.revision, h.index, h.doc, until - now}, h.knows && until > now
 }
 
 // Inherit takes in what the process before this one left. adopt: another revision is in force here. What the leader has
 // granted to this process itself goes before it.
-func (h *Holder) Inherit(now Micros, b Bequest) (adopt bool) {
+func (h *Follower) Inherit(now Micros, b LeaseTransfer) (adopt bool) {
 	if h.granted || h.leaving || h.knows && b.Revision < h.revision || b.For <= 0 {
 		return false
 	}
@@ -124,11 +124,11 @@
 }
 
 // Held is the revision in force here, and its document; false: it was not told yet.
-func (h *Holder) Held() (Revision, string, bool) { return h.revision, h.doc, h.knows }
+func (h *Follower) Held() (Revision, string, bool) { return h.revision, h.doc, h.knows }
 
-// Takes tells until when it may take clients: a time, or for ever (0) where it serves on when cut off and has promised
+// AcceptsUntil tells until when it may take clients: a time, or for ever (0) where it serves on when cut off and has promised
 // nothing. Not at all is a time that is past.
-func (h *Holder) Takes(now Micros) (until Micros) {
+func (h *Follower) AcceptsUntil(now Micros) (until Micros) {
 	switch {
 	case !h.knows || h.leaving:
 		return now
@@ -139,4 +139,4 @@
 }
 
 // Prepared is the change that it could hold and that is not resolved here; empty: there is none.
-func (h *Holder) Prepared() Token { return h.prepared }
+func (h *Follower) Prepared() Token { return h.prepared }
--- a/core/policycommit/lend_test.go
+++ b/core/policycommit/lend_test.go
@@ -13,7 +13,7 @@
 	const seats, tick = 5, Micros(50e3)
 	r := rand.New(rand.NewPCG(seed, 6))
 	type router struct {
-		holder  *Holder
+		holder  *Follower
 		name    Name
 		process Process
 		rate    float64 // of its clock
@@ -23,7 +23,7 @@
 		extra   float64
 		last    Micros // when it last could take, by the one clock
 	}
-	book, council := &Book{}, NewCouncil(0, rules, seats)
+	book, council := &LogState{}, NewLeader(0, rules, seats)
 	index := Index(0)
 	put := func(e Entry) {
 		index++
@@ -34,7 +34,7 @@
 	start := func(x *router) {
 		process++
 		x.process, x.up, x.extra = process, true, 0
-		x.holder = NewHolder(rules, x.name, process, false, "", func(string) error { return nil })
+		x.holder = NewFollower(rules, x.name, process, false, "", func(string) error { return nil })
 	}
 	for i := range routers {
 		routers[i] = &router{name: Name(fmt.Sprint("r", i)), rate: 1 - 0.01*r.Float64(), last: -1 << 50}
@@ -43,7 +43,7 @@
 	type late struct {
 		at    Micros
 		to    *router
-		grant Grant
+		grant Lease
 	}
 	var way []late
 	calm := false
@@ -61,7 +61,7 @@
 			case 6, 7:
 				x.stalled = false
 			case 8:
-				council = NewCouncil(now, rules, seats)
+				council = NewLeader(now, rules, seats)
 			}
 		}
 		if e := council.Lend(now, book); e != nil && r.IntN(3) > 0 {
@@ -87,7 +87,7 @@
 					}
 				}
 			}
-			if x.up && x.holder.Takes(own) > own {
+			if x.up && x.holder.AcceptsUntil(own) > own {
 				x.last = now
 			}
 			if now-x.last < rules.Rest { // what it had in hand
--- a/core/policycommit/bequest_test.go
+++ b/core/policycommit/transfer_test.go
@@ -4,29 +4,29 @@
 
 // What a process leaves to the next one ends as its own would: after a promise no later than its grant, and never later than a
 // lease from when it was left, also where it may serve for ever.
-func ExampleHolder_Inherit() {
+func ExampleFollower_Inherit() {
 	sure := func(string) error { return nil }
 	rules := DefaultRules()
 	for _, serves := range []bool{false, true} {
-		old, heir := NewHolder(rules, "r", 1, serves, "", sure), NewHolder(rules, "r", 2, serves, "", sure)
+		old, heir := NewFollower(rules, "r", 1, serves, "", sure), NewFollower(rules, "r", 2, serves, "", sure)
 		show := func(now Micros) {
-			b, ok := old.Bequeath(now)
+			b, ok := old.Transfer(now)
 			if ok {
 				fmt.Printf("adopts %v, ", heir.Inherit(now, b))
 			}
 			r, _, knows := heir.Held()
-			fmt.Printf("left %v, revision %d %v, until %d ms\n", ok, r, knows, heir.Takes(now)/1e3)
+			fmt.Printf("left %v, revision %d %v, until %d ms\n", ok, r, knows, heir.AcceptsUntil(now)/1e3)
 		}
 		fmt.Println("serves when cut off:", serves)
 		show(0)
-		old.Granted(100e3, Grant{Process: 1, At: 0, For: rules.Lease, Index: 5, Revision: 3})
+		old.Granted(100e3, Lease{Process: 1, At: 0, For: rules.Lease, Index: 5, Revision: 3})
 		show(100e3)
-		old.Granted(300e3, Grant{Process: 1, At: 300e3, For: rules.Lease, Index: 6, Revision: 3, Pending: "t", Prepare: "doc"})
+		old.Granted(300e3, Lease{Process: 1, At: 300e3, For: rules.Lease, Index: 6, Revision: 3, Pending: "t", Prepare: "doc"})
 		show(400e3)
-		old.Granted(500e3, Grant{Process: 1, At: 450e3, For: rules.Lease, Index: 8, Revision: 4, Doc: "doc"})
+		old.Granted(500e3, Lease{Process: 1, At: 450e3, For: rules.Lease, Index: 8, Revision: 4, Doc: "doc"})
 		show(500e3)
 		// What the leader grants the heir itself goes before all that is left.
-		heir.Granted(600e3, Grant{Process: 2, At: 600e3, For: rules.Lease, Index: 9, Revision: 5})
+		heir.Granted(600e3, Lease{Process: 2, At: 600e3, For: rules.Lease, Index: 9, Revision: 5})
 		show(700e3)
 	}
 	// Output:
--- a/core/sharelease/sharelease.go
+++ b/core/sharelease/sharelease.go
@@ -27,16 +27,16 @@
 
 // Rules are the spans of lending.
 type Rules struct {
-	Lease   Micros // for which a piece is lent to each asking
-	Bequest Micros // the same, by one that ends: it cannot be asked again
-	Ask     Micros // between two askings, or recalls
-	Slack   Micros // what a lender waits longer, beside a hundredth of the span for clocks that do not run alike
+	Lease    Micros // for which a piece is lent to each asking
+	Transfer Micros // the same, by one that ends: it cannot be asked again
+	Ask      Micros // between two askings, or recalls
+	Slack    Micros // what a lender waits longer, beside a hundredth of the span for clocks that do not run alike
 }
 
 // DefaultRules: a lease is renewed three times over, since packets get lost; a bequest covers a restart, and is the time
 // for which a start that reaches nobody does without the pieces.
 func DefaultRules() Rules {
-	return Rules{Lease: 2e6, Bequest: 10e6, Ask: 500e3, Slack: 50e3}
+	return Rules{Lease: 2e6, Transfer: 10e6, Ask: 500e3, Slack: 50e3}
 }
 
 // Kind is what a message says.
@@ -84,8 +84,8 @@
 	from  Process
 }
 
-// Parts is one process's side. It is not safe for use by several goroutines at once.
-type Parts struct {
+// Leases is one process's side. It is not safe for use by several goroutines at once.
+type Leases struct {
 	rules   Rules
 	seats   int
 	me      Seat
@@ -106,31 +106,31 @@
 func Least(seats int) float64 { return keeps / float64(max(1, seats)) }
 
 // New begins with all pieces out, as the process before may have left them; clear says that it has lent none.
-func New(now Micros, rules Rules, seats int, me Seat, process Process, clear bool) *Parts {
-	p := &Parts{rules: rules, seats: max(1, seats), me: me, process: process, out: map[Seat]loan{}, has: map[Seat]held{},
+func New(now Micros, rules Rules, seats int, me Seat, process Process, clear bool) *Leases {
+	p := &Leases{rules: rules, seats: max(1, seats), me: me, process: process, out: map[Seat]loan{}, has: map[Seat]held{},
 		refuse: map[Seat]Micros{}, asked: map[Seat]Micros{}, waiting: map[Seat]Message{}}
 	for s := range p.seats {
 		if s := Seat(s); s != me && !clear {
-			p.out[s] = loan{until: p.later(now, rules.Bequest)}
+			p.out[s] = loan{until: p.later(now, rules.Transfer)}
 		}
 	}
 	return p
 }
 
 // later is the end of a span as its lender counts it.
-func (p *Parts) later(now, span Micros) Micros { return now + span + span/100 + p.rules.Slack }
+func (p *Leases) later(now, span Micros) Micros { return now + span + span/100 + p.rules.Slack }
 
 // Lend has the router lend its pieces, or take them back. Share without them has to be in force before: call it then.
 // ends says that the process is about to end.
-func (p *Parts) Lend(on, ends bool) { p.lends, p.ends = on, ends }
+func (p *Leases) Lend(on, ends bool) { p.lends, p.ends = on, ends }
 
 // Lent is the share while the router lends.
-func (p *Parts) Lent() Share {
+func (p *Leases) Lent() Share {
 	return Share{Now: Least(p.seats), Then: Least(p.seats)}
 }
 
 // Share is what may be used.
-func (p *Parts) Share(now Micros) Share {
+func (p *Leases) Share(now Micros) Share {
 	if p.lends {
 		return p.Lent()
 	}
@@ -153,7 +153,7 @@
 	return s
 }
 
-func (p *Parts) piece() float64 {
+func (p *Leases) piece() float64 {
 	if p.seats == 1 {
 		return 0
 	}
@@ -161,7 +161,7 @@
 }
 
 // Step lets time pass. there are the other seats that are there now; takes says that this router could use more.
-func (p *Parts) Step(now Micros, there map[Seat]Peer, takes bool) (send []Message) {
+func (p *Leases) Step(now Micros, there map[Seat]Peer, takes bool) (send []Message) {
 	for s, l := range p.out {
 		if l.until <= now {
 			delete(p.out, s)
@@ -200,8 +200,8 @@
 	return send
 }
 
-// Bequeath answers all that have asked, as the last thing that a process does.
-func (p *Parts) Bequeath(now Micros) (send []Message) {
+// TransferAll answers all that have asked, as the last thing that a process does.
+func (p *Leases) TransferAll(now Micros) (send []Message) {
 	p.Lend(true, true)
 	for _, m := range p.waiting {
 		if a, ok := p.Take(now, m); ok {
@@ -213,7 +213,7 @@
 }
 
 // Take takes in a message, and answers it.
-func (p *Parts) Take(now Micros, m Message) (answer Message, ok bool) {
+func (p *Leases) Take(now Micros, m Message) (answer Message, ok bool) {
 	if m.To != p.me || m.From == p.me || m.From < 0 || int(m.From) >= p.seats {
 		return Message{}, false
 	}
@@ -231,7 +231,7 @@
 		}
 		span := p.rules.Lease
 		if p.ends {
-			span = p.rules.Bequest
+			span = p.rules.Transfer
 		}
 		p.count++
 		p.out[m.From] = loan{until: max(p.out[m.From].until, p.later(now, span)), to: m.Borrower, count: p.count}
--- a/core/sharelease/sharelease_test.go
+++ b/core/sharelease/sharelease_test.go
@@ -19,7 +19,7 @@
 }
 
 type router struct {
-	p       *Parts // nil: it is not there
+	p       *Leases // nil: it is not there
 	process Process
 	offset  int64
 	rate    float64 // of its clock
@@ -128,7 +128,7 @@
 			r.p.Lend(false, false)
 		case act == 6 && (r.p.ends || w.IntN(3) == 0):
 			if live && w.IntN(2) == 0 {
-				w.send(i, r.p.Bequeath(w.clock(r))...)
+				w.send(i, r.p.TransferAll(w.clock(r))...)
 			}
 			r.p = nil
 		case act == 7 || r.stalled:
@@ -164,7 +164,7 @@
 func TestDrainedPartFollows(t *testing.T) {
 	const n = 6
 	rules, now := DefaultRules(), Micros(1e6)
-	var all []*Parts
+	var all []*Leases
 	there := map[Seat]Peer{}
 	for i := range n {
 		all = append(all, New(now, rules, n, Seat(i), Process(i+1), false))
@@ -206,7 +206,7 @@
 	same("taking clients again", 3, 1.0/n)
 	there[0] = Peer{1, true} // it says that it drains, and still sends
 	pass(600e3)
-	for _, m := range all[0].Bequeath(now) {
+	for _, m := range all[0].TransferAll(now) {
 		all[m.To].Take(now, m)
 	}
 	delete(there, 0)
--- a/core/sitefailover/coordinator.go
+++ b/core/sitefailover/coordinator.go
@@ -15,8 +15,8 @@
 	Report Report
 }
 
-// Chief is the leader's side; a new leader begins with a new one. It is not safe for use by several goroutines at once.
-type Chief struct {
+// Coordinator is the leader's side; a new leader begins with a new one. It is not safe for use by several goroutines at once.
+type Coordinator struct {
 	began    Micros
 	sites    map[Site]*watch
 	throttle throttle
@@ -26,8 +26,8 @@
 
 // watch is what the leader has seen of a site.
 type watch struct {
-	ruling  Ruling
-	since   Micros  // it knows of that ruling
+	ruling  Decision
+	since   Micros  // it knows of that decision
 	lost    float64 // the part of the worth let in that was given up then
 	gone    Micros  // since when the evidence is that it is lost; 0: it is not
 	there   Micros  // since when that it is back
@@ -42,21 +42,21 @@
 // soon after its return a loss counts as one more of the same.
 const soon = 60e6
 
-// NewChief begins as leader.
-func NewChief(now Micros) *Chief {
-	return &Chief{began: now, sites: map[Site]*watch{}}
+// NewCoordinator begins as leader.
+func NewCoordinator(now Micros) *Coordinator {
+	return &Coordinator{began: now, sites: map[Site]*watch{}}
 }
 
-// Order is an entry that is to be in the log: what a site counts as from then on. It holds only while Ruling is what the
+// Order is an entry that is to be in the log: what a site counts as from then on. It holds only while Decision is what the
 // site counted as when it was made.
 type Order struct {
 	Site Site
-	On   uint64 // the index of the ruling that it follows
-	Ruling
+	On   uint64 // the index of the decision that it follows
+	Decision
 }
 
 // Step looks at all routers anew. It tells what they are to keep to, and rules on a site where it is time to.
-func (c *Chief) Step(now Micros, p *Plan, rulings map[Site]Ruling, rows []Row) (Orders, *Order) {
+func (c *Coordinator) Step(now Micros, p *Plan, rulings map[Site]Decision, rows []Row) (Orders, *Order) {
 	if !p.On() {
 		c.throttle, c.status = throttle{}, Status{}
 		return Orders{}, nil
@@ -87,7 +87,7 @@
 		if w.ruling.Stage != Lost && now-c.began >= settle && !e.known {
 			there = 0
 		}
-		row := SiteStatus{Ruling: w.ruling, Name: place.Name, Share: share, Bears: bears * share * there, Told: place.Bears > 0, There: there,
+		row := SiteStatus{Decision: w.ruling, Name: place.Name, Share: share, Bears: bears * share * there, Told: place.Bears > 0, There: there,
 			Routers: e.routers, Heard: e.heard}
 		if row.degraded() {
 			trouble = true
@@ -153,7 +153,7 @@
 	return all[len(all)/2]
 }
 
-func (c *Chief) watch(now Micros, site Site, r Ruling, lost float64) *watch {
+func (c *Coordinator) watch(now Micros, site Site, r Decision, lost float64) *watch {
 	w := c.sites[site]
 	if w == nil {
 		w = &watch{since: now}
@@ -282,7 +282,7 @@
 	longestWait   = 10e9 // hours: somebody is to look at it before
 )
 
-// next is the ruling that is due, or what the next one waits for.
+// next is the decision that is due, or what the next one waits for.
 func (w *watch) next(now Micros, p *Plan, e proof, lost, origin float64) (*Order, string) {
 	r := w.ruling
 	after := func(at, span Micros) bool { return at != 0 && now-at >= span }
@@ -298,10 +298,10 @@
 		if r.Index > 0 && now-w.since < soon {
 			fails = r.Fails + 1
 		}
-		return rule(Ruling{Stage: Lost, Fails: fails},
+		return rule(Decision{Stage: Lost, Fails: fails},
 			fmt.Sprintf("%d of %d other sites find its servers silent, and %d of its %d routers are heard", e.against, e.others, e.heard, e.routers)), ""
 	case r.Stage == Returning && after(w.gone, p.LostAfter/2):
-		return rule(Ruling{Stage: Lost, Fails: r.Fails + 1}, fmt.Sprintf("%.0f%% of its servers answer, in step %d of its return", 100*e.there, r.Step+1)), ""
+		return rule(Decision{Stage: Lost, Fails: r.Fails + 1}, fmt.Sprintf("%.0f%% of its servers answer, in step %d of its return", 100*e.there, r.Step+1)), ""
 	case r.Held:
 		return nil, "an operator holds it"
 	case r.Stage == Lost:
@@ -314,7 +314,7 @@
 		case !after(w.there, wait):
 			return nil, fmt.Sprintf("it is to be there for %.1f s", float64(wait)/1e6)
 		}
-		return rule(Ruling{Stage: Returning, Fails: r.Fails}, "its routers and servers are there again"), ""
+		return rule(Decision{Stage: Returning, Fails: r.Fails}, "its routers and servers are there again"), ""
 	case now-w.since < p.Hold:
 		return nil, "the step has just been taken"
 	case e.there < wellThere:
@@ -324,19 +324,19 @@
 	case origin > crowdedOrigin:
 		return nil, fmt.Sprintf("the origin takes %.1f times as long as it should", origin)
 	case r.Step+1 < len(p.Steps):
-		return rule(Ruling{Stage: Returning, Step: r.Step + 1, Fails: r.Fails}, fmt.Sprintf("step %d held", r.Step+1)), ""
+		return rule(Decision{Stage: Returning, Step: r.Step + 1, Fails: r.Fails}, fmt.Sprintf("step %d held", r.Step+1)), ""
 	}
-	return rule(Ruling{Stage: Up, Fails: r.Fails}, "the last step held"), ""
+	return rule(Decision{Stage: Up, Fails: r.Fails}, "the last step held"), ""
 }
 
-func rule(r Ruling, reason string) *Order {
+func rule(r Decision, reason string) *Order {
 	r.By, r.Reason = "evidence", reason
-	return &Order{Ruling: r}
+	return &Order{Decision: r}
 }
 
 // Spare is how a lost site's keys are to go to the servers of the others. None: evenly, since it is nearly that, or nothing is
 // known. It is settled once for a loss, since each change moves keys.
-func (c *Chief) Spare(p *Plan, site Site, rulings map[Site]Ruling) []Share {
+func (c *Coordinator) Spare(p *Plan, site Site, rulings map[Site]Decision) []Share {
 	var all []Bearing
 	lost := []Site{}
 	for _, x := range p.Sites {
@@ -422,13 +422,13 @@
 	nearlyEven = 0.8  // by less keys are better off where plain hashing has them
 )
 
-// Word is what an operator may say of a site: lost, back, hold, go. The order that it makes, or why it makes none.
-func Word(p *Plan, site Site, rulings map[Site]Ruling, word, by, reason string) (*Order, error) {
+// Command is what an operator may say of a site: lost, back, hold, go. The order that it makes, or why it makes none.
+func Command(p *Plan, site Site, rulings map[Site]Decision, word, by, reason string) (*Order, error) {
 	r := rulings[site]
 	if !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name == site }) {
 		return nil, fmt.Errorf("%q is no site of the plan; spurctl fleet site status names them", site)
 	}
-	o := &Order{Site: site, On: r.Index, Ruling: r}
+	o := &Order{Site: site, On: r.Index, Decision: r}
 	o.By, o.Reason = by, reason
 	switch word {
 	case "lost":
@@ -453,7 +453,7 @@
 }
 
 // last tells whether all other sites are lost.
-func last(p *Plan, site Site, rulings map[Site]Ruling) bool {
+func last(p *Plan, site Site, rulings map[Site]Decision) bool {
 	return !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name != site && rulings[x.Name].Stage != Lost })
 }
 
@@ -473,7 +473,7 @@
 
 // SiteStatus is a site as the leader sees it.
 type SiteStatus struct {
-	Ruling
+	Decision
 	Name    Site    `json:"name"`
 	Share   float64 `json:"share"`
 	Bears   float64 `json:"bears"` // answers a second, now
@@ -501,7 +501,7 @@
 }
 
 // Status is as of the last step.
-func (c *Chief) Status() Status { return c.status }
+func (c *Coordinator) Status() Status { return c.status }
 
 // Names are those of the sites of a plan, sorted.
 func (p *Plan) Names() []Site {
--- a/core/sitefailover/plan.go
+++ b/core/sitefailover/plan.go
@@ -78,8 +78,8 @@
 
 func (s Stage) String() string { return cmp.Or(string(s), "up") }
 
-// Ruling is what was decided on a site; the zero value is that it is up, which nobody had to decide.
-type Ruling struct {
+// Decision is what was decided on a site; the zero value is that it is up, which nobody had to decide.
+type Decision struct {
 	Stage  Stage   `json:"stage"`
 	Step   int     `json:"step"`  // of the return
 	Held   bool    `json:"held"`  // by an operator: no step is taken, and no return begins
@@ -92,7 +92,7 @@
 }
 
 // share is the part of its keys that a site may have.
-func (r Ruling) share(p *Plan) float64 {
+func (r Decision) share(p *Plan) float64 {
 	switch r.Stage {
 	case Lost:
 		return 0
--- a/core/sitefailover/sitefailover_test.go
+++ b/core/sitefailover/sitefailover_test.go
@@ -15,9 +15,9 @@
 type day struct {
 	now     Micros
 	plan    Plan
-	chief   *Chief
+	chief   *Coordinator
 	orders  Orders // that all keep to
-	rulings map[Site]Ruling
+	rulings map[Site]Decision
 	index   uint64
 	down    map[Site]bool        // its routers are not heard
 	there   map[Site]float64     // part of its servers that answer
@@ -31,7 +31,7 @@
 var sites = []Site{"a", "b", "c"}
 
 func newDay() *day {
-	d := &day{plan: DefaultPlan(), chief: NewChief(0), rulings: map[Site]Ruling{}, down: map[Site]bool{}, there: map[Site]float64{},
+	d := &day{plan: DefaultPlan(), chief: NewCoordinator(0), rulings: map[Site]Decision{}, down: map[Site]bool{}, there: map[Site]float64{},
 		blind: map[[2]Site]bool{}, offered: []Offer{{1000001, 20}, {600001, 60}, {200001, 20}}, can: 250, said: func(string, ...any) {}}
 	for _, s := range sites {
 		d.plan.Sites = append(d.plan.Sites, Place{Name: s, Bears: d.can})
@@ -91,8 +91,8 @@
 		return
 	}
 	d.index++
-	o.Ruling.Index = d.index
-	d.rulings[o.Site] = o.Ruling
+	o.Decision.Index = d.index
+	d.rulings[o.Site] = o.Decision
 	d.said("%.1f %s: %s step %d fails %d by %s: %s", float64(d.now)/1e6, o.Site, o.Stage, o.Step+1, o.Fails, o.By, o.Reason)
 }
 
@@ -149,9 +149,9 @@
 					}
 				}
 			case "leader":
-				d.chief = NewChief(d.now)
+				d.chief = NewCoordinator(d.now)
 			case "word":
-				o, err := Word(&d.plan, site(), d.rulings, words[3], "ann", "told by phone")
+				o, err := Command(&d.plan, site(), d.rulings, words[3], "ann", "told by phone")
 				if err != nil {
 					say("%v", err)
 				}
@@ -205,7 +205,7 @@
 					t.Fatalf("seed %d, %v: %s returns, and is not there", seed, d.now, order.Site)
 				}
 			case order.Stage == Returning && order.Step != was.Step+1, order.Stage == Up && was.Step != len(d.plan.Steps)-1:
-				t.Fatalf("seed %d, %v: from step %d to %v", seed, d.now, was.Step, order.Ruling)
+				t.Fatalf("seed %d, %v: from step %d to %v", seed, d.now, was.Step, order.Decision)
 			}
 		}
 		for range 40 {
@@ -222,7 +222,7 @@
 			case 4:
 				d.down[s] = !d.down[s]
 			case 5:
-				d.chief = NewChief(d.now)
+				d.chief = NewCoordinator(d.now)
 			}
 			for range r.IntN(40) {
 				d.step()
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -44,8 +44,8 @@
 	MayTake(until time.Time)
 	// SetExtra adds to its part of what all may send together, until a time.
 	SetExtra(part float64, until time.Time)
-	// Bequeath leaves something to the process that is to replace this one; Inherit has that come to a function.
-	Bequeath(what func() []byte)
+	// Transfer leaves something to the process that is to replace this one; Inherit has that come to a function.
+	Transfer(what func() []byte)
 	Inherit(func([]byte))
 	// SitePlan has it keep to what the fleet does about a lost site, until a time, and tells its load of late. It is in
 	// force once the error is nil.
@@ -56,15 +56,15 @@
 type Keeper struct {
 	cfg    Config
 	router Router
-	fleet  fleet.Talk
+	fleet  fleet.Transport
 	log    *logrus.Logger
 	start  time.Time
 	build  string
 
 	mu       sync.Mutex
-	holder   *policycommit.Holder
-	council  *policycommit.Council // nil: this one does not lead
-	book     *log                  // nil: this one is no keeper, or not yet
+	holder   *policycommit.Follower
+	council  *policycommit.Leader // nil: this one does not lead
+	book     *log                 // nil: this one is no keeper, or not yet
 	asks     []ask
 	wants    map[policycommit.Token][]waiting   // who waits for a verdict
 	calls    map[uint64]chan policycommit.Reply // of operators, at this router
@@ -94,10 +94,10 @@
 }
 
 // Open begins to hold the fleet's policy, and to keep it where this router is a keeper.
-func Open(cfg Config, process fleet.Process, build string, router Router, transport fleet.Talk, logger *logrus.Logger) (*Keeper, error) {
+func Open(cfg Config, process fleet.Process, build string, router Router, transport fleet.Transport, logger *logrus.Logger) (*Keeper, error) {
 	k := &Keeper{cfg: cfg, router: router, fleet: transport, log: logger, start: time.Now(), build: build, wants: map[policycommit.Token][]waiting{}, calls: map[uint64]chan policycommit.Reply{},
 		entering: map[policycommit.Name]policycommit.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
-	k.holder = policycommit.NewHolder(policycommit.DefaultRules(), policycommit.Name(cfg.Name), policycommit.Process(process), cfg.Serves, build, k.check)
+	k.holder = policycommit.NewFollower(policycommit.DefaultRules(), policycommit.Name(cfg.Name), policycommit.Process(process), cfg.Serves, build, k.check)
 	if cfg.keeps() {
 		book, err := openLog(cfg.Log, cfg.Name, logger)
 		if err != nil {
@@ -162,7 +162,7 @@
 		k.step()
 		if now := time.Now(); now.Sub(left) > 80*time.Millisecond {
 			left = now
-			k.router.Bequeath(k.bequest)
+			k.router.Transfer(k.leaseTransfer)
 		}
 		select {
 		case <-k.stop:
@@ -177,7 +177,7 @@
 // what one router's keeper tells another's.
 type said struct {
 	Renewal *policycommit.Renewal `json:"r,omitempty"`
-	Grant   *policycommit.Grant   `json:"g,omitempty"`
+	Grant   *policycommit.Lease   `json:"g,omitempty"`
 	Request *policycommit.Request `json:"q,omitempty"`
 	Reply   *policycommit.Reply   `json:"a,omitempty"`
 	Welcome string                `json:"w,omitempty"` // to a keeper whose folder may vote: its number
@@ -219,7 +219,7 @@
 }
 
 // granted is called with the lock held.
-func (k *Keeper) granted(g policycommit.Grant) {
+func (k *Keeper) granted(g policycommit.Lease) {
 	adopt, news := k.holder.Granted(k.micros(), g)
 	if g.Process == policycommit.Process(k.fleet.Me()) {
 		k.extra = g.Extra
@@ -242,12 +242,12 @@
 	}
 }
 
-// bequest is what the process that replaces this one may take by until it can ask the leader itself: its address is this
+// lease transfer is what the process that replaces this one may take by until it can ask the leader itself: its address is this
 // one's until then. The clock is one that both share.
-func (k *Keeper) bequest() []byte {
+func (k *Keeper) leaseTransfer() []byte {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b, ok := k.holder.Bequeath(k.micros())
+	b, ok := k.holder.Transfer(k.micros())
 	if !ok || k.cannot != "" || k.inForce != b.Revision {
 		return nil
 	}
@@ -257,7 +257,7 @@
 }
 
 func (k *Keeper) inherit(text []byte) {
-	var b policycommit.Bequest
+	var b policycommit.LeaseTransfer
 	if json.Unmarshal(text, &b) != nil {
 		return
 	}
@@ -305,7 +305,7 @@
 	renewal, due := k.holder.Ask(now)
 	renewal.Site = k.cfg.Site
 	report := k.sites.report
-	until := k.holder.Takes(now)
+	until := k.holder.AcceptsUntil(now)
 	revision, _, knows := k.holder.Held()
 	able := knows && k.cannot == "" && k.inForce == revision
 	k.mu.Unlock()
@@ -335,10 +335,10 @@
 	k.mu.Lock()
 	if leads != (k.council != nil) {
 		if k.council = nil; leads {
-			k.council = policycommit.NewCouncil(k.micros(), k.rules(), k.cfg.Own.Routers)
+			k.council = policycommit.NewLeader(k.micros(), k.rules(), k.cfg.Own.Routers)
 			// What an earlier time as leader left is old.
 			s := &k.sites
-			s.chief, s.reports, s.given, s.stepped = sitefailover.NewChief(sitefailover.Micros(k.micros())), nil, nil, -leadEach
+			s.chief, s.reports, s.given, s.stepped = sitefailover.NewCoordinator(sitefailover.Micros(k.micros())), nil, nil, -leadEach
 		}
 		k.asks = nil
 		k.fleet.Leads(leads)
@@ -421,7 +421,7 @@
 	defer k.mu.Unlock()
 	now := k.micros()
 	revision, _, knows := k.holder.Held()
-	until := k.holder.Takes(now)
+	until := k.holder.AcceptsUntil(now)
 	w := Held{Revision: revision, InForce: k.inForce, Known: knows, Cannot: k.cannot, Prepared: k.holder.Prepared(), CutOff: "refuse",
 		Extra: k.extra, Keeper: k.cfg.keeps(), Leads: k.council != nil}
 	if k.cfg.Serves {
--- a/internal/controlplane/log.go
+++ b/internal/controlplane/log.go
@@ -45,10 +45,10 @@
 	full atomic.Pointer[string] // its folder cannot be written; nil: it can
 	raft *raft.Raft
 	ends []func() error
-	book *policycommit.Book
+	book *policycommit.LogState
 	done map[policycommit.Token]policycommit.Verdict // since the last look
 
-	barrier uint64 // the term in which all that was decided before is in the book
+	barrier uint64 // the term in which all that was decided before is in the log state
 }
 
 // keeperFile says whose folder it is.
@@ -68,7 +68,7 @@
 var errPutBack = errors.New("was put back, or lost")
 
 func openLog(cfg LogConfig, name string, out *logrus.Logger) (*log, error) {
-	l := &log{cfg: cfg, out: out, book: &policycommit.Book{}, done: map[policycommit.Token]policycommit.Verdict{}, why: "it has not been welcomed yet"}
+	l := &log{cfg: cfg, out: out, book: &policycommit.LogState{}, done: map[policycommit.Token]policycommit.Verdict{}, why: "it has not been welcomed yet"}
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return nil, err
 	}
@@ -243,7 +243,7 @@
 	return node != nil && node.VerifyLeader().Error() == nil
 }
 
-// put adds an entry, and waits until it is in the book; an error: it may be there or not.
+// put adds an entry, and waits until it is in the log state; an error: it may be there or not.
 func (l *log) put(e policycommit.Entry) error {
 	node := l.node()
 	if node == nil {
@@ -256,8 +256,8 @@
 	return node.Apply(text, answerWithin).Error()
 }
 
-// now is the book as it stands.
-func (l *log) now() *policycommit.Book {
+// now is the log state as it stands.
+func (l *log) now() *policycommit.LogState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.book.Clone()
@@ -292,7 +292,7 @@
 // Restore is called by raft.
 func (l *log) Restore(from io.ReadCloser) error {
 	defer from.Close()
-	b := &policycommit.Book{}
+	b := &policycommit.LogState{}
 	if err := json.NewDecoder(from).Decode(b); err != nil {
 		return err
 	}
@@ -302,10 +302,10 @@
 	return nil
 }
 
-type snapshot struct{ *policycommit.Book }
+type snapshot struct{ *policycommit.LogState }
 
 func (s snapshot) Persist(to raft.SnapshotSink) error {
-	if err := json.NewEncoder(to).Encode(s.Book); err != nil {
+	if err := json.NewEncoder(to).Encode(s.LogState); err != nil {
 		return errors.Join(err, to.Cancel())
 	}
 	return to.Close()
@@ -314,7 +314,7 @@
 func (s snapshot) Release() {}
 
 // tend takes up keepers that the file names and that were never there, one at a time.
-func (l *log) tend(transport fleet.Talk, names []string, welcome func(fleet.Keeping)) {
+func (l *log) tend(transport fleet.Transport, names []string, welcome func(fleet.Keeping)) {
 	node := l.node()
 	f := node.GetConfiguration()
 	if f.Error() != nil {
--- a/internal/controlplane/sites.go
+++ b/internal/controlplane/sites.go
@@ -20,7 +20,7 @@
 	orders sitefailover.Orders  // as last told
 	came   policycommit.Micros  // when; 0: never
 
-	chief   *sitefailover.Chief
+	chief   *sitefailover.Coordinator
 	stepped policycommit.Micros
 	ruled   policycommit.Micros // when an entry was last asked for
 	given   *sitefailover.Orders
@@ -174,7 +174,7 @@
 }
 
 // siteStatus is called at who leads.
-func (k *Keeper) siteStatus(b *policycommit.Book) (*sitefailover.Status, string) {
+func (k *Keeper) siteStatus(b *policycommit.LogState) (*sitefailover.Status, string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, doc := b.Current()
@@ -198,7 +198,7 @@
 	if r := b.Sites[site]; r.At == q.At && r.By == q.Author {
 		return nil // asked again: the answer was late
 	}
-	order, err := sitefailover.Word(&plan, site, b.Sites, q.Word, q.Author, q.Reason)
+	order, err := sitefailover.Command(&plan, site, b.Sites, q.Word, q.Author, q.Reason)
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/take.go
+++ b/internal/controlplane/take.go
@@ -12,8 +12,8 @@
 )
 
 // Take has a router hold its fleet's policy, as the operator's file says.
-func Take(p operator.Policy, at fleet.Config, own routing.Settings, r *router.Router, member fleet.Place, log *logrus.Logger) (fleet.Policy, error) {
-	talk, ok := member.(fleet.Talk)
+func Take(p operator.Policy, at fleet.Config, own routing.Settings, r *router.Router, member fleet.Node, log *logrus.Logger) (fleet.Policy, error) {
+	talk, ok := member.(fleet.Transport)
 	if !ok {
 		return nil, at.Refused("policy.cut_off", "is set, and routers of this program do not speak to one another", "leave it empty")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,8 +46,8 @@
 	KeepOut(why string)
 }
 
-// Place is what is seen of the fleet from a router.
-type Place interface {
+// Node is what is seen of the fleet from a router.
+type Node interface {
 	Whole() (string, error) // the view, as JSON
 	Figures() string        // as statsd lines
 	Close(handed bool)      // once the router sends nothing more; handed: another process has taken over
@@ -60,5 +60,5 @@
 	Close(handed bool)                  // handed: another process has taken over, by what this one left it
 }
 
-// Take takes a router's place. Errors are about the configuration.
-type Take func(Config, Router, *logrus.Logger) (Place, error)
+// Join takes a router's place. Errors are about the configuration.
+type Join func(Config, Router, *logrus.Logger) (Node, error)
--- a/internal/fleet/talk.go
+++ b/internal/fleet/talk.go
@@ -15,8 +15,8 @@
 	Last    uint64 // the last entry that it has
 }
 
-// Talk is how routers of a fleet speak to one another. Nothing of it waits, and what is told may be lost.
-type Talk interface {
+// Transport is how routers of a fleet speak to one another. Nothing of it waits, and what is told may be lost.
+type Transport interface {
 	Me() Process
 	Tell(to Process, body []byte)
 	Hear(func(from Process, body []byte)) // called by what reads; it must not wait
--- a/internal/gossip/delegate.go
+++ b/internal/gossip/delegate.go
@@ -46,7 +46,7 @@
 }
 
 // NodeMeta is called by memberlist.
-func (p *Peers) NodeMeta(limit int) []byte {
+func (p *Node) NodeMeta(limit int) []byte {
 	m := p.me
 	said := meta{F: pool(p.cfg), N: string(m.Name), S: string(m.Site), P: uint64(m.Process), I: int(m.Seat), T: m.Started, B: m.Build,
 		O: uint64(m.Follows), M: p.cfg.Methods}
@@ -61,7 +61,7 @@
 
 // sameService: a router of another service has other servers and other limits, whatever its fleet is called. One of an older
 // build names no methods.
-func (p *Peers) sameService(node *memberlist.Node) error {
+func (p *Node) sameService(node *memberlist.Node) error {
 	var m meta
 	_ = json.Unmarshal(node.Meta, &m) // memberOf tells what is wrong in it
 	if len(m.M) == 0 || m.C && slices.ContainsFunc(m.M, func(x string) bool { return slices.Contains(p.cfg.Methods, x) }) {
@@ -84,7 +84,7 @@
 }
 
 // NotifyAlive refuses routers of other fleets and of other services. It is called by memberlist, as all below.
-func (p *Peers) NotifyAlive(node *memberlist.Node) error {
+func (p *Node) NotifyAlive(node *memberlist.Node) error {
 	m, err := memberOf(node)
 	if own := pool(p.cfg); err == nil && m.Fleet != own {
 		err = fmt.Errorf("router %q at %s is of fleet %q, and this one, %q, of fleet %q; correct %s of one of them",
@@ -111,7 +111,7 @@
 }
 
 // NotifyMerge refuses to join another fleet, or to be joined by it.
-func (p *Peers) NotifyMerge(nodes []*memberlist.Node) error {
+func (p *Node) NotifyMerge(nodes []*memberlist.Node) error {
 	for _, n := range nodes {
 		if err := p.NotifyAlive(n); err != nil {
 			return err
@@ -121,7 +121,7 @@
 }
 
 // NotifyJoin: a process is there.
-func (p *Peers) NotifyJoin(node *memberlist.Node) {
+func (p *Node) NotifyJoin(node *memberlist.Node) {
 	m, err := memberOf(node)
 	if err != nil {
 		return
@@ -134,10 +134,10 @@
 }
 
 // NotifyUpdate: it says otherwise of itself; no process of ours does.
-func (p *Peers) NotifyUpdate(node *memberlist.Node) { p.NotifyJoin(node) }
+func (p *Node) NotifyUpdate(node *memberlist.Node) { p.NotifyJoin(node) }
 
 // NotifyLeave: it is there no more.
-func (p *Peers) NotifyLeave(node *memberlist.Node) {
+func (p *Node) NotifyLeave(node *memberlist.Node) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.nodes, processOf(node))
@@ -145,14 +145,14 @@
 }
 
 // AckPayload goes with each answer to a probe: who missed a word has it then.
-func (p *Peers) AckPayload() []byte {
+func (p *Node) AckPayload() []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.encode(p.view.Word())
+	return p.encode(p.view.Heartbeat())
 }
 
 // NotifyPingComplete: a probe was answered.
-func (p *Peers) NotifyPingComplete(node *memberlist.Node, _ time.Duration, payload []byte) {
+func (p *Node) NotifyPingComplete(node *memberlist.Node, _ time.Duration, payload []byte) {
 	p.mu.Lock()
 	p.view.Heard(p.micros(), processOf(node))
 	p.mu.Unlock()
@@ -160,13 +160,13 @@
 }
 
 // NotifyMsg takes in what another router says.
-func (p *Peers) NotifyMsg(b []byte) {
+func (p *Node) NotifyMsg(b []byte) {
 	if len(b) < 2 || len(b) > longest && (b[0] != kindTalk || len(b) > longTalk) {
 		return
 	}
 	switch b[0] {
 	case kindWord:
-		var w membership.Word
+		var w membership.Heartbeat
 		if json.Unmarshal(b[1:], &w) == nil {
 			p.said(w)
 		}
@@ -198,7 +198,7 @@
 }
 
 // said passes on what is news.
-func (p *Peers) said(w membership.Word) {
+func (p *Node) said(w membership.Heartbeat) {
 	p.mu.Lock()
 	news := p.view.Said(p.micros(), w)
 	p.mu.Unlock()
@@ -208,23 +208,23 @@
 }
 
 // GetBroadcasts: what is to be passed on.
-func (p *Peers) GetBroadcasts(overhead, limit int) [][]byte {
+func (p *Node) GetBroadcasts(overhead, limit int) [][]byte {
 	return p.queue.GetBroadcasts(overhead, limit)
 }
 
 // LocalState is all words, for one who has just come or may have missed some.
-func (p *Peers) LocalState(bool) []byte {
+func (p *Node) LocalState(bool) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cfg.Tiered {
-		return packWords(p.view.Words())
+		return packWords(p.view.Heartbeats())
 	}
-	text, _ := json.Marshal(p.view.Words()) // plain fields: it cannot fail
+	text, _ := json.Marshal(p.view.Heartbeats()) // plain fields: it cannot fail
 	return text
 }
 
 // MergeRemoteState takes such a state in.
-func (p *Peers) MergeRemoteState(b []byte, _ bool) {
+func (p *Node) MergeRemoteState(b []byte, _ bool) {
 	words, err := wordsIn(b)
 	if err != nil || len(words) > mostWords {
 		return
@@ -236,11 +236,11 @@
 
 // word is one that is to be passed on; a newer one of the same process takes its place.
 type word struct {
-	membership.Word
+	membership.Heartbeat
 	text []byte
 }
 
-func wordsIn(b []byte) (words []membership.Word, err error) {
+func wordsIn(b []byte) (words []membership.Heartbeat, err error) {
 	switch {
 	case len(b) > mostWords*longest/8:
 		return nil, errWord
@@ -251,7 +251,7 @@
 	return words, err
 }
 
-func (p *Peers) encode(w membership.Word) []byte {
+func (p *Node) encode(w membership.Heartbeat) []byte {
 	if p.cfg.Tiered {
 		return packWord([]byte{kindPacked}, w)
 	}
@@ -259,7 +259,7 @@
 	return append([]byte{kindWord}, text...)
 }
 
-func (p *Peers) wordOf(w membership.Word) word { return word{w, p.encode(w)} }
+func (p *Node) wordOf(w membership.Heartbeat) word { return word{w, p.encode(w)} }
 
 // Name, Invalidates, Message and Finished are what memberlist's queue wants.
 func (w word) Name() string { return fmt.Sprintf("%x", uint64(w.Process)) }
--- a/internal/gossip/file.go
+++ b/internal/gossip/file.go
@@ -23,7 +23,7 @@
 const file = "peers.json"
 
 // readKnown reads the file, and takes the representatives in it for some of fleet.remote. A folder of another router is refused; one that cannot be read is not needed.
-func (p *Peers) readKnown() ([]string, error) {
+func (p *Node) readKnown() ([]string, error) {
 	if p.cfg.Dir == "" {
 		return nil, nil
 	}
@@ -49,7 +49,7 @@
 }
 
 // keepKnown writes the file, whole or not at all. Without it a restart has fleet.join.
-func (p *Peers) keepKnown() {
+func (p *Node) keepKnown() {
 	if p.cfg.Dir == "" {
 		return
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,8 +29,8 @@
 	"spurtrestle/internal/fleet"
 )
 
-// Peers is a router's place. Close ends it.
-type Peers struct {
+// Node is a router's place. Close ends it.
+type Node struct {
 	cfg    fleet.Config
 	router fleet.Router
 	log    *logrus.Logger
@@ -38,7 +38,7 @@
 
 	mu      sync.Mutex // of all below; never held while memberlist is called
 	view    *membership.View
-	parts   *sharelease.Parts
+	parts   *sharelease.Leases
 	nodes   map[membership.Process]*memberlist.Node
 	answers []sharelease.Message // for the next step, which makes sure that they are true
 	refused map[string]time.Time
@@ -71,14 +71,14 @@
 }
 
 // micros is the time since the start, by the monotonic clock.
-func (p *Peers) micros() membership.Micros {
+func (p *Node) micros() membership.Micros {
 	return membership.Micros(time.Since(p.start) / time.Microsecond)
 }
 
 // Open takes the router's place. Errors are about the configuration: they name file, field and remedy. What is wrong later
 // is logged, and the router serves as if it were alone.
-func Open(cfg fleet.Config, router fleet.Router, logger *logrus.Logger) (fleet.Place, error) {
-	p := &Peers{cfg: cfg, router: router, log: logger, start: time.Now(), nodes: map[membership.Process]*memberlist.Node{},
+func Open(cfg fleet.Config, router fleet.Router, logger *logrus.Logger) (fleet.Node, error) {
+	p := &Node{cfg: cfg, router: router, log: logger, start: time.Now(), nodes: map[membership.Process]*memberlist.Node{},
 		refused: map[string]time.Time{}, stop: make(chan struct{}), told: share{now: -1}}
 	var id [8]byte
 	if _, err := crand.Read(id[:]); err != nil {
@@ -125,7 +125,7 @@
 }
 
 // begin listens, and begins to answer others.
-func (p *Peers) begin() error {
+func (p *Node) begin() error {
 	probe := p.cfg.Probe
 	c := memberlist.DefaultLANConfig()
 	c.Name = fmt.Sprintf("%s#%x", p.me.Name, uint64(p.me.Process))
@@ -176,7 +176,7 @@
 
 // greet calls those who may be there, for a moment. A router that has this one's name, and lives, is waited for: else a
 // process with a wrong file would take clients until it is told.
-func (p *Peers) greet() error {
+func (p *Node) greet() error {
 	// Half a second was what the view cost in service: a router that was killed while those of join were cut off from it was
 	// away for so much longer.
 	const patience = 100 * time.Millisecond
@@ -210,7 +210,7 @@
 	return nil // it does not say that it lives: a process of this router that was killed
 }
 
-func (p *Peers) wait(span time.Duration) (stopped bool) {
+func (p *Node) wait(span time.Duration) (stopped bool) {
 	select {
 	case <-p.stop:
 		return true
@@ -219,7 +219,7 @@
 	}
 }
 
-func (p *Peers) run() {
+func (p *Node) run() {
 	for t := time.NewTicker(p.between()); ; {
 		p.step()
 		select {
@@ -232,7 +232,7 @@
 }
 
 // step is all that is done by time.
-func (p *Peers) step() {
+func (p *Node) step() {
 	takes, draining, empty := p.router.Standing()
 	p.lend(draining && empty)
 
@@ -282,7 +282,7 @@
 }
 
 // lend begins or ends the lending of the own part: first the loop does without it, then it may be asked for.
-func (p *Peers) lend(on bool) {
+func (p *Node) lend(on bool) {
 	p.mu.Lock()
 	lent, same := p.share(p.parts.Lent()), on == p.lending
 	p.mu.Unlock()
@@ -295,7 +295,7 @@
 	p.mu.Unlock()
 }
 
-func (p *Peers) share(s sharelease.Share) share {
+func (p *Node) share(s sharelease.Share) share {
 	out := share{now: s.Now, then: s.Then}
 	if s.Until != 0 {
 		out.until = p.start.Add(time.Duration(s.Until) * time.Microsecond)
@@ -303,7 +303,7 @@
 	return out
 }
 
-func (p *Peers) set(s share) bool {
+func (p *Node) set(s share) bool {
 	err := p.router.SetPart(s.now, s.until, s.then)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -314,10 +314,10 @@
 }
 
 // seats are the other seats that one router holds. Two on one seat are lent nothing.
-func (p *Peers) seats() map[sharelease.Seat]sharelease.Peer {
+func (p *Node) seats() map[sharelease.Seat]sharelease.Peer {
 	there, twice := map[sharelease.Seat]sharelease.Peer{}, map[sharelease.Seat]bool{}
-	words := map[membership.Process]membership.Word{}
-	for _, w := range p.view.Words() {
+	words := map[membership.Process]membership.Heartbeat{}
+	for _, w := range p.view.Heartbeats() {
 		words[w.Process] = w
 	}
 	for _, m := range p.view.Living() {
@@ -333,7 +333,7 @@
 	return there
 }
 
-func (p *Peers) send(messages []sharelease.Message) {
+func (p *Node) send(messages []sharelease.Message) {
 	for _, m := range messages {
 		to := m.Borrower
 		if m.Kind == sharelease.Ask || m.Kind == sharelease.Return {
@@ -351,14 +351,14 @@
 }
 
 // pass has the own word told to all.
-func (p *Peers) pass() {
+func (p *Node) pass() {
 	p.mu.Lock()
-	w := p.view.Word()
+	w := p.view.Heartbeat()
 	p.mu.Unlock()
 	p.queue.QueueBroadcast(p.wordOf(w))
 }
 
-func (p *Peers) tell(lines []membership.Line) {
+func (p *Node) tell(lines []membership.Line) {
 	for _, l := range lines {
 		entry := p.log.WithFields(l.Fields).WithFields(logrus.Fields{"router": string(l.Router), "mono_us": fleet.Monotonic()})
 		if l.Bad {
@@ -370,7 +370,7 @@
 }
 
 // Whole is the view as people are shown it, as JSON.
-func (p *Peers) Whole() (string, error) {
+func (p *Node) Whole() (string, error) {
 	p.mu.Lock()
 	w := p.whole()
 	p.mu.Unlock()
@@ -379,9 +379,9 @@
 }
 
 // Figures are the view's figures as statsd lines.
-func (p *Peers) Figures() string {
+func (p *Node) Figures() string {
 	p.mu.Lock()
-	w := p.view.Whole(p.micros())
+	w := p.view.Snapshot(p.micros())
 	part := p.told.now
 	p.mu.Unlock()
 	counts, settled := map[membership.State]int{}, 0
@@ -400,10 +400,10 @@
 }
 
 // Traffic is what was sent and received so far for the router's place, by mechanism.
-func (p *Peers) Traffic() fleet.TrafficCounts { return p.traffic.Counts() }
+func (p *Node) Traffic() fleet.TrafficCounts { return p.traffic.Counts() }
 
 // Close gives the place up, once the router sends nothing more: in order, or to a process that follows.
-func (p *Peers) Close(handed bool) {
+func (p *Node) Close(handed bool) {
 	close(p.stop)
 	p.ended.Wait()
 	p.mu.Lock()
@@ -413,7 +413,7 @@
 		now := p.micros()
 		p.view.End(now, handed)
 		if !handed {
-			last = p.parts.Bequeath(sharelease.Micros(now))
+			last = p.parts.TransferAll(sharelease.Micros(now))
 		}
 	}
 	p.mu.Unlock()
@@ -431,7 +431,7 @@
 }
 
 // Kill gives the place up as a killed process does: without a word.
-func (p *Peers) Kill() {
+func (p *Node) Kill() {
 	close(p.stop)
 	p.ended.Wait()
 	p.mu.Lock()
@@ -442,7 +442,7 @@
 	}
 }
 
-func (p *Peers) size() int {
+func (p *Node) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.nodes)
--- a/internal/gossip/talk.go
+++ b/internal/gossip/talk.go
@@ -7,19 +7,19 @@
 	"spurtrestle/internal/fleet"
 )
 
-// What follows makes Peers a fleet.Talk.
+// What follows makes Node a fleet.Transport.
 
 // Me is this process.
-func (p *Peers) Me() fleet.Process { return fleet.Process(p.me.Process) }
+func (p *Node) Me() fleet.Process { return fleet.Process(p.me.Process) }
 
 // Hear has what others tell come to a function.
-func (p *Peers) Hear(f func(fleet.Process, []byte)) {
+func (p *Node) Hear(f func(fleet.Process, []byte)) {
 	p.mu.Lock()
 	p.hear = f
 	p.mu.Unlock()
 }
 
-func (p *Peers) talked(b []byte) {
+func (p *Node) talked(b []byte) {
 	p.mu.Lock()
 	hear := p.hear
 	p.mu.Unlock()
@@ -29,7 +29,7 @@
 }
 
 // Tell sends a message to a process. What does not fit into a packet goes over a connection, on a goroutine of its own.
-func (p *Peers) Tell(to fleet.Process, body []byte) {
+func (p *Node) Tell(to fleet.Process, body []byte) {
 	const packet = 1200
 	if to == p.Me() {
 		p.mu.Lock()
@@ -53,8 +53,8 @@
 }
 
 // Leaders are the processes that say that they lead the keepers.
-func (p *Peers) Leaders() (all []fleet.Process) {
-	p.words(func(m membership.Member, w membership.Word) {
+func (p *Node) Leaders() (all []fleet.Process) {
+	p.words(func(m membership.Member, w membership.Heartbeat) {
 		if w.Leads {
 			all = append(all, fleet.Process(m.Process))
 		}
@@ -63,25 +63,29 @@
 }
 
 // Leads says whether this one does.
-func (p *Peers) Leads(on bool) { p.sayMore(func(w *membership.Word) { w.Leads = on }) }
+func (p *Node) Leads(on bool) { p.sayMore(func(w *membership.Heartbeat) { w.Leads = on }) }
 
 // Holds says which revision of the policy this router holds.
-func (p *Peers) Holds(revision uint64) { p.sayMore(func(w *membership.Word) { w.Revision = revision }) }
+func (p *Node) Holds(revision uint64) {
+	p.sayMore(func(w *membership.Heartbeat) { w.Revision = revision })
+}
 
 // Keeps says what this router is as a keeper.
-func (p *Peers) Keeps(k fleet.Keeping) {
-	p.sayMore(func(w *membership.Word) { w.Folder, w.Keeper, w.Member, w.Last = k.Folder, k.Addr, k.Member, k.Last })
+func (p *Node) Keeps(k fleet.Keeping) {
+	p.sayMore(func(w *membership.Heartbeat) {
+		w.Folder, w.Keeper, w.Member, w.Last = k.Folder, k.Addr, k.Member, k.Last
+	})
 }
 
-func (p *Peers) sayMore(change func(*membership.Word)) {
+func (p *Node) sayMore(change func(*membership.Heartbeat)) {
 	p.mu.Lock()
 	p.news = p.view.SayMore(p.micros(), change) || p.news
 	p.mu.Unlock()
 }
 
 // Keepers are the living routers that are keepers.
-func (p *Peers) Keepers() (all []fleet.Keeping) {
-	p.words(func(m membership.Member, w membership.Word) {
+func (p *Node) Keepers() (all []fleet.Keeping) {
+	p.words(func(m membership.Member, w membership.Heartbeat) {
 		if w.Folder != 0 {
 			all = append(all, fleet.Keeping{Name: string(m.Name), Process: fleet.Process(m.Process), Folder: w.Folder, Addr: w.Keeper,
 				Member: w.Member, Last: w.Last})
@@ -91,17 +95,17 @@
 }
 
 // Met tells whether another router is there.
-func (p *Peers) Met() bool {
+func (p *Node) Met() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.view.Living()) > 1
 }
 
 // Promised is the highest entry that any process with a folder of this number has spoken of.
-func (p *Peers) Promised(folder uint64) (last uint64) {
+func (p *Node) Promised(folder uint64) (last uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, w := range p.view.Words() {
+	for _, w := range p.view.Heartbeats() {
 		if w.Folder == folder {
 			last = max(last, w.Last)
 		}
@@ -110,10 +114,10 @@
 }
 
 // Members are the routers that are there, or were lost without a word.
-func (p *Peers) Members() (all []fleet.Member) {
+func (p *Node) Members() (all []fleet.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, r := range p.view.Whole(p.micros()).Routers {
+	for _, r := range p.view.Snapshot(p.micros()).Routers {
 		if r.State != membership.Left {
 			all = append(all, fleet.Member{Name: string(r.Name), Site: string(r.Site)})
 		}
@@ -121,11 +125,11 @@
 	return all
 }
 
-func (p *Peers) words(do func(membership.Member, membership.Word)) {
+func (p *Node) words(do func(membership.Member, membership.Heartbeat)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	words := map[membership.Process]membership.Word{}
-	for _, w := range p.view.Words() {
+	words := map[membership.Process]membership.Heartbeat{}
+	for _, w := range p.view.Heartbeats() {
 		words[w.Process] = w
 	}
 	for _, m := range p.view.Living() {
@@ -134,16 +138,16 @@
 }
 
 // Digest is that of the view, and whether all of the living have said the same for a while.
-func (p *Peers) Digest() (digest uint64, settled bool) {
+func (p *Node) Digest() (digest uint64, settled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.view.Digest()
 }
 
 // RevisionOf is the policy's revision that a process last said that it holds; 0: none is known.
-func (p *Peers) RevisionOf(process fleet.Process) uint64 {
+func (p *Node) RevisionOf(process fleet.Process) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, _ := p.view.WordOf(membership.Process(process))
+	w, _ := p.view.HeartbeatOf(membership.Process(process))
 	return w.Revision
 }
--- a/internal/gossip/tiers.go
+++ b/internal/gossip/tiers.go
@@ -34,7 +34,7 @@
 )
 
 // beginTiers is called before the router listens.
-func (p *Peers) beginTiers(process uint64) error {
+func (p *Node) beginTiers(process uint64) error {
 	if !p.cfg.Tiered {
 		return nil
 	}
@@ -55,7 +55,7 @@
 }
 
 // knownRemote are the representatives of other sites, for the file of peers. p.mu is held.
-func (p *Peers) knownRemote() (all []string) {
+func (p *Node) knownRemote() (all []string) {
 	if p.tiers == nil {
 		return nil
 	}
@@ -66,21 +66,21 @@
 }
 
 // tune has the library send less than its defaults, within a site.
-func (p *Peers) tune(c *memberlist.Config) {
+func (p *Node) tune(c *memberlist.Config) {
 	if p.cfg.Tiered {
 		c.PushPullInterval = stateEveryProbes * p.cfg.Probe
 	}
 }
 
 // between is the span between two steps.
-func (p *Peers) between() time.Duration {
+func (p *Node) between() time.Duration {
 	if p.cfg.Tiered {
 		return min(p.cfg.Probe/5, tieredSteps)
 	}
 	return min(p.cfg.Probe/5, 100*time.Millisecond)
 }
 
-func (p *Peers) transmits(c *memberlist.Config) int {
+func (p *Node) transmits(c *memberlist.Config) int {
 	if p.cfg.Tiered {
 		return tieredTransmits
 	}
@@ -89,7 +89,7 @@
 
 // whomToAsk are some mates whose last heartbeat tells of another view than this one's, for a probe by now: a heartbeat that is
 // passed on a few times is missed by a few. In a large fleet some router misses one at each change. p.mu is held.
-func (p *Peers) whomToAsk(now membership.Micros) (nodes []*memberlist.Node) {
+func (p *Node) whomToAsk(now membership.Micros) (nodes []*memberlist.Node) {
 	if !p.cfg.Tiered {
 		return nil
 	}
@@ -109,7 +109,7 @@
 	return nodes
 }
 
-func (p *Peers) ask(nodes []*memberlist.Node) {
+func (p *Node) ask(nodes []*memberlist.Node) {
 	body := binary.BigEndian.AppendUint64([]byte{kindAsk}, uint64(p.me.Process))
 	for _, node := range nodes {
 		_ = p.list.SendBestEffort(node, body) // asked again
@@ -117,12 +117,12 @@
 }
 
 // asked answers a mate with this router's heartbeat.
-func (p *Peers) asked(b []byte) {
+func (p *Node) asked(b []byte) {
 	if !p.cfg.Tiered || len(b) != 8 {
 		return
 	}
 	p.mu.Lock()
-	node, list, body := p.nodes[membership.Process(binary.BigEndian.Uint64(b))], p.list, p.encode(p.view.Word())
+	node, list, body := p.nodes[membership.Process(binary.BigEndian.Uint64(b))], p.list, p.encode(p.view.Heartbeat())
 	p.mu.Unlock()
 	if node != nil && list != nil {
 		_ = list.SendBestEffort(node, body) // asked again
@@ -130,7 +130,7 @@
 }
 
 // atOdds is a mate whose view has differed from this one's for a while, to be asked for its whole state. p.mu is held.
-func (p *Peers) atOdds(now membership.Micros) (addr string, call bool) {
+func (p *Node) atOdds(now membership.Micros) (addr string, call bool) {
 	if !p.cfg.Tiered {
 		return "", false
 	}
@@ -165,7 +165,7 @@
 }
 
 // stepTiers lets time pass for the tiers. p.mu is held.
-func (p *Peers) stepTiers(now membership.Micros) []hierarchy.Datagram {
+func (p *Node) stepTiers(now membership.Micros) []hierarchy.Datagram {
 	if p.tiers == nil {
 		return nil
 	}
@@ -176,14 +176,14 @@
 }
 
 // local is what the tiers are told of the site. p.mu is held.
-func (p *Peers) local(now membership.Micros) (l hierarchy.Local) {
-	for _, s := range p.view.Whole(now).Sites {
+func (p *Node) local(now membership.Micros) (l hierarchy.Local) {
+	for _, s := range p.view.Snapshot(now).Sites {
 		l.Counts.Alive += uint32(s.Alive)
 		l.Counts.Takes += uint32(s.Takes)
 		l.Counts.Of += uint32(s.Of)
 	}
 	revisions := map[membership.Process]uint64{}
-	for _, w := range p.view.Words() {
+	for _, w := range p.view.Heartbeats() {
 		revisions[w.Process] = w.Revision
 	}
 	var text []byte
@@ -204,14 +204,14 @@
 
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
-func (p *Peers) sendTiers(all []hierarchy.Datagram) {
+func (p *Node) sendTiers(all []hierarchy.Datagram) {
 	for _, d := range all {
 		to := memberlist.Address{Addr: d.To.String()}
 		_ = p.list.SendToAddress(to, append([]byte{kindTiers}, d.Body...)) // lost ones are made good
 	}
 }
 
-func (p *Peers) takeTiers(body []byte) {
+func (p *Node) takeTiers(body []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers != nil {
@@ -222,7 +222,7 @@
 var errFlat = errors.New("this router is of no tiered fleet; set fleet.tiered")
 
 // Tiers is what this router knows of sites and regions. An error: the fleet is flat.
-func (p *Peers) Tiers() (hierarchy.Status, error) {
+func (p *Node) Tiers() (hierarchy.Status, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers == nil {
@@ -232,7 +232,7 @@
 }
 
 // Role is what this router represents in a tiered fleet; nothing in a flat one.
-func (p *Peers) Role() hierarchy.Role {
+func (p *Node) Role() hierarchy.Role {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers == nil {
@@ -242,7 +242,7 @@
 }
 
 // Settled tells whether the view of the site is settled and, in a tiered fleet, the tiers are.
-func (p *Peers) Settled() bool {
+func (p *Node) Settled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, settled := p.view.Digest()
@@ -254,7 +254,7 @@
 
 // TierDigests are over the summaries held of sites and of regions; zero in a flat fleet. All routers of a region that know
 // the same have the same first, all of the fleet the same second.
-func (p *Peers) TierDigests() (sites, regions uint64) {
+func (p *Node) TierDigests() (sites, regions uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers == nil {
@@ -264,8 +264,8 @@
 }
 
 // NewestRevision is the highest revision of the policy that is told of, by this site's routers or any summary.
-func (p *Peers) NewestRevision() (newest uint64) {
-	p.words(func(_ membership.Member, w membership.Word) { newest = max(newest, w.Revision) })
+func (p *Node) NewestRevision() (newest uint64) {
+	p.words(func(_ membership.Member, w membership.Heartbeat) { newest = max(newest, w.Revision) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tiers != nil {
@@ -276,13 +276,13 @@
 
 // whole is the view with the tiers, as people are shown them.
 type whole struct {
-	membership.Whole
+	membership.Snapshot
 	Tiers *hierarchy.Status `json:"tiers,omitempty"`
 }
 
 // whole is as of now. p.mu is held.
-func (p *Peers) whole() whole {
-	w := whole{Whole: p.view.Whole(p.micros())}
+func (p *Node) whole() whole {
+	w := whole{Snapshot: p.view.Snapshot(p.micros())}
 	if p.tiers != nil {
 		s := p.tiers.Status(hierarchy.Micros(p.micros()))
 		w.Tiers = &s
--- a/internal/gossip/tiers_test.go
+++ b/internal/gossip/tiers_test.go
@@ -46,7 +46,7 @@
 // fleet is a fleet of real places on loopback.
 type testFleet struct {
 	t       *testing.T
-	routers []*Peers
+	routers []*Node
 	configs []fleet.Config
 }
 
@@ -87,7 +87,7 @@
 	return f
 }
 
-func (f *testFleet) open(c fleet.Config) *Peers {
+func (f *testFleet) open(c fleet.Config) *Node {
 	f.t.Helper()
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
@@ -95,17 +95,17 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.routers = append(f.routers, p.(*Peers))
+	f.routers = append(f.routers, p.(*Node))
 	f.configs = append(f.configs, c)
-	return p.(*Peers)
+	return p.(*Node)
 }
 
 // until waits for all routers to be as they should.
-func (f *testFleet) until(what string, ok func(*Peers) bool) time.Duration {
+func (f *testFleet) until(what string, ok func(*Node) bool) time.Duration {
 	f.t.Helper()
 	began := time.Now()
 	for {
-		missing := slices.IndexFunc(f.routers, func(p *Peers) bool { return !ok(p) })
+		missing := slices.IndexFunc(f.routers, func(p *Node) bool { return !ok(p) })
 		switch {
 		case missing < 0:
 			return time.Since(began)
@@ -117,7 +117,7 @@
 	}
 }
 
-func status(p *Peers) hierarchy.Status {
+func status(p *Node) hierarchy.Status {
 	s, _ := p.Tiers()
 	return s
 }
@@ -131,8 +131,8 @@
 	return 0
 }
 
-func agree(f *testFleet) func(*Peers) bool {
-	return func(p *Peers) bool {
+func agree(f *testFleet) func(*Node) bool {
+	return func(p *Node) bool {
 		_, regions := p.TierDigests()
 		_, want := f.routers[0].TierDigests()
 		return p.Settled() && regions == want && alive(status(p).Regions, "north") == 2*perSite && alive(status(p).Regions, "south") == 2*perSite
@@ -152,16 +152,16 @@
 	}
 
 	f.routers[0].Holds(7)
-	t.Logf("revision known after %v", f.until("told of revision 7", func(p *Peers) bool { return p.NewestRevision() == 7 }))
+	t.Logf("revision known after %v", f.until("told of revision 7", func(p *Node) bool { return p.NewestRevision() == 7 }))
 
 	last := f.routers[len(f.routers)-1]
 	f.routers = f.routers[:len(f.routers)-1]
 	last.Close(false)
-	t.Logf("a leave known after %v", f.until("told that a router of plain left", func(p *Peers) bool {
+	t.Logf("a leave known after %v", f.until("told that a router of plain left", func(p *Node) bool {
 		return alive(status(p).Regions, "south") == 2*perSite-1
 	}))
 
-	var first *Peers
+	var first *Node
 	for i, c := range f.configs {
 		if c.Name == "hill-0" {
 			first = f.routers[i]
@@ -173,7 +173,7 @@
 		t.Error("the first router of hill does not represent it")
 	}
 	first.Kill()
-	t.Logf("a death known after %v", f.until("told that a router of hill died", func(p *Peers) bool {
+	t.Logf("a death known after %v", f.until("told that a router of hill died", func(p *Node) bool {
 		return alive(status(p).Regions, "north") == 2*perSite-1
 	}))
 }
@@ -185,7 +185,7 @@
 		configs[i].Dir = t.TempDir()
 	}
 	f := open(t, configs)
-	both := func(p *Peers) bool { return p.Settled() && alive(status(p).Regions, "north") == 2*perSite }
+	both := func(p *Node) bool { return p.Settled() && alive(status(p).Regions, "north") == 2*perSite }
 	f.until("settled", both)
 	for _, p := range f.routers[perSite:] {
 		p.Close(false)
@@ -209,7 +209,7 @@
 	second.Join = []string{flat.Advertise.String(), tiered.Advertise.String()}
 	f := open(t, []fleet.Config{tiered, flat, second})
 
-	refused := func(p *Peers) bool {
+	refused := func(p *Node) bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		for why := range p.refused {
@@ -269,7 +269,7 @@
 
 // A packed heartbeat is read as it was; a part of one is refused.
 func TestHeartbeatsPacked(t *testing.T) {
-	for _, w := range []membership.Word{
+	for _, w := range []membership.Heartbeat{
 		{Process: 1, Seq: 1},
 		{Process: 1 << 63, Seq: 1 << 40, Takes: true, Draining: true, Passing: true, Out: true, Left: true, Rival: 7, Revision: 1 << 50, Digest: 1 << 63},
 		{Process: 9, Seq: 3, Leads: true, Folder: 5, Keeper: "10.0.0.1:7947", Member: true, Last: 77},
@@ -288,7 +288,7 @@
 }
 
 func FuzzUnpackWords(f *testing.F) {
-	f.Add(packWords([]membership.Word{{Process: 1, Seq: 1}, {Process: 9, Seq: 3, Folder: 5, Keeper: "10.0.0.1:7947", Rival: 4}}))
+	f.Add(packWords([]membership.Heartbeat{{Process: 1, Seq: 1}, {Process: 9, Seq: 3, Folder: 5, Keeper: "10.0.0.1:7947", Rival: 4}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
--- a/internal/gossip/wordcode.go
+++ b/internal/gossip/wordcode.go
@@ -34,7 +34,7 @@
 }
 
 // packWord appends a heartbeat.
-func packWord(b []byte, w membership.Word) []byte {
+func packWord(b []byte, w membership.Heartbeat) []byte {
 	keeps := w.Folder != 0 || w.Keeper != "" || w.Member || w.Last != 0
 	b = binary.BigEndian.AppendUint64(b, uint64(w.Process))
 	b = binary.AppendUvarint(b, w.Seq)
@@ -64,7 +64,7 @@
 var errWord = errors.New("a heartbeat is not whole")
 
 // unpackWord reads a heartbeat and returns what comes after it.
-func unpackWord(b []byte) (w membership.Word, rest []byte, err error) {
+func unpackWord(b []byte) (w membership.Heartbeat, rest []byte, err error) {
 	r := &unpacker{b: b}
 	w.Process, w.Seq = membership.Process(r.uint64()), r.uvarint()
 	flags := r.bytes(1)[0]
@@ -80,13 +80,13 @@
 		w.Last = r.uvarint()
 	}
 	if r.short {
-		return membership.Word{}, nil, errWord
+		return membership.Heartbeat{}, nil, errWord
 	}
 	return w, r.b, nil
 }
 
 // packWords is a state: all heartbeats that a router has heard.
-func packWords(words []membership.Word) []byte {
+func packWords(words []membership.Heartbeat) []byte {
 	b := []byte{kindPacked}
 	for _, w := range words {
 		b = packWord(b, w)
@@ -95,9 +95,9 @@
 }
 
 // unpackWords reads a state.
-func unpackWords(b []byte) (words []membership.Word, err error) {
+func unpackWords(b []byte) (words []membership.Heartbeat, err error) {
 	for rest := b[1:]; len(rest) > 0; {
-		var w membership.Word
+		var w membership.Heartbeat
 		if w, rest, err = unpackWord(rest); err != nil {
 			return nil, err
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -20,17 +20,17 @@
 type Kind byte
 
 const (
-	Hello     Kind = 'H' // new to old: I am to replace you
-	Listener  Kind = 'L' // old to new, with the listener
-	Asked     Kind = 'I' // old to new: what operators have asked of it
-	Learned   Kind = 'K' // old to new: what it knows; the last of what follows Hello
-	Ready     Kind = 'R' // new to old: clients are mine from now on
-	Client    Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
-	Value     Kind = 'V' // old to new, with a client's connection and a server's: a big value on its way
-	Holds     Kind = 'S' // both: how many descriptors I hold
-	Bequest   Kind = 'P' // old to new: what it holds of the fleet's policy, for a moment
-	headBytes      = 5
-	most           = 4 << 20 // bytes of one frame
+	Hello         Kind = 'H' // new to old: I am to replace you
+	Listener      Kind = 'L' // old to new, with the listener
+	Asked         Kind = 'I' // old to new: what operators have asked of it
+	Learned       Kind = 'K' // old to new: what it knows; the last of what follows Hello
+	Ready         Kind = 'R' // new to old: clients are mine from now on
+	Client        Kind = 'C' // old to new, with a client's connection, and the bytes read of it that are not used yet
+	Value         Kind = 'V' // old to new, with a client's connection and a server's: a big value on its way
+	Holds         Kind = 'S' // both: how many descriptors I hold
+	LeaseTransfer Kind = 'P' // old to new: what it holds of the fleet's policy, for a moment
+	headBytes          = 5
+	most               = 4 << 20 // bytes of one frame
 )
 
 // Frame is one message. Its descriptors belong to who receives it.
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -454,7 +454,7 @@
 }
 
 // View asks a router's door.
-func (r *Rig) View(i int) (w membership.Whole, err error) {
+func (r *Rig) View(i int) (w membership.Snapshot, err error) {
 	a, err := r.http.Get("http://" + r.Door(i) + "/ops/fleet")
 	if err != nil {
 		return w, err
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -157,7 +157,7 @@
 	cheaters(t, rec)
 }
 
-func state(w membership.Whole, name membership.Name) membership.State {
+func state(w membership.Snapshot, name membership.Name) membership.State {
 	for _, r := range w.Routers {
 		if r.Name == name {
 			return r.State
@@ -171,16 +171,16 @@
 	first := map[membership.Name]string{}
 	for name, c := range map[string]struct {
 		rule  string
-		cheat func(*membership.Whole)
+		cheat func(*membership.Snapshot)
 	}{
-		"never gives up the dead": {"dead", func(w *membership.Whole) {
+		"never gives up the dead": {"dead", func(w *membership.Snapshot) {
 			for i := range w.Routers {
 				if w.Routers[i].State == membership.Lost {
 					w.Routers[i].State = membership.Alive
 				}
 			}
 		}},
-		"repeats an old incarnation": {"living", func(w *membership.Whole) {
+		"repeats an old incarnation": {"living", func(w *membership.Snapshot) {
 			for i, r := range w.Routers {
 				if first[r.Name] == "" {
 					first[r.Name] = r.Incarnation
@@ -190,22 +190,22 @@
 				}
 			}
 		}},
-		"answers for another": {"living", func(w *membership.Whole) {
+		"answers for another": {"living", func(w *membership.Snapshot) {
 			for i, r := range w.Routers {
 				if r.Name == "r1" {
 					w.Routers[i].Incarnation = "bad"
 				}
 			}
 		}},
-		"gives up the living": {"living", func(w *membership.Whole) {
+		"gives up the living": {"living", func(w *membership.Snapshot) {
 			for i, r := range w.Routers {
 				if r.Name == "r1" {
 					w.Routers[i].State = membership.Lost
 				}
 			}
 		}},
-		"one digest for all": {"digest", func(w *membership.Whole) { w.Digest = "1" }},
-		"never settles":      {"settles", func(w *membership.Whole) { w.Settled = false }},
+		"one digest for all": {"digest", func(w *membership.Snapshot) { w.Digest = "1" }},
+		"never settles":      {"settles", func(w *membership.Snapshot) { w.Settled = false }},
 	} {
 		rec := honest
 		rec.Samples = nil
@@ -381,7 +381,7 @@
 	})
 }
 
-func row(w membership.Whole, name membership.Name) membership.Router {
+func row(w membership.Snapshot, name membership.Name) membership.Router {
 	for _, r := range w.Routers {
 		if r.Name == name {
 			return r
--- a/internal/lab/rig/site_test.go
+++ b/internal/lab/rig/site_test.go
@@ -201,7 +201,7 @@
 func TestJudgeOfSites(t *testing.T) {
 	at := func(s float64, stage sitefailover.Stage, step int, index uint64, orders map[int]map[sitefailover.Site]float64) SiteSample {
 		return SiteSample{At: time.Duration(s * float64(time.Second)), Orders: orders,
-			Sites: []sitefailover.SiteStatus{{Name: "a", Ruling: sitefailover.Ruling{Stage: stage, Step: step, Index: index, By: "evidence"}}}}
+			Sites: []sitefailover.SiteStatus{{Name: "a", Decision: sitefailover.Decision{Stage: stage, Step: step, Index: index, By: "evidence"}}}}
 	}
 	lost := SiteTruth{At: 4 * time.Second, Site: "a"}
 	back := SiteTruth{At: 9 * time.Second, Site: "a", Listed: 1, Routers: true}
--- a/internal/lab/rig/sites.go
+++ b/internal/lab/rig/sites.go
@@ -105,11 +105,11 @@
 		}
 		return held || ok(last)
 	}
-	before := map[sitefailover.Site]sitefailover.Ruling{}
+	before := map[sitefailover.Site]sitefailover.Decision{}
 	for _, s := range samples {
 		for _, x := range s.Sites {
 			b := before[x.Name]
-			before[x.Name] = x.Ruling
+			before[x.Name] = x.Decision
 			// A leader that is one no longer may still tell of before.
 			if x.Index <= b.Index || x.By != "evidence" || was(s.At, x.Name, func(t SiteTruth) bool { return t.Word }) {
 				if x.Index < b.Index {
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -20,7 +20,7 @@
 type hollow struct {
 	spec  routerSpec
 	links *faultyLinks
-	place *gossip.Peers
+	place *gossip.Node
 }
 
 // open takes the router's place. It returns once that has been announced.
@@ -39,7 +39,7 @@
 	if err != nil {
 		return fmt.Errorf("router %d at %v: %w", s.Index, at, err)
 	}
-	h.place = opened.(*gossip.Peers)
+	h.place = opened.(*gossip.Node)
 	return nil
 }
 
--- a/internal/lab/viewref/viewref.go
+++ b/internal/lab/viewref/viewref.go
@@ -44,7 +44,7 @@
 type Sample struct {
 	At   time.Duration
 	By   int
-	View membership.Whole
+	View membership.Snapshot
 }
 
 // Record is a run.
@@ -219,7 +219,7 @@
 }
 
 // content is what a digest stands for.
-func content(w membership.Whole) string {
+func content(w membership.Snapshot) string {
 	var rows []string
 	for _, r := range w.Routers {
 		if r.State <= membership.Suspect {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -45,8 +45,8 @@
 // Parts are what a program has linked in beside the router; nil: it has not. Each costs memory and time at the start.
 type Parts struct {
 	GRPC   Front
-	Fleet  fleet.Take
-	Policy func(operator.Policy, fleet.Config, routing.Settings, *router.Router, fleet.Place, *logrus.Logger) (fleet.Policy, error)
+	Fleet  fleet.Join
+	Policy func(operator.Policy, fleet.Config, routing.Settings, *router.Router, fleet.Node, *logrus.Logger) (fleet.Policy, error)
 }
 
 // Front begins to take clients of a further protocol, and returns what ends that in order. It is told before the router
@@ -219,11 +219,11 @@
 // withFleet is a router as the admin endpoint sees it, with what is seen of the fleet from its place.
 type withFleet struct {
 	*router.Router
-	fleet.Place
+	fleet.Node
 }
 
 // Figures are the router's and the view's.
-func (w withFleet) Figures() string { return w.Router.Figures() + w.Place.Figures() }
+func (w withFleet) Figures() string { return w.Router.Figures() + w.Node.Figures() }
 
 // withPolicy is one that is kept to a policy of the whole fleet as well.
 type withPolicy struct {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -404,7 +404,7 @@
 			r.heardAsked(f)
 		case handover.Holds:
 			r.heard(0, f)
-		case handover.Bequest:
+		case handover.LeaseTransfer:
 			if r.takeover.inherit != nil {
 				r.takeover.inherit(f.Body)
 			}
@@ -424,8 +424,8 @@
 // Inherit has what the process before this one leaves come to a function. Call it before Run.
 func (r *Router) Inherit(f func([]byte)) { r.takeover.inherit = f }
 
-// Bequeath leaves something to the process that is to replace this one, if there is one; it is made only then.
-func (r *Router) Bequeath(what func() []byte) {
+// Transfer leaves something to the process that is to replace this one, if there is one; it is made only then.
+func (r *Router) Transfer(what func() []byte) {
 	select {
 	case <-r.ready:
 	default:
@@ -433,7 +433,7 @@
 	}
 	r.execute(func() {
 		if heir := r.takeover.heir; heir != nil {
-			go func() { _ = heir.Send(handover.Frame{Kind: handover.Bequest, Body: what()}) }() // left again soon
+			go func() { _ = heir.Send(handover.Frame{Kind: handover.LeaseTransfer, Body: what()}) }() // left again soon
 		}
 	})
 }
--- a/internal/scale/capacity/design.go
+++ b/internal/scale/capacity/design.go
@@ -148,7 +148,7 @@
 	return 2 * (every + gathered + leaderRest + 2*delay + 4*delay)
 }
 
-// waitedFor is how long a router that does not answer holds a change up, by policycommit.Council: its lease by a clock that runs a
+// waitedFor is how long a router that does not answer holds a change up, by policycommit.Leader: its lease by a clock that runs a
 // hundredth slow, and a slack.
 func waitedFor(lease float64) float64 { return lease*1.01 + seconds(policycommit.DefaultRules().Slack) }
 
--- a/internal/scale/capacity/roles.go
+++ b/internal/scale/capacity/roles.go
@@ -165,7 +165,7 @@
 	unanswered := now.RenewalBytes / now.AskAgain
 	herd := t.Failures.Herd
 	return Role{Name: "Router, policy, parts and list of today", Note: "Beside either membership; by count. Leader, keepers and router each in another region.", Rows: []Row{
-		{Quantity: "renewals, bytes", Ordinary: counted(now.Far.Bytes, BytesPerSecond, "askings of `policycommit.Holder`, played"),
+		{Quantity: "renewals, bytes", Ordinary: counted(now.Far.Bytes, BytesPerSecond, "askings of `policycommit.Follower`, played"),
 			Herd: counted(now.Far.Bytes, BytesPerSecond, ""), Cut: counted(unanswered, BytesPerSecond, "asked in vain, until the leader counts as lost"),
 			Mechanism: "each asks the keepers' leader by itself", Limit: &Limit{limit, BytesPerSecond}},
 		{Quantity: "renewals, messages", Ordinary: counted(now.Far.Messages(), PerSecond, ""), Herd: counted(now.Far.Messages(), PerSecond, ""),
@@ -203,7 +203,7 @@
 		{Quantity: "bytes in and out", Ordinary: counted(now.Far.LeaderIO, BytesPerSecond, ""), Herd: counted(now.Far.LeaderIO, BytesPerSecond, ""),
 			Cut: counted(now.Elected*now.RenewalBytes, BytesPerSecond, "in alone"), Mechanism: "the same"},
 		always("processor time, without sockets and raft", leaderCores(t, now, ofLeader), "one goroutine answers all askings, one decodes them"),
-		always("state", counted(now.RosterBytes, Bytes, "roster; the documents of a hundred changes beside it"), "`policycommit.Book`"),
+		always("state", counted(now.RosterBytes, Bytes, "roster; the documents of a hundred changes beside it"), "`policycommit.LogState`"),
 		always("roster's entries copied", counted(now.RosterCopied, PerSecond, "two copies of the book a pass, at most"), "`Book.Clone`"),
 		{Quantity: "entries of the log", Ordinary: counted(entries, PerSecond, "a leave and an enter a restart, two a change"),
 			Herd: counted(2*(t.RestartsPerSecond()*herd+t.ChangesPerSecond()), PerSecond, ""),
--- a/internal/scale/capacity/today.go
+++ b/internal/scale/capacity/today.go
@@ -143,12 +143,12 @@
 func playAskings(delay policycommit.Micros) (perSecond, covered float64) {
 	const step, begin, end = 20_000, 10 * microseconds, 70 * microseconds // internal/controlplane looks every 20 ms
 	rules := policycommit.DefaultRules()
-	holder := policycommit.NewHolder(rules, sampleName, 1, false, sampleBuild, func(string) error { return nil })
+	holder := policycommit.NewFollower(rules, sampleName, 1, false, sampleBuild, func(string) error { return nil })
 	var underWay []policycommit.Renewal
 	asked, may, looks := 0, 0, 0
 	for now := policycommit.Micros(0); now < end; now += step {
 		for len(underWay) > 0 && underWay[0].At+delay <= now {
-			holder.Granted(now, policycommit.Grant{Process: 1, At: underWay[0].At, For: rules.Lease, Index: 1, Revision: 1})
+			holder.Granted(now, policycommit.Lease{Process: 1, At: underWay[0].At, For: rules.Lease, Index: 1, Revision: 1})
 			underWay = underWay[1:]
 		}
 		if renewal, due := holder.Ask(now); due {
@@ -161,7 +161,7 @@
 			continue
 		}
 		looks++
-		if holder.Takes(now) > now {
+		if holder.AcceptsUntil(now) > now {
 			may++
 		}
 	}
--- a/internal/scale/leader/leader.go
+++ b/internal/scale/leader/leader.go
@@ -39,7 +39,7 @@
 // said is what package controlplane sends, as far as it is measured here.
 type said struct {
 	Renewal *policycommit.Renewal `json:"r,omitempty"`
-	Grant   *policycommit.Grant   `json:"g,omitempty"`
+	Grant   *policycommit.Lease   `json:"g,omitempty"`
 }
 
 const (
@@ -50,8 +50,8 @@
 
 // fleet is a leader with all routers on its roster.
 type fleet struct {
-	book    *policycommit.Book
-	council *policycommit.Council
+	book    *policycommit.LogState
+	council *policycommit.Leader
 	askings [][]byte
 	decoded []policycommit.Renewal
 	now     policycommit.Micros
@@ -59,7 +59,7 @@
 
 func newFleet(routers int, seed uint64) *fleet {
 	random := rand.New(rand.NewPCG(seed, uint64(routers)))
-	f := &fleet{book: &policycommit.Book{}, council: policycommit.NewCouncil(0, policycommit.DefaultRules(), routers), now: 10e6}
+	f := &fleet{book: &policycommit.LogState{}, council: policycommit.NewLeader(0, policycommit.DefaultRules(), routers), now: 10e6}
 	for i := range routers {
 		site := fmt.Sprintf("site-%04d", i/perSite)
 		name := policycommit.Name(fmt.Sprintf("%s-router-%02d", site, i%perSite))
