Scale scenarios say how many routers each worker starts at a time

Need: 3,200 tiered routers kept eight cores busy for four minutes after a start of 64 at a time (a trial, stopped; it had not settled), while 1,600 took a fifth of them. Change: field starts, 8 as before. Measured: tests of the scenario's reading green; 3,200 with another figure was not run yet.

--- a/internal/lab/scale/check.go
+++ b/internal/lab/scale/check.go
@@ -67,6 +67,7 @@
 	c.within("routers_per_site", s.RoutersPerSite, 1, 1000)
 	c.within("sites_per_region", s.SitesPerRegion, 1, 1000)
 	c.within("processes", s.Processes, 1, mostProcesses)
+	c.within("starts", s.Starts, 1, 64)
 	c.real(s)
 	c.want(s.Network == 0 || s.Network >= firstNet && s.Network < firstNet+nets, "network",
 		fmt.Sprintf("%d is no network of the harness", s.Network), fmt.Sprintf("write a number from %d to %d, or leave it out", firstNet, firstNet+nets-1))
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -53,6 +53,7 @@
 	KillEvery      Span            `toml:"kill_every"` // between two representatives killed
 	BackAfter      Span            `toml:"back_after"` // from being killed to the next process of the router
 	Processes      int             `toml:"processes"`  // at most
+	Starts         int             `toml:"starts"`     // routers that each process starts at a time
 	Real           int             `toml:"real"`       // routers of each fleet that are processes of the router's program
 	Network        int             `toml:"network"`    // 127.NETWORK.0.0/16 is used; 0: one that is free
 	Bound          Bound           `toml:"bound"`
@@ -72,7 +73,7 @@
 	return Scenario{Topology: result.Flat, Seeds: []uint64{1}, RoutersPerSite: 18, SitesPerRegion: 18, Probe: Span(time.Second),
 		Faults: []result.Fault{result.Rest}, Loss: 0.02, Settle: Span(time.Minute), Calm: Span(5 * time.Second),
 		Measure: Span(20 * time.Second),
-		Change:  Span(30 * time.Second), KillEvery: Span(time.Second), BackAfter: Span(5 * time.Second), Processes: mostProcesses}
+		Change:  Span(30 * time.Second), KillEvery: Span(time.Second), BackAfter: Span(5 * time.Second), Processes: mostProcesses, Starts: 8}
 }
 
 // Read reads a scenario's file. The error has a line for each thing that is wrong.
--- a/internal/lab/scale/scenario_test.go
+++ b/internal/lab/scale/scenario_test.go
@@ -22,6 +22,7 @@
 		"no span":             {good + "settle = \"long\"\n", "line 3: settle"},
 		"too long":            {good + "measure = \"1h\"\n", "line 3: measure: 1h0m0s is not from 1s to 10m0s; write a span"},
 		"too many processes":  {good + "processes = 99\n", "line 3: processes: 99 is not from 1 to 8; write a number from 1 to 8"},
+		"nothing starts":      {good + "starts = 0\n", "line 3: starts: 0 is not from 1 to 64; write a number from 1 to 64"},
 		"network of others":   {good + "network = 130\n", "line 3: network: 130 is no network of the harness; write a number from 70 to 109"},
 		"too large":           {"title = \"x\"\nsizes = [99000]\n", "line 2: sizes[0]: 99000 routers do not fit into one loopback network"},
 		"a bound never seen":  {good + "[bound]\nsettled = \"2m\"\n", "line 4: bound.settled: is below zero or longer than settle"},
--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -16,7 +16,6 @@
 	idleSpan    = time.Second // for which workers without routers are measured
 	statusEvery = 250 * time.Millisecond
 	knownEvery  = 100 * time.Millisecond
-	startsAtOne = 8 // routers that a worker is told to start at a time
 )
 
 // trial is one fleet under one fault.
@@ -176,7 +175,7 @@
 	for slices.ContainsFunc(queues, func(q []int) bool { return len(q) > 0 }) {
 		batches := make([][]routerSpec, len(t.workers))
 		for i, q := range queues {
-			k := min(startsAtOne, len(q))
+			k := min(t.scenario.Starts, len(q))
 			for _, r := range q[:k] {
 				t.specs[r] = t.spec(r, started)
 				batches[i] = append(batches[i], t.specs[r])
