--- a/cmd/spurctl/fleetsite.go
+++ b/cmd/spurctl/fleetsite.go
@@ -7,7 +7,6 @@
 	"os"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -33,41 +32,26 @@
 }
 
 func siteWord(word, short string) *cobra.Command {
-	var author, reason string
+	var x statement
 	c := &cobra.Command{Use: word + " SITE DOOR", Short: short, Args: lastArg(2),
 		Example: "  spurctl fleet site " + word + " coast 10.1.2.3:8400 --reason 'the carrier says so'",
 		RunE: func(c *cobra.Command, args []string) error {
-			if reason == "" || author == "" {
-				return usage("say --author and --reason: they are kept")
+			if err := x.check(); err != nil {
+				return err
 			}
-			s, _, err := askPolicy(c.Context(), args[1], policycommit.Request{What: "site", Name: args[0], Word: word, Author: author, Reason: reason, At: time.Now().UnixMicro()})
+			s, _, err := askPolicy(c.Context(), args[1], x.sign(policycommit.Request{What: "site", Name: args[0], Word: word}))
 			if err != nil {
 				return err
 			}
 			return showSites(c.OutOrStdout(), s)
 		}}
-	c.Flags().StringVar(&author, "author", os.Getenv("USER"), "who says so")
-	c.Flags().StringVar(&reason, "reason", "", "how that is known")
+	x.flags(c, "who says so", "how that is known")
 	return c
 }
 
 func siteStatus() *cobra.Command {
-	var output string
-	c := &cobra.Command{Use: "status DOOR", Short: "Tell what each site counts as, what is refused, and what the next step waits for", Args: lastArg(1),
-		Example: "  spurctl fleet site status 10.1.2.3:8400",
-		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "sites"})
-			if err != nil {
-				return err
-			}
-			if output == "json" {
-				_, err = io.WriteString(c.OutOrStdout(), text)
-				return err
-			}
-			return showSites(c.OutOrStdout(), s)
-		}}
-	outputFlag(c, &output)
-	return c
+	return keeperQuery{use: "status DOOR", short: "Tell what each site counts as, what is refused, and what the next step waits for",
+		example: "  spurctl fleet site status 10.1.2.3:8400", what: "sites", show: showSites}.command()
 }
 
 func showSites(w io.Writer, s policycommit.Reply) error {
--- a/cmd/spurctl/policy.go
+++ b/cmd/spurctl/policy.go
@@ -134,21 +134,21 @@
 
 // change is what apply and undo share.
 type change struct {
-	base                  uint64
-	token, author, reason string
+	statement
+	base  uint64
+	token string
 }
 
 func (x *change) flags(c *cobra.Command) {
 	c.Flags().Uint64Var(&x.base, "base", 0, "the revision that it was made for; it is refused if another is in force")
 	c.Flags().StringVar(&x.token, "token", "", "of an earlier try whose answer was lost: the same verdict is told again")
-	c.Flags().StringVar(&x.author, "author", os.Getenv("USER"), "who makes the change")
-	c.Flags().StringVar(&x.reason, "reason", "", "why, for those who look at it later")
+	x.statement.flags(c, "who makes the change", "why, for those who look at it later")
 }
 
 func (x *change) apply(c *cobra.Command, door, doc string) error {
 	out := c.OutOrStdout()
-	if x.reason == "" || x.author == "" {
-		return usage("say --author and --reason: they are kept with the change")
+	if err := x.check(); err != nil {
+		return err
 	}
 	if x.token == "" {
 		x.token = crand.Text()
@@ -166,8 +166,7 @@
 				lineDiff(last.Doc, doc))
 		}
 	}
-	s, _, err := askPolicy(c.Context(), door, policycommit.Request{What: "apply", Doc: doc, Base: policycommit.Revision(x.base), Token: policycommit.Token(x.token),
-		Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
+	s, _, err := askPolicy(c.Context(), door, x.sign(policycommit.Request{What: "apply", Doc: doc, Base: policycommit.Revision(x.base), Token: policycommit.Token(x.token)}))
 	if err != nil {
 		return fmt.Errorf("%w; to learn what became of it ask again with --token %s", err, x.token)
 	}
@@ -313,69 +312,48 @@
 func stampOf(at int64) string { return time.UnixMicro(at).UTC().Format(time.RFC3339) }
 
 func policyHistory() *cobra.Command {
-	var output string
-	c := &cobra.Command{Use: "history DOOR", Short: "List the last changes, with who made them and why", Args: lastArg(1),
-		Example: "  spurctl policy history 10.1.2.3:8400",
-		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "history"})
-			if err != nil {
-				return err
-			}
-			if output == "json" {
-				_, err := io.WriteString(c.OutOrStdout(), text)
-				return err
-			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
-			fmt.Fprintln(t, "revision\tat\tby\twhy")
-			for _, h := range s.History {
-				fmt.Fprintf(t, "%d\t%s\t%s\t%s\n", h.Revision, stampOf(h.At), h.Author, h.Reason)
-			}
-			for _, e := range s.Said {
-				fmt.Fprintf(t, "-\t%s\t%s\tsaid that %s is dead: %s\n", stampOf(e.At), e.Author, e.Name, e.Reason)
-			}
-			return t.Flush()
-		}}
-	outputFlag(c, &output)
-	return c
+	return keeperQuery{use: "history DOOR", short: "List the last changes, with who made them and why",
+		example: "  spurctl policy history 10.1.2.3:8400", what: "history", show: showHistory}.command()
+}
+
+func showHistory(w io.Writer, s policycommit.Reply) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "revision\tat\tby\twhy")
+	for _, h := range s.History {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\n", h.Revision, stampOf(h.At), h.Author, h.Reason)
+	}
+	for _, e := range s.Said {
+		fmt.Fprintf(t, "-\t%s\t%s\tsaid that %s is dead: %s\n", stampOf(e.At), e.Author, e.Name, e.Reason)
+	}
+	return t.Flush()
 }
 
 func policyStatus() *cobra.Command {
-	var output string
-	c := &cobra.Command{Use: "status DOOR", Short: "Show the revision in force, and how each router stands to it", Args: lastArg(1),
-		Example: "  spurctl policy status 10.1.2.3:8400",
-		RunE: func(c *cobra.Command, args []string) error {
-			s, text, err := askPolicy(c.Context(), args[0], policycommit.Request{What: "status"})
-			if err != nil {
-				return err
-			}
-			out := c.OutOrStdout()
-			if output == "json" {
-				_, err := io.WriteString(out, text)
-				return err
-			}
-			fmt.Fprintf(out, "revision %d is in force\n", s.Current)
-			if p := s.Pending; p != nil {
-				fmt.Fprintf(out, "revision %d is pending, by %s: %s\n", p.Revision, p.Author, p.Reason)
-			}
-			for _, k := range s.Keepers {
-				fmt.Fprintf(out, "keeper %s\n", k)
-			}
-			t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-			fmt.Fprintln(t, "router\tholds\tprepared\theard\tcut off\tbuild")
-			for _, r := range s.Standings {
-				heard, cut := "not by this leader", "refuses"
-				if r.Heard >= 0 {
-					heard = (time.Duration(r.Heard) * time.Microsecond).Round(10*time.Millisecond).String() + " ago"
-				}
-				if r.Serves {
-					cut = "serves"
-				}
-				fmt.Fprintf(t, "%s\t%d\t%v\t%s\t%s\t%s\n", r.Name, r.Held, r.Prepared, heard, cut, r.Build)
-			}
-			return t.Flush()
-		}}
-	outputFlag(c, &output)
-	return c
+	return keeperQuery{use: "status DOOR", short: "Show the revision in force, and how each router stands to it",
+		example: "  spurctl policy status 10.1.2.3:8400", what: "status", show: showPolicyStatus}.command()
+}
+
+func showPolicyStatus(w io.Writer, s policycommit.Reply) error {
+	fmt.Fprintf(w, "revision %d is in force\n", s.Current)
+	if p := s.Pending; p != nil {
+		fmt.Fprintf(w, "revision %d is pending, by %s: %s\n", p.Revision, p.Author, p.Reason)
+	}
+	for _, k := range s.Keepers {
+		fmt.Fprintf(w, "keeper %s\n", k)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "router\tholds\tprepared\theard\tcut off\tbuild")
+	for _, r := range s.Standings {
+		heard, cut := "not by this leader", "refuses"
+		if r.Heard >= 0 {
+			heard = (time.Duration(r.Heard) * time.Microsecond).Round(10*time.Millisecond).String() + " ago"
+		}
+		if r.Serves {
+			cut = "serves"
+		}
+		fmt.Fprintf(t, "%s\t%d\t%v\t%s\t%s\t%s\n", r.Name, r.Held, r.Prepared, heard, cut, r.Build)
+	}
+	return t.Flush()
 }
 
 func policyFound() *cobra.Command {
@@ -393,20 +371,18 @@
 
 // policyWord is an operator's word on a router.
 func policyWord(use, short, what string) *cobra.Command {
-	var x change
+	var x statement
 	c := &cobra.Command{Use: use, Short: short, Args: lastArg(2), Example: "  spurctl policy " + strings.NewReplacer("NAME", "r2", "DOOR", "10.1.2.3:8400").Replace(use),
 		RunE: func(c *cobra.Command, args []string) error {
-			if x.reason == "" || x.author == "" {
-				return usage("say --author and --reason: they are kept")
+			if err := x.check(); err != nil {
+				return err
 			}
-			_, _, err := askPolicy(c.Context(), args[1], policycommit.Request{What: what, Name: args[0], Author: x.author, Reason: x.reason, At: time.Now().UnixMicro()})
-			if err != nil {
+			if _, _, err := askPolicy(c.Context(), args[1], x.sign(policycommit.Request{What: what, Name: args[0]})); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintln(c.OutOrStdout(), "done")
+			_, err := fmt.Fprintln(c.OutOrStdout(), "done")
 			return err
 		}}
-	c.Flags().StringVar(&x.author, "author", os.Getenv("USER"), "who says so")
-	c.Flags().StringVar(&x.reason, "reason", "", "how that is known")
+	x.flags(c, "who says so", "how that is known")
 	return c
 }
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,13 +14,15 @@
 
 	"spurtrestle/internal/lab/event"
 	"spurtrestle/internal/lab/scenario"
+	"spurtrestle/internal/lab/testprogram"
 )
 
 // build builds a program of the repository.
 func build(t *testing.T, name string) string {
-	program := filepath.Join(t.TempDir(), name)
-	if out, err := exec.Command("go", "build", "-o", program, "spurtrestle/cmd/"+name).CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	t.Helper()
+	program, err := testprogram.Build(t.TempDir(), name)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return program
 }
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -3,17 +3,16 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"spurtrestle/core/membership"
 	"spurtrestle/internal/lab/links"
+	"spurtrestle/internal/lab/testprogram"
 	"spurtrestle/internal/lab/viewref"
 )
 
@@ -23,18 +22,6 @@
 
 var bounds = viewref.Bounds{Settle: 12 * time.Second, Gone: 12 * time.Second, Back: 8 * time.Second}
 
-var program = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "rig")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "router")
-	if out, err := exec.Command("go", "build", "-o", program, "spurtrestle/cmd/spurtrestle-fleet").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%v: %s", err, out)
-	}
-	return program, nil
-})
-
 // trial is a rig and a test.
 type trial struct {
 	*Rig
@@ -44,7 +31,7 @@
 func play(t *testing.T, o Options) trial {
 	t.Parallel()
 	var err error
-	if o.Program, err = program(); err != nil {
+	if o.Program, err = testprogram.Fleet(); err != nil {
 		t.Fatal(err)
 	}
 	o.Dir, o.Probe = t.TempDir(), probe
--- a/internal/lab/scale/run_test.go
+++ b/internal/lab/scale/run_test.go
@@ -5,14 +5,13 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"spurtrestle/internal/lab/testprogram"
 	"spurtrestle/internal/scale/result"
 )
 
@@ -58,21 +57,9 @@
 	}
 }
 
-var routerProgram = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "scale-router")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "router")
-	if out, err := exec.Command("go", "build", "-o", program, "spurtrestle/cmd/spurtrestle-fleet").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%v: %s", err, out)
-	}
-	return program, nil
-})
-
 // Processes of the router's program are members like the hollow ones, and show what they count.
 func TestRealRoutersTakePart(t *testing.T) {
-	program, err := routerProgram()
+	program, err := testprogram.Fleet()
 	if err != nil {
 		t.Fatal(err)
 	}
