--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -139,7 +139,7 @@
 			}
 		}
 	}
-	fmt.Println(retries, "retries for 100 reqs")
+	fmt.Println(retries, "retries for 100 requests")
 	// Output: 12 retries for 100 requests
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -172,7 +172,7 @@
 			_ = l.Close(origin)
 		}
 		l.rounds()
-		fmt.Printf("%s: %q, then %d reqs and %d bytes held\n", c.name, client.wrote, len(l.r.requests), l.r.held)
+		fmt.Printf("%s: %q, then %d requests and %d bytes held\n", c.name, client.wrote, len(l.r.requests), l.r.held)
 	}
 	// Output:
 	// all had left: "-ERR failed\r\n", then 0 requests and 0 bytes held
