--- a/core/hierarchy/hierarchy_test.go
+++ b/core/hierarchy/hierarchy_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -117,6 +119,42 @@
 	w.verdict(2 * second)
 }
 
+// What summaries cost a router at rest, by the fleet's size: sites of 18 routers and regions of 18 sites, and the target's fleet at
+// the end. A router's bytes rise until its region is whole, and with the number of regions from then on, not with the fleet.
+func TestCostAtRestBySize(t *testing.T) {
+	const perSite, perRegion = 18, 18
+	sites := []int{3, 6, 12, 23, 45}
+	if *long {
+		sites = append(sites, 89, 178, 324, 760)
+	}
+	var costs []float64
+	for _, n := range sites {
+		t.Run(fmt.Sprintf("%d_routers", n*perSite), func(t *testing.T) {
+			w := newWorld(t, 1, n, (n+perRegion-1)/perRegion, perSite)
+			w.startAll(second)
+			w.until("settled", 20*second, w.settled)
+			w.run(40 * second)
+			w.forget()
+			w.run(20 * second)
+			cost := w.mean(20 * second)
+			t.Logf("%d regions: %.0f B/s", (n+perRegion-1)/perRegion, cost)
+			costs = append(costs, cost)
+		})
+	}
+	if least, most := slices.Min(costs), slices.Max(costs); most > 1.6*least {
+		t.Errorf("a router spends from %.0f to %.0f B/s", least, most)
+	}
+}
+
+// mean is bytes a second of a router since the last call of forget, in and out together.
+func (w *world) mean(span Micros) float64 {
+	sum := 0
+	for _, n := range w.nodes {
+		sum += n.in + n.out
+	}
+	return float64(sum) * 1e6 / float64(span) / float64(len(w.nodes))
+}
+
 var long = flag.Bool("long", false, "play the target's whole fleet: minutes, and a GB")
 
 // The target's whole fleet: 13,680 routers at 760 sites in 41 regions, at rest, with the target's changes of configuration, and
--- a/core/sitefailover/coordinator.go
+++ b/core/sitefailover/coordinator.go
@@ -26,14 +26,14 @@
 
 // watch is what the leader has seen of a site.
 type watch struct {
-	ruling  Decision
-	since   Micros  // it knows of that decision
-	lost    float64 // the part of the worth let in that was given up then
-	gone    Micros  // since when the evidence is that it is lost; 0: it is not
-	there   Micros  // since when that it is back
-	servers int
-	best    float64 // answers a second, of late
-	bestAt  Micros
+	decision Decision
+	since    Micros  // it knows of that decision
+	lost     float64 // the part of the worth let in that was given up then
+	gone     Micros  // since when the evidence is that it is lost; 0: it is not
+	there    Micros  // since when that it is back
+	servers  int
+	best     float64 // answers a second, of late
+	bestAt   Micros
 }
 
 // settle is how long a new leader listens before it rules on anything.
@@ -56,7 +56,7 @@
 }
 
 // Step looks at all routers anew. It tells what they are to keep to, and rules on a site where it is time to.
-func (c *Coordinator) Step(now Micros, p *Plan, rulings map[Site]Decision, rows []Row) (Orders, *Order) {
+func (c *Coordinator) Step(now Micros, p *Plan, decisions map[Site]Decision, rows []Row) (Orders, *Order) {
 	if !p.On() {
 		c.throttle, c.status = throttle{}, Status{}
 		return Orders{}, nil
@@ -78,16 +78,16 @@
 	var stands []standing
 	trouble, latest, away := false, uint64(0), 0.0
 	for _, place := range p.Sites {
-		w := c.watch(now, place.Name, rulings[place.Name], missed)
+		w := c.watch(now, place.Name, decisions[place.Name], missed)
 		e := evidence(place.Name, rows, heard)
 		w.see(now, e)
-		share := w.ruling.share(p)
+		share := w.decision.share(p)
 		bears := cmp.Or(place.Bears, w.best)
 		there := e.there
-		if w.ruling.Stage != Lost && now-c.began >= settle && !e.known {
+		if w.decision.Stage != Lost && now-c.began >= settle && !e.known {
 			there = 0
 		}
-		row := SiteStatus{Decision: w.ruling, Name: place.Name, Share: share, Bears: bears * share * there, Told: place.Bears > 0, There: there,
+		row := SiteStatus{Decision: w.decision, Name: place.Name, Share: share, Bears: bears * share * there, Told: place.Bears > 0, There: there,
 			Routers: e.routers, Heard: e.heard}
 		if row.degraded() {
 			trouble = true
@@ -96,23 +96,23 @@
 		stands = append(stands, standing{place.Name, float64(e.usual) * share * there, row.Bears})
 		if share < 1 {
 			orders.Shares = append(orders.Shares, Share{place.Name, share})
-			if w.ruling.Index >= latest { // of two that are away the last one's
-				latest, orders.Spare = w.ruling.Index, w.ruling.Spare
+			if w.decision.Index >= latest { // of two that are away the last one's
+				latest, orders.Spare = w.decision.Index, w.decision.Spare
 			}
 		}
 		if now-c.began >= settle {
 			next, why := w.next(now, p, e, missed, origin)
 			row.Waits = why
-			if next != nil && next.Stage == Lost && last(p, place.Name, rulings) {
+			if next != nil && next.Stage == Lost && last(p, place.Name, decisions) {
 				next, row.Waits = nil, "it is the only site that is not lost"
 			}
 			if next != nil && order == nil { // one at a time
-				next.Site, next.On = place.Name, w.ruling.Index
+				next.Site, next.On = place.Name, w.decision.Index
 				switch {
-				case next.Stage == Lost && w.ruling.Stage == Up:
-					next.Spare = c.Spare(p, place.Name, rulings)
+				case next.Stage == Lost && w.decision.Stage == Up:
+					next.Spare = c.Spare(p, place.Name, decisions)
 				case next.Stage != Up:
-					next.Spare = w.ruling.Spare
+					next.Spare = w.decision.Spare
 				}
 				order = next
 			}
@@ -159,10 +159,10 @@
 		w = &watch{since: now}
 		c.sites[site] = w
 	}
-	if w.ruling.Index != r.Index {
+	if w.decision.Index != r.Index {
 		w.since, w.gone, w.there, w.lost = now, 0, 0, lost
 	}
-	w.ruling = r
+	w.decision = r
 	return w
 }
 
@@ -268,10 +268,10 @@
 			*at = now
 		}
 	}
-	since(&w.gone, w.ruling.Stage == Up && e.lost() || w.ruling.Stage == Returning && (e.lost() || e.failing()))
-	since(&w.there, w.ruling.Stage == Lost && e.back())
+	since(&w.gone, w.decision.Stage == Up && e.lost() || w.decision.Stage == Returning && (e.lost() || e.failing()))
+	since(&w.there, w.decision.Stage == Lost && e.back())
 	w.servers = max(w.servers, e.usual)
-	if w.ruling.Stage == Up && (e.answers >= w.best || now-w.bestAt > remembered) {
+	if w.decision.Stage == Up && (e.answers >= w.best || now-w.bestAt > remembered) {
 		w.best, w.bestAt = e.answers, now
 	}
 }
@@ -284,7 +284,7 @@
 
 // next is the decision that is due, or what the next one waits for.
 func (w *watch) next(now Micros, p *Plan, e proof, lost, origin float64) (*Order, string) {
-	r := w.ruling
+	r := w.decision
 	after := func(at, span Micros) bool { return at != 0 && now-at >= span }
 	switch {
 	case r.Stage == Up:
@@ -336,7 +336,7 @@
 
 // Spare is how a lost site's keys are to go to the servers of the others. None: evenly, since it is nearly that, or nothing is
 // known. It is settled once for a loss, since each change moves keys.
-func (c *Coordinator) Spare(p *Plan, site Site, rulings map[Site]Decision) []Share {
+func (c *Coordinator) Spare(p *Plan, site Site, decisions map[Site]Decision) []Share {
 	var all []Bearing
 	lost := []Site{}
 	for _, x := range p.Sites {
@@ -345,7 +345,7 @@
 			return nil
 		}
 		all = append(all, Bearing{x.Name, w.servers, cmp.Or(x.Bears, w.best), x.Prefer})
-		if x.Name != site && rulings[x.Name].Stage == Lost {
+		if x.Name != site && decisions[x.Name].Stage == Lost {
 			lost = append(lost, x.Name)
 		}
 	}
@@ -423,8 +423,8 @@
 )
 
 // Command is what an operator may say of a site: lost, back, hold, go. The order that it makes, or why it makes none.
-func Command(p *Plan, site Site, rulings map[Site]Decision, word, by, reason string) (*Order, error) {
-	r := rulings[site]
+func Command(p *Plan, site Site, decisions map[Site]Decision, word, by, reason string) (*Order, error) {
+	r := decisions[site]
 	if !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name == site }) {
 		return nil, fmt.Errorf("%q is no site of the plan; spurctl fleet site status names them", site)
 	}
@@ -432,7 +432,7 @@
 	o.By, o.Reason = by, reason
 	switch word {
 	case "lost":
-		if last(p, site, rulings) {
+		if last(p, site, decisions) {
 			return nil, fmt.Errorf("%s is the only site that is not lost: its load could go nowhere", site)
 		}
 		o.Stage, o.Step, o.Held = Lost, 0, true
@@ -453,8 +453,8 @@
 }
 
 // last tells whether all other sites are lost.
-func last(p *Plan, site Site, rulings map[Site]Decision) bool {
-	return !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name != site && rulings[x.Name].Stage != Lost })
+func last(p *Plan, site Site, decisions map[Site]Decision) bool {
+	return !slices.ContainsFunc(p.Sites, func(x Place) bool { return x.Name != site && decisions[x.Name].Stage != Lost })
 }
 
 // Status is what the leader knows, for people.
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -62,9 +62,9 @@
 	build  string
 
 	mu       sync.Mutex
-	holder   *policycommit.Follower
-	council  *policycommit.Leader // nil: this one does not lead
-	book     *log                 // nil: this one is no keeper, or not yet
+	follower *policycommit.Follower
+	leader   *policycommit.Leader // nil: this one does not lead
+	raftLog  *log                 // nil: this one is no keeper, or not yet
 	asks     []ask
 	wants    map[policycommit.Token][]waiting   // who waits for a verdict
 	calls    map[uint64]chan policycommit.Reply // of operators, at this router
@@ -97,24 +97,24 @@
 func Open(cfg Config, process fleet.Process, build string, router Router, transport fleet.Transport, logger *logrus.Logger) (*Keeper, error) {
 	k := &Keeper{cfg: cfg, router: router, fleet: transport, log: logger, start: time.Now(), build: build, wants: map[policycommit.Token][]waiting{}, calls: map[uint64]chan policycommit.Reply{},
 		entering: map[policycommit.Name]policycommit.Micros{}, kick: make(chan struct{}, 1), stop: make(chan struct{})}
-	k.holder = policycommit.NewFollower(policycommit.DefaultRules(), policycommit.Name(cfg.Name), policycommit.Process(process), cfg.Serves, build, k.check)
+	k.follower = policycommit.NewFollower(policycommit.DefaultRules(), policycommit.Name(cfg.Name), policycommit.Process(process), cfg.Serves, build, k.check)
 	if cfg.keeps() {
-		book, err := openLog(cfg.Log, cfg.Name, logger)
+		raftLog, err := openLog(cfg.Log, cfg.Name, logger)
 		if err != nil {
 			return nil, cfg.Refused("policy.dir", err.Error(), "give the keeper a folder of its own that it can write, and an address that nobody listens on")
 		}
-		k.book = book
+		k.raftLog = raftLog
 	}
 	router.MayTake(time.Unix(0, 1)) // not before it is told what is in force
 	router.Inherit(k.inherit)
 	transport.Hear(k.heard)
 	k.ended.Go(k.run)
 	k.ended.Go(k.tendSites)
-	if k.book != nil {
+	if k.raftLog != nil {
 		k.ended.Go(k.resume)
 		k.ended.Go(func() {
 			for {
-				k.lead(k.book)
+				k.lead(k.raftLog)
 				select {
 				case <-k.stop:
 					return
@@ -202,7 +202,7 @@
 	switch {
 	case s.Renewal != nil:
 		const most = 10000 // of a fleet of thousands
-		if k.council != nil && len(k.asks) < most {
+		if k.leader != nil && len(k.asks) < most {
 			k.asks = append(k.asks, ask{*s.Renewal, from})
 			k.reported(s.Renewal.Name, s.Report)
 		}
@@ -220,13 +220,13 @@
 
 // granted is called with the lock held.
 func (k *Keeper) granted(g policycommit.Lease) {
-	adopt, news := k.holder.Granted(k.micros(), g)
+	adopt, news := k.follower.Granted(k.micros(), g)
 	if g.Process == policycommit.Process(k.fleet.Me()) {
 		k.extra = g.Extra
 		k.router.SetExtra(g.Extra, k.start.Add(time.Duration(g.At+g.For)*time.Microsecond))
 	}
 	if adopt {
-		revision, doc, _ := k.holder.Held()
+		revision, doc, _ := k.follower.Held()
 		go k.adopt(revision, doc)
 	}
 	if adopt || news {
@@ -247,7 +247,7 @@
 func (k *Keeper) leaseTransfer() []byte {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b, ok := k.holder.Transfer(k.micros())
+	b, ok := k.follower.Transfer(k.micros())
 	if !ok || k.cannot != "" || k.inForce != b.Revision {
 		return nil
 	}
@@ -264,7 +264,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b.For -= policycommit.Micros(fleet.Monotonic())
-	if k.holder.Inherit(k.micros(), b) {
+	if k.follower.Inherit(k.micros(), b) {
 		go k.adopt(b.Revision, b.Doc)
 	}
 	k.wake()
@@ -285,7 +285,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now, _, _ := k.holder.Held(); now != revision {
+	if now, _, _ := k.follower.Held(); now != revision {
 		return // overtaken
 	}
 	if k.cannot = ""; err != nil {
@@ -302,11 +302,11 @@
 func (k *Keeper) step() {
 	k.mu.Lock()
 	now := k.micros()
-	renewal, due := k.holder.Ask(now)
+	renewal, due := k.follower.Ask(now)
 	renewal.Site = k.cfg.Site
 	report := k.sites.report
-	until := k.holder.AcceptsUntil(now)
-	revision, _, knows := k.holder.Held()
+	until := k.follower.AcceptsUntil(now)
+	revision, _, knows := k.follower.Held()
 	able := knows && k.cannot == "" && k.inForce == revision
 	k.mu.Unlock()
 
@@ -323,66 +323,66 @@
 			k.tell(leader, said{Renewal: &renewal, Report: report})
 		}
 	}
-	if k.book != nil {
-		number, last, member := k.book.last()
+	if k.raftLog != nil {
+		number, last, member := k.raftLog.last()
 		k.fleet.Keeps(fleet.Keeping{Folder: number, Addr: k.cfg.Log.Advertise.String(), Member: member, Last: last})
 	}
 }
 
 // lead is the leader's part.
-func (k *Keeper) lead(book *log) {
-	leads := book.leads()
+func (k *Keeper) lead(raftLog *log) {
+	leads := raftLog.leads()
 	k.mu.Lock()
-	if leads != (k.council != nil) {
-		if k.council = nil; leads {
-			k.council = policycommit.NewLeader(k.micros(), k.rules(), k.cfg.Own.Routers)
+	if leads != (k.leader != nil) {
+		if k.leader = nil; leads {
+			k.leader = policycommit.NewLeader(k.micros(), k.rules(), k.cfg.Own.Routers)
 			// What an earlier time as leader left is old.
 			s := &k.sites
-			s.chief, s.reports, s.given, s.stepped = sitefailover.NewCoordinator(sitefailover.Micros(k.micros())), nil, nil, -leadEach
+			s.coordinator, s.reports, s.given, s.stepped = sitefailover.NewCoordinator(sitefailover.Micros(k.micros())), nil, nil, -leadEach
 		}
 		k.asks = nil
 		k.fleet.Leads(leads)
 		k.log.WithField("leads", leads).Info("policy: leading the keepers")
 	}
-	council, asks := k.council, k.asks
+	leader, asks := k.leader, k.asks
 	k.asks = nil
 	k.mu.Unlock()
-	if council == nil {
+	if leader == nil {
 		return
 	}
-	book.tend(k.fleet, k.cfg.Keepers, k.welcome)
-	k.leadSites(book) // before the first grant: one without orders would have all go by themselves for a moment
+	raftLog.tend(k.fleet, k.cfg.Keepers, k.welcome)
+	k.leadSites(raftLog) // before the first grant: one without orders would have all go by themselves for a moment
 	// What has been asked before a majority confirms this leader may be answered; what comes meanwhile waits.
-	if len(asks) > 0 && book.confirmed() {
+	if len(asks) > 0 && raftLog.confirmed() {
 		k.mu.Lock()
-		now, b := k.micros(), book.now()
+		now, b := k.micros(), raftLog.now()
 		for _, a := range asks {
-			g, ok, enter := council.Answer(now, b, a.Renewal)
+			g, ok, enter := leader.Answer(now, b, a.Renewal)
 			if ok {
 				k.tell(a.from, said{Grant: &g, Orders: k.sites.given})
 			}
 			if enter != nil && now-k.entering[enter.Name] > 200e3 {
 				k.entering[enter.Name] = now
-				go book.put(*enter) // asked for again until it is there
+				go raftLog.put(*enter) // asked for again until it is there
 			}
 		}
 		k.mu.Unlock()
 	}
-	b := book.now()
+	b := raftLog.now()
 	k.mu.Lock()
-	entry := council.Resolve(k.micros(), b)
+	entry := leader.Resolve(k.micros(), b)
 	k.mu.Unlock()
 	if entry != nil {
-		book.put(*entry)
+		raftLog.put(*entry)
 	}
 	k.mu.Lock()
-	entry = council.Lend(k.micros(), b)
+	entry = leader.Lend(k.micros(), b)
 	k.mu.Unlock()
 	if entry != nil {
 		k.log.WithFields(logrus.Fields{"what": string(entry.Kind), "router": string(entry.Name)}).Warn("policy: a lost router's part")
-		book.put(*entry)
+		raftLog.put(*entry)
 	}
-	for token, v := range book.verdicts() {
+	for token, v := range raftLog.verdicts() {
 		k.mu.Lock()
 		waits := k.wants[token]
 		delete(k.wants, token)
@@ -396,7 +396,7 @@
 // Close says that this router takes nothing more, unless another process goes on for it, and ends its side.
 func (k *Keeper) Close(handed bool) {
 	k.mu.Lock()
-	bye := k.holder.Leave(k.micros())
+	bye := k.follower.Leave(k.micros())
 	bye.Site = k.cfg.Site
 	k.mu.Unlock()
 	// Where another goes on for it the router stays on the roster, and is waited for until the next process asks.
@@ -407,8 +407,8 @@
 		time.Sleep(60 * time.Millisecond)
 	}
 	close(k.stop)
-	if k.book != nil {
-		k.book.close() // what waits for a majority ends with it
+	if k.raftLog != nil {
+		k.raftLog.close() // what waits for a majority ends with it
 	}
 	k.ended.Wait()
 }
@@ -420,16 +420,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.micros()
-	revision, _, knows := k.holder.Held()
-	until := k.holder.AcceptsUntil(now)
-	w := Held{Revision: revision, InForce: k.inForce, Known: knows, Cannot: k.cannot, Prepared: k.holder.Prepared(), CutOff: "refuse",
-		Extra: k.extra, Keeper: k.cfg.keeps(), Leads: k.council != nil}
+	revision, _, knows := k.follower.Held()
+	until := k.follower.AcceptsUntil(now)
+	w := Held{Revision: revision, InForce: k.inForce, Known: knows, Cannot: k.cannot, Prepared: k.follower.Prepared(), CutOff: "refuse",
+		Extra: k.extra, Keeper: k.cfg.keeps(), Leads: k.leader != nil}
 	if k.cfg.Serves {
 		w.CutOff = "serve"
 	}
 	w.Takes = knows && k.cannot == "" && k.inForce == revision && (until == 0 || until > now) // as step has it
-	if k.book != nil {
-		w.Folder = k.book.state()
+	if k.raftLog != nil {
+		w.Folder = k.raftLog.state()
 	}
 	if o := k.sites.orders; k.sites.came != 0 && now < k.sites.came+ordersLast && !o.None() {
 		w.Orders = &o
--- a/internal/controlplane/door.go
+++ b/internal/controlplane/door.go
@@ -64,9 +64,9 @@
 // serve answers what an operator asked at another router, or this one, where this keeper leads.
 func (k *Keeper) serve(from fleet.Process, q policycommit.Request) {
 	k.mu.Lock()
-	book, council := k.book, k.council
+	raftLog, leader := k.raftLog, k.leader
 	k.mu.Unlock()
-	if council == nil || book == nil {
+	if leader == nil || raftLog == nil {
 		return
 	}
 	reply := func(r policycommit.Reply) {
@@ -76,7 +76,7 @@
 	var err error
 	switch q.What {
 	case "apply":
-		b := book.now()
+		b := raftLog.now()
 		if v, over := b.Verdicts[q.Token]; over {
 			reply(policycommit.Reply{Verdict: &v})
 			return
@@ -88,36 +88,36 @@
 		if asked || b.Pending != nil && b.Pending.Token == q.Token {
 			return
 		}
-		_ = book.put(policycommit.Entry{Kind: policycommit.Propose, Token: q.Token, Base: q.Base, Doc: q.Doc, Author: q.Author, Reason: q.Reason, At: q.At}) // asked again
+		_ = raftLog.put(policycommit.Entry{Kind: policycommit.Propose, Token: q.Token, Base: q.Base, Doc: q.Doc, Author: q.Author, Reason: q.Reason, At: q.At}) // asked again
 		return
 	case "dead":
-		err = book.put(policycommit.Entry{Kind: policycommit.Dead, Name: policycommit.Name(q.Name), Author: q.Author, Reason: q.Reason, At: q.At})
+		err = raftLog.put(policycommit.Entry{Kind: policycommit.Dead, Name: policycommit.Name(q.Name), Author: q.Author, Reason: q.Reason, At: q.At})
 		k.log.WithFields(map[string]any{"router": q.Name, "by": q.Author, "reason": q.Reason}).Warn("policy: an operator says that a router is dead")
 	case "replace":
-		err = book.replace(q.Name)
+		err = raftLog.replace(q.Name)
 	case "site":
-		err = k.siteWord(book, q)
+		err = k.siteWord(raftLog, q)
 	case "status", "history", "sites":
 	default:
 		err = fmt.Errorf("%q is nothing that can be asked", q.What)
 	}
-	if err == nil && !book.confirmed() {
+	if err == nil && !raftLog.confirmed() {
 		return // another leads: it will be asked
 	}
 	r := policycommit.Reply{}
 	if err != nil {
 		r.Error = err.Error()
 	}
-	b := book.now()
+	b := raftLog.now()
 	if q.What == "sites" || q.What == "site" {
 		r.Sites, r.Plan = k.siteStatus(b)
 	}
 	r.Current, _ = b.Current()
 	r.Pending = b.Pending
 	k.mu.Lock()
-	r.Standings = council.Standings(k.micros(), b)
+	r.Standings = leader.Standings(k.micros(), b)
 	k.mu.Unlock()
-	r.Keepers = append(r.Keepers, book.servers()...)
+	r.Keepers = append(r.Keepers, raftLog.servers()...)
 	if q.What == "history" {
 		const most = 20
 		r.History, r.Said = b.History[max(0, len(b.History)-most):], b.Said
@@ -135,7 +135,7 @@
 
 // found begins a fleet's policy at this keeper, once and for all.
 func (k *Keeper) found() (string, error) {
-	if k.book == nil {
+	if k.raftLog == nil {
 		return "", fmt.Errorf("this router is no keeper; found the policy at one of %q", k.cfg.Keepers)
 	}
 	for _, x := range k.fleet.Keepers() {
@@ -143,10 +143,10 @@
 			return "", fmt.Errorf("the policy was founded before: %s takes part in it", x.Name)
 		}
 	}
-	if _, _, member := k.book.last(); member {
+	if _, _, member := k.raftLog.last(); member {
 		return "", fmt.Errorf("the policy was founded before, and this keeper takes part in it")
 	}
-	if err := k.book.begin(0, true); err != nil {
+	if err := k.raftLog.begin(0, true); err != nil {
 		return "", err
 	}
 	k.log.Warn("policy: founded here, as an operator asked")
@@ -160,13 +160,13 @@
 
 // welcomed begins to take part, if this folder is meant.
 func (k *Keeper) welcomed(number string) {
-	if k.book == nil {
+	if k.raftLog == nil {
 		return
 	}
-	if mine, _, member := k.book.last(); member || strconv.FormatUint(mine, 16) != number {
+	if mine, _, member := k.raftLog.last(); member || strconv.FormatUint(mine, 16) != number {
 		return
 	}
-	if err := k.book.begin(0, false); err != nil {
+	if err := k.raftLog.begin(0, false); err != nil {
 		k.log.WithError(err).Error("policy: this keeper takes no part")
 		return
 	}
@@ -175,10 +175,10 @@
 
 // resume takes part again after a restart, once it is known what the others have heard this folder speak of.
 func (k *Keeper) resume() {
-	if k.book == nil {
+	if k.raftLog == nil {
 		return
 	}
-	number, was := k.book.folder()
+	number, was := k.raftLog.folder()
 	if !was {
 		return
 	}
@@ -191,7 +191,7 @@
 		}
 	}
 	for said := false; ; said = true {
-		err := k.book.begin(k.fleet.Promised(number), false)
+		err := k.raftLog.begin(k.fleet.Promised(number), false)
 		if err == nil {
 			return
 		}
--- a/internal/controlplane/log.go
+++ b/internal/controlplane/log.go
@@ -42,11 +42,11 @@
 	file keeperFile
 	why  string // it takes no part
 
-	full atomic.Pointer[string] // its folder cannot be written; nil: it can
-	raft *raft.Raft
-	ends []func() error
-	book *policycommit.LogState
-	done map[policycommit.Token]policycommit.Verdict // since the last look
+	full    atomic.Pointer[string] // its folder cannot be written; nil: it can
+	raft    *raft.Raft
+	ends    []func() error
+	decided *policycommit.LogState
+	done    map[policycommit.Token]policycommit.Verdict // since the last look
 
 	barrier uint64 // the term in which all that was decided before is in the log state
 }
@@ -68,7 +68,7 @@
 var errPutBack = errors.New("was put back, or lost")
 
 func openLog(cfg LogConfig, name string, out *logrus.Logger) (*log, error) {
-	l := &log{cfg: cfg, out: out, book: &policycommit.LogState{}, done: map[policycommit.Token]policycommit.Verdict{}, why: "it has not been welcomed yet"}
+	l := &log{cfg: cfg, out: out, decided: &policycommit.LogState{}, done: map[policycommit.Token]policycommit.Verdict{}, why: "it has not been welcomed yet"}
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return nil, err
 	}
@@ -222,7 +222,7 @@
 	}
 }
 
-// leads tells whether this keeper leads, and has in its book all that was decided before.
+// leads tells whether this keeper leads, and has in its decided all that was decided before.
 func (l *log) leads() bool {
 	node := l.node()
 	if node == nil || node.State() != raft.Leader {
@@ -260,7 +260,7 @@
 func (l *log) now() *policycommit.LogState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.book.Clone()
+	return l.decided.Clone()
 }
 
 // verdicts are those that have come since the last call.
@@ -280,7 +280,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if v, ok := l.book.Apply(policycommit.Index(entry.Index), e); ok {
+	if v, ok := l.decided.Apply(policycommit.Index(entry.Index), e); ok {
 		l.done[e.Token] = v
 	}
 	return nil
@@ -297,7 +297,7 @@
 		return err
 	}
 	l.mu.Lock()
-	l.book = b
+	l.decided = b
 	l.mu.Unlock()
 	return nil
 }
--- a/internal/controlplane/sites.go
+++ b/internal/controlplane/sites.go
@@ -20,11 +20,11 @@
 	orders sitefailover.Orders  // as last told
 	came   policycommit.Micros  // when; 0: never
 
-	chief   *sitefailover.Coordinator
-	stepped policycommit.Micros
-	ruled   policycommit.Micros // when an entry was last asked for
-	given   *sitefailover.Orders
-	reports map[policycommit.Name]reported
+	coordinator *sitefailover.Coordinator
+	stepped     policycommit.Micros
+	ruled       policycommit.Micros // when an entry was last asked for
+	given       *sitefailover.Orders
+	reports     map[policycommit.Name]reported
 }
 
 type reported struct {
@@ -122,10 +122,10 @@
 }
 
 // leadSites is the leader's part.
-func (k *Keeper) leadSites(book *log) {
+func (k *Keeper) leadSites(raftLog *log) {
 	k.mu.Lock()
 	s, now := &k.sites, k.micros()
-	due := s.chief != nil && k.council != nil && s.plan.On() && now-s.stepped >= leadEach
+	due := s.coordinator != nil && k.leader != nil && s.plan.On() && now-s.stepped >= leadEach
 	if !due {
 		if !s.plan.On() {
 			s.given = nil
@@ -137,14 +137,14 @@
 	k.mu.Unlock()
 	// The roster as well: a view that began after a site was lost has never heard of its routers, and the site seemed to have
 	// none to wait for.
-	members, b := k.fleet.Members(), book.now()
+	members, b := k.fleet.Members(), raftLog.now()
 	for name, m := range b.Roster {
 		if !slices.ContainsFunc(members, func(x fleet.Member) bool { return x.Name == string(name) }) {
 			members = append(members, fleet.Member{Name: string(name), Site: m.Site})
 		}
 	}
 	k.mu.Lock()
-	if s.chief == nil { // it leads no longer
+	if s.coordinator == nil { // it leads no longer
 		k.mu.Unlock()
 		return
 	}
@@ -153,7 +153,7 @@
 		last := s.reports[policycommit.Name(m.Name)]
 		rows = append(rows, sitefailover.Row{Name: m.Name, Site: sitefailover.Site(m.Site), Heard: last.at != 0 && now-last.at < heardFor, Report: last.Report})
 	}
-	orders, order := s.chief.Step(sitefailover.Micros(now), &s.plan, b.Sites, rows)
+	orders, order := s.coordinator.Step(sitefailover.Micros(now), &s.plan, b.Sites, rows)
 	if s.given = &orders; orders.None() {
 		s.given = nil
 	}
@@ -169,8 +169,8 @@
 	}
 	order.At = time.Now().UnixMicro()
 	k.log.WithFields(logrus.Fields{"site": order.Site, "stage": order.Stage.String(), "step": order.Step + 1, "why": order.Reason,
-		"mono_us": fleet.Monotonic()}).Warn("site: ruling")
-	go book.put(policycommit.Entry{Kind: policycommit.Site, Order: order}) // decided anew if it does not get there
+		"mono_us": fleet.Monotonic(), "formerly": "site: ruling"}).Warn("site: decision") // the earlier words for one release
+	go raftLog.put(policycommit.Entry{Kind: policycommit.Site, Order: order}) // decided anew if it does not get there
 }
 
 // siteStatus is called at who leads.
@@ -178,21 +178,21 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, doc := b.Current()
-	if k.sites.chief == nil || !k.sites.plan.On() {
+	if k.sites.coordinator == nil || !k.sites.plan.On() {
 		return nil, doc
 	}
-	s := k.sites.chief.Status()
+	s := k.sites.coordinator.Status()
 	return &s, doc
 }
 
 // siteWord carries out what an operator says of a site.
-func (k *Keeper) siteWord(book *log, q policycommit.Request) error {
-	b := book.now()
+func (k *Keeper) siteWord(raftLog *log, q policycommit.Request) error {
+	b := raftLog.now()
 	k.mu.Lock()
 	plan, site := k.sites.plan, sitefailover.Site(q.Name)
 	var spare []sitefailover.Share
-	if k.sites.chief != nil && q.Word == "lost" {
-		spare = k.sites.chief.Spare(&plan, site, b.Sites)
+	if k.sites.coordinator != nil && q.Word == "lost" {
+		spare = k.sites.coordinator.Spare(&plan, site, b.Sites)
 	}
 	k.mu.Unlock()
 	if r := b.Sites[site]; r.At == q.At && r.By == q.Author {
@@ -206,5 +206,5 @@
 		order.Spare = spare
 	}
 	k.log.WithFields(logrus.Fields{"site": q.Name, "word": q.Word, "by": q.Author, "reason": q.Reason}).Warn("site: an operator's word")
-	return book.put(policycommit.Entry{Kind: policycommit.Site, Order: order})
+	return raftLog.put(policycommit.Entry{Kind: policycommit.Site, Order: order})
 }
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -357,7 +357,7 @@
 		"../../gossip/tiers.go":                 {fmt.Sprintf(`return min\(p\.cfg\.Probe/5, %d\*time\.Millisecond\)`, int(peersStep*1e3))},
 		"../../config/limits.go":                {fmt.Sprintf(`Watch: +%de6,`, int(watchWaitPush)), fmt.Sprintf(`l\.Watch, .* = %de6,`, int(watchWait))},
 		"../../../docs/operating.md":            {fmt.Sprintf(`Values over %d KiB, up to %d MiB`, bigValue>>10, largestValue>>20)},
-		"../../../internal/controlplane/log.go": {`b\.book\.Clone\(\)|l\.book\.Clone\(\)`},
+		"../../../internal/controlplane/log.go": {`l\.decided\.Clone\(\)`},
 	} {
 		text := read(t, file)
 		for _, line := range lines {
