--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -141,10 +142,12 @@
 	return started, err
 }
 
+func (r *realRouters) all() []realRouter { return slices.Concat(r.members, r.alone) }
+
 // waitReady waits until all processes answer at their admin endpoints.
 func (r *realRouters) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(realReady)
-	for _, router := range append(append([]realRouter{}, r.members...), r.alone...) {
+	for _, router := range r.all() {
 		for {
 			_, err := r.stats(router)
 			if err == nil {
@@ -209,7 +212,7 @@
 
 // end kills all processes, and removes their files.
 func (r *realRouters) end() {
-	for _, router := range append(append([]realRouter{}, r.members...), r.alone...) {
+	for _, router := range r.all() {
 		if router.process != nil {
 			router.process.End()
 		}
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -4,7 +4,8 @@
 //
 // The files: scenario.go, check.go and capacity.go read a run's description and refuse what cannot be run; address.go says
 // who listens where; hollow.go is one hollow router; worker.go is a process of them, which protocol.go's messages steer;
-// workers.go starts and ends those; trial.go plays one trial and faults.go its fault; run.go plays a whole scenario; table.go
+// workers.go starts and ends those; trial.go plays one trial, faults.go its fault and realtrial.go its real routers, which
+// real.go starts; rates.go and load.go make its figures; run.go plays a whole scenario; table.go
 // prints its result.
 package scale
 
--- a/internal/lab/scale/trial.go
+++ b/internal/lab/scale/trial.go
@@ -150,19 +150,6 @@
 // workerOf is the worker that a router is at. Routers that follow each other are at one worker, and so are most of a site.
 func (t *trial) workerOf(router int) int { return router * len(t.workers) / t.out.Routers }
 
-// startReal starts the real routers, once the hollow ones have been started.
-func (t *trial) startReal(ctx context.Context, router string, started []int) (err error) {
-	if len(t.isReal) == 0 {
-		return nil
-	}
-	var specs []routerSpec
-	for _, index := range realIndexes(len(t.isReal), t.out.Routers) {
-		specs = append(specs, t.spec(index, started))
-	}
-	t.real, err = startReal(ctx, router, t.out.Routers, specs)
-	return err
-}
-
 // start starts all hollow routers, some at each worker at a time, and returns which.
 func (t *trial) start() (started []int, err error) {
 	queues := make([][]int, len(t.workers))
@@ -336,40 +323,6 @@
 	return t.heal(ctx)
 }
 
-// realSamples are of the real routers and of those beside them that are alone.
-type realSamples struct{ members, alone []realSample }
-
-func (before realSamples) used(after realSamples) time.Duration {
-	return samplesUsed(before.members, after.members) + samplesUsed(before.alone, after.alone)
-}
-
-func (t *trial) sampleReal() (s realSamples, err error) {
-	if t.real == nil {
-		return s, nil
-	}
-	if s.members, err = t.real.sample(t.real.members); err != nil {
-		return s, err
-	}
-	s.alone, err = t.real.sample(t.real.alone)
-	return s, err
-}
-
-// realRates makes the real routers' part of the result.
-func (t *trial) realRates(before, after realSamples, span time.Duration) {
-	if t.real == nil {
-		return
-	}
-	t.out.Real = &result.Real{Routers: len(after.members), PerRouter: realMean(before.members, after.members, span), Alone: realMean(before.alone, after.alone, span)}
-}
-
-// workersUsed is the processor time of all workers between two counts.
-func workersUsed(before, after []reply) (used time.Duration) {
-	for i := range after {
-		used += after[i].Usage.CPU - before[i].Usage.CPU
-	}
-	return used
-}
-
 // killsBeforeChange is how many representatives have been killed when the change is made, so that stand-ins are at work.
 const killsBeforeChange = 5
 
@@ -454,89 +407,3 @@
 		return nil
 	}
 }
-
-// rates makes the trial's rates of two counts.
-func (t *trial) rates(before, after []reply, span time.Duration) {
-	t.out.Measured = span.Seconds()
-	each := float64(t.hollowRouters())
-	was := totals(before)
-	var sum, worst routerRate
-	for router, now := range totals(after) {
-		r := rateSince(was[router], now, span)
-		sum = sum.plus(r)
-		if r.bytes() > worst.bytes() {
-			worst = r
-		}
-	}
-	cpu := workersUsed(before, after)
-	var memory int64
-	for _, worker := range after {
-		memory += worker.Usage.Memory
-	}
-	used := result.Usage{CPU: max(0, cpu.Seconds()/span.Seconds()/each-t.out.Harness.CPU), Memory: max(0, float64(memory)/each-t.out.Harness.Memory)}
-	t.out.PerRouter, t.out.Worst = sum.usage(each, used), worst.usage(1, used)
-	t.out.Mechanisms = nil
-	for m := range fleet.Mechanisms {
-		in, out := sum[m].received, sum[m].sent
-		if in.messages+out.messages > 0 {
-			t.out.Mechanisms = append(t.out.Mechanisms, result.Mechanism{Name: m.String(), Bytes: (in.bytes + out.bytes) / each,
-				Messages: (in.messages + out.messages) / each})
-		}
-	}
-}
-
-// totals are the counts by router, over all of its processes.
-func totals(replies []reply) map[int]fleet.TrafficCounts {
-	all := map[int]fleet.TrafficCounts{}
-	for _, r := range replies {
-		for _, c := range r.Counts {
-			sum := all[c.Index]
-			sum.Add(c.TrafficCounts)
-			all[c.Index] = sum
-		}
-	}
-	return all
-}
-
-// rate is bytes and messages a second.
-type rate struct{ bytes, messages float64 }
-
-// routerRate is a router's traffic by mechanism.
-type routerRate [fleet.Mechanisms]struct{ sent, received rate }
-
-// rateSince is the traffic between two counts.
-func rateSince(was, now fleet.TrafficCounts, span time.Duration) (r routerRate) {
-	of := func(now, was fleet.Count) rate {
-		return rate{float64(now.Bytes-was.Bytes) / span.Seconds(), float64(now.Messages-was.Messages) / span.Seconds()}
-	}
-	for m := range r {
-		r[m].sent, r[m].received = of(now.Sent[m], was.Sent[m]), of(now.Received[m], was.Received[m])
-	}
-	return r
-}
-
-func (r routerRate) plus(o routerRate) routerRate {
-	for m := range r {
-		r[m].sent = rate{r[m].sent.bytes + o[m].sent.bytes, r[m].sent.messages + o[m].sent.messages}
-		r[m].received = rate{r[m].received.bytes + o[m].received.bytes, r[m].received.messages + o[m].received.messages}
-	}
-	return r
-}
-
-func (r routerRate) bytes() (sum float64) {
-	for _, m := range r {
-		sum += m.sent.bytes + m.received.bytes
-	}
-	return sum
-}
-
-// usage is that of one of so many routers which have this traffic together.
-func (r routerRate) usage(routers float64, used result.Usage) result.Usage {
-	for _, m := range r {
-		used.BytesIn += m.received.bytes / routers
-		used.BytesOut += m.sent.bytes / routers
-		used.MessagesIn += m.received.messages / routers
-		used.MessagesOut += m.sent.messages / routers
-	}
-	return used
-}
