--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -26,7 +26,8 @@
 )
 
 // runFiles are what the page follows from; trials beside other work on the machine are not.
-var runFiles = []string{"../../../docs/scale/flat.json", "../../../docs/scale/tiered.json"}
+var runFiles = []string{"../../../docs/scale/flat.json", "../../../docs/scale/tiered.json", "../../../docs/scale/tiered-faults.json",
+	"../../../docs/scale/real.json"}
 
 func read(t *testing.T, file string) string {
 	t.Helper()
