A revision of the policy is never put over a later one by a late or retried call

Callers saw: after two changes in a row beside a busy event loop, a router that reports revision 2 in force decides by revision 1 (limits, attempts, bans), until the next change.

Cause: Node.apply ran in a goroutine for each adopted revision and retried, and nothing ordered them; and Router.SetPolicy left its call queued at the loop after it had answered "busy", so that it came into force later, whatever was set since.

Change: one goroutine of the node, which Close waits for, is the only caller of SetPolicy, and each attempt is for the revision active by then. A call to the loop is claimed by the loop or withdrawn by its caller, never both. So a call begins only once the one before is in force or can no longer be: nothing late is left that a fencing token would have to reject, and the interface that the test's fakes implement stays as it is. The admission deadline is computed and set under one lock, so that an older one is not set over a newer; the old apply set it to the past whatever was in force. SetShare and SetSiteOrders had the second cause as well.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -12,7 +12,8 @@
 //	node.go            Config, Router, Node: its life and its goroutines
 //	join.go            from the operator's file to a Node
 //	message.go         messages between nodes
-//	follower_loop.go   lease, admission and revision of this router
+//	follower_loop.go   lease and admission of this router
+//	applier.go         puts the active revision into force on the router
 //	leader_loop.go     renewals, changes and shares, on the leader
 //	requests.go        operators' requests, forwarded to the leader and served there
 //	bootstrap.go       how a voter joins raft: bootstrap, invitation, restart
--- a/internal/controlplane/follower_loop.go
+++ b/internal/controlplane/follower_loop.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"spurtrestle/core/clock"
 	"spurtrestle/core/policycommit"
 	"spurtrestle/core/routing"
@@ -15,9 +13,8 @@
 )
 
 const (
-	followerInterval   = 20 * time.Millisecond
-	transferInterval   = 80 * time.Millisecond // between two offers to the process that replaces this one
-	applyRetryInterval = 50 * time.Millisecond
+	followerInterval = 20 * time.Millisecond
+	transferInterval = 80 * time.Millisecond // between two offers to the process that replaces this one
 )
 
 // admitNothing is an admission deadline that has passed.
@@ -63,10 +60,9 @@
 	renewal, due := n.follower.NextRenewal(n.now())
 	renewal.Site = n.config.Site
 	report := n.siteOrders.report
-	deadline := n.admissionDeadline()
+	n.updateAdmission()
 	n.mu.Unlock()
 
-	n.router.SetAdmissionDeadline(deadline)
 	if due {
 		for _, leader := range n.transport.Leaders() {
 			n.send(leader, message{Renewal: &renewal, SiteReport: report})
@@ -77,6 +73,10 @@
 	}
 }
 
+// updateAdmission sets the router's admission deadline. It does so with n.mu held, so that no deadline of an earlier state is
+// set over that of a later one. n.mu must be held.
+func (n *Node) updateAdmission() { n.router.SetAdmissionDeadline(n.admissionDeadline()) }
+
 // admissionDeadline returns the deadline for the router. n.mu must be held.
 func (n *Node) admissionDeadline() time.Time {
 	if !n.hasApplied() {
@@ -92,7 +92,7 @@
 // hasApplied reports whether the active revision is in force on the router. n.mu must be held.
 func (n *Node) hasApplied() bool {
 	active, ok := n.follower.Active()
-	return ok && n.applyError == "" && n.inForce == active.Revision
+	return ok && !n.applyPending && n.applyError == "" && n.inForce == active.Revision
 }
 
 // receiveLease handles the answer to a renewal. n.mu must be held.
@@ -103,8 +103,7 @@
 		n.router.SetExtraShare(lease.ExtraShare, n.timeOf(lease.RenewalSentAt+lease.Duration))
 	}
 	if update.Adopt {
-		active, _ := n.follower.Active()
-		go n.apply(active)
+		n.adopt()
 	}
 	if update.Adopt || update.RenewNow {
 		n.wakeFollower()
@@ -117,7 +116,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	transfer, ok := n.follower.Transfer(n.now())
-	if !ok || n.applyError != "" || n.inForce != transfer.Revision {
+	if !ok || !n.hasApplied() {
 		return nil
 	}
 	transfer.Remaining += clock.Duration(fleet.Monotonic())
@@ -135,53 +134,11 @@
 	defer n.mu.Unlock()
 	transfer.Remaining -= clock.Duration(fleet.Monotonic())
 	if n.follower.AdoptTransfer(n.now(), transfer) {
-		active := policycommit.ActivePolicy{Revision: transfer.Revision, Document: transfer.Document}
-		go n.apply(active)
+		n.adopt()
 	}
 	n.wakeFollower()
 }
 
-// apply puts a revision into force on the router, which admits nothing meanwhile. Close does not wait for it: SetPolicy blocks
-// until the event loop runs, which it never does if the program fails to start.
-func (n *Node) apply(active policycommit.ActivePolicy) {
-	n.router.SetAdmissionDeadline(admitNothing)
-	settings, err := n.parse(active.Document)
-	if err == nil && !n.setPolicy(settings) {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if current, _ := n.follower.Active(); current.Revision != active.Revision {
-		return // a later revision is being applied
-	}
-	n.applyError = ""
-	if err != nil {
-		n.applyError = err.Error()
-		n.log.WithError(err).WithFields(logrus.Fields{
-			"revision": uint64(active.Revision),
-			"formerly": "policy: this build cannot hold it; taking no clients",
-		}).Error("policy: this build cannot apply the revision; admitting no requests")
-		return
-	}
-	n.inForce = active.Revision
-	n.siteOrders.plan = settings.sitePlan
-	n.wakeFollower() // to admit requests again without waiting for the next tick
-	n.transport.SetPolicyRevision(uint64(active.Revision))
-	n.log.WithFields(logrus.Fields{"revision": uint64(active.Revision), "mono_us": fleet.Monotonic()}).Info("policy: in force")
-}
-
-// setPolicy retries until the event loop has taken the settings; false if the node is closed first.
-func (n *Node) setPolicy(settings revisionSettings) bool {
-	for n.router.SetPolicy(settings.routing, settings.bannedServers) != nil {
-		select {
-		case <-n.stop:
-			return false
-		case <-time.After(applyRetryInterval):
-		}
-	}
-	return true
-}
-
 // validate reports why this router cannot apply a document.
 func (n *Node) validate(document string) error {
 	_, err := n.parse(document)
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -31,7 +31,8 @@
 
 // Router is the router that a Node controls. Its methods may be called from any goroutine but the router's event loop.
 type Router interface {
-	// SetPolicy replaces the settings and the banned cache servers. They are in force once it returns nil.
+	// SetPolicy replaces the settings and the banned cache servers. They are in force once it returns nil. After an error they
+	// are not, and never will be by this call.
 	SetPolicy(settings routing.Settings, bannedServers []string) error
 	// SetAdmissionDeadline lets the router admit requests until deadline: always if it is zero, not at all if it has passed.
 	SetAdmissionDeadline(deadline time.Time)
@@ -55,9 +56,11 @@
 	startedAt time.Time
 	raftLog   *raftLog // nil if this router is no voter
 
-	// mu guards the fields below. Of Router, only SetExtraShare is called with mu held: it does not block.
+	// mu guards the fields below. Of Router, only SetExtraShare and SetAdmissionDeadline are called with mu held: they do not
+	// block.
 	mu           sync.Mutex
 	follower     *policycommit.Follower
+	applyPending bool                  // the active revision is neither in force nor found to be impossible to apply
 	inForce      policycommit.Revision // that the router decides by
 	applyError   string                // why this build cannot apply the active revision
 	extraShare   float64               // of the last lease
@@ -66,6 +69,7 @@
 	leader       leaderState
 	closed       bool
 
+	adopted    chan struct{} // makes the applier run
 	wake       chan struct{} // makes the follower loop run at once
 	stop       chan struct{} // closed by Close
 	goroutines sync.WaitGroup
@@ -81,6 +85,7 @@
 		startedAt:    time.Now(),
 		pendingCalls: map[uint64]chan policycommit.Reply{},
 		leader:       newLeaderState(),
+		adopted:      make(chan struct{}, 1),
 		wake:         make(chan struct{}, 1),
 		stop:         make(chan struct{}),
 	}
@@ -101,6 +106,7 @@
 	router.SetAdmissionDeadline(admitNothing)
 	router.OnTransfer(n.receiveTransfer)
 	transport.OnMessage(n.receive)
+	n.goroutines.Go(n.runApplier)
 	n.goroutines.Go(n.runFollower)
 	n.goroutines.Go(n.runSiteReports)
 	if n.raftLog != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,7 +54,7 @@
 // Router is the router that a node represents. Its methods are called from any goroutine but the router's event loop.
 type Router interface {
 	FleetStatus() RouterStatus
-	// SetShare returns nil once the event loop uses no more than the share. After an error it may do so later.
+	// SetShare returns nil once the event loop uses no more than the share. After an error the share is not in force.
 	SetShare(Share) error
 	// SetOutOfService has the router reject clients for the given reason, or accept them again if that is empty.
 	SetOutOfService(reason string)
--- /dev/null
+++ b/internal/router/loopcall.go
@@ -0,0 +1,43 @@
+package router
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// runOnLoop runs f on the loop and waits for it, but not longer than a caller of the admin endpoint does. After an error f has
+// not run and never will: a call that is late is withdrawn, so that it cannot undo what a later call has put into force.
+func (r *Router) runOnLoop(f func()) error {
+	timeout := time.NewTimer(span(r.lim.AdminCallTimeout))
+	defer timeout.Stop()
+	select {
+	case <-r.ready:
+	case <-r.ended:
+		return errEnding
+	case <-timeout.C:
+		return errBusy
+	}
+	var claimed atomic.Bool // by the loop, which runs f, or by the caller, which withdraws it
+	done := make(chan struct{})
+	r.execute(func() {
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
+		f()
+		close(done)
+	})
+	err := errBusy
+	select {
+	case <-done:
+		return nil
+	case <-r.ended:
+		err = errEnding
+	case <-timeout.C:
+	}
+	if claimed.CompareAndSwap(false, true) {
+		r.log.WithError(err).Debug("router: call withdrawn before the loop came to it")
+		return err
+	}
+	<-done // the loop runs it at this moment
+	return nil
+}
--- /dev/null
+++ b/internal/router/loopcall_test.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"spurtrestle/core/clock"
+	"spurtrestle/core/routing"
+	"spurtrestle/internal/fleet"
+)
+
+// newBusyLoop returns a router that serves and whose loop runs only by rounds, so that each call to it comes too late.
+func newBusyLoop(t *testing.T) *notedLoop {
+	t.Helper()
+	l, _, _ := newNoted(t)
+	l.r.lim.AdminCallTimeout = clock.Millisecond
+	close(l.r.ready)
+	return l
+}
+
+// A policy that was reported as not in force does not come into force later, over what has been set since.
+func TestSetPolicy_HasNoEffectAfterAnError(t *testing.T) {
+	l := newBusyLoop(t)
+	err := l.r.SetPolicy(l.r.cfg.Settings, []string{"o"})
+	if !errors.Is(err, errBusy) {
+		t.Fatalf("with a busy loop: got %v, want %v", err, errBusy)
+	}
+	l.rounds()
+	if l.r.place.gone["o"] {
+		t.Error("the policy came into force after its error")
+	}
+}
+
+// Neither do orders on sites and shares of the fleet's limits.
+func TestSetSiteOrdersAndSetShare_HaveNoEffectAfterAnError(t *testing.T) {
+	l := newBusyLoop(t)
+	orders := routing.FailoverOrders{MinimumRank: 2}
+	if _, err := l.r.SetSiteOrders(orders, time.Now().Add(time.Hour)); !errors.Is(err, errBusy) {
+		t.Fatalf("SetSiteOrders with a busy loop: got %v, want %v", err, errBusy)
+	}
+	if err := l.r.SetShare(fleet.Share{Current: 0.5, AfterExpiry: 0.5}); !errors.Is(err, errBusy) {
+		t.Fatalf("SetShare with a busy loop: got %v, want %v", err, errBusy)
+	}
+	l.rounds()
+	if l.r.place.plan.MinimumRank != 0 || l.r.place.have != 0 {
+		t.Errorf("came into force after their errors: orders %+v, share %v", l.r.place.plan, l.r.place.have)
+	}
+}
+
+// A call that comes before the loop runs ends by its time limit; its caller has to end with the process.
+func TestSetPolicy_ReturnsWhereTheLoopNeverRuns(t *testing.T) {
+	l, _, _ := newNoted(t)
+	l.r.lim.AdminCallTimeout = clock.Millisecond
+	returned := make(chan error, 1)
+	go func() { returned <- l.r.SetPolicy(l.r.cfg.Settings, nil) }()
+	select {
+	case err := <-returned:
+		if !errors.Is(err, errBusy) {
+			t.Errorf("got %v, want %v", err, errBusy)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("SetPolicy waits for a loop that never runs")
+	}
+}
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// now has the loop do something, and waits for it as long as the admin endpoint's caller may be kept.
-func (r *Router) soon(f func()) error {
+// awaitOnLoop runs f on the loop and waits for it as runOnLoop does. After errBusy it still runs, late: for what is persisted by
+// then, and so has to come into force.
+func (r *Router) awaitOnLoop(f func()) error {
 	done := make(chan struct{})
 	r.execute(func() {
 		f()
@@ -109,7 +110,7 @@
 	r.ops.mu.Lock()
 	defer r.ops.mu.Unlock()
 	var has operatorstate.State
-	if err := r.soon(func() { has = r.ops.wanted }); err != nil {
+	if err := r.runOnLoop(func() { has = r.ops.wanted }); err != nil {
 		return err
 	}
 	i, err := r.ops.store.Update(has, f)
@@ -120,7 +121,7 @@
 		return err
 	}
 	r.ops.unkept.Store(unkept != nil)
-	return r.soon(func() {
+	return r.awaitOnLoop(func() {
 		r.obey(i)
 		r.tellAsked(i)
 	})
@@ -182,7 +183,7 @@
 
 // has tells whether a cache server of this name is known.
 func (r *Router) has(uid string) (known bool) {
-	err := r.soon(func() {
+	err := r.runOnLoop(func() {
 		id, named := r.book.ID(discovery.UID(uid))
 		s := r.servers[id]
 		known = named && s != nil && !s.isOrigin
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -58,11 +58,10 @@
 }
 
 // SetShare has the router use no more than a share of the fleet's limits. It is in force once SetShare returns nil; after an
-// error it may come into force later.
+// error it is not, and never will be by this call.
 func (r *Router) SetShare(share fleet.Share) (err error) {
-	<-r.ready
 	least := 1 / float64(max(1, r.cfg.Settings.Routers)) // of a router that has lent nothing
-	busy := r.soon(func() {
+	busy := r.runOnLoop(func() {
 		whole := share.AfterExpiry > least*0.999
 		if r.takeover.heir != nil && !whole && r.place.whole {
 			err = errHeir // which was told otherwise
@@ -144,12 +143,11 @@
 	r.decided = append(r.decided, r.core.Step(r.now, routing.FleetShareChanged{Share: part})...)
 }
 
-// SetSiteOrders has the router keep to what the fleet does about a lost site, until a time, and tells its load of late. It is in
-// force once the error is nil; with one it may come into force later.
+// SetSiteOrders has the router keep to what the fleet does about a lost site, until a time, and returns its recent load. The
+// orders are in force once the error is nil; with one they are not, and never will be by this call.
 func (r *Router) SetSiteOrders(p routing.FailoverOrders, until time.Time) (routing.RouterLoad, error) {
-	<-r.ready
 	var f routing.RouterLoad
-	busy := r.soon(func() {
+	busy := r.runOnLoop(func() {
 		r.place.until = r.began + clock.Time(until.Sub(r.start)/time.Microsecond)
 		if reflect.DeepEqual(p, routing.FailoverOrders{}) {
 			r.place.until = 0
@@ -162,7 +160,7 @@
 		f = r.core.Load(r.clock())
 	})
 	if busy != nil {
-		return routing.RouterLoad{}, busy // what is written to f later is nobody's
+		return routing.RouterLoad{}, busy
 	}
 	return f, nil
 }
@@ -203,11 +201,10 @@
 	r.place.may.Store(int64(at))
 }
 
-// SetPolicy has the router decide by other settings, with these cache servers left alone. It is in force once it returns
-// nil; with an error it may come into force later.
+// SetPolicy has the router decide by other settings, with these cache servers left alone. They are in force once it returns
+// nil; after an error they are not, and never will be by this call.
 func (r *Router) SetPolicy(s routing.Settings, out []string) error {
-	<-r.ready
-	return r.soon(func() {
+	return r.runOnLoop(func() {
 		was := r.place.gone
 		r.place.gone = map[string]bool{}
 		for _, uid := range out {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -254,7 +254,7 @@
 		return
 	}
 	var knows, wanted []byte
-	if r.soon(func() {
+	if r.runOnLoop(func() {
 		t.heir = p
 		r.shareMemory()
 		knows = snapshot.Encode(r.State())
