Handover: states reach the successor in the order in which they changed, and wait bounded

Callers saw: after a replacement beside changes by operators a router may turn clients away whose drain was stopped, or send to a server that is banned.

Causes: tellAsked sent each state from a goroutine of its own; serveHeir encoded the state on the loop, made the successor known, and sent the encoding after what changed in between; two changes at once, one at each process, crossed, and the last writer of the file took over the other's older state; gnet's queue keeps no order past 1,024 entries, so that a state obeyed late could go over the next. Lease transfers were sent from a new goroutine every 80 ms, without a bound.

Change: a connection has an outbox, which one goroutine sends in order; a state that is still queued is replaced where it stands. The first frames are queued in the loop's turn in which the successor becomes known. A published state is read from the file, which has both processes' changes in their order. States that the loop obeys are numbered, and an older one is dropped; the state that a change starts from is kept under the operators' lock, so that no change waits for the loop to read it.

Open: changes that cross while TMPDIR cannot be written; the frame names no order.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -34,6 +34,7 @@
 type Conn struct {
 	conn   *net.UnixConn
 	sendMu sync.Mutex // one frame after the other
+	outbox outbox
 }
 
 // Send sends a frame. Its descriptors stay open in this process. After an error a part of the frame may have been sent, so
@@ -120,7 +121,10 @@
 	return descriptors
 }
 
-// Close ends the connection; a Receive that waits returns an error.
+// Close ends the connection and drops what is queued; a Receive that waits returns an error. It waits for the goroutine that
+// sends what is queued, so that it must not be called where that one's bodies have to wait.
 func (c *Conn) Close() {
-	c.conn.Close() // nothing is buffered here that could be lost
+	c.closeOutbox()
+	c.conn.Close() // its error changes nothing for the caller
+	c.outbox.sender.Wait()
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -105,3 +105,38 @@
 		t.Errorf("got %v with descriptors %v, want ErrFrameTooLong and none", err, frame.FDs)
 	}
 }
+
+// TestConn_DropsQueuedDescriptorsAtItsEnd leaves no descriptor open of frames that were queued for a process that is gone.
+func TestConn_DropsQueuedDescriptorsAtItsEnd(t *testing.T) {
+	dir := t.TempDir()
+	ln, err := Listen(dir, "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	other, err := Dial(dir, "s", time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	conn, err := Accept(ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Enqueue(Frame{Kind: LargeValue, Body: make([]byte, 1<<20)}) // the other process does not read it
+	var descriptors []int
+	for range 2 {
+		fd, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		descriptors = append(descriptors, fd)
+		conn.Enqueue(Frame{Kind: Client, FDs: []int{fd}})
+		conn.Close()
+	}
+	for _, fd := range descriptors {
+		if _, err := unix.FcntlInt(uintptr(fd), unix.F_GETFD, 0); err == nil {
+			t.Errorf("descriptor %d is open after the connection was closed", fd)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/handover_order_test.go
@@ -0,0 +1,255 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spurtrestle/core/clock"
+	"spurtrestle/internal/handover"
+	"spurtrestle/internal/operatorstate"
+)
+
+// handoverTest is a router that serves, and the connection of a successor to it.
+type handoverTest struct {
+	r         *Router
+	store     *operatorstate.Store // the successor's, of the same file
+	successor *handover.Conn
+}
+
+// newHandoverTest returns the two before the successor has said Hello. The router's loop runs until the test ends.
+func newHandoverTest(t *testing.T) *handoverTest {
+	t.Helper()
+	l, _, _ := newNoted(t)
+	r := l.r
+	r.cfg.Limits.MemoryBytes = 1 << 30
+	r.lim.AdminCallTimeout = 10 * clock.Second
+	dir := t.TempDir()
+	r.Operate(operatorstate.Open(dir, "r", nil))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.takeover.ln = ln.(*net.TCPListener)
+	successor, predecessor := connectHandover(t, dir)
+	close(r.ready)
+	h := &handoverTest{r: r, store: operatorstate.Open(dir, "r", nil), successor: successor}
+	stop, stopped, served := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			l.rounds()
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	go func() {
+		defer close(served)
+		r.serveHeir(predecessor)
+	}()
+	t.Cleanup(func() {
+		successor.Close()
+		<-served
+		predecessor.Close()
+		close(stop)
+		<-stopped
+		ln.Close()
+	})
+	return h
+}
+
+func connectHandover(t *testing.T, dir string) (successor, predecessor *handover.Conn) {
+	t.Helper()
+	ln, err := handover.Listen(dir, "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if successor, err = handover.Dial(dir, "s", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if predecessor, err = handover.Accept(ln); err != nil {
+		t.Fatal(err)
+	}
+	return successor, predecessor
+}
+
+func (h *handoverTest) sendHello(t *testing.T) {
+	t.Helper()
+	if err := h.successor.Send(handover.Frame{Kind: handover.Hello}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receiveUntil reads frames until one of a kind, and calls onState with each operator state on the way.
+func (h *handoverTest) receiveUntil(t *testing.T, last handover.Kind, onState func(asked)) {
+	t.Helper()
+	for {
+		frame, err := h.successor.Receive(10 * time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		frame.CloseDescriptors()
+		if frame.Kind == handover.OperatorState {
+			var state asked
+			if err := json.Unmarshal(frame.Body, &state); err != nil {
+				t.Fatal(err)
+			}
+			onState(state)
+		}
+		if frame.Kind == last {
+			return
+		}
+	}
+}
+
+func ignoreState(asked) {}
+
+// A successor never receives an older operator state after a newer one, and ends with the last.
+func TestHandover_OperatorStatesArriveInOrder(t *testing.T) {
+	h := newHandoverTest(t)
+	h.sendHello(t)
+	h.receiveUntil(t, handover.Snapshot, ignoreState)
+	const changes = 200
+	err := h.r.runOnLoop(func() {
+		for n := range changes {
+			h.r.ops.wanted = operatorstate.State{Banned: []string{fmt.Sprintf("change-%05d", n+1)}}
+			h.r.publishOperatorState()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // what is on its way is sent
+	h.r.OfferTransfer(func() []byte { return nil })
+	received := ""
+	h.receiveUntil(t, handover.LeaseTransfer, func(state asked) {
+		if state.Banned[0] < received {
+			t.Errorf("the successor received %s after %s", state.Banned[0], received)
+		}
+		received = state.Banned[0]
+	})
+	if want := fmt.Sprintf("change-%05d", changes); received != want {
+		t.Errorf("the successor ends with %s, want %s", received, want)
+	}
+}
+
+// hookOnMessage is called before a message is logged.
+type hookOnMessage struct {
+	message string
+	call    func()
+}
+
+func (hookOnMessage) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h hookOnMessage) Fire(entry *logrus.Entry) error {
+	if entry.Message == h.message {
+		h.call()
+	}
+	return nil
+}
+
+// What operators change while a successor is being sent the state reaches it in place of that state or behind it.
+func TestHandover_AChangeDuringTheFirstFramesArrivesLast(t *testing.T) {
+	h := newHandoverTest(t)
+	greeted, proceed := make(chan struct{}), make(chan struct{})
+	h.r.log.AddHook(hookOnMessage{"another process is to replace this one", func() {
+		close(greeted)
+		<-proceed
+	}})
+	h.sendHello(t)
+	<-greeted // the state has been encoded
+	if err := h.r.SetDraining(true); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // what is on its way is sent
+	close(proceed)
+	var state asked
+	keep := func(received asked) { state = received }
+	h.receiveUntil(t, handover.Snapshot, keep)
+	h.r.OfferTransfer(func() []byte { return nil })
+	h.receiveUntil(t, handover.LeaseTransfer, keep)
+	if !state.Drain {
+		t.Error("the successor received the drain before the state without it")
+	}
+}
+
+// A successor that does not read costs one waiting transfer, however many are offered.
+func TestHandover_TransfersDoNotPileUp(t *testing.T) {
+	h := newHandoverTest(t)
+	h.sendHello(t)
+	h.receiveUntil(t, handover.Snapshot, ignoreState)
+	large := make([]byte, 1<<20) // more than a socket takes
+	before := runtime.NumGoroutine()
+	const offers = 100
+	for range offers {
+		h.r.OfferTransfer(func() []byte { return large })
+	}
+	time.Sleep(200 * time.Millisecond)
+	if after := runtime.NumGoroutine(); after > before+10 {
+		t.Errorf("%d offers to a successor that does not read: %d goroutines, and %d before", offers, after, before)
+	}
+}
+
+// Two processes are asked for a change each at the same time: the later of the file holds in both, though the earlier's frame
+// comes after it.
+func TestHandover_ChangesThatCrossEndWithTheFile(t *testing.T) {
+	h := newHandoverTest(t)
+	h.sendHello(t)
+	h.receiveUntil(t, handover.Snapshot, ignoreState)
+	theirs, err := h.store.Update(operatorstate.State{}, func(state *operatorstate.State) error { return state.Ban("x") })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.r.SetDraining(true); err != nil { // reads their ban from the file
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(asked{State: theirs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.successor.Send(handover.Frame{Kind: handover.OperatorState, Body: text}); err != nil {
+		t.Fatal(err)
+	}
+	h.awaitDescriptorCount(t, 77)
+	var state operatorstate.State
+	if err := h.r.runOnLoop(func() { state = h.r.ops.wanted }); err != nil {
+		t.Fatal(err)
+	}
+	if !state.Drain || !state.IsBanned("x") {
+		t.Errorf("after the crossing: got %+v, want the drain and the ban of x", state)
+	}
+}
+
+// awaitDescriptorCount returns once the router has acted on all frames that were sent before.
+func (h *handoverTest) awaitDescriptorCount(t *testing.T, count int) {
+	t.Helper()
+	if err := h.successor.Send(handover.Frame{Kind: handover.DescriptorCount, Body: strconv.AppendInt(nil, int64(count), 10)}); err != nil {
+		t.Fatal(err)
+	}
+	h.awaitOnLoop(t, func() bool { return h.r.takeover.others[1] == count })
+}
+
+// awaitOnLoop returns once something has happened, by the loop's state.
+func (h *handoverTest) awaitOnLoop(t *testing.T, happened func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		var done bool
+		if err := h.r.runOnLoop(func() { done = happened() }); err != nil {
+			t.Fatal(err)
+		}
+		if done {
+			return
+		}
+	}
+	t.Fatal("did not happen in ten seconds")
+}
--- a/internal/router/ops.go
+++ b/internal/router/ops.go
@@ -23,6 +23,9 @@
 	barred  map[routing.ServerID]bool // what the decisions were told last, of those that they were told of
 	mu      sync.Mutex                // one change at a time; never held by the loop
 	store   *operatorstate.Store
+	latest  operatorstate.State     // what operators have requested; guarded by mu
+	issued  uint64                  // number of latest, for the loop; guarded by mu
+	obeyed  uint64                  // number of the state that the loop has taken over; the loop's
 	wanted  operatorstate.State     // the loop's own
 	told    atomic.Pointer[figures] // what the loop last left for the admin endpoint
 	toldAt  clock.Time
@@ -62,7 +65,7 @@
 		r.ops.unkept.Store(true)
 	}
 	i.Drain = i.Drain && r.takeover.old != nil // else of a process that is gone
-	r.ops.wanted = i
+	r.ops.latest, r.ops.wanted = i, i
 }
 
 // follow takes over what another process of this router has been asked.
@@ -79,7 +82,7 @@
 			if i, err := r.ops.store.Load(); err != nil {
 				r.log.WithError(err).Warn("what operators asked is kept as it was")
 			} else {
-				r.execute(func() { r.obey(i) })
+				r.execute(r.newState(i))
 			}
 		}
 		r.ops.mu.Unlock()
@@ -104,16 +107,26 @@
 	}
 }
 
+// newState makes a state the latest and returns what the loop has to do for it: nothing once it has obeyed a later one, since
+// the loop's queue does not keep the order of its entries when it is long. r.ops.mu must be held.
+func (r *Router) newState(state operatorstate.State) func() {
+	r.ops.latest = state
+	r.ops.issued++
+	number := r.ops.issued
+	return func() {
+		if number > r.ops.obeyed {
+			r.ops.obeyed = number
+			r.obey(state)
+		}
+	}
+}
+
 // change is what an operator asks: kept first, then in force, then the yes.
 func (r *Router) change(f func(*operatorstate.State) error) error {
 	<-r.ready
 	r.ops.mu.Lock()
 	defer r.ops.mu.Unlock()
-	var has operatorstate.State
-	if err := r.runOnLoop(func() { has = r.ops.wanted }); err != nil {
-		return err
-	}
-	i, err := r.ops.store.Update(has, f)
+	i, err := r.ops.store.Update(r.ops.latest, f)
 	var unkept *operatorstate.PersistError
 	if errors.As(err, &unkept) {
 		r.log.WithError(err).Warn("what an operator asked holds in this process alone")
@@ -121,35 +134,44 @@
 		return err
 	}
 	r.ops.unkept.Store(unkept != nil)
+	obey := r.newState(i)
 	return r.awaitOnLoop(func() {
-		r.obey(i)
-		r.tellAsked(i)
+		obey()
+		r.publishOperatorState()
 	})
 }
 
-// tellAsked tells the other processes of this router what is wanted.
-func (r *Router) tellAsked(i operatorstate.State) {
-	text, _ := json.Marshal(asked{State: i, Unkept: r.ops.unkept.Load()}) // plain fields: it cannot fail
+// publishOperatorState sends what is wanted to the other processes of this router.
+func (r *Router) publishOperatorState() {
 	for _, p := range []*handover.Conn{r.takeover.old, r.takeover.heir} {
 		if p != nil {
-			go func() { _ = p.Send(handover.Frame{Kind: handover.OperatorState, Body: text}) }() // its end is noticed by who reads from it
+			r.sendOperatorState(p)
 		}
 	}
 }
 
-// heardAsked takes over what another process tells.
-func (r *Router) heardAsked(f handover.Frame) {
+func (r *Router) sendOperatorState(p *handover.Conn) {
+	text, _ := json.Marshal(asked{r.ops.wanted, r.ops.unkept.Load(), r.place.whole}) // plain fields: it cannot fail
+	p.Publish(handover.OperatorState, func() []byte { return text })
+}
+
+// receiveOperatorState takes over what another process has published. Where that is in the file, the file is read: it has the
+// changes of both processes in their order, and the other's frame may have crossed a change of this one.
+func (r *Router) receiveOperatorState(f handover.Frame) {
 	var a asked
 	if json.Unmarshal(f.Body, &a) != nil {
 		return
 	}
 	r.ops.mu.Lock()
 	defer r.ops.mu.Unlock()
+	state := a.State
 	if a.Unkept {
 		r.ops.store.MarkStale()
+	} else if stored, err := r.ops.store.Load(); err == nil && !r.ops.store.Stale() {
+		state = stored
 	}
 	r.ops.unkept.Store(a.Unkept)
-	r.execute(func() { r.obey(a.State) })
+	r.execute(r.newState(state))
 }
 
 // BanServer sends nothing new to a cache server until it is given back.
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -165,8 +165,7 @@
 	r.showUp()
 	if t.old != nil {
 		r.log.Info("taking over")
-		old := t.old
-		go func() { _ = old.Send(handover.Frame{Kind: handover.Ready}) }() // where it has ended nothing is to take
+		t.old.Enqueue(handover.Frame{Kind: handover.Ready}) // where it has ended nothing is to take
 	}
 	r.publish()
 }
@@ -253,13 +252,19 @@
 	if f, err := p.Receive(time.Second); err != nil || f.Kind != handover.Hello {
 		return
 	}
-	var knows, wanted []byte
-	if r.runOnLoop(func() {
+	fd, err := dupOf(t.ln)
+	if err != nil {
+		return
+	}
+	err = r.runOnLoop(func() { // queued at once, so that what changes from now on is sent behind it
 		t.heir = p
 		r.shareMemory()
-		knows = snapshot.Encode(r.State())
-		wanted, _ = json.Marshal(asked{r.ops.wanted, r.ops.unkept.Load(), r.place.whole}) // plain fields: it cannot fail
-	}) != nil {
+		p.Enqueue(handover.Frame{Kind: handover.Listener, FDs: []int{fd}})
+		r.sendOperatorState(p)
+		p.Enqueue(handover.Frame{Kind: handover.Snapshot, Body: snapshot.Encode(r.State())})
+	})
+	if err != nil {
+		unix.Close(fd)
 		return
 	}
 	r.log.Info("another process is to replace this one")
@@ -274,22 +279,14 @@
 			r.takeClients()
 		}
 	})
-	fd, err := dupOf(t.ln)
-	if err != nil {
-		return
-	}
-	err = errors.Join(p.Send(handover.Frame{Kind: handover.Listener, FDs: []int{fd}}),
-		p.Send(handover.Frame{Kind: handover.OperatorState, Body: wanted}),
-		p.Send(handover.Frame{Kind: handover.Snapshot, Body: knows}))
-	unix.Close(fd)
-	for err == nil {
-		var f handover.Frame
-		if f, err = p.Receive(0); err != nil {
+	for {
+		f, err := p.Receive(0)
+		if err != nil {
 			return
 		}
 		switch f.Kind {
 		case handover.OperatorState:
-			r.heardAsked(f)
+			r.receiveOperatorState(f)
 		case handover.DescriptorCount:
 			r.heard(1, f)
 		case handover.Ready:
@@ -403,7 +400,7 @@
 		}
 		switch f.Kind {
 		case handover.OperatorState:
-			r.heardAsked(f)
+			r.receiveOperatorState(f)
 		case handover.DescriptorCount:
 			r.heard(0, f)
 		case handover.LeaseTransfer:
@@ -435,7 +432,7 @@
 	}
 	r.execute(func() {
 		if heir := r.takeover.heir; heir != nil {
-			go func() { _ = heir.Send(handover.Frame{Kind: handover.LeaseTransfer, Body: what()}) }() // left again soon
+			heir.Publish(handover.LeaseTransfer, what)
 		}
 	})
 }
@@ -457,10 +454,10 @@
 	if t.old == nil && t.heir == nil {
 		return
 	}
-	f := handover.Frame{Kind: handover.DescriptorCount, Body: strconv.AppendInt(nil, int64(r.conns+descriptorsOfDial*r.dials+r.lim.ReservedDescriptors), 10)}
+	count := strconv.AppendInt(nil, int64(r.conns+descriptorsOfDial*r.dials+r.lim.ReservedDescriptors), 10)
 	for _, p := range []*handover.Conn{t.old, t.heir} {
 		if p != nil {
-			go func() { _ = p.Send(f) }() // its end is noticed by who reads from it
+			p.Publish(handover.DescriptorCount, func() []byte { return count })
 		}
 	}
 }
