SIGTERM is not lost behind other signals during the start

Callers saw: a process that is told to end while it starts goes on, and what it holds at the kill is lost.

Cause: SIGTERM, SIGINT and SIGUSR1 shared a channel with room for four, which nobody reads before the program serves; signal.Notify drops what finds it full. A handler that waited for the router to serve also held up the signals behind it.

Change: end, reload and counters have a channel and a goroutine each.

--- a/cmd/cache-router/signal_test.go
+++ b/cmd/cache-router/signal_test.go
@@ -10,46 +10,90 @@
 	"time"
 )
 
-// SIGTERM comes while the program still reads its configuration, which a pipe holds back until then: it ends in order once it
-// has begun, with 0. It was ended by the signal.
-func TestTermDuringStart(t *testing.T) {
-	p := newPlayer(t)
-	p.start([]string{"s1", "origin"})
+// startingProgram is a program that still reads its configuration, which a pipe holds back.
+type startingProgram struct {
+	*exec.Cmd
+	config *os.File // the pipe
+	log    lockedBuffer
+}
+
+func newStartingProgram(t *testing.T) *startingProgram {
+	t.Helper()
 	pipe := filepath.Join(t.TempDir(), "config.json")
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	program := exec.Command(os.Args[0])
+	program := &startingProgram{Cmd: exec.Command(os.Args[0])}
 	program.Env = append(os.Environ(), "SPURTRESTLE_TEST=run", "EDGE_CONFIG="+pipe, "TMPDIR="+t.TempDir(), "EDGE_LISTEN=127.0.0.1:0")
-	var log lockedBuffer
-	program.Stderr = &log
+	program.Stderr = &program.log
 	if err := program.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = program.Process.Kill() }()
-	in, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns once the program has opened it
-	if err != nil {
+	t.Cleanup(func() { _ = program.Process.Kill() })
+	var err error
+	if program.config, err = os.OpenFile(pipe, os.O_WRONLY, 0); err != nil { // returns once the program has opened it
 		t.Fatal(err)
 	}
-	for range 2 { // twice is as good as once
-		if err = program.Process.Signal(syscall.SIGTERM); err != nil {
-			t.Fatal(err)
-		}
+	return program
+}
+
+func (s *startingProgram) signal(t *testing.T, sent os.Signal) {
+	t.Helper()
+	if err := s.Process.Signal(sent); err != nil {
+		t.Fatal(err)
 	}
-	if _, err = in.WriteString(p.config); err != nil {
+}
+
+// configure lets the program read its configuration.
+func (s *startingProgram) configure(t *testing.T, config string) {
+	t.Helper()
+	if _, err := s.config.WriteString(config); err != nil {
 		t.Fatal(err)
 	}
-	in.Close()
+	s.config.Close()
+}
+
+func (s *startingProgram) endsInOrder(t *testing.T) {
+	t.Helper()
 	ended := make(chan error, 1)
-	go func() { ended <- program.Wait() }()
+	go func() { ended <- s.Wait() }()
 	select {
-	case err = <-ended:
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("%v: %s", err, s.log.text())
+		}
 	case <-time.After(patience):
 		t.Fatal("it goes on")
 	}
-	if err != nil {
-		t.Errorf("%v: %s", err, log.text())
+}
+
+// SIGTERM comes while the program still reads its configuration: it ends in order once it has begun, with 0. It was ended by the
+// signal.
+func TestTermDuringStart(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "origin"})
+	program := newStartingProgram(t)
+	for range 2 { // twice is as good as once
+		program.signal(t, syscall.SIGTERM)
+	}
+	program.configure(t, p.config)
+	program.endsInOrder(t)
+}
+
+// SIGTERM comes during the start behind a row of other signals, which nobody has read yet: it is not lost.
+func TestTermBehindOtherSignalsDuringStart(t *testing.T) {
+	p := newPlayer(t)
+	p.start([]string{"s1", "origin"})
+	program := newStartingProgram(t)
+	for range 5 {
+		program.signal(t, syscall.SIGUSR1)
+		program.signal(t, syscall.SIGHUP)
+		time.Sleep(5 * time.Millisecond) // equal signals that wait in the kernel are one
 	}
+	program.signal(t, syscall.SIGTERM)
+	time.Sleep(5 * time.Millisecond)
+	program.configure(t, p.config)
+	program.endsInOrder(t)
 }
 
 // asks begins a request at the program whose server does not answer yet.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -59,8 +59,7 @@
 	if err := p.startFront(); err != nil {
 		return err
 	}
-	go p.handleEnd(signals.end)
-	go p.handleReload(signals.reload)
+	p.handleSignals(signals)
 	return p.run()
 }
 
