Operator state: a change no longer writes into a map that the event loop reads

Callers saw: "fatal error: concurrent map read and map write", the process is gone, at a ban or unban while TMPDIR is gone or full and a list comes.

Cause: where the file is stale a change starts from the state in force, and Unban and Ban wrote into its map; the copy of a struct shares it.

Change: a change puts a clone in the place of the map, as for the slice.

--- a/internal/operatorstate/state.go
+++ b/internal/operatorstate/state.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
 
-// State is what operators have requested of a router.
+// State is what operators have requested of a router. Copies share their slice and map, which are never written to: a change
+// puts new ones in their place, so that another goroutine may read a copy meanwhile.
 type State struct {
 	Banned     []string         `json:"down"`  // cache servers to avoid, by their names in discovery, sorted
 	UnbannedAt map[string]int64 `json:"back"`  // when others were unbanned lately, Unix time in microseconds
@@ -34,6 +36,7 @@
 	}
 	s.Banned = append(slices.Clone(s.Banned), uid)
 	slices.Sort(s.Banned)
+	s.UnbannedAt = maps.Clone(s.UnbannedAt)
 	delete(s.UnbannedAt, uid)
 	return nil
 }
@@ -41,11 +44,10 @@
 // Unban makes a cache server usable again, and records when: it warms up from then on. One that is not banned stays as it
 // is.
 func (s *State) Unban(uid string, now time.Time) {
-	for other, at := range s.UnbannedAt {
-		if now.Sub(time.UnixMicro(at)) > unbannedRetention {
-			delete(s.UnbannedAt, other)
-		}
-	}
+	s.UnbannedAt = maps.Clone(s.UnbannedAt)
+	maps.DeleteFunc(s.UnbannedAt, func(_ string, at int64) bool {
+		return now.Sub(time.UnixMicro(at)) > unbannedRetention
+	})
 	if !s.IsBanned(uid) {
 		return
 	}
--- a/internal/operatorstate/store_test.go
+++ b/internal/operatorstate/store_test.go
@@ -162,3 +162,46 @@
 		t.Errorf("got %d banned, %v, want %d", len(again.Banned), err, servers+1)
 	}
 }
+
+// TestState_ChangesLeaveCopiesAsTheyAre holds a copy, which another goroutine may read meanwhile, to what it was.
+func TestState_ChangesLeaveCopiesAsTheyAre(t *testing.T) {
+	state := State{Banned: []string{"a", "c"}, UnbannedAt: map[string]int64{"old": 0, "b": 7e6}}
+	inForce := state
+	before := fmt.Sprint(inForce)
+	for _, change := range []func(*State) error{ban("b"), unban("a"), unban("b"), ban("a")} {
+		if err := change(&state); err != nil {
+			t.Fatal(err)
+		}
+		if after := fmt.Sprint(inForce); after != before {
+			t.Fatalf("the copy: got %s, want %s", after, before)
+		}
+	}
+}
+
+// TestStore_ChangesWhileTheStateInForceIsRead is for the race detector: where the folder is gone, a change starts from the state in
+// force, which the router's event loop reads meanwhile. Without the detector a concurrent write of a map ends the process.
+func TestStore_ChangesWhileTheStateInForceIsRead(t *testing.T) {
+	store := Open(filepath.Join(t.TempDir(), "gone"), "r", nil)
+	inForce := State{Banned: []string{"a"}, UnbannedAt: map[string]int64{"b": 7e6}}
+	stop := make(chan struct{})
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				_ = inForce.UnbannedAt["b"] + inForce.UnbannedAt["a"]
+			}
+		}
+	})
+	for range 2000 {
+		for _, change := range []func(*State) error{unban("a"), ban("b")} {
+			if _, err := store.Update(inForce, change); err == nil {
+				t.Fatal("update without a folder: got no error")
+			}
+		}
+	}
+	close(stop)
+	reader.Wait()
+}
