--- a/internal/snapshot/crash_test.go
+++ b/internal/snapshot/crash_test.go
@@ -254,6 +254,53 @@
 	}
 }
 
+// unreadableFS is a crashFS that does not read some of its files.
+type unreadableFS struct {
+	*crashFS
+	unreadable map[string]bool
+}
+
+func (u unreadableFS) Read(name string, limit int) ([]byte, error) {
+	if u.unreadable[name] {
+		return nil, syscall.EIO
+	}
+	return u.crashFS.Read(name, limit)
+}
+
+// TestStore_KeepsAGenerationThatTheDiskDidNotRead reads a generation once the disk answers again, and keeps no more than a
+// few of them if it never does.
+func TestStore_KeepsAGenerationThatTheDiskDidNotRead(t *testing.T) {
+	disk := unreadableFS{newCrashFS(), map[string]bool{}}
+	save := func(s *Store, n int) {
+		t.Helper()
+		if err := s.Save(Encode(sample(n))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := NewStore(disk)
+	save(first, 1)
+	save(first, 2)
+	disk.unreadable["state.2"] = true
+	save(NewStore(disk), 3) // the next process
+	if disk.names["state.2"] == nil {
+		t.Error("a generation that the disk did not read was removed")
+	}
+	disk.unreadable["state.2"] = false
+	disk.names["state.3"].now[200] ^= 1
+	if loaded, err := NewStore(disk).Load(); err != nil || loaded.File != "state.2" {
+		t.Errorf("once the disk reads it: got %s, %v, want state.2", loaded.File, err)
+	}
+	for n := range 10 { // processes whose files of before are never read
+		for name := range disk.names {
+			disk.unreadable[name] = true
+		}
+		save(NewStore(disk), 4+n)
+	}
+	if files := len(disk.names); files > 1+retainedGenerations {
+		t.Errorf("after ten processes that read nothing: %d files, want at most %d", files, 1+retainedGenerations)
+	}
+}
+
 // TestStore_DiskWithoutSync loads the generation before a torn one, on a disk whose sync does nothing.
 func TestStore_DiskWithoutSync(t *testing.T) {
 	c := newCrashFS()
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -107,17 +107,27 @@
 	return file.Close()
 }
 
-// prune removes generations, given from new to old, that were there before a save. Those of a newer version stay. Those
-// that cannot be read for any other reason, an error of the disk included, are removed and do not count as retained.
+// prune removes generations, given from new to old, that were there before a save. Those of a newer version stay, and corrupt
+// ones are removed. Those that the disk did not read stay as well, up to as many as are retained of the readable ones: they may
+// be good, and the disk may answer next time.
 func (s *Store) prune(generations []uint64) error {
-	retained := 1 // the one just saved
+	readable := 1 // the one just saved
+	unread := 0
 	for _, generation := range generations {
+		isNeeded := false
 		err := s.checkReadable(generation)
-		if errors.Is(err, ErrNewerVersion) {
-			continue
+		switch {
+		case errors.Is(err, ErrNewerVersion):
+			isNeeded = true
+		case errors.Is(err, ErrCorrupt):
+		case err == nil:
+			readable++
+			isNeeded = readable <= retainedGenerations
+		default:
+			unread++
+			isNeeded = unread <= retainedGenerations
 		}
-		if err == nil && retained < retainedGenerations {
-			retained++
+		if isNeeded {
 			continue
 		}
 		if err := s.folder.Remove(fileName(generation)); err != nil {
