Site failover: weights no longer differ by the order of a map

Cause: distributeLoad summed free capacity over a map; the last digit of a sum depends on the order. Change: the sum goes by the sites' names. The same elsewhere: all 43 loops over maps in core, and those of controlplane, gossip and router, listed by type and read: none sums unequal figures or leaves a slice unsorted on which a decision depends.

--- a/core/sitefailover/weights.go
+++ b/core/sitefailover/weights.go
@@ -83,7 +83,8 @@
 }
 
 // distributeLoad assigns a load to sites: to the preferred ones in order up to their free capacity, and the rest in proportion to
-// the free capacity that is left.
+// the free capacity that is left. The capacities are summed in the order of the sites' names: the last digit of a sum depends on
+// the order, and every leader must compute the same weights.
 func distributeLoad(load float64, free map[Site]float64, preferred []Site) map[Site]float64 {
 	assigned := map[Site]float64{}
 	remaining := maps.Clone(free)
@@ -93,8 +94,8 @@
 		remaining[site] -= assigned[site]
 	}
 	totalRemaining := 0.0
-	for _, capacity := range remaining {
-		totalRemaining += capacity
+	for _, site := range slices.Sorted(maps.Keys(remaining)) {
+		totalRemaining += remaining[site]
 	}
 	for site, capacity := range remaining {
 		if totalRemaining > 0 {
