--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -21,15 +21,17 @@
 // A frame is its kind, the length of the body (4 bytes, big endian), and the body. Descriptors go with the first bytes.
 const (
 	headerBytes    = 5
-	maxBodyBytes   = 4 << 20
 	maxDescriptors = 2
 	descriptorSize = 4 // of a C int
 )
 
+// MaxBodyBytes bounds the body of a frame. The largest body is a snapshot, whose own bound is not higher.
+const MaxBodyBytes = 8 << 20
+
 // Frame is one message.
 type Frame struct {
 	Kind Kind
-	Body []byte // at most maxBodyBytes; a receiver rejects a longer one
+	Body []byte // at most MaxBodyBytes
 	FDs  []int  // at most two; the receiver of a frame has to close them
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -27,7 +27,7 @@
 // sendTimeout bounds the wait for a process that does not read.
 const sendTimeout = 2 * time.Second
 
-// ErrFrameTooLong reports a received frame whose length no sender writes.
+// ErrFrameTooLong reports a frame with a body of more than MaxBodyBytes.
 var ErrFrameTooLong = errors.New("handover: frame too long")
 
 // Conn is a connection to the other process. Any goroutine may send; one receives.
@@ -38,8 +38,11 @@
 }
 
 // Send sends a frame. Its descriptors stay open in this process. After an error a part of the frame may have been sent, so
-// that the connection is of no more use.
+// that the connection is of no more use; but nothing has been after ErrFrameTooLong.
 func (c *Conn) Send(frame Frame) error {
+	if len(frame.Body) > MaxBodyBytes {
+		return ErrFrameTooLong
+	}
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
 	_ = c.conn.SetWriteDeadline(time.Now().Add(sendTimeout)) // fails for a closed connection, as the write will
@@ -97,7 +100,7 @@
 }
 
 func (c *Conn) readBody(length uint32) ([]byte, error) {
-	if length > maxBodyBytes {
+	if length > MaxBodyBytes {
 		return nil, ErrFrameTooLong
 	}
 	body := make([]byte, length)
--- a/internal/snapshot/encode.go
+++ b/internal/snapshot/encode.go
@@ -12,16 +12,18 @@
 	"spurtrestle/core/routing"
 )
 
-// Encode returns the file for a state, in format Version. Servers are sorted by UID; those beyond MaxServers, and keys
-// beyond MaxKeys, are left out.
+// Encode returns the file for a state, in format Version. Servers are sorted by UID. What Decode would reject is left out:
+// servers, methods and keys beyond their bounds, and names that are too long.
 func Encode(state State) []byte {
 	file := []byte(magic)
 	file = appendRecord(file, record{kindHeader, encodeHeader(Version, state.Router)})
 	file = appendRecord(file, record{kindInstance, encodeInstance(state.Knowledge)})
-	for _, method := range state.Methods {
+	methods := slices.DeleteFunc(slices.Clone(state.Methods), func(m Method) bool { return len(m.Name) > maxNameLength })
+	for _, method := range methods[:min(len(methods), MaxMethods)] {
 		file = appendRecord(file, record{kindMethod, encodeMethod(method)})
 	}
-	servers := slices.SortedFunc(slices.Values(state.Servers), func(a, b Server) int { return strings.Compare(a.UID, b.UID) })
+	servers := slices.DeleteFunc(slices.Clone(state.Servers), func(s Server) bool { return len(s.UID) > maxNameLength })
+	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.UID, b.UID) })
 	for _, server := range servers[:min(len(servers), MaxServers)] {
 		file = appendRecord(file, record{kindServer, encodeServer(server)})
 	}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// TestEncode_LeavesOutWhatDecodeRejects keeps a file readable whatever discovery calls a server.
+func TestEncode_LeavesOutWhatDecodeRejects(t *testing.T) {
+	state := sample(1)
+	servers := len(state.Servers)
+	long := strings.Repeat("x", maxNameLength+1)
+	state.Servers = append(state.Servers, Server{UID: long})
+	state.Methods = append(state.Methods, Method{Name: long})
+	for n := range MaxMethods {
+		state.Methods = append(state.Methods, Method{Name: fmt.Sprint("method-", n)})
+	}
+	decoded, err := Decode(Encode(state))
+	if err != nil || len(decoded.Servers) != servers || len(decoded.Methods) != MaxMethods {
+		t.Errorf("got %d servers, %d methods, %v, want %d, %d and no error", len(decoded.Servers), len(decoded.Methods), err, servers, MaxMethods)
+	}
+}
+
 // TestDecode_OlderVersions reads a sample file of each version.
 func TestDecode_OlderVersions(t *testing.T) {
 	for v := 1; v <= Version; v++ {
