gRPC: no attempt for a call that was cancelled while the process stood still

Causes: the loop did not look at a call's end before an attempt, as it does for RESP2: a cancel may lie unread in the socket, or be read and not acted on, or be a withdrawal in the loop's queue that a connection overtakes which comes up in the same turn; and a call whose context was over already was offered.

Change: an offer tells whether its client has gone, and whether something of its connection is unread; a loop that is late looks at both before an attempt, and waits a millisecond at a time while something is unread. A loop that is in time looks at neither.

--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -10,14 +10,18 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/health"
 	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -61,6 +65,7 @@
 	lim    Limits
 	server *grpc.Server
 	health *health.Server
+	conns  sync.Map // *counted by the client's address
 }
 
 // New returns a front that does not listen yet. Call it before the router runs.
@@ -89,7 +94,7 @@
 
 // Serve takes connections until Stop.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.server.Serve(&bounded{Listener: ln, room: make(chan struct{}, s.lim.Connections)})
+	return s.server.Serve(&bounded{Listener: ln, room: make(chan struct{}, s.lim.Connections), open: &s.conns})
 }
 
 // Stop takes no new calls, and returns once those in hand are over; after the longest deadline they are cut off.
@@ -135,12 +140,17 @@
 			a.Value = bytes.Clone(a.Value)
 			done <- ended{Answer: a}
 		},
-		Refuse: func(why router.Refusal) { done <- ended{refused: why} }}
+		Refuse: func(why router.Refusal) { done <- ended{refused: why} },
+		Gone:   func() bool { return ctx.Err() != nil },
+		Unread: func() bool { return s.hasUnread(ctx) }}
 	if due, told := ctx.Deadline(); told {
 		if o.Waits = clock.Time(time.Until(due) / time.Microsecond); o.Waits <= 0 {
 			return nil, status.Error(codes.DeadlineExceeded, "the deadline had passed when the call came")
 		}
 	}
+	if err := ctx.Err(); err != nil { // it was cancelled before the call was taken, as in a process that stood still
+		return nil, status.FromContextError(err).Err()
+	}
 	o.Props = wire.NewProps(props(o, at))
 	if !s.r.Offer(o) {
 		return nil, status.Error(codes.ResourceExhausted, "too many calls wait to be taken")
@@ -154,6 +164,16 @@
 	}
 }
 
+// hasUnread reports whether there is something of a call's connection that is not read yet.
+func (s *Server) hasUnread(ctx context.Context) bool {
+	client, ok := peer.FromContext(ctx)
+	if !ok {
+		return false
+	}
+	conn, ok := s.conns.Load(client.Addr.String())
+	return ok && conn.(*counted).hasUnread()
+}
+
 // wrong names the field that cannot be taken. What is a separator in the form that cache servers are sent is refused.
 func (s *Server) wrong(at *cachev1.Attributes, key, value []byte) (field, what string) {
 	for _, x := range []struct {
@@ -245,6 +265,7 @@
 type bounded struct {
 	net.Listener
 	room chan struct{}
+	open *sync.Map // *counted by the client's address
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -255,7 +276,9 @@
 		}
 		select {
 		case b.room <- struct{}{}:
-			return &counted{Conn: c, room: b.room}, nil
+			conn := &counted{Conn: c, bounded: b}
+			b.open.Store(c.RemoteAddr().String(), conn)
+			return conn, nil
 		default:
 			c.Close()
 		}
@@ -264,15 +287,49 @@
 
 type counted struct {
 	net.Conn
-	room chan struct{}
-	once sync.Once
+	bounded *bounded
+	once    sync.Once
+	reading atomic.Bool // the library has acted on all that it has read, and waits for more
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(p []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
+	return c.Conn.Read(p)
 }
 
+// Close implements net.Conn.
 func (c *counted) Close() error {
-	c.once.Do(func() { <-c.room })
+	c.once.Do(func() {
+		c.bounded.open.CompareAndDelete(c.RemoteAddr().String(), c)
+		<-c.bounded.room
+	})
 	return c.Conn.Close()
 }
 
+// hasUnread reports whether bytes or the end of the connection wait to be read, or to be acted on.
+func (c *counted) hasUnread() bool {
+	if !c.reading.Load() {
+		return true
+	}
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = peekErr == nil
+	})
+	return err == nil && unread
+}
+
 // ErrStopped is what Serve returns after Stop.
 var ErrStopped = grpc.ErrServerStopped
 
--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -319,3 +319,56 @@
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
 }
+
+// A connection has something unread from the client's last byte, or its end, until the reader is back for more.
+func TestConn_TellsWhatIsUnread(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := (&bounded{Listener: ln, room: make(chan struct{}, 1), open: &sync.Map{}}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := accepted.(*counted)
+	read := make(chan int)
+	proceed := make(chan struct{})
+	go func() {
+		buffer := make([]byte, 16)
+		for {
+			n, err := conn.Read(buffer)
+			read <- n
+			<-proceed
+			if err != nil {
+				return
+			}
+		}
+	}()
+	await := func(want bool, when string) {
+		t.Helper()
+		for until := time.Now().Add(5 * time.Second); conn.hasUnread() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("%s: unread is %v, want %v", when, !want, want)
+			}
+		}
+	}
+	await(false, "nothing was sent")
+	if _, err := client.Write([]byte("cancel")); err != nil {
+		t.Fatal(err)
+	}
+	<-read
+	await(true, "it was read and not acted on")
+	proceed <- struct{}{}
+	await(false, "the reader is back")
+	client.Close()
+	<-read
+	await(true, "the end was read and not acted on")
+	proceed <- struct{}{}
+}
--- a/internal/router/behind.go
+++ b/internal/router/behind.go
@@ -1,6 +1,10 @@
 package router
 
-import "spurtrestle/core/clock"
+import (
+	"slices"
+
+	"spurtrestle/core/clock"
+)
 
 // catchUp is how long a loop that was late once may still find old news in its sockets: hundreds of requests take some of it.
 const catchUp = clock.Time(1e6)
@@ -12,10 +16,36 @@
 	}
 }
 
-// hasGone tells, while the loop is late, whether the client of a request has closed its connection and that is not read yet. Of some
-// hundred sockets that wait for the loop it reads requests before it comes to the ends behind others, and began attempts for clients
-// that had gone long before. Otherwise ends are read in time, and the call is spared.
+// hasGone tells, while the loop is late, whether the client of a request has closed its connection or cancelled, and that is not read
+// yet. Of some hundred sockets that wait for the loop it reads requests before it comes to the ends behind others, and began attempts
+// for clients that had gone long before. Otherwise ends are read in time, and the call is spared.
 func (r *Router) hasGone(q *request) bool {
-	c, is := q.from.(*client)
-	return is && !q.over && r.now < r.behindUntil && c.conn != nil && hungUp(c.conn.Fd())
+	if q.over || r.now >= r.behindUntil {
+		return false
+	}
+	switch from := q.from.(type) {
+	case *client:
+		return from.conn != nil && hungUp(from.conn.Fd())
+	case *Offer:
+		return from.withdrawn.Load() || from.Gone != nil && from.Gone()
+	}
+	return false
+}
+
+// unreadRecheck is how long an attempt waits for a front that has something to read.
+const unreadRecheck = clock.Millisecond
+
+// mayHaveGone reports, while the loop is late, whether the end of a request's client may lie where its front has not read it yet.
+func (r *Router) mayHaveGone(q *request) bool {
+	offer, isOffer := q.from.(*Offer)
+	return isOffer && !q.over && r.now < r.behindUntil && offer.Unread != nil && offer.Unread()
+}
+
+// connectAfterFront gives an attempt a connection once its request's front has had a moment to read.
+func (r *Router) connectAfterFront(w *attempt) {
+	r.after(unreadRecheck, func() {
+		if slices.Contains(w.q.attempts, w) && w.up == nil {
+			r.connect(w)
+		}
+	})
 }
--- a/internal/router/gone_test.go
+++ b/internal/router/gone_test.go
@@ -283,3 +283,48 @@
 		}
 	}
 }
+
+// lateDeparture is a departure by gRPC of a request that waits for a connection, in a loop that is late.
+func lateDeparture(t *testing.T, id string) *departure {
+	t.Helper()
+	d := newDeparture(t, true, nil)
+	d.l.r.lim.LoopLagThreshold = 80e3
+	for range 30 { // it has been in time for long
+		d.l.pass(50e3)
+	}
+	d.asks(id, "k", "get", false)
+	d.l.pass(100e3)
+	return d
+}
+
+// The process stood still, and the front has a call's cancel, which the loop has not come to: no attempt of it begins on a
+// connection that comes up then.
+func TestNoAttemptForACallThatWasWithdrawnAheadOfTheLoop(t *testing.T) {
+	d := lateDeparture(t, "gone")
+	d.l.r.Withdraw(d.offers["gone"])
+	d.comesUp(cacheAddr)
+	d.begins("gone", 0)
+	if d.l.r.offers.open != 0 || len(d.l.r.requests) != 0 {
+		t.Errorf("%d calls are open, %d requests are left", d.l.r.offers.open, len(d.l.r.requests))
+	}
+}
+
+// The same where the front has not read the cancel yet: the attempt waits for it. A call that goes on has its attempt then.
+func TestNoAttemptForACallWhoseEndLiesUnread(t *testing.T) {
+	for _, cancelled := range []bool{true, false} {
+		d := lateDeparture(t, "call")
+		unread, gone := true, false
+		d.offers["call"].Unread = func() bool { return unread }
+		d.offers["call"].Gone = func() bool { return gone }
+		d.comesUp(cacheAddr)
+		d.l.pass(5e3)
+		d.begins("call", 0)
+		unread, gone = false, cancelled
+		d.l.pass(5e3)
+		want := 1
+		if cancelled {
+			want = 0
+		}
+		d.begins("call", want)
+	}
+}
--- a/internal/router/offers.go
+++ b/internal/router/offers.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
@@ -30,8 +31,14 @@
 	// Exactly one of the two is called, on the loop, once: it must not wait. An answer's value is good only within it.
 	Answer func(wire.Answer)
 	Refuse func(Refusal)
-
-	q *request // belongs to the loop; nil: not taken
+	// Gone reports whether the client has cancelled or left, by what the front has read; nil: never before Withdraw. Both this
+	// and Unread are called on the loop, where it is late.
+	Gone func() bool
+	// Unread reports whether there is something of the client's connection that the front has not read; nil: never.
+	Unread func() bool
+
+	withdrawn atomic.Bool // ahead of the loop
+	q         *request    // belongs to the loop; nil: not taken
 }
 
 // offers is the way from fronts to the loop. Its lock is held for an append, never across the loop's work.
@@ -51,7 +58,10 @@
 
 // Withdraw tells that the client of an offer is gone: its attempts are called off, and neither function is called any
 // more once the loop has come to it.
-func (r *Router) Withdraw(o *Offer) { r.news(news{o, true}, 1<<62) }
+func (r *Router) Withdraw(o *Offer) {
+	o.withdrawn.Store(true)
+	r.news(news{o, true}, 1<<62)
+}
 
 func (r *Router) news(n news, most int) bool {
 	select {
@@ -83,8 +93,7 @@
 	f.mu.Unlock()
 	for _, n := range all {
 		if n.gone {
-			if q := n.o.q; q != nil && !q.over {
-				f.open--
+			if q := n.o.q; q != nil {
 				r.left(q)
 			}
 			continue
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -142,6 +142,9 @@
 		return
 	}
 	q.over, q.leaving = true, true
+	if _, off := q.from.(*Offer); off {
+		r.offers.open--
+	}
 	r.counts.Left++
 	r.input(routing.ClientDisconnected{Request: q.ID})
 	for _, w := range slices.Clone(q.attempts) {
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -53,6 +53,10 @@
 		r.left(w.q)
 		return
 	}
+	if r.mayHaveGone(w.q) {
+		r.connectAfterFront(w)
+		return
+	}
 	s := w.server
 	for i, up := range slices.Backward(s.idle) {
 		if up.rested() && up.open(w) {
@@ -151,13 +155,7 @@
 		return
 	}
 	up.since = up.r.clock()
-	// After a pause of the process its connections come up before its timers go off.
-	for len(s.waiting) > 0 && s.waiting[0].until <= up.since {
-		up.r.giveUp(s.waiting[0], routing.NotSent)
-	}
-	for len(s.waiting) > 0 && up.r.hasGone(s.waiting[0].q) {
-		up.r.left(s.waiting[0].q)
-	}
+	s.dropLate(up.r, up.since)
 	if len(s.waiting) > 0 && up.rested() && up.open(s.waiting[0]) {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -175,6 +173,25 @@
 	}
 }
 
+// dropLate drops from the head of those that wait what is not to be sent any more, or not yet. After a pause of the process its
+// connections come up before its timers go off.
+func (s *server) dropLate(r *Router, now clock.Time) {
+	for len(s.waiting) > 0 {
+		w := s.waiting[0]
+		switch {
+		case w.until <= now:
+			r.giveUp(w, routing.NotSent)
+		case r.hasGone(w.q):
+			r.left(w.q)
+		case r.mayHaveGone(w.q):
+			s.forget(w)
+			r.connectAfterFront(w)
+		default:
+			return
+		}
+	}
+}
+
 // rested: what answers twice does so some milliseconds late, and no answer says whose it is. Where that was seen lately a
 // connection that has carried an attempt is left alone for as long, so that the second answer meets nobody.
 func (up *upstream) rested() bool {
