A process that was told to end does so beside idle clients that come again at once

Callers saw: a router under a crowd of idle clients is still there at the kill, and what reaches it then is lost.

Cause: a process ends once no client is left, and a client that has just connected is spared for 50 ms, also behind the last moment of the shutdown; of hundreds that connect all the time one is always as young as that.

Before: TestDrain_EndsBesideClientsThatComeAgain 3 of 3 red, "0.2 s behind its last moment it goes on, with 10 clients". Change: from the last moment on a client of whom nothing is in hand or unread is closed however young it is. After: 3 of 3 green, internal/router green with the race detector.

--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -64,16 +64,18 @@
 	return err == nil && n > 0
 }
 
-// closeIdleClients closes the clients that wait for nothing. One that has just come in is spared for a while: its first
-// request is on its way. A command that has come in part gets a sweep's time for the rest.
+// closeIdleClients closes the clients that wait for nothing. One that has just come in is spared for a while, but not behind the
+// last moment of a shutdown: its first request is on its way. A command that has come in part gets a sweep's time for the rest.
 func (r *Router) closeIdleClients() {
 	now := r.clock()
+	isLastMoment := r.closing && now >= r.endBy
 	for c := range r.clients {
 		if r.takeover.handing && !c.over {
 			continue // it is passed on
 		}
 		quiet := now - c.idle
-		if c.ended() && (c.used || quiet >= r.lim.QuietClientAge) && (c.waiting() == 0 || quiet > r.lim.IdleSweepInterval) && !c.unheard() {
+		mayHaveNoRequest := c.used || quiet >= r.lim.QuietClientAge || isLastMoment
+		if c.ended() && mayHaveNoRequest && (c.waiting() == 0 || quiet > r.lim.IdleSweepInterval) && !c.unheard() {
 			r.close(c.conn)
 		}
 	}
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -256,6 +256,25 @@
 	}
 }
 
+// A process that was told to end does so in its time also where idle clients come again as soon as they are closed.
+func TestDrain_EndsBesideClientsThatComeAgain(t *testing.T) {
+	l, _ := held(t, nil)
+	close(l.r.ready)
+	l.r.lim.ShutdownTimeout, l.r.lim.DrainAcceptPeriod, l.r.lim.QuietClientAge = 3e6, 500e3, 50e3
+	l.r.Drain()
+	l.rounds()
+	const step = 20e3 // less than the age from which a client may be closed
+	for passed := clock.Time(0); passed <= 3200e3 && !l.r.stopped; passed += step {
+		for range 5 {
+			l.open(nil)
+		}
+		l.pass(step)
+	}
+	if !l.r.stopped {
+		t.Errorf("0.2 s behind its last moment it goes on, with %d clients", len(l.r.clients))
+	}
+}
+
 const hit = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
 
 // A server answers twice, the second time some milliseconds late. Once that was seen, a connection that has just been used is
