Gossip: Close waits for all goroutines of a node, and their calls end with the transport

Callers saw: nothing; after Close, messages could still reach parts that had ended.

Cause: three goroutines had no owner, since memberlist ends a call by its connection timeout alone, a second or more, for which Close cannot wait before the kill. Change: the transport ends its dials and the connections it dialled at its shutdown; the node spawns by one function that Close waits for, and not at all once it closes.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,6 +61,27 @@
 
 	stop    chan struct{} // closed to end the goroutines
 	running sync.WaitGroup
+
+	spawnMu   sync.Mutex
+	closing   bool           // nothing is spawned any more
+	transient sync.WaitGroup // single messages and calls, which end with the transport at the latest
+}
+
+// spawn runs a function that Close waits for, in a goroutine of its own; not at all once the node is closing.
+func (n *Node) spawn(f func()) {
+	n.spawnMu.Lock()
+	defer n.spawnMu.Unlock()
+	if !n.closing {
+		n.transient.Go(f)
+	}
+}
+
+// awaitTransient ends spawning and waits for what was spawned. The transport must be shut down.
+func (n *Node) awaitTransient() {
+	n.spawnMu.Lock()
+	n.closing = true
+	n.spawnMu.Unlock()
+	n.transient.Wait()
 }
 
 // Open joins the fleet. Its errors are about the configuration and name file, field and remedy. Later failures are logged,
@@ -90,6 +111,7 @@
 	if err := n.joinFleet(); err != nil {
 		close(n.stop)
 		_ = n.list.Shutdown() // the configuration error is the one to report
+		n.awaitTransient()
 		return nil, err
 	}
 	n.running.Go(n.run)
@@ -147,6 +169,7 @@
 func (n *Node) Close(handedOver bool) {
 	list := n.stopRunning()
 	if list == nil {
+		n.awaitTransient()
 		return
 	}
 	n.mu.Lock()
@@ -167,6 +190,7 @@
 		_ = list.Leave(n.config.ProbeInterval) // after a failure the others detect the end by themselves
 	}
 	_ = list.Shutdown() // the process exits
+	n.awaitTransient()
 	n.persistPeers()
 }
 
--- a/internal/gossip/join.go
+++ b/internal/gossip/join.go
@@ -32,12 +32,12 @@
 // node contacts them again later.
 func (n *Node) joinFleet() error {
 	joined := make(chan struct{})
-	go func() { // ends by the connection timeout of memberlist, which cannot be cancelled; Close does not wait for it
+	n.spawn(func() {
 		defer close(joined)
 		if len(n.config.Join) > 0 {
 			_, _ = n.list.Join(n.config.Join) // seeds that do not answer are contacted again by reconnect
 		}
-	}()
+	})
 	select {
 	case <-joined:
 	case <-time.After(joinTimeout):
--- a/internal/gossip/memberlist.go
+++ b/internal/gossip/memberlist.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log"
@@ -41,12 +42,12 @@
 	if err != nil {
 		return err
 	}
-	bound := boundTransport{NetTransport: sockets, local: &net.TCPAddr{IP: listenAddr.Addr().AsSlice()}}
+	bound := newBoundTransport(sockets, &net.TCPAddr{IP: listenAddr.Addr().AsSlice()})
 	config.Transport = newMeteredTransport(bound, &n.traffic, n.config.FaultyLinks)
 	n.broadcasts = &memberlist.TransmitLimitedQueue{RetransmitMult: n.retransmitFactor(config), NumNodes: n.peerCount}
 	list, err := memberlist.Create(config)
 	if err != nil {
-		return errors.Join(err, sockets.Shutdown())
+		return errors.Join(err, bound.Shutdown())
 	}
 	n.mu.Lock()
 	n.list = list
@@ -87,10 +88,18 @@
 	return len(n.peers)
 }
 
-// boundTransport dials from the address that the router listens on, so that the peer knows who calls.
+// boundTransport dials from the address that the router listens on, so that the peer knows who calls. Its shutdown ends the
+// connections that it has dialled, and the dials: a peer that does not answer would hold them until the connection timeout.
 type boundTransport struct {
 	*memberlist.NetTransport
-	local *net.TCPAddr
+	local  *net.TCPAddr
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newBoundTransport(sockets *memberlist.NetTransport, local *net.TCPAddr) boundTransport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return boundTransport{NetTransport: sockets, local: local, ctx: ctx, cancel: cancel}
 }
 
 // DialTimeout implements memberlist.Transport.
@@ -101,5 +110,28 @@
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t boundTransport) DialAddressTimeout(addr memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, LocalAddr: t.local}
-	return dialer.Dial("tcp", addr.Addr)
+	conn, err := dialer.DialContext(t.ctx, "tcp", addr.Addr)
+	if err != nil {
+		return nil, err
+	}
+	release := context.AfterFunc(t.ctx, func() { _ = conn.Close() }) // its user notices by an error
+	return &dialledConn{Conn: conn, release: release}, nil
+}
+
+// Shutdown implements memberlist.Transport.
+func (t boundTransport) Shutdown() error {
+	t.cancel()
+	return t.NetTransport.Shutdown()
+}
+
+// dialledConn is a connection that ends with its transport.
+type dialledConn struct {
+	net.Conn
+	release func() bool
+}
+
+// Close implements net.Conn.
+func (c *dialledConn) Close() error {
+	c.release()
+	return c.Conn.Close()
 }
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -36,7 +36,8 @@
 // requires OnMessage before. A message may be lost; the sender sends it again.
 func (n *Node) Send(to fleet.Incarnation, body []byte) {
 	if to == n.Self() {
-		go n.currentPolicyHandler()(to, body) // the sender may have locked what the handler locks; Close does not wait for it
+		handler := n.currentPolicyHandler()
+		n.spawn(func() { handler(to, body) }) // the sender may have locked what the handler locks
 		return
 	}
 	peer, list := n.lookupPeer(membership.Incarnation(to))
@@ -48,7 +49,7 @@
 		_ = list.SendBestEffort(peer, message)
 		return
 	}
-	go func() { _ = list.SendReliable(peer, message) }() // ends by memberlist's connection timeout; Close does not wait for it
+	n.spawn(func() { _ = list.SendReliable(peer, message) }) // what is lost is sent again
 }
 
 // SetLeader announces whether this process is the leader of the policy's voters.
