Handover: an earlier process does not take the name back from the last successor

Cause: a first process, replaced by a second, which a third has replaced, takes clients again when the second ends, also where it was told to end itself, and listens under the name by which the next process finds the one that serves: it takes that from the third. Once the first has ended nobody answers, the next replacement finds no predecessor, and what that one alone knew (TMPDIR was full) is lost.

Change: a process that was told to end does not listen under the name again; one that had handed on leaves the name to a process that answers there.

--- a/internal/handover/socket.go
+++ b/internal/handover/socket.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// answerTimeout bounds the wait for a process that does not accept.
+const answerTimeout = 100 * time.Millisecond
+
 // Dial connects to the process that listens under a name in a folder. An error means that no process answers there.
 func Dial(dir, name string, timeout time.Duration) (*Conn, error) {
 	path, release := socketPath(dir, name)
@@ -19,6 +22,16 @@
 	return &Conn{conn: conn.(*net.UnixConn)}, nil
 }
 
+// Answers reports whether a process listens under a name in a folder.
+func Answers(dir, name string) bool {
+	conn, err := Dial(dir, name, answerTimeout)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // Listen waits under a name in a folder for the process that will replace this one. The name is taken over from the
 // process that had it, by a rename, so that there is a listener under the name at every moment.
 func Listen(dir, name string) (*net.UnixListener, error) {
--- a/internal/router/handover_order_test.go
+++ b/internal/router/handover_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"runtime"
@@ -253,3 +254,74 @@
 	}
 	t.Fatal("did not happen in ten seconds")
 }
+
+// handOnAndLoseSuccessor has the router hand its clients on to the successor, which another process replaces, and the successor end.
+func (h *handoverTest) handOnAndLoseSuccessor(t *testing.T, name string) (next *net.UnixListener) {
+	t.Helper()
+	h.sendHello(t)
+	h.receiveUntil(t, handover.Snapshot, ignoreState)
+	if err := h.successor.Send(handover.Frame{Kind: handover.Ready}); err != nil {
+		t.Fatal(err)
+	}
+	h.awaitOnLoop(t, func() bool { return h.r.takeover.handing })
+	next, err := handover.Listen(h.r.takeover.dir, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { next.Close() })
+	h.successor.Close()
+	h.awaitOnLoop(t, func() bool { return h.r.takeover.heir == nil })
+	return next
+}
+
+// The name stays with the process that has replaced a successor, whatever becomes of the successor: the next process finds it. That
+// holds for a router that is told to end as for one that goes on.
+func TestHandover_TheNameStaysWithTheLastSuccessor(t *testing.T) {
+	for _, isTold := range []bool{false, true} {
+		h := newHandoverTest(t)
+		const name = "r.sock"
+		h.onLoop(t, func() {
+			h.r.takeover.dir, h.r.takeover.name = t.TempDir(), name
+			h.r.serving, h.r.draining = true, isTold
+		})
+		next := h.handOnAndLoseSuccessor(t, name)
+		found := make(chan error, 1)
+		go func() {
+			conn, err := handover.Accept(next)
+			if err == nil {
+				_, err = conn.Receive(time.Second)
+			}
+			for err != nil && !errors.Is(err, net.ErrClosed) { // a look whether somebody answers says nothing
+				if conn, err = handover.Accept(next); err == nil {
+					_, err = conn.Receive(time.Second)
+				}
+			}
+			found <- err
+		}()
+		time.Sleep(300 * time.Millisecond) // the router does what it does about its name
+		conn, err := handover.Dial(h.r.takeover.dir, name, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := conn.Send(handover.Frame{Kind: handover.Hello}); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-found:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(3 * time.Second):
+			t.Errorf("told to end: %v; the next process finds another one than the last successor", isTold)
+		}
+	}
+}
+
+// onLoop runs a function on the loop.
+func (h *handoverTest) onLoop(t *testing.T, f func()) {
+	t.Helper()
+	if err := h.r.runOnLoop(f); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -36,6 +36,7 @@
 	coming    atomic.Int32   // accepted, and not with the loop yet
 	findable  bool           // the next process can find it, or was to
 	handing   bool           // its clients are passed on to the heir
+	handedOn  bool           // they were once, also if the heir has ended since
 	out       chan passed    // to the heir; room for all clients
 	unsent    int            // passed, and not with the heir yet
 	others    [2]int         // descriptors that the old one and the heir hold
@@ -179,11 +180,11 @@
 }
 
 // showUp lets the next process find this one, once it serves: until it says yes it holds no socket but those of TCP and
-// UDP, since there may be no others, and a refusal must not come before.
+// UDP, since there may be no others, and a refusal must not come before. A process that is told to end is not to be found.
 func (r *Router) showUp() {
-	if t := &r.takeover; t.name != "" && t.accepting && r.serving && !t.findable {
+	if t := &r.takeover; t.name != "" && t.accepting && r.serving && !t.findable && !r.draining {
 		t.findable = true
-		go r.awaitHeir()
+		go r.awaitHeir(t.handedOn)
 	}
 }
 
@@ -223,9 +224,14 @@
 
 const acceptsAtOnce = 4 // each holds two descriptors until the loop has it
 
-// awaitHeir waits off the loop for processes that are to replace this one, one after the other.
-func (r *Router) awaitHeir() {
+// awaitHeir waits off the loop for processes that are to replace this one, one after the other. One that has handed on and has its
+// clients back, since its successor has ended, leaves the name to a process that answers there: it has replaced the successor.
+func (r *Router) awaitHeir(handedOn bool) {
 	t := &r.takeover
+	if handedOn && handover.Answers(t.dir, t.name) {
+		r.log.Warn("handover: another process has replaced the successor, and is the one that the next process finds")
+		return
+	}
 	ln, err := handover.Listen(t.dir, t.name)
 	if err != nil {
 		r.log.WithError(err).Warn("the next process will not find this one; see that TMPDIR is a folder with room")
@@ -301,7 +307,7 @@
 func (r *Router) handOn(out chan passed) {
 	t := &r.takeover
 	r.log.Info("clients are another process's from now on")
-	t.handing, t.accepting, t.findable, t.out = true, false, false, out
+	t.handing, t.handedOn, t.accepting, t.findable, t.out = true, true, false, false, out
 	_ = t.ln.SetDeadline(time.Unix(1, 0)) // what waits to be accepted waits for the heir
 	if t.unix != nil {
 		t.unix.Close() // the next process is the heir's; the name is too
