Lab: a soak of endings, which plays the ends of routers as hard as the platform may

Change: lab/scenarios/soak.toml, drawn by the seed (spread, chance): clients that go on using what is open, restarts with signals beside SIGTERM, replacements, a successor that dies and another right behind it, SIGHUP with good and bad files and new addresses, SIGUSR1 in rows, bans and drains, TMPDIR that takes no file, hanging and resetting caches, a silent discovery, crowds, RESP2 and gRPC side by side (--protocol mixed).

--- a/cmd/cache-routerctl/labrun.go
+++ b/cmd/cache-routerctl/labrun.go
@@ -30,8 +30,8 @@
 			if o.seeds < 1 || o.seeds > 100 {
 				return usage("--seeds: %d is not from 1 to 100", o.seeds)
 			}
-			if o.protocol != "" && o.protocol != "resp2" && o.protocol != "grpc" {
-				return usage("--protocol: %q is neither resp2 nor grpc", o.protocol)
+			if o.protocol != "" && !slices.Contains([]string{scenario.RESP2, scenario.GRPC, scenario.Mixed}, o.protocol) {
+				return usage("--protocol: %q is none of resp2, grpc, mixed", o.protocol)
 			}
 			usual := "cache-router"
 			var all []scenario.Scenario
@@ -96,7 +96,7 @@
 	f.StringVar(&o.out, "out", "lab-reports", "folder for reports")
 	f.StringVar(&o.label, "label", "", "name of what is run, for comparisons (default: the router's path)")
 	f.StringVar(&o.replay, "trace", "", "recorded traffic to play instead of the scenario's own")
-	f.StringVar(&o.protocol, "protocol", "", "that clients speak, whatever the scenario says: resp2 or grpc (name cache-router-grpc with --router)")
+	f.StringVar(&o.protocol, "protocol", "", "that clients speak, whatever the scenario says: resp2, grpc or mixed (name cache-router-grpc with --router)")
 	f.BoolVar(&o.state, "state", false, "give each router a folder that outlives it, whatever the scenario says")
 	f.BoolVar(&o.noPage, "no-page", false, "leave out the HTML pages")
 	f.StringVar(&o.fleet, "fleet", "", "on: the routers keep a view of one another, whatever the scenario says; off: they do not, and links are not struck")
--- a/internal/lab/client/bad.go
+++ b/internal/lab/client/bad.go
@@ -38,6 +38,12 @@
 	}
 	var all sync.WaitGroup
 	defer all.Wait()
+	if fault.Kind == "crowd" {
+		for i := range fault.Count {
+			all.Go(func() { f.crowd(ctx, event.Router(i%len(f.addrs)), fault.For.Micros().Duration()) })
+		}
+		return
+	}
 	for i := range fault.Count {
 		router := event.Router(i % len(f.addrs))
 		text := Rubbish[r.IntN(len(Rubbish))]
@@ -85,6 +91,28 @@
 	}
 }
 
+// crowd keeps an idle connection to a router open, and opens another at once where it is closed.
+func (f *Front) crowd(ctx context.Context, router event.Router, lasts time.Duration) {
+	const pause = 20 * time.Millisecond // so that a router that is away is not dialled all the time
+	ctx, cancel := context.WithTimeout(ctx, lasts)
+	defer cancel()
+	buf := make([]byte, 64)
+	for ctx.Err() == nil {
+		dialer := net.Dialer{Timeout: time.Second}
+		c, err := dialer.DialContext(ctx, "tcp", f.addrs[router])
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { c.Close() })
+			_, _ = c.Read(buf) // until either side closes it
+			stop()
+			c.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
 func isTimeout(err error) bool {
 	n, ok := err.(net.Error)
 	return ok && n.Timeout()
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,11 +26,13 @@
 	s     scenario.Scenario
 	seed  uint64
 	addrs []string
-	pools []router
+	pools []router // by RESP2; empty if all clients speak gRPC
+	calls []router // by gRPC; empty if none does
 
-	mu    sync.Mutex
-	alive []bool // as the front believes
-	turn  int
+	mu     sync.Mutex
+	alive  []bool // as the front believes
+	ending []bool // told to end: connections that are open are used on
+	turn   int
 
 	wg   sync.WaitGroup // connections and bad clients
 	ops  sync.WaitGroup
@@ -40,18 +43,20 @@
 type router interface {
 	// ask sends a request and waits for what becomes of it; kept: where the connection ended under it, it may be sent once more.
 	ask(*pending) (res result, kept bool)
+	// isOpen reports whether a connection is open.
+	isOpen() bool
 	close()
 }
 
-// NewFront returns a front to routers at these addresses, none of them believed alive. grpc is where they take calls;
-// nil: the clients speak RESP2.
+// NewFront returns a front to routers at these addresses, none of them believed alive. grpc is where they take calls, if any
+// clients speak that.
 func NewFront(log *event.Log, s scenario.Scenario, seed uint64, addrs, grpc []string) *Front {
-	f := &Front{log: log, s: s, seed: seed, addrs: addrs, alive: make([]bool, len(addrs))}
+	f := &Front{log: log, s: s, seed: seed, addrs: addrs, alive: make([]bool, len(addrs)), ending: make([]bool, len(addrs))}
 	for i, addr := range grpc {
-		f.pools = append(f.pools, &calls{f: f, router: event.Router(i), addr: addr})
+		f.calls = append(f.calls, &calls{f: f, router: event.Router(i), addr: addr})
 	}
 	for i, addr := range addrs {
-		if grpc != nil {
+		if s.Clients.Protocol == scenario.GRPC {
 			break
 		}
 		f.pools = append(f.pools, &pool{f: f, router: event.Router(i), addr: addr, most: max(8, s.Routers.Descriptors/3)})
@@ -67,16 +72,41 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.alive[r] = alive
+	f.ending[r] = false
 }
 
-// pick is the next router of a site; any where the site has none.
-func (f *Front) pick(site event.Site) (event.Router, bool) {
+// End has the front open no more connections to a router, and use those that are open for as long as they are.
+func (f *Front) End(r event.Router) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alive[r], f.ending[r] = false, true
+}
+
+// mayOpen reports whether connections to a router may be opened.
+func (f *Front) mayOpen(r event.Router) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.ending[r]
+}
+
+// ways are the ways to the routers by the protocol of an op's client.
+func (f *Front) ways(op event.Op) []router {
+	if len(f.pools) == 0 || len(f.calls) > 0 && op%2 == 1 {
+		return f.calls
+	}
+	return f.pools
+}
+
+// pick is the next router of a site; any where the site has none. One that was told to end is used while a connection is open, unless a
+// fresh one is needed.
+func (f *Front) pick(site event.Site, ways []router, fresh bool) (event.Router, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, same := range []bool{true, false} {
 		for i := range f.alive {
 			r := event.Router((f.turn + i) % len(f.alive))
-			if f.alive[r] && (!same || SiteOf(f.s, r) == site) {
+			usable := f.alive[r] || !fresh && f.ending[r] && ways[r].isOpen()
+			if usable && (!same || SiteOf(f.s, r) == site) {
 				f.turn = int(r) + 1
 				return r, true
 			}
@@ -107,7 +137,7 @@
 
 // Close ends all connections and returns once nothing of the clients runs any more.
 func (f *Front) Close() {
-	for _, p := range f.pools {
+	for _, p := range slices.Concat(f.pools, f.calls) {
 		p.close()
 	}
 	f.wg.Wait()
@@ -186,16 +216,18 @@
 	}
 	q.props = props
 	for again := 0; ; again++ {
-		r, ok := f.pick(a.Site)
+		ways := f.ways(op)
+		r, ok := f.pick(a.Site, ways, q.fresh)
 		if !ok {
 			f.log.Add(event.Event{Kind: event.Unreached, Req: q.req, Op: op, Router: event.Nobody})
 			return result{how: unreached}
 		}
-		res, kept := f.pools[r].ask(q)
+		res, kept := ways[r].ask(q)
 		// Only what may run again is sent again without knowing what became of it.
 		if res.how != cut || !kept || again > 0 || m.Effect != "retryable" {
 			return res
 		}
+		q.fresh = true
 	}
 }
 
--- a/internal/lab/client/conn.go
+++ b/internal/lab/client/conn.go
@@ -29,6 +29,7 @@
 	sent   event.Micros // the deadline sent over RESP2, in whole milliseconds
 	gives  event.Micros // when its client goes; 0: never
 	asked  event.Micros
+	fresh  bool // it crossed a close, and goes on a new connection
 	answer chan result
 }
 
@@ -57,10 +58,10 @@
 	prior event.Micros // when the answer before came
 }
 
-// take finds a connection with room, the one used last first, or opens one.
-func (p *pool) take() (c *conn, kept bool, err error) {
+// take finds a connection with room, the one used last first, or opens one. A fresh one is opened in any case.
+func (p *pool) take(fresh bool) (c *conn, kept bool, err error) {
 	p.mu.Lock()
-	for i := len(p.conns) - 1; i >= 0; i-- {
+	for i := len(p.conns) - 1; i >= 0 && !fresh; i-- {
 		c := p.conns[i]
 		c.mu.Lock()
 		if !c.ended && len(c.waits)+c.due < p.f.s.Clients.Pipeline {
@@ -73,7 +74,7 @@
 		}
 		c.mu.Unlock()
 	}
-	if p.opens >= p.most || p.closed {
+	if p.opens >= p.most || p.closed || !p.f.mayOpen(p.router) {
 		p.mu.Unlock()
 		return nil, false, errNoRoom
 	}
@@ -99,13 +100,19 @@
 
 var errNoRoom = noRoom{}
 
+func (p *pool) isOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
+}
+
 // ask sends a request and waits for what becomes of it; kept: the connection had carried others before.
 func (p *pool) ask(q *pending) (res result, kept bool) {
 	note := event.Event{Req: q.req, Op: q.op, Router: p.router, Method: q.a.Method, Limit: q.limit}
 	var c *conn
 	var err error
 	for {
-		if c, kept, err = p.take(); err != nil {
+		if c, kept, err = p.take(q.fresh); err != nil {
 			note.Kind, note.Note = event.Unreached, err.Error()
 			p.f.log.Add(note)
 			return result{how: unreached}, false
@@ -120,6 +127,9 @@
 	// Under the lock, so that the order on the wire is the order of those who wait.
 	c.waits = append(c.waits, q)
 	note.Kind, note.DeadlineSent = event.Asked, q.sent
+	if !kept {
+		note.Note = event.NewConnection
+	}
 	q.asked = p.f.log.Now()
 	note.At = q.asked
 	p.f.log.AddAt(note)
@@ -279,14 +289,14 @@
 	p.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind := event.Cut
-	if c.ended { // by the client itself, for one that waited too long
-		kind = event.Left
+	kind, ended := event.Cut, cut
+	if c.ended { // by the client itself, for one that waited too long: it does not send again what it has given up
+		kind, ended = event.Left, failed
 	}
 	c.ended = true
 	for _, q := range c.waits {
 		p.f.log.Add(event.Event{Kind: kind, Req: q.req, Op: q.op, Router: p.router})
-		q.answer <- result{how: cut}
+		q.answer <- result{how: ended}
 	}
 	c.waits = nil
 }
--- a/internal/lab/client/grpc.go
+++ b/internal/lab/client/grpc.go
@@ -41,6 +41,9 @@
 	return cachev1.NewCacheServiceClient(p.conn), nil
 }
 
+// isOpen reports false: the library opens connections by itself, so that a router that ends is called no more.
+func (*calls) isOpen() bool { return false }
+
 // ask makes one call and notes what became of it.
 func (p *calls) ask(q *pending) (res result, kept bool) {
 	note := event.Event{Req: q.req, Op: q.op, Router: p.router, Method: q.a.Method, Limit: q.limit}
--- /dev/null
+++ b/internal/lab/endings/endings_test.go
@@ -0,0 +1,90 @@
+// Package endings_test plays the soak of endings with fixed seeds: routers are told to end, replaced and signalled in series, while
+// clients use their connections until the kill at the earliest time allowed.
+package endings_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/fleet"
+	"spurtrestle/internal/lab/scenario"
+	"spurtrestle/internal/lab/testprogram"
+)
+
+const soakFile = "../../../lab/scenarios/soak.toml"
+
+// atOnce bounds the runs that share the machine: a run's verdict is on times too.
+const atOnce = 2
+
+func TestRulesHoldThroughEndings(t *testing.T) {
+	programs := map[string]string{scenario.RESP2: "cache-router", scenario.Mixed: "cache-router-grpc"}
+	for protocol, name := range programs {
+		program, err := testprogram.Build(t.TempDir(), name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		programs[protocol] = program
+	}
+	slots := make(chan struct{}, atOnce)
+	for _, run := range []struct {
+		protocol string
+		seed     uint64
+	}{
+		{scenario.RESP2, 1}, {scenario.Mixed, 2}, {scenario.RESP2, 3}, {scenario.Mixed, 4}, {scenario.RESP2, 5}, {scenario.Mixed, 6},
+	} {
+		t.Run(fmt.Sprintf("%s, seed %d", run.protocol, run.seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			s, err := scenario.Read(soakFile)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Clients.Protocol = run.protocol
+			play(t, s, programs[run.protocol], run.seed)
+		})
+	}
+}
+
+// play plays one seed and reports what was broken.
+func play(t *testing.T, s scenario.Scenario, program string, seed uint64) {
+	t.Helper()
+	dir := t.TempDir()
+	result, err := fleet.Play(t.Context(), s, fleet.Options{Seed: seed, Start: fleet.Program(program), Dir: dir})
+	if err != nil {
+		t.Error(err)
+	}
+	const shown = 5
+	for _, broken := range result.Broken[:min(shown, len(result.Broken))] {
+		t.Errorf("%v\n%s", broken, strings.Join(broken.Evidence, "\n"))
+	}
+	answered := 0
+	for _, e := range result.Events {
+		if e.Kind == event.Answered {
+			answered++
+		}
+	}
+	if err == nil && answered < len(result.Arrivals)/2 { // rules are easily kept by a router that nobody asks
+		t.Errorf("%d answers to %d requests", answered, len(result.Arrivals))
+	}
+	if t.Failed() {
+		logEnds(t, dir)
+	}
+}
+
+// logEnds logs the end of each router's log.
+func logEnds(t *testing.T, dir string) {
+	t.Helper()
+	const longest = 4000
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is good
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err == nil {
+			t.Logf("%s:\n%s", filepath.Base(file), text[max(0, len(text)-longest):])
+		}
+	}
+}
--- a/internal/lab/event/event.go
+++ b/internal/lab/event/event.go
@@ -35,7 +35,7 @@
 // What a client saw.
 const (
 	Wanted    Kind = iota + 1 // an op came up: Op, Method, Tenant, Site; At is its intended time
-	Asked                     // the last byte of a request went out: Request, Op, Router, Method, Limit, DeadlineSent
+	Asked                     // the last byte of a request went out: Request, Op, Router, Method, Limit, DeadlineSent; Note may be NewConnection
 	Answered                  // the last byte of its answer came: Request, Router, Outcome, Limit (the hint)
 	Cut                       // the router ended the connection with no answer: Request, Router
 	Left                      // the client gave up or went: Request, Router
@@ -99,6 +99,9 @@
 // NeverRan tells whether the router knows by this reply that nothing ran.
 func (r Reply) NeverRan() bool { return r == Miss || r == TurnedAway }
 
+// NewConnection is the note of a request that is the first on its connection.
+const NewConnection = "new-connection"
+
 // Event is one thing seen.
 type Event struct {
 	At      Micros
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -34,7 +34,16 @@
 	for i, f := range s.Faults {
 		r := rand.New(rand.NewPCG(seed, 100+uint64(i)))
 		kind := scenario.Kinds[f.Kind]
-		at, until := f.At.Micros(), f.At.Micros()+f.For.Micros()
+		if f.Chance > 0 && r.Float64() >= f.Chance {
+			continue
+		}
+		drawn := func() (at, until event.Micros) {
+			at = f.At.Micros()
+			if f.Spread > 0 {
+				at += event.Micros(r.Int64N(int64(f.Spread)))
+			}
+			return at, at + f.For.Micros()
+		}
 		switch kind.Strikes() {
 		case "servers", "routers":
 			among := s.Servers.Count
@@ -51,9 +60,11 @@
 				break
 			}
 			for _, who := range struck {
+				at, until := drawn()
 				all = append(all, strike(f, i, who, at, until, s)...)
 			}
 		default:
+			at, until := drawn()
 			all = append(all, Act{At: at, Fault: i, Who: -1})
 			if until > at {
 				all = append(all, Act{At: until, Fault: i, Who: -1, End: true})
--- a/internal/lab/fleet/acts.go
+++ b/internal/lab/fleet/acts.go
@@ -20,6 +20,9 @@
 		case <-time.After(max(0, from+a.At-r.log.Now()).Duration()):
 		}
 		f := r.s.Faults[a.Fault]
+		if a.End && f.Kind == "site_lost" {
+			r.o.await(ctx, SiteReturns)
+		}
 		end := event.Micros(0)
 		if a.End {
 			end = 1
@@ -63,7 +66,7 @@
 		r.registry.Strike(f, a.End)
 	case "clients":
 		switch f.Kind {
-		case "rubbish", "flood", "mute":
+		case "rubbish", "flood", "mute", "crowd":
 			if !a.End {
 				within, cancel := context.WithTimeout(ctx, f.For.Micros().Duration()+4*time.Second)
 				r.bad.Go(func() {
@@ -204,6 +207,7 @@
 // actRouter does what takes its time beside the timeline.
 func (r *run) actRouter(ctx context.Context, f scenario.Fault, a faults.Act) {
 	p := r.routers[a.Who]
+	draws := r.draws(a.Fault, a.Who)
 	again := func() {
 		if ctx.Err() != nil {
 			return
@@ -242,7 +246,7 @@
 	case "router_restart":
 		if !a.End {
 			r.acts.Go(func() {
-				p.stop(true)
+				p.stop(true, func(at Instance) { sendBesideEnd(ctx, at, f.Count, draws) })
 				again()
 			})
 		}
@@ -252,7 +256,23 @@
 		r.empty(ctx, p, !a.End)
 	case "router_replace":
 		if !a.End {
-			r.replace(ctx, p)
+			r.replacing(ctx, p, func() error { return p.replace(ctx) })
+		}
+	case "router_dud":
+		if !a.End {
+			r.replacing(ctx, p, func() error { return p.replaceBehindDud(ctx, draws) })
+		}
+	case "router_signals":
+		if !a.End {
+			r.acts.Go(func() {
+				if err := p.sendSignals(ctx, f.Count, f.For.Micros().Duration(), draws); err != nil {
+					r.fail(ctx, err)
+				}
+			})
+		}
+	case "router_tmp_full":
+		if err := p.fillTmp(!a.End); err != nil {
+			r.o.Log.WithError(err).Warn("lab: TMPDIR of a router")
 		}
 	case "router_reload":
 		if !a.End {
@@ -295,14 +315,7 @@
 // moveDiscovery gives every router's agent a new address, which the router's file names from then on.
 func (r *run) moveDiscovery() error {
 	for _, p := range r.routers {
-		p.mu.Lock()
-		p.moves++
-		addr := r.net.discovery(p.moves)[p.n]
-		p.mu.Unlock()
-		if err := r.registry.Move(p.n, addr, 1500*time.Millisecond); err != nil {
-			return err
-		}
-		if err := p.reload(); err != nil {
+		if err := p.moveDiscovery(); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -34,6 +34,24 @@
 	Arrivals []arrivals.Arrival // a recorded schedule; nil: the scenario's own
 	Progress func(Progress)     // about once a second; nil: nobody asks
 	Log      *logrus.Logger     // nil: nothing is logged
+	// Await returns once a run may go on at a moment of its course; nil: it goes on by its clock.
+	Await func(context.Context, Moment)
+}
+
+// Moment is a moment of a run's course at which it can wait for its routers.
+type Moment int
+
+const (
+	// SiteReturns is when a lost site is to come back.
+	SiteReturns Moment = iota
+	// RunEnds is when all requests and faults are over.
+	RunEnds
+)
+
+func (o Options) await(ctx context.Context, moment Moment) {
+	if o.Await != nil {
+		o.Await(ctx, moment)
+	}
 }
 
 // Progress tells how far a run is.
@@ -108,8 +126,13 @@
 	r.front.Drain()
 	r.acts.Wait()
 	r.bad.Wait()
-	r.front.Close()
+	o.await(ctx, RunEnds)
+	r.checkOperatorStates(ctx)
+	if !r.s.Clients.KeepUsing {
+		r.front.Close()
+	}
 	r.endRouters()
+	r.front.Close()
 	unwatch()
 	beside.Wait()
 	if err := ctx.Err(); err != nil {
@@ -166,7 +189,7 @@
 	}
 	r.fillServers()
 	var calls []string
-	if r.s.Clients.Protocol == "grpc" {
+	if r.s.Clients.UsesGRPC() {
 		calls = r.net.calls()
 	}
 	r.front = client.NewFront(r.log, r.s, r.o.Seed, r.net.routers(), calls)
@@ -371,7 +394,7 @@
 func (r *run) endRouters() {
 	var wg sync.WaitGroup
 	for _, p := range r.routers {
-		wg.Go(func() { p.stop(false) })
+		wg.Go(func() { p.stop(false, nil) })
 	}
 	wg.Wait()
 }
--- a/internal/lab/fleet/operators.go
+++ b/internal/lab/fleet/operators.go
@@ -47,12 +47,14 @@
 			if !out { // what is sent from now on is right
 				r.log.Add(event.Event{Kind: kind, Router: p.n, Server: uid})
 			}
-			err := call(ctx, http.MethodPut, p.door(), path, string(uid))
-			if err != nil {
+			if err := p.callOperator(ctx, path, string(uid)); err != nil {
 				r.o.Log.WithError(err).Warn("an operator's call")
-			} else if out {
+				return
+			}
+			if out {
 				r.log.Add(event.Event{Kind: kind, Router: p.n, Server: uid})
 			}
+			p.wanted.setBanned(string(uid), out)
 		})
 	}
 }
@@ -64,7 +66,10 @@
 		if on {
 			path = "/ops/drain/start"
 		}
-		err := call(ctx, http.MethodPut, p.door(), path, "")
+		err := p.callOperator(ctx, path, "")
+		if err == nil {
+			p.wanted.setDrained(on)
+		}
 		if err == nil && !on {
 			err = p.untilReady(ctx, 2*time.Second)
 		}
@@ -78,10 +83,12 @@
 	})
 }
 
-// replace starts a second process beside the one that serves, waits for its yes, and ends the first in order.
-func (r *run) replace(ctx context.Context, p *router) {
+// replacing replaces a router's process beside the timeline. One replacement of a router runs at a time.
+func (r *run) replacing(ctx context.Context, p *router, replace func() error) {
 	r.acts.Go(func() {
-		if err := p.replace(ctx); err != nil {
+		p.replaceMu.Lock()
+		defer p.replaceMu.Unlock()
+		if err := replace(); err != nil {
 			r.fail(ctx, fmt.Errorf("replacing router %s: %w; see %s", p.name(), err, p.spec().Log))
 		}
 	})
@@ -95,6 +102,7 @@
 	}
 }
 
+// replace starts a second process beside the one that serves, waits for its yes, and ends the first in order.
 func (p *router) replace(ctx context.Context) error {
 	const patience = 6 * time.Second
 	p.mu.Lock()
@@ -107,7 +115,7 @@
 	door := p.admin()
 	next, err := p.run.o.Start(p.spec())
 	if err == nil {
-		p.at = next // whoever ends the run ends this one; the other is ended here
+		p.at, p.up = next, false // whoever ends the run ends this one; the other is ended here
 		go p.watch(next)
 	}
 	p.mu.Unlock()
@@ -121,17 +129,14 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	p.allowSignals(next)
 	if err := old.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	longest := time.Duration(0)
-	for _, m := range p.run.s.Methods {
-		longest = max(longest, m.Deadline.Micros().Duration())
-	}
 	select {
 	case <-old.Done():
 		return old.Err()
-	case <-time.After(longest + 2*time.Second):
+	case <-time.After(p.run.killAfter()):
 		return fmt.Errorf("the old process had not ended by its time")
 	}
 }
--- /dev/null
+++ b/internal/lab/fleet/operatorstate.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"spurtrestle/internal/lab/event"
+	"spurtrestle/internal/lab/scenario"
+)
+
+const (
+	// operatorPatience is how long an operator's call is repeated: processes of a router come and go.
+	operatorPatience = 3 * time.Second
+	operatorRetry    = 100 * time.Millisecond
+)
+
+// operatorState is what operators asked for last of a router, as far as it said yes.
+type operatorState struct {
+	mu      sync.Mutex
+	drained bool
+	banned  map[string]bool
+}
+
+func (o *operatorState) setDrained(drained bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drained = drained
+}
+
+func (o *operatorState) setBanned(uid string, banned bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.banned == nil {
+		o.banned = map[string]bool{}
+	}
+	o.banned[uid] = banned
+}
+
+func (o *operatorState) isDrained() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.drained
+}
+
+// callOperator makes a change at the admin endpoint of the process that serves, again for a while where it fails.
+func (p *router) callOperator(ctx context.Context, path, body string) error {
+	for until := time.Now().Add(operatorPatience); ; {
+		err := call(ctx, http.MethodPut, p.door(), path, body)
+		if err == nil || time.Now().After(until) || !sleep(ctx, operatorRetry) {
+			return err
+		}
+	}
+}
+
+// checkOperatorStates notes the routers that do not keep to what operators asked for last.
+func (r *run) checkOperatorStates(ctx context.Context) {
+	hindered := slices.ContainsFunc(r.s.Faults, func(f scenario.Fault) bool { return f.Kind == "router_tmp_full" })
+	for _, p := range r.routers {
+		problem := p.checkDrained(ctx)
+		if problem == "" && !hindered {
+			problem = p.checkBanned()
+		}
+		if problem != "" {
+			r.log.Add(event.Event{Kind: event.Owed, Router: p.n, Note: problem})
+		}
+	}
+}
+
+// checkDrained returns what is wrong, empty if nothing is.
+func (p *router) checkDrained(ctx context.Context) string {
+	want := p.wanted.isDrained()
+	for until := time.Now().Add(operatorPatience); ; {
+		isReady := call(ctx, http.MethodGet, p.door(), "/ops/readiness", "") == nil
+		if isReady != want {
+			return ""
+		}
+		if time.Now().After(until) || !sleep(ctx, operatorRetry) {
+			return fmt.Sprintf("operators asked last for drained=%v, and ready is %v", want, isReady)
+		}
+	}
+}
+
+// checkBanned compares the file of the operator state with what was asked for.
+func (p *router) checkBanned() string {
+	spec := p.spec()
+	text, err := os.ReadFile(filepath.Join(spec.Tmp, "spurtrestle-"+spec.Listen+".intent"))
+	if err != nil {
+		return "" // nothing was asked yet, or the router is a stand-in
+	}
+	var file struct {
+		Banned []string `json:"down"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return fmt.Sprintf("the file of the operator state cannot be read: %v", err)
+	}
+	p.wanted.mu.Lock()
+	defer p.wanted.mu.Unlock()
+	for uid, banned := range p.wanted.banned {
+		if slices.Contains(file.Banned, uid) != banned {
+			return fmt.Sprintf("operators asked last for banned=%v of %s, and the file has %v", banned, uid, file.Banned)
+		}
+	}
+	return ""
+}
--- a/internal/lab/fleet/routers.go
+++ b/internal/lab/fleet/routers.go
@@ -59,15 +59,20 @@
 
 // router is one of the run's routers over all of its processes.
 type router struct {
-	run     *run
-	n       event.Router
-	mu      sync.Mutex
+	run *run
+	n   event.Router
+	mu  sync.Mutex
+
+	replaceMu sync.Mutex // held during a replacement
+
 	at      Instance
 	starts  int
 	doors   int // of the processes beside others: each has an admin endpoint of its own
+	duds    int // processes that were started to die
 	moves   int
 	ending  bool // it was told to end
 	up      bool
+	wanted  operatorState
 	again   bool // its file has changed since it was started, and it was not told yet
 	stopped bool // the run is over
 }
@@ -76,10 +81,13 @@
 
 func (p *router) admin() string { return p.run.net.doors(p.doors)[p.n] }
 
+// firstDudDoor is the number of the first admin endpoint of processes that are not to stay.
+const firstDudDoor = 200
+
 func (p *router) spec() Spec {
 	dir := p.run.o.Dir
 	file := ""
-	if p.run.s.Routers.State || p.run.s.Routers.Fleet || p.run.s.Clients.Protocol == "grpc" {
+	if p.run.s.Routers.State || p.run.s.Routers.Fleet || p.run.s.Clients.UsesGRPC() {
 		file = filepath.Join(dir, p.name()+".toml")
 	}
 	return Spec{Admin: p.admin(), Tmp: filepath.Join(dir, p.name()+"-tmp"), File: file, Name: p.name(), Listen: p.run.net.routers()[p.n], Discovery: p.run.registry.Addr(p.n),
@@ -108,7 +116,7 @@
 // own writes the operator's file, and makes the folder that it names.
 func (p *router) own(file string) error {
 	text := ""
-	if p.run.s.Clients.Protocol == "grpc" {
+	if p.run.s.Clients.UsesGRPC() {
 		text = fmt.Sprintf("[grpc]\nlisten = %q\n", p.run.net.calls()[p.n])
 	}
 	if p.run.s.Routers.Fleet {
@@ -163,6 +171,7 @@
 		return err
 	}
 	p.at, p.ending, p.up, p.again = at, false, false, false
+	p.wanted.setDrained(false) // a drain ends with the process, unless another takes over
 	p.starts++
 	go p.watch(at)
 	return nil
@@ -197,17 +206,7 @@
 		if p.ping() {
 			p.run.log.Add(event.Event{Kind: event.Up, Router: p.n})
 			p.run.front.Believe(p.n, true)
-			// The platform sends no SIGHUP in the first second.
-			time.AfterFunc(time.Second, func() {
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				if p.at != at {
-					return
-				}
-				if p.up = true; p.again {
-					p.hup()
-				}
-			})
+			p.allowSignals(at)
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -215,6 +214,20 @@
 	return fmt.Errorf("router %s was not ready within %v; see %s", p.name(), most, p.spec().Log)
 }
 
+// allowSignals lets a process that is ready have signals from a second later on: the platform sends none before.
+func (p *router) allowSignals(at Instance) {
+	time.AfterFunc(time.Second, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.at != at {
+			return
+		}
+		if p.up = true; p.again {
+			p.hup()
+		}
+	})
+}
+
 func (p *router) ping() bool {
 	c, err := net.DialTimeout("tcp", p.spec().Listen, 200*time.Millisecond)
 	if err != nil {
@@ -244,8 +257,8 @@
 	p.run.log.Add(event.Event{Kind: event.Down, Router: p.n, Outcome: event.Satisfied})
 }
 
-// stop ends it in order: SIGTERM, and SIGKILL once it has had its time.
-func (p *router) stop(again bool) {
+// stop ends it in order: SIGTERM, and SIGKILL once it has had its time. beside sends further signals meanwhile; nil: none.
+func (p *router) stop(again bool, beside func(Instance)) {
 	p.mu.Lock()
 	at := p.at
 	p.ending, p.stopped = true, p.stopped || !again
@@ -258,17 +271,20 @@
 		return // it was killed before, or ended by itself, which was noted
 	default:
 	}
-	longest := time.Duration(0)
-	for _, m := range p.run.s.Methods {
-		longest = max(longest, m.Deadline.Micros().Duration())
-	}
 	p.run.log.Add(event.Event{Kind: event.Term, Router: p.n})
 	_ = at.Signal(syscall.SIGTERM) // an error: it has just ended, which Done tells
+	if beside != nil {
+		p.run.acts.Go(func() { beside(at) })
+	}
 	// Its front learns of it a little later; until then new connections go on coming.
 	time.AfterFunc(300*time.Millisecond, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.at == at {
+		switch {
+		case p.at != at:
+		case p.run.s.Clients.KeepUsing:
+			p.run.front.End(p.n)
+		default:
 			p.run.front.Believe(p.n, false)
 		}
 	})
@@ -277,14 +293,21 @@
 	case <-at.Done():
 		if err := at.Err(); err != nil {
 			how.Outcome, how.Note = event.Failed, err.Error()
+		} else if err := checkCounters(p.spec().Log); err != nil {
+			how.Outcome, how.Note = event.Failed, err.Error()
 		}
-	case <-time.After(longest + 2*time.Second):
+	case <-time.After(p.run.killAfter()):
 		at.End()
 		how.Outcome, how.Note = event.Failed, "it had not ended by its time after SIGTERM"
 	}
 	p.run.log.Add(how)
 }
 
+// killAfter is how long after SIGTERM a router is killed.
+func (r *run) killAfter() time.Duration {
+	return r.s.LongestDeadline() + r.s.Routers.KillAfter.Micros().Duration()
+}
+
 // stall has the process stand still, or go on.
 func (p *router) stall(on bool) {
 	p.mu.Lock()
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -97,6 +97,7 @@
 	order  []event.Req
 	late   []event.Event
 	killed map[event.Router][]span // from SIGKILL until its successor is up, or standing still
+	crowds []span                  // idle clients fill the routers' descriptors
 	broken []Broken
 }
 
@@ -136,6 +137,8 @@
 		switch e.Kind {
 		case event.Late:
 			j.late = append(j.late, e)
+		case event.Fault:
+			j.gatherCrowd(e)
 		case event.Killed:
 			j.killed[e.Router] = append(j.killed[e.Router], span{e.At, math.MaxInt64})
 		case event.Stalled: // what a process that stands still owes is judged as if it were dead
@@ -252,7 +255,7 @@
 		over = q.cuts[len(q.cuts)-1].At
 		twice := 0
 		for _, c := range q.cuts {
-			if !j.died(c.Router, q.asked[q.asking(c.Router, c.At)].At, c.At+j.rules.Slack) {
+			if !j.died(c.Router, q.asked[q.asking(c.Router, c.At)].At, c.At+j.rules.Slack) && !j.isShedInCrowd(q, c) {
 				twice++
 			}
 		}
@@ -283,6 +286,26 @@
 	}
 }
 
+// gatherCrowd notes from when to when a crowd is there.
+func (j *judge) gatherCrowd(fault event.Event) {
+	if fault.Note != "crowd" {
+		return
+	}
+	if fault.Limit == 0 {
+		j.crowds = append(j.crowds, span{fault.At, math.MaxInt64})
+	} else if n := len(j.crowds); n > 0 {
+		j.crowds[n-1].until = fault.At
+	}
+}
+
+// isShedInCrowd reports whether a router closed a new connection with nothing of it read while idle clients fill its descriptors, as it
+// may then: it had not taken the request.
+func (j *judge) isShedInCrowd(q *req, cut event.Event) bool {
+	asked := q.asked[q.asking(cut.Router, cut.At)]
+	inCrowd := slices.ContainsFunc(j.crowds, func(s span) bool { return s.from <= cut.At && asked.At <= s.until })
+	return inCrowd && asked.Note == event.NewConnection && len(q.sent) == 0
+}
+
 // noEffectTwice judges rule 2 for one request.
 func (j *judge) noEffectTwice(q *req) {
 	m := j.method(q)
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -54,6 +54,9 @@
 	"router_replace":   {"routers", "", false},
 	"router_reload":    {"routers", "", false},
 	"router_stall":     {"routers", "", true},
+	"router_signals":   {"routers", "count", true},
+	"router_dud":       {"routers", "", false},
+	"router_tmp_full":  {"routers", "", true},
 	"policy":           {"policy", "", false},
 	"link_drop":        {"links", "share", true},
 	"link_cut":         {"links", "", true},
@@ -64,6 +67,7 @@
 	"rubbish":          {"clients", "count", true},
 	"flood":            {"clients", "count", true},
 	"mute":             {"clients", "count", true},
+	"crowd":            {"clients", "count", true},
 }
 
 type checker struct {
@@ -135,7 +139,8 @@
 	}
 	c.positive("origin.cores", float64(s.Origin.Cores))
 	c.positive("origin.work", float64(s.Origin.Work))
-	c.oneOf("clients.protocol", s.Clients.Protocol, "resp2", "grpc")
+	c.oneOf("clients.protocol", s.Clients.Protocol, RESP2, GRPC, Mixed)
+	c.positive("routers.kill_after", float64(s.Routers.KillAfter))
 	c.part("clients.honour_hints", s.Clients.HonourHints)
 	c.part("clients.leave", s.Clients.Leave)
 	c.want(s.Clients.Patience > 0 && s.Clients.Patience <= 1, "clients.patience", "is no part of one above zero",
@@ -211,7 +216,8 @@
 		c.oneOf(f+"kind", x.Kind, all...)
 		return
 	}
-	c.want(x.At < s.Length, f+"at", "is past the end", "let it begin before length is over")
+	c.want(x.At+x.Spread < s.Length, f+"at", "is past the end", "let it begin before length is over, spread included")
+	c.part(f+"chance", x.Chance)
 	c.want(!kind.lasts || x.For > 0, f+"for", "is missing", "say how long it lasts")
 	c.part(f+"part", x.Part)
 	has := map[string]bool{"factor": x.Factor > 0, "share": x.Share > 0 && x.Share <= 1, "step": x.Step > 0,
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -95,12 +95,13 @@
 	Count       int    `toml:"count"`
 	MemoryMB    int    `toml:"memory_mb"`
 	Descriptors int    `toml:"descriptors"`
-	Cores       int    `toml:"cores"`  // GOMAXPROCS of each
-	State       bool   `toml:"state"`  // each has a folder that outlives it
-	Fleet       bool   `toml:"fleet"`  // they keep a view of one another, over a network that can be cut
-	Policy      string `toml:"policy"` // they hold one policy, kept by the first three; serve or refuse, where one is cut off
-	Probe       Span   `toml:"probe"`  // between two probes of one another
-	Plan        string `toml:"plan"`   // for the loss of a site, as [sites] of a policy has it; the first change of the policy
+	Cores       int    `toml:"cores"`      // GOMAXPROCS of each
+	State       bool   `toml:"state"`      // each has a folder that outlives it
+	Fleet       bool   `toml:"fleet"`      // they keep a view of one another, over a network that can be cut
+	Policy      string `toml:"policy"`     // they hold one policy, kept by the first three; serve or refuse, where one is cut off
+	Probe       Span   `toml:"probe"`      // between two probes of one another
+	KillAfter   Span   `toml:"kill_after"` // beyond the longest deadline: from SIGTERM to SIGKILL
+	Plan        string `toml:"plan"`       // for the loss of a site, as [sites] of a policy has it; the first change of the policy
 }
 
 // Servers are the cache servers.
@@ -143,7 +144,8 @@
 
 // Clients are those who ask, and the front between them and the routers.
 type Clients struct {
-	Protocol    string  `toml:"protocol"` // resp2 or grpc
+	Protocol    string  `toml:"protocol"`   // resp2, grpc, or mixed: both by turns
+	KeepUsing   bool    `toml:"keep_using"` // connections that are open at SIGTERM are used until the router closes them
 	Retries     int     `toml:"retries"`
 	Backoff     Span    `toml:"backoff"`
 	HonourHints float64 `toml:"honour_hints"` // share of the clients
@@ -181,6 +183,8 @@
 type Fault struct {
 	Kind    string   `toml:"kind"`
 	At      Span     `toml:"at"`
+	Spread  Span     `toml:"spread"` // at is drawn from so long a span, for each that is struck
+	Chance  float64  `toml:"chance"` // that a seed has it; 0: each has
 	For     Span     `toml:"for"`
 	Part    float64  `toml:"part"`    // of those it can strike; 0: one
 	Pick    []int    `toml:"pick"`    // or these, counted from 0
@@ -210,7 +214,7 @@
 		Service: Service{Mode: "aside", MaxWriteOuts: 3, Cancel: true, Hints: true, MaxHint: span(2 * time.Second),
 			ConnectTimeout: span(100 * time.Millisecond), IdleClose: span(time.Minute),
 			DrainGrace: span(2 * time.Second), OverShareWorth: 0.1},
-		Routers: Routers{Count: 2, MemoryMB: 192, Descriptors: 1024, Cores: 1, Probe: span(200 * time.Millisecond)},
+		Routers: Routers{Count: 2, MemoryMB: 192, Descriptors: 1024, Cores: 1, KillAfter: span(2 * time.Second), Probe: span(200 * time.Millisecond)},
 		Servers: Servers{Count: 6, Cores: 2, Queue: 16, Keys: 2000, Filled: 1, MissWork: span(200 * time.Microsecond),
 			Connections: 200, ConnectionWork: span(500 * time.Microsecond), ColdShare: 0.3,
 			ColdSpan: span(6 * time.Second), FallMultiple: 3, FallSpan: span(2 * time.Second), CancelStops: true,
@@ -224,4 +228,23 @@
 	}
 }
 
+// Clients' protocols.
+const (
+	RESP2 = "resp2"
+	GRPC  = "grpc"
+	Mixed = "mixed"
+)
+
+// UsesGRPC reports whether clients call over gRPC, all of them or some.
+func (c Clients) UsesGRPC() bool { return c.Protocol == GRPC || c.Protocol == Mixed }
+
+// LongestDeadline is the longest of all methods.
+func (s *Scenario) LongestDeadline() time.Duration {
+	longest := Span(0)
+	for _, method := range s.Methods {
+		longest = max(longest, method.Deadline)
+	}
+	return longest.Micros().Duration()
+}
+
 func span(d time.Duration) Span { return Span(d / time.Microsecond) }
