--- a/core/routing/warmup.go
+++ b/core/routing/warmup.go
@@ -53,17 +53,10 @@
 	if server.warmUp.attempts >= 1 {
 		return true
 	}
-	// The owner of a key may overdraw its budget by one. A router that does not know the hot keys yet may not: one read
-	// of them from each such router is too much.
-	required := (1 - r.hotKeysKnown()) * (1 - r.fleetShare)
-	return isOwner && server.warmUp.attempts > required
-}
-
-// hotKeysKnown is how far this router knows the hot keys, from 0 to 1. It has run for a while, and a key with the reads of a
-// mean cache has the least count of a hot one.
-func (r *Router) hotKeysKnown() float64 {
-	needed := minimumReads * float64(len(r.endpoints.caches))
-	return min(1, r.windowCovered(trafficWindow), r.hotKeys.counts.total/needed)
+	// The owner of a key may overdraw its budget by one. A router that has just started may not: it does not
+	// know the hot keys yet, and one read of them from each new router is too much.
+	overdraft := (1 - r.windowCovered(trafficWindow)) * (1 - r.fleetShare)
+	return isOwner && server.warmUp.attempts > overdraft
 }
 
 // refillWarmUpBudget brings the budget of a warming cache up to date. This router's part of its work is that of a mean
