internal/router: connections to servers and descriptor limits get files of their own

Change: upstream.go has the connection to a server, descriptors.go what closes connections for lack of descriptors; functions are moved as they were. Measured: the package's tests pass.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,8 +6,9 @@
 // goroutines, and the admin endpoint and the fleet's packages call its exported methods.
 //
 // Files: router.go holds the loop's callbacks; batch.go passes events to package routing; requests.go tracks
-// requests and their attempts, independent of the protocol; clients.go, servers.go (connection pools and dials)
-// and watch.go (discovery) hold the kinds of connections; large_read.go and large_write.go stream large values off
+// requests and their attempts, independent of the protocol; clients.go, upstream.go (connections to
+// servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
+// keeps them within the limits; large_read.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
 // learned_state.go the state that survives a restart; drain.go the shutdown.
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
@@ -31,19 +30,6 @@
 	dialing         int
 }
 
-// upstream is a connection to a server.
-type upstream struct {
-	r          *Router
-	server     *server
-	addr       string // address it was dialed to; the server's may have changed since
-	conn       gnet.Conn
-	attempt    *activeAttempt // nil: idle
-	idleSince  clock.Time     // when it became idle
-	writing    bool           // gnet may close the connection within a write
-	detached   bool           // off the loop while a large value is streamed
-	hasCarried bool           // has carried an attempt
-}
-
 func (s *server) removeWaiting(attempt *activeAttempt) {
 	s.waitingAttempts = slices.DeleteFunc(s.waitingAttempts, func(other *activeAttempt) bool { return other == attempt })
 }
@@ -133,50 +119,6 @@
 	}()
 }
 
-func (up *upstream) onOpen(conn gnet.Conn) {
-	up.conn = conn
-	if up.detached {
-		up.detached = false
-		up.r.connCount-- // it stayed counted while it was off the loop
-		up.release()
-		return
-	}
-	up.r.serverConnCount++
-	up.server.dialing--
-	up.r.pendingDials--
-	up.release()
-}
-
-// release assigns the connection to the first waiting attempt, or keeps it idle. A connection to an address the
-// server has left is closed: if it was busy or still being dialed during the address change, it used to carry
-// requests to whichever server is there now.
-func (up *upstream) release() {
-	s := up.server
-	if up.addr != s.addr {
-		up.r.dialQueue = append(up.r.dialQueue, s)
-		up.r.closeConn(up.conn)
-		up.r.dialForWaiting()
-		return
-	}
-	up.idleSince = up.r.clock()
-	s.dropExpired(up.r, up.idleSince)
-	if len(s.waitingAttempts) > 0 && up.mayReuse() && up.isOpen(s.waitingAttempts[0]) {
-		attempt := s.waitingAttempts[0]
-		s.waitingAttempts = s.waitingAttempts[1:]
-		up.send(attempt)
-		return
-	}
-	if !s.ready {
-		up.r.closeConn(up.conn)
-		return
-	}
-	s.idleConns = append(s.idleConns, up)
-	if len(s.waitingAttempts) > 0 {
-		up.r.dialQueue = append(up.r.dialQueue, s)
-		up.r.dialForWaiting()
-	}
-}
-
 // dropExpired removes attempts from the head of the queue that must not be sent any more, or not yet. After a
 // pause of the process, connections come up before its timers fire.
 func (s *server) dropExpired(r *Router, now clock.Time) {
@@ -196,123 +138,6 @@
 	}
 }
 
-// mayReuse reports whether the connection can carry another attempt now. A server that answers twice does so some
-// milliseconds late, and answers carry no request id. If that happened recently, a used connection rests for that
-// long, so that a duplicate answer cannot be taken for that of the next request.
-func (up *upstream) mayReuse() bool {
-	now := up.r.clock()
-	return now >= up.r.duplicateGuardUntil || !up.hasCarried || now-up.idleSince >= up.r.limits.ReuseDelay
-}
-
-// isOpen reports whether the server has neither closed the connection nor sent anything that the loop has yet to
-// read. An attempt written to a closed connection may have run for all the router knows, so this is checked where
-// that would forbid a retry; in the other cases the loop notices in time, or the attempt is retried.
-func (up *upstream) isOpen(attempt *activeAttempt) bool {
-	if up.r.cfg.Settings.Methods[attempt.request.method].Idempotency == routing.Idempotent || !up.hasCarried {
-		return true
-	}
-	var one [1]byte
-	_, _, err := unix.Recvfrom(up.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err != nil && err != unix.ECONNRESET
-}
-
-// noteUnsolicited records that a server has sent data that belongs to no attempt.
-func (r *Router) noteUnsolicited() {
-	r.duplicateGuardUntil = r.clock() + r.limits.DuplicateResponseWindow
-}
-
-func (up *upstream) send(attempt *activeAttempt) {
-	up.attempt, attempt.conn, up.hasCarried = attempt, up, true
-	if attempt.request.largeWrite != nil {
-		attempt.request.largeWrite.scheduleSend(attempt)
-		return
-	}
-	wireAttempt := wire.NewAttempt(&attempt.request.Request, up.server.addr, attempt.remaining(up.r.clock()))
-	up.r.writeBuffer = up.server.protocol.AppendAttempt(up.r.writeBuffer[:0], wireAttempt)
-	up.writing = true
-	_, err := up.conn.Write(up.r.writeBuffer)
-	up.writing = false
-	if err != nil { // gnet has closed the connection and called onClose
-		return
-	}
-	up.noteSent()
-}
-
-// noteSent counts an attempt once its last byte has been handed to the kernel.
-func (up *upstream) noteSent() {
-	if attempt := up.attempt; attempt != nil && !attempt.fullySent && !up.writing && up.conn.OutboundBuffered() == 0 {
-		attempt.fullySent = true
-		up.r.counts.ForwardedAttempts++
-	}
-}
-
-// onTraffic reads an answer. Data that arrives without an attempt, or after the answer, belongs to no request.
-func (up *upstream) onTraffic() gnet.Action {
-	attempt := up.attempt
-	if attempt == nil {
-		up.r.counts.AbortedConnections++
-		up.r.noteUnsolicited()
-		return gnet.Close
-	}
-	buf, err := up.conn.Peek(-1)
-	if err != nil || len(buf) == 0 {
-		return gnet.None
-	}
-	outcome, used, keep, err := up.server.protocol.ReadAnswer(buf, false)
-	if err != nil && up.startLargeRead(buf) {
-		return gnet.Close
-	}
-	if err != nil {
-		// The server responded, so the connection did not fail, but its answer is malformed: the request may have
-		// run.
-		up.r.counts.AbortedConnections++
-		up.r.endAttempt(attempt, routing.Failed, nil)
-		return gnet.Close
-	}
-	if used == 0 {
-		return gnet.None
-	}
-	up.r.handleOutcome(attempt, outcome)
-	if used < len(buf) {
-		up.r.noteUnsolicited()
-	}
-	if used < len(buf) || !keep {
-		return gnet.Close
-	}
-	_, _ = up.conn.Discard(used) // bytes that Peek has just returned
-	up.release()
-	return gnet.None
-}
-
-// onClose ends the attempt on a closed connection. An attempt whose last byte has not been sent has never run; any
-// other may have run. gnet still writes out its buffer after this callback; so that an aborted attempt cannot
-// reach the server that way, the socket is shut down first.
-//
-// An answer without a length lasts until the end of the stream. A reset is no such end: the rest of the value is
-// missing, and the client would get a truncated value as a complete one.
-func (up *upstream) onClose(endOfStream bool) {
-	s := up.server
-	up.r.serverConnCount--
-	if up.conn.OutboundBuffered() > 0 {
-		_ = unix.Shutdown(up.conn.Fd(), unix.SHUT_RDWR) // fails if the peer has already closed it
-	}
-	s.idleConns = slices.DeleteFunc(s.idleConns, func(x *upstream) bool { return x == up })
-	attempt := up.attempt
-	if attempt == nil {
-		return
-	}
-	status := routing.Reset
-	if up.writing || up.conn.OutboundBuffered() > 0 || attempt.request.largeWrite != nil { // the body of a large write has not started
-		status = routing.ConnectError
-	} else if buf, _ := up.conn.Peek(-1); endOfStream && len(buf) > 0 {
-		if outcome, used, _, err := up.server.protocol.ReadAnswer(buf, true); err == nil && used > 0 {
-			up.r.handleOutcome(attempt, outcome)
-			return
-		}
-	}
-	up.r.endAttempt(attempt, status, nil)
-}
-
 func (r *Router) closeIdleConnections(s *server) {
 	for _, up := range slices.Clone(s.idleConns) {
 		r.closeConn(up.conn)
@@ -348,108 +173,6 @@
 	}
 }
 
-// descriptorsInUse returns the number of descriptors held by connections, pending dials and the other processes of
-// this router.
-func (r *Router) descriptorsInUse() int {
-	return r.connCount + descriptorsPerDial*r.pendingDials + r.takeover.peerDescriptors[predecessorPeer] + r.takeover.peerDescriptors[successorPeer]
-}
-
-// makeRoomToDial closes idle connections until there are descriptors for a dial. Servers get only part of the
-// descriptors, so that clients can always connect.
-func (r *Router) makeRoomToDial() bool {
-	for {
-		withinServerLimit := r.serverConnCount+descriptorsPerDial*(r.pendingDials+1) <= r.limits.ServerConnections
-		if withinServerLimit && r.descriptorsInUse()+descriptorsPerDial <= r.limits.Descriptors {
-			return true
-		}
-		if !(withinServerLimit && r.shedConnection()) && !r.shedServerConnection() {
-			return false
-		}
-	}
-}
-
-// makeRoomForClient does the same for a new client; it reports false if the client cannot be kept.
-func (r *Router) makeRoomForClient(client *client) bool {
-	for r.descriptorsInUse() > r.limits.Descriptors {
-		if !r.shedConnection() {
-			break
-		}
-	}
-	if !r.sharesDescriptors() && r.dialsBlocked() && r.hasOtherQuietClient(client) {
-		return r.descriptorsInUse() <= r.limits.Descriptors-descriptorsPerDial
-	}
-	return r.descriptorsInUse() <= r.limits.MaxDescriptors
-}
-
-// sharesDescriptors reports whether another process of this router is alive. Clients with admitted requests move
-// between the processes, and the descriptors of both count, so that dials may wait even though there are not too
-// many clients.
-func (r *Router) sharesDescriptors() bool { return r.takeover.peerDescriptors != [2]int{} }
-
-// dialsBlocked reports whether attempts wait for a connection for lack of descriptors, and not because servers
-// have used up their own limit. Descriptors freed by clients must not go to new clients then: when many clients
-// reconnected at once, each was too young to be closed, and no attempt ever got a connection.
-func (r *Router) dialsBlocked() bool {
-	return len(r.dialQueue) > 0 && r.serverConnCount+descriptorsPerDial*(r.pendingDials+1) <= r.limits.ServerConnections
-}
-
-// hasOtherQuietClient reports whether another client can be closed, now or once it has been quiet for long enough.
-func (r *Router) hasOtherQuietClient(other *client) bool {
-	for client := range r.clients {
-		if client != other && client.isQuiet() {
-			return true
-		}
-	}
-	return false
-}
-
-// shedConnection closes a client if they hold more connections than they need for requests, and otherwise an idle
-// server connection. Hundreds of clients that sent one request or none used to take the descriptors of server
-// connections, so that each attempt had to open a new one.
-func (r *Router) shedConnection() bool {
-	return len(r.clients) > r.limits.ClientConnections && r.shedClient(false) || r.shedServerConnection() || r.shedClient(false)
-}
-
-// shedServerConnection closes the server connection that has been idle longest.
-func (r *Router) shedServerConnection() bool {
-	var oldest *upstream
-	for _, s := range r.servers {
-		if len(s.idleConns) > 0 && (oldest == nil || s.idleConns[0].idleSince < oldest.idleSince) {
-			oldest = s.idleConns[0]
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	r.counts.EvictedConnections++
-	r.closeConn(oldest.conn)
-	return true
-}
-
-// shedClient closes the client that has been quiet longest, preferring those that never sent a request;
-// requestersOnly leaves these out. A new client is spared: its first request is on its way and would be lost.
-func (r *Router) shedClient(requestersOnly bool) bool {
-	now := r.clock()
-	var candidate *client
-	for client := range r.clients {
-		if client.isQuiet() && (client.hasSentRequest || !requestersOnly) && now-client.lastActivity >= r.limits.IdleClientEvictionAge &&
-			(candidate == nil || client.hasSentRequest == candidate.hasSentRequest && client.lastActivity < candidate.lastActivity ||
-				!client.hasSentRequest && candidate.hasSentRequest) {
-			candidate = client
-		}
-	}
-	if candidate == nil {
-		return false
-	}
-	if candidate.hasUnreadInput() {
-		candidate.lastActivity = now
-		return r.shedClient(requestersOnly)
-	}
-	r.counts.EvictedConnections++
-	r.closeConn(candidate.conn)
-	return true
-}
-
 // applyEndpoints applies an endpoint list or an update of it: which servers there are, and at which addresses.
 func (r *Router) applyEndpoints(update routing.EndpointsUpdated) {
 	r.counts.ServerLists++
