Count why server connections and attempts end, log what closes a connection for its input

Change: the line of counters has retries, attempts by status and the ends of server connections by cause. A connection that is closed for its input is logged with server, address, reason, the attempts that it carried, the request before, the one that waits and for how long; at most 10 lines a second, the rest is counted in the next line. At the debug level each attempt's end and each final answer has a line with its ids. The names that were there stay, new ones stand behind them.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -17,17 +17,20 @@
 	OutcomesByMethod [][3]int // for each method: served, rejected, failed
 
 	Attempts          int
+	Retries           int // attempts after the first of their request
 	ForwardedAttempts int // written to the server's connection as a whole
 	OK                int
 	Misses            int
 	NotExecuted       int // rejected by the server, or not sent because the connection failed
 	MaybeExecuted     int // ended by an error, a reset or a timeout: the server may have executed them
 	Canceled          int
+	AttemptEnds       AttemptEnds
 
 	ClientConnections    int // accepted
 	Dials                int
 	FailedDials          int
 	EvictedConnections   int // closed to free resources for others
+	ServerConnectionEnds ServerConnectionEnds
 	AbortedConnections   int // closed because of invalid data, or of output that the client does not read
 	ServerLists          int // received from discovery
 	FailedDiscoveryCalls int
@@ -40,9 +43,10 @@
 func (c Counters) String() string {
 	return fmt.Sprintf("taken=%d served=%d rejected=%d failed=%d left=%d attempts=%d ok=%d miss=%d never-ran=%d "+
 		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
-		"lists-failed=%d batches=%d left-waiting=%d deprecated(satisfied=%d nacked=%d write-outs=%d)",
+		"lists-failed=%d batches=%d left-waiting=%d deprecated(satisfied=%d nacked=%d write-outs=%d) "+
+		"retries=%d attempt-ends(%v) server-conn-ends(%v)",
 		c.Requests, c.Served, c.Rejected, c.Failed, c.Abandoned, c.Attempts, c.OK, c.Misses,
 		c.NotExecuted, c.MaybeExecuted, c.Canceled, c.ClientConnections, c.Dials, c.FailedDials, c.EvictedConnections,
 		c.AbortedConnections, c.ServerLists, c.FailedDiscoveryCalls, c.Batches, c.UnsentAttempts,
-		c.Served, c.Rejected, c.Attempts)
+		c.Served, c.Rejected, c.Attempts, c.Retries, c.AttemptEnds, c.ServerConnectionEnds)
 }
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -1,5 +1,7 @@
 package router
 
+import "spurtrestle/internal/counters"
+
 // descriptorsInUse returns the number of descriptors held by connections, pending dials and the other processes of
 // this router.
 func (r *Router) descriptorsInUse() int {
@@ -74,6 +76,7 @@
 		return false
 	}
 	r.counts.EvictedConnections++
+	oldest.closeFor(counters.EvictedIdle)
 	r.closeConn(oldest.conn)
 	return true
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -8,6 +8,7 @@
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/counters"
 	"spurtrestle/internal/settings"
 	"spurtrestle/internal/wire"
 )
@@ -88,6 +89,7 @@
 	}
 	request.finished = true
 	r.countOutcome(request.method, a.Kind)
+	r.logAnswer(request, a)
 	if _, isExternal := request.responder.(*ExternalRequest); isExternal {
 		r.external.openRequests--
 	}
@@ -186,6 +188,9 @@
 		timeout: decision.After, startDeadline: r.batchTime + decision.After}
 	request.attempts = append(request.attempts, attempt)
 	r.counts.Attempts++
+	if number > 0 {
+		r.counts.Retries++
+	}
 	attempt.timer = r.after(decision.After, func() { r.timeOutAttempt(attempt) })
 	if decision.StartBy > 0 && decision.StartBy < attempt.startDeadline {
 		attempt.startDeadline = decision.StartBy
@@ -210,10 +215,13 @@
 	r.cancelTimer(attempt.startTimer)
 	if attempt.conn != nil && !attempt.conn.detached {
 		attempt.conn.noteSent()
+		attempt.conn.previousRequest = request.ID
 		attempt.conn.attempt, attempt.conn = nil, nil
 	} else {
 		attempt.server.removeWaiting(attempt)
 	}
+	r.counts.AttemptEnds[status]++
+	r.logAttemptEnd(attempt, counters.AttemptStatusName(status))
 	switch status {
 	case routing.OK:
 		r.counts.OK++
@@ -239,6 +247,7 @@
 	if up != nil && up.detached {
 		attempt.request.largeWrite.interrupt()
 	} else if up != nil {
+		up.closeFor(counters.AttemptAborted)
 		r.closeConn(up.conn)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,7 +11,8 @@
 // keeps them within the limits; large_read.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
-// learned_state.go the state that survives a restart; drain.go the shutdown.
+// learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
+// connections and requests.
 package router
 
 import (
@@ -99,6 +100,7 @@
 	draining, closingClients, stopped bool
 	shutdownDeadline                  clock.Time // every admitted request is answered by then; 0: no shutdown is in progress
 	writeBuffer                       []byte
+	anomalies                         anomalyLog
 }
 
 // connHandler handles the loop's callbacks for one connection; it is stored as the connection's gnet context.
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -9,6 +9,7 @@
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/counters"
 	"spurtrestle/internal/wire"
 )
 
@@ -140,6 +141,7 @@
 
 func (r *Router) closeIdleConnections(s *server) {
 	for _, up := range slices.Clone(s.idleConns) {
+		up.closeFor(counters.ServerNotInUse)
 		r.closeConn(up.conn)
 	}
 }
@@ -168,6 +170,7 @@
 	r.after(r.limits.IdleSweepInterval, r.sweepConnections)
 	for _, s := range r.servers {
 		for len(s.idleConns) > 0 && now-s.idleConns[0].idleSince >= r.limits.ServerIdleTimeout {
+			s.idleConns[0].closeFor(counters.IdleTimeout)
 			r.closeConn(s.idleConns[0].conn)
 		}
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -8,20 +8,23 @@
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/counters"
 	"spurtrestle/internal/wire"
 )
 
 // upstream is a connection to a server.
 type upstream struct {
-	r          *Router
-	server     *server
-	addr       string // address it was dialed to; the server's may have changed since
-	conn       gnet.Conn
-	attempt    *activeAttempt // nil: idle
-	idleSince  clock.Time     // when it became idle
-	writing    bool           // gnet may close the connection within a write
-	detached   bool           // off the loop while a large value is streamed
-	hasCarried bool           // has carried an attempt
+	r               *Router
+	server          *server
+	addr            string // address it was dialed to; the server's may have changed since
+	conn            gnet.Conn
+	attempt         *activeAttempt    // nil: idle
+	idleSince       clock.Time        // when it became idle
+	writing         bool              // gnet may close the connection within a write
+	detached        bool              // off the loop while a large value is streamed
+	attemptCount    int               // attempts that it has carried
+	previousRequest routing.RequestID // of the attempt before the current one
+	end             counters.ServerConnectionEnd
 }
 
 func (up *upstream) onOpen(conn gnet.Conn) {
@@ -45,6 +48,7 @@
 	s := up.server
 	if up.addr != s.addr {
 		up.r.dialQueue = append(up.r.dialQueue, s)
+		up.closeFor(counters.ServerNotInUse)
 		up.r.closeConn(up.conn)
 		up.r.dialForWaiting()
 		return
@@ -58,6 +62,7 @@
 		return
 	}
 	if !s.ready {
+		up.closeFor(counters.ServerNotInUse)
 		up.r.closeConn(up.conn)
 		return
 	}
@@ -73,14 +78,14 @@
 // long, so that a duplicate answer cannot be taken for that of the next request.
 func (up *upstream) mayReuse() bool {
 	now := up.r.clock()
-	return now >= up.r.duplicateGuardUntil || !up.hasCarried || now-up.idleSince >= up.r.limits.ReuseDelay
+	return now >= up.r.duplicateGuardUntil || up.attemptCount == 0 || now-up.idleSince >= up.r.limits.ReuseDelay
 }
 
 // isOpen reports whether the server has neither closed the connection nor sent anything that the loop has yet to
 // read. An attempt written to a closed connection may have run for all the router knows, so this is checked where
 // that would forbid a retry; in the other cases the loop notices in time, or the attempt is retried.
 func (up *upstream) isOpen(attempt *activeAttempt) bool {
-	if up.r.cfg.Settings.Methods[attempt.request.method].Idempotency == routing.Idempotent || !up.hasCarried {
+	if up.r.cfg.Settings.Methods[attempt.request.method].Idempotency == routing.Idempotent || up.attemptCount == 0 {
 		return true
 	}
 	var one [1]byte
@@ -88,13 +93,16 @@
 	return err != nil && err != unix.ECONNRESET
 }
 
-// noteUnsolicited records that a server has sent data that belongs to no attempt.
-func (r *Router) noteUnsolicited() {
-	r.duplicateGuardUntil = r.clock() + r.limits.DuplicateResponseWindow
+// noteUnsolicited records that the server has sent data that belongs to no attempt. The caller closes the connection.
+func (up *upstream) noteUnsolicited(receivedBytes int) {
+	up.closeFor(counters.UnsolicitedData)
+	up.logAnomaly(counters.UnsolicitedData, receivedBytes)
+	up.r.duplicateGuardUntil = up.r.clock() + up.r.limits.DuplicateResponseWindow
 }
 
 func (up *upstream) send(attempt *activeAttempt) {
-	up.attempt, attempt.conn, up.hasCarried = attempt, up, true
+	up.attempt, attempt.conn = attempt, up
+	up.attemptCount++
 	if attempt.request.largeWrite != nil {
 		attempt.request.largeWrite.scheduleSend(attempt)
 		return
@@ -123,7 +131,7 @@
 	attempt := up.attempt
 	if attempt == nil {
 		up.r.counts.AbortedConnections++
-		up.r.noteUnsolicited()
+		up.noteUnsolicited(up.conn.InboundBuffered())
 		return gnet.Close
 	}
 	buf, err := up.conn.Peek(-1)
@@ -138,6 +146,8 @@
 		// The server responded, so the connection did not fail, but its answer is malformed: the request may have
 		// run.
 		up.r.counts.AbortedConnections++
+		up.closeFor(counters.MalformedAnswer)
+		up.logAnomaly(counters.MalformedAnswer, len(buf))
 		up.r.endAttempt(attempt, routing.Failed, nil)
 		return gnet.Close
 	}
@@ -146,9 +156,11 @@
 	}
 	up.r.handleOutcome(attempt, outcome)
 	if used < len(buf) {
-		up.r.noteUnsolicited()
+		up.noteUnsolicited(len(buf) - used)
+		return gnet.Close
 	}
-	if used < len(buf) || !keep {
+	if !keep {
+		up.closeFor(counters.SingleUse)
 		return gnet.Close
 	}
 	_, _ = up.conn.Discard(used) // bytes that Peek has just returned
@@ -165,6 +177,7 @@
 func (up *upstream) onClose(endOfStream bool) {
 	s := up.server
 	up.r.serverConnCount--
+	up.r.counts.ServerConnectionEnds[up.end]++
 	if up.conn.OutboundBuffered() > 0 {
 		_ = unix.Shutdown(up.conn.Fd(), unix.SHUT_RDWR) // fails if the peer has already closed it
 	}
