A value that repeats an earlier one on its connection is served only once confirmed

Cause: answers carry no id, so the place alone says whose an answer is. A server that answers an attempt twice has its second answer taken for that of the next attempt on the connection, and every later one on it is one behind. Resting a connection for 50 ms began only after the first second answer had been noticed.

A value that repeats one is held, and a fence (PING) is sent behind it: only if its reply comes next does the client get the value. Else the attempt fails and its retry goes on a connection that has carried nothing, where the first answer belongs to the first attempt. An answer without a value is taken as it is where the request may be repeated; the connection is closed, as the real one may follow. HTTP has no fence: there a repeated value is in doubt at once, and writes, and what must not run twice, share no connection. Large values are summed on the way and their line end is held. An answer that comes before its request was sent completely is in doubt as well.

--- a/internal/counters/endings.go
+++ b/internal/counters/endings.go
@@ -20,6 +20,7 @@
 	SingleUse                                  // its protocol or its server allows no further attempt
 	MalformedAnswer                            // the answer could not be parsed
 	UnsolicitedData                            // data arrived that answers no attempt
+	AnswerInDoubt                              // an answer may belong to an earlier attempt
 	serverConnectionEndCount
 )
 
@@ -32,6 +33,7 @@
 	SingleUse:       "single-use",
 	MalformedAnswer: "malformed",
 	UnsolicitedData: "unsolicited",
+	AnswerInDoubt:   "in-doubt",
 }
 
 // String returns the name of the end in the line of counters.
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/counters"
 	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/handover"
 	"spurtrestle/internal/wire"
@@ -35,6 +36,11 @@
 	method           routing.Method
 	closeAfter       bool // the server's connection carries nothing after the value
 
+	// A value that repeats an earlier one of the same connection may answer an earlier attempt: its line end is sent only once
+	// a fence has shown that no other answer follows.
+	sum     answerSum     // of what has been read of the value
+	earlier answerHistory // empty if the connection had carried nothing else
+
 	clientConn, serverConn net.Conn    // owned by the goroutine
 	pending                []byte      // bytes to be written to the client
 	remaining              int         // bytes of the value still to be read
@@ -66,7 +72,7 @@
 		return false
 	}
 	read := &largeRead{r: up.r, upstream: up, client: client, serverDescriptor: fd,
-		received: append([]byte(nil), buf[valueStart:]...), size: size, method: attempt.request.method, closeAfter: outcome.Close}
+		received: append([]byte(nil), buf[valueStart:]...), size: size, method: attempt.request.method, closeAfter: outcome.Close, earlier: up.answers}
 	up.detachFromLoop()
 	attempt.request.finished = true // it is counted when the value ends
 	up.r.endAttempt(attempt, routing.OK, up.r.parseReport(outcome.Report))
@@ -95,6 +101,7 @@
 func (up *upstream) detachedConnClosed() {
 	up.r.connCount--
 	up.r.serverConnCount--
+	up.r.counts.ServerConnectionEnds[up.end]++
 	up.detached = false
 	up.r.dialForWaiting()
 }
@@ -194,6 +201,7 @@
 	}
 	n := min(len(l.received), l.size)
 	head := strconv.AppendInt([]byte{'$'}, int64(l.size), 10)
+	l.sum = l.sum.add(l.received[:n])
 	l.pending, l.remaining, l.received = append(append(head, "\r\n"...), l.received[:n]...), l.size-n, l.received[n:]
 	l.clientConn, l.serverConn = client, server
 	if err != nil {
@@ -249,7 +257,8 @@
 		r.countOutcome(l.method, wire.Served)
 	})
 	r.enroll(l.clientConn, l.client, l.client.detachedConnLost)
-	if !l.closeAfter && l.readTrailer(l.serverConn) {
+	if !l.closeAfter && l.readTrailer() == nil {
+		l.upstream.answers.remember(l.sum)
 		r.enroll(l.serverConn, l.upstream, l.upstream.detachedConnClosed)
 		return
 	}
@@ -268,6 +277,9 @@
 	l.r.runAsync(func() {
 		delete(l.r.largeReads, l)
 		l.r.countOutcome(l.method, wire.Failed)
+		if errors.Is(cause, errOwnerInDoubt) {
+			l.upstream.noteDuplicate(counters.AnswerInDoubt, l.size)
+		}
 		l.upstream.detachedConnClosed()
 		l.client.detachedConnLost()
 	})
@@ -297,20 +309,34 @@
 		case l.terminated:
 			return nil
 		case l.remaining == 0:
+			if err := l.confirmOwner(); err != nil {
+				return err
+			}
 			l.terminated, l.pending = true, []byte("\r\n")
 			continue
 		}
-		_ = l.serverConn.SetReadDeadline(time.Now().Add(toDuration(r.limits.LargeValueStallTimeout)))
-		if l.stopped.Load() {
-			return errHandoverStop
-		}
-		n, err := l.serverConn.Read((*chunk)[:min(l.remaining, r.limits.LargeValueWindow)])
-		if l.pending, l.remaining = (*chunk)[:n], l.remaining-n; err != nil && n == 0 && !l.stopped.Load() {
+		if err := l.readChunk(*chunk); err != nil {
 			return err
 		}
 	}
 }
 
+// readChunk reads the next part of the value.
+func (l *largeRead) readChunk(chunk []byte) error {
+	_ = l.serverConn.SetReadDeadline(time.Now().Add(toDuration(l.r.limits.LargeValueStallTimeout)))
+	if l.stopped.Load() { // checked after setting the deadline, since requestStop sets a deadline, too
+		return errHandoverStop
+	}
+	n, err := l.serverConn.Read(chunk[:min(l.remaining, len(chunk))])
+	l.pending = chunk[:n]
+	l.sum = l.sum.add(l.pending)
+	l.remaining -= n
+	if err != nil && n == 0 && !l.stopped.Load() {
+		return err
+	}
+	return nil
+}
+
 // requestStop stops the goroutine between two chunks, once all requests behind the value are answered: this
 // process has to answer the client's pending requests.
 func (l *largeRead) requestStop() {
@@ -329,13 +355,15 @@
 type largeReadFrame struct {
 	Server     string // id in discovery
 	Method     string
-	Pending    []byte // bytes to be written to the client
-	Remaining  int    `json:"Left"` // bytes still to be read from the server
-	CloseAfter bool   `json:"Last"`
-	Terminated bool   `json:"Ended"` // the line end is in Pending, or written
-	Trailing   []byte `json:"Has"`   // bytes read after the value
-	Answers    []byte // replies to write after the value
-	Unread     []byte `json:"Rest"` // input of the client that has not been read
+	Pending    []byte        // bytes to be written to the client
+	Remaining  int           `json:"Left"` // bytes still to be read from the server
+	CloseAfter bool          `json:"Last"`
+	Terminated bool          `json:"Ended"` // the line end is in Pending, or written
+	Trailing   []byte        `json:"Has"`   // bytes read after the value
+	Answers    []byte        // replies to write after the value
+	Unread     []byte        `json:"Rest"`       // input of the client that has not been read
+	Sum        answerSum     `json:",omitzero"`  // of what has been read of the value
+	Earlier    answerHistory `json:",omitempty"` // answers that the server's connection has delivered
 }
 
 // handOver passes the value on to the successor, or continues here if there is none.
@@ -347,7 +375,8 @@
 		return
 	}
 	message := largeReadFrame{Server: string(r.endpoints.UID(l.upstream.server.id)), Method: r.cfg.Settings.Methods[l.method].Name,
-		Pending: l.pending, Remaining: l.remaining, CloseAfter: l.closeAfter, Terminated: l.terminated, Trailing: l.received, Unread: l.client.detachedInput}
+		Pending: l.pending, Remaining: l.remaining, CloseAfter: l.closeAfter, Terminated: l.terminated, Trailing: l.received, Unread: l.client.detachedInput,
+		Sum: l.sum, Earlier: l.earlier}
 	for _, s := range l.client.slots {
 		message.Answers = append(message.Answers, s.reply...)
 	}
@@ -399,9 +428,10 @@
 		if len(message.Answers) > 0 {
 			client.slots = []*slot{{reply: message.Answers}}
 		}
-		read := &largeRead{r: r, client: client, upstream: &upstream{r: r, server: s, addr: s.addr, detached: true},
+		read := &largeRead{r: r, client: client, upstream: &upstream{r: r, server: s, addr: s.addr, detached: true, attemptCount: 1, answers: message.Earlier},
 			method: method, clientConn: clientConn, serverConn: serverConn,
-			pending: message.Pending, remaining: message.Remaining, closeAfter: message.CloseAfter, terminated: message.Terminated, received: message.Trailing}
+			pending: message.Pending, remaining: message.Remaining, closeAfter: message.CloseAfter, terminated: message.Terminated, received: message.Trailing,
+			sum: message.Sum, earlier: message.Earlier}
 		r.counts.Requests++
 		r.detachedClients++
 		r.serverConnCount++
@@ -411,19 +441,73 @@
 	})
 }
 
-// readTrailer reads what follows the value and reports whether the connection can carry another attempt.
-func (l *largeRead) readTrailer(server net.Conn) bool {
-	_ = server.SetDeadline(time.Now().Add(toDuration(l.r.limits.LargeValueStallTimeout)))
+var (
+	errOwnerInDoubt = errors.New("the value may answer an earlier request")
+	errInputFollows = errors.New("the server has sent more than one answer")
+)
+
+// confirmOwner makes sure, before the value is completed, that it does not answer an earlier request.
+func (l *largeRead) confirmOwner() error {
+	if !l.earlier.contains(l.sum) {
+		return nil
+	}
+	fence := l.upstream.server.protocol.Fence()
+	if fence == nil {
+		return errOwnerInDoubt
+	}
+	if err := l.readTrailer(); err != nil {
+		return errOwnerInDoubt
+	}
+	_ = l.serverConn.SetWriteDeadline(time.Now().Add(toDuration(l.r.limits.LargeValueStallTimeout)))
+	if _, err := l.serverConn.Write(fence); err != nil {
+		return err
+	}
+	if err := l.readFence(); err != nil {
+		return err
+	}
+	l.earlier = nil
+	return nil
+}
+
+// readTrailer reads the rest of the answer behind the value. It returns nil if nothing else has arrived.
+func (l *largeRead) readTrailer() error {
+	return l.readUntil(func(received []byte) (done bool, err error) {
+		used, complete, err := l.upstream.server.protocol.ReadTrailer(received)
+		if complete && used < len(received) {
+			return false, errInputFollows
+		}
+		return complete, err
+	})
+}
+
+// readFence reads the reply to a fence.
+func (l *largeRead) readFence() error {
+	l.received = nil
+	err := l.readUntil(func(received []byte) (done bool, err error) {
+		used, err := l.upstream.server.protocol.ReadFence(received)
+		return used > 0, err
+	})
+	if err != nil {
+		return errOwnerInDoubt
+	}
+	return nil
+}
+
+// readUntil reads from the server until what has been received is complete. requestStop does not interrupt it.
+func (l *largeRead) readUntil(isComplete func(received []byte) (bool, error)) error {
+	deadline := time.Now().Add(toDuration(l.r.limits.LargeValueStallTimeout))
+	buffer := make([]byte, responseBufferBytes)
 	for {
-		complete, keep, err := l.upstream.server.protocol.ReadTrailer(l.received)
-		if err != nil || complete {
-			_ = server.SetDeadline(time.Time{})
-			return err == nil && keep
+		done, err := isComplete(l.received)
+		if err != nil || done {
+			return err
 		}
-		buffer := make([]byte, responseBufferBytes)
-		n, err := server.Read(buffer)
-		if l.received = append(l.received, buffer[:n]...); err != nil {
-			return false
+		_ = l.serverConn.SetReadDeadline(deadline) // requestStop may have set another
+		n, err := l.serverConn.Read(buffer)
+		l.received = append(l.received, buffer[:n]...)
+		interrupted := l.stopped.Load() && time.Now().Before(deadline)
+		if err != nil && n == 0 && !(interrupted && isTimeout(err)) {
+			return err
 		}
 	}
 }
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -251,6 +251,10 @@
 	r.runAsync(func() {
 		defer close(done)
 		r.counts.ForwardedAttempts++
+		keep = keep && outcome.Status == routing.OK && !up.needsOwnConn(w.request)
+		if keep {
+			up.answers.remember(sumAnswer(outcome, nil))
+		}
 		attempt.fullySent, attempt.startedAt = true, r.clock()-clock.Time(time.Since(sent)/time.Microsecond) // when it was sent
 		r.handleOutcome(attempt, outcome)
 		if !keep {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -32,6 +32,7 @@
 	attemptCount     routing.Attempt  // attempts begun so far
 	finished         bool             // answered, or its client is gone
 	departurePending bool             // its client is gone; decisions may refer to it until package routing knows
+	needsUnusedConn  bool             // an answer was in doubt: its next attempt goes on a connection that has carried nothing
 	largeWrite       *largeWrite      // set for a large write, which is streamed as it arrives
 }
 
@@ -165,7 +166,7 @@
 
 // notFullySent reports whether part of the attempt is still in this process, so that it cannot have run.
 func (a *activeAttempt) notFullySent() bool {
-	return a.conn == nil || !a.conn.detached && a.conn.conn.OutboundBuffered() > 0
+	return a.conn == nil || !a.conn.detached && !a.fullySent && a.conn.conn.OutboundBuffered() > 0
 }
 
 // beginAttempt starts the attempt of a Send decision.
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -47,7 +47,7 @@
 	}
 	s := attempt.server
 	for i, up := range slices.Backward(s.idleConns) {
-		if up.mayReuse() && up.isOpen(attempt) {
+		if up.canCarry(attempt) {
 			s.idleConns = slices.Delete(s.idleConns, i, i+1)
 			up.send(attempt)
 			return
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -22,8 +22,10 @@
 	idleSince       clock.Time        // when it became idle
 	writing         bool              // gnet may close the connection within a write
 	detached        bool              // off the loop while a large value is streamed
-	attemptCount    int               // attempts that it has carried
+	attemptCount    int               // attempts that it has carried, the current one included
 	previousRequest routing.RequestID // of the attempt before the current one
+	answers         answerHistory     // that it has delivered
+	fenceSent       bool              // behind the current attempt; its reply has not been handled
 	end             counters.ServerConnectionEnd
 }
 
@@ -55,7 +57,7 @@
 	}
 	up.idleSince = up.r.clock()
 	s.dropExpired(up.r, up.idleSince)
-	if len(s.waitingAttempts) > 0 && up.mayReuse() && up.isOpen(s.waitingAttempts[0]) {
+	if len(s.waitingAttempts) > 0 && up.canCarry(s.waitingAttempts[0]) {
 		attempt := s.waitingAttempts[0]
 		s.waitingAttempts = s.waitingAttempts[1:]
 		up.send(attempt)
@@ -73,19 +75,23 @@
 	}
 }
 
-// mayReuse reports whether the connection can carry another attempt now. A server that answers twice does so some
-// milliseconds late, and answers carry no request id. If that happened recently, a used connection rests for that
-// long, so that a duplicate answer cannot be taken for that of the next request.
-func (up *upstream) mayReuse() bool {
+// canCarry reports whether an attempt may be sent on the connection now.
+func (up *upstream) canCarry(attempt *activeAttempt) bool {
+	return up.hasRested() && up.mayCarry(attempt) && up.isOpen(attempt)
+}
+
+// hasRested reports whether the connection may be reused now. If a server answered twice recently, a used connection rests
+// until a second answer would have arrived.
+func (up *upstream) hasRested() bool {
 	now := up.r.clock()
-	return now >= up.r.duplicateGuardUntil || up.attemptCount == 0 || now-up.idleSince >= up.r.limits.ReuseDelay
+	return up.attemptCount == 0 || now >= up.r.duplicateGuardUntil || now-up.idleSince >= up.r.limits.ReuseDelay
 }
 
 // isOpen reports whether the server has neither closed the connection nor sent anything that the loop has yet to
 // read. An attempt written to a closed connection may have run for all the router knows, so this is checked where
 // that would forbid a retry; in the other cases the loop notices in time, or the attempt is retried.
 func (up *upstream) isOpen(attempt *activeAttempt) bool {
-	if up.r.cfg.Settings.Methods[attempt.request.method].Idempotency == routing.Idempotent || up.attemptCount == 0 {
+	if attempt.request.isIdempotent(up.r) || up.attemptCount == 0 {
 		return true
 	}
 	var one [1]byte
@@ -93,13 +99,6 @@
 	return err != nil && err != unix.ECONNRESET
 }
 
-// noteUnsolicited records that the server has sent data that belongs to no attempt. The caller closes the connection.
-func (up *upstream) noteUnsolicited(receivedBytes int) {
-	up.closeFor(counters.UnsolicitedData)
-	up.logAnomaly(counters.UnsolicitedData, receivedBytes)
-	up.r.duplicateGuardUntil = up.r.clock() + up.r.limits.DuplicateResponseWindow
-}
-
 func (up *upstream) send(attempt *activeAttempt) {
 	up.attempt, attempt.conn = attempt, up
 	up.attemptCount++
@@ -128,41 +127,62 @@
 
 // onTraffic reads an answer. Data that arrives without an attempt, or after the answer, belongs to no request.
 func (up *upstream) onTraffic() gnet.Action {
-	attempt := up.attempt
-	if attempt == nil {
-		up.r.counts.AbortedConnections++
-		up.noteUnsolicited(up.conn.InboundBuffered())
-		return gnet.Close
-	}
 	buf, err := up.conn.Peek(-1)
 	if err != nil || len(buf) == 0 {
 		return gnet.None
 	}
-	outcome, used, keep, err := up.server.protocol.ReadAnswer(buf, false)
-	if err != nil && up.startLargeRead(buf) {
+	if up.attempt == nil {
+		up.noteDuplicate(counters.UnsolicitedData, len(buf))
 		return gnet.Close
 	}
-	if err != nil {
-		// The server responded, so the connection did not fail, but its answer is malformed: the request may have
-		// run.
+	up.noteSent()
+	attempt := up.attempt
+	outcome, used, keep, err := up.server.protocol.ReadAnswer(buf, false)
+	switch {
+	case err != nil && up.startLargeRead(buf):
+		return gnet.Close
+	case err != nil: // the server responded, so the connection did not fail, but the request may have run
 		up.r.counts.AbortedConnections++
 		up.closeFor(counters.MalformedAnswer)
 		up.logAnomaly(counters.MalformedAnswer, len(buf))
 		up.r.endAttempt(attempt, routing.Failed, nil)
 		return gnet.Close
+	case used == 0:
+		return gnet.None
 	}
-	if used == 0 {
+	return up.handleAnswer(outcome, buf[:used], buf[used:], keep)
+}
+
+// handleAnswer handles a complete answer to the current attempt, which the bytes in following came after.
+func (up *upstream) handleAnswer(outcome wire.Outcome, answer, following []byte, keep bool) gnet.Action {
+	attempt := up.attempt
+	sum := sumAnswer(outcome, answer)
+	owner := up.ownerOf(outcome, sum, following)
+	switch owner {
+	case ownerPending:
 		return gnet.None
+	case ownerInDoubt:
+		up.noteDuplicate(counters.AnswerInDoubt, len(answer)+len(following))
+		up.dropAnswer(attempt)
+		return gnet.Close
+	}
+	used := len(answer)
+	if up.fenceSent {
+		fenceUsed, _ := up.server.protocol.ReadFence(following) // it was read when the owner was confirmed
+		used += fenceUsed
+		following = following[fenceUsed:]
+		up.fenceSent = false
 	}
 	up.r.handleOutcome(attempt, outcome)
-	if used < len(buf) {
-		up.noteUnsolicited(len(buf) - used)
+	switch {
+	case len(following) > 0:
+		up.noteDuplicate(counters.UnsolicitedData, len(following))
 		return gnet.Close
-	}
-	if !keep {
+	case !keep || owner == ownerNoMatter || up.needsOwnConn(attempt.request):
 		up.closeFor(counters.SingleUse)
 		return gnet.Close
 	}
+	up.answers.remember(sum)
 	_, _ = up.conn.Discard(used) // bytes that Peek has just returned
 	up.release()
 	return gnet.None
@@ -187,13 +207,26 @@
 		return
 	}
 	status := routing.Reset
-	if up.writing || up.conn.OutboundBuffered() > 0 || attempt.request.largeWrite != nil { // the body of a large write has not started
+	if up.writing || attempt.notFullySent() || attempt.request.largeWrite != nil { // the body of a large write has not started
 		status = routing.ConnectError
-	} else if buf, _ := up.conn.Peek(-1); endOfStream && len(buf) > 0 {
-		if outcome, used, _, err := up.server.protocol.ReadAnswer(buf, true); err == nil && used > 0 {
-			up.r.handleOutcome(attempt, outcome)
-			return
-		}
+	} else if outcome, ok := up.answerAtEnd(endOfStream); ok {
+		up.r.handleOutcome(attempt, outcome)
+		return
 	}
 	up.r.endAttempt(attempt, status, nil)
 }
+
+// answerAtEnd returns the answer that the end of the stream has completed.
+func (up *upstream) answerAtEnd(endOfStream bool) (outcome wire.Outcome, ok bool) {
+	buf, _ := up.conn.Peek(-1)
+	if !endOfStream || len(buf) == 0 || up.fenceSent {
+		return outcome, false
+	}
+	outcome, used, _, err := up.server.protocol.ReadAnswer(buf, true)
+	if err != nil || used == 0 {
+		return outcome, false
+	}
+	up.noteSent()
+	isRepeated := up.answers.contains(sumAnswer(outcome, buf[:used]))
+	return outcome, up.isFirstAttempt() || up.attempt.fullySent && !isRepeated
+}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -3,6 +3,7 @@
 package http1
 
 import (
+	"errors"
 	"net/url"
 	"strconv"
 
@@ -44,10 +45,16 @@
 	return wire.Outcome{Status: routing.OK, Report: answer.Get("Endpoint-Load-Metrics"), Close: answer.Close}, at, size, at > 0 && answer.Status == 200
 }
 
-// ReadTrailer implements wire.ServerCodec. No bytes may follow the value.
-func (Codec) ReadTrailer(buf []byte) (complete, keep bool, err error) {
-	return true, len(buf) == 0, nil
-}
+// ReadTrailer implements wire.ServerCodec. An answer ends with its value.
+func (Codec) ReadTrailer([]byte) (used int, complete bool, err error) { return 0, true, nil }
+
+var errNoFence = errors.New("HTTP has no fence")
+
+// Fence implements wire.ServerCodec. HTTP/1.1 has no request whose response cannot be confused with the answer to an attempt.
+func (Codec) Fence() []byte { return nil }
+
+// ReadFence implements wire.ServerCodec.
+func (Codec) ReadFence([]byte) (used int, err error) { return 0, errNoFence }
 
 // ReadAnswer implements wire.ServerCodec. An answer of 503 or 504 with the header "X-Never-Ran: 1" means that the origin
 // has not run the request.
--- a/internal/wire/resp2/resp2.go
+++ b/internal/wire/resp2/resp2.go
@@ -80,10 +80,34 @@
 
 // ReadTrailer implements wire.ServerCodec. A large value is followed by its line end and the two remaining entries of the
 // array.
-func (c ServerCodec) ReadTrailer(buf []byte) (complete, keep bool, err error) {
+func (c ServerCodec) ReadTrailer(buf []byte) (used int, complete bool, err error) {
 	const head = "*3\r\n$0\r\n"
-	_, used, err := resp.ReadReply(append([]byte(head), buf...), c.Bounds)
-	return used > 0, used == len(head)+len(buf), err
+	_, used, err = resp.ReadReply(append([]byte(head), buf...), c.Bounds)
+	if err != nil || used == 0 {
+		return 0, false, err
+	}
+	return used - len(head), true, nil
+}
+
+var fence = resp.AppendCommand(nil, []byte("PING"))
+
+const fenceReply = "+PONG\r\n"
+
+var errNoFenceReply = errors.New("not the reply to PING")
+
+// Fence implements wire.ServerCodec.
+func (ServerCodec) Fence() []byte { return fence }
+
+// ReadFence implements wire.ServerCodec.
+func (ServerCodec) ReadFence(buf []byte) (used int, err error) {
+	received := min(len(buf), len(fenceReply))
+	if string(buf[:received]) != fenceReply[:received] {
+		return 0, errNoFenceReply
+	}
+	if received < len(fenceReply) {
+		return 0, nil
+	}
+	return received, nil
 }
 
 // hasFirstWord reports whether word is the first word of a line.
--- a/internal/wire/resp2/resp2_test.go
+++ b/internal/wire/resp2/resp2_test.go
@@ -39,6 +39,30 @@
 	// "nonsense\r\n"                   status 0 value "" report "", 0 used, keep false, malformed or oversized RESP message
 }
 
+func Example_fence() {
+	fmt.Printf("%q\n", codec.Fence())
+	for _, text := range []string{"+PONG\r\n", "+PONG\r\n*3", "+PO", "", "-ERR busy\r\n", "*3\r\n"} {
+		used, err := codec.ReadFence([]byte(text))
+		fmt.Printf("%q: %d used, %v\n", text, used, err)
+	}
+	for _, text := range []string{"\r\n$-1\r\n$-1\r\n", "\r\n$-1\r\n$-1\r\n+PONG\r\n", "\r\n$-1\r\n", "x\r\n"} {
+		used, complete, err := codec.ReadTrailer([]byte(text))
+		fmt.Printf("%q: %d used, complete %v, %v\n", text, used, complete, err)
+	}
+	// Output:
+	// "*1\r\n$4\r\nPING\r\n"
+	// "+PONG\r\n": 7 used, <nil>
+	// "+PONG\r\n*3": 7 used, <nil>
+	// "+PO": 0 used, <nil>
+	// "": 0 used, <nil>
+	// "-ERR busy\r\n": 0 used, not the reply to PING
+	// "*3\r\n": 0 used, not the reply to PING
+	// "\r\n$-1\r\n$-1\r\n": 12 used, complete true, <nil>
+	// "\r\n$-1\r\n$-1\r\n+PONG\r\n": 12 used, complete true, <nil>
+	// "\r\n$-1\r\n": 0 used, complete false, <nil>
+	// "x\r\n": 0 used, complete false, malformed or oversized RESP message
+}
+
 func Example_answers() {
 	for _, a := range []wire.Answer{{Value: []byte("v")}, {Kind: wire.Rejected}, {Kind: wire.Rejected, RetryAfter: 1500}, {Kind: wire.Failed}} {
 		fmt.Printf("%q\n", AppendAnswer(nil, a))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -59,6 +59,13 @@
 	// ReadLargeAnswer decodes the head of an answer that ReadAnswer refuses for its size: the value begins at offset at in
 	// buf and has size bytes. ok is false if buf does not begin with such an answer.
 	ReadLargeAnswer(buf []byte) (o Outcome, at, size int, ok bool)
-	// ReadTrailer decodes what follows a large value. complete is false while more input is needed; keep is as in ReadAnswer.
-	ReadTrailer(buf []byte) (complete, keep bool, err error)
+	// ReadTrailer decodes the rest of an answer behind its large value. complete is false while more input is needed; used is
+	// the size of the trailer, which may be 0.
+	ReadTrailer(buf []byte) (used int, complete bool, err error)
+	// Fence returns a command without effect whose reply cannot be confused with an answer. The server replies in order: once
+	// the reply has arrived, so have all answers to the attempts before it. It is nil if the protocol has no such command.
+	Fence() []byte
+	// ReadFence decodes the reply to a fence. used is 0 while it is incomplete. An error means that buf begins with anything
+	// else.
+	ReadFence(buf []byte) (used int, err error)
 }
