discovery: a response older than the list answers no watch

What callers would see: requests at a server that drains, past the grace. Calls to discovery are matched with responses by their place on the connection. A second response to the request for the full list was taken for that of the next watch, and a full list was applied whatever its revision, so that servers that were draining since then counted as ready again. Fix: only the response to a request for the full list may go back to an earlier revision, and that request is made on a connection that has carried no call. Why it works: revisions order all other responses, and the first response on a connection belongs to the first call.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -102,14 +102,15 @@
 	return update, nil
 }
 
-// checkContinues rejects a response that cannot be applied to the list: changes without a full list before them, and changes of an
-// earlier revision, which come from a discovery server that has restarted and lacks the changes since then.
+// checkContinues rejects a response that cannot be applied to the list: changes without a full list before them, and a response to
+// a watch of an earlier revision. That comes from a discovery server that has restarted, or it is a second response to an earlier
+// call. Only the response to a request for the full list may go back to an earlier revision.
 func (l *EndpointList) checkContinues(received response) error {
-	if received.Full {
-		return nil
-	}
 	if !l.synced {
-		return errNotFull
+		if !received.Full {
+			return errNotFull
+		}
+		return nil
 	}
 	if *received.Revision < l.revision {
 		return &revisionError{received: *received.Revision, current: l.revision}
--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -36,7 +36,7 @@
 	errNotFull     = errors.New("response has changes only, but the full list was requested")
 )
 
-// revisionError reports changes of an earlier revision than that of the list.
+// revisionError reports a response to a watch of an earlier revision than that of the list.
 type revisionError struct{ received, current int64 }
 
 func (e *revisionError) Error() string {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -20,6 +20,7 @@
 	r            *Router
 	addr         string
 	conn         gnet.Conn
+	callCount    int  // on this connection
 	superseded   bool // another watch has replaced it
 	dialing      bool
 	callPending  bool
@@ -49,29 +50,39 @@
 	if w.superseded || w.dialing || w.callPending {
 		return
 	}
-	w.r.cancelTimer(w.retryTimer)
+	r := w.r
+	r.cancelTimer(w.retryTimer)
+	path, wait := r.endpoints.NextRequest(r.limits.WatchTimeout)
+	isFullList := wait == 0
+	if isFullList && w.conn != nil && w.callCount > 0 {
+		// Responses do not name their call: on a used connection, a second response to an earlier call may be an old list.
+		r.closeConn(w.conn) // onClose forgets it
+	}
 	if w.conn == nil {
-		w.dialing = true
-		w.r.pendingDials++
-		w.r.dialFunc(w.addr, w, func(err error) {
-			w.dialing = false
-			w.handleFailure(err)
-		})
+		w.dial()
 		return
 	}
-	r := w.r
 	w.callPending = true
-	path, wait := r.endpoints.NextRequest(r.limits.WatchTimeout)
+	w.callCount++
 	grace := r.limits.WatchGrace
-	if wait == 0 {
+	if isFullList {
 		grace = r.limits.ListTimeout
 	}
 	w.timeoutTimer = r.after(wait+grace, func() { r.closeConn(w.conn) })
 	_, _ = w.conn.Write(httpwire.AppendRequest(nil, "GET", path, w.addr, nil, nil)) // after an error, gnet has closed the connection
 }
 
+func (w *watch) dial() {
+	w.dialing = true
+	w.r.pendingDials++
+	w.r.dialFunc(w.addr, w, func(err error) {
+		w.dialing = false
+		w.handleFailure(err)
+	})
+}
+
 func (w *watch) onOpen(conn gnet.Conn) {
-	w.dialing, w.conn = false, conn
+	w.dialing, w.conn, w.callCount = false, conn, 0
 	w.r.pendingDials--
 	if w.superseded {
 		w.r.closeConn(conn)
