--- a/internal/lab/cacheserver/answer.go
+++ b/internal/lab/cacheserver/answer.go
@@ -188,6 +188,7 @@
 		text = resp.AppendBulk(text, report)
 	}
 	text, reply, cmd.truncateAt = s.faults.corrupt(s.rand, text, reply)
+	cmd.duplicateDelay, cmd.isDuplicated = s.faults.duplicateDelay(s.rand)
 	cmd.conn.setReply(cmd, text, reply)
 }
 
--- a/internal/lab/cacheserver/cacheserver_test.go
+++ b/internal/lab/cacheserver/cacheserver_test.go
@@ -380,3 +380,21 @@
 		}
 	}
 }
+
+// A duplicate is written after its reply, whatever the connection carries by then.
+func TestDuplicatesFollowTheirReplies(t *testing.T) {
+	s, _ := startServer(t, nil)
+	s.Fill("k")
+	if err := s.ApplyFault(scenario.Fault{Kind: "duplicate", Share: 1}, false); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, s)
+	for range 2 {
+		if got := roundTrip(t, c, "CACHE.GET k id0 c=status,d=500"); got != "id0" {
+			t.Fatal(got)
+		}
+		if got := readAnswer(c); got != "id0" {
+			t.Errorf("the duplicate is %q", got)
+		}
+	}
+}
--- a/internal/lab/cacheserver/conn.go
+++ b/internal/lab/cacheserver/conn.go
@@ -17,22 +17,24 @@
 
 // command is one attempt or other command that has been read completely.
 type command struct {
-	conn         *conn
-	req          event.RequestID
-	method       string
-	key          string
-	size         int
-	write        bool
-	deadlineSent event.Micros // time allowed by the attempt's properties
-	miss         bool
-	probe        bool
-	probeReply   []byte // reply of a probe; nil: the load report
-	job          *machine.Job
-	startedAt    event.Micros
-	ended        bool
-	replyText    []byte // encoded reply; nil while there is none
-	reply        event.Reply
-	truncateAt   int // write only this many bytes of the reply, then reset; -1: write all
+	conn           *conn
+	req            event.RequestID
+	method         string
+	key            string
+	size           int
+	write          bool
+	deadlineSent   event.Micros // time allowed by the attempt's properties
+	miss           bool
+	probe          bool
+	probeReply     []byte // reply of a probe; nil: the load report
+	job            *machine.Job
+	startedAt      event.Micros
+	ended          bool
+	replyText      []byte // encoded reply; nil while there is none
+	reply          event.Reply
+	isDuplicated   bool // the reply is written again after duplicateDelay
+	duplicateDelay time.Duration
+	truncateAt     int // write only this many bytes of the reply, then reset; -1: write all
 }
 
 // conn is one connection of a router. read and write each run on a goroutine of their own; pending is guarded by the
@@ -204,6 +206,8 @@
 	c.recordEnd(cmd, at, reply)
 	if err != nil || cmd.truncateAt >= 0 {
 		c.reset()
+	} else if cmd.isDuplicated {
+		time.AfterFunc(cmd.duplicateDelay, func() { _, _ = c.netConn.Write(text) }) // the connection may have ended
 	}
 }
 
--- a/internal/lab/cacheserver/trouble.go
+++ b/internal/lab/cacheserver/trouble.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -18,6 +19,7 @@
 	resetShare     float64 // fraction of replies that are cut off by a reset
 	malformedShare float64 // fraction of replies that are malformed
 	surplusShare   float64 // fraction of replies that are followed by surplus bytes
+	duplicateShare float64 // fraction of replies that are written a second time, up to MaxDuplicateDelay later
 	malformedForms []string
 	staleReports   bool
 	badReports     bool
@@ -51,6 +53,17 @@
 	return text, reply, -1
 }
 
+// MaxDuplicateDelay is how long after a reply its duplicate is written at most.
+const MaxDuplicateDelay = 200 * time.Millisecond
+
+// duplicateDelay draws whether a reply is written a second time, and how much later.
+func (t *faultState) duplicateDelay(r *rand.Rand) (delay time.Duration, ok bool) {
+	if t.duplicateShare == 0 || r.Float64() >= t.duplicateShare {
+		return 0, false
+	}
+	return time.Duration(r.Int64N(int64(MaxDuplicateDelay))), true
+}
+
 // ApplyFault begins a fault of the scenario on this server, or ends it. A server that is down ignores faults.
 func (s *Server) ApplyFault(fault scenario.Fault, end bool) error {
 	s.mu.Lock()
@@ -88,6 +101,8 @@
 		s.faults.malformedShare, s.faults.malformedForms = share(fault.Share), fault.ReplyForms
 	case "surplus":
 		s.faults.surplusShare = share(fault.Share)
+	case "duplicate":
+		s.faults.duplicateShare = share(fault.Share)
 	case "stale_reports":
 		s.faults.staleReports = begin
 	case "bad_reports":
--- a/internal/lab/origin/conn.go
+++ b/internal/lab/origin/conn.go
@@ -12,6 +12,8 @@
 	net.Listener
 	router event.Router
 	log    *event.Log
+
+	duplicates *duplicates
 }
 
 // Accept waits for the next connection.
@@ -20,16 +22,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, router: l.router, log: l.log}, nil
+	return &conn{Conn: c, router: l.router, log: l.log, duplicates: l.duplicates}, nil
 }
 
 // conn is a connection of a router that records when the first byte of each request arrived. net/http does not provide it,
 // since its handlers start after the headers. As in the protocol, requests are not pipelined.
 type conn struct {
 	net.Conn
-	router    event.Router
-	log       *event.Log
-	firstByte atomic.Int64 // arrival of the current request's first byte, in microseconds of the log plus 1; 0: none yet
+	router     event.Router
+	log        *event.Log
+	duplicates *duplicates
+	response   []byte       // to the current request, while duplicates are written; used by net/http's goroutine of the connection
+	firstByte  atomic.Int64 // arrival of the current request's first byte, in microseconds of the log plus 1; 0: none yet
 }
 
 // Read reads from the connection and records the arrival of a first byte.
--- a/internal/lab/origin/origin.go
+++ b/internal/lab/origin/origin.go
@@ -52,6 +52,7 @@
 	recentWork     float64               // decaying sum of offered work, and of the part for misses at cold servers
 	recentColdWork float64
 	recentWorkAt   event.Micros
+	duplicates     *duplicates
 	servers        []*http.Server
 	wg             sync.WaitGroup
 }
@@ -60,7 +61,8 @@
 
 // Start starts an origin that listens on one address for each router. Call Close to end it.
 func Start(f *Config, addrs []string, seed uint64) (*Origin, error) {
-	o := &Origin{config: f, addrs: addrs, rand: rand.New(rand.NewPCG(seed, 8)), jobs: map[*machine.Job]chan struct{}{}}
+	o := &Origin{config: f, addrs: addrs, rand: rand.New(rand.NewPCG(seed, 8)), jobs: map[*machine.Job]chan struct{}{},
+		duplicates: &duplicates{rand: rand.New(rand.NewPCG(seed, 9))}}
 	o.resetMachine()
 	o.timer = time.AfterFunc(time.Hour, func() {
 		o.mu.Lock()
@@ -78,12 +80,17 @@
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 				f.Log.Add(event.Event{Kind: event.ConnectionAccepted, Server: UID, Router: r})
 				return context.WithValue(ctx, connKey{}, c)
+			},
+			ConnState: func(c net.Conn, state http.ConnState) {
+				if state == http.StateIdle {
+					c.(*conn).finishResponse()
+				}
 			}}
 		o.servers = append(o.servers, srv)
 		o.wg.Add(1)
 		go func() {
 			defer o.wg.Done()
-			_ = srv.Serve(listener{ln, r, f.Log}) // ends with Close
+			_ = srv.Serve(listener{ln, r, f.Log, o.duplicates}) // ends with Close
 		}()
 	}
 	f.Log.Add(event.Event{Kind: event.ServerUp, Server: UID, Router: event.NoRouter})
@@ -133,6 +140,10 @@
 		o.machine.SetSlowdown(1)
 	case f.Kind == "origin_slow":
 		o.machine.SetSlowdown(f.Factor)
+	case f.Kind == "origin_duplicate" && end:
+		o.duplicates.setShare(0)
+	case f.Kind == "origin_duplicate":
+		o.duplicates.setShare(f.Share)
 	case f.Kind == "origin_stop":
 		o.machine.SetFrozen(o.config.Log.Now(), !end)
 	}
