--- a/cmd/cache-router/late_answer_test.go
+++ b/cmd/cache-router/late_answer_test.go
@@ -110,6 +110,7 @@
 			}
 			return true
 		case used > 0 || err != nil:
+			h.t.Logf("%s: the reply is %.60q, error %v", id, received, err)
 			return false
 		}
 	}
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -13,7 +13,6 @@
 	"syscall"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/routing"
@@ -211,43 +210,6 @@
 	}
 }
 
-// acceptClients runs off the loop until the listener is closed or clients are handed over.
-func (r *Router) acceptClients() {
-	const retryDelay = 5 * time.Millisecond // while no descriptors are available
-	var pendingEnrolls []<-chan struct{}
-	for {
-		c, err := r.takeover.listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded):
-			return
-		case err != nil:
-			time.Sleep(retryDelay)
-			continue
-		}
-		r.takeover.enrolling.Add(1)
-		enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), &client{r: r, enrolling: true}), c)
-		if err != nil {
-			r.takeover.enrolling.Add(-1)
-			c.Close()
-			return
-		}
-		done := make(chan struct{})
-		// A connection that is not enrolled, for lack of a descriptor, never arrives; a drain would wait for it.
-		go func() {
-			if (<-enrolled).Err != nil {
-				r.takeover.enrolling.Add(-1)
-			}
-			close(done)
-		}()
-		if pendingEnrolls = append(pendingEnrolls, done); len(pendingEnrolls) >= maxPendingEnrolls {
-			<-pendingEnrolls[0]
-			pendingEnrolls = pendingEnrolls[1:]
-		}
-	}
-}
-
-const maxPendingEnrolls = 4 // each holds two descriptors until it is enrolled
-
 // awaitSuccessors waits, off the loop, for processes that are to replace this one, one after another. If this
 // process has its clients back because its successor has ended, and another process answers under the name, that
 // one has replaced the successor and keeps the name.
