Dials: lack of descriptors, memory or ports is not a server's fault

What callers saw in the test: their request was rejected within milliseconds ("-BUSY 1000") while the router could open no socket for 300 ms. Cause: each failed dial ended an attempt as ConnectError, whose ever fault it was: all attempts of the request were spent at once, and the server counted as faulty. Fix: after EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE, EAGAIN or EINTR the attempt waits on and is dialed for again 20 ms later; its own time limits hold. Refused, unreachable and timed out stay the server's. A counter tells how many there were (dials-local-errors).

--- a/cmd/cache-router/descriptor_shortage_test.go
+++ b/cmd/cache-router/descriptor_shortage_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"spurtrestle/internal/resp"
 )
 
 // limitDescriptors lets the program open so many more descriptors, until the returned function restores its limit. The system
@@ -67,3 +69,23 @@
 		}
 	}
 }
+
+// Guards against requests that are rejected, and servers that count as faulty, since the router itself has no descriptor, no
+// port or no memory for a connection to them.
+func TestAttemptsWaitWhileNoSocketCanBeOpened(t *testing.T) {
+	h := newHarness(t)
+	h.noAdmin = true
+	h.start([]string{"s1", "origin"})
+	go answerReads(h.endpoint("s1"))
+	client, _ := h.sendCommand("PING")
+	if _, err := io.ReadFull(client, make([]byte, len("+PONG\r\n"))); err != nil {
+		t.Fatal(err)
+	}
+	restore := h.limitDescriptors(-3) // also below the gaps in their numbers
+	_, _ = client.Write(resp.AppendCommand(nil, []byte("CACHE.GET"), []byte("k1"), []byte("r1"), []byte("c=get,d=2500")))
+	time.Sleep(shortage)
+	restore()
+	if !h.checkOwnReply(client, "r1", 40) {
+		t.Error("the request was not served")
+	}
+}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
@@ -82,18 +84,37 @@
 	r.pendingDials++
 	r.counts.Dials++
 	addr := s.addr
-	r.dialFunc(addr, &upstream{r: r, server: s, addr: addr}, func(error) {
+	r.dialFunc(addr, &upstream{r: r, server: s, addr: addr}, func(err error) {
 		r.counts.FailedDials++
 		s.dialing--
-		if addr != s.addr { // the failure says nothing about the new address
+		switch {
+		case addr != s.addr: // the failure says nothing about the new address
 			r.dialQueue = append(r.dialQueue, s)
-		} else if len(s.waitingAttempts) > s.dialing {
+		case isLocalDialError(err): // nor does it about the server: attempts that can still be sent are dialed for again
+			r.counts.LocalDialErrors++
+			r.after(dialRetryDelay, func() {
+				r.dialQueue = append(r.dialQueue, s)
+				r.dialForWaiting()
+			})
+		case len(s.waitingAttempts) > s.dialing:
 			r.endAttempt(s.waitingAttempts[0], routing.ConnectError, nil)
 		}
 		r.dialForWaiting()
 	})
 }
 
+// dialRetryDelay is the time until the next dial while this process can open no socket.
+const dialRetryDelay = 20 * clock.Millisecond
+
+// localDialErrors are errors of a dial that this machine causes, by lack of descriptors, memory or ports. A missing route is none
+// of them: another server may have one.
+var localDialErrors = []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EADDRINUSE,
+	unix.EAGAIN, unix.EINTR}
+
+func isLocalDialError(err error) bool {
+	return slices.ContainsFunc(localDialErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
 // dialAsync connects to an address and enrolls the connection with handler p; failed runs on the loop.
 func (r *Router) dialAsync(addr string, p connHandler, failed func(error)) {
 	timeout := r.limits.ConnectTimeout
