--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -345,6 +345,24 @@
 	}
 }
 
+// Without a free descriptor, a read waits for a connection to become free and is sent on it; no dial is started.
+func TestReadsAreSentOnAFreedConnection(t *testing.T) {
+	l, completeDial := newHeldDials(t, nil)
+	client := l.open(nil)
+	l.receive(client, command("CACHE.GET", "k", "r1", "c=get,d=1900"))
+	cache := completeDial()
+	l.r.limits.ServerConnections = 1
+	dials := l.r.counts.Dials
+	l.receive(client, command("CACHE.GET", "k", "r2", "c=get,d=1900"))
+	if strings.Contains(cache.written, "r2") || l.r.counts.Dials != dials {
+		t.Errorf("while the connection is busy: the cache got %q, %d dials", cache.written, l.r.counts.Dials-dials)
+	}
+	l.receive(cache, hitWith("1"))
+	if !strings.Contains(cache.written, "r2") || client.written != "$1\r\n1\r\n" || l.r.counts.Dials != dials {
+		t.Errorf("the cache got %q, client got %q, %d dials", cache.written, client.written, l.r.counts.Dials-dials)
+	}
+}
+
 // A client that had just connected used to be closed to make room, and lost the request on its way. Clients that
 // have been quiet for long are closed first, and none that waits for an answer.
 func TestClientsClosedToMakeRoom(t *testing.T) {
