--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,9 +1,10 @@
-// Command 3 plays case 3: at a planned restart a write of more than 64 KiB is not answered while the origin is silent.
+// Command 3 plays case 3: at a planned restart the router closes a client's connection while the system still holds answers for it,
+// and the client's next read resets them away.
 package main
 
 import (
+	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -15,86 +16,93 @@
 )
 
 const (
-	deadline  = 6 * time.Second
-	killAfter = 3*time.Second + 700*time.Millisecond // SIGKILL behind SIGTERM: the longest deadline, 3 s at most, and 0.7 s
-	smallSize = 1_000
-	bigSize   = 1 << 20
-	slowFor   = 1200 * time.Millisecond // that the slow client needs for its value
-	slowParts = 24
+	clients    = 5
+	reads      = 16                    // that a client sends at once
+	valueBytes = 60_000                // under 64 KiB
+	pause      = 60 * time.Millisecond // a client reads an answer in that time: 1 MB/s
+	deadline   = 6 * time.Second
+	readsAt    = 350 * time.Millisecond // behind SIGTERM
+	nextAt     = 700 * time.Millisecond // behind SIGTERM: the client's next read on the same connection
 )
 
 // run is one run of the case.
 type run struct {
 	*standin.Case
-	router  *standin.Router
-	silent  atomic.Bool // the origin answers nothing
-	end     chan struct{}
-	clients sync.WaitGroup
+	router       *standin.Router
+	servedByID   sync.Map // ids of the reads that a cache server has served
+	served, lost atomic.Int64
 }
 
 func main() {
-	c := &run{Case: standin.New(os.Args[1]), end: make(chan struct{})}
-	targets := c.StartServers("tromso-a", func(_ int, cmd standin.Command) { cmd.Serve("value of " + cmd.Key()) }, c.serveOrigin)
-	c.router = c.StartRouter(standin.Config{MemoryMB: 192, Sockets: 256, Discovery: c.StartDiscovery(targets),
+	c := &run{Case: standin.New(os.Args[1])}
+	value := strings.Repeat("v", valueBytes)
+	targets := c.StartServers("tromso-a", func(_ int, cmd standin.Command) {
+		time.Sleep(20 * time.Millisecond)
+		cmd.Serve(value)
+		c.servedByID.Store(cmd.ID(), true)
+	}, standin.ServeFrom(func(string) string { return value }))
+	c.router = c.StartRouter(standin.Config{MemoryMB: 192, Sockets: 512, Discovery: c.StartDiscovery(targets),
 		Settings: standin.Settings(standin.Writes)})
-	c.write("warm", smallSize, 1)
-	c.clients.Wait()
-
-	c.silent.Store(c.Trouble)
-	c.Log("origin: silent from now on: %v", c.Trouble)
-	c.write("small-before", smallSize, 1)
-	c.write("big-before", bigSize, 1)
-	c.write("big-slow", bigSize, slowParts)
-	time.Sleep(300 * time.Millisecond)
-	c.router.Signal(syscall.SIGTERM)
-	kill := time.After(killAfter)
-	time.Sleep(100 * time.Millisecond)
-	c.write("small-behind", smallSize, 1)
-	c.write("big-behind", bigSize, 1)
-	select {
-	case <-c.router.Exited:
-	case <-kill:
-		c.Log("platform: the router has not ended %v after SIGTERM", killAfter)
-		c.router.Signal(syscall.SIGKILL)
+	term := time.Now().Add(200 * time.Millisecond)
+	var wg sync.WaitGroup
+	for k := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.play(k, term)
+		}()
 	}
-	c.clients.Wait()
-	close(c.end)
-	c.Finish()
-}
-
-func (c *run) serveOrigin(w http.ResponseWriter, request standin.OriginRequest) {
-	c.Log("origin: has got %s %s of request %s whole, %d bytes", request.Method, request.Key, request.ID, request.Size)
-	if c.silent.Load() {
-		<-c.end
-		return
+	time.Sleep(time.Until(term))
+	if c.Trouble {
+		c.router.Signal(syscall.SIGTERM)
 	}
-	time.Sleep(100 * time.Millisecond)
-	_, _ = io.WriteString(w, "receipt of "+request.ID) // the router may have closed the connection
+	wg.Wait()
+	c.Log("clients: %d reads answered, %d taken and not answered", c.served.Load(), c.lost.Load())
+	if c.lost.Load() > 0 {
+		c.Break("%d reads that cache servers had served for the router got no whole answer", c.lost.Load())
+	}
+	c.Finish()
 }
 
-// write plays a client with one write, which it sends in so many parts. It has to get an answer, whatever that is.
-func (c *run) write(id string, size, parts int) {
+// play plays one client, whose connection is open when the router is told to end.
+func (c *run) play(number int, term time.Time) {
 	client := c.Dial(c.router)
-	c.clients.Add(1)
-	go func() {
-		defer c.clients.Done()
-		text := standin.Set("key-"+id, id, "overlay", deadline, strings.Repeat("v", size))
-		for i := range parts {
-			if i > 0 {
-				time.Sleep(slowFor / slowParts)
-			}
-			if _, err := io.WriteString(client, text[len(text)*i/parts:len(text)*(i+1)/parts]); err != nil {
-				c.Fatal("client %s: can't send: %v", id, err)
-			}
-		}
-		sent := time.Now()
-		c.Log("client %s: sent whole", id)
-		value, line, err := client.Answer()
-		after := time.Since(sent).Seconds()
+	if err := client.LimitBuffer(64 << 10); err != nil {
+		c.Fatal("%v", err)
+	}
+	id := func(i int) string { return fmt.Sprint("r-", number, "-", i) }
+	send := func(i int) string { return standin.Get(id(i), id(i), "overlay", deadline) }
+	_, _ = io.WriteString(client, send(-1)) // the answer tells if that failed
+	if _, _, err := client.Answer(); err != nil {
+		c.Fatal("%v", err)
+	}
+	time.Sleep(time.Until(term.Add(readsAt)))
+	text := ""
+	for i := range reads {
+		text += send(i)
+	}
+	_, err := io.WriteString(client, text)
+	c.Log("client %d: sent %d reads at once: %v", number, reads, err)
+	next := time.AfterFunc(time.Until(term.Add(nextAt)), func() {
+		_, err := io.WriteString(client, send(reads))
+		c.Log("client %d: sent one more read: %v", number, err)
+	})
+	defer next.Stop()
+	for i := range reads {
+		_, line, err := client.Answer()
 		if err != nil {
-			c.Break("request %s: the connection ended after %.2f s without an answer: %v", id, after, err)
+			c.Log("client %d: the connection ended %.2f s behind SIGTERM, before answer %d: %v", number, time.Since(term).Seconds(), i, err)
+			for ; i < reads; i++ {
+				if _, taken := c.servedByID.Load(id(i)); taken {
+					c.lost.Add(1)
+				}
+			}
 			return
 		}
-		c.Log("client %s: answered after %.2f s: %s %s", id, after, line, value)
-	}()
+		if !strings.HasPrefix(line, "$") {
+			c.Log("client %d: answer %d is %s", number, i, line)
+		}
+		c.served.Add(1)
+		time.Sleep(pause)
+	}
 }
