--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,4 @@
-// Command 3 plays case 3: at a planned restart the router closes a client's connection while the system still holds answers for it,
-// and the client's next read resets them away.
+// Command 3 plays case 3: answers that wait behind a slowly read value fill the router's memory until the platform kills it.
 package main
 
 import (
@@ -16,93 +15,138 @@
 )
 
 const (
-	clients    = 5
-	reads      = 16                    // that a client sends at once
-	valueBytes = 60_000                // under 64 KiB
-	pause      = 60 * time.Millisecond // a client reads an answer in that time: 1 MB/s
-	deadline   = 6 * time.Second
-	readsAt    = 350 * time.Millisecond // behind SIGTERM
-	nextAt     = 700 * time.Millisecond // behind SIGTERM: the client's next read on the same connection
+	memoryMB   = 192
+	sockets    = 1024
+	clients    = 260                   // fewer than a third of the descriptors
+	apart      = 40 * time.Millisecond // between the arrivals of two clients
+	bigBytes   = 4 << 20
+	smallBytes = 60_000  // under 64 KiB
+	behind     = 16      // reads that a client sends behind that of the big value
+	readRate   = 500_000 // of the big value, in bytes a second
+	deadline   = 1200 * time.Millisecond
+	sample     = 20 * time.Millisecond // between two looks at the router's memory
+	mebibyte   = 1 << 20
 )
 
+var big, small = []byte(strings.Repeat("b", bigBytes)), strings.Repeat("s", smallBytes)
+
+func valueOf(key string) []byte {
+	if strings.HasPrefix(key, "big") {
+		return big
+	}
+	return []byte(key + small[len(key):])
+}
+
 // run is one run of the case.
 type run struct {
 	*standin.Case
-	router       *standin.Router
-	servedByID   sync.Map // ids of the reads that a cache server has served
-	served, lost atomic.Int64
+	router                        *standin.Router
+	killed                        atomic.Bool
+	served, refused, failed, lost atomic.Int64
 }
 
 func main() {
 	c := &run{Case: standin.New(os.Args[1])}
-	value := strings.Repeat("v", valueBytes)
-	targets := c.StartServers("tromso-a", func(_ int, cmd standin.Command) {
-		time.Sleep(20 * time.Millisecond)
-		cmd.Serve(value)
-		c.servedByID.Store(cmd.ID(), true)
-	}, standin.ServeFrom(func(string) string { return value }))
-	c.router = c.StartRouter(standin.Config{MemoryMB: 192, Sockets: 512, Discovery: c.StartDiscovery(targets),
-		Settings: standin.Settings(standin.Writes)})
-	term := time.Now().Add(200 * time.Millisecond)
+	targets := c.StartServers("hobart", func(_ int, cmd standin.Command) {
+		time.Sleep(2 * time.Millisecond)
+		cmd.ServeBytes(valueOf(cmd.Key()))
+	}, standin.ServeFrom(func(key string) string { return string(valueOf(key)) }))
+	c.router = c.StartRouter(standin.Config{MemoryMB: memoryMB, Sockets: sockets, Discovery: c.StartDiscovery(targets),
+		Settings: standin.Settings(standin.Reads)})
+	go c.watchMemory()
 	var wg sync.WaitGroup
 	for k := range clients {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.play(k, term)
+			time.Sleep(time.Duration(k) * apart)
+			if !c.killed.Load() {
+				c.lost.Add(int64(c.ask(k)))
+			}
 		}()
 	}
-	time.Sleep(time.Until(term))
-	if c.Trouble {
-		c.router.Signal(syscall.SIGTERM)
-	}
 	wg.Wait()
-	c.Log("clients: %d reads answered, %d taken and not answered", c.served.Load(), c.lost.Load())
-	if c.lost.Load() > 0 {
-		c.Break("%d reads that cache servers had served for the router got no whole answer", c.lost.Load())
-	}
+	c.Log("clients: %d served, %d refused, %d failed, %d without an answer", c.served.Load(), c.refused.Load(), c.failed.Load(), c.lost.Load())
 	c.Finish()
 }
 
-// play plays one client, whose connection is open when the router is told to end.
-func (c *run) play(number int, term time.Time) {
+// watchMemory is the platform, which kills a router that is over its limit of memory.
+func (c *run) watchMemory() {
+	for i := 0; ; i++ {
+		memory := c.router.Memory()
+		if i%25 == 0 {
+			c.Log("platform: the router holds %.1f MiB of %d", float64(memory)/mebibyte, memoryMB)
+		}
+		if memory > memoryMB*mebibyte {
+			c.killed.Store(true)
+			c.Break("the router holds %.1f MiB, over its limit of %d: the platform kills it", float64(memory)/mebibyte, memoryMB)
+			c.router.Signal(syscall.SIGKILL)
+			return
+		}
+		time.Sleep(sample)
+	}
+}
+
+// ask plays one client and returns how many of its reads got no answer. With the trouble the client sends all of its reads at once,
+// without it the small ones once it has the big value.
+func (c *run) ask(number int) (open int) {
+	open = 1 + behind
 	client := c.Dial(c.router)
-	if err := client.LimitBuffer(64 << 10); err != nil {
-		c.Fatal("%v", err)
+	first := standin.Get(fmt.Sprint("big-", number), fmt.Sprint("b", number), "field-history", deadline)
+	rest := ""
+	for i := range behind {
+		rest += standin.Get(smallKey(number, i), smallKey(number, i), "machine-status", deadline)
 	}
-	id := func(i int) string { return fmt.Sprint("r-", number, "-", i) }
-	send := func(i int) string { return standin.Get(id(i), id(i), "overlay", deadline) }
-	_, _ = io.WriteString(client, send(-1)) // the answer tells if that failed
-	if _, _, err := client.Answer(); err != nil {
-		c.Fatal("%v", err)
+	if c.Trouble {
+		first += rest
 	}
-	time.Sleep(time.Until(term.Add(readsAt)))
-	text := ""
-	for i := range reads {
-		text += send(i)
+	_, _ = io.WriteString(client, first) // the answer tells if that failed
+	if size, err := client.SlowAnswer(readRate); err != nil || size != bigBytes {
+		c.Log("client %d: the big value: %d bytes, %v", number, size, err)
+		return open
 	}
-	_, err := io.WriteString(client, text)
-	c.Log("client %d: sent %d reads at once: %v", number, reads, err)
-	next := time.AfterFunc(time.Until(term.Add(nextAt)), func() {
-		_, err := io.WriteString(client, send(reads))
-		c.Log("client %d: sent one more read: %v", number, err)
-	})
-	defer next.Stop()
-	for i := range reads {
-		_, line, err := client.Answer()
-		if err != nil {
-			c.Log("client %d: the connection ended %.2f s behind SIGTERM, before answer %d: %v", number, time.Since(term).Seconds(), i, err)
-			for ; i < reads; i++ {
-				if _, taken := c.servedByID.Load(id(i)); taken {
-					c.lost.Add(1)
-				}
-			}
-			return
-		}
-		if !strings.HasPrefix(line, "$") {
-			c.Log("client %d: answer %d is %s", number, i, line)
+	open--
+	c.served.Add(1)
+	if !c.Trouble {
+		client = c.sendOn(client, rest)
+	}
+	for i := range behind {
+		if !c.read(client, number, i) {
+			return open
 		}
+		open--
+	}
+	return open
+}
+
+func smallKey(number, i int) string { return fmt.Sprint("k-", number, "-", i) }
+
+// sendOn sends reads on a connection that may rest. If the router has closed it, they are sent once more on a new one.
+func (c *run) sendOn(client *standin.Client, reads string) *standin.Client {
+	_, _ = io.WriteString(client, reads)
+	if client.Ended() && !c.killed.Load() {
+		client = c.Dial(c.router)
+		_, _ = io.WriteString(client, reads)
+	}
+	return client
+}
+
+// read reads one answer and reports whether it came.
+func (c *run) read(client *standin.Client, number, i int) bool {
+	value, line, err := client.Answer()
+	switch {
+	case err != nil:
+		c.Log("client %d: the connection ended before answer %d: %v", number, i, err)
+		return false
+	case strings.HasPrefix(line, "-BUSY"):
+		c.refused.Add(1)
+	case !strings.HasPrefix(line, "$"):
+		c.failed.Add(1)
+	case value != string(valueOf(smallKey(number, i))):
+		c.Break("client %d: answer %d has %d bytes that are not its value", number, i, len(value))
+		return false
+	default:
 		c.served.Add(1)
-		time.Sleep(pause)
 	}
+	return true
 }
--- a/review/standin/peers.go
+++ b/review/standin/peers.go
@@ -212,6 +212,3 @@
 	_, err := c.in.Peek(1)
 	return err != nil
 }
-
-// LimitBuffer limits what the system buffers of the answers that the client has not read.
-func (c *Client) LimitBuffer(bytes int) error { return c.Conn.(*net.TCPConn).SetReadBuffer(bytes) }
