Review: scripts leave nothing behind when cut off, and check no more than the rule

Case 3 no longer counts a wrong value under the rule on crashes; none was seen. Clients wait no longer than the site's do.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -20,11 +20,11 @@
 	clients    = 260                   // fewer than a third of the descriptors
 	apart      = 40 * time.Millisecond // between the arrivals of two clients
 	bigBytes   = 4 << 20
-	smallBytes = 60_000  // under 64 KiB
-	behind     = 16      // reads that a client sends behind that of the big value
-	readRate   = 500_000 // of the big value, in bytes a second
-	deadline   = 1200 * time.Millisecond
-	sample     = 20 * time.Millisecond // between two looks at the router's memory
+	smallBytes = 60_000                 // under 64 KiB
+	behind     = 16                     // reads that a client sends behind that of the big value
+	readRate   = 500_000                // of the big value, in bytes a second
+	deadline   = 900 * time.Millisecond // under 80% of both classes' deadlines
+	sample     = 20 * time.Millisecond  // between two looks at the router's memory
 	mebibyte   = 1 << 20
 )
 
@@ -143,8 +143,7 @@
 	case !strings.HasPrefix(line, "$"):
 		c.failed.Add(1)
 	case value != string(valueOf(smallKey(number, i))):
-		c.Break("client %d: answer %d has %d bytes that are not its value", number, i, len(value))
-		return false
+		c.Log("client %d: answer %d has %d bytes that are not its value: not this case's rule", number, i, len(value))
 	default:
 		c.served.Add(1)
 	}
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -36,6 +37,7 @@
 	record *os.File
 	ended  []func()
 	broken bool
+	ending sync.Once
 }
 
 // New begins a case that writes its record to the given file.
@@ -52,6 +54,9 @@
 	}
 	c.Log("trouble is played: %v", c.Trouble)
 	time.AfterFunc(110*time.Second, func() { c.Fatal("the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	go func() { c.Fatal("ended by a signal: %v", <-signals) }()
 	return c
 }
 
@@ -96,7 +101,12 @@
 	c.exit(Held)
 }
 
+// exit ends all that the case has started, and the process. A second call waits for the first.
 func (c *Case) exit(code int) {
+	c.ending.Do(func() { c.end(code) })
+}
+
+func (c *Case) end(code int) {
 	text, _ := os.ReadFile(c.record.Name())
 	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
 	for i, line := range lines {
