Counters and logs say what is held for clients, by kind

Change: core/clientmemory keeps accounts by kind, which the loop fills; held(...) and held-peak(...) stand in the line of counters, held.KIND in the admin statistics, and a log line tells the kinds while over half of the limit is held.

--- /dev/null
+++ b/core/clientmemory/budget.go
@@ -0,0 +1,122 @@
+// Package clientmemory accounts for the memory that a router holds for its clients. It is pure: the router's event
+// loop, which owns a Budget and all of its accounts, tells it what is held.
+package clientmemory
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind says what memory is held for.
+type Kind uint8
+
+// The kinds of memory held for clients.
+const (
+	UnreadInput    Kind = iota // received from clients and not processed
+	Requests                   // of requests that are not finished
+	PendingAnswers             // answers that wait for an earlier one on their connection
+	UnsentOutput               // answers that the kernel has not accepted yet
+	LargeValues                // buffers of large values in transit
+	ServerInput                // answers of which only a part has arrived
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	UnreadInput:    "unread-input",
+	Requests:       "requests",
+	PendingAnswers: "pending-answers",
+	UnsentOutput:   "unsent-output",
+	LargeValues:    "large-values",
+	ServerInput:    "server-input",
+}
+
+// Kinds returns all kinds, in the order of their names in logs.
+func Kinds() []Kind {
+	kinds := make([]Kind, kindCount)
+	for i := range kinds {
+		kinds[i] = Kind(i)
+	}
+	return kinds
+}
+
+// String returns the name of the kind in logs and metrics.
+func (k Kind) String() string { return kindNames[k] }
+
+// Usage is the number of bytes held, by kind.
+type Usage [kindCount]int
+
+// Total returns the sum of all kinds.
+func (u Usage) Total() (total int) {
+	for _, bytes := range u {
+		total += bytes
+	}
+	return total
+}
+
+// String returns names and bytes.
+func (u Usage) String() string {
+	pairs := make([]string, kindCount)
+	for kind, bytes := range u {
+		pairs[kind] = fmt.Sprintf("%v=%d", Kind(kind), bytes)
+	}
+	return strings.Join(pairs, " ")
+}
+
+// Budget is the sum of all accounts of a router.
+type Budget struct {
+	usage  Usage
+	total  int
+	atPeak Usage
+	peak   int // total of atPeak
+}
+
+// Usage returns the bytes held now, by kind.
+func (b *Budget) Usage() Usage { return b.usage }
+
+// Total returns the bytes held now.
+func (b *Budget) Total() int { return b.total }
+
+// Peak returns the usage at the time when the most was held.
+func (b *Budget) Peak() Usage { return b.atPeak }
+
+func (b *Budget) add(kind Kind, bytes int) {
+	b.usage[kind] += bytes
+	b.total += bytes
+	if b.total > b.peak {
+		b.peak = b.total
+		b.atPeak = b.usage
+	}
+}
+
+// Account is what one holder, such as a client's connection, holds of a budget.
+type Account struct {
+	budget *Budget
+	usage  Usage
+	total  int
+}
+
+// NewAccount returns an empty account.
+func (b *Budget) NewAccount() Account { return Account{budget: b} }
+
+// Add adds bytes, which may be negative, to what the account holds of a kind.
+func (a *Account) Add(kind Kind, bytes int) {
+	if bytes == 0 || a.budget == nil {
+		return
+	}
+	a.usage[kind] += bytes
+	a.total += bytes
+	a.budget.add(kind, bytes)
+}
+
+// Set replaces what the account holds of a kind.
+func (a *Account) Set(kind Kind, bytes int) { a.Add(kind, bytes-a.usage[kind]) }
+
+// Total returns the bytes that the account holds.
+func (a *Account) Total() int { return a.total }
+
+// Release empties the account.
+func (a *Account) Release() {
+	for kind, bytes := range a.usage {
+		a.Add(Kind(kind), -bytes)
+	}
+}
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -77,7 +77,9 @@
 
 // enrollOnce passes a connection to the loop and returns when it has arrived there. After an error it is closed.
 func (r *Router) enrollOnce(c net.Conn) error {
-	enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), &client{r: r, enrolling: true}), c)
+	accepted := newClient(r)
+	accepted.enrolling = true
+	enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), accepted), c)
 	if err != nil {
 		c.Close()
 		return err
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -6,6 +6,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/resp"
@@ -33,6 +34,7 @@
 	detached          bool       // off the loop while a large value is streamed
 	detachedInput     []byte     // input from before it left the loop, not read yet
 	words             [][]byte   // of the last command; the slice is reused
+	memory            clientmemory.Account
 
 	arrivalTimes arrivalTimes // of the unread input
 	receivedAt   clock.Time   // when the last byte of the current command arrived
@@ -45,6 +47,9 @@
 	largeRead *largeRead // set if the reply is a large value
 }
 
+// newClient returns a client whose connection has not reached the loop yet.
+func newClient(r *Router) *client { return &client{r: r, memory: r.held.NewAccount()} }
+
 func (c *client) onOpen(conn gnet.Conn) {
 	if c.detached {
 		c.reattach(conn)
@@ -85,6 +90,7 @@
 		}
 	}
 	c.slots, c.closeAfterReplies, c.conn = nil, true, nil
+	c.memory.Release()
 	if c.r.closingClients || c.r.operator.closingClients || c.r.fleet.outOfService != "" {
 		c.r.queueBatch() // it may have been the last one
 	}
@@ -101,7 +107,9 @@
 		c.r.queueBatch()
 		return gnet.None
 	}
-	if action, isDone := c.readCommands(); isDone {
+	action, isDone := c.readCommands()
+	c.noteMemory()
+	if isDone {
 		return action
 	}
 	if !c.closeAfterReplies {
@@ -117,7 +125,7 @@
 // the action; otherwise it accounts for the input that is left.
 func (c *client) readCommands() (action gnet.Action, isDone bool) {
 	for !c.closeAfterReplies {
-		if len(c.slots) >= c.r.limits.PipelinedCommands || c.r.requestBytes >= c.r.limits.RequestBytes {
+		if len(c.slots) >= c.r.limits.PipelinedCommands || c.r.requestMemory.Total() >= c.r.limits.RequestBytes {
 			c.waitForRoom()
 			break
 		}
@@ -256,7 +264,7 @@
 // fillSlot sets the reply of a slot and writes all replies that are next in order.
 func (c *client) fillSlot(s *slot, text []byte) {
 	if c.detached {
-		s.reply = bytes.Clone(text)
+		c.holdReply(s, text)
 		return
 	}
 	if c.conn == nil {
@@ -266,17 +274,24 @@
 		c.slots = c.slots[1:]
 		c.write(text)
 	} else {
-		s.reply = bytes.Clone(text)
+		c.holdReply(s, text)
 	}
 	c.flushReplies()
 }
 
+// holdReply keeps the reply of a slot until those before it have been written.
+func (c *client) holdReply(s *slot, text []byte) {
+	s.reply = bytes.Clone(text)
+	c.memory.Add(clientmemory.PendingAnswers, cap(s.reply))
+}
+
 // flushReplies writes the replies that are next in order, up to the next large value, which is streamed off the
 // loop.
 func (c *client) flushReplies() {
 	for len(c.slots) > 0 && c.slots[0].reply != nil {
 		text := c.slots[0].reply
 		c.slots = c.slots[1:]
+		c.memory.Add(clientmemory.PendingAnswers, -cap(text))
 		c.write(text)
 	}
 	if c.conn != nil && c.largeWriteNext && len(c.slots) == 0 {
@@ -303,10 +318,22 @@
 		c.r.counts.AbortedConnections++
 		c.r.closeConn(c.conn)
 	} else {
+		c.noteMemory()
 		c.r.noteClientBuffer(n)
 	}
 }
 
+// noteMemory records what the client's connection holds.
+func (c *client) noteMemory() {
+	if c.conn == nil {
+		c.memory.Set(clientmemory.UnreadInput, len(c.detachedInput))
+		c.memory.Set(clientmemory.UnsentOutput, 0)
+		return
+	}
+	c.memory.Set(clientmemory.UnreadInput, c.unreadBytes())
+	c.memory.Set(clientmemory.UnsentOutput, c.conn.OutboundBuffered())
+}
+
 // noteClientBuffer adds to the estimate of the bytes buffered by client connections. If the estimate exceeds the
 // limit, the exact sum is taken, and the clients with the largest buffers are closed until half of the limit is
 // free.
--- a/internal/router/event_order_test.go
+++ b/internal/router/event_order_test.go
@@ -168,7 +168,9 @@
 	if l.r.closeIdleClients(); l.r.stopped {
 		t.Fatal("the router ended while an accepted connection was being enrolled")
 	}
-	client := l.open(&client{r: l.r, enrolling: true})
+	enrolling := newClient(l.r)
+	enrolling.enrolling = true
+	client := l.open(enrolling)
 	if l.r.closeIdleClients(); l.r.stopped {
 		t.Fatal("the router ended while a client was connected")
 	}
--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -129,7 +129,7 @@
 		return RejectedDuplicateID
 	case request.Timeout < 0:
 		return RejectedExpired
-	case r.requestBytes+size > r.limits.RequestBytes:
+	case r.requestMemory.Total()+size > r.limits.RequestBytes:
 		return RejectedOverloaded
 	}
 	timeout := r.cfg.Settings.Methods[method].Deadline // a client that waits longer does not extend it
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -411,8 +411,8 @@
 	if ended != [3]int{n.Served, n.Rejected, n.Failed} {
 		t.Errorf("outcomes: %v by method, %v in all", ended, n)
 	}
-	if n.Requests != n.Served+n.Rejected+n.Failed+n.Abandoned || len(r.requests) != 0 || r.requestBytes != 0 {
-		t.Errorf("counters %v; %d requests and %d bytes are left", n, len(r.requests), r.requestBytes)
+	if n.Requests != n.Served+n.Rejected+n.Failed+n.Abandoned || len(r.requests) != 0 || r.held.Total() != 0 {
+		t.Errorf("counters %v; %d requests and %d bytes are left", n, len(r.requests), r.held.Total())
 	}
 	if n.Attempts != n.OK+n.Misses+n.NotExecuted+n.MaybeExecuted+n.Canceled {
 		t.Errorf("attempts without an outcome: %v", n)
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
 	"spurtrestle/internal/discovery"
@@ -34,7 +35,8 @@
 	received         []byte // what the loop has read of the value and after it; from start on, only what follows the value
 	size             int    // of the value
 	method           routing.Method
-	closeAfter       bool // the server's connection carries nothing after the value
+	memory           clientmemory.Account // belongs to the loop
+	closeAfter       bool                 // the server's connection carries nothing after the value
 
 	// A value that repeats an earlier one of the same connection may answer an earlier attempt: its line end is sent only once
 	// a fence has shown that no other answer follows.
@@ -72,7 +74,9 @@
 		return false
 	}
 	read := &largeRead{r: up.r, upstream: up, client: client, serverDescriptor: fd,
-		received: append([]byte(nil), buf[valueStart:]...), size: size, method: attempt.request.method, closeAfter: outcome.Close, earlier: up.answers}
+		received: append([]byte(nil), buf[valueStart:]...), size: size, method: attempt.request.method, closeAfter: outcome.Close, earlier: up.answers,
+		memory: up.r.held.NewAccount()}
+	read.memory.Set(clientmemory.LargeValues, cap(read.received)+up.r.limits.LargeValueWindow)
 	up.detachFromLoop()
 	attempt.request.finished = true // it is counted when the value ends
 	up.r.endAttempt(attempt, routing.OK, up.r.parseReport(outcome.Report))
@@ -86,6 +90,7 @@
 
 // detachFromLoop takes a server connection off the loop; it stays counted.
 func (up *upstream) detachFromLoop() {
+	up.memory.Release()
 	up.detached = true
 	up.r.connCount++
 	up.conn.SetContext(nil)
@@ -93,6 +98,7 @@
 
 // discard drops a value whose client is gone.
 func (l *largeRead) discard() {
+	l.memory.Release()
 	_ = os.NewFile(uintptr(l.serverDescriptor), "").Close()
 	l.upstream.detachedConnClosed()
 }
@@ -128,6 +134,7 @@
 	c.detachedInput = append([]byte(nil), c.unreadInput()...)
 	conn := c.conn
 	c.detachFromLoop()
+	c.noteMemory()
 	c.r.closeConn(conn)
 	go l.start(fd)
 }
@@ -148,6 +155,8 @@
 	c.arrivalTimes = arrivalTimes{}
 	c.arrivalTimes.noteUnread(len(c.detachedInput), c.lastActivity) // this input arrived before the connection left the loop
 	c.conn, c.detached, c.carriedLargeRead, c.lastActivity = conn, false, true, r.clock()
+	c.memory.Set(clientmemory.LargeValues, 0)
+	c.noteMemory()
 	r.detachedClients--
 	r.connCount-- // it stayed counted while it was off the loop
 	r.clients[c] = struct{}{}
@@ -253,7 +262,7 @@
 		return
 	}
 	r.runAsync(func() {
-		delete(r.largeReads, l)
+		l.finished()
 		r.countOutcome(l.method, wire.Served)
 	})
 	r.enroll(l.clientConn, l.client, l.client.detachedConnLost)
@@ -275,7 +284,7 @@
 		}
 	}
 	l.r.runAsync(func() {
-		delete(l.r.largeReads, l)
+		l.finished()
 		l.r.countOutcome(l.method, wire.Failed)
 		if errors.Is(cause, errOwnerInDoubt) {
 			l.upstream.noteDuplicate(counters.AnswerInDoubt, l.size)
@@ -285,6 +294,12 @@
 	})
 }
 
+// finished forgets a value that is not in transit any more.
+func (l *largeRead) finished() {
+	delete(l.r.largeReads, l)
+	l.memory.Release()
+}
+
 // copyValue copies the rest of the value.
 func (l *largeRead) copyValue() error {
 	r := l.r
@@ -397,7 +412,8 @@
 	}
 	l.clientConn.Close()
 	l.serverConn.Close()
-	delete(r.largeReads, l)
+	l.finished()
+	l.client.memory.Release()
 	r.counts.Requests-- // the successor counts it
 	r.detachedClients--
 	r.serverConnCount--
@@ -424,14 +440,21 @@
 		if id, known := r.endpoints.ID(discovery.UID(message.Server)); known && r.servers[id] != nil {
 			s = r.servers[id]
 		}
-		client := &client{r: r, detached: true, hasSentCommand: true, hasReceived: true, detachedInput: message.Unread}
+		client := newClient(r)
+		client.detached, client.hasSentCommand, client.hasReceived, client.detachedInput = true, true, true, message.Unread
+		client.noteMemory()
 		if len(message.Answers) > 0 {
-			client.slots = []*slot{{reply: message.Answers}}
+			held := &slot{}
+			client.slots = []*slot{held}
+			client.holdReply(held, message.Answers)
 		}
-		read := &largeRead{r: r, client: client, upstream: &upstream{r: r, server: s, addr: s.addr, detached: true, attemptCount: 1, answers: message.Earlier},
+		up := newUpstream(r, s)
+		up.detached, up.attemptCount, up.answers = true, 1, message.Earlier
+		read := &largeRead{r: r, client: client, upstream: up,
 			method: method, clientConn: clientConn, serverConn: serverConn,
 			pending: message.Pending, remaining: message.Remaining, closeAfter: message.CloseAfter, terminated: message.Terminated, received: message.Trailing,
-			sum: message.Sum, earlier: message.Earlier}
+			sum: message.Sum, earlier: message.Earlier, memory: r.held.NewAccount()}
+		read.memory.Set(clientmemory.LargeValues, cap(message.Pending)+r.limits.LargeValueWindow)
 		r.counts.Requests++
 		r.detachedClients++
 		r.serverConnCount++
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/resp"
@@ -57,6 +58,7 @@
 	c.slots = append(c.slots, slot)
 	c.detachFromLoop()
 	c.detachedInput = nil
+	c.memory.Set(clientmemory.LargeValues, cap(w.received)+r.limits.LargeValueWindow)
 	if !valid {
 		slot.reply = invalidRequestReply // it is written after the value has been read
 		w.startGoroutine(w.discardValue)
--- a/internal/router/operator_control.go
+++ b/internal/router/operator_control.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/admin"
@@ -39,6 +40,7 @@
 	outcomes                    [][3]int // by method: succeeded, declined, aborted
 	forwards, openRequests      int
 	listedCaches, avoidedCaches int
+	held                        clientmemory.Usage
 	reloads, rejectedReloads    int
 	notReady                    error // why the router accepts no clients; nil: it does
 	draining, idle              bool  // draining: an operator drains it or it shuts down; idle: no client has anything pending
@@ -260,9 +262,12 @@
 // publishStats updates the statistics for the admin endpoint.
 func (r *Router) publishStats() {
 	counts := &r.counts
+	r.refreshHeldMemory()
+	r.logHeldMemory()
 	snapshot := &stats{outcomes: append([][3]int(nil), counts.OutcomesByMethod...), forwards: counts.ForwardedAttempts,
 		reloads: counts.ConfigReloads, rejectedReloads: counts.RejectedReloads,
 		openRequests: counts.Requests - counts.Served - counts.Rejected - counts.Failed - counts.Abandoned,
+		held:         r.held.Usage(),
 		notReady:     r.readinessError(), draining: r.draining || r.operator.state.Drain}
 	snapshot.idle = (r.operator.closingClients || r.closingClients) && len(r.clients) == 0 && len(r.requests) == 0 &&
 		r.detachedClients == 0 && r.external.openRequests == 0
@@ -318,6 +323,9 @@
 	line("outstanding", snapshot.openRequests, "g")
 	line("discovered", snapshot.listedCaches, "g")
 	line("ejected", snapshot.avoidedCaches, "g")
+	for _, kind := range clientmemory.Kinds() {
+		line("held."+kind.String(), snapshot.held[kind], "g")
+	}
 	line("sighup_applied", snapshot.reloads, "c")
 	line("sighup_rejected", snapshot.rejectedReloads, "c")
 	return out.String()
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
@@ -77,7 +78,7 @@
 // from receivedAt, when the last byte arrived.
 func (r *Router) admitRequest(request *pendingRequest, event routing.RequestArrived, timeout, receivedAt clock.Time) {
 	r.requests[request.ID] = request
-	r.requestBytes += request.size
+	r.requestMemory.Add(clientmemory.Requests, request.size)
 	r.counts.Requests++
 	request.method = event.Method
 	r.addEvent(&requestArrival{request: request, event: event, timeout: max(timeout-r.limits.ClientNetworkMargin, 1), receivedAt: receivedAt})
@@ -127,7 +128,7 @@
 func (r *Router) releaseRequest(request *pendingRequest) {
 	if request.finished && !request.departurePending && len(request.attempts) == 0 && r.requests[request.ID] == request {
 		delete(r.requests, request.ID)
-		r.requestBytes -= request.size
+		r.requestMemory.Add(clientmemory.Requests, -request.size)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 // keeps them within the limits; large_read.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
+// held_memory.go accounts for the memory held for clients;
 // learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
 // connections and requests.
 package router
@@ -28,6 +29,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
@@ -69,7 +71,9 @@
 	timers timers
 
 	requests            map[routing.RequestID]*pendingRequest
-	requestBytes        int                     // memory held by all requests
+	held                clientmemory.Budget     // memory held for clients
+	nextMemoryLog       clock.Time              // until then, logHeldMemory logs nothing
+	requestMemory       clientmemory.Account    // of requests that are not finished
 	clientBufferBytes   int                     // upper bound of the bytes buffered by client connections
 	clients             map[*client]struct{}    // all open clients on the loop
 	largeReads          map[*largeRead]struct{} // large values being streamed to clients
@@ -117,6 +121,7 @@
 		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{},
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
+	r.requestMemory = r.held.NewAccount()
 	r.operator.announcedBans = map[routing.ServerID]bool{}
 	r.counts.OutcomesByMethod = make([][3]int, len(cfg.Settings.Methods))
 	r.dialFunc, r.startWallClock = r.dialAsync, clock.Time(r.startTime.UnixMicro())
@@ -293,8 +298,9 @@
 
 // Counters returns all counters on one line. It must be called on the loop until Run has returned.
 func (r *Router) Counters() string {
+	r.refreshHeldMemory()
 	allocated := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}, {Name: "/gc/heap/allocs:bytes"}}
 	metrics.Read(allocated)
-	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d allocs=%d alloc-bytes=%d", r.counts,
-		len(r.clients), r.connCount, r.pendingDials, len(r.requests), r.requestBytes, allocated[0].Value.Uint64(), allocated[1].Value.Uint64())
+	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d held(%v) held-peak(%v) allocs=%d alloc-bytes=%d", r.counts,
+		len(r.clients), r.connCount, r.pendingDials, len(r.requests), r.requestMemory.Total(), r.held.Usage(), r.held.Peak(), allocated[0].Value.Uint64(), allocated[1].Value.Uint64())
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -135,7 +135,7 @@
 
 func (l *fakeLoop) open(ctx any) *fakeConn {
 	if ctx == nil {
-		ctx = &client{r: l.r}
+		ctx = newClient(l.r)
 	}
 	c := &fakeConn{ctx: ctx, fd: l.fd, onWriteFailure: func(c gnet.Conn) { _ = l.Close(c) }}
 	l.r.OnOpen(c)
@@ -155,7 +155,7 @@
 	for _, s := range l.r.servers {
 		s.dialing++
 		l.r.pendingDials++
-		conn = l.open(&upstream{r: l.r, server: s, addr: s.addr})
+		conn = l.open(newUpstream(l.r, s))
 	}
 	return conn
 }
@@ -180,7 +180,7 @@
 			_ = l.Close(origin)
 		}
 		l.runQueued()
-		fmt.Printf("%s: %q, then %d requests and %d bytes held\n", c.name, client.written, len(l.r.requests), l.r.requestBytes)
+		fmt.Printf("%s: %q, then %d requests and %d bytes held\n", c.name, client.written, len(l.r.requests), l.r.requestMemory.Total())
 	}
 	// Output:
 	// the request was sent completely: "-ERR failed\r\n", then 0 requests and 0 bytes held
@@ -260,7 +260,7 @@
 	}
 	l.r.applyEndpoints(list)
 	l.runQueued()
-	late := l.open(&upstream{r: l.r, server: s})
+	late := l.open(newUpstream(l.r, s))
 	if client.written != "-BUSY\r\n" || late.written != "" || !late.closed {
 		t.Errorf("the client got %q, the server %q", client.written, late.written)
 	}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -84,7 +84,7 @@
 	r.pendingDials++
 	r.counts.Dials++
 	addr := s.addr
-	r.dialFunc(addr, &upstream{r: r, server: s, addr: addr}, func(err error) {
+	r.dialFunc(addr, newUpstream(r, s), func(err error) {
 		r.counts.FailedDials++
 		s.dialing--
 		switch {
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -342,6 +342,7 @@
 		client.conn.SetContext(nil)
 		r.closeConn(client.conn)
 		client.conn = nil
+		client.memory.Release()
 		r.connCount++
 		t.unsentFrames++
 		t.outgoing <- outgoingFrame{Frame: handover.Frame{Kind: handover.Client, Body: client.detachedInput, FDs: []int{fd}}}
@@ -387,7 +388,9 @@
 		r.log.WithError(err).Warn("client connection cannot be adopted")
 		return
 	}
-	r.enroll(c, &client{r: r, detachedInput: f.Body, hasSentCommand: true}, func() {})
+	adopted := newClient(r)
+	adopted.detachedInput, adopted.hasSentCommand = f.Body, true
+	r.enroll(c, adopted, func() {})
 }
 
 // followPredecessor handles the predecessor's frames until it ends.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -6,6 +6,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
@@ -27,6 +28,12 @@
 	answers         answerHistory     // that it has delivered
 	fenceSent       bool              // behind the current attempt; its reply has not been handled
 	end             counters.ServerConnectionEnd
+	memory          clientmemory.Account
+}
+
+// newUpstream returns a connection to a server that is being dialed, or is off the loop.
+func newUpstream(r *Router, s *server) *upstream {
+	return &upstream{r: r, server: s, addr: s.addr, memory: r.held.NewAccount()}
 }
 
 func (up *upstream) onOpen(conn gnet.Conn) {
@@ -148,6 +155,7 @@
 		up.r.endAttempt(attempt, routing.Failed, nil)
 		return gnet.Close
 	case used == 0:
+		up.memory.Set(clientmemory.ServerInput, up.conn.InboundBuffered())
 		return gnet.None
 	}
 	return up.handleAnswer(outcome, buf[:used], buf[used:], keep)
@@ -155,6 +163,7 @@
 
 // handleAnswer handles a complete answer to the current attempt, which the bytes in following came after.
 func (up *upstream) handleAnswer(outcome wire.Outcome, answer, following []byte, keep bool) gnet.Action {
+	up.memory.Release()
 	attempt := up.attempt
 	sum := sumAnswer(outcome, answer)
 	owner := up.ownerOf(outcome, sum, following)
@@ -196,6 +205,7 @@
 // missing, and the client would get a truncated value as a complete one.
 func (up *upstream) onClose(endOfStream bool) {
 	s := up.server
+	up.memory.Release()
 	up.r.serverConnCount--
 	up.r.counts.ServerConnectionEnds[up.end]++
 	if up.conn.OutboundBuffered() > 0 {
