Answers that have been written are released, not kept until their client closes

Cause: removing the first of client.slots by slots[1:] leaves the pointer in the array behind it, and the slot keeps its reply. An answer that once waited for an earlier one stays in memory until the connection closes, long after the kernel has it.

Fix: removeFirstSlot clears the array's entry and the slot's reply. Nothing else refers to it then.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -271,7 +271,7 @@
 		return
 	}
 	if len(c.slots) > 0 && c.slots[0] == s {
-		c.slots = c.slots[1:]
+		c.removeFirstSlot()
 		c.write(text)
 	} else {
 		c.holdReply(s, text)
@@ -285,14 +285,22 @@
 	c.memory.Add(clientmemory.PendingAnswers, cap(s.reply))
 }
 
+// removeFirstSlot removes the slot that is next in order and returns its reply. Neither the array of the slots nor
+// the request of the slot refers to the reply from then on.
+func (c *client) removeFirstSlot() (reply []byte) {
+	first := c.slots[0]
+	c.slots[0] = nil
+	c.slots = c.slots[1:]
+	reply, first.reply = first.reply, nil
+	c.memory.Add(clientmemory.PendingAnswers, -cap(reply))
+	return reply
+}
+
 // flushReplies writes the replies that are next in order, up to the next large value, which is streamed off the
 // loop.
 func (c *client) flushReplies() {
 	for len(c.slots) > 0 && c.slots[0].reply != nil {
-		text := c.slots[0].reply
-		c.slots = c.slots[1:]
-		c.memory.Add(clientmemory.PendingAnswers, -cap(text))
-		c.write(text)
+		c.write(c.removeFirstSlot())
 	}
 	if c.conn != nil && c.largeWriteNext && len(c.slots) == 0 {
 		c.r.runAsync(c.resumeLargeWrite)
--- a/internal/router/held_memory_test.go
+++ b/internal/router/held_memory_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"runtime"
 	"strings"
 	"testing"
+	"weak"
 )
 
 // TestCounters_TellWhatIsHeldForClients guards against memory that is held for clients and appears in no figure.
@@ -18,3 +20,38 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// reachable reports whether a garbage collection leaves what the pointer refers to.
+func reachable[T any](pointer weak.Pointer[T]) bool {
+	runtime.GC()
+	return pointer.Value() != nil
+}
+
+// TestReplies_AreReleasedOnceWritten guards against answers that stay in memory after they have been written, for as
+// long as their client's connection is open.
+func TestReplies_AreReleasedOnceWritten(t *testing.T) {
+	l, completeDial := newHeldDials(t, nil)
+	client := l.open(nil)
+	for _, id := range []string{"first", "second", "third"} {
+		l.receive(client, command("CACHE.GET", "k", id, "c=get,d=1900"))
+	}
+	first, second, third := completeDial(), completeDial(), completeDial()
+	value := strings.Repeat("v", 100) // too long for an allocation that others share
+	hit, reply := "*3\r\n$100\r\n"+value+"\r\n$-1\r\n$-1\r\n", "$100\r\n"+value+"\r\n"
+	l.receive(third, hit)
+	l.receive(second, hit)
+	slots := clientOf(client).slots
+	replies := []weak.Pointer[byte]{weak.Make(&slots[1].reply[0]), weak.Make(&slots[2].reply[0])}
+	slots = nil
+	if !reachable(replies[0]) || !reachable(replies[1]) {
+		t.Fatal("an answer was dropped before it was due")
+	}
+	l.receive(first, hit)
+	if want := strings.Repeat(reply, 3); client.written != want {
+		t.Fatalf("got %q, want %q", client.written, want)
+	}
+	if reachable(replies[0]) || reachable(replies[1]) {
+		t.Error("an answer that has been written stays in memory")
+	}
+	runtime.KeepAlive(client)
+}
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -130,7 +130,7 @@
 		c.r.closeConn(c.conn)
 		return
 	}
-	c.slots = c.slots[1:]
+	c.removeFirstSlot()
 	c.detachedInput = append([]byte(nil), c.unreadInput()...)
 	conn := c.conn
 	c.detachFromLoop()
