--- a/internal/router/held_memory_test.go
+++ b/internal/router/held_memory_test.go
@@ -55,3 +55,26 @@
 	}
 	runtime.KeepAlive(client)
 }
+
+// TestAttempts_AreReleasedOnceSent guards against requests that stay in memory after they have been answered,
+// because they once waited for a connection.
+func TestAttempts_AreReleasedOnceSent(t *testing.T) {
+	l, completeDial := newHeldDials(t, nil)
+	client := l.open(nil)
+	for _, id := range []string{"first", "second"} {
+		l.receive(client, command("CACHE.SET", "k", id, "c=pay,d=1900", "value"))
+	}
+	request := weak.Make(l.r.requests["first"])
+	origin := completeDial()
+	if !reachable(request) {
+		t.Fatal("an open request was dropped")
+	}
+	l.receive(origin, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+	if want := "$1\r\n1\r\n"; client.written != want {
+		t.Fatalf("got %q, want %q", client.written, want)
+	}
+	if reachable(request) {
+		t.Error("a request that has been answered stays in memory")
+	}
+	runtime.KeepAlive(l)
+}
