Pipelined commands wait unread while their answers would not fit into the memory

What callers saw: a router over its memory limit, and all that it had taken lost with it, when answers pile up behind one that is read or served slowly. Nothing bounded them but 256 answers of 64 KiB for each client.

Cause: fillSlot keeps each answer that is not due; requests left their budget when answered, and the answers entered none.

Change: all that is held for clients is one budget (core/clientmemory): a quarter of the memory for commands behind others, an eighth more for those that are first on their connection, as the two budgets were. A read behind others reserves the longest answer before it is begun; a client gets no more than is left to all others, 4 MiB at most. Without room its next command stays unread: nothing is lost, and the time behind others does not count. A first command always begins; over the whole budget it is rejected, which is counted (rejected-for-memory). Nobody is closed for it.

--- /dev/null
+++ b/cmd/cache-router/client_memory_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"spurtrestle/internal/resp"
+)
+
+// These tests have clients make the program hold as much for them as they can, and check that it stays within the memory
+// limit of its configuration and that each request gets an answer.
+
+const (
+	smallValueBytes = 60_000 // held in memory as a whole
+	largeValueBytes = 4 << 20
+)
+
+// valueBytes returns the size of the value of a key.
+func valueBytes(key string) int {
+	if strings.HasPrefix(key, "large") {
+		return largeValueBytes
+	}
+	return smallValueBytes
+}
+
+// valueOf returns the value of a key, which begins with the key.
+func valueOf(key string) string { return key + strings.Repeat(".", valueBytes(key)-len(key)) }
+
+// serveValues answers the reads that arrive at a cache server or the origin, each on a goroutine of its own. Keys that begin with
+// "hung" get no answer, and those that begin with "late" get it after a second.
+func serveValues(s *endpoint) {
+	for m := range s.received {
+		_, request, _ := strings.Cut(m.text, ": ")
+		words := strings.Fields(request)
+		if len(words) < 2 || strings.HasPrefix(words[1], "hung") || strings.HasPrefix(words[1], "/hung") {
+			continue
+		}
+		go func() {
+			if strings.Contains(words[1], "late") {
+				time.Sleep(time.Second)
+			}
+			if key, isHTTP := strings.CutPrefix(words[1], "/"); isHTTP {
+				_, _ = fmt.Fprintf(m.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", valueBytes(key), valueOf(key))
+				return
+			}
+			_, _ = fmt.Fprintf(m.conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", valueBytes(words[1]), valueOf(words[1]))
+		}()
+	}
+}
+
+// startWithMemory starts the program with a memory limit and servers that answer at once.
+func (h *harness) startWithMemory(memoryMB int) {
+	h.sockets = 1024
+	h.replacements = append(h.replacements, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB))
+	h.start([]string{"s1", "s2", "s3", "origin"})
+	for _, name := range []string{"s1", "s2", "s3", "origin"} {
+		go serveValues(h.endpoint(name))
+	}
+}
+
+var anonymousPattern = regexp.MustCompile(`RssAnon:\s+([0-9]+) kB`)
+
+// anonymousBytes returns the anonymous memory of a process, 0 if it has ended.
+func anonymousBytes(pid int) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	match := anonymousPattern.FindSubmatch(text)
+	if match == nil {
+		return 0
+	}
+	kib, _ := strconv.Atoi(string(match[1]))
+	return kib << 10
+}
+
+// watchMemory samples the memory of processes, together, until stop is called, which returns the highest sum.
+func watchMemory(pids func() []int) (stop func() (peak int)) {
+	const sampleInterval = 5 * time.Millisecond
+	var stopped atomic.Bool
+	var peak int
+	var done sync.WaitGroup
+	done.Go(func() {
+		for !stopped.Load() {
+			sum := 0
+			for _, pid := range pids() {
+				sum += anonymousBytes(pid)
+			}
+			peak = max(peak, sum)
+			time.Sleep(sampleInterval)
+		}
+	})
+	return func() int {
+		stopped.Store(true)
+		done.Wait()
+		return peak
+	}
+}
+
+// pacedReader reads at a rate at most, in bytes a second; 0 means at full speed.
+type pacedReader struct {
+	conn net.Conn
+	rate int
+}
+
+// Read implements io.Reader.
+func (p *pacedReader) Read(buffer []byte) (int, error) {
+	const tick = 10 * time.Millisecond
+	if p.rate > 0 {
+		time.Sleep(tick)
+		buffer = buffer[:min(len(buffer), max(1, p.rate/int(time.Second/tick)))]
+	}
+	return p.conn.Read(buffer)
+}
+
+// pipeliningClient sends a read and others behind it at once, and reads the answers at two rates.
+type pipeliningClient struct {
+	firstKey                   string
+	behind                     int
+	firstRate, restTo          int // of the first answer and of the others, in bytes a second
+	beforeRest                 time.Duration
+	served, unsuccessful, lost int
+}
+
+// run plays the client. A request without an answer is lost, and so is one with another value than its own.
+func (c *pipeliningClient) run(address, name string) (err error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	_ = conn.SetDeadline(time.Now().Add(60 * time.Second))
+	keys := []string{c.firstKey + "-" + name}
+	for i := range c.behind {
+		keys = append(keys, fmt.Sprint("small-", name, "-", i))
+	}
+	c.lost = len(keys)
+	var commands []byte
+	for _, key := range keys {
+		commands = resp.AppendCommand(commands, []byte("CACHE.GET"), []byte(key), []byte(key), []byte("c=get,d=2500"))
+	}
+	if _, err = conn.Write(commands); err != nil {
+		return err
+	}
+	paced := &pacedReader{conn: conn, rate: c.firstRate}
+	in := bufio.NewReaderSize(paced, 64<<10)
+	for i, key := range keys {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return fmt.Errorf("%s: answer %d: %w", name, i, err)
+		}
+		if line[0] != '$' {
+			c.unsuccessful++
+		} else {
+			value := make([]byte, valueBytes(key)+2)
+			if _, err = io.ReadFull(in, value); err != nil || !strings.HasPrefix(string(value), key+".") {
+				return fmt.Errorf("%s: answer %d: %q, %w", name, i, value[:20], err)
+			}
+			c.served++
+		}
+		c.lost--
+		if i == 0 {
+			time.Sleep(c.beforeRest)
+			paced.rate = c.restTo
+		}
+	}
+	return nil
+}
+
+// playClients runs clients that begin one after another, and returns their sums.
+func (h *harness) playClients(clients int, apart time.Duration, client pipeliningClient) (sum pipeliningClient) {
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	for i := range clients {
+		done.Go(func() {
+			time.Sleep(time.Duration(i) * apart)
+			one := client
+			err := one.run(h.listen, fmt.Sprint("c", i))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil && sum.lost == 0 {
+				h.t.Error(err)
+			}
+			sum.served += one.served
+			sum.unsuccessful += one.unsuccessful
+			sum.lost += one.lost
+		})
+	}
+	done.Wait()
+	return sum
+}
+
+// TestPipelinedAnswers_StayWithinTheMemoryLimit guards against answers that pile up behind one that is not due or not read yet.
+func TestPipelinedAnswers_StayWithinTheMemoryLimit(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		memoryMB        int
+		clients, behind int
+		first           string
+		rate            int
+		restRate        int
+	}{
+		{"behind slowly read large values, 192 MB", 192, 200, 16, "large", 1_000_000, 0},
+		{"behind slowly read large values, 64 MB", 64, 200, 16, "large", 1_000_000, 0},
+		{"behind a slow server, 64 MB", 64, 120, 16, "late", 0, 0},
+		{"behind a hung server, 64 MB", 64, 120, 16, "hung", 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.startWithMemory(test.memoryMB)
+			pid := h.program.Process.Pid
+			stop := watchMemory(func() []int { return []int{pid} })
+			began := time.Now()
+			sum := h.playClients(test.clients, 5*time.Millisecond, pipeliningClient{firstKey: test.first, behind: test.behind, firstRate: test.rate, restTo: test.restRate})
+			peak := stop()
+			t.Logf("at most %.1f of %d MB, %d served, %d unsuccessful in %v", float64(peak)/(1<<20), test.memoryMB, sum.served, sum.unsuccessful, time.Since(began))
+			if peak > test.memoryMB<<20 {
+				t.Errorf("%d MiB were in use, the limit is %d", peak>>20, test.memoryMB)
+			}
+			if sum.lost > 0 {
+				t.Errorf("%d requests got no answer", sum.lost)
+			}
+		})
+	}
+}
--- a/core/clientmemory/budget.go
+++ b/core/clientmemory/budget.go
@@ -12,22 +12,24 @@
 
 // The kinds of memory held for clients.
 const (
-	UnreadInput    Kind = iota // received from clients and not processed
-	Requests                   // of requests that are not finished
-	PendingAnswers             // answers that wait for an earlier one on their connection
-	UnsentOutput               // answers that the kernel has not accepted yet
-	LargeValues                // buffers of large values in transit
-	ServerInput                // answers of which only a part has arrived
+	UnreadInput     Kind = iota // received from clients and not processed
+	Requests                    // of requests that are not finished
+	ReservedAnswers             // for the answers of pipelined requests, until they arrive
+	PendingAnswers              // answers that wait for an earlier one on their connection
+	UnsentOutput                // answers that the kernel has not accepted yet
+	LargeValues                 // buffers of large values in transit
+	ServerInput                 // answers of which only a part has arrived
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	UnreadInput:    "unread-input",
-	Requests:       "requests",
-	PendingAnswers: "pending-answers",
-	UnsentOutput:   "unsent-output",
-	LargeValues:    "large-values",
-	ServerInput:    "server-input",
+	UnreadInput:     "unread-input",
+	Requests:        "requests",
+	ReservedAnswers: "reserved-answers",
+	PendingAnswers:  "pending-answers",
+	UnsentOutput:    "unsent-output",
+	LargeValues:     "large-values",
+	ServerInput:     "server-input",
 }
 
 // Kinds returns all kinds, in the order of their names in logs.
@@ -62,14 +64,40 @@
 	return strings.Join(pairs, " ")
 }
 
+// Limits bounds what a router holds for its clients, in bytes.
+type Limits struct {
+	Pipelining    int // of all accounts, for commands behind others on their connection
+	FirstCommands int // in addition, for commands that are first on their connection
+	PerClient     int // of the account of one client, for commands behind others
+}
+
 // Budget is the sum of all accounts of a router.
 type Budget struct {
+	limits Limits
 	usage  Usage
 	total  int
 	atPeak Usage
 	peak   int // total of atPeak
 }
 
+// SetLimits sets the limits, also below what is held.
+func (b *Budget) SetLimits(limits Limits) { b.limits = limits }
+
+// Limit returns the most bytes that all accounts may hold together.
+func (b *Budget) Limit() int { return b.limits.Pipelining + b.limits.FirstCommands }
+
+// MayPipeline reports whether a client may have another command begun behind those that it has, for which need
+// bytes are to be reserved. A client gets no more than is left to all others (a dynamic threshold): one that
+// pipelines a lot leaves room for the others, however many there are.
+func (b *Budget) MayPipeline(client *Account, need int) bool {
+	share := client.total + need
+	return share <= b.limits.PerClient && share <= b.limits.Pipelining-b.total-need
+}
+
+// MayBegin reports whether a command may be begun that is first on its connection. Nothing but its own answer can
+// free memory for it, so it gets some that commands behind others do not.
+func (b *Budget) MayBegin() bool { return b.total < b.Limit() }
+
 // Usage returns the bytes held now, by kind.
 func (b *Budget) Usage() Usage { return b.usage }
 
--- a/core/clientmemory/budget_test.go
+++ b/core/clientmemory/budget_test.go
@@ -35,3 +35,30 @@
 		}
 	}
 }
+
+// TestBudget_PipeliningLeavesMemoryForOthers has many clients pipeline as much as they may, in turns: what they hold
+// stays within its limit, and none gets more than its share.
+func TestBudget_PipeliningLeavesMemoryForOthers(t *testing.T) {
+	const need, pipelining, perClient = 65, 10_000, 2_000
+	for _, clients := range []int{1, 2, 10, 1000} {
+		var budget Budget
+		budget.SetLimits(Limits{Pipelining: pipelining, FirstCommands: 100, PerClient: perClient})
+		accounts := make([]Account, clients)
+		for i := range accounts {
+			accounts[i] = budget.NewAccount()
+			for budget.MayPipeline(&accounts[i], need) {
+				accounts[i].Add(ReservedAnswers, need)
+			}
+		}
+		if budget.Total() > pipelining || !budget.MayBegin() {
+			t.Errorf("%d clients: %d bytes are held, the limit is %d", clients, budget.Total(), pipelining)
+		}
+		if first := accounts[0].Total(); first > perClient || first < perClient-need {
+			t.Errorf("%d clients: the first one holds %d bytes, its share is %d", clients, first, perClient)
+		}
+		accounts[0].Add(Requests, pipelining)
+		if budget.MayBegin() {
+			t.Errorf("%d clients: %d bytes are held, and another command may begin", clients, budget.Total())
+		}
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -26,8 +26,9 @@
 
 	// Memory, in bytes; see setMemory.
 	MemoryBytes       int64 // soft memory limit of the Go runtime
-	RequestBytes      int   // of all requests in flight
-	ClientBufferBytes int   // of the buffers of all clients' connections
+	ClientBufferBytes int   // held for all clients together
+	RequestBytes      int   // in addition, for requests that are first on their connection
+	ClientShareBytes  int   // held for one client whose requests are behind others
 
 	// Sizes, in bytes, and queue lengths; see setSizes.
 	RESP              resp.Bounds
@@ -157,12 +158,14 @@
 	heapTenths          = 7
 	requestDivisor      = 8
 	clientBufferDivisor = 4
+	maxClientShareBytes = 4 * mebibyte // as a handover frame carries it, in base64, it fits handover.MaxBodyBytes
 )
 
 func (l *Limits) setMemory(mebibytes int) {
 	l.MemoryBytes = int64(mebibytes) * mebibyte * heapTenths / 10
 	l.RequestBytes = mebibytes * mebibyte / requestDivisor
 	l.ClientBufferBytes = mebibytes * mebibyte / clientBufferDivisor
+	l.ClientShareBytes = maxClientShareBytes
 }
 
 // Sizes, in bytes, and queue lengths of Limits.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,6 +12,8 @@
 	Failed    int
 	Abandoned int // the client disconnected before the answer
 
+	RejectedForMemory int // of Rejected: there was no memory for the request
+
 	UnsentAttempts int // cancelled before they were sent, because the client had disconnected
 
 	OutcomesByMethod [][3]int // for each method: served, rejected, failed
@@ -47,10 +49,10 @@
 	return fmt.Sprintf("taken=%d served=%d rejected=%d failed=%d left=%d attempts=%d ok=%d miss=%d never-ran=%d "+
 		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
 		"lists-failed=%d batches=%d left-waiting=%d deprecated(satisfied=%d nacked=%d write-outs=%d) "+
-		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d",
+		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d rejected-for-memory=%d",
 		c.Requests, c.Served, c.Rejected, c.Failed, c.Abandoned, c.Attempts, c.OK, c.Misses,
 		c.NotExecuted, c.MaybeExecuted, c.Canceled, c.ClientConnections, c.Dials, c.FailedDials, c.EvictedConnections,
 		c.AbortedConnections, c.ServerLists, c.FailedDiscoveryCalls, c.Batches, c.UnsentAttempts,
 		c.Served, c.Rejected, c.Attempts, c.Retries, c.AttemptEnds, c.ServerConnectionEnds,
-		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors)
+		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors, c.RejectedForMemory)
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -42,9 +42,10 @@
 
 // slot is the place of one command in the reply order of its connection.
 type slot struct {
-	request   *pendingRequest
-	reply     []byte     // nil: not answered yet
-	largeRead *largeRead // set if the reply is a large value
+	request       *pendingRequest
+	reply         []byte     // nil: not answered yet
+	largeRead     *largeRead // set if the reply is a large value
+	reservedBytes int        // of memory, for the reply
 }
 
 // newClient returns a client whose connection has not reached the loop yet.
@@ -125,7 +126,7 @@
 // the action; otherwise it accounts for the input that is left.
 func (c *client) readCommands() (action gnet.Action, isDone bool) {
 	for !c.closeAfterReplies {
-		if len(c.slots) >= c.r.limits.PipelinedCommands || c.r.requestMemory.Total() >= c.r.limits.RequestBytes {
+		if !c.mayBegin() {
 			c.waitForRoom()
 			break
 		}
@@ -263,11 +264,12 @@
 
 // fillSlot sets the reply of a slot and writes all replies that are next in order.
 func (c *client) fillSlot(s *slot, text []byte) {
-	if c.detached {
-		c.holdReply(s, text)
+	if c.conn == nil && !c.detached {
 		return
 	}
-	if c.conn == nil {
+	c.releaseReservation(s)
+	if c.detached {
+		c.holdReply(s, text)
 		return
 	}
 	if len(c.slots) > 0 && c.slots[0] == s {
@@ -440,8 +442,17 @@
 		c.replyNow(invalidRequestReply)
 		return
 	}
+	if !r.held.MayBegin() {
+		r.counts.RejectedForMemory++
+		r.countUnadmitted(event.Method, wire.Rejected)
+		c.replyNow(resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected}))
+		return
+	}
 	request.slot.request = request
 	c.slots = append(c.slots, &request.slot)
+	if !write {
+		c.reserveReply(&request.slot)
+	}
 	r.admitRequest(request, event, timeout, c.receivedAt)
 	c.countRequester()
 }
@@ -452,11 +463,11 @@
 // as a failed request if its method is known.
 func (c *client) parseRequest(words [][]byte, write bool) (request *pendingRequest, event routing.RequestArrived, timeout clock.Time, ok bool) {
 	r := c.r
-	size := 0
+	size := requestOverheadBytes
 	for _, word := range words {
 		size += len(word)
 	}
-	storage := make([]byte, 0, size)
+	storage := make([]byte, 0, size-requestOverheadBytes)
 	copyBytes := func(word []byte) []byte {
 		start := len(storage)
 		storage = append(storage, word...)
@@ -497,7 +508,14 @@
 	stalled := r.stalledClients
 	r.stalledClients = nil
 	for _, client := range stalled {
-		client.stalled = false
-		client.resumeReading()
+		switch {
+		case client.conn == nil:
+			client.stalled = false
+		case !client.mayBegin():
+			r.stalledClients = append(r.stalledClients, client)
+		default:
+			client.stalled = false
+			client.resumeReading()
+		}
 	}
 }
--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -119,7 +119,7 @@
 // admitExternal admits a request, or returns why it is rejected; 0 means that it is admitted.
 func (r *Router) admitExternal(request *ExternalRequest) RejectReason {
 	method, known := r.methods[request.Method]
-	size := len(request.Key) + request.Props.Len() + len(request.Value)
+	size := requestOverheadBytes + len(request.Key) + request.Props.Len() + len(request.Value)
 	switch {
 	case r.closingClients || r.operator.state.Drain || r.fleet.outOfService != "":
 		return RejectedShuttingDown
@@ -129,7 +129,7 @@
 		return RejectedDuplicateID
 	case request.Timeout < 0:
 		return RejectedExpired
-	case r.requestMemory.Total()+size > r.limits.RequestBytes:
+	case !r.held.MayBegin():
 		return RejectedOverloaded
 	}
 	timeout := r.cfg.Settings.Methods[method].Deadline // a client that waits longer does not extend it
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -169,7 +169,8 @@
 	cfg := originOnlyConfig()
 	// The limits are low, so that clients stall, dials wait and connections are shed.
 	cfg.Limits.Descriptors, cfg.Limits.MaxDescriptors, cfg.Limits.ServerConnections = 12, 14, 6
-	cfg.Limits.PipelinedCommands, cfg.Limits.RequestBytes, cfg.Limits.IdleClientEvictionAge, cfg.Limits.ClientWriteTimeout = 3, 100, 10e3, 1e6
+	cfg.Limits.PipelinedCommands, cfg.Limits.RequestBytes, cfg.Limits.ClientBufferBytes = 3, 100, 3<<16
+	cfg.Limits.IdleClientEvictionAge, cfg.Limits.ClientWriteTimeout = 10e3, 1e6
 	cfg.Limits.ServerIdleTimeout = 2e6
 	cfg.Settings.MaxAttempts, cfg.Settings.CancelAllowed, cfg.Settings.HedgingAllowed = 3, true, len(steps)%2 == 1
 	cfg.Settings.Methods = append(cfg.Settings.Methods, routing.MethodSettings{Name: "get", LatencyBudget: 6e6, Criticality: 1})
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -10,6 +10,47 @@
 // memoryLogInterval is the least time between two log lines on the memory held for clients.
 const memoryLogInterval = clock.Second
 
+const (
+	// replyOverheadBytes is the most that a reply adds to its value.
+	replyOverheadBytes = 64
+	// requestOverheadBytes is what a request holds in addition to its words.
+	requestOverheadBytes = 1024
+)
+
+// setMemoryLimits divides this router's limits between its processes.
+func (r *Router) setMemoryLimits(processes int) {
+	limits := &r.cfg.Limits
+	r.held.SetLimits(clientmemory.Limits{Pipelining: limits.ClientBufferBytes / processes,
+		FirstCommands: limits.RequestBytes / processes, PerClient: limits.ClientShareBytes})
+}
+
+// reservedReplyBytes is what is reserved for the answer to a pipelined request. A large value is streamed: what is
+// read of it with its head is not longer.
+func (r *Router) reservedReplyBytes() int { return r.limits.RESP.Bulk + replyOverheadBytes }
+
+// mayBegin reports whether there is memory for the client's next command. The first one of a connection always
+// begins; if there is no memory even for that, its request is rejected.
+func (c *client) mayBegin() bool {
+	if len(c.slots) >= c.r.limits.PipelinedCommands {
+		return false
+	}
+	return c.hasNoPendingReplies() || c.r.held.MayPipeline(&c.memory, c.r.reservedReplyBytes())
+}
+
+// reserveReply reserves memory for the answer to a request behind others.
+func (c *client) reserveReply(s *slot) {
+	if len(c.slots) == 1 {
+		return // it is written as it arrives
+	}
+	s.reservedBytes = c.r.reservedReplyBytes()
+	c.memory.Add(clientmemory.ReservedAnswers, s.reservedBytes)
+}
+
+func (c *client) releaseReservation(s *slot) {
+	c.memory.Add(clientmemory.ReservedAnswers, -s.reservedBytes)
+	s.reservedBytes = 0
+}
+
 // refreshHeldMemory updates what gnet holds for each client: gnet writes its buffers without a callback.
 func (r *Router) refreshHeldMemory() {
 	for client := range r.clients {
@@ -20,7 +61,7 @@
 // logHeldMemory logs the memory held for clients, by kind, while it is more than half of its limit.
 func (r *Router) logHeldMemory() {
 	now := r.clock()
-	total, limit := r.held.Total(), r.limits.RequestBytes+r.limits.ClientBufferBytes
+	total, limit := r.held.Total(), r.held.Limit()
 	if total <= limit/2 || now < r.nextMemoryLog {
 		return
 	}
--- a/internal/router/held_memory_test.go
+++ b/internal/router/held_memory_test.go
@@ -15,7 +15,7 @@
 	l.receive(client, command("CACHE.GET", "k", "r0", "c=get,d=1900")+command("PING", value)+"*1\r\n$4\r\nPI")
 	l.receive(completeDial(), "*3\r\n$1000\r\nhalf")
 	client.outboundBytes = 7
-	want := "held-bytes=24 held(unread-input=10 requests=24 pending-answers=1024 unsent-output=7 large-values=0 server-input=15)"
+	want := "held-bytes=1048 held(unread-input=10 requests=1048 reserved-answers=0 pending-answers=1024 unsent-output=7 large-values=0 server-input=15)"
 	if got := l.r.Counters(); !strings.Contains(got, want) {
 		t.Errorf("got %s, want %s", got, want)
 	}
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -82,6 +82,7 @@
 	up.r.endAttempt(attempt, routing.OK, up.r.parseReport(outcome.Report))
 	attempt.request.slot.request = nil
 	attempt.request.slot.largeRead = read
+	client.releaseReservation(&attempt.request.slot)
 	if !client.detached {
 		client.flushReplies()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,7 @@
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
 	r.requestMemory = r.held.NewAccount()
+	r.setMemoryLimits(1)
 	r.operator.announcedBans = map[routing.ServerID]bool{}
 	r.counts.OutcomesByMethod = make([][3]int, len(cfg.Settings.Methods))
 	r.dialFunc, r.startWallClock = r.dialAsync, clock.Time(r.startTime.UnixMicro())
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -471,6 +471,6 @@
 	if r.takeover.predecessor != nil || r.takeover.successor != nil {
 		processes = 2
 	}
-	r.limits.RequestBytes, r.limits.ClientBufferBytes = r.cfg.Limits.RequestBytes/processes, r.cfg.Limits.ClientBufferBytes/processes
+	r.setMemoryLimits(processes)
 	debug.SetMemoryLimit(r.cfg.Limits.MemoryBytes / int64(processes))
 }
