The time that a command waits unread behind others is not taken from its deadline

Cause: an unread command is dated by its arrival, so one that waited for as long as it has was sent to servers with 1 ms, which they may drop without a word. By the protocol the time behind earlier answers does not count. It matters since pipelined commands wait unread when their answers would not fit.

Change: where less than half of the time is left by the arrival, it counts from when the command is begun. Shorter waits are subtracted as before: what is sent never exceeds what is left by either count then.

--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -194,3 +194,18 @@
 		t.Errorf("the cache got %q", cache.written)
 	}
 }
+
+// TestDeadline_OfACommandThatWaitedLongForEarlierOnes guards against attempts that are sent with no time, since their
+// command waited unread for as long as it has: waiting for earlier commands does not count.
+func TestDeadline_OfACommandThatWaitedLongForEarlierOnes(t *testing.T) {
+	l, completeDial := newHeldDials(t, nil)
+	l.r.limits.PipelinedCommands = 1
+	client := l.open(nil)
+	for i := range 2 { // the second stays unread
+		l.receive(client, command("CACHE.GET", "k", fmt.Sprint("r", i), "c=get,d=1900"))
+	}
+	cache := completeDial()
+	l.advance(1850e3)
+	l.receive(cache, hitWith("1"))
+	wantDeadline(t, cache, 1900)
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -45,11 +45,18 @@
 	receivedAt clock.Time // when its last byte arrived
 }
 
+// minDeadlineDivisor gives the part of a request's time below which its wait behind earlier ones on its connection is
+// not subtracted: the protocol does not count it, and a server drops a request with too little time.
+const minDeadlineDivisor = 2
+
 // atTime returns the event with its deadline set. Package routing counts a request's time from when the router
 // read it, since the protocol excludes the time a command waits behind earlier ones on its connection; servers are
 // sent the time left since the last byte arrived.
 func (a *requestArrival) atTime(at clock.Time) routing.Event {
 	a.request.clientDeadline = min(at, a.receivedAt) + a.timeout
+	if a.request.clientDeadline-at < a.timeout/minDeadlineDivisor {
+		a.request.clientDeadline = at + a.timeout
+	}
 	a.event.ValidUntil = at + a.timeout
 	return a.event
 }
