Clients that read slowly lose no answers: these wait in order until the kernel takes them

Cause: gnet's output buffer has no bound and no callback, so a client with more than 1 MiB in it was closed as one that does not read, and over a quarter of the memory the largest holders were closed.

Change: the loop writes replies to the socket itself. What the kernel does not accept of one reply is sent later, every 5 ms at most; the replies behind it stay in their slots, where the budget counts them. A client is closed when it has read nothing for 10 s, as with large values.

--- a/cmd/cache-router/client_memory_test.go
+++ b/cmd/cache-router/client_memory_test.go
@@ -198,6 +198,17 @@
 	return sum
 }
 
+// TestSlowReaders_LoseNoAnswer guards against answers that are lost since they are due at once, or come faster than their client
+// reads them.
+func TestSlowReaders_LoseNoAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.startWithMemory(192)
+	sum := h.playClients(4, 0, pipeliningClient{firstKey: "late", behind: 200, restTo: 10_000_000})
+	if sum.lost > 0 {
+		t.Errorf("%d requests got no answer", sum.lost)
+	}
+}
+
 // TestPipelinedAnswers_StayWithinTheMemoryLimit guards against answers that pile up behind one that is not due or not read yet.
 func TestPipelinedAnswers_StayWithinTheMemoryLimit(t *testing.T) {
 	for _, test := range []struct {
--- /dev/null
+++ b/internal/router/client_output.go
@@ -0,0 +1,238 @@
+package router
+
+import (
+	"bytes"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/core/clientmemory"
+	"spurtrestle/internal/wire"
+	"spurtrestle/internal/wire/resp2"
+)
+
+// slot is the place of one command in the reply order of its connection.
+type slot struct {
+	request       *pendingRequest
+	reply         []byte     // nil: not answered yet
+	largeRead     *largeRead // set if the reply is a large value
+	reservedBytes int        // of memory, for the reply
+}
+
+// replyNow queues the reply of a command that needs no server.
+func (c *client) replyNow(text []byte) {
+	s := &slot{}
+	c.slots = append(c.slots, s)
+	c.fillSlot(s, text)
+}
+
+// deliver replies to a request of this client, in command order.
+func (c *client) deliver(request *pendingRequest, a wire.Answer) {
+	c.r.writeBuffer = resp2.AppendAnswer(c.r.writeBuffer[:0], a)
+	c.fillSlot(&request.slot, c.r.writeBuffer)
+}
+
+// fillSlot sets the reply of a slot and writes all replies that are next in order.
+func (c *client) fillSlot(s *slot, text []byte) {
+	if c.conn == nil && !c.detached {
+		return
+	}
+	c.releaseReservation(s)
+	if c.detached {
+		c.holdReply(s, text)
+		return
+	}
+	if len(c.unsent) == 0 && len(c.slots) > 0 && c.slots[0] == s {
+		c.removeFirstSlot()
+		c.write(text)
+	} else {
+		c.holdReply(s, text)
+	}
+	c.flushReplies()
+}
+
+// holdReply keeps the reply of a slot until those before it have been written.
+func (c *client) holdReply(s *slot, text []byte) {
+	s.reply = bytes.Clone(text)
+	c.memory.Add(clientmemory.PendingAnswers, cap(s.reply))
+}
+
+// removeFirstSlot removes the slot that is next in order and returns its reply. Neither the array of the slots nor
+// the request of the slot refers to the reply from then on.
+func (c *client) removeFirstSlot() (reply []byte) {
+	first := c.slots[0]
+	c.slots[0] = nil
+	c.slots = c.slots[1:]
+	reply, first.reply = first.reply, nil
+	c.memory.Add(clientmemory.PendingAnswers, -cap(reply))
+	return reply
+}
+
+// flushReplies writes the replies that are next in order, up to the next large value, which is streamed off the
+// loop. It stops at a reply that the kernel does not accept completely.
+func (c *client) flushReplies() {
+	for len(c.unsent) == 0 && len(c.slots) > 0 && c.slots[0].reply != nil {
+		c.write(c.removeFirstSlot())
+	}
+	if c.conn == nil || len(c.unsent) > 0 {
+		return
+	}
+	if c.largeWriteNext && len(c.slots) == 0 {
+		c.r.runAsync(c.resumeLargeWrite)
+	}
+	if len(c.slots) > 0 && c.slots[0].largeRead != nil && !c.detachPending {
+		c.detachPending = true
+		c.r.runAsync(c.detach) // not within a callback of this connection
+	}
+	if c.closeAfterReplies && c.mayClose() {
+		c.r.closeConn(c.conn)
+	}
+}
+
+// write hands a reply to the kernel. What it does not accept is sent later, and the replies behind it wait in their
+// slots: gnet's own buffer has no bound.
+func (c *client) write(text []byte) {
+	if c.conn == nil {
+		return
+	}
+	c.lastActivity = c.r.clock()
+	c.lastSentAt = c.lastActivity
+	sent, err := c.r.sendFunc(c.conn, text)
+	if err != nil {
+		c.r.closeConn(c.conn)
+		return
+	}
+	if sent < len(text) {
+		c.unsent = bytes.Clone(text[sent:])
+		c.r.pollClient(c)
+	}
+	c.noteMemory()
+}
+
+// writeUnsent sends more of the reply that the kernel has not accepted completely, and the replies behind it. A client
+// that has not read for long is closed.
+func (c *client) writeUnsent() {
+	now := c.r.clock()
+	sent, err := c.r.sendFunc(c.conn, c.unsent)
+	switch {
+	case err != nil:
+		c.r.closeConn(c.conn)
+		return
+	case sent == 0 && now-c.lastSentAt > c.r.limits.LargeValueUnreadTimeout:
+		c.r.counts.AbortedConnections++
+		c.r.closeConn(c.conn)
+		return
+	case sent > 0:
+		c.lastSentAt, c.lastActivity = now, now
+	}
+	if c.unsent = c.unsent[sent:]; len(c.unsent) == 0 {
+		c.unsent = nil
+	}
+	c.noteMemory()
+	c.flushReplies()
+}
+
+// sendNonblocking writes to a connection's descriptor and returns how many bytes the kernel has accepted.
+func sendNonblocking(conn gnet.Conn, data []byte) (sent int, err error) {
+	for {
+		sent, err = unix.Write(conn.Fd(), data)
+		switch err {
+		case nil:
+			return sent, nil
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM: // it is tried again
+			return 0, nil
+		}
+		return 0, err
+	}
+}
+
+// pollClient has a client's unsent reply sent on from time to time, since the loop is not notified when the kernel
+// has room again.
+func (r *Router) pollClient(c *client) {
+	r.polledClients[c] = struct{}{}
+	r.scheduleClientPoll()
+}
+
+func (r *Router) scheduleClientPoll() {
+	if len(r.polledClients) > 0 && !r.clientPollScheduled {
+		r.clientPollScheduled = true
+		r.after(r.limits.LargeValueRetryInterval, r.pollClients)
+	}
+}
+
+func (r *Router) pollClients() {
+	r.clientPollScheduled = false
+	for client := range r.polledClients {
+		if client.conn != nil && len(client.unsent) > 0 {
+			client.writeUnsent()
+		}
+		if client.conn == nil || len(client.unsent) == 0 {
+			delete(r.polledClients, client)
+		}
+	}
+	r.scheduleClientPoll()
+}
+
+// noteMemory records what the client's connection holds.
+func (c *client) noteMemory() {
+	c.memory.Set(clientmemory.UnsentOutput, cap(c.unsent))
+	if c.conn == nil {
+		c.memory.Set(clientmemory.UnreadInput, len(c.detachedInput))
+		return
+	}
+	c.memory.Set(clientmemory.UnreadInput, c.unreadBytes())
+}
+
+// noteClientBuffer adds to the estimate of the bytes of unread input. If the estimate exceeds the limit, the exact sum
+// is taken, and the clients with the most unread input are closed until half of the limit is free.
+func (r *Router) noteClientBuffer(added int) {
+	if r.clientBufferBytes += added; r.clientBufferBytes <= r.limits.ClientBufferBytes {
+		return
+	}
+	for {
+		r.clientBufferBytes = 0
+		var largest *client
+		for client := range r.clients {
+			r.clientBufferBytes += client.unreadBytes()
+			if largest == nil || client.unreadBytes() > largest.unreadBytes() {
+				largest = client
+			}
+		}
+		if r.clientBufferBytes <= r.limits.ClientBufferBytes/2 {
+			return
+		}
+		r.counts.EvictedConnections++
+		r.closeConn(largest.conn)
+	}
+}
+
+// hasNoPendingReplies reports whether no command of the client is being processed and all replies have been handed
+// to the kernel. An incomplete command does not count.
+func (c *client) hasNoPendingReplies() bool {
+	return len(c.slots) == 0 && len(c.unsent) == 0
+}
+
+// isQuiet reports whether the client has no pending replies and can be closed. Closing while the client sends
+// would drop what the kernel still holds for it, which may be megabytes of a large value.
+func (c *client) isQuiet() bool {
+	if c.hasNoPendingReplies() && c.carriedLargeRead {
+		unsent, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCOUTQ)
+		c.carriedLargeRead = err == nil && unsent > 0
+	}
+	return c.hasNoPendingReplies() && !c.carriedLargeRead
+}
+
+// hasUnreadInput reports whether the client has sent something that the loop has not read. Closing it then would
+// reset the connection of an accepted request; after a pause of the process, or under load, the loop runs its
+// timers before it reads its sockets.
+func (c *client) hasUnreadInput() bool {
+	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
+// mayClose reports whether the client is quiet or has not read its replies for too long.
+func (c *client) mayClose() bool {
+	return c.conn == nil || c.isQuiet() || len(c.slots) == 0 && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
+}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -4,7 +4,6 @@
 	"bytes"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
@@ -33,6 +32,8 @@
 	carriedLargeRead  bool       // has carried a large read, part of which the kernel may still hold
 	detached          bool       // off the loop while a large value is streamed
 	detachedInput     []byte     // input from before it left the loop, not read yet
+	unsent            []byte     // rest of the last written reply that the kernel has not accepted
+	lastSentAt        clock.Time // when the kernel last accepted a part of a reply
 	words             [][]byte   // of the last command; the slice is reused
 	memory            clientmemory.Account
 
@@ -40,14 +41,6 @@
 	receivedAt   clock.Time   // when the last byte of the current command arrived
 }
 
-// slot is the place of one command in the reply order of its connection.
-type slot struct {
-	request       *pendingRequest
-	reply         []byte     // nil: not answered yet
-	largeRead     *largeRead // set if the reply is a large value
-	reservedBytes int        // of memory, for the reply
-}
-
 // newClient returns a client whose connection has not reached the loop yet.
 func newClient(r *Router) *client { return &client{r: r, memory: r.held.NewAccount()} }
 
@@ -90,7 +83,8 @@
 			s.largeRead.discard()
 		}
 	}
-	c.slots, c.closeAfterReplies, c.conn = nil, true, nil
+	c.slots, c.unsent, c.closeAfterReplies, c.conn = nil, nil, true, nil
+	delete(c.r.polledClients, c)
 	c.memory.Release()
 	if c.r.closingClients || c.r.operator.closingClients || c.r.fleet.outOfService != "" {
 		c.r.queueBatch() // it may have been the last one
@@ -206,9 +200,8 @@
 	if c.conn == nil || !c.largeWriteNext {
 		return
 	}
-	if c.conn.OutboundBuffered() > 0 {
-		c.r.after(c.r.limits.LargeValueRetryInterval, c.resumeLargeWrite)
-		return
+	if !c.hasNoPendingReplies() {
+		return // flushReplies calls it again
 	}
 	c.largeWriteNext = false
 	c.resumeReading()
@@ -249,156 +242,6 @@
 	c.closeAfterReplies = true
 }
 
-// replyNow queues the reply of a command that needs no server.
-func (c *client) replyNow(text []byte) {
-	s := &slot{}
-	c.slots = append(c.slots, s)
-	c.fillSlot(s, text)
-}
-
-// deliver replies to a request of this client, in command order.
-func (c *client) deliver(request *pendingRequest, a wire.Answer) {
-	c.r.writeBuffer = resp2.AppendAnswer(c.r.writeBuffer[:0], a)
-	c.fillSlot(&request.slot, c.r.writeBuffer)
-}
-
-// fillSlot sets the reply of a slot and writes all replies that are next in order.
-func (c *client) fillSlot(s *slot, text []byte) {
-	if c.conn == nil && !c.detached {
-		return
-	}
-	c.releaseReservation(s)
-	if c.detached {
-		c.holdReply(s, text)
-		return
-	}
-	if len(c.slots) > 0 && c.slots[0] == s {
-		c.removeFirstSlot()
-		c.write(text)
-	} else {
-		c.holdReply(s, text)
-	}
-	c.flushReplies()
-}
-
-// holdReply keeps the reply of a slot until those before it have been written.
-func (c *client) holdReply(s *slot, text []byte) {
-	s.reply = bytes.Clone(text)
-	c.memory.Add(clientmemory.PendingAnswers, cap(s.reply))
-}
-
-// removeFirstSlot removes the slot that is next in order and returns its reply. Neither the array of the slots nor
-// the request of the slot refers to the reply from then on.
-func (c *client) removeFirstSlot() (reply []byte) {
-	first := c.slots[0]
-	c.slots[0] = nil
-	c.slots = c.slots[1:]
-	reply, first.reply = first.reply, nil
-	c.memory.Add(clientmemory.PendingAnswers, -cap(reply))
-	return reply
-}
-
-// flushReplies writes the replies that are next in order, up to the next large value, which is streamed off the
-// loop.
-func (c *client) flushReplies() {
-	for len(c.slots) > 0 && c.slots[0].reply != nil {
-		c.write(c.removeFirstSlot())
-	}
-	if c.conn != nil && c.largeWriteNext && len(c.slots) == 0 {
-		c.r.runAsync(c.resumeLargeWrite)
-	}
-	if c.conn != nil && len(c.slots) > 0 && c.slots[0].largeRead != nil && !c.detachPending {
-		c.detachPending = true
-		c.r.runAsync(c.detach) // not within a callback of this connection
-	}
-	if c.conn != nil && c.closeAfterReplies && c.mayClose() {
-		c.r.closeConn(c.conn)
-	}
-}
-
-func (c *client) write(text []byte) {
-	if c.conn == nil {
-		return
-	}
-	c.lastActivity = c.r.clock()
-	if _, err := c.conn.Write(text); err != nil { // gnet has closed the connection
-		return
-	}
-	if n := c.conn.OutboundBuffered(); n > c.r.limits.ClientOutput { // the client does not read its replies
-		c.r.counts.AbortedConnections++
-		c.r.closeConn(c.conn)
-	} else {
-		c.noteMemory()
-		c.r.noteClientBuffer(n)
-	}
-}
-
-// noteMemory records what the client's connection holds.
-func (c *client) noteMemory() {
-	if c.conn == nil {
-		c.memory.Set(clientmemory.UnreadInput, len(c.detachedInput))
-		c.memory.Set(clientmemory.UnsentOutput, 0)
-		return
-	}
-	c.memory.Set(clientmemory.UnreadInput, c.unreadBytes())
-	c.memory.Set(clientmemory.UnsentOutput, c.conn.OutboundBuffered())
-}
-
-// noteClientBuffer adds to the estimate of the bytes buffered by client connections. If the estimate exceeds the
-// limit, the exact sum is taken, and the clients with the largest buffers are closed until half of the limit is
-// free.
-func (r *Router) noteClientBuffer(added int) {
-	if r.clientBufferBytes += added; r.clientBufferBytes <= r.limits.ClientBufferBytes {
-		return
-	}
-	for {
-		r.clientBufferBytes = 0
-		var largest *client
-		bytesHeld := func(client *client) int { return client.unreadBytes() + client.conn.OutboundBuffered() }
-		for client := range r.clients {
-			r.clientBufferBytes += bytesHeld(client)
-			if largest == nil || bytesHeld(client) > bytesHeld(largest) {
-				largest = client
-			}
-		}
-		if r.clientBufferBytes <= r.limits.ClientBufferBytes/2 {
-			return
-		}
-		r.counts.EvictedConnections++
-		r.closeConn(largest.conn)
-	}
-}
-
-// hasNoPendingReplies reports whether no command of the client is being processed and all replies have been handed
-// to the kernel. An incomplete command does not count.
-func (c *client) hasNoPendingReplies() bool {
-	return len(c.slots) == 0 && c.conn.OutboundBuffered() == 0
-}
-
-// isQuiet reports whether the client has no pending replies and can be closed. Closing while the client sends
-// would drop what the kernel still holds for it, which may be megabytes of a large value.
-func (c *client) isQuiet() bool {
-	if c.hasNoPendingReplies() && c.carriedLargeRead {
-		unsent, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCOUTQ)
-		c.carriedLargeRead = err == nil && unsent > 0
-	}
-	return c.hasNoPendingReplies() && !c.carriedLargeRead
-}
-
-// hasUnreadInput reports whether the client has sent something that the loop has not read. Closing it then would
-// reset the connection of an accepted request; after a pause of the process, or under load, the loop runs its
-// timers before it reads its sockets.
-func (c *client) hasUnreadInput() bool {
-	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.TIOCINQ)
-	return err == nil && n > 0
-}
-
-// mayClose reports whether the client is quiet or has not read its replies for too long. gnet writes what it can
-// on close, and no more.
-func (c *client) mayClose() bool {
-	return c.conn == nil || c.isQuiet() || len(c.slots) == 0 && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
-}
-
 func (c *client) handleCommand(words [][]byte) {
 	switch string(bytes.ToUpper(words[0])) {
 	case "CACHE.GET":
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -51,13 +51,6 @@
 	s.reservedBytes = 0
 }
 
-// refreshHeldMemory updates what gnet holds for each client: gnet writes its buffers without a callback.
-func (r *Router) refreshHeldMemory() {
-	for client := range r.clients {
-		client.noteMemory()
-	}
-}
-
 // logHeldMemory logs the memory held for clients, by kind, while it is more than half of its limit.
 func (r *Router) logHeldMemory() {
 	now := r.clock()
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -119,11 +119,6 @@
 	if c.conn == nil || c.detached || len(c.slots) == 0 || c.slots[0].largeRead == nil {
 		return
 	}
-	if c.conn.OutboundBuffered() > 0 { // earlier replies have not been written yet
-		c.detachPending = true
-		c.r.after(c.r.limits.LargeValueRetryInterval, c.detach)
-		return
-	}
 	l := c.slots[0].largeRead
 	fd, err := c.conn.Dup()
 	if err != nil {
--- a/internal/router/operator_control.go
+++ b/internal/router/operator_control.go
@@ -262,7 +262,6 @@
 // publishStats updates the statistics for the admin endpoint.
 func (r *Router) publishStats() {
 	counts := &r.counts
-	r.refreshHeldMemory()
 	r.logHeldMemory()
 	snapshot := &stats{outcomes: append([][3]int(nil), counts.OutcomesByMethod...), forwards: counts.ForwardedAttempts,
 		reloads: counts.ConfigReloads, rejectedReloads: counts.RejectedReloads,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,7 +6,7 @@
 // goroutines, and the admin endpoint and the fleet's packages call its exported methods.
 //
 // Files: router.go holds the loop's callbacks; batch.go passes events to package routing; requests.go tracks
-// requests and their attempts, independent of the protocol; clients.go, upstream.go (connections to
+// requests and their attempts, independent of the protocol; clients.go and client_output.go, upstream.go (connections to
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
 // keeps them within the limits; large_read.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
@@ -71,11 +71,13 @@
 	timers timers
 
 	requests            map[routing.RequestID]*pendingRequest
-	held                clientmemory.Budget     // memory held for clients
-	nextMemoryLog       clock.Time              // until then, logHeldMemory logs nothing
-	requestMemory       clientmemory.Account    // of requests that are not finished
-	clientBufferBytes   int                     // upper bound of the bytes buffered by client connections
-	clients             map[*client]struct{}    // all open clients on the loop
+	held                clientmemory.Budget  // memory held for clients
+	nextMemoryLog       clock.Time           // until then, logHeldMemory logs nothing
+	requestMemory       clientmemory.Account // of requests that are not finished
+	clientBufferBytes   int                  // upper bound of the bytes buffered by client connections
+	clients             map[*client]struct{} // all open clients on the loop
+	polledClients       map[*client]struct{} // clients with a reply that the kernel has not accepted completely
+	clientPollScheduled bool
 	largeReads          map[*largeRead]struct{} // large values being streamed to clients
 	detachedClients     int                     // open clients that are off the loop
 	requestingClients   int                     // clients that have sent a request
@@ -83,7 +85,8 @@
 	servers             map[routing.ServerID]*server
 	cacheCodec          wire.ServerCodec // protocol spoken to cache servers
 	originCodec         wire.ServerCodec
-	dialFunc            func(addr string, p connHandler, failed func(error)) // dialAsync, except in tests
+	dialFunc            func(addr string, p connHandler, failed func(error))    // dialAsync, except in tests
+	sendFunc            func(conn gnet.Conn, data []byte) (sent int, err error) // sendNonblocking, except in tests
 	pendingDials        int
 	serverConnCount     int        // open connections to servers
 	duplicateGuardUntil clock.Time // until then a used server connection rests before it is reused; see mayReuse
@@ -125,6 +128,7 @@
 	r.setMemoryLimits(1)
 	r.operator.announcedBans = map[routing.ServerID]bool{}
 	r.counts.OutcomesByMethod = make([][3]int, len(cfg.Settings.Methods))
+	r.polledClients, r.sendFunc = map[*client]struct{}{}, sendNonblocking
 	r.dialFunc, r.startWallClock = r.dialAsync, clock.Time(r.startTime.UnixMicro())
 	r.sinceStart = func() time.Duration { return time.Since(r.startTime) }
 	for i, m := range cfg.Settings.Methods {
@@ -299,7 +303,6 @@
 
 // Counters returns all counters on one line. It must be called on the loop until Run has returned.
 func (r *Router) Counters() string {
-	r.refreshHeldMemory()
 	allocated := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}, {Name: "/gc/heap/allocs:bytes"}}
 	metrics.Read(allocated)
 	return fmt.Sprintf("%v client-open=%d conns=%d dialing=%d reqs=%d held-bytes=%d held(%v) held-peak(%v) allocs=%d alloc-bytes=%d", r.counts,
