Clients whose input cannot be processed yet are not read from, and not closed

Cause: gnet reads whatever arrives and cannot be paused. Input behind a full pipeline or before a large write piled up, and what bounded it closed clients: 256 KiB for one, a quarter of the memory for the largest of all.

Change: such a client leaves the loop by a duplicate of its descriptor (client_pause.go). The loop writes its answers, asks the kernel every 5 ms whether it has left, processes what was read as there is room, and returns it to the loop when it needs more. The rest of a slowly sent command reserves its memory, or waits the same way. Nobody is closed for memory any more.

--- a/cmd/cache-router/client_memory_test.go
+++ b/cmd/cache-router/client_memory_test.go
@@ -242,3 +242,44 @@
 		})
 	}
 }
+
+// TestLargeWritesBehindReads_LoseNothing guards against large writes that fill the memory, and cost their clients the connection,
+// while they wait for earlier answers.
+func TestLargeWritesBehindReads_LoseNothing(t *testing.T) {
+	const clients, memoryMB = 40, 64
+	h := newHarness(t)
+	h.startWithMemory(memoryMB)
+	pid := h.program.Process.Pid
+	stop := watchMemory(func() []int { return []int{pid} })
+	value := []byte(valueOf("large"))
+	var done sync.WaitGroup
+	for i := range clients {
+		done.Go(func() {
+			conn, err := net.Dial("tcp", h.listen)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			commands := resp.AppendCommand(nil, []byte("CACHE.GET"), fmt.Append(nil, "late-", i), fmt.Append(nil, "r", i), []byte("c=get,d=2500"))
+			commands = resp.AppendCommand(commands, []byte("CACHE.SET"), fmt.Append(nil, "small-", i), fmt.Append(nil, "w", i), []byte("c=pay,d=2500"), value)
+			go func() { _, _ = conn.Write(commands) }() // the answers tell whether it failed
+			in := bufio.NewReader(conn)
+			for _, answer := range []string{"read", "write"} {
+				line, err := in.ReadString('\n')
+				if err == nil && line[0] == '$' {
+					_, err = in.Discard(smallValueBytes + 2)
+				}
+				if err != nil {
+					t.Errorf("client %d: the answer to the %s: %v", i, answer, err)
+					return
+				}
+			}
+		})
+	}
+	done.Wait()
+	if peak := stop(); peak > memoryMB<<20 {
+		t.Errorf("%d MiB were in use, the limit is %d", peak>>20, memoryMB)
+	}
+}
--- a/core/clientmemory/budget.go
+++ b/core/clientmemory/budget.go
@@ -13,6 +13,7 @@
 // The kinds of memory held for clients.
 const (
 	UnreadInput     Kind = iota // received from clients and not processed
+	ReservedInput               // for the rest of commands that have arrived in part
 	Requests                    // of requests that are not finished
 	ReservedAnswers             // for the answers of pipelined requests, until they arrive
 	PendingAnswers              // answers that wait for an earlier one on their connection
@@ -24,6 +25,7 @@
 
 var kindNames = [kindCount]string{
 	UnreadInput:     "unread-input",
+	ReservedInput:   "reserved-input",
 	Requests:        "requests",
 	ReservedAnswers: "reserved-answers",
 	PendingAnswers:  "pending-answers",
@@ -94,6 +96,9 @@
 	return share <= b.limits.PerClient && share <= b.limits.Pipelining-b.total-need
 }
 
+// MayReceive reports whether the rest of a command, of need bytes, may be read.
+func (b *Budget) MayReceive(need int) bool { return b.total+need <= b.limits.Pipelining }
+
 // MayBegin reports whether a command may be begun that is first on its connection. Nothing but its own answer can
 // free memory for it, so it gets some that commands behind others do not.
 func (b *Budget) MayBegin() bool { return b.total < b.Limit() }
--- a/internal/router/client_output.go
+++ b/internal/router/client_output.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clientmemory"
@@ -34,7 +33,7 @@
 
 // fillSlot sets the reply of a slot and writes all replies that are next in order.
 func (c *client) fillSlot(s *slot, text []byte) {
-	if c.conn == nil && !c.detached {
+	if !c.isOpen() && !c.detached {
 		return
 	}
 	c.releaseReservation(s)
@@ -74,32 +73,32 @@
 	for len(c.unsent) == 0 && len(c.slots) > 0 && c.slots[0].reply != nil {
 		c.write(c.removeFirstSlot())
 	}
-	if c.conn == nil || len(c.unsent) > 0 {
+	if !c.isOpen() || len(c.unsent) > 0 {
 		return
 	}
-	if c.largeWriteNext && len(c.slots) == 0 {
+	if (c.largeWriteNext || c.paused) && len(c.slots) == 0 {
 		c.r.runAsync(c.resumeLargeWrite)
 	}
 	if len(c.slots) > 0 && c.slots[0].largeRead != nil && !c.detachPending {
 		c.detachPending = true
 		c.r.runAsync(c.detach) // not within a callback of this connection
 	}
-	if c.closeAfterReplies && c.mayClose() {
-		c.r.closeConn(c.conn)
+	if c.closeAfterReplies && !c.paused && c.mayClose() {
+		c.close()
 	}
 }
 
 // write hands a reply to the kernel. What it does not accept is sent later, and the replies behind it wait in their
 // slots: gnet's own buffer has no bound.
 func (c *client) write(text []byte) {
-	if c.conn == nil {
+	if !c.isOpen() {
 		return
 	}
 	c.lastActivity = c.r.clock()
 	c.lastSentAt = c.lastActivity
-	sent, err := c.r.sendFunc(c.conn, text)
+	sent, err := c.r.sendFunc(c, text)
 	if err != nil {
-		c.r.closeConn(c.conn)
+		c.close()
 		return
 	}
 	if sent < len(text) {
@@ -113,14 +112,14 @@
 // that has not read for long is closed.
 func (c *client) writeUnsent() {
 	now := c.r.clock()
-	sent, err := c.r.sendFunc(c.conn, c.unsent)
+	sent, err := c.r.sendFunc(c, c.unsent)
 	switch {
 	case err != nil:
-		c.r.closeConn(c.conn)
+		c.close()
 		return
 	case sent == 0 && now-c.lastSentAt > c.r.limits.LargeValueUnreadTimeout:
 		c.r.counts.AbortedConnections++
-		c.r.closeConn(c.conn)
+		c.close()
 		return
 	case sent > 0:
 		c.lastSentAt, c.lastActivity = now, now
@@ -132,10 +131,10 @@
 	c.flushReplies()
 }
 
-// sendNonblocking writes to a connection's descriptor and returns how many bytes the kernel has accepted.
-func sendNonblocking(conn gnet.Conn, data []byte) (sent int, err error) {
+// sendNonblocking writes to a client's connection and returns how many bytes the kernel has accepted.
+func sendNonblocking(c *client, data []byte) (sent int, err error) {
 	for {
-		sent, err = unix.Write(conn.Fd(), data)
+		sent, err = unix.Write(c.fd(), data)
 		switch err {
 		case nil:
 			return sent, nil
@@ -148,33 +147,6 @@
 	}
 }
 
-// pollClient has a client's unsent reply sent on from time to time, since the loop is not notified when the kernel
-// has room again.
-func (r *Router) pollClient(c *client) {
-	r.polledClients[c] = struct{}{}
-	r.scheduleClientPoll()
-}
-
-func (r *Router) scheduleClientPoll() {
-	if len(r.polledClients) > 0 && !r.clientPollScheduled {
-		r.clientPollScheduled = true
-		r.after(r.limits.LargeValueRetryInterval, r.pollClients)
-	}
-}
-
-func (r *Router) pollClients() {
-	r.clientPollScheduled = false
-	for client := range r.polledClients {
-		if client.conn != nil && len(client.unsent) > 0 {
-			client.writeUnsent()
-		}
-		if client.conn == nil || len(client.unsent) == 0 {
-			delete(r.polledClients, client)
-		}
-	}
-	r.scheduleClientPoll()
-}
-
 // noteMemory records what the client's connection holds.
 func (c *client) noteMemory() {
 	c.memory.Set(clientmemory.UnsentOutput, cap(c.unsent))
@@ -185,29 +157,6 @@
 	c.memory.Set(clientmemory.UnreadInput, c.unreadBytes())
 }
 
-// noteClientBuffer adds to the estimate of the bytes of unread input. If the estimate exceeds the limit, the exact sum
-// is taken, and the clients with the most unread input are closed until half of the limit is free.
-func (r *Router) noteClientBuffer(added int) {
-	if r.clientBufferBytes += added; r.clientBufferBytes <= r.limits.ClientBufferBytes {
-		return
-	}
-	for {
-		r.clientBufferBytes = 0
-		var largest *client
-		for client := range r.clients {
-			r.clientBufferBytes += client.unreadBytes()
-			if largest == nil || client.unreadBytes() > largest.unreadBytes() {
-				largest = client
-			}
-		}
-		if r.clientBufferBytes <= r.limits.ClientBufferBytes/2 {
-			return
-		}
-		r.counts.EvictedConnections++
-		r.closeConn(largest.conn)
-	}
-}
-
 // hasNoPendingReplies reports whether no command of the client is being processed and all replies have been handed
 // to the kernel. An incomplete command does not count.
 func (c *client) hasNoPendingReplies() bool {
@@ -218,7 +167,7 @@
 // would drop what the kernel still holds for it, which may be megabytes of a large value.
 func (c *client) isQuiet() bool {
 	if c.hasNoPendingReplies() && c.carriedLargeRead {
-		unsent, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCOUTQ)
+		unsent, err := unix.IoctlGetInt(c.fd(), unix.SIOCOUTQ)
 		c.carriedLargeRead = err == nil && unsent > 0
 	}
 	return c.hasNoPendingReplies() && !c.carriedLargeRead
@@ -234,5 +183,5 @@
 
 // mayClose reports whether the client is quiet or has not read its replies for too long.
 func (c *client) mayClose() bool {
-	return c.conn == nil || c.isQuiet() || len(c.slots) == 0 && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
+	return !c.isOpen() || c.isQuiet() || c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
 }
--- /dev/null
+++ b/internal/router/client_pause.go
@@ -0,0 +1,179 @@
+package router
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
+
+// gnet reads whatever arrives on a connection and cannot be told to stop. A client whose input cannot be processed
+// yet leaves the loop instead: its connection stays open, the loop goes on writing replies to it, and what it sends
+// stays in the kernel, which stops the client from sending more. It returns to the loop when more input is needed.
+
+// pauseReading takes the client off the loop. If it returns true, the caller closes the connection on the loop, of
+// which a duplicate of the descriptor remains.
+func (c *client) pauseReading() bool {
+	r := c.r
+	descriptor, err := c.conn.Dup()
+	if err != nil {
+		r.log.WithError(err).Debug("client connection: reading cannot be paused")
+		return false // it is tried again when more arrives
+	}
+	c.detachedInput = bytes.Clone(c.unreadInput())
+	c.conn.SetContext(nil)
+	c.conn, c.paused, c.descriptor = nil, true, descriptor
+	c.partialSince = 0
+	delete(r.clients, c)
+	r.detachedClients++
+	r.connCount++
+	r.counts.PausedClients++
+	r.pollClient(c)
+	c.noteMemory()
+	return true
+}
+
+// isOpen reports whether replies can be written to the client now.
+func (c *client) isOpen() bool { return c.conn != nil || c.paused }
+
+// fd returns the descriptor of an open client.
+func (c *client) fd() int {
+	if c.paused {
+		return c.descriptor
+	}
+	return c.conn.Fd()
+}
+
+// close closes the connection of an open client.
+func (c *client) close() {
+	if !c.paused {
+		c.r.closeConn(c.conn)
+		return
+	}
+	_ = unix.Close(c.descriptor) // it is gone even after an error
+	c.paused = false
+	c.detachedConnLost()
+}
+
+// continuePaused processes the input of a paused client, and returns the client to the loop when it needs more.
+func (c *client) continuePaused() {
+	if !c.paused {
+		return
+	}
+	if c.r.takeover.handingOver { // what is left is for the next process, once the replies are written
+		if c.hasNoPendingReplies() {
+			c.resumeOnLoop()
+		}
+		return
+	}
+	result := c.readCommands()
+	c.noteMemory()
+	if result == needsInput || result == endsConnection {
+		c.resumeOnLoop()
+	}
+}
+
+// resumeOnLoop returns a paused client to the loop, where it is read from again. While it is on its way, replies wait
+// in their slots.
+func (c *client) resumeOnLoop() {
+	r := c.r
+	if c.resumeDue = r.pendingResumes == maxPendingEnrolls; c.resumeDue {
+		return // pollClients tries again
+	}
+	r.pendingResumes++
+	c.paused, c.detached = false, true
+	delete(r.polledClients, c)
+	descriptor := c.descriptor
+	go func() {
+		err := r.enrollDuplicate(descriptor, c)
+		if err == nil {
+			_ = unix.Close(descriptor) // it is gone even after an error
+		}
+		r.runAsync(func() {
+			r.pendingResumes--
+			if err != nil {
+				c.paused, c.detached, c.resumeDue = true, false, true
+				r.pollClient(c)
+				c.flushReplies()
+			}
+		})
+	}()
+}
+
+// enrollDuplicate adds a duplicate of a descriptor to the loop with handler p, and returns when it has arrived there.
+func (r *Router) enrollDuplicate(descriptor int, p connHandler) error {
+	duplicate, err := unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	conn, err := connFromDescriptor(duplicate)
+	if err != nil {
+		return err
+	}
+	enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), p), conn)
+	if err != nil {
+		_ = conn.Close() // of a duplicate
+		return err
+	}
+	return (<-enrolled).Err
+}
+
+// pollClient has pollClients look after a client that is paused or has a reply that the kernel has not accepted
+// completely: the loop is not notified of either.
+func (r *Router) pollClient(c *client) {
+	r.polledClients[c] = struct{}{}
+	r.scheduleClientPoll()
+}
+
+func (r *Router) scheduleClientPoll() {
+	if len(r.polledClients) > 0 && !r.clientPollScheduled {
+		r.clientPollScheduled = true
+		r.after(r.limits.LargeValueRetryInterval, r.pollClients)
+	}
+}
+
+// pollClients closes the paused clients that have disconnected, sends what the kernel accepts now, and returns to the
+// loop those that could not return earlier.
+func (r *Router) pollClients() {
+	r.clientPollScheduled = false
+	r.closeGonePausedClients()
+	for client := range r.polledClients {
+		if client.isOpen() && len(client.unsent) > 0 {
+			client.writeUnsent()
+		}
+		if client.paused && r.closingClients && client.mayClose() {
+			client.close()
+		}
+		if client.paused && client.resumeDue {
+			client.resumeOnLoop()
+		}
+		if !client.paused && len(client.unsent) == 0 {
+			delete(r.polledClients, client)
+		}
+	}
+	r.scheduleClientPoll()
+}
+
+// closeGonePausedClients closes the paused clients that have closed their side, as the loop does when it reads that.
+func (r *Router) closeGonePausedClients() {
+	var paused []*client
+	var polled []unix.PollFd
+	for client := range r.polledClients {
+		if client.paused {
+			paused = append(paused, client)
+			polled = append(polled, unix.PollFd{Fd: int32(client.descriptor), Events: unix.POLLRDHUP})
+		}
+	}
+	if len(paused) == 0 {
+		return
+	}
+	if _, err := unix.Poll(polled, 0); err != nil {
+		return // the next poll finds them
+	}
+	for i, client := range paused {
+		if polled[i].Revents != 0 && client.paused {
+			client.close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/client_pause_test.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/core/clock"
+)
+
+// newPausedClient returns a client that has a read in progress and has sent more than can be processed behind it, and
+// the client's end of its connection.
+func newPausedClient(t *testing.T) (l *fakeLoop, cache *fakeConn, paused *client, remote int) {
+	t.Helper()
+	l, completeDial := newHeldDials(t, nil)
+	l.r.loop = failingEnrollLoop{l}
+	l.r.limits.PipelinedCommands, l.r.limits.LargeValueRetryInterval = 1, 5*clock.Millisecond
+	conn := l.open(nil)
+	conn.fd, remote = socketPair(t)
+	paused = clientOf(conn)
+	l.receive(conn, command("CACHE.GET", "k", "first", "c=get,d=1900"))
+	cache = completeDial()
+	for i := 0; !conn.closed; i++ {
+		if i == 1000 {
+			t.Fatalf("%d bytes of a client's input are held, and it is still read from", l.r.held.Total())
+		}
+		l.receive(conn, command("CACHE.GET", "k", fmt.Sprint("next", i), "c=get,d=1900"))
+	}
+	return l, cache, paused, remote
+}
+
+// TestUnprocessedInput_PausesReading guards against unread input that piles up, or costs its client the connection: the
+// client is not read from, gets the answer that it waits for, and is noticed when it leaves.
+func TestUnprocessedInput_PausesReading(t *testing.T) {
+	l, cache, paused, remote := newPausedClient(t)
+	if held, most := l.r.held.Usage().Total(), 2*l.r.bufferBytes; !paused.paused || held > most {
+		t.Fatalf("paused: %v, %d bytes are held, want at most %d", paused.paused, held, most)
+	}
+	l.receive(cache, hitWith("1"))
+	buffer := make([]byte, 100)
+	n, err := unix.Read(remote, buffer)
+	if got := string(buffer[:max(n, 0)]); got != "$1\r\n1\r\n" || err != nil {
+		t.Errorf("a paused client got %q, %v", got, err)
+	}
+	if got := len(l.r.requests); got != 1 {
+		t.Errorf("%d requests are open behind the answered one, want the next of those that were read", got)
+	}
+	if err := unix.Shutdown(remote, unix.SHUT_WR); err != nil {
+		t.Fatal(err)
+	}
+	l.advance(10 * clock.Millisecond)
+	if paused.paused || l.r.detachedClients != 0 || len(l.r.polledClients) != 0 {
+		t.Errorf("a paused client that has left: paused %v, %d off the loop", paused.paused, l.r.detachedClients)
+	}
+	for _, request := range l.r.requests {
+		if !request.finished {
+			t.Errorf("%s is open, and its client has left", request.ID)
+		}
+	}
+}
+
+// TestUnprocessedInput_LargeWriteBehindARead guards against a large write that is read into memory while it has to wait
+// for earlier answers.
+func TestUnprocessedInput_LargeWriteBehindARead(t *testing.T) {
+	l, completeDial := newHeldDials(t, nil)
+	l.r.limits.RESP.Streamed = 4 << 20
+	conn := l.open(nil)
+	conn.fd, _ = socketPair(t)
+	l.receive(conn, command("CACHE.GET", "k", "first", "c=get,d=1900"))
+	completeDial()
+	l.receive(conn, "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$5\r\nwrite\r\n$12\r\nc=pay,d=1900\r\n$4194304\r\n")
+	client := clientOf(conn)
+	for range 100 {
+		if conn.closed {
+			break
+		}
+		l.receive(conn, strings.Repeat("v", 10_000))
+	}
+	if held, most := l.r.held.Usage().Total(), 2*l.r.bufferBytes; !client.paused || held > most {
+		t.Errorf("paused: %v, %d bytes are held, want at most %d", client.paused, held, most)
+	}
+	if client.slots[0].request.finished {
+		t.Error("the read before the write was dropped")
+	}
+}
+
+// TestUnprocessedInput_IncompleteCommandsStayWithinTheMemory guards against small writes that arrive slowly and together
+// are larger than the memory for them.
+func TestUnprocessedInput_IncompleteCommandsStayWithinTheMemory(t *testing.T) {
+	l, _ := newHeldDials(t, nil)
+	l.r.bufferBytes = 4096
+	paused := 0
+	for range 100 {
+		conn := l.open(nil)
+		conn.fd, _ = socketPair(t)
+		client := clientOf(conn)
+		l.receive(conn, "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$5\r\nwrite\r\n$12\r\nc=pay,d=1900\r\n$60000\r\n")
+		for range 10 {
+			if !conn.closed {
+				l.receive(conn, strings.Repeat("v", 5000))
+			}
+		}
+		if client.paused {
+			paused++
+		} else if conn.closed {
+			t.Fatal("a client that sends slowly was closed")
+		}
+	}
+	if total, most := l.r.held.Total(), l.r.held.Limit(); paused == 0 || total > most {
+		t.Errorf("%d clients are paused, %d bytes are held, want at most %d", paused, total, most)
+	}
+}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -30,6 +30,11 @@
 	largeWriteNext    bool       // a large write is next, and waits until everything before it is answered
 	detachPending     bool       // about to leave the loop
 	carriedLargeRead  bool       // has carried a large read, part of which the kernel may still hold
+	paused            bool       // off the loop so that nothing is read; see client_pause.go
+	resumeDue         bool       // paused, and to return to the loop
+	descriptor        int        // of the connection while it is paused
+	waitsForInput     bool       // stalled, and it is the rest of a command that waits for memory
+	inputReserved     bool       // memory is reserved for the rest of an incomplete command
 	detached          bool       // off the loop while a large value is streamed
 	detachedInput     []byte     // input from before it left the loop, not read yet
 	unsent            []byte     // rest of the last written reply that the kernel has not accepted
@@ -102,76 +107,88 @@
 		c.r.queueBatch()
 		return gnet.None
 	}
-	action, isDone := c.readCommands()
-	c.noteMemory()
-	if isDone {
-		return action
-	}
-	if !c.closeAfterReplies {
-		c.accountUnreadInput()
+	result := c.readCommands()
+	if result == streamsValue {
+		return gnet.Close // a duplicate of the descriptor takes over
 	}
-	if c.closeAfterReplies && c.mayClose() {
+	c.noteMemory()
+	switch {
+	case c.closeAfterReplies && c.mayClose():
 		return gnet.Close
+	case c.closeAfterReplies || !c.keepsUnreadInput(result):
+		return gnet.None
+	case c.pauseReading():
+		return gnet.Close // the same
 	}
 	return gnet.None
 }
 
-// readCommands reads complete commands until there is no more input or no more room. If isDone, onTraffic returns
-// the action; otherwise it accounts for the input that is left.
-func (c *client) readCommands() (action gnet.Action, isDone bool) {
+// readResult says why readCommands has read no further.
+type readResult uint8
+
+const (
+	needsInput     readResult = iota // all complete commands have been read
+	waitsForRoom                     // further commands wait for room, or a large write for earlier replies
+	streamsValue                     // the client is off the loop, where a goroutine streams a large value
+	endsConnection                   // the connection is to be closed after its replies
+)
+
+// readCommands reads complete commands until there is no more input or no more room.
+func (c *client) readCommands() readResult {
 	for !c.closeAfterReplies {
 		if !c.mayBegin() {
 			c.waitForRoom()
-			break
+			return waitsForRoom
 		}
 		buf := c.unreadInput()
 		if len(buf) == 0 {
-			return gnet.None, true
+			return needsInput
 		}
 		words, used, err := resp.ReadCommand(buf, c.words, c.r.limits.RESP)
 		c.words = words
 		if err != nil {
 			if ok, detached := c.startLargeWrite(buf); detached {
-				return gnet.Close, true // a duplicate of the descriptor takes over
+				return streamsValue
 			} else if ok {
-				c.r.noteClientBuffer(c.unreadBytes())
-				return gnet.None, true
+				return waitsForRoom
 			}
-		}
-		if err != nil {
 			c.closeWithError("protocol")
-			break
+			return endsConnection
 		}
 		if used == 0 {
-			break
+			return needsInput
 		}
+		c.releaseInputReservation()
 		c.hasSentCommand, c.lastCommandAt, c.partialSince = true, c.lastActivity, 0
 		c.receivedAt = c.arrivalTimes.consume(used, c.lastActivity)
 		if len(words) > 0 {
 			c.handleCommand(words)
 		}
-		if c.closeAfterReplies {
-			break
+		if !c.closeAfterReplies {
+			c.discardInput(used)
 		}
-		c.discardInput(used)
 	}
-	return gnet.None, false
+	return endsConnection
 }
 
-// accountUnreadInput dates the input that is left, and closes the client if it is too much.
-func (c *client) accountUnreadInput() {
-	if n := c.unreadBytes(); n > c.r.limits.ClientInput && !c.largeWriteNext {
-		// gnet reads on even if input is left in its buffer, so a client that keeps sending is disconnected here.
-		c.closeWithError("too much is waiting")
-	} else {
-		if n > 0 && !c.stalled && c.partialSince == 0 {
-			c.partialSince = c.lastActivity
-		}
+// keepsUnreadInput dates the input that is left and reports whether reading is to be paused until it can be processed.
+func (c *client) keepsUnreadInput(result readResult) bool {
+	unread := c.unreadBytes()
+	if result == waitsForRoom {
 		if c.stalled {
-			c.arrivalTimes.noteUnread(n, c.lastActivity)
+			c.arrivalTimes.noteUnread(unread, c.lastActivity)
 		}
-		c.r.noteClientBuffer(n)
+		return unread > c.r.bufferBytes
 	}
+	if unread > 0 && c.partialSince == 0 {
+		c.partialSince = c.lastActivity
+	}
+	if unread <= c.r.bufferBytes || c.reserveInput(unread) {
+		return false
+	}
+	c.waitsForInput = true
+	c.waitForRoom()
+	return true
 }
 
 // isSilent reports whether the client has sent no complete command since it connected, or takes too long for the
@@ -190,6 +207,10 @@
 
 // resumeReading reads input that arrived before the connection was on this loop, or while the client was stalled.
 func (c *client) resumeReading() {
+	if c.paused {
+		c.continuePaused()
+		return
+	}
 	if conn := c.conn; conn != nil && !c.closeAfterReplies && c.onTraffic() == gnet.Close {
 		c.r.closeConn(conn)
 	}
@@ -197,10 +218,7 @@
 
 // resumeLargeWrite continues with a large write once everything before it has been answered and written.
 func (c *client) resumeLargeWrite() {
-	if c.conn == nil || !c.largeWriteNext {
-		return
-	}
-	if !c.hasNoPendingReplies() {
+	if !c.isOpen() || !c.hasNoPendingReplies() {
 		return // flushReplies calls it again
 	}
 	c.largeWriteNext = false
@@ -209,6 +227,9 @@
 
 // unreadInput returns all input that has not been read, with the input from before the client left the loop first.
 func (c *client) unreadInput() []byte {
+	if c.paused {
+		return c.detachedInput
+	}
 	buf, err := c.conn.Peek(-1)
 	if err != nil || len(c.detachedInput) == 0 {
 		return buf
@@ -226,7 +247,12 @@
 	}
 }
 
-func (c *client) unreadBytes() int { return len(c.detachedInput) + c.conn.InboundBuffered() }
+func (c *client) unreadBytes() int {
+	if c.conn == nil {
+		return len(c.detachedInput)
+	}
+	return len(c.detachedInput) + c.conn.InboundBuffered()
+}
 
 func (c *client) waitForRoom() {
 	if !c.stalled {
@@ -352,12 +378,12 @@
 	r.stalledClients = nil
 	for _, client := range stalled {
 		switch {
-		case client.conn == nil:
+		case !client.isOpen():
 			client.stalled = false
-		case !client.mayBegin():
+		case !client.mayContinue():
 			r.stalledClients = append(r.stalledClients, client)
 		default:
-			client.stalled = false
+			client.stalled, client.waitsForInput = false, false
 			client.resumeReading()
 		}
 	}
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math/bits"
+
 	"github.com/sirupsen/logrus"
 
 	"spurtrestle/core/clientmemory"
@@ -11,12 +13,23 @@
 const memoryLogInterval = clock.Second
 
 const (
+	// minBufferBytes is the least size of a buffer.
+	minBufferBytes = 4096
 	// replyOverheadBytes is the most that a reply adds to its value.
 	replyOverheadBytes = 64
 	// requestOverheadBytes is what a request holds in addition to its words.
 	requestOverheadBytes = 1024
 )
 
+// bufferDivisor gives the part of a client's share of the memory that one of its buffers may take.
+const bufferDivisor = 4
+
+// sizeBuffers makes buffers small enough for all clients to have some at the same time.
+func (r *Router) sizeBuffers() {
+	share := r.held.Limit() / max(1, r.limits.ClientConnections) / bufferDivisor
+	r.bufferBytes = 1 << (bits.Len(uint(max(share, minBufferBytes))) - 1)
+}
+
 // setMemoryLimits divides this router's limits between its processes.
 func (r *Router) setMemoryLimits(processes int) {
 	limits := &r.cfg.Limits
@@ -37,6 +50,31 @@
 	return c.hasNoPendingReplies() || c.r.held.MayPipeline(&c.memory, c.r.reservedReplyBytes())
 }
 
+// reserveInput reserves memory for the rest of an incomplete command, of which some is unread. It returns false if
+// there is none.
+func (c *client) reserveInput(unread int) bool {
+	rest := max(0, c.r.limits.RESP.Bulk-unread)
+	if !c.inputReserved && !c.r.held.MayReceive(rest) {
+		return false
+	}
+	c.inputReserved = true
+	c.memory.Set(clientmemory.ReservedInput, rest)
+	return true
+}
+
+func (c *client) releaseInputReservation() {
+	c.inputReserved = false
+	c.memory.Set(clientmemory.ReservedInput, 0)
+}
+
+// mayContinue reports whether there is memory for what a client waits for: the rest of a command, or the next one.
+func (c *client) mayContinue() bool {
+	if c.waitsForInput {
+		return c.r.held.MayReceive(c.r.limits.RESP.Bulk)
+	}
+	return c.mayBegin()
+}
+
 // reserveReply reserves memory for the answer to a request behind others.
 func (c *client) reserveReply(s *slot) {
 	if len(c.slots) == 1 {
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -116,33 +117,44 @@
 // detach takes the client off the loop for the large value that is next in its reply order.
 func (c *client) detach() {
 	c.detachPending = false
-	if c.conn == nil || c.detached || len(c.slots) == 0 || c.slots[0].largeRead == nil {
+	if !c.isOpen() || len(c.slots) == 0 || c.slots[0].largeRead == nil {
 		return
 	}
 	l := c.slots[0].largeRead
-	fd, err := c.conn.Dup()
+	input := bytes.Clone(c.unreadInput())
+	conn := c.conn
+	fd, err := c.detachFromLoop()
 	if err != nil {
 		c.r.log.WithError(err).Warn("large value cannot be forwarded")
-		c.r.closeConn(c.conn)
+		c.close()
 		return
 	}
 	c.removeFirstSlot()
-	c.detachedInput = append([]byte(nil), c.unreadInput()...)
-	conn := c.conn
-	c.detachFromLoop()
+	c.detachedInput = input
 	c.noteMemory()
-	c.r.closeConn(conn)
+	if conn != nil {
+		c.r.closeConn(conn)
+	}
 	go l.start(fd)
 }
 
-// detachFromLoop takes the client's connection off the loop, where a duplicate of its descriptor continues; it
-// stays counted. The caller closes the connection before gnet reads from it again.
-func (c *client) detachFromLoop() {
+// detachFromLoop takes the client's connection off the loop, or out of its pause, and returns the descriptor with which
+// a goroutine continues; it stays counted. If it was on the loop, the descriptor is a duplicate, and the caller closes
+// the connection before gnet reads from it again.
+func (c *client) detachFromLoop() (descriptor int, err error) {
+	if c.paused {
+		c.paused, c.detached = false, true
+		return c.descriptor, nil
+	}
+	if descriptor, err = c.conn.Dup(); err != nil {
+		return -1, err
+	}
 	c.conn.SetContext(nil)
 	c.detached, c.conn = true, nil
 	c.r.detachedClients++
 	c.r.connCount++
 	delete(c.r.clients, c)
+	return descriptor, nil
 }
 
 // reattach returns the client to the loop and writes the replies that are ready.
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -47,17 +47,18 @@
 	if c.largeWriteNext = !c.hasNoPendingReplies(); c.largeWriteNext {
 		return true, false // requests before it must not wait for it
 	}
-	fd, err := c.conn.Dup()
+	received := bytes.Clone(buf[valueStart:])
+	fd, err := c.detachFromLoop()
 	if err != nil {
 		r.log.WithError(err).Warn("large value cannot be read")
 		return false, false
 	}
-	w := &largeWrite{r: r, client: c, clientDescriptor: fd, size: size, received: append([]byte(nil), buf[valueStart:]...)}
+	w := &largeWrite{r: r, client: c, clientDescriptor: fd, size: size, received: received}
 	request, event, timeout, valid := c.parseRequest(words, true)
 	slot := &request.slot
 	c.slots = append(c.slots, slot)
-	c.detachFromLoop()
 	c.detachedInput = nil
+	c.noteMemory()
 	c.memory.Set(clientmemory.LargeValues, cap(w.received)+r.limits.LargeValueWindow)
 	if !valid {
 		slot.reply = invalidRequestReply // it is written after the value has been read
--- a/internal/router/loop_lag.go
+++ b/internal/router/loop_lag.go
@@ -28,7 +28,7 @@
 	}
 	switch responder := request.responder.(type) {
 	case *client:
-		return responder.conn != nil && peerHungUp(responder.conn.Fd())
+		return responder.isOpen() && peerHungUp(responder.fd())
 	case *ExternalRequest:
 		return responder.withdrawn.Load() || responder.ClientGone != nil && responder.ClientGone()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,7 +6,7 @@
 // goroutines, and the admin endpoint and the fleet's packages call its exported methods.
 //
 // Files: router.go holds the loop's callbacks; batch.go passes events to package routing; requests.go tracks
-// requests and their attempts, independent of the protocol; clients.go and client_output.go, upstream.go (connections to
+// requests and their attempts, independent of the protocol; clients.go, client_output.go, client_pause.go, upstream.go (connections to
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
 // keeps them within the limits; large_read.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
@@ -74,9 +74,10 @@
 	held                clientmemory.Budget  // memory held for clients
 	nextMemoryLog       clock.Time           // until then, logHeldMemory logs nothing
 	requestMemory       clientmemory.Account // of requests that are not finished
-	clientBufferBytes   int                  // upper bound of the bytes buffered by client connections
+	bufferBytes         int                  // unread input of a client above which it is paused while it has to wait
 	clients             map[*client]struct{} // all open clients on the loop
-	polledClients       map[*client]struct{} // clients with a reply that the kernel has not accepted completely
+	polledClients       map[*client]struct{} // see pollClient
+	pendingResumes      int                  // paused clients on their way back to the loop
 	clientPollScheduled bool
 	largeReads          map[*largeRead]struct{} // large values being streamed to clients
 	detachedClients     int                     // open clients that are off the loop
@@ -85,8 +86,8 @@
 	servers             map[routing.ServerID]*server
 	cacheCodec          wire.ServerCodec // protocol spoken to cache servers
 	originCodec         wire.ServerCodec
-	dialFunc            func(addr string, p connHandler, failed func(error))    // dialAsync, except in tests
-	sendFunc            func(conn gnet.Conn, data []byte) (sent int, err error) // sendNonblocking, except in tests
+	dialFunc            func(addr string, p connHandler, failed func(error)) // dialAsync, except in tests
+	sendFunc            func(c *client, data []byte) (sent int, err error)   // sendNonblocking, except in tests
 	pendingDials        int
 	serverConnCount     int        // open connections to servers
 	duplicateGuardUntil clock.Time // until then a used server connection rests before it is reused; see mayReuse
@@ -126,6 +127,7 @@
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
 	r.requestMemory = r.held.NewAccount()
 	r.setMemoryLimits(1)
+	r.sizeBuffers()
 	r.operator.announcedBans = map[routing.ServerID]bool{}
 	r.counts.OutcomesByMethod = make([][3]int, len(cfg.Settings.Methods))
 	r.polledClients, r.sendFunc = map[*client]struct{}{}, sendNonblocking
