Buffers of clients and large values are small enough for all of them at a small memory limit

What callers saw: at 64 MB, 1,632 of 3,400 reads rejected for lack of memory with 200 large values in transit, while the process held 38 MiB: each value was counted with 96 KiB and held up to 160 (what the loop had read, a copy with its head, a window).

Change: the buffer of one client is a quarter of its share of the budget, by the number of clients that the descriptors allow: 32 KiB at 192 MB and 1,024 descriptors as before, 16 KiB at 64 MB; the loop reads twice that at once. What was read of a large value is copied once, and released and discounted when it has been written; what was read of a large write is released too.

--- a/cmd/cache-router/client_memory_test.go
+++ b/cmd/cache-router/client_memory_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,6 +82,23 @@
 	return kib << 10
 }
 
+// counter returns one of the program's counters.
+func (h *harness) counter(name string) int {
+	before := strings.Count(h.log.text(), name)
+	_ = h.program.Process.Signal(syscall.SIGUSR1)
+	for until := time.Now().Add(waitTimeout); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		text := h.log.text()
+		if strings.Count(text, name) == before {
+			continue
+		}
+		_, rest, _ := strings.Cut(text[strings.LastIndex(text, name):], "=")
+		value, _ := strconv.Atoi(rest[:strings.IndexAny(rest, " )\"")])
+		return value
+	}
+	h.t.Fatal("the program logs no counters")
+	return 0
+}
+
 // watchMemory samples the memory of processes, together, until stop is called, which returns the highest sum.
 func watchMemory(pids func() []int) (stop func() (peak int)) {
 	const sampleInterval = 5 * time.Millisecond
@@ -239,6 +257,9 @@
 			if sum.lost > 0 {
 				t.Errorf("%d requests got no answer", sum.lost)
 			}
+			if got := h.counter("rejected-for-memory"); got != 0 {
+				t.Errorf("%d requests were rejected for lack of memory", got)
+			}
 		})
 	}
 }
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -28,6 +28,8 @@
 func (r *Router) sizeBuffers() {
 	share := r.held.Limit() / max(1, r.limits.ClientConnections) / bufferDivisor
 	r.bufferBytes = 1 << (bits.Len(uint(max(share, minBufferBytes))) - 1)
+	r.limits.LargeValueWindow = min(r.limits.LargeValueWindow, r.bufferBytes)
+	r.limits.ReadChunk = min(r.limits.ReadChunk, 2*r.bufferBytes)
 }
 
 // setMemoryLimits divides this router's limits between its processes.
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -33,7 +33,7 @@
 	upstream         *upstream
 	client           *client
 	serverDescriptor int    // of the server's connection
-	received         []byte // what the loop has read of the value and after it; from start on, only what follows the value
+	received         []byte // what has been read after the value
 	size             int    // of the value
 	method           routing.Method
 	memory           clientmemory.Account // belongs to the loop
@@ -47,6 +47,7 @@
 	clientConn, serverConn net.Conn    // owned by the goroutine
 	pending                []byte      // bytes to be written to the client
 	remaining              int         // bytes of the value still to be read
+	streams                bool        // the goroutine has written what the loop had read
 	terminated             bool        // the line end after the value is in pending, or written
 	stopped                atomic.Bool // the goroutine is to stop, so that another process continues
 }
@@ -74,10 +75,14 @@
 		up.r.log.WithError(err).Warn("large value cannot be forwarded")
 		return false
 	}
+	head := strconv.AppendInt([]byte{'$'}, int64(size), 10)
+	valueEnd := min(len(buf), valueStart+size)
+	value := buf[valueStart:valueEnd]
 	read := &largeRead{r: up.r, upstream: up, client: client, serverDescriptor: fd,
-		received: append([]byte(nil), buf[valueStart:]...), size: size, method: attempt.request.method, closeAfter: outcome.Close, earlier: up.answers,
+		pending: append(append(head, "\r\n"...), value...), remaining: size - len(value), sum: answerSum{}.add(value),
+		received: bytes.Clone(buf[valueEnd:]), size: size, method: attempt.request.method, closeAfter: outcome.Close, earlier: up.answers,
 		memory: up.r.held.NewAccount()}
-	read.memory.Set(clientmemory.LargeValues, cap(read.received)+up.r.limits.LargeValueWindow)
+	read.memory.Set(clientmemory.LargeValues, cap(read.pending)+up.r.limits.LargeValueWindow)
 	up.detachFromLoop()
 	attempt.request.finished = true // it is counted when the value ends
 	up.r.endAttempt(attempt, routing.OK, up.r.parseReport(outcome.Report))
@@ -216,10 +221,6 @@
 	if err = errors.Join(err, serverErr); err != nil {
 		l.r.log.WithError(err).Warn("large value cannot be forwarded")
 	}
-	n := min(len(l.received), l.size)
-	head := strconv.AppendInt([]byte{'$'}, int64(l.size), 10)
-	l.sum = l.sum.add(l.received[:n])
-	l.pending, l.remaining, l.received = append(append(head, "\r\n"...), l.received[:n]...), l.size-n, l.received[n:]
 	l.clientConn, l.serverConn = client, server
 	if err != nil {
 		l.abort(err)
@@ -328,6 +329,7 @@
 				return err
 			}
 		}
+		l.releasePending()
 		switch {
 		case l.terminated:
 			return nil
@@ -344,6 +346,19 @@
 	}
 }
 
+// releasePending releases what the loop had read of the value, once it has been written.
+func (l *largeRead) releasePending() {
+	if l.pending = nil; l.streams {
+		return
+	}
+	l.streams = true
+	l.r.runAsync(func() {
+		if l.memory.Total() > 0 { // otherwise the value has ended
+			l.memory.Set(clientmemory.LargeValues, l.r.limits.LargeValueWindow)
+		}
+	})
+}
+
 // readChunk reads the next part of the value.
 func (l *largeRead) readChunk(chunk []byte) error {
 	_ = l.serverConn.SetReadDeadline(time.Now().Add(toDuration(l.r.limits.LargeValueStallTimeout)))
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -131,8 +131,9 @@
 		remaining -= len(data)
 	}
 	n := min(len(w.received), remaining)
+	w.client.detachedInput = bytes.Clone(w.received[n:]) // the client is off the loop: nothing else accesses it
 	consume(w.received[:n])
-	w.client.detachedInput = w.received[n:] // the client is off the loop: nothing else accesses it
+	w.received = nil
 	chunk := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(chunk)
 	if len(*chunk) != w.r.limits.LargeValueWindow {
