--- a/cmd/cache-router/client_memory_test.go
+++ b/cmd/cache-router/client_memory_test.go
@@ -37,36 +37,61 @@
 // valueOf returns the value of a key, which begins with the key.
 func valueOf(key string) string { return key + strings.Repeat(".", valueBytes(key)-len(key)) }
 
-// serveValues answers the reads that arrive at a cache server or the origin, each on a goroutine of its own. Keys that begin with
-// "hung" get no answer, and those that begin with "late" get it after a second.
-func serveValues(s *endpoint) {
+// valueServers are the cache servers and the origin of a test. They answer each read with the value of its key.
+type valueServers struct {
+	servedBy sync.Map    // the name of the server that was asked for a key first
+	hanging  atomic.Bool // s3 answers nothing
+}
+
+// serve answers the reads that arrive at a server, each on a goroutine of its own. Keys that begin with "late" get their answer
+// after a second.
+func (v *valueServers) serve(name string, s *endpoint) {
 	for m := range s.received {
 		_, request, _ := strings.Cut(m.text, ": ")
 		words := strings.Fields(request)
-		if len(words) < 2 || strings.HasPrefix(words[1], "hung") || strings.HasPrefix(words[1], "/hung") {
+		if len(words) < 2 || v.hanging.Load() && name == "s3" {
 			continue
 		}
+		key, isHTTP := strings.CutPrefix(words[1], "/")
+		v.servedBy.LoadOrStore(key, name)
 		go func() {
-			if strings.Contains(words[1], "late") {
+			if strings.HasPrefix(key, "late") {
 				time.Sleep(time.Second)
 			}
-			if key, isHTTP := strings.CutPrefix(words[1], "/"); isHTTP {
+			if isHTTP {
 				_, _ = fmt.Fprintf(m.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", valueBytes(key), valueOf(key))
 				return
 			}
-			_, _ = fmt.Fprintf(m.conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", valueBytes(words[1]), valueOf(words[1]))
+			_, _ = fmt.Fprintf(m.conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", valueBytes(key), valueOf(key))
 		}()
 	}
 }
 
-// startWithMemory starts the program with a memory limit and servers that answer at once.
-func (h *harness) startWithMemory(memoryMB int) {
+// keysByServer asks for keys and returns them by the server that the router sends them to.
+func (h *harness) keysByServer(v *valueServers) map[string][]string {
+	const probes = 60
+	sum := h.playClients(1, 0, pipeliningClient{firstKey: "small", behind: probes})
+	if sum.lost > 0 {
+		h.t.Fatal("the first reads got no answer")
+	}
+	keys := map[string][]string{}
+	v.servedBy.Range(func(key, name any) bool {
+		keys[name.(string)] = append(keys[name.(string)], key.(string))
+		return true
+	})
+	return keys
+}
+
+// startWithMemory starts the program with a memory limit.
+func (h *harness) startWithMemory(memoryMB int) *valueServers {
+	servers := &valueServers{}
 	h.sockets = 1024
 	h.replacements = append(h.replacements, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB))
 	h.start([]string{"s1", "s2", "s3", "origin"})
 	for _, name := range []string{"s1", "s2", "s3", "origin"} {
-		go serveValues(h.endpoint(name))
+		go servers.serve(name, h.endpoint(name))
 	}
+	return servers
 }
 
 var anonymousPattern = regexp.MustCompile(`RssAnon:\s+([0-9]+) kB`)
@@ -142,7 +167,8 @@
 type pipeliningClient struct {
 	firstKey                   string
 	behind                     int
-	firstRate, restTo          int // of the first answer and of the others, in bytes a second
+	behindKeys                 []string // keys of the others, in turns; nil: keys of their own
+	firstRate, restTo          int      // of the first answer and of the others, in bytes a second
 	beforeRest                 time.Duration
 	served, unsuccessful, lost int
 }
@@ -156,14 +182,18 @@
 	defer conn.Close()
 	_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 	_ = conn.SetDeadline(time.Now().Add(60 * time.Second))
-	keys := []string{c.firstKey + "-" + name}
+	keys := []string{c.firstKey}
 	for i := range c.behind {
+		if c.behindKeys != nil {
+			keys = append(keys, c.behindKeys[i%len(c.behindKeys)])
+			continue
+		}
 		keys = append(keys, fmt.Sprint("small-", name, "-", i))
 	}
 	c.lost = len(keys)
 	var commands []byte
-	for _, key := range keys {
-		commands = resp.AppendCommand(commands, []byte("CACHE.GET"), []byte(key), []byte(key), []byte("c=get,d=2500"))
+	for i, key := range keys {
+		commands = resp.AppendCommand(commands, []byte("CACHE.GET"), []byte(key), fmt.Append(nil, name, "-", i), []byte("c=get,d=2500"))
 	}
 	if _, err = conn.Write(commands); err != nil {
 		return err
@@ -201,7 +231,11 @@
 		done.Go(func() {
 			time.Sleep(time.Duration(i) * apart)
 			one := client
-			err := one.run(h.listen, fmt.Sprint("c", i))
+			name := fmt.Sprint("c", i)
+			if one.behindKeys == nil {
+				one.firstKey += "-" + name
+			}
+			err := one.run(h.listen, name)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil && sum.lost == 0 {
@@ -235,20 +269,25 @@
 		clients, behind int
 		first           string
 		rate            int
-		restRate        int
 	}{
-		{"behind slowly read large values, 192 MB", 192, 200, 16, "large", 1_000_000, 0},
-		{"behind slowly read large values, 64 MB", 64, 200, 16, "large", 1_000_000, 0},
-		{"behind a slow server, 64 MB", 64, 120, 16, "late", 0, 0},
-		{"behind a hung server, 64 MB", 64, 120, 16, "hung", 0, 0},
+		{"behind slowly read large values, 192 MB", 192, 200, 16, "large", 1_000_000},
+		{"behind slowly read large values, 64 MB", 64, 200, 16, "large", 1_000_000},
+		{"behind a slow server, 64 MB", 64, 10, 200, "late", 0},
+		{"behind a hung server, 64 MB", 64, 10, 200, "hung", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t)
-			h.startWithMemory(test.memoryMB)
+			servers := h.startWithMemory(test.memoryMB)
+			client := pipeliningClient{firstKey: test.first, behind: test.behind, firstRate: test.rate}
+			if test.first == "hung" {
+				keys := h.keysByServer(servers)
+				client.firstKey, client.behindKeys = keys["s3"][0], append(keys["s1"], keys["s2"]...)
+				servers.hanging.Store(true)
+			}
 			pid := h.program.Process.Pid
 			stop := watchMemory(func() []int { return []int{pid} })
 			began := time.Now()
-			sum := h.playClients(test.clients, 5*time.Millisecond, pipeliningClient{firstKey: test.first, behind: test.behind, firstRate: test.rate, restTo: test.restRate})
+			sum := h.playClients(test.clients, 5*time.Millisecond, client)
 			peak := stop()
 			t.Logf("at most %.1f of %d MB, %d served, %d unsuccessful in %v", float64(peak)/(1<<20), test.memoryMB, sum.served, sum.unsuccessful, time.Since(began))
 			if peak > test.memoryMB<<20 {
