Both processes of a handover hold no more for clients than one may

Cause: the two halved the limit from then on, whatever the old process already held, and all values were stopped and encoded at once: base64 and JSON of all pending answers beside the answers.

Values are stopped only while frames on their way take less than a sixteenth of the budget, in which they are counted (handover-frames). One client holds an eighth of the budget for pipelining at most, so that its frame stays small at small limits. The runtime's soft limit of the old process follows what it holds.

TestHandover_FramesOnTheirWayAreBounded and TestHandover_TwoProcessesStayWithinTheMemoryLimit failed before, the latter at times.

--- a/cmd/cache-router/client_memory_test.go
+++ b/cmd/cache-router/client_memory_test.go
@@ -44,7 +44,7 @@
 }
 
 // serve answers the reads that arrive at a server, each on a goroutine of its own. Keys that begin with "late" get their answer
-// after a second.
+// after a second; in the middle of those that begin with "large-paused" nothing comes for longer.
 func (v *valueServers) serve(name string, s *endpoint) {
 	for m := range s.received {
 		_, request, _ := strings.Cut(m.text, ": ")
@@ -62,7 +62,13 @@
 				_, _ = fmt.Fprintf(m.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", valueBytes(key), valueOf(key))
 				return
 			}
-			_, _ = fmt.Fprintf(m.conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", valueBytes(key), valueOf(key))
+			answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", valueBytes(key), valueOf(key))
+			if strings.HasPrefix(key, "large-paused") {
+				_, _ = io.WriteString(m.conn, answer[:len(answer)/2])
+				time.Sleep(2500 * time.Millisecond)
+				answer = answer[len(answer)/2:]
+			}
+			_, _ = io.WriteString(m.conn, answer)
 		}()
 	}
 }
@@ -343,3 +349,36 @@
 		t.Errorf("%d MiB were in use, the limit is %d", peak>>20, memoryMB)
 	}
 }
+
+// TestHandover_TwoProcessesStayWithinTheMemoryLimit guards against a handover in which both processes together hold more for the
+// clients than one may, or frames that pile up on their way.
+func TestHandover_TwoProcessesStayWithinTheMemoryLimit(t *testing.T) {
+	for _, memoryMB := range []int{192, 64} {
+		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) {
+			h := newHarness(t)
+			h.startWithMemory(memoryMB)
+			go h.serveList("s1", "s2", "s3", "origin")
+			old := h.program.Process.Pid
+			var next atomic.Int64
+			stop := watchMemory(func() []int { return []int{old, int(next.Load())} })
+			var clients sync.WaitGroup
+			var sum pipeliningClient
+			clients.Go(func() {
+				sum = h.playClients(200, 5*time.Millisecond, pipeliningClient{firstKey: "large-paused", behind: 64})
+			})
+			time.Sleep(1500 * time.Millisecond)
+			h.admin = strings.Replace(h.listen, ":6379", ":6400", 1)
+			h.startProcess()
+			next.Store(int64(h.program.Process.Pid))
+			clients.Wait()
+			peak := stop()
+			t.Logf("at most %.1f of %d MB, %d served, %d unsuccessful", float64(peak)/(1<<20), memoryMB, sum.served, sum.unsuccessful)
+			if peak > memoryMB<<20 {
+				t.Errorf("%d MiB were in use, the limit is %d", peak>>20, memoryMB)
+			}
+			if sum.lost > 0 {
+				t.Errorf("%d requests got no answer", sum.lost)
+			}
+		})
+	}
+}
--- a/core/clientmemory/budget.go
+++ b/core/clientmemory/budget.go
@@ -20,6 +20,7 @@
 	UnsentOutput                // answers that the kernel has not accepted yet
 	LargeValues                 // buffers of large values in transit
 	ServerInput                 // answers of which only a part has arrived
+	HandoverFrames              // clients and values on their way to the next process
 	kindCount
 )
 
@@ -31,6 +32,7 @@
 	PendingAnswers:  "pending-answers",
 	UnsentOutput:    "unsent-output",
 	LargeValues:     "large-values",
+	HandoverFrames:  "handover-frames",
 	ServerInput:     "server-input",
 }
 
@@ -73,6 +75,22 @@
 	PerClient     int // of the account of one client, for commands behind others
 }
 
+// Total returns the most bytes that all accounts may hold together.
+func (l Limits) Total() int { return l.Pipelining + l.FirstCommands }
+
+// minShareDivisor gives the part of the limits that a process has in any case.
+const minShareDivisor = 8
+
+// Beside returns the limits of a process while another one, which takes on nothing new, holds some bytes. If it is not
+// known how many, they are half of the limits.
+func (l Limits) Beside(known bool, bytes int) Limits {
+	if !known {
+		bytes = l.Total() / 2
+	}
+	rest := max(l.Total()-bytes, l.Total()/minShareDivisor)
+	return Limits{Pipelining: l.Pipelining * rest / l.Total(), FirstCommands: l.FirstCommands * rest / l.Total(), PerClient: l.PerClient}
+}
+
 // Budget is the sum of all accounts of a router.
 type Budget struct {
 	limits Limits
@@ -86,7 +104,7 @@
 func (b *Budget) SetLimits(limits Limits) { b.limits = limits }
 
 // Limit returns the most bytes that all accounts may hold together.
-func (b *Budget) Limit() int { return b.limits.Pipelining + b.limits.FirstCommands }
+func (b *Budget) Limit() int { return b.limits.Total() }
 
 // MayPipeline reports whether a client may have another command begun behind those that it has, for which need
 // bytes are to be reserved. A client gets no more than is left to all others (a dynamic threshold): one that
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -158,6 +158,7 @@
 	heapTenths          = 7
 	requestDivisor      = 8
 	clientBufferDivisor = 4
+	clientShareDivisor  = 8            // of ClientBufferBytes
 	maxClientShareBytes = 4 * mebibyte // as a handover frame carries it, in base64, it fits handover.MaxBodyBytes
 )
 
@@ -165,7 +166,7 @@
 	l.MemoryBytes = int64(mebibytes) * mebibyte * heapTenths / 10
 	l.RequestBytes = mebibytes * mebibyte / requestDivisor
 	l.ClientBufferBytes = mebibytes * mebibyte / clientBufferDivisor
-	l.ClientShareBytes = maxClientShareBytes
+	l.ClientShareBytes = min(maxClientShareBytes, l.ClientBufferBytes/clientShareDivisor)
 }
 
 // Sizes, in bytes, and queue lengths of Limits.
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -15,6 +15,7 @@
 	Client          Kind = 'C' // from the predecessor: carries a client's connection; the body is the input that was read and not processed
 	LargeValue      Kind = 'V' // from the predecessor: carries a client's and a server's connection, between which a value is in transit
 	DescriptorCount Kind = 'S' // from both: how many descriptors the sender has open, in decimal
+	HeldMemory      Kind = 'M' // from both: how many bytes the sender holds for clients, in decimal; not sent by older releases
 	LeaseTransfer   Kind = 'P' // from the predecessor: its leases under the fleet's policy
 )
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -7,7 +7,7 @@
 //	predecessor   Listener, OperatorState, Snapshot
 //	successor     Ready, once it has an endpoint list and accepts clients
 //	predecessor   Client or LargeValue for each connection, once nothing else is in flight on it
-//	both          OperatorState and DescriptorCount at any time
+//	both          OperatorState, DescriptorCount and HeldMemory at any time
 //	predecessor   LeaseTransfer at any time
 //
 // It ends when either process closes the connection. If the successor ends early, the predecessor accepts clients again.
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -32,13 +32,6 @@
 	r.limits.ReadChunk = min(r.limits.ReadChunk, 2*r.bufferBytes)
 }
 
-// setMemoryLimits divides this router's limits between its processes.
-func (r *Router) setMemoryLimits(processes int) {
-	limits := &r.cfg.Limits
-	r.held.SetLimits(clientmemory.Limits{Pipelining: limits.ClientBufferBytes / processes,
-		FirstCommands: limits.RequestBytes / processes, PerClient: limits.ClientShareBytes})
-}
-
 // reservedReplyBytes is what is reserved for the answer to a pipelined request. A large value is streamed: what is
 // read of it with its head is not longer.
 func (r *Router) reservedReplyBytes() int { return r.limits.RESP.Bulk + replyOverheadBytes }
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"net"
@@ -375,14 +376,23 @@
 	return nil
 }
 
-// requestStop stops the goroutine between two chunks, once all requests behind the value are answered: this
-// process has to answer the client's pending requests.
+// requestStop stops the goroutine between two chunks, so that handOver is called.
 func (l *largeRead) requestStop() {
-	if !l.stopped.Load() && l.client.allAnswered() {
-		l.stopped.Store(true)
-		_ = l.clientConn.SetDeadline(time.Unix(1, 0))
-		_ = l.serverConn.SetDeadline(time.Unix(1, 0))
+	l.stopped.Store(true)
+	_ = l.clientConn.SetDeadline(time.Unix(1, 0))
+	_ = l.serverConn.SetDeadline(time.Unix(1, 0))
+}
+
+// mayStop reports whether the value can be handed over: this process has to answer the client's pending requests.
+func (l *largeRead) mayStop() bool { return !l.stopped.Load() && l.client.allAnswered() }
+
+// frameBytes estimates the size of the frame that hands the value over, in which bytes are in base64.
+func (l *largeRead) frameBytes() int {
+	bytes := l.r.limits.LargeValueWindow + len(l.client.detachedInput)
+	for _, s := range l.client.slots {
+		bytes += len(s.reply)
 	}
+	return base64.StdEncoding.EncodedLen(bytes)
 }
 
 func (c *client) allAnswered() bool {
@@ -408,6 +418,7 @@
 func (l *largeRead) handOver() {
 	r, t := l.r, &l.r.takeover
 	if !t.handingOver {
+		t.frameMemory.Add(clientmemory.HandoverFrames, -l.frameBytes())
 		l.stopped.Store(false)
 		go l.forward()
 		return
@@ -426,7 +437,9 @@
 			fds = append(fds, fd)
 		}
 	}
+	reserved := l.frameBytes()
 	if err != nil {
+		t.frameMemory.Add(clientmemory.HandoverFrames, -reserved)
 		for _, fd := range fds {
 			unix.Close(fd)
 		}
@@ -444,7 +457,7 @@
 		r.requestingClients--
 	}
 	t.unsentFrames++
-	t.outgoing <- outgoingFrame{handover.Frame{Kind: handover.LargeValue, Body: text, FDs: fds}}
+	t.outgoing <- outgoingFrame{Frame: handover.Frame{Kind: handover.LargeValue, Body: text, FDs: fds}, reserved: reserved}
 }
 
 // adoptLargeRead continues a large value that another process began.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,8 +125,8 @@
 		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{},
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
-	r.requestMemory = r.held.NewAccount()
-	r.setMemoryLimits(1)
+	r.requestMemory, r.takeover.frameMemory = r.held.NewAccount(), r.held.NewAccount()
+	r.held.SetLimits(r.memoryLimits())
 	r.sizeBuffers()
 	r.operator.announcedBans = map[routing.ServerID]bool{}
 	r.counts.OutcomesByMethod = make([][3]int, len(cfg.Settings.Methods))
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/configerror"
 	"spurtrestle/internal/discovery"
@@ -29,17 +29,19 @@
 	socketDir, socketName  string // of the socket by which the processes find each other; set before Run
 	listener               *net.TCPListener
 	socket                 *net.UnixListener
-	operatorFrame          *operatorFrame     // the predecessor's latest; nil: none was received
-	predecessor, successor *handover.Conn     // the processes before and after this one, while they are alive
-	accepting              bool               // clients are accepted by this process
-	enrolling              atomic.Int32       // accepted connections that are not enrolled in the loop yet
-	discoverable           bool               // awaitSuccessors has been started, so that the next process can find this one
-	handingOver            bool               // clients are being handed over to the successor
-	hasHandedOver          bool               // handingOver was set once, even if that successor has ended since
-	outgoing               chan outgoingFrame // frames to the successor; has room for all clients
-	unsentFrames           int                // frames queued but not yet sent to the successor
-	peerDescriptors        [2]int             // descriptors held by the other processes, by predecessorPeer and successorPeer
-	onTransfer             func([]byte)       // receives the predecessor's transfers; set before Run
+	operatorFrame          *operatorFrame       // the predecessor's latest; nil: none was received
+	predecessor, successor *handover.Conn       // the processes before and after this one, while they are alive
+	accepting              bool                 // clients are accepted by this process
+	enrolling              atomic.Int32         // accepted connections that are not enrolled in the loop yet
+	discoverable           bool                 // awaitSuccessors has been started, so that the next process can find this one
+	handingOver            bool                 // clients are being handed over to the successor
+	hasHandedOver          bool                 // handingOver was set once, even if that successor has ended since
+	outgoing               chan outgoingFrame   // frames to the successor; has room for all clients
+	frameMemory            clientmemory.Account // of frames to the successor, from the request to stop a value on
+	unsentFrames           int                  // frames queued but not yet sent to the successor
+	peerMemory             [2]peerMemory        // of the other processes, by predecessorPeer and successorPeer
+	peerDescriptors        [2]int               // descriptors held by the other processes, by predecessorPeer and successorPeer
+	onTransfer             func([]byte)         // receives the predecessor's transfers; set before Run
 }
 
 // Indices of takeover.peerDescriptors.
@@ -59,6 +61,7 @@
 // outgoingFrame carries a client's connection to the successor.
 type outgoingFrame struct {
 	handover.Frame
+	reserved int // bytes of memory held for it
 }
 
 // ConnectPredecessor finds the process that this one replaces, if there is one, and takes over its listener and
@@ -265,6 +268,7 @@
 	r.log.Info("a process that is to replace this one has connected")
 	defer r.runAsync(func() { // the successor is gone: this process serves the clients again
 		r.log.Warn("the process that was to replace this one has ended")
+		t.peerMemory[successorPeer] = peerMemory{}
 		if t.successor, t.peerDescriptors[successorPeer], t.handingOver = nil, 0, false; t.outgoing != nil {
 			close(t.outgoing)
 			t.outgoing = nil
@@ -284,6 +288,8 @@
 			r.receiveOperatorState(frame)
 		case handover.DescriptorCount:
 			r.setPeerDescriptors(successorPeer, frame)
+		case handover.HeldMemory:
+			r.setPeerMemory(successorPeer, frame)
 		case handover.Ready:
 			frames := make(chan outgoingFrame, r.limits.MaxDescriptors)
 			go r.sendFrames(conn, frames)
@@ -313,15 +319,30 @@
 		return
 	}
 	r.handOverClients()
-	for l := range r.largeReads {
-		l.requestStop()
-	}
+	r.stopLargeReads()
 	for _, s := range r.servers {
 		r.closeIdleConnections(s)
 	}
 	r.after(r.limits.MetricsInterval/2, r.continueHandover)
 }
 
+// frameMemoryDivisor gives the part of the budget that frames on their way to the successor may take.
+const frameMemoryDivisor = 16
+
+// stopLargeReads stops the streams of large values so that they can be handed over, as many as have room on their way.
+func (r *Router) stopLargeReads() {
+	memory := &r.takeover.frameMemory
+	for l := range r.largeReads {
+		if memory.Total() >= r.held.Limit()/frameMemoryDivisor {
+			return // continued once frames have been sent
+		}
+		if l.mayStop() {
+			memory.Add(clientmemory.HandoverFrames, l.frameBytes())
+			l.requestStop()
+		}
+	}
+}
+
 // handOverClients hands over each client without pending commands, with its unread input.
 func (r *Router) handOverClients() {
 	t := &r.takeover
@@ -345,7 +366,9 @@
 		client.memory.Release()
 		r.connCount++
 		t.unsentFrames++
-		t.outgoing <- outgoingFrame{Frame: handover.Frame{Kind: handover.Client, Body: client.detachedInput, FDs: []int{fd}}}
+		reserved := len(client.detachedInput)
+		t.frameMemory.Add(clientmemory.HandoverFrames, reserved)
+		t.outgoing <- outgoingFrame{Frame: handover.Frame{Kind: handover.Client, Body: client.detachedInput, FDs: []int{fd}}, reserved: reserved}
 	}
 }
 
@@ -355,23 +378,29 @@
 		err := conn.Send(frame.Frame)
 		if err == nil {
 			r.runAsync(func() {
-				r.takeover.unsentFrames--
-				r.connCount -= len(frame.FDs)
+				r.frameSent(frame)
 				frame.CloseDescriptors()
 				r.queueBatch()
+				if r.takeover.handingOver {
+					r.stopLargeReads()
+				}
 			})
 			continue
 		}
-		r.runAsync(func() {
-			r.takeover.unsentFrames--
-			r.connCount -= len(frame.FDs)
-		})
+		r.runAsync(func() { r.frameSent(frame) })
 		// A frame may have been sent in part, so the connection is unusable, and this process serves the clients again.
 		conn.Close()
 		r.adoptConnection(frame.Frame)
 	}
 }
 
+// frameSent updates the counts when a frame has left the queue of frames to the successor.
+func (r *Router) frameSent(frame outgoingFrame) {
+	r.takeover.unsentFrames--
+	r.takeover.frameMemory.Add(clientmemory.HandoverFrames, -frame.reserved)
+	r.connCount -= len(frame.FDs)
+}
+
 // adoptConnection adopts a client of another process, or one that could not be handed over, together with a large
 // value that is being streamed to it.
 func (r *Router) adoptConnection(f handover.Frame) {
@@ -405,6 +434,8 @@
 			r.receiveOperatorState(frame)
 		case handover.DescriptorCount:
 			r.setPeerDescriptors(predecessorPeer, frame)
+		case handover.HeldMemory:
+			r.setPeerMemory(predecessorPeer, frame)
 		case handover.LeaseTransfer:
 			if r.takeover.onTransfer != nil {
 				r.takeover.onTransfer(frame.Body)
@@ -417,6 +448,7 @@
 	r.runAsync(func() {
 		r.log.Info("the process before this one has ended")
 		r.takeover.predecessor, r.takeover.peerDescriptors[predecessorPeer] = nil, 0
+		r.takeover.peerMemory[predecessorPeer] = peerMemory{}
 		r.adjustMemoryLimits()
 		r.startAccepting()
 	})
@@ -464,13 +496,3 @@
 		}
 	}
 }
-
-// adjustMemoryLimits halves this process's memory limits while another process of the router is alive.
-func (r *Router) adjustMemoryLimits() {
-	processes := 1
-	if r.takeover.predecessor != nil || r.takeover.successor != nil {
-		processes = 2
-	}
-	r.setMemoryLimits(processes)
-	debug.SetMemoryLimit(r.cfg.Limits.MemoryBytes / int64(processes))
-}
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -79,6 +79,7 @@
 func (r *Router) publishPeriodically() {
 	r.publishStats()
 	r.publishDescriptorCount()
+	r.publishHeldMemory()
 	r.after(2*r.limits.MetricsInterval, r.publishPeriodically)
 }
 
