Requests that a server does not accept are counted as held

Looked for on related paths: gnet keeps the rest of a request that a server's full socket does not take, up to 64 KiB for each attempt at a hung server, and no figure had it. It is a kind of its own now (server-output) and part of the budget, until the last byte is sent or the connection ends. The package's tests and TestScripts pass.

--- a/core/clientmemory/budget.go
+++ b/core/clientmemory/budget.go
@@ -20,6 +20,7 @@
 	UnsentOutput                // answers that the kernel has not accepted yet
 	LargeValues                 // buffers of large values in transit
 	ServerInput                 // answers of which only a part has arrived
+	ServerOutput                // parts of requests that a server has not accepted yet
 	HandoverFrames              // clients and values on their way to the next process
 	kindCount
 )
@@ -32,6 +33,7 @@
 	PendingAnswers:  "pending-answers",
 	UnsentOutput:    "unsent-output",
 	LargeValues:     "large-values",
+	ServerOutput:    "server-output",
 	HandoverFrames:  "handover-frames",
 	ServerInput:     "server-input",
 }
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -121,6 +121,7 @@
 	if err != nil { // gnet has closed the connection and called onClose
 		return
 	}
+	up.memory.Set(clientmemory.ServerOutput, up.conn.OutboundBuffered())
 	up.noteSent()
 }
 
@@ -128,6 +129,7 @@
 func (up *upstream) noteSent() {
 	if attempt := up.attempt; attempt != nil && !attempt.fullySent && !up.writing && up.conn.OutboundBuffered() == 0 {
 		attempt.fullySent = true
+		up.memory.Set(clientmemory.ServerOutput, 0)
 		up.r.counts.ForwardedAttempts++
 	}
 }
