A router whose voter is shut down does not wait for a leadership confirmation

Cause, by the goroutines of the process that hung (trial, SIGQUIT before the kill): controlplane.Node.Close waits for runLeader, which waits in confirmLeadership. Raft queues a verification and never answers it if it is shut down before it takes it from the queue.

Fix: the confirmation ends when the voter is closed. TestRaftLog_ConfirmsNothingOnceClosed failed before (it waits for ever), passes now.

--- a/internal/controlplane/raft_log.go
+++ b/internal/controlplane/raft_log.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,6 +73,9 @@
 	writeFault  atomic.Pointer[string] // why the last write to the directory failed; nil if it succeeded
 	barrierTerm uint64                 // term in which the replica has applied all entries of earlier terms; owned by isLeader
 
+	closing context.Context // ends with close
+	cancel  context.CancelFunc
+
 	mu             sync.Mutex // guards the fields below
 	identity       voterIdentity
 	inactiveReason string // why the voter has not joined raft; empty if it has
@@ -91,7 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
+	closing, cancel := context.WithCancel(context.Background())
 	return &raftLog{
+		closing:        closing,
+		cancel:         cancel,
 		config:         config,
 		log:            log,
 		replica:        newReplica(),
@@ -228,7 +235,18 @@
 // confirmLeadership reports whether a majority of the voters confirms, after the call began, that this one leads.
 func (l *raftLog) confirmLeadership() bool {
 	node := l.raftNode()
-	return node != nil && node.VerifyLeader().Error() == nil
+	if node == nil {
+		return false
+	}
+	// Raft never answers a verification that it has queued and not begun when it is shut down.
+	verified := make(chan error, 1)
+	go func() { verified <- node.VerifyLeader().Error() }()
+	select {
+	case err := <-verified:
+		return err == nil
+	case <-l.closing.Done():
+		return false
+	}
 }
 
 // append appends an entry and waits until the replica has applied it. If it fails, the entry may still have been appended.
@@ -303,6 +321,7 @@
 
 // close shuts raft down. Appends that are waiting for a majority fail.
 func (l *raftLog) close() {
+	defer l.cancel()
 	l.mu.Lock()
 	node, closers := l.node, l.closers
 	l.closers = nil
--- a/internal/controlplane/raft_test.go
+++ b/internal/controlplane/raft_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -160,3 +161,33 @@
 		t.Error("restore of a truncated snapshot: got no error")
 	}
 }
+
+// TestRaftLog_ConfirmsNothingOnceClosed guards against a router that does not end: raft left a verification of its leadership
+// unanswered that it had queued when it was shut down, and Close waited for it.
+func TestRaftLog_ConfirmsNothingOnceClosed(t *testing.T) {
+	const attempts = 30 // each is queued, or refused, by chance
+	raftLog, err := openRaftLog(testConfig(t).Raft, "n1", quietLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raftLog.start(startOptions{bootstrap: true}); err != nil {
+		t.Fatal(err)
+	}
+	raftLog.close()
+	confirmed := make(chan bool)
+	go func() {
+		for range attempts {
+			confirmed <- raftLog.confirmLeadership()
+		}
+	}()
+	for range attempts {
+		select {
+		case got := <-confirmed:
+			if got {
+				t.Error("a closed voter leads")
+			}
+		case <-time.After(3 * time.Second):
+			t.Fatal("a closed voter waits for the confirmation of its leadership")
+		}
+	}
+}
