A drain waits for the command of a client that is not read from for lack of memory

Found by reading: a paused client without answers due was closed in the first poll of a drain, though the end of its command may have arrived, which takes the request. Now only one that does not read its answers is closed there; the others return to the loop as memory becomes free. TestDrain_WaitsForTheInputOfPausedClients failed before, passes now.

--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -142,7 +142,7 @@
 		if client.isOpen() && len(client.unsent) > 0 {
 			client.writeUnsent()
 		}
-		if client.paused && r.closingClients && client.mayClose() {
+		if client.paused && r.closingClients && len(client.unsent) > 0 && client.mayClose() { // it does not read
 			client.close()
 		}
 		if client.paused && client.resumeDue {
--- a/internal/router/client_pause_test.go
+++ b/internal/router/client_pause_test.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
 )
 
@@ -112,3 +113,30 @@
 		t.Errorf("%d clients are paused, %d bytes are held, want at most %d", paused, total, most)
 	}
 }
+
+// TestDrain_WaitsForTheInputOfPausedClients guards against a drain that closes a client whose command waits for memory: its
+// last bytes may have arrived.
+func TestDrain_WaitsForTheInputOfPausedClients(t *testing.T) {
+	l, _ := newHeldDials(t, nil)
+	r := l.r
+	r.loop = failingEnrollLoop{l}
+	others := r.held.NewAccount()
+	others.Add(clientmemory.PendingAnswers, r.held.Limit())
+	conn := l.open(nil)
+	conn.fd, _ = socketPair(t)
+	client := clientOf(conn)
+	l.receive(conn, "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$5\r\nwrite\r\n$12\r\nc=pay,d=1900\r\n$60000\r\n"+strings.Repeat("v", 20_000))
+	if !client.paused {
+		t.Fatal("a command is read for which there is no memory")
+	}
+	r.closingClients = true
+	l.advance(10 * clock.Millisecond)
+	if !client.paused {
+		t.Error("the client was closed with a part of its command")
+	}
+	others.Release()
+	l.advance(10 * clock.Millisecond)
+	if !client.resumeDue && !client.detached {
+		t.Error("the client is not read from once there is memory")
+	}
+}
