--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,8 +8,8 @@
 // Files: router.go holds the loop's callbacks; batch.go passes events to package routing; requests.go tracks
 // requests and their attempts, independent of the protocol; clients.go, client_output.go, client_pause.go, upstream.go (connections to
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
-// keeps them within the limits; large_read.go and large_write.go stream large values off
-// the loop; external_requests.go accepts requests of front ends; takeover.go hands over to the next process;
+// keeps them within the limits; large_read.go, large_read_handover.go and large_write.go stream large values off
+// the loop; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
 // held_memory.go accounts for the memory held for clients;
 // learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
