Test: a list that is reset takes no other connection of discovery with it

Traced: the stand-in wrote the list and then reset all of its connections; when it came late to that, the router had read the list and opened the next connection, which was reset too. What the router is sent, and the checks, are unchanged.

--- a/cmd/cache-router/harness_test.go
+++ b/cmd/cache-router/harness_test.go
@@ -187,13 +187,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, c := range e.conns {
-		if tcp, ok := c.(*net.TCPConn); ok && reset {
-			_ = tcp.SetLinger(0)
+		if reset {
+			resetConn(c)
+			continue
 		}
 		c.Close()
 	}
 }
 
+// resetConn resets a connection over TCP.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, sockets: 256, idleCloseSeconds: 60, endpoints: map[string]*endpoint{}, exited: make(chan error, 1)}
 	t.Cleanup(func() {
@@ -508,7 +517,7 @@
 	case "lists-without-length", "lists-and-resets":
 		fmt.Fprintf(s.current, "HTTP/1.1 200 OK\r\n\r\n%s", h.listBody(true, number(0), words[1:]))
 		if action == "lists-and-resets" {
-			s.closeAll(true)
+			resetConn(s.current)
 		}
 	case "half-closes": // and goes on reading
 		_ = s.current.(*net.TCPConn).CloseWrite()
