--- a/cmd/cache-router/memory_soak_test.go
+++ b/cmd/cache-router/memory_soak_test.go
@@ -69,8 +69,8 @@
 	servers.hanging.Store(false)
 	s.clients.Wait()
 	peak := stop()
-	s.t.Logf("seed %d: at most %.1f of %d MB, %d served, %d unsuccessful, %d clients left, %d lost", *soakSeed, float64(peak)/(1<<20), memoryMB,
-		s.served.Load(), s.unsuccessful.Load(), s.left.Load(), s.lost.Load())
+	s.t.Logf("seed %d: at most %.1f of %d MB, %d served, %d unsuccessful, %d clients left, %d lost, %d rejected for memory since the replacement", *soakSeed, float64(peak)/(1<<20), memoryMB,
+		s.served.Load(), s.unsuccessful.Load(), s.left.Load(), s.lost.Load(), s.counter("rejected-for-memory"))
 	if peak > memoryMB<<20 {
 		s.t.Errorf("%d MiB were in use, the limit is %d", peak>>20, memoryMB)
 	}
