Log and count how long the loop reads no socket, and what it does meanwhile

Hypotheses: the loop does not get to run (cpu-percent is low), one callback takes long (few tasks), tasks queue tasks (many tasks, batches or turns), or the decisions hold requests (sockets are read, requests is high). The new line, logged only while clients wait in their sockets, tells these apart; longest-unread in the counters has the longest time.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -2,7 +2,10 @@
 // and at exit.
 package counters
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Counters counts what a router has handled since its start. The router's event loop owns it: no other goroutine may access it.
 type Counters struct {
@@ -43,8 +46,9 @@
 	AbortedConnections   int // closed because of invalid data, or of output that the client does not read
 	ServerLists          int // received from discovery
 	FailedDiscoveryCalls int
-	Batches              int // of the event loop
-	ConfigReloads        int // successful, requested by a signal
+	Batches              int           // of the event loop
+	LongestUnread        time.Duration // in which the loop read no socket while clients waited
+	ConfigReloads        int           // successful, requested by a signal
 	RejectedReloads      int
 }
 
@@ -53,10 +57,10 @@
 	return fmt.Sprintf("taken=%d served=%d rejected=%d failed=%d left=%d attempts=%d ok=%d miss=%d never-ran=%d "+
 		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
 		"lists-failed=%d batches=%d left-waiting=%d deprecated(satisfied=%d nacked=%d write-outs=%d) "+
-		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d rejected-for-memory=%d paused=%d client-conn-ends(%v) repeated-ids=%d",
+		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d rejected-for-memory=%d paused=%d client-conn-ends(%v) repeated-ids=%d longest-unread=%v",
 		c.Requests, c.Served, c.Rejected, c.Failed, c.Abandoned, c.Attempts, c.OK, c.Misses,
 		c.NotExecuted, c.MaybeExecuted, c.Canceled, c.ClientConnections, c.Dials, c.FailedDials, c.EvictedConnections,
 		c.AbortedConnections, c.ServerLists, c.FailedDiscoveryCalls, c.Batches, c.UnsentAttempts,
 		c.Served, c.Rejected, c.Attempts, c.Retries, c.AttemptEnds, c.ServerConnectionEnds,
-		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors, c.RejectedForMemory, c.PausedClients, c.ClientConnectionEnds, c.RepeatedIDs)
+		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors, c.RejectedForMemory, c.PausedClients, c.ClientConnectionEnds, c.RepeatedIDs, c.LongestUnread)
 }
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -31,6 +31,7 @@
 	}
 	r.updateLag(previous)
 	r.counts.Batches++
+	r.sockets.batches++
 	r.fireTimers(r.batchTime)
 	events := r.pendingEvents
 	r.pendingEvents, r.batchQueued = nil, false
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -139,6 +139,7 @@
 // takeTurn processes a chunk behind the unread input, as much as one turn allows. What the client gets meanwhile is
 // written at once.
 func (c *client) takeTurn(chunk []byte) readResult {
+	c.r.sockets.turns++
 	c.r.beginTurnOutput(c)
 	result := c.processChunk(chunk)
 	if result == streamsValue { // a goroutine owns the input
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,7 +12,7 @@
 // keeps them within the limits; large_read.go, large_read_handover.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
-// held_memory.go accounts for the memory held for clients;
+// held_memory.go accounts for the memory held for clients; socket_watch.go logs when sockets are not read in time;
 // learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
 // connections and requests.
 package router
@@ -70,7 +70,8 @@
 	decisions                 []routing.Decision
 	batchQueued               bool // a batch is scheduled on the loop
 
-	timers timers
+	timers  timers
+	sockets socketWatch
 
 	requests            map[routing.RequestID]*pendingRequest
 	recent              *recentids.Set       // requests that may have run
@@ -256,7 +257,8 @@
 }
 
 // OnTraffic passes readable input to the connection's handler.
-func (*Router) OnTraffic(c gnet.Conn) gnet.Action {
+func (r *Router) OnTraffic(c gnet.Conn) gnet.Action {
+	r.noteSocketRead()
 	if p, ok := c.Context().(connHandler); ok {
 		return p.onTraffic()
 	}
@@ -285,6 +287,7 @@
 // runAsync schedules f on the loop, from any goroutine, and returns without waiting.
 func (r *Router) runAsync(f func()) {
 	err := r.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		r.noteTask()
 		f()
 		return nil
 	}))
