The loop reads its sockets at least once in 2 ms of queued tasks

Callers saw no answer for as long as 40 or 100 clients sent reads under new keys, and a process that did not end.

Cause: gnet runs the tasks that are queued on a loop until there are none, before it polls. A batch lets stalled clients go on, their requests queue the next batch, and timers that came due during a batch queue another; the new log line has 2,336 batches in 3.26 s without a poll. So any callback that queues work was able to keep the loop from its sockets.

Fix: the router has a task queue of its own. A byte on a socket pair, registered with the loop, has it run tasks, so that they run once for each poll, for 2 ms of wall time and one task at most. Where Unix sockets are not allowed, gnet's queue starts a run, and one that was cut short goes on after a pause. The loop also yields to other goroutines once a run: with GOMAXPROCS 1 these waited for the runtime's preemption.

TestTasks_LeaveTheLoopToItsSockets is without Unix sockets; before, the loop did not return.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,7 @@
 // Package program creates the router; protocol front ends such as grpcfront submit requests to it from their own
 // goroutines, and the admin endpoint and the fleet's packages call its exported methods.
 //
-// Files: router.go holds the loop's callbacks; batch.go passes events to package routing; requests.go tracks
+// Files: router.go holds the loop's callbacks; loop_tasks.go the functions that run on it; batch.go passes events to package routing; requests.go tracks
 // requests and their attempts, independent of the protocol; clients.go, client_input.go, client_turns.go, client_output.go,
 // client_pause.go, upstream.go (connections to
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
@@ -18,7 +18,6 @@
 package router
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -72,6 +71,8 @@
 
 	timers  timers
 	sockets socketWatch
+	tasks   taskQueue
+	waker   *loopWaker // nil: tasks are queued at gnet
 
 	requests            map[routing.RequestID]*pendingRequest
 	recent              *recentids.Set       // requests that may have run
@@ -175,33 +176,58 @@
 	if err = loop.Start(); err != nil {
 		return err
 	}
-	anchor, err := net.Dial("udp", discardAddr)
+	anchor, err := r.dialAnchor()
 	if err != nil {
-		return errors.Join(fmt.Errorf("opening a UDP socket to %s for the event loop: %w; check that the loopback device is up",
-			discardAddr, err), loop.Stop())
+		return errors.Join(err, loop.Stop())
 	}
+	defer r.waker.close()
 	if err = r.listen(); err != nil {
 		anchor.Close()
 		return errors.Join(err, loop.Stop())
 	}
 	defer r.takeover.listener.Close()
-	if _, err = loop.EnrollContext(anchor, &loopAnchor{r}); err != nil {
+	if _, err = loop.EnrollContext(anchor, &loopAnchor{r: r}); err != nil {
 		return errors.Join(err, loop.Stop())
 	}
 	<-r.done
 	return loop.Stop()
 }
 
-// discardAddr is the address of the loop's first connection, which carries no data: gnet starts its loop only with
-// a connection. Some environments allow no sockets but TCP and UDP over IPv4; a Unix socket pair made every router
-// fail at start there. The UDP socket is connected, so it accepts no datagrams from other senders.
+// discardAddr is the address of the loop's first connection where there is no waker. The UDP socket is connected, so it accepts
+// no datagrams from other senders.
 const discardAddr = "127.0.0.1:9"
 
-// loopAnchor handles the connection to discardAddr, which stays open as long as the loop.
-type loopAnchor struct{ r *Router }
+// dialAnchor returns the loop's first connection: gnet starts its loop only with one. It is the waker's, or, in environments that
+// allow no sockets but TCP and UDP over IPv4, one that carries no data.
+func (r *Router) dialAnchor() (anchor net.Conn, err error) {
+	if r.waker, anchor, err = newLoopWaker(); err == nil {
+		return anchor, nil
+	}
+	r.log.WithError(err).Debug("event loop: no Unix sockets, tasks are queued at gnet")
+	if anchor, err = net.Dial("udp", discardAddr); err != nil {
+		return nil, fmt.Errorf("opening a UDP socket to %s for the event loop: %w; check that the loopback device is up", discardAddr, err)
+	}
+	return anchor, nil
+}
+
+// loopAnchor handles the loop's first connection, which stays open as long as the loop.
+type loopAnchor struct {
+	r    *Router
+	conn gnet.Conn
+}
+
+func (a *loopAnchor) onOpen(c gnet.Conn) {
+	a.conn = c
+	a.r.startLoop(c.EventLoop())
+}
+
+// onTraffic runs tasks: the waker has written.
+func (a *loopAnchor) onTraffic() gnet.Action {
+	_, _ = a.conn.Discard(-1)
+	a.r.runTasks()
+	return gnet.None
+}
 
-func (a *loopAnchor) onOpen(c gnet.Conn)   { a.r.startLoop(c.EventLoop()) }
-func (*loopAnchor) onTraffic() gnet.Action { return gnet.None }
 func (a *loopAnchor) onClose(bool) {
 	if !a.r.stopped {
 		a.r.stopped = true
@@ -284,22 +310,6 @@
 	}
 }
 
-// runAsync schedules f on the loop, from any goroutine, and returns without waiting.
-func (r *Router) runAsync(f func()) {
-	err := r.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		r.noteTask()
-		f()
-		return nil
-	}))
-	select {
-	case <-r.done: // a timer or a discovery response may still arrive
-	default:
-		if err != nil {
-			r.log.WithError(err).Warn("the event loop accepts no more work")
-		}
-	}
-}
-
 // Reload applies the settings that may change while serving: the address of discovery.
 func (r *Router) Reload(discovery string) {
 	<-r.ready
