A process that was told to end stops reading from clients that send without end

Callers saw a process that had not ended 3.7 s after SIGTERM, when it may be killed with what it has in hand.

Cause: a client is closed once it is quiet and nothing of it is unread. One that sends at full speed never is, on the loop or paused, and gets the next turn in the moment in which its answers are written; after the shutdown deadline, too.

Fix: 0.5 s before the shutdown deadline the process stops reading from clients that have sent more than they have answers for. What has been read of them is answered, as rejected, and they are closed. After the deadline every client is closed once its answers are written.

--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -211,6 +211,9 @@
 
 // handleNonCommand handles input that is neither a complete command nor the beginning of one that fits in memory.
 func (c *client) handleNonCommand(buf []byte) readResult {
+	if c.r.readingEnded {
+		return needsInput // a large write, which has not come in full
+	}
 	c.r.endTurnOutput(c) // a large write begins once earlier replies are written
 	if !c.isOpen() {
 		return endsConnection
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -69,6 +69,10 @@
 		return
 	}
 	result := c.takeTurn(nil)
+	if result == needsInput && c.paused && c.r.readingEnded {
+		c.endInput()
+		return
+	}
 	if result == needsInput && c.paused {
 		chunk, read := c.readPaused()
 		switch read {
@@ -173,11 +177,11 @@
 			client.end = counters.ClientUnread
 			client.close()
 		}
-		if client.paused && r.shutdownDeadline != 0 && r.clock() >= r.shutdownDeadline && client.isQuiet() { // it sends without end
+		if client.paused && (r.readingEnded && client.closeAfterReplies || r.isPastShutdown()) && client.isQuiet() {
 			client.end = counters.ClientDrained
 			client.close()
 		}
-		if client.paused && client.resumeDue {
+		if client.paused && client.resumeDue && !r.readingEnded {
 			client.resumeOnLoop()
 		}
 		client.revealEnd()
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -212,6 +212,11 @@
 		c.replyNow(invalidRequestReply)
 		return false
 	}
+	if r.readingEnded {
+		r.countUnadmitted(event.Method, wire.Rejected)
+		c.replyNow(resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected}))
+		return false
+	}
 	if !r.held.MayBegin() {
 		r.counts.RejectedForMemory++
 		r.countUnadmitted(event.Method, wire.Rejected)
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
 )
@@ -24,6 +25,7 @@
 		r.shutdownDeadline = r.clock() + r.limits.ShutdownTimeout
 		r.addEvent(routing.ShutdownScheduled{Deadline: r.shutdownDeadline})
 		r.after(r.limits.ShutdownTimeout, r.endAllAttempts)
+		r.after(r.limits.ShutdownTimeout-readingEndMargin, r.endReading)
 		r.after(r.limits.DrainAcceptPeriod, func() {
 			r.closingClients = true
 			r.queueBatch()
@@ -31,6 +33,32 @@
 	})
 }
 
+// readingEndMargin is how long before the shutdown deadline the router stops reading from clients that send without end. It is
+// enough to answer and close them with a small share of a core.
+const readingEndMargin = 500 * clock.Millisecond
+
+// endReading stops reading from the clients that have sent more than they have answers for. They are never quiet, so that the
+// process would not end. What has been read of them is answered, and then they are closed.
+func (r *Router) endReading() {
+	r.readingEnded = true
+	for client := range r.clients {
+		conn := client.conn
+		sendsOn := len(client.input.unread) > 0 || client.hasUnreadInput()
+		if sendsOn && !client.detachPending && client.pauseReading() {
+			r.closeConn(conn) // a duplicate of the descriptor remains
+		}
+	}
+	r.resumePausedClients()
+}
+
+// endInput has the client closed once what has been read of it is answered.
+func (c *client) endInput() {
+	c.stopWaitingForInput()
+	c.closeAfterReplies = true
+	c.end = counters.ClientDrained
+	c.r.scheduleClientPoll()
+}
+
 // endAllAttempts aborts outstanding attempts at the shutdown deadline, so that their requests are answered before
 // the process is killed. A hanging server used to hold a request with the longest deadline until after SIGKILL.
 func (r *Router) endAllAttempts() {
@@ -43,6 +71,9 @@
 	}
 }
 
+// isPastShutdown reports whether every admitted request has been answered, or is about to be.
+func (r *Router) isPastShutdown() bool { return r.shutdownDeadline != 0 && r.clock() >= r.shutdownDeadline }
+
 // Drained reports, after Run has returned, whether the router ended because of Drain.
 func (r *Router) Drained() bool { return r.draining }
 
@@ -71,18 +102,19 @@
 }
 
 // closeIdleClients closes the clients without pending commands. One that has just connected is spared for a while,
-// since its first request is on its way, but not after the shutdown deadline. An incomplete command gets one sweep
-// interval for its rest.
+// since its first request is on its way. An incomplete command gets one sweep interval for its rest. After the shutdown deadline
+// nothing more is read.
 func (r *Router) closeIdleClients() {
 	now := r.clock()
-	isPastDeadline := r.closingClients && now >= r.shutdownDeadline
+	isPastDeadline := r.closingClients && r.isPastShutdown()
 	for client := range r.clients {
 		if r.takeover.handingOver && !client.closeAfterReplies {
 			continue // it is handed over instead
 		}
 		quietFor := now - client.lastActivity
-		connectGraceOver := client.hasReceived || quietFor >= r.limits.IdleClientEvictionAge || isPastDeadline
-		if client.mayClose() && connectGraceOver && (len(client.input.unread) == 0 || quietFor > r.limits.IdleSweepInterval) && !client.hasUnreadInput() {
+		connectGraceOver := client.hasReceived || quietFor >= r.limits.IdleClientEvictionAge
+		isDone := connectGraceOver && (len(client.input.unread) == 0 || quietFor > r.limits.IdleSweepInterval) && !client.hasUnreadInput()
+		if client.mayClose() && (isDone || isPastDeadline) {
 			client.end = counters.ClientDrained
 			r.closeConn(client.conn)
 		}
