Clients that send more than they have answers for wait while queues are long

Callers saw reads rejected or answered late while others sent valid requests at full speed.

Cause: a client may have 256 requests pending, or 16 before much input, whatever the servers bear. Their queue in package routing is gone through after every event, so that each answer costs time in proportion to it; writes that need a connection each stood 237 dials before the next read; and the servers' slots were shared by request, not by client.

Fix: core/queuelimit bounds the pending requests of clients that are limited, those with a pending request or with input that their last turn left. The bound is lowered while the mean response time is more than twice the lowest one and 10 ms, and raised while it is in use; 64 at most wait to be sent. Requests of the other clients begin at once. Stalled clients go on in the order in which they stalled, for 2 ms at a time, and input that arrives while a client waits for its turn gives it no other one.

--- /dev/null
+++ b/core/queuelimit/queuelimit.go
@@ -0,0 +1,86 @@
+// Package queuelimit bounds the pending requests of clients that have sent more than they have answers for, so that the requests
+// of the other clients find short queues at any capacity. The bound follows the response times, as congestion control does. It
+// is pure: the router's event loop, which owns a Limit, reports the answers.
+package queuelimit
+
+import "spurtrestle/core/clock"
+
+const (
+	// maxWaiting bounds the requests that wait to be sent to a server.
+	maxWaiting = 64
+	// Bounds of the limit on pending requests.
+	initialPending = 32
+	minPending     = 4
+	maxPending     = 4096
+	// The limit is lowered by a factor while the mean response time exceeds a multiple of the base, and a constant.
+	loweringFactor   = 0.7
+	slowdownMultiple = 2
+	slowdownConstant = 10 * clock.Millisecond
+	// meanSamples is the number of response times that a mean averages over.
+	meanSamples = 32
+	// baseRecovery is the time in which the base rises to the mean.
+	baseRecovery = 60 * clock.Second
+)
+
+// Target is the kind of server that has answered.
+type Target uint8
+
+// The kinds of servers.
+const (
+	Cache Target = iota
+	Origin
+	targetCount
+)
+
+// responseTime estimates the response time of a kind of server.
+type responseTime struct {
+	samples    clock.Duration // up to meanSamples; a Duration, so that it divides durations
+	mean       clock.Duration
+	base       clock.Duration // the lowest mean; rises slowly
+	observedAt clock.Time
+}
+
+func (t *responseTime) add(now clock.Time, took clock.Duration) {
+	t.samples = min(t.samples+1, meanSamples)
+	t.mean += (took - t.mean) / t.samples
+	elapsed := min(now-t.observedAt, baseRecovery)
+	t.observedAt = now
+	if t.samples < meanSamples || t.mean < t.base {
+		t.base = t.mean
+		return
+	}
+	t.base += clock.Duration(float64(t.mean-t.base) * float64(elapsed) / float64(baseRecovery))
+}
+
+// isInflated reports whether requests wait in queues for a large part of the response time.
+func (t *responseTime) isInflated() bool { return t.mean > slowdownMultiple*t.base+slowdownConstant }
+
+// Limit is the bound.
+type Limit struct {
+	pending   float64 // requests that may be pending
+	loweredAt clock.Time
+	targets   [targetCount]responseTime
+}
+
+// New returns a limit that has seen no answers.
+func New() Limit { return Limit{pending: initialPending} }
+
+// Observe reports an answer, the time from the request to the answer, and how many limited requests are pending.
+func (l *Limit) Observe(now clock.Time, target Target, took clock.Duration, pending int) {
+	times := &l.targets[target]
+	times.add(now, took)
+	switch {
+	case !times.isInflated():
+		if 2*pending >= int(l.pending) { // the limit is in use
+			l.pending = min(l.pending+1/l.pending, maxPending)
+		}
+	case now-l.loweredAt >= times.mean: // answers show the last change by now
+		l.loweredAt = now
+		l.pending = max(l.pending*loweringFactor, minPending)
+	}
+}
+
+// Room returns how many requests may become pending, if some wait to be sent and some of the limited ones are pending.
+func (l *Limit) Room(waiting, pending int) int {
+	return max(0, min(maxWaiting-waiting, int(l.pending)-pending))
+}
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -275,5 +275,8 @@
 	})
 }
 
+// QueuedRequests returns the number of requests that wait for capacity of a server.
+func (r *Router) QueuedRequests() int { return len(r.requests.queued) }
+
 // isWaiting reports whether a request is unfinished and has no attempt in flight.
 func isWaiting(request *request) bool { return !request.finished && len(request.attempts) == 0 }
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -34,7 +34,7 @@
 	r.sockets.batches++
 	r.fireTimers(r.batchTime)
 	events := r.pendingEvents
-	r.pendingEvents, r.batchQueued = nil, false
+	r.pendingEvents, r.batchQueued, r.unbatchedRequests = nil, false, 0
 	r.decisions = r.decisions[:0]
 	r.expireFleetLimits()
 	for _, event := range events {
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -105,7 +105,14 @@
 	case c.r.takeover.handingOver:
 		return c.keepForSuccessor(chunk)
 	}
-	result := c.takeTurn(chunk)
+	result := turnOver
+	if c.turnQueued {
+		c.input.append(chunk)
+		c.input.own()
+		c.noteMemory()
+	} else {
+		result = c.takeTurn(chunk)
+	}
 	switch {
 	case result == streamsValue:
 		return gnet.Close // a duplicate of the descriptor takes over
@@ -142,6 +149,11 @@
 	c.r.sockets.turns++
 	c.r.beginTurnOutput(c)
 	result := c.processChunk(chunk)
+	if result == turnOver || result == needsCapacity {
+		c.backlogged = true
+	} else if !c.paused {
+		c.backlogged = false
+	}
 	if result == streamsValue { // a goroutine owns the input
 		c.r.turnClient = nil
 		return result
@@ -175,11 +187,11 @@
 	for !c.closeAfterReplies {
 		buf := c.input.unread
 		switch {
+		case len(buf) == 0:
+			return needsInput
 		case !c.mayBegin():
 			c.stall()
 			return needsCapacity
-		case len(buf) == 0:
-			return needsInput
 		case *work >= turnWork:
 			return turnOver
 		}
@@ -367,22 +379,31 @@
 	}
 }
 
-// resumeStalledClients gives a turn to the stalled clients that may continue.
+// resumeStalledClients gives a turn to the stalled clients that may continue, for a bounded time. Those that have waited longest
+// come first.
 func (r *Router) resumeStalledClients() {
+	began := r.clock()
 	stalled := r.stalledClients
-	r.stalledClients = nil
-	for _, client := range stalled {
+	r.stalledClients = nil // clients that stall again are appended
+	var waiting []*client
+	for i, client := range stalled {
 		switch {
 		case !client.isOpen():
 			client.stalled = false
 		case !client.mayContinue():
-			r.stalledClients = append(r.stalledClients, client)
+			waiting = append(waiting, client)
 		default:
 			client.stalled = false
 			client.stopWaitingForInput()
 			client.resumeReading()
 		}
+		if r.clock()-began >= maxTaskTime {
+			waiting = append(waiting, stalled[i+1:]...)
+			r.queueBatch()
+			break
+		}
 	}
+	r.stalledClients = append(waiting, r.stalledClients...)
 }
 
 // noteMemory records what the client's connection holds. While it is on the loop, one chunk more, and what may stay unread
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -80,6 +80,7 @@
 			c.close()
 			return
 		case pausedNothing:
+			c.backlogged = false
 			c.resumeOnLoop()
 			return
 		case pausedLater:
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -37,6 +37,7 @@
 	detached          bool        // off the loop while a large value is streamed
 	input             inputBuffer // received and not processed yet
 	turnQueued        bool        // it gets another turn in one of the next rounds
+	backlogged        bool        // it has sent more than its last turn could process
 	unsent            []byte      // rest of the last written reply that the kernel has not accepted
 	lastSentAt        clock.Time  // when the kernel last accepted a part of a reply
 	memory            clientmemory.Account
@@ -223,6 +224,10 @@
 		c.replyNow(resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected}))
 		return false
 	}
+	if c.isLimited() {
+		request.isLimited = true
+		r.limitedRequests++
+	}
 	request.slot.request = request
 	c.slots = append(c.slots, &request.slot)
 	if !write {
--- a/internal/router/loop_tasks.go
+++ b/internal/router/loop_tasks.go
@@ -58,6 +58,13 @@
 	return task
 }
 
+// isEmpty reports whether no task is waiting.
+func (q *taskQueue) isEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) == 0
+}
+
 // runAsync schedules f on the loop, from any goroutine, and returns without waiting.
 func (r *Router) runAsync(f func()) {
 	if r.tasks.add(f) {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -8,6 +8,7 @@
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
+	"spurtrestle/core/queuelimit"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
 	"spurtrestle/internal/settings"
@@ -24,7 +25,9 @@
 // attempts is outstanding.
 type pendingRequest struct {
 	wire.Request
-	size             int // bytes of memory held by the request
+	size             int        // bytes of memory held by the request
+	admittedAt       clock.Time // when it was registered
+	isLimited        bool       // counted in the router's limitedRequests
 	method           routing.Method
 	clientDeadline   clock.Time // when its client stops waiting
 	responder        responder
@@ -103,7 +106,8 @@
 	r.sendLateID(request.ID)
 	r.requestMemory.Add(clientmemory.Requests, request.size)
 	r.counts.Requests++
-	request.method = event.Method
+	r.unbatchedRequests++
+	request.method, request.admittedAt = event.Method, r.clock()
 	r.addEvent(&requestArrival{request: request, event: event, timeout: max(timeout-r.limits.ClientNetworkMargin, 1), receivedAt: receivedAt})
 }
 
@@ -113,6 +117,7 @@
 		return false
 	}
 	request.finished = true
+	r.endLimit(request)
 	r.countOutcome(request.method, a.Kind)
 	r.logAnswer(request, a)
 	if _, isExternal := request.responder.(*ExternalRequest); isExternal {
@@ -127,6 +132,14 @@
 	return true
 }
 
+// endLimit no longer counts a request that ends as pending.
+func (r *Router) endLimit(request *pendingRequest) {
+	if request.isLimited {
+		request.isLimited = false
+		r.limitedRequests--
+	}
+}
+
 // countOutcome counts the end of a request. All ends are counted here, except those of requests whose clients
 // left.
 func (r *Router) countOutcome(m routing.Method, k wire.AnswerKind) {
@@ -175,6 +188,7 @@
 		return
 	}
 	request.finished, request.departurePending = true, true
+	r.endLimit(request)
 	if _, isExternal := request.responder.(*ExternalRequest); isExternal {
 		r.external.openRequests--
 	}
@@ -243,7 +257,7 @@
 		attempt.conn.previousRequest = request.ID
 		attempt.conn.attempt, attempt.conn = nil, nil
 	} else {
-		attempt.server.removeWaiting(attempt)
+		r.removeWaiting(attempt)
 	}
 	r.counts.AttemptEnds[status]++
 	r.logAttemptEnd(attempt, counters.AttemptStatusName(status))
@@ -300,11 +314,25 @@
 // handleOutcome handles a server's answer. A value is passed to the client as soon as it is complete.
 func (r *Router) handleOutcome(attempt *activeAttempt, outcome wire.Outcome) {
 	if outcome.Status == routing.OK {
+		r.observeResponse(attempt)
 		r.answerRequest(attempt.request, wire.Answer{Kind: wire.Served, Value: outcome.Value})
 	}
 	r.endAttempt(attempt, outcome.Status, r.parseReport(outcome.Report))
 }
 
+// observeResponse adjusts the limit on pending requests to an answer to a request's first attempt.
+func (r *Router) observeResponse(attempt *activeAttempt) {
+	if attempt.number > 0 {
+		return
+	}
+	target := queuelimit.Cache
+	if attempt.server.isOrigin {
+		target = queuelimit.Origin
+	}
+	now := r.clock()
+	r.queueLimit.Observe(now, target, now-attempt.request.admittedAt, r.limitedRequests)
+}
+
 // parseReport parses a load report "name=value,..." into the order of the settings; it returns nil if there is
 // none.
 func (r *Router) parseReport(text []byte) routing.Report {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,7 @@
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
+	"spurtrestle/core/queuelimit"
 	"spurtrestle/core/recentids"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
@@ -99,6 +100,10 @@
 	detachedClients     int                     // open clients that are off the loop
 	requestingClients   int                     // clients that have sent a request
 	stalledClients      []*client               // clients whose commands wait for room
+	queueLimit          queuelimit.Limit        // for clients that have sent more than they have answers for
+	limitedRequests     int                     // pending ones of such clients
+	unbatchedRequests   int                     // admitted since the last batch
+	waitingAttempts     int                     // of all servers, that wait for a connection
 	servers             map[routing.ServerID]*server
 	cacheCodec          wire.ServerCodec // protocol spoken to cache servers
 	originCodec         wire.ServerCodec
@@ -142,6 +147,7 @@
 		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{},
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
+	r.queueLimit = queuelimit.New()
 	r.requestMemory, r.takeover.frameMemory = r.held.NewAccount(), r.held.NewAccount()
 	r.takeover.adopting = make(chan struct{}, maxPendingAdoptions)
 	r.recent = recentids.New(int(cfg.Limits.MemoryBytes / recentIDsDivisor))
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -33,8 +33,13 @@
 	dialing         int
 }
 
-func (s *server) removeWaiting(attempt *activeAttempt) {
-	s.waitingAttempts = slices.DeleteFunc(s.waitingAttempts, func(other *activeAttempt) bool { return other == attempt })
+// removeWaiting removes an attempt from those that wait for a connection, if it is one of them.
+func (r *Router) removeWaiting(attempt *activeAttempt) {
+	s := attempt.server
+	if i := slices.Index(s.waitingAttempts, attempt); i >= 0 {
+		s.waitingAttempts = slices.Delete(s.waitingAttempts, i, i+1)
+		r.waitingAttempts--
+	}
 }
 
 // connectAttempt assigns an idle connection to an attempt, or queues it for the next one that is free.
@@ -56,6 +61,7 @@
 		}
 	}
 	s.waitingAttempts = append(s.waitingAttempts, attempt)
+	r.waitingAttempts++
 	r.dialQueue = append(r.dialQueue, s)
 	r.dialForWaiting()
 }
@@ -152,7 +158,7 @@
 		case r.clientGone(attempt.request):
 			r.clientLeft(attempt.request)
 		case r.clientMayBeGone(attempt.request):
-			s.removeWaiting(attempt)
+			r.removeWaiting(attempt)
 			r.recheckClientThenConnect(attempt)
 		default:
 			return
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -68,7 +68,7 @@
 	s.dropExpired(up.r, up.idleSince)
 	if len(s.waitingAttempts) > 0 && up.canCarry(s.waitingAttempts[0]) {
 		attempt := s.waitingAttempts[0]
-		s.removeWaiting(attempt)
+		up.r.removeWaiting(attempt)
 		up.send(attempt)
 		return
 	}
