What was read of a flood is answered within a part of a second when the process ends

At a 21st of a core a process ended 3.45 to 3.58 s after SIGTERM beside 8 flooding clients, of 3.7 s: up to 256 KB of each is read ahead, 28,000 requests in all, and after the end of reading they were admitted to be rejected, read ahead further, and worked off in rounds with a pause between them, in each of which the process lost its core to others.

Reading ahead now ends with reading, requests are rejected without being admitted, rounds follow each other with a look at the sockets between, and reading ends 1 s before the shutdown deadline. The flood test also has a connection for each read, and a process that is replaced within the flood.

--- a/cmd/cache-router/flood_test.go
+++ b/cmd/cache-router/flood_test.go
@@ -20,12 +20,29 @@
 	"spurtrestle/internal/resp"
 )
 
-const floodBatchBytes = 64 << 10
+const (
+	floodBatchBytes   = 64 << 10
+	oneConnectionEach = -1
+)
 
 func unknownCommand(int) []byte { return resp.AppendCommand(nil, []byte("NOSUCH")) }
 
 func ping(int) []byte { return resp.AppendCommand(nil, []byte("PING")) }
 
+// floodConnections sends each command on a connection of its own until stop is set.
+func (c *crowd) floodConnections(command func(n int) []byte, stop *atomic.Bool) {
+	for n := 0; !stop.Load(); n++ {
+		conn, err := c.dial()
+		if err != nil {
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(time.Second))
+		_, _ = conn.Write(command(n))
+		_, _ = conn.readAnswer()
+		conn.Close()
+	}
+}
+
 // flood sends commands without pause until stop is set, in pieces of the given size, and reads what comes.
 func (c *crowd) flood(command func(n int) []byte, piece int, stop *atomic.Bool) {
 	conn, err := c.dial()
@@ -107,10 +124,11 @@
 		name     string
 		flooders int
 		command  func(n int) []byte
-		piece    int // bytes of one write; 0: many commands
+		piece    int // bytes of one write; 0: many commands; oneConnectionEach
 		oneCore  bool
 		busy     int  // processes that share the core
 		slow     bool // the flood is more than the cache servers bear
+		replaced bool // the process is replaced within the flood
 	}{
 		{name: "unknown commands of 6 clients", flooders: 6, command: unknownCommand},
 		{name: "PING of 6 clients", flooders: 6, command: ping},
@@ -131,6 +149,8 @@
 		{name: "reads of 40 clients, one core", flooders: 40, command: readOfNewKey, oneCore: true},
 		{name: "reads of 100 clients, one core", flooders: 100, command: readOfNewKey, oneCore: true},
 		{name: "PING of 100 clients, one core", flooders: 100, command: ping, oneCore: true},
+		{name: "a connection for each read of 100 clients, one core", flooders: 100, command: readOfNewKey, piece: oneConnectionEach, oneCore: true},
+		{name: "a connection for each read of 40 clients, a 21st of a core", flooders: 40, command: readOfNewKey, piece: oneConnectionEach, oneCore: true, busy: 20},
 		{name: "writes of 40 clients, one core", flooders: 40, oneCore: true, command: func(n int) []byte {
 			return writeCommand(floodName(n), floodName(n), "c=pay,d=200", 10)
 		}},
@@ -141,6 +161,8 @@
 		{name: "unknown classes of 8 clients in pieces of one byte, a ninth of a core", flooders: 8, piece: 1, oneCore: true, busy: 8, command: func(n int) []byte {
 			return readCommand(floodName(n), floodName(n), fmt.Sprint("c=", floodName(n), ",d=100"))
 		}},
+		{name: "reads of 40 clients, one core, process replaced", flooders: 40, command: readOfNewKey, oneCore: true, replaced: true},
+		{name: "reads of 8 clients, a ninth of a core, process replaced", flooders: 8, command: readOfNewKey, oneCore: true, busy: 8, replaced: true},
 		{name: "reads of 8 clients, busy servers", flooders: 8, command: readOfNewKey, slow: true},
 		{name: "reads of 100 clients, busy servers", flooders: 100, command: readOfNewKey, slow: true},
 	} {
@@ -158,19 +180,30 @@
 			for i := range test.flooders {
 				flood.Go(func() {
 					first := i << 32 // names differ between clients
-					c.flood(func(n int) []byte { return test.command(first + n) }, cmp.Or(test.piece, floodBatchBytes), &stopFlood)
+					command := func(n int) []byte { return test.command(first + n) }
+					if test.piece == oneConnectionEach {
+						c.floodConnections(command, &stopFlood)
+						return
+					}
+					c.flood(command, cmp.Or(test.piece, floodBatchBytes), &stopFlood)
 				})
 			}
 			for i := range ordinary {
 				done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 50*time.Millisecond, &stop, l) })
 			}
 			time.Sleep(floodTime)
+			if test.replaced {
+				old := c.program
+				c.startNextProcess()
+				time.Sleep(floodTime / 4) // it takes over
+				c.endInFlood(old, false)
+			}
 			stop.Store(true)
 			done.Wait()
 			check()
 			l.checkInFlood(t, test.busy > 0, test.slow)
 			if test.oneCore {
-				c.endInFlood()
+				c.endInFlood(c.program, true)
 			}
 			stopFlood.Store(true)
 			flood.Wait()
@@ -205,15 +238,17 @@
 
 // endInFlood sends SIGTERM while the flood goes on. The process has to end before it may be killed. No call to discovery may have
 // failed by then.
-func (c *crowd) endInFlood() {
+func (c *crowd) endInFlood(process *exec.Cmd, isLast bool) {
 	c.t.Helper()
 	defer func() { c.t.Log(c.counters()) }()
 	if failed := c.counter("lists-failed"); failed > 0 {
 		c.t.Errorf("%d calls to discovery failed", failed)
 	}
 	began := time.Now()
-	_ = c.program.Process.Signal(syscall.SIGTERM)
-	time.AfterFunc(frontDelay, func() { c.frontAway.Store(true) })
+	_ = process.Process.Signal(syscall.SIGTERM)
+	if isLast {
+		time.AfterFunc(frontDelay, func() { c.frontAway.Store(true) })
+	}
 	select {
 	case err := <-c.exited:
 		c.t.Logf("the process ended %v after SIGTERM", time.Since(began))
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -204,7 +204,7 @@
 // its connection could not arrive, and attempts would begin for a client that has left.
 func (c *client) revealEnd() {
 	r := c.r
-	isWaiting := c.paused && !c.waitsForInput && !c.largeWriteNext && !c.closeAfterReplies && !r.takeover.handingOver
+	isWaiting := c.paused && !c.waitsForInput && !c.largeWriteNext && !c.closeAfterReplies && !r.takeover.handingOver && !r.readingEnded
 	if !isWaiting || len(c.slots) == 0 || c.input.reserved || r.clock()-max(c.lastActivity, c.lastSentAt) < revealDelay {
 		return
 	}
--- a/internal/router/client_turns.go
+++ b/internal/router/client_turns.go
@@ -20,13 +20,17 @@
 	r.scheduleTurns()
 }
 
-// scheduleTurns schedules the next round. A timer, not the loop's own queue, starts it: the loop runs what is in its
-// queue before it reads its sockets again.
+// scheduleTurns schedules the next round, without an interval once the process is about to end.
 func (r *Router) scheduleTurns() {
-	if len(r.turnQueue) > 0 && !r.turnsScheduled {
-		r.turnsScheduled = true
-		r.after(turnInterval, r.giveTurns)
+	if len(r.turnQueue) == 0 || r.turnsScheduled {
+		return
+	}
+	r.turnsScheduled = true
+	if r.readingEnded {
+		r.runAsync(r.giveTurns)
+		return
 	}
+	r.after(turnInterval, r.giveTurns)
 }
 
 // giveTurns gives one round of turns, for a bounded time.
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -208,16 +208,15 @@
 		c.replyNow([]byte("-ERR wrong number of words\r\n"))
 		return false
 	}
+	if r.readingEnded {
+		c.rejectUnbegun(words)
+		return false
+	}
 	request, event, timeout, ok := c.parseRequest(words, write)
 	if !ok {
 		c.replyNow(invalidRequestReply)
 		return false
 	}
-	if r.readingEnded {
-		r.countUnadmitted(event.Method, wire.Rejected)
-		c.replyNow(resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected}))
-		return false
-	}
 	if !r.held.MayBegin() {
 		r.counts.RejectedForMemory++
 		r.countUnadmitted(event.Method, wire.Rejected)
@@ -238,6 +237,21 @@
 	return true
 }
 
+// rejectUnbegun rejects a request that was read before the process stopped reading. There may be thousands of them, and little time.
+func (c *client) rejectUnbegun(words [][]byte) {
+	method, known := c.r.methods[string(resp2.ParseProps(words[3]).Method)]
+	if known {
+		c.r.countUnadmitted(method, wire.Rejected)
+	}
+	if c.hasNoPendingReplies() {
+		c.write(busyReply)
+		return
+	}
+	c.replyNow(busyReply)
+}
+
+var busyReply = resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected})
+
 var invalidRequestReply = []byte("-ERR a req needs a new id, c, and d\r\n")
 
 // parseRequest builds a request from the words of a command; ok is false if it is invalid, which is counted
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -35,7 +35,7 @@
 
 // readingEndMargin is how long before the shutdown deadline the router stops reading from clients that send without end. It is
 // enough to answer and close them with a small share of a core.
-const readingEndMargin = 500 * clock.Millisecond
+const readingEndMargin = clock.Second
 
 // endReading stops reading from the clients that have sent more than they have answers for. They are never quiet, so that the
 // process would not end. What has been read of them is answered, and then they are closed.
@@ -72,7 +72,9 @@
 }
 
 // isPastShutdown reports whether every admitted request has been answered, or is about to be.
-func (r *Router) isPastShutdown() bool { return r.shutdownDeadline != 0 && r.clock() >= r.shutdownDeadline }
+func (r *Router) isPastShutdown() bool {
+	return r.shutdownDeadline != 0 && r.clock() >= r.shutdownDeadline
+}
 
 // Drained reports, after Run has returned, whether the router ended because of Drain.
 func (r *Router) Drained() bool { return r.draining }
