--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -397,7 +397,7 @@
 			client.stopWaitingForInput()
 			client.resumeReading()
 		}
-		if r.clock()-began >= maxTaskTime {
+		if r.isTimeUp(began) {
 			waiting = append(waiting, stalled[i+1:]...)
 			r.queueBatch()
 			break
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -164,35 +164,46 @@
 	}
 }
 
-// pollClients closes the paused clients that have disconnected, sends what the kernel accepts now, and returns to the
-// loop those that could not return earlier.
+// pollClients looks after the clients of which the loop is not notified, for a bounded time. The order of a map is another one
+// each time, so that none is left out for long.
 func (r *Router) pollClients() {
 	r.clientPollScheduled = false
 	r.closeGonePausedClients()
 	r.noteKernelInput()
+	began := r.clock()
 	for client := range r.polledClients {
-		if client.isOpen() && len(client.unsent) > 0 {
-			client.writeUnsent()
-		}
-		if client.paused && r.closingClients && len(client.unsent) > 0 && client.mayClose() { // it does not read
-			client.end = counters.ClientUnread
-			client.close()
-		}
-		if client.paused && (r.readingEnded && client.closeAfterReplies || r.isPastShutdown()) && client.isQuiet() {
-			client.end = counters.ClientDrained
-			client.close()
-		}
-		if client.paused && client.resumeDue && !r.readingEnded {
-			client.resumeOnLoop()
-		}
-		client.revealEnd()
-		if !client.paused && len(client.unsent) == 0 {
-			delete(r.polledClients, client)
+		client.poll()
+		if r.isTimeUp(began) {
+			break
 		}
 	}
 	r.scheduleClientPoll()
 }
 
+// poll closes a client that does not read or is to be closed, sends what the kernel accepts now, and returns the client to the
+// loop if that was not possible earlier.
+func (c *client) poll() {
+	r := c.r
+	if c.isOpen() && len(c.unsent) > 0 {
+		c.writeUnsent()
+	}
+	if c.paused && r.closingClients && len(c.unsent) > 0 && c.mayClose() { // it does not read
+		c.end = counters.ClientUnread
+		c.close()
+	}
+	if c.paused && (r.readingEnded && c.closeAfterReplies || r.isPastShutdown()) && c.isQuiet() {
+		c.end = counters.ClientDrained
+		c.close()
+	}
+	if c.paused && c.resumeDue && !r.readingEnded {
+		c.resumeOnLoop()
+	}
+	c.revealEnd()
+	if !c.paused && len(c.unsent) == 0 {
+		delete(r.polledClients, c)
+	}
+}
+
 const (
 	// revealDelay is how long the kernel may have input of a paused client before it is read ahead.
 	revealDelay = 20 * clock.Millisecond
--- a/internal/router/client_turns.go
+++ b/internal/router/client_turns.go
@@ -45,7 +45,7 @@
 		if client.isOpen() && !client.stalled {
 			client.resumeReading()
 		}
-		if r.clock()-began >= maxTaskTime {
+		if r.isTimeUp(began) {
 			break
 		}
 	}
--- a/internal/router/loop_tasks.go
+++ b/internal/router/loop_tasks.go
@@ -90,13 +90,16 @@
 	}
 }
 
+// isTimeUp reports whether a task that began at the given time has to leave the rest of its work to a later one.
+func (r *Router) isTimeUp(began clock.Time) bool { return r.clock()-began >= maxTaskTime }
+
 // runTasks runs the tasks that are waiting, for a bounded time. The rest runs once the loop has read its sockets.
 func (r *Router) runTasks() {
 	began := r.clock()
 	for task := r.tasks.next(); task != nil; task = r.tasks.next() {
 		r.noteTask()
 		task()
-		if r.clock()-began < maxTaskTime {
+		if !r.isTimeUp(began) {
 			continue
 		}
 		if r.waker != nil {
@@ -109,6 +112,17 @@
 	runtime.Gosched() // a loop that always has work would keep a single core from the other goroutines
 }
 
+// awaitPoll returns once the loop has looked for readable sockets. gnet adds a connection to the loop in a task of its own queue:
+// whoever adds one after the other waits in between, or the loop would do nothing else.
+func (r *Router) awaitPoll() {
+	polled := make(chan struct{})
+	r.runAsync(func() { close(polled) })
+	select {
+	case <-polled:
+	case <-r.done:
+	}
+}
+
 // loopWaker is the writing end of the connection that wakes the loop.
 type loopWaker struct {
 	conn net.Conn
