A handover gives over clients for 2 ms at a time, and an aborted one gives them their turns

It now stops after 2 ms and goes on in the next batch. And a client on the loop whose command had arrived during a handover that was then aborted got no turn until it sent more; it gets one now.

--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -358,6 +358,11 @@
 	}
 	r.adjustMemoryLimits()
 	r.resumePausedClients()
+	for client := range r.clients {
+		if len(client.input.unread) > 0 { // received meanwhile
+			r.queueTurn(client)
+		}
+	}
 	if !t.accepting {
 		r.startAccepting()
 	}
@@ -409,9 +414,14 @@
 	}
 }
 
-// handOverClients hands over each client without pending commands, with its unread input.
+// handOverClients hands over each client without pending commands, with its unread input, for a bounded time.
 func (r *Router) handOverClients() {
+	began := r.clock()
 	for client := range r.clients {
+		if r.isTimeUp(began) {
+			r.queueBatch() // it continues
+			return
+		}
 		if client.closeAfterReplies || client.detachPending || !client.hasNoPendingReplies() {
 			continue
 		}
@@ -427,6 +437,10 @@
 		client.handOver(fd)
 	}
 	for client := range r.polledClients {
+		if r.isTimeUp(began) {
+			r.queueBatch()
+			return
+		}
 		if !client.paused || client.closeAfterReplies || !client.hasNoPendingReplies() {
 			continue
 		}
@@ -504,6 +518,7 @@
 	go func() {
 		defer func() { <-r.takeover.adopting }()
 		r.enroll(c, adopted, func() {})
+		r.awaitPoll()
 	}()
 }
 
