--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -49,7 +49,8 @@
 type externalQueue struct {
 	mu           sync.Mutex
 	events       []externalEvent
-	openRequests int // admitted and not finished; belongs to the loop
+	scheduled    bool // admitExternalRequests is going to run
+	openRequests int  // admitted and not finished; belongs to the loop
 }
 
 type externalEvent struct {
@@ -88,32 +89,51 @@
 		return false
 	}
 	queue.events = append(queue.events, event)
-	isFirst := len(queue.events) == 1
+	isIdle := !queue.scheduled
+	queue.scheduled = true
 	queue.mu.Unlock()
-	if isFirst {
+	if isIdle {
 		r.runAsync(r.admitExternalRequests)
 	}
 	return true
 }
 
-// admitExternalRequests admits everything queued since the last call, in one batch.
+// admitExternalRequests admits what is queued, for a bounded time. The rest is admitted by a later task.
 func (r *Router) admitExternalRequests() {
-	queue := &r.external
-	queue.mu.Lock()
-	events := queue.events
-	queue.events = nil
-	queue.mu.Unlock()
-	for _, event := range events {
-		if event.withdrawn {
-			if request := event.request.request; request != nil {
-				r.clientLeft(request)
-			}
-			continue
+	began := r.clock()
+	for event, ok := r.external.next(); ok; event, ok = r.external.next() {
+		r.handleExternal(event)
+		if r.isTimeUp(began) {
+			r.runAsync(r.admitExternalRequests)
+			return
 		}
-		if reason := r.admitExternal(event.request); reason != 0 {
-			event.request.Reject(reason)
+	}
+}
+
+func (r *Router) handleExternal(event externalEvent) {
+	if event.withdrawn {
+		if request := event.request.request; request != nil {
+			r.clientLeft(request)
 		}
+		return
+	}
+	if reason := r.admitExternal(event.request); reason != 0 {
+		event.request.Reject(reason)
+	}
+}
+
+// next removes the first event. If there is none, ok is false, and the next one that is queued wakes the loop.
+func (q *externalQueue) next() (event externalEvent, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.events) == 0 {
+		q.events, q.scheduled = nil, false
+		return externalEvent{}, false
 	}
+	event = q.events[0]
+	q.events[0] = externalEvent{}
+	q.events = q.events[1:]
+	return event, true
 }
 
 // admitExternal admits a request, or returns why it is rejected; 0 means that it is admitted.
