Due timers run although the alarm is late

With one core the alarm's goroutine runs when the loop yields, and the loop does not yield while sockets are readable and no task is queued, as beside clients that send commands which the router answers itself. A readable socket now has due timers run too.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -292,6 +292,9 @@
 // OnTraffic passes readable input to the connection's handler.
 func (r *Router) OnTraffic(c gnet.Conn) gnet.Action {
 	r.noteSocketRead()
+	if r.timers.isDue(r.clock()) {
+		r.queueBatch() // the alarm may be late: its goroutine needs a core, too
+	}
 	if p, ok := c.Context().(connHandler); ok {
 		return p.onTraffic()
 	}
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -83,9 +83,12 @@
 	r.after(2*r.limits.MetricsInterval, r.publishPeriodically)
 }
 
+// isDue reports whether a timer is due.
+func (t *timers) isDue(now clock.Time) bool { return len(t.pending) > 0 && t.pending[0].dueAt <= now }
+
 // fireTimers calls the callbacks that are due.
 func (r *Router) fireTimers(now clock.Time) {
-	for len(r.timers.pending) > 0 && r.timers.pending[0].dueAt <= now {
+	for r.timers.isDue(now) {
 		heap.Pop(&r.timers).(*timer).callback()
 	}
 }
