--- a/cmd/cache-router/ending_soak_test.go
+++ b/cmd/cache-router/ending_soak_test.go
@@ -27,16 +27,20 @@
 	// frontDelay is how long new connections come after SIGTERM at the most.
 	frontDelay = 400 * time.Millisecond
 	// crossingTime is how long after its last byte a request may cross the end of its connection: it has not been read then.
-	crossingTime   = 200 * time.Millisecond
-	parallelSeeds  = 2
-	soakClients    = 20
-	onceSuffix     = "-once"                 // of the ids of requests that must not run twice
-	soakBefore     = 1200 * time.Millisecond // from the first client to the end of the process
-	soakCrowdShare = 2                       // one of so many runs has a crowd
+	crossingTime  = 200 * time.Millisecond
+	parallelSeeds = 2
+	soakClients   = 20
+	onceSuffix    = "-once"                 // of the ids of requests that must not run twice
+	soakBefore    = 1200 * time.Millisecond // from the first client to the end of the process
+
+	// What burdens the process, beside its clients and busy processes on its core.
+	soakFlood   = 1
+	soakCrowd   = 2
+	soakBurdens = 3
 )
 
 // TestEndingSoak ends processes in all ways, by a seed, while clients use their open connections until the kill, which comes as
-// early as it may; some runs have a crowd. It guards against requests that an ending process has read and not answered, requests
+// early as it may; some runs have a crowd, some a flood, some little CPU. It guards against requests that an ending process has read and not answered, requests
 // that run twice, and limits that are passed meanwhile.
 func TestEndingSoak(t *testing.T) {
 	slots := make(chan struct{}, parallelSeeds)
@@ -66,7 +70,13 @@
 }
 
 func (s *endingSoak) run(t *testing.T) {
-	s.crowd = startCrowd(t, []int{crowdMemoryMB, 192}[s.random.IntN(2)])
+	s.crowd = newCrowd(t, []int{crowdMemoryMB, 192}[s.random.IntN(2)])
+	burden := s.random.IntN(soakBurdens)
+	busy := []int{0, 0, 2, 8}[s.random.IntN(4)]
+	if busy > 0 || s.random.IntN(2) == 0 {
+		s.giveOneCore(busy)
+	}
+	s.serve()
 	memoryMB := crowdMemoryMB
 	if strings.Contains(s.config, `"memory_mb":192`) {
 		memoryMB = 192
@@ -79,7 +89,11 @@
 		s.clients.Go(func() { s.ask(i, random) })
 	}
 	kind := crowdKind{name: "no crowd"}
-	if s.random.IntN(soakCrowdShare) == 0 {
+	switch {
+	case burden == soakFlood:
+		kind.name = "flood"
+		s.playFlood(s.random.IntN(2*busy+40) / (busy + 1))
+	case burden == soakCrowd && busy == 0:
 		kind = crowdKinds[s.random.IntN(len(crowdKinds))]
 		s.playCrowd(kind, 100+s.random.IntN(200), &s.stop, &s.clients)
 	}
@@ -101,11 +115,24 @@
 	}
 	s.stop.Store(true)
 	s.clients.Wait()
-	t.Logf("%s, ending %d: %d answered, %d crossed an end", kind.name, ending, s.answered.Load(), s.crossed.Load())
+	t.Logf("%s, %d busy processes, ending %d: %d answered, %d crossed an end", kind.name, busy, ending, s.answered.Load(), s.crossed.Load())
 	check()
 	s.checkRuns()
 }
 
+// playFlood has some clients send reads, writes or commands that the router answers itself at full speed.
+func (s *endingSoak) playFlood(flooders int) {
+	command := []func(n int) []byte{readOfNewKey, ping, func(n int) []byte {
+		return writeCommand(floodName(n), floodName(n), "c=pay,d=200", 10)
+	}}[s.random.IntN(3)]
+	for i := range flooders + 1 {
+		s.clients.Go(func() {
+			first := i << 32
+			s.flood(func(n int) []byte { return command(first + n) }, floodBatchBytes, &s.stop)
+		})
+	}
+}
+
 // end sends a process signals in series, and kills it as early as it may be. The process has to have ended by then, unless
 // clients have not read answers that it has begun to pass on.
 func (s *endingSoak) end(process *exec.Cmd, isLast, hasSlowReaders bool) {
--- a/cmd/cache-router/flood_test.go
+++ b/cmd/cache-router/flood_test.go
@@ -88,15 +88,17 @@
 	return program.Start()
 }
 
-// giveOneCore has the program run on one core, which it shares with busy processes.
+// giveOneCore has the program run on one core, which it shares with busy processes. Those of tests that run at the same time are
+// on others.
 func (c *crowd) giveOneCore(busy int) {
 	var cores unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &cores); err != nil {
 		c.t.Fatal(err)
 	}
-	core := 0
-	for !cores.IsSet(core) {
-		core++
+	core := -1
+	for skip := int(lastAddress.Load()) % cores.Count(); skip >= 0; skip-- {
+		for core++; !cores.IsSet(core); core++ {
+		}
 	}
 	c.startProgram = func(program *exec.Cmd) error { return startOnCore(program, core) }
 	for range busy {
