Clients that use their connection again are not closed for many busy others

Cause: beyond a quarter of the descriptors, each further client with a request has the quiet one closed that has been idle longest, from 50 ms on, although descriptors were free. Writers are never quiet, so that those paid which rest between requests.

Fix: the rule is for clients that send one request and keep the connection. A client that has sent a second one is closed by it only after 1 s without use, half of the idle timeout, and comes behind the others when descriptors run out.

--- a/cmd/cache-router/crowd_test.go
+++ b/cmd/cache-router/crowd_test.go
@@ -500,38 +500,58 @@
 	}
 }
 
-// TestHalfSentWrites_CostNoOtherClientItsConnection guards against clients that stop in the middle of a large write taking the
-// descriptors of others, whose connections are closed for it.
-func TestHalfSentWrites_CostNoOtherClientItsConnection(t *testing.T) {
-	const ordinary, stopping = 60, 250
-	c := startCrowd(t, crowdMemoryMB)
-	check := c.watchLimits(crowdMemoryMB, c.runningPIDs())
-	var stop atomic.Bool
-	var done sync.WaitGroup
-	l := &latencies{}
-	for i := range ordinary {
-		done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 400*time.Millisecond, &stop, l) })
-	}
-	time.Sleep(500 * time.Millisecond)
-	for i := range stopping {
-		done.Go(func() {
-			conn, err := c.dial()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			command := writeCommand(fmt.Sprint("k", i), fmt.Sprint("half", i), "c=pay,d=2500", 4<<20-100)
-			_ = conn.SetDeadline(time.Now().Add(6 * time.Second))
+// TestManyWriters_CostNoOtherClientItsConnection guards against clients that stop in the middle of a large write, or send one write
+// after the other, taking the descriptors of others, whose connections are closed for it.
+func TestManyWriters_CostNoOtherClientItsConnection(t *testing.T) {
+	const ordinary = 60
+	for _, test := range []struct {
+		name    string
+		writers int
+		write   func(conn *crowdConn, writer int, stop *atomic.Bool)
+	}{
+		{"half-sent large writes", 250, func(conn *crowdConn, writer int, _ *atomic.Bool) {
+			command := writeCommand(fmt.Sprint("k", writer), fmt.Sprint("half", writer), "c=pay,d=2500", 4<<20-100)
 			_, _ = conn.Write(command[:len(command)/2])
 			_, _ = conn.readAnswer() // its error, or its end
+		}},
+		{"writes of 60 KB", 315, func(conn *crowdConn, writer int, stop *atomic.Bool) {
+			for n := 0; !stop.Load(); n++ {
+				_, _ = conn.Write(writeCommand(fmt.Sprint("k", writer), fmt.Sprint("w", writer, "-", n), "c=pay,d=2500", 60_000))
+				if _, err := conn.readAnswer(); err != nil {
+					return
+				}
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := startCrowd(t, crowdMemoryMB)
+			check := c.watchLimits(crowdMemoryMB, c.runningPIDs())
+			var stop atomic.Bool
+			var done sync.WaitGroup
+			l := &latencies{}
+			for i := range ordinary {
+				done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 400*time.Millisecond, &stop, l) })
+			}
+			time.Sleep(500 * time.Millisecond)
+			for i := range test.writers {
+				done.Go(func() {
+					conn, err := c.dial()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					_ = conn.SetDeadline(time.Now().Add(6 * time.Second))
+					test.write(conn, i, &stop)
+				})
+			}
+			time.Sleep(5 * time.Second)
+			stop.Store(true)
+			done.Wait()
+			check()
+			t.Logf("%d answers, %d evicted", len(l.taken), c.counter("shed"))
+			if l.lost > 0 {
+				t.Errorf("%d of %d ordinary clients lost their connection", l.lost, ordinary)
+			}
 		})
 	}
-	time.Sleep(5 * time.Second)
-	stop.Store(true)
-	done.Wait()
-	check()
-	t.Logf("%d answers, %d evicted", len(l.taken), c.counter("shed"))
-	if l.lost > 0 {
-		t.Errorf("%d of %d ordinary clients lost their connection", l.lost, ordinary)
-	}
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -24,6 +24,7 @@
 	hasReceived       bool        // has sent something
 	hasSentCommand    bool        // has sent a complete command
 	hasSentRequest    bool        // has sent a request
+	hasReusedConn     bool        // has sent another one
 	stalled           bool        // further commands wait; it is in the router's stalledClients
 	closeAfterReplies bool        // to be closed once the replies are written
 	largeWriteNext    bool        // a large write is next, and waits until everything before it is answered
@@ -296,6 +297,7 @@
 // connection.
 func (c *client) countRequester() {
 	if c.hasSentRequest {
+		c.hasReusedConn = true
 		return
 	}
 	c.hasSentRequest = true
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -85,15 +85,21 @@
 	return true
 }
 
-// shedClient closes the client that has been quiet longest, preferring those that never sent a request;
-// requestersOnly leaves these out. A new client is spared: its first request is on its way and would be lost.
+// shedClient closes the client that has been quiet longest, preferring those that make less use of their connection;
+// requestersOnly leaves out those that never sent a request, and those that have used their connection again lately. A new client is
+// spared: its first request is on its way and would be lost.
 func (r *Router) shedClient(requestersOnly bool) bool {
 	now := r.clock()
 	var candidate *client
 	for client := range r.clients {
-		if client.isQuiet() && (client.hasSentRequest || !requestersOnly) && now-client.lastActivity >= r.limits.IdleClientEvictionAge &&
-			(candidate == nil || client.hasSentRequest == candidate.hasSentRequest && client.lastActivity < candidate.lastActivity ||
-				!client.hasSentRequest && candidate.hasSentRequest) {
+		minIdle := r.limits.IdleClientEvictionAge
+		if requestersOnly && client.connUse() == connReused {
+			minIdle = max(minIdle, r.limits.ClientIdleTimeout/reusedIdleDivisor)
+		}
+		if !client.isQuiet() || requestersOnly && client.connUse() == connUnused || now-client.lastActivity < minIdle {
+			continue
+		}
+		if candidate == nil || client.isShedBefore(candidate) {
 			candidate = client
 		}
 	}
@@ -109,3 +115,34 @@
 	r.closeConn(candidate.conn)
 	return true
 }
+
+// reusedIdleDivisor gives the part of the idle timeout after which a client that has used its connection again counts as having
+// done with it.
+const reusedIdleDivisor = 2
+
+// connUse says how much use a client makes of its connection.
+type connUse uint8
+
+const (
+	connUnused  connUse = iota // it has sent no request
+	connOneShot                // it has sent one
+	connReused
+)
+
+func (c *client) connUse() connUse {
+	switch {
+	case c.hasReusedConn:
+		return connReused
+	case c.hasSentRequest:
+		return connOneShot
+	}
+	return connUnused
+}
+
+// isShedBefore reports whether the client is closed before another one.
+func (c *client) isShedBefore(other *client) bool {
+	if c.connUse() != other.connUse() {
+		return c.connUse() < other.connUse()
+	}
+	return c.lastActivity < other.lastActivity
+}
