The loop is woken by a UDP socket in place of a Unix socket pair, and only when tasks are cut short

Tasks are queued at gnet again. A run is cut short 2 ms after the first one since the loop has read a socket, or has been away from its tasks for 0.1 ms; a UDP socket that is connected to itself then has the loop go on behind the sockets that are readable, and a timer of 1 ms stands in for a lost datagram or a failed call.

gRPC calls wait, too, while queues are long, if their connection has others open: they were not limited.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -92,7 +92,7 @@
 // Descriptors that are not connections to clients or servers.
 const (
 	// openDescriptors covers the standard streams, the epoll instances and event files of gnet and the Go runtime, the
-	// listener, both ends of the loop's first connection, the successor's socket, the configuration file, and four accepted connections
+	// listener, the loop's first two connections, the successor's socket, the configuration file, and four accepted connections
 	// that have not reached the loop yet.
 	openDescriptors = 24
 	// reservedDescriptors covers openDescriptors and ten connections that are being closed.
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -145,6 +145,9 @@
 		Reject:         func(reason router.RejectReason) { done <- callResult{rejection: reason} },
 		ClientGone:     func() bool { return ctx.Err() != nil },
 		HasUnreadInput: func() bool { return s.hasUnread(ctx) }}
+	if client, ok := peer.FromContext(ctx); ok {
+		request.Client = client.Addr.String()
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		if request.Timeout = clock.Time(time.Until(deadline) / time.Microsecond); request.Timeout <= 0 {
 			return nil, status.Error(codes.DeadlineExceeded, "the deadline had passed when the call came")
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -51,6 +51,7 @@
 		}
 	}
 	r.resumeStalledClients()
+	r.resumeExternal()
 	r.dialForWaiting()
 	if r.batchTime-r.operator.statsAt >= r.limits.MetricsInterval {
 		r.publishStats()
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -121,7 +121,7 @@
 			r.closeConn(client.conn)
 		}
 	}
-	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests == 0 && !r.stopped {
+	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests+len(r.external.waiting) == 0 && !r.stopped {
 		if r.hasPendingConnection() && r.clock() < r.shutdownDeadline {
 			r.after(r.limits.LargeValueRetryInterval, r.queueBatch)
 			return
--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -29,6 +29,8 @@
 	Tenant      routing.Tenant
 	Timeout     clock.Time // how long its client waits; 0: as long as the method allows
 	ClientRetry bool
+	// Client identifies the connection. A client's further requests wait while queues are long, as those of RESP2 clients do.
+	Client string
 	// Exactly one of Answer and Reject is called, on the loop, once; it must not block. An answer's value is valid
 	// only during the call.
 	Answer func(wire.Answer)
@@ -40,17 +42,22 @@
 	// never.
 	HasUnreadInput func() bool
 
-	withdrawn atomic.Bool     // set before the loop processes the withdrawal
-	request   *pendingRequest // belongs to the loop; nil: not admitted
+	submittedAt clock.Time
+	withdrawn   atomic.Bool     // set before the loop processes the withdrawal
+	request     *pendingRequest // belongs to the loop; nil: not admitted
 }
 
 // externalQueue passes requests from front ends to the loop. Its lock is held for an append only, never while the
 // loop works.
 type externalQueue struct {
-	mu           sync.Mutex
-	events       []externalEvent
-	scheduled    bool // admitExternalRequests is going to run
-	openRequests int  // admitted and not finished; belongs to the loop
+	mu        sync.Mutex
+	events    []externalEvent
+	scheduled bool // admitExternalRequests is going to run
+
+	// These belong to the loop.
+	openRequests int                // admitted and not finished
+	openByClient map[string]int     // of them, by client
+	waiting      []*ExternalRequest // of clients that have others open, until queues are shorter
 }
 
 type externalEvent struct {
@@ -64,6 +71,7 @@
 // Submit queues a request, from any goroutine. It returns false if too many are queued or the loop does not run
 // yet; nothing is called then.
 func (r *Router) Submit(request *ExternalRequest) bool {
+	request.submittedAt = r.clock()
 	return r.enqueueExternal(externalEvent{request: request}, r.limits.ExternalRequests)
 }
 
@@ -117,11 +125,60 @@
 		}
 		return
 	}
-	if reason := r.admitExternal(event.request); reason != 0 {
-		event.request.Reject(reason)
+	r.admitOrQueue(event.request)
+}
+
+// admitOrQueue admits or rejects a request, or has it wait.
+func (r *Router) admitOrQueue(request *ExternalRequest) {
+	queue := &r.external
+	hasOthers := queue.openByClient[request.Client] > 0
+	if hasOthers && !r.rejectsExternal() && r.queueRoom() == 0 {
+		queue.waiting = append(queue.waiting, request)
+		return
+	}
+	if reason := r.admitExternal(request); reason != 0 {
+		request.Reject(reason)
+		return
+	}
+	queue.openRequests++
+	queue.openByClient[request.Client]++
+	if hasOthers {
+		request.request.isLimited = true
+		r.limitedRequests++
+	}
+}
+
+// resumeExternal admits the requests that need not wait any longer, for a bounded time.
+func (r *Router) resumeExternal() {
+	began := r.clock()
+	waiting := r.external.waiting
+	r.external.waiting = nil
+	for i, request := range waiting {
+		if !request.withdrawn.Load() {
+			r.admitOrQueue(request)
+		}
+		if r.isTimeUp(began) {
+			r.external.waiting = append(r.external.waiting, waiting[i+1:]...)
+			r.queueBatch()
+			return
+		}
 	}
 }
 
+// endExternal no longer counts a request that has ended as open.
+func (r *Router) endExternal(request *ExternalRequest) {
+	queue := &r.external
+	queue.openRequests--
+	if queue.openByClient[request.Client]--; queue.openByClient[request.Client] == 0 {
+		delete(queue.openByClient, request.Client)
+	}
+}
+
+// rejectsExternal reports whether no request of a front end is admitted any more.
+func (r *Router) rejectsExternal() bool {
+	return r.closingClients || r.operator.state.Drain || r.fleet.outOfService != ""
+}
+
 // next removes the first event. If there is none, ok is false, and the next one that is queued wakes the loop.
 func (q *externalQueue) next() (event externalEvent, ok bool) {
 	q.mu.Lock()
@@ -139,9 +196,11 @@
 // admitExternal admits a request, or returns why it is rejected; 0 means that it is admitted.
 func (r *Router) admitExternal(request *ExternalRequest) RejectReason {
 	method, known := r.methods[request.Method]
+	now := r.clock()
+	waited := now - request.submittedAt
 	size := requestOverheadBytes + len(request.Key) + request.Props.Len() + len(request.Value)
 	switch {
-	case r.closingClients || r.operator.state.Drain || r.fleet.outOfService != "":
+	case r.rejectsExternal():
 		return RejectedShuttingDown
 	case !known:
 		return RejectedUnknownMethod
@@ -149,17 +208,18 @@
 		return RejectedDuplicateID
 	case request.Timeout < 0:
 		return RejectedExpired
+	case request.Timeout > 0 && request.Timeout <= waited:
+		return RejectedExpired
 	case !r.held.MayBegin():
 		return RejectedOverloaded
 	}
 	timeout := r.cfg.Settings.Methods[method].Deadline // a client that waits longer does not extend it
 	if request.Timeout > 0 {
-		timeout = min(timeout, request.Timeout)
+		timeout = min(timeout, request.Timeout-waited)
 	}
 	request.request = &pendingRequest{Request: request.Request, size: size, responder: request}
-	r.external.openRequests++
 	r.admitRequest(request.request, routing.RequestArrived{Request: request.ID, Key: routing.Key(request.Key), Write: request.Write,
-		Method: method, Tenant: request.Tenant, ClientRetry: request.ClientRetry}, timeout, r.clock())
+		Method: method, Tenant: request.Tenant, ClientRetry: request.ClientRetry}, timeout, now)
 	return 0
 }
 
--- a/internal/router/loop_tasks.go
+++ b/internal/router/loop_tasks.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -16,14 +16,16 @@
 )
 
 // gnet runs what is queued on a loop, and what that queues in turn, before it reads a socket again. The router therefore
-// queues its tasks itself. A byte on a connection of its own has the loop run them: gnet gets to that connection once for each
-// time that it looks for readable sockets.
+// queues its tasks itself, runs them for a bounded time, and goes on once the loop has read its sockets.
 
 const (
 	// maxTaskTime is for how long the loop begins further tasks before it reads its sockets.
 	maxTaskTime = 2 * clock.Millisecond
-	// pollPause lets the loop read its sockets where there is no waker.
-	pollPause = 100 * time.Microsecond
+	// pollGap is a time between two runs of tasks after which the loop has been back at its sockets: gnet goes from one run to
+	// another one that is queued already in less.
+	pollGap = 100 * clock.Microsecond
+	// wakeTimeout is how long a datagram of the waker may take. Then the tasks run without it.
+	wakeTimeout = time.Millisecond
 )
 
 // taskQueue holds functions that are to run on the loop, in order. Any goroutine may add some.
@@ -31,6 +33,12 @@
 	mu        sync.Mutex
 	waiting   []func()
 	scheduled bool // the loop is going to run the queue
+
+	// These belong to the loop.
+	runningSince clock.Time // start of the first run since the loop read its sockets; 0: there was none
+	endedAt      clock.Time // of the last run
+	waker        gnet.Conn  // see loopWaker; nil: there is none
+	wakeTimer    *time.Timer
 }
 
 // add appends a task and reports whether the loop has to be woken for it.
@@ -72,11 +80,8 @@
 	}
 }
 
-// wakeLoop has the loop run its tasks once it has looked for readable sockets.
+// wakeLoop has the loop run its tasks.
 func (r *Router) wakeLoop() {
-	if r.waker != nil && r.waker.wake() == nil {
-		return
-	}
 	err := r.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		r.runTasks()
 		return nil
@@ -93,25 +98,45 @@
 // isTimeUp reports whether a task that began at the given time has to leave the rest of its work to a later one.
 func (r *Router) isTimeUp(began clock.Time) bool { return r.clock()-began >= maxTaskTime }
 
-// runTasks runs the tasks that are waiting, for a bounded time. The rest runs once the loop has read its sockets.
+// runTasks runs the tasks that are waiting, for a bounded time since the loop has read its sockets.
 func (r *Router) runTasks() {
+	queue := &r.tasks
 	began := r.clock()
-	for task := r.tasks.next(); task != nil; task = r.tasks.next() {
+	if queue.runningSince == 0 || began-queue.endedAt >= pollGap {
+		queue.runningSince = began
+		r.noteSocketRead()
+	}
+	for !r.isTimeUp(queue.runningSince) {
+		task := queue.next()
+		if task == nil {
+			break
+		}
 		r.noteTask()
 		task()
-		if !r.isTimeUp(began) {
-			continue
-		}
-		if r.waker != nil {
-			r.wakeLoop()
-		} else {
-			time.AfterFunc(pollPause, r.wakeLoop)
-		}
-		break
 	}
+	if r.isTimeUp(queue.runningSince) {
+		r.continueAfterPoll()
+	}
+	queue.endedAt = r.clock()
 	runtime.Gosched() // a loop that always has work would keep a single core from the other goroutines
 }
 
+// continueAfterPoll has the loop run the rest of its tasks once it has read its sockets, of which the waker is the last.
+func (r *Router) continueAfterPoll() {
+	queue := &r.tasks
+	if queue.isEmpty() {
+		queue.next() // later tasks wake the loop
+		return
+	}
+	if queue.wakeTimer != nil {
+		queue.wakeTimer.Stop()
+	}
+	queue.wakeTimer = time.AfterFunc(wakeTimeout, r.wakeLoop)
+	if queue.waker != nil {
+		_, _ = unix.Write(queue.waker.Fd(), wakeDatagram) // after an error the timer is in its place
+	}
+}
+
 // awaitPoll returns once the loop has looked for readable sockets. gnet adds a connection to the loop in a task of its own queue:
 // whoever adds one after the other waits in between, or the loop would do nothing else.
 func (r *Router) awaitPoll() {
@@ -123,54 +148,43 @@
 	}
 }
 
-// loopWaker is the writing end of the connection that wakes the loop.
+// loopWaker handles a UDP socket that is connected to itself. A datagram on it makes it readable, so that the loop gets to it
+// once it has looked for readable sockets.
 type loopWaker struct {
-	conn net.Conn
-	raw  syscall.RawConn
+	r    *Router
+	conn gnet.Conn
 }
 
-// newLoopWaker returns a waker and the end of its connection that is for the loop. It fails where Unix sockets are not allowed.
-func newLoopWaker() (*loopWaker, net.Conn, error) {
-	descriptors, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
-	if err != nil {
-		return nil, nil, os.NewSyscallError("socketpair", err)
-	}
-	reader, err := connFromDescriptor(descriptors[0])
-	if err != nil {
-		_ = unix.Close(descriptors[1])
-		return nil, nil, err
-	}
-	writer, err := connFromDescriptor(descriptors[1])
-	if err != nil {
-		_ = reader.Close()
-		return nil, nil, err
-	}
-	raw, err := writer.(syscall.Conn).SyscallConn()
-	if err != nil {
-		_, _ = reader.Close(), writer.Close()
-		return nil, nil, err
-	}
-	return &loopWaker{conn: writer, raw: raw}, reader, nil
+var wakeDatagram = []byte{0}
+
+func (w *loopWaker) onOpen(conn gnet.Conn) { w.conn, w.r.tasks.waker = conn, conn }
+
+func (w *loopWaker) onTraffic() gnet.Action {
+	_, _ = w.conn.Discard(-1)
+	w.r.tasks.wakeTimer.Stop()
+	w.r.runTasks()
+	return gnet.None
 }
 
-var wakeByte = []byte{0}
+func (w *loopWaker) onClose(bool) { w.r.tasks.waker = nil }
 
-// wake makes the loop's end readable. It does not block.
-func (w *loopWaker) wake() error {
-	var writeErr error
-	err := w.raw.Write(func(descriptor uintptr) bool {
-		_, writeErr = unix.Write(int(descriptor), wakeByte)
-		return true
-	})
+// newWakerConn returns the waker's socket.
+func newWakerConn() (net.Conn, error) {
+	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
 	if err != nil {
-		return err
+		return nil, os.NewSyscallError("socket", err)
 	}
-	return writeErr
-}
-
-// close ends the connection; later wakes fail.
-func (w *loopWaker) close() {
-	if w != nil {
-		_ = w.conn.Close()
+	err = unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	var own unix.Sockaddr
+	if err == nil {
+		own, err = unix.Getsockname(descriptor)
+	}
+	if err == nil {
+		err = unix.Connect(descriptor, own)
+	}
+	if err != nil {
+		_ = unix.Close(descriptor)
+		return nil, fmt.Errorf("connecting a UDP socket to itself: %w", err)
 	}
+	return connFromDescriptor(descriptor)
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -120,8 +120,8 @@
 	r.endLimit(request)
 	r.countOutcome(request.method, a.Kind)
 	r.logAnswer(request, a)
-	if _, isExternal := request.responder.(*ExternalRequest); isExternal {
-		r.external.openRequests--
+	if external, isExternal := request.responder.(*ExternalRequest); isExternal {
+		r.endExternal(external)
 	}
 	if request.largeWrite != nil {
 		request.largeWrite.finishEarly(a)
@@ -189,8 +189,8 @@
 	}
 	request.finished, request.departurePending = true, true
 	r.endLimit(request)
-	if _, isExternal := request.responder.(*ExternalRequest); isExternal {
-		r.external.openRequests--
+	if external, isExternal := request.responder.(*ExternalRequest); isExternal {
+		r.endExternal(external)
 	}
 	r.counts.Abandoned++
 	r.addEvent(routing.ClientDisconnected{Request: request.ID})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,7 +73,6 @@
 	timers  timers
 	sockets socketWatch
 	tasks   taskQueue
-	waker   *loopWaker // nil: tasks are queued at gnet
 
 	requests            map[routing.RequestID]*pendingRequest
 	recent              *recentids.Set       // requests that may have run
@@ -148,6 +147,7 @@
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
 	r.queueLimit = queuelimit.New()
+	r.external.openByClient = map[string]int{}
 	r.requestMemory, r.takeover.frameMemory = r.held.NewAccount(), r.held.NewAccount()
 	r.takeover.adopting = make(chan struct{}, maxPendingAdoptions)
 	r.recent = recentids.New(int(cfg.Limits.MemoryBytes / recentIDsDivisor))
@@ -183,58 +183,38 @@
 	if err = loop.Start(); err != nil {
 		return err
 	}
-	anchor, err := r.dialAnchor()
+	anchor, err := net.Dial("udp", discardAddr)
 	if err != nil {
-		return errors.Join(err, loop.Stop())
+		return errors.Join(fmt.Errorf("opening a UDP socket to %s for the event loop: %w; check that the loopback device is up",
+			discardAddr, err), loop.Stop())
 	}
-	defer r.waker.close()
 	if err = r.listen(); err != nil {
 		anchor.Close()
 		return errors.Join(err, loop.Stop())
 	}
 	defer r.takeover.listener.Close()
-	if _, err = loop.EnrollContext(anchor, &loopAnchor{r: r}); err != nil {
+	if _, err = loop.EnrollContext(anchor, &loopAnchor{r}); err != nil {
 		return errors.Join(err, loop.Stop())
 	}
+	if waker, err := newWakerConn(); err != nil {
+		r.log.WithError(err).Warn("event loop: no waker")
+	} else if _, err = loop.EnrollContext(waker, &loopWaker{r: r}); err != nil {
+		r.log.WithError(err).Warn("event loop: no waker")
+	}
 	<-r.done
 	return loop.Stop()
 }
 
-// discardAddr is the address of the loop's first connection where there is no waker. The UDP socket is connected, so it accepts
-// no datagrams from other senders.
+// discardAddr is the address of the loop's first connection, which carries no data: gnet starts its loop only with
+// a connection. Some environments allow no sockets but TCP and UDP over IPv4; a Unix socket pair made every router
+// fail at start there. The UDP socket is connected, so it accepts no datagrams from other senders.
 const discardAddr = "127.0.0.1:9"
 
-// dialAnchor returns the loop's first connection: gnet starts its loop only with one. It is the waker's, or, in environments that
-// allow no sockets but TCP and UDP over IPv4, one that carries no data.
-func (r *Router) dialAnchor() (anchor net.Conn, err error) {
-	if r.waker, anchor, err = newLoopWaker(); err == nil {
-		return anchor, nil
-	}
-	r.log.WithError(err).Debug("event loop: no Unix sockets, tasks are queued at gnet")
-	if anchor, err = net.Dial("udp", discardAddr); err != nil {
-		return nil, fmt.Errorf("opening a UDP socket to %s for the event loop: %w; check that the loopback device is up", discardAddr, err)
-	}
-	return anchor, nil
-}
-
-// loopAnchor handles the loop's first connection, which stays open as long as the loop.
-type loopAnchor struct {
-	r    *Router
-	conn gnet.Conn
-}
-
-func (a *loopAnchor) onOpen(c gnet.Conn) {
-	a.conn = c
-	a.r.startLoop(c.EventLoop())
-}
-
-// onTraffic runs tasks: the waker has written.
-func (a *loopAnchor) onTraffic() gnet.Action {
-	_, _ = a.conn.Discard(-1)
-	a.r.runTasks()
-	return gnet.None
-}
+// loopAnchor handles the connection to discardAddr, which stays open as long as the loop.
+type loopAnchor struct{ r *Router }
 
+func (a *loopAnchor) onOpen(c gnet.Conn)   { a.r.startLoop(c.EventLoop()) }
+func (*loopAnchor) onTraffic() gnet.Action { return gnet.None }
 func (a *loopAnchor) onClose(bool) {
 	if !a.r.stopped {
 		a.r.stopped = true
@@ -292,6 +272,7 @@
 // OnTraffic passes readable input to the connection's handler.
 func (r *Router) OnTraffic(c gnet.Conn) gnet.Action {
 	r.noteSocketRead()
+	r.tasks.runningSince = 0
 	if r.timers.isDue(r.clock()) {
 		r.queueBatch() // the alarm may be late: its goroutine needs a core, too
 	}
