The limit on pending requests doubles until it is met, and those who wait for it hold no memory

Cause: from 32 pending requests the limit rose by one in a response time, 0.3 s, so that clients waited for seconds; memory for the rest of a command was reserved for some that could not begin, so that others waited for memory; and a client that waits within a command counts as one that has stopped.

Fix: the limit begins at 64 and doubles in each response time until it is lowered for the first time, then rises by a sixteenth. Memory is reserved for a command that may begin, and a client whose command may not begin is not silent.

--- a/core/queuelimit/queuelimit.go
+++ b/core/queuelimit/queuelimit.go
@@ -9,9 +9,11 @@
 	// maxWaiting bounds the requests that wait to be sent to a server.
 	maxWaiting = 64
 	// Bounds of the limit on pending requests.
-	initialPending = 32
+	initialPending = 64
 	minPending     = 4
 	maxPending     = 4096
+	// raisingDivisor gives the part of the limit by which it is raised in a response time, once it was lowered. Before, it doubles.
+	raisingDivisor = 16
 	// The limit is lowered by a factor while the mean response time exceeds a multiple of the base, and a constant.
 	loweringFactor   = 0.7
 	slowdownMultiple = 2
@@ -72,7 +74,7 @@
 	switch {
 	case !times.isInflated():
 		if 2*pending >= int(l.pending) { // the limit is in use
-			l.pending = min(l.pending+1/l.pending, maxPending)
+			l.pending = min(l.pending+l.raise(), maxPending)
 		}
 	case now-l.loweredAt >= times.mean: // answers show the last change by now
 		l.loweredAt = now
@@ -80,6 +82,14 @@
 	}
 }
 
+// raise returns by how much an answer raises the limit: as many come in a response time as are pending.
+func (l *Limit) raise() float64 {
+	if l.loweredAt == 0 {
+		return 1
+	}
+	return max(1/l.pending, 1.0/raisingDivisor)
+}
+
 // Room returns how many requests may become pending, if some wait to be sent and some of the limited ones are pending.
 func (l *Limit) Room(waiting, pending int) int {
 	return max(0, min(maxWaiting-waiting, int(l.pending)-pending))
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -262,7 +262,7 @@
 	if unread > 0 && c.partialSince == 0 {
 		c.partialSince = c.lastActivity
 	}
-	if unread <= c.r.pauseBytes || c.reserveInput(c.r.inputWaiters == 0) {
+	if unread <= c.r.pauseBytes || c.mayBegin() && c.reserveInput(c.r.inputWaiters == 0) {
 		return false
 	}
 	if !c.waitsForInput {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -146,7 +146,7 @@
 	if c.r.closingClients {
 		timeout = c.r.limits.IdleSweepInterval
 	}
-	if !isWaiting || now-c.lastActivity < timeout || c.hasArrived() {
+	if !isWaiting || now-c.lastActivity < timeout || c.hasArrived() || !c.mayBegin() {
 		return
 	}
 	c.closeWithError("nothing whole has come", counters.ClientSilent)
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -81,7 +81,7 @@
 // mayContinue reports whether there is memory for what a client waits for: the rest of a command, or the next one.
 func (c *client) mayContinue() bool {
 	if c.waitsForInput {
-		return c.r.checksInputWaiters && c.reserveInput(true)
+		return c.r.checksInputWaiters && c.mayBegin() && c.reserveInput(true)
 	}
 	return c.mayBegin()
 }
