--- a/core/queuelimit/queuelimit_test.go
+++ b/core/queuelimit/queuelimit_test.go
@@ -31,7 +31,7 @@
 			}
 		}
 		possible := float64(slots) * float64(duration/2) / float64(service)
-		if allowed := 2*(slowdownMultiple*service+slowdownConstant+minPending*service/clock.Time(slots)); longest > allowed {
+		if allowed := 2 * (slowdownMultiple*service + slowdownConstant + minPending*service/clock.Time(slots)); longest > allowed {
 			t.Errorf("%d slots: an answer took %d us, %d are allowed", slots, longest, allowed)
 		}
 		if slots < 1000 && float64(answered) < 0.8*possible {
