Each kind of server has its own limit on pending requests, and no less than one for each cache

A single limit had an origin that is slower than before hold back reads of clients that pipeline, too. Reads and writes now have limits of their own, whose floor is the number of caches, 4 at least; the response time that they are compared with rises over ten minutes in place of one, so that a flood of minutes does not pass for the usual load. A task that was added while the queue was found empty could be lost, and the loop ran its tasks after it had yielded for long as if it had polled: both found by reading.

--- a/cmd/cache-router/flood_test.go
+++ b/cmd/cache-router/flood_test.go
@@ -179,6 +179,10 @@
 			var stop, stopFlood atomic.Bool
 			var done, flood sync.WaitGroup
 			l := &latencies{}
+			for i := range ordinary {
+				done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 50*time.Millisecond, &stop, l) })
+			}
+			time.Sleep(floodTime / 4)
 			for i := range test.flooders {
 				flood.Go(func() {
 					first := i << 32 // names differ between clients
@@ -190,9 +194,6 @@
 					c.flood(command, cmp.Or(test.piece, floodBatchBytes), &stopFlood)
 				})
 			}
-			for i := range ordinary {
-				done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 50*time.Millisecond, &stop, l) })
-			}
 			time.Sleep(floodTime)
 			if test.replaced {
 				old := c.program
--- a/core/queuelimit/queuelimit.go
+++ b/core/queuelimit/queuelimit.go
@@ -1,6 +1,6 @@
-// Package queuelimit bounds the pending requests of clients that have sent more than they have answers for, so that the requests
-// of the other clients find short queues at any capacity. The bound follows the response times, as congestion control does. It
-// is pure: the router's event loop, which owns a Limit, reports the answers.
+// Package queuelimit bounds the pending requests, to one kind of server, of clients that have sent more than they have answers
+// for, so that the requests of the other clients find short queues at any capacity. The bound follows the response times, as
+// congestion control does. It is pure: the router's event loop, which owns a Limit, reports the answers.
 package queuelimit
 
 import "spurtrestle/core/clock"
@@ -9,7 +9,7 @@
 	// maxWaiting bounds the requests that wait to be sent to a server.
 	maxWaiting = 64
 	// Bounds of the limit on pending requests.
-	initialPending = 64
+	initialPending = 32
 	minPending     = 4
 	maxPending     = 4096
 	// raisingDivisor gives the part of the limit by which it is raised in a response time, once it was lowered. Before, it doubles.
@@ -21,20 +21,10 @@
 	// meanSamples is the number of response times that a mean averages over.
 	meanSamples = 32
 	// baseRecovery is the time in which the base rises to the mean.
-	baseRecovery = 60 * clock.Second
+	baseRecovery = 600 * clock.Second
 )
 
-// Target is the kind of server that has answered.
-type Target uint8
-
-// The kinds of servers.
-const (
-	Cache Target = iota
-	Origin
-	targetCount
-)
-
-// responseTime estimates the response time of a kind of server.
+// responseTime estimates the response time of the servers.
 type responseTime struct {
 	samples    clock.Duration // up to meanSamples; a Duration, so that it divides durations
 	mean       clock.Duration
@@ -60,25 +50,31 @@
 // Limit is the bound.
 type Limit struct {
 	pending   float64 // requests that may be pending
+	minimum   float64
 	loweredAt clock.Time
-	targets   [targetCount]responseTime
+	times     responseTime
 }
 
 // New returns a limit that has seen no answers.
-func New() Limit { return Limit{pending: initialPending} }
+func New() Limit { return Limit{pending: initialPending, minimum: minPending} }
+
+// SetServers sets the number of servers. One pending request for each is never too many.
+func (l *Limit) SetServers(count int) {
+	l.minimum = float64(max(count, minPending))
+	l.pending = max(l.pending, l.minimum)
+}
 
 // Observe reports an answer, the time from the request to the answer, and how many limited requests are pending.
-func (l *Limit) Observe(now clock.Time, target Target, took clock.Duration, pending int) {
-	times := &l.targets[target]
-	times.add(now, took)
+func (l *Limit) Observe(now clock.Time, took clock.Duration, pending int) {
+	l.times.add(now, took)
 	switch {
-	case !times.isInflated():
+	case !l.times.isInflated():
 		if 2*pending >= int(l.pending) { // the limit is in use
 			l.pending = min(l.pending+l.raise(), maxPending)
 		}
-	case now-l.loweredAt >= times.mean: // answers show the last change by now
+	case now-l.loweredAt >= l.times.mean: // answers show the last change by now
 		l.loweredAt = now
-		l.pending = max(l.pending*loweringFactor, minPending)
+		l.pending = max(l.pending*loweringFactor, l.minimum)
 	}
 }
 
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -40,7 +40,7 @@
 				r.takeover.enrolling.Add(-1) // it never arrives; a drain would wait for it
 				r.log.WithError(err).Warn("client connection: closed before it was read")
 			}
-			r.awaitPoll()
+			r.awaitTurn()
 		}()
 	}
 }
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -207,13 +207,18 @@
 			}
 			return needsInput
 		}
+		if c.waitsForRoom(words) {
+			clear(words) // they refer to the input
+			c.stall()
+			return needsCapacity
+		}
 		c.hasSentCommand, c.lastCommandAt, c.partialSince = true, c.lastActivity, 0
 		c.receivedAt = c.arrivalTimes.consume(used, c.lastActivity)
 		*work += 1 + used/workUnitBytes
 		if len(words) > 0 && c.handleCommand(words) {
 			*work += requestWork - 1
 		}
-		clear(words) // they refer to the input
+		clear(words)
 		if !c.closeAfterReplies {
 			c.input.consume(used)
 		}
@@ -262,7 +267,7 @@
 	if unread > 0 && c.partialSince == 0 {
 		c.partialSince = c.lastActivity
 	}
-	if unread <= c.r.pauseBytes || c.mayBegin() && c.reserveInput(c.r.inputWaiters == 0) {
+	if unread <= c.r.pauseBytes || c.mayBeginNext() && c.reserveInput(c.r.inputWaiters == 0) {
 		return false
 	}
 	if !c.waitsForInput {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -39,6 +39,7 @@
 	input             inputBuffer // received and not processed yet
 	turnQueued        bool        // it gets another turn in one of the next rounds
 	backlogged        bool        // it has sent more than its last turn could process
+	nextTarget        limitTarget // of the request that waits for room
 	unsent            []byte      // rest of the last written reply that the kernel has not accepted
 	lastSentAt        clock.Time  // when the kernel last accepted a part of a reply
 	memory            clientmemory.Account
@@ -146,7 +147,7 @@
 	if c.r.closingClients {
 		timeout = c.r.limits.IdleSweepInterval
 	}
-	if !isWaiting || now-c.lastActivity < timeout || c.hasArrived() || !c.mayBegin() {
+	if !isWaiting || now-c.lastActivity < timeout || c.hasArrived() || !c.mayBeginNext() {
 		return
 	}
 	c.closeWithError("nothing whole has come", counters.ClientSilent)
@@ -225,8 +226,7 @@
 		return false
 	}
 	if c.isLimited() {
-		request.isLimited = true
-		r.limitedRequests++
+		r.limit(request)
 	}
 	request.slot.request = request
 	c.slots = append(c.slots, &request.slot)
--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -132,7 +132,7 @@
 func (r *Router) admitOrQueue(request *ExternalRequest) {
 	queue := &r.external
 	hasOthers := queue.openByClient[request.Client] > 0
-	if hasOthers && !r.rejectsExternal() && r.queueRoom() == 0 {
+	if hasOthers && !r.rejectsExternal() && r.queueRoom(r.targetOf(request.Write)) == 0 {
 		queue.waiting = append(queue.waiting, request)
 		return
 	}
@@ -143,8 +143,7 @@
 	queue.openRequests++
 	queue.openByClient[request.Client]++
 	if hasOthers {
-		request.request.isLimited = true
-		r.limitedRequests++
+		r.limit(request.request)
 	}
 }
 
@@ -154,7 +153,8 @@
 	waiting := r.external.waiting
 	r.external.waiting = nil
 	for i, request := range waiting {
-		if !request.withdrawn.Load() {
+		hasLeft := request.withdrawn.Load() || request.ClientGone != nil && request.ClientGone()
+		if !hasLeft {
 			r.admitOrQueue(request)
 		}
 		if r.isTimeUp(began) {
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -52,8 +52,8 @@
 // read of it with its head is not longer.
 func (r *Router) reservedReplyBytes() int { return r.limits.RESP.Bulk + replyOverheadBytes }
 
-// mayBegin reports whether the client's next command may begin: there is memory, and not too many are pending, of the client or
-// of all. The first one of a client that has sent no more always begins; if there is no memory even for that, its request is rejected.
+// mayBegin reports whether the client's next command may begin: there is memory, and not too many are pending. The first one of
+// a connection always begins; if there is no memory even for that, its request is rejected.
 func (c *client) mayBegin() bool {
 	limit := c.r.limits.PipelinedCommands
 	if len(c.input.unread) > maxInputBehindPending {
@@ -62,28 +62,15 @@
 	if len(c.slots) >= limit {
 		return false
 	}
-	if c.isLimited() && c.r.queueRoom() == 0 {
-		return false
-	}
 	return c.hasNoPendingReplies() || c.r.held.MayPipeline(&c.memory, c.r.reservedReplyBytes())
 }
 
-// isLimited reports whether the client has sent more than it has answers for: its next request waits for room in the queues.
-func (c *client) isLimited() bool {
-	return !c.r.readingEnded && (c.backlogged || !c.hasNoPendingReplies())
-}
-
-// queueRoom returns how many requests of limited clients may begin.
-func (r *Router) queueRoom() int {
-	return r.queueLimit.Room(r.unbatchedRequests+r.core.QueuedRequests()+r.waitingAttempts, r.limitedRequests)
-}
-
 // mayContinue reports whether there is memory for what a client waits for: the rest of a command, or the next one.
 func (c *client) mayContinue() bool {
 	if c.waitsForInput {
-		return c.r.checksInputWaiters && c.mayBegin() && c.reserveInput(true)
+		return c.r.checksInputWaiters && c.mayBeginNext() && c.reserveInput(true)
 	}
-	return c.mayBegin()
+	return c.mayBeginNext()
 }
 
 // reserveReply reserves memory for the answer to a request behind others.
--- a/internal/router/loop_tasks.go
+++ b/internal/router/loop_tasks.go
@@ -56,8 +56,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) == 0 {
-		q.scheduled = false
-		q.waiting = nil
+		q.waiting, q.scheduled = nil, false
 		return nil
 	}
 	task := q.waiting[0]
@@ -66,11 +65,15 @@
 	return task
 }
 
-// isEmpty reports whether no task is waiting.
-func (q *taskQueue) isEmpty() bool {
+// endIfEmpty reports whether there is no task; then the next one that is added wakes the loop.
+func (q *taskQueue) endIfEmpty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) == 0
+	if len(q.waiting) > 0 {
+		return false
+	}
+	q.scheduled = false
+	return true
 }
 
 // runAsync schedules f on the loop, from any goroutine, and returns without waiting.
@@ -114,18 +117,17 @@
 		r.noteTask()
 		task()
 	}
+	runtime.Gosched() // a loop that always has work would keep a single core from the other goroutines
 	if r.isTimeUp(queue.runningSince) {
 		r.continueAfterPoll()
 	}
 	queue.endedAt = r.clock()
-	runtime.Gosched() // a loop that always has work would keep a single core from the other goroutines
 }
 
 // continueAfterPoll has the loop run the rest of its tasks once it has read its sockets, of which the waker is the last.
 func (r *Router) continueAfterPoll() {
 	queue := &r.tasks
-	if queue.isEmpty() {
-		queue.next() // later tasks wake the loop
+	if queue.endIfEmpty() {
 		return
 	}
 	if queue.wakeTimer != nil {
@@ -137,13 +139,13 @@
 	}
 }
 
-// awaitPoll returns once the loop has looked for readable sockets. gnet adds a connection to the loop in a task of its own queue:
-// whoever adds one after the other waits in between, or the loop would do nothing else.
-func (r *Router) awaitPoll() {
-	polled := make(chan struct{})
-	r.runAsync(func() { close(polled) })
+// awaitTurn returns once the loop has run a task. gnet adds a connection to the loop in a task of its own queue: whoever adds one
+// after the other waits in between, or the loop would not get back to its sockets.
+func (r *Router) awaitTurn() {
+	done := make(chan struct{})
+	r.runAsync(func() { close(done) })
 	select {
-	case <-polled:
+	case <-done:
 	case <-r.done:
 	}
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -8,7 +8,6 @@
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
-	"spurtrestle/core/queuelimit"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
 	"spurtrestle/internal/settings"
@@ -27,7 +26,7 @@
 	wire.Request
 	size             int        // bytes of memory held by the request
 	admittedAt       clock.Time // when it was registered
-	isLimited        bool       // counted in the router's limitedRequests
+	isLimited        bool       // counted in the limit of its target
 	method           routing.Method
 	clientDeadline   clock.Time // when its client stops waiting
 	responder        responder
@@ -132,14 +131,6 @@
 	return true
 }
 
-// endLimit no longer counts a request that ends as pending.
-func (r *Router) endLimit(request *pendingRequest) {
-	if request.isLimited {
-		request.isLimited = false
-		r.limitedRequests--
-	}
-}
-
 // countOutcome counts the end of a request. All ends are counted here, except those of requests whose clients
 // left.
 func (r *Router) countOutcome(m routing.Method, k wire.AnswerKind) {
@@ -320,19 +311,6 @@
 	r.endAttempt(attempt, outcome.Status, r.parseReport(outcome.Report))
 }
 
-// observeResponse adjusts the limit on pending requests to an answer to a request's first attempt.
-func (r *Router) observeResponse(attempt *activeAttempt) {
-	if attempt.number > 0 {
-		return
-	}
-	target := queuelimit.Cache
-	if attempt.server.isOrigin {
-		target = queuelimit.Origin
-	}
-	now := r.clock()
-	r.queueLimit.Observe(now, target, now-attempt.request.admittedAt, r.limitedRequests)
-}
-
 // parseReport parses a load report "name=value,..." into the order of the settings; it returns nil if there is
 // none.
 func (r *Router) parseReport(text []byte) routing.Report {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,7 +12,7 @@
 // keeps them within the limits; large_read.go, large_read_handover.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
-// held_memory.go accounts for the memory held for clients; socket_watch.go logs when sockets are not read in time;
+// held_memory.go accounts for the memory held for clients; queue_limits.go has clients wait while queues are long; socket_watch.go logs when sockets are not read in time;
 // learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
 // connections and requests.
 package router
@@ -31,7 +31,6 @@
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
-	"spurtrestle/core/queuelimit"
 	"spurtrestle/core/recentids"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
@@ -99,10 +98,9 @@
 	detachedClients     int                     // open clients that are off the loop
 	requestingClients   int                     // clients that have sent a request
 	stalledClients      []*client               // clients whose commands wait for room
-	queueLimit          queuelimit.Limit        // for clients that have sent more than they have answers for
-	limitedRequests     int                     // pending ones of such clients
-	unbatchedRequests   int                     // admitted since the last batch
-	waitingAttempts     int                     // of all servers, that wait for a connection
+	queueLimits         [limitTargetCount]targetLimit
+	unbatchedRequests   int // admitted since the last batch
+	waitingAttempts     int // of all servers, that wait for a connection
 	servers             map[routing.ServerID]*server
 	cacheCodec          wire.ServerCodec // protocol spoken to cache servers
 	originCodec         wire.ServerCodec
@@ -146,7 +144,7 @@
 		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{},
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
-	r.queueLimit = queuelimit.New()
+	r.initQueueLimits()
 	r.external.openByClient = map[string]int{}
 	r.requestMemory, r.takeover.frameMemory = r.held.NewAccount(), r.held.NewAccount()
 	r.takeover.adopting = make(chan struct{}, maxPendingAdoptions)
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -231,6 +231,7 @@
 			r.stopUsing(s)
 		}
 	}
+	r.countServers()
 }
 
 // stopUsing closes the idle connections to a server and ends the attempts that wait for one. They have not been
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -518,7 +518,7 @@
 	go func() {
 		defer func() { <-r.takeover.adopting }()
 		r.enroll(c, adopted, func() {})
-		r.awaitPoll()
+		r.awaitTurn()
 	}()
 }
 
