--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -41,6 +41,7 @@
 	EvictedConnections   int // closed to free resources for others
 	ServerConnectionEnds ServerConnectionEnds
 	ClientConnectionEnds ClientConnectionEnds
+	UnansweredEnds       ClientConnectionEnds // of these: before everything that the client had sent was answered
 	RepeatedAnswers      int // equal to an earlier answer on the same connection
 	ConfirmedAnswers     int // of these: confirmed by a fence
 	AbortedConnections   int // closed because of invalid data, or of output that the client does not read
@@ -57,10 +58,10 @@
 	return fmt.Sprintf("taken=%d served=%d rejected=%d failed=%d left=%d attempts=%d ok=%d miss=%d never-ran=%d "+
 		"may-have-run=%d given-up=%d client-conns=%d dials=%d dials-failed=%d shed=%d broken=%d lists=%d "+
 		"lists-failed=%d batches=%d left-waiting=%d deprecated(satisfied=%d nacked=%d write-outs=%d) "+
-		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d rejected-for-memory=%d paused=%d client-conn-ends(%v) repeated-ids=%d longest-unread=%v",
+		"retries=%d attempt-ends(%v) server-conn-ends(%v) repeated=%d confirmed=%d dials-local-errors=%d rejected-for-memory=%d paused=%d client-conn-ends(%v) repeated-ids=%d longest-unread=%v unanswered-ends(%v)",
 		c.Requests, c.Served, c.Rejected, c.Failed, c.Abandoned, c.Attempts, c.OK, c.Misses,
 		c.NotExecuted, c.MaybeExecuted, c.Canceled, c.ClientConnections, c.Dials, c.FailedDials, c.EvictedConnections,
 		c.AbortedConnections, c.ServerLists, c.FailedDiscoveryCalls, c.Batches, c.UnsentAttempts,
 		c.Served, c.Rejected, c.Attempts, c.Retries, c.AttemptEnds, c.ServerConnectionEnds,
-		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors, c.RejectedForMemory, c.PausedClients, c.ClientConnectionEnds, c.RepeatedIDs, c.LongestUnread)
+		c.RepeatedAnswers, c.ConfirmedAnswers, c.LocalDialErrors, c.RejectedForMemory, c.PausedClients, c.ClientConnectionEnds, c.RepeatedIDs, c.LongestUnread, c.UnansweredEnds)
 }
--- a/internal/router/client_output.go
+++ b/internal/router/client_output.go
@@ -141,8 +141,7 @@
 		return
 	case sent == 0 && now-c.lastSentAt > c.r.limits.LargeValueUnreadTimeout:
 		c.r.counts.AbortedConnections++
-		c.end = counters.ClientUnread
-		c.close()
+		c.closeFor(counters.ClientUnread)
 		return
 	case sent > 0:
 		c.lastSentAt, c.lastActivity = now, now
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -188,12 +188,10 @@
 		c.writeUnsent()
 	}
 	if c.paused && r.closingClients && len(c.unsent) > 0 && c.mayClose() { // it does not read
-		c.end = counters.ClientUnread
-		c.close()
+		c.closeFor(counters.ClientUnread)
 	}
 	if c.paused && (r.readingEnded && c.closeAfterReplies || r.isPastShutdown()) && c.isQuiet() {
-		c.end = counters.ClientDrained
-		c.close()
+		c.closeFor(counters.ClientDrained)
 	}
 	if c.paused && c.resumeDue && !r.readingEnded {
 		c.resumeOnLoop()
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -134,8 +134,7 @@
 	// and would have none left for requests.
 	case !c.closeAfterReplies && now-c.lastActivity >= c.r.limits.ClientIdleTimeout && c.isQuiet() &&
 		len(c.input.unread) == 0 && !c.hasUnreadInput():
-		c.end = counters.ClientIdle
-		c.r.closeConn(c.conn)
+		c.closeFor(counters.ClientIdle)
 	}
 }
 
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -111,8 +111,7 @@
 		return r.shedClient(requestersOnly)
 	}
 	r.counts.EvictedConnections++
-	candidate.end = counters.ClientEvicted
-	r.closeConn(candidate.conn)
+	candidate.closeFor(counters.ClientEvicted)
 	return true
 }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -117,8 +117,7 @@
 		connectGraceOver := client.hasReceived || quietFor >= r.limits.IdleClientEvictionAge
 		isDone := connectGraceOver && (len(client.input.unread) == 0 || quietFor > r.limits.IdleSweepInterval) && !client.hasUnreadInput()
 		if client.mayClose() && (isDone || isPastDeadline) {
-			client.end = counters.ClientDrained
-			r.closeConn(client.conn)
+			client.closeFor(counters.ClientDrained)
 		}
 	}
 	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests+len(r.external.waiting) == 0 && !r.stopped {
