--- a/cmd/cache-router/crowd_test.go
+++ b/cmd/cache-router/crowd_test.go
@@ -55,8 +55,9 @@
 	slowBodies atomic.Int64 // bytes a second at which the origin reads; 0: at once
 	onRun      func(id string)
 	frontAway  atomic.Bool // clients get no new connections
-	// cache servers work on busyServerSlots requests at a time, for busyServerTime each
+	// cache servers work on busyServerSlots requests at a time, for busyTime each
 	busyServers bool
+	busyTime    time.Duration
 
 	originServer *http.Server
 }
@@ -76,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &crowd{harness: newHarness(t)}
+	c := &crowd{harness: newHarness(t), busyTime: busyServerTime}
 	c.binary, c.sockets = program, crowdDescriptors
 	c.replacements = append(c.replacements, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB))
 	return c
@@ -142,7 +143,7 @@
 		}
 		go func() {
 			slots <- struct{}{}
-			time.Sleep(busyServerTime)
+			time.Sleep(c.busyTime)
 			<-slots
 			answer()
 		}()
