The first request of a limited client waits as a pending one, with its id and its time

Callers saw connections ended with no whole answer, without a signal and after SIGTERM, and answers up to 0.5 s too late.

Cause: since a request that finds no room in the queues stays unread in its client's input. If nothing before it on its connection is pending, the client passes for a quiet one: evicted after 50 ms, closed in a drain, and nothing ends the wait when the request's time is over.

Change: such a request is parsed and registered, and waits in waiting_requests.go, one for each connection, in order of arrival; calls of front ends wait there, too, in place of a list of their own. It is rejected by package routing after half of its time or of its latency objective. A request's time counts from its last byte, or from the reply before it, in routing (Waited), too.

Still red: closes that do not ask what is owed, and the end of reading.

--- a/core/routing/event.go
+++ b/core/routing/event.go
@@ -70,7 +70,8 @@
 	Tenant        Tenant
 	Key           Key
 	ValidUntil    clock.Time
-	ClientRetry   bool // the client repeats a request that was rejected
+	Waited        clock.Duration // since its last byte arrived, or since the reply before it on its connection
+	ClientRetry   bool           // the client repeats a request that was rejected
 	Write         bool
 	SingleAttempt bool // its body is not buffered: it cannot be sent twice
 }
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -129,7 +129,7 @@
 		write:       event.Write,
 		weight:      m.weight,
 		arrival:     r.requests.arrived,
-		objective:   r.now + m.latencyObjective,
+		objective:   r.now - event.Waited + m.latencyObjective,
 		maxAttempts: r.config.maxAttempts,
 		replica:     -1,
 	}
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -50,8 +50,8 @@
 			r.releaseRequest(r.requests[left.Request])
 		}
 	}
+	r.beginWaiting()
 	r.resumeStalledClients()
-	r.resumeExternal()
 	r.dialForWaiting()
 	if r.batchTime-r.operator.statsAt >= r.limits.MetricsInterval {
 		r.publishStats()
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -224,15 +224,14 @@
 		c.replyNow(resp2.AppendAnswer(nil, wire.Answer{Kind: wire.Rejected}))
 		return false
 	}
-	if c.isLimited() {
-		r.limit(request)
-	}
+	arrival := &requestArrival{request: request, event: event, timeout: timeout, receivedAt: c.receivedAt, startedAt: c.timeStart()}
+	isLimited := c.isLimited()
 	request.slot.request = request
 	c.slots = append(c.slots, &request.slot)
 	if !write {
 		c.reserveReply(&request.slot)
 	}
-	r.admitRequest(request, event, timeout, c.receivedAt)
+	r.admitRequest(arrival, isLimited)
 	c.countRequester()
 	return true
 }
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -41,6 +41,7 @@
 // process would not end. What has been read of them is answered, and then they are closed.
 func (r *Router) endReading() {
 	r.readingEnded = true
+	r.endAllWaits()
 	for client := range r.clients {
 		conn := client.conn
 		sendsOn := len(client.input.unread) > 0 || client.hasUnreadInput()
@@ -120,7 +121,7 @@
 			client.closeFor(counters.ClientDrained)
 		}
 	}
-	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests+len(r.external.waiting) == 0 && !r.stopped {
+	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests == 0 && !r.stopped {
 		if r.hasPendingConnection() && r.clock() < r.shutdownDeadline {
 			r.after(r.limits.LargeValueRetryInterval, r.queueBatch)
 			return
--- a/internal/router/external_requests.go
+++ b/internal/router/external_requests.go
@@ -55,9 +55,8 @@
 	scheduled bool // admitExternalRequests is going to run
 
 	// These belong to the loop.
-	openRequests int                // admitted and not finished
-	openByClient map[string]int     // of them, by client
-	waiting      []*ExternalRequest // of clients that have others open, until queues are shorter
+	openRequests int            // admitted and not finished
+	openByClient map[string]int // of them, by client
 }
 
 type externalEvent struct {
@@ -125,44 +124,12 @@
 		}
 		return
 	}
-	r.admitOrQueue(event.request)
-}
-
-// admitOrQueue admits or rejects a request, or has it wait.
-func (r *Router) admitOrQueue(request *ExternalRequest) {
-	queue := &r.external
-	hasOthers := queue.openByClient[request.Client] > 0
-	if hasOthers && !r.rejectsExternal() && r.queueRoom(r.targetOf(request.Write)) == 0 {
-		queue.waiting = append(queue.waiting, request)
+	if reason := r.admitExternal(event.request); reason != 0 {
+		event.request.Reject(reason)
 		return
 	}
-	if reason := r.admitExternal(request); reason != 0 {
-		request.Reject(reason)
-		return
-	}
-	queue.openRequests++
-	queue.openByClient[request.Client]++
-	if hasOthers {
-		r.limit(request.request)
-	}
-}
-
-// resumeExternal admits the requests that need not wait any longer, for a bounded time.
-func (r *Router) resumeExternal() {
-	began := r.clock()
-	waiting := r.external.waiting
-	r.external.waiting = nil
-	for i, request := range waiting {
-		hasLeft := request.withdrawn.Load() || request.ClientGone != nil && request.ClientGone()
-		if !hasLeft {
-			r.admitOrQueue(request)
-		}
-		if r.isTimeUp(began) {
-			r.external.waiting = append(r.external.waiting, waiting[i+1:]...)
-			r.queueBatch()
-			return
-		}
-	}
+	r.external.openRequests++
+	r.external.openByClient[event.request.Client]++
 }
 
 // endExternal no longer counts a request that has ended as open.
@@ -218,8 +185,10 @@
 		timeout = min(timeout, request.Timeout-waited)
 	}
 	request.request = &pendingRequest{Request: request.Request, size: size, responder: request}
-	r.admitRequest(request.request, routing.RequestArrived{Request: request.ID, Key: routing.Key(request.Key), Write: request.Write,
-		Method: method, Tenant: request.Tenant, ClientRetry: request.ClientRetry}, timeout, now)
+	event := routing.RequestArrived{Request: request.ID, Key: routing.Key(request.Key), Write: request.Write,
+		Method: method, Tenant: request.Tenant, ClientRetry: request.ClientRetry}
+	hasOthers := r.external.openByClient[request.Client] > 0
+	r.admitRequest(&requestArrival{request: request.request, event: event, timeout: timeout, receivedAt: now, startedAt: now}, hasOthers)
 	return 0
 }
 
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -70,7 +70,7 @@
 	if c.waitsForInput {
 		return c.r.checksInputWaiters && c.mayBeginNext() && c.reserveInput(true)
 	}
-	return c.mayBeginNext()
+	return c.mayBeginNext() || c.hasNoPendingReplies()
 }
 
 // reserveReply reserves memory for the answer to a request behind others.
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -69,7 +69,7 @@
 	}
 	request.largeWrite, w.request, slot.request = w, request, request
 	event.SingleAttempt = true
-	r.admitRequest(request, event, timeout, c.lastActivity)
+	r.admitRequest(&requestArrival{request: request, event: event, timeout: timeout, receivedAt: c.lastActivity}, false)
 	c.countRequester()
 	return true, true
 }
--- a/internal/router/queue_limits.go
+++ b/internal/router/queue_limits.go
@@ -5,7 +5,8 @@
 )
 
 // A client that has sent more than it has answers for is limited: its next request waits for room in the queues. Otherwise it
-// would take the servers from the clients that send one request at a time.
+// would take the servers from the clients that send one request at a time. The first one on its connection waits as a pending
+// request, see waiting_requests.go, and those behind it unread.
 
 // limitTarget is the kind of server that requests go to first.
 type limitTarget uint8
@@ -58,9 +59,9 @@
 	return !c.r.readingEnded && (c.backlogged || !c.hasNoPendingReplies())
 }
 
-// waitsForRoom reports whether a command is a request that has to wait.
+// waitsForRoom reports whether a command is a request that has to wait unread, behind others of its client.
 func (c *client) waitsForRoom(words [][]byte) bool {
-	if len(words) == 0 || !c.isLimited() {
+	if len(words) == 0 || c.hasNoPendingReplies() || !c.isLimited() {
 		return false
 	}
 	isWrite := isVerb(words[0], "CACHE.SET")
@@ -71,7 +72,7 @@
 	return c.r.queueRoom(c.nextTarget) == 0
 }
 
-// mayBeginNext reports whether the command that the client waits with may begin.
+// mayBeginNext reports whether there is room for the next command of the client.
 func (c *client) mayBeginNext() bool {
 	return c.mayBegin() && (!c.isLimited() || c.r.queueRoom(c.nextTarget) > 0)
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -24,9 +24,10 @@
 // attempts is outstanding.
 type pendingRequest struct {
 	wire.Request
-	size             int        // bytes of memory held by the request
-	admittedAt       clock.Time // when it was registered
-	isLimited        bool       // counted in the limit of its target
+	size             int             // bytes of memory held by the request
+	admittedAt       clock.Time      // when it was registered
+	isLimited        bool            // counted in the limit of its target
+	waiting          *requestArrival // set while it waits for room
 	method           routing.Method
 	clientDeadline   clock.Time // when its client stops waiting
 	responder        responder
@@ -45,21 +46,31 @@
 	event      routing.RequestArrived
 	timeout    clock.Time
 	receivedAt clock.Time // when its last byte arrived
+	startedAt  clock.Time // when its time began to count; 0: with the batch that processes it
+	waitTimer  *timer     // while it waits for room
+	expired    bool       // it has waited for too long, and is to be rejected
 }
 
 // minDeadlineDivisor gives the part of a request's time below which its wait behind earlier ones on its connection is
 // not subtracted: the protocol does not count it, and a server drops a request with too little time.
 const minDeadlineDivisor = 2
 
-// atTime returns the event with its deadline set. Package routing counts a request's time from when the router
-// read it, since the protocol excludes the time a command waits behind earlier ones on its connection; servers are
-// sent the time left since the last byte arrived.
+// atTime returns the event with its deadline set. Package routing counts a request's time from its last byte, or from the reply
+// before it on its connection, since the protocol excludes the time that a command waits for earlier ones; servers are sent the
+// time left since the last byte arrived.
 func (a *requestArrival) atTime(at clock.Time) routing.Event {
-	a.request.clientDeadline = min(at, a.receivedAt) + a.timeout
+	startedAt := at
+	if a.startedAt > 0 {
+		startedAt = min(at, a.startedAt)
+	}
+	a.request.clientDeadline = min(startedAt, a.receivedAt) + a.timeout
 	if a.request.clientDeadline-at < a.timeout/minDeadlineDivisor {
-		a.request.clientDeadline = at + a.timeout
+		a.request.clientDeadline = startedAt + a.timeout
+	}
+	a.event.Waited, a.event.ValidUntil = at-startedAt, startedAt+a.timeout
+	if a.expired {
+		a.event.ValidUntil = at
 	}
-	a.event.ValidUntil = at + a.timeout
 	return a.event
 }
 
@@ -98,16 +109,30 @@
 // recentIDsDivisor gives the part of the memory in which ids are remembered.
 const recentIDsDivisor = 48
 
-// admitRequest registers a request that was read completely and queues its arrival. The client's timeout counts
-// from receivedAt, when the last byte arrived.
-func (r *Router) admitRequest(request *pendingRequest, event routing.RequestArrived, timeout, receivedAt clock.Time) {
+// admitRequest registers a request that was read completely, and begins it unless its client is limited and there is no room.
+func (r *Router) admitRequest(arrival *requestArrival, isLimited bool) {
+	request := arrival.request
 	r.requests[request.ID] = request
 	r.sendLateID(request.ID)
 	r.requestMemory.Add(clientmemory.Requests, request.size)
 	r.counts.Requests++
+	request.method = arrival.event.Method
+	arrival.timeout = max(arrival.timeout-r.limits.ClientNetworkMargin, 1)
+	if isLimited && r.queueRoom(r.targetOf(request.Write)) == 0 {
+		r.waitForRoom(arrival)
+		return
+	}
+	r.begin(arrival, isLimited)
+}
+
+// begin queues the arrival of a request for package routing.
+func (r *Router) begin(arrival *requestArrival, isLimited bool) {
+	if isLimited {
+		r.limit(arrival.request)
+	}
 	r.unbatchedRequests++
-	request.method, request.admittedAt = event.Method, r.clock()
-	r.addEvent(&requestArrival{request: request, event: event, timeout: max(timeout-r.limits.ClientNetworkMargin, 1), receivedAt: receivedAt})
+	arrival.request.admittedAt = r.clock()
+	r.addEvent(arrival)
 }
 
 // answerRequest sends a request its only answer. It reports false if the request is finished already.
@@ -180,6 +205,7 @@
 	}
 	request.finished, request.departurePending = true, true
 	r.endLimit(request)
+	r.stopWaiting(request)
 	if external, isExternal := request.responder.(*ExternalRequest); isExternal {
 		r.endExternal(external)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,7 +12,7 @@
 // keeps them within the limits; large_read.go, large_read_handover.go and large_write.go stream large values off
 // the loop; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
-// held_memory.go accounts for the memory held for clients; queue_limits.go has clients wait while queues are long; socket_watch.go logs when sockets are not read in time;
+// held_memory.go accounts for the memory held for clients; queue_limits.go and waiting_requests.go have clients wait while queues are long; client_owed.go says what is owed to a client; socket_watch.go logs when sockets are not read in time;
 // learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
 // connections and requests.
 package router
@@ -99,6 +99,7 @@
 	requestingClients   int                     // clients that have sent a request
 	stalledClients      []*client               // clients whose commands wait for room
 	queueLimits         [limitTargetCount]targetLimit
+	waitingRequests     [limitTargetCount]waitingRequests
 	unbatchedRequests   int // admitted since the last batch
 	waitingAttempts     int // of all servers, that wait for a connection
 	servers             map[routing.ServerID]*server
