Every close of a client asks what is owed to it

Drains passed over a complete command that had been unread for 0.25 s, evictions over any, and a command that came in pieces counted as silent once it was complete and waited.

Change: client.owes is asked by all of them: replies, a command that was read (a malformed one is owed its error), input in the kernel. A client that is to be closed after its replies, and one that does not read, are told apart from one that is owed nothing.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -42,10 +42,10 @@
 	ServerConnectionEnds ServerConnectionEnds
 	ClientConnectionEnds ClientConnectionEnds
 	UnansweredEnds       ClientConnectionEnds // of these: before everything that the client had sent was answered
-	RepeatedAnswers      int // equal to an earlier answer on the same connection
-	ConfirmedAnswers     int // of these: confirmed by a fence
-	AbortedConnections   int // closed because of invalid data, or of output that the client does not read
-	ServerLists          int // received from discovery
+	RepeatedAnswers      int                  // equal to an earlier answer on the same connection
+	ConfirmedAnswers     int                  // of these: confirmed by a fence
+	AbortedConnections   int                  // closed because of invalid data, or of output that the client does not read
+	ServerLists          int                  // received from discovery
 	FailedDiscoveryCalls int
 	Batches              int           // of the event loop
 	LongestUnread        time.Duration // in which the loop read no socket while clients waited
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -118,7 +118,7 @@
 		return gnet.Close // a duplicate of the descriptor takes over
 	case c.conn == nil: // a write has failed
 		return gnet.None
-	case c.closeAfterReplies && c.mayClose():
+	case c.hasEnded():
 		return gnet.Close
 	case !c.closeAfterReplies && c.mustPause(result) && c.pauseReading():
 		return gnet.Close // the same
@@ -301,7 +301,8 @@
 	return c.kernelBytes() >= total-len(c.input.unread)
 }
 
-// kernelBytes returns how many bytes the client has sent that the kernel still holds.
+// kernelBytes returns how many bytes the client has sent that the kernel still holds. After a pause of the process, or under
+// load, the loop runs its timers before it reads its sockets.
 func (c *client) kernelBytes() int {
 	n, err := unix.IoctlGetInt(c.fd(), unix.TIOCINQ)
 	if err != nil {
--- a/internal/router/client_output.go
+++ b/internal/router/client_output.go
@@ -97,7 +97,7 @@
 		c.detachPending = true
 		c.r.runAsync(c.detach) // not within a callback of this connection
 	}
-	if c.closeAfterReplies && !c.paused && c.mayClose() {
+	if !c.paused && c.hasEnded() {
 		c.close()
 	}
 }
@@ -175,7 +175,7 @@
 	return len(c.slots) == 0 && len(c.unsent) == 0
 }
 
-// isQuiet reports whether the client has no pending replies and can be closed. Closing while the client sends
+// isQuiet reports whether the client has no pending replies, and no large value is on its way to it. Closing while the client sends
 // would drop what the kernel still holds for it, which may be megabytes of a large value.
 func (c *client) isQuiet() bool {
 	if c.hasNoPendingReplies() && c.carriedLargeRead {
@@ -184,16 +184,3 @@
 	}
 	return c.hasNoPendingReplies() && !c.carriedLargeRead
 }
-
-// hasUnreadInput reports whether the client has sent something that the loop has not read. Closing it then would
-// reset the connection of an accepted request; after a pause of the process, or under load, the loop runs its
-// timers before it reads its sockets.
-func (c *client) hasUnreadInput() bool {
-	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.TIOCINQ)
-	return err == nil && n > 0
-}
-
-// mayClose reports whether the client is quiet or has not read its replies for too long.
-func (c *client) mayClose() bool {
-	return !c.isOpen() || c.isQuiet() || c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
-}
--- a/internal/router/client_owed.go
+++ b/internal/router/client_owed.go
@@ -33,6 +33,22 @@
 	return owesNothing
 }
 
+// owesAnswer reports whether something is owed to the client that the router has read. It needs no system call.
+func (c *client) owesAnswer() bool { return !c.isQuiet() || c.hasUnreadCommand() }
+
+// mayClose reports whether nothing is owed to the client, or it has not read its replies for too long.
+func (c *client) mayClose() bool { return !c.isOpen() || c.owes() == owesNothing || c.isUnresponsive() }
+
+// isUnresponsive reports whether the client has not read its replies for too long.
+func (c *client) isUnresponsive() bool {
+	return len(c.slots)+len(c.unsent) > 0 && c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
+}
+
+// hasEnded reports whether the client, which is to be closed after its replies, has got them. What it sends is ignored.
+func (c *client) hasEnded() bool {
+	return c.closeAfterReplies && (!c.isOpen() || c.isQuiet() || c.isUnresponsive())
+}
+
 // hasUnreadCommand reports whether the input begins with a complete command, or with what is none and is answered by an error.
 func (c *client) hasUnreadCommand() bool {
 	if len(c.input.unread) == 0 || c.closeAfterReplies {
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -187,7 +187,7 @@
 	if c.isOpen() && len(c.unsent) > 0 {
 		c.writeUnsent()
 	}
-	if c.paused && r.closingClients && len(c.unsent) > 0 && c.mayClose() { // it does not read
+	if c.paused && r.closingClients && len(c.unsent) > 0 && c.isUnresponsive() {
 		c.closeFor(counters.ClientUnread)
 	}
 	if c.paused && (r.readingEnded && c.closeAfterReplies || r.isPastShutdown()) && c.isQuiet() {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -111,6 +111,8 @@
 	const valueTimeoutFactor = 10 // time limit of a value, in time limits of a head
 	headTimeout := c.r.limits.PartialCommandTimeout
 	switch {
+	case c.hasUnreadCommand():
+		return false
 	case c.partialSince == 0:
 		return !c.hasSentCommand && now-c.lastCommandAt >= c.r.limits.ClientIdleTimeout
 	case len(c.input.unread) <= c.r.limits.RESP.Line:
@@ -123,17 +125,16 @@
 // anything complete.
 func (c *client) sweep(now clock.Time) {
 	switch {
-	case c.closeAfterReplies && c.mayClose():
+	case c.hasEnded():
 		c.r.closeConn(c.conn)
 	case !c.closeAfterReplies && c.isSilent(now):
 		c.closeWithError("nothing whole has come", counters.ClientSilent)
-		if c.mayClose() && c.conn != nil {
+		if c.hasEnded() && c.conn != nil {
 			c.r.closeConn(c.conn)
 		}
 	// Some clients send one request and keep the connection. Clients can hold a limited number of connections,
 	// and would have none left for requests.
-	case !c.closeAfterReplies && now-c.lastActivity >= c.r.limits.ClientIdleTimeout && c.isQuiet() &&
-		len(c.input.unread) == 0 && !c.hasUnreadInput():
+	case !c.closeAfterReplies && now-c.lastActivity >= c.r.limits.ClientIdleTimeout && len(c.input.unread) == 0 && c.owes() == owesNothing:
 		c.closeFor(counters.ClientIdle)
 	}
 }
@@ -150,7 +151,7 @@
 		return
 	}
 	c.closeWithError("nothing whole has come", counters.ClientSilent)
-	if c.paused && c.mayClose() {
+	if c.paused && c.hasEnded() {
 		c.close()
 	}
 }
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -54,7 +54,7 @@
 // hasOtherQuietClient reports whether another client can be closed, now or once it has been quiet for long enough.
 func (r *Router) hasOtherQuietClient(other *client) bool {
 	for client := range r.clients {
-		if client != other && client.isQuiet() {
+		if client != other && !client.owesAnswer() {
 			return true
 		}
 	}
@@ -96,7 +96,7 @@
 		if requestersOnly && client.connUse() == connReused {
 			minIdle = max(minIdle, r.limits.ClientIdleTimeout/reusedIdleDivisor)
 		}
-		if !client.isQuiet() || requestersOnly && client.connUse() == connUnused || now-client.lastActivity < minIdle {
+		if client.owesAnswer() || requestersOnly && client.connUse() == connUnused || now-client.lastActivity < minIdle {
 			continue
 		}
 		if candidate == nil || client.isShedBefore(candidate) {
@@ -106,7 +106,7 @@
 	if candidate == nil {
 		return false
 	}
-	if candidate.hasUnreadInput() {
+	if candidate.owes() != owesNothing {
 		candidate.lastActivity = now
 		return r.shedClient(requestersOnly)
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -44,7 +44,7 @@
 	r.endAllWaits()
 	for client := range r.clients {
 		conn := client.conn
-		sendsOn := len(client.input.unread) > 0 || client.hasUnreadInput()
+		sendsOn := len(client.input.unread) > 0 || client.kernelBytes() > 0
 		if sendsOn && !client.detachPending && client.pauseReading() {
 			r.closeConn(conn) // a duplicate of the descriptor remains
 		}
@@ -116,8 +116,11 @@
 		}
 		quietFor := now - client.lastActivity
 		connectGraceOver := client.hasReceived || quietFor >= r.limits.IdleClientEvictionAge
-		isDone := connectGraceOver && (len(client.input.unread) == 0 || quietFor > r.limits.IdleSweepInterval) && !client.hasUnreadInput()
-		if client.mayClose() && (isDone || isPastDeadline) {
+		isDone := connectGraceOver && (len(client.input.unread) == 0 || quietFor > r.limits.IdleSweepInterval)
+		switch {
+		case client.hasEnded():
+			r.closeConn(client.conn)
+		case isDone && client.mayClose(), isPastDeadline && client.isQuiet():
 			client.closeFor(counters.ClientDrained)
 		}
 	}
