--- a/cmd/cache-router/ending_soak_test.go
+++ b/cmd/cache-router/ending_soak_test.go
@@ -65,8 +65,10 @@
 	clients  sync.WaitGroup
 	answered atomic.Int64
 	crossed  atomic.Int64
-	mu       sync.Mutex
-	lost     []string
+	// of the flooders, whose commands count as those of any client
+	floodRecord floodRecord
+	mu          sync.Mutex
+	lost        []string
 }
 
 func (s *endingSoak) run(t *testing.T) {
@@ -106,6 +108,7 @@
 	}
 	if ending == 0 {
 		s.killed.Store(true)
+		s.floodRecord.excused.Store(true)
 		_ = old.Process.Kill()
 	} else {
 		s.end(old, ending != 1, strings.HasPrefix(kind.name, "slow readers"))
@@ -118,6 +121,7 @@
 	t.Logf("%s, %d busy processes, ending %d: %d answered, %d crossed an end", kind.name, busy, ending, s.answered.Load(), s.crossed.Load())
 	check()
 	s.checkRuns()
+	s.floodRecord.check(t)
 }
 
 // playFlood has some clients send reads, writes or commands that the router answers itself at full speed.
@@ -128,7 +132,7 @@
 	for i := range flooders + 1 {
 		s.clients.Go(func() {
 			first := i << 32
-			s.flood(func(n int) []byte { return command(first + n) }, floodBatchBytes, &s.stop)
+			s.flood(func(n int) []byte { return command(first + n) }, floodBatchBytes, &s.stop, &s.floodRecord)
 		})
 	}
 }
--- a/cmd/cache-router/flood_test.go
+++ b/cmd/cache-router/flood_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"net"
 	"os/exec"
 	"runtime"
@@ -30,28 +29,31 @@
 func ping(int) []byte { return resp.AppendCommand(nil, []byte("PING")) }
 
 // floodConnections sends each command on a connection of its own until stop is set.
-func (c *crowd) floodConnections(command func(n int) []byte, stop *atomic.Bool) {
+func (c *crowd) floodConnections(command func(n int) []byte, stop *atomic.Bool, record *floodRecord) {
 	for n := 0; !stop.Load(); n++ {
 		conn, err := c.dial()
 		if err != nil {
 			return
 		}
-		_ = conn.SetDeadline(time.Now().Add(time.Second))
-		_, _ = conn.Write(command(n))
-		_, _ = conn.readAnswer()
+		record.exchange(conn, command(n))
 		conn.Close()
 	}
 }
 
 // flood sends commands without pause until stop is set, in pieces of the given size, and reads what comes.
-func (c *crowd) flood(command func(n int) []byte, piece int, stop *atomic.Bool) {
+func (c *crowd) flood(command func(n int) []byte, piece int, stop *atomic.Bool, record *floodRecord) {
 	conn, err := c.dial()
 	if err != nil {
 		return
 	}
-	defer conn.Close()
 	_ = conn.Conn.(*net.TCPConn).SetWriteBuffer(64 << 10) // so that it waits for the router, and leaves the machine to the others
-	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	answers := &floodConn{record: record}
+	var reading sync.WaitGroup
+	reading.Go(func() { answers.readAnswers(conn, stop) })
+	defer func() {
+		reading.Wait() // what has come before the end counts
+		conn.Close()
+	}()
 	go func() {
 		for !stop.Load() {
 			time.Sleep(10 * time.Millisecond)
@@ -60,14 +62,23 @@
 	}()
 	for n := 0; !stop.Load(); {
 		var batch []byte
+		var ends []int // of the commands in the batch
+		first := n
 		for len(batch) < floodBatchBytes/2 {
 			batch = append(batch, command(n)...)
+			ends = append(ends, len(batch))
 			n++
 		}
+		written, commands := 0, 0
 		for part := range slices.Chunk(batch, piece) {
 			if _, err := conn.Write(part); err != nil || stop.Load() {
 				return
 			}
+			written += len(part)
+			for commands < len(ends) && ends[commands] <= written {
+				commands++
+			}
+			answers.noteWritten(first + commands)
 		}
 	}
 }
@@ -132,6 +143,8 @@
 		slow     bool // the flood is more than the cache servers bear
 		replaced bool // the process is replaced within the flood
 		settled  bool // the ordinary clients come before the flood
+		// the commands get no answers
+		unanswered bool
 	}{
 		{name: "unknown commands of 6 clients", flooders: 6, command: unknownCommand},
 		{name: "PING of 6 clients", flooders: 6, command: ping},
@@ -145,7 +158,7 @@
 		{name: "reads under new names", flooders: 6, command: func(n int) []byte {
 			return readCommand(floodName(n), floodName(n), fmt.Sprint("c=get,t=", n, ",d=100"))
 		}},
-		{name: "empty commands", flooders: 6, command: func(int) []byte { return []byte("*0\r\n") }},
+		{name: "empty commands", flooders: 6, unanswered: true, command: func(int) []byte { return []byte("*0\r\n") }},
 		{name: "heads of many short fields", flooders: 6, command: func(n int) []byte {
 			return readCommand("k", floodName(n), "c=none"+strings.Repeat(",a=1", 2000))
 		}},
@@ -180,7 +193,7 @@
 			check := c.watchLimits(crowdMemoryMB, c.runningPIDs())
 			var stop, stopFlood atomic.Bool
 			var done, flood sync.WaitGroup
-			l := &latencies{}
+			l, record := &latencies{}, &floodRecord{}
 			for i := range ordinary {
 				done.Go(func() { c.askSteadily(fmt.Sprint("o", i), 50*time.Millisecond, &stop, l) })
 			}
@@ -192,10 +205,10 @@
 					first := i << 32 // names differ between clients
 					command := func(n int) []byte { return test.command(first + n) }
 					if test.piece == oneConnectionEach {
-						c.floodConnections(command, &stopFlood)
+						c.floodConnections(command, &stopFlood, record)
 						return
 					}
-					c.flood(command, cmp.Or(test.piece, floodBatchBytes), &stopFlood)
+					c.flood(command, cmp.Or(test.piece, floodBatchBytes), &stopFlood, record)
 				})
 			}
 			time.Sleep(floodTime)
@@ -214,6 +227,9 @@
 			}
 			stopFlood.Store(true)
 			flood.Wait()
+			if !test.unanswered {
+				record.check(t)
+			}
 		})
 	}
 }
