The kernel accepts 128 KB of a client that the router does not read from

Callers saw commands lost at the end of a process that they had written 5 s before.

Cause: the kernel raises a connection's receive buffer by itself; a flooding client that waits had 1.0 to 1.1 MB in it (kernel= of the warning), and the router owes an answer to all of it when it ends, with whatever share of a core it has.

Change: SO_RCVBUF of the listener, which connections inherit, is 128 KB. The kernel doubles it for its own use, so that the longest command that is not streamed (80 KB) fits. After an error the kernel's own limit holds, as before.

--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -158,15 +158,30 @@
 // listen opens the listener, unless the predecessor has passed it on.
 func (r *Router) listen() error {
 	t := &r.takeover
-	if t.listener != nil {
-		return nil
+	if t.listener == nil {
+		ln, err := Listen(r.cfg.Listen)
+		if err != nil {
+			return &configerror.Error{Field: "listen", Problem: err.Error(), Cause: err}
+		}
+		t.listener = ln.(*net.TCPListener)
 	}
-	ln, err := Listen(r.cfg.Listen)
+	return boundClientInput(t.listener)
+}
+
+// clientReceiveBuffer is how many bytes of a client the kernel holds for the router: enough for the longest command that is not
+// streamed. The router owes an answer to all of them.
+const clientReceiveBuffer = 128 << 10
+
+// boundClientInput bounds what the kernel accepts from clients that the router does not read from. Connections inherit it.
+func boundClientInput(listener *net.TCPListener) error {
+	raw, err := listener.SyscallConn()
 	if err != nil {
-		return &configerror.Error{Field: "listen", Problem: err.Error(), Cause: err}
+		return err
 	}
-	t.listener = ln.(*net.TCPListener)
-	return nil
+	return raw.Control(func(fd uintptr) {
+		// Without it the kernel accepts more, up to its own limit.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientReceiveBuffer)
+	})
 }
 
 // Listen opens a listener on an address that two processes of a router may share.
