An ending process closes the connections of clients that send without end one by one

Callers saw commands of a flood lost when the process ended: they were cut off all at once, each over what its buffers held, up to 800,000 commands written up to 5.5 s before. An endless flood cannot be answered in full, but what is left need not be old.

Change: from the moment at which clients are closed, one that has 64 KB unread is rejected as it is read. Nine tenths of each round of turns go to one such client, with reads of 64 KB, until it has been answered all that both ends' buffers can hold; then no more is read of it than the kernel has, and its connection ends. The rest of a round keeps the others' answers in time. 1 s before the shutdown deadline all clients are rejected, so that pipelines that end are served for longer. A client that owes nothing is closed in its turn.

--- /dev/null
+++ b/internal/router/client_ending.go
@@ -0,0 +1,199 @@
+package router
+
+import (
+	"golang.org/x/sys/unix"
+
+	"spurtrestle/core/clock"
+	"spurtrestle/internal/counters"
+)
+
+// Clients that send without end are owed something at all times, so that the process would not end. Once it closes clients, it
+// rejects what these send, and ends one of their connections after the other. Some time before the shutdown deadline it does so
+// with all that are left.
+const (
+	// rejectionMargin is for answering, with a small share of a core, what clients have sent.
+	rejectionMargin = clock.Second
+	// lastInputMargin is for the input that the kernel has by then.
+	lastInputMargin = 600 * clock.Millisecond
+	// lingerMargin is for closing the connections.
+	lingerMargin = 400 * clock.Millisecond
+)
+
+const (
+	// focusTime is for how long, in each round of turns, the client is served whose connection ends next. What it has not been
+	// answered is young then. The rest of the round is for the others.
+	focusTime = 9 * maxTaskTime / 10
+	// focusBytes is what a client is answered before no more is read of it than the kernel has: what the buffers of both ends of its
+	// connection hold.
+	focusBytes = 4 * clientReceiveBuffer
+	// focusReadBytes is for one read from it, and focusTurnWork the work of one turn: commands as short as PING.
+	focusReadBytes = 64 << 10
+	focusTurnWork  = focusReadBytes / 14
+)
+
+// floodBytes is the unread input from which on a client counts as one that sends without end.
+const floodBytes = clientReceiveBuffer / 2
+
+// floodCheckInterval is the time between searches for such clients.
+const floodCheckInterval = 20 * clock.Millisecond
+
+// startClosing closes each client from now on in a moment in which it is owed nothing.
+func (r *Router) startClosing() {
+	r.closingClients = true
+	r.focusBuffer = make([]byte, focusReadBytes)
+	r.endFloods()
+	r.queueBatch()
+}
+
+// endFloods looks for clients that send without end, from time to time.
+func (r *Router) endFloods() {
+	for client := range r.clients {
+		client.rejectIfFlooding()
+	}
+	for client := range r.polledClients {
+		client.rejectIfFlooding()
+	}
+	if !r.rejectsRequests {
+		r.after(floodCheckInterval, r.endFloods)
+	}
+}
+
+func (c *client) rejectIfFlooding() {
+	if c.rejectsFlood || !c.isOpen() || len(c.input.unread)+c.kernelBytes() < floodBytes {
+		return
+	}
+	c.rejectsFlood = true
+	c.pauseToEnd()
+	c.r.queueTurn(c)
+}
+
+// rejectsRequests reports whether the client's requests are rejected as they are read, so that it is owed nothing sooner than it
+// sends more.
+func (c *client) rejectsRequests() bool { return c.rejectsFlood || c.r.rejectsRequests }
+
+// startRejecting has all requests rejected as they are read. Clients that have sent more than has been answered are read from in
+// their turns only.
+func (r *Router) startRejecting() {
+	r.rejectsRequests = true
+	r.endAllWaits()
+	for client := range r.clients {
+		client.pauseToEnd()
+	}
+	r.resumePausedClients()
+}
+
+// pauseToEnd pauses a client that has sent more than has been answered, and reports whether it is paused.
+func (c *client) pauseToEnd() bool {
+	conn := c.conn
+	switch {
+	case c.paused:
+		return true
+	case conn == nil || c.closeAfterReplies || c.detachPending || !c.hasNoPendingReplies() || c.owes() == owesNothing:
+		return false
+	case !c.pauseReading():
+		return false
+	}
+	c.r.closeConn(conn) // a duplicate of the descriptor remains
+	return true
+}
+
+// giveEndingTurns gives turns for a bounded time, most of it to the client whose connection ends next.
+func (r *Router) giveEndingTurns() {
+	began := r.clock()
+	for r.clock()-began < focusTime {
+		if !r.chooseEndingClient() {
+			break
+		}
+		client := r.endingClient
+		client.resumeReading()
+		if client.endingBytes >= focusBytes {
+			client.endInput()
+		}
+	}
+	for range min(turnsPerRound, len(r.turnQueue)) {
+		r.giveNextTurn()
+		if r.isTimeUp(began) {
+			break
+		}
+	}
+}
+
+// chooseEndingClient sets the client whose connection ends next, if there is one.
+func (r *Router) chooseEndingClient() bool {
+	if r.endingClient != nil && r.endingClient.canEnd() {
+		return true
+	}
+	r.endingClient = nil
+	for _, client := range r.turnQueue {
+		if client.canEnd() {
+			r.endingClient = client
+			return true
+		}
+	}
+	return false
+}
+
+// canEnd reports whether a client's connection can be ended once it has been read from.
+func (c *client) canEnd() bool {
+	return c.paused && c.rejectsRequests() && !c.r.takeover.handingOver && !c.stalled && !c.lingers && !c.closeAfterReplies && c.hasNoPendingReplies() && (c.turnQueued || c == c.r.endingClient)
+}
+
+// endInput has the router read no more of its clients than they have sent by now. Those with pending requests follow when these are
+// answered.
+func (r *Router) endInput() {
+	for client := range r.clients {
+		if client.pauseToEnd() {
+			client.endInput()
+		}
+	}
+	for client := range r.polledClients {
+		client.endInput()
+	}
+	r.after(r.limits.LargeValueRetryInterval, r.endInput)
+}
+
+// endInput has nothing read of a paused client without pending requests but what the kernel has now.
+func (c *client) endInput() {
+	if !c.paused || c.inputEnded || c.closeAfterReplies || !c.hasNoPendingReplies() {
+		return
+	}
+	c.inputEnded, c.kernelInputLeft = true, c.kernelBytes()
+	c.r.queueTurn(c)
+}
+
+// endLingering closes the connections that have been ended and that their clients have not closed yet.
+func (r *Router) endLingering() {
+	r.lingeringEnded = true
+	for client := range r.polledClients {
+		if client.lingers {
+			client.close()
+		}
+	}
+}
+
+// endConnection ends a paused client's connection once everything is answered that had been sent when its input ended.
+func (c *client) endConnection() {
+	if c.lingers || c.kernelInputLeft > 0 || c.owesAnswer() {
+		return
+	}
+	if c.kernelBytes() == 0 || c.r.lingeringEnded {
+		c.closeFor(counters.ClientDrained)
+		return
+	}
+	// Closing would reset the connection for the rest of the input, and the client might lose replies.
+	c.end, c.lingers = counters.ClientDrained, true
+	_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // after an error the client is gone
+}
+
+// dropInput drops what a lingering client has sent, so that the end of its connection can arrive.
+func (c *client) dropInput() {
+	for range maxDroppedReads {
+		n, err := unix.Read(c.descriptor, c.r.readBuffer)
+		if err != nil || n == 0 {
+			return
+		}
+	}
+}
+
+// maxDroppedReads bounds the time that a client takes.
+const maxDroppedReads = 16
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -120,7 +120,7 @@
 		return gnet.None
 	case c.hasEnded():
 		return gnet.Close
-	case result == needsInput && c.r.rejectsRequests && len(c.input.unread) == 0 && c.owes() == owesNothing:
+	case result == needsInput && c.r.closingClients && !c.r.takeover.handingOver && len(c.input.unread) == 0 && c.owes() == owesNothing:
 		c.end = counters.ClientDrained // before it sends more
 		return gnet.Close
 	case !c.closeAfterReplies && c.mustPause(result) && c.pauseReading():
@@ -195,7 +195,7 @@
 		case !c.mayBegin():
 			c.stall()
 			return needsCapacity
-		case *work >= turnWork:
+		case *work >= c.turnWork():
 			return turnOver
 		}
 		words, used, err := resp.ReadCommand(buf, r.words, r.limits.RESP)
@@ -322,7 +322,10 @@
 // readPaused reads what a paused client has sent: the rest of the command for which memory is reserved, or one chunk.
 func (c *client) readPaused() (chunk []byte, result pausedRead) {
 	buffer := c.r.readBuffer
-	if !c.r.rejectsRequests && !c.r.held.MayRead(len(buffer)) {
+	switch {
+	case c == c.r.endingClient:
+		buffer = c.r.focusBuffer
+	case !c.rejectsRequests() && !c.r.held.MayRead(len(buffer)):
 		return nil, pausedLater
 	}
 	if missing := c.input.missing(); missing > 0 {
@@ -339,13 +342,19 @@
 		switch {
 		case err == unix.EINTR:
 			continue
-		case err == unix.EAGAIN || err == unix.ENOMEM || err == unix.ENOBUFS:
+		case err == unix.EAGAIN:
+			c.kernelInputLeft = 0
+			return nil, pausedNothing
+		case err == unix.ENOMEM || err == unix.ENOBUFS:
 			return nil, pausedNothing
 		case err != nil || n == 0:
 			return nil, pausedEnd
 		}
 		c.lastActivity = c.r.clock()
 		c.kernelInputLeft = max(0, c.kernelInputLeft-n)
+		if c == c.r.endingClient {
+			c.endingBytes += n
+		}
 		if c.input.missing() > 0 {
 			c.input.unread = c.input.unread[:len(c.input.unread)+n]
 			return nil, pausedInput
--- a/internal/router/client_output.go
+++ b/internal/router/client_output.go
@@ -21,6 +21,10 @@
 
 // replyNow queues the reply of a command that needs no server.
 func (c *client) replyNow(text []byte) {
+	if c.isOpen() && c.hasNoPendingReplies() {
+		c.write(text)
+		return
+	}
 	s := &slot{}
 	c.slots = append(c.slots, s)
 	c.fillSlot(s, text)
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -105,7 +105,7 @@
 	switch {
 	case c.inputEnded:
 		c.endConnection()
-	case c.r.rejectsRequests && len(c.input.unread) == 0 && c.owes() == owesNothing:
+	case c.r.closingClients && len(c.input.unread) == 0 && c.owes() == owesNothing:
 		c.closeFor(counters.ClientDrained)
 	default:
 		c.resumeOnLoop()
@@ -202,7 +202,7 @@
 	if c.paused && c.inputEnded {
 		c.endConnection()
 	}
-	if c.paused && (r.isPastShutdown() && c.isQuiet() || r.rejectsRequests && c.hasEnded()) {
+	if c.paused && (r.isPastShutdown() && c.isQuiet() || r.closingClients && c.hasEnded()) {
 		c.closeFor(counters.ClientDrained)
 	}
 	if c.paused && c.lingers {
@@ -228,7 +228,7 @@
 // its connection could not arrive, and attempts would begin for a client that has left.
 func (c *client) revealEnd() {
 	r := c.r
-	isWaiting := c.paused && !c.waitsForInput && !c.largeWriteNext && !c.closeAfterReplies && !r.takeover.handingOver && !r.rejectsRequests
+	isWaiting := c.paused && !c.waitsForInput && !c.largeWriteNext && !c.closeAfterReplies && !r.takeover.handingOver && !c.rejectsRequests()
 	if !isWaiting || len(c.slots) == 0 || c.input.reserved || r.clock()-max(c.lastActivity, c.lastSentAt) < revealDelay {
 		return
 	}
--- a/internal/router/client_turns.go
+++ b/internal/router/client_turns.go
@@ -26,7 +26,7 @@
 		return
 	}
 	r.turnsScheduled = true
-	if r.rejectsRequests {
+	if r.closingClients {
 		r.runAsync(r.giveTurns)
 		return
 	}
@@ -36,15 +36,14 @@
 // giveTurns gives one round of turns, for a bounded time.
 func (r *Router) giveTurns() {
 	r.turnsScheduled = false
+	if r.closingClients {
+		r.giveEndingTurns()
+		r.scheduleTurns()
+		return
+	}
 	began := r.clock()
 	for range min(turnsPerRound, len(r.turnQueue)) {
-		client := r.turnQueue[0]
-		r.turnQueue[0] = nil
-		r.turnQueue = r.turnQueue[1:]
-		client.turnQueued = false
-		if client.isOpen() && !client.stalled {
-			client.resumeReading()
-		}
+		r.giveNextTurn()
 		if r.isTimeUp(began) {
 			break
 		}
@@ -52,6 +51,25 @@
 	r.scheduleTurns()
 }
 
+// giveNextTurn gives a turn to the client that has waited longest for one.
+func (r *Router) giveNextTurn() {
+	client := r.turnQueue[0]
+	r.turnQueue[0] = nil
+	r.turnQueue = r.turnQueue[1:]
+	client.turnQueued = false
+	if client.isOpen() && !client.stalled {
+		client.resumeReading()
+	}
+}
+
+// turnWork returns the work of one turn of the client.
+func (c *client) turnWork() int {
+	if c == c.r.endingClient {
+		return focusTurnWork
+	}
+	return turnWork
+}
+
 // beginTurnOutput collects what is written to a client until endTurnOutput, so that many replies take one system call.
 func (r *Router) beginTurnOutput(c *client) {
 	r.turnClient, r.turnOutput = c, r.turnOutput[:0]
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -33,7 +33,9 @@
 	paused            bool        // off the loop so that nothing is read; see client_pause.go
 	resumeDue         bool        // paused, and to return to the loop
 	descriptor        int         // of the connection while it is paused
+	rejectsFlood      bool        // the process ends, and the client sends without end
 	inputEnded        bool        // paused for good: no more than kernelInputLeft bytes are read
+	endingBytes       int         // read since its connection is the next one to end
 	kernelInputLeft   int         // what is still to be read, once the input has ended
 	lingers           bool        // its connection has been ended; until the client closes it, what it sends is dropped
 	lastKernelBytes   int         // of its input, while it waits for memory
@@ -213,7 +215,7 @@
 		c.replyNow([]byte("-ERR wrong number of words\r\n"))
 		return false
 	}
-	if r.rejectsRequests {
+	if c.rejectsRequests() {
 		c.rejectUnbegun(words)
 		return false
 	}
@@ -246,10 +248,6 @@
 	if known {
 		c.r.countUnadmitted(method, wire.Rejected)
 	}
-	if c.hasNoPendingReplies() {
-		c.write(busyReply)
-		return
-	}
 	c.replyNow(busyReply)
 }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -5,7 +5,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
 )
@@ -28,100 +27,10 @@
 		r.after(r.limits.ShutdownTimeout-rejectionMargin, r.startRejecting)
 		r.after(r.limits.ShutdownTimeout-lastInputMargin, r.endInput)
 		r.after(r.limits.ShutdownTimeout-lingerMargin, r.endLingering)
-		r.after(r.limits.DrainAcceptPeriod, func() {
-			r.closingClients = true
-			r.queueBatch()
-		})
+		r.after(r.limits.DrainAcceptPeriod, r.startClosing)
 	})
 }
 
-// Clients that send without end are owed something at all times, so that the process would not end. It ends their connections in
-// steps, each some time before the shutdown deadline.
-const (
-	// rejectionMargin is for answering, with a small share of a core, what clients have sent.
-	rejectionMargin = clock.Second
-	// lastInputMargin is for the input that the kernel has by then.
-	lastInputMargin = 600 * clock.Millisecond
-	// lingerMargin is for closing the connections.
-	lingerMargin = 300 * clock.Millisecond
-)
-
-// startRejecting has requests rejected as they are read, so that clients are owed nothing sooner than they send more.
-func (r *Router) startRejecting() {
-	r.rejectsRequests = true
-	r.endAllWaits()
-	for client := range r.clients {
-		if len(client.input.unread) > 0 {
-			r.queueTurn(client)
-		}
-	}
-	r.resumePausedClients()
-}
-
-// endInput has the router read no more of its clients than they have sent by now. Those with pending requests follow when these are
-// answered.
-func (r *Router) endInput() {
-	for client := range r.clients {
-		client.endInput()
-	}
-	for client := range r.polledClients {
-		client.endInput()
-	}
-	r.after(r.limits.LargeValueRetryInterval, r.endInput)
-}
-
-// endInput has nothing read of a client without pending requests but what the kernel has now.
-func (c *client) endInput() {
-	if c.inputEnded || c.closeAfterReplies || !c.isOpen() || !c.hasNoPendingReplies() || c.owes() == owesNothing {
-		return
-	}
-	if conn := c.conn; conn != nil {
-		if !c.pauseReading() {
-			return
-		}
-		c.r.closeConn(conn) // a duplicate of the descriptor remains
-	}
-	c.inputEnded, c.kernelInputLeft = true, c.kernelBytes()
-	c.r.queueTurn(c)
-}
-
-// endLingering closes the connections that have been ended and that their clients have not closed yet.
-func (r *Router) endLingering() {
-	r.lingeringEnded = true
-	for client := range r.polledClients {
-		if client.lingers {
-			client.close()
-		}
-	}
-}
-
-// endConnection ends a paused client's connection once everything is answered that had been sent when its input ended.
-func (c *client) endConnection() {
-	if c.lingers || c.kernelInputLeft > 0 || c.owesAnswer() {
-		return
-	}
-	if c.kernelBytes() == 0 || c.r.lingeringEnded {
-		c.closeFor(counters.ClientDrained)
-		return
-	}
-	// Closing would reset the connection for the rest of the input, and the client might lose replies.
-	c.end, c.lingers = counters.ClientDrained, true
-	_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // after an error the client is gone
-}
-
-// dropInput drops what a lingering client has sent, so that the end of its connection can arrive.
-func (c *client) dropInput() {
-	for range maxDroppedReads {
-		n, err := unix.Read(c.descriptor, c.r.readBuffer)
-		if err != nil || n == 0 {
-			return
-		}
-	}
-}
-
-// maxDroppedReads bounds the time that a client takes.
-const maxDroppedReads = 16
-
 // endAllAttempts aborts outstanding attempts at the shutdown deadline, so that their requests are answered before
 // the process is killed. A hanging server used to hold a request with the longest deadline until after SIGKILL.
 func (r *Router) endAllAttempts() {
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -64,7 +64,7 @@
 	c.noteMemory()
 	c.memory.Set(clientmemory.LargeValues, cap(w.received)+r.limits.LargeValueWindow)
 	switch { // the reply is written after the value has been read
-	case r.rejectsRequests:
+	case c.rejectsRequests():
 		if valid {
 			r.countUnadmitted(event.Method, wire.Rejected)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,7 +13,7 @@
 // the loop; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
 // held_memory.go accounts for the memory held for clients; queue_limits.go and waiting_requests.go have clients wait while queues are long; client_owed.go says what is owed to a client; socket_watch.go logs when sockets are not read in time;
-// learned_state.go the state that survives a restart; drain.go the shutdown; conn_log.go the log lines on
+// learned_state.go the state that survives a restart; drain.go the shutdown, client_ending.go the end of clients' connections in it; conn_log.go the log lines on
 // connections and requests.
 package router
 
@@ -127,6 +127,8 @@
 	draining, closingClients, stopped bool
 	rejectsRequests                   bool       // see startRejecting
 	lingeringEnded                    bool       // see endLingering
+	endingClient                      *client    // whose connection ends next
+	focusBuffer                       []byte     // for one read from it
 	shutdownDeadline                  clock.Time // every admitted request is answered by then; 0: no shutdown is in progress
 	writeBuffer                       []byte
 	anomalies                         anomalyLog
