The check that injected faults are detected does not depend on chance

Cause: which request was chosen followed the order of a map, and the real clock ran. Change: the first request by id is chosen, and the clock stands still but for a microsecond at each reading.

--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -83,9 +84,9 @@
 			}
 		},
 		"an attempt of a finished request": func(l *fakeLoop) {
-			for _, request := range l.r.requests {
-				if request.finished && len(request.attempts) == 0 {
-					for id := range l.r.servers {
+			for _, requestID := range slices.Sorted(maps.Keys(l.r.requests)) { // not in an order by chance
+				if request := l.r.requests[requestID]; request.finished && len(request.attempts) == 0 {
+					for _, id := range slices.Sorted(maps.Keys(l.r.servers)) {
 						request.finished = false
 						l.r.beginAttempt(routing.Decision{Request: request.ID, Server: id, After: 1e6})
 						request.finished = true
@@ -179,6 +180,11 @@
 		`{"uid":"u","endpoint":"127.0.0.1:3","model":"m","state":"active"}]}`)
 	l := newFakeLoop(t, cfg)
 	r := l.r
+	passed := r.sinceStart() // the speed of the machine must not decide what is detected
+	r.sinceStart = func() time.Duration {
+		passed += time.Microsecond
+		return passed
+	}
 	type dial struct {
 		p      connHandler
 		failed func(error)
