--- a/cmd/cache-router/pipeline_test.go
+++ b/cmd/cache-router/pipeline_test.go
@@ -18,6 +18,7 @@
 // pipelineRecord counts what became of the requests of clients that pipeline.
 type pipelineRecord struct {
 	crowd    *crowd
+	command  func(id string, position int, wait time.Duration) []byte // in a pipeline; nil: a read
 	answered atomic.Int64
 	rejected atomic.Int64
 	crossed  atomic.Int64 // sent while the connection was being closed, and never run
@@ -109,7 +110,7 @@
 	for i := range depth {
 		id := fmt.Sprint(name, "-", i)
 		ids = append(ids, id)
-		batch = append(batch, readCommand("k"+id, id, fmt.Sprint("c=get,d=", wait.Milliseconds()))...)
+		batch = append(batch, p.nextCommand(id, i, wait)...)
 	}
 	if _, err := conn.Write(batch); err != nil {
 		p.crossed.Add(int64(depth))
@@ -130,6 +131,13 @@
 	return true
 }
 
+func (p *pipelineRecord) nextCommand(id string, position int, wait time.Duration) []byte {
+	if p.command != nil {
+		return p.command(id, position, wait)
+	}
+	return readCommand("k"+id, id, fmt.Sprint("c=get,d=", wait.Milliseconds()))
+}
+
 const (
 	pipelineClients = 100
 	pipelineDepth   = 4
@@ -146,7 +154,8 @@
 	clients     int // 0: pipelineClients
 	depth       int // 0: pipelineDepth
 	waits       []time.Duration
-	runs        time.Duration // until end is called
+	command     func(id string, position int, wait time.Duration) []byte // nil: a read
+	runs        time.Duration                                            // until end is called
 	end         func(c *crowd, p *pipelineRecord)
 }
 
@@ -162,7 +171,7 @@
 	var next atomic.Int64
 	check := c.watchLimits(memoryMB, func() []int { return []int{old, int(next.Load())} })
 	c.onReplaced = func() { next.Store(int64(c.program.Process.Pid)) }
-	p := &pipelineRecord{crowd: c}
+	p := &pipelineRecord{crowd: c, command: test.command}
 	var stop atomic.Bool
 	var done sync.WaitGroup
 	depth := cmp.Or(test.depth, pipelineDepth)
--- a/internal/router/client_ending.go
+++ b/internal/router/client_ending.go
@@ -176,7 +176,10 @@
 	if c.lingers || c.kernelInputLeft > 0 || c.owesAnswer() {
 		return
 	}
-	if c.kernelBytes() == 0 || c.r.lingeringEnded {
+	if c.closeUnlessOwed(counters.ClientDrained) {
+		return
+	}
+	if c.r.lingeringEnded {
 		c.closeFor(counters.ClientDrained)
 		return
 	}
--- a/internal/router/client_owed.go
+++ b/internal/router/client_owed.go
@@ -36,9 +36,6 @@
 // owesAnswer reports whether something is owed to the client that the router has read. It needs no system call.
 func (c *client) owesAnswer() bool { return !c.isQuiet() || c.hasUnreadCommand() }
 
-// mayClose reports whether nothing is owed to the client, or it has not read its replies for too long.
-func (c *client) mayClose() bool { return !c.isOpen() || c.owes() == owesNothing || c.isUnresponsive() }
-
 // isUnresponsive reports whether the client has not read its replies for too long.
 func (c *client) isUnresponsive() bool {
 	return len(c.slots)+len(c.unsent) > 0 && c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
@@ -60,7 +57,18 @@
 	return used > 0 || err != nil
 }
 
-// closeFor closes the connection of an open client.
+// closeUnlessOwed closes the connection of an open client if nothing is owed to it, or it has not read its replies for too long. It
+// reports whether it did.
+func (c *client) closeUnlessOwed(end counters.ClientConnectionEnd) bool {
+	if c.owes() != owesNothing && !c.isUnresponsive() {
+		return false
+	}
+	c.end = end
+	c.close()
+	return true
+}
+
+// closeFor closes the connection of an open client in any case.
 func (c *client) closeFor(end counters.ClientConnectionEnd) {
 	c.end = end
 	c.noteObligation()
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -105,8 +105,7 @@
 	switch {
 	case c.inputEnded:
 		c.endConnection()
-	case c.r.closingClients && len(c.input.unread) == 0 && c.owes() == owesNothing:
-		c.closeFor(counters.ClientDrained)
+	case c.r.closingClients && len(c.input.unread) == 0 && c.closeUnlessOwed(counters.ClientDrained):
 	default:
 		c.resumeOnLoop()
 	}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -145,8 +145,8 @@
 		}
 	// Some clients send one request and keep the connection. Clients can hold a limited number of connections,
 	// and would have none left for requests.
-	case !c.closeAfterReplies && now-c.lastActivity >= c.r.limits.ClientIdleTimeout && len(c.input.unread) == 0 && c.owes() == owesNothing:
-		c.closeFor(counters.ClientIdle)
+	case !c.closeAfterReplies && now-c.lastActivity >= c.r.limits.ClientIdleTimeout && len(c.input.unread) == 0:
+		c.closeUnlessOwed(counters.ClientIdle)
 	}
 }
 
--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -106,12 +106,11 @@
 	if candidate == nil {
 		return false
 	}
-	if candidate.owes() != owesNothing {
+	if !candidate.closeUnlessOwed(counters.ClientEvicted) {
 		candidate.lastActivity = now
 		return r.shedClient(requestersOnly)
 	}
 	r.counts.EvictedConnections++
-	candidate.closeFor(counters.ClientEvicted)
 	return true
 }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -91,7 +91,8 @@
 		switch {
 		case client.hasEnded():
 			r.closeConn(client.conn)
-		case isDone && client.mayClose(), isPastDeadline && client.isQuiet():
+		case isDone && client.closeUnlessOwed(counters.ClientDrained):
+		case isPastDeadline && client.isQuiet():
 			client.closeFor(counters.ClientDrained)
 		}
 	}
