A write that waits for memory is rejected when part of its time is over

Change: the kernel's input is dated when all of the command is there, the date counts for the request's deadline once it is read, and after half of its time or of its latency objective the command is rejected and its rest dropped, which takes no memory.

--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -315,6 +315,7 @@
 func (c *client) stopWaitingForInput() {
 	if c.waitsForInput {
 		c.waitsForInput = false
+		c.arrivedInKernelAt = 0
 		c.r.inputWaiters--
 	}
 }
@@ -416,6 +417,9 @@
 			waiting = append(waiting, client)
 		default:
 			client.stalled = false
+			if client.waitsForInput && client.hasWaitedTooLong() {
+				client.rejectUnread()
+			}
 			client.stopWaitingForInput()
 			client.resumeReading()
 		}
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -287,9 +287,7 @@
 		if !client.paused || !client.waitsForInput {
 			continue
 		}
-		if inKernel := client.kernelBytes(); inKernel != client.lastKernelBytes {
-			client.lastKernelBytes, client.lastActivity = inKernel, now
-		}
+		client.noteKernelInput(now)
 	}
 	r.checksInputWaiters = true
 	r.resumeStalledClients()
--- a/internal/router/client_pause_test.go
+++ b/internal/router/client_pause_test.go
@@ -206,3 +206,19 @@
 		t.Error("the client's command was not processed")
 	}
 }
+
+// TestMemoryWait_EndsWithPartOfTheRequestsTime guards against a write that has arrived in full and waits for memory longer than its
+// client does.
+func TestMemoryWait_EndsWithPartOfTheRequestsTime(t *testing.T) {
+	const patience = 1900 * clock.Millisecond
+	l, waiting, _ := newMemoryWaiter(t, 17_002)
+	for range 10 {
+		l.advance(patience / 10)
+	}
+	if got := l.r.counts.RejectedForMemory; got != 1 || len(waiting.input.unread) > 0 {
+		t.Errorf("%d writes were rejected, %d bytes are unread: the client has given up", got, len(waiting.input.unread))
+	}
+	if got := l.r.counts.AbortedConnections; got != 0 {
+		t.Error("the client was closed")
+	}
+}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -40,6 +40,7 @@
 	kernelInputLeft   int         // what is still to be read, once the input has ended
 	lingers           bool        // its connection has been ended; until the client closes it, what it sends is dropped
 	lastKernelBytes   int         // of its input, while it waits for memory
+	arrivedInKernelAt clock.Time  // when all of the command that waits for memory was in the kernel; 0: it is not
 	waitsForInput     bool        // stalled, and it is the rest of a command that waits for memory
 	detached          bool        // off the loop while a large value is streamed
 	input             inputBuffer // received and not processed yet
@@ -175,13 +176,19 @@
 	c.closeAfterReplies = true
 }
 
+// Words of the commands that are requests.
+const (
+	readWords  = 4 // verb, key, id and properties
+	writeWords = 5 // a read's, and the value
+)
+
 // handleCommand processes one command, and reports whether it was admitted as a request.
 func (c *client) handleCommand(words [][]byte) (admitted bool) {
 	switch verb := words[0]; {
 	case isVerb(verb, "CACHE.GET"):
-		return c.handleRequest(words, 4, false)
+		return c.handleRequest(words, readWords, false)
 	case isVerb(verb, "CACHE.SET"):
-		return c.handleRequest(words, 5, true)
+		return c.handleRequest(words, writeWords, true)
 	case isVerb(verb, "PING"):
 		c.handlePing(words)
 	case isVerb(verb, "CLIENT"), isVerb(verb, "SELECT"):
--- a/internal/router/held_memory.go
+++ b/internal/router/held_memory.go
@@ -68,7 +68,7 @@
 // mayContinue reports whether there is memory for what a client waits for: the rest of a command, or the next one.
 func (c *client) mayContinue() bool {
 	if c.waitsForInput {
-		return c.r.checksInputWaiters && c.mayBeginNext() && c.reserveInput(true)
+		return c.r.checksInputWaiters && (c.hasWaitedTooLong() || c.mayBeginNext() && c.reserveInput(true))
 	}
 	return c.mayBeginNext() || c.hasNoPendingReplies()
 }
--- a/internal/router/waiting_requests.go
+++ b/internal/router/waiting_requests.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"spurtrestle/core/clock"
+	"spurtrestle/core/routing"
 )
 
 // A request of a limited client that comes while there is no room in the queues waits here if nothing before it on its
@@ -25,14 +26,18 @@
 	waiting := &r.waitingRequests[r.targetOf(arrival.request.Write)]
 	waiting.arrivals = append(waiting.arrivals, arrival)
 	arrival.request.waiting = arrival
-	usefulTime := arrival.timeout
-	if objective := r.cfg.Settings.Methods[arrival.event.Method].LatencyBudget; objective > 0 {
-		usefulTime = min(usefulTime, objective)
-	}
-	waitEnd := arrival.startedAt + usefulTime/roomWaitDivisor
+	waitEnd := arrival.startedAt + r.usefulTime(arrival.event.Method, arrival.timeout)/roomWaitDivisor
 	arrival.waitTimer = r.after(max(0, waitEnd-r.clock()), func() { r.endWait(arrival) })
 }
 
+// usefulTime returns for how long the answer to a request is useful.
+func (r *Router) usefulTime(method routing.Method, timeout clock.Duration) clock.Duration {
+	if objective := r.cfg.Settings.Methods[method].LatencyBudget; objective > 0 {
+		return min(timeout, objective)
+	}
+	return timeout
+}
+
 // beginWaiting begins the requests for which there is room now.
 func (r *Router) beginWaiting() {
 	for target := range limitTargetCount {
