The soak of endings has clients that pipeline at slow servers, and looks at every close

Their random numbers are a stream of their own, so that a seed plays what it did before beside them. Runs without a flood fail if a process closed a connection before it was answered (unanswered-ends).

--- a/cmd/cache-router/ending_soak_test.go
+++ b/cmd/cache-router/ending_soak_test.go
@@ -37,10 +37,14 @@
 	soakFlood   = 1
 	soakCrowd   = 2
 	soakBurdens = 3
+
+	// soakPipelineOneIn is the part of the runs with slow servers and clients that pipeline.
+	soakPipelineOneIn = 3
+	pipelineStream    = 1 // of the random numbers
 )
 
 // TestEndingSoak ends processes in all ways, by a seed, while clients use their open connections until the kill, which comes as
-// early as it may; some runs have a crowd, some a flood, some little CPU. It guards against requests that an ending process has read and not answered, requests
+// early as it may; some runs have a crowd, some a flood, some pipelines at slow servers, some little CPU. It guards against requests that an ending process has read and not answered, requests
 // that run twice, and limits that are passed meanwhile.
 func TestEndingSoak(t *testing.T) {
 	slots := make(chan struct{}, parallelSeeds)
@@ -50,7 +54,7 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			s := &endingSoak{random: rand.New(rand.NewPCG(seed, 0))}
+			s := &endingSoak{random: rand.New(rand.NewPCG(seed, 0)), pipelineRandom: rand.New(rand.NewPCG(seed, pipelineStream))}
 			s.run(t)
 		})
 	}
@@ -59,12 +63,15 @@
 // endingSoak is one run of TestEndingSoak.
 type endingSoak struct {
 	*crowd
-	random   *rand.Rand // belongs to run
-	stop     atomic.Bool
-	killed   atomic.Bool // a process was killed without warning: what it had is excused
-	clients  sync.WaitGroup
-	answered atomic.Int64
-	crossed  atomic.Int64
+	random *rand.Rand // belongs to run
+	// pipelineRandom is a stream of its own, so that a seed plays the same as before beside it
+	pipelineRandom *rand.Rand
+	pipelines      *pipelineRecord
+	stop           atomic.Bool
+	killed         atomic.Bool // a process was killed without warning: what it had is excused
+	clients        sync.WaitGroup
+	answered       atomic.Int64
+	crossed        atomic.Int64
 	// of the flooders, whose commands count as those of any client
 	floodRecord floodRecord
 	mu          sync.Mutex
@@ -78,7 +85,9 @@
 	if busy > 0 || s.random.IntN(2) == 0 {
 		s.giveOneCore(busy)
 	}
+	s.busyServers, s.busyTime = s.pipelineRandom.IntN(soakPipelineOneIn) == 0, slowServerTime
 	s.serve()
+	s.pipelines = &pipelineRecord{crowd: s.crowd}
 	memoryMB := crowdMemoryMB
 	if strings.Contains(s.config, `"memory_mb":192`) {
 		memoryMB = 192
@@ -90,6 +99,9 @@
 		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
 		s.clients.Go(func() { s.ask(i, random) })
 	}
+	if s.busyServers {
+		s.playPipelines()
+	}
 	kind := crowdKind{name: "no crowd"}
 	switch {
 	case burden == soakFlood:
@@ -109,6 +121,7 @@
 	if ending == 0 {
 		s.killed.Store(true)
 		s.floodRecord.excused.Store(true)
+		s.pipelines.excused.Store(true)
 		_ = old.Process.Kill()
 	} else {
 		s.end(old, ending != 1, strings.HasPrefix(kind.name, "slow readers"))
@@ -122,6 +135,22 @@
 	check()
 	s.checkRuns()
 	s.floodRecord.check(t)
+	if s.busyServers {
+		s.pipelines.check(t)
+	}
+	if ending != 0 && burden != soakFlood { // clients that send without end are always owed something
+		s.checkNothingOwed(t)
+	}
+}
+
+// playPipelines has some clients pipeline at the slow servers.
+func (s *endingSoak) playPipelines() {
+	waits := []time.Duration{longWait, time.Second, shortWait}
+	for i := range 20 + s.pipelineRandom.IntN(80) {
+		depth := 1 + s.pipelineRandom.IntN(8)
+		wait := waits[s.pipelineRandom.IntN(len(waits))]
+		s.clients.Go(func() { s.pipelines.play(fmt.Sprint("p", i), depth, wait, &s.stop) })
+	}
 }
 
 // playFlood has some clients send reads, writes or commands that the router answers itself at full speed.
