--- a/cmd/cache-router/large_value_test.go
+++ b/cmd/cache-router/large_value_test.go
@@ -84,7 +84,7 @@
 	for i, c := range clients {
 		got := make([]byte, len(full))
 		if n, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, full) {
-			t.Fatalf("value %d: %d bytes, %v", i, n, err)
+			t.Fatalf("value %d: %d bytes, beginning with %.20q, %v", i, n, got[:n], err)
 		}
 	}
 	pong := make([]byte, 7)
