A client whose first request is followed by more is limited, and rejections lower the limit

Cause: the first read of each client begins at once, 100 here; and answers alone lower the limit, while package routing rejects what it has no capacity for, each rejection making room for the next read of the flood: 43,000 to 196,000 answers of the flood in 2 s.

Change: a request with input behind it is one of a client that has sent more than it has answers for; and a limited request that is rejected lowers the limit, once in a response time.

--- a/core/queuelimit/queuelimit.go
+++ b/core/queuelimit/queuelimit.go
@@ -72,12 +72,22 @@
 		if 2*pending >= int(l.pending) { // the limit is in use
 			l.pending = min(l.pending+l.raise(), maxPending)
 		}
-	case now-l.loweredAt >= l.times.mean: // answers show the last change by now
-		l.loweredAt = now
-		l.pending = max(l.pending*loweringFactor, l.minimum)
+	default:
+		l.lower(now)
 	}
 }
 
+// Reject reports that a limited request was rejected for lack of capacity.
+func (l *Limit) Reject(now clock.Time) { l.lower(now) }
+
+func (l *Limit) lower(now clock.Time) {
+	if now-l.loweredAt < max(l.times.mean, slowdownConstant) { // answers do not show the last change yet
+		return
+	}
+	l.loweredAt = now
+	l.pending = max(l.pending*loweringFactor, l.minimum)
+}
+
 // raise returns by how much an answer raises the limit: as many come in a response time as are pending.
 func (l *Limit) raise() float64 {
 	if l.loweredAt == 0 {
--- a/internal/router/client_input.go
+++ b/internal/router/client_input.go
@@ -217,6 +217,7 @@
 		}
 		c.hasSentCommand, c.lastCommandAt, c.partialSince = true, c.lastActivity, 0
 		c.receivedAt = c.arrivalTimes.consume(used, c.lastActivity)
+		c.hasInputBehind = used < len(buf)
 		*work += 1 + used/workUnitBytes
 		if len(words) > 0 && c.handleCommand(words) {
 			*work += requestWork - 1
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -46,6 +46,7 @@
 	input             inputBuffer // received and not processed yet
 	turnQueued        bool        // it gets another turn in one of the next rounds
 	backlogged        bool        // it has sent more than its last turn could process
+	hasInputBehind    bool        // it has sent more than the command that is processed, or was last
 	nextTarget        limitTarget // of the request that waits for room
 	unsent            []byte      // rest of the last written reply that the kernel has not accepted
 	lastSentAt        clock.Time  // when the kernel last accepted a part of a reply
--- a/internal/router/queue_limits.go
+++ b/internal/router/queue_limits.go
@@ -56,7 +56,7 @@
 
 // isLimited reports whether the client has sent more than it has answers for.
 func (c *client) isLimited() bool {
-	return !c.rejectsRequests() && (c.backlogged || !c.hasNoPendingReplies())
+	return !c.rejectsRequests() && (c.backlogged || c.hasInputBehind || !c.hasNoPendingReplies())
 }
 
 // waitsForRoom reports whether a command is a request that has to wait unread, behind others of its client.
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -141,6 +141,9 @@
 		return false
 	}
 	request.finished = true
+	if a.Kind == wire.Rejected && request.isLimited {
+		r.queueLimits[r.targetOf(request.Write)].Reject(r.clock())
+	}
 	r.endLimit(request)
 	r.countOutcome(request.method, a.Kind)
 	r.logAnswer(request, a)
