--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,105 +1,155 @@
-// Command 10 has clients leave while their read is out and a long write stands behind it. No attempt may begin for a client that
-// has closed its connection more than 0.1 s before.
+// Command 10 replaces the process of a router while discovery is down. A cache server began to drain before, and the router was
+// told. It must get nothing new.
 package main
 
 import (
 	"fmt"
+	"sync"
+	"syscall"
 	"time"
 
 	"spurtrestle/review/platform"
 )
 
 const (
-	// missAfter is when a cache server answers that it lacks the key; then the origin is next.
-	missAfter  = 300 * time.Millisecond
-	originWork = 20 * time.Millisecond
-	// leaveAfter is when a client closes its connection, and stayFor when it does with TROUBLE=0; both from its first byte on.
-	leaveAfter = 100 * time.Millisecond
-	stayFor    = 2500 * time.Millisecond
-	// lateAfter is when an attempt is a break, from the close on.
-	lateAfter = 100 * time.Millisecond
-	clients   = 5
-	between   = 200 * time.Millisecond // between two clients
-	deadline  = platform.LongestDeadline * time.Millisecond
-	// writeBytes is the size of the write that stands behind the read.
-	writeBytes = 1 << 20
+	work = 5 * time.Millisecond
+	// drainAt is when a cache server begins to drain, silentAt when discovery goes down, and replaceAt when the platform starts
+	// the next process; all from the moment at which the router takes clients.
+	drainAt   = 2 * time.Second
+	silentAt  = 6 * time.Second
+	replaceAt = 7 * time.Second
+	// outage is how long discovery is down.
+	outage = 8 * time.Second
+	// readyWithin is the time in which the new process has to say yes, and killAfter the time from SIGTERM to SIGKILL.
+	readyWithin = 6 * time.Second
+	killAfter   = (platform.LongestDeadline + 700) * time.Millisecond
+	endAt       = 18 * time.Second
+	gap         = 10 * time.Millisecond // between requests
 )
 
 func main() { platform.Main(play) }
 
 func play(r *platform.Run) error {
-	listen, origin, server, err := start(r)
+	servers, discovery, listen, config, err := start(r)
+	if err != nil {
+		return err
+	}
+	old, err := r.StartRouter("old", config)
 	if err != nil {
 		return err
 	}
 	if err := r.AwaitPong(listen, 10*time.Second); err != nil {
 		return err
 	}
-	closedAt := map[string]time.Time{}
-	for i := range clients {
-		id := fmt.Sprintf("r-%d", i)
-		at, err := leave(r, listen, i, id)
-		if err != nil {
-			return err
-		}
-		closedAt[id] = at
-		time.Sleep(between)
-	}
-	time.Sleep(time.Second)
-	for _, a := range append(server.Attempts(), origin.Attempts()...) {
-		at, known := closedAt[a.ID]
-		if known && a.FirstAt.Sub(at) > lateAfter {
-			r.Broken("%s got %s %v after its client had closed its connection", a.Server, a.ID, a.FirstAt.Sub(at))
-		}
+	began := time.Now()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range 2 {
+		clients.Go(func() { sendAll(r, listen, fmt.Sprintf("client-%d", i), stop) })
+	}
+	time.Sleep(time.Until(began.Add(drainAt)))
+	discovery.SetState(servers[0].Name, "leaving")
+	time.Sleep(time.Until(began.Add(silentAt)))
+	if discovery.ToldAt(servers[0].Name, "leaving").IsZero() {
+		return fmt.Errorf("discovery could not tell the router that %s drains", servers[0].Name)
+	}
+	if r.Trouble {
+		discovery.SetSilent(true)
+		time.AfterFunc(outage, func() { discovery.SetSilent(false) })
+	}
+	time.Sleep(time.Until(began.Add(replaceAt)))
+	if err := replace(r, old, config); err != nil {
+		return err
 	}
+	time.Sleep(time.Until(began.Add(endAt)))
+	close(stop)
+	clients.Wait()
+	judge(r, servers, discovery)
 	return nil
 }
 
-// start starts the stand-ins and a router.
-func start(r *platform.Run) (listen string, origin *platform.Origin, server *platform.CacheServer, err error) {
-	if server, err = r.StartEmptyCacheServer("s-1", missAfter); err != nil {
-		return "", nil, nil, err
-	}
-	if origin, err = r.StartOrigin(originWork); err != nil {
-		return "", nil, nil, err
+// start starts the stand-ins.
+func start(r *platform.Run) (servers []*platform.CacheServer, discovery *platform.Discovery, listen, config string, err error) {
+	var targets []platform.Target
+	for _, name := range []string{"s-1", "s-2", "s-3"} {
+		server, err := r.StartCacheServer(name, work, 0)
+		if err != nil {
+			return nil, nil, "", "", err
+		}
+		servers, targets = append(servers, server), append(targets, server.Target())
 	}
-	targets := []platform.Target{server.Target(), origin.Target()}
-	discovery, err := r.StartDiscovery(targets)
+	origin, err := r.StartOrigin(work)
 	if err != nil {
-		return "", nil, nil, err
+		return nil, nil, "", "", err
 	}
+	targets = append(targets, origin.Target())
 	if listen, err = platform.FreeAddress(); err != nil {
-		return "", nil, nil, err
+		return nil, nil, "", "", err
 	}
-	config, err := r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: targets, Settings: platform.Settings})
-	if err != nil {
-		return "", nil, nil, err
+	known := append([]platform.Target(nil), targets...)
+	if discovery, err = r.StartDiscovery(targets); err != nil {
+		return nil, nil, "", "", err
 	}
-	_, err = r.StartRouter("router", config)
-	return listen, origin, server, err
+	config, err = r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: known, Settings: platform.Settings})
+	return servers, discovery, listen, config, err
 }
 
-// leave has one client send a read and a long write at once, and close its connection. It returns when that was.
-func leave(r *platform.Run, listen string, i int, id string) (closedAt time.Time, err error) {
-	name := fmt.Sprintf("client-%d", i)
-	c, err := r.Connect(name, listen)
+// replace does as the platform does: it starts `run` once more, waits for its yes, and ends the old process.
+func replace(r *platform.Run, old *platform.Process, config string) error {
+	next, err := r.StartRouter("new", config)
 	if err != nil {
-		return closedAt, err
+		return err
 	}
-	began := time.Now()
-	text := platform.Get(fmt.Sprintf("k-%d", i), id, "usage-report", deadline)
-	text = append(text, platform.Set("k-w", fmt.Sprintf("w-%d", i), "usage-report", deadline, make([]byte, writeBytes))...)
-	go func() {
-		err := c.Send(text)
-		r.Note(name, "sent %s and a write of %d bytes: %v", id, writeBytes, err)
-	}()
-	stay := stayFor
-	if r.Trouble {
-		stay = leaveAfter
+	if err := next.AwaitReady(readyWithin); err != nil {
+		return err
+	}
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	time.AfterFunc(killAfter, func() { old.Kill() })
+	return nil
+}
+
+// sendAll sends one read after the other, each on an open connection, and opens a new one when the router has closed it.
+func sendAll(r *platform.Run, listen, name string, stop chan struct{}) {
+	var c *platform.Client
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(gap):
+		}
+		if c == nil {
+			var err error
+			if c, err = r.Connect(name, listen); err != nil {
+				r.Note(name, "cannot connect: %v", err)
+				c = nil
+				continue
+			}
+		}
+		id := fmt.Sprintf("%s-%05d", name, n)
+		err := c.Send(platform.Get(fmt.Sprintf("k-%d", n%200), id, "field-history", 1500*time.Millisecond))
+		if err == nil {
+			_, err = c.Receive(2 * time.Second)
+		}
+		if err != nil {
+			r.Note(name, "the connection ended at %s: %v", id, err)
+			_ = c.Conn.Close()
+			c = nil
+		}
+	}
+}
+
+// judge looks for new work at the draining cache server.
+func judge(r *platform.Run, servers []*platform.CacheServer, discovery *platform.Discovery) {
+	toldAt := discovery.ToldAt(servers[0].Name, "leaving")
+	end := toldAt.Add(platform.DrainGrace * time.Millisecond)
+	for _, server := range servers {
+		r.Note("judge", "%s got %d attempts", server.Name, len(server.Attempts()))
+	}
+	for _, a := range servers[0].Attempts() {
+		if a.FirstAt.After(end) {
+			r.Broken("%s got %s %v after discovery had told the router that it drains", a.Server, a.ID, a.FirstAt.Sub(toldAt))
+		}
 	}
-	time.Sleep(time.Until(began.Add(stay)))
-	closedAt = time.Now()
-	err = c.Conn.Close()
-	r.Note(name, "closed its connection: %v", err)
-	return closedAt, err
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,10 +1,10 @@
-// Command 8 replaces the process of a router while discovery is down. A cache server began to drain before, and the router was
-// told. It must get nothing new.
+// Command 8 ends a router as planned while a client with several requests on its connection reads its answers slowly. What the
+// router has taken and answered must reach the client.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"sync"
 	"syscall"
 	"time"
 
@@ -12,144 +12,130 @@
 )
 
 const (
-	work = 5 * time.Millisecond
-	// drainAt is when a cache server begins to drain, silentAt when discovery goes down, and replaceAt when the platform starts
-	// the next process; all from the moment at which the router takes clients.
-	drainAt   = 2 * time.Second
-	silentAt  = 6 * time.Second
-	replaceAt = 7 * time.Second
-	// outage is how long discovery is down.
-	outage = 8 * time.Second
-	// readyWithin is the time in which the new process has to say yes, and killAfter the time from SIGTERM to SIGKILL.
-	readyWithin = 6 * time.Second
-	killAfter   = (platform.LongestDeadline + 700) * time.Millisecond
-	endAt       = 18 * time.Second
-	gap         = 10 * time.Millisecond // between requests
+	work       = 2 * time.Millisecond // of a cache server for a read
+	valueBytes = 60000
+	depth      = 6 // requests out on the connection
+	// The client reads slowly: 400 KB a second.
+	readBytes = 16000
+	readPause = 40 * time.Millisecond
+	// signalAt is when the router is told to end, killAfter the time until SIGKILL, and lastSend when the client stops sending,
+	// from the first request on.
+	signalAt  = 2 * time.Second
+	killAfter = (platform.LongestDeadline + 700) * time.Millisecond
+	lastSend  = 6 * time.Second
 )
 
 func main() { platform.Main(play) }
 
 func play(r *platform.Run) error {
-	servers, discovery, listen, config, err := start(r)
-	if err != nil {
-		return err
-	}
-	old, err := r.StartRouter("old", config)
+	listen, router, servers, err := start(r)
 	if err != nil {
 		return err
 	}
 	if err := r.AwaitPong(listen, 10*time.Second); err != nil {
 		return err
 	}
-	began := time.Now()
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for i := range 2 {
-		clients.Go(func() { sendAll(r, listen, fmt.Sprintf("client-%d", i), stop) })
-	}
-	time.Sleep(time.Until(began.Add(drainAt)))
-	discovery.SetState(servers[0].Name, "leaving")
-	time.Sleep(time.Until(began.Add(silentAt)))
-	if discovery.ToldAt(servers[0].Name, "leaving").IsZero() {
-		return fmt.Errorf("discovery could not tell the router that %s drains", servers[0].Name)
+	c, err := r.Connect("client", listen)
+	if err != nil {
+		return err
 	}
+	c.ReadBytes, c.ReadPause = readBytes, readPause
+	killed := make(chan struct{})
 	if r.Trouble {
-		discovery.SetSilent(true)
-		time.AfterFunc(outage, func() { discovery.SetSilent(false) })
-	}
-	time.Sleep(time.Until(began.Add(replaceAt)))
-	if err := replace(r, old, config); err != nil {
+		time.AfterFunc(signalAt, func() {
+			_ = router.Signal(syscall.SIGTERM) // it runs
+			time.Sleep(killAfter)
+			router.Kill()
+			close(killed)
+		})
+	}
+	unanswered, err := exchange(r, c)
+	if err != nil {
 		return err
 	}
-	time.Sleep(time.Until(began.Add(endAt)))
-	close(stop)
-	clients.Wait()
-	judge(r, servers, discovery)
+	if r.Trouble {
+		<-killed
+	}
+	judge(r, unanswered, servers)
 	return nil
 }
 
-// start starts the stand-ins.
-func start(r *platform.Run) (servers []*platform.CacheServer, discovery *platform.Discovery, listen, config string, err error) {
+// start starts the stand-ins and a router.
+func start(r *platform.Run) (listen string, router *platform.Process, servers []*platform.CacheServer, err error) {
 	var targets []platform.Target
 	for _, name := range []string{"s-1", "s-2", "s-3"} {
-		server, err := r.StartCacheServer(name, work, 0)
+		server, err := r.StartCacheServer(name, work, valueBytes)
 		if err != nil {
-			return nil, nil, "", "", err
+			return "", nil, nil, err
 		}
 		servers, targets = append(servers, server), append(targets, server.Target())
 	}
 	origin, err := r.StartOrigin(work)
 	if err != nil {
-		return nil, nil, "", "", err
+		return "", nil, nil, err
 	}
 	targets = append(targets, origin.Target())
-	if listen, err = platform.FreeAddress(); err != nil {
-		return nil, nil, "", "", err
-	}
-	known := append([]platform.Target(nil), targets...)
-	if discovery, err = r.StartDiscovery(targets); err != nil {
-		return nil, nil, "", "", err
-	}
-	config, err = r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: known, Settings: platform.Settings})
-	return servers, discovery, listen, config, err
-}
-
-// replace does as the platform does: it starts `run` once more, waits for its yes, and ends the old process.
-func replace(r *platform.Run, old *platform.Process, config string) error {
-	next, err := r.StartRouter("new", config)
+	discovery, err := r.StartDiscovery(targets)
 	if err != nil {
-		return err
+		return "", nil, nil, err
 	}
-	if err := next.AwaitReady(readyWithin); err != nil {
-		return err
+	if listen, err = platform.FreeAddress(); err != nil {
+		return "", nil, nil, err
 	}
-	if err := old.Signal(syscall.SIGTERM); err != nil {
-		return err
+	config, err := r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: targets, Settings: platform.Settings})
+	if err != nil {
+		return "", nil, nil, err
 	}
-	time.AfterFunc(killAfter, func() { old.Kill() })
-	return nil
+	router, err = r.StartRouter("router", config)
+	return listen, router, servers, err
 }
 
-// sendAll sends one read after the other, each on an open connection, and opens a new one when the router has closed it.
-func sendAll(r *platform.Run, listen, name string, stop chan struct{}) {
-	var c *platform.Client
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(gap):
-		}
-		if c == nil {
-			var err error
-			if c, err = r.Connect(name, listen); err != nil {
-				r.Note(name, "cannot connect: %v", err)
-				c = nil
-				continue
+// exchange sends a request each time that an answer has come whole, so that some are out at all times. It returns those that
+// had no answer when the connection ended, or when the client had stopped sending and waited long enough.
+func exchange(r *platform.Run, c *platform.Client) (unanswered []string, err error) {
+	const longest = 3 * time.Second // for one answer, of which the last byte comes long after the first
+	began := time.Now()
+	var sendErr error
+	for n := 0; ; {
+		for sendErr == nil && len(unanswered) < depth && time.Since(began) < lastSend {
+			id := fmt.Sprintf("r-%05d", n)
+			sendErr = c.Send(platform.Get(fmt.Sprintf("k-%d", n%50), id, "usage-report", platform.LongestDeadline*time.Millisecond))
+			r.Note("client", "sent %s: %v", id, sendErr)
+			n++
+			if sendErr == nil {
+				unanswered = append(unanswered, id)
 			}
 		}
-		id := fmt.Sprintf("%s-%05d", name, n)
-		err := c.Send(platform.Get(fmt.Sprintf("k-%d", n%200), id, "field-history", 1500*time.Millisecond))
-		if err == nil {
-			_, err = c.Receive(2 * time.Second)
+		if len(unanswered) == 0 {
+			return nil, nil
 		}
+		reply, err := c.Receive(longest)
 		if err != nil {
-			r.Note(name, "the connection ended at %s: %v", id, err)
-			_ = c.Conn.Close()
-			c = nil
+			r.Note("client", "the connection ended: %v", err)
+			return unanswered, nil
+		}
+		id := unanswered[0]
+		r.Note("client", "%s got %c%.24s, %d bytes", id, reply.Kind, reply.Text, len(reply.Text))
+		if reply.Kind == '$' && !platform.IsValueFor(id, reply.Text) {
+			return nil, errors.New("a value of another request came, which is another rule's matter")
 		}
+		unanswered = unanswered[1:]
 	}
 }
 
-// judge looks for new work at the draining cache server.
-func judge(r *platform.Run, servers []*platform.CacheServer, discovery *platform.Discovery) {
-	toldAt := discovery.ToldAt(servers[0].Name, "leaving")
-	end := toldAt.Add(platform.DrainGrace * time.Millisecond)
+// judge looks for requests that have no answer although the router had read them: a cache server has got them.
+func judge(r *platform.Run, unanswered []string, servers []*platform.CacheServer) {
+	forwarded := map[string]string{}
 	for _, server := range servers {
-		r.Note("judge", "%s got %d attempts", server.Name, len(server.Attempts()))
+		for _, a := range server.Attempts() {
+			forwarded[a.ID] = a.Server
+		}
 	}
-	for _, a := range servers[0].Attempts() {
-		if a.FirstAt.After(end) {
-			r.Broken("%s got %s %v after discovery had told the router that it drains", a.Server, a.ID, a.FirstAt.Sub(toldAt))
+	for _, id := range unanswered {
+		if server := forwarded[id]; server != "" {
+			r.Broken("%s was forwarded to %s, and its connection ended without the answer", id, server)
+			continue
 		}
+		r.Note("judge", "%s was not read: the client sends it once more elsewhere", id)
 	}
 }
--- a/review/platform/cacheserver.go
+++ b/review/platform/cacheserver.go
@@ -24,7 +24,7 @@
 	LastAt  time.Time
 }
 
-// CacheServer is a cache server that has every key, or none.
+// CacheServer is a cache server that has every key.
 type CacheServer struct {
 	// Name is its id in discovery.
 	Name string
@@ -34,22 +34,13 @@
 	run      *Run
 	work     time.Duration // for each read
 	bytes    int           // of each value, at least
-	isEmpty  bool          // it lacks every key
 	mu       sync.Mutex
 	attempts []Attempt
 }
 
 // StartCacheServer starts a cache server that takes some time for each read, and whose values have a size.
 func (r *Run) StartCacheServer(name string, work time.Duration, valueBytes int) (*CacheServer, error) {
-	return r.startCacheServer(&CacheServer{Name: name, run: r, work: work, bytes: valueBytes})
-}
-
-// StartEmptyCacheServer starts a cache server that answers each read with a miss, after some time.
-func (r *Run) StartEmptyCacheServer(name string, work time.Duration) (*CacheServer, error) {
-	return r.startCacheServer(&CacheServer{Name: name, run: r, work: work, isEmpty: true})
-}
-
-func (r *Run) startCacheServer(s *CacheServer) (*CacheServer, error) {
+	s := &CacheServer{Name: name, run: r, work: work, bytes: valueBytes}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -128,9 +119,6 @@
 	s.mu.Unlock()
 	s.run.Note(s.Name, "got CACHE.GET %s %s %s", words[1], a.ID, words[3])
 	time.Sleep(s.work)
-	if s.isEmpty {
-		return []byte("*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
-	}
 	text := resp.AppendBulk([]byte("*3\r\n"), ValueOf(a.ID, s.bytes))
 	text = resp.AppendBulk(text, []byte("hit"))
 	return resp.AppendBulk(text, []byte("avg_ms=5,err_rps=0,waiting=0,x0=1"))
