Review case 7: a long write that must not run twice is refused though the origin had it

An origin resets one connection in four right behind the last byte of a write of 66,000 bytes, at 300 writes a second. Of some 5,600 such writes some are answered with -BUSY, which promises that they have not run.

--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,136 +1,197 @@
-// Command 7 ends a router as planned while a client writes a long value slowly. The write's last byte comes when there is still
-// time left before SIGKILL, and the router must not take what it does not answer before that.
+// Command 7 has an origin reset connections right behind the last byte of long writes that must not run twice. No such write may
+// be refused as harmless.
 package main
 
 import (
+	"bufio"
 	"fmt"
-	"syscall"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"time"
 
-	"spurtrestle/internal/resp"
 	"spurtrestle/review/platform"
 )
 
 const (
-	originWork = time.Second // of the origin for the write, whose client waits for 2 s
-	valueBytes = 4 << 20
-	pieces     = 60
-	// The write takes uploadTime, and its last byte comes lastByteAfter the signal.
-	uploadTime    = 3 * time.Second
-	lastByteAfter = 2 * time.Second
-	// killAfter is the time from SIGTERM to SIGKILL: the longest deadline and 0.7 s more.
-	killAfter = (platform.LongestDeadline + 700) * time.Millisecond
-	id        = "w-000001"
-	deadline  = platform.LongestDeadline * time.Millisecond
+	valueBytes = 66000
+	deadline   = 1500 * time.Millisecond
+	// Each client sends a write at this pace, for a time: 300 a second in all.
+	clients = 12
+	pace    = 40 * time.Millisecond
+	runFor  = 75 * time.Second
+	// resetOne: the origin resets the connection of one write in so many.
+	resetOne = 4
+	// longest is how long a client waits for an answer before the case counts as not run.
+	longest = 5 * time.Second
 )
 
 func main() { platform.Main(play) }
 
 func play(r *platform.Run) error {
-	listen, router, err := start(r)
+	o := &origin{run: r, taken: map[string]bool{}}
+	listen, err := start(r, o)
 	if err != nil {
 		return err
 	}
 	if err := r.AwaitPong(listen, 10*time.Second); err != nil {
 		return err
 	}
-	c, err := r.Connect("client", listen)
-	if err != nil {
-		return err
-	}
-	if err := readOnce(c); err != nil {
-		return err
-	}
-	uploadAt := time.Now()
-	killed := make(chan time.Time, 1)
-	if r.Trouble {
-		time.AfterFunc(uploadTime-lastByteAfter, func() {
-			if router.Signal(syscall.SIGTERM) == nil {
-				time.AfterFunc(killAfter, func() {
-					router.Kill()
-					killed <- time.Now()
-				})
-			}
-		})
-	}
-	if err := upload(r, c, uploadAt); err != nil {
-		// The router has ended the connection before it took the write: nothing is lost.
-		r.Note("client", "the connection ended before the last byte: %v", err)
-		return nil
-	}
-	lastByteAt := time.Now()
-	r.Note("client", "sent the last byte of %s", id)
-	reply, err := c.Receive(deadline + 500*time.Millisecond)
-	judge(r, reply, err, lastByteAt)
-	if r.Trouble {
-		<-killed
+	var all sync.WaitGroup
+	writers := make([]writer, clients)
+	for i := range writers {
+		writers[i] = writer{run: r, origin: o, listen: listen, name: fmt.Sprintf("client-%d", i)}
+		all.Go(writers[i].writeAll)
+	}
+	all.Wait()
+	served, refused, failed := 0, 0, 0
+	for i := range writers {
+		if writers[i].err != nil {
+			return fmt.Errorf("%s: %w", writers[i].name, writers[i].err)
+		}
+		served, refused, failed = served+writers[i].served, refused+writers[i].refused, failed+writers[i].failed
 	}
+	r.Note("judge", "%d served, %d refused, %d failed; the origin reset %d", served, refused, failed, o.resets)
 	return nil
 }
 
 // start starts the stand-ins and a router.
-func start(r *platform.Run) (listen string, router *platform.Process, err error) {
+func start(r *platform.Run, o *origin) (listen string, err error) {
 	cache, err := r.StartCacheServer("s-1", time.Millisecond, 0)
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
-	origin, err := r.StartOrigin(originWork)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
-	targets := []platform.Target{cache.Target(), origin.Target()}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go o.serve(conn.(*net.TCPConn))
+		}
+	}()
+	targets := []platform.Target{cache.Target(), {UID: platform.OriginUID, Endpoint: ln.Addr().String(), Zone: "hobart", Kind: "origin", State: "active", Weight: 1}}
 	discovery, err := r.StartDiscovery(targets)
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	if listen, err = platform.FreeAddress(); err != nil {
-		return "", nil, err
+		return "", err
 	}
-	config, err := r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: targets, Settings: platform.Settings})
+	// The last class, usage-report, has the other effect.
+	const free, singleShot = `"effect":"free","group":"all","late-value":0.5`, `"effect":"single_shot","group":"all","late-value":0.5`
+	settings := strings.Replace(platform.Settings, free, singleShot, 1)
+	config, err := r.WriteConfig(platform.RouterConfig{Listen: listen, Discovery: discovery.Addr, Known: targets, Settings: settings})
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
-	router, err = r.StartRouter("router", config)
-	return listen, router, err
+	_, err = r.StartRouter("router", config)
+	return listen, err
 }
 
-// readOnce has the client use its connection before the write.
-func readOnce(c *platform.Client) error {
-	if err := c.Send(platform.Get("k-1", "r-000001", "field-history", time.Second)); err != nil {
-		return err
-	}
-	reply, err := c.Receive(2 * time.Second)
-	if err == nil && reply.Kind != '$' {
-		err = fmt.Errorf("the first read got %c%s", reply.Kind, reply.Text)
-	}
-	return err
+// origin is the store behind the cache servers. It answers each write at once.
+type origin struct {
+	run *platform.Run
+
+	mu     sync.Mutex
+	taken  map[string]bool // writes that have come in full, and so may have run
+	resets int
 }
 
-// upload writes the command in pieces, evenly over the upload time.
-func upload(r *platform.Run, c *platform.Client, began time.Time) error {
-	command := platform.Set("k-2", id, "usage-report", deadline, make([]byte, valueBytes))
-	for i := range pieces {
-		time.Sleep(time.Until(began.Add(uploadTime * time.Duration(i) / (pieces - 1))))
-		from, to := len(command)*i/pieces, len(command)*(i+1)/pieces
-		if err := c.Send(command[from:to]); err != nil {
-			return err
+// serve answers the requests of one connection, until it resets it.
+func (o *origin) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	in := bufio.NewReaderSize(conn, 128<<10)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		n, err := io.Copy(io.Discard, request.Body)
+		if err != nil || n != valueBytes {
+			return // it has not come in full
 		}
-		if i%10 == 0 {
-			r.Note("client", "sent %d of %d bytes of %s", to, len(command), id)
+		id := request.Header.Get("X-Trace-Id")
+		if o.take(id) {
+			_ = conn.SetLinger(0) // closing resets the connection
+			return
+		}
+		value := platform.ValueOf(id, 0)
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(value), value); err != nil {
+			return
 		}
 	}
-	return nil
 }
 
-// judge checks that the write got its final answer.
-func judge(r *platform.Run, reply resp.Reply, err error, lastByteAt time.Time) {
-	waited := time.Since(lastByteAt)
+// take records a write that has come in full, and reports whether its connection is to be reset.
+func (o *origin) take(id string) (reset bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.taken[id] = true
+	reset = o.run.Trouble && len(o.taken)%resetOne == 0
+	if reset {
+		o.resets++
+		o.run.Note(platform.OriginUID, "got %s in full and resets its connection", id)
+	}
+	return reset
+}
+
+func (o *origin) hasTaken(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.taken[id]
+}
+
+// writer is a client that sends one write after the other on its connection.
+type writer struct {
+	run    *platform.Run
+	origin *origin
+	listen string
+	name   string
+
+	served, refused, failed int
+	err                     error
+}
+
+func (w *writer) writeAll() {
+	var c *platform.Client
+	if c, w.err = w.run.Connect(w.name, w.listen); w.err != nil {
+		return
+	}
+	value := make([]byte, valueBytes)
+	began := time.Now()
+	for n := 0; w.err == nil && time.Since(began) < runFor; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * pace)))
+		w.err = w.write(c, fmt.Sprintf("%s-%d", w.name, n), value)
+	}
+}
+
+// write sends one write and checks its answer.
+func (w *writer) write(c *platform.Client, id string, value []byte) error {
+	if err := c.Send(platform.Set("k", id, "usage-report", deadline, value)); err != nil {
+		return err
+	}
+	reply, err := c.Receive(longest)
+	if err != nil {
+		return err
+	}
 	switch {
-	case err == nil:
-		r.Note("client", "%s got %c%.60s after %v", id, reply.Kind, reply.Text, waited)
-	case platform.IsNoAnswer(err):
-		r.Broken("%s had no answer %v after its last byte", id, waited)
+	case reply.Kind == '$':
+		w.served++
+	case strings.HasPrefix(string(reply.Text), "BUSY"):
+		w.refused++
+		w.run.Note(w.name, "%s got -%s", id, reply.Text)
+		if w.origin.hasTaken(id) {
+			w.run.Broken("%s was refused as harmless, and the origin had got it in full", id)
+		}
 	default:
-		r.Broken("%s had no answer: its connection ended %v after its last byte: %v", id, waited, err)
+		w.failed++
 	}
+	return nil
 }
