A long write whose last byte was sent is never answered as one that has not run

Cause: behind the last byte sendToServer wrote what the protocol has there, nothing for HTTP. Go makes a system call for it, which fails if the reset has come, and that error counted as "the last byte was not sent".

A large write's last byte goes out in one call with its tail, and nothing is sent behind it; the loop can withdraw one that has not been sent. notFullySent and the special cases of onClose go. A large write that has not been begun no longer counts as sent, nor as run when its time is over.

--- a/internal/router/answer_owner.go
+++ b/internal/router/answer_owner.go
@@ -107,9 +107,9 @@
 // carried nothing. The caller closes the connection.
 func (up *upstream) dropAnswer(attempt *activeAttempt) {
 	attempt.request.needsUnusedConn = true
-	status := routing.Failed
-	if attempt.notFullySent() {
-		status = routing.ConnectError
+	status := routing.ConnectError
+	if attempt.mayHaveRun() {
+		status = routing.Failed
 	}
 	up.r.endAttempt(attempt, status, nil)
 }
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clientmemory"
@@ -30,7 +31,8 @@
 	size             int
 	timeout          time.Duration // how long the client waits for the answer, from the last byte of its command
 	lastWaitEnd      time.Time     // until then, not all of the command had arrived
-	giveUpAt         time.Time     // the rest of a value that is dropped is not waited for any longer; zero: it is
+	lastByte         lastByte
+	giveUpAt         time.Time // the rest of a value that is dropped is not waited for any longer; zero: it is
 
 	started bool // a goroutine reads the value
 	mu      sync.Mutex
@@ -127,11 +129,14 @@
 }
 
 // discardValue reads the value to its end and drops it. It returns false as readValue does.
-func (w *largeWrite) discardValue(client net.Conn) bool { return w.readValue(client, func([]byte) {}) }
+func (w *largeWrite) discardValue(client net.Conn) bool {
+	_, ok := w.readValue(client, func([]byte) {})
+	return ok
+}
 
-// readValue passes the value to write in chunks, and reads the line end after it. It returns false if the client
-// disconnected or stalled, or the command is malformed; the last byte of the value has not been passed on then.
-func (w *largeWrite) readValue(client net.Conn, write func([]byte)) bool {
+// readValue passes the value to write in chunks, all but its last byte, which it returns once the line end after the value has
+// been read. It returns false if the client disconnected or stalled, or the command is malformed.
+func (w *largeWrite) readValue(client net.Conn, write func([]byte)) (last []byte, ok bool) {
 	remaining := w.size + 2
 	// The last byte of the value is held back until the line end has arrived: a malformed command must not run.
 	var heldBack []byte
@@ -161,22 +166,21 @@
 			consume((*chunk)[:n])
 		}
 		if err != nil && remaining > 0 {
-			return false
+			return nil, false
 		}
 	}
 	if string(heldBack[1:]) != "\r\n" {
-		return false
+		return nil, false
 	}
 	// The client may have disconnected after the value, which reading the value does not show.
 	if raw, err := client.(syscall.Conn).SyscallConn(); err == nil {
 		gone := false
 		_ = raw.Control(func(fd uintptr) { gone = peerHungUp(int(fd)) })
 		if gone {
-			return false
+			return nil, false
 		}
 	}
-	write(heldBack[:1])
-	return true
+	return heldBack[:1], true
 }
 
 // readDeadline returns until when the next part of the value may take to arrive.
@@ -246,6 +250,7 @@
 		return
 	}
 	r.cancelTimer(attempt.timer) // its time limit starts when the value has been sent
+	r.cancelTimer(attempt.startTimer)
 	conn := up.conn
 	up.detachFromLoop()
 	r.closeConn(conn)
@@ -255,8 +260,8 @@
 	w.startGoroutine(func(client net.Conn) bool { return w.sendToServer(client, attempt, up, fd, head, tail) })
 }
 
-// sendToServer runs on the write's goroutine. It sends head, the value and tail to the server, and handles the
-// response. It returns false if the client's connection cannot be used any more.
+// sendToServer runs on the write's goroutine. It sends head, the value and tail to the server, the last byte of the value and tail
+// by one call behind which nothing is sent, and handles the response. It returns false if the client's connection cannot be used any more.
 func (w *largeWrite) sendToServer(client net.Conn, attempt *activeAttempt, up *upstream, serverDescriptor int, head []byte, tail string) bool {
 	r := w.r
 	server, err := connFromDescriptor(serverDescriptor)
@@ -268,18 +273,22 @@
 		return w.discardValue(client)
 	}
 	w.registerConn(server)
-	write := func(data []byte) {
-		if err == nil {
-			_ = server.SetWriteDeadline(w.serverDeadline(r.limits.LargeValueStallTimeout))
-			_, err = server.Write(data)
+	write := func(data []byte) (sent int, err error) {
+		_ = server.SetWriteDeadline(w.serverDeadline(r.limits.LargeValueStallTimeout))
+		return server.Write(data)
+	}
+	writeNext := func(data []byte) {
+		if err == nil && len(data) > 0 {
+			_, err = write(data)
 		}
 	}
-	write(head)
-	complete := w.readValue(client, write) && err == nil
-	if complete {
-		write([]byte(tail))
+	writeNext(head)
+	last, complete := w.readValue(client, writeNext)
+	if complete && err == nil {
+		err = w.lastByte.send(write, append(last, tail...))
 	}
-	if complete = complete && err == nil; !complete { // the last byte was not sent, so the write has never run
+	if !complete || err != nil { // the last byte was not sent, so the write has never run
+		w.logUnsent(up, err)
 		server.Close()
 		done := make(chan struct{})
 		r.runAsync(func() {
@@ -294,6 +303,15 @@
 	return true
 }
 
+// logUnsent logs, at the debug level, that the last byte of a write was not sent. Without an error its client has ended it.
+func (w *largeWrite) logUnsent(up *upstream, err error) {
+	w.r.log.WithError(err).WithFields(logrus.Fields{
+		"request":   string(w.request.ID),
+		"server":    up.addr,
+		"withdrawn": w.lastByte.isWithdrawn(),
+	}).Debug("large write: last byte not sent")
+}
+
 // finishSent waits for the response to a write that was sent completely, and returns the connection to the loop.
 func (w *largeWrite) finishSent(server net.Conn, attempt *activeAttempt, up *upstream) {
 	r := w.r
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -215,18 +215,13 @@
 	r.counts.Abandoned++
 	r.addEvent(routing.ClientDisconnected{Request: request.ID})
 	for _, attempt := range slices.Clone(request.attempts) {
-		if attempt.notFullySent() {
+		if !attempt.mayHaveRun() {
 			r.counts.UnsentAttempts++
 			r.abortAttempt(attempt, routing.NotSent)
 		}
 	}
 }
 
-// notFullySent reports whether part of the attempt is still in this process, so that it cannot have run.
-func (a *activeAttempt) notFullySent() bool {
-	return a.conn == nil || !a.conn.detached && !a.fullySent && a.conn.conn.OutboundBuffered() > 0
-}
-
 // beginAttempt starts the attempt of a Send decision.
 func (r *Router) beginAttempt(decision routing.Decision) {
 	request, s := r.requests[decision.Request], r.servers[decision.Server]
@@ -254,7 +249,7 @@
 	if decision.StartBy > 0 && decision.StartBy < attempt.startDeadline {
 		attempt.startDeadline = decision.StartBy
 		attempt.startTimer = r.after(max(0, decision.StartBy-r.batchTime), func() {
-			if slices.Contains(request.attempts, attempt) && attempt.notFullySent() {
+			if slices.Contains(request.attempts, attempt) && !attempt.mayHaveRun() {
 				r.abortAttempt(attempt, routing.NotSent)
 			}
 		})
@@ -316,7 +311,7 @@
 func (r *Router) timeOutAttempt(attempt *activeAttempt) {
 	switch {
 	case !slices.Contains(attempt.request.attempts, attempt):
-	case attempt.notFullySent():
+	case !attempt.mayHaveRun():
 		r.abortAttempt(attempt, routing.NotSent)
 	default:
 		r.abortAttempt(attempt, routing.TimedOut)
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -128,15 +128,6 @@
 	up.noteSent()
 }
 
-// noteSent counts an attempt once its last byte has been handed to the kernel.
-func (up *upstream) noteSent() {
-	if attempt := up.attempt; attempt != nil && !attempt.fullySent && !up.writing && up.conn.OutboundBuffered() == 0 {
-		attempt.fullySent = true
-		up.memory.Set(clientmemory.ServerOutput, 0)
-		up.r.counts.ForwardedAttempts++
-	}
-}
-
 // onTraffic reads an answer. Data that arrives without an attempt, or after the answer, belongs to no request.
 func (up *upstream) onTraffic() gnet.Action {
 	chunk, err := up.conn.Peek(-1)
@@ -207,8 +198,7 @@
 	return gnet.None
 }
 
-// onClose ends the attempt on a closed connection. An attempt whose last byte has not been sent has never run; any
-// other may have run. gnet still writes out its buffer after this callback; so that an aborted attempt cannot
+// onClose ends the attempt on a closed connection. gnet still writes out its buffer after this callback; so that an aborted attempt cannot
 // reach the server that way, the socket is shut down first.
 //
 // An answer without a length lasts until the end of the stream. A reset is no such end: the rest of the value is
@@ -227,7 +217,7 @@
 		return
 	}
 	status := routing.Reset
-	if up.writing || attempt.notFullySent() || attempt.request.largeWrite != nil { // the body of a large write has not started
+	if !attempt.mayHaveRun() {
 		status = routing.ConnectError
 	} else if outcome, ok := up.answerAtEnd(endOfStream); ok {
 		up.r.handleOutcome(attempt, outcome)
