A fence that cannot be sent ends its attempt and no longer crashes the router

What callers would see: the process ends with a nil dereference. A server has to repeat an answer and reset its connection before the router has sent PING behind it.

Cause: gnet closes the connection within a write that fails, and onClose ends the attempt. confirmOwner ignored the error, and the loop kept the answer for an attempt that was gone. Found by reading, in the search for calls behind the last byte.

Change: confirmOwner tells that the connection is lost. The attempt ends as a reset, which may have run.

TestFence_ThatCannotBeSentEndsTheAttempt: panics without the change, with the stack at reservedBytes; green with it.

--- a/internal/router/answer_owner.go
+++ b/internal/router/answer_owner.go
@@ -22,6 +22,7 @@
 	ownerPending                     // not known before the reply to a fence has arrived
 	ownerInDoubt                     // it may belong to an earlier attempt
 	ownerNoMatter                    // it may, but it has no value, and what it says does no harm; the real one may follow
+	ownerLost                        // the connection has been closed, and the attempt has ended
 )
 
 // answerSum identifies the content of an answer: its checksum and its length.
@@ -89,7 +90,9 @@
 	if !up.fenceSent {
 		up.fenceSent = true
 		up.r.counts.RepeatedAnswers++
-		_, _ = up.conn.Write(fence) // after an error, gnet has closed the connection and called onClose
+		if _, err := up.conn.Write(fence); err != nil { // gnet has closed the connection and called onClose
+			return ownerLost
+		}
 		return ownerPending
 	}
 	used, err := protocol.ReadFence(following)
--- a/internal/router/answer_owner_test.go
+++ b/internal/router/answer_owner_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"spurtrestle/core/routing"
 )
 
@@ -106,3 +108,16 @@
 		t.Errorf("the client got %q", client.written)
 	}
 }
+
+// TestFence_ThatCannotBeSentEndsTheAttempt guards against a loop that handles an attempt which has ended: gnet closes the connection
+// within a write that fails.
+func TestFence_ThatCannotBeSentEndsTheAttempt(t *testing.T) {
+	l, client, cache, _ := usedConnection(t)
+	l.receive(client, command("CACHE.GET", "k", "r2", "c=pay,d=1900"))
+	client.written = ""
+	cache.writeErr = unix.EPIPE
+	l.receive(cache, hitWith("1"))
+	if !cache.closed || client.written != "-ERR failed\r\n" {
+		t.Errorf("closed %v, the client got %q, want an error: the attempt may have run", cache.closed, client.written)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -167,9 +167,12 @@
 	sum := sumAnswer(answer.outcome, answer.input[:answer.used])
 	following := answer.input[answer.used:]
 	owner := up.ownerOf(answer.outcome, sum, following)
-	if owner == ownerPending {
+	switch owner {
+	case ownerPending:
 		up.keepAnswer(answer.input)
 		return gnet.None
+	case ownerLost:
+		return gnet.Close
 	}
 	up.r.spareBuffer, up.partial = up.partial, nil
 	defer func() { up.r.spareBuffer = nil }()
