A connection is closed only once the kernel has delivered the replies it accepted

Cause: owes took a reply as paid once the kernel had accepted it. What the kernel keeps for a slow reader is dropped when the connection is closed and the client sends something more, or has sent something unread. Only after a large value was the kernel asked.

Change: owes has a further obligation, delivery (client_delivery.go); all closes follow, those that end behind QUIT or an error and those off the loop too. The kernel is asked when a connection may be closed, only if something was sent since it had nothing.

--- a/internal/router/client_ending.go
+++ b/internal/router/client_ending.go
@@ -33,42 +33,47 @@
 // floodBytes is the unread input from which on a client counts as one that sends without end.
 const floodBytes = 64 << 10
 
-// floodCheckInterval is the time between searches for such clients.
-const floodCheckInterval = 20 * clock.Millisecond
+// endlessCheckInterval is the time between searches for such clients, and for those that read slowly.
+const endlessCheckInterval = 20 * clock.Millisecond
 
 // startClosing closes each client from now on in a moment in which it is owed nothing.
 func (r *Router) startClosing() {
 	r.closingClients = true
 	r.focusBuffer = make([]byte, focusReadBytes)
-	r.endFloods()
+	r.rejectEndlessClients()
 	r.queueBatch()
 }
 
-// endFloods looks for clients that send without end, from time to time.
-func (r *Router) endFloods() {
+// rejectEndlessClients looks for clients that would be owed something until the process is killed, from time to time.
+func (r *Router) rejectEndlessClients() {
 	for client := range r.clients {
-		client.rejectIfFlooding()
+		client.rejectIfEndless()
 	}
 	for client := range r.polledClients {
-		client.rejectIfFlooding()
+		client.rejectIfEndless()
 	}
 	if !r.rejectsRequests {
-		r.after(floodCheckInterval, r.endFloods)
+		r.after(endlessCheckInterval, r.rejectEndlessClients)
 	}
 }
 
-func (c *client) rejectIfFlooding() {
-	if c.rejectsFlood || !c.isOpen() || len(c.input.unread)+c.kernelBytes() < floodBytes {
-		return
+// rejectIfEndless has the requests of a client rejected that sends without end, or that reads its replies so slowly that more would
+// not be delivered before the process ends.
+func (c *client) rejectIfEndless() {
+	switch {
+	case c.rejectsEarly || !c.isOpen():
+	case len(c.input.unread)+c.kernelBytes() >= floodBytes:
+		c.rejectsEarly = true
+		c.pauseToEnd()
+		c.r.queueTurn(c)
+	case c.readsSlowly():
+		c.rejectsEarly = true
 	}
-	c.rejectsFlood = true
-	c.pauseToEnd()
-	c.r.queueTurn(c)
 }
 
 // rejectsRequests reports whether the client's requests are rejected as they are read, so that it is owed nothing sooner than it
 // sends more.
-func (c *client) rejectsRequests() bool { return c.rejectsFlood || c.r.rejectsRequests }
+func (c *client) rejectsRequests() bool { return c.rejectsEarly || c.r.rejectsRequests }
 
 // startRejecting has all requests rejected as they are read. Clients that have sent more than has been answered are read from in
 // their turns only.
@@ -159,13 +164,19 @@
 	c.r.queueTurn(c)
 }
 
-// endLingering closes the connections that have been ended and that their clients have not closed yet.
+// endLingering closes the connections that have been ended and that their clients have not closed yet. Those with replies that are
+// being delivered follow when these have arrived.
 func (r *Router) endLingering() {
 	r.lingeringEnded = true
 	for client := range r.polledClients {
-		if client.lingers {
-			client.close()
-		}
+		client.closeLingering()
+	}
+}
+
+// closeLingering closes a lingering client that has got its replies, or does not read them, once clients linger no longer.
+func (c *client) closeLingering() {
+	if c.lingers && c.r.lingeringEnded && (!c.hasUndelivered() || c.isUnresponsive()) {
+		c.close()
 	}
 }
 
@@ -177,7 +188,7 @@
 	if c.closeUnlessOwed(counters.ClientDrained) {
 		return
 	}
-	if c.r.lingeringEnded {
+	if c.r.lingeringEnded && !c.hasUndelivered() {
 		c.closeFor(counters.ClientDrained)
 		return
 	}
--- a/internal/router/client_output.go
+++ b/internal/router/client_output.go
@@ -101,8 +101,12 @@
 		c.detachPending = true
 		c.r.runAsync(c.detach) // not within a callback of this connection
 	}
-	if !c.paused && c.hasEnded() {
+	switch {
+	case c.paused || !c.closeAfterReplies:
+	case c.hasEnded():
 		c.close()
+	default:
+		c.r.pollClient(c)
 	}
 }
 
@@ -121,7 +125,7 @@
 		return
 	}
 	c.lastActivity = c.r.clock()
-	c.lastSentAt = c.lastActivity
+	c.noteOutput(c.lastActivity)
 	sent, err := c.r.sendFunc(c, text)
 	if err != nil {
 		c.close()
@@ -148,7 +152,8 @@
 		c.closeFor(counters.ClientUnread)
 		return
 	case sent > 0:
-		c.lastSentAt, c.lastActivity = now, now
+		c.lastActivity = now
+		c.noteOutput(now)
 	}
 	if c.unsent = c.unsent[sent:]; len(c.unsent) == 0 {
 		c.unsent = nil
@@ -178,13 +183,3 @@
 func (c *client) hasNoPendingReplies() bool {
 	return len(c.slots) == 0 && len(c.unsent) == 0
 }
-
-// isQuiet reports whether the client has no pending replies, and no large value is on its way to it. Closing while the client sends
-// would drop what the kernel still holds for it, which may be megabytes of a large value.
-func (c *client) isQuiet() bool {
-	if c.hasNoPendingReplies() && c.carriedLargeRead {
-		unsent, err := unix.IoctlGetInt(c.fd(), unix.SIOCOUTQ)
-		c.carriedLargeRead = err == nil && unsent > 0
-	}
-	return c.hasNoPendingReplies() && !c.carriedLargeRead
-}
--- a/internal/router/client_owed.go
+++ b/internal/router/client_owed.go
@@ -12,33 +12,41 @@
 type obligation uint8
 
 const (
-	owesNothing obligation = iota
-	owesReply              // a command is being processed, or its reply has not been handed to the kernel
-	owesCommand            // a command has been read, and it waits to be processed
-	owesInput              // the kernel has input that has not been read, which may complete a command
+	owesNothing  obligation = iota
+	owesReply               // a command is being processed, or its reply has not been handed to the kernel
+	owesCommand             // a command has been read, and it waits to be processed
+	owesInput               // the kernel has input that has not been read, which may complete a command
+	owesDelivery            // the kernel has replies that it has not delivered
 )
 
-var obligationNames = map[obligation]string{owesNothing: "nothing", owesReply: "reply", owesCommand: "command", owesInput: "input"}
+var obligationNames = map[obligation]string{owesNothing: "nothing", owesReply: "reply", owesCommand: "command", owesInput: "input",
+	owesDelivery: "delivery"}
 
 // owes returns the first thing that the router owes the client.
 func (c *client) owes() obligation {
 	switch {
-	case !c.isQuiet():
+	case !c.hasNoPendingReplies():
 		return owesReply
 	case c.hasUnreadCommand():
 		return owesCommand
 	case c.isOpen() && c.kernelBytes() > 0:
 		return owesInput
+	case c.hasUndelivered():
+		return owesDelivery
 	}
 	return owesNothing
 }
 
-// owesAnswer reports whether something is owed to the client that the router has read. It needs no system call.
-func (c *client) owesAnswer() bool { return !c.isQuiet() || c.hasUnreadCommand() }
+// owesAnswer reports whether the client has sent something that has been read, and whose reply has not been handed to the kernel. It
+// needs no system call.
+func (c *client) owesAnswer() bool { return !c.hasNoPendingReplies() || c.hasUnreadCommand() }
 
 // isUnresponsive reports whether the client has not read its replies for too long.
 func (c *client) isUnresponsive() bool {
-	return len(c.slots)+len(c.unsent) > 0 && c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
+	if !c.hasNoPendingReplies() {
+		return c.allAnswered() && c.r.clock()-c.lastActivity > c.r.limits.ClientWriteTimeout
+	}
+	return c.hasUndelivered() && c.r.clock()-max(c.lastSentAt, c.progressAt) > c.deliveryTimeout()
 }
 
 // hasEnded reports whether the client, which is to be closed after its replies, has got them. What it sends is ignored.
--- a/internal/router/client_owed_test.go
+++ b/internal/router/client_owed_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -33,6 +34,10 @@
 		"command":    func(_ *fakeLoop, conn *fakeConn, _ int) { clientOf(conn).input.adopt([]byte(read)) },
 		"no command": func(_ *fakeLoop, conn *fakeConn, _ int) { clientOf(conn).input.adopt([]byte("?\r\n")) },
 		"input":      func(_ *fakeLoop, _ *fakeConn, remote int) { _, _ = unix.Write(remote, []byte(read)) },
+		"reply in the kernel": func(l *fakeLoop, conn *fakeConn, _ int) {
+			clientOf(conn).noteOutput(l.r.clock())
+			_, _ = unix.Write(conn.fd, []byte("+PONG\r\n"))
+		},
 		"command behind a reply": func(l *fakeLoop, conn *fakeConn, _ int) {
 			l.receive(conn, read)
 			clientOf(conn).input.adopt([]byte(read))
@@ -41,6 +46,7 @@
 		for path, closes := range closePaths {
 			t.Run(state+", "+path, func(t *testing.T) {
 				l, _ := newHeldDials(t, nil)
+				l.r.limits.ClientWriteTimeout = rest
 				owed, idle := l.open(nil), l.open(nil)
 				var remote int
 				owed.fd, remote = socketPair(t)
@@ -65,6 +71,38 @@
 	}
 }
 
+// TestClose_FollowsTheDeliveryOfReplies guards against a client that is kept although it has got its replies, or although it reads
+// none of them for too long.
+func TestClose_FollowsTheDeliveryOfReplies(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		for path, closes := range closePaths {
+			t.Run(fmt.Sprintf("%s, reads %v", path, reads), func(t *testing.T) {
+				l, _ := newHeldDials(t, nil)
+				l.r.limits.ClientWriteTimeout = 3 * clock.Second
+				conn := l.open(nil)
+				var remote int
+				conn.fd, remote = socketPair(t)
+				l.receive(conn, command("PING"))
+				_, _ = unix.Write(conn.fd, []byte("+PONG\r\n"))
+				for i := range 4 { // the first call learns what the kernel has
+					closes(l.r)
+					if i < 2 && conn.closed {
+						t.Fatal("closed before the reply was delivered")
+					}
+					if reads && i == 1 {
+						_, _ = unix.Read(remote, make([]byte, 100))
+					}
+					l.r.startWallClock += 2 * clock.Second
+					l.r.batchTime = l.r.clock()
+				}
+				if !conn.closed {
+					t.Error("kept")
+				}
+			})
+		}
+	}
+}
+
 // TestPartialCommand_ThatIsCompletedIsNotSilent guards against a client that is closed as silent although the command that came in
 // pieces is complete, and waits for its turn.
 func TestPartialCommand_ThatIsCompletedIsNotSilent(t *testing.T) {
--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -106,6 +106,8 @@
 	case c.inputEnded:
 		c.endConnection()
 	case c.r.closingClients && len(c.input.unread) == 0 && c.closeUnlessOwed(counters.ClientDrained):
+	case c.r.inputEnds && c.hasNoPendingReplies() && !c.closeAfterReplies:
+		c.endInput()
 	default:
 		c.resumeOnLoop()
 	}
@@ -201,17 +203,21 @@
 	if c.paused && c.inputEnded {
 		c.endConnection()
 	}
-	if c.paused && (r.isPastShutdown() && c.isQuiet() || r.closingClients && c.hasEnded()) {
+	if c.paused && r.isPastShutdown() && c.isQuiet() {
 		c.closeFor(counters.ClientDrained)
 	}
+	if c.isOpen() && c.hasEnded() {
+		c.close()
+	}
 	if c.paused && c.lingers {
 		c.dropLingeringInput()
+		c.closeLingering()
 	}
 	if c.paused && c.resumeDue && !c.inputEnded {
 		c.resumeOnLoop()
 	}
 	c.revealEnd()
-	if !c.paused && len(c.unsent) == 0 {
+	if !c.paused && len(c.unsent) == 0 && !(c.isOpen() && c.closeAfterReplies) {
 		delete(r.polledClients, c)
 	}
 }
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -30,11 +30,10 @@
 	closeAfterReplies bool        // to be closed once the replies are written
 	largeWriteNext    bool        // a large write is next, and waits until everything before it is answered
 	detachPending     bool        // about to leave the loop
-	carriedLargeRead  bool        // has carried a large read, part of which the kernel may still hold
 	paused            bool        // off the loop so that nothing is read; see client_pause.go
 	resumeDue         bool        // paused, and to return to the loop
 	descriptor        int         // of the connection while it is paused
-	rejectsFlood      bool        // the process ends, and the client sends without end
+	rejectsEarly      bool        // the process ends, and the client sends without end or reads slowly
 	inputEnded        bool        // paused for good: no more than kernelInputLeft bytes are read
 	bytesToEnd        int         // to be read before its connection ends, which is the next one to do so
 	kernelInputLeft   int         // what is still to be read, once the input has ended
@@ -50,6 +49,7 @@
 	nextTarget        limitTarget // of the request that waits for room
 	unsent            []byte      // rest of the last written reply that the kernel has not accepted
 	lastSentAt        clock.Time  // when the kernel last accepted a part of a reply
+	delivery                      // of what the kernel has accepted
 	memory            clientmemory.Account
 	end               counters.ClientConnectionEnd // why this process closes the connection
 
@@ -77,6 +77,7 @@
 		c.r.queueBatch()
 	}
 	if c.adopted {
+		c.noteOutput(c.lastActivity) // the process before this one may have sent something
 		c.r.noteAdoptedDescriptor()
 	}
 	hasDescriptor := c.r.makeRoomForClient(c)
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -94,6 +94,8 @@
 		case isDone && client.closeUnlessOwed(counters.ClientDrained):
 		case isPastDeadline && client.isQuiet():
 			client.closeFor(counters.ClientDrained)
+		case isDone && client.hasNoPendingReplies() && client.inKernel:
+			r.scheduleDeliveryCheck()
 		}
 	}
 	if r.closingClients && r.takeover.unsentFrames == 0 && len(r.clients) == 0 && r.detachedClients == 0 && r.external.openRequests == 0 && !r.stopped {
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -140,7 +140,6 @@
 		return
 	}
 	c.removeFirstSlot()
-	c.carriedLargeRead = true
 	c.noteMemory()
 	if conn != nil {
 		c.r.closeConn(conn)
@@ -175,6 +174,7 @@
 	c.arrivalTimes = arrivalTimes{}
 	c.arrivalTimes.noteUnread(len(c.input.unread), c.lastActivity) // this input arrived before the connection left the loop
 	c.conn, c.lastActivity = conn, r.clock()
+	c.noteOutput(c.lastActivity)
 	c.setDetached(false)
 	c.memory.Set(clientmemory.LargeValues, 0)
 	c.noteMemory()
@@ -298,10 +298,11 @@
 // abort ends a value that cannot be completed. Its length has been sent, so no client takes it for complete.
 func (l *largeRead) abort(cause error) {
 	l.r.log.WithError(cause).Debug("large value aborted")
-	for _, c := range []net.Conn{l.clientConn, l.serverConn} {
-		if c != nil {
-			c.Close()
-		}
+	if l.serverConn != nil {
+		l.serverConn.Close()
+	}
+	if l.clientConn != nil {
+		l.r.closeDelivered(l.clientConn)
 	}
 	l.r.runAsync(func() {
 		l.finished()
--- a/internal/router/large_read_handover.go
+++ b/internal/router/large_read_handover.go
@@ -108,7 +108,7 @@
 			s = r.servers[id]
 		}
 		client := newClient(r)
-		client.detached, client.hasSentCommand, client.hasReceived, client.carriedLargeRead = true, true, true, true
+		client.detached, client.hasSentCommand, client.hasReceived = true, true, true
 		client.input.adopt(message.Unread)
 		client.noteMemory()
 		if len(message.Answers) > 0 {
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -107,7 +107,7 @@
 			w.r.enroll(client, w.client, w.client.detachedConnLost)
 			return
 		}
-		client.Close()
+		w.r.closeDelivered(client)
 		w.r.runAsync(w.client.detachedConnLost)
 	}()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,6 +94,9 @@
 	polledClients       map[*client]struct{} // see pollClient
 	pendingResumes      int                  // paused clients on their way back to the loop
 	clientPollScheduled bool
+
+	deliveryCheckScheduled bool // see scheduleDeliveryCheck
+
 	largeReads          map[*largeRead]struct{} // large values being streamed to clients
 	detachedClients     int                     // open clients that are off the loop
 	requestingClients   int                     // clients that have sent a request
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -409,7 +409,7 @@
 	defer unix.Close(pair[1])
 	inner := clientOf(client)
 	l.r.limits.ClientWriteTimeout = 1e6
-	client.fd, inner.carriedLargeRead, inner.hasReceived = pair[0], true, true
+	client.fd, inner.inKernel, inner.hasReceived = pair[0], true, true
 	if _, err := unix.Write(pair[0], []byte("the value's end")); err != nil {
 		t.Fatal(err)
 	}
