A large write is answered, or not taken, before its router's process is killed

Cause: its value is read, forwarded and awaited by a goroutine. endAllAttempts left out connections off the loop, and nothing bounded the reading of a value under way.

When requests are rejected, large writes whose last byte has not been sent are too, and the rest of the value is read until clients are closed. One that has been sent has its attempt ended at the deadline. The loop interrupts the goroutine by closing the server's connection; the deadline that it set before was replaced by the goroutine's next call. A write whose server fails early and whose client stops no longer returns to the loop in the middle of its value.

--- a/internal/router/client_ending.go
+++ b/internal/router/client_ending.go
@@ -79,6 +79,7 @@
 // their turns only.
 func (r *Router) startRejecting() {
 	r.rejectsRequests = true
+	r.rejectLargeWrites()
 	r.endAllWaits()
 	for client := range r.clients {
 		client.pauseToEnd()
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -32,13 +32,11 @@
 }
 
 // endAllAttempts aborts outstanding attempts at the shutdown deadline, so that their requests are answered before
-// the process is killed. A hanging server used to hold a request with the longest deadline until after SIGKILL.
+// the process is killed, even if a server hangs.
 func (r *Router) endAllAttempts() {
 	for _, request := range r.requests {
 		for _, attempt := range slices.Clone(request.attempts) {
-			if attempt.conn == nil || !attempt.conn.detached {
-				r.timeOutAttempt(attempt)
-			}
+			r.timeOutAttempt(attempt)
 		}
 	}
 }
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -32,11 +32,19 @@
 	timeout          time.Duration // how long the client waits for the answer, from the last byte of its command
 	lastWaitEnd      time.Time     // until then, not all of the command had arrived
 	lastByte         lastByte
-	giveUpAt         time.Time // the rest of a value that is dropped is not waited for any longer; zero: it is
 
 	started bool // a goroutine reads the value
 	mu      sync.Mutex
-	conns   []net.Conn // owned by the goroutine; the loop may interrupt them
+	// The connections are owned by the goroutine; the loop interrupts them. Both are nil at first.
+	clientConn, serverConn net.Conn
+	interrupted            bool       // nothing waits for the result of the attempt
+	inputEnd               inputLimit // of the value
+}
+
+// inputLimit bounds how long the rest of a value is read.
+type inputLimit struct {
+	waitUntil time.Time // more is not waited for; zero: there is no limit
+	readUntil time.Time // what has arrived is not read any more
 }
 
 // startLargeWrite handles the head of a write whose value exceeds the limit for values held in memory. ok is false
@@ -65,12 +73,16 @@
 	c.input = inputBuffer{}
 	c.noteMemory()
 	c.memory.Set(clientmemory.LargeValues, cap(w.received)+r.limits.LargeValueWindow)
+	r.largeWrites[w] = struct{}{}
+	if c.rejectsRequests() {
+		w.limitInput()
+	}
 	switch { // the reply is written after the value has been read
 	case c.rejectsRequests():
 		if valid {
 			r.countUnadmitted(event.Method, wire.Rejected)
 		}
-		slot.reply, w.giveUpAt = busyReply, time.Now().Add(toDuration(r.shutdownDeadline-lingerMargin-r.clock()))
+		slot.reply = busyReply
 	case !valid:
 		slot.reply = invalidRequestReply
 	}
@@ -99,33 +111,24 @@
 	go func() {
 		client, err := connFromDescriptor(w.clientDescriptor)
 		if err != nil {
-			w.r.runAsync(w.client.detachedConnLost)
+			w.r.runAsync(w.clientLost)
 			return
 		}
-		w.registerConn(client)
+		w.setClientConn(client)
 		if f(client) {
+			w.r.runAsync(func() { delete(w.r.largeWrites, w) })
 			w.r.enroll(client, w.client, w.client.detachedConnLost)
 			return
 		}
 		w.r.closeDelivered(client)
-		w.r.runAsync(w.client.detachedConnLost)
+		w.r.runAsync(w.clientLost)
 	}()
 }
 
-// registerConn records a connection so that the loop can interrupt it.
-func (w *largeWrite) registerConn(c net.Conn) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.conns = append(w.conns, c)
-}
-
-// interrupt makes the goroutine's reads and writes fail: its attempt has ended, and nothing waits for their result.
-func (w *largeWrite) interrupt() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, c := range w.conns {
-		_ = c.SetDeadline(time.Unix(1, 0))
-	}
+// clientLost ends a write whose client's connection cannot be used any more.
+func (w *largeWrite) clientLost() {
+	delete(w.r.largeWrites, w)
+	w.client.detachedConnLost()
 }
 
 // discardValue reads the value to its end and drops it. It returns false as readValue does.
@@ -157,7 +160,7 @@
 	}
 	for remaining > 0 {
 		waits := !hasInput(client)
-		_ = client.SetReadDeadline(w.readDeadline())
+		w.setReadDeadline(waits)
 		n, err := client.Read((*chunk)[:min(remaining, w.r.limits.LargeValueWindow)])
 		if waits {
 			w.lastWaitEnd = time.Now()
@@ -165,7 +168,7 @@
 		if n > 0 {
 			consume((*chunk)[:n])
 		}
-		if err != nil && remaining > 0 {
+		if err != nil && remaining > 0 && !w.mayReadOn(client, err) {
 			return nil, false
 		}
 	}
@@ -183,15 +186,6 @@
 	return heldBack[:1], true
 }
 
-// readDeadline returns until when the next part of the value may take to arrive.
-func (w *largeWrite) readDeadline() time.Time {
-	deadline := time.Now().Add(toDuration(w.r.limits.LargeValueStallTimeout))
-	if !w.giveUpAt.IsZero() && w.giveUpAt.Before(deadline) {
-		return w.giveUpAt
-	}
-	return deadline
-}
-
 // hasInput reports whether a read from a connection returns at once.
 func hasInput(conn net.Conn) bool {
 	raw, err := conn.(syscall.Conn).SyscallConn()
@@ -272,12 +266,15 @@
 		})
 		return w.discardValue(client)
 	}
-	w.registerConn(server)
+	w.setServerConn(server)
 	write := func(data []byte) (sent int, err error) {
 		_ = server.SetWriteDeadline(w.serverDeadline(r.limits.LargeValueStallTimeout))
 		return server.Write(data)
 	}
 	writeNext := func(data []byte) {
+		if err == nil && w.lastByte.isWithdrawn() {
+			err = errWithdrawn
+		}
 		if err == nil && len(data) > 0 {
 			_, err = write(data)
 		}
@@ -297,7 +294,7 @@
 			close(done)
 		})
 		<-done
-		return err != nil // otherwise the client's connection failed
+		return complete // otherwise the client's connection failed, or its input is in the middle of the value
 	}
 	w.finishSent(server, attempt, up)
 	return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,10 +97,11 @@
 
 	deliveryCheckScheduled bool // see scheduleDeliveryCheck
 
-	largeReads          map[*largeRead]struct{} // large values being streamed to clients
-	detachedClients     int                     // open clients that are off the loop
-	requestingClients   int                     // clients that have sent a request
-	stalledClients      []*client               // clients whose commands wait for room
+	largeReads          map[*largeRead]struct{}  // large values being streamed to clients
+	largeWrites         map[*largeWrite]struct{} // large writes whose clients are off the loop
+	detachedClients     int                      // open clients that are off the loop
+	requestingClients   int                      // clients that have sent a request
+	stalledClients      []*client                // clients whose commands wait for room
 	queueLimits         [limitTargetCount]targetLimit
 	waitingRequests     [limitTargetCount]waitingRequests
 	unbatchedRequests   int // admitted since the last batch
@@ -148,7 +149,7 @@
 func New(cfg config.Config, log *logrus.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, limits: cfg.Limits, log: log, startTime: time.Now(), ready: make(chan struct{}), done: make(chan struct{}),
 		methods: map[string]routing.Method{}, requests: map[routing.RequestID]*pendingRequest{},
-		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{},
+		clients: map[*client]struct{}{}, largeReads: map[*largeRead]struct{}{}, largeWrites: map[*largeWrite]struct{}{},
 		servers: map[routing.ServerID]*server{}, endpoints: discovery.New(), cacheCodec: resp2.ServerCodec{Bounds: cfg.Limits.RESP},
 		originCodec: http1.Codec{Bounds: cfg.Limits.Origin}}
 	r.initQueueLimits()
