Move what takes connections off the loop and back into files of their own

Cause: large_read.go and large_write.go had grown to hold how any connection leaves the loop, and adding one to the loop and waiting for it stood three times (enroll, enrollDuplicate, dialAsync).

Change: socket_conn.go has the descriptors and enrollAndWait, client_detached.go a client's way off the loop and back.

--- a/internal/router/client_pause.go
+++ b/internal/router/client_pause.go
@@ -1,9 +1,6 @@
 package router
 
 import (
-	"context"
-
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clock"
@@ -142,24 +139,6 @@
 	}()
 }
 
-// enrollDuplicate adds a duplicate of a descriptor to the loop with handler p, and returns when it has arrived there.
-func (r *Router) enrollDuplicate(descriptor int, p connHandler) error {
-	duplicate, err := unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return err
-	}
-	conn, err := connFromDescriptor(duplicate)
-	if err != nil {
-		return err
-	}
-	enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), p), conn)
-	if err != nil {
-		_ = conn.Close() // of a duplicate
-		return err
-	}
-	return (<-enrolled).Err
-}
-
 // pollClient has pollClients look after a client that is paused or has a reply that the kernel has not accepted
 // completely: the loop is not notified of either.
 func (r *Router) pollClient(c *client) {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -327,18 +327,3 @@
 		r.shedClient(true)
 	}
 }
-
-// setDetached records that the client leaves the loop, to stay off it while a value is streamed, or returns.
-func (c *client) setDetached(detached bool) {
-	if c.detached == detached {
-		return
-	}
-	c.detached = detached
-	switch {
-	case !c.hasSentRequest:
-	case detached:
-		c.r.requestingClients--
-	default:
-		c.r.requestingClients++
-	}
-}
--- a/internal/router/large_read.go
+++ b/internal/router/large_read.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -13,9 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
-
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/counters"
@@ -147,83 +143,10 @@
 	go l.start(fd)
 }
 
-// detachFromLoop takes the client's connection off the loop, or out of its pause, and returns the descriptor with which
-// a goroutine continues; it stays counted. If it was on the loop, the descriptor is a duplicate, and the caller closes
-// the connection before gnet reads from it again.
-func (c *client) detachFromLoop() (descriptor int, err error) {
-	if c.paused {
-		c.paused = false
-		c.setDetached(true)
-		return c.descriptor, nil
-	}
-	if descriptor, err = c.conn.Dup(); err != nil {
-		return -1, err
-	}
-	c.conn.SetContext(nil)
-	c.conn = nil
-	c.setDetached(true)
-	c.r.detachedClients++
-	c.r.connCount++
-	delete(c.r.clients, c)
-	return descriptor, nil
-}
-
-// reattach returns the client to the loop and writes the replies that are ready.
-func (c *client) reattach(conn gnet.Conn) {
-	r := c.r
-	c.arrivalTimes = arrivalTimes{}
-	c.arrivalTimes.noteUnread(len(c.input.unread), c.lastActivity) // this input arrived before the connection left the loop
-	c.conn, c.lastActivity = conn, r.clock()
-	c.noteOutput(c.lastActivity)
-	c.setDetached(false)
-	c.memory.Set(clientmemory.LargeValues, 0)
-	c.noteMemory()
-	r.detachedClients--
-	r.connCount-- // it stayed counted while it was off the loop
-	r.clients[c] = struct{}{}
-	if len(c.unsent) > 0 {
-		r.pollClient(c)
-	}
-	c.flushReplies()
-	if c.conn != nil && !c.closeAfterReplies && len(c.input.unread) > 0 {
-		r.runAsync(c.resumeReading)
-	}
-	if r.isClosingClients() || r.takeover.handingOver {
-		r.queueBatch()
-	}
-}
-
-// detachedConnLost finishes a client whose connection ended while it was off the loop.
-func (c *client) detachedConnLost() {
-	c.r.detachedClients--
-	c.r.connCount--
-	c.setDetached(false)
-	delete(c.r.clients, c)
-	c.onClose(false)
-}
-
 const responseBufferBytes = 4096 // for what a server sends after a large value, or in response to a large write
 
 var chunkPool = sync.Pool{New: func() any { return new([]byte) }}
 
-// connFromDescriptor returns a connection for a descriptor, which it closes.
-func connFromDescriptor(fd int) (net.Conn, error) {
-	f := os.NewFile(uintptr(fd), "")
-	defer f.Close()
-	return net.FileConn(f)
-}
-
-// duplicateDescriptor duplicates a descriptor. (The standard library's File method would make the connection
-// blocking.)
-func duplicateDescriptor(c syscall.Conn) (fd int, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return -1, err
-	}
-	controlErr := raw.Control(func(original uintptr) { fd, err = unix.FcntlInt(original, unix.F_DUPFD_CLOEXEC, 0) })
-	return fd, errors.Join(controlErr, err)
-}
-
 // start runs off the loop and copies the value. The client's connection is closed unless the complete value has
 // been written.
 func (l *largeRead) start(clientDescriptor int) {
@@ -461,17 +384,3 @@
 		}
 	}
 }
-
-// enroll adds a connection to the loop with handler p; failed runs on the loop.
-func (r *Router) enroll(c net.Conn, p connHandler, failed func()) {
-	_ = c.SetDeadline(time.Time{})
-	enrolled, err := r.loop.Enroll(gnet.NewContext(context.Background(), p), c)
-	if err != nil {
-		c.Close()
-	} else {
-		err = (<-enrolled).Err
-	}
-	if err != nil {
-		r.runAsync(failed)
-	}
-}
--- a/internal/router/large_write.go
+++ b/internal/router/large_write.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clientmemory"
 	"spurtrestle/core/clock"
@@ -186,17 +185,6 @@
 	return heldBack[:1], true
 }
 
-// hasInput reports whether a read from a connection returns at once.
-func hasInput(conn net.Conn) bool {
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	queued := 0
-	controlErr := raw.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return controlErr == nil && err == nil && queued > 0
-}
-
 // answerDeadline returns when the client stops waiting, at the earliest: its last byte was sent no sooner than the router
 // last had to wait for input.
 func (w *largeWrite) answerDeadline() time.Time { return w.lastWaitEnd.Add(w.timeout) }
@@ -220,14 +208,6 @@
 	})
 }
 
-// peerHungUp reports whether the peer has closed its sending side of a connection; input that arrived earlier may
-// still be unread.
-func peerHungUp(fd int) bool {
-	pollFDs := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	ready, err := unix.Poll(pollFDs, 0)
-	return err == nil && ready > 0
-}
-
 // forward sends the value to the chosen server and handles its response.
 func (w *largeWrite) forward(attempt *activeAttempt) {
 	r, up := w.r, attempt.conn
@@ -357,8 +337,3 @@
 		}
 	}
 }
-
-func isTimeout(err error) bool {
-	netErr, isNetErr := err.(net.Error)
-	return isNetErr && netErr.Timeout()
-}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -1,12 +1,10 @@
 package router
 
 import (
-	"context"
 	"errors"
 	"net"
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"spurtrestle/core/clock"
@@ -131,12 +129,7 @@
 	go func() {
 		c, err := net.DialTimeout("tcp", addr, toDuration(timeout))
 		if err == nil {
-			var enrolled <-chan gnet.RegisteredResult
-			if enrolled, err = r.loop.Enroll(gnet.NewContext(context.Background(), p), c); err != nil {
-				c.Close()
-			} else {
-				err = (<-enrolled).Err
-			}
+			err = r.enrollAndWait(c, p)
 		}
 		if err != nil {
 			r.runAsync(func() {
