The processes of an upgrade share what discovery told them, from the first request on

Cause: the old process handed over listener, operators' state, learned state, ids and clients, but not its endpoint list. The new one begins with `known` of the configuration (Router.startLoop) and accepts clients after 2 s without discovery (TakeoverListTimeout). Nothing passed news on while both were alive either, so that news to one of them never reached the other.

Change: a new frame, Endpoints, which older releases ignore. The list replaces the saved one. An answer of discovery that was requested later replaces what was handed over. Between an upgrade's start and end, and per request, nothing is added.

--- /dev/null
+++ b/cmd/cache-router/replace_endpoints_test.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// agentStandIn answers calls to discovery as an agent on the router's machine does: for the full list at once, and a watch once there
+// is a newer revision.
+type agentStandIn struct {
+	h        *harness
+	mu       sync.Mutex
+	revision int
+	servers  []string
+	silent   bool
+	ignored  func(net.Conn) bool  // calls on these connections are not answered
+	seen     map[net.Conn]bool    // connections with a call
+	pending  map[net.Conn]message // the calls that wait
+}
+
+// startAgent starts the stand-in as an endpoint with a first revision.
+func (h *harness) startAgent(name string, revision int, servers ...string) *agentStandIn {
+	a := &agentStandIn{h: h, revision: revision, servers: servers, seen: map[net.Conn]bool{}, pending: map[net.Conn]message{}}
+	a.ignored = func(net.Conn) bool { return false }
+	go func() {
+		for m := range h.endpoint(name).received {
+			a.mu.Lock()
+			delete(a.pending, m.conn)
+			if !strings.HasSuffix(m.text, "the end") {
+				a.seen[m.conn] = true
+				a.pending[m.conn] = m
+				a.answer()
+			}
+			a.mu.Unlock()
+		}
+	}()
+	return a
+}
+
+// answer answers the calls that are due. a.mu must be held.
+func (a *agentStandIn) answer() {
+	for conn, m := range a.pending {
+		isWatch := strings.Contains(m.text, "index=")
+		isCurrent := strings.Contains(m.text, fmt.Sprintf("index=%d&", a.revision))
+		if a.silent || a.ignored(conn) || isWatch && isCurrent {
+			continue
+		}
+		delete(a.pending, conn)
+		a.h.writeList(conn, true, a.revision, a.servers...)
+	}
+}
+
+// change makes a change in the behavior, and answers what is due then.
+func (a *agentStandIn) change(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f()
+	a.answer()
+}
+
+// tell publishes the next revision.
+func (a *agentStandIn) tell(servers ...string) {
+	a.change(func() { a.revision, a.servers = a.revision+1, servers })
+}
+
+// connections returns the connections made so far.
+func (a *agentStandIn) connections() map[net.Conn]bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.seen)
+}
+
+// answerOnly answers calls on the given connections alone, or on all others.
+func (a *agentStandIn) answerOnly(connections map[net.Conn]bool, others bool) {
+	a.change(func() { a.ignored = func(conn net.Conn) bool { return connections[conn] == others } })
+}
+
+// checkUnused sends reads to the router and checks that a cache server gets none of them.
+func (h *harness) checkUnused(server string) {
+	h.t.Helper()
+	for i := range 40 {
+		conn, _ := h.sendCommand("CACHE.GET", fmt.Sprint("k", i), fmt.Sprint("r", h.t.Name(), time.Now().UnixNano(), i), "c=get,d=2500")
+		_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			h.t.Errorf("a read got no answer: %v", err)
+		}
+		conn.Close()
+	}
+	for {
+		select {
+		case m := <-h.endpoint(server).received:
+			if strings.Contains(m.text, "CACHE.GET") {
+				h.t.Errorf("%s, which is out of use, received %q", server, m.text)
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// outOfUse are the ways in which discovery takes s1 out of use.
+var outOfUse = map[string][]string{
+	"drained": {"s1:leaving", "s2", "origin"},
+	"removed": {"s2", "origin"},
+}
+
+// grace is the time in which requests to a server that is out of use end, by the settings of the harness.
+const grace = time.Second
+
+// Guards against a process that replaces another while discovery is silent and goes by the saved list: it sends to servers whose drain or
+// removal the router was told, also in a chain of replacements, after one that failed, and after discovery has moved by SIGHUP.
+func TestReplacementKnowsTheEndpointsWhileDiscoveryIsSilent(t *testing.T) {
+	for way, servers := range outOfUse {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
+			h.start([]string{"s1", "s2", "origin"})
+			go answerGets(h.endpoint("s2"))
+			time.Sleep(200 * time.Millisecond)
+			agent.tell(servers...)
+			time.Sleep(100 * time.Millisecond)
+			agent.change(func() { agent.silent = true })
+			for n := range 2 {
+				if err := h.replace(n); err != nil {
+					t.Fatal(err)
+				}
+				h.checkUnused("s1")
+			}
+		})
+		t.Run(way+", a process failed", func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
+			h.start([]string{"s1", "s2", "origin"})
+			go answerGets(h.endpoint("s2"))
+			time.Sleep(200 * time.Millisecond)
+			agent.tell(servers...)
+			time.Sleep(100 * time.Millisecond)
+			agent.change(func() { agent.silent = true })
+			first, admin := h.startSuccessor(0)
+			_ = h.program.Process.Kill()
+			<-h.exited
+			h.program, h.admin = first, admin
+			time.Sleep(grace)
+			h.checkUnused("s1")
+			if err := h.replace(1); err != nil {
+				t.Fatal(err)
+			}
+			h.checkUnused("s1")
+		})
+		t.Run(way+", discovery moved", func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.startAgent("discovery", 50, "s1", "s2", "origin")
+			moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
+			h.start([]string{"s1", "s2", "origin"})
+			go answerGets(h.endpoint("s2"))
+			h.execute("router", "rereads", "discovery2")
+			time.Sleep(200 * time.Millisecond)
+			moved.tell(servers...) // revision 2, and the saved list has 1
+			time.Sleep(100 * time.Millisecond)
+			moved.change(func() { moved.silent = true })
+			h.configure(strings.ReplaceAll(h.config, h.endpoint("discovery").ln.Addr().String(), h.endpoint("discovery2").ln.Addr().String()))
+			h.setEndpoint("discovery", h.endpoint("discovery2")) // in the environment of the next process
+			if err := h.replace(0); err != nil {
+				t.Fatal(err)
+			}
+			h.checkUnused("s1")
+		})
+	}
+}
+
+// Guards against news that discovery tells one of two processes alone: the other one goes on sending to a server that is out of use.
+func TestNewsToOneProcessReachesTheOther(t *testing.T) {
+	for way, servers := range outOfUse {
+		for _, toldFirst := range []bool{true, false} {
+			t.Run(fmt.Sprint(way, ", the old process is told: ", toldFirst), func(t *testing.T) {
+				t.Parallel()
+				h := newHarness(t)
+				agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
+				h.start([]string{"s1", "s2", "origin"})
+				go answerGets(h.endpoint("s2"))
+				time.Sleep(200 * time.Millisecond)
+				ofOldProcess := agent.connections()
+				if toldFirst {
+					agent.answerOnly(ofOldProcess, false)
+				}
+				first, _ := h.startSuccessor(0)
+				h.waitForAdmin(h.admin, "/ops/readiness", "200 ready")
+				if !toldFirst {
+					agent.answerOnly(ofOldProcess, true)
+				}
+				agent.tell(servers...)
+				time.Sleep(100 * time.Millisecond)
+				agent.change(func() { agent.silent = true })
+				if !toldFirst { // the new process fails, and the old one serves again
+					_ = h.program.Process.Signal(syscall.SIGKILL)
+					<-h.exited
+					h.program = first
+				}
+				time.Sleep(grace)
+				h.checkUnused("s1")
+			})
+		}
+	}
+}
+
+// Discovery's answer replaces what was handed over, also if it numbers its revisions anew: the new process uses a server again.
+func TestDiscoveryReplacesWhatWasHandedOver(t *testing.T) {
+	h := newHarness(t)
+	agent := h.startAgent("discovery", 50, "s1:leaving", "s2:leaving", "origin")
+	h.start([]string{"s1", "s2", "origin"})
+	go answerGets(h.endpoint("s1"))
+	go answerGets(h.endpoint("s2"))
+	time.Sleep(200 * time.Millisecond)
+	agent.answerOnly(agent.connections(), true)
+	agent.change(func() { agent.revision, agent.servers = 2, []string{"s1", "s2", "origin"} })
+	if err := h.replace(0); err != nil {
+		t.Fatal(err)
+	}
+	conn, _ := h.sendCommand("CACHE.GET", "k", "r", "c=get,d=2500")
+	_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+	reply := make([]byte, 1)
+	if _, err := conn.Read(reply); err != nil || reply[0] != '$' {
+		t.Errorf("a read of a key of a server that is in use again: got %q, %v", reply, err)
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -26,7 +26,7 @@
 		fmt.Println("request", path, "for", wait)
 	}
 	apply := func(body []byte) {
-		update, err := list.Apply(body)
+		update, err := list.Apply(Call{}, body)
 		fmt.Println("update of kind", update.Kind, "with", len(update.Endpoints), "entries:", err)
 		for _, endpoint := range update.Endpoints {
 			fmt.Printf("  %+v at %q\n", endpoint, list.Address(endpoint.Server))
@@ -75,7 +75,7 @@
 	const one, other = "costarring", "liquid" // have the same 32-bit FNV-1a hash
 	ids := func(body []byte) map[UID]routing.ServerID {
 		list := New()
-		if _, err := list.Apply(body); err != nil {
+		if _, err := list.Apply(Call{}, body); err != nil {
 			t.Fatal(err)
 		}
 		return list.ids
@@ -97,11 +97,11 @@
 	list := New()
 	for i := range 100 {
 		gone := fmt.Sprintf(`{"uid":"s-%d","state":"left"}`, i-1)
-		if _, err := list.Apply(responseBody(i, i%10 == 0, entry(fmt.Sprint("s-", i), ""), gone)); err != nil {
+		if _, err := list.Apply(Call{}, responseBody(i, i%10 == 0, entry(fmt.Sprint("s-", i), ""), gone)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if len(list.ids) != 1 || len(list.uids) != 1 || len(list.addresses) != 1 {
-		t.Errorf("got %d ids, %d names and %d addresses, want one each", len(list.ids), len(list.uids), len(list.addresses))
+	if len(list.ids) != 1 || len(list.uids) != 1 || len(list.entries) != 1 {
+		t.Errorf("got %d ids, %d names and %d entries, want one each", len(list.ids), len(list.uids), len(list.entries))
 	}
 }
--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -58,11 +58,14 @@
 	return r, nil
 }
 
+// stateRemoved is the state of a server that has been removed, as discovery reports it.
+const stateRemoved = "left"
+
 // endpointStates maps the states that discovery reports.
 var endpointStates = map[string]routing.EndpointState{
-	"active":  routing.Ready,
-	"leaving": routing.Draining,
-	"left":    routing.Removed,
+	"active":     routing.Ready,
+	"leaving":    routing.Draining,
+	stateRemoved: routing.Removed,
 }
 
 // state returns the entry's state. An unknown state counts as draining, so that the server gets no new requests.
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -18,6 +18,7 @@
 	HeldMemory      Kind = 'M' // from both: how many bytes the sender holds for clients, in decimal; not sent by older releases
 	RecentIDs       Kind = 'D' // from the predecessor, in answer to Ready and before any client: the ids of requests that may have run; not sent by older releases
 	LeaseTransfer   Kind = 'P' // from the predecessor: its leases under the fleet's policy
+	Endpoints       Kind = 'E' // from both: the endpoint list, from the predecessor at the start and from either after each change; not sent by older releases, which ignore it
 )
 
 // A frame on the wire is its kind, the length of the body (4 bytes, big endian), and the body. Descriptors are sent with the first
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -4,11 +4,11 @@
 // internal/router drives the exchange:
 //
 //	successor     Hello
-//	predecessor   Listener, OperatorState, Snapshot
-//	successor     Ready, once it has an endpoint list
-//	predecessor   RecentIDs; it admits nothing from then on, and the successor accepts clients
+//	predecessor   Listener, OperatorState, Endpoints, Snapshot
+//	successor     Ready, once discovery has answered or does not answer in time
+//	predecessor   Endpoints, if it has changed just now; RecentIDs; it admits nothing from then on, and the successor accepts clients
 //	predecessor   Client or LargeValue for each connection, once nothing else is in flight on it
-//	both          OperatorState, DescriptorCount and HeldMemory at any time
+//	both          OperatorState, Endpoints, DescriptorCount and HeldMemory at any time
 //	predecessor   LeaseTransfer at any time
 //
 // It ends when either process closes the connection. If the successor ends early, the predecessor accepts clients again.
--- a/internal/handover/outbox.go
+++ b/internal/handover/outbox.go
@@ -35,6 +35,13 @@
 	c.queue(queuedFrame{kind: kind, body: body, replaceable: true})
 }
 
+// IsIdle reports whether all queued frames have been sent.
+func (c *Conn) IsIdle() bool {
+	c.outbox.mu.Lock()
+	defer c.outbox.mu.Unlock()
+	return !c.outbox.isSending
+}
+
 // queue appends a frame, or replaces the queued one that it supersedes, and starts the goroutine if it does not run. If the
 // connection is closed, the frame is dropped.
 func (c *Conn) queue(next queuedFrame) {
--- a/internal/router/event_order_test.go
+++ b/internal/router/event_order_test.go
@@ -17,6 +17,7 @@
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/resp"
 )
 
@@ -226,7 +227,7 @@
 	l, completeDial := newHeldDials(t, nil)
 	client := l.open(nil)
 	l.receive(client, command("CACHE.GET", "k", "r1", "c=get,d=1900"))
-	list, err := l.r.endpoints.Apply([]byte(`{"rev":2,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},` +
+	list, err := l.r.endpoints.Apply(discovery.Call{}, []byte(`{"rev":2,"all":true,"targets":[{"uid":"o","endpoint":"127.0.0.1:1","model":"origin","state":"active"},`+
 		`{"uid":"s","endpoint":"127.0.0.1:9","model":"m","state":"active"}]}`))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -18,6 +18,7 @@
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/resp"
 	"spurtrestle/internal/wire/http1"
 )
@@ -290,7 +291,7 @@
 		case stepEndpoints:
 			state := []string{"active", "leaving", "left", "active", "active", "active", "active", "active"}[n%8]
 			uid, kind := []string{"o", "s", "u"}[n/8%3], []string{"origin", "m", "m"}[n/8%3]
-			if list, err := r.endpoints.Apply(fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[{"uid":%q,"endpoint":`+
+			if list, err := r.endpoints.Apply(discovery.Call{}, fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[{"uid":%q,"endpoint":`+
 				`"127.0.0.1:%d","model":%q,"state":%q}]}`, i+2, n%64 == 0, uid, 1+n/128%2, kind, state)); err == nil {
 				r.applyEndpoints(list)
 				if n%64 == 0 {
--- a/internal/router/learned_state_test.go
+++ b/internal/router/learned_state_test.go
@@ -8,6 +8,7 @@
 
 	"spurtrestle/core/clock"
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/snapshot"
 )
 
@@ -48,7 +49,7 @@
 			}
 			body += fmt.Sprintf(`{"uid":%q,"endpoint":"127.0.0.1:1","model":"cache","state":"active"}`, uid)
 		}
-		got, err := r.endpoints.Apply([]byte(body + "]}"))
+		got, err := r.endpoints.Apply(discovery.Call{}, []byte(body+"]}"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,7 +103,7 @@
 		}
 		body += fmt.Sprintf(`{"uid":"server-%d","endpoint":"127.0.0.1:1","model":"cache","state":"active"}`, i)
 	}
-	got, err := r.endpoints.Apply([]byte(body + "]}"))
+	got, err := r.endpoints.Apply(discovery.Call{}, []byte(body+"]}"))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,7 +11,7 @@
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
 // keeps them within the limits; large_read.go, large_read_handover.go, large_write.go and large_write_ending.go stream large values off
 // the loop, client_detached.go and socket_conn.go move connections off it and back; last_byte.go decides whether an attempt can have run, client_delivery.go
-// whether a client has got its replies; external_requests.go accepts requests of front ends; takeover.go and shared_memory.go hand over to the next process;
+// whether a client has got its replies; external_requests.go accepts requests of front ends; takeover.go, endpoint_sharing.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
 // held_memory.go accounts for the memory held for clients; queue_limits.go and waiting_requests.go have clients wait while queues are long; client_owed.go says what is owed to a client; socket_watch.go logs when sockets are not read in time;
 // learned_state.go the state that survives a restart; drain.go the shutdown, client_ending.go the end of clients' connections in it; conn_log.go the log lines on
@@ -52,8 +52,9 @@
 	log    *logrus.Logger
 	counts counters.Counters
 
-	startTime      time.Time
-	startWallClock clock.Time // wall clock at startTime; the current time is this plus the monotonic time elapsed since
+	startTime         time.Time
+	startWallClock    clock.Time // wall clock at startTime; the current time is this plus the monotonic time elapsed since
+	sharedClockOffset clock.Time // see sharedTime
 	// sinceStart reads the monotonic clock; tests that run the loop without sockets replace it.
 	sinceStart func() time.Duration
 	loop       gnet.EventLoop
@@ -165,6 +166,7 @@
 	r.polledClients, r.sendFunc = map[*client]struct{}{}, sendNonblocking
 	r.dialFunc, r.startWallClock = r.dialAsync, clock.Time(r.startTime.UnixMicro())
 	r.sinceStart = func() time.Duration { return time.Since(r.startTime) }
+	r.sharedClockOffset = monotonicTime() - r.clock()
 	for i, m := range cfg.Settings.Methods {
 		r.methods[m.Name] = routing.Method(i)
 	}
@@ -246,9 +248,7 @@
 	r.expireFleetLimits() // a router that needs permission to admit requests starts without it
 	r.applyDecisions(r.decisions)
 	r.restoreLearned()
-	if len(r.cfg.SavedEndpoints) > 0 {
-		r.applyEndpoints(r.initialEndpoints)
-	}
+	r.applyFirstEndpoints()
 	r.restartWatch(r.cfg.Discovery)
 	r.after(r.limits.IdleSweepInterval, r.sweepConnections)
 	r.operator.closingClients = r.operator.state.Drain // a drain carried over from the previous process
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 
 	"spurtrestle/core/routing"
 	"spurtrestle/internal/config"
+	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/httpwire"
 	"spurtrestle/internal/resp"
 )
@@ -271,7 +272,7 @@
 	s.dialing = 1 // a dial is pending and does not end
 	client.sendWrites(l.r, "r")
 	l.runQueued()
-	list, err := l.r.endpoints.Apply([]byte(`{"rev":2,"all":true,"targets":[{"uid":"o","model":"origin","state":"leaving"}]}`))
+	list, err := l.r.endpoints.Apply(discovery.Call{}, []byte(`{"rev":2,"all":true,"targets":[{"uid":"o","model":"origin","state":"leaving"}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -287,7 +288,7 @@
 // process.
 func TestDecisionsOvertakenByEvents(t *testing.T) {
 	l, client, origin := newConnectedOrigin(t)
-	list, err := l.r.endpoints.Apply([]byte(`{"rev":2,"all":true,"targets":[]}`))
+	list, err := l.r.endpoints.Apply(discovery.Call{}, []byte(`{"rev":2,"all":true,"targets":[]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -31,21 +31,22 @@
 	socketDir, socketName  string // of the socket by which the processes find each other; set before Run
 	listener               *net.TCPListener
 	socket                 *net.UnixListener
-	operatorFrame          *operatorFrame       // the predecessor's latest; nil: none was received
-	predecessor, successor *handover.Conn       // the processes before and after this one, while they are alive
-	accepting              bool                 // clients are accepted by this process
-	adopting               chan struct{}        // an element for each adopted connection that has not reached the loop yet
-	readySent              bool                 // the predecessor was told that this process can accept clients
-	enrolling              atomic.Int32         // accepted connections that are not enrolled in the loop yet
-	discoverable           bool                 // awaitSuccessors has been started, so that the next process can find this one
-	handingOver            bool                 // clients are being handed over to the successor
-	hasHandedOver          bool                 // handingOver was set once, even if that successor has ended since
-	outgoing               chan outgoingFrame   // frames to the successor; has room for all clients
-	frameMemory            clientmemory.Account // of frames to the successor, from the request to stop a value on
-	unsentFrames           int                  // frames queued but not yet sent to the successor
-	peerMemory             [2]peerMemory        // of the other processes, by predecessorPeer and successorPeer
-	peerDescriptors        [2]int               // descriptors held by the other processes, by predecessorPeer and successorPeer
-	onTransfer             func([]byte)         // receives the predecessor's transfers; set before Run
+	operatorFrame          *operatorFrame        // the predecessor's latest; nil: none was received
+	endpoints              *discovery.SharedList // the predecessor's at the start; nil: none was received
+	predecessor, successor *handover.Conn        // the processes before and after this one, while they are alive
+	accepting              bool                  // clients are accepted by this process
+	adopting               chan struct{}         // an element for each adopted connection that has not reached the loop yet
+	readySent              bool                  // the predecessor was told that this process can accept clients
+	enrolling              atomic.Int32          // accepted connections that are not enrolled in the loop yet
+	discoverable           bool                  // awaitSuccessors has been started, so that the next process can find this one
+	handingOver            bool                  // clients are being handed over to the successor
+	hasHandedOver          bool                  // handingOver was set once, even if that successor has ended since
+	outgoing               chan outgoingFrame    // frames to the successor; has room for all clients
+	frameMemory            clientmemory.Account  // of frames to the successor, from the request to stop a value on
+	unsentFrames           int                   // frames queued but not yet sent to the successor
+	peerMemory             [2]peerMemory         // of the other processes, by predecessorPeer and successorPeer
+	peerDescriptors        [2]int                // descriptors held by the other processes, by predecessorPeer and successorPeer
+	onTransfer             func([]byte)          // receives the predecessor's transfers; set before Run
 }
 
 // Indices of takeover.peerDescriptors.
@@ -65,7 +66,8 @@
 // outgoingFrame carries a client's connection to the successor.
 type outgoingFrame struct {
 	handover.Frame
-	reserved int // bytes of memory held for it
+	reserved int           // bytes of memory held for it
+	encode   func() []byte // returns the body when the frame is sent; nil: the frame has it
 }
 
 // ConnectPredecessor finds the process that this one replaces, if there is one, and takes over its listener and
@@ -88,6 +90,7 @@
 			t.listener.Close()
 			t.listener = nil
 		}
+		t.endpoints = nil
 		predecessor.Close()
 		if serviceErr != nil {
 			return &configerror.Error{Field: "listen", Problem: fmt.Sprintf("a process serves at %s, but %v", r.cfg.Listen, serviceErr),
@@ -131,6 +134,10 @@
 	case handover.OperatorState:
 		t.operatorFrame = new(operatorFrame)
 		err = json.Unmarshal(f.Body, t.operatorFrame)
+	case handover.Endpoints:
+		if shared, ok := r.decodeEndpoints(f); ok {
+			t.endpoints = &shared
+		}
 	case handover.Snapshot:
 		var s snapshot.State
 		if s, err = snapshot.Decode(f.Body); err == nil {
@@ -334,6 +341,7 @@
 		r.adjustMemoryLimits()
 		conn.Enqueue(handover.Frame{Kind: handover.Listener, FDs: []int{fd}})
 		r.sendOperatorState(conn)
+		r.sendEndpoints(conn)
 		conn.Enqueue(handover.Frame{Kind: handover.Snapshot, Body: snapshot.Encode(r.State())})
 	})
 	if err != nil {
@@ -350,6 +358,8 @@
 		switch frame.Kind {
 		case handover.OperatorState:
 			r.receiveOperatorState(frame)
+		case handover.Endpoints:
+			r.receiveEndpoints(conn, frame)
 		case handover.DescriptorCount:
 			r.setPeerDescriptors(successorPeer, frame)
 		case handover.HeldMemory:
@@ -372,6 +382,7 @@
 		t.outgoing = nil
 	}
 	r.adjustMemoryLimits()
+	r.refreshEndpoints()
 	r.resumePausedClients()
 	for client := range r.clients {
 		if len(client.input.unread) > 0 { // received meanwhile
@@ -392,6 +403,7 @@
 	if t.socket != nil {
 		t.socket.Close() // the next process is to find the successor, which also takes the name
 	}
+	r.sendUnsentEndpoints()
 	r.sendRecentIDs()
 	r.notifyServing(false)
 	r.publishStats()
@@ -484,6 +496,9 @@
 // sendFrames sends frames off the loop. Clients that cannot be sent return to this process.
 func (r *Router) sendFrames(conn *handover.Conn, frames chan outgoingFrame) {
 	for frame := range frames {
+		if frame.encode != nil {
+			frame.Body = frame.encode()
+		}
 		err := conn.Send(frame.Frame)
 		if err == nil {
 			r.runAsync(func() {
@@ -551,6 +566,8 @@
 		switch frame.Kind {
 		case handover.OperatorState:
 			r.receiveOperatorState(frame)
+		case handover.Endpoints:
+			r.receiveEndpoints(conn, frame)
 		case handover.DescriptorCount:
 			r.setPeerDescriptors(predecessorPeer, frame)
 		case handover.HeldMemory:
@@ -571,6 +588,7 @@
 		r.takeover.predecessor, r.takeover.peerDescriptors[predecessorPeer] = nil, 0
 		r.takeover.peerMemory[predecessorPeer] = peerMemory{}
 		r.adjustMemoryLimits()
+		r.refreshEndpoints()
 		r.startAccepting()
 	})
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"spurtrestle/core/routing"
+	"spurtrestle/internal/discovery"
 	"spurtrestle/internal/httpwire"
 )
 
@@ -20,8 +21,9 @@
 	r            *Router
 	addr         string
 	conn         gnet.Conn
-	callCount    int  // on this connection
-	superseded   bool // another watch has replaced it
+	callCount    int            // on this connection
+	call         discovery.Call // the last one
+	superseded   bool           // another watch has replaced it
 	dialing      bool
 	callPending  bool
 	failing      bool
@@ -64,6 +66,7 @@
 	}
 	w.callPending = true
 	w.callCount++
+	w.call = r.endpoints.BeginCall(w.addr, r.sharedTime())
 	grace := r.limits.WatchGrace
 	if isFullList {
 		grace = r.limits.ListTimeout
@@ -145,7 +148,8 @@
 func (w *watch) handleResponse(answer httpwire.Response) {
 	w.callPending = false
 	w.r.cancelTimer(w.timeoutTimer)
-	update, err := w.r.endpoints.Apply(answer.Body)
+	w.call.AnsweredAt = w.r.sharedTime()
+	update, err := w.r.endpoints.Apply(w.call, answer.Body)
 	if answer.Status != http.StatusOK {
 		err = &rejectedError{status: answer.Status}
 	}
@@ -158,6 +162,9 @@
 		w.r.log.Info("discovery answers again")
 	}
 	w.r.applyEndpoints(update)
+	if update.Kind == routing.FullUpdate || len(update.Endpoints) > 0 {
+		w.r.publishEndpoints(nil)
+	}
 	w.startCall()
 }
 
