A process that replaces another asks the discovery that its predecessor moved to at SIGHUP

Callers saw: after a new configuration had moved discovery (SIGHUP) and the router's process was then replaced, the new one asked the address in its environment, which is that of the old one's start. Nothing answers there any more, so that it never learned of a change.

Cause: Load lets EDGE_DISCOVERY go before the file, Reload does not, since the environment is fixed at the start. A successor starts with its predecessor's environment, so the same holds for it, but it could not know that the address has been left.

Change: the operators' frame of a handover names the address that the predecessor has left. If the successor's environment has that one, the address of the file counts.

Evidence: TestReplacementAsksTheDiscoveryOfTheNewConfiguration, with two replacements in a row, fails on (a server gets reads 15 s after its drain was written) and passes now.

--- a/cmd/cache-router/replace_endpoints_test.go
+++ b/cmd/cache-router/replace_endpoints_test.go
@@ -233,3 +233,24 @@
 		t.Errorf("a read of a key of a server that is in use again: got %q, %v", reply, err)
 	}
 }
+
+// Guards against a process that asks the discovery server that its predecessor has left at SIGHUP: its environment still names that one,
+// which takes no calls any more.
+func TestReplacementAsksTheDiscoveryOfTheNewConfiguration(t *testing.T) {
+	h := newHarness(t)
+	left := h.startAgent("discovery", 50, "s1", "s2", "origin")
+	moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
+	h.start([]string{"s1", "s2", "origin"})
+	go answerGets(h.endpoint("s2"))
+	h.execute("router", "rereads", "discovery2")
+	time.Sleep(200 * time.Millisecond)
+	left.change(func() { left.silent = true })
+	for n := range 2 {
+		if err := h.replace(n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	moved.tell("s1:leaving", "s2", "origin")
+	time.Sleep(grace)
+	h.checkUnused("s1")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Listen         string // address and port for clients
 	Admin          string // address and port of the admin endpoint; empty: there is none
 	Discovery      string // address and port of service discovery
+	FileDiscovery  string // the same as the file has it, whatever the environment has; empty or invalid if the file has none
 	Seed           uint64
 	Settings       routing.Settings
 	SavedEndpoints json.RawMessage // an endpoint list saved earlier, in discovery's format; empty: none
@@ -96,7 +97,7 @@
 		err = configerror.WithoutGoType(err)
 		return Config{}, &configerror.Error{Problem: err.Error(), Remedy: "write one object of JSON, as README.md has it", Cause: err}
 	}
-	c := Config{Name: object.Name, SavedEndpoints: object.Known}
+	c := Config{Name: object.Name, FileDiscovery: object.Discovery, SavedEndpoints: object.Known}
 	if name := getenv(variableName); name != "" {
 		c.Name = name
 	}
--- a/internal/router/operator_control.go
+++ b/internal/router/operator_control.go
@@ -158,7 +158,12 @@
 
 func (r *Router) sendOperatorState(conn *handover.Conn) {
 	// The fields are plain: Marshal cannot fail.
-	text, _ := json.Marshal(operatorFrame{r.operator.state, r.operator.notPersisted.Load(), r.fleet.noSharesGranted})
+	text, _ := json.Marshal(operatorFrame{
+		State:             r.operator.state,
+		NotPersisted:      r.operator.notPersisted.Load(),
+		NoSharesGranted:   r.fleet.noSharesGranted,
+		ReplacedDiscovery: r.replacedDiscovery(),
+	})
 	conn.Publish(handover.OperatorState, func() []byte { return text })
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -249,7 +249,7 @@
 	r.applyDecisions(r.decisions)
 	r.restoreLearned()
 	r.applyFirstEndpoints()
-	r.restartWatch(r.cfg.Discovery)
+	r.restartWatch(r.firstDiscovery())
 	r.after(r.limits.IdleSweepInterval, r.sweepConnections)
 	r.operator.closingClients = r.operator.state.Drain // a drain carried over from the previous process
 	r.publishPeriodically()
