A server that its predecessor saw return is cold for the next process too

Evidence: TestRestore_ServerThatReturnedStaysCold gives a warm-up age of 10 s instead of 0.5 s without the restored time.

--- a/core/routing/endpoints.go
+++ b/core/routing/endpoints.go
@@ -146,7 +146,7 @@
 	server := r.endpoints.servers[event.Server]
 	if server != nil && event.Since > 0 {
 		server.forgetFailures()
-		server.warmUp.returnedAt = event.Since
+		server.warmUp.returnedAt = max(server.warmUp.returnedAt, event.Since)
 	}
 	r.endpointsUpdated(EndpointsUpdated{Kind: IncrementalUpdate})
 }
--- a/core/routing/knowledge.go
+++ b/core/routing/knowledge.go
@@ -14,6 +14,7 @@
 type ServerKnowledge struct {
 	Server              ServerID
 	StartedAt           clock.Time // from the endpoint list; a different start is a different process
+	ReturnedAt          clock.Time // when it was observed to be back, or its ban ended; 0: neither
 	ObservedAt          clock.Time // end of the last attempt; if restored, of the earlier process until an attempt ends
 	Latency             LatencySummary
 	AnswerRate          float64        // per second
@@ -83,6 +84,7 @@
 	return ServerKnowledge{
 		Server:              server.Server,
 		StartedAt:           server.StartedAt,
+		ReturnedAt:          server.warmUp.returnedAt,
 		ObservedAt:          server.lastAttemptEnd,
 		Latency:             server.latency.summary(),
 		AnswerRate:          server.answerRate.at(r.now, answerWindow),
--- a/core/routing/restore.go
+++ b/core/routing/restore.go
@@ -69,6 +69,7 @@
 	}
 	server.latency.restore(knowledge.Latency)
 	server.restored = true
+	server.warmUp.returnedAt = max(server.warmUp.returnedAt, knowledge.ReturnedAt)
 	server.lastAttemptEnd = knowledge.ObservedAt
 	server.connectFailed = knowledge.ConnectFailed
 	server.answerRate = decayingRate{knowledge.AnswerRate, r.now}
--- a/core/routing/restore_test.go
+++ b/core/routing/restore_test.go
@@ -203,3 +203,26 @@
 	}
 	b.ReportMetric(float64(worst.Microseconds()), "us-at-worst")
 }
+
+// Guards against a successor that sends a server as much as a warm one, although its predecessor has seen it return from a crash whose
+// start the endpoint list does not have yet, or has ended its ban.
+func TestRestore_ServerThatReturnedStaysCold(t *testing.T) {
+	const returnedAt = 9.5e6
+	old := trainedRouter(1)
+	server := old.endpoints.servers[3]
+	server.ejectedUntil, server.connectFailed = 1, true
+	old.now = returnedAt
+	old.recordAnswer(&attempt{server: server}, OK, 1e3)
+	known := knowledgeOf(old, 10e6)
+	r := restoredRouter(known, 2)
+	if age := r.warmUpAge(r.endpoints.servers[3]); age != 0.5e6 {
+		t.Errorf("got a warm-up age of %d us of the server that returned, want half a second", age)
+	}
+	if age := r.warmUpAge(r.endpoints.servers[1]); age != r.config.warmUpDuration {
+		t.Errorf("got a warm-up age of %d us of another server, want that of a warm one", age)
+	}
+	r.Step(10e6, BanChanged{Server: 3, Since: 1e6}) // as a new process is told of a ban that ended earlier
+	if age := r.warmUpAge(r.endpoints.servers[3]); age != 0.5e6 {
+		t.Errorf("after an earlier ban: got a warm-up age of %d us, want half a second", age)
+	}
+}
--- a/core/staleness/staleness.go
+++ b/core/staleness/staleness.go
@@ -121,6 +121,7 @@
 		server.Ejected = false
 		server.ConnectFailed = false
 	}
+	server.ReturnedAt = min(server.ReturnedAt, now) // of a time in the future, all that counts is that it is recent
 	if server.ObservedAt > now {
 		// A later snapshot must not contain evidence from the future. Time 0 would mean that no attempt has ended.
 		server.ObservedAt = max(1, now-UnknownAge)
--- a/internal/router/handover_bounds_test.go
+++ b/internal/router/handover_bounds_test.go
@@ -35,6 +35,7 @@
 		state.Servers = append(state.Servers, snapshot.Server{UID: name(n), ServerKnowledge: routing.ServerKnowledge{
 			StartedAt:           longestTime,
 			ObservedAt:          longestTime,
+			ReturnedAt:          longestTime,
 			Latency:             latency,
 			AnswerRate:          largestRate,
 			AttemptRate:         largestRate,
--- a/internal/snapshot/decode.go
+++ b/internal/snapshot/decode.go
@@ -113,6 +113,7 @@
 			ConnectFailed:       fields.varint(fieldServerConnectFailed) != 0,
 			ObservedAt:          fields.time(fieldServerObservedAt),
 			AttemptRate:         fields.double(fieldServerAttemptRate),
+			ReturnedAt:          fields.time(fieldServerReturnedAt),
 		},
 	})
 	return nil
--- a/internal/snapshot/encode.go
+++ b/internal/snapshot/encode.go
@@ -92,6 +92,7 @@
 	m.boolean(fieldServerConnectFailed, server.ConnectFailed)
 	m.varint(fieldServerObservedAt, int64(server.ObservedAt))
 	m.double(fieldServerAttemptRate, server.AttemptRate)
+	m.varint(fieldServerReturnedAt, int64(server.ReturnedAt))
 	return m
 }
 
--- a/internal/snapshot/record.go
+++ b/internal/snapshot/record.go
@@ -53,6 +53,7 @@
 	fieldServerConnectFailed       protowire.Number = 11
 	fieldServerObservedAt          protowire.Number = 12
 	fieldServerAttemptRate         protowire.Number = 13
+	fieldServerReturnedAt          protowire.Number = 14 // not written by older releases, which skip it
 
 	fieldEndChecksum protowire.Number = 1
 )
