--- a/internal/discovery/shared.go
+++ b/internal/discovery/shared.go
@@ -66,8 +66,9 @@
 	return text
 }
 
-// DecodeShared decodes a list that another process has encoded.
-func DecodeShared(text []byte) (SharedList, error) {
+// DecodeShared decodes a list that another process has encoded. A time after now, from a process with another clock, counts as now:
+// otherwise answers of discovery that are requested later would count as earlier.
+func DecodeShared(text []byte, now clock.Time) (SharedList, error) {
 	var document sharedDocument
 	if err := json.Unmarshal(text, &document); err != nil {
 		return SharedList{}, err
@@ -81,8 +82,8 @@
 	version := Version{
 		Server:      document.Server,
 		Revision:    document.Revision,
-		RequestedAt: document.RequestedAt,
-		AnsweredAt:  document.AnsweredAt,
+		RequestedAt: min(document.RequestedAt, now),
+		AnsweredAt:  min(document.AnsweredAt, now),
 	}
 	return SharedList{Version: version, entries: document.Endpoints}, nil
 }
--- a/internal/discovery/shared_test.go
+++ b/internal/discovery/shared_test.go
@@ -50,7 +50,7 @@
 	if !ok {
 		p.t.Fatal("there is no list to share")
 	}
-	decoded, err := DecodeShared(shared.Encode())
+	decoded, err := DecodeShared(shared.Encode(), clock.Hour)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -231,11 +231,11 @@
 		`{"rev":1,"targets":[]}`:              ErrNoDiscovery,
 		`{"discovery":"127.0.0.1:1","rev":1}`: errNoEndpoints,
 	} {
-		if _, err := DecodeShared([]byte(text)); !errors.Is(err, want) {
+		if _, err := DecodeShared([]byte(text), clock.Hour); !errors.Is(err, want) {
 			t.Errorf("%s: got %v, want %v", text, err, want)
 		}
 	}
-	if _, err := DecodeShared([]byte("[")); err == nil {
+	if _, err := DecodeShared([]byte("["), clock.Hour); err == nil {
 		t.Error("a damaged list: got no error")
 	}
 }
@@ -270,3 +270,16 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// Guards against a process with another clock, beside which no answer of discovery would ever count as later.
+func TestDecodeShared_BoundsTimesByTheOwnClock(t *testing.T) {
+	const now = 100
+	list, err := DecodeShared([]byte(`{"discovery":"127.0.0.1:8500","rev":70,"requested_us":9000,"answered_us":9000,"targets":[]}`), now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newProcess(t)
+	p.list.Adopt(list)
+	p.learn(agent, now+1, responseBody(2, true, entry("a", "")))
+	p.check("a:active:0")
+}
--- a/internal/router/endpoint_sharing.go
+++ b/internal/router/endpoint_sharing.go
@@ -113,7 +113,7 @@
 	if len(frame.Body) == 0 {
 		return shared, false
 	}
-	shared, err := discovery.DecodeShared(frame.Body)
+	shared, err := discovery.DecodeShared(frame.Body, r.sharedTime())
 	if err != nil {
 		r.log.WithError(err).Warn("handover: endpoint list of the other process cannot be read")
 		return shared, false
--- a/internal/router/endpoint_sharing_test.go
+++ b/internal/router/endpoint_sharing_test.go
@@ -173,7 +173,7 @@
 		t.Errorf("the list has %d bytes, and a frame at most %d", len(body), handover.MaxBodyBytes)
 	}
 	t.Logf("%d servers: %d bytes", largestFleet, len(body))
-	if _, err := discovery.DecodeShared(body); err != nil {
+	if _, err := discovery.DecodeShared(body, 1<<60); err != nil {
 		t.Fatal(err)
 	}
 	h := newHandoverTest(t)
