--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,7 +11,7 @@
 // servers), servers.go (their pools and dials) and watch.go (discovery) hold the kinds of connections; descriptors.go
 // keeps them within the limits; large_read.go, large_read_handover.go, large_write.go and large_write_ending.go stream large values off
 // the loop, client_detached.go and socket_conn.go move connections off it and back; last_byte.go decides whether an attempt can have run, client_delivery.go
-// whether a client has got its replies; external_requests.go accepts requests of front ends; takeover.go, endpoint_sharing.go and shared_memory.go hand over to the next process;
+// whether a client has got its replies; external_requests.go accepts requests of front ends; takeover.go, client_handover.go, endpoint_sharing.go and shared_memory.go hand over to the next process;
 // operator_control.go and fleet_limits.go apply what operators and the fleet set; timers.go holds the timers;
 // held_memory.go accounts for the memory held for clients; queue_limits.go and waiting_requests.go have clients wait while queues are long; client_owed.go says what is owed to a client; socket_watch.go logs when sockets are not read in time;
 // learned_state.go the state that survives a restart; drain.go the shutdown, client_ending.go the end of clients' connections in it; conn_log.go the log lines on
