A new configuration that one of two processes reads moves both to its discovery

Callers would see: SIGHUP comes to one process of an upgrade only, and moves discovery. The other goes on asking the address that was left, and is alone with it once the first one has ended.

Cause: the address of discovery was a process's own. Change: the operators' frame has the last move of discovery with its time; a process follows a move that is later than its own configuration, and passes it on. Other releases ignore the field.

--- a/cmd/cache-router/replace_endpoints_test.go
+++ b/cmd/cache-router/replace_endpoints_test.go
@@ -254,3 +254,33 @@
 	time.Sleep(grace)
 	h.checkUnused("s1")
 }
+
+// Guards against a process that goes on asking the discovery server that a new configuration, which only the other process was told to
+// read, has replaced: it would be alone with it.
+func TestNewConfigurationReachesBothProcesses(t *testing.T) {
+	for _, toldFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("the old process is told: ", toldFirst), func(t *testing.T) {
+			h := newHarness(t)
+			left := h.startAgent("discovery", 50, "s1", "s2", "origin")
+			moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
+			h.start([]string{"s1", "s2", "origin"})
+			go answerGets(h.endpoint("s2"))
+			old, _ := h.startSuccessor(0)
+			h.waitForAdmin(h.admin, "/ops/readiness", "200 ready")
+			told, other := h.program, old
+			if toldFirst {
+				told, other = old, h.program
+			}
+			h.configure(strings.ReplaceAll(h.config, h.endpoint("discovery").ln.Addr().String(), h.endpoint("discovery2").ln.Addr().String()))
+			_ = told.Process.Signal(syscall.SIGHUP)
+			time.Sleep(200 * time.Millisecond)
+			left.change(func() { left.silent = true })
+			_ = told.Process.Kill() // the other one is left alone
+			<-h.exited
+			h.program = other
+			moved.tell("s1:leaving", "s2", "origin")
+			time.Sleep(grace)
+			h.checkUnused("s1")
+		})
+	}
+}
--- a/internal/router/endpoint_sharing.go
+++ b/internal/router/endpoint_sharing.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net/netip"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,25 +40,6 @@
 	}
 }
 
-// firstDiscovery returns the address of discovery to start with. The environment of a process is that of its predecessor: an address in
-// it that the predecessor has left since, by a new configuration, is outdated, and that of the file counts.
-func (r *Router) firstDiscovery() string {
-	frame := r.takeover.operatorFrame
-	isOutdated := frame != nil && frame.ReplacedDiscovery == r.cfg.Discovery
-	if _, err := netip.ParseAddrPort(r.cfg.FileDiscovery); !isOutdated || err != nil {
-		return r.cfg.Discovery
-	}
-	return r.cfg.FileDiscovery
-}
-
-// replacedDiscovery returns the address of discovery in this process's configuration if it has left that one, or "".
-func (r *Router) replacedDiscovery() string {
-	if r.watch == nil || r.watch.addr == r.cfg.Discovery {
-		return ""
-	}
-	return r.cfg.Discovery
-}
-
 // encodeEndpoints returns the function that encodes a copy of the endpoint list, off the loop, for another process. It returns
 // false if discovery has not answered yet: then the other process knows as much as this one.
 func (r *Router) encodeEndpoints() (encode func() []byte, ok bool) {
--- a/internal/router/operator_control.go
+++ b/internal/router/operator_control.go
@@ -163,6 +163,7 @@
 		NotPersisted:      r.operator.notPersisted.Load(),
 		NoSharesGranted:   r.fleet.noSharesGranted,
 		ReplacedDiscovery: r.replacedDiscovery(),
+		DiscoveryMove:     r.discoveryMove,
 	})
 	conn.Publish(handover.OperatorState, func() []byte { return text })
 }
@@ -175,6 +176,7 @@
 	if json.Unmarshal(f.Body, &received) != nil {
 		return
 	}
+	r.runAsync(func() { r.followDiscovery(received.DiscoveryMove) })
 	r.operator.mu.Lock()
 	defer r.operator.mu.Unlock()
 	state := received.State
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,6 +120,7 @@
 	connCount           int        // open connections of all kinds
 	endpoints           *discovery.EndpointList
 	watch               *watch
+	discoveryMove       *discoveryMove           // the last one; nil: there was none since the start
 	initialEndpoints    routing.EndpointsUpdated // the endpoint list to start with
 	hasUsableServer     bool                     // an endpoint list with at least one usable server has arrived
 	learned             *learnedState            // nil: nothing is kept across restarts
@@ -314,7 +315,9 @@
 	r.runAsync(func() {
 		r.counts.ConfigReloads++
 		r.log.WithField("discovery", discovery).Info("configuration read again")
+		r.discoveryMove = &discoveryMove{Address: discovery, At: r.sharedTime()}
 		r.restartWatch(discovery)
+		r.publishOperatorState()
 	})
 }
 
--- a/internal/router/takeover.go
+++ b/internal/router/takeover.go
@@ -61,8 +61,9 @@
 	NotPersisted    bool `json:"Unkept"` // the file does not contain it
 	NoSharesGranted bool `json:"Whole"`  // no part of this router's share of the fleet's limits is granted to other routers
 	// ReplacedDiscovery is the address of discovery with which the process started, if it has another one since. Earlier releases
-	// have no such field.
-	ReplacedDiscovery string `json:",omitempty"`
+	// have neither this field nor the next one.
+	ReplacedDiscovery string         `json:",omitempty"`
+	DiscoveryMove     *discoveryMove `json:",omitempty"` // the last one; nil: there was none
 }
 
 // outgoingFrame carries a client's connection to the successor.
