A move of discovery during a process's start reaches it, and its tests share their start

Cause: a configuration that the old process read between the new one's reading its own and the first frames was in none of the two (by reading): the first frame's move was not looked at. Change: it is, when the watch starts.

--- a/cmd/cache-router/replace_endpoints_test.go
+++ b/cmd/cache-router/replace_endpoints_test.go
@@ -111,6 +111,32 @@
 	"removed": {"s2", "origin"},
 }
 
+// startServing starts the router with s1, s2 and the origin, all in use, and discovery at a revision.
+func (h *harness) startServing(revision int) (agent *agentStandIn) {
+	h.t.Helper()
+	agent = h.startAgent("discovery", revision, "s1", "s2", "origin")
+	h.start([]string{"s1", "s2", "origin"})
+	go answerGets(h.endpoint("s2"))
+	time.Sleep(200 * time.Millisecond)
+	return agent
+}
+
+// tellAndFallSilent has discovery tell who is listed, and then nothing more.
+func (a *agentStandIn) tellAndFallSilent(servers ...string) {
+	a.tell(servers...)
+	time.Sleep(100 * time.Millisecond)
+	a.change(func() { a.silent = true })
+}
+
+// replaceAndCheck replaces the process and checks that s1 gets no reads.
+func (h *harness) replaceAndCheck(n int) {
+	h.t.Helper()
+	if err := h.replace(n); err != nil {
+		h.t.Fatal(err)
+	}
+	h.checkUnused("s1")
+}
+
 // grace is the time in which requests to a server that is out of use end, by the settings of the harness.
 const grace = time.Second
 
@@ -121,59 +147,34 @@
 		t.Run(way, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
-			h.start([]string{"s1", "s2", "origin"})
-			go answerGets(h.endpoint("s2"))
-			time.Sleep(200 * time.Millisecond)
-			agent.tell(servers...)
-			time.Sleep(100 * time.Millisecond)
-			agent.change(func() { agent.silent = true })
+			h.startServing(5).tellAndFallSilent(servers...)
 			for n := range 2 {
-				if err := h.replace(n); err != nil {
-					t.Fatal(err)
-				}
-				h.checkUnused("s1")
+				h.replaceAndCheck(n)
 			}
 		})
 		t.Run(way+", a process failed", func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
-			h.start([]string{"s1", "s2", "origin"})
-			go answerGets(h.endpoint("s2"))
-			time.Sleep(200 * time.Millisecond)
-			agent.tell(servers...)
-			time.Sleep(100 * time.Millisecond)
-			agent.change(func() { agent.silent = true })
+			h.startServing(5).tellAndFallSilent(servers...)
 			first, admin := h.startSuccessor(0)
 			_ = h.program.Process.Kill()
 			<-h.exited
 			h.program, h.admin = first, admin
 			time.Sleep(grace)
 			h.checkUnused("s1")
-			if err := h.replace(1); err != nil {
-				t.Fatal(err)
-			}
-			h.checkUnused("s1")
+			h.replaceAndCheck(1)
 		})
 		t.Run(way+", discovery moved", func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			h.startAgent("discovery", 50, "s1", "s2", "origin")
+			h.startServing(50)
 			moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
-			h.start([]string{"s1", "s2", "origin"})
-			go answerGets(h.endpoint("s2"))
 			h.execute("router", "rereads", "discovery2")
 			time.Sleep(200 * time.Millisecond)
-			moved.tell(servers...) // revision 2, and the saved list has 1
-			time.Sleep(100 * time.Millisecond)
-			moved.change(func() { moved.silent = true })
+			moved.tellAndFallSilent(servers...) // with revision 2, far before those of the first discovery server
 			h.configure(strings.ReplaceAll(h.config, h.endpoint("discovery").ln.Addr().String(), h.endpoint("discovery2").ln.Addr().String()))
 			h.setEndpoint("discovery", h.endpoint("discovery2")) // in the environment of the next process
-			if err := h.replace(0); err != nil {
-				t.Fatal(err)
-			}
-			h.checkUnused("s1")
+			h.replaceAndCheck(0)
 		})
 	}
 }
@@ -185,10 +186,7 @@
 			t.Run(fmt.Sprint(way, ", the old process is told: ", toldFirst), func(t *testing.T) {
 				t.Parallel()
 				h := newHarness(t)
-				agent := h.startAgent("discovery", 5, "s1", "s2", "origin")
-				h.start([]string{"s1", "s2", "origin"})
-				go answerGets(h.endpoint("s2"))
-				time.Sleep(200 * time.Millisecond)
+				agent := h.startServing(5)
 				ofOldProcess := agent.connections()
 				if toldFirst {
 					agent.answerOnly(ofOldProcess, false)
@@ -198,9 +196,7 @@
 				if !toldFirst {
 					agent.answerOnly(ofOldProcess, true)
 				}
-				agent.tell(servers...)
-				time.Sleep(100 * time.Millisecond)
-				agent.change(func() { agent.silent = true })
+				agent.tellAndFallSilent(servers...)
 				if !toldFirst { // the new process fails, and the old one serves again
 					_ = h.program.Process.Signal(syscall.SIGKILL)
 					<-h.exited
@@ -238,10 +234,8 @@
 // which takes no calls any more.
 func TestReplacementAsksTheDiscoveryOfTheNewConfiguration(t *testing.T) {
 	h := newHarness(t)
-	left := h.startAgent("discovery", 50, "s1", "s2", "origin")
+	left := h.startServing(50)
 	moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
-	h.start([]string{"s1", "s2", "origin"})
-	go answerGets(h.endpoint("s2"))
 	h.execute("router", "rereads", "discovery2")
 	time.Sleep(200 * time.Millisecond)
 	left.change(func() { left.silent = true })
@@ -261,10 +255,8 @@
 	for _, toldFirst := range []bool{true, false} {
 		t.Run(fmt.Sprint("the old process is told: ", toldFirst), func(t *testing.T) {
 			h := newHarness(t)
-			left := h.startAgent("discovery", 50, "s1", "s2", "origin")
+			left := h.startServing(50)
 			moved := h.startAgent("discovery2", 1, "s1", "s2", "origin")
-			h.start([]string{"s1", "s2", "origin"})
-			go answerGets(h.endpoint("s2"))
 			old, _ := h.startSuccessor(0)
 			h.waitForAdmin(h.admin, "/ops/readiness", "200 ready")
 			told, other := h.program, old
--- a/internal/router/discovery_address.go
+++ b/internal/router/discovery_address.go
@@ -15,6 +15,14 @@
 	At      clock.Time // on the clock that the processes share
 }
 
+// startWatch begins to watch discovery. The predecessor may have read a new configuration since this process has read its own.
+func (r *Router) startWatch() {
+	r.restartWatch(r.firstDiscovery())
+	if frame := r.takeover.operatorFrame; frame != nil {
+		r.followDiscovery(frame.DiscoveryMove)
+	}
+}
+
 // firstDiscovery returns the address of discovery to start with. The environment of a process is that of its predecessor: an address in
 // it that the predecessor has left since, by a new configuration, is outdated, and that of the file counts.
 func (r *Router) firstDiscovery() string {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -250,7 +250,7 @@
 	r.applyDecisions(r.decisions)
 	r.restoreLearned()
 	r.applyFirstEndpoints()
-	r.restartWatch(r.firstDiscovery())
+	r.startWatch()
 	r.after(r.limits.IdleSweepInterval, r.sweepConnections)
 	r.operator.closingClients = r.operator.state.Drain // a drain carried over from the previous process
 	r.publishPeriodically()
